--- a/include/anvil/sched/Action.h
+++ b/include/anvil/sched/Action.h
@@ -14,9 +14,9 @@
 
 /// Place all members of a job at once. Answered by PlacementConfirmed or PlacementRefused.
 struct PlaceGang {
-  JobId m_Job;
-  std::vector<MemberPlacement> m_Members;
-  std::string m_Reason;
+  JobId m_Job{};
+  std::vector<MemberPlacement> m_Members{};
+  std::string m_Reason{};
 };
 
 /// Steps of a reclaim, mildest first.
@@ -27,43 +27,43 @@
 /// Checkpoint asks all members to write a checkpoint and stop. If the deadline passes, the scheduler follows with
 /// Throttle and then Stop.
 struct ReclaimJob {
-  JobId m_Job;
+  JobId m_Job{};
   ReclaimMode m_Mode = ReclaimMode::Checkpoint;
-  TimePoint m_Deadline;
-  std::string m_Reason;
+  TimePoint m_Deadline{};
+  std::string m_Reason{};
 };
 
 /// The job cannot be placed as things are; it is looked at again when capacity or configuration change.
 struct ParkJob {
-  JobId m_Job;
-  std::string m_Reason;
+  JobId m_Job{};
+  std::string m_Reason{};
 };
 
 /// The job is over without success.
 struct GiveUpJob {
-  JobId m_Job;
-  std::string m_Reason;
+  JobId m_Job{};
+  std::string m_Reason{};
 };
 
 /// Take a worker out of use, or with m_Quarantined false return it to use.
 struct QuarantineWorker {
-  VmId m_Vm;
+  VmId m_Vm{};
   bool m_Quarantined = true;
-  std::string m_Reason;
+  std::string m_Reason{};
 };
 
 /// Run a self-test on a quarantined worker. Answered by ProbeEnded.
 struct ProbeWorker {
-  VmId m_Vm;
-  std::string m_Reason;
+  VmId m_Vm{};
+  std::string m_Reason{};
 };
 
 /// m_Missing pieces of a guaranteed shape cannot be kept at present; zero says that all are kept again.
 struct WarnGuarantee {
-  WorkspaceId m_Workspace;
-  std::string m_Shape;
+  WorkspaceId m_Workspace{};
+  std::string m_Shape{};
   int32_t m_Missing = 0;
-  std::string m_Reason;
+  std::string m_Reason{};
 };
 
 /// Everything the scheduler asks for.
--- a/include/anvil/sched/Event.h
+++ b/include/anvil/sched/Event.h
@@ -14,10 +14,10 @@
 
 /// A worker registered, came back, or changed its properties. Replaces what is known of the VM except running gangs.
 struct WorkerUp {
-  VmId m_Vm;
-  AvailabilityZoneId m_Zone;
-  RackId m_Rack;
-  Resources m_Capacity;
+  VmId m_Vm{};
+  AvailabilityZoneId m_Zone{};
+  RackId m_Rack{};
+  Resources m_Capacity{};
   /// Set when the scheduler is rebuilt and the replicated state has the worker draining.
   bool m_Draining = false;
   /// Set when the scheduler is rebuilt and the replicated state has the worker quarantined.
@@ -26,19 +26,19 @@
 
 /// The failure detector declared the worker lost. Gangs on it keep their resources until GangReleased.
 struct WorkerLost {
-  VmId m_Vm;
+  VmId m_Vm{};
 };
 
 /// An operator, or the agent's shutdown, set or cleared draining.
 struct WorkerDrained {
-  VmId m_Vm;
+  VmId m_Vm{};
   bool m_Draining = true;
 };
 
 /// A new job entered the queue.
 struct JobSubmitted {
-  JobId m_Job;
-  JobSpec m_Spec;
+  JobId m_Job{};
+  JobSpec m_Spec{};
 };
 
 /// Where a restored job stands in the replicated state.
@@ -46,14 +46,14 @@
 
 /// A job known to the replicated state when a new leader rebuilds the scheduler. Workers and configuration come first.
 struct JobRestored {
-  JobId m_Job;
-  JobSpec m_Spec;
+  JobId m_Job{};
+  JobSpec m_Spec{};
   RestoredPhase m_Phase = RestoredPhase::Queued;
   /// Empty when the job is queued.
-  std::vector<MemberPlacement> m_Members;
-  TimePoint m_SubmittedAt;
+  std::vector<MemberPlacement> m_Members{};
+  TimePoint m_SubmittedAt{};
   /// Meaningful when running or stopping.
-  TimePoint m_StartedAt;
+  TimePoint m_StartedAt{};
   /// Run time already kept in a checkpoint.
   Duration m_Checkpointed{0};
   /// Failures counted so far.
@@ -62,55 +62,55 @@
 
 /// The replicated state accepted a PlaceGang.
 struct PlacementConfirmed {
-  JobId m_Job;
+  JobId m_Job{};
 };
 
 /// The replicated state refused a PlaceGang, or a member refused before any member started. Nothing is held any more.
 struct PlacementRefused {
-  JobId m_Job;
-  std::string m_Reason;
+  JobId m_Job{};
+  std::string m_Reason{};
   /// The VM that refused; empty when it was the replicated state.
-  VmId m_Vm;
+  VmId m_Vm{};
 };
 
 /// One member runs.
 struct TaskStarted {
-  JobId m_Job;
+  JobId m_Job{};
   int32_t m_TaskIndex = 0;
 };
 
 /// One member ended with success. Its resources stay with the gang until the job ends.
 struct TaskEnded {
-  JobId m_Job;
+  JobId m_Job{};
   int32_t m_TaskIndex = 0;
 };
 
 /// One member failed on its VM. The replicated state stops the other members; GangReleased follows.
 struct TaskFailed {
-  JobId m_Job;
+  JobId m_Job{};
   int32_t m_TaskIndex = 0;
-  VmId m_Vm;
-  std::string m_Detail;
+  VmId m_Vm{};
+  std::string m_Detail{};
 };
 
 /// All members run.
 struct JobStarted {
-  JobId m_Job;
+  JobId m_Job{};
 };
 
 /// All members ended with success; the resources of the gang are free.
 struct JobEnded {
-  JobId m_Job;
+  JobId m_Job{};
 };
 
 /// The job was cancelled. The resources of a placed gang stay held until GangReleased.
 struct JobCancelled {
-  JobId m_Job;
+  JobId m_Job{};
 };
 
 /// No member runs any more (stopped, failed, or its lease expired); the resources of the gang are free.
 struct GangReleased {
-  JobId m_Job;
+  JobId m_Job{};
   /// Some member had started. Decides whether a job that is not idempotent may be placed again.
   bool m_AnyStarted = false;
   /// All members stopped at a checkpoint, so that nothing is run twice when the job continues.
@@ -119,36 +119,36 @@
 
 /// The job wrote a checkpoint and may still run.
 struct CheckpointDone {
-  JobId m_Job;
+  JobId m_Job{};
 };
 
 /// Operators withdrew an availability zone. Nothing starts in it from now on.
 struct ZoneWithdrawn {
-  AvailabilityZoneId m_Zone;
+  AvailabilityZoneId m_Zone{};
   /// Time until its workers may disappear. Jobs that can be stopped are out by then.
   Duration m_Notice{std::chrono::seconds(60)};
 };
 
 /// Operators restored an availability zone.
 struct ZoneRestored {
-  AvailabilityZoneId m_Zone;
+  AvailabilityZoneId m_Zone{};
 };
 
 /// A configuration came into force; it replaces the previous one as a whole.
 struct ConfigurationChanged {
-  std::vector<WorkspaceConfig> m_Workspaces;
+  std::vector<WorkspaceConfig> m_Workspaces{};
 };
 
 /// Measured use of a worker by all its tasks. Reports lag and may be out of order.
 struct UsageReported {
-  VmId m_Vm;
-  Resources m_Used;
-  TimePoint m_MeasuredAt;
+  VmId m_Vm{};
+  Resources m_Used{};
+  TimePoint m_MeasuredAt{};
 };
 
 /// Result of a ProbeWorker.
 struct ProbeEnded {
-  VmId m_Vm;
+  VmId m_Vm{};
   bool m_Healthy = false;
 };
 
--- a/include/anvil/sched/Job.h
+++ b/include/anvil/sched/Job.h
@@ -30,10 +30,10 @@
 
 /// What a job asks for. All tasks have the same demand and run as one gang.
 struct JobSpec {
-  WorkspaceId m_Workspace;
-  std::string m_Name;
+  WorkspaceId m_Workspace{};
+  std::string m_Name{};
   int32_t m_Tasks = 1;
-  Resources m_PerTask;
+  Resources m_PerTask{};
   Adjacency m_Adjacency = Adjacency::Any;
   /// With false, m_Adjacency is a preference.
   bool m_AdjacencyRequired = false;
@@ -51,15 +51,15 @@
 /// One member of a placed gang.
 struct MemberPlacement {
   int32_t m_TaskIndex = 0;
-  VmId m_Vm;
+  VmId m_Vm{};
 
   bool operator==(const MemberPlacement &) const = default;
 };
 
 /// A guaranteed shape of a workspace: m_Count pieces of m_Resources, each within one VM, one rack, or anywhere.
 struct GuaranteedShape {
-  std::string m_Name;
-  Resources m_Resources;
+  std::string m_Name{};
+  Resources m_Resources{};
   Adjacency m_Adjacency = Adjacency::Any;
   int32_t m_Count = 0;
 
@@ -68,9 +68,9 @@
 
 /// Limits and guarantees of one workspace. A quota field of zero means that the resource is not limited.
 struct WorkspaceConfig {
-  WorkspaceId m_Name;
-  Resources m_Quota;
-  std::vector<GuaranteedShape> m_Guarantees;
+  WorkspaceId m_Name{};
+  Resources m_Quota{};
+  std::vector<GuaranteedShape> m_Guarantees{};
 
   bool operator==(const WorkspaceConfig &) const = default;
 };
--- /dev/null
+++ b/src/sched/Estimator.h
@@ -0,0 +1,47 @@
+#ifndef ANVIL_SCHED_SRC_ESTIMATOR_H
+#define ANVIL_SCHED_SRC_ESTIMATOR_H
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+#include "anvil/base/Time.h"
+#include "anvil/sched/Job.h"
+
+namespace anvil::sched::internal {
+
+/// Expected run time of a job and the value that nine of ten jobs stay below.
+struct RunTimeEstimate {
+  Duration m_Median{};
+  Duration m_High{};
+};
+
+/// Learns, per workspace and class, by what factor run times differ from the declared ones.
+///
+/// Keeps mean and variance of the logarithm of actual / declared. Jobs without a declared time are learned against
+/// DefaultRunTime.
+class Estimator {
+public:
+  /// Stands in for a run time that was not declared.
+  static constexpr Duration DefaultRunTime = std::chrono::minutes(10);
+
+  void learn(int32_t Workspace, Urgency Class, Duration Declared, Duration Actual);
+  /// Estimates the whole run time of a job that has already run for \p Elapsed.
+  RunTimeEstimate estimate(int32_t Workspace, Urgency Class, Duration Declared, Duration Elapsed) const;
+
+private:
+  struct Statistics {
+    double m_Mean = 0;
+    double m_Variance = 1;
+    double m_Weight = 0;
+  };
+
+  static void add(Statistics &Target, double Value);
+  const Statistics *cell(int32_t Workspace, Urgency Class) const;
+
+  std::vector<std::array<Statistics, UrgencyCount>> m_Cells;
+};
+
+} // namespace anvil::sched::internal
+
+#endif // ANVIL_SCHED_SRC_ESTIMATOR_H
--- /dev/null
+++ b/src/sched/Finder.h
@@ -0,0 +1,77 @@
+#ifndef ANVIL_SCHED_SRC_FINDER_H
+#define ANVIL_SCHED_SRC_FINDER_H
+
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <vector>
+
+#include "Fleet.h"
+
+namespace anvil::sched::internal {
+
+/// What a gang needs from a set of workers.
+struct Demand {
+  Resources m_PerTask;
+  int32_t m_Tasks = 1;
+  Adjacency m_Adjacency = Adjacency::Any;
+  bool m_Required = false;
+};
+
+/// Which resources of a worker a search may use.
+enum class RoomKind {
+  /// Own guarantee, not borrowed from anyone and not lent (searched on home workers only).
+  Home,
+  /// What is guaranteed to no other workspace.
+  Open,
+  /// Everything free, borrowing from other guarantees.
+  Free,
+  /// What a gang that cannot be reclaimed may use.
+  Pinned,
+};
+
+/// Chooses workers for a whole gang: one VM if possible, else one rack, else one zone, else the fewest racks, and among
+/// equals the tightest fit, so that large holes stay whole.
+class Finder {
+public:
+  /// Returns the room of a worker; an empty function selects by RoomKind from the slots.
+  using RoomFn = std::function<Resources(WorkerIndex)>;
+
+  explicit Finder(const Fleet &Workers) : m_Fleet(&Workers) {}
+
+  /// Searches all usable workers but \p Avoid. Returns an empty list if the gang does not fit as a whole.
+  std::vector<Member> find(const Demand &Need, RoomKind Kind, std::span<const WorkerIndex> Avoid = {},
+                           std::span<const Resources> Extra = {});
+  /// Searches the given workers with the given rooms, whether usable or not.
+  std::vector<Member> findAmong(const Demand &Need, std::span<const WorkerIndex> Among, const RoomFn &Room);
+
+  /// Worker records read so far.
+  int64_t scanned() const { return m_Scanned; }
+
+private:
+  struct Candidate {
+    WorkerIndex m_Worker = 0;
+    int32_t m_Tasks = 0;
+    int32_t m_Rack = 0;
+    int32_t m_Zone = 0;
+    /// Accelerators, then cores, left over if the whole gang went here; orders equal fits.
+    int64_t m_Leftover = 0;
+  };
+
+  void scan(const Demand &Need, RoomKind Kind, std::span<const WorkerIndex> Avoid, std::span<const Resources> Extra,
+            bool KeepForAccelerators);
+  void addCandidate(const Demand &Need, WorkerIndex Worker, const Resources &Room);
+  std::vector<Member> choose(const Demand &Need);
+  std::vector<Member> chooseVm(const Demand &Need) const;
+  std::vector<Member> chooseRacks(const Demand &Need);
+  void takeFromRack(std::span<const Candidate> Rack, int32_t &Remaining, std::vector<Member> &Result) const;
+
+  const Fleet *m_Fleet;
+  std::vector<Candidate> m_Candidates;
+  int64_t m_Total = 0;
+  int64_t m_Scanned = 0;
+};
+
+} // namespace anvil::sched::internal
+
+#endif // ANVIL_SCHED_SRC_FINDER_H
--- /dev/null
+++ b/src/sched/Fleet.h
@@ -0,0 +1,147 @@
+#ifndef ANVIL_SCHED_SRC_FLEET_H
+#define ANVIL_SCHED_SRC_FLEET_H
+
+#include <cstdint>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+
+#include "Amounts.h"
+#include "anvil/base/Ids.h"
+#include "anvil/base/Time.h"
+#include "anvil/sched/Event.h"
+
+namespace anvil::sched::internal {
+
+using WorkerIndex = int32_t;
+using JobIndex = int32_t;
+using WorkspaceIndex = int32_t;
+
+/// Some tasks of one gang on one worker.
+struct Member {
+  WorkerIndex m_Worker = 0;
+  int32_t m_Tasks = 0;
+
+  bool operator==(const Member &) const = default;
+};
+
+/// What one workspace has on one worker.
+struct Claim {
+  WorkspaceIndex m_Workspace = 0;
+  /// Part of its guaranteed shapes that is kept claimable here.
+  Resources m_Guaranteed{};
+  /// Reserved by its gangs.
+  Resources m_Used{};
+  /// Part of m_Used that cannot be reclaimed.
+  Resources m_Pinned{};
+};
+
+/// Some tasks of one gang, seen from the worker.
+struct Occupant {
+  JobIndex m_Job = 0;
+  int32_t m_Tasks = 0;
+};
+
+/// The part of a worker that placement searches read; kept small and contiguous, since each search reads all of them.
+struct WorkerSlot {
+  /// Not reserved and not held; negative while a hold waits for gangs to leave.
+  Resources m_Free{};
+  /// Part of m_Free that is guaranteed to no one.
+  Resources m_Open{};
+  /// What gangs that cannot be reclaimed may still take without touching a guarantee.
+  Resources m_PinRoom{};
+  int32_t m_Rack = 0;
+  int32_t m_Zone = 0;
+  bool m_Usable = false;
+  bool m_HasAccelerators = false;
+};
+
+/// One failure of a job on a worker.
+struct FailureEvidence {
+  JobId m_Job{};
+  TimePoint m_At{};
+};
+
+/// The rest of a worker.
+struct Worker {
+  VmId m_Vm{};
+  Resources m_Capacity{};
+  Resources m_Reserved{};
+  Resources m_Held{};
+  /// Measured use beyond the reservation.
+  Resources m_Overuse{};
+  /// Last report that confirmed the present m_Overuse.
+  TimePoint m_OveruseAt{};
+  /// Last change of m_Reserved; older usage reports say nothing about it.
+  TimePoint m_ChangedAt{};
+  bool m_Up = false;
+  bool m_Draining = false;
+  bool m_Quarantined = false;
+  int32_t m_Probes = 0;
+  std::vector<Claim> m_Claims{};
+  std::vector<Occupant> m_Occupants{};
+  std::vector<FailureEvidence> m_Evidence{};
+};
+
+struct Zone {
+  AvailabilityZoneId m_Name{};
+  bool m_Withdrawn = false;
+  /// End of the notice of the withdrawal.
+  TimePoint m_LeavesAt{};
+  bool m_EvictionDone = false;
+};
+
+/// The workers with what is reserved, guaranteed and held on each.
+class Fleet {
+public:
+  /// Adds or replaces a worker and returns its index.
+  WorkerIndex upsert(const WorkerUp &Up);
+  /// Returns the index of a worker or -1.
+  WorkerIndex find(const VmId &Vm) const;
+  int32_t zoneIndex(const AvailabilityZoneId &Name);
+
+  int32_t size() const { return static_cast<int32_t>(m_Workers.size()); }
+  int32_t rackCount() const { return static_cast<int32_t>(m_RackIndex.size()); }
+  Worker &worker(WorkerIndex Index) { return m_Workers[Index]; }
+  const Worker &worker(WorkerIndex Index) const { return m_Workers[Index]; }
+  WorkerSlot &slot(WorkerIndex Index) { return m_Slots[Index]; }
+  const WorkerSlot &slot(WorkerIndex Index) const { return m_Slots[Index]; }
+  const std::vector<WorkerSlot> &slots() const { return m_Slots; }
+  std::vector<Zone> &zones() { return m_Zones; }
+  const std::vector<Zone> &zones() const { return m_Zones; }
+  /// Capacity of the usable workers.
+  const Resources &usableCapacity() const { return m_UsableCapacity; }
+  int32_t usableWorkers() const { return m_UsableWorkers; }
+
+  void occupy(WorkerIndex Index, JobIndex Job, WorkspaceIndex Workspace, int32_t Tasks, const Resources &PerTask,
+              bool Pinned);
+  void vacate(WorkerIndex Index, JobIndex Job, WorkspaceIndex Workspace, int32_t Tasks, const Resources &PerTask,
+              bool Pinned);
+  /// Adds \p Amount (negative to remove) to what \p Workspace is guaranteed on the worker.
+  void guarantee(WorkerIndex Index, WorkspaceIndex Workspace, const Resources &Amount);
+  /// Keeps \p Amount (negative to release) from all searches.
+  void hold(WorkerIndex Index, const Resources &Amount);
+  /// Recomputes the slot after a change of the worker or its zone.
+  void refresh(WorkerIndex Index);
+  /// Recomputes the slots of all workers of a zone.
+  void refreshZone(int32_t ZoneIndex);
+  /// Returns what the workspace has on the worker; all zero if nothing.
+  Claim claimOf(WorkerIndex Index, WorkspaceIndex Workspace) const;
+  int64_t approximateBytes() const;
+
+private:
+  Claim &claimRow(Worker &Target, WorkspaceIndex Workspace);
+  static void dropEmptyRows(Worker &Target);
+
+  std::vector<Worker> m_Workers;
+  std::vector<WorkerSlot> m_Slots;
+  std::vector<Zone> m_Zones;
+  absl::flat_hash_map<VmId, WorkerIndex> m_WorkerIndex;
+  absl::flat_hash_map<RackId, int32_t> m_RackIndex;
+  Resources m_UsableCapacity;
+  int32_t m_UsableWorkers = 0;
+};
+
+} // namespace anvil::sched::internal
+
+#endif // ANVIL_SCHED_SRC_FLEET_H
