--- a/include/anvil/sched/Scheduler.h
+++ b/include/anvil/sched/Scheduler.h
@@ -63,8 +63,6 @@
   int64_t m_WorkersScanned = 0;
   /// Pieces of guaranteed shapes that are not claimable at present.
   int64_t m_GuaranteesMissing = 0;
-  /// Estimate of the memory held.
-  int64_t m_Bytes = 0;
 };
 
 /// Decides where and when jobs run.
@@ -92,6 +90,9 @@
   /// Returns sums over the state.
   SchedulerCounts counts() const;
 
+  /// Returns an estimate of the memory held, in bytes. Costs a pass over the whole state.
+  int64_t approximateBytes() const;
+
   /// Checks every invariant of the state and returns the first violation; empty when all hold. Costs a pass over the
   /// whole state; meant for tests.
   std::string findViolation() const;
--- /dev/null
+++ b/src/sched/CoreJobs.cpp
@@ -0,0 +1,221 @@
+#include "Core.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+namespace anvil::sched::internal {
+
+namespace {
+// Largest gang that is accepted; larger ones are taken for an error of the caller.
+constexpr int32_t MaxTasks = 100'000;
+// Largest amount of one resource in a demand, far from overflow when multiplied by MaxTasks.
+constexpr int64_t MaxAmount = int64_t{1} << 40;
+// Head start of a class in the queue. Within a class short work goes first, but no job is overtaken for longer than
+// AreaWeight times its own share of the fleet times its run time.
+constexpr double UrgentBias = -30 * 86400.0;
+constexpr double WorkingDayBias = -6 * 3600.0;
+constexpr double OvernightBias = 12 * 3600.0;
+constexpr double AreaWeight = 200;
+// A job whose latest start is this close is treated as urgent.
+constexpr Duration CriticalMargin = std::chrono::seconds(60);
+
+double biasOf(Urgency Class) {
+  switch (Class) {
+  case Urgency::Urgent:
+    return UrgentBias;
+  case Urgency::WorkingDay:
+    return WorkingDayBias;
+  case Urgency::Batch:
+    return 0;
+  case Urgency::Overnight:
+    break;
+  }
+  return OvernightBias;
+}
+} // namespace
+
+JobIndex SchedulerCore::findJob(JobId Id) const {
+  const auto Found = m_JobIndex.find(Id);
+  return Found == m_JobIndex.end() ? -1 : Found->second;
+}
+
+JobIndex SchedulerCore::addJob(JobId Id, const JobSpec &Spec, TimePoint SubmittedAt) {
+  JobIndex Index = static_cast<JobIndex>(m_Jobs.size());
+  if (m_FreeJobs.empty()) {
+    m_Jobs.emplace_back();
+  } else {
+    Index = m_FreeJobs.back();
+    m_FreeJobs.pop_back();
+  }
+  Job &Target = m_Jobs[Index];
+  Target = Job();
+  Target.m_Id = Id;
+  Target.m_Spec = Spec;
+  Target.m_SubmittedAt = SubmittedAt;
+  Target.m_Workspace = workspaceIndex(Spec.m_Workspace);
+  m_JobIndex[Id] = Index;
+  return Index;
+}
+
+void SchedulerCore::removeJob(JobIndex Index) {
+  dequeue(Index);
+  dropHold(Index);
+  m_Parked.erase(Index);
+  m_DelayTimers.erase({m_Jobs[Index].m_NotBefore, Index});
+  m_JobIndex.erase(m_Jobs[Index].m_Id);
+  m_Jobs[Index] = Job();
+  m_FreeJobs.push_back(Index);
+}
+
+WorkspaceIndex SchedulerCore::workspaceIndex(const WorkspaceId &Name) {
+  const auto [Entry, Inserted] = m_WorkspaceIndex.try_emplace(Name, static_cast<WorkspaceIndex>(m_Workspaces.size()));
+  if (Inserted)
+    m_Workspaces.emplace_back().m_Name = Name;
+  return Entry->second;
+}
+
+std::string SchedulerCore::refusalOf(const JobSpec &Spec) const {
+  if (Spec.m_Tasks < 1 || Spec.m_Tasks > MaxTasks)
+    return absl::StrCat("the number of tasks is ", Spec.m_Tasks, "; allowed are 1 to ", MaxTasks);
+  if (anyNegative(Spec.m_PerTask))
+    return "a demand is negative";
+  if (isZero(Spec.m_PerTask))
+    return "the tasks demand nothing";
+  if (!fits(Spec.m_PerTask, {MaxAmount, MaxAmount, MaxAmount}))
+    return "a demand is larger than any worker can be";
+  return "";
+}
+
+void SchedulerCore::enqueue(JobIndex Index) {
+  Job &Target = m_Jobs[Index];
+  Target.m_Phase = JobPhase::Queued;
+  Target.m_Key = queueKey(Target);
+  Target.m_InQueue = m_Workspaces[Target.m_Workspace].m_Queue.insert({Target.m_Key, Index}).second;
+  ++m_QueuedCount;
+  m_Dirty = true;
+}
+
+void SchedulerCore::dequeue(JobIndex Index) {
+  Job &Target = m_Jobs[Index];
+  if (!Target.m_InQueue)
+    return;
+  m_Workspaces[Target.m_Workspace].m_Queue.erase({Target.m_Key, Index});
+  Target.m_InQueue = false;
+  --m_QueuedCount;
+}
+
+void SchedulerCore::delay(JobIndex Index, Duration Span, std::string Reason) {
+  Job &Target = m_Jobs[Index];
+  Target.m_Phase = JobPhase::Delayed;
+  Target.m_NotBefore = m_Now + Span;
+  Target.m_Reason = std::move(Reason);
+  m_DelayTimers.insert({Target.m_NotBefore, Index});
+}
+
+void SchedulerCore::park(JobIndex Index, std::string Reason) {
+  Job &Target = m_Jobs[Index];
+  const bool Known = Target.m_Phase == JobPhase::Parked && Target.m_Reason == Reason;
+  dequeue(Index);
+  dropHold(Index);
+  Target.m_Phase = JobPhase::Parked;
+  Target.m_Reason = Reason;
+  m_Parked.insert(Index);
+  if (!Known)
+    emit(ParkJob{Target.m_Id, std::move(Reason)});
+}
+
+void SchedulerCore::giveUp(JobIndex Index, std::string Reason) {
+  emit(GiveUpJob{m_Jobs[Index].m_Id, std::move(Reason)});
+  removeJob(Index);
+}
+
+void SchedulerCore::occupy(JobIndex Index, std::vector<Member> Members) {
+  Job &Target = m_Jobs[Index];
+  Workspace &Owner = m_Workspaces[Target.m_Workspace];
+  for (const Member &Each : Members) {
+    m_Fleet.occupy(Each.m_Worker, Index, Target.m_Workspace, Each.m_Tasks, Target.m_Spec.m_PerTask, Target.pinned());
+    m_Fleet.worker(Each.m_Worker).m_ChangedAt = m_Now;
+    Owner.m_Used += Target.m_Spec.m_PerTask * Each.m_Tasks;
+  }
+  Target.m_Members = std::move(Members);
+  m_Placed.insert(Index);
+}
+
+void SchedulerCore::vacate(JobIndex Index) {
+  Job &Target = m_Jobs[Index];
+  Workspace &Owner = m_Workspaces[Target.m_Workspace];
+  for (const Member &Each : Target.m_Members) {
+    m_Fleet.vacate(Each.m_Worker, Index, Target.m_Workspace, Each.m_Tasks, Target.m_Spec.m_PerTask, Target.pinned());
+    m_Fleet.worker(Each.m_Worker).m_ChangedAt = m_Now;
+    Owner.m_Used -= Target.m_Spec.m_PerTask * Each.m_Tasks;
+  }
+  Target.m_Members.clear();
+  Target.m_Backfilled = false;
+  m_Placed.erase(Index);
+  m_Stopping.erase(Index);
+  if (Target.m_Reclaim.m_Active)
+    m_ReclaimTimers.erase({Target.m_Reclaim.m_Deadline, Index});
+  Target.m_Reclaim.m_Active = false;
+  if (Target.pinned() && m_GuaranteesMissing > 0)
+    m_HomesDirty = true;
+  capacityGrew();
+}
+
+void SchedulerCore::beginStopping(JobIndex Index, StopCause Cause) {
+  Job &Target = m_Jobs[Index];
+  Target.m_Phase = JobPhase::Stopping;
+  Target.m_Cause = Cause;
+  m_Stopping.insert(Index);
+}
+
+Duration SchedulerCore::ranFor(const Job &Target) const {
+  if (!Target.m_Started || Target.m_Phase == JobPhase::Placed)
+    return Duration::zero();
+  return m_Now - Target.m_StartedAt;
+}
+
+RunTimeEstimate SchedulerCore::estimateOf(const Job &Target) const {
+  return m_Estimator.estimate(Target.m_Workspace, Target.m_Spec.m_Urgency, Target.m_Spec.m_DeclaredRunTime,
+                              Target.m_Kept + ranFor(Target));
+}
+
+Duration SchedulerCore::remainingOf(const Job &Target) const {
+  return estimateOf(Target).m_Median - Target.m_Kept - ranFor(Target);
+}
+
+TimePoint SchedulerCore::latestStart(const Job &Target) const {
+  if (Target.m_Spec.m_Deadline.count() <= 0)
+    return TimePoint::max();
+  const Duration Rest = estimateOf(Target).m_High - Target.m_Kept;
+  return Target.m_SubmittedAt + Target.m_Spec.m_Deadline - Rest;
+}
+
+int SchedulerCore::rankOf(const Job &Target) const {
+  if (Target.m_Spec.m_Urgency != Urgency::Urgent && m_Now + CriticalMargin >= latestStart(Target))
+    return static_cast<int>(Urgency::WorkingDay) - (Target.m_Spec.m_Urgency == Urgency::WorkingDay ? 1 : 0);
+  return static_cast<int>(Target.m_Spec.m_Urgency);
+}
+
+int64_t SchedulerCore::queueKey(const Job &Target) const {
+  const Resources &Capacity = m_Fleet.usableCapacity();
+  const double Share = std::min(1.0, dominantShare(Target.total(), Capacity));
+  const double Area = Share * toSeconds(remainingOf(Target));
+  const double Base = toSeconds(Target.m_SubmittedAt.time_since_epoch());
+  double Key = Base + biasOf(Target.m_Spec.m_Urgency) + AreaWeight * Area;
+  const TimePoint Latest = latestStart(Target);
+  if (Latest != TimePoint::max())
+    Key = std::min(Key, toSeconds((Latest - CriticalMargin).time_since_epoch()) + WorkingDayBias);
+  return static_cast<int64_t>(Key * 1e6);
+}
+
+bool SchedulerCore::overQuota(const Job &Target) const {
+  const Workspace &Owner = m_Workspaces[Target.m_Workspace];
+  const Resources &Quota = Owner.m_Config.m_Quota;
+  const Resources After = Owner.m_Used + Target.total();
+  auto Over = [](int64_t Use, int64_t Limit) { return Limit > 0 && Use > Limit; };
+  return Over(After.m_Accelerators, Quota.m_Accelerators) || Over(After.m_Cores, Quota.m_Cores) ||
+         Over(After.m_MemoryMib, Quota.m_MemoryMib);
+}
+
+} // namespace anvil::sched::internal
--- /dev/null
+++ b/src/sched/CorePass.cpp
@@ -0,0 +1,330 @@
+#include <algorithm>
+#include <queue>
+
+#include "absl/strings/str_cat.h"
+
+#include "Core.h"
+
+namespace anvil::sched::internal {
+
+namespace {
+// Queued jobs looked at in one pass; bounds the cost of a pass over a very long queue.
+constexpr int MaxExamined = 20'000;
+// Shapes remembered as not fitting until capacity grows.
+constexpr size_t MaxFailedShapes = 64;
+// Plans that free or reserve room, in one pass; each costs several searches.
+constexpr int MaxPlans = 3;
+// Parked jobs looked at again in one pass.
+constexpr int MaxReviewed = 128;
+// Workers on which a job failed that it avoids.
+constexpr size_t MaxAvoided = 4;
+// Interval between two looks at gangs that have to leave their workers.
+constexpr Duration EvacuationInterval = std::chrono::milliseconds(500);
+// Head start lost by a workspace for each fair share that it uses beyond its own.
+constexpr double FairPenaltySeconds = 1800;
+} // namespace
+
+void SchedulerCore::runTimers() {
+  while (!m_DelayTimers.empty() && m_DelayTimers.begin()->first <= m_Now) {
+    const JobIndex Index = m_DelayTimers.begin()->second;
+    m_DelayTimers.erase(m_DelayTimers.begin());
+    enqueue(Index);
+  }
+  while (!m_ReclaimTimers.empty() && m_ReclaimTimers.begin()->first <= m_Now) {
+    const JobIndex Index = m_ReclaimTimers.begin()->second;
+    m_ReclaimTimers.erase(m_ReclaimTimers.begin());
+    continueReclaim(Index);
+  }
+  while (!m_ProbeTimers.empty() && m_ProbeTimers.begin()->first <= m_Now) {
+    const WorkerIndex Index = m_ProbeTimers.begin()->second;
+    m_ProbeTimers.erase(m_ProbeTimers.begin());
+    probe(Index);
+  }
+  for (size_t I = 0; I < m_Fleet.zones().size(); ++I)
+    evict(static_cast<int32_t>(I));
+}
+
+void SchedulerCore::maybePass() {
+  const bool EvacuationDue = m_Evacuate && m_Now - m_LastEvacuation >= EvacuationInterval;
+  if (!m_Dirty && !m_HomesDirty && !EvacuationDue && !m_ReviewParked)
+    return;
+  if (m_AnyPass && m_Now - m_LastPass < m_Options.m_PassInterval)
+    return;
+  pass();
+}
+
+void SchedulerCore::pass() {
+  m_AnyPass = true;
+  m_LastPass = m_Now;
+  m_Dirty = false;
+  m_SearchBudget = m_Options.m_MaxSearches;
+  m_PlanBudget = MaxPlans;
+  if (m_HomesDirty)
+    rebuildHomes();
+  if (m_ReviewParked)
+    reviewParked();
+  tryHolds();
+  if (m_Evacuate && m_Now - m_LastEvacuation >= EvacuationInterval)
+    evacuate();
+  placeFromQueue();
+}
+
+void SchedulerCore::tryHolds() {
+  std::vector<JobIndex> Holders;
+  for (const Hold &Each : m_Holds)
+    Holders.push_back(Each.m_Job);
+  for (const JobIndex Index : Holders) {
+    if (m_Jobs[Index].m_Hold >= 0 && m_Jobs[Index].m_Phase == JobPhase::Queued)
+      retryHold(Index);
+  }
+}
+
+double SchedulerCore::queuePenalty(const Workspace &Source) const {
+  const Resources &Capacity = m_Fleet.usableCapacity();
+  const double Share = dominantShare(positive(Source.m_Used - Source.m_GuaranteedTotal), Capacity);
+  const double Fair = 1.0 / static_cast<double>(std::max<size_t>(1, m_Workspaces.size()));
+  return std::max(0.0, Share / Fair - 1) * FairPenaltySeconds * 1e6;
+}
+
+/// Looks at the queues of all workspaces in the order of their keys, moved back by what each uses beyond its share.
+void SchedulerCore::placeFromQueue() {
+  struct Head {
+    double m_Key = 0;
+    WorkspaceIndex m_Workspace = 0;
+    bool operator>(const Head &Other) const {
+      return m_Key != Other.m_Key ? m_Key > Other.m_Key : m_Workspace > Other.m_Workspace;
+    }
+  };
+  std::priority_queue<Head, std::vector<Head>, std::greater<>> Heads;
+  std::vector<std::set<std::pair<int64_t, JobIndex>>::iterator> Next(m_Workspaces.size());
+  auto Push = [&](WorkspaceIndex Index) {
+    const Workspace &Source = m_Workspaces[Index];
+    if (Next[Index] != Source.m_Queue.end())
+      Heads.push({static_cast<double>(Next[Index]->first) + queuePenalty(Source), Index});
+  };
+  for (size_t I = 0; I < m_Workspaces.size(); ++I) {
+    Next[I] = m_Workspaces[I].m_Queue.begin();
+    Push(static_cast<WorkspaceIndex>(I));
+  }
+  for (int Examined = 0; Examined < MaxExamined && !Heads.empty(); ++Examined) {
+    if (m_SearchBudget <= 0) {
+      // The rest of the queue follows at the next pass.
+      m_Dirty = true;
+      return;
+    }
+    const WorkspaceIndex Index = Heads.top().m_Workspace;
+    Heads.pop();
+    const JobIndex Current = Next[Index]->second;
+    ++Next[Index];
+    if (m_Jobs[Current].m_Hold < 0 && !tryPlace(Current) && m_Jobs[Current].m_Phase == JobPhase::Queued)
+      handleBlocked(Current);
+    Push(Index);
+  }
+}
+
+bool SchedulerCore::tryPlace(JobIndex Index) {
+  Job &Target = m_Jobs[Index];
+  if (parkIfImpossible(Index))
+    return false;
+  if (overQuota(Target)) {
+    Target.m_Block = BlockKind::Quota;
+    return false;
+  }
+  Target.m_Block = BlockKind::NoRoom;
+  std::string Reason;
+  std::vector<Member> Members;
+  const bool Skipped = knownToFail(Target);
+  if (!Skipped)
+    Members = search(Index, Reason);
+  if (Members.empty() && !Skipped)
+    rememberFailure(Target);
+  if (!Members.empty()) {
+    place(Index, std::move(Members), Reason);
+    return true;
+  }
+  Members = searchBackfill(Index);
+  if (Members.empty())
+    return false;
+  place(Index, std::move(Members), "backfill into room reserved for a larger gang that cannot start sooner");
+  m_Jobs[Index].m_Backfilled = true;
+  return true;
+}
+
+std::vector<Member> SchedulerCore::search(JobIndex Index, std::string &Reason) {
+  const Job &Target = m_Jobs[Index];
+  const Demand Need = Target.demand();
+  std::vector<Member> Members = searchHome(Target);
+  if (!Members.empty()) {
+    Reason = "fits its workspace's guaranteed capacity";
+    return Members;
+  }
+  const std::vector<WorkerIndex> Avoid = avoided(Target);
+  const bool Pinned = Target.pinned();
+  if (Pinned || !m_Pieces.empty()) {
+    --m_SearchBudget;
+    addHomeBonus(Target.m_Workspace, 1, Pinned);
+    Members = m_Finder.find(Need, Pinned ? RoomKind::Pinned : RoomKind::Open, Avoid);
+    addHomeBonus(Target.m_Workspace, -1, Pinned);
+    Reason = Pinned ? "fits capacity guaranteed to no other workspace, as it cannot be reclaimed"
+                    : "fits capacity guaranteed to no other workspace";
+    if (!Members.empty() || Pinned)
+      return Members;
+  }
+  --m_SearchBudget;
+  Reason = m_Pieces.empty() ? "fits free capacity" : "borrows capacity that other workspaces may claim back";
+  return m_Finder.find(Need, RoomKind::Free, Avoid);
+}
+
+std::vector<Member> SchedulerCore::searchHome(const Job &Target) {
+  const std::vector<WorkerIndex> &Homes = m_Workspaces[Target.m_Workspace].m_Homes;
+  if (Homes.empty())
+    return {};
+  const std::vector<WorkerIndex> Avoid = avoided(Target);
+  std::vector<WorkerIndex> Usable;
+  for (const WorkerIndex Worker : Homes) {
+    if (m_Fleet.slot(Worker).m_Usable && std::find(Avoid.begin(), Avoid.end(), Worker) == Avoid.end())
+      Usable.push_back(Worker);
+  }
+  return m_Finder.findAmong(Target.demand(), Usable, [&](WorkerIndex Worker) {
+    const Claim Own = m_Fleet.claimOf(Worker, Target.m_Workspace);
+    const Resources Rest = Own.m_Guaranteed - (Target.pinned() ? Own.m_Pinned : Own.m_Used);
+    return minOf(m_Fleet.slot(Worker).m_Free, Rest);
+  });
+}
+
+/// Uses room that reservations keep, if the job is expected to be gone in time. The reservation takes it back if not.
+std::vector<Member> SchedulerCore::searchBackfill(JobIndex Index) {
+  const Job &Target = m_Jobs[Index];
+  if (Target.pinned() || m_SearchBudget <= 0)
+    return {};
+  const TimePoint End = m_Now + estimateOf(Target).m_High - Target.m_Kept;
+  std::vector<Hold *> Opened;
+  for (Hold &Each : m_Holds) {
+    if (Each.m_Kind == HoldKind::Reservation && Each.m_ExpectedStart > End)
+      Opened.push_back(&Each);
+  }
+  if (Opened.empty())
+    return {};
+  --m_SearchBudget;
+  for (Hold *Each : Opened)
+    applyHold(*Each, -1);
+  std::vector<Member> Members = m_Finder.find(Target.demand(), RoomKind::Free, avoided(Target));
+  for (Hold *Each : Opened)
+    applyHold(*Each, 1);
+  return Members;
+}
+
+std::vector<WorkerIndex> SchedulerCore::avoided(const Job &Target) const {
+  const size_t Count = std::min(Target.m_FailedOn.size(), MaxAvoided);
+  // In a small fleet avoiding workers could leave no place at all.
+  if (Count == 0 || m_Fleet.usableWorkers() <= static_cast<int32_t>(2 * Count))
+    return {};
+  return {Target.m_FailedOn.end() - static_cast<ptrdiff_t>(Count), Target.m_FailedOn.end()};
+}
+
+void SchedulerCore::place(JobIndex Index, std::vector<Member> Members, std::string Reason) {
+  Job &Target = m_Jobs[Index];
+  dequeue(Index);
+  dropHold(Index);
+  PlaceGang Action{Target.m_Id, {}, Reason};
+  Action.m_Members.reserve(Target.m_Spec.m_Tasks);
+  int32_t Task = 0;
+  for (const Member &Each : Members) {
+    for (int32_t I = 0; I < Each.m_Tasks; ++I)
+      Action.m_Members.push_back({Task++, m_Fleet.worker(Each.m_Worker).m_Vm});
+  }
+  occupy(Index, std::move(Members));
+  Target.m_Phase = JobPhase::Placed;
+  Target.m_PlacedAt = m_Now;
+  Target.m_Started = false;
+  Target.m_Reason = std::move(Reason);
+  Target.m_Plans = 0;
+  Target.m_NextPlanAt = m_Now;
+  emit(std::move(Action));
+}
+
+bool SchedulerCore::knownToFail(const Job &Target) const {
+  const Demand Need = Target.demand();
+  for (const FailedShape &Failed : m_FailedShapes) {
+    if (Failed.m_Workspace != Target.m_Workspace && (Failed.m_Pinned || Target.pinned()))
+      continue;
+    const bool SamePlaces = Failed.m_Need.m_Required == Need.m_Required &&
+                            (!Need.m_Required || Failed.m_Need.m_Adjacency == Need.m_Adjacency);
+    if (Failed.m_Pinned == Target.pinned() && SamePlaces && Failed.m_Need.m_Tasks <= Need.m_Tasks &&
+        fits(Failed.m_Need.m_PerTask, maxOf(Need.m_PerTask, Resources{})))
+      return true;
+  }
+  return false;
+}
+
+void SchedulerCore::rememberFailure(const Job &Target) {
+  if (m_FailedShapes.size() < MaxFailedShapes && avoided(Target).empty())
+    m_FailedShapes.push_back({Target.m_Workspace, Target.pinned(), Target.demand()});
+}
+
+void SchedulerCore::capacityGrew() {
+  m_FailedShapes.clear();
+  m_Dirty = true;
+}
+
+bool SchedulerCore::couldEverFit(const Job &Target) {
+  std::vector<WorkerIndex> Usable;
+  for (WorkerIndex Index = 0; Index < m_Fleet.size(); ++Index) {
+    if (m_Fleet.slot(Index).m_Usable)
+      Usable.push_back(Index);
+  }
+  const bool Pinned = Target.pinned();
+  return !m_Finder
+              .findAmong(Target.demand(), Usable,
+                         [&](WorkerIndex Index) {
+                           const Worker &Place = m_Fleet.worker(Index);
+                           Resources Room = Place.m_Capacity;
+                           for (const Claim &Row : Place.m_Claims) {
+                             if (Pinned && Row.m_Workspace != Target.m_Workspace)
+                               Room -= Row.m_Guaranteed;
+                           }
+                           return Room;
+                         })
+              .empty();
+}
+
+bool SchedulerCore::parkIfImpossible(JobIndex Index) {
+  const Job &Target = m_Jobs[Index];
+  const Workspace &Owner = m_Workspaces[Target.m_Workspace];
+  if (!Owner.m_Configured) {
+    park(Index, absl::StrCat("workspace ", Owner.m_Name.str(), " is not in the configuration"));
+    return true;
+  }
+  const Resources Need = Target.total();
+  auto Over = [](int64_t Use, int64_t Limit) { return Limit > 0 && Use > Limit; };
+  const Resources &Quota = Owner.m_Config.m_Quota;
+  if (Over(Need.m_Accelerators, Quota.m_Accelerators) || Over(Need.m_Cores, Quota.m_Cores) ||
+      Over(Need.m_MemoryMib, Quota.m_MemoryMib)) {
+    park(Index,
+         absl::StrCat("it needs ", describeNeed(Target), ", more than the quota of workspace ", Owner.m_Name.str()));
+    return true;
+  }
+  return false;
+}
+
+void SchedulerCore::reviewParked() {
+  m_ReviewParked = false;
+  int Reviewed = 0;
+  auto Entry = m_Parked.upper_bound(m_ParkedCursor);
+  while (Entry != m_Parked.end()) {
+    if (++Reviewed > MaxReviewed) {
+      m_ReviewParked = true;
+      return;
+    }
+    const JobIndex Index = *Entry;
+    m_ParkedCursor = Index;
+    ++Entry;
+    if (parkIfImpossible(Index) || !couldEverFit(m_Jobs[Index]))
+      continue;
+    m_Parked.erase(Index);
+    enqueue(Index);
+  }
+  m_ParkedCursor = -1;
+}
+
+} // namespace anvil::sched::internal
--- /dev/null
+++ b/src/sched/CorePlan.cpp
@@ -0,0 +1,279 @@
+#include <algorithm>
+
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/str_cat.h"
+
+#include "Core.h"
+
+namespace anvil::sched::internal {
+
+namespace {
+// Waiting time after which a gang that does not fit gets a reservation.
+constexpr Duration ReserveAfterUrgent = std::chrono::seconds(10);
+constexpr Duration ReserveAfterOther = std::chrono::minutes(3);
+// A gang is not asked to leave for shorter work before it ran this long, so that gangs do not displace each other in
+// turn.
+constexpr Duration LeastRun = std::chrono::minutes(2);
+// Run time lost by a gang that is checkpointed, moved and started again.
+constexpr double MoveSeconds = 10;
+// A gang gives way to shorter work only if it needs this many times longer.
+constexpr double PreemptRatio = 4;
+// Gangs asked to leave for one job when this only shortens waiting.
+constexpr size_t MaxEconomyVictims = 8;
+// Times a gang is displaced to shorten waiting, at most; guarantees and urgent work are not bound by it.
+constexpr int MaxEconomyReclaims = 6;
+// Delays between two plans for the same job: first, and with doublings the last.
+constexpr Duration FirstPlanDelay = std::chrono::milliseconds(500);
+constexpr int MaxPlanDoublings = 6;
+} // namespace
+
+/// Called for a job that found no room: claims its guarantee, displaces lower classes, or reserves.
+void SchedulerCore::handleBlocked(JobIndex Index) {
+  Job &Target = m_Jobs[Index];
+  if (Target.m_Block != BlockKind::NoRoom || m_Now < Target.m_NextPlanAt)
+    return;
+  if (claimGuarantee(Index))
+    return;
+  if (m_PlanBudget <= 0)
+    return;
+  --m_PlanBudget;
+  const bool Urgent = rankOf(Target) == 0 || (Target.m_Spec.m_Urgency != Urgency::WorkingDay && rankOf(Target) == 1);
+  Target.m_NextPlanAt = m_Now + FirstPlanDelay * (1 << std::min(Target.m_Plans, Urgent ? 1 : MaxPlanDoublings));
+  ++Target.m_Plans;
+  if (!couldEverFit(Target)) {
+    park(Index, absl::StrCat("it needs ", describeNeed(Target),
+                             ", more than the workers in service could give it even when empty"));
+    return;
+  }
+  if (Urgent && preempt(Index))
+    return;
+  if (preemptIfItPays(Index))
+    return;
+  reserve(Index);
+}
+
+double SchedulerCore::victimCost(const Job &Candidate) const {
+  const Resources Total = Candidate.total();
+  const double Size = static_cast<double>(std::max<int64_t>(Total.m_Accelerators, Total.m_Cores / 8 + 1));
+  double Lost = MoveSeconds;
+  if (Candidate.m_Phase == JobPhase::Placed)
+    Lost = 0;
+  else if (!Candidate.m_Spec.m_Checkpointable)
+    Lost += toSeconds(m_Now - Candidate.m_CheckpointAt);
+  // Stopping it without a checkpoint ends it for good, so it is asked only if nothing else helps.
+  if (!Candidate.m_Spec.m_Idempotent)
+    Lost += 3600;
+  const double ClassWeight = static_cast<double>(UrgencyCount - rankOf(Candidate));
+  return (Lost + 1) * ClassWeight * Size;
+}
+
+bool SchedulerCore::withinGuarantee(const Job &Candidate) const {
+  return std::any_of(Candidate.m_Members.begin(), Candidate.m_Members.end(), [&](const Member &Each) {
+    const Claim Own = m_Fleet.claimOf(Each.m_Worker, Candidate.m_Workspace);
+    return !isZero(Own.m_Guaranteed) && fits(Own.m_Used, Own.m_Guaranteed);
+  });
+}
+
+bool SchedulerCore::victimAllowed(const Job &Target, const Job &Candidate, bool Economy) const {
+  if (Candidate.pinned() || Candidate.m_Phase == JobPhase::Stopping)
+    return false;
+  if (Candidate.m_Workspace != Target.m_Workspace && withinGuarantee(Candidate))
+    return false;
+  if (!Economy)
+    return rankOf(Candidate) > rankOf(Target) && rankOf(Candidate) >= static_cast<int>(Urgency::Batch);
+  if (Candidate.m_Phase != JobPhase::Running || !Candidate.m_Spec.m_Checkpointable || !Candidate.m_Spec.m_Idempotent)
+    return false;
+  if (rankOf(Candidate) < rankOf(Target) || m_Now - Candidate.m_StartedAt < LeastRun ||
+      Candidate.m_Reclaims >= MaxEconomyReclaims)
+    return false;
+  return toSeconds(remainingOf(Candidate)) > PreemptRatio * toSeconds(remainingOf(Target));
+}
+
+std::vector<SchedulerCore::Victim> SchedulerCore::stoppingVictims() const {
+  std::vector<Victim> Result;
+  for (const JobIndex Index : m_Stopping)
+    Result.push_back({-1, Index});
+  return Result;
+}
+
+std::vector<SchedulerCore::Victim> SchedulerCore::victimsFor(JobIndex Index, bool Economy) const {
+  std::vector<Victim> Result = stoppingVictims();
+  const Job &Target = m_Jobs[Index];
+  for (const JobIndex Each : m_Placed) {
+    const Job &Candidate = m_Jobs[Each];
+    if (victimAllowed(Target, Candidate, Economy))
+      Result.push_back({victimCost(Candidate), Each});
+  }
+  std::sort(Result.begin(), Result.end(), [](const Victim &A, const Victim &B) {
+    return A.m_Cost != B.m_Cost ? A.m_Cost < B.m_Cost : A.m_Job < B.m_Job;
+  });
+  return Result;
+}
+
+/// Finds the shortest prefix of the victims that makes room, and within it the gangs that are in the way.
+SchedulerCore::Plan SchedulerCore::planFreeing(JobIndex Index, std::span<const Victim> Victims) {
+  const Job &Target = m_Jobs[Index];
+  auto Change = [this](const Job &Candidate, int Sign) {
+    for (const Member &Each : Candidate.m_Members)
+      m_Extra[Each.m_Worker] += Candidate.m_Spec.m_PerTask * (Each.m_Tasks * Sign);
+  };
+  auto Search = [&] {
+    addHomeBonus(Target.m_Workspace, 1, true);
+    std::vector<Member> Found =
+        m_Finder.find(Target.demand(), Target.pinned() ? RoomKind::Pinned : RoomKind::Free, avoided(Target), m_Extra);
+    addHomeBonus(Target.m_Workspace, -1, true);
+    return Found;
+  };
+  // Applied is the number of victims presently counted as gone; Low is known to be too few, High to be enough.
+  size_t Applied = 0;
+  auto Apply = [&](size_t Wanted) {
+    for (; Applied < Wanted; ++Applied)
+      Change(m_Jobs[Victims[Applied].m_Job], 1);
+    for (; Applied > Wanted; --Applied)
+      Change(m_Jobs[Victims[Applied - 1].m_Job], -1);
+  };
+  Plan Result;
+  Apply(Victims.size());
+  std::vector<Member> Best = Search();
+  size_t Low = 0;
+  size_t High = Victims.size();
+  while (!Best.empty() && Low < High) {
+    const size_t Middle = Low + (High - Low) / 2;
+    Apply(Middle);
+    std::vector<Member> Found = Search();
+    if (Found.empty()) {
+      Low = Middle + 1;
+    } else {
+      Best = std::move(Found);
+      High = Middle;
+    }
+  }
+  Apply(0);
+  Result.m_Members = std::move(Best);
+  if (!Result.m_Members.empty())
+    Result.m_Victims = neededVictims(Target, Result.m_Members, Victims.subspan(0, High));
+  return Result;
+}
+
+std::vector<JobIndex> SchedulerCore::neededVictims(const Job &Target, const std::vector<Member> &Members,
+                                                   std::span<const Victim> Victims) const {
+  absl::flat_hash_map<JobIndex, size_t> Order;
+  for (size_t I = 0; I < Victims.size(); ++I)
+    Order[Victims[I].m_Job] = I;
+  std::vector<char> Chosen(Victims.size(), 0);
+  for (const Member &Place : Members) {
+    Resources Missing = Target.m_Spec.m_PerTask * Place.m_Tasks - m_Fleet.slot(Place.m_Worker).m_Free;
+    std::vector<std::pair<size_t, int32_t>> Here;
+    for (const Occupant &Entry : m_Fleet.worker(Place.m_Worker).m_Occupants) {
+      if (const auto Found = Order.find(Entry.m_Job); Found != Order.end())
+        Here.emplace_back(Found->second, Entry.m_Tasks);
+    }
+    // Gangs that leave anyway first, then the cheapest.
+    std::sort(Here.begin(), Here.end(), [&](const auto &A, const auto &B) {
+      const bool Left = Chosen[A.first] != 0 || Victims[A.first].m_Cost < 0;
+      const bool Right = Chosen[B.first] != 0 || Victims[B.first].m_Cost < 0;
+      return Left != Right ? Left : A.first < B.first;
+    });
+    for (const auto &[Rank, Tasks] : Here) {
+      if (fits(Missing, Resources{}))
+        break;
+      Chosen[Rank] = 1;
+      Missing -= m_Jobs[Victims[Rank].m_Job].m_Spec.m_PerTask * Tasks;
+    }
+  }
+  std::vector<JobIndex> Result;
+  for (size_t I = 0; I < Victims.size(); ++I) {
+    if (Chosen[I] != 0)
+      Result.push_back(Victims[I].m_Job);
+  }
+  return Result;
+}
+
+bool SchedulerCore::preempt(JobIndex Index) {
+  Plan Chosen = planFreeing(Index, victimsFor(Index, false));
+  if (Chosen.m_Members.empty())
+    return false;
+  commitPlan(Index, std::move(Chosen), HoldKind::Reclaim,
+             absl::StrCat("room for job ", m_Jobs[Index].m_Id.value(), ", which is more urgent"));
+  return true;
+}
+
+double SchedulerCore::harmOf(const Job &Target, const Plan &Chosen) {
+  double Harm = 0;
+  for (const JobIndex Each : Chosen.m_Victims) {
+    const Job &Candidate = m_Jobs[Each];
+    if (Candidate.m_Phase == JobPhase::Stopping)
+      continue;
+    Harm += MoveSeconds;
+    // A gang that has room elsewhere is only moved; any other waits while the job runs.
+    if (knownToFail(Candidate) || m_Finder.find(Candidate.demand(), RoomKind::Open).empty())
+      Harm += toSeconds(remainingOf(Target));
+  }
+  return Harm;
+}
+
+/// Asks gangs to checkpoint and leave if their delay together is less than the waiting that the job is spared.
+bool SchedulerCore::preemptIfItPays(JobIndex Index) {
+  Job &Target = m_Jobs[Index];
+  if (rankOf(Target) >= static_cast<int>(Urgency::Overnight))
+    return false;
+  Plan Chosen = planFreeing(Index, victimsFor(Index, true));
+  if (Chosen.m_Members.empty() || Chosen.m_Victims.size() > MaxEconomyVictims)
+    return false;
+  double Spared = toSeconds(Duration::max());
+  for (const JobIndex Each : Chosen.m_Victims) {
+    if (m_Jobs[Each].m_Phase != JobPhase::Stopping)
+      Spared = std::min(Spared, toSeconds(remainingOf(m_Jobs[Each])));
+  }
+  if (harmOf(Target, Chosen) >= Spared)
+    return false;
+  commitPlan(Index, std::move(Chosen), HoldKind::Reclaim,
+             absl::StrCat("job ", Target.m_Id.value(), " is much shorter and waits"));
+  return true;
+}
+
+/// Keeps the room that is expected to be free first, so that scattered small jobs cannot starve a large gang.
+bool SchedulerCore::reserve(JobIndex Index) {
+  const Job &Target = m_Jobs[Index];
+  const Duration Waited = m_Now - Target.m_SubmittedAt;
+  const Duration Needed = rankOf(Target) <= 1 ? ReserveAfterUrgent : ReserveAfterOther;
+  if (Waited < Needed || rankOf(Target) >= static_cast<int>(Urgency::Overnight))
+    return false;
+  const auto Reservations = std::count_if(m_Holds.begin(), m_Holds.end(),
+                                          [](const Hold &Each) { return Each.m_Kind == HoldKind::Reservation; });
+  if (Reservations >= m_Options.m_MaxReservations)
+    return false;
+  Duration Wait{};
+  Plan Chosen = planByEnd(Index, Wait);
+  if (Chosen.m_Members.empty())
+    return false;
+  setHold(Index, std::move(Chosen.m_Members), HoldKind::Reservation, m_Now + Wait);
+  return true;
+}
+
+SchedulerCore::Plan SchedulerCore::planByEnd(JobIndex Index, Duration &Wait) {
+  std::vector<Victim> Running;
+  for (const JobIndex Each : m_Placed) {
+    const Job &Candidate = m_Jobs[Each];
+    Running.push_back({Candidate.m_Phase == JobPhase::Stopping ? -1 : toSeconds(remainingOf(Candidate)), Each});
+  }
+  std::sort(Running.begin(), Running.end(), [](const Victim &A, const Victim &B) {
+    return A.m_Cost != B.m_Cost ? A.m_Cost < B.m_Cost : A.m_Job < B.m_Job;
+  });
+  Plan Chosen = planFreeing(Index, Running);
+  Wait = Duration::zero();
+  for (const JobIndex Each : Chosen.m_Victims) {
+    if (m_Jobs[Each].m_Phase != JobPhase::Stopping)
+      Wait = std::max(Wait, remainingOf(m_Jobs[Each]));
+  }
+  return Chosen;
+}
+
+void SchedulerCore::commitPlan(JobIndex Index, Plan Chosen, HoldKind Kind, const std::string &Reason) {
+  setHold(Index, std::move(Chosen.m_Members), Kind, m_Now);
+  m_Jobs[Index].m_Block = BlockKind::AwaitingReclaim;
+  for (const JobIndex Each : Chosen.m_Victims)
+    startReclaim(Each, Reason);
+}
+
+} // namespace anvil::sched::internal
--- /dev/null
+++ b/src/sched/CoreReclaim.cpp
@@ -0,0 +1,268 @@
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+#include "Core.h"
+
+namespace anvil::sched::internal {
+
+namespace {
+// A reservation whose room did not come free is planned anew after this delay at least.
+constexpr Duration LeastReservation = std::chrono::minutes(1);
+// Delay before a job whose hold failed plans again.
+constexpr Duration ReplanDelay = std::chrono::milliseconds(500);
+// Interval at which a stop that was not answered is repeated.
+constexpr Duration StopRepeat = std::chrono::seconds(5);
+} // namespace
+
+void SchedulerCore::startReclaim(JobIndex Index, const std::string &Reason) {
+  Job &Target = m_Jobs[Index];
+  if (Target.m_Phase == JobPhase::Stopping)
+    return;
+  const bool Started = Target.m_Phase == JobPhase::Running;
+  const bool Checkpoint = Started && Target.m_Spec.m_Checkpointable;
+  Target.m_Reclaim = {true, Checkpoint ? ReclaimMode::Checkpoint : ReclaimMode::Stop,
+                      m_Now + (Checkpoint ? m_Options.m_CheckpointTime : m_Options.m_StopTime), Reason};
+  Target.m_Reason = Reason;
+  ++Target.m_Reclaims;
+  beginStopping(Index, StopCause::Reclaimed);
+  m_ReclaimTimers.insert({Target.m_Reclaim.m_Deadline, Index});
+  emit(ReclaimJob{Target.m_Id, Target.m_Reclaim.m_Mode, Target.m_Reclaim.m_Deadline, Reason});
+}
+
+/// Goes to the next step after the deadline of the present one passed.
+void SchedulerCore::continueReclaim(JobIndex Index) {
+  Job &Target = m_Jobs[Index];
+  if (!Target.m_Reclaim.m_Active)
+    return;
+  ReclaimState &State = Target.m_Reclaim;
+  Duration Time = StopRepeat;
+  if (State.m_Mode == ReclaimMode::Checkpoint) {
+    State.m_Mode = ReclaimMode::Throttle;
+    Time = m_Options.m_ThrottleTime;
+  } else if (State.m_Mode == ReclaimMode::Throttle) {
+    State.m_Mode = ReclaimMode::Stop;
+    Time = m_Options.m_StopTime;
+  }
+  State.m_Deadline = m_Now + Time;
+  m_ReclaimTimers.insert({State.m_Deadline, Index});
+  emit(ReclaimJob{Target.m_Id, State.m_Mode, State.m_Deadline, State.m_Reason});
+}
+
+std::vector<std::pair<WorkerIndex, Resources>> SchedulerCore::claimsInProgress(WorkspaceIndex Index) const {
+  std::vector<std::pair<WorkerIndex, Resources>> Result;
+  for (const Hold &Each : m_Holds) {
+    const Job &Holder = m_Jobs[Each.m_Job];
+    if (Each.m_Kind != HoldKind::Claim || Holder.m_Workspace != Index)
+      continue;
+    for (const Member &Place : Each.m_Members)
+      Result.emplace_back(Place.m_Worker, Holder.m_Spec.m_PerTask * Place.m_Tasks);
+  }
+  return Result;
+}
+
+/// Claims the guarantee of the job's workspace from those who borrowed it.
+bool SchedulerCore::claimGuarantee(JobIndex Index) {
+  Job &Target = m_Jobs[Index];
+  const std::vector<WorkerIndex> &Homes = m_Workspaces[Target.m_Workspace].m_Homes;
+  if (Homes.empty())
+    return false;
+  const auto Claimed = claimsInProgress(Target.m_Workspace);
+  std::vector<WorkerIndex> Usable;
+  for (const WorkerIndex Worker : Homes) {
+    if (m_Fleet.slot(Worker).m_Usable)
+      Usable.push_back(Worker);
+  }
+  std::vector<Member> Members = m_Finder.findAmong(Target.demand(), Usable, [&](WorkerIndex Worker) {
+    const Claim Own = m_Fleet.claimOf(Worker, Target.m_Workspace);
+    Resources Rest = Own.m_Guaranteed - Own.m_Used;
+    for (const auto &[Place, Amount] : Claimed) {
+      if (Place == Worker)
+        Rest -= Amount;
+    }
+    return Rest;
+  });
+  if (Members.empty())
+    return false;
+  dropHoldsOn(Members);
+  Plan Chosen{std::move(Members), {}};
+  if (!claimVictims(Target, Chosen.m_Members, Chosen.m_Victims))
+    return false;
+  commitPlan(Index, std::move(Chosen), HoldKind::Claim,
+             absl::StrCat("workspace ", m_Workspaces[Target.m_Workspace].m_Name.str(),
+                          " claims its guaranteed capacity for job ", Target.m_Id.value()));
+  return true;
+}
+
+/// Chooses the cheapest gangs beyond their own guarantee on each of the places; false if they do not suffice.
+bool SchedulerCore::claimVictims(const Job &Target, std::span<const Member> Members,
+                                 std::vector<JobIndex> &Victims) const {
+  for (const Member &Place : Members) {
+    Resources Missing = Target.m_Spec.m_PerTask * Place.m_Tasks - m_Fleet.slot(Place.m_Worker).m_Free;
+    // What hold and overuse take from the slot is not taken from the owner.
+    Missing -= m_Fleet.worker(Place.m_Worker).m_Overuse;
+    std::vector<std::pair<double, Occupant>> Here;
+    for (const Occupant &Entry : m_Fleet.worker(Place.m_Worker).m_Occupants) {
+      const Job &Candidate = m_Jobs[Entry.m_Job];
+      const bool Leaves = Candidate.m_Phase == JobPhase::Stopping ||
+                          std::find(Victims.begin(), Victims.end(), Entry.m_Job) != Victims.end();
+      const Claim Own = m_Fleet.claimOf(Place.m_Worker, Candidate.m_Workspace);
+      if (Leaves)
+        Here.emplace_back(-1, Entry);
+      else if (Candidate.m_Workspace != Target.m_Workspace && !Candidate.pinned() &&
+               !fits(Own.m_Used, Own.m_Guaranteed))
+        Here.emplace_back(victimCost(Candidate), Entry);
+    }
+    std::stable_sort(Here.begin(), Here.end(), [](const auto &A, const auto &B) { return A.first < B.first; });
+    for (const auto &[Cost, Entry] : Here) {
+      if (fits(Missing, Resources{}))
+        break;
+      Missing -= m_Jobs[Entry.m_Job].m_Spec.m_PerTask * Entry.m_Tasks;
+      if (Cost >= 0)
+        Victims.push_back(Entry.m_Job);
+    }
+    if (!fits(Missing, Resources{}))
+      return false;
+  }
+  return true;
+}
+
+void SchedulerCore::setHold(JobIndex Index, std::vector<Member> Members, HoldKind Kind, TimePoint ExpectedStart) {
+  dropHold(Index);
+  m_Jobs[Index].m_Hold = static_cast<int32_t>(m_Holds.size());
+  m_Holds.push_back({Index, std::move(Members), Kind, m_Now, ExpectedStart});
+  applyHold(m_Holds.back(), 1);
+  if (Kind == HoldKind::Reservation)
+    m_Jobs[Index].m_Block = BlockKind::Reserved;
+}
+
+void SchedulerCore::dropHold(JobIndex Index) {
+  const int32_t At = m_Jobs[Index].m_Hold;
+  if (At < 0)
+    return;
+  applyHold(m_Holds[At], -1);
+  m_Jobs[Index].m_Hold = -1;
+  if (static_cast<size_t>(At) + 1 != m_Holds.size()) {
+    m_Holds[At] = std::move(m_Holds.back());
+    m_Jobs[m_Holds[At].m_Job].m_Hold = At;
+  }
+  m_Holds.pop_back();
+  capacityGrew();
+}
+
+void SchedulerCore::dropHoldsOn(std::span<const Member> Members) {
+  std::vector<JobIndex> Dropped;
+  for (const Hold &Each : m_Holds) {
+    if (Each.m_Kind == HoldKind::Claim)
+      continue;
+    const bool Overlaps = std::any_of(Each.m_Members.begin(), Each.m_Members.end(), [&](const Member &Held) {
+      return std::any_of(Members.begin(), Members.end(),
+                         [&](const Member &Place) { return Place.m_Worker == Held.m_Worker; });
+    });
+    if (Overlaps)
+      Dropped.push_back(Each.m_Job);
+  }
+  for (const JobIndex Index : Dropped)
+    dropHold(Index);
+}
+
+void SchedulerCore::applyHold(const Hold &Target, int Sign) {
+  const Resources &PerTask = m_Jobs[Target.m_Job].m_Spec.m_PerTask;
+  for (const Member &Each : Target.m_Members)
+    m_Fleet.hold(Each.m_Worker, PerTask * (Each.m_Tasks * Sign));
+}
+
+bool SchedulerCore::holdUsable(const Hold &Target) const {
+  return std::all_of(Target.m_Members.begin(), Target.m_Members.end(),
+                     [this](const Member &Each) { return m_Fleet.slot(Each.m_Worker).m_Usable; });
+}
+
+/// Returns whether the room of a hold, which is not applied at present, is free.
+bool SchedulerCore::fitsOwnHold(const Job &Target, const Hold &Own) const {
+  return std::all_of(Own.m_Members.begin(), Own.m_Members.end(), [&](const Member &Each) {
+    const WorkerSlot &Slot = m_Fleet.slot(Each.m_Worker);
+    Resources Room = Slot.m_Free;
+    if (Target.pinned()) {
+      const Claim Claimed = m_Fleet.claimOf(Each.m_Worker, Target.m_Workspace);
+      Room = minOf(Room, Slot.m_PinRoom + positive(Claimed.m_Guaranteed - Claimed.m_Pinned));
+    }
+    return fits(Target.m_Spec.m_PerTask * Each.m_Tasks, Room);
+  });
+}
+
+bool SchedulerCore::awaitsVictims(const Hold &Target) const {
+  return std::any_of(Target.m_Members.begin(), Target.m_Members.end(), [this](const Member &Each) {
+    const std::vector<Occupant> &Here = m_Fleet.worker(Each.m_Worker).m_Occupants;
+    return std::any_of(Here.begin(), Here.end(),
+                       [this](const Occupant &Entry) { return m_Jobs[Entry.m_Job].m_Phase == JobPhase::Stopping; });
+  });
+}
+
+/// Tries to place a job that has a hold; returns whether it was placed.
+bool SchedulerCore::retryHold(JobIndex Index) {
+  Job &Target = m_Jobs[Index];
+  const Hold Own = m_Holds[Target.m_Hold];
+  if (!holdUsable(Own)) {
+    dropHold(Index);
+    Target.m_NextPlanAt = m_Now;
+    return false;
+  }
+  if (overQuota(Target))
+    return false;
+  applyHold(Own, -1);
+  std::vector<Member> Members;
+  std::string Reason = "the room kept for it came free";
+  if (fitsOwnHold(Target, Own))
+    Members = Own.m_Members;
+  else if (m_SearchBudget > 0)
+    Members = search(Index, Reason);
+  applyHold(Own, 1);
+  if (!Members.empty()) {
+    place(Index, std::move(Members), Reason);
+    return true;
+  }
+  if (Own.m_Kind == HoldKind::Reservation)
+    return retryReservation(Index);
+  if (!awaitsVictims(Own)) {
+    dropHold(Index);
+    Target.m_NextPlanAt = m_Now + ReplanDelay;
+  }
+  return false;
+}
+
+/// Takes back the room of a reservation once only backfilled gangs are in the way; plans anew if it is long overdue.
+bool SchedulerCore::retryReservation(JobIndex Index) {
+  Job &Target = m_Jobs[Index];
+  const Hold Own = m_Holds[Target.m_Hold];
+  std::vector<JobIndex> InTheWay;
+  bool Others = false;
+  for (const Member &Each : Own.m_Members) {
+    Resources Missing = m_Fleet.slot(Each.m_Worker).m_Free * -1;
+    for (const Occupant &Entry : m_Fleet.worker(Each.m_Worker).m_Occupants) {
+      const Job &Candidate = m_Jobs[Entry.m_Job];
+      if (fits(Missing, Resources{}))
+        break;
+      const bool Leaves = Candidate.m_Phase == JobPhase::Stopping;
+      if (!Leaves && (!Candidate.m_Backfilled || Candidate.pinned()))
+        continue;
+      Missing -= Candidate.m_Spec.m_PerTask * Entry.m_Tasks;
+      if (!Leaves)
+        InTheWay.push_back(Entry.m_Job);
+    }
+    Others = Others || !fits(Missing, Resources{});
+  }
+  if (!Others) {
+    m_Holds[Target.m_Hold].m_Kind = HoldKind::Reclaim;
+    for (const JobIndex Each : InTheWay)
+      startReclaim(Each, absl::StrCat("it was backfilled into the reservation of job ", Target.m_Id.value()));
+    return false;
+  }
+  const Duration Planned = std::max(Own.m_ExpectedStart - Own.m_Since, LeastReservation);
+  if (m_Now > Own.m_Since + Planned * 2) {
+    dropHold(Index);
+    Target.m_NextPlanAt = m_Now;
+  }
+  return false;
+}
+
+} // namespace anvil::sched::internal
--- a/src/sched/Finder.cpp
+++ b/src/sched/Finder.cpp
@@ -6,17 +6,17 @@
 
 namespace {
 
-Resources roomOf(const WorkerSlot &Slot, RoomKind Kind) {
+Resources roomOf(const WorkerSlot &Slot, RoomKind Kind, const Resources &Free) {
   switch (Kind) {
   case RoomKind::Open:
-    return minOf(Slot.m_Free, Slot.m_Open);
+    return minOf(Free, Slot.m_Open);
   case RoomKind::Pinned:
-    return minOf(Slot.m_Free, Slot.m_PinRoom);
+    return minOf(Free, Slot.m_PinRoom);
   case RoomKind::Home:
   case RoomKind::Free:
     break;
   }
-  return Slot.m_Free;
+  return Free;
 }
 
 /// Candidates of one rack, largest first.
@@ -90,9 +90,7 @@
     const WorkerSlot &Slot = Slots[I];
     if (!Slot.m_Usable)
       continue;
-    Resources Room = roomOf(Slot, Kind);
-    if (!Extra.empty())
-      Room += Extra[I];
+    Resources Room = roomOf(Slot, Kind, Extra.empty() ? Slot.m_Free : Slot.m_Free + Extra[I]);
     if (!fits(Need.m_PerTask, Room))
       continue;
     const auto Index = static_cast<WorkerIndex>(I);
--- a/src/sched/Fleet.cpp
+++ b/src/sched/Fleet.cpp
@@ -108,8 +108,7 @@
     Slot.m_Open -= maxOf(Row.m_Guaranteed, Row.m_Used);
     Slot.m_PinRoom -= maxOf(Row.m_Guaranteed, Row.m_Pinned);
   }
-  const bool Usable =
-      Target.m_Up && !Target.m_Draining && !Target.m_Quarantined && !m_Zones[Slot.m_Zone].m_Withdrawn;
+  const bool Usable = Target.m_Up && !Target.m_Draining && !Target.m_Quarantined && !m_Zones[Slot.m_Zone].m_Withdrawn;
   if (Usable == Slot.m_Usable)
     return;
   Slot.m_Usable = Usable;
--- a/src/sched/Records.h
+++ b/src/sched/Records.h
@@ -70,9 +70,7 @@
   /// Neither idempotent nor checkpointable: once started it can only be stopped for good.
   bool pinned() const { return !m_Spec.m_Idempotent && !m_Spec.m_Checkpointable; }
   Resources total() const { return m_Spec.m_PerTask * m_Spec.m_Tasks; }
-  Demand demand() const {
-    return {m_Spec.m_PerTask, m_Spec.m_Tasks, m_Spec.m_Adjacency, m_Spec.m_AdjacencyRequired};
-  }
+  Demand demand() const { return {m_Spec.m_PerTask, m_Spec.m_Tasks, m_Spec.m_Adjacency, m_Spec.m_AdjacencyRequired}; }
   bool holdsResources() const {
     return m_Phase == JobPhase::Placed || m_Phase == JobPhase::Running || m_Phase == JobPhase::Stopping;
   }
@@ -97,12 +95,23 @@
   std::vector<std::pair<WorkerIndex, Resources>> m_Parts{};
 };
 
-/// Room kept for one queued job.
+/// Why room is kept for a job.
+enum class HoldKind {
+  /// Its workspace claims a guarantee; others' claims do not override it.
+  Claim,
+  /// Gangs were asked to leave for it.
+  Reclaim,
+  /// It waits for gangs to end by themselves; others may backfill until then.
+  Reservation,
+  /// It is being moved here and has not stopped yet.
+  Move,
+};
+
+/// Room kept for one job.
 struct Hold {
   JobIndex m_Job = -1;
   std::vector<Member> m_Members{};
-  /// Set for a reservation that waits for gangs to end by themselves; others may backfill until then.
-  bool m_Reservation = false;
+  HoldKind m_Kind = HoldKind::Reclaim;
   TimePoint m_Since{};
   TimePoint m_ExpectedStart{};
 };
--- /dev/null
+++ b/tests/sched/SchedulerTest.cpp
@@ -0,0 +1,3 @@
+#include "anvil/sched/Scheduler.h"
+
+#include <boost/test/unit_test.hpp>
