bench: Scale batch work to a stated load and report idle accelerators

The bound now leaves out capacity that no schedule can use (the absent zone, workers that fail every task).

--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -26,7 +26,8 @@
 }
 
 TableFigures measure(const Table &Source) {
-  TableFigures Result{Source.m_Name, Source.m_Seed, completionBound(Source, std::chrono::milliseconds(200)), {}};
+  TableFigures Result{
+      Source.m_Name, Source.m_Seed, Source.m_Load, completionBound(Source, std::chrono::milliseconds(200)), {}};
   const Policy Policies[] = {ours(), firstComeFirstServed(Source, false), firstComeFirstServed(Source, true),
                              staticPartition(Source)};
   for (const Policy &Each : Policies) {
--- a/bench/Report.cpp
+++ b/bench/Report.cpp
@@ -25,6 +25,7 @@
   }
   absl::PrintF("    unusable free accelerators for gangs of 8 / 64 / 256: %.1f%% / %.1f%% / %.1f%%\n",
                100 * Each.m_Fragmentation[0], 100 * Each.m_Fragmentation[1], 100 * Each.m_Fragmentation[2]);
+  absl::PrintF("    accelerators idle while more are asked for than exist: %.1f%%\n", 100 * Each.m_IdleWhileShort);
   if (Each.m_OutageAllowed > 0)
     absl::PrintF("    zone outage: work %.2f%% of what the remaining capacity allows\n",
                  100 * Each.m_OutageWork / Each.m_OutageAllowed);
@@ -91,6 +92,7 @@
   Result["unfinished"] = Each.m_Unfinished;
   Result["given_up"] = Each.m_GivenUp;
   Result["unusable_free_share"] = {Each.m_Fragmentation[0], Each.m_Fragmentation[1], Each.m_Fragmentation[2]};
+  Result["idle_while_short_share"] = Each.m_IdleWhileShort;
   Result["work_acc_s"] = Each.m_Work;
   Result["lost_work_acc_s"] = Each.m_LostWork;
   Result["outage_work_acc_s"] = Each.m_OutageWork;
@@ -112,8 +114,8 @@
 
 void printReport(const std::vector<TableFigures> &Tables, const std::vector<CostFigures> &Sizes) {
   for (const TableFigures &Table : Tables) {
-    absl::PrintF("\n%s seed %d, bound on the mean completion time %.1f s\n", Table.m_Table, Table.m_Seed,
-                 Table.m_Bound);
+    absl::PrintF("\n%s seed %d, load %.2f, bound on the mean completion time %.1f s\n", Table.m_Table, Table.m_Seed,
+                 Table.m_Load, Table.m_Bound);
     for (size_t I = 0; I < Table.m_Policies.size(); ++I)
       printPolicy(PolicyNames[I], Table, Table.m_Policies[I]);
   }
@@ -148,6 +150,7 @@
       Policies[PolicyNames[I]] = jsonOf(Table.m_Policies[I]);
     TableArray.push_back({{"table", Table.m_Table},
                           {"seed", Table.m_Seed},
+                          {"load", Table.m_Load},
                           {"bound_mean_completion_s", Table.m_Bound},
                           {"policies", Policies}});
   }
--- a/bench/Report.h
+++ b/bench/Report.h
@@ -13,6 +13,7 @@
 struct TableFigures {
   std::string m_Table{};
   uint64_t m_Seed = 0;
+  double m_Load = 0;
   double m_Bound = 0;
   /// Ours first, then the baselines in the order of PolicyNames.
   std::vector<Figures> m_Policies{};
--- a/bench/Workload.cpp
+++ b/bench/Workload.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr double Hour = 3600;
+// Share of the accelerators that a busy day asks for; the users' accelerators are scarce.
+constexpr double BusyDay = 0.85;
 
 Duration spanOf(double Seconds) { return Duration(static_cast<int64_t>(Seconds * 1e6)); }
 
@@ -88,6 +90,29 @@
                    [](const Arrival &A, const Arrival &B) { return A.m_At < B.m_At; });
 }
 
+/// Scales the run times of the batch jobs so that the accelerator-time asked for is \p Load of what the fleet has
+/// within \p Hours.
+void scaleToLoad(Table &Target, double Load, double Hours) {
+  double Capacity = 0;
+  for (const WorkerUp &Each : Target.m_Workers)
+    Capacity += static_cast<double>(Each.m_Capacity.m_Accelerators) * Hours * Hour;
+  double Batch = 0;
+  double Others = 0;
+  for (const Arrival &Each : Target.m_Jobs) {
+    const double Work = static_cast<double>(Each.m_Spec.m_PerTask.m_Accelerators * Each.m_Spec.m_Tasks) *
+                        static_cast<double>(Each.m_RunTime.count()) / 1e6;
+    (Each.m_Spec.m_Urgency == Urgency::Batch ? Batch : Others) += Work;
+  }
+  const double Factor = (Load * Capacity - Others) / Batch;
+  for (Arrival &Each : Target.m_Jobs) {
+    if (Each.m_Spec.m_Urgency != Urgency::Batch || Each.m_Spec.m_PerTask.m_Accelerators == 0)
+      continue;
+    Each.m_RunTime = spanOf(static_cast<double>(Each.m_RunTime.count()) / 1e6 * Factor);
+    Each.m_Spec.m_DeclaredRunTime = spanOf(static_cast<double>(Each.m_Spec.m_DeclaredRunTime.count()) / 1e6 * Factor);
+  }
+  Target.m_Load = Load;
+}
+
 std::vector<WorkerUp> smallFleet(const std::vector<std::string> &Zones, Resources Capacity) {
   std::vector<WorkerUp> Result;
   for (int I = 0; I < 10; ++I) {
@@ -105,7 +130,9 @@
 } // namespace
 
 Table malabarToday(uint64_t Seed) {
-  Table Result{"malabar-today", Seed};
+  Table Result;
+  Result.m_Name = "malabar-today";
+  Result.m_Seed = Seed;
   Result.m_Workers = smallFleet({"kochi", "alappuzha", "kollam"}, {8, 64, 256 * 1024});
   Result.m_Workspaces = {workspace("quotes", {2, 16, 32 * 1024}, Adjacency::Vm, 6),
                          workspace("sieve", {8, 64, 256 * 1024}, Adjacency::Vm, 1),
@@ -171,6 +198,7 @@
              1.0},
             Random);
   sortJobs(Result);
+  scaleToLoad(Result, BusyDay, 24);
   Result.m_Faulty = {VmId("worker-4")};
   Result.m_RepairedAt = TimePoint(spanOf(6 * Hour));
   Result.m_Horizon = TimePoint(spanOf(60 * Hour));
@@ -178,7 +206,9 @@
 }
 
 Table swanbourneToday(uint64_t Seed) {
-  Table Result{"swanbourne-today", Seed};
+  Table Result;
+  Result.m_Name = "swanbourne-today";
+  Result.m_Seed = Seed;
   Result.m_Workers = smallFleet({"welshpool", "osborne", "canning", "bunbury"}, {8, 128, 512 * 1024});
   Result.m_Workspaces = {workspace("reorders", {4, 32, 64 * 1024}, Adjacency::Vm, 4),
                          workspace("proofs", {8, 128, 512 * 1024}, Adjacency::Vm, 1),
@@ -247,6 +277,7 @@
              1.0},
             Random);
   sortJobs(Result);
+  scaleToLoad(Result, BusyDay, 24);
   Result.m_Outage = {AvailabilityZoneId("osborne"), TimePoint(spanOf(21.5 * Hour)), spanOf(60),
                      TimePoint(spanOf(22.5 * Hour))};
   Result.m_Horizon = TimePoint(spanOf(60 * Hour));
@@ -274,7 +305,9 @@
 }
 
 Table fullSize(uint64_t Seed) {
-  Table Result{"full-size", Seed};
+  Table Result;
+  Result.m_Name = "full-size";
+  Result.m_Seed = Seed;
   Result.m_Workers = fullFleet(1);
   constexpr int Teams = 200;
   constexpr double Hours = 10;
@@ -340,6 +373,7 @@
               Random);
   }
   sortJobs(Result);
+  scaleToLoad(Result, BusyDay, Hours);
   Result.m_Outage = {AvailabilityZoneId("zone-2"), TimePoint(spanOf(6 * Hour)), spanOf(60),
                      TimePoint(spanOf(7 * Hour))};
   Result.m_Horizon = TimePoint(spanOf(40 * Hour));
@@ -348,18 +382,54 @@
 
 namespace {
 
+/// Share of the fleet that can work from an instant on.
+struct Speed {
+  double m_From = 0;
+  double m_Share = 1;
+};
+
+/// Returns the shares over time, less the zone that is away and the workers that fail every task.
+std::vector<Speed> speedsOf(const Table &Source, int64_t Resources::*Part) {
+  double Total = 0;
+  double Away = 0;
+  double Faulty = 0;
+  for (const WorkerUp &Each : Source.m_Workers) {
+    const auto Amount = static_cast<double>(Each.m_Capacity.*Part);
+    Total += Amount;
+    if (Source.m_Outage && Each.m_Zone == Source.m_Outage->m_Zone)
+      Away += Amount;
+    if (std::find(Source.m_Faulty.begin(), Source.m_Faulty.end(), Each.m_Vm) != Source.m_Faulty.end())
+      Faulty += Amount;
+  }
+  auto At = [](TimePoint Time) { return static_cast<double>(Time.time_since_epoch().count()) / 1e6; };
+  std::vector<Speed> Result = {{0, 1 - Faulty / Total}};
+  if (Faulty > 0)
+    Result.push_back({At(Source.m_RepairedAt), 1});
+  if (Source.m_Outage) {
+    Result.push_back({At(Source.m_Outage->m_At + Source.m_Outage->m_Notice), 1 - Away / Total});
+    Result.push_back({At(Source.m_Outage->m_Back), 1});
+  }
+  return Result;
+}
+
 /// Returns the sum of completion times, in seconds, of shortest remaining work first on one preemptible server.
-double sharedServerSum(std::vector<std::pair<double, double>> Jobs) {
+double sharedServerSum(std::vector<std::pair<double, double>> Jobs, const std::vector<Speed> &Speeds) {
   std::sort(Jobs.begin(), Jobs.end());
   std::priority_queue<double, std::vector<double>, std::greater<>> Rest;
   double Now = 0;
   double Sum = 0;
+  size_t Phase = 0;
   // Each unit of time costs as much as there are jobs in the system.
   auto Advance = [&](double Until) {
     while (!Rest.empty() && Now < Until) {
-      const double Span = std::min(Rest.top(), Until - Now);
+      while (Phase + 1 < Speeds.size() && Speeds[Phase + 1].m_From <= Now)
+        ++Phase;
+      const double Share = Speeds[Phase].m_Share;
+      double Span = std::min(Rest.top() / Share, Until - Now);
+      if (Phase + 1 < Speeds.size())
+        Span = std::min(Span, Speeds[Phase + 1].m_From - Now);
       Sum += Span * static_cast<double>(Rest.size());
-      const double Left = Rest.top() - Span;
+      const double Left = Rest.top() - Span * Share;
       Rest.pop();
       Now += Span;
       if (Left > 1e-9)
@@ -372,7 +442,7 @@
     Rest.push(Work);
   }
   while (!Rest.empty())
-    Advance(Now + Rest.top());
+    Advance(Now + Hour);
   return Sum;
 }
 
@@ -400,7 +470,9 @@
                         Seconds * Share * Each.m_Spec.m_Tasks);
       RunTimes += Seconds;
     }
-    Total += std::max(RunTimes, sharedServerSum(std::move(Jobs)));
+    Total += std::max(RunTimes,
+                      sharedServerSum(std::move(Jobs), speedsOf(Source, WithAccelerators ? &Resources::m_Accelerators
+                                                                                         : &Resources::m_Cores)));
   }
   return Total / static_cast<double>(Source.m_Jobs.size());
 }
--- a/bench/Workload.h
+++ b/bench/Workload.h
@@ -23,7 +23,8 @@
 /// Returns a bound in seconds that no schedule's mean completion time can be below.
 ///
 /// For the jobs that need accelerators and for the others apart, the sum of completion times is at least that of
-/// shortest remaining work first on one server as fast as all workers together, and at least the sum of run times.
+/// shortest remaining work first on one server as fast as all workers that can work together, and at least the sum of
+/// run times.
 double completionBound(const Table &Source, Duration StartOverhead);
 
 } // namespace anvil::bench
--- a/bench/World.cpp
+++ b/bench/World.cpp
@@ -425,6 +425,10 @@
   }
   Largest[1] = *std::max_element(RackSize.begin(), RackSize.end());
   Largest[2] = *std::max_element(ZoneSize.begin(), ZoneSize.end());
+  if (m_DemandNow >= m_CapacityNow) {
+    m_IdleSum += static_cast<double>(All[0]) / static_cast<double>(Largest[3]);
+    ++m_IdleCount;
+  }
   const std::array<const std::vector<int64_t> *, 4> Levels = {&Vm, &Rack, &Zone, &All};
   for (size_t G = 0; G < GangSizes.size(); ++G) {
     size_t Level = 0;
@@ -485,6 +489,7 @@
     if (m_FragmentationCount[G] > 0)
       m_Figures.m_Fragmentation[G] = m_FragmentationSum[G] / static_cast<double>(m_FragmentationCount[G]);
   }
+  m_Figures.m_IdleWhileShort = m_IdleCount > 0 ? m_IdleSum / static_cast<double>(m_IdleCount) : 0;
   m_Figures.m_ReclaimP50 = quantile(m_ReclaimTimes, 0.5);
   m_Figures.m_ReclaimP99 = quantile(m_ReclaimTimes, 0.99);
 }
--- a/bench/World.h
+++ b/bench/World.h
@@ -38,6 +38,8 @@
 struct Table {
   std::string m_Name{};
   uint64_t m_Seed = 0;
+  /// Accelerator-time asked for as a share of the fleet's during the arrivals.
+  double m_Load = 0;
   std::vector<WorkerUp> m_Workers{};
   std::vector<WorkspaceConfig> m_Workspaces{};
   std::vector<Arrival> m_Jobs{};
@@ -71,6 +73,8 @@
   int64_t m_GivenUp = 0;
   /// Mean share of free accelerators that a gang of 8, 64, 256 cannot use.
   std::array<double, 3> m_Fragmentation{};
+  /// Mean share of accelerators that are free while the jobs in the system ask for more than there are.
+  double m_IdleWhileShort = 0;
   double m_Work = 0;
   double m_LostWork = 0;
   int64_t m_Reclaims = 0;
@@ -168,6 +172,8 @@
   std::vector<double> m_ReclaimTimes;
   std::array<double, 3> m_FragmentationSum{};
   std::array<int64_t, 3> m_FragmentationCount{};
+  double m_IdleSum = 0;
+  int64_t m_IdleCount = 0;
   int64_t m_Waiting = 0;
   int64_t m_Open = 0;
   double m_DemandNow = 0;
