sched: Read fewer workers per decision

Cause: with a backlog at 8,300 workers each step used up its whole search budget. Backfill attempts were not remembered, jobs that cannot borrow nothing were searched twice, work without accelerators was searched twice again. Change: remember failed backfills, search all free room before the unguaranteed part of it, one pass for work without accelerators, a list of the workers with accelerators, one plan in a step instead of three.

--- a/src/sched/Core.h
+++ b/src/sched/Core.h
@@ -43,6 +43,8 @@
     WorkspaceIndex m_Workspace = 0;
     bool m_Pinned = false;
     Demand m_Need{};
+    /// For backfill: the expected end of the job that did not fit.
+    TimePoint m_End{};
   };
   /// Timers ordered by instant.
   using TimerSet = std::set<std::pair<TimePoint, int32_t>>;
@@ -109,10 +111,12 @@
   bool tryPlace(JobIndex Index);
   void handleBlocked(JobIndex Index);
   std::vector<Member> search(JobIndex Index, std::string &Reason);
+  std::vector<Member> searchOwn(const Job &Target, RoomKind Kind, std::span<const WorkerIndex> Avoid);
   std::vector<Member> searchHome(const Job &Target);
   std::vector<Member> searchBackfill(JobIndex Index);
   std::vector<WorkerIndex> avoided(const Job &Target) const;
   void place(JobIndex Index, std::vector<Member> Members, std::string Reason);
+  static bool implies(const FailedShape &Failed, const Job &Target);
   bool knownToFail(const Job &Target) const;
   void rememberFailure(const Job &Target);
   bool couldEverFit(const Job &Target);
@@ -201,6 +205,7 @@
   TimerSet m_ProbeTimers;
 
   std::vector<FailedShape> m_FailedShapes;
+  std::vector<FailedShape> m_FailedBackfills;
   std::vector<Resources> m_Extra;
   bool m_Dirty = false;
   bool m_HomesDirty = false;
--- a/src/sched/CorePass.cpp
+++ b/src/sched/CorePass.cpp
@@ -13,7 +13,7 @@
 // Shapes remembered as not fitting until capacity grows.
 constexpr size_t MaxFailedShapes = 64;
 // Plans that free or reserve room, in one pass; each costs several searches.
-constexpr int MaxPlans = 3;
+constexpr int MaxPlans = 1;
 // Parked jobs looked at again in one pass.
 constexpr int MaxReviewed = 128;
 // Workers on which a job failed that it avoids.
@@ -161,20 +161,29 @@
     return Members;
   }
   const std::vector<WorkerIndex> Avoid = avoided(Target);
-  const bool Pinned = Target.pinned();
-  if (Pinned || !m_Pieces.empty()) {
-    --m_SearchBudget;
-    addHomeBonus(Target.m_Workspace, 1, Pinned);
-    Members = m_Finder.find(Need, Pinned ? RoomKind::Pinned : RoomKind::Open, Avoid);
-    addHomeBonus(Target.m_Workspace, -1, Pinned);
-    Reason = Pinned ? "fits capacity guaranteed to no other workspace, as it cannot be reclaimed"
-                    : "fits capacity guaranteed to no other workspace";
-    if (!Members.empty() || Pinned)
-      return Members;
+  if (Target.pinned()) {
+    Reason = "fits capacity guaranteed to no other workspace, as it cannot be reclaimed";
+    return searchOwn(Target, RoomKind::Pinned, Avoid);
   }
   --m_SearchBudget;
-  Reason = m_Pieces.empty() ? "fits free capacity" : "borrows capacity that other workspaces may claim back";
-  return m_Finder.find(Need, RoomKind::Free, Avoid);
+  Members = m_Finder.find(Need, RoomKind::Free, Avoid);
+  Reason = "fits free capacity";
+  if (Members.empty() || m_Pieces.empty())
+    return Members;
+  // Capacity that no one may claim back is better, if there is enough of it.
+  std::vector<Member> Own = searchOwn(Target, RoomKind::Open, Avoid);
+  Reason = Own.empty() ? "borrows capacity that other workspaces may claim back"
+                       : "fits capacity guaranteed to no other workspace";
+  return Own.empty() ? Members : Own;
+}
+
+std::vector<Member> SchedulerCore::searchOwn(const Job &Target, RoomKind Kind, std::span<const WorkerIndex> Avoid) {
+  --m_SearchBudget;
+  const bool Pinned = Kind == RoomKind::Pinned;
+  addHomeBonus(Target.m_Workspace, 1, Pinned);
+  std::vector<Member> Members = m_Finder.find(Target.demand(), Kind, Avoid);
+  addHomeBonus(Target.m_Workspace, -1, Pinned);
+  return Members;
 }
 
 std::vector<Member> SchedulerCore::searchHome(const Job &Target) {
@@ -202,6 +211,12 @@
   // A gang that is moved at little cost need not be gone in time.
   const bool Movable = Target.m_Spec.m_Checkpointable && Target.m_Spec.m_Idempotent;
   const TimePoint End = m_Now + (Movable ? LeastBackfill : remainingOf(Target));
+  // A later end opens no more reservations than an earlier one.
+  const bool Known = std::any_of(m_FailedBackfills.begin(), m_FailedBackfills.end(), [&](const FailedShape &Failed) {
+    return Failed.m_End <= End && implies(Failed, Target);
+  });
+  if (Known)
+    return {};
   std::vector<Hold *> Opened;
   for (Hold &Each : m_Holds) {
     if (Each.m_Kind == HoldKind::Reservation && Each.m_ExpectedStart > End)
@@ -215,6 +230,8 @@
   std::vector<Member> Members = m_Finder.find(Target.demand(), RoomKind::Free, avoided(Target));
   for (Hold *Each : Opened)
     applyHold(*Each, 1);
+  if (Members.empty() && m_FailedBackfills.size() < MaxFailedShapes)
+    m_FailedBackfills.push_back({Target.m_Workspace, false, Target.demand(), End});
   return Members;
 }
 
@@ -247,27 +264,30 @@
   emit(std::move(Action));
 }
 
-bool SchedulerCore::knownToFail(const Job &Target) const {
+/// Returns whether a job needs at least as much as a shape that did not fit.
+bool SchedulerCore::implies(const FailedShape &Failed, const Job &Target) {
+  // Jobs that may borrow see the same room whatever their workspace.
+  if (Failed.m_Pinned != Target.pinned() || (Failed.m_Pinned && Failed.m_Workspace != Target.m_Workspace))
+    return false;
   const Demand Need = Target.demand();
-  for (const FailedShape &Failed : m_FailedShapes) {
-    if (Failed.m_Workspace != Target.m_Workspace && (Failed.m_Pinned || Target.pinned()))
-      continue;
-    const bool SamePlaces = Failed.m_Need.m_Required == Need.m_Required &&
-                            (!Need.m_Required || Failed.m_Need.m_Adjacency == Need.m_Adjacency);
-    if (Failed.m_Pinned == Target.pinned() && SamePlaces && Failed.m_Need.m_Tasks <= Need.m_Tasks &&
-        fits(Failed.m_Need.m_PerTask, maxOf(Need.m_PerTask, Resources{})))
-      return true;
-  }
-  return false;
+  const bool SamePlaces =
+      !Failed.m_Need.m_Required || (Need.m_Required && Failed.m_Need.m_Adjacency == Need.m_Adjacency);
+  return SamePlaces && Failed.m_Need.m_Tasks <= Need.m_Tasks && fits(Failed.m_Need.m_PerTask, Need.m_PerTask);
+}
+
+bool SchedulerCore::knownToFail(const Job &Target) const {
+  return std::any_of(m_FailedShapes.begin(), m_FailedShapes.end(),
+                     [&](const FailedShape &Failed) { return implies(Failed, Target); });
 }
 
 void SchedulerCore::rememberFailure(const Job &Target) {
   if (m_FailedShapes.size() < MaxFailedShapes && avoided(Target).empty())
-    m_FailedShapes.push_back({Target.m_Workspace, Target.pinned(), Target.demand()});
+    m_FailedShapes.push_back({Target.m_Workspace, Target.pinned(), Target.demand(), {}});
 }
 
 void SchedulerCore::capacityGrew() {
   m_FailedShapes.clear();
+  m_FailedBackfills.clear();
   m_Dirty = true;
 }
 
--- a/src/sched/Finder.cpp
+++ b/src/sched/Finder.cpp
@@ -60,75 +60,91 @@
 
 std::vector<Member> Finder::find(const Demand &Need, RoomKind Kind, std::span<const WorkerIndex> Avoid,
                                  std::span<const Resources> Extra) {
-  // Work without accelerators first leaves alone the cores that idle accelerators need.
-  if (Need.m_PerTask.m_Accelerators == 0) {
-    scan(Need, Kind, Avoid, Extra, true);
-    std::vector<Member> Result = choose(Need);
-    if (!Result.empty())
-      return Result;
+  clear();
+  if (Need.m_PerTask.m_Accelerators > 0) {
+    scanWithAccelerators(Need, Kind, Avoid, Extra);
+    return choose(m_All, Need);
   }
-  scan(Need, Kind, Avoid, Extra, false);
-  return choose(Need);
+  scanAll(Need, Kind, Avoid, Extra);
+  std::vector<Member> Result = choose(m_Considerate, Need);
+  return Result.empty() ? choose(m_All, Need) : Result;
 }
 
 std::vector<Member> Finder::findAmong(const Demand &Need, std::span<const WorkerIndex> Among, const RoomFn &Room) {
-  m_Candidates.clear();
-  m_Total = 0;
+  clear();
   m_Scanned += static_cast<int64_t>(Among.size());
   for (const WorkerIndex Worker : Among)
-    addCandidate(Need, Worker, Room(Worker));
-  return choose(Need);
+    addCandidate(m_All, Need, Worker, Room(Worker));
+  return choose(m_All, Need);
 }
 
-void Finder::scan(const Demand &Need, RoomKind Kind, std::span<const WorkerIndex> Avoid,
-                  std::span<const Resources> Extra, bool KeepForAccelerators) {
-  m_Candidates.clear();
-  m_Total = 0;
-  const std::vector<WorkerSlot> &Slots = m_Fleet->slots();
-  m_Scanned += static_cast<int64_t>(Slots.size());
-  for (size_t I = 0; I < Slots.size(); ++I) {
-    const WorkerSlot &Slot = Slots[I];
-    if (!Slot.m_Usable)
-      continue;
-    Resources Room = roomOf(Slot, Kind, Extra.empty() ? Slot.m_Free : Slot.m_Free + Extra[I]);
-    if (!fits(Need.m_PerTask, Room))
-      continue;
-    const auto Index = static_cast<WorkerIndex>(I);
-    if (KeepForAccelerators && Slot.m_HasAccelerators) {
-      const Resources &Capacity = m_Fleet->worker(Index).m_Capacity;
-      const int64_t Idle = std::max<int64_t>(Slot.m_Free.m_Accelerators, 0);
-      Room.m_Cores -= Idle * Capacity.m_Cores / Capacity.m_Accelerators;
-      Room.m_MemoryMib -= Idle * Capacity.m_MemoryMib / Capacity.m_Accelerators;
-    }
-    if (!Avoid.empty() && std::find(Avoid.begin(), Avoid.end(), Index) != Avoid.end())
-      continue;
-    addCandidate(Need, Index, Room);
+void Finder::clear() {
+  m_All.m_Entries.clear();
+  m_All.m_Total = 0;
+  m_Considerate.m_Entries.clear();
+  m_Considerate.m_Total = 0;
+}
+
+void Finder::scanAll(const Demand &Need, RoomKind Kind, std::span<const WorkerIndex> Avoid,
+                     std::span<const Resources> Extra) {
+  const int32_t Count = m_Fleet->size();
+  m_Scanned += Count;
+  for (WorkerIndex Index = 0; Index < Count; ++Index)
+    scanOne(Need, Kind, Avoid, Extra, Index);
+}
+
+void Finder::scanWithAccelerators(const Demand &Need, RoomKind Kind, std::span<const WorkerIndex> Avoid,
+                                  std::span<const Resources> Extra) {
+  m_Scanned += static_cast<int64_t>(m_Fleet->withAccelerators().size());
+  for (const WorkerIndex Index : m_Fleet->withAccelerators())
+    scanOne(Need, Kind, Avoid, Extra, Index);
+}
+
+void Finder::scanOne(const Demand &Need, RoomKind Kind, std::span<const WorkerIndex> Avoid,
+                     std::span<const Resources> Extra, WorkerIndex Index) {
+  const WorkerSlot &Slot = m_Fleet->slot(Index);
+  if (!Slot.m_Usable)
+    return;
+  Resources Room = roomOf(Slot, Kind, Extra.empty() ? Slot.m_Free : Slot.m_Free + Extra[Index]);
+  if (!fits(Need.m_PerTask, Room))
+    return;
+  if (!Avoid.empty() && std::find(Avoid.begin(), Avoid.end(), Index) != Avoid.end())
+    return;
+  addCandidate(m_All, Need, Index, Room);
+  if (Need.m_PerTask.m_Accelerators > 0)
+    return;
+  if (Slot.m_HasAccelerators) {
+    const Resources &Capacity = m_Fleet->worker(Index).m_Capacity;
+    const int64_t Idle = std::max<int64_t>(Slot.m_Free.m_Accelerators, 0);
+    Room.m_Cores -= Idle * Capacity.m_Cores / Capacity.m_Accelerators;
+    Room.m_MemoryMib -= Idle * Capacity.m_MemoryMib / Capacity.m_Accelerators;
   }
+  addCandidate(m_Considerate, Need, Index, Room);
 }
 
-void Finder::addCandidate(const Demand &Need, WorkerIndex Worker, const Resources &Room) {
+void Finder::addCandidate(Candidates &Target, const Demand &Need, WorkerIndex Worker, const Resources &Room) const {
   const int32_t Tasks = piecesIn(Room, Need.m_PerTask, Need.m_Tasks);
   if (Tasks <= 0)
     return;
   const WorkerSlot &Slot = m_Fleet->slot(Worker);
   const Resources Left = Room - Need.m_PerTask * Tasks;
-  m_Candidates.push_back(
+  Target.m_Entries.push_back(
       {Worker, Tasks, Slot.m_Rack, Slot.m_Zone, Left.m_Accelerators * (int64_t{1} << 32) + Left.m_Cores});
-  m_Total += Tasks;
+  Target.m_Total += Tasks;
 }
 
-std::vector<Member> Finder::choose(const Demand &Need) {
-  if (m_Total < Need.m_Tasks)
+std::vector<Member> Finder::choose(Candidates &From, const Demand &Need) const {
+  if (From.m_Total < Need.m_Tasks)
     return {};
-  std::vector<Member> Result = chooseVm(Need);
+  std::vector<Member> Result = chooseVm(From, Need);
   if (!Result.empty() || (Need.m_Required && Need.m_Adjacency == Adjacency::Vm))
     return Result;
-  return chooseRacks(Need);
+  return chooseRacks(From, Need);
 }
 
-std::vector<Member> Finder::chooseVm(const Demand &Need) const {
+std::vector<Member> Finder::chooseVm(const Candidates &From, const Demand &Need) const {
   const Candidate *Best = nullptr;
-  for (const Candidate &Entry : m_Candidates) {
+  for (const Candidate &Entry : From.m_Entries) {
     if (Entry.m_Tasks >= Need.m_Tasks && (Best == nullptr || Entry.m_Leftover < Best->m_Leftover))
       Best = &Entry;
   }
@@ -137,8 +153,9 @@
   return {{Best->m_Worker, Need.m_Tasks}};
 }
 
-std::vector<Member> Finder::chooseRacks(const Demand &Need) {
-  std::sort(m_Candidates.begin(), m_Candidates.end(), [](const Candidate &A, const Candidate &B) {
+std::vector<Member> Finder::chooseRacks(Candidates &From, const Demand &Need) const {
+  std::vector<Candidate> &Entries = From.m_Entries;
+  std::sort(Entries.begin(), Entries.end(), [](const Candidate &A, const Candidate &B) {
     if (A.m_Rack != B.m_Rack)
       return A.m_Rack < B.m_Rack;
     if (A.m_Tasks != B.m_Tasks)
@@ -146,11 +163,11 @@
     return A.m_Leftover != B.m_Leftover ? A.m_Leftover < B.m_Leftover : A.m_Worker < B.m_Worker;
   });
   std::vector<RackGroup> Groups;
-  for (size_t I = 0; I < m_Candidates.size(); ++I) {
-    if (I == 0 || m_Candidates[I].m_Rack != m_Candidates[I - 1].m_Rack)
-      Groups.push_back({I, I, 0, m_Candidates[I].m_Zone});
+  for (size_t I = 0; I < Entries.size(); ++I) {
+    if (I == 0 || Entries[I].m_Rack != Entries[I - 1].m_Rack)
+      Groups.push_back({I, I, 0, Entries[I].m_Zone});
     Groups.back().m_End = I + 1;
-    Groups.back().m_Tasks += m_Candidates[I].m_Tasks;
+    Groups.back().m_Tasks += Entries[I].m_Tasks;
   }
   const int32_t Zone = pickZone(Groups, Need.m_Tasks);
   std::vector<size_t> Left;
@@ -165,7 +182,7 @@
     const RackGroup &Group = Groups[Left[Pick]];
     if (Need.m_Required && Need.m_Adjacency == Adjacency::Rack && Group.m_Tasks < Remaining)
       return {};
-    takeFromRack({m_Candidates.data() + Group.m_Begin, Group.m_End - Group.m_Begin}, Remaining, Result);
+    takeFromRack({Entries.data() + Group.m_Begin, Group.m_End - Group.m_Begin}, Remaining, Result);
     Left.erase(Left.begin() + static_cast<ptrdiff_t>(Pick));
   }
   return Result;
--- a/src/sched/Finder.h
+++ b/src/sched/Finder.h
@@ -58,17 +58,28 @@
     int64_t m_Leftover = 0;
   };
 
-  void scan(const Demand &Need, RoomKind Kind, std::span<const WorkerIndex> Avoid, std::span<const Resources> Extra,
-            bool KeepForAccelerators);
-  void addCandidate(const Demand &Need, WorkerIndex Worker, const Resources &Room);
-  std::vector<Member> choose(const Demand &Need);
-  std::vector<Member> chooseVm(const Demand &Need) const;
-  std::vector<Member> chooseRacks(const Demand &Need);
+  /// Candidates of one search and the number of tasks that they take together.
+  struct Candidates {
+    std::vector<Candidate> m_Entries{};
+    int64_t m_Total = 0;
+  };
+
+  void scanAll(const Demand &Need, RoomKind Kind, std::span<const WorkerIndex> Avoid, std::span<const Resources> Extra);
+  void scanWithAccelerators(const Demand &Need, RoomKind Kind, std::span<const WorkerIndex> Avoid,
+                            std::span<const Resources> Extra);
+  void scanOne(const Demand &Need, RoomKind Kind, std::span<const WorkerIndex> Avoid, std::span<const Resources> Extra,
+               WorkerIndex Index);
+  void addCandidate(Candidates &Target, const Demand &Need, WorkerIndex Worker, const Resources &Room) const;
+  void clear();
+  std::vector<Member> choose(Candidates &From, const Demand &Need) const;
+  std::vector<Member> chooseVm(const Candidates &From, const Demand &Need) const;
+  std::vector<Member> chooseRacks(Candidates &From, const Demand &Need) const;
   void takeFromRack(std::span<const Candidate> Rack, int32_t &Remaining, std::vector<Member> &Result) const;
 
   const Fleet *m_Fleet;
-  std::vector<Candidate> m_Candidates;
-  int64_t m_Total = 0;
+  /// All room, and for work without accelerators the room that leaves alone the cores that idle accelerators need.
+  Candidates m_All;
+  Candidates m_Considerate;
   int64_t m_Scanned = 0;
 };
 
--- a/src/sched/Fleet.cpp
+++ b/src/sched/Fleet.cpp
@@ -40,6 +40,12 @@
   Slot.m_Rack = m_RackIndex.try_emplace(Up.m_Rack, rackCount()).first->second;
   Slot.m_Zone = zoneIndex(Up.m_Zone);
   Slot.m_HasAccelerators = Up.m_Capacity.m_Accelerators > 0;
+  const auto Listed = std::lower_bound(m_WithAccelerators.begin(), m_WithAccelerators.end(), Index);
+  const bool IsListed = Listed != m_WithAccelerators.end() && *Listed == Index;
+  if (Slot.m_HasAccelerators && !IsListed)
+    m_WithAccelerators.insert(Listed, Index);
+  else if (!Slot.m_HasAccelerators && IsListed)
+    m_WithAccelerators.erase(Listed);
   refresh(Index);
   return Index;
 }
--- a/src/sched/Fleet.h
+++ b/src/sched/Fleet.h
@@ -107,6 +107,8 @@
   WorkerSlot &slot(WorkerIndex Index) { return m_Slots[Index]; }
   const WorkerSlot &slot(WorkerIndex Index) const { return m_Slots[Index]; }
   const std::vector<WorkerSlot> &slots() const { return m_Slots; }
+  /// Workers that have accelerators, in the order of their indices.
+  const std::vector<WorkerIndex> &withAccelerators() const { return m_WithAccelerators; }
   std::vector<Zone> &zones() { return m_Zones; }
   const std::vector<Zone> &zones() const { return m_Zones; }
   /// Capacity of the usable workers.
@@ -136,6 +138,7 @@
   std::vector<Worker> m_Workers;
   std::vector<WorkerSlot> m_Slots;
   std::vector<Zone> m_Zones;
+  std::vector<WorkerIndex> m_WithAccelerators;
   absl::flat_hash_map<VmId, WorkerIndex> m_WorkerIndex;
   absl::flat_hash_map<RackId, int32_t> m_RackIndex;
   Resources m_UsableCapacity;
