--- a/src/sched/Core.h
+++ b/src/sched/Core.h
@@ -220,7 +220,9 @@
   int32_t m_GuaranteesMissing = 0;
   int64_t m_QueuedCount = 0;
   int64_t m_SearchBudget = 0;
-  int32_t m_PlanBudget = 0;
+  int32_t m_PreemptBudget = 0;
+  int32_t m_EconomyBudget = 0;
+  int32_t m_ReserveBudget = 0;
 };
 
 } // namespace anvil::sched::internal
--- a/src/sched/CorePass.cpp
+++ b/src/sched/CorePass.cpp
@@ -12,8 +12,11 @@
 constexpr int MaxExamined = 20'000;
 // Shapes remembered as not fitting until capacity grows.
 constexpr size_t MaxFailedShapes = 64;
-// Plans that free or reserve room, in one pass; each costs several searches.
-constexpr int MaxPlans = 1;
+// Plans in one pass, each of which costs some ten searches. Each purpose has its own bound, so that many small jobs that
+// look for shorter waiting do not keep urgent work or large gangs from planning.
+constexpr int MaxPreemptPlans = 2;
+constexpr int MaxEconomyPlans = 1;
+constexpr int MaxReservePlans = 1;
 // Parked jobs looked at again in one pass.
 constexpr int MaxReviewed = 128;
 // Workers on which a job failed that it avoids.
@@ -60,7 +63,9 @@
   m_LastPass = m_Now;
   m_Dirty = false;
   m_SearchBudget = m_Options.m_MaxSearches;
-  m_PlanBudget = MaxPlans;
+  m_PreemptBudget = MaxPreemptPlans;
+  m_EconomyBudget = MaxEconomyPlans;
+  m_ReserveBudget = MaxReservePlans;
   if (m_HomesDirty)
     rebuildHomes();
   if (m_ReviewParked)
--- a/src/sched/CorePlan.cpp
+++ b/src/sched/CorePlan.cpp
@@ -14,6 +14,8 @@
 constexpr Duration ReserveAfterUrgent = std::chrono::seconds(10);
 constexpr Duration ReserveAfterOther = std::chrono::minutes(30);
 constexpr int ReserveAfterRunTimes = 2;
+// Single tasks below this many accelerators find room soon enough without a reservation.
+constexpr int64_t LargeTask = 4;
 // Share of the accelerators or cores that reservations together may keep.
 constexpr double MaxReservedShare = 0.35;
 // A gang is not asked to leave for shorter work before it ran this long, so that gangs do not displace each other in
@@ -30,6 +32,8 @@
 // Delays between two plans for the same job: first, and with doublings the last.
 constexpr Duration FirstPlanDelay = std::chrono::milliseconds(500);
 constexpr int MaxPlanDoublings = 6;
+// A blocked job is checked at every this many plans for whether the workers could ever take it.
+constexpr int ImpossibleCheckEvery = 4;
 } // namespace
 
 /// Called for a job that found no room: claims its guarantee, displaces lower classes, or reserves.
@@ -39,13 +43,10 @@
     return;
   if (claimGuarantee(Index))
     return;
-  if (m_PlanBudget <= 0)
-    return;
-  --m_PlanBudget;
+  // Waiting for gangs of one's own class to end needs no plan, so the check comes first that a plan may lead anywhere.
   const bool Urgent = rankOf(Target) == 0 || (Target.m_Spec.m_Urgency != Urgency::WorkingDay && rankOf(Target) == 1);
   Target.m_NextPlanAt = m_Now + FirstPlanDelay * (1 << std::min(Target.m_Plans, Urgent ? 1 : MaxPlanDoublings));
-  ++Target.m_Plans;
-  if (!couldEverFit(Target)) {
+  if (Target.m_Plans++ % ImpossibleCheckEvery == 0 && !couldEverFit(Target)) {
     park(Index, absl::StrCat("it needs ", describeNeed(Target),
                              ", more than the workers in service could give it even when empty"));
     return;
@@ -195,7 +196,15 @@
 }
 
 bool SchedulerCore::preempt(JobIndex Index) {
-  Plan Chosen = planFreeing(Index, victimsFor(Index, false));
+  if (m_PreemptBudget <= 0) {
+    m_Jobs[Index].m_NextPlanAt = m_Now;
+    return false;
+  }
+  const std::vector<Victim> Victims = victimsFor(Index, false);
+  if (Victims.empty())
+    return false;
+  --m_PreemptBudget;
+  Plan Chosen = planFreeing(Index, Victims);
   if (Chosen.m_Members.empty())
     return false;
   commitPlan(Index, std::move(Chosen), HoldKind::Reclaim,
@@ -220,9 +229,14 @@
 /// Asks gangs to checkpoint and leave if their delay together is less than the waiting that the job is spared.
 bool SchedulerCore::preemptIfItPays(JobIndex Index) {
   Job &Target = m_Jobs[Index];
-  if (rankOf(Target) >= static_cast<int>(Urgency::Overnight))
+  if (rankOf(Target) >= static_cast<int>(Urgency::Overnight) || m_EconomyBudget <= 0)
+    return false;
+  const std::vector<Victim> Victims = victimsFor(Index, true);
+  // Gangs that stop anyway come first; without any other there is nothing to ask for.
+  if (Victims.empty() || Victims.back().m_Cost < 0)
     return false;
-  Plan Chosen = planFreeing(Index, victimsFor(Index, true));
+  --m_EconomyBudget;
+  Plan Chosen = planFreeing(Index, Victims);
   if (Chosen.m_Members.empty() || Chosen.m_Victims.size() > MaxEconomyVictims)
     return false;
   double Spared = toSeconds(Duration::max());
@@ -246,6 +260,9 @@
     Needed = std::max(ReserveAfterOther, estimateOf(Target).m_Median * ReserveAfterRunTimes);
   if (Waited < Needed || rankOf(Target) >= static_cast<int>(Urgency::Overnight))
     return false;
+  const bool Large = Target.m_Spec.m_Tasks > 1 || Target.m_Spec.m_PerTask.m_Accelerators >= LargeTask;
+  if (!Large || m_ReserveBudget <= 0)
+    return false;
   int32_t Reservations = 0;
   Resources Reserved = Target.total();
   for (const Hold &Each : m_Holds) {
@@ -257,6 +274,7 @@
   const bool TooMuch = Reservations > 0 && dominantShare(Reserved, m_Fleet.usableCapacity()) > MaxReservedShare;
   if (Reservations >= m_Options.m_MaxReservations || TooMuch)
     return false;
+  --m_ReserveBudget;
   Duration Wait{};
   Plan Chosen = planByEnd(Index, Wait);
   if (Chosen.m_Members.empty())
