--- a/src/sched/CoreReclaim.cpp
+++ b/src/sched/CoreReclaim.cpp
@@ -73,7 +73,7 @@
     if (m_Fleet.slot(Worker).m_Usable)
       Usable.push_back(Worker);
   }
-  std::vector<Member> Members = m_Finder.findAmong(Target.demand(), Usable, [&](WorkerIndex Worker) {
+  auto RestOf = [&](WorkerIndex Worker) {
     const Claim Own = m_Fleet.claimOf(Worker, Target.m_Workspace);
     Resources Rest = Own.m_Guaranteed - Own.m_Used;
     for (const auto &[Place, Amount] : Claimed) {
@@ -81,26 +81,54 @@
         Rest -= Amount;
     }
     return Rest;
-  });
-  if (Members.empty())
-    return false;
-  dropHoldsOn(Members);
-  Plan Chosen{std::move(Members), {}};
-  if (!claimVictims(Target, Chosen.m_Members, Chosen.m_Victims))
-    return false;
+  };
+  Plan Chosen = cheapestClaim(Target, Usable, RestOf);
+  if (Chosen.m_Members.empty()) {
+    Chosen.m_Members = m_Finder.findAmong(Target.demand(), Usable, RestOf);
+    if (Chosen.m_Members.empty() || !claimVictims(Target, Chosen.m_Members, Chosen.m_Victims))
+      return false;
+  }
+  dropHoldsOn(Chosen.m_Members);
   commitPlan(Index, std::move(Chosen), HoldKind::Claim,
              absl::StrCat("workspace ", m_Workspaces[Target.m_Workspace].m_Name.str(),
                           " claims its guaranteed capacity for job ", Target.m_Id.value()));
   return true;
 }
 
+/// Chooses the one worker that takes the whole gang within the guarantee at the least cost; empty if there is none.
+SchedulerCore::Plan SchedulerCore::cheapestClaim(const Job &Target, std::span<const WorkerIndex> Homes,
+                                                 const Finder::RoomFn &RestOf) const {
+  Plan Best;
+  double BestCost = 0;
+  for (const WorkerIndex Worker : Homes) {
+    if (!fits(Target.total(), RestOf(Worker)))
+      continue;
+    Plan Each{{{Worker, Target.m_Spec.m_Tasks}}, {}};
+    if (!claimVictims(Target, Each.m_Members, Each.m_Victims))
+      continue;
+    double Cost = 0;
+    for (const JobIndex Victim : Each.m_Victims)
+      Cost += victimCost(m_Jobs[Victim]);
+    if (!Best.m_Members.empty() && Cost >= BestCost)
+      continue;
+    Best = std::move(Each);
+    BestCost = Cost;
+  }
+  return Best;
+}
+
 /// Chooses the cheapest gangs beyond their own guarantee on each of the places; false if they do not suffice.
 bool SchedulerCore::claimVictims(const Job &Target, std::span<const Member> Members,
                                  std::vector<JobIndex> &Victims) const {
   for (const Member &Place : Members) {
-    Resources Missing = Target.m_Spec.m_PerTask * Place.m_Tasks - m_Fleet.slot(Place.m_Worker).m_Free;
-    // What hold and overuse take from the slot is not taken from the owner.
-    Missing -= m_Fleet.worker(Place.m_Worker).m_Overuse;
+    const Worker &Home = m_Fleet.worker(Place.m_Worker);
+    // Measured overuse and holds that the claim overrides do not take from the owner.
+    Resources Free = Home.m_Capacity - Home.m_Reserved;
+    for (const Hold &Each : m_Holds) {
+      if (Each.m_Kind == HoldKind::Claim)
+        Free -= heldOn(Each, Place.m_Worker);
+    }
+    Resources Missing = Target.m_Spec.m_PerTask * Place.m_Tasks - Free;
     std::vector<std::pair<double, Occupant>> Here;
     for (const Occupant &Entry : m_Fleet.worker(Place.m_Worker).m_Occupants) {
       const Job &Candidate = m_Jobs[Entry.m_Job];
@@ -127,6 +155,15 @@
   return true;
 }
 
+Resources SchedulerCore::heldOn(const Hold &Target, WorkerIndex Index) const {
+  Resources Sum;
+  for (const Member &Each : Target.m_Members) {
+    if (Each.m_Worker == Index)
+      Sum += m_Jobs[Target.m_Job].m_Spec.m_PerTask * Each.m_Tasks;
+  }
+  return Sum;
+}
+
 void SchedulerCore::setHold(JobIndex Index, std::vector<Member> Members, HoldKind Kind, TimePoint ExpectedStart) {
   dropHold(Index);
   m_Jobs[Index].m_Hold = static_cast<int32_t>(m_Holds.size());
@@ -230,6 +267,14 @@
   return false;
 }
 
+/// Returns whether a backfilled gang may be asked to leave: at once if it can be moved, and otherwise only after it has
+/// overstayed, since its work is lost.
+bool SchedulerCore::mayTakeBack(const Job &Candidate, const Hold &Reservation) const {
+  if (!Candidate.m_Backfilled || Candidate.pinned() || rankOf(Candidate) < static_cast<int>(Urgency::Batch))
+    return false;
+  return (Candidate.m_Spec.m_Checkpointable && Candidate.m_Spec.m_Idempotent) || m_Now >= Reservation.m_ExpectedStart;
+}
+
 /// Takes back the room of a reservation once only backfilled gangs are in the way; plans anew if it is long overdue.
 bool SchedulerCore::retryReservation(JobIndex Index) {
   Job &Target = m_Jobs[Index];
@@ -243,7 +288,7 @@
       if (fits(Missing, Resources{}))
         break;
       const bool Leaves = Candidate.m_Phase == JobPhase::Stopping;
-      if (!Leaves && (!Candidate.m_Backfilled || Candidate.pinned()))
+      if (!Leaves && !mayTakeBack(Candidate, Own))
         continue;
       Missing -= Candidate.m_Spec.m_PerTask * Entry.m_Tasks;
       if (!Leaves)
