sched: Keep displaced gangs and their successors as they are for 15 minutes

Cause: two gangs displaced each other every 2 min for opposite reasons (shorter waiting, better use). Change: both stay as they are for 15 min unless a guarantee or urgent work asks.

--- a/src/sched/Core.h
+++ b/src/sched/Core.h
@@ -130,6 +130,8 @@
   bool preempt(JobIndex Index);
   bool preemptIfItPays(JobIndex Index);
   bool exchange(JobIndex Index);
+  bool settled(const Job &Candidate) const;
+  void settle(JobIndex Index, const Plan &Chosen);
   bool reserve(JobIndex Index);
   Plan planFreeing(JobIndex Index, std::span<const Victim> Victims);
   std::vector<Victim> victimsFor(JobIndex Index, bool Economy) const;
--- a/src/sched/CorePlan.cpp
+++ b/src/sched/CorePlan.cpp
@@ -21,6 +21,8 @@
 // A gang is not asked to leave for shorter work before it ran this long, so that gangs do not displace each other in
 // turn.
 constexpr Duration LeastRun = std::chrono::minutes(2);
+// Time for which a gang and the one that it displaced stay as they are.
+constexpr Duration SettleTime = std::chrono::minutes(15);
 // Run time lost by a gang that is checkpointed, moved and started again.
 constexpr double MoveSeconds = 10;
 // A gang gives way to shorter work only if it needs this many times longer.
@@ -55,7 +57,7 @@
   }
   if (Urgent && preempt(Index))
     return;
-  if (preemptIfItPays(Index) || exchange(Index))
+  if (m_Now >= Target.m_YieldsUntil && (preemptIfItPays(Index) || exchange(Index)))
     return;
   reserve(Index);
 }
@@ -82,6 +84,11 @@
   });
 }
 
+/// Returns whether a running gang may be displaced without need.
+bool SchedulerCore::settled(const Job &Candidate) const {
+  return m_Now - Candidate.m_StartedAt >= LeastRun && m_Now >= Candidate.m_SettledUntil;
+}
+
 bool SchedulerCore::victimAllowed(const Job &Target, const Job &Candidate, bool Economy) const {
   if (Candidate.pinned() || Candidate.m_Phase == JobPhase::Stopping)
     return false;
@@ -91,8 +98,7 @@
     return rankOf(Candidate) > rankOf(Target) && rankOf(Candidate) >= static_cast<int>(Urgency::Batch);
   if (Candidate.m_Phase != JobPhase::Running || !Candidate.m_Spec.m_Checkpointable || !Candidate.m_Spec.m_Idempotent)
     return false;
-  if (rankOf(Candidate) < rankOf(Target) || m_Now - Candidate.m_StartedAt < LeastRun ||
-      Candidate.m_Reclaims >= MaxEconomyReclaims)
+  if (rankOf(Candidate) < rankOf(Target) || !settled(Candidate) || Candidate.m_Reclaims >= MaxEconomyReclaims)
     return false;
   return toSeconds(remainingOf(Candidate)) > PreemptRatio * toSeconds(remainingOf(Target));
 }
@@ -214,6 +220,13 @@
   return true;
 }
 
+/// Keeps a displaced gang and the one that took its place from displacing each other in turn.
+void SchedulerCore::settle(JobIndex Index, const Plan &Chosen) {
+  m_Jobs[Index].m_SettledUntil = m_Now + SettleTime;
+  for (const JobIndex Each : Chosen.m_Victims)
+    m_Jobs[Each].m_YieldsUntil = m_Now + SettleTime;
+}
+
 double SchedulerCore::harmOf(const Job &Target, const Plan &Chosen) {
   double Harm = 0;
   for (const JobIndex Each : Chosen.m_Victims) {
@@ -248,6 +261,7 @@
   }
   if (harmOf(Target, Chosen) >= Spared)
     return false;
+  settle(Index, Chosen);
   commitPlan(Index, std::move(Chosen), HoldKind::Reclaim,
              absl::StrCat("job ", Target.m_Id.value(), " is much shorter and waits"));
   return true;
@@ -267,7 +281,7 @@
     const bool Movable = Candidate.m_Phase == JobPhase::Running && Candidate.m_Spec.m_Checkpointable &&
                          Candidate.m_Spec.m_Idempotent && rankOf(Candidate) >= rankOf(Target);
     const Resources Size = Candidate.total();
-    if (Movable && m_Now - Candidate.m_StartedAt >= LeastRun && fits(Size, Limit) &&
+    if (Movable && settled(Candidate) && fits(Size, Limit) &&
         (Candidate.m_Workspace == Target.m_Workspace || !withinGuarantee(Candidate)))
       Victims.push_back({static_cast<double>(Size.m_Accelerators), Each});
   }
@@ -285,6 +299,7 @@
   }
   if (Chosen.m_Members.empty() || !fits(Freed, Limit))
     return false;
+  settle(Index, Chosen);
   commitPlan(Index, std::move(Chosen), HoldKind::Reclaim,
              absl::StrCat("job ", Target.m_Id.value(), " uses more of the accelerators that are free"));
   return true;
--- a/src/sched/Records.h
+++ b/src/sched/Records.h
@@ -46,6 +46,10 @@
   Duration m_Kept{};
   TimePoint m_NotBefore{};
   TimePoint m_NextPlanAt{};
+  /// Until then the gang is not displaced only to shorten waiting or to use more capacity.
+  TimePoint m_SettledUntil{};
+  /// Until then the job displaces no one for these purposes, after it was displaced for them itself.
+  TimePoint m_YieldsUntil{};
   int64_t m_Key = 0;
   int32_t m_Failures = 0;
   int32_t m_Refusals = 0;
