sched: Give claims and reclaims precedence over reservations

A reservation held room on the same worker that it expected much later, which made the room freed for the claim look taken; the claim was dropped and planned again. Change: a claim sees all room but that of other claims, a reclaim ignores reservations.

--- a/src/sched/Core.h
+++ b/src/sched/Core.h
@@ -156,7 +156,7 @@
   Plan planByEnd(JobIndex Index, Duration &Wait);
   std::vector<std::pair<WorkerIndex, Resources>> claimsInProgress(WorkspaceIndex Index) const;
   Plan cheapestClaim(const Job &Target, std::span<const WorkerIndex> Homes, const Finder::RoomFn &RestOf) const;
-  Resources heldOn(const Hold &Target, WorkerIndex Index) const;
+  Resources roomForHold(WorkerIndex Index, HoldKind Kind) const;
   bool mayTakeBack(const Job &Candidate, const Hold &Reservation) const;
   bool claimVictims(const Job &Target, std::span<const Member> Members, std::vector<JobIndex> &Victims) const;
   void dropHoldsOn(std::span<const Member> Members);
--- a/src/sched/CoreReclaim.cpp
+++ b/src/sched/CoreReclaim.cpp
@@ -121,14 +121,8 @@
 bool SchedulerCore::claimVictims(const Job &Target, std::span<const Member> Members,
                                  std::vector<JobIndex> &Victims) const {
   for (const Member &Place : Members) {
-    const Worker &Home = m_Fleet.worker(Place.m_Worker);
     // Measured overuse and holds that the claim overrides do not take from the owner.
-    Resources Free = Home.m_Capacity - Home.m_Reserved;
-    for (const Hold &Each : m_Holds) {
-      if (Each.m_Kind == HoldKind::Claim)
-        Free -= heldOn(Each, Place.m_Worker);
-    }
-    Resources Missing = Target.m_Spec.m_PerTask * Place.m_Tasks - Free;
+    Resources Missing = Target.m_Spec.m_PerTask * Place.m_Tasks - roomForHold(Place.m_Worker, HoldKind::Claim);
     std::vector<std::pair<double, Occupant>> Here;
     for (const Occupant &Entry : m_Fleet.worker(Place.m_Worker).m_Occupants) {
       const Job &Candidate = m_Jobs[Entry.m_Job];
@@ -155,15 +149,6 @@
   return true;
 }
 
-Resources SchedulerCore::heldOn(const Hold &Target, WorkerIndex Index) const {
-  Resources Sum;
-  for (const Member &Each : Target.m_Members) {
-    if (Each.m_Worker == Index)
-      Sum += m_Jobs[Target.m_Job].m_Spec.m_PerTask * Each.m_Tasks;
-  }
-  return Sum;
-}
-
 void SchedulerCore::setHold(JobIndex Index, std::vector<Member> Members, HoldKind Kind, TimePoint ExpectedStart) {
   dropHold(Index);
   m_Jobs[Index].m_Hold = static_cast<int32_t>(m_Holds.size());
@@ -205,8 +190,26 @@
 
 void SchedulerCore::applyHold(const Hold &Target, int Sign) {
   const Resources &PerTask = m_Jobs[Target.m_Job].m_Spec.m_PerTask;
-  for (const Member &Each : Target.m_Members)
-    m_Fleet.hold(Each.m_Worker, PerTask * (Each.m_Tasks * Sign));
+  for (const Member &Each : Target.m_Members) {
+    const Resources Amount = PerTask * (Each.m_Tasks * Sign);
+    m_Fleet.hold(Each.m_Worker, Amount);
+    if (Target.m_Kind == HoldKind::Claim)
+      m_Fleet.worker(Each.m_Worker).m_HeldByClaims += Amount;
+    if (Target.m_Kind == HoldKind::Reservation)
+      m_Fleet.worker(Each.m_Worker).m_HeldByReservations += Amount;
+  }
+}
+
+/// Returns the room of a worker for a kind of hold: claims go before everything, reservations after everything. A
+/// reservation counts on gangs that end much later, so it must not keep others from room that is free now.
+Resources SchedulerCore::roomForHold(WorkerIndex Index, HoldKind Kind) const {
+  const Worker &Place = m_Fleet.worker(Index);
+  const Resources Free = Place.m_Capacity - Place.m_Reserved;
+  if (Kind == HoldKind::Claim)
+    return Free - Place.m_HeldByClaims;
+  if (Kind == HoldKind::Reservation)
+    return m_Fleet.slot(Index).m_Free;
+  return Free - Place.m_Overuse - (Place.m_Held - Place.m_HeldByReservations);
 }
 
 bool SchedulerCore::holdUsable(const Hold &Target) const {
@@ -218,7 +221,7 @@
 bool SchedulerCore::fitsOwnHold(const Job &Target, const Hold &Own) const {
   return std::all_of(Own.m_Members.begin(), Own.m_Members.end(), [&](const Member &Each) {
     const WorkerSlot &Slot = m_Fleet.slot(Each.m_Worker);
-    Resources Room = Slot.m_Free;
+    Resources Room = roomForHold(Each.m_Worker, Own.m_Kind);
     if (Target.pinned()) {
       const Claim Claimed = m_Fleet.claimOf(Each.m_Worker, Target.m_Workspace);
       Room = minOf(Room, Slot.m_PinRoom + positive(Claimed.m_Guaranteed - Claimed.m_Pinned));
@@ -297,7 +300,9 @@
     Others = Others || !fits(Missing, Resources{});
   }
   if (!Others) {
+    applyHold(Own, -1);
     m_Holds[Target.m_Hold].m_Kind = HoldKind::Reclaim;
+    applyHold(m_Holds[Target.m_Hold], 1);
     for (const JobIndex Each : InTheWay)
       startReclaim(Each, absl::StrCat("it was backfilled into the reservation of job ", Target.m_Id.value()));
     return false;
--- a/src/sched/Fleet.h
+++ b/src/sched/Fleet.h
@@ -67,7 +67,10 @@
   VmId m_Vm{};
   Resources m_Capacity{};
   Resources m_Reserved{};
+  /// Held for queued jobs: by all holds, by claims of guarantees, and by reservations.
   Resources m_Held{};
+  Resources m_HeldByClaims{};
+  Resources m_HeldByReservations{};
   /// Measured use beyond the reservation.
   Resources m_Overuse{};
   /// Last report that confirmed the present m_Overuse.
