--- a/tests/sched/FakeFleet.h
+++ b/tests/sched/FakeFleet.h
@@ -166,7 +166,8 @@
   void obey(const PlaceGang &Action) {
     JobRecord &Job = m_Jobs[Action.m_Job];
     BOOST_TEST(static_cast<int32_t>(Action.m_Members.size()) == Job.m_Spec.m_Tasks);
-    BOOST_TEST((!Job.m_Placed && !Job.m_Over));
+    BOOST_TEST(!Job.m_Placed, "job " << Action.m_Job << " is placed twice");
+    BOOST_TEST(!Job.m_Over, "job " << Action.m_Job << " is placed after its end");
     BOOST_TEST(!Job.m_MayNotRunAgain, "job " << Action.m_Job << " is placed again");
     for (const MemberPlacement &Each : Action.m_Members) {
       const VmId &Vm = Each.m_Vm;
--- /dev/null
+++ b/tests/sched/GuaranteeTest.cpp
@@ -0,0 +1,128 @@
+#include "FakeFleet.h"
+
+namespace anvil::sched::test {
+
+BOOST_AUTO_TEST_SUITE(GuaranteeTest)
+
+// Guards against an owner that cannot get its guarantee back from each kind of borrower, and against borrowers that
+// could only be stopped for good.
+BOOST_AUTO_TEST_CASE(OwnerClaimsFromBorrowersThatMayBorrow) {
+  struct Case {
+    bool m_Idempotent;
+    bool m_Checkpointable;
+    bool m_MayBorrow;
+    ReclaimMode m_FirstStep;
+  };
+  const Case Cases[] = {{true, true, true, ReclaimMode::Checkpoint},
+                        {false, true, true, ReclaimMode::Checkpoint},
+                        {true, false, true, ReclaimMode::Stop},
+                        {false, false, false, ReclaimMode::Stop}};
+  for (const Case &Each : Cases) {
+    BOOST_TEST_CONTEXT("idempotent " << Each.m_Idempotent << " checkpointable " << Each.m_Checkpointable) {
+      FakeFleet Fleet;
+      Fleet.feed(twoWorkspaces(1));
+      Fleet.addWorkers(1);
+      JobSpec Borrower = job("b", 1, 8);
+      Borrower.m_Idempotent = Each.m_Idempotent;
+      Borrower.m_Checkpointable = Each.m_Checkpointable;
+      const JobId Lent = Fleet.submit(Borrower);
+      Fleet.advance(1s);
+      BOOST_TEST(Fleet.m_Jobs[Lent].m_Placed == Each.m_MayBorrow);
+      if (!Each.m_MayBorrow) {
+        BOOST_TEST(Fleet.m_Jobs[Lent].m_LastReason.find("even when empty") != std::string::npos);
+        continue;
+      }
+      Fleet.start(Lent);
+      Fleet.advance(1s);
+      const JobId Owner = Fleet.submit(job("a", 1, 8));
+      Fleet.advance(100ms);
+      BOOST_REQUIRE(!Fleet.m_Jobs[Lent].m_Modes.empty());
+      BOOST_TEST((Fleet.m_Jobs[Lent].m_Modes[0] == Each.m_FirstStep));
+      BOOST_TEST(Fleet.m_Jobs[Lent].m_LastReason.find("workspace a claims") != std::string::npos);
+      Fleet.release(Lent, Each.m_Checkpointable);
+      Fleet.advance(100ms);
+      BOOST_TEST(Fleet.m_Jobs[Owner].m_Placed);
+      BOOST_TEST(!Fleet.m_Jobs[Lent].m_Placed);
+      BOOST_TEST(!Fleet.m_Jobs[Lent].m_Over);
+    }
+  }
+}
+
+// Guards against stopping more gangs than the owner needs, or dearer ones than necessary.
+BOOST_AUTO_TEST_CASE(ReclaimTakesTheCheapestAndNoMoreThanNeeded) {
+  FakeFleet Fleet;
+  Fleet.feed(twoWorkspaces(1));
+  Fleet.addWorkers(1);
+  std::vector<JobId> Lent;
+  for (int I = 0; I < 4; ++I) {
+    JobSpec Spec = job("b", 1, 2);
+    Spec.m_Checkpointable = I == 2;
+    Lent.push_back(Fleet.run(Spec));
+    Fleet.advance(5min);
+  }
+  Fleet.submit(job("a", 1, 2));
+  Fleet.advance(200ms);
+  for (int I = 0; I < 4; ++I)
+    BOOST_TEST(Fleet.m_Jobs[Lent[I]].m_Reclaiming == (I == 2), "gang " << I);
+}
+
+// Guards against one workspace losing its own guarantee to the claim of another.
+BOOST_AUTO_TEST_CASE(GangsWithinTheirOwnGuaranteeAreNotReclaimed) {
+  FakeFleet Fleet;
+  ConfigurationChanged Config = twoWorkspaces(1);
+  Config.m_Workspaces[1].m_Guarantees = Config.m_Workspaces[0].m_Guarantees;
+  Fleet.feed(Config);
+  Fleet.addWorkers(2);
+  const JobId Own = Fleet.run(job("b", 1, 8));
+  const JobId Borrowed = Fleet.run(job("b", 1, 8));
+  Fleet.advance(1min);
+  JobSpec Urgent = job("a", 1, 8);
+  Urgent.m_Urgency = Urgency::Urgent;
+  Fleet.submit(Urgent);
+  Fleet.submit(Urgent);
+  Fleet.advance(2s);
+  BOOST_TEST(Fleet.m_Jobs[Own].m_Reclaiming != Fleet.m_Jobs[Borrowed].m_Reclaiming);
+}
+
+// Guards against a guarantee that silently cannot be kept, and against a warning that stays after it can.
+BOOST_AUTO_TEST_CASE(WarnsWhenPiecesCannotBeKept) {
+  FakeFleet Fleet;
+  Fleet.feed(twoWorkspaces(2));
+  Fleet.addWorkers(1);
+  Fleet.advance(100ms);
+  BOOST_TEST(Fleet.m_Missing["a/node"] == 1);
+  Fleet.addWorker("extra", "zone1", "rack9", {8, 64, 256 * 1024});
+  Fleet.advance(100ms);
+  BOOST_TEST(Fleet.m_Missing["a/node"] == 0);
+  Fleet.feed(ZoneWithdrawn{AvailabilityZoneId("zone1")});
+  Fleet.advance(100ms);
+  BOOST_TEST(Fleet.m_Missing["a/node"] == 1);
+  Fleet.feed(ZoneRestored{AvailabilityZoneId("zone1")});
+  Fleet.advance(100ms);
+  BOOST_TEST(Fleet.m_Missing["a/node"] == 0);
+}
+
+// Guards against a rack-wide guarantee that gangs which cannot be reclaimed have cut into pieces.
+BOOST_AUTO_TEST_CASE(RackShapesStayClaimable) {
+  FakeFleet Fleet;
+  ConfigurationChanged Config = twoWorkspaces(0);
+  Config.m_Workspaces[0].m_Guarantees = {{"rack", {16, 64, 64 * 1024}, Adjacency::Rack, 1}};
+  Fleet.feed(Config);
+  Fleet.addWorkers(4);
+  JobSpec Pinned = job("b", 1, 1);
+  Pinned.m_Idempotent = false;
+  for (int I = 0; I < 24; ++I)
+    Fleet.submit(Pinned);
+  Fleet.advance(1s);
+  BOOST_TEST(Fleet.m_Scheduler.counts().m_Placed == 16);
+  JobSpec Gang = job("a", 16, 1);
+  Gang.m_Adjacency = Adjacency::Rack;
+  Gang.m_AdjacencyRequired = true;
+  const JobId Owner = Fleet.submit(Gang);
+  Fleet.advance(100ms);
+  BOOST_TEST(Fleet.m_Jobs[Owner].m_Placed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace anvil::sched::test
--- /dev/null
+++ b/tests/sched/RandomEventTest.cpp
@@ -0,0 +1,205 @@
+#include <random>
+
+#include "FakeFleet.h"
+
+namespace anvil::sched::test {
+
+namespace {
+
+/// Plays workers, operators and users by a seed; FakeFleet checks every step.
+class RandomRun {
+public:
+  explicit RandomRun(uint64_t Seed) : m_Random(Seed) {
+    Config.m_Workspaces = {{WorkspaceId("a"), {}, {{"node", {8, 64, 256 * 1024}, Adjacency::Vm, 2}}},
+                           {WorkspaceId("b"), {40, 0, 0}, {{"half", {4, 32, 64 * 1024}, Adjacency::Vm, 2}}},
+                           {WorkspaceId("c"), {}, {{"rack", {8, 32, 32 * 1024}, Adjacency::Rack, 1}}},
+                           {WorkspaceId("d"), {}, {}}};
+    m_Fleet.feed(Config);
+    m_Fleet.addWorkers(12);
+  }
+
+  void run(int Steps) {
+    for (int I = 0; I < Steps; ++I) {
+      step();
+      m_Fleet.advance(100ms * (1 + draw(10)));
+      serve();
+    }
+    checkClaim();
+  }
+
+private:
+  int draw(int Limit) { return static_cast<int>(m_Random() % static_cast<uint64_t>(Limit)); }
+
+  JobSpec randomJob() {
+    const char *const Names[] = {"a", "b", "c", "d"};
+    JobSpec Spec = job(Names[draw(4)], 1 + draw(12), draw(4));
+    if (Spec.m_PerTask.m_Accelerators == 0)
+      Spec.m_PerTask = {0, 1 + draw(16), 1024};
+    Spec.m_Idempotent = draw(3) > 0;
+    Spec.m_Checkpointable = draw(2) == 0;
+    Spec.m_Urgency = static_cast<Urgency>(draw(UrgencyCount));
+    Spec.m_Adjacency = static_cast<Adjacency>(draw(3));
+    Spec.m_AdjacencyRequired = draw(4) == 0;
+    Spec.m_Deadline = draw(3) == 0 ? Duration(std::chrono::minutes(1 + draw(60))) : Duration{0};
+    Spec.m_DeclaredRunTime = std::chrono::seconds(draw(3000));
+    return Spec;
+  }
+
+  /// Returns a submitted job; there must be one.
+  JobId randomJobId() {
+    auto Entry = m_Fleet.m_Jobs.begin();
+    std::advance(Entry, draw(static_cast<int>(m_Fleet.m_Jobs.size())));
+    return Entry->first;
+  }
+
+  void step() {
+    if (m_Fleet.m_Jobs.empty())
+      m_Fleet.submit(randomJob());
+    const VmId Vm(absl::StrCat("w", draw(12)));
+    const AvailabilityZoneId Zone(absl::StrCat("zone", draw(3)));
+    switch (draw(20)) {
+    case 0:
+      return m_Fleet.m_Withdrawn.empty() ? m_Fleet.feed(ZoneWithdrawn{Zone, std::chrono::seconds(draw(60))})
+                                         : m_Fleet.feed(ZoneRestored{*m_Fleet.m_Withdrawn.begin()});
+    case 1:
+      return m_Fleet.feed(WorkerDrained{Vm, draw(2) == 0});
+    case 2:
+      return lose(Vm);
+    case 3:
+      return up(Vm);
+    case 4:
+      for (int I = 0; I < 5; ++I)
+        cancel(randomJobId());
+      return;
+    case 5:
+      return m_Fleet.feed(UsageReported{Vm, {draw(8), draw(80), draw(300) * 1024}, m_Fleet.m_Now});
+    case 6: {
+      ConfigurationChanged Changed = Config;
+      Changed.m_Workspaces[draw(4)].m_Guarantees.clear();
+      return m_Fleet.feed(draw(2) == 0 ? Config : Changed);
+    }
+    case 7:
+      return failOne();
+    case 8:
+      for (const VmId &Probed : std::exchange(m_Fleet.m_Probed, {}))
+        m_Fleet.feed(ProbeEnded{Probed, draw(2) == 0});
+      return;
+    default:
+      m_Fleet.submit(randomJob());
+    }
+  }
+
+  void lose(const VmId &Vm) {
+    m_Fleet.feed(WorkerLost{Vm});
+    for (auto &[Id, Job] : m_Fleet.m_Jobs) {
+      if (Job.m_Placed && m_Fleet.vmsOf(Id).contains(Vm))
+        m_Doomed.insert(Id);
+    }
+  }
+
+  void up(const VmId &Vm) {
+    const int Number = std::stoi(Vm.str().substr(1));
+    m_Fleet.feed(WorkerUp{Vm, m_Fleet.m_ZoneOf[Vm], RackId(absl::StrCat("rack", Number / 2)), m_Fleet.m_Capacity[Vm]});
+  }
+
+  void cancel(JobId Id) {
+    FakeFleet::JobRecord &Job = m_Fleet.m_Jobs[Id];
+    if (Job.m_Over)
+      return;
+    if (Job.m_Placed)
+      m_Doomed.insert(Id);
+    Job.m_Over = true;
+    m_Fleet.feed(JobCancelled{Id});
+  }
+
+  void failOne() {
+    const JobId Id = randomJobId();
+    FakeFleet::JobRecord &Job = m_Fleet.m_Jobs[Id];
+    if (Job.m_Running && !Job.m_Reclaiming && !m_Doomed.contains(Id))
+      m_Fleet.fail(Id, Job.m_Members[0]);
+  }
+
+  /// Starts, ends and releases gangs with random delays.
+  void serve() {
+    std::vector<JobId> Placed;
+    for (auto &[Id, Job] : m_Fleet.m_Jobs) {
+      if (Job.m_Placed)
+        Placed.push_back(Id);
+    }
+    for (const JobId Id : Placed) {
+      FakeFleet::JobRecord &Job = m_Fleet.m_Jobs[Id];
+      if (!Job.m_Placed)
+        continue;
+      const bool Doomed = m_Doomed.contains(Id);
+      if (Doomed || Job.m_Reclaiming) {
+        if (draw(3) > 0)
+          continue;
+        m_Doomed.erase(Id);
+        m_Fleet.release(Id, !Doomed && Job.m_Spec.m_Checkpointable && Job.m_Modes.back() == ReclaimMode::Checkpoint);
+      } else if (!Job.m_Running) {
+        m_Fleet.start(Id);
+      } else if (draw(8) == 0) {
+        m_Fleet.end(Id);
+      }
+    }
+  }
+
+  /// Brings everything back and cancels all jobs of a; its whole guarantee must then start within the bound.
+  void checkClaim() {
+    m_Fleet.feed(Config);
+    while (!m_Fleet.m_Withdrawn.empty())
+      m_Fleet.feed(ZoneRestored{*m_Fleet.m_Withdrawn.begin()});
+    for (int I = 0; I < 12; ++I)
+      up(VmId(absl::StrCat("w", I)));
+    std::vector<JobId> Own;
+    for (auto &[Id, Job] : m_Fleet.m_Jobs) {
+      if (Job.m_Spec.m_Workspace.str() == "a")
+        Own.push_back(Id);
+    }
+    for (const JobId Id : Own)
+      cancel(Id);
+    for (int I = 0; I < 600; ++I) {
+      m_Fleet.advance(100ms);
+      serve();
+    }
+    BOOST_TEST(m_Fleet.m_Scheduler.counts().m_GuaranteesMissing == 0);
+    JobSpec Claimed = job("a", 1, 8);
+    Claimed.m_PerTask = {8, 64, 256 * 1024};
+    const JobId First = m_Fleet.submit(Claimed);
+    const JobId Second = m_Fleet.submit(Claimed);
+    for (int I = 0; I < 45; ++I) {
+      m_Fleet.advance(100ms);
+      for (auto &[Id, Job] : m_Fleet.m_Jobs) {
+        if (Job.m_Reclaiming && Job.m_Modes.back() == ReclaimMode::Stop)
+          m_Doomed.insert(Id);
+      }
+      for (const JobId Id : std::exchange(m_Doomed, {})) {
+        if (m_Fleet.m_Jobs[Id].m_Placed)
+          m_Fleet.release(Id);
+      }
+    }
+    BOOST_TEST(m_Fleet.m_Jobs[First].m_Placements == 1, m_Fleet.explain(First));
+    BOOST_TEST(m_Fleet.m_Jobs[Second].m_Placements == 1, m_Fleet.explain(Second));
+  }
+
+  FakeFleet m_Fleet;
+  ConfigurationChanged Config;
+  std::mt19937_64 m_Random;
+  std::set<JobId> m_Doomed;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RandomEventTest)
+
+// Guards against combinations of events that break what must always hold: whole gangs, capacity, claimable guarantees,
+// no start on workers out of use, at most one run of jobs that are not idempotent.
+BOOST_AUTO_TEST_CASE(KeepsItsInvariantsUnderRandomEvents) {
+  for (uint64_t Seed = 1; Seed <= 60; ++Seed) {
+    BOOST_TEST_CONTEXT("seed " << Seed) { RandomRun(Seed).run(400); }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace anvil::sched::test
