--- a/include/anvil/base/Time.h
+++ b/include/anvil/base/Time.h
@@ -17,7 +17,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<MonotonicClock>;
-  static constexpr bool is_steady = true;
 };
 
 /// Instant on the monotonic clock of one process.
