--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -190,7 +190,7 @@
     return absl::OkStatus();
   const absl::Status Status = Each.m_Parser(Value);
   if (Status.ok())
-    return Status;
+    return absl::OkStatus();
   return invalid(absl::StrCat("--", Each.m_Name, " (", Source, "): ", Status.message(), ", not '", Value, "'"));
 }
 
