Add the entry daemon

Change: module entry (HTTP paths, sync with control, fail-over, operators' calls), module metrics, anvil-entry.

--- /dev/null
+++ b/src/entry/Entry.cpp
@@ -0,0 +1,177 @@
+#include "anvil/entry/Entry.h"
+
+#include "absl/strings/str_cat.h"
+#include <boost/asio/io_context.hpp>
+#include <glog/logging.h>
+
+#include "EntryImpl.h"
+
+namespace anvil::entry {
+
+namespace {
+
+// Bounds the error of deadlines and poll times in the router, which acts on ticks.
+constexpr Duration TickPeriod = std::chrono::milliseconds(10);
+// A shutdown waits this long for the claims of requests that did not run to be closed.
+constexpr Duration CloseClaimLimit = std::chrono::seconds(2);
+constexpr Duration ClosePollPeriod = std::chrono::milliseconds(20);
+
+net::RpcOptions rpcOptions(const EntryHooks &Hooks) {
+  net::RpcOptions Options;
+  Options.m_Random = Hooks.m_Random;
+  return Options;
+}
+
+std::string makeInstance(const std::string &Name, const EntryHooks &Hooks) {
+  const auto Part = static_cast<uint32_t>(Hooks.m_Random() * 4294967296.0);
+  return absl::StrCat(Name, "-", absl::Hex(Part, absl::kZeroPad8));
+}
+
+route::RouterOptions routerOptions(const EntryOptions &Options, const EntryHooks &Hooks, const std::string &Instance) {
+  route::RouterOptions Result;
+  Result.m_Entry = Instance;
+  Result.m_Zone = AvailabilityZoneId(Options.m_AvailabilityZone);
+  Result.m_MaxRequests = static_cast<size_t>(Options.m_MaxRequests);
+  Result.m_MaxBytes = static_cast<size_t>(Options.m_MaxBufferedMib) << 20;
+  Result.m_Random = Hooks.m_Random;
+  return Result;
+}
+
+net::HttpServerOptions httpOptions(const EntryOptions &Options) {
+  net::HttpServerOptions Result;
+  Result.m_ReceiveLimit = Options.m_ReceiveLimit;
+  Result.m_IdleLimit = Options.m_IdleLimit;
+  Result.m_MaxConnections = static_cast<size_t>(Options.m_MaxConnections);
+  Result.m_MaxRequests = static_cast<size_t>(Options.m_MaxRequests);
+  Result.m_MaxBufferedBytes = static_cast<size_t>(Options.m_MaxBufferedMib) << 20;
+  Result.m_RefusalFields = {{"Anvil-Outcome", "not-run"}};
+  return Result;
+}
+
+} // namespace
+
+Entry::Impl::Impl(boost::asio::io_context &Io, EntryOptions Options, EntryHooks Hooks)
+    : m_Io(Io), m_Options(std::move(Options)), m_Hooks(std::move(Hooks)),
+      m_Instance(makeInstance(m_Options.m_Name, m_Hooks)), m_Router(routerOptions(m_Options, m_Hooks, m_Instance)),
+      m_Control(Io, m_Options.m_Controls, rpcOptions(m_Hooks), m_Hooks.m_Now), m_Agents(Io, rpcOptions(m_Hooks)),
+      m_TickTimer(Io), m_SyncTimer(Io), m_DrainTimer(Io), m_NoticeTimer(Io) {}
+
+absl::Status Entry::Impl::start() {
+  const auto Handle = [Weak = weak_from_this()](net::HttpRequest Request, net::HttpResponder Respond) {
+    if (const std::shared_ptr<Impl> Self = Weak.lock())
+      Self->handle(std::move(Request), std::move(Respond));
+  };
+  auto Created = net::HttpServer::create(m_Io, m_Options.m_Listen, httpOptions(m_Options), Handle);
+  if (!Created.ok())
+    return Created.status();
+  m_Http = std::move(*Created);
+  LOG(INFO) << "entry: started instance=" << m_Instance << " listen=" << m_Http->endpoint().str()
+            << " zone=" << m_Options.m_AvailabilityZone << " control=" << m_Control.current();
+  syncLater(Duration(0));
+  tick();
+  return absl::OkStatus();
+}
+
+void Entry::Impl::tick() {
+  if (m_Stopped)
+    return;
+  step(route::Tick{});
+  m_TickTimer.expires_after(TickPeriod);
+  m_TickTimer.async_wait([Weak = weak_from_this()](const boost::system::error_code &Error) {
+    const std::shared_ptr<Impl> Self = Weak.lock();
+    if (!Error && Self)
+      Self->tick();
+  });
+}
+
+void Entry::Impl::shutdown(std::function<void(EntryReport)> Stopped) {
+  if (m_Draining)
+    return;
+  m_Draining = true;
+  m_OnStopped = std::move(Stopped);
+  LOG(INFO) << "entry: shutdown started in_progress=" << m_Pending.size();
+  m_NoticeTimer.expires_after(m_Options.m_DrainNotice);
+  m_NoticeTimer.async_wait([Weak = weak_from_this()](const boost::system::error_code &Error) {
+    const std::shared_ptr<Impl> Self = Weak.lock();
+    if (!Error && Self)
+      Self->closeListener();
+  });
+  if (m_Options.m_DrainLimit == Duration(0))
+    return;
+  m_DrainTimer.expires_after(m_Options.m_DrainLimit);
+  m_DrainTimer.async_wait([Weak = weak_from_this()](const boost::system::error_code &Error) {
+    const std::shared_ptr<Impl> Self = Weak.lock();
+    if (!Error && Self)
+      Self->cutOff();
+  });
+}
+
+// Requests whose first bytes have arrived are still routed; no other ones can arrive once the listener is closed.
+void Entry::Impl::closeListener() {
+  m_Http->shutdown([Weak = weak_from_this()] {
+    if (const std::shared_ptr<Impl> Self = Weak.lock())
+      Self->finishWhenClaimsAreClosed();
+  });
+}
+
+void Entry::Impl::finishWhenClaimsAreClosed() {
+  m_NoticeTimer.expires_after(ClosePollPeriod);
+  m_NoticeTimer.async_wait(
+      [Weak = weak_from_this(), GiveUpAt = m_Hooks.m_Now() + CloseClaimLimit](const boost::system::error_code &Error) {
+        const std::shared_ptr<Impl> Self = Weak.lock();
+        if (Error || !Self || Self->m_Stopped)
+          return;
+        if (Self->m_OpenCloses > 0 && Self->m_Hooks.m_Now() < GiveUpAt)
+          return Self->finishWhenClaimsAreClosed();
+        Self->stop();
+      });
+}
+
+void Entry::Impl::cutOff() {
+  if (m_Stopped)
+    return;
+  step(route::ShutdownStarted{});
+  for (const auto &[Id, Each] : m_Pending) {
+    m_Report.m_CutOff.push_back(absl::StrCat(Each.m_What, " request=", Each.m_Id));
+    LOG(WARNING) << "entry: cut off request=" << Each.m_Id << " what=" << Each.m_What;
+  }
+  m_Report.m_CutOffConnections = m_Http->cutOff();
+  stop();
+}
+
+void Entry::Impl::stop() {
+  if (m_Stopped)
+    return;
+  m_Stopped = true;
+  m_TickTimer.cancel();
+  m_SyncTimer.cancel();
+  m_DrainTimer.cancel();
+  m_NoticeTimer.cancel();
+  LOG(INFO) << "entry: stopped cut_off=" << m_Report.m_CutOff.size();
+  if (m_OnStopped)
+    std::exchange(m_OnStopped, nullptr)(std::move(m_Report));
+}
+
+absl::StatusOr<std::unique_ptr<Entry>> Entry::create(boost::asio::io_context &Io, EntryOptions Options,
+                                                     EntryHooks Hooks) {
+  auto State = std::make_shared<Impl>(Io, std::move(Options), std::move(Hooks));
+  const absl::Status Started = State->start();
+  if (!Started.ok())
+    return Started;
+  return std::unique_ptr<Entry>(new Entry(std::move(State)));
+}
+
+Entry::Entry(std::shared_ptr<Impl> State) : m_Impl(std::move(State)) {}
+
+Entry::~Entry() {
+  m_Impl->m_OnStopped = nullptr;
+  m_Impl->stop();
+}
+
+net::Endpoint Entry::endpoint() const { return m_Impl->m_Http->endpoint(); }
+
+void Entry::shutdown(std::function<void(EntryReport)> Stopped) { m_Impl->shutdown(std::move(Stopped)); }
+
+void Entry::cutOff() { m_Impl->cutOff(); }
+
+} // namespace anvil::entry
--- /dev/null
+++ b/src/entry/EntryHttp.cpp
@@ -0,0 +1,136 @@
+#include "absl/strings/str_cat.h"
+#include <boost/asio/io_context.hpp>
+
+#include "EntryImpl.h"
+#include "HttpText.h"
+#include "anvil/net/WireCodec.h"
+
+namespace anvil::entry {
+
+namespace {
+
+// Two elections of a second each fit into it.
+constexpr Duration OperatorTimeout = std::chrono::seconds(5);
+
+net::HttpResponse plainJson(int Status, std::string Body) {
+  net::HttpResponse Response;
+  Response.m_Status = Status;
+  Response.m_Body = std::move(Body);
+  setOutcome(Response, wire::Outcome::COMPLETED);
+  return Response;
+}
+
+} // namespace
+
+void Entry::Impl::handle(net::HttpRequest Request, net::HttpResponder Respond) {
+  auto Given = readRequestId(Request);
+  if (auto *Error = std::get_if<net::HttpResponse>(&Given))
+    return Respond(std::move(*Error));
+  const int64_t Id = m_NextRequest++;
+  Pending &Each = m_Pending[Id];
+  Each.m_Id = std::move(std::get<std::string>(Given));
+  if (Each.m_Id.empty())
+    Each.m_Id = absl::StrCat(m_Instance, "-", Id);
+  Each.m_What = Request.m_Method + " " + Request.m_Path;
+  Each.m_ArrivedAt = m_Hooks.m_Now();
+  Each.m_Respond = std::move(Respond);
+  if (Request.m_Path.starts_with("/services/")) {
+    Each.m_Service = true;
+    return handleService(std::move(Request), Id);
+  }
+  if (Request.m_Path.starts_with("/v1/"))
+    return handleOperator(Request, Id);
+  handleOwn(Request, Id);
+}
+
+void Entry::Impl::handleService(net::HttpRequest Request, int64_t Id) {
+  auto Parsed = readServiceRequest(std::move(Request));
+  if (auto *Error = std::get_if<net::HttpResponse>(&Parsed))
+    return respond(Id, std::move(*Error));
+  auto &Call = std::get<route::RequestArrived>(Parsed);
+  Call.m_Id = route::RequestId(Id);
+  Call.m_TraceId = m_Pending.at(Id).m_Id;
+  step(std::move(Call));
+}
+
+void Entry::Impl::handleOperator(const net::HttpRequest &Request, int64_t Id) {
+  OperatorCall Call = readOperatorRequest(Request, m_Pending.at(Id).m_Id, m_Hooks.m_WallMicros());
+  if (auto *Error = std::get_if<net::HttpResponse>(&Call))
+    return respond(Id, std::move(*Error));
+  if (const auto *Query = std::get_if<wire::QueryRequest>(&Call))
+    return sendQuery(*Query, Id);
+  sendCommand(std::move(std::get<CommandCall>(Call)), Id);
+}
+
+void Entry::Impl::sendCommand(CommandCall Call, int64_t Id) {
+  const int OkStatus = Call.m_OkStatus;
+  submit(std::move(Call.m_Command), OperatorTimeout, m_Pending.at(Id).m_Id,
+         [Weak = weak_from_this(), Id, OkStatus](const absl::StatusOr<wire::CommandResult> &Result) {
+           const std::shared_ptr<Impl> Self = Weak.lock();
+           if (!Self)
+             return;
+           Self->respond(Id, Result.ok() ? renderCommandResult(*Result, OkStatus)
+                                         : renderControlFailure(Result.status(), true));
+         });
+}
+
+void Entry::Impl::sendQuery(const wire::QueryRequest &Query, int64_t Id) {
+  m_Control.call(wire::Method::QUERY, net::encodeStruct(Query), OperatorTimeout, m_Pending.at(Id).m_Id,
+                 [Weak = weak_from_this(), Id](const absl::StatusOr<std::string> &Answer) {
+                   const std::shared_ptr<Impl> Self = Weak.lock();
+                   if (!Self)
+                     return;
+                   absl::StatusOr<wire::QueryReply> Reply = Answer.status();
+                   if (Answer.ok())
+                     Reply = net::decodeAs<wire::QueryReply>(*Answer);
+                   Self->respond(Id,
+                                 Reply.ok() ? renderQueryReply(*Reply) : renderControlFailure(Reply.status(), false));
+                 });
+}
+
+void Entry::Impl::handleOwn(const net::HttpRequest &Request, int64_t Id) {
+  const bool Reads = Request.m_Method == "GET" || Request.m_Method == "HEAD";
+  if (Reads && Request.m_Path == "/healthz")
+    return respond(Id, plainJson(200, "{\"status\":\"ok\"}\n"));
+  if (Reads && Request.m_Path == "/readyz")
+    return respond(Id, readiness());
+  if (Reads && Request.m_Path == "/metrics") {
+    net::HttpResponse Response = plainJson(200, metricsText());
+    Response.m_ContentType = metrics::PrometheusContentType;
+    return respond(Id, std::move(Response));
+  }
+  net::HttpResponse Response = net::makeHttpError(404, "not_found", "the path is not known");
+  setOutcome(Response, wire::Outcome::NOT_RUN);
+  respond(Id, std::move(Response));
+}
+
+net::HttpResponse Entry::Impl::readiness() const {
+  if (m_Draining)
+    return plainJson(503, "{\"status\":\"shutting_down\"}\n");
+  if (!m_Router.ready(m_Hooks.m_Now()))
+    return plainJson(503, "{\"status\":\"control_silent\"}\n");
+  return plainJson(200, "{\"status\":\"ready\"}\n");
+}
+
+std::string Entry::Impl::metricsText() const {
+  EntryGauges Gauges;
+  Gauges.m_Ready = !m_Draining && m_Router.ready(m_Hooks.m_Now());
+  Gauges.m_RouteVersion = m_RouteVersion;
+  Gauges.m_ConfigVersion = m_ConfigVersion;
+  Gauges.m_AgentConnections = m_Agents.size();
+  return writeEntryMetrics(m_Metrics, Gauges, m_Http->counters(), m_Router.counters());
+}
+
+void Entry::Impl::respond(int64_t Id, net::HttpResponse Response) {
+  const auto Found = m_Pending.find(Id);
+  if (Found == m_Pending.end())
+    return;
+  const Pending Each = std::move(Found->second);
+  m_Pending.erase(Found);
+  const Duration Taken = m_Hooks.m_Now() - Each.m_ArrivedAt;
+  (Each.m_Service ? m_Metrics.m_ServiceTime : m_Metrics.m_OperatorTime).add(Taken);
+  Response.m_Fields.push_back({std::string(RequestIdField), Each.m_Id});
+  Each.m_Respond(std::move(Response));
+}
+
+} // namespace anvil::entry
--- /dev/null
+++ b/src/entry/EntryRouting.cpp
@@ -0,0 +1,95 @@
+#include <boost/asio/io_context.hpp>
+#include <glog/logging.h>
+
+#include "EntryImpl.h"
+#include "anvil/net/WireCodec.h"
+
+namespace anvil::entry {
+
+namespace {
+
+// Control is asked to close a claim until then; afterwards the claim ends by its agent's loss.
+constexpr Duration CloseClaimTimeout = std::chrono::seconds(30);
+
+route::SendFailure failureOf(const absl::Status &Status) {
+  const std::optional<net::RpcErrc> Code = layerErrorOf<net::RpcErrc>(Status);
+  if (Code == net::RpcErrc::NotSent || Code == net::RpcErrc::Overloaded)
+    return route::SendFailure::NotSent;
+  return route::SendFailure::NoAnswer;
+}
+
+} // namespace
+
+void Entry::Impl::step(route::RouterEvent Event) {
+  for (route::RouterAction &Action : m_Router.step(std::move(Event), m_Hooks.m_Now()))
+    std::visit([this](auto &&Each) { perform(std::forward<decltype(Each)>(Each)); }, std::move(Action));
+}
+
+void Entry::Impl::submit(wire::Command Command, Duration Timeout, std::string_view TraceId,
+                         std::function<void(absl::StatusOr<wire::CommandResult>)> Done) {
+  Command.proposedAtUs = m_Hooks.m_WallMicros();
+  Command.traceId = TraceId;
+  m_Control.call(wire::Method::SUBMIT_COMMAND, net::encodeStruct(Command), Timeout, TraceId,
+                 [Done = std::move(Done)](absl::StatusOr<std::string> Answer) {
+                   if (!Answer.ok())
+                     return Done(Answer.status());
+                   Done(net::decodeAs<wire::CommandResult>(*Answer));
+                 });
+}
+
+void Entry::Impl::perform(route::OpenClaimAction Action) {
+  wire::Command Command;
+  Command.__set_openClaim(Action.m_Claim);
+  submit(std::move(Command), Action.m_Timeout, Action.m_TraceId,
+         [Weak = weak_from_this(), Call = Action.m_Call](absl::StatusOr<wire::CommandResult> Result) {
+           const std::shared_ptr<Impl> Self = Weak.lock();
+           if (!Self || Self->m_Stopped)
+             return;
+           if (Result.ok())
+             return Self->step(route::ClaimAnswered{Call, std::move(*Result)});
+           Self->step(route::ClaimAnswered{Call, failureOf(Result.status())});
+         });
+}
+
+void Entry::Impl::perform(route::CloseClaimAction Action) {
+  wire::Command Command;
+  Command.__set_closeClaim(Action.m_Claim);
+  ++m_OpenCloses;
+  submit(std::move(Command), CloseClaimTimeout, Action.m_TraceId,
+         [Weak = weak_from_this(),
+          Id = Action.m_Claim.outcome.claimId](const absl::StatusOr<wire::CommandResult> &Result) {
+           const std::shared_ptr<Impl> Self = Weak.lock();
+           if (Self)
+             --Self->m_OpenCloses;
+           if (!Result.ok())
+             LOG(WARNING) << "entry: claim not closed claim=" << Id << " error=" << Result.status();
+         });
+}
+
+void Entry::Impl::perform(route::DispatchAction Action) {
+  m_Metrics.m_QueueTime.add(Action.m_Waited);
+  m_Agents.execute(Action.m_AgentAddress, net::encodeStruct(Action.m_Request), Action.m_Timeout,
+                   Action.m_Request.requestId,
+                   [Weak = weak_from_this(), Attempt = Action.m_Attempt](absl::StatusOr<std::string> Answer) {
+                     const std::shared_ptr<Impl> Self = Weak.lock();
+                     if (!Self || Self->m_Stopped)
+                       return;
+                     absl::Status Failure = Answer.status();
+                     if (Answer.ok()) {
+                       absl::StatusOr<wire::ExecuteReply> Reply = net::decodeAs<wire::ExecuteReply>(*Answer);
+                       if (Reply.ok())
+                         return Self->step(route::AttemptEnded{Attempt, std::move(*Reply)});
+                       Failure = Reply.status();
+                     }
+                     Self->step(route::AttemptEnded{Attempt, failureOf(Failure)});
+                   });
+}
+
+void Entry::Impl::perform(route::AnswerAction Action) {
+  const int64_t Id = Action.m_Id.value();
+  respond(Id, renderAnswer(std::move(Action)));
+}
+
+void Entry::Impl::perform(const route::RefuseAction &Action) { respond(Action.m_Id.value(), renderRefusal(Action)); }
+
+} // namespace anvil::entry
--- /dev/null
+++ b/src/metrics/Metrics.cpp
@@ -0,0 +1,98 @@
+#include "anvil/metrics/Metrics.h"
+
+#include <array>
+#include <cmath>
+#include <cstdio>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+namespace anvil::metrics {
+
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr std::array<double, 4> Shares = {0.5, 0.9, 0.99, 0.999};
+
+using Accumulator = acc::accumulator_set<
+    double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max, acc::tag::extended_p_square_quantile>>;
+
+std::string formatNumber(double Value) {
+  std::array<char, 40> Text{};
+  const bool Whole = std::floor(Value) == Value && std::abs(Value) < 1e15;
+  std::snprintf(Text.data(), Text.size(), Whole ? "%.0f" : "%.9g", Value);
+  return Text.data();
+}
+
+std::string escaped(std::string_view Value) {
+  std::string Result;
+  for (const char C : Value) {
+    if (C == '\\' || C == '"')
+      Result += '\\';
+    if (C == '\n')
+      Result += "\\n";
+    else
+      Result += C;
+  }
+  return Result;
+}
+
+} // namespace
+
+struct TimeSummary::Impl {
+  Accumulator m_Times{acc::extended_p_square_probabilities = Shares};
+};
+
+TimeSummary::TimeSummary() : m_Impl(std::make_unique<Impl>()) {}
+TimeSummary::~TimeSummary() = default;
+TimeSummary::TimeSummary(TimeSummary &&) noexcept = default;
+TimeSummary &TimeSummary::operator=(TimeSummary &&) noexcept = default;
+
+void TimeSummary::add(Duration Value) { m_Impl->m_Times(1e-6 * static_cast<double>(Value.count())); }
+
+std::vector<TimeSummary::Quantile> TimeSummary::quantiles() const {
+  std::vector<Quantile> Result;
+  for (const double Share : Shares) {
+    const double Seconds = count() > 0 ? acc::quantile(m_Impl->m_Times, acc::quantile_probability = Share) : 0;
+    Result.push_back({Share, Seconds});
+  }
+  return Result;
+}
+
+int64_t TimeSummary::count() const { return static_cast<int64_t>(acc::count(m_Impl->m_Times)); }
+
+double TimeSummary::sumSeconds() const { return acc::sum(m_Impl->m_Times); }
+
+double TimeSummary::maxSeconds() const { return count() > 0 ? acc::max(m_Impl->m_Times) : 0; }
+
+void PrometheusText::head(std::string_view Name, std::string_view Help, std::string_view Type) {
+  m_Name = Name;
+  m_Text.append("# HELP ").append(Name).append(" ").append(Help).append("\n");
+  m_Text.append("# TYPE ").append(Name).append(" ").append(Type).append("\n");
+}
+
+void PrometheusText::line(std::string_view Name, double Value, const std::vector<Label> &Labels) {
+  m_Text.append(Name);
+  for (size_t Index = 0; Index < Labels.size(); ++Index) {
+    m_Text.append(Index == 0 ? "{" : ",").append(Labels[Index].m_Name);
+    m_Text.append("=\"").append(escaped(Labels[Index].m_Value)).append("\"");
+  }
+  m_Text.append(Labels.empty() ? " " : "} ").append(formatNumber(Value)).append("\n");
+}
+
+void PrometheusText::sample(double Value, const std::vector<Label> &Labels) { line(m_Name, Value, Labels); }
+
+void PrometheusText::summary(std::string_view Name, std::string_view Help, const TimeSummary &Times) {
+  head(Name, Help, "summary");
+  for (const TimeSummary::Quantile &Each : Times.quantiles())
+    line(Name, Each.m_Seconds, {{"quantile", formatNumber(Each.m_Share)}});
+  line(m_Name + "_sum", Times.sumSeconds(), {});
+  line(m_Name + "_count", static_cast<double>(Times.count()), {});
+}
+
+} // namespace anvil::metrics
