--- /dev/null
+++ b/cmake/modules/timeline.cmake
@@ -0,0 +1,2 @@
+anvil_module(timeline LINK anvil_base Boost::json)
+anvil_test(timeline LINK anvil_timeline)
--- /dev/null
+++ b/src/timeline/TimelineFormat.cpp
@@ -0,0 +1,115 @@
+#include <array>
+#include <cstdio>
+#include <ctime>
+
+#include <boost/json.hpp>
+
+#include "absl/strings/str_cat.h"
+
+#include "anvil/base/Port.h"
+#include "anvil/timeline/Timeline.h"
+
+namespace anvil::timeline {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr int64_t MicrosPerSecond = 1'000'000;
+
+struct SubjectField {
+  const char *m_Name;
+  std::string Subject::*m_Member;
+};
+
+constexpr std::array<SubjectField, 5> SubjectFields = {{{"job", &Subject::m_Job},
+                                                        {"request", &Subject::m_Request},
+                                                        {"vm", &Subject::m_Vm},
+                                                        {"workspace", &Subject::m_Workspace},
+                                                        {"zone", &Subject::m_AvailabilityZone}}};
+
+json::object objectOf(const Event &Each) {
+  json::object Object;
+  Object["at_us"] = Each.m_At.m_WallUs;
+  Object["logical"] = Each.m_At.m_Logical;
+  Object["process"] = Each.m_Process;
+  Object["sequence"] = Each.m_Sequence;
+  if (Each.m_LogIndex != 0)
+    Object["log_index"] = Each.m_LogIndex;
+  Object["kind"] = Each.m_Kind;
+  for (const SubjectField &Field : SubjectFields)
+    if (const std::string &Value = Each.m_Subject.*Field.m_Member; !Value.empty())
+      Object[Field.m_Name] = Value;
+  Object["text"] = Each.m_Text;
+  return Object;
+}
+
+std::string textOf(const json::object &Object, std::string_view Name) {
+  const json::value *Value = Object.if_contains(Name);
+  return Value && Value->is_string() ? std::string(Value->as_string()) : std::string();
+}
+
+int64_t numberOf(const json::object &Object, std::string_view Name) {
+  const json::value *Value = Object.if_contains(Name);
+  return Value && Value->is_int64() ? Value->as_int64() : 0;
+}
+
+Event eventOf(const json::object &Object) {
+  Event Each;
+  Each.m_At = {numberOf(Object, "at_us"), static_cast<int32_t>(numberOf(Object, "logical"))};
+  Each.m_Process = textOf(Object, "process");
+  Each.m_Sequence = numberOf(Object, "sequence");
+  Each.m_LogIndex = numberOf(Object, "log_index");
+  Each.m_Kind = textOf(Object, "kind");
+  Each.m_Text = textOf(Object, "text");
+  for (const SubjectField &Field : SubjectFields)
+    Each.m_Subject.*Field.m_Member = textOf(Object, Field.m_Name);
+  return Each;
+}
+
+std::string timeOf(int64_t WallUs) {
+  const time_t Seconds = WallUs / MicrosPerSecond;
+  std::tm Parts{};
+  gmtime_r(&Seconds, &Parts);
+  std::array<char, 48> Text{};
+  std::snprintf(Text.data(), Text.size(), "%02d:%02d:%02d.%06d", Parts.tm_hour, Parts.tm_min, Parts.tm_sec,
+                static_cast<int>(WallUs % MicrosPerSecond));
+  return Text.data();
+}
+
+} // namespace
+
+std::string toJson(std::span<const Event> Events) {
+  json::array Array;
+  for (const Event &Each : Events)
+    Array.push_back(objectOf(Each));
+  return json::serialize(Array);
+}
+
+absl::StatusOr<std::vector<Event>> fromJson(std::string_view Json) {
+  boost::system::error_code Error;
+  const json::value Value = json::parse(json::string_view(Json.data(), Json.size()), Error);
+  if (Error || !Value.is_array())
+    return absl::InvalidArgumentError("timeline: not a JSON array of events");
+  std::vector<Event> Events;
+  for (const json::value &Each : Value.as_array()) {
+    if (!Each.is_object())
+      return absl::InvalidArgumentError("timeline: an event is not a JSON object");
+    Events.push_back(eventOf(Each.as_object()));
+  }
+  return Events;
+}
+
+std::string toText(std::span<const Event> Events) {
+  std::string Text;
+  for (const Event &Each : Events) {
+    absl::StrAppend(&Text, timeOf(Each.m_At.m_WallUs), " ", Each.m_Process, " ", Each.m_Kind);
+    for (const SubjectField &Field : SubjectFields)
+      if (const std::string &Value = Each.m_Subject.*Field.m_Member; !Value.empty())
+        absl::StrAppend(&Text, " ", Field.m_Name, "=", Value);
+    absl::StrAppend(&Text, ": ", Each.m_Text, "\n");
+  }
+  return Text;
+}
+
+} // namespace anvil::timeline
