--- /dev/null
+++ b/src/agent/ControlSession.cpp
@@ -0,0 +1,90 @@
+#include "agent/ControlSession.h"
+
+#include <algorithm>
+
+namespace anvil::agent::internal {
+
+namespace {
+/// Heartbeats without an answer that are remembered; the shell has at most a few open.
+constexpr size_t MaxInFlight = 16;
+constexpr double JitterShare = 0.1;
+} // namespace
+
+Duration ControlSession::jittered(Duration Period) const {
+  const double Factor = 1.0 - JitterShare + 2 * JitterShare * m_Options.m_Random();
+  return Duration(static_cast<int64_t>(static_cast<double>(Period.count()) * Factor));
+}
+
+bool ControlSession::takeDue(TimePoint Now) {
+  if (Now < m_NextDue)
+    return false;
+  m_NextDue = Now + jittered(m_Options.m_HeartbeatPeriod);
+  return true;
+}
+
+void ControlSession::sent(int64_t Sequence, TimePoint Now) {
+  m_InFlight.emplace(Sequence, Now);
+  while (m_InFlight.size() > MaxInFlight)
+    m_InFlight.erase(m_InFlight.begin());
+}
+
+ReplyVerdict ControlSession::replied(const wire::AgentHeartbeatReply &Reply, TimePoint Now) {
+  const auto Found = m_InFlight.find(Reply.sequence);
+  if (Found == m_InFlight.end())
+    return {};
+  const TimePoint SentAt = Found->second;
+  m_InFlight.erase(Found);
+  if (Reply.sequence < m_LastApplied)
+    return {ReplyUse::AckOnly, SentAt};
+  if (!Reply.accepted) {
+    m_NextDue = std::min(m_NextDue, Now + jittered(m_Options.m_RetryPeriod));
+    return {ReplyUse::Refused, SentAt};
+  }
+  // A replica that lags behind the one used before must not bring back assignments or permits that have ended.
+  if (Reply.renewedAtIndex < m_LastIndex) {
+    m_NextDue = std::min(m_NextDue, Now + jittered(m_Options.m_RetryPeriod));
+    return {ReplyUse::AckOnly, SentAt};
+  }
+  m_LastApplied = Reply.sequence;
+  m_LastIndex = Reply.renewedAtIndex;
+  m_Draining = Reply.draining;
+  m_ConfigVersion = std::max<int64_t>(m_ConfigVersion, Reply.configVersion);
+  applyPermit(Reply, SentAt, Now);
+  return {ReplyUse::InForce, SentAt};
+}
+
+void ControlSession::applyPermit(const wire::AgentHeartbeatReply &Reply, TimePoint SentAt, TimePoint Now) {
+  const Duration Granted = std::clamp<Duration>(
+      std::chrono::milliseconds(std::clamp<int64_t>(Reply.permitMs, 0, 60000)), Duration(0), m_Options.m_MaxPermit);
+  m_PermitEnd = SentAt + Granted;
+  if (hasPermit(Now)) {
+    m_Denied = false;
+    return;
+  }
+  if (!m_Denied)
+    m_DeniedSince = Now;
+  m_Denied = true;
+  // A withdrawn zone stays without a permit for hours; its agents return to the normal period to spare control.
+  if (!m_Draining && Now - m_DeniedSince < m_Options.m_QuickRetryLimit)
+    m_NextDue = std::min(m_NextDue, Now + jittered(m_Options.m_RetryPeriod));
+}
+
+bool ControlSession::failed(int64_t Sequence, TimePoint Now) {
+  m_InFlight.erase(Sequence);
+  if (Sequence <= m_SwitchedAt || Sequence < m_LastApplied)
+    return false;
+  m_SwitchedAt = m_Sequence;
+  // All agents of a lost replica notice at the same time; spreading keeps them from arriving elsewhere together.
+  const double Spread = static_cast<double>(m_Options.m_ReconnectSpread.count()) * m_Options.m_Random();
+  m_NextDue = Now + Duration(static_cast<int64_t>(Spread));
+  return true;
+}
+
+bool ControlSession::switchAfterRefusal(int64_t Sequence) {
+  if (Sequence <= m_SwitchedAt)
+    return false;
+  m_SwitchedAt = m_Sequence;
+  return true;
+}
+
+} // namespace anvil::agent::internal
--- /dev/null
+++ b/src/agent/MinionHealth.h
@@ -0,0 +1,36 @@
+#ifndef ANVIL_SRC_AGENT_MINIONHEALTH_H
+#define ANVIL_SRC_AGENT_MINIONHEALTH_H
+
+#include "anvil/agent/AgentTypes.h"
+
+namespace anvil::agent::internal {
+
+/// Circuit breaker over recent failures to connect to the minion.
+///
+/// Closed: requests pass. Open: requests are refused until a probe connects. The probe is a connection without a
+/// request, so that no caller's request is used to find out. It starts open and due for a probe.
+class MinionHealth {
+public:
+  explicit MinionHealth(const AgentOptions &Options) : m_Options(Options), m_Delay(Options.m_MinReopenDelay) {}
+
+  bool healthy() const { return m_Closed; }
+  void connected();
+  /// Counts a failed connection; returns true if this opened the breaker.
+  bool connectFailed(TimePoint Now);
+  /// Returns true if a probe is due, and marks it as in progress.
+  bool takeProbe(TimePoint Now);
+  /// Ends the probe; returns true if the state changed.
+  bool probed(bool Reachable, TimePoint Now);
+
+private:
+  const AgentOptions &m_Options;
+  bool m_Closed = false;
+  bool m_Probing = false;
+  int m_Failures = 0;
+  Duration m_Delay;
+  TimePoint m_NextProbe;
+};
+
+} // namespace anvil::agent::internal
+
+#endif // ANVIL_SRC_AGENT_MINIONHEALTH_H
