--- /dev/null
+++ b/include/anvil/agentd/AgentProcess.h
@@ -0,0 +1,78 @@
+#ifndef ANVIL_AGENTD_AGENTPROCESS_H
+#define ANVIL_AGENTD_AGENTPROCESS_H
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "absl/status/statusor.h"
+
+#include "anvil/agent/AgentTypes.h"
+#include "anvil/agentd/Ports.h"
+#include "anvil/daemon/Settings.h"
+#include "anvil/net/Endpoint.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace anvil::agentd {
+
+/// Settings of one agent process.
+struct AgentSettings {
+  net::Endpoint m_Listen;
+  net::Endpoint m_Advertise; ///< Address that entries use; the port is 0 if it is the listener's own.
+  std::vector<net::Endpoint> m_Control;
+  wire::TargetInfo m_Target; ///< Without address and incarnation.
+  MinionPortOptions m_Minion;
+  WorkerPortOptions m_Worker;
+  int64_t m_Accelerators = 0;
+  int64_t m_Cores = 0;
+  int64_t m_MemoryMib = 0;
+  int64_t m_Slots = 8;
+  int64_t m_Connections = 64;
+  int64_t m_QueueLimit = 64;
+  Duration m_DrainLimit = std::chrono::seconds(600);
+};
+
+/// Declares all settings of an agent in \p Reader, with \p Values as destinations.
+void declareAgentSettings(daemon::Settings &Reader, AgentSettings &Values);
+
+/// Time and randomness of an agent process.
+struct AgentHooks {
+  std::function<TimePoint()> m_Now;
+  std::function<double()> m_Random;
+  int64_t m_Incarnation = 0;
+  /// Called once when the agent has left; the argument is false if work was cut off or an outcome not reported.
+  std::function<void(bool)> m_OnLeft;
+};
+
+/// Returns an incarnation number from the wall clock and random bits; later starts get larger numbers.
+int64_t makeIncarnation(int64_t WallClockMicros, double Random);
+
+/// Connects an AgentGate with the EXECUTE listener, the control replicas and the target.
+///
+/// Usage: create it, run the io_context, call beginDrain() and cutOff() on signals.
+class AgentProcess {
+public:
+  /// \returns kUnavailable if the listener can't be bound, kInvalidArgument for settings the gate refuses.
+  static absl::StatusOr<std::unique_ptr<AgentProcess>> create(boost::asio::io_context &Io, AgentSettings Settings,
+                                                              AgentHooks Hooks);
+  ~AgentProcess();
+
+  /// Announces leaving, refuses new work and finishes what is in progress.
+  void beginDrain();
+  /// Ends what is in progress and leaves.
+  void cutOff();
+  /// Returns the bound EXECUTE listener.
+  net::Endpoint endpoint() const;
+
+private:
+  struct Impl;
+  explicit AgentProcess(std::shared_ptr<Impl> State);
+  std::shared_ptr<Impl> m_Impl;
+};
+
+} // namespace anvil::agentd
+
+#endif // ANVIL_AGENTD_AGENTPROCESS_H
