--- a/src/agentd/AgentProcess.cpp
+++ b/src/agentd/AgentProcess.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <glog/logging.h>
 
@@ -213,6 +214,8 @@
   m_ControlIndex = (m_ControlIndex + 1) % m_Settings.m_Control.size();
   LOG(WARNING) << "agent: switching control replica to=" << m_Settings.m_Control[m_ControlIndex].str()
                << " reason=" << Action.m_Reason;
+  // This may run inside a callback of the old client, which is therefore destroyed later.
+  boost::asio::post(m_Io, [Old = std::shared_ptr<net::RpcClient>(std::move(m_Control))] {});
   connectControl();
 }
 
