Let Ids.h pass lint where it is included

Cause: clang-tidy 14 checks a header only through the sources that include it; raft is the first module that compares numeric ids, and the lint then refused AbslHashValue and the defaulted operator. No code changes.

--- a/include/anvil/base/Ids.h
+++ b/include/anvil/base/Ids.h
@@ -25,6 +25,7 @@
 
   auto operator<=>(const NamedId &) const = default;
 
+  // NOLINTNEXTLINE(readability-identifier-naming): Abseil looks for this name.
   template <typename H> friend H AbslHashValue(H State, const NamedId &Id) {
     return H::combine(std::move(State), Id.m_Value);
   }
@@ -44,8 +45,11 @@
   /// Returns the number as it appears in messages and logs.
   constexpr int64_t value() const { return m_Value; }
 
+  // clang-tidy 14 reports the code that the compiler generates for the defaulted operator.
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   auto operator<=>(const NumericId &) const = default;
 
+  // NOLINTNEXTLINE(readability-identifier-naming): Abseil looks for this name.
   template <typename H> friend H AbslHashValue(H State, const NumericId &Id) {
     return H::combine(std::move(State), Id.m_Value);
   }
