--- /dev/null
+++ b/src/raft/Progress.h
@@ -0,0 +1,60 @@
+#ifndef ANVIL_RAFT_PROGRESS_H
+#define ANVIL_RAFT_PROGRESS_H
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+
+#include "anvil/base/Time.h"
+#include "anvil/raft/RaftTypes.h"
+
+namespace anvil::raft::internal {
+
+/// How the leader sends entries to one replica.
+enum class ProgressMode {
+  /// Sends one batch and waits, until the last common entry is known.
+  Probe,
+  /// Sends batches without waiting, up to the in-flight limit.
+  Replicate,
+  /// Sends a snapshot in chunks, one at a time.
+  Snapshot,
+};
+
+/// The leader's knowledge about another replica.
+struct Progress {
+  ProgressMode m_Mode = ProgressMode::Probe;
+  /// Last index known to be durable on the replica and equal to the leader's log.
+  LogIndex m_Match = 0;
+  /// Next index to send.
+  LogIndex m_Next = 1;
+  /// In Probe mode: a batch is under way.
+  bool m_ProbeSent = false;
+  /// Largest commit index sent so far.
+  LogIndex m_SentCommit = 0;
+  /// Largest heartbeat round that the replica answered.
+  uint64_t m_AckedRound = 0;
+  /// When the replica last sent a message of the leader's term.
+  TimePoint m_LastContact;
+  /// When m_Match last grew or sending started after a pause.
+  TimePoint m_LastProgress;
+
+  /// Snapshot in transfer; kept when a newer one is made, so that the transfer can end.
+  Snapshot m_Transfer;
+  uint64_t m_Offset = 0;
+  /// When the chunk at m_Offset was sent; empty if it is still to be sent.
+  std::optional<TimePoint> m_ChunkSentAt;
+
+  uint64_t inflight() const { return m_Next - 1 - m_Match; }
+
+  /// Returns to sending single batches from \p Next, or after m_Match if that is later.
+  void probeFrom(LogIndex Next) {
+    m_Mode = ProgressMode::Probe;
+    m_Next = std::max(Next, m_Match + 1);
+    m_ProbeSent = false;
+    m_Transfer = {};
+  }
+};
+
+} // namespace anvil::raft::internal
+
+#endif // ANVIL_RAFT_PROGRESS_H
--- /dev/null
+++ b/src/raft/RaftLeader.cpp
@@ -0,0 +1,209 @@
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "raft/RaftCore.h"
+
+namespace anvil::raft::internal {
+
+namespace {
+
+/// Heartbeat intervals without progress after which entries in flight count as lost.
+constexpr int RetransmitIntervals = 3;
+
+} // namespace
+
+void RaftCore::tickLeader() {
+  checkQuorum();
+  if (m_Role != RaftRole::Leader)
+    return;
+  if (m_TransferTarget != NoReplica && m_Now >= m_TransferDeadline)
+    m_TransferTarget = NoReplica;
+  if (m_Now >= m_HeartbeatDue)
+    broadcastHeartbeat();
+}
+
+/// Starts a quorum round.
+void RaftCore::broadcastHeartbeat() {
+  ++m_Round;
+  m_HeartbeatDue = m_Now + m_Options.m_HeartbeatInterval;
+  for (auto &[Id, Peer] : m_Peers)
+    sendHeartbeat(Id, Peer);
+}
+
+void RaftCore::sendHeartbeat(ReplicaId To, Progress &Peer) {
+  const LogIndex Commit = std::min(m_Commit, Peer.m_Match);
+  Peer.m_SentCommit = std::max(Peer.m_SentCommit, Commit);
+  send(To, HeartbeatRequest{Commit, m_Round});
+}
+
+/// Keeps one Progress for each other replica of the present membership.
+void RaftCore::syncPeers() {
+  const Membership &Members = m_Log.membership();
+  std::erase_if(m_Peers, [&Members](const auto &Item) { return !Members.contains(Item.first); });
+  const auto Add = [this](ReplicaId Id) {
+    if (Id == m_Options.m_Self || m_Peers.contains(Id))
+      return;
+    Progress &Peer = m_Peers[Id];
+    Peer.m_Next = m_Log.lastIndex() + 1;
+    Peer.m_LastContact = m_Now;
+    Peer.m_LastProgress = m_Now;
+  };
+  std::for_each(Members.m_Voters.begin(), Members.m_Voters.end(), Add);
+  std::for_each(Members.m_Learners.begin(), Members.m_Learners.end(), Add);
+}
+
+void RaftCore::flushPeers() {
+  for (auto &[Id, Peer] : m_Peers)
+    flushPeer(Id, Peer);
+}
+
+void RaftCore::flushPeer(ReplicaId To, Progress &Peer) {
+  while (maySend(Peer) && Peer.m_Mode != ProgressMode::Snapshot) {
+    if (Peer.m_Next <= m_Log.baseIndex()) {
+      startTransfer(Peer);
+    } else {
+      sendEntries(To, Peer);
+    }
+  }
+  if (Peer.m_Mode == ProgressMode::Snapshot && !Peer.m_ChunkSentAt)
+    sendChunk(To, Peer);
+  if (std::min(m_Commit, Peer.m_Match) > Peer.m_SentCommit)
+    sendHeartbeat(To, Peer);
+}
+
+bool RaftCore::maySend(const Progress &Peer) const {
+  if (Peer.m_Mode == ProgressMode::Probe)
+    return !Peer.m_ProbeSent;
+  return Peer.m_Next <= m_Log.lastIndex() && Peer.inflight() < m_Options.m_MaxInflightEntries;
+}
+
+void RaftCore::sendEntries(ReplicaId To, Progress &Peer) {
+  AppendRequest Request;
+  Request.m_PrevIndex = Peer.m_Next - 1;
+  Request.m_PrevTerm = *m_Log.termAt(Request.m_PrevIndex);
+  Request.m_Commit = m_Commit;
+  // A probe may be refused, so it carries entries only after the common prefix is known.
+  const bool Known = Peer.m_Mode == ProgressMode::Replicate || Peer.m_Next == Peer.m_Match + 1;
+  const uint64_t Room = m_Options.m_MaxInflightEntries - (Known ? Peer.inflight() : 0);
+  if (Known) {
+    Request.m_Entries =
+        m_Log.slice(Peer.m_Next, std::min(m_Options.m_MaxBatchEntries, Room), m_Options.m_MaxBatchBytes);
+  }
+  const uint64_t Count = Request.m_Entries.size();
+  if (Peer.m_Mode == ProgressMode::Probe) {
+    Peer.m_ProbeSent = true;
+  } else {
+    if (Peer.inflight() == 0)
+      Peer.m_LastProgress = m_Now;
+    Peer.m_SentCommit = std::max(Peer.m_SentCommit, std::min(m_Commit, Peer.m_Next - 1 + Count));
+    Peer.m_Next += Count;
+  }
+  send(To, std::move(Request));
+}
+
+/// Commits what a quorum holds durably. Only an entry of the own term is counted: one of an older term may still be
+/// replaced by a later leader even if a quorum holds it.
+void RaftCore::advanceCommit() {
+  const LogIndex Index = quorumMatch();
+  if (Index <= m_Commit || m_Log.termAt(Index) != m_Hard.m_Term)
+    return;
+  const bool FirstOfTerm = !committedInOwnTerm();
+  m_Commit = Index;
+  if (!FirstOfTerm)
+    return;
+  for (const LeaderRead &Read : std::exchange(m_EarlyReads, {}))
+    startLeaderRead(Read);
+}
+
+/// Returns the largest index that is durable on a quorum of voters.
+LogIndex RaftCore::quorumMatch() const {
+  const Membership &Members = m_Log.membership();
+  std::vector<LogIndex> Matches;
+  for (const ReplicaId Voter : Members.m_Voters)
+    Matches.push_back(Voter == m_Options.m_Self ? m_Durable : m_Peers.at(Voter).m_Match);
+  std::sort(Matches.begin(), Matches.end(), std::greater<>());
+  return Matches[Members.quorum() - 1];
+}
+
+/// Ends the leadership of a replica whose removal is committed, after telling the others about the commit.
+void RaftCore::stepDownIfRemoved() {
+  if (isVoter() || m_Log.membershipIndex() > m_Commit)
+    return;
+  ReplicaId Successor;
+  for (const auto &[Id, Peer] : m_Peers) {
+    if (m_Log.membership().isVoter(Id) && Peer.m_Match == m_Log.lastIndex())
+      Successor = Id;
+  }
+  if (Successor != NoReplica)
+    send(Successor, TimeoutNow{});
+  becomeFollower(m_Hard.m_Term, NoReplica);
+}
+
+/// Returns the progress of the sender, or nothing if this replica does not lead it.
+Progress *RaftCore::peerOf(const RaftMessage &Message) {
+  const auto Peer = m_Peers.find(Message.m_From);
+  if (m_Role != RaftRole::Leader || Peer == m_Peers.end())
+    return nullptr;
+  Peer->second.m_LastContact = m_Now;
+  return &Peer->second;
+}
+
+void RaftCore::noteMatch(ReplicaId From, Progress &Peer, LogIndex Match) {
+  if (Match > Peer.m_Match) {
+    Peer.m_Match = Match;
+    Peer.m_LastProgress = m_Now;
+  }
+  Peer.m_Next = std::max(Peer.m_Next, Peer.m_Match + 1);
+  const bool SnapshotPending = Peer.m_Mode == ProgressMode::Snapshot && Peer.m_Match < Peer.m_Transfer.m_Meta.m_Index;
+  if (Peer.m_Mode == ProgressMode::Replicate || SnapshotPending)
+    return;
+  Peer.probeFrom(Peer.m_Match + 1);
+  if (Peer.m_Match >= m_Log.baseIndex())
+    Peer.m_Mode = ProgressMode::Replicate;
+  flushPeer(From, Peer);
+}
+
+/// Moves back to the last index that may be common, skipping a whole term at a time.
+void RaftCore::noteRejection(Progress &Peer, const AppendResponse &Response) {
+  const bool Stale = Response.m_RejectedPrev <= Peer.m_Match ||
+                     (Peer.m_Mode == ProgressMode::Probe && Response.m_RejectedPrev != Peer.m_Next - 1);
+  if (Stale || Peer.m_Mode == ProgressMode::Snapshot)
+    return;
+  const LogIndex Limit = std::min(Response.m_HintIndex, Response.m_RejectedPrev - 1);
+  // The common prefix ends before the log in memory, which only a snapshot can bridge.
+  if (Limit < m_Log.baseIndex())
+    return Peer.probeFrom(Limit + 1);
+  Peer.probeFrom(m_Log.lastIndexWithTermUpTo(Limit, Response.m_HintTerm) + 1);
+}
+
+void RaftCore::on(const RaftMessage &Message, const AppendResponse &Response) {
+  Progress *Peer = peerOf(Message);
+  if (Peer == nullptr)
+    return;
+  if (Response.m_Success) {
+    noteMatch(Message.m_From, *Peer, std::min(Response.m_Match, m_Log.lastIndex()));
+  } else {
+    noteRejection(*Peer, Response);
+  }
+}
+
+void RaftCore::on(const RaftMessage &Message, const HeartbeatResponse &Response) {
+  Progress *Peer = peerOf(Message);
+  if (Peer == nullptr)
+    return;
+  Peer->m_AckedRound = std::max(Peer->m_AckedRound, std::min(Response.m_Round, m_Round));
+  // The replica is reachable, so what it has not acknowledged for some time was lost.
+  const Duration Patience = RetransmitIntervals * m_Options.m_HeartbeatInterval;
+  if (Peer->m_Mode == ProgressMode::Snapshot) {
+    if (Peer->m_ChunkSentAt && m_Now - *Peer->m_ChunkSentAt >= Patience)
+      Peer->m_ChunkSentAt.reset();
+  } else if (Peer->m_Mode == ProgressMode::Probe) {
+    Peer->m_ProbeSent = false;
+  } else if (Peer->inflight() > 0 && m_Now - Peer->m_LastProgress >= Patience) {
+    Peer->m_LastProgress = m_Now;
+    Peer->probeFrom(Peer->m_Match + 1);
+  }
+}
+
+} // namespace anvil::raft::internal
