Add a seeded explorer of the replicated log

Change: a simulator with fake network, disks and clocks checks election safety, log matching, leader completeness, state-machine safety, durability at commit, promotion lag and the order of a register's operations. raft_explorer runs ranges of seeds; a test runs a fixed set.

--- /dev/null
+++ b/tests/raft/ExplorerTest.cpp
@@ -0,0 +1,35 @@
+#include <boost/test/unit_test.hpp>
+
+#include "raft/support/Simulator.h"
+
+namespace anvil::raft::sim {
+
+BOOST_AUTO_TEST_SUITE(RaftExplorerTest)
+
+// Guards against a fault combination that breaks a property of the log or of linearizable operations.
+BOOST_AUTO_TEST_CASE(PropertiesHoldUnderSeededFaults) {
+  uint64_t Operations = 0;
+  uint64_t Promotions = 0;
+  uint64_t Installs = 0;
+  uint64_t Losses = 0;
+  for (uint64_t Seed = 1; Seed <= 60; ++Seed) {
+    SimOptions Options;
+    Options.m_Seed = Seed;
+    Options.m_Voters = 3 + static_cast<int>(Seed % 3);
+    const SimReport Report = Simulator(Options).run(20'000);
+    BOOST_TEST(!Report.m_Failure, "seed " << Seed << ": " << Report.m_Failure.value_or(""));
+    Operations += Report.m_Operations;
+    Promotions += Report.m_Promotions;
+    Installs += Report.m_Installs;
+    Losses += Report.m_Losses;
+  }
+  // A run in which nothing happens would prove nothing.
+  BOOST_TEST(Operations > 60 * 100);
+  BOOST_TEST(Promotions > 60);
+  BOOST_TEST(Installs > 60);
+  BOOST_TEST(Losses > 60);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace anvil::raft::sim
--- /dev/null
+++ b/tests/raft/support/Nemesis.cpp
@@ -0,0 +1,196 @@
+#include <algorithm>
+#include <utility>
+
+#include "raft/support/Simulator.h"
+
+namespace anvil::raft::sim {
+
+namespace {
+
+constexpr int64_t PhaseMicros = 10'000'000;
+/// Each phase ends with a time without faults, in which the group has to recover.
+constexpr int64_t ChaosMicros = 7'500'000;
+
+} // namespace
+
+void Simulator::clientOperation(int Client) {
+  if (m_Repairing)
+    return;
+  const std::vector<ReplicaId> Up = upReplicas();
+  if (!Up.empty()) {
+    SimReplica *Target = m_Random.chance(0.5) ? leader() : nullptr;
+    if (Target == nullptr)
+      Target = &replica(m_Random.pick(Up));
+    if (m_Random.chance(0.5)) {
+      write(*Target);
+    } else {
+      const uint64_t Context = m_NextContext++;
+      m_Checker.onInvoke(Context);
+      step(*Target, ReadInput{Context});
+    }
+  }
+  schedule(m_Random.between(2'000, 40'000), [this, Client] { clientOperation(Client); });
+}
+
+void Simulator::nemesis() {
+  if (m_Repairing)
+    return;
+  const std::vector<ReplicaId> Up = upReplicas();
+  if (!Up.empty() && m_Random.chance(0.4))
+    makeSnapshot(replica(m_Random.pick(Up)));
+  if (m_Now % PhaseMicros > ChaosMicros) {
+    heal();
+    m_DropRate = m_DuplicateRate = 0;
+    for (const auto &[Id, Replica] : m_Replicas)
+      restart(Id);
+  } else {
+    disturbLinks();
+    crashSome();
+  }
+  if (m_Random.chance(0.15) && mayLoseOne())
+    loseReplica();
+  schedule(m_Random.between(50'000, 400'000), [this] { nemesis(); });
+}
+
+void Simulator::disturbLinks() {
+  if (m_Random.chance(0.2)) {
+    m_DropRate = 0.001 * static_cast<double>(m_Random.below(200));
+    m_DuplicateRate = 0.001 * static_cast<double>(m_Random.below(200));
+  }
+  if (m_Random.chance(0.3))
+    heal();
+  const std::vector<ReplicaId> Up = upReplicas();
+  if (Up.empty())
+    return;
+  if (m_Random.chance(0.3))
+    block(m_Random.pick(Up), m_Random.pick(Up));
+  if (m_Random.chance(0.15))
+    isolate(m_Random.pick(Up));
+}
+
+void Simulator::crashSome() {
+  for (const auto &[Id, Replica] : m_Replicas) {
+    if (!Replica->m_Raft && !Replica->m_Lost && m_Random.chance(0.4)) {
+      restart(Id);
+    } else if (Replica->m_Raft && m_Random.chance(0.06)) {
+      crash(Id);
+    }
+  }
+}
+
+/// A disk may be lost for good only if no other member is down, so that a majority with its data remains.
+bool Simulator::mayLoseOne() {
+  SimReplica *Leader = leader();
+  if (Leader == nullptr)
+    return false;
+  const Membership Members = Leader->m_Raft->status().m_Members;
+  if (Members.m_Voters.size() < 3)
+    return false;
+  return std::all_of(Members.m_Voters.begin(), Members.m_Voters.end(), [&](ReplicaId Voter) {
+    const SimReplica &Replica = *m_Replicas.at(Voter);
+    if (!Replica.m_Raft)
+      return false;
+    const RaftStatus Status = Replica.m_Raft->status();
+    return Status.m_Members == Members && Status.m_MembersCommitted;
+  });
+}
+
+void Simulator::loseReplica() {
+  const ReplicaId Victim = m_Random.pick(leader()->m_Raft->status().m_Members.m_Voters);
+  replica(Victim).m_Raft.reset();
+  replica(Victim).m_Lost = true;
+  ++m_Report.m_Losses;
+}
+
+/// Acts as an operator who replaces lost replicas and changes the number of voters.
+void Simulator::operate() {
+  if (m_Repairing)
+    return;
+  schedule(m_Random.between(30'000, 400'000), [this] { operate(); });
+  SimReplica *Leader = leader();
+  if (Leader == nullptr)
+    return;
+  const RaftStatus Status = Leader->m_Raft->status();
+  const Membership &Members = Status.m_Members;
+  stopRemoved(Status);
+  if (removeDeadMember(*Leader, Members))
+    return;
+  if (m_Random.chance(0.1))
+    m_TargetVoters = 3 + m_Random.below(3);
+  if (!Members.m_Learners.empty()) {
+    changeMembership(*Leader, MembershipChangeKind::PromoteLearner, Members.m_Learners.front());
+  } else if (Members.m_Voters.size() < m_TargetVoters) {
+    addLearner(*Leader);
+  } else if (Members.m_Voters.size() > m_TargetVoters) {
+    changeMembership(*Leader, MembershipChangeKind::RemoveReplica, m_Random.pick(Members.m_Voters));
+  } else if (m_Random.chance(0.1)) {
+    step(*Leader, TransferLeadershipInput{m_Random.pick(Members.m_Voters)});
+  }
+}
+
+bool Simulator::removeDeadMember(SimReplica &Leader, const Membership &Members) {
+  for (const auto &[Id, Replica] : m_Replicas) {
+    if (!Replica->m_Lost || !Members.contains(Id))
+      continue;
+    changeMembership(Leader, MembershipChangeKind::RemoveReplica, Id);
+    return true;
+  }
+  return false;
+}
+
+void Simulator::changeMembership(SimReplica &Leader, MembershipChangeKind Kind, ReplicaId Id) {
+  if (Kind == MembershipChangeKind::RemoveReplica)
+    m_RemovalRequested.insert(Id);
+  step(Leader, ChangeMembershipInput{0, Kind, Id});
+}
+
+void Simulator::addLearner(SimReplica &Leader) {
+  const ReplicaId Id(m_NextReplica++);
+  start(addReplica(Id, {}));
+  changeMembership(Leader, MembershipChangeKind::AddLearner, Id);
+  if (Leader.m_Raft->status().m_Members.contains(Id))
+    return;
+  // The change was refused, so the replica is not needed.
+  replica(Id).m_Raft.reset();
+  replica(Id).m_Lost = true;
+}
+
+/// Stops replicas whose removal is committed; they never return.
+void Simulator::stopRemoved(const RaftStatus &Status) {
+  if (!Status.m_MembersCommitted)
+    return;
+  for (const ReplicaId Id : m_RemovalRequested) {
+    if (Status.m_Members.contains(Id))
+      continue;
+    replica(Id).m_Raft.reset();
+    replica(Id).m_Lost = true;
+  }
+}
+
+void Simulator::repairAll() {
+  m_Repairing = true;
+  m_SettleIndex = 0;
+  m_DropRate = m_DuplicateRate = 0;
+  heal();
+  for (const auto &[Id, Replica] : m_Replicas)
+    restart(Id);
+}
+
+/// Whether a write that started after the repair is applied by all members with a disk.
+bool Simulator::settled() {
+  SimReplica *Leader = leader();
+  if (Leader == nullptr)
+    return false;
+  if (m_SettleIndex == 0) {
+    if (m_Random.chance(0.02))
+      write(*Leader);
+    return false;
+  }
+  const Membership Members = Leader->m_Raft->status().m_Members;
+  return std::all_of(m_Replicas.begin(), m_Replicas.end(), [&](const auto &Item) {
+    const SimReplica &Replica = *Item.second;
+    return Replica.m_Lost || !Members.contains(Item.first) || Replica.m_State.m_Index >= m_SettleIndex;
+  });
+}
+
+} // namespace anvil::raft::sim
--- /dev/null
+++ b/tests/raft/support/SimDisk.h
@@ -0,0 +1,57 @@
+#ifndef ANVIL_TESTS_RAFT_SUPPORT_SIMDISK_H
+#define ANVIL_TESTS_RAFT_SUPPORT_SIMDISK_H
+
+#include <deque>
+#include <variant>
+#include <vector>
+
+#include "anvil/raft/Raft.h"
+#include "raft/support/SimRandom.h"
+
+namespace anvil::raft::sim {
+
+/// Disk of one replica that loses unsynced writes in a crash.
+class SimDisk {
+public:
+  SimDisk() = default;
+  explicit SimDisk(RaftPersistentState Initial) : m_Image(std::move(Initial)) {}
+
+  /// Queues what \p Output asks to persist.
+  void write(const RaftOutput &Output);
+  /// Makes everything up to \p Sequence durable.
+  void sync(uint64_t Sequence);
+  /// Keeps a random prefix of the unsynced writes and loses the rest.
+  void crash(SimRandom &Random);
+  /// Saves and syncs a snapshot of the replica's own state machine.
+  void saveSnapshot(const Snapshot &Saved);
+  /// Deletes entries up to \p Index.
+  void compactTo(LogIndex Index);
+
+  /// Returns what a restart reads.
+  const RaftPersistentState &durable() const { return m_Image; }
+  LogIndex durableLastIndex() const;
+  /// Whether the entry (\p Index, \p Term) is durable, in the log or in the snapshot.
+  bool holds(LogIndex Index, TermNumber Term) const;
+
+private:
+  struct Truncate {
+    LogIndex m_First = 0;
+  };
+  struct Write {
+    uint64_t m_Sequence = 0;
+    std::variant<HardState, SnapshotInstall, Truncate, LogEntry> m_Content;
+  };
+
+  void applyFront();
+  void apply(const HardState &Hard) { m_Image.m_Hard = Hard; }
+  void apply(const SnapshotInstall &Install);
+  void apply(const Truncate &Cut);
+  void apply(const LogEntry &Entry) { m_Image.m_Entries.push_back(Entry); }
+
+  RaftPersistentState m_Image;
+  std::deque<Write> m_Unsynced;
+};
+
+} // namespace anvil::raft::sim
+
+#endif // ANVIL_TESTS_RAFT_SUPPORT_SIMDISK_H
