--- a/src/agent/AgentGate.cpp
+++ b/src/agent/AgentGate.cpp
@@ -29,6 +29,7 @@
   internal::RequestSlots m_Requests{m_Options};
   internal::TaskTable m_Tasks{m_Options};
   bool m_HadPermit = false;
+  bool m_WasHealthy = false;
   bool m_Leaving = false;
   bool m_Left = false;
   TimePoint m_LeaveLimit;
@@ -57,6 +58,7 @@
   bool idle() const { return m_Requests.idle() && m_Tasks.idle(); }
   void checkDeparture(TimePoint Now, ActionList &Out);
   void leave(TimePoint Now, ActionList &Out);
+  void reportChanges(TimePoint Now);
 };
 
 std::string_view AgentGate::Impl::departure() const {
@@ -198,6 +200,13 @@
   Out.push_back(std::move(Departure));
 }
 
+// A gang starts once all its members are reported, so a change does not wait for the next regular heartbeat.
+void AgentGate::Impl::reportChanges(TimePoint Now) {
+  const bool HealthChanged = std::exchange(m_WasHealthy, m_Requests.healthy()) != m_Requests.healthy();
+  if (m_Tasks.takeChanged() || HealthChanged)
+    m_Session.hurry(Now);
+}
+
 AgentGate::AgentGate(std::unique_ptr<Impl> State) : m_Impl(std::move(State)) {}
 AgentGate::~AgentGate() = default;
 
@@ -219,6 +228,7 @@
   m_Impl->notePermit(Now, Out);
   m_Impl->m_Requests.pump(m_Impl->startRule(Now), Now, Out);
   m_Impl->checkDeparture(Now, Out);
+  m_Impl->reportChanges(Now);
   return Out;
 }
 
--- a/src/agent/ControlSession.cpp
+++ b/src/agent/ControlSession.cpp
@@ -19,9 +19,12 @@
   if (Now < m_NextDue)
     return false;
   m_NextDue = Now + jittered(m_Options.m_HeartbeatPeriod);
+  m_EarliestDue = Now + m_Options.m_RetryPeriod;
   return true;
 }
 
+void ControlSession::hurry(TimePoint Now) { m_NextDue = std::min(m_NextDue, std::max(Now, m_EarliestDue)); }
+
 void ControlSession::sent(int64_t Sequence, TimePoint Now) {
   m_InFlight.emplace(Sequence, Now);
   while (m_InFlight.size() > MaxInFlight)
--- a/src/agent/ControlSession.h
+++ b/src/agent/ControlSession.h
@@ -28,8 +28,8 @@
 
   /// Returns true if a heartbeat is due, and schedules the next one.
   bool takeDue(TimePoint Now);
-  /// Makes the next heartbeat due at once.
-  void hurry(TimePoint Now) { m_NextDue = Now; }
+  /// Makes the next heartbeat due at once, or one retry period after the last one.
+  void hurry(TimePoint Now);
   /// Returns the number of the next heartbeat.
   int64_t nextSequence() { return ++m_Sequence; }
   void sent(int64_t Sequence, TimePoint Now);
@@ -55,6 +55,7 @@
   int64_t m_SwitchedAt = 0; ///< Heartbeats up to this number went to a replica that was replaced.
   int64_t m_ConfigVersion = 0;
   TimePoint m_NextDue;
+  TimePoint m_EarliestDue; ///< One retry period after the last heartbeat.
   TimePoint m_PermitEnd;
   TimePoint m_DeniedSince;
   bool m_Denied = false;
--- a/src/agent/TaskTable.cpp
+++ b/src/agent/TaskTable.cpp
@@ -24,6 +24,7 @@
   Task.m_EndState = EndState;
   Task.m_Detail = std::string(Detail);
   Task.m_UsedCores = 0;
+  m_Changed = true;
 }
 
 bool TaskTable::fits(const wire::Resources &Wanted) const {
@@ -125,6 +126,7 @@
     return end(Task, wire::TaskState::REFUSED, "not enough free resources");
   Task.m_Resources = Wanted.resources;
   Task.m_Phase = Phase::Prepared;
+  m_Changed = true;
 }
 
 void TaskTable::start(const wire::Assignment &Wanted, Record &Task, const AssignmentContext &Context, ActionList &Out) {
@@ -197,6 +199,7 @@
   case TaskEventKind::Started:
     if (Task.m_Phase == Phase::Starting)
       Task.m_Phase = Phase::Running;
+    m_Changed = true;
     Task.m_Missed = 0;
     break;
   case TaskEventKind::StartFailed:
--- a/src/agent/TaskTable.h
+++ b/src/agent/TaskTable.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "anvil/agent/AgentTypes.h"
@@ -33,6 +34,8 @@
   /// Stops tasks whose lease ran out and repeats stops that the worker has not confirmed.
   void tick(TimePoint Now, ActionList &Out);
   std::vector<wire::TaskStatus> statuses() const;
+  /// Returns true if a status changed since the last call.
+  bool takeChanged() { return std::exchange(m_Changed, false); }
   /// Returns true if no task is starting, running or stopping.
   bool idle() const;
   /// Describes each task that has not ended.
@@ -69,7 +72,7 @@
   void stopUnwanted(TimePoint Now, ActionList &Out);
   void beginStop(const TaskId &Id, Record &Task, wire::TaskState::type EndState, std::string_view Detail, TimePoint Now,
                  ActionList &Out);
-  static void end(Record &Task, wire::TaskState::type EndState, std::string_view Detail);
+  void end(Record &Task, wire::TaskState::type EndState, std::string_view Detail);
   bool rememberStart(const TaskKey &Key);
   bool fits(const wire::Resources &Wanted) const;
   static bool active(const Record &Task);
@@ -79,6 +82,7 @@
   std::map<TaskId, Record> m_Tasks;
   std::set<TaskKey> m_Started;
   std::deque<TaskKey> m_StartOrder;
+  bool m_Changed = false;
   bool m_InventoryClean = false; ///< The last inventory showed only tasks of this incarnation.
 };
 
