--- a/src/store/LogStore.cpp
+++ b/src/store/LogStore.cpp
@@ -50,7 +50,7 @@
   absl::Status writeBlock(std::string_view Payload, raft::LogIndex LastIndex);
   absl::Status encodeBatch(const StoreBatch &Batch, std::string &Payload, raft::LogIndex &LastIndex);
   absl::Status saveSnapshot(const raft::Snapshot &Snapshot);
-  absl::Status guard(absl::Status Status);
+  absl::Status guard(const absl::Status &Status);
 
   StoreOptions m_Options;
   FileSystem &m_Files;
@@ -67,7 +67,7 @@
 };
 
 // What is on disk after a failed write or sync is not known, so the store refuses to go on.
-absl::Status LogStore::Impl::guard(absl::Status Status) {
+absl::Status LogStore::Impl::guard(const absl::Status &Status) {
   if (!Status.ok())
     m_Failed = true;
   return fromFileSystem(Status);
--- a/tests/store/FakeFileSystem.cpp
+++ b/tests/store/FakeFileSystem.cpp
@@ -10,13 +10,13 @@
       : m_Owner(Owner), m_Data(std::move(Data)) {}
 
   absl::Status append(std::string_view Bytes) override {
-    const absl::Status Status = m_Owner.change();
+    absl::Status Status = m_Owner.change();
     m_Data->m_Content.append(Bytes.substr(0, Status.ok() ? Bytes.size() : Bytes.size() / 2));
     return Status;
   }
 
   absl::Status sync() override {
-    const absl::Status Status = m_Owner.change();
+    absl::Status Status = m_Owner.change();
     if (Status.ok())
       m_Data->m_SyncedBytes = m_Data->m_Content.size();
     return Status;
