state: Add ClusterState: targets, zones, configuration, jobs, claims, queries

Control replicas need one deterministic answer to every command, the only durable truth of the cluster. Ordered containers keep every loop in the same order on each replica.

--- a/gen/anvil_types.cpp
+++ b/gen/anvil_types.cpp
@@ -7019,6 +7019,10 @@
 void OpenClaim::__set_entry(const std::string& val) {
   this->entry = val;
 }
+
+void OpenClaim::__set_attemptId(const std::string& val) {
+  this->attemptId = val;
+}
 std::ostream& operator<<(std::ostream& out, const OpenClaim& obj)
 {
   obj.printTo(out);
@@ -7087,6 +7091,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->attemptId);
+          this->__isset.attemptId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7124,6 +7136,10 @@
   xfer += oprot->writeString(this->entry);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("attemptId", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->attemptId);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7136,6 +7152,7 @@
   swap(a.incarnation, b.incarnation);
   swap(a.requestDigest, b.requestDigest);
   swap(a.entry, b.entry);
+  swap(a.attemptId, b.attemptId);
   swap(a.__isset, b.__isset);
 }
 
@@ -7145,6 +7162,7 @@
   incarnation = other222.incarnation;
   requestDigest = other222.requestDigest;
   entry = other222.entry;
+  attemptId = other222.attemptId;
   __isset = other222.__isset;
 }
 OpenClaim::OpenClaim(OpenClaim&& other223) noexcept {
@@ -7153,6 +7171,7 @@
   incarnation = other223.incarnation;
   requestDigest = std::move(other223.requestDigest);
   entry = std::move(other223.entry);
+  attemptId = std::move(other223.attemptId);
   __isset = other223.__isset;
 }
 OpenClaim& OpenClaim::operator=(const OpenClaim& other224) {
@@ -7161,6 +7180,7 @@
   incarnation = other224.incarnation;
   requestDigest = other224.requestDigest;
   entry = other224.entry;
+  attemptId = other224.attemptId;
   __isset = other224.__isset;
   return *this;
 }
@@ -7170,6 +7190,7 @@
   incarnation = other225.incarnation;
   requestDigest = std::move(other225.requestDigest);
   entry = std::move(other225.entry);
+  attemptId = std::move(other225.attemptId);
   __isset = other225.__isset;
   return *this;
 }
@@ -7181,6 +7202,7 @@
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "requestDigest=" << to_string(requestDigest);
   out << ", " << "entry=" << to_string(entry);
+  out << ", " << "attemptId=" << to_string(attemptId);
   out << ")";
 }
 
--- a/gen/anvil_types.h
+++ b/gen/anvil_types.h
@@ -2736,12 +2736,13 @@
 std::ostream& operator<<(std::ostream& out, const ExpireLeases& obj);
 
 typedef struct _OpenClaim__isset {
-  _OpenClaim__isset() : claimId(false), vm(false), incarnation(false), requestDigest(false), entry(false) {}
+  _OpenClaim__isset() : claimId(false), vm(false), incarnation(false), requestDigest(false), entry(false), attemptId(false) {}
   bool claimId :1;
   bool vm :1;
   bool incarnation :1;
   bool requestDigest :1;
   bool entry :1;
+  bool attemptId :1;
 } _OpenClaim__isset;
 
 class OpenClaim : public virtual ::apache::thrift::TBase {
@@ -2756,7 +2757,8 @@
               vm(),
               incarnation(0),
               requestDigest(),
-              entry() {
+              entry(),
+              attemptId() {
   }
 
   virtual ~OpenClaim() noexcept;
@@ -2765,6 +2767,7 @@
   int64_t incarnation;
   std::string requestDigest;
   std::string entry;
+  std::string attemptId;
 
   _OpenClaim__isset __isset;
 
@@ -2778,6 +2781,8 @@
 
   void __set_entry(const std::string& val);
 
+  void __set_attemptId(const std::string& val);
+
   bool operator == (const OpenClaim & rhs) const
   {
     if (!(claimId == rhs.claimId))
@@ -2790,6 +2795,8 @@
       return false;
     if (!(entry == rhs.entry))
       return false;
+    if (!(attemptId == rhs.attemptId))
+      return false;
     return true;
   }
   bool operator != (const OpenClaim &rhs) const {
--- a/proto/anvil.thrift
+++ b/proto/anvil.thrift
@@ -205,7 +205,10 @@
 
 struct OpenClaim {
   1: string claimId,      // workspace/service/idempotency key
-  2: string vm, 3: i64 incarnation, 4: string requestDigest, 5: string entry
+  2: string vm, 3: i64 incarnation, 4: string requestDigest, 5: string entry,
+  // Unique for each attempt of an entry. The same attempt sent again after a lost response gets its own grant again;
+  // without it the claim would be HELD by a token that nobody dispatches.
+  6: string attemptId
 }
 struct CloseClaim { 1: ClaimOutcome outcome, 2: string vm, 3: i64 incarnation }
 struct ExpireClaims { 1: i64 beforeUs }
--- /dev/null
+++ b/src/state/ClusterState.cpp
@@ -0,0 +1,354 @@
+#include "anvil/state/ClusterState.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+#include "Gang.h"
+#include "Snapshot.h"
+#include "StateData.h"
+
+namespace anvil::state {
+
+using internal::ApplyContext;
+using internal::Charts;
+using internal::StateData;
+
+namespace {
+
+int fieldsSet(const wire::_Command__isset &Set) {
+  const bool Fields[] = {Set.registerTarget, Set.loseTarget,     Set.drainTarget, Set.setZoneService, Set.applyConfig,
+                         Set.submitJob,      Set.cancelJob,      Set.placeJob,    Set.parkJob,        Set.failJob,
+                         Set.reclaimJob,     Set.setWorkerAside, Set.reportTasks, Set.expireLeases,   Set.openClaim,
+                         Set.closeClaim,     Set.expireClaims};
+  return static_cast<int>(std::count(std::begin(Fields), std::end(Fields), true));
+}
+
+wire::CommandResult applyTargetCommand(ApplyContext &Ctx, const wire::Command &Command) {
+  const wire::_Command__isset &Set = Command.__isset;
+  if (Set.registerTarget)
+    return applyRegister(Ctx, Command.registerTarget);
+  if (Set.loseTarget)
+    return applyLose(Ctx, Command.loseTarget);
+  if (Set.drainTarget)
+    return applyDrain(Ctx, Command.drainTarget);
+  if (Set.setWorkerAside)
+    return applyQuarantine(Ctx, Command.setWorkerAside);
+  if (Set.setZoneService)
+    return applyZoneService(Ctx, Command.setZoneService);
+  return applyConfig(Ctx, Command.applyConfig);
+}
+
+wire::CommandResult applyJobCommand(ApplyContext &Ctx, const wire::Command &Command) {
+  const wire::_Command__isset &Set = Command.__isset;
+  if (Set.submitJob)
+    return applySubmit(Ctx, Command.submitJob);
+  if (Set.cancelJob)
+    return applyCancel(Ctx, Command.cancelJob);
+  if (Set.placeJob)
+    return applyPlace(Ctx, Command.placeJob);
+  if (Set.parkJob)
+    return applyPark(Ctx, Command.parkJob);
+  if (Set.failJob)
+    return applyFail(Ctx, Command.failJob);
+  if (Set.reclaimJob)
+    return applyReclaim(Ctx, Command.reclaimJob);
+  if (Set.reportTasks)
+    return applyReport(Ctx, Command.reportTasks);
+  return applyExpireLeases(Ctx, Command.expireLeases);
+}
+
+wire::CommandResult dispatch(ApplyContext &Ctx, const wire::Command &Command) {
+  const wire::_Command__isset &Set = Command.__isset;
+  if (fieldsSet(Set) != 1)
+    return internal::invalid("command", "exactly one command must be set");
+  if (Set.openClaim)
+    return applyOpenClaim(Ctx, Command.openClaim);
+  if (Set.closeClaim)
+    return applyCloseClaim(Ctx, Command.closeClaim);
+  if (Set.expireClaims)
+    return applyExpireClaims(Ctx, Command.expireClaims);
+  if (Set.registerTarget || Set.loseTarget || Set.drainTarget || Set.setWorkerAside || Set.setZoneService ||
+      Set.applyConfig)
+    return applyTargetCommand(Ctx, Command);
+  return applyJobCommand(Ctx, Command);
+}
+
+// Returns what the agent that holds the member should do, or nothing if the member needs no agent.
+std::optional<wire::TaskOrder::type> orderFor(const internal::Job &Of, const record::Member &Member,
+                                              const internal::Target &On) {
+  switch (internal::phaseOf(Member)) {
+  case TaskPhase::Reserved:
+  case TaskPhase::Prepared:
+    return wire::TaskOrder::PREPARE;
+  case TaskPhase::Starting:
+    return wire::TaskOrder::START;
+  case TaskPhase::Running:
+    return Of.m_Record.throttled ? wire::TaskOrder::THROTTLE : wire::TaskOrder::START;
+  case TaskPhase::Stopping:
+    return Of.m_Record.checkpointOrdered ? wire::TaskOrder::CHECKPOINT_AND_STOP : wire::TaskOrder::STOP;
+  case TaskPhase::Lost:
+    // Only the incarnation that held the task can say how it ended.
+    if (On.m_Record.info.incarnation == Member.incarnation)
+      return wire::TaskOrder::STOP;
+    return std::nullopt;
+  case TaskPhase::Succeeded:
+  case TaskPhase::Released:
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+JobView viewOf(const internal::Job &Of) {
+  const record::Job &Record = Of.m_Record;
+  JobView View;
+  View.m_Id = JobId(Record.id);
+  View.m_Spec = Record.spec;
+  View.m_SubmissionId = Record.submissionId;
+  View.m_Phase = Of.phase();
+  View.m_SubmittedAtUs = Record.submittedAtUs;
+  View.m_ChangedAtUs = Record.changedAtUs;
+  View.m_StartToken = Record.startToken;
+  View.m_Attempts = Record.attempts;
+  View.m_Throttled = Record.throttled;
+  View.m_Checkpointed = Record.checkpointed;
+  View.m_Reason = Record.reason;
+  for (size_t Task = 0; Task < Record.members.size(); ++Task) {
+    const record::Member &Member = Record.members[Task];
+    View.m_Members.push_back({static_cast<int32_t>(Task), VmId(Member.vm), Member.incarnation,
+                              internal::phaseOf(Member), Member.leaseEndsUs});
+  }
+  for (const record::Note &Each : Record.history)
+    View.m_History.push_back({Each.atUs, static_cast<JobPhase>(Each.phase), Each.reason});
+  return View;
+}
+
+TargetView viewOf(const StateData &Data, const internal::Target &Of) {
+  TargetView View;
+  View.m_Info = Of.m_Record.info;
+  View.m_Phase = Of.phase();
+  View.m_Quarantined = Of.m_Record.quarantined;
+  View.m_QuarantineReason = Of.m_Record.quarantineReason;
+  View.m_Used = internal::resourcesOf(Of.m_Used);
+  View.m_Usable = Data.usable(Of);
+  View.m_Members = static_cast<int32_t>(Of.m_Members.size());
+  return View;
+}
+
+} // namespace
+
+ClusterState::ClusterState(std::unique_ptr<StateData> Data) : m_Data(std::move(Data)) {}
+ClusterState::ClusterState(ClusterState &&) noexcept = default;
+ClusterState &ClusterState::operator=(ClusterState &&) noexcept = default;
+ClusterState::~ClusterState() = default;
+
+absl::StatusOr<ClusterState> ClusterState::create() {
+  absl::StatusOr<Charts> Bound = Charts::load();
+  if (!Bound.ok())
+    return Bound.status();
+  return ClusterState(std::make_unique<StateData>(*std::move(Bound)));
+}
+
+absl::StatusOr<ClusterState> ClusterState::restore(std::string_view Snapshot) {
+  absl::StatusOr<Charts> Bound = Charts::load();
+  if (!Bound.ok())
+    return Bound.status();
+  absl::StatusOr<std::unique_ptr<StateData>> Data = internal::readSnapshot(Snapshot, *std::move(Bound));
+  if (!Data.ok())
+    return Data.status();
+  return ClusterState(*std::move(Data));
+}
+
+wire::CommandResult ClusterState::apply(const wire::Command &Command, int64_t Index) {
+  if (Index <= m_Data->m_AppliedIndex) {
+    wire::CommandResult Repeated = internal::invalid("index", absl::StrCat("index ", Index, " was already applied"));
+    Repeated.index = Index;
+    return Repeated;
+  }
+  m_Data->m_AppliedIndex = Index;
+  ApplyContext Ctx{*m_Data, Index, Command.proposedAtUs};
+  wire::CommandResult Result = dispatch(Ctx, Command);
+  internal::pruneEndedJobs(*m_Data);
+  if (Result.index == 0)
+    Result.index = Index;
+  return Result;
+}
+
+std::string ClusterState::snapshot() const { return internal::writeSnapshot(*m_Data); }
+
+void ClusterState::setEventHook(StateEventHook Hook) { m_Data->m_Hook = std::move(Hook); }
+
+int64_t ClusterState::appliedIndex() const { return m_Data->m_AppliedIndex; }
+
+std::vector<wire::Assignment> ClusterState::assignmentsFor(const VmId &Vm) const {
+  std::vector<wire::Assignment> Wanted;
+  const internal::Target *On = m_Data->findTarget(Vm.str());
+  if (On == nullptr || On->phase() == VmPhase::Lost)
+    return Wanted;
+  Wanted.reserve(On->m_Members.size());
+  for (const internal::TaskRef &Ref : On->m_Members) {
+    const internal::Job &Of = *m_Data->findJob(Ref.m_Job);
+    const auto Order = orderFor(Of, Of.m_Record.members[static_cast<size_t>(Ref.m_Task)], *On);
+    if (!Order)
+      continue;
+    wire::Assignment &Added = Wanted.emplace_back();
+    Added.jobId = Ref.m_Job;
+    Added.taskIndex = Ref.m_Task;
+    Added.startToken = Of.m_Record.startToken;
+    Added.order = *Order;
+    Added.resources = Of.m_Record.spec.perTask;
+    Added.leaseMs = Of.m_Record.spec.leaseMs;
+    Added.payload = Of.m_Record.spec.payload;
+    Added.workspace = Of.m_Record.spec.workspace;
+  }
+  return Wanted;
+}
+
+std::optional<TargetView> ClusterState::target(const VmId &Vm) const {
+  const internal::Target *Found = m_Data->findTarget(Vm.str());
+  if (Found == nullptr)
+    return std::nullopt;
+  return viewOf(*m_Data, *Found);
+}
+
+void ClusterState::forEachTarget(const std::function<void(const TargetView &)> &Visit) const {
+  for (const auto &[Vm, Each] : m_Data->m_Targets)
+    Visit(viewOf(*m_Data, Each));
+}
+
+bool ClusterState::mayStartOn(const VmId &Vm, int64_t Incarnation) const {
+  const internal::Target *Found = m_Data->findTarget(Vm.str());
+  return Found != nullptr && Found->m_Record.info.incarnation == Incarnation && m_Data->acceptsStarts(*Found);
+}
+
+std::vector<wire::RouteTarget> ClusterState::routes() const {
+  std::vector<wire::RouteTarget> Routes;
+  for (const auto &[Vm, Each] : m_Data->m_Targets) {
+    const wire::TargetInfo &Info = Each.m_Record.info;
+    if (Info.kind != wire::TargetKind::MINION)
+      continue;
+    wire::RouteTarget &Added = Routes.emplace_back();
+    Added.vm = Vm;
+    Added.availabilityZone = Info.availabilityZone;
+    Added.serviceName = Info.serviceName;
+    Added.agentAddress = Info.agentAddress;
+    Added.incarnation = Info.incarnation;
+    Added.slots = Info.slots;
+    Added.usable = m_Data->usable(Each);
+  }
+  return Routes;
+}
+
+int64_t ClusterState::routeVersion() const { return m_Data->m_RouteVersion; }
+
+std::vector<AvailabilityZoneId> ClusterState::withdrawnZones() const {
+  std::vector<AvailabilityZoneId> Withdrawn;
+  for (const auto &[Name, Each] : m_Data->m_Zones) {
+    if (Each.phase() == ZonePhase::Withdrawn)
+      Withdrawn.emplace_back(Name);
+  }
+  return Withdrawn;
+}
+
+std::vector<VmId> ClusterState::drainingTargets() const {
+  std::vector<VmId> Draining;
+  for (const auto &[Vm, Each] : m_Data->m_Targets) {
+    if (Each.phase() == VmPhase::Draining)
+      Draining.emplace_back(Vm);
+  }
+  return Draining;
+}
+
+std::optional<JobView> ClusterState::job(JobId Id) const {
+  const internal::Job *Found = m_Data->findJob(Id.value());
+  if (Found == nullptr)
+    return std::nullopt;
+  return viewOf(*Found);
+}
+
+std::vector<JobId> ClusterState::liveJobs() const {
+  std::vector<JobId> Live;
+  for (const auto &[Id, Each] : m_Data->m_Jobs) {
+    if (!m_Data->m_Charts.m_Job.isFinal(Each.phase()))
+      Live.emplace_back(Id);
+  }
+  return Live;
+}
+
+void ClusterState::forEachJob(JobId After, const std::function<bool(const JobView &)> &Visit) const {
+  for (auto Next = m_Data->m_Jobs.upper_bound(After.value()); Next != m_Data->m_Jobs.end(); ++Next) {
+    if (!Visit(viewOf(Next->second)))
+      return;
+  }
+}
+
+std::vector<wire::ExpireLeases> ClusterState::expiredLeases(int64_t NowUs) const {
+  std::vector<wire::ExpireLeases> Commands;
+  for (const int64_t Id : m_Data->m_JobsWithLost) {
+    wire::ExpireLeases Command;
+    Command.jobId = Id;
+    const std::vector<record::Member> &Members = m_Data->findJob(Id)->m_Record.members;
+    for (size_t Task = 0; Task < Members.size(); ++Task) {
+      if (internal::phaseOf(Members[Task]) == TaskPhase::Lost && Members[Task].leaseEndsUs <= NowUs)
+        Command.taskIndexes.push_back(static_cast<int32_t>(Task));
+    }
+    if (!Command.taskIndexes.empty())
+      Commands.push_back(std::move(Command));
+  }
+  return Commands;
+}
+
+std::optional<wire::CommandResult> ClusterState::claim(std::string_view ClaimId) const {
+  const auto Found = m_Data->m_Claims.find(std::string(ClaimId));
+  if (Found == m_Data->m_Claims.end())
+    return std::nullopt;
+  return internal::describeClaim(Found->second);
+}
+
+wire::Resources ClusterState::heldBy(const WorkspaceId &Workspace) const {
+  const auto Found = m_Data->m_Held.find(Workspace.str());
+  return Found == m_Data->m_Held.end() ? wire::Resources() : internal::resourcesOf(Found->second);
+}
+
+const config::Document *ClusterState::document() const { return m_Data->m_Document ? &*m_Data->m_Document : nullptr; }
+
+ConfigView ClusterState::configuration() const {
+  ConfigView View;
+  if (m_Data->m_ConfigVersions.empty())
+    return View;
+  const record::ConfigVersion &Newest = m_Data->m_ConfigVersions.rbegin()->second;
+  View.m_Version = Newest.version;
+  View.m_Digest = Newest.digest;
+  View.m_Text = m_Data->m_DocumentText;
+  View.m_Environment = Newest.environment;
+  View.m_OperatorId = Newest.operatorId;
+  View.m_Index = Newest.index;
+  return View;
+}
+
+Counters ClusterState::counters() const {
+  Counters Result;
+  Result.m_AppliedIndex = m_Data->m_AppliedIndex;
+  Result.m_Targets = static_cast<int64_t>(m_Data->m_Targets.size());
+  Result.m_LostTargets = static_cast<int64_t>(m_Data->m_LostOrder.size());
+  Result.m_EndedJobs = static_cast<int64_t>(m_Data->m_EndedOrder.size());
+  Result.m_LiveJobs = static_cast<int64_t>(m_Data->m_Jobs.size()) - Result.m_EndedJobs;
+  for (const auto &[Id, Each] : m_Data->m_Jobs)
+    Result.m_QueuedJobs += Each.phase() == JobPhase::Queued ? 1 : 0;
+  for (const auto &[Vm, Each] : m_Data->m_Targets)
+    Result.m_Members += static_cast<int64_t>(Each.m_Members.size());
+  Result.m_Claims = static_cast<int64_t>(m_Data->m_Claims.size());
+  Result.m_OpenClaims = Result.m_Claims - static_cast<int64_t>(m_Data->m_ClosedOrder.size());
+  Result.m_ClaimBytes = m_Data->m_ClaimBytes;
+  Result.m_JobsSubmitted = m_Data->m_Totals.jobsSubmitted;
+  Result.m_JobsCompleted = m_Data->m_Totals.jobsCompleted;
+  Result.m_JobsFailed = m_Data->m_Totals.jobsFailed;
+  Result.m_JobsCancelled = m_Data->m_Totals.jobsCancelled;
+  Result.m_JobsOutcomeUnknown = m_Data->m_Totals.jobsOutcomeUnknown;
+  Result.m_ClaimsRefusedByLimit = m_Data->m_Totals.claimsRefusedByLimit;
+  Result.m_StaleReports = m_Data->m_Totals.staleReports;
+  return Result;
+}
+
+} // namespace anvil::state
--- /dev/null
+++ b/tests/state/StateFixture.h
@@ -0,0 +1,284 @@
+#ifndef ANVIL_TESTS_STATE_STATEFIXTURE_H
+#define ANVIL_TESTS_STATE_STATEFIXTURE_H
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "anvil/state/ClusterState.h"
+
+namespace anvil::state::test {
+
+constexpr int64_t Second = 1'000'000;
+
+/// Builders of commands with the fields that tests vary.
+inline wire::Command registerWorker(const std::string &Vm, int64_t Incarnation, const std::string &Zone = "kochi",
+                                    int32_t Accelerators = 8) {
+  wire::RegisterTarget Body;
+  Body.target.vm = Vm;
+  Body.target.kind = wire::TargetKind::WORKER;
+  Body.target.availabilityZone = Zone;
+  Body.target.rack = Zone + "-r1";
+  Body.target.agentAddress = "127.0.0.1:1";
+  Body.target.incarnation = Incarnation;
+  Body.target.capacity.accelerators = Accelerators;
+  Body.target.capacity.cores = 64;
+  Body.target.capacity.memoryMib = 256 << 10;
+  wire::Command Command;
+  Command.__set_registerTarget(Body);
+  return Command;
+}
+
+inline wire::Command registerMinion(const std::string &Vm, int64_t Incarnation, const std::string &Zone = "kochi") {
+  wire::Command Command = registerWorker(Vm, Incarnation, Zone, 0);
+  Command.registerTarget.target.kind = wire::TargetKind::MINION;
+  Command.registerTarget.target.serviceName = "shellgrit";
+  Command.registerTarget.target.slots = 8;
+  return Command;
+}
+
+inline wire::Command lose(const std::string &Vm, int64_t Incarnation) {
+  wire::LoseTarget Body;
+  Body.vm = Vm;
+  Body.incarnation = Incarnation;
+  Body.reason = "no heartbeat";
+  wire::Command Command;
+  Command.__set_loseTarget(Body);
+  return Command;
+}
+
+inline wire::Command drain(const std::string &Vm, bool Draining) {
+  wire::DrainTarget Body;
+  Body.vm = Vm;
+  Body.draining = Draining;
+  wire::Command Command;
+  Command.__set_drainTarget(Body);
+  return Command;
+}
+
+inline wire::Command quarantine(const std::string &Vm, bool Aside) {
+  wire::SetWorkerAside Body;
+  Body.vm = Vm;
+  Body.aside = Aside;
+  Body.reason = "fails every task";
+  wire::Command Command;
+  Command.__set_setWorkerAside(Body);
+  return Command;
+}
+
+inline wire::Command zoneService(const std::string &Zone, bool InService, const std::string &RequestId) {
+  wire::SetZoneService Body;
+  Body.availabilityZone = Zone;
+  Body.inService = InService;
+  Body.operatorId = "asha";
+  Body.requestId = RequestId;
+  wire::Command Command;
+  Command.__set_setZoneService(Body);
+  return Command;
+}
+
+inline std::string documentText(int64_t Version, const std::string &Limits = "{}", int Quota = 64) {
+  return "environment: production\nversion: " + std::to_string(Version) +
+         "\navailability_zones:\n  - {name: kochi, region: kerala}\n  - {name: kollam, region: kerala}\n"
+         "workspaces:\n  - {name: sieving, quota: {accelerators: " +
+         std::to_string(Quota) +
+         ", cores: 512, memory_gib: 2048}}\nservices:\n  - name: shellgrit\n    slots: 8\n    connections: 64\n"
+         "    classes:\n      - {name: quote, urgency: urgent, deadline_ms: 2000, idempotent: true, queue_limit: 9}\n"
+         "limits: " +
+         Limits + "\n";
+}
+
+inline wire::Command applyConfig(int64_t Version, const std::string &Text, const std::string &Operator = "asha") {
+  wire::ApplyConfig Body;
+  Body.version = Version;
+  Body.document = Text;
+  Body.operatorId = Operator;
+  Body.environment = "production";
+  wire::Command Command;
+  Command.__set_applyConfig(Body);
+  return Command;
+}
+
+inline wire::Command submit(int32_t Tasks, bool Idempotent = true, const std::string &SubmissionId = "",
+                            int32_t Accelerators = 4) {
+  wire::SubmitJob Body;
+  Body.submissionId = SubmissionId;
+  Body.spec.workspace = "sieving";
+  Body.spec.name = "report";
+  Body.spec.tasks = Tasks;
+  Body.spec.perTask.accelerators = Accelerators;
+  Body.spec.perTask.cores = 8;
+  Body.spec.perTask.memoryMib = 1'024;
+  Body.spec.idempotent = Idempotent;
+  Body.spec.payload = "run";
+  wire::Command Command;
+  Command.__set_submitJob(Body);
+  return Command;
+}
+
+inline wire::Command cancel(int64_t Job) {
+  wire::CancelJob Body;
+  Body.jobId = Job;
+  wire::Command Command;
+  Command.__set_cancelJob(Body);
+  return Command;
+}
+
+/// Places task I on the I-th VM, each with incarnation 1 unless given.
+inline wire::Command place(int64_t Job, const std::vector<std::string> &Vms, int64_t Incarnation = 1) {
+  wire::PlaceJob Body;
+  Body.jobId = Job;
+  Body.reason = "fits";
+  for (size_t Task = 0; Task < Vms.size(); ++Task) {
+    wire::MemberPlacement &Member = Body.members.emplace_back();
+    Member.taskIndex = static_cast<int32_t>(Task);
+    Member.vm = Vms[Task];
+    Member.incarnation = Incarnation;
+  }
+  wire::Command Command;
+  Command.__set_placeJob(Body);
+  return Command;
+}
+
+inline wire::Command reclaim(int64_t Job, wire::ReclaimMode::type Mode) {
+  wire::ReclaimJob Body;
+  Body.jobId = Job;
+  Body.mode = Mode;
+  Body.reason = "guarantee of pricing";
+  wire::Command Command;
+  Command.__set_reclaimJob(Body);
+  return Command;
+}
+
+inline wire::Command report(const std::string &Vm, int64_t Job, int32_t Task, int64_t Token,
+                            wire::TaskState::type State, int64_t Incarnation = 1) {
+  wire::ReportTasks Body;
+  Body.vm = Vm;
+  Body.incarnation = Incarnation;
+  wire::TaskStatus &Status = Body.tasks.emplace_back();
+  Status.jobId = Job;
+  Status.taskIndex = Task;
+  Status.startToken = Token;
+  Status.state = State;
+  wire::Command Command;
+  Command.__set_reportTasks(Body);
+  return Command;
+}
+
+inline wire::Command expireLeases(int64_t Job, std::vector<int32_t> Tasks) {
+  wire::ExpireLeases Body;
+  Body.jobId = Job;
+  Body.taskIndexes = std::move(Tasks);
+  wire::Command Command;
+  Command.__set_expireLeases(Body);
+  return Command;
+}
+
+inline wire::Command openClaim(const std::string &Id, const std::string &Vm, const std::string &Attempt = "",
+                               const std::string &Digest = "d1", int64_t Incarnation = 1) {
+  wire::OpenClaim Body;
+  Body.claimId = Id;
+  Body.vm = Vm;
+  Body.incarnation = Incarnation;
+  Body.requestDigest = Digest;
+  Body.entry = "entry-1";
+  Body.attemptId = Attempt;
+  wire::Command Command;
+  Command.__set_openClaim(Body);
+  return Command;
+}
+
+inline wire::Command closeClaim(const std::string &Id, int64_t Token, wire::Outcome::type Outcome,
+                                const std::string &Vm, const std::string &Body = "ok", int64_t Incarnation = 1) {
+  wire::CloseClaim Close;
+  Close.vm = Vm;
+  Close.incarnation = Incarnation;
+  Close.outcome.claimId = Id;
+  Close.outcome.token = Token;
+  Close.outcome.outcome = Outcome;
+  Close.outcome.httpStatus = 200;
+  Close.outcome.body = Body;
+  wire::Command Command;
+  Command.__set_closeClaim(Close);
+  return Command;
+}
+
+inline wire::Command expireClaims(int64_t BeforeUs) {
+  wire::ExpireClaims Body;
+  Body.beforeUs = BeforeUs;
+  wire::Command Command;
+  Command.__set_expireClaims(Body);
+  return Command;
+}
+
+/// A state with a configuration and workers a, b (kochi) and c (kollam), incarnation 1; time moves 1 s a command.
+class Cluster {
+public:
+  Cluster() : m_State(*ClusterState::create()) {
+    apply(applyConfig(1, documentText(1)));
+    apply(registerWorker("a", 1));
+    apply(registerWorker("b", 1));
+    apply(registerWorker("c", 1, "kollam"));
+    apply(registerMinion("m", 1));
+    apply(registerMinion("n", 1));
+  }
+
+  wire::CommandResult apply(wire::Command Command) {
+    m_NowUs += Second;
+    Command.proposedAtUs = m_NowUs;
+    return m_State.apply(Command, ++m_Index);
+  }
+
+  wire::CommandStatus::type statusOf(wire::Command Command) { return apply(std::move(Command)).status; }
+
+  /// Submits a gang on the VMs and places it; returns its number.
+  int64_t placed(const std::vector<std::string> &Vms, bool Idempotent = true) {
+    return placed(Vms, submit(static_cast<int32_t>(Vms.size()), Idempotent, "s" + std::to_string(m_Index)));
+  }
+
+  int64_t placed(const std::vector<std::string> &Vms, const wire::Command &Submission) {
+    const int64_t Job = apply(Submission).jobId;
+    const wire::CommandResult Result = apply(place(Job, Vms));
+    BOOST_REQUIRE_MESSAGE(Result.status == wire::CommandStatus::OK, Result.message);
+    return Job;
+  }
+
+  /// Reports \p State for each member in order.
+  void reportAll(int64_t Job, wire::TaskState::type State) {
+    const int64_t Token = job(Job).m_StartToken;
+    for (const MemberView &Member : job(Job).m_Members)
+      apply(report(Member.m_Vm.str(), Job, Member.m_TaskIndex, Token, State));
+  }
+
+  int64_t running(const std::vector<std::string> &Vms, const wire::Command &Submission) {
+    const int64_t Job = placed(Vms, Submission);
+    reportAll(Job, wire::TaskState::PREPARED);
+    reportAll(Job, wire::TaskState::RUNNING);
+    BOOST_REQUIRE(job(Job).m_Phase == JobPhase::Running);
+    return Job;
+  }
+
+  JobView job(int64_t Job) const { return *m_State.job(JobId(Job)); }
+  std::string phase(int64_t Job) const { return std::string(nameOf(job(Job).m_Phase)); }
+  int32_t usedOn(const std::string &Vm) const { return m_State.target(VmId(Vm))->m_Used.accelerators; }
+
+  /// Returns the orders for a VM, such as "7/0 START".
+  std::vector<std::string> orders(const std::string &Vm) const {
+    std::vector<std::string> Text;
+    for (const wire::Assignment &Each : m_State.assignmentsFor(VmId(Vm))) {
+      Text.push_back(std::to_string(Each.jobId) + "/" + std::to_string(Each.taskIndex) + " " +
+                     wire::_TaskOrder_VALUES_TO_NAMES.at(Each.order));
+    }
+    return Text;
+  }
+
+  ClusterState m_State;
+  int64_t m_Index = 0;
+  int64_t m_NowUs = 0;
+};
+
+} // namespace anvil::state::test
+
+#endif // ANVIL_TESTS_STATE_STATEFIXTURE_H
