--- /dev/null
+++ b/src/control/AgentSessions.cpp
@@ -0,0 +1,176 @@
+#include "AgentSessions.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+namespace anvil::control::internal {
+
+namespace {
+
+constexpr Duration SessionKeptFor = std::chrono::minutes(1);
+
+bool sameProperties(const wire::TargetInfo &A, const wire::TargetInfo &B) {
+  return A.kind == B.kind && A.availabilityZone == B.availabilityZone && A.rack == B.rack &&
+         A.serviceName == B.serviceName && A.agentAddress == B.agentAddress && A.capacity == B.capacity &&
+         A.slots == B.slots && A.connections == B.connections;
+}
+
+// Returns true if the state already holds what the agent reports of a task.
+bool stateShows(const state::MemberView &Member, wire::TaskState::type Reported) {
+  using state::TaskPhase;
+  switch (Reported) {
+  case wire::TaskState::PREPARED:
+    return Member.m_Phase != TaskPhase::Reserved;
+  case wire::TaskState::RUNNING:
+    return Member.m_Phase != TaskPhase::Reserved && Member.m_Phase != TaskPhase::Prepared &&
+           Member.m_Phase != TaskPhase::Starting;
+  case wire::TaskState::SUCCEEDED:
+    return Member.m_Phase == TaskPhase::Succeeded || Member.m_Phase == TaskPhase::Released;
+  case wire::TaskState::FAILED:
+  case wire::TaskState::STOPPED:
+  case wire::TaskState::CHECKPOINTED:
+  case wire::TaskState::REFUSED:
+    return Member.m_Phase == TaskPhase::Released;
+  }
+  return true;
+}
+
+} // namespace
+
+void AgentSessions::noteFreshRead(TimePoint RequestedAt) {
+  m_FreshRead = m_EverFresh ? std::max(m_FreshRead, RequestedAt) : RequestedAt;
+  m_EverFresh = true;
+}
+
+bool AgentSessions::fresh(TimePoint Now) const { return m_EverFresh && Now - m_FreshRead <= ReadFreshFor; }
+
+wire::AgentHeartbeatReply AgentSessions::handle(const wire::AgentHeartbeat &Heartbeat, const state::ClusterState &State,
+                                                TimePoint Now) {
+  wire::AgentHeartbeatReply Reply;
+  Reply.sequence = Heartbeat.sequence;
+  const VmId Vm(Heartbeat.target.vm);
+  Session &Mine = m_Sessions[Heartbeat.target.vm];
+  const std::optional<state::TargetView> Known = State.target(Vm);
+  if (Known && Known->m_Info.incarnation > Heartbeat.target.incarnation) {
+    Reply.detail = "a newer incarnation of this VM is registered";
+    return Reply;
+  }
+  Mine.m_LastHeartbeat = Now;
+  Mine.m_Load = Heartbeat.load;
+  const bool Current = Known && Known->m_Info.incarnation == Heartbeat.target.incarnation &&
+                       Known->m_Phase != state::VmPhase::Lost && Known->m_Phase != state::VmPhase::Removed;
+  if (!Current || !sameProperties(Known->m_Info, Heartbeat.target)) {
+    proposeRegistration(Mine, Heartbeat.target, Now);
+    if (!Current) {
+      Reply.detail = "registration is in progress";
+      return Reply;
+    }
+  }
+  Mine.m_Heard = true;
+  closeClaims(Mine, Heartbeat, State, Now, Reply);
+  proposeTaskChanges(Mine, Heartbeat, State, Now);
+  const bool Draining = Known->m_Phase == state::VmPhase::Draining;
+  if (Heartbeat.leaving && !Draining) {
+    wire::Command Command;
+    Command.__isset.drainTarget = true;
+    Command.drainTarget.vm = Heartbeat.target.vm;
+    Command.drainTarget.draining = true;
+    proposeOnce(Mine, "drain", std::move(Command), Now);
+  }
+  Reply.configVersion = State.configuration().m_Version;
+  Reply.draining = Draining;
+  if (!fresh(Now)) {
+    Reply.detail = "this replica has no recent confirmation from a quorum";
+    return Reply;
+  }
+  Reply.accepted = true;
+  Reply.renewedAtIndex = State.appliedIndex();
+  Reply.assignments = State.assignmentsFor(Vm);
+  if (State.mayStartOn(Vm, Heartbeat.target.incarnation) && Heartbeat.targetHealthy)
+    Reply.permitMs = std::chrono::duration_cast<std::chrono::milliseconds>(PermitFor).count();
+  return Reply;
+}
+
+// A report repeats in every heartbeat until the state shows it, but is proposed again only after a while.
+void AgentSessions::proposeOnce(Session &Session, const std::string &Key, wire::Command Command, TimePoint Now) {
+  const auto [It, New] = Session.m_Proposed.try_emplace(Key, Now);
+  if (!New && Now - It->second < ProposeAgainAfter)
+    return;
+  It->second = Now;
+  m_Propose(std::move(Command));
+}
+
+void AgentSessions::proposeRegistration(Session &Session, const wire::TargetInfo &Target, TimePoint Now) {
+  wire::Command Command;
+  Command.__isset.registerTarget = true;
+  Command.registerTarget.target = Target;
+  proposeOnce(Session, absl::StrCat("register ", Target.incarnation), std::move(Command), Now);
+}
+
+void AgentSessions::proposeTaskChanges(Session &Session, const wire::AgentHeartbeat &Heartbeat,
+                                       const state::ClusterState &State, TimePoint Now) {
+  wire::Command Command;
+  wire::ReportTasks &Report = Command.reportTasks;
+  std::string Key = "tasks";
+  for (const wire::TaskStatus &Task : Heartbeat.tasks) {
+    const std::optional<state::JobView> Job = State.job(JobId(Task.jobId));
+    if (!Job || Job->m_StartToken != Task.startToken)
+      continue;
+    const auto Member = std::find_if(Job->m_Members.begin(), Job->m_Members.end(),
+                                     [&](const state::MemberView &Each) { return Each.m_TaskIndex == Task.taskIndex; });
+    if (Member == Job->m_Members.end() || stateShows(*Member, Task.state))
+      continue;
+    Report.tasks.push_back(Task);
+    absl::StrAppend(&Key, " ", Task.jobId, ".", Task.taskIndex, ".", Task.startToken, ".",
+                    static_cast<int>(Task.state));
+  }
+  if (Report.tasks.empty())
+    return;
+  Command.__isset.reportTasks = true;
+  Report.vm = Heartbeat.target.vm;
+  Report.incarnation = Heartbeat.target.incarnation;
+  std::erase_if(Session.m_Proposed,
+                [&](const auto &Each) { return Each.first.starts_with("tasks") && Each.first != Key; });
+  proposeOnce(Session, Key, std::move(Command), Now);
+}
+
+void AgentSessions::closeClaims(Session &Session, const wire::AgentHeartbeat &Heartbeat,
+                                const state::ClusterState &State, TimePoint Now, wire::AgentHeartbeatReply &Reply) {
+  for (const wire::ClaimOutcome &Outcome : Heartbeat.outcomes) {
+    const std::optional<wire::CommandResult> Claim = State.claim(Outcome.claimId);
+    const bool Open = Claim && Claim->claimState == wire::ClaimState::HELD && Claim->claimToken == Outcome.token;
+    const bool Learned = Claim && Claim->claimState == wire::ClaimState::CLOSED &&
+                         Claim->claimOutcome.outcome == wire::Outcome::UNKNOWN &&
+                         Claim->claimOutcome.token == Outcome.token && Outcome.outcome == wire::Outcome::COMPLETED;
+    const std::string Key = absl::StrCat("claim ", Outcome.claimId, " ", Outcome.token);
+    if (!Open && !Learned) {
+      Reply.acknowledgedClaims.push_back(Outcome.claimId);
+      Session.m_Proposed.erase(Key);
+      continue;
+    }
+    wire::Command Command;
+    Command.__isset.closeClaim = true;
+    Command.closeClaim.outcome = Outcome;
+    Command.closeClaim.vm = Heartbeat.target.vm;
+    Command.closeClaim.incarnation = Heartbeat.target.incarnation;
+    proposeOnce(Session, Key, std::move(Command), Now);
+  }
+}
+
+wire::SessionReport AgentSessions::takeHeard() {
+  wire::SessionReport Report;
+  for (auto &[Vm, Each] : m_Sessions) {
+    if (!std::exchange(Each.m_Heard, false))
+      continue;
+    Report.vms.push_back(Vm);
+    Report.loads.push_back(Each.m_Load);
+  }
+  return Report;
+}
+
+void AgentSessions::expire(TimePoint Now) {
+  absl::erase_if(m_Sessions, [&](const auto &Each) { return Now - Each.second.m_LastHeartbeat > SessionKeptFor; });
+}
+
+} // namespace anvil::control::internal
--- /dev/null
+++ b/src/control/LeaderDuties.cpp
@@ -0,0 +1,137 @@
+#include "LeaderDuties.h"
+
+#include <algorithm>
+
+#include <glog/logging.h>
+
+#include "AgentSessions.h"
+
+namespace anvil::control::internal {
+
+namespace {
+
+constexpr Duration ExpiryEvery = std::chrono::seconds(1);
+constexpr Duration ClaimExpiryEvery = std::chrono::minutes(1);
+constexpr int64_t MicrosPerSecond = 1'000'000;
+/// Time that an agent may take to stop a task whose lease has run out.
+constexpr Duration StopWithin = std::chrono::seconds(5);
+/// Clock rates of two VMs differ by at most a tenth.
+constexpr int64_t ClockRateDivisor = 10;
+
+} // namespace
+
+LeaderDuties::LeaderDuties(SchedulerDriver::Propose Propose, std::function<int64_t()> WallClockMicros)
+    : m_Propose(Propose), m_WallClockMicros(std::move(WallClockMicros)), m_Scheduler(std::move(Propose)) {}
+
+absl::Status LeaderDuties::begin(const state::ClusterState &State, TimePoint Now) {
+  m_Detector = member::FailureDetector({});
+  m_LostSince.clear();
+  m_BeganAt = Now;
+  m_LastExpiry = Now;
+  m_LastClaimExpiry = Now;
+  State.forEachTarget([&](const state::TargetView &Target) {
+    if (Target.m_Phase == state::VmPhase::Up || Target.m_Phase == state::VmPhase::Draining)
+      m_Detector.watch(VmId(Target.m_Info.vm), Now);
+  });
+  return m_Scheduler.begin(State, Now, m_WallClockMicros());
+}
+
+void LeaderDuties::end() { m_Scheduler.end(); }
+
+void LeaderDuties::heard(std::span<const std::string> Vms, TimePoint Now) {
+  for (const std::string &Vm : Vms)
+    m_Detector.heard(VmId(Vm), Now);
+}
+
+void LeaderDuties::onStateEvent(const state::StateEvent &Event, TimePoint Now) {
+  if (!active())
+    return;
+  if (const auto *Up = std::get_if<state::TargetUp>(&Event)) {
+    m_Detector.forget(Up->m_Vm);
+    m_Detector.watch(Up->m_Vm, Now);
+  } else if (const auto *Lost = std::get_if<state::TargetLost>(&Event)) {
+    m_LostSince[Lost->m_Vm] = Now;
+  } else if (const auto *Removed = std::get_if<state::TargetRemoved>(&Event)) {
+    m_Detector.forget(Removed->m_Vm);
+    m_LostSince.erase(Removed->m_Vm);
+  }
+  m_Scheduler.onStateEvent(Event);
+}
+
+void LeaderDuties::onApplied(const state::ClusterState &State, TimePoint Now) { m_Scheduler.flush(State, Now); }
+
+void LeaderDuties::tick(const state::ClusterState &State, TimePoint Now) {
+  if (!active())
+    return;
+  m_Scheduler.tick(State, Now);
+  if (Now - m_LastExpiry < ExpiryEvery)
+    return;
+  m_LastExpiry = Now;
+  declareLost(State, Now);
+  expireLeases(State, Now);
+  expireClaims(State, Now);
+}
+
+// Refused proposals are tried again at a later tick as long as the state asks for them.
+void LeaderDuties::proposeQuietly(wire::Command Command) {
+  m_Propose(std::move(Command), [](const wire::CommandResult &) {});
+}
+
+void LeaderDuties::declareLost(const state::ClusterState &State, TimePoint Now) {
+  for (const VmId &Vm : m_Detector.tick(Now)) {
+    const std::optional<state::TargetView> Target = State.target(Vm);
+    if (!Target)
+      continue;
+    // Watched again, so that a proposal that is lost with a leader change is repeated.
+    m_Detector.watch(Vm, Now);
+    if (Target->m_Phase == state::VmPhase::Lost)
+      continue;
+    LOG(WARNING) << "member: no heartbeat, declaring lost vm=" << Vm;
+    wire::Command Command;
+    Command.__isset.loseTarget = true;
+    Command.loseTarget.vm = Vm.str();
+    Command.loseTarget.incarnation = Target->m_Info.incarnation;
+    Command.loseTarget.reason = "no heartbeat for 10 s";
+    proposeQuietly(std::move(Command));
+  }
+}
+
+// The time stamped on the loss comes from the clock of whichever leader proposed it, and the commit may have come
+// later. So this leader also waits for the whole lease on its own clock: replicas may have renewed the lease until
+// their last read went stale.
+void LeaderDuties::expireLeases(const state::ClusterState &State, TimePoint Now) {
+  for (const wire::ExpireLeases &Expired : State.expiredLeases(m_WallClockMicros())) {
+    const std::optional<state::JobView> Job = State.job(JobId(Expired.jobId));
+    if (!Job)
+      continue;
+    const Duration Lease = std::chrono::milliseconds(Job->m_Spec.leaseMs);
+    const Duration Wait = Lease + Lease / ClockRateDivisor + ReadFreshFor + StopWithin;
+    const bool Waited = std::all_of(Expired.taskIndexes.begin(), Expired.taskIndexes.end(), [&](int32_t Index) {
+      const auto Member = std::find_if(Job->m_Members.begin(), Job->m_Members.end(),
+                                       [&](const state::MemberView &Each) { return Each.m_TaskIndex == Index; });
+      const auto Since = Member == Job->m_Members.end() ? m_LostSince.end() : m_LostSince.find(Member->m_Vm);
+      return Now - (Since == m_LostSince.end() ? m_BeganAt : Since->second) >= Wait;
+    });
+    if (!Waited)
+      continue;
+    wire::Command Command;
+    Command.__isset.expireLeases = true;
+    Command.expireLeases = Expired;
+    proposeQuietly(std::move(Command));
+  }
+}
+
+void LeaderDuties::expireClaims(const state::ClusterState &State, TimePoint Now) {
+  const state::Counters Counters = State.counters();
+  if (Now - m_LastClaimExpiry < ClaimExpiryEvery || Counters.m_Claims == Counters.m_OpenClaims)
+    return;
+  m_LastClaimExpiry = Now;
+  const config::Document *Document = State.document();
+  const int64_t RetentionS = Document ? Document->m_Limits.m_ClaimRetentionS : config::Limits{}.m_ClaimRetentionS;
+  wire::Command Command;
+  Command.__isset.expireClaims = true;
+  Command.expireClaims.beforeUs = m_WallClockMicros() - RetentionS * MicrosPerSecond;
+  proposeQuietly(std::move(Command));
+}
+
+} // namespace anvil::control::internal
