--- a/include/anvil/metrics/Metrics.h
+++ b/include/anvil/metrics/Metrics.h
@@ -13,8 +13,8 @@
 
 /// Running quantiles of a time, in constant memory.
 ///
-/// The quantiles 0.5, 0.9, 0.99 and 0.999 are estimated over all times since the start with the P-square algorithm. They
-/// are rough while there are fewer than about ten times.
+/// The quantiles 0.5, 0.9, 0.99 and 0.999 are exact for the first 16 times and from then on estimated over all times
+/// since the start with the P-square algorithm.
 class TimeSummary {
 public:
   TimeSummary();
--- a/src/entry/EntryHttp.cpp
+++ b/src/entry/EntryHttp.cpp
@@ -35,11 +35,13 @@
   Each.m_ArrivedAt = m_Hooks.m_Now();
   Each.m_Respond = std::move(Respond);
   if (Request.m_Path.starts_with("/services/")) {
-    Each.m_Service = true;
+    Each.m_By = Answerer::Service;
     return handleService(std::move(Request), Id);
   }
-  if (Request.m_Path.starts_with("/v1/"))
+  if (Request.m_Path.starts_with("/v1/")) {
+    Each.m_By = Answerer::Control;
     return handleOperator(Request, Id);
+  }
   handleOwn(Request, Id);
 }
 
@@ -128,7 +130,10 @@
   const Pending Each = std::move(Found->second);
   m_Pending.erase(Found);
   const Duration Taken = m_Hooks.m_Now() - Each.m_ArrivedAt;
-  (Each.m_Service ? m_Metrics.m_ServiceTime : m_Metrics.m_OperatorTime).add(Taken);
+  if (Each.m_By == Answerer::Service)
+    m_Metrics.m_ServiceTime.add(Taken);
+  if (Each.m_By == Answerer::Control)
+    m_Metrics.m_OperatorTime.add(Taken);
   Response.m_Fields.push_back({std::string(RequestIdField), Each.m_Id});
   Each.m_Respond(std::move(Response));
 }
--- a/src/entry/EntryImpl.h
+++ b/src/entry/EntryImpl.h
@@ -22,13 +22,16 @@
 struct Entry::Impl : std::enable_shared_from_this<Entry::Impl> {
   Impl(boost::asio::io_context &Io, EntryOptions Options, EntryHooks Hooks);
 
+  /// Who answers a request.
+  enum class Answerer { Service, Control, Entry };
+
   /// One HTTP request without a response.
   struct Pending {
     std::string m_Id;   ///< X-Request-Id.
     std::string m_What; ///< Method and path.
     TimePoint m_ArrivedAt;
     net::HttpResponder m_Respond;
-    bool m_Service = false;
+    Answerer m_By = Answerer::Entry;
   };
 
   // Entry.cpp: life of the process.
--- a/src/metrics/Metrics.cpp
+++ b/src/metrics/Metrics.cpp
@@ -1,5 +1,6 @@
 #include "anvil/metrics/Metrics.h"
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <cstdio>
@@ -18,6 +19,8 @@
 namespace acc = boost::accumulators;
 
 constexpr std::array<double, 4> Shares = {0.5, 0.9, 0.99, 0.999};
+// The P-square estimate starts after two markers for each quantile; until then the times themselves are kept.
+constexpr size_t ExactTimes = 16;
 
 using Accumulator = acc::accumulator_set<
     double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max, acc::tag::extended_p_square_quantile>>;
@@ -46,6 +49,17 @@
 
 struct TimeSummary::Impl {
   Accumulator m_Times{acc::extended_p_square_probabilities = Shares};
+  std::vector<double> m_First; ///< The first ExactTimes times.
+
+  double quantile(double Share) const {
+    if (acc::count(m_Times) > ExactTimes)
+      return acc::quantile(m_Times, acc::quantile_probability = Share);
+    if (m_First.empty())
+      return 0;
+    std::vector<double> Sorted = m_First;
+    std::sort(Sorted.begin(), Sorted.end());
+    return Sorted[static_cast<size_t>(Share * static_cast<double>(Sorted.size()))];
+  }
 };
 
 TimeSummary::TimeSummary() : m_Impl(std::make_unique<Impl>()) {}
@@ -53,14 +67,17 @@
 TimeSummary::TimeSummary(TimeSummary &&) noexcept = default;
 TimeSummary &TimeSummary::operator=(TimeSummary &&) noexcept = default;
 
-void TimeSummary::add(Duration Value) { m_Impl->m_Times(1e-6 * static_cast<double>(Value.count())); }
+void TimeSummary::add(Duration Value) {
+  const double Seconds = 1e-6 * static_cast<double>(Value.count());
+  m_Impl->m_Times(Seconds);
+  if (m_Impl->m_First.size() < ExactTimes)
+    m_Impl->m_First.push_back(Seconds);
+}
 
 std::vector<TimeSummary::Quantile> TimeSummary::quantiles() const {
   std::vector<Quantile> Result;
-  for (const double Share : Shares) {
-    const double Seconds = count() > 0 ? acc::quantile(m_Impl->m_Times, acc::quantile_probability = Share) : 0;
-    Result.push_back({Share, Seconds});
-  }
+  for (const double Share : Shares)
+    Result.push_back({Share, m_Impl->quantile(Share)});
   return Result;
 }
 
--- a/tests/metrics/MetricsTest.cpp
+++ b/tests/metrics/MetricsTest.cpp
@@ -28,6 +28,11 @@
 BOOST_AUTO_TEST_CASE(EstimatesQuantiles) {
   metrics::TimeSummary Times;
   BOOST_TEST(Times.quantiles()[0].m_Seconds == 0);
+  metrics::TimeSummary Few;
+  for (const int Millis : {30, 10, 20})
+    Few.add(std::chrono::milliseconds(Millis));
+  BOOST_TEST(Few.quantiles()[0].m_Seconds == 0.02, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(Few.quantiles()[3].m_Seconds == 0.03, boost::test_tools::tolerance(1e-9));
   for (int64_t Index = 0; Index < 1000; ++Index)
     Times.add(std::chrono::milliseconds(1 + (Index * 617) % 1000));
 
