Test an entry session against fake control and agent

Cause: the HTTP interface and the messages behind it need one record that a change can't slip past. The session found that every successful query ended the process: a StatusOr was built from an OK status.

--- a/src/entry/EntryHttp.cpp
+++ b/src/entry/EntryHttp.cpp
@@ -82,9 +82,9 @@
                    const std::shared_ptr<Impl> Self = Weak.lock();
                    if (!Self)
                      return;
-                   absl::StatusOr<wire::QueryReply> Reply = Answer.status();
-                   if (Answer.ok())
-                     Reply = net::decodeAs<wire::QueryReply>(*Answer);
+                   if (!Answer.ok())
+                     return Self->respond(Id, renderControlFailure(Answer.status(), false));
+                   const absl::StatusOr<wire::QueryReply> Reply = net::decodeAs<wire::QueryReply>(*Answer);
                    Self->respond(Id,
                                  Reply.ok() ? renderQueryReply(*Reply) : renderControlFailure(Reply.status(), false));
                  });
--- /dev/null
+++ b/tests/entry/SessionHarness.h
@@ -0,0 +1,232 @@
+#ifndef ANVIL_TESTS_ENTRY_SESSIONHARNESS_H
+#define ANVIL_TESTS_ENTRY_SESSIONHARNESS_H
+
+#include <deque>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include "anvil/daemon/Process.h"
+#include "anvil/entry/Entry.h"
+#include "anvil/net/Rpc.h"
+#include "anvil/net/WireCodec.h"
+
+namespace anvil::entry::testing {
+
+inline net::RpcOptions fakeRpcOptions() {
+  net::RpcOptions Options;
+  Options.m_Random = [] { return 0.25; };
+  return Options;
+}
+
+/// Answers syncs with a fixed table and commands and queries from a script, and notes what it was asked.
+class FakeControl {
+public:
+  FakeControl(boost::asio::io_context &Io, wire::EntrySyncReply Table, std::vector<std::string> &Notes)
+      : m_Table(std::move(Table)), m_Notes(Notes),
+        m_Server(std::move(*net::RpcServer::create(Io, {"127.0.0.1", 0}, fakeRpcOptions()))) {
+    m_Server->handle(wire::Method::ENTRY_SYNC, [this](const net::RpcCall &Call, const net::RpcResponder &Respond) {
+      const auto Request = *net::decodeAs<wire::EntrySyncRequest>(Call.m_Body);
+      wire::EntrySyncReply Reply = m_Table;
+      Reply.routesChanged = Request.routeVersion != Reply.routeVersion;
+      Reply.configChanged = Request.configVersion != Reply.configVersion;
+      Respond(net::encodeStruct(Reply));
+    });
+    m_Server->handle(wire::Method::SUBMIT_COMMAND, [this](const net::RpcCall &Call, const net::RpcResponder &Respond) {
+      note("command", *net::decodeAs<wire::Command>(Call.m_Body));
+      Respond(net::encodeStruct(next(m_Results)));
+    });
+    m_Server->handle(wire::Method::QUERY, [this](const net::RpcCall &Call, const net::RpcResponder &Respond) {
+      note("query", *net::decodeAs<wire::QueryRequest>(Call.m_Body));
+      Respond(net::encodeStruct(next(m_Replies)));
+    });
+  }
+
+  net::Endpoint endpoint() const { return m_Server->endpoint(); }
+
+  std::deque<wire::CommandResult> m_Results;
+  std::deque<wire::QueryReply> m_Replies;
+
+private:
+  template <typename T> static T next(std::deque<T> &Script) {
+    if (Script.empty())
+      return T();
+    const T First = Script.front();
+    Script.pop_front();
+    return First;
+  }
+  template <typename T> void note(const std::string &Kind, const T &Value) {
+    std::ostringstream Text;
+    Text << "  control " << Kind << " " << Value;
+    m_Notes.push_back(Text.str());
+  }
+
+  wire::EntrySyncReply m_Table;
+  std::vector<std::string> &m_Notes;
+  std::unique_ptr<net::RpcServer> m_Server;
+};
+
+/// Answers each request with the next scripted reply; without one it completes the request. While m_Hold is set it
+/// keeps requests until release().
+class FakeAgent {
+public:
+  FakeAgent(boost::asio::io_context &Io, std::vector<std::string> &Notes)
+      : m_Notes(Notes), m_Server(std::move(*net::RpcServer::create(Io, {"127.0.0.1", 0}, fakeRpcOptions()))) {
+    m_Server->handle(wire::Method::EXECUTE, [this](const net::RpcCall &Call, net::RpcResponder Respond) {
+      const auto Request = *net::decodeAs<wire::ExecuteRequest>(Call.m_Body);
+      m_Notes.push_back("  agent " + Request.httpMethod + " " + Request.path + " class=" + Request.className +
+                        " claim=" + Request.claimId + " token=" + std::to_string(Request.claimToken) +
+                        " body=" + Request.body);
+      if (m_Hold)
+        return m_Held.push_back(std::move(Respond));
+      answer(Respond);
+    });
+  }
+
+  net::Endpoint endpoint() const { return m_Server->endpoint(); }
+  void release() {
+    m_Hold = false;
+    for (const net::RpcResponder &Each : std::exchange(m_Held, {}))
+      answer(Each);
+  }
+
+  bool m_Hold = false;
+  std::deque<net::RpcResponder> m_Held;
+  std::deque<wire::ExecuteReply> m_Replies;
+
+private:
+  void answer(const net::RpcResponder &Respond) {
+    wire::ExecuteReply Reply;
+    Reply.outcome = wire::Outcome::COMPLETED;
+    Reply.httpStatus = 200;
+    Reply.contentType = "text/plain";
+    Reply.body = "sieve size 40\n";
+    if (!m_Replies.empty()) {
+      Reply = m_Replies.front();
+      m_Replies.pop_front();
+    }
+    Respond(net::encodeStruct(Reply));
+  }
+
+  std::vector<std::string> &m_Notes;
+  std::unique_ptr<net::RpcServer> m_Server;
+};
+
+inline wire::ServiceClass sessionClass(const std::string &Name, bool Idempotent) {
+  wire::ServiceClass Class;
+  Class.name = Name;
+  Class.urgency = wire::Urgency::URGENT;
+  Class.deadlineMs = 20000;
+  Class.idempotent = Idempotent;
+  return Class;
+}
+
+/// One entry between two fake control replicas and a fake agent that stands for two minions, on a thread of its own.
+class SessionHarness {
+public:
+  SessionHarness() {
+    m_Agent = std::make_unique<FakeAgent>(m_Io, m_Notes);
+    for (std::unique_ptr<FakeControl> &Each : m_Controls)
+      Each = std::make_unique<FakeControl>(m_Io, table(), m_Notes);
+    EntryOptions Options;
+    Options.m_Name = "e1";
+    Options.m_AvailabilityZone = "kochi";
+    Options.m_Listen = {"127.0.0.1", 0};
+    Options.m_Controls = {m_Controls[0]->endpoint(), m_Controls[1]->endpoint()};
+    Options.m_SyncPeriod = std::chrono::milliseconds(50);
+    m_Entry = std::move(*Entry::create(m_Io, Options, {daemon::monotonicNow, [] { return 1; }, [] { return 0.25; }}));
+    m_Port = m_Entry->endpoint().m_Port;
+    m_Thread = std::thread([this] { m_Io.run(); });
+  }
+  ~SessionHarness() {
+    run([this] {
+      m_Entry.reset();
+      m_Agent.reset();
+      for (std::unique_ptr<FakeControl> &Each : m_Controls)
+        Each.reset();
+    });
+    m_Work.reset();
+    m_Io.stop();
+    m_Thread.join();
+  }
+
+  /// Runs \p What on the entry's thread and waits for it.
+  void run(const std::function<void()> &What) {
+    std::promise<void> Ran;
+    boost::asio::post(m_Io, [&What, &Ran] {
+      What();
+      Ran.set_value();
+    });
+    Ran.get_future().wait();
+  }
+
+  /// Sends one request on a connection of its own and returns the whole response.
+  std::string exchange(const std::string &Head, const std::string &Body = "") const {
+    boost::asio::io_context Io;
+    boost::asio::ip::tcp::socket Socket(Io);
+    Socket.connect({boost::asio::ip::make_address("127.0.0.1"), m_Port});
+    const std::string Text =
+        Head + "Connection: close\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+    boost::asio::write(Socket, boost::asio::buffer(Text));
+    std::string Answer;
+    boost::system::error_code Ended;
+    boost::asio::read(Socket, boost::asio::dynamic_buffer(Answer), Ended);
+    return Answer;
+  }
+
+  void awaitReady() const {
+    while (exchange("GET /readyz HTTP/1.1\r\n").find("200 OK") == std::string::npos)
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  void awaitHeld(size_t Count) {
+    for (size_t Held = 0; Held < Count; std::this_thread::yield())
+      run([this, &Held] { Held = m_Agent->m_Held.size(); });
+  }
+
+  wire::EntrySyncReply table() const {
+    wire::EntrySyncReply Reply;
+    Reply.routeVersion = 3;
+    Reply.configVersion = 2;
+    Reply.fresh = true;
+    Reply.workspaces = {"malabar"};
+    wire::ServiceConfig Service;
+    Service.name = "sieve";
+    Service.classes = {sessionClass("quote", true), sessionClass("reorder", false)};
+    Reply.services = {Service};
+    for (const char *Vm : {"minion-1", "minion-2"}) {
+      wire::RouteTarget Target;
+      Target.vm = Vm;
+      Target.availabilityZone = "kochi";
+      Target.serviceName = "sieve";
+      Target.agentAddress = m_Agent->endpoint().str();
+      Target.incarnation = 7;
+      Target.slots = 8;
+      Target.usable = true;
+      Reply.routes.push_back(Target);
+    }
+    return Reply;
+  }
+
+  boost::asio::io_context m_Io;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_Work{m_Io.get_executor()};
+  std::vector<std::string> m_Notes; ///< What the fakes were asked; touched by the entry's thread only.
+  std::unique_ptr<FakeControl> m_Controls[2];
+  std::unique_ptr<FakeAgent> m_Agent;
+  std::unique_ptr<Entry> m_Entry;
+  uint16_t m_Port = 0;
+  std::thread m_Thread;
+};
+
+} // namespace anvil::entry::testing
+
+#endif // ANVIL_TESTS_ENTRY_SESSIONHARNESS_H
