--- a/include/anvil/agent/AgentTypes.h
+++ b/include/anvil/agent/AgentTypes.h
@@ -1,10 +1,10 @@
 #ifndef ANVIL_AGENT_AGENTTYPES_H
 #define ANVIL_AGENT_AGENTTYPES_H
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -25,7 +25,12 @@
   int64_t m_JobId = 0;
   int32_t m_TaskIndex = 0;
   int64_t m_StartToken = 0;
-  auto operator<=>(const TaskKey &) const = default;
+  bool operator==(const TaskKey &) const = default;
+  /// Orders by job, task and start token.
+  bool operator<(const TaskKey &Other) const {
+    return std::tie(m_JobId, m_TaskIndex, m_StartToken) <
+           std::tie(Other.m_JobId, Other.m_TaskIndex, Other.m_StartToken);
+  }
 };
 
 /// Bounds and periods of AgentGate. The defaults are those of the design page.
--- a/src/agent/TaskTable.h
+++ b/src/agent/TaskTable.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -46,7 +47,9 @@
   struct TaskId {
     int64_t m_JobId = 0;
     int32_t m_TaskIndex = 0;
-    auto operator<=>(const TaskId &) const = default;
+    bool operator<(const TaskId &Other) const {
+      return std::tie(m_JobId, m_TaskIndex) < std::tie(Other.m_JobId, Other.m_TaskIndex);
+    }
   };
   struct Record {
     int64_t m_StartToken = 0;
--- a/tests/agent/GateBench.h
+++ b/tests/agent/GateBench.h
@@ -141,15 +141,15 @@
     m_Replies[Item.m_Call.value()] = std::move(Item.m_Reply);
   }
   void file(SendToMinion Item) { m_Sent.push_back(std::move(Item)); }
-  void file(AbandonExchange) { ++m_Abandoned; }
+  void file(const AbandonExchange &) { ++m_Abandoned; }
   void file(ProbeMinion) { ++m_Probes; }
   void file(SendHeartbeat Item) {
     m_Heartbeats.push_back(Item.m_Message);
     step(HeartbeatSent{Item.m_Message.sequence});
   }
-  void file(SwitchControl) { ++m_Switches; }
+  void file(const SwitchControl &) { ++m_Switches; }
   void file(StartTask Item) { m_Starts.push_back(std::move(Item)); }
-  void file(RenewTask Item) { m_Renewals.push_back(Item); }
+  void file(const RenewTask &Item) { m_Renewals.push_back(Item); }
   void file(CheckpointTask Item) { m_Checkpoints.push_back(Item.m_Key); }
   void file(ThrottleTask Item) { m_Throttles.push_back(Item.m_Key); }
   void file(StopTask Item) { m_Stops.push_back(Item.m_Key); }
--- a/tests/agent/RandomTest.cpp
+++ b/tests/agent/RandomTest.cpp
@@ -107,7 +107,7 @@
     const int64_t Token = m_Dice.oneIn(3) ? 0 : m_NextToken + 1 - static_cast<int64_t>(m_Dice.below(12));
     m_NextToken += m_Dice.oneIn(2) ? 1 : 0;
     wire::ExecuteRequest Request =
-        GateBench::request("r" + std::to_string(++m_Requests), std::max<int64_t>(Token, 0), 1 + m_Dice.below(1500));
+        GateBench::request("r" + std::to_string(++m_Requests), std::max<int64_t>(Token, 0), static_cast<int64_t>(1 + m_Dice.below(1500)));
     if (m_Dice.oneIn(20))
       Request.incarnation = GateBench::Incarnation - 1;
     const int64_t Call = m_Bench.arrive(Request);
@@ -289,7 +289,8 @@
       BOOST_REQUIRE_MESSAGE(m_EverStarted.insert(Key).second, "start token used twice: " << Key.m_StartToken);
       m_Running.insert(Key);
     }
-    BOOST_REQUIRE_MESSAGE(m_Running.size() * AcceleratorsPerTask <= 8, "tasks hold more accelerators than the worker has");
+    BOOST_REQUIRE_MESSAGE(m_Running.size() * AcceleratorsPerTask <= 8,
+                          "tasks hold more accelerators than the worker has");
   }
 
   Dice m_Dice;
--- a/tests/agentd/FakeControl.h
+++ b/tests/agentd/FakeControl.h
@@ -21,7 +21,7 @@
     net::RpcOptions Options;
     Options.m_Random = [] { return 0.5; };
     m_Server = std::move(*net::RpcServer::create(Io, {"127.0.0.1", 0}, Options));
-    m_Server->handle(wire::Method::AGENT_HEARTBEAT, [this](const net::RpcCall &Call, net::RpcResponder Respond) {
+    m_Server->handle(wire::Method::AGENT_HEARTBEAT, [this](const net::RpcCall &Call, const net::RpcResponder &Respond) {
       m_Heartbeats.push_back(*net::decodeAs<wire::AgentHeartbeat>(Call.m_Body));
       if (m_Silent)
         return;
