--- a/include/anvil/base/Ids.h
+++ b/include/anvil/base/Ids.h
@@ -23,6 +23,8 @@
   const std::string &str() const { return m_Value; }
   bool empty() const { return m_Value.empty(); }
 
+  // clang-tidy 14 reports the code that the compiler generates for the defaulted operator.
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   auto operator<=>(const NamedId &) const = default;
 
   // NOLINTNEXTLINE(readability-identifier-naming): Abseil looks for this name.
--- a/src/sched/CorePlan.cpp
+++ b/src/sched/CorePlan.cpp
@@ -66,10 +66,11 @@
   const Resources Total = Candidate.total();
   const double Size = static_cast<double>(std::max<int64_t>(Total.m_Accelerators, Total.m_Cores / 8 + 1));
   double Lost = MoveSeconds;
-  if (Candidate.m_Phase == JobPhase::Placed)
+  if (Candidate.m_Phase == JobPhase::Placed) {
     Lost = 0;
-  else if (!Candidate.m_Spec.m_Checkpointable)
+  } else if (!Candidate.m_Spec.m_Checkpointable) {
     Lost += toSeconds(m_Now - Candidate.m_CheckpointAt);
+  }
   // Stopping it without a checkpoint ends it for good, so it is asked only if nothing else helps.
   if (!Candidate.m_Spec.m_Idempotent)
     Lost += 3600;
@@ -129,7 +130,7 @@
   const Job &Target = m_Jobs[Index];
   auto Change = [this](const Job &Candidate, int Sign) {
     for (const Member &Each : Candidate.m_Members)
-      m_Extra[Each.m_Worker] += Candidate.m_Spec.m_PerTask * (Each.m_Tasks * Sign);
+      m_Extra[Each.m_Worker] += Candidate.m_Spec.m_PerTask * (int64_t{Each.m_Tasks} * Sign);
   };
   auto Search = [&] {
     addHomeBonus(Target.m_Workspace, 1, true);
--- a/src/sched/CoreReclaim.cpp
+++ b/src/sched/CoreReclaim.cpp
@@ -129,10 +129,11 @@
       const bool Leaves = Candidate.m_Phase == JobPhase::Stopping ||
                           std::find(Victims.begin(), Victims.end(), Entry.m_Job) != Victims.end();
       const Claim Own = m_Fleet.claimOf(Place.m_Worker, Candidate.m_Workspace);
-      if (Leaves)
+      if (Leaves) {
         Here.emplace_back(-1, Entry);
-      else if (Candidate.m_Workspace != Target.m_Workspace && !Candidate.pinned() &&
-               !fits(Own.m_Used, Own.m_Guaranteed))
+        continue;
+      }
+      if (Candidate.m_Workspace != Target.m_Workspace && !Candidate.pinned() && !fits(Own.m_Used, Own.m_Guaranteed))
         Here.emplace_back(victimCost(Candidate), Entry);
     }
     std::stable_sort(Here.begin(), Here.end(), [](const auto &A, const auto &B) { return A.first < B.first; });
@@ -191,7 +192,7 @@
 void SchedulerCore::applyHold(const Hold &Target, int Sign) {
   const Resources &PerTask = m_Jobs[Target.m_Job].m_Spec.m_PerTask;
   for (const Member &Each : Target.m_Members) {
-    const Resources Amount = PerTask * (Each.m_Tasks * Sign);
+    const Resources Amount = PerTask * (int64_t{Each.m_Tasks} * Sign);
     m_Fleet.hold(Each.m_Worker, Amount);
     if (Target.m_Kind == HoldKind::Claim)
       m_Fleet.worker(Each.m_Worker).m_HeldByClaims += Amount;
--- a/src/sched/Fleet.cpp
+++ b/src/sched/Fleet.cpp
@@ -42,10 +42,11 @@
   Slot.m_HasAccelerators = Up.m_Capacity.m_Accelerators > 0;
   const auto Listed = std::lower_bound(m_WithAccelerators.begin(), m_WithAccelerators.end(), Index);
   const bool IsListed = Listed != m_WithAccelerators.end() && *Listed == Index;
-  if (Slot.m_HasAccelerators && !IsListed)
+  if (Slot.m_HasAccelerators && !IsListed) {
     m_WithAccelerators.insert(Listed, Index);
-  else if (!Slot.m_HasAccelerators && IsListed)
+  } else if (!Slot.m_HasAccelerators && IsListed) {
     m_WithAccelerators.erase(Listed);
+  }
   refresh(Index);
   return Index;
 }
@@ -119,10 +120,7 @@
     return;
   Slot.m_Usable = Usable;
   m_UsableWorkers += Usable ? 1 : -1;
-  if (Usable)
-    m_UsableCapacity += Target.m_Capacity;
-  else
-    m_UsableCapacity -= Target.m_Capacity;
+  m_UsableCapacity += Target.m_Capacity * (Usable ? 1 : -1);
 }
 
 void Fleet::refreshZone(int32_t ZoneIndex) {
--- a/tests/sched/FailureTest.cpp
+++ b/tests/sched/FailureTest.cpp
@@ -10,6 +10,7 @@
   Fleet.feed(twoWorkspaces(0));
   Fleet.addWorkers(4);
   std::vector<JobId> Jobs;
+  Jobs.reserve(4);
   for (int I = 0; I < 4; ++I)
     Jobs.push_back(Fleet.run(job("a", 1, 2)));
   const VmId Bad = *Fleet.vmsOf(Jobs[0]).begin();
@@ -130,6 +131,7 @@
   JobSpec Movable = job("a", 1, 8);
   Movable.m_Checkpointable = true;
   std::vector<JobId> Jobs;
+  Jobs.reserve(6);
   for (int I = 0; I < 6; ++I)
     Jobs.push_back(Fleet.run(Movable));
   Fleet.advance(10s);
--- a/tests/sched/FakeFleet.h
+++ b/tests/sched/FakeFleet.h
@@ -17,6 +17,9 @@
 
 using namespace std::chrono_literals;
 
+/// Memory of a worker in MiB.
+inline constexpr int64_t WorkerMemory = int64_t{256} * 1024;
+
 /// Drives a Scheduler, obeys its actions, and checks after each step what must always hold.
 class FakeFleet {
 public:
@@ -45,7 +48,7 @@
   /// Adds \p Count workers of 8 accelerators, 64 cores and 256 GiB, two to a rack, two racks to a zone.
   void addWorkers(int Count) {
     for (int I = 0; I < Count; ++I)
-      addWorker(absl::StrCat("w", I), absl::StrCat("zone", I / 4), absl::StrCat("rack", I / 2), {8, 64, 256 * 1024});
+      addWorker(absl::StrCat("w", I), absl::StrCat("zone", I / 4), absl::StrCat("rack", I / 2), {8, 64, WorkerMemory});
   }
 
   JobId submit(const JobSpec &Spec) {
@@ -217,7 +220,7 @@
 inline ConfigurationChanged twoWorkspaces(int32_t Count) {
   WorkspaceConfig A{WorkspaceId("a"), {}, {}};
   if (Count > 0)
-    A.m_Guarantees = {{"node", {8, 64, 256 * 1024}, Adjacency::Vm, Count}};
+    A.m_Guarantees = {{"node", {8, 64, WorkerMemory}, Adjacency::Vm, Count}};
   return {{A, {WorkspaceId("b"), {}, {}}}};
 }
 
--- a/tests/sched/GuaranteeTest.cpp
+++ b/tests/sched/GuaranteeTest.cpp
@@ -91,7 +91,7 @@
   Fleet.addWorkers(1);
   Fleet.advance(100ms);
   BOOST_TEST(Fleet.m_Missing["a/node"] == 1);
-  Fleet.addWorker("extra", "zone1", "rack9", {8, 64, 256 * 1024});
+  Fleet.addWorker("extra", "zone1", "rack9", {8, 64, WorkerMemory});
   Fleet.advance(100ms);
   BOOST_TEST(Fleet.m_Missing["a/node"] == 0);
   Fleet.feed(ZoneWithdrawn{AvailabilityZoneId("zone1")});
@@ -106,7 +106,7 @@
 BOOST_AUTO_TEST_CASE(RackShapesStayClaimable) {
   FakeFleet Fleet;
   ConfigurationChanged Config = twoWorkspaces(0);
-  Config.m_Workspaces[0].m_Guarantees = {{"rack", {16, 64, 64 * 1024}, Adjacency::Rack, 1}};
+  Config.m_Workspaces[0].m_Guarantees = {{"rack", {16, 64, 65536}, Adjacency::Rack, 1}};
   Fleet.feed(Config);
   Fleet.addWorkers(4);
   JobSpec Pinned = job("b", 1, 1);
--- a/tests/sched/RandomEventTest.cpp
+++ b/tests/sched/RandomEventTest.cpp
@@ -10,9 +10,9 @@
 class RandomRun {
 public:
   explicit RandomRun(uint64_t Seed) : m_Random(Seed) {
-    Config.m_Workspaces = {{WorkspaceId("a"), {}, {{"node", {8, 64, 256 * 1024}, Adjacency::Vm, 2}}},
-                           {WorkspaceId("b"), {40, 0, 0}, {{"half", {4, 32, 64 * 1024}, Adjacency::Vm, 2}}},
-                           {WorkspaceId("c"), {}, {{"rack", {8, 32, 32 * 1024}, Adjacency::Rack, 1}}},
+    Config.m_Workspaces = {{WorkspaceId("a"), {}, {{"node", {8, 64, WorkerMemory}, Adjacency::Vm, 2}}},
+                           {WorkspaceId("b"), {40, 0, 0}, {{"half", {4, 32, 65536}, Adjacency::Vm, 2}}},
+                           {WorkspaceId("c"), {}, {{"rack", {8, 32, 32768}, Adjacency::Rack, 1}}},
                            {WorkspaceId("d"), {}, {}}};
     m_Fleet.feed(Config);
     m_Fleet.addWorkers(12);
@@ -72,7 +72,7 @@
         cancel(randomJobId());
       return;
     case 5:
-      return m_Fleet.feed(UsageReported{Vm, {draw(8), draw(80), draw(300) * 1024}, m_Fleet.m_Now});
+      return m_Fleet.feed(UsageReported{Vm, {draw(8), draw(80), int64_t{1024} * draw(300)}, m_Fleet.m_Now});
     case 6: {
       ConfigurationChanged Changed = Config;
       Changed.m_Workspaces[draw(4)].m_Guarantees.clear();
@@ -164,7 +164,7 @@
     }
     BOOST_TEST(m_Fleet.m_Scheduler.counts().m_GuaranteesMissing == 0);
     JobSpec Claimed = job("a", 1, 8);
-    Claimed.m_PerTask = {8, 64, 256 * 1024};
+    Claimed.m_PerTask = {8, 64, WorkerMemory};
     const JobId First = m_Fleet.submit(Claimed);
     const JobId Second = m_Fleet.submit(Claimed);
     for (int I = 0; I < 45; ++I) {
--- a/tests/sched/SchedulerTest.cpp
+++ b/tests/sched/SchedulerTest.cpp
@@ -74,7 +74,7 @@
   BOOST_TEST(Fleet.m_Scheduler.counts().m_Parked == 3);
   BOOST_TEST(Fleet.explain(TooLarge).find("parked") != std::string::npos);
 
-  Fleet.addWorker("extra", "zone0", "rack0", {8, 64, 256 * 1024});
+  Fleet.addWorker("extra", "zone0", "rack0", {8, 64, WorkerMemory});
   Fleet.advance(1s);
   BOOST_TEST(Fleet.m_Jobs[TooLarge].m_Placed);
   Fleet.start(TooLarge);
@@ -94,6 +94,7 @@
   Fleet.feed(Config);
   Fleet.addWorkers(2);
   std::vector<JobId> Jobs;
+  Jobs.reserve(6);
   for (int I = 0; I < 6; ++I)
     Jobs.push_back(Fleet.submit(job("a", 1, 1)));
   Fleet.advance(1s);
