sched: Place guaranteed pieces of equal size from one list; measure decisions with a backlog

Cause: after the loss of a zone each of about 100 pieces searched all workers. Change: one sorted list for all pieces of a size that fit one VM.

--- a/bench/Cost.cpp
+++ b/bench/Cost.cpp
@@ -20,7 +20,9 @@
 
   CostFigures run() {
     setUp();
-    steadyState();
+    steadyState(m_Figures.m_DecisionP50, m_Figures.m_DecisionP99, m_Figures.m_ScansPerDecision);
+    addBacklog();
+    steadyState(m_Figures.m_BacklogP50, m_Figures.m_BacklogP99, m_Figures.m_BacklogScans);
     m_Figures.m_StateMegabytes = static_cast<double>(m_Scheduler.approximateBytes()) / 1e6;
     cancelWave();
     zoneLoss();
@@ -109,7 +111,7 @@
   }
 
   /// Ends one gang and submits another, and counts each step as a decision.
-  void steadyState() {
+  void steadyState(double &P50, double &P99, double &Scans) {
     constexpr int Rounds = 1500;
     std::vector<double> Spans;
     const int64_t ScannedBefore = m_Scheduler.counts().m_WorkersScanned;
@@ -133,10 +135,29 @@
       settleReclaims();
     }
     const int64_t Scanned = m_Scheduler.counts().m_WorkersScanned - ScannedBefore;
-    m_Figures.m_ScansPerDecision = static_cast<double>(Scanned) / static_cast<double>(Spans.size());
+    Scans = static_cast<double>(Scanned) / static_cast<double>(Spans.size());
     std::sort(Spans.begin(), Spans.end());
-    m_Figures.m_DecisionP50 = Spans[Spans.size() / 2];
-    m_Figures.m_DecisionP99 = Spans[Spans.size() * 99 / 100];
+    P50 = Spans[Spans.size() / 2];
+    P99 = Spans[Spans.size() * 99 / 100];
+  }
+
+  /// Submits gangs until a share of the fleet's accelerators is waited for in vain.
+  void addBacklog() {
+    const int64_t Wanted = std::max(8, 400 / m_Divisor);
+    for (int I = 0; I < 4000 && m_Scheduler.counts().m_Queued < Wanted; ++I) {
+      JobSpec Spec = draw();
+      Spec.m_Tasks = static_cast<int32_t>(std::min<uint64_t>(8 + m_Random() % 249, 2048 / m_Divisor));
+      Spec.m_PerTask = {1, 6, 24 * 1024};
+      double Ignored = 0;
+      submit(Spec, Ignored);
+      advance(std::chrono::milliseconds(25));
+      step(Tick{});
+      startPlaced();
+      settleReclaims();
+    }
+    // Long enough for gangs to be displaced and to get reservations.
+    advance(std::chrono::hours(1));
+    m_Figures.m_Backlog = m_Scheduler.counts().m_Queued;
   }
 
   void settleReclaims() {
@@ -180,6 +201,7 @@
   /// Withdraws one zone until no more gangs are asked to move, then loses all its workers at once.
   void zoneLoss() {
     advance(std::chrono::seconds(1));
+    const int64_t ScannedBefore = m_Scheduler.counts().m_WorkersScanned;
     m_Figures.m_ZoneWithdrawn = step(ZoneWithdrawn{AvailabilityZoneId("zone-2"), std::chrono::seconds(60)});
     for (int Quiet = 0; Quiet < 6;) {
       advance(std::chrono::milliseconds(100));
@@ -190,6 +212,7 @@
       m_Reclaimed.clear();
       startPlaced();
     }
+    m_Figures.m_ZoneScans = static_cast<double>(m_Scheduler.counts().m_WorkersScanned - ScannedBefore);
     for (const WorkerUp &Each : fullFleet(m_Divisor)) {
       if (Each.m_Zone.str() == "zone-4")
         m_Figures.m_ZoneLost += step(WorkerLost{Each.m_Vm});
--- a/bench/Cost.h
+++ b/bench/Cost.h
@@ -15,8 +15,14 @@
   double m_DecisionP99 = 0;
   /// Worker records read per decision, which does not depend on the machine.
   double m_ScansPerDecision = 0;
+  /// The same while jobs wait that do not fit.
+  int64_t m_Backlog = 0;
+  double m_BacklogP50 = 0;
+  double m_BacklogP99 = 0;
+  double m_BacklogScans = 0;
   double m_ZoneWithdrawn = 0;
   double m_ZoneLost = 0;
+  double m_ZoneScans = 0;
   double m_CancelWave = 0;
   int64_t m_Cancelled = 0;
   double m_StateMegabytes = 0;
--- a/bench/Report.cpp
+++ b/bench/Report.cpp
@@ -67,14 +67,18 @@
 }
 
 void printCost(const std::vector<CostFigures> &Sizes) {
-  absl::PrintF("\ndecision cost, one core\n  %7s %7s %8s %9s %9s %11s %12s %9s %12s %8s\n", "workers", "accel", "tasks",
-               "p50 ms", "p99 ms", "scans/dec", "withdraw ms", "lost ms", "cancel ms", "MB");
+  absl::PrintF("\ndecision cost, one core; times in ms\n  %7s %6s %7s %8s %8s %9s %8s %8s %8s %9s %9s %8s %13s %7s\n",
+               "workers", "accel", "tasks", "p50", "p99", "scans/dec", "backlog", "p50", "p99", "scans/dec", "withdraw",
+               "lost", "cancel", "MB");
   for (const CostFigures &Each : Sizes)
-    absl::PrintF("  %7d %7d %8d %9.3f %9.3f %11.0f %12.1f %9.1f %6.1f/%5d %8.2f\n", Each.m_Workers, Each.m_Accelerators,
-                 Each.m_Tasks, Each.m_DecisionP50, Each.m_DecisionP99, Each.m_ScansPerDecision, Each.m_ZoneWithdrawn,
+    absl::PrintF("  %7d %6d %7d %8.3f %8.3f %9.0f %8d %8.3f %8.3f %9.0f %9.1f %8.1f %7.1f/%5d %7.2f\n", Each.m_Workers,
+                 Each.m_Accelerators, Each.m_Tasks, Each.m_DecisionP50, Each.m_DecisionP99, Each.m_ScansPerDecision,
+                 Each.m_Backlog, Each.m_BacklogP50, Each.m_BacklogP99, Each.m_BacklogScans, Each.m_ZoneWithdrawn,
                  Each.m_ZoneLost, Each.m_CancelWave, Each.m_Cancelled, Each.m_StateMegabytes);
-  absl::PrintF("  slope   %31.2f %9.2f %11.2f %12.2f %9.2f %12.2f %8.2f\n", slopeOf(Sizes, &CostFigures::m_DecisionP50),
-               slopeOf(Sizes, &CostFigures::m_DecisionP99), slopeOf(Sizes, &CostFigures::m_ScansPerDecision),
+  absl::PrintF("  slope %25.2f %8.2f %9.2f %17.2f %8.2f %9.2f %9.2f %8.2f %7.2f %13.2f\n",
+               slopeOf(Sizes, &CostFigures::m_DecisionP50), slopeOf(Sizes, &CostFigures::m_DecisionP99),
+               slopeOf(Sizes, &CostFigures::m_ScansPerDecision), slopeOf(Sizes, &CostFigures::m_BacklogP50),
+               slopeOf(Sizes, &CostFigures::m_BacklogP99), slopeOf(Sizes, &CostFigures::m_BacklogScans),
                slopeOf(Sizes, &CostFigures::m_ZoneWithdrawn), slopeOf(Sizes, &CostFigures::m_ZoneLost),
                slopeOf(Sizes, &CostFigures::m_CancelWave), slopeOf(Sizes, &CostFigures::m_StateMegabytes));
 }
@@ -128,6 +132,7 @@
     return;
   const CostFigures &Full = Sizes.back();
   printTarget("cost: decision p99 at full size", Full.m_DecisionP99, 10, true, "ms");
+  printTarget("cost: decision p99 at full size with a backlog", Full.m_BacklogP99, 10, true, "ms");
   printTarget("cost: reaction to a withdrawn zone", Full.m_ZoneWithdrawn, 500, true, "ms");
   printTarget("cost: reaction to a lost zone", Full.m_ZoneLost, 500, true, "ms");
   printTarget("cost: wave of cancellations", Full.m_CancelWave, 1000, true, "ms");
@@ -138,6 +143,10 @@
   printTarget("cost: slope of decision p99", slopeOf(Sizes, &CostFigures::m_DecisionP99), NLogNSlope, true, "");
   printTarget("cost: slope of the wave of cancellations", slopeOf(Sizes, &CostFigures::m_CancelWave), NLogNSlope, true,
               "");
+  printTarget("cost: slope of the reaction to a withdrawn zone", slopeOf(Sizes, &CostFigures::m_ZoneWithdrawn),
+              NLogNSlope, true, "");
+  printTarget("cost: slope of the reaction to a lost zone", slopeOf(Sizes, &CostFigures::m_ZoneLost), NLogNSlope, true,
+              "");
   printTarget("cost: state", Full.m_StateMegabytes, 256, true, "MB");
 }
 
@@ -162,6 +171,11 @@
                          {"decision_p50_ms", Each.m_DecisionP50},
                          {"decision_p99_ms", Each.m_DecisionP99},
                          {"scans_per_decision", Each.m_ScansPerDecision},
+                         {"backlog", Each.m_Backlog},
+                         {"backlog_p50_ms", Each.m_BacklogP50},
+                         {"backlog_p99_ms", Each.m_BacklogP99},
+                         {"backlog_scans_per_decision", Each.m_BacklogScans},
+                         {"zone_scans", Each.m_ZoneScans},
                          {"zone_withdrawn_ms", Each.m_ZoneWithdrawn},
                          {"zone_lost_ms", Each.m_ZoneLost},
                          {"cancel_wave_ms", Each.m_CancelWave},
--- a/src/sched/Core.h
+++ b/src/sched/Core.h
@@ -46,6 +46,11 @@
     /// For backfill: the expected end of the job that did not fit.
     TimePoint m_End{};
   };
+  /// Workers that had room for a guaranteed piece of a size, the tightest last.
+  struct PieceRooms {
+    Resources m_Need{-1, 0, 0};
+    std::vector<WorkerIndex> m_Workers{};
+  };
   /// Timers ordered by instant.
   using TimerSet = std::set<std::pair<TimePoint, int32_t>>;
   /// A gang that may be asked to leave, with the cost of doing so.
@@ -165,6 +170,7 @@
   void rebuildHomes();
   bool pieceKept(const Piece &Target) const;
   bool placePiece(Piece &Target);
+  bool placeOnOneVm(Piece &Target, PieceRooms &Rooms);
   void releasePiece(Piece &Target);
   void listHomes();
   void warnMissing();
--- a/src/sched/CoreGuarantees.cpp
+++ b/src/sched/CoreGuarantees.cpp
@@ -44,13 +44,11 @@
       return Left.m_Adjacency > Right.m_Adjacency;
     return Left.m_Resources.m_Accelerators > Right.m_Resources.m_Accelerators;
   });
-  const GuaranteedShape *LastFailed = nullptr;
+  PieceRooms Rooms;
   for (const size_t I : Order) {
     Piece &Each = m_Pieces[I];
-    if (!Each.m_Parts.empty() || (LastFailed != nullptr && Each.m_Shape == *LastFailed))
-      continue;
-    if (!placePiece(Each))
-      LastFailed = &Each.m_Shape;
+    if (Each.m_Parts.empty() && !placeOnOneVm(Each, Rooms))
+      placePiece(Each);
   }
   listHomes();
   warnMissing();
@@ -62,11 +60,47 @@
   });
 }
 
+/// Places a piece that fits one VM on the tightest worker. Reads all workers once for many pieces of equal size.
+bool SchedulerCore::placeOnOneVm(Piece &Target, PieceRooms &Rooms) {
+  const Resources &Need = Target.m_Shape.m_Resources;
+  if (Target.m_Shape.m_Adjacency != Adjacency::Vm)
+    return false;
+  if (Rooms.m_Need != Need) {
+    Rooms.m_Need = Need;
+    Rooms.m_Workers.clear();
+    for (WorkerIndex Index = 0; Index < m_Fleet.size(); ++Index) {
+      if (m_Fleet.slot(Index).m_Usable && fits(Need, m_Fleet.slot(Index).m_PinRoom))
+        Rooms.m_Workers.push_back(Index);
+    }
+    // The tightest worker is last, where it is taken from.
+    std::sort(Rooms.m_Workers.begin(), Rooms.m_Workers.end(), [this](WorkerIndex A, WorkerIndex B) {
+      const Resources &Left = m_Fleet.slot(A).m_PinRoom;
+      const Resources &Right = m_Fleet.slot(B).m_PinRoom;
+      if (Left.m_Accelerators != Right.m_Accelerators)
+        return Left.m_Accelerators > Right.m_Accelerators;
+      return Left.m_Cores != Right.m_Cores ? Left.m_Cores > Right.m_Cores : A > B;
+    });
+  }
+  while (!Rooms.m_Workers.empty()) {
+    const WorkerIndex Index = Rooms.m_Workers.back();
+    if (fits(Need, m_Fleet.slot(Index).m_PinRoom)) {
+      Target.m_Parts.emplace_back(Index, Need);
+      m_Fleet.guarantee(Index, Target.m_Workspace, Need);
+      return true;
+    }
+    Rooms.m_Workers.pop_back();
+  }
+  return false;
+}
+
 bool SchedulerCore::placePiece(Piece &Target) {
   const Demand Units = unitsOf(Target.m_Shape);
+  // Gangs of the owner that cannot be reclaimed make a worker possible that would not be without them.
   std::vector<WorkerIndex> Usable;
   for (WorkerIndex Index = 0; Index < m_Fleet.size(); ++Index) {
-    if (m_Fleet.slot(Index).m_Usable && !anyNegative(m_Fleet.slot(Index).m_PinRoom))
+    const WorkerSlot &Slot = m_Fleet.slot(Index);
+    if (Slot.m_Usable && !anyNegative(Slot.m_PinRoom) &&
+        (Slot.m_HasAccelerators || Units.m_PerTask.m_Accelerators == 0))
       Usable.push_back(Index);
   }
   const std::vector<Member> Found = m_Finder.findAmong(Units, Usable, [&](WorkerIndex Index) {
