sched: Keep work without accelerators off guaranteed accelerator workers

Cause: at full size 900 accelerators were free while gangs of 32 waited for hours. Gangs without accelerators were placed on their workspace's guaranteed workers first and took all their cores. Change: such gangs look at the guarantee of their workspace last.

--- a/src/sched/CorePass.cpp
+++ b/src/sched/CorePass.cpp
@@ -198,6 +198,9 @@
   const std::vector<WorkerIndex> Avoid = avoided(Target);
   std::vector<WorkerIndex> Usable;
   for (const WorkerIndex Worker : Homes) {
+    // Work without accelerators would take the cores that the guaranteed accelerators need; it looks elsewhere first.
+    if (Target.m_Spec.m_PerTask.m_Accelerators == 0 && m_Fleet.slot(Worker).m_HasAccelerators)
+      continue;
     if (m_Fleet.slot(Worker).m_Usable && std::find(Avoid.begin(), Avoid.end(), Worker) == Avoid.end())
       Usable.push_back(Worker);
   }
