--- a/src/sched/CorePlan.cpp
+++ b/src/sched/CorePlan.cpp
@@ -12,8 +12,8 @@
 // of a fixed time and a multiple of its run time. Early reservations cost more than they give: with 3 min for all, 14
 // to 23% of the accelerators of the users' busy day were idle while more were asked for.
 constexpr Duration ReserveAfterUrgent = std::chrono::seconds(10);
-constexpr Duration ReserveAfterOther = std::chrono::minutes(30);
-constexpr int ReserveAfterRunTimes = 2;
+constexpr Duration ReserveAfterOther = std::chrono::minutes(60);
+constexpr int ReserveAfterRunTimes = 4;
 // Single tasks below this many accelerators find room soon enough without a reservation.
 constexpr int64_t LargeTask = 4;
 // Share of the accelerators or cores that reservations together may keep.
