--- a/bench/Baselines.cpp
+++ b/bench/Baselines.cpp
@@ -17,7 +17,7 @@
       m_Index[Source.m_Workers[I].m_Vm] = I;
       m_Free.push_back(Source.m_Workers[I].m_Capacity);
     }
-    m_Up.assign(m_Free.size(), true);
+    m_Up.assign(m_Free.size(), 1);
     m_Owner.assign(m_Free.size(), -1);
     if (Partition)
       assignOwners();
@@ -38,12 +38,10 @@
   };
 
   void assignOwners() {
-    double Total = 0;
     std::vector<double> Weight;
     for (const WorkspaceConfig &Each : m_Table.m_Workspaces) {
       const GuaranteedShape &Shape = Each.m_Guarantees[0];
       Weight.push_back(static_cast<double>(Shape.m_Resources.m_Accelerators * Shape.m_Count));
-      Total += Weight.back();
     }
     std::vector<double> Given(Weight.size());
     for (size_t I = 0; I < m_Free.size(); ++I) {
@@ -90,7 +88,7 @@
   void on(const ZoneRestored &Event) { setZone(Event.m_Zone, false); }
 
   void setUp(size_t Worker, bool Up) {
-    m_Up[Worker] = Up;
+    m_Up[Worker] = Up ? 1 : 0;
     m_Dirty = true;
     m_Failed.clear();
   }
--- a/bench/Cost.cpp
+++ b/bench/Cost.cpp
@@ -56,10 +56,10 @@
     Spec.m_DeclaredRunTime = std::chrono::minutes(30 + m_Random() % 600);
     if (Pick < 82) {
       Spec.m_Tasks = static_cast<int32_t>(std::min<uint64_t>(64 + m_Random() % 193, 3072 / m_Divisor));
-      Spec.m_PerTask = {0, 2, 3 * 1024};
+      Spec.m_PerTask = {0, 2, 3 * Gib};
     } else {
       Spec.m_Tasks = static_cast<int32_t>(std::min(256 >> (m_Random() % 6), 2048 / m_Divisor));
-      Spec.m_PerTask = {1, 6, 24 * 1024};
+      Spec.m_PerTask = {1, 6, 24 * Gib};
       Spec.m_Adjacency = Adjacency::Rack;
       Spec.m_Urgency = Pick >= 95 ? Urgency::Urgent : Urgency::Batch;
       if (Pick >= 95)
@@ -91,7 +91,7 @@
     ConfigurationChanged Config;
     for (int I = 0; I < m_Teams; ++I)
       Config.m_Workspaces.push_back(
-          {WorkspaceId(absl::StrCat("team-", I)), {}, {{"shape", {8, 64, 256 * 1024}, Adjacency::Vm, 3}}});
+          {WorkspaceId(absl::StrCat("team-", I)), {}, {{"shape", {8, 64, 256 * Gib}, Adjacency::Vm, 3}}});
     step(Config);
     for (const WorkerUp &Each : Fleet) {
       step(Each);
@@ -147,7 +147,7 @@
     for (int I = 0; I < 4000 && m_Scheduler.counts().m_Queued < Wanted; ++I) {
       JobSpec Spec = draw();
       Spec.m_Tasks = static_cast<int32_t>(std::min<uint64_t>(8 + m_Random() % 249, 2048 / m_Divisor));
-      Spec.m_PerTask = {1, 6, 24 * 1024};
+      Spec.m_PerTask = {1, 6, 24 * Gib};
       double Ignored = 0;
       submit(Spec, Ignored);
       advance(std::chrono::milliseconds(25));
--- a/bench/Workload.cpp
+++ b/bench/Workload.cpp
@@ -132,16 +132,15 @@
   Table Result;
   Result.m_Name = absl::StrFormat("malabar-%.2f", Load);
   Result.m_Seed = Seed;
-  Result.m_Workers = smallFleet({"kochi", "alappuzha", "kollam"}, {8, 64, 256 * 1024});
-  Result.m_Workspaces = {workspace("quotes", {2, 16, 32 * 1024}, Adjacency::Vm, 6),
-                         workspace("sieve", {8, 64, 256 * 1024}, Adjacency::Vm, 1),
-                         workspace("ledger", {4, 32, 64 * 1024}, Adjacency::Vm, 2),
-                         workspace("research", {8, 64, 256 * 1024}, Adjacency::Vm, 2)};
+  Result.m_Workers = smallFleet({"kochi", "alappuzha", "kollam"}, {8, 64, 256 * Gib});
+  Result.m_Workspaces = {workspace("quotes", {2, 16, 32 * Gib}, Adjacency::Vm, 6),
+                         workspace("sieve", {8, 64, 256 * Gib}, Adjacency::Vm, 1),
+                         workspace("ledger", {4, 32, 64 * Gib}, Adjacency::Vm, 2),
+                         workspace("research", {8, 64, 256 * Gib}, Adjacency::Vm, 2)};
   Draw Random(Seed);
-  addStream(Result,
-            {"quotes", "dealer-quote", Urgency::WorkingDay, 60, 9, 18, {1}, {1, 4, 8 * 1024}, 25, 0.5, 300, 180},
+  addStream(Result, {"quotes", "dealer-quote", Urgency::WorkingDay, 60, 9, 18, {1}, {1, 4, 8 * Gib}, 25, 0.5, 300, 180},
             Random);
-  addStream(Result, {"quotes", "urgent-quote", Urgency::Urgent, 4, 0, 24, {1, 2}, {1, 4, 8 * 1024}, 40, 0.5, 300, 300},
+  addStream(Result, {"quotes", "urgent-quote", Urgency::Urgent, 4, 0, 24, {1, 2}, {1, 4, 8 * Gib}, 40, 0.5, 300, 300},
             Random);
   addStream(Result,
             {"sieve",
@@ -151,7 +150,7 @@
              0,
              24,
              {1, 1, 2, 4},
-             {1, 4, 16 * 1024},
+             {1, 4, 16 * Gib},
              500,
              0.9,
              3 * Hour,
@@ -170,7 +169,7 @@
              19,
              24,
              {1},
-             {4, 16, 32 * 1024},
+             {4, 16, 32 * Gib},
              1200,
              0.4,
              2 * Hour,
@@ -186,7 +185,7 @@
              0,
              22,
              {4, 8, 16, 24},
-             {1, 6, 24 * 1024},
+             {1, 6, 24 * Gib},
              4000,
              1.0,
              8 * Hour,
@@ -208,17 +207,17 @@
   Table Result;
   Result.m_Name = absl::StrFormat("swanbourne-%.2f", Load);
   Result.m_Seed = Seed;
-  Result.m_Workers = smallFleet({"welshpool", "osborne", "canning", "bunbury"}, {8, 128, 512 * 1024});
-  Result.m_Workspaces = {workspace("reorders", {4, 32, 64 * 1024}, Adjacency::Vm, 4),
-                         workspace("proofs", {8, 128, 512 * 1024}, Adjacency::Vm, 1),
-                         workspace("bank", {8, 64, 128 * 1024}, Adjacency::Vm, 1),
-                         workspace("analysis", {8, 128, 512 * 1024}, Adjacency::Vm, 1)};
+  Result.m_Workers = smallFleet({"welshpool", "osborne", "canning", "bunbury"}, {8, 128, 512 * Gib});
+  Result.m_Workspaces = {workspace("reorders", {4, 32, 64 * Gib}, Adjacency::Vm, 4),
+                         workspace("proofs", {8, 128, 512 * Gib}, Adjacency::Vm, 1),
+                         workspace("bank", {8, 64, 128 * Gib}, Adjacency::Vm, 1),
+                         workspace("analysis", {8, 128, 512 * Gib}, Adjacency::Vm, 1)};
   Draw Random(Seed);
   addStream(
       Result,
-      {"reorders", "reorder", Urgency::WorkingDay, 80, 6, 20, {1}, {1, 4, 8 * 1024}, 30, 0.4, 300, 600, false, false},
+      {"reorders", "reorder", Urgency::WorkingDay, 80, 6, 20, {1}, {1, 4, 8 * Gib}, 30, 0.4, 300, 600, false, false},
       Random);
-  addStream(Result, {"reorders", "range-check", Urgency::Urgent, 40, 0, 24, {1}, {1, 2, 4 * 1024}, 10, 0.4, 60, 60},
+  addStream(Result, {"reorders", "range-check", Urgency::Urgent, 40, 0, 24, {1}, {1, 2, 4 * Gib}, 10, 0.4, 60, 60},
             Random);
   addStream(Result,
             {"proofs",
@@ -228,7 +227,7 @@
              0,
              24,
              {1, 2, 2},
-             {1, 8, 16 * 1024},
+             {1, 8, 16 * Gib},
              400,
              0.8,
              3 * Hour,
@@ -247,7 +246,7 @@
              20,
              24,
              {1},
-             {8, 64, 128 * 1024},
+             {8, 64, 128 * Gib},
              4500,
              0.2,
              2 * Hour,
@@ -265,7 +264,7 @@
              0,
              23,
              {4, 8, 16, 24},
-             {1, 10, 40 * 1024},
+             {1, 10, 40 * Gib},
              3600,
              1.0,
              8 * Hour,
@@ -298,7 +297,7 @@
     Result.push_back({VmId(absl::StrCat("vm-", I)),
                       AvailabilityZoneId(absl::StrCat("zone-", Zone)),
                       RackId(absl::StrCat("rack-", Rack)),
-                      {Accelerators, 64, 256 * 1024}});
+                      {Accelerators, 64, 256 * Gib}});
   }
   return Result;
 }
@@ -311,7 +310,7 @@
   constexpr int Teams = 200;
   constexpr double Hours = 10;
   for (int I = 0; I < Teams; ++I) {
-    Result.m_Workspaces.push_back(workspace(absl::StrCat("team-", I), {8, 64, 256 * 1024}, Adjacency::Vm, 3));
+    Result.m_Workspaces.push_back(workspace(absl::StrCat("team-", I), {8, 64, 256 * Gib}, Adjacency::Vm, 3));
     Result.m_Workspaces.back().m_Quota = {2400, 0, 0};
   }
   Draw Random(Seed);
@@ -325,7 +324,7 @@
                0,
                Hours,
                {64, 128, 256, 256},
-               {0, 2, 3 * 1024},
+               {0, 2, 3 * Gib},
                14000,
                0.7,
                9 * Hour,
@@ -341,7 +340,7 @@
                0,
                Hours,
                {8, 16, 32, 64, 128, 256},
-               {1, 6, 24 * 1024},
+               {1, 6, 24 * Gib},
                9000,
                0.9,
                9 * Hour,
@@ -352,7 +351,7 @@
                1.0},
               Random);
     addStream(Result,
-              {Name, "interactive", Urgency::Urgent, 1.0 / 24, 0, Hours, {1, 2, 4}, {1, 4, 8 * 1024}, 300, 0.7, Hour},
+              {Name, "interactive", Urgency::Urgent, 1.0 / 24, 0, Hours, {1, 2, 4}, {1, 4, 8 * Gib}, 300, 0.7, Hour},
               Random);
     addStream(Result,
               {Name,
@@ -362,7 +361,7 @@
                0,
                Hours,
                {1, 4, 8},
-               {1, 4, 8 * 1024},
+               {1, 4, 8 * Gib},
                3000,
                0.7,
                4 * Hour,
--- a/bench/World.h
+++ b/bench/World.h
@@ -18,6 +18,9 @@
 
 using namespace anvil::sched;
 
+/// One GiB in MiB.
+inline constexpr int64_t Gib = 1024;
+
 /// One job of an arrival table.
 struct Arrival {
   JobSpec m_Spec{};
