--- a/tests/agent/GateBench.h
+++ b/tests/agent/GateBench.h
@@ -143,7 +143,7 @@
   void file(SendToMinion Item) { m_Sent.push_back(std::move(Item)); }
   void file(const AbandonExchange &) { ++m_Abandoned; }
   void file(ProbeMinion) { ++m_Probes; }
-  void file(SendHeartbeat Item) {
+  void file(const SendHeartbeat &Item) {
     m_Heartbeats.push_back(Item.m_Message);
     step(HeartbeatSent{Item.m_Message.sequence});
   }
--- a/tests/agent/RandomTest.cpp
+++ b/tests/agent/RandomTest.cpp
@@ -106,8 +106,8 @@
   void arrive() {
     const int64_t Token = m_Dice.oneIn(3) ? 0 : m_NextToken + 1 - static_cast<int64_t>(m_Dice.below(12));
     m_NextToken += m_Dice.oneIn(2) ? 1 : 0;
-    wire::ExecuteRequest Request =
-        GateBench::request("r" + std::to_string(++m_Requests), std::max<int64_t>(Token, 0), static_cast<int64_t>(1 + m_Dice.below(1500)));
+    wire::ExecuteRequest Request = GateBench::request("r" + std::to_string(++m_Requests), std::max<int64_t>(Token, 0),
+                                                      static_cast<int64_t>(1 + m_Dice.below(1500)));
     if (m_Dice.oneIn(20))
       Request.incarnation = GateBench::Incarnation - 1;
     const int64_t Call = m_Bench.arrive(Request);
--- /dev/null
+++ b/tests/agentd/PortTest.cpp
@@ -0,0 +1,181 @@
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "agentd/Loopback.h"
+#include "anvil/agentd/Ports.h"
+#include "fakes/FakeMinion.h"
+#include "fakes/FakeWorker.h"
+
+using namespace anvil;
+using agent::TaskEventKind;
+using agentd::Loopback;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const agent::TaskKey Key{5, 2, 9};
+
+struct MinionFault {
+  const char *m_Name;
+  double fakes::FakeMinionOptions::*m_Rate; ///< Set to 1; null for none.
+  bool m_Whole;
+  int m_Status;
+};
+
+struct WorkerBench : Loopback {
+  explicit WorkerBench(fakes::FakeWorkerOptions Options = {}, Duration CommandTimeout = seconds(10)) {
+    Options.m_UsageLag = Duration(0);
+    m_Worker = std::move(*fakes::FakeWorker::create(m_Io, Options));
+    agentd::WorkerPortOptions Port;
+    Port.m_Worker = m_Worker->endpoint();
+    Port.m_PollPeriod = milliseconds(10);
+    Port.m_CommandTimeout = CommandTimeout;
+    agent::WorkerPort::Hooks Hooks;
+    Hooks.m_OnTask = [this](const agent::TaskEvent &Event) { m_Events.push_back(Event.m_Kind); };
+    Hooks.m_OnInventory = [this](const agent::WorkerInventory &Inventory) { m_Inventory = Inventory; };
+    m_Port = agentd::makeHttpWorkerPort(m_Io, Port, Hooks);
+  }
+
+  void start(Duration Lease) {
+    agent::StartTask Command;
+    Command.m_Key = Key;
+    Command.m_Lease = Lease;
+    Command.m_Resources.cores = 8;
+    m_Port->start(Command);
+  }
+
+  bool sees(TaskEventKind Kind) {
+    return runUntil([&] { return std::find(m_Events.begin(), m_Events.end(), Kind) != m_Events.end(); });
+  }
+
+  std::vector<TaskEventKind> m_Events;
+  std::optional<agent::WorkerInventory> m_Inventory;
+  std::unique_ptr<fakes::FakeWorker> m_Worker;
+  std::unique_ptr<agent::WorkerPort> m_Port;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PortTest)
+
+// Guards against a broken response passed on as whole, a repeated request, and a wrong claim that nothing was sent.
+BOOST_AUTO_TEST_CASE(MinionFaults) {
+  using Options = fakes::FakeMinionOptions;
+  const MinionFault Cases[] = {{"none", nullptr, true, 200},
+                               {"error status", &Options::m_FailRate, true, 500},
+                               {"truncated", &Options::m_TruncateRate, false, 0},
+                               {"closed after running", &Options::m_CloseRate, false, 0},
+                               {"hanging", &Options::m_HangRate, false, 0}};
+  for (const MinionFault &Case : Cases) {
+    BOOST_TEST_CONTEXT(Case.m_Name) {
+      Loopback B;
+      Options Behaviour;
+      Behaviour.m_Random = [] { return 0.0; };
+      Behaviour.m_ServiceMean = milliseconds(1);
+      if (Case.m_Rate)
+        Behaviour.*Case.m_Rate = 1;
+      auto Minion = std::move(*fakes::FakeMinion::create(B.m_Io, Behaviour));
+      const Duration Deadline = Behaviour.m_HangRate > 0 ? Duration(milliseconds(100)) : seconds(10);
+      auto Port = agentd::makeHttpMinionPort(B.m_Io, {Minion->endpoint(), 64, 1u << 20, Deadline});
+      wire::ExecuteRequest Request;
+      Request.requestId = "r1";
+      Request.workspace = "retail";
+      Request.serviceName = "orders";
+      Request.claimId = "retail/orders/k1";
+      Request.httpMethod = "POST";
+      Request.path = "/reorder?book=12";
+      std::optional<agent::MinionResult> Result;
+      Port->send(agent::ExchangeId(1), Request, [&](const agent::MinionResult &Got) { Result = Got; });
+      BOOST_REQUIRE(B.runUntil([&] { return Result.has_value(); }));
+      BOOST_TEST(Result->m_Whole == Case.m_Whole);
+      BOOST_TEST(Result->m_HttpStatus == Case.m_Status);
+      BOOST_TEST(Result->m_AnyByteSent);
+      BOOST_TEST(Minion->counts().m_Requests.at("r1") == 1);
+      BOOST_TEST(Minion->counts().m_Keys.at("k1") == 1);
+    }
+  }
+}
+
+// Guards against a failed start reported as certain when the worker may have started the task.
+BOOST_AUTO_TEST_CASE(WorkerStartResults) {
+  WorkerBench Good;
+  Good.start(seconds(10));
+  BOOST_TEST(Good.sees(TaskEventKind::Started));
+
+  WorkerBench Refusing({.m_FailStarts = true});
+  Refusing.start(seconds(10));
+  BOOST_TEST(Refusing.sees(TaskEventKind::StartFailed));
+
+  WorkerBench Slow({.m_StartTime = seconds(5)}, milliseconds(200));
+  Slow.start(seconds(10));
+  BOOST_TEST(Slow.sees(TaskEventKind::StartUnknown));
+}
+
+// Guards against a task that outlives its lease when the agent is gone, and against a renewal that is not applied.
+BOOST_AUTO_TEST_CASE(WorkerStopsTasksWhoseLeaseRanOut) {
+  WorkerBench B;
+  B.start(milliseconds(100));
+  BOOST_TEST(B.sees(TaskEventKind::Stopped));
+  BOOST_TEST(B.m_Worker->counts().m_LeaseStops == 1);
+
+  WorkerBench Renewed({.m_RunTime = milliseconds(1800)});
+  Renewed.start(milliseconds(1500));
+  Renewed.m_Port->renew({Key, seconds(10)});
+  BOOST_TEST(Renewed.sees(TaskEventKind::Succeeded));
+}
+
+// Guards against commands that reach the worker under the wrong key or whose effect is not reported.
+BOOST_AUTO_TEST_CASE(WorkerCommands) {
+  WorkerBench B;
+  B.start(seconds(10));
+  BOOST_REQUIRE(B.sees(TaskEventKind::Started));
+  const auto Uses = [&B](int32_t Cores) {
+    return B.m_Inventory && B.m_Inventory->m_Running.size() == 1 && B.m_Inventory->m_Running[0].m_Key == Key &&
+           B.m_Inventory->m_Running[0].m_UsedCores == Cores;
+  };
+  BOOST_TEST(B.runUntil([&] { return Uses(8); }));
+  B.m_Port->throttle(Key);
+  BOOST_TEST(B.runUntil([&] { return Uses(4); }));
+  B.m_Port->checkpoint(Key);
+  BOOST_TEST(B.sees(TaskEventKind::Checkpointed));
+  B.m_Port->stop(Key);
+  BOOST_TEST(B.sees(TaskEventKind::Stopped));
+  B.m_Events.clear();
+  B.m_Port->stop(Key);
+  BOOST_TEST(B.sees(TaskEventKind::Stopped), "a stop of a task that is gone is confirmed");
+  B.m_Port->checkpoint(Key);
+  BOOST_TEST(B.sees(TaskEventKind::CheckpointFailed));
+}
+
+// Guards against a worker that ignores a stop and is still believed, and whose task ends only with its lease.
+BOOST_AUTO_TEST_CASE(WorkerThatIgnoresStopEndsWithTheLease) {
+  WorkerBench B({.m_IgnoreStop = true});
+  B.start(milliseconds(300));
+  BOOST_REQUIRE(B.sees(TaskEventKind::Started));
+  B.m_Port->stop(Key);
+  BOOST_TEST(B.sees(TaskEventKind::Stopped));
+  BOOST_TEST(B.m_Worker->counts().m_LeaseStops == 1);
+}
+
+// Guards against the events of a restarted worker being taken for events that were read before.
+BOOST_AUTO_TEST_CASE(EventsAreReadAgainAfterAWorkerRestart) {
+  WorkerBench B({.m_RunTime = milliseconds(10)});
+  B.start(seconds(10));
+  BOOST_REQUIRE(B.sees(TaskEventKind::Succeeded));
+  B.m_Events.clear();
+  fakes::FakeWorkerOptions Restarted;
+  Restarted.m_Listen = B.m_Worker->endpoint();
+  Restarted.m_RunTime = milliseconds(10);
+  Restarted.m_Instance = 2;
+  B.m_Worker.reset();
+  B.m_Worker = std::move(*fakes::FakeWorker::create(B.m_Io, Restarted));
+  B.start(seconds(10));
+  BOOST_TEST(B.sees(TaskEventKind::Succeeded));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
