--- a/src/agent/AgentGate.cpp
+++ b/src/agent/AgentGate.cpp
@@ -185,6 +185,8 @@
   }
   const bool NothingToReport = m_Requests.claims().unacknowledged() == 0;
   const bool FarewellOver = m_IdleSince && NothingToReport && Now - *m_IdleSince >= m_Options.m_FarewellLimit;
+  if (FarewellOver)
+    Out.push_back(LogNote{"control did not confirm the departure in time"});
   if (Now >= m_LeaveLimit || FarewellOver)
     leave(Now, Out);
 }
