--- a/cmake/modules/net.cmake
+++ b/cmake/modules/net.cmake
@@ -1,2 +1,2 @@
 anvil_module(net LINK anvil_base anvil_wire Boost::json Threads::Threads)
-anvil_test(net LINK anvil_net)
+anvil_test(net LINK anvil_net anvil_fakes)
--- a/fakes/FakeHttpServer.cpp
+++ b/fakes/FakeHttpServer.cpp
@@ -54,14 +54,22 @@
                      [Self = shared_from_this()](const ErrorCode &Error, size_t) { Self->onRead(Error); });
   }
 
-  void respond(int Status, std::string Body) override {
-    m_OnPeerClosed = nullptr;
-    send(headOf(Status, Body.size()) + Body, true);
-  }
+  void respond(int Status, std::string Body) override { sendRaw(headOf(Status, Body.size()) + Body, false); }
 
   void truncate(int Status, std::string Body) override {
+    sendRaw(headOf(Status, Body.size()) + Body.substr(0, Body.size() / 2), true);
+  }
+
+  void sendRaw(std::string Bytes, bool Close) override {
     m_OnPeerClosed = nullptr;
-    send(headOf(Status, Body.size()) + Body.substr(0, Body.size() / 2), false);
+    auto Kept = std::make_shared<std::string>(std::move(Bytes));
+    boost::asio::async_write(m_Socket, boost::asio::buffer(*Kept),
+                             [Self = shared_from_this(), Kept, Close](const ErrorCode &Error, size_t) {
+                               if (Error || Close)
+                                 Self->shut();
+                               else
+                                 Self->read();
+                             });
   }
 
   void close() override {
@@ -91,17 +99,6 @@
     m_Handler(Request, shared_from_this());
   }
 
-  void send(std::string Text, bool KeepOpen) {
-    auto Bytes = std::make_shared<std::string>(std::move(Text));
-    boost::asio::async_write(m_Socket, boost::asio::buffer(*Bytes),
-                             [Self = shared_from_this(), Bytes, KeepOpen](const ErrorCode &Error, size_t) {
-                               if (Error || !KeepOpen)
-                                 Self->shut();
-                               else
-                                 Self->read();
-                             });
-  }
-
   tcp::socket m_Socket;
   FakeHandler m_Handler;
   boost::beast::flat_buffer m_Buffer;
--- a/fakes/FakeHttpServer.h
+++ b/fakes/FakeHttpServer.h
@@ -26,6 +26,8 @@
   virtual void respond(int Status, std::string Body) = 0;
   /// Announces the whole body, sends half of it and closes.
   virtual void truncate(int Status, std::string Body) = 0;
+  /// Sends \p Bytes as they are, then closes or reads the next request.
+  virtual void sendRaw(std::string Bytes, bool Close) = 0;
   /// Closes without a response.
   virtual void close() = 0;
   /// Calls \p Hook once if the peer closes before the response.
--- a/tests/agentd/AgentBench.h
+++ b/tests/agentd/AgentBench.h
@@ -9,16 +9,16 @@
 #include <boost/test/unit_test.hpp>
 
 #include "agentd/FakeControl.h"
-#include "agentd/Loopback.h"
 #include "anvil/agentd/AgentProcess.h"
 #include "anvil/daemon/Process.h"
 #include "fakes/FakeMinion.h"
 #include "fakes/FakeWorker.h"
+#include "support/Loopback.h"
 
 namespace anvil::agentd {
 
 /// An agent process with a simulated target, a hand-written control and an entry's connection.
-struct AgentBench : Loopback {
+struct AgentBench : support::Loopback {
   AgentSettings settings(wire::TargetKind::type Kind) const {
     AgentSettings Values;
     Values.m_Listen = {"127.0.0.1", 0};
--- a/tests/agentd/PortTest.cpp
+++ b/tests/agentd/PortTest.cpp
@@ -5,16 +5,16 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "agentd/Loopback.h"
 #include "anvil/agentd/Ports.h"
 #include "fakes/FakeMinion.h"
 #include "fakes/FakeWorker.h"
+#include "support/Loopback.h"
 
 using namespace anvil;
 using agent::TaskEventKind;
-using agentd::Loopback;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using support::Loopback;
 
 namespace {
 
--- a/tests/net/HttpClientTest.cpp
+++ b/tests/net/HttpClientTest.cpp
@@ -1,107 +1,45 @@
 #include "anvil/net/HttpClient.h"
 
-#include <chrono>
 #include <deque>
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
-#include <thread>
+#include <vector>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "fakes/FakeHttpServer.h"
+#include "support/Loopback.h"
+
 namespace {
 
 using namespace anvil;
-using boost::asio::ip::tcp;
 using net::HttpClientErrc;
 using net::HttpExchangeResult;
 
-constexpr auto Patience = std::chrono::seconds(20);
-
 /// What the peer does with the next request: sends these bytes, then perhaps closes.
 struct Script {
   std::string m_Response;
   bool m_Close = false;
 };
 
-/// Peer that reads up to the blank line and answers from a list of scripts; without a script it stays silent.
-class ScriptedPeer {
-public:
-  explicit ScriptedPeer(boost::asio::io_context &Io)
-      : m_Acceptor(Io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)) {
-    accept();
-  }
-
-  net::Endpoint endpoint() const { return {"127.0.0.1", m_Acceptor.local_endpoint().port()}; }
-
-  void closeConnections() { m_Sockets.clear(); }
-
-  std::deque<Script> m_Scripts;
-  std::vector<std::string> m_Requests;
-  int m_Accepted = 0;
-
-private:
-  using SocketPtr = std::shared_ptr<tcp::socket>;
-
-  void accept() {
-    m_Acceptor.async_accept([this](const boost::system::error_code &Error, tcp::socket Socket) {
-      if (Error)
-        return;
-      ++m_Accepted;
-      auto Link = std::make_shared<tcp::socket>(std::move(Socket));
-      m_Sockets.push_back(Link);
-      read(Link, "");
-      accept();
-    });
+/// A client and a peer that answers from a list of scripts; without a script it stays silent.
+struct Bench : support::Loopback {
+  explicit Bench(net::HttpClientOptions Options = {}) {
+    m_Peer = std::move(*fakes::FakeHttpServer::create(
+        m_Io, {"127.0.0.1", 0},
+        [this](const net::HttpRequest &, const fakes::FakeConnectionPtr &Link) { answer(Link); }));
+    m_Client = net::HttpClient::create(m_Io, m_Peer->endpoint(), Options);
   }
 
-  void read(const SocketPtr &Link, std::string Head) {
-    auto Bytes = std::make_shared<std::array<char, 4096>>();
-    std::weak_ptr<tcp::socket> Weak = Link;
-    Link->async_read_some(
-        boost::asio::buffer(*Bytes),
-        [this, Weak, Bytes, Head = std::move(Head)](const boost::system::error_code &Error, size_t Size) mutable {
-          const SocketPtr Alive = Weak.lock();
-          if (Error || !Alive)
-            return;
-          Head.append(Bytes->data(), Size);
-          if (Head.find("\r\n\r\n") == std::string::npos)
-            return read(Alive, std::move(Head));
-          m_Requests.push_back(Head);
-          answer(Alive);
-        });
-  }
-
-  void answer(const SocketPtr &Link) {
+  void answer(const fakes::FakeConnectionPtr &Link) {
+    ++m_Requests;
+    m_Links.push_back(Link);
     if (m_Scripts.empty())
       return;
     const Script Next = m_Scripts.front();
     m_Scripts.pop_front();
-    boost::asio::write(*Link, boost::asio::buffer(Next.m_Response));
-    if (Next.m_Close)
-      Link->close();
-    else
-      read(Link, "");
-  }
-
-  tcp::acceptor m_Acceptor;
-  std::vector<SocketPtr> m_Sockets;
-};
-
-struct Bench {
-  explicit Bench(net::HttpClientOptions Options = {})
-      : m_Client(net::HttpClient::create(m_Io, m_Peer.endpoint(), Options)) {}
-
-  /// Runs until \p Reached holds; the long limit only ends a test that has failed.
-  bool runUntil(const std::function<bool()> &Reached) {
-    const auto Limit = std::chrono::steady_clock::now() + Patience;
-    while (!Reached() && std::chrono::steady_clock::now() < Limit)
-      m_Io.run_one_for(std::chrono::milliseconds(10));
-    return Reached();
+    Link->sendRaw(Next.m_Response, Next.m_Close);
   }
 
   HttpExchangeResult get(Duration Deadline = std::chrono::seconds(10)) {
@@ -113,8 +51,10 @@
     return *Result;
   }
 
-  boost::asio::io_context m_Io{1};
-  ScriptedPeer m_Peer{m_Io};
+  std::deque<Script> m_Scripts;
+  std::vector<fakes::FakeConnectionPtr> m_Links;
+  int m_Requests = 0;
+  std::unique_ptr<fakes::FakeHttpServer> m_Peer;
   std::unique_ptr<net::HttpClient> m_Client;
 };
 
@@ -152,7 +92,7 @@
       net::HttpClientOptions Options;
       Options.m_MaxBodyBytes = 100;
       Bench B(Options);
-      B.m_Peer.m_Scripts = {{Case.m_Bytes, true}};
+      B.m_Scripts = {{Case.m_Bytes, true}};
       const HttpExchangeResult Result = B.get();
       BOOST_TEST(!Result.m_Status.ok());
       BOOST_TEST((layerErrorOf<HttpClientErrc>(Result.m_Status) == Case.m_Code), Result.m_Status.ToString());
@@ -165,7 +105,7 @@
 // Guards against a new connection for each request, and against responses of one request given to another.
 BOOST_AUTO_TEST_CASE(ReusesAnOpenConnection) {
   Bench B;
-  B.m_Peer.m_Scripts = {{Whole, false}, {"HTTP/1.1 404 No\r\nContent-Length: 2\r\n\r\nno", false}};
+  B.m_Scripts = {{Whole, false}, {"HTTP/1.1 404 No\r\nContent-Length: 2\r\n\r\nno", false}};
   const HttpExchangeResult First = B.get();
   const HttpExchangeResult Second = B.get();
   BOOST_TEST(First.m_HttpStatus == 200);
@@ -173,48 +113,43 @@
   BOOST_TEST(First.m_ContentType == "text/plain");
   BOOST_TEST(Second.m_HttpStatus == 404);
   BOOST_TEST(Second.m_Body == "no");
-  BOOST_TEST(B.m_Peer.m_Accepted == 1);
+  BOOST_TEST(B.m_Peer->acceptedConnections() == 1);
 }
 
 // Guards against a request that fails because the peer had closed the idle connection before it was written.
 BOOST_AUTO_TEST_CASE(ConnectionClosedWhileIdleIsNotUsed) {
   Bench B;
-  B.m_Peer.m_Scripts = {{Whole, false}, {Whole, false}};
+  B.m_Scripts = {{Whole, false}, {Whole, false}};
   BOOST_TEST(B.get().m_Status.ok());
-  B.m_Peer.closeConnections();
+  B.m_Peer->closeConnections();
   BOOST_TEST(B.get().m_Status.ok());
-  BOOST_TEST(B.m_Peer.m_Accepted == 2);
+  BOOST_TEST(B.m_Peer->acceptedConnections() == 2);
 }
 
 // Guards against a request repeated on a new connection, or called not sent, after a reused connection took its bytes.
 BOOST_AUTO_TEST_CASE(RequestOnAReusedConnectionIsNotRepeated) {
   Bench B;
-  B.m_Peer.m_Scripts = {{Whole, false}, {"", true}};
+  B.m_Scripts = {{Whole, false}, {"", true}};
   BOOST_TEST(B.get().m_Status.ok());
   const HttpExchangeResult Result = B.get();
   BOOST_TEST(!Result.m_Status.ok());
   BOOST_TEST(Result.m_AnyByteSent);
-  BOOST_TEST(B.m_Peer.m_Requests.size() == 2);
+  BOOST_TEST(B.m_Requests == 2);
 }
 
 // Guards against bytes that a peer sent without being asked and that would count as the next response.
 BOOST_AUTO_TEST_CASE(ConnectionWithSurplusBytesIsNotReused) {
   Bench B;
-  B.m_Peer.m_Scripts = {{Whole + Whole, false}, {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew", false}};
+  B.m_Scripts = {{Whole + Whole, false}, {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew", false}};
   BOOST_TEST(B.get().m_Status.ok());
   BOOST_TEST(B.get().m_Body == "new");
-  BOOST_TEST(B.m_Peer.m_Accepted == 2);
+  BOOST_TEST(B.m_Peer->acceptedConnections() == 2);
 }
 
 // Guards against a refused connection counted as a request that may have run.
 BOOST_AUTO_TEST_CASE(RefusedConnectionSendsNothing) {
   Bench B;
-  net::Endpoint Closed;
-  {
-    tcp::acceptor Free(B.m_Io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-    Closed = {"127.0.0.1", Free.local_endpoint().port()};
-  }
-  B.m_Client = net::HttpClient::create(B.m_Io, Closed, {});
+  B.m_Peer.reset();
   const HttpExchangeResult Result = B.get();
   BOOST_TEST((layerErrorOf<HttpClientErrc>(Result.m_Status) == HttpClientErrc::Connect));
   BOOST_TEST(!Result.m_AnyByteSent);
@@ -241,7 +176,7 @@
   std::vector<HttpExchangeResult> Results;
   for (int Index = 0; Index < 3; ++Index)
     B.m_Client->send({}, std::chrono::seconds(10), [&](const HttpExchangeResult &Got) { Results.push_back(Got); });
-  BOOST_REQUIRE(B.runUntil([&] { return !Results.empty() && B.m_Peer.m_Requests.size() == 2; }));
+  BOOST_REQUIRE(B.runUntil([&] { return !Results.empty() && B.m_Requests == 2; }));
   BOOST_TEST((layerErrorOf<HttpClientErrc>(Results[0].m_Status) == HttpClientErrc::Overloaded));
   BOOST_TEST(!Results[0].m_AnyByteSent);
   BOOST_TEST(B.m_Client->connectionCount() == 2);
@@ -259,7 +194,7 @@
     BOOST_TEST(!Result->m_Status.ok());
     BOOST_TEST(!Result->m_AnyByteSent);
   }
-  BOOST_TEST(B.m_Peer.m_Accepted == 0);
+  BOOST_TEST(B.m_Peer->acceptedConnections() == 0);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
