Ignore all of a reply from a lagging control replica

Cause: such a replica may acknowledge the outcome of a claim that it has not seen yet; the outcome would be lost if the entry died before closing the claim. Change: a reply from a lower log index than one seen before changes nothing. Late replies still acknowledge. Conclusion: covered by ReplyOfALaggingReplicaChangesNothing.

--- a/src/agent/AgentGate.cpp
+++ b/src/agent/AgentGate.cpp
@@ -118,7 +118,7 @@
   }
   for (const std::string &ClaimId : Reply.acknowledgedClaims)
     m_Requests.claims().acknowledge(ClaimId, Reply.sequence);
-  if (Verdict.m_Use == ReplyUse::AckOnly)
+  if (Verdict.m_Use == ReplyUse::Late)
     return;
   if (m_FarewellSequence != 0 && Reply.sequence >= m_FarewellSequence)
     m_LeaveLimit = m_Requests.claims().unacknowledged() == 0 ? Now : m_LeaveLimit;
--- a/src/agent/ControlSession.cpp
+++ b/src/agent/ControlSession.cpp
@@ -38,15 +38,16 @@
   const TimePoint SentAt = Found->second;
   m_InFlight.erase(Found);
   if (Reply.sequence < m_LastApplied)
-    return {ReplyUse::AckOnly, SentAt};
+    return {ReplyUse::Late, SentAt};
   if (!Reply.accepted) {
     m_NextDue = std::min(m_NextDue, Now + jittered(m_Options.m_RetryPeriod));
     return {ReplyUse::Refused, SentAt};
   }
-  // A replica that lags behind the one used before must not bring back assignments or permits that have ended.
+  // A replica that lags behind the one used before must not bring back assignments or permits that have ended, nor
+  // acknowledge the outcome of a claim that it has not seen yet.
   if (Reply.renewedAtIndex < m_LastIndex) {
     m_NextDue = std::min(m_NextDue, Now + jittered(m_Options.m_RetryPeriod));
-    return {ReplyUse::AckOnly, SentAt};
+    return {ReplyUse::Ignore, SentAt};
   }
   m_LastApplied = Reply.sequence;
   m_LastIndex = Reply.renewedAtIndex;
--- a/src/agent/ControlSession.h
+++ b/src/agent/ControlSession.h
@@ -9,8 +9,8 @@
 
 /// How a heartbeat reply is to be used.
 enum class ReplyUse {
-  Ignore,  ///< Its heartbeat is not known.
-  AckOnly, ///< Late or older than what is in force: only its acknowledgements count.
+  Ignore,  ///< Its heartbeat is not known, or the replica lags behind one used before.
+  Late,    ///< A newer heartbeat was answered before: only its acknowledgements count.
   Refused, ///< The replica did not accept the heartbeat.
   InForce  ///< Newest reply so far: assignments and leases follow it.
 };
--- a/tests/agent/PermitTest.cpp
+++ b/tests/agent/PermitTest.cpp
@@ -133,16 +133,23 @@
   BOOST_TEST(B.m_Sent.size() == 1);
 }
 
-// Guards against a replica that lags behind the one used before and brings back what has ended.
-BOOST_AUTO_TEST_CASE(ReplyOfALaggingReplicaGrantsNothing) {
+// Guards against a replica that lags behind the one used before and brings back what has ended, or acknowledges an
+// outcome of a claim that it does not know.
+BOOST_AUTO_TEST_CASE(ReplyOfALaggingReplicaChangesNothing) {
   GateBench B;
+  B.ready();
+  B.arrive(GateBench::request("a", 15));
+  B.answer(0);
   wire::AgentHeartbeatReply Newer = GateBench::reply(B.nextHeartbeat(), 0);
   Newer.renewedAtIndex = 20;
   B.step(HeartbeatReplied{Newer});
   wire::AgentHeartbeatReply Older = GateBench::reply(B.nextHeartbeat());
   Older.renewedAtIndex = 19;
+  Older.acknowledgedClaims = {"w/s/15"};
   B.step(HeartbeatReplied{Older});
   BOOST_TEST(!B.m_Gate->hasPermit(B.m_Now));
+  B.nextHeartbeat();
+  BOOST_TEST(B.m_Heartbeats.back().outcomes.size() == 1);
 }
 
 // Guards against new work on a draining target, and against a target that stays closed after the drain was undone.
