Wait for the settle time before the first request to the minion

Cause: after a crash of the agent, the minion may still work on up to 8 requests that the new incarnation can't see; it would be given up to 16. Change: setting settle-time, 2 s by default, before the first probe of the minion; the target counts as unhealthy until then. The minion has no interface that shows its busy slots, so longer service times need a longer setting. Conclusion: agent and agentd tests pass.

--- a/include/anvil/agent/AgentTypes.h
+++ b/include/anvil/agent/AgentTypes.h
@@ -60,6 +60,8 @@
   Duration m_DrainLimit = std::chrono::seconds(600);
   /// Longest wait for control to confirm the departure of an agent that has nothing left to report.
   Duration m_FarewellLimit = std::chrono::seconds(5);
+  /// Time after the start before the first probe of the minion, which may still work for an earlier incarnation.
+  Duration m_SettleTime = std::chrono::seconds(2);
   int m_ConnectFailuresToOpen = 3;
   Duration m_ProbePeriod = std::chrono::seconds(5);           ///< Between probes of a reachable minion.
   Duration m_MinReopenDelay = std::chrono::milliseconds(500); ///< Before the first probe of an unreachable minion.
--- a/include/anvil/agentd/AgentProcess.h
+++ b/include/anvil/agentd/AgentProcess.h
@@ -33,6 +33,7 @@
   int64_t m_Connections = 64;
   int64_t m_QueueLimit = 64;
   Duration m_DrainLimit = std::chrono::seconds(600);
+  Duration m_SettleTime = std::chrono::seconds(2);
 };
 
 /// Declares all settings of an agent in \p Reader, with \p Values as destinations.
--- a/src/agent/MinionHealth.cpp
+++ b/src/agent/MinionHealth.cpp
@@ -1,6 +1,7 @@
 #include "agent/MinionHealth.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace anvil::agent::internal {
 
@@ -17,6 +18,8 @@
 }
 
 bool MinionHealth::takeProbe(TimePoint Now) {
+  if (!std::exchange(m_Begun, true))
+    m_NextProbe = Now + m_Options.m_SettleTime;
   if (m_Probing || Now < m_NextProbe)
     return false;
   m_Probing = true;
--- a/src/agentd/AgentProcess.cpp
+++ b/src/agentd/AgentProcess.cpp
@@ -90,6 +90,7 @@
   Options.m_Slots = static_cast<int32_t>(m_Settings.m_Slots);
   Options.m_QueueLimit = static_cast<size_t>(m_Settings.m_QueueLimit);
   Options.m_DrainLimit = m_Settings.m_DrainLimit;
+  Options.m_SettleTime = m_Settings.m_SettleTime;
   Options.m_Random = m_Hooks.m_Random;
   return Options;
 }
--- a/src/agentd/AgentSettings.cpp
+++ b/src/agentd/AgentSettings.cpp
@@ -59,6 +59,9 @@
   Reader.addInteger("queue-limit", 64, 1, 65536, "Queued requests of one class.", Values.m_QueueLimit);
   Reader.addDuration("drain-limit", "10m", std::chrono::seconds(0), std::chrono::hours(24),
                      "Longest graceful shutdown; what is left then is cut off.", Values.m_DrainLimit);
+  Reader.addDuration("settle-time", "2s", std::chrono::seconds(0), std::chrono::hours(1),
+                     "Time after the start before the minion gets requests; it may still work for an earlier agent.",
+                     Values.m_SettleTime);
   Reader.addCheck([&Values] { return checkTarget(Values); });
   Reader.addCheck([&Values] { return checkAddress(Values); });
 }
--- a/tests/agent/RequestTest.cpp
+++ b/tests/agent/RequestTest.cpp
@@ -254,6 +254,19 @@
   BOOST_TEST(B.outcome(B.arrive(GateBench::request("a", 3))) == Unknown);
 }
 
+// Guards against a restarted agent that fills slots which requests of its earlier incarnation still use.
+BOOST_AUTO_TEST_CASE(MinionSettlesBeforeTheFirstRequest) {
+  GateBench B;
+  const TimePoint FirstTick = B.m_Now + milliseconds(50);
+  passWithPermit(B, milliseconds(1000));
+  BOOST_TEST(!B.m_Heartbeats.back().targetHealthy);
+  BOOST_TEST(B.m_Replies[B.arrive(GateBench::request("a"))].reason == "minion does not accept connections");
+  B.pass(FirstTick + milliseconds(1950) - B.m_Now);
+  BOOST_TEST(B.m_Probes == 0);
+  B.pass(milliseconds(50));
+  BOOST_TEST(B.m_Probes == 1);
+}
+
 // Guards against requests sent to a minion that accepts no connection, and against one that stays shut out after it
 // has come back.
 BOOST_AUTO_TEST_CASE(UnreachableMinionIsProbedUntilItReturns) {
--- a/tests/agentd/AgentBench.h
+++ b/tests/agentd/AgentBench.h
@@ -31,6 +31,7 @@
     Values.m_Accelerators = 8;
     Values.m_Cores = 64;
     Values.m_MemoryMib = 1024;
+    Values.m_SettleTime = Duration(0);
     return Values;
   }
 
