--- a/src/agentd/AgentProcess.cpp
+++ b/src/agentd/AgentProcess.cpp
@@ -192,7 +192,7 @@
   step(agent::HeartbeatSent{Sequence});
   ++m_OpenHeartbeats;
   m_Control->call(wire::Method::AGENT_HEARTBEAT, net::encodeStruct(Action.m_Message), HeartbeatTimeout, "",
-                  [Self = weak_from_this(), Sequence](absl::StatusOr<std::string> Answer) {
+                  [Self = weak_from_this(), Sequence](const absl::StatusOr<std::string> &Answer) {
                     const std::shared_ptr<Impl> Alive = Self.lock();
                     if (Alive && !Alive->m_Closed)
                       Alive->finishHeartbeat(Sequence, Answer);
