Follow the claims, queries and configuration of the replicated state

Change: attempts carry attemptId; a refused claim tries another target; documents are validated by module config before they are sent; error codes are hyphenated like the other modules' codes.

--- a/cmake/modules/route.cmake
+++ b/cmake/modules/route.cmake
@@ -1,3 +1,2 @@
-pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
-anvil_module(route LINK anvil_base anvil_wire PkgConfig::xxhash)
+anvil_module(route LINK anvil_base anvil_wire xxhash)
 anvil_test(route LINK anvil_route)
--- a/include/anvil/net/HttpServer.h
+++ b/include/anvil/net/HttpServer.h
@@ -61,7 +61,7 @@
 };
 inline constexpr size_t HttpRefusalCount = 10;
 
-/// Returns the name of \p Reason for metrics and error codes, such as "header_too_large".
+/// Returns the name of \p Reason for metrics and error codes, such as "header-too-large".
 std::string_view httpRefusalName(HttpRefusal Reason);
 
 /// Counts of one HTTP server since its start, and its current use.
--- a/src/entry/ConfigUpload.h
+++ b/src/entry/ConfigUpload.h
@@ -8,10 +8,8 @@
 
 namespace anvil::entry {
 
-/// Reads version and environment of a configuration document and stores them with the document and its digest.
-///
-/// The whole document is validated by control, whose answer names the field and the rule.
-/// \returns false and fills \p Problem if the document is not YAML or lacks one of the two.
+/// Validates a configuration document and stores it with its version, environment and digest.
+/// \returns false and fills \p Problem with the field of the first fault and the text of all faults.
 bool readConfigUpload(std::string_view Document, wire::ApplyConfig &Into, JsonProblem &Problem);
 
 } // namespace anvil::entry
--- a/src/entry/EntryHttp.cpp
+++ b/src/entry/EntryHttp.cpp
@@ -101,16 +101,16 @@
     Response.m_ContentType = metrics::PrometheusContentType;
     return respond(Id, std::move(Response));
   }
-  net::HttpResponse Response = net::makeHttpError(404, "not_found", "the path is not known");
+  net::HttpResponse Response = net::makeHttpError(404, "not-found", "the path is not known");
   setOutcome(Response, wire::Outcome::NOT_RUN);
   respond(Id, std::move(Response));
 }
 
 net::HttpResponse Entry::Impl::readiness() const {
   if (m_Draining)
-    return plainJson(503, "{\"status\":\"shutting_down\"}\n");
+    return plainJson(503, "{\"status\":\"shutting-down\"}\n");
   if (!m_Router.ready(m_Hooks.m_Now()))
-    return plainJson(503, "{\"status\":\"control_silent\"}\n");
+    return plainJson(503, "{\"status\":\"control-silent\"}\n");
   return plainJson(200, "{\"status\":\"ready\"}\n");
 }
 
--- a/src/entry/EntryImpl.h
+++ b/src/entry/EntryImpl.h
@@ -62,9 +62,9 @@
 
   // EntryRouting.cpp: events and actions of the router.
   void step(route::RouterEvent Event);
-  void perform(route::OpenClaimAction Action);
-  void perform(route::CloseClaimAction Action);
-  void perform(route::DispatchAction Action);
+  void perform(const route::OpenClaimAction &Action);
+  void perform(const route::CloseClaimAction &Action);
+  void perform(const route::DispatchAction &Action);
   void perform(route::AnswerAction Action);
   void perform(const route::RefuseAction &Action);
   void submit(wire::Command Command, Duration Timeout, std::string_view TraceId,
--- a/src/entry/EntryRouting.cpp
+++ b/src/entry/EntryRouting.cpp
@@ -37,7 +37,7 @@
                  });
 }
 
-void Entry::Impl::perform(route::OpenClaimAction Action) {
+void Entry::Impl::perform(const route::OpenClaimAction &Action) {
   wire::Command Command;
   Command.__set_openClaim(Action.m_Claim);
   submit(std::move(Command), Action.m_Timeout, Action.m_TraceId,
@@ -51,7 +51,7 @@
          });
 }
 
-void Entry::Impl::perform(route::CloseClaimAction Action) {
+void Entry::Impl::perform(const route::CloseClaimAction &Action) {
   wire::Command Command;
   Command.__set_closeClaim(Action.m_Claim);
   ++m_OpenCloses;
@@ -66,7 +66,7 @@
          });
 }
 
-void Entry::Impl::perform(route::DispatchAction Action) {
+void Entry::Impl::perform(const route::DispatchAction &Action) {
   m_Metrics.m_QueueTime.add(Action.m_Waited);
   m_Agents.execute(Action.m_AgentAddress, net::encodeStruct(Action.m_Request), Action.m_Timeout,
                    Action.m_Request.requestId,
--- a/src/entry/OperatorApi.cpp
+++ b/src/entry/OperatorApi.cpp
@@ -32,7 +32,7 @@
 };
 
 net::HttpResponse badRequest(std::string_view Field, std::string_view Message) {
-  net::HttpResponse Response = net::makeHttpError(400, "invalid_field", Message, Field);
+  net::HttpResponse Response = net::makeHttpError(400, "invalid-field", Message, Field);
   setOutcome(Response, wire::Outcome::NOT_RUN);
   return Response;
 }
@@ -77,7 +77,12 @@
 }
 
 OperatorCall listJobs(const Context &Call) {
-  return query(Call, "jobs", queryValue(Call.m_Request.m_Query, "workspace").value_or(""));
+  std::string Filter;
+  for (const std::string_view Key : {"workspace", "phase", "after", "limit"}) {
+    if (const std::optional<std::string> Value = queryValue(Call.m_Request.m_Query, Key))
+      absl::StrAppend(&Filter, Filter.empty() ? "" : "&", toAbsl(Key), "=", *Value);
+  }
+  return query(Call, "jobs", std::move(Filter));
 }
 
 OperatorCall showJob(const Context &Call) {
@@ -103,7 +108,7 @@
     return badRequest("kind", "must be one of job, vm, zone, workspace");
   if (!isName(Call.m_Parts[2]))
     return badRequest("id", "must be 1 to 64 letters, digits, '-', '_' or '.'");
-  return query(Call, absl::StrCat("explain:", toAbsl(Call.m_Parts[1])), std::string(Call.m_Parts[2]));
+  return query(Call, absl::StrCat("explain/", toAbsl(Call.m_Parts[1])), std::string(Call.m_Parts[2]));
 }
 
 OperatorCall setZone(const Context &Call) {
@@ -129,7 +134,10 @@
   JsonProblem Problem;
   if (!readConfigUpload(Call.m_Request.m_Body, Change, Problem))
     return badRequest(Problem.m_Field, Problem.m_Message);
-  Change.promotedFrom = queryValue(Call.m_Request.m_Query, "promoted_from").value_or("");
+  // A promoted document names the environment that it was tried in; the query names the one it is applied to.
+  Change.promotedFrom = queryValue(Call.m_Request.m_Query, "promotedFrom").value_or("");
+  if (const std::optional<std::string> Environment = queryValue(Call.m_Request.m_Query, "environment"))
+    Change.environment = *Environment;
   CommandCall Result = newCommand(Call);
   Result.m_Command.__set_applyConfig(Change);
   return Result;
@@ -175,8 +183,8 @@
 
 net::HttpResponse noSuchPath(const std::string &Allowed) {
   net::HttpResponse Response = Allowed.empty()
-                                   ? net::makeHttpError(404, "not_found", "the path is not known")
-                                   : net::makeHttpError(405, "unsupported_method", "the path has no such method");
+                                   ? net::makeHttpError(404, "not-found", "the path is not known")
+                                   : net::makeHttpError(405, "unsupported-method", "the path has no such method");
   if (!Allowed.empty())
     Response.m_Fields.push_back({"Allow", Allowed});
   setOutcome(Response, wire::Outcome::NOT_RUN);
@@ -207,7 +215,7 @@
   case wire::CommandStatus::CONFLICT:
     return "conflict";
   case wire::CommandStatus::NOT_FOUND:
-    return "not_found";
+    return "not-found";
   case wire::CommandStatus::LIMIT:
     return "limit";
   case wire::CommandStatus::INVALID:
@@ -249,9 +257,9 @@
   boost::json::object Body;
   Body["index"] = Result.index;
   if (Result.jobId != 0)
-    Body["job_id"] = Result.jobId;
+    Body["jobId"] = Result.jobId;
   if (Result.configVersion != 0)
-    Body["config_version"] = Result.configVersion;
+    Body["configVersion"] = Result.configVersion;
   if (!Result.message.empty())
     Body["message"] = Result.message;
   if (!Result.winner.empty())
@@ -277,13 +285,13 @@
   const std::optional<net::RpcErrc> Code = layerErrorOf<net::RpcErrc>(Status);
   const bool NeverLeft = Code == net::RpcErrc::NotSent || Code == net::RpcErrc::Overloaded;
   if (NeverLeft || !Changes) {
-    net::HttpResponse Response = net::makeHttpError(503, "control_unreachable", "no control replica answered");
+    net::HttpResponse Response = net::makeHttpError(503, "control-unreachable", "no control replica answered");
     setOutcome(Response, wire::Outcome::NOT_RUN);
     setRetryAfter(Response, std::chrono::seconds(1));
     return Response;
   }
   net::HttpResponse Response = net::makeHttpError(
-      504, "outcome_unknown", "control did not confirm the change; repeat it with the same key to learn its outcome");
+      504, "outcome-unknown", "control did not confirm the change; repeat it with the same key to learn its outcome");
   setOutcome(Response, wire::Outcome::UNKNOWN);
   return Response;
 }
--- a/src/entry/ServiceRequest.cpp
+++ b/src/entry/ServiceRequest.cpp
@@ -13,7 +13,7 @@
 constexpr int64_t MaxTimeoutMs = 600000;
 
 net::HttpResponse badField(std::string_view Field, std::string_view Message) {
-  net::HttpResponse Response = net::makeHttpError(400, "invalid_field", Message, Field);
+  net::HttpResponse Response = net::makeHttpError(400, "invalid-field", Message, Field);
   setOutcome(Response, wire::Outcome::NOT_RUN);
   return Response;
 }
@@ -79,7 +79,7 @@
     Response.m_Body = std::move(Answer.m_Body);
   } else {
     Response =
-        net::makeHttpError(504, "outcome_unknown", "it is not known whether the request ran: " + Answer.m_Reason);
+        net::makeHttpError(504, "outcome-unknown", "it is not known whether the request ran: " + Answer.m_Reason);
   }
   setOutcome(Response, Answer.m_Outcome);
   if (Answer.m_Replayed)
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -28,14 +28,14 @@
 
 constexpr std::array<RefusalText, HttpRefusalCount> RefusalTexts = {{
     {HttpRefusal::Malformed, 400, "malformed", "the request is not valid HTTP/1.1"},
-    {HttpRefusal::HeaderTooLarge, 431, "header_too_large", "the headers exceed the limit"},
-    {HttpRefusal::BodyTooLarge, 413, "body_too_large", "the body exceeds the limit"},
+    {HttpRefusal::HeaderTooLarge, 431, "header-too-large", "the headers exceed the limit"},
+    {HttpRefusal::BodyTooLarge, 413, "body-too-large", "the body exceeds the limit"},
     {HttpRefusal::Truncated, 400, "truncated", "the connection was closed before the end of the request"},
-    {HttpRefusal::TooSlow, 408, "too_slow", "the request was not received within the time limit"},
-    {HttpRefusal::UnsupportedMethod, 405, "unsupported_method", "the method is not supported"},
-    {HttpRefusal::TooManyConnections, 503, "too_many_connections", "the limit of open connections is reached"},
-    {HttpRefusal::TooManyRequests, 503, "too_many_requests", "the limit of requests in progress is reached"},
-    {HttpRefusal::TooManyBytes, 503, "too_many_bytes", "the limit of buffered request bodies is reached"},
+    {HttpRefusal::TooSlow, 408, "too-slow", "the request was not received within the time limit"},
+    {HttpRefusal::UnsupportedMethod, 405, "unsupported-method", "the method is not supported"},
+    {HttpRefusal::TooManyConnections, 503, "too-many-connections", "the limit of open connections is reached"},
+    {HttpRefusal::TooManyRequests, 503, "too-many-requests", "the limit of requests in progress is reached"},
+    {HttpRefusal::TooManyBytes, 503, "too-many-bytes", "the limit of buffered request bodies is reached"},
     {HttpRefusal::Disconnected, 400, "disconnected", "the connection broke"},
 }};
 
--- a/src/route/Router.cpp
+++ b/src/route/Router.cpp
@@ -33,22 +33,22 @@
 int urgencyRank(wire::Urgency::type Urgency) { return std::clamp(static_cast<int>(Urgency) - 1, 0, 3); }
 
 constexpr std::array<RefusalText, RefusalReasonCount> Texts = {{
-    {RefusalReason::UnknownService, 404, "unknown_service", "the service is not in the configuration", "service"},
-    {RefusalReason::UnknownWorkspace, 400, "unknown_workspace", "name a configured workspace", "Anvil-Workspace"},
-    {RefusalReason::UnknownClass, 400, "unknown_class", "name a class of the service", "Anvil-Class"},
-    {RefusalReason::KeyRequired, 400, "key_required", "the class is not idempotent and needs a key", "Idempotency-Key"},
-    {RefusalReason::KeyInvalid, 400, "key_invalid", "the key must be up to 255 visible characters", "Idempotency-Key"},
-    {RefusalReason::KeyConflict, 409, "key_conflict", "the key belongs to a different request", "Idempotency-Key"},
-    {RefusalReason::ShuttingDown, 503, "shutting_down", "this entry is shutting down", ""},
-    {RefusalReason::ControlSilent, 503, "control_silent", "no fresh answer from control", ""},
-    {RefusalReason::EntryFull, 503, "entry_full", "the entry holds as many requests as it may", ""},
-    {RefusalReason::QueueFull, 503, "queue_full", "the queue of the class is full", ""},
-    {RefusalReason::NoTarget, 503, "no_target", "the service has no usable target", ""},
-    {RefusalReason::DeadlinePassed, 503, "deadline_passed", "the deadline passed in the queue", ""},
-    {RefusalReason::TargetsBusy, 503, "targets_busy", "the agents refused the request", ""},
-    {RefusalReason::NotSent, 503, "not_sent", "no agent could be reached", ""},
-    {RefusalReason::ClaimsFull, 429, "claims_full", "the limit of claims is reached", ""},
-    {RefusalReason::ClaimRefused, 503, "claim_refused", "control refused the claim", ""},
+    {RefusalReason::UnknownService, 404, "unknown-service", "the service is not in the configuration", "service"},
+    {RefusalReason::UnknownWorkspace, 400, "unknown-workspace", "name a configured workspace", "Anvil-Workspace"},
+    {RefusalReason::UnknownClass, 400, "unknown-class", "name a class of the service", "Anvil-Class"},
+    {RefusalReason::KeyRequired, 400, "key-required", "the class is not idempotent and needs a key", "Idempotency-Key"},
+    {RefusalReason::KeyInvalid, 400, "key-invalid", "the key must be up to 255 visible characters", "Idempotency-Key"},
+    {RefusalReason::KeyConflict, 409, "key-conflict", "the key belongs to a different request", "Idempotency-Key"},
+    {RefusalReason::ShuttingDown, 503, "shutting-down", "this entry is shutting down", ""},
+    {RefusalReason::ControlSilent, 503, "control-silent", "no fresh answer from control", ""},
+    {RefusalReason::EntryFull, 503, "entry-full", "the entry holds as many requests as it may", ""},
+    {RefusalReason::QueueFull, 503, "queue-full", "the queue of the class is full", ""},
+    {RefusalReason::NoTarget, 503, "no-target", "the service has no usable target", ""},
+    {RefusalReason::DeadlinePassed, 503, "deadline-passed", "the deadline passed in the queue", ""},
+    {RefusalReason::TargetsBusy, 503, "targets-busy", "the agents refused the request", ""},
+    {RefusalReason::NotSent, 503, "not-sent", "no agent could be reached", ""},
+    {RefusalReason::ClaimsFull, 429, "claims-full", "the limit of claims is reached", ""},
+    {RefusalReason::ClaimRefused, 503, "claim-refused", "control refused the claim", ""},
 }};
 
 } // namespace
--- a/src/route/RouterClaims.cpp
+++ b/src/route/RouterClaims.cpp
@@ -15,6 +15,8 @@
 constexpr Duration OrphanPeriod = std::chrono::seconds(1);
 constexpr Duration OrphanLimit = std::chrono::seconds(30);
 constexpr size_t MaxOrphans = 1024;
+// Calls of one request after which a refusal of its claim is final.
+constexpr int MaxClaimCallsRefused = 5;
 
 void hashPart(XXH3_state_t &State, const std::string &Part) {
   const uint64_t Size = Part.size();
@@ -45,7 +47,8 @@
       Claim.incarnation = Each.m_Target->m_Route.incarnation;
     }
     Claim.requestDigest = Each.m_Digest;
-    Claim.entry = absl::StrCat(m_Options.m_Entry, "/", Each.m_Call.m_Id.value(), "/", ++Each.m_ClaimCalls);
+    Claim.entry = m_Options.m_Entry;
+    Claim.attemptId = absl::StrCat(Each.m_Call.m_Id.value(), "/", ++Each.m_ClaimCalls);
   }
   Each.m_RepeatClaim = false;
   const ClaimCallId Id(m_NextClaimCall++);
@@ -81,9 +84,10 @@
   case wire::CommandStatus::LIMIT:
     return giveUp(Each, RefusalReason::ClaimsFull, Result.message, spreadRetryAfter(Duration(0)));
   case wire::CommandStatus::INVALID:
-    return giveUp(Each, RefusalReason::KeyInvalid, Result.message, std::nullopt);
+    return giveUp(Each, Result.field == "requestDigest" ? RefusalReason::KeyConflict : RefusalReason::KeyInvalid,
+                  Result.message, std::nullopt);
   default:
-    return giveUp(Each, RefusalReason::ClaimRefused, Result.message, spreadRetryAfter(Duration(0)));
+    return onClaimRefused(Each, Result.message);
   }
   switch (Result.claimState) {
   case wire::ClaimState::GRANTED:
@@ -97,6 +101,15 @@
   giveUp(Each, RefusalReason::ClaimRefused, "control answered without a claim state", std::nullopt);
 }
 
+// Control refuses a claim in the name of a target that has left or restarted, which the routing table shows soon.
+void Router::Impl::onClaimRefused(Request &Each, std::string_view Message) {
+  if (Each.m_ClaimCalls >= MaxClaimCallsRefused)
+    return giveUp(Each, RefusalReason::ClaimRefused, Message, spreadRetryAfter(Duration(0)));
+  if (Each.m_Target)
+    Each.m_Tried.insert(Each.m_Target->m_Route.vm);
+  waitForClaim(Each);
+}
+
 void Router::Impl::onGranted(Request &Each, const wire::CommandResult &Result) {
   // A free claim proves that no earlier holder ran the request.
   Each.m_MayHaveRun = false;
--- a/src/route/RouterImpl.h
+++ b/src/route/RouterImpl.h
@@ -122,6 +122,7 @@
   void on(ClaimAnswered Event);
   void openClaim(Request &Each);
   void onClaim(Request &Each, wire::CommandResult Result);
+  void onClaimRefused(Request &Each, std::string_view Message);
   void onGranted(Request &Each, const wire::CommandResult &Result);
   void onClosed(Request &Each, wire::ClaimOutcome Stored);
   void onClaimLost(Request &Each, SendFailure Failure);
