Keep the snake_case names of the HTTP interface

Cause: the camelCase names of the previous change broke anvilctl and the samples, which use the names of the configuration document (per_task, memory_gib, job_id, promoted_from); control names queries explain:KIND. Change: back to those names; the golden file follows.

--- a/src/entry/OperatorApi.cpp
+++ b/src/entry/OperatorApi.cpp
@@ -108,7 +108,7 @@
     return badRequest("kind", "must be one of job, vm, zone, workspace");
   if (!isName(Call.m_Parts[2]))
     return badRequest("id", "must be 1 to 64 letters, digits, '-', '_' or '.'");
-  return query(Call, absl::StrCat("explain/", toAbsl(Call.m_Parts[1])), std::string(Call.m_Parts[2]));
+  return query(Call, absl::StrCat("explain:", toAbsl(Call.m_Parts[1])), std::string(Call.m_Parts[2]));
 }
 
 OperatorCall setZone(const Context &Call) {
@@ -135,7 +135,7 @@
   if (!readConfigUpload(Call.m_Request.m_Body, Change, Problem))
     return badRequest(Problem.m_Field, Problem.m_Message);
   // A promoted document names the environment that it was tried in; the query names the one it is applied to.
-  Change.promotedFrom = queryValue(Call.m_Request.m_Query, "promotedFrom").value_or("");
+  Change.promotedFrom = queryValue(Call.m_Request.m_Query, "promoted_from").value_or("");
   if (const std::optional<std::string> Environment = queryValue(Call.m_Request.m_Query, "environment"))
     Change.environment = *Environment;
   CommandCall Result = newCommand(Call);
@@ -257,9 +257,9 @@
   boost::json::object Body;
   Body["index"] = Result.index;
   if (Result.jobId != 0)
-    Body["jobId"] = Result.jobId;
+    Body["job_id"] = Result.jobId;
   if (Result.configVersion != 0)
-    Body["configVersion"] = Result.configVersion;
+    Body["config_version"] = Result.configVersion;
   if (!Result.message.empty())
     Body["message"] = Result.message;
   if (!Result.winner.empty())
--- a/src/entry/StrictJson.h
+++ b/src/entry/StrictJson.h
@@ -15,7 +15,7 @@
 
 /// What is wrong with a JSON document.
 struct JsonProblem {
-  std::string m_Field; ///< Path such as "perTask.cores"; empty for the whole document.
+  std::string m_Field; ///< Path such as "per_task.cores"; empty for the whole document.
   std::string m_Message;
 };
 
--- a/tests/entry/EntrySessionTest.cpp
+++ b/tests/entry/EntrySessionTest.cpp
@@ -84,7 +84,7 @@
     classes:
       - {name: quote, urgency: working-day, deadline_ms: 2000, idempotent: true, queue_limit: 200}
 )";
-const std::string Job = R"({"workspace":"malabar","name":"report","tasks":2,"perTask":{"accelerators":1,"cores":4}})";
+const std::string Job = R"({"workspace":"malabar","name":"report","tasks":2,"per_task":{"accelerators":1,"cores":4}})";
 
 std::vector<Exchange> session() {
   using S = wire::CommandStatus;
@@ -128,7 +128,7 @@
       {head("POST /v1/zones/kochi/withdraw"), "", {}, {}, {}},
       {head("POST /v1/zones/kochi/withdraw", Operator), "", {result(S::OK)}, {}, {}},
       {head("POST /v1/zones/kochi/close", Operator), "", {}, {}, {}},
-      {head("PUT /v1/config?environment=live&promotedFrom=trial", Operator),
+      {head("PUT /v1/config?environment=live&promoted_from=trial", Operator),
        Config,
        {result(S::CONFLICT, "version 3 is taken", "version", "ravi")},
        {},
--- a/tests/entry/JobJsonTest.cpp
+++ b/tests/entry/JobJsonTest.cpp
@@ -12,7 +12,7 @@
 };
 
 std::string jobWith(const std::string &Extra) {
-  return R"({"workspace":"w","name":"n","tasks":2,"perTask":{"accelerators":1})" + Extra + "}";
+  return R"({"workspace":"w","name":"n","tasks":2,"per_task":{"accelerators":1})" + Extra + "}";
 }
 
 } // namespace
@@ -23,9 +23,9 @@
 BOOST_AUTO_TEST_CASE(ReadsAllFields) {
   wire::JobSpec Spec;
   entry::JsonProblem Problem;
-  const std::string Text = R"({"workspace":"w","name":"n","tasks":2,"adjacency":"vm","adjacencyRequired":true,
-    "perTask":{"accelerators":4,"cores":16,"memoryMib":65536},"urgency":"overnight","deadlineMs":60000,
-    "idempotent":true,"checkpointable":true,"estimateMs":1000,"leaseMs":30000,"payload":"sieve"})";
+  const std::string Text = R"({"workspace":"w","name":"n","tasks":2,"adjacency":"vm","adjacency_required":true,
+    "per_task":{"accelerators":4,"cores":16,"memory_gib":64},"urgency":"overnight","deadline_ms":60000,
+    "idempotent":true,"checkpointable":true,"estimate_ms":1000,"lease_ms":30000,"payload":"sieve"})";
 
   BOOST_REQUIRE_MESSAGE(entry::parseJob(Text, Spec, Problem), Problem.m_Field << ": " << Problem.m_Message);
 
@@ -47,17 +47,17 @@
         {"{} x", ""},
         {"{}", "workspace"},
         {jobWith(R"(,"tasks":2)"), "tasks"},
-        {jobWith(R"(,"leaseMs":"60s")"), "leaseMs"},
-        {jobWith(R"(,"leaseMs":7200001)"), "leaseMs"},
-        {jobWith(R"(,"deadlineMs":1.5)"), "deadlineMs"},
+        {jobWith(R"(,"lease_ms":"60s")"), "lease_ms"},
+        {jobWith(R"(,"lease_ms":7200001)"), "lease_ms"},
+        {jobWith(R"(,"deadline_ms":1.5)"), "deadline_ms"},
         {jobWith(R"(,"idempotent":1)"), "idempotent"},
         {jobWith(R"(,"urgency":"now")"), "urgency"},
         {jobWith(R"(,"gpus":1)"), "gpus"},
-        {R"({"workspace":"w","name":"n","tasks":0,"perTask":{"cores":1}})", "tasks"},
-        {R"({"workspace":"w","name":"n","tasks":1,"perTask":[]})", "perTask"},
-        {R"({"workspace":"w","name":"n","tasks":1,"perTask":{}})", "perTask"},
-        {R"({"workspace":"w","name":"n","tasks":1,"perTask":{"cores":1,"cores":2}})", "perTask.cores"},
-        {R"({"workspace":"w","name":"n","tasks":1,"perTask":{"core":1}})", "perTask.core"}}) {
+        {R"({"workspace":"w","name":"n","tasks":0,"per_task":{"cores":1}})", "tasks"},
+        {R"({"workspace":"w","name":"n","tasks":1,"per_task":[]})", "per_task"},
+        {R"({"workspace":"w","name":"n","tasks":1,"per_task":{}})", "per_task"},
+        {R"({"workspace":"w","name":"n","tasks":1,"per_task":{"cores":1,"cores":2}})", "per_task.cores"},
+        {R"({"workspace":"w","name":"n","tasks":1,"per_task":{"core":1}})", "per_task.core"}}) {
     wire::JobSpec Spec;
     entry::JsonProblem Problem;
     BOOST_TEST(!entry::parseJob(Case.m_Text, Spec, Problem), Case.m_Text);
