Share the io thread and the raw caller between the tests of server and entry

Cause: two harnesses had the same thread, hooks and blocking client. Change: tests/support/IoThread.h.

--- a/tests/entry/SessionHarness.h
+++ b/tests/entry/SessionHarness.h
@@ -2,24 +2,16 @@
 #define ANVIL_TESTS_ENTRY_SESSIONHARNESS_H
 
 #include <deque>
-#include <functional>
-#include <future>
 #include <memory>
+#include <sstream>
 #include <string>
-#include <thread>
 #include <vector>
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
-
 #include "anvil/daemon/Process.h"
 #include "anvil/entry/Entry.h"
 #include "anvil/net/Rpc.h"
 #include "anvil/net/WireCodec.h"
+#include "support/IoThread.h"
 
 namespace anvil::entry::testing {
 
@@ -132,7 +124,7 @@
 }
 
 /// One entry between two fake control replicas and a fake agent that stands for two minions, on a thread of its own.
-class SessionHarness {
+class SessionHarness : public anvil::testing::IoThread {
 public:
   explicit SessionHarness(Duration DrainNotice = Duration(0)) {
     m_Agent = std::make_unique<FakeAgent>(m_Io, m_Notes);
@@ -147,7 +139,7 @@
     Options.m_SyncPeriod = std::chrono::milliseconds(50);
     m_Entry = std::move(*Entry::create(m_Io, Options, {daemon::monotonicNow, [] { return 1; }, [] { return 0.25; }}));
     m_Port = m_Entry->endpoint().m_Port;
-    m_Thread = std::thread([this] { m_Io.run(); });
+    start();
   }
   ~SessionHarness() {
     run([this] {
@@ -156,33 +148,14 @@
       for (std::unique_ptr<FakeControl> &Each : m_Controls)
         Each.reset();
     });
-    m_Work.reset();
-    m_Io.stop();
-    m_Thread.join();
-  }
-
-  /// Runs \p What on the entry's thread and waits for it.
-  void run(const std::function<void()> &What) {
-    std::promise<void> Ran;
-    boost::asio::post(m_Io, [&What, &Ran] {
-      What();
-      Ran.set_value();
-    });
-    Ran.get_future().wait();
+    stop();
   }
 
   /// Sends one request on a connection of its own and returns the whole response.
   std::string exchange(const std::string &Head, const std::string &Body = "") const {
-    boost::asio::io_context Io;
-    boost::asio::ip::tcp::socket Socket(Io);
-    Socket.connect({boost::asio::ip::make_address("127.0.0.1"), m_Port});
-    const std::string Text =
-        Head + "Connection: close\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
-    boost::asio::write(Socket, boost::asio::buffer(Text));
-    std::string Answer;
-    boost::system::error_code Ended;
-    boost::asio::read(Socket, boost::asio::dynamic_buffer(Answer), Ended);
-    return Answer;
+    anvil::testing::Caller Client(m_Port);
+    Client.send(Head + "Connection: close\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body);
+    return Client.readAll();
   }
 
   void awaitReady() const {
@@ -190,8 +163,7 @@
       std::this_thread::sleep_for(std::chrono::milliseconds(10));
   }
   void awaitHeld(size_t Count) {
-    for (size_t Held = 0; Held < Count; std::this_thread::yield())
-      run([this, &Held] { Held = m_Agent->m_Held.size(); });
+    await([this, Count] { return m_Agent->m_Held.size() == Count; });
   }
 
   wire::EntrySyncReply table() const {
@@ -218,14 +190,11 @@
     return Reply;
   }
 
-  boost::asio::io_context m_Io;
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_Work{m_Io.get_executor()};
   std::vector<std::string> m_Notes; ///< What the fakes were asked; touched by the entry's thread only.
   std::unique_ptr<FakeControl> m_Controls[2];
   std::unique_ptr<FakeAgent> m_Agent;
   std::unique_ptr<Entry> m_Entry;
   uint16_t m_Port = 0;
-  std::thread m_Thread;
 };
 
 } // namespace anvil::entry::testing
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -1,27 +1,20 @@
 #include "anvil/net/HttpServer.h"
 
 #include <deque>
-#include <future>
-#include <thread>
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "support/IoThread.h"
+
 namespace {
 
 using namespace anvil;
 using namespace anvil::net;
-using boost::asio::ip::tcp;
+using anvil::testing::Caller;
 using std::chrono::milliseconds;
 
-/// A server on a free loopback port, run by a thread of its own. "/hold" is answered by release().
-class RunningServer {
+/// A server on a free loopback port. "/hold" is answered by release().
+class RunningServer : public anvil::testing::IoThread {
 public:
   explicit RunningServer(HttpServerOptions Options = {}) {
     Options.m_RefusalFields = {{"Anvil-Outcome", "not-run"}};
@@ -35,32 +28,20 @@
     };
     m_Server = *HttpServer::create(m_Io, {"127.0.0.1", 0}, Options, Handle);
     m_Port = m_Server->endpoint().m_Port;
-    m_Thread = std::thread([this] { m_Io.run(); });
+    start();
   }
   ~RunningServer() {
     run([this] { m_Server.reset(); });
-    m_Work.reset();
-    m_Thread.join();
+    stop();
   }
 
-  /// Runs \p What on the server's thread and waits for it.
-  void run(const std::function<void()> &What) {
-    std::promise<void> Ran;
-    boost::asio::post(m_Io, [&What, &Ran] {
-      What();
-      Ran.set_value();
-    });
-    Ran.get_future().wait();
-  }
   HttpCounters counters() {
     HttpCounters Copy;
     run([this, &Copy] { Copy = m_Server->counters(); });
     return Copy;
   }
-  /// Waits until \p Count requests are held.
   void awaitHeld(size_t Count) {
-    for (size_t Held = 0; Held < Count; std::this_thread::yield())
-      run([this, &Held] { Held = m_Held.size(); });
+    await([this, Count] { return m_Held.size() == Count; });
   }
   void release() {
     run([this] {
@@ -69,48 +50,9 @@
     });
   }
 
-  boost::asio::io_context m_Io;
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_Work{m_Io.get_executor()};
   std::unique_ptr<HttpServer> m_Server;
   std::deque<HttpResponder> m_Held;
   uint16_t m_Port = 0;
-  std::thread m_Thread;
-};
-
-/// A caller that writes bytes as they are.
-class Caller {
-public:
-  explicit Caller(const RunningServer &Server) : m_Socket(m_Io) {
-    m_Socket.connect({boost::asio::ip::make_address("127.0.0.1"), Server.m_Port});
-  }
-  Caller &send(std::string_view Bytes) {
-    boost::system::error_code Ignored;
-    boost::asio::write(m_Socket, boost::asio::buffer(Bytes.data(), Bytes.size()), Ignored);
-    return *this;
-  }
-  Caller &finish() {
-    m_Socket.shutdown(tcp::socket::shutdown_send);
-    return *this;
-  }
-  /// Returns all bytes until the server closes the connection.
-  std::string readAll() {
-    std::string Text;
-    boost::system::error_code Ended;
-    boost::asio::read(m_Socket, boost::asio::dynamic_buffer(Text), Ended);
-    return Text;
-  }
-  /// Returns all bytes up to and including \p End.
-  std::string readUntil(const std::string &End) {
-    const size_t Size = boost::asio::read_until(m_Socket, boost::asio::dynamic_buffer(m_Read), End);
-    std::string Text = m_Read.substr(0, Size);
-    m_Read.erase(0, Size);
-    return Text;
-  }
-
-private:
-  boost::asio::io_context m_Io;
-  tcp::socket m_Socket;
-  std::string m_Read;
 };
 
 bool contains(const std::string &Text, std::string_view Part) { return Text.find(Part) != std::string::npos; }
@@ -176,7 +118,7 @@
     BOOST_TEST_CONTEXT(Case.m_Name) {
       const auto Reason = static_cast<size_t>(Case.m_Reason);
       const int64_t Before = Server.counters().m_Refusals[Reason];
-      Caller Bad(Server);
+      Caller Bad(Server.m_Port);
       Bad.send(Case.m_Bytes);
       if (Case.m_Finish)
         Bad.finish();
@@ -185,7 +127,7 @@
       BOOST_TEST(contains(Answer, "{\"error\":{\"code\":\"" + std::string(httpRefusalName(Case.m_Reason)) + "\""));
       BOOST_TEST(contains(Answer, "Anvil-Outcome: not-run"));
       BOOST_TEST(Server.counters().m_Refusals[Reason] == Before + 1);
-      Caller Good(Server);
+      Caller Good(Server.m_Port);
       BOOST_TEST(contains(Good.send(Get + "Connection: close\r\n\r\n").readAll(), "GET / 0"));
     }
   }
@@ -196,7 +138,7 @@
 // Guards against lost, merged or reordered requests on one connection, and against a body after HEAD.
 BOOST_AUTO_TEST_CASE(ServesSeveralRequestsOnOneConnection) {
   RunningServer Server;
-  Caller Client(Server);
+  Caller Client(Server.m_Port);
   Client.send("GET /a?x=1 HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc");
   BOOST_TEST(contains(Client.readUntil("GET /a?x=1 0"), "200 OK"));
   BOOST_TEST(contains(Client.readUntil("POST /b 3"), "200 OK"));
@@ -215,19 +157,18 @@
   Options.m_MaxRequests = 1;
   Options.m_MaxBufferedBytes = 100;
   RunningServer Server(Options);
-  Caller Held(Server);
+  Caller Held(Server.m_Port);
   Held.send("GET /hold HTTP/1.1\r\n\r\n");
   Server.awaitHeld(1);
 
-  Caller Second(Server);
+  Caller Second(Server.m_Port);
   BOOST_TEST(contains(Second.send("GET / HTTP/1.1\r\n\r\n").readAll(), "too-many-requests"));
-  Caller Large(Server);
+  Caller Large(Server.m_Port);
   BOOST_TEST(contains(Large.send("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n").readAll(), "too-many-bytes"));
-  Caller Third(Server);
-  Caller Fourth(Server);
-  while (Server.counters().m_OpenConnections < 3)
-    std::this_thread::yield();
-  Caller Fifth(Server);
+  Caller Third(Server.m_Port);
+  Caller Fourth(Server.m_Port);
+  Server.await([&Server] { return Server.m_Server->counters().m_OpenConnections == 3; });
+  Caller Fifth(Server.m_Port);
   const std::string Refused = Fifth.readAll();
   BOOST_TEST(contains(Refused, "too-many-connections"), Refused);
   BOOST_TEST(contains(Refused, "Retry-After: 1"), Refused);
@@ -239,21 +180,20 @@
 // Guards against a shutdown that cuts off a request, or that never ends because of idle connections.
 BOOST_AUTO_TEST_CASE(ShutdownFinishesRequestsAndClosesIdleConnections) {
   RunningServer Server;
-  Caller Idle(Server);
+  Caller Idle(Server.m_Port);
   Idle.send("GET / HTTP/1.1\r\n\r\n").readUntil("GET / 0");
-  Caller Held(Server);
+  Caller Held(Server.m_Port);
   Held.send("GET /hold HTTP/1.1\r\n\r\n");
   Server.awaitHeld(1);
-  Caller Sending(Server);
+  Caller Sending(Server.m_Port);
   Sending.send("POST /late HTTP/1.1\r\nContent-Length: 3\r\n\r\na");
-  while (Server.counters().m_BufferedBytes < 3)
-    std::this_thread::yield();
+  Server.await([&Server] { return Server.m_Server->counters().m_BufferedBytes == 3; });
   std::promise<void> Done;
 
   Server.run([&Server, &Done] { Server.m_Server->shutdown([&Done] { Done.set_value(); }); });
 
   BOOST_TEST(Idle.readAll().empty());
-  BOOST_CHECK_THROW(Caller Refused(Server), boost::system::system_error);
+  BOOST_CHECK_THROW(Caller Refused(Server.m_Port), boost::system::system_error);
   BOOST_TEST(contains(Sending.send("bc").readAll(), "POST /late 3"));
   Server.release();
   const std::string Answer = Held.readAll();
@@ -265,9 +205,9 @@
 // Guards against a forced end that hides how many requests it cut off.
 BOOST_AUTO_TEST_CASE(CutOffCountsRequestsInProgress) {
   RunningServer Server;
-  Caller Idle(Server);
+  Caller Idle(Server.m_Port);
   Idle.send("GET / HTTP/1.1\r\n\r\n").readUntil("GET / 0");
-  Caller Held(Server);
+  Caller Held(Server.m_Port);
   Held.send("GET /hold HTTP/1.1\r\n\r\n");
   Server.awaitHeld(1);
 
