--- a/src/agent/AgentGate.cpp
+++ b/src/agent/AgentGate.cpp
@@ -118,7 +118,7 @@
   }
   for (const std::string &ClaimId : Reply.acknowledgedClaims)
     m_Requests.claims().acknowledge(ClaimId, Reply.sequence);
-  if (Verdict.m_Use == ReplyUse::AckOnly)
+  if (Verdict.m_Use == ReplyUse::Late)
     return;
   if (m_FarewellSequence != 0 && Reply.sequence >= m_FarewellSequence)
     m_LeaveLimit = m_Requests.claims().unacknowledged() == 0 ? Now : m_LeaveLimit;
@@ -185,6 +185,8 @@
   }
   const bool NothingToReport = m_Requests.claims().unacknowledged() == 0;
   const bool FarewellOver = m_IdleSince && NothingToReport && Now - *m_IdleSince >= m_Options.m_FarewellLimit;
+  if (FarewellOver)
+    Out.push_back(LogNote{"control did not confirm the departure in time"});
   if (Now >= m_LeaveLimit || FarewellOver)
     leave(Now, Out);
 }
