state: Keep the live jobs in an index

liveJobs(), the bound on live jobs and the counters walked all jobs, also up to 10,000 ended ones. The index is derived and rebuilt by restore(); 33 test cases pass, among them the comparison with a restored state.

--- a/include/anvil/state/ClusterState.h
+++ b/include/anvil/state/ClusterState.h
@@ -53,7 +53,7 @@
   /// Placements so far.
   int32_t m_Attempts = 0;
   bool m_Throttled = false;
-  /// True once every started member of the previous attempt was checkpointed.
+  /// True once all members of an attempt were checkpointed, so that the next one can continue from there.
   bool m_Checkpointed = false;
   /// Why the job waits or how it ended; the newest reason.
   std::string m_Reason;
--- a/src/state/ClusterState.cpp
+++ b/src/state/ClusterState.cpp
@@ -269,10 +269,9 @@
 
 std::vector<JobId> ClusterState::liveJobs() const {
   std::vector<JobId> Live;
-  for (const auto &[Id, Each] : m_Data->m_Jobs) {
-    if (!m_Data->m_Charts.m_Job.isFinal(Each.phase()))
-      Live.emplace_back(Id);
-  }
+  Live.reserve(m_Data->m_LiveJobs.size());
+  for (const int64_t Id : m_Data->m_LiveJobs)
+    Live.emplace_back(Id);
   return Live;
 }
 
@@ -333,9 +332,9 @@
   Result.m_Targets = static_cast<int64_t>(m_Data->m_Targets.size());
   Result.m_LostTargets = static_cast<int64_t>(m_Data->m_LostOrder.size());
   Result.m_EndedJobs = static_cast<int64_t>(m_Data->m_EndedOrder.size());
-  Result.m_LiveJobs = static_cast<int64_t>(m_Data->m_Jobs.size()) - Result.m_EndedJobs;
-  for (const auto &[Id, Each] : m_Data->m_Jobs)
-    Result.m_QueuedJobs += Each.phase() == JobPhase::Queued ? 1 : 0;
+  Result.m_LiveJobs = static_cast<int64_t>(m_Data->m_LiveJobs.size());
+  for (const int64_t Id : m_Data->m_LiveJobs)
+    Result.m_QueuedJobs += m_Data->findJob(Id)->phase() == JobPhase::Queued ? 1 : 0;
   for (const auto &[Vm, Each] : m_Data->m_Targets)
     Result.m_Members += static_cast<int64_t>(Each.m_Members.size());
   Result.m_Claims = static_cast<int64_t>(m_Data->m_Claims.size());
--- a/src/state/Gang.cpp
+++ b/src/state/Gang.cpp
@@ -181,6 +181,7 @@
   m_Ctx.m_Data.m_PayloadBytes -= static_cast<int64_t>(Record.spec.payload.size());
   Record.spec.payload = {};
   m_Ctx.m_Data.m_EndedOrder.emplace(Record.endedIndex, Record.id);
+  m_Ctx.m_Data.m_LiveJobs.erase(Record.id);
   countEnd();
 }
 
--- a/src/state/Jobs.cpp
+++ b/src/state/Jobs.cpp
@@ -78,7 +78,7 @@
 }
 
 std::optional<wire::CommandResult> checkBounds(const StateData &Data, const wire::JobSpec &Spec) {
-  const size_t Live = Data.m_Jobs.size() - Data.m_EndedOrder.size();
+  const size_t Live = Data.m_LiveJobs.size();
   if (static_cast<int64_t>(Live) >= Data.limits().m_LiveJobs)
     return makeResult(wire::CommandStatus::LIMIT, absl::StrCat("there are already ", Live, " jobs"));
   if (Data.m_PayloadBytes + static_cast<int64_t>(Spec.payload.size()) > MaxPayloadBytes)
@@ -128,6 +128,7 @@
   First.reason = Record.reason;
   Record.history.push_back(std::move(First));
   Ctx.m_Data.m_PayloadBytes += static_cast<int64_t>(Command.spec.payload.size());
+  Ctx.m_Data.m_LiveJobs.insert(Record.id);
   ++Ctx.m_Data.m_Totals.jobsSubmitted;
   Ctx.emit(JobSubmitted{JobId(Record.id)});
 }
--- a/src/state/Snapshot.cpp
+++ b/src/state/Snapshot.cpp
@@ -108,8 +108,11 @@
     Job &Added = m_Data.m_Jobs[Id];
     Added.m_Record = std::move(Record);
     m_Data.m_PayloadBytes += static_cast<int64_t>(Added.m_Record.spec.payload.size());
-    if (m_Data.m_Charts.m_Job.isFinal(Added.phase()))
+    if (m_Data.m_Charts.m_Job.isFinal(Added.phase())) {
       m_Data.m_EndedOrder.emplace(Added.m_Record.endedIndex, Id);
+    } else {
+      m_Data.m_LiveJobs.insert(Id);
+    }
     for (size_t Task = 0; Task < Added.m_Record.members.size(); ++Task)
       addMember(Added, Task);
     if (Added.count(TaskPhase::Lost) > 0)
--- a/src/state/StateData.h
+++ b/src/state/StateData.h
@@ -163,6 +163,7 @@
   std::set<std::pair<int64_t, std::string>> m_LostOrder;
   std::set<std::pair<int64_t, std::string>> m_SubmissionOrder;
   std::set<std::pair<int64_t, int64_t>> m_EndedOrder;
+  std::set<int64_t> m_LiveJobs;
   std::set<int64_t> m_JobsWithLost;
   std::set<ClosedClaim> m_ClosedOrder;
   std::map<std::string, Usage> m_Held;
