--- a/src/sched/Core.h
+++ b/src/sched/Core.h
@@ -43,6 +43,8 @@
     WorkspaceIndex m_Workspace = 0;
     bool m_Pinned = false;
     Demand m_Need{};
+    /// For backfill: the expected end of the job that did not fit.
+    TimePoint m_End{};
   };
   /// Timers ordered by instant.
   using TimerSet = std::set<std::pair<TimePoint, int32_t>>;
@@ -109,10 +111,12 @@
   bool tryPlace(JobIndex Index);
   void handleBlocked(JobIndex Index);
   std::vector<Member> search(JobIndex Index, std::string &Reason);
+  std::vector<Member> searchOwn(const Job &Target, RoomKind Kind, std::span<const WorkerIndex> Avoid);
   std::vector<Member> searchHome(const Job &Target);
   std::vector<Member> searchBackfill(JobIndex Index);
   std::vector<WorkerIndex> avoided(const Job &Target) const;
   void place(JobIndex Index, std::vector<Member> Members, std::string Reason);
+  static bool implies(const FailedShape &Failed, const Job &Target);
   bool knownToFail(const Job &Target) const;
   void rememberFailure(const Job &Target);
   bool couldEverFit(const Job &Target);
@@ -125,6 +129,9 @@
   bool claimGuarantee(JobIndex Index);
   bool preempt(JobIndex Index);
   bool preemptIfItPays(JobIndex Index);
+  bool exchange(JobIndex Index);
+  bool settled(const Job &Candidate) const;
+  void settle(JobIndex Index, const Plan &Chosen);
   bool reserve(JobIndex Index);
   Plan planFreeing(JobIndex Index, std::span<const Victim> Victims);
   std::vector<Victim> victimsFor(JobIndex Index, bool Economy) const;
@@ -148,6 +155,9 @@
   double harmOf(const Job &Target, const Plan &Chosen);
   Plan planByEnd(JobIndex Index, Duration &Wait);
   std::vector<std::pair<WorkerIndex, Resources>> claimsInProgress(WorkspaceIndex Index) const;
+  Plan cheapestClaim(const Job &Target, std::span<const WorkerIndex> Homes, const Finder::RoomFn &RestOf) const;
+  Resources roomForHold(WorkerIndex Index, HoldKind Kind) const;
+  bool mayTakeBack(const Job &Candidate, const Hold &Reservation) const;
   bool claimVictims(const Job &Target, std::span<const Member> Members, std::vector<JobIndex> &Victims) const;
   void dropHoldsOn(std::span<const Member> Members);
 
@@ -201,6 +211,7 @@
   TimerSet m_ProbeTimers;
 
   std::vector<FailedShape> m_FailedShapes;
+  std::vector<FailedShape> m_FailedBackfills;
   std::vector<Resources> m_Extra;
   bool m_Dirty = false;
   bool m_HomesDirty = false;
@@ -215,7 +226,9 @@
   int32_t m_GuaranteesMissing = 0;
   int64_t m_QueuedCount = 0;
   int64_t m_SearchBudget = 0;
-  int32_t m_PlanBudget = 0;
+  int32_t m_PreemptBudget = 0;
+  int32_t m_EconomyBudget = 0;
+  int32_t m_ReserveBudget = 0;
 };
 
 } // namespace anvil::sched::internal
--- a/src/sched/CorePlan.cpp
+++ b/src/sched/CorePlan.cpp
@@ -14,22 +14,30 @@
 constexpr Duration ReserveAfterUrgent = std::chrono::seconds(10);
 constexpr Duration ReserveAfterOther = std::chrono::minutes(30);
 constexpr int ReserveAfterRunTimes = 2;
+// Single tasks below this many accelerators find room soon enough without a reservation.
+constexpr int64_t LargeTask = 4;
 // Share of the accelerators or cores that reservations together may keep.
 constexpr double MaxReservedShare = 0.35;
 // A gang is not asked to leave for shorter work before it ran this long, so that gangs do not displace each other in
 // turn.
 constexpr Duration LeastRun = std::chrono::minutes(2);
+// Time for which a gang and the one that it displaced stay as they are.
+constexpr Duration SettleTime = std::chrono::minutes(15);
 // Run time lost by a gang that is checkpointed, moved and started again.
 constexpr double MoveSeconds = 10;
 // A gang gives way to shorter work only if it needs this many times longer.
 constexpr double PreemptRatio = 4;
 // Gangs asked to leave for one job when this only shortens waiting.
 constexpr size_t MaxEconomyVictims = 8;
+// A gang takes the place of smaller ones if they free at most this percentage of the accelerators that it uses.
+constexpr int64_t MaxExchangePercent = 75;
 // Times a gang is displaced to shorten waiting, at most; guarantees and urgent work are not bound by it.
 constexpr int MaxEconomyReclaims = 6;
 // Delays between two plans for the same job: first, and with doublings the last.
 constexpr Duration FirstPlanDelay = std::chrono::milliseconds(500);
 constexpr int MaxPlanDoublings = 6;
+// A blocked job is checked at every this many plans for whether the workers could ever take it.
+constexpr int ImpossibleCheckEvery = 4;
 } // namespace
 
 /// Called for a job that found no room: claims its guarantee, displaces lower classes, or reserves.
@@ -39,20 +47,17 @@
     return;
   if (claimGuarantee(Index))
     return;
-  if (m_PlanBudget <= 0)
-    return;
-  --m_PlanBudget;
+  // Waiting for gangs of one's own class to end needs no plan, so the check comes first that a plan may lead anywhere.
   const bool Urgent = rankOf(Target) == 0 || (Target.m_Spec.m_Urgency != Urgency::WorkingDay && rankOf(Target) == 1);
   Target.m_NextPlanAt = m_Now + FirstPlanDelay * (1 << std::min(Target.m_Plans, Urgent ? 1 : MaxPlanDoublings));
-  ++Target.m_Plans;
-  if (!couldEverFit(Target)) {
+  if (Target.m_Plans++ % ImpossibleCheckEvery == 0 && !couldEverFit(Target)) {
     park(Index, absl::StrCat("it needs ", describeNeed(Target),
                              ", more than the workers in service could give it even when empty"));
     return;
   }
   if (Urgent && preempt(Index))
     return;
-  if (preemptIfItPays(Index))
+  if (m_Now >= Target.m_YieldsUntil && (preemptIfItPays(Index) || exchange(Index)))
     return;
   reserve(Index);
 }
@@ -61,10 +66,11 @@
   const Resources Total = Candidate.total();
   const double Size = static_cast<double>(std::max<int64_t>(Total.m_Accelerators, Total.m_Cores / 8 + 1));
   double Lost = MoveSeconds;
-  if (Candidate.m_Phase == JobPhase::Placed)
+  if (Candidate.m_Phase == JobPhase::Placed) {
     Lost = 0;
-  else if (!Candidate.m_Spec.m_Checkpointable)
+  } else if (!Candidate.m_Spec.m_Checkpointable) {
     Lost += toSeconds(m_Now - Candidate.m_CheckpointAt);
+  }
   // Stopping it without a checkpoint ends it for good, so it is asked only if nothing else helps.
   if (!Candidate.m_Spec.m_Idempotent)
     Lost += 3600;
@@ -79,6 +85,11 @@
   });
 }
 
+/// Returns whether a running gang may be displaced without need.
+bool SchedulerCore::settled(const Job &Candidate) const {
+  return m_Now - Candidate.m_StartedAt >= LeastRun && m_Now >= Candidate.m_SettledUntil;
+}
+
 bool SchedulerCore::victimAllowed(const Job &Target, const Job &Candidate, bool Economy) const {
   if (Candidate.pinned() || Candidate.m_Phase == JobPhase::Stopping)
     return false;
@@ -88,8 +99,7 @@
     return rankOf(Candidate) > rankOf(Target) && rankOf(Candidate) >= static_cast<int>(Urgency::Batch);
   if (Candidate.m_Phase != JobPhase::Running || !Candidate.m_Spec.m_Checkpointable || !Candidate.m_Spec.m_Idempotent)
     return false;
-  if (rankOf(Candidate) < rankOf(Target) || m_Now - Candidate.m_StartedAt < LeastRun ||
-      Candidate.m_Reclaims >= MaxEconomyReclaims)
+  if (rankOf(Candidate) < rankOf(Target) || !settled(Candidate) || Candidate.m_Reclaims >= MaxEconomyReclaims)
     return false;
   return toSeconds(remainingOf(Candidate)) > PreemptRatio * toSeconds(remainingOf(Target));
 }
@@ -120,7 +130,7 @@
   const Job &Target = m_Jobs[Index];
   auto Change = [this](const Job &Candidate, int Sign) {
     for (const Member &Each : Candidate.m_Members)
-      m_Extra[Each.m_Worker] += Candidate.m_Spec.m_PerTask * (Each.m_Tasks * Sign);
+      m_Extra[Each.m_Worker] += Candidate.m_Spec.m_PerTask * (int64_t{Each.m_Tasks} * Sign);
   };
   auto Search = [&] {
     addHomeBonus(Target.m_Workspace, 1, true);
@@ -195,7 +205,15 @@
 }
 
 bool SchedulerCore::preempt(JobIndex Index) {
-  Plan Chosen = planFreeing(Index, victimsFor(Index, false));
+  if (m_PreemptBudget <= 0) {
+    m_Jobs[Index].m_NextPlanAt = m_Now;
+    return false;
+  }
+  const std::vector<Victim> Victims = victimsFor(Index, false);
+  if (Victims.empty())
+    return false;
+  --m_PreemptBudget;
+  Plan Chosen = planFreeing(Index, Victims);
   if (Chosen.m_Members.empty())
     return false;
   commitPlan(Index, std::move(Chosen), HoldKind::Reclaim,
@@ -203,6 +221,13 @@
   return true;
 }
 
+/// Keeps a displaced gang and the one that took its place from displacing each other in turn.
+void SchedulerCore::settle(JobIndex Index, const Plan &Chosen) {
+  m_Jobs[Index].m_SettledUntil = m_Now + SettleTime;
+  for (const JobIndex Each : Chosen.m_Victims)
+    m_Jobs[Each].m_YieldsUntil = m_Now + SettleTime;
+}
+
 double SchedulerCore::harmOf(const Job &Target, const Plan &Chosen) {
   double Harm = 0;
   for (const JobIndex Each : Chosen.m_Victims) {
@@ -220,9 +245,14 @@
 /// Asks gangs to checkpoint and leave if their delay together is less than the waiting that the job is spared.
 bool SchedulerCore::preemptIfItPays(JobIndex Index) {
   Job &Target = m_Jobs[Index];
-  if (rankOf(Target) >= static_cast<int>(Urgency::Overnight))
+  if (rankOf(Target) >= static_cast<int>(Urgency::Overnight) || m_EconomyBudget <= 0)
+    return false;
+  const std::vector<Victim> Victims = victimsFor(Index, true);
+  // Gangs that stop anyway come first; without any other there is nothing to ask for.
+  if (Victims.empty() || Victims.back().m_Cost < 0)
     return false;
-  Plan Chosen = planFreeing(Index, victimsFor(Index, true));
+  --m_EconomyBudget;
+  Plan Chosen = planFreeing(Index, Victims);
   if (Chosen.m_Members.empty() || Chosen.m_Victims.size() > MaxEconomyVictims)
     return false;
   double Spared = toSeconds(Duration::max());
@@ -232,11 +262,50 @@
   }
   if (harmOf(Target, Chosen) >= Spared)
     return false;
+  settle(Index, Chosen);
   commitPlan(Index, std::move(Chosen), HoldKind::Reclaim,
              absl::StrCat("job ", Target.m_Id.value(), " is much shorter and waits"));
   return true;
 }
 
+/// Starts a larger gang in place of smaller ones that can be moved, if that uses clearly more of the capacity: free
+/// accelerators that no waiting gang fits into are of no use to anyone.
+bool SchedulerCore::exchange(JobIndex Index) {
+  const Job &Target = m_Jobs[Index];
+  if (rankOf(Target) >= static_cast<int>(Urgency::Overnight) || Target.m_Spec.m_Tasks < 2 || m_EconomyBudget <= 0)
+    return false;
+  const Resources Need = Target.total();
+  const Resources Limit = {Need.m_Accelerators * MaxExchangePercent / 100, Need.m_Cores, Need.m_MemoryMib};
+  std::vector<Victim> Victims = stoppingVictims();
+  for (const JobIndex Each : m_Placed) {
+    const Job &Candidate = m_Jobs[Each];
+    const bool Movable = Candidate.m_Phase == JobPhase::Running && Candidate.m_Spec.m_Checkpointable &&
+                         Candidate.m_Spec.m_Idempotent && rankOf(Candidate) >= rankOf(Target);
+    const Resources Size = Candidate.total();
+    if (Movable && settled(Candidate) && fits(Size, Limit) &&
+        (Candidate.m_Workspace == Target.m_Workspace || !withinGuarantee(Candidate)))
+      Victims.push_back({static_cast<double>(Size.m_Accelerators), Each});
+  }
+  if (Victims.empty() || Victims.back().m_Cost < 0 || Need.m_Accelerators == 0)
+    return false;
+  std::sort(Victims.begin(), Victims.end(), [](const Victim &A, const Victim &B) {
+    return A.m_Cost != B.m_Cost ? A.m_Cost < B.m_Cost : A.m_Job < B.m_Job;
+  });
+  --m_EconomyBudget;
+  Plan Chosen = planFreeing(Index, Victims);
+  Resources Freed;
+  for (const JobIndex Each : Chosen.m_Victims) {
+    if (m_Jobs[Each].m_Phase != JobPhase::Stopping)
+      Freed += m_Jobs[Each].total();
+  }
+  if (Chosen.m_Members.empty() || !fits(Freed, Limit))
+    return false;
+  settle(Index, Chosen);
+  commitPlan(Index, std::move(Chosen), HoldKind::Reclaim,
+             absl::StrCat("job ", Target.m_Id.value(), " uses more of the accelerators that are free"));
+  return true;
+}
+
 /// Keeps the room that is expected to be free first, so that scattered small jobs cannot starve a large gang.
 bool SchedulerCore::reserve(JobIndex Index) {
   const Job &Target = m_Jobs[Index];
@@ -246,6 +315,9 @@
     Needed = std::max(ReserveAfterOther, estimateOf(Target).m_Median * ReserveAfterRunTimes);
   if (Waited < Needed || rankOf(Target) >= static_cast<int>(Urgency::Overnight))
     return false;
+  const bool Large = Target.m_Spec.m_Tasks > 1 || Target.m_Spec.m_PerTask.m_Accelerators >= LargeTask;
+  if (!Large || m_ReserveBudget <= 0)
+    return false;
   int32_t Reservations = 0;
   Resources Reserved = Target.total();
   for (const Hold &Each : m_Holds) {
@@ -257,6 +329,7 @@
   const bool TooMuch = Reservations > 0 && dominantShare(Reserved, m_Fleet.usableCapacity()) > MaxReservedShare;
   if (Reservations >= m_Options.m_MaxReservations || TooMuch)
     return false;
+  --m_ReserveBudget;
   Duration Wait{};
   Plan Chosen = planByEnd(Index, Wait);
   if (Chosen.m_Members.empty())
--- a/src/sched/CoreReclaim.cpp
+++ b/src/sched/CoreReclaim.cpp
@@ -73,7 +73,7 @@
     if (m_Fleet.slot(Worker).m_Usable)
       Usable.push_back(Worker);
   }
-  std::vector<Member> Members = m_Finder.findAmong(Target.demand(), Usable, [&](WorkerIndex Worker) {
+  auto RestOf = [&](WorkerIndex Worker) {
     const Claim Own = m_Fleet.claimOf(Worker, Target.m_Workspace);
     Resources Rest = Own.m_Guaranteed - Own.m_Used;
     for (const auto &[Place, Amount] : Claimed) {
@@ -81,36 +81,59 @@
         Rest -= Amount;
     }
     return Rest;
-  });
-  if (Members.empty())
-    return false;
-  dropHoldsOn(Members);
-  Plan Chosen{std::move(Members), {}};
-  if (!claimVictims(Target, Chosen.m_Members, Chosen.m_Victims))
-    return false;
+  };
+  Plan Chosen = cheapestClaim(Target, Usable, RestOf);
+  if (Chosen.m_Members.empty()) {
+    Chosen.m_Members = m_Finder.findAmong(Target.demand(), Usable, RestOf);
+    if (Chosen.m_Members.empty() || !claimVictims(Target, Chosen.m_Members, Chosen.m_Victims))
+      return false;
+  }
+  dropHoldsOn(Chosen.m_Members);
   commitPlan(Index, std::move(Chosen), HoldKind::Claim,
              absl::StrCat("workspace ", m_Workspaces[Target.m_Workspace].m_Name.str(),
                           " claims its guaranteed capacity for job ", Target.m_Id.value()));
   return true;
 }
 
+/// Chooses the one worker that takes the whole gang within the guarantee at the least cost; empty if there is none.
+SchedulerCore::Plan SchedulerCore::cheapestClaim(const Job &Target, std::span<const WorkerIndex> Homes,
+                                                 const Finder::RoomFn &RestOf) const {
+  Plan Best;
+  double BestCost = 0;
+  for (const WorkerIndex Worker : Homes) {
+    if (!fits(Target.total(), RestOf(Worker)))
+      continue;
+    Plan Each{{{Worker, Target.m_Spec.m_Tasks}}, {}};
+    if (!claimVictims(Target, Each.m_Members, Each.m_Victims))
+      continue;
+    double Cost = 0;
+    for (const JobIndex Victim : Each.m_Victims)
+      Cost += victimCost(m_Jobs[Victim]);
+    if (!Best.m_Members.empty() && Cost >= BestCost)
+      continue;
+    Best = std::move(Each);
+    BestCost = Cost;
+  }
+  return Best;
+}
+
 /// Chooses the cheapest gangs beyond their own guarantee on each of the places; false if they do not suffice.
 bool SchedulerCore::claimVictims(const Job &Target, std::span<const Member> Members,
                                  std::vector<JobIndex> &Victims) const {
   for (const Member &Place : Members) {
-    Resources Missing = Target.m_Spec.m_PerTask * Place.m_Tasks - m_Fleet.slot(Place.m_Worker).m_Free;
-    // What hold and overuse take from the slot is not taken from the owner.
-    Missing -= m_Fleet.worker(Place.m_Worker).m_Overuse;
+    // Measured overuse and holds that the claim overrides do not take from the owner.
+    Resources Missing = Target.m_Spec.m_PerTask * Place.m_Tasks - roomForHold(Place.m_Worker, HoldKind::Claim);
     std::vector<std::pair<double, Occupant>> Here;
     for (const Occupant &Entry : m_Fleet.worker(Place.m_Worker).m_Occupants) {
       const Job &Candidate = m_Jobs[Entry.m_Job];
       const bool Leaves = Candidate.m_Phase == JobPhase::Stopping ||
                           std::find(Victims.begin(), Victims.end(), Entry.m_Job) != Victims.end();
       const Claim Own = m_Fleet.claimOf(Place.m_Worker, Candidate.m_Workspace);
-      if (Leaves)
+      if (Leaves) {
         Here.emplace_back(-1, Entry);
-      else if (Candidate.m_Workspace != Target.m_Workspace && !Candidate.pinned() &&
-               !fits(Own.m_Used, Own.m_Guaranteed))
+        continue;
+      }
+      if (Candidate.m_Workspace != Target.m_Workspace && !Candidate.pinned() && !fits(Own.m_Used, Own.m_Guaranteed))
         Here.emplace_back(victimCost(Candidate), Entry);
     }
     std::stable_sort(Here.begin(), Here.end(), [](const auto &A, const auto &B) { return A.first < B.first; });
@@ -168,8 +191,26 @@
 
 void SchedulerCore::applyHold(const Hold &Target, int Sign) {
   const Resources &PerTask = m_Jobs[Target.m_Job].m_Spec.m_PerTask;
-  for (const Member &Each : Target.m_Members)
-    m_Fleet.hold(Each.m_Worker, PerTask * (Each.m_Tasks * Sign));
+  for (const Member &Each : Target.m_Members) {
+    const Resources Amount = PerTask * (int64_t{Each.m_Tasks} * Sign);
+    m_Fleet.hold(Each.m_Worker, Amount);
+    if (Target.m_Kind == HoldKind::Claim)
+      m_Fleet.worker(Each.m_Worker).m_HeldByClaims += Amount;
+    if (Target.m_Kind == HoldKind::Reservation)
+      m_Fleet.worker(Each.m_Worker).m_HeldByReservations += Amount;
+  }
+}
+
+/// Returns the room of a worker for a kind of hold: claims go before everything, reservations after everything. A
+/// reservation counts on gangs that end much later, so it must not keep others from room that is free now.
+Resources SchedulerCore::roomForHold(WorkerIndex Index, HoldKind Kind) const {
+  const Worker &Place = m_Fleet.worker(Index);
+  const Resources Free = Place.m_Capacity - Place.m_Reserved;
+  if (Kind == HoldKind::Claim)
+    return Free - Place.m_HeldByClaims;
+  if (Kind == HoldKind::Reservation)
+    return m_Fleet.slot(Index).m_Free;
+  return Free - Place.m_Overuse - (Place.m_Held - Place.m_HeldByReservations);
 }
 
 bool SchedulerCore::holdUsable(const Hold &Target) const {
@@ -181,7 +222,7 @@
 bool SchedulerCore::fitsOwnHold(const Job &Target, const Hold &Own) const {
   return std::all_of(Own.m_Members.begin(), Own.m_Members.end(), [&](const Member &Each) {
     const WorkerSlot &Slot = m_Fleet.slot(Each.m_Worker);
-    Resources Room = Slot.m_Free;
+    Resources Room = roomForHold(Each.m_Worker, Own.m_Kind);
     if (Target.pinned()) {
       const Claim Claimed = m_Fleet.claimOf(Each.m_Worker, Target.m_Workspace);
       Room = minOf(Room, Slot.m_PinRoom + positive(Claimed.m_Guaranteed - Claimed.m_Pinned));
@@ -230,6 +271,14 @@
   return false;
 }
 
+/// Returns whether a backfilled gang may be asked to leave: at once if it can be moved, and otherwise only after it has
+/// overstayed, since its work is lost.
+bool SchedulerCore::mayTakeBack(const Job &Candidate, const Hold &Reservation) const {
+  if (!Candidate.m_Backfilled || Candidate.pinned() || rankOf(Candidate) < static_cast<int>(Urgency::Batch))
+    return false;
+  return (Candidate.m_Spec.m_Checkpointable && Candidate.m_Spec.m_Idempotent) || m_Now >= Reservation.m_ExpectedStart;
+}
+
 /// Takes back the room of a reservation once only backfilled gangs are in the way; plans anew if it is long overdue.
 bool SchedulerCore::retryReservation(JobIndex Index) {
   Job &Target = m_Jobs[Index];
@@ -243,7 +292,7 @@
       if (fits(Missing, Resources{}))
         break;
       const bool Leaves = Candidate.m_Phase == JobPhase::Stopping;
-      if (!Leaves && (!Candidate.m_Backfilled || Candidate.pinned()))
+      if (!Leaves && !mayTakeBack(Candidate, Own))
         continue;
       Missing -= Candidate.m_Spec.m_PerTask * Entry.m_Tasks;
       if (!Leaves)
@@ -252,7 +301,9 @@
     Others = Others || !fits(Missing, Resources{});
   }
   if (!Others) {
+    applyHold(Own, -1);
     m_Holds[Target.m_Hold].m_Kind = HoldKind::Reclaim;
+    applyHold(m_Holds[Target.m_Hold], 1);
     for (const JobIndex Each : InTheWay)
       startReclaim(Each, absl::StrCat("it was backfilled into the reservation of job ", Target.m_Id.value()));
     return false;
