--- a/tests/entry/EntrySessionTest.cpp
+++ b/tests/entry/EntrySessionTest.cpp
@@ -68,6 +68,22 @@
 const std::string Reorder = "Anvil-Workspace: malabar\r\nAnvil-Class: reorder\r\nX-Request-Id: r-1\r\n";
 const std::string Keyed = Reorder + "Idempotency-Key: k-1\r\n";
 const std::string Operator = "Anvil-Operator: asha\r\nX-Request-Id: o-1\r\n";
+const std::string Config = R"(environment: trial
+version: 3
+availability_zones:
+  - name: kochi
+    region: kerala
+    workers: [{count: 2, accelerators: 8, cores: 64, memory_gib: 256, per_rack: 2}]
+workspaces:
+  - name: sieving
+    quota: {accelerators: 16, cores: 128, memory_gib: 512}
+services:
+  - name: sieve
+    slots: 8
+    connections: 64
+    classes:
+      - {name: quote, urgency: working-day, deadline_ms: 2000, idempotent: true, queue_limit: 200}
+)";
 const std::string Job = R"({"workspace":"malabar","name":"report","tasks":2,"per_task":{"accelerators":1,"cores":4}})";
 
 std::vector<Exchange> session() {
@@ -89,7 +105,11 @@
        {claim(C::HELD), claim(C::CLOSED, wire::Outcome::UNKNOWN)},
        {},
        {}},
-      {head("POST /services/sieve/reorders", Keyed), "200 cheques", {result(S::CONFLICT, "another digest")}, {}, {}},
+      {head("POST /services/sieve/reorders", Keyed),
+       "200 cheques",
+       {result(S::INVALID, "another digest", "requestDigest")},
+       {},
+       {}},
       {head("POST /v1/jobs", Operator + "Idempotency-Key: j-1\r\n"), Job, {result(S::OK)}, {}, {}},
       {head("POST /v1/jobs", Operator), Job, {}, {}, {}},
       {head("POST /v1/jobs", Operator + "Idempotency-Key: j-2\r\n"), R"({"workspace":"malabar","name":7})", {}, {}, {}},
@@ -108,13 +128,15 @@
       {head("POST /v1/zones/kochi/withdraw"), "", {}, {}, {}},
       {head("POST /v1/zones/kochi/withdraw", Operator), "", {result(S::OK)}, {}, {}},
       {head("POST /v1/zones/kochi/close", Operator), "", {}, {}, {}},
-      {head("PUT /v1/config?promoted_from=trial", Operator),
-       "environment: live\nversion: 3\n",
+      {head("PUT /v1/config?environment=live&promoted_from=trial", Operator),
+       Config,
        {result(S::CONFLICT, "version 3 is taken", "version", "ravi")},
        {},
        {}},
-      {head("PUT /v1/config", Operator), "environment: [", {}, {}, {}},
+      {head("PUT /v1/config", Operator), "environment: live\nversion: three\n", {}, {}, {}},
       {head("GET /v1/status?linearizable=false", Operator), "", {}, {reply(200, "{\"leader\":\"c1\"}", true)}, {}},
+      {head("GET /v1/timeline?request=q-1&limit=2&format=text", Operator), "", {}, {reply(400, "{}")}, {}},
+      {head("GET /v1/timeline?limit=0", Operator), "", {}, {}, {}},
       {head("POST /v1/status", Operator), "", {}, {}, {}},
       {head("GET /v2/status", Operator), "", {}, {}, {}},
   };
@@ -123,7 +145,7 @@
 std::string normalised(std::string Text) {
   Text = std::regex_replace(Text, std::regex("\r"), "");
   Text = std::regex_replace(Text, std::regex("e1-[0-9a-f]{8}-[0-9]+"), "ID");
-  Text = std::regex_replace(Text, std::regex("e1-[0-9a-f]{8}/[0-9]+/"), "e1-BOOT/N/");
+  Text = std::regex_replace(Text, std::regex("attemptId=[0-9]+/"), "attemptId=N/");
   // Which of the two minions is chosen depends on the age of their last reports.
   Text = std::regex_replace(Text, std::regex("vm=minion-[12]"), "vm=VM");
   // Unset members of a command say nothing.
@@ -205,8 +227,20 @@
   Harness.awaitReady();
 }
 
-// Guards against a shutdown that is not announced, cuts off a request or never ends.
-BOOST_AUTO_TEST_CASE(ShutdownReportsNotReadyAndFinishesRequests) {
+// Guards against a shutdown that is not announced, or that refuses requests while callers are still sent here.
+BOOST_AUTO_TEST_CASE(ReportsNotReadyButServesDuringTheDrainNotice) {
+  SessionHarness Harness(std::chrono::hours(1));
+  Harness.awaitReady();
+  Harness.run([&Harness] { Harness.m_Entry->shutdown([](const entry::EntryReport &) {}); });
+
+  const std::string Ready = Harness.exchange("GET /readyz HTTP/1.1\r\n");
+  BOOST_TEST(Ready.find("503") != std::string::npos, Ready);
+  BOOST_TEST(Ready.find("shutting-down") != std::string::npos, Ready);
+  BOOST_TEST(Harness.exchange(head("GET /services/sieve/q", Quote)).find("200 OK") != std::string::npos);
+}
+
+// Guards against a shutdown that cuts off a request or never ends.
+BOOST_AUTO_TEST_CASE(ShutdownFinishesRequestsInProgress) {
   SessionHarness Harness;
   Harness.awaitReady();
   Harness.run([&Harness] { Harness.m_Agent->m_Hold = true; });
@@ -215,10 +249,9 @@
   Harness.awaitHeld(1);
   std::promise<entry::EntryReport> Stopped;
 
-  Harness.run([&] { Harness.m_Entry->shutdown([&Stopped](entry::EntryReport Report) { Stopped.set_value(Report); }); });
+  Harness.run(
+      [&] { Harness.m_Entry->shutdown([&Stopped](const entry::EntryReport &Report) { Stopped.set_value(Report); }); });
 
-  const std::string Ready = Harness.exchange("GET /readyz HTTP/1.1\r\n");
-  BOOST_TEST(Ready.find("503") != std::string::npos, Ready);
   Harness.run([&Harness] { Harness.m_Agent->release(); });
   BOOST_TEST(Answer.get().find("Anvil-Outcome: completed") != std::string::npos);
   BOOST_TEST(Stopped.get_future().get().m_CutOff.empty());
@@ -235,7 +268,7 @@
   std::promise<entry::EntryReport> Stopped;
 
   Harness.run([&] {
-    Harness.m_Entry->shutdown([&Stopped](entry::EntryReport Report) { Stopped.set_value(Report); });
+    Harness.m_Entry->shutdown([&Stopped](const entry::EntryReport &Report) { Stopped.set_value(Report); });
     Harness.m_Entry->cutOff();
   });
 
