Ask another control replica only after two refusals in a row

Change: the second refusal in a row switches, 200 ms after the first, which is before the permit of the last accepted heartbeat runs out. A refusal is logged once until a heartbeat is accepted.

--- a/src/agent/AgentGate.cpp
+++ b/src/agent/AgentGate.cpp
@@ -28,6 +28,7 @@
   internal::ControlSession m_Session{m_Options};
   internal::RequestSlots m_Requests{m_Options};
   internal::TaskTable m_Tasks{m_Options};
+  std::string m_LastRefusal; ///< Logged once until a heartbeat is accepted.
   bool m_HadPermit = false;
   bool m_WasHealthy = false;
   bool m_Leaving = false;
@@ -111,7 +112,8 @@
   if (Verdict.m_Use == ReplyUse::Ignore)
     return;
   if (Verdict.m_Use == ReplyUse::Refused) {
-    Out.push_back(LogNote{absl::StrCat("heartbeat refused sequence=", Reply.sequence, " detail=", Reply.detail)});
+    if (std::exchange(m_LastRefusal, Reply.detail) != Reply.detail)
+      Out.push_back(LogNote{absl::StrCat("heartbeat refused sequence=", Reply.sequence, " detail=", Reply.detail)});
     if (m_Session.switchAfterRefusal(Reply.sequence))
       Out.push_back(SwitchControl{"heartbeat refused"});
     return;
@@ -120,6 +122,7 @@
     m_Requests.claims().acknowledge(ClaimId, Reply.sequence);
   if (Verdict.m_Use == ReplyUse::Late)
     return;
+  m_LastRefusal.clear();
   if (m_FarewellSequence != 0 && Reply.sequence >= m_FarewellSequence)
     m_LeaveLimit = m_Requests.claims().unacknowledged() == 0 ? Now : m_LeaveLimit;
   if (!isWorker())
--- a/src/agent/ControlSession.cpp
+++ b/src/agent/ControlSession.cpp
@@ -8,6 +8,9 @@
 /// Heartbeats without an answer that are remembered; the shell has at most a few open.
 constexpr size_t MaxInFlight = 16;
 constexpr double JitterShare = 0.1;
+/// One refusal is common while the agent is being registered. With two, 200 ms apart, another replica is asked before
+/// the permit of the last accepted heartbeat, 1 s before, has run out.
+constexpr int RefusalsToSwitch = 2;
 } // namespace
 
 Duration ControlSession::jittered(Duration Period) const {
@@ -40,6 +43,7 @@
   if (Reply.sequence < m_LastApplied)
     return {ReplyUse::Late, SentAt};
   if (!Reply.accepted) {
+    ++m_Refusals;
     m_NextDue = std::min(m_NextDue, Now + jittered(m_Options.m_RetryPeriod));
     return {ReplyUse::Refused, SentAt};
   }
@@ -49,6 +53,7 @@
     m_NextDue = std::min(m_NextDue, Now + jittered(m_Options.m_RetryPeriod));
     return {ReplyUse::Ignore, SentAt};
   }
+  m_Refusals = 0;
   m_LastApplied = Reply.sequence;
   m_LastIndex = Reply.renewedAtIndex;
   m_Draining = Reply.draining;
@@ -85,8 +90,9 @@
 }
 
 bool ControlSession::switchAfterRefusal(int64_t Sequence) {
-  if (Sequence <= m_SwitchedAt)
+  if (Sequence <= m_SwitchedAt || m_Refusals < RefusalsToSwitch)
     return false;
+  m_Refusals = 0;
   m_SwitchedAt = m_Sequence;
   return true;
 }
--- a/src/agent/ControlSession.h
+++ b/src/agent/ControlSession.h
@@ -54,6 +54,7 @@
   int64_t m_LastIndex = 0;
   int64_t m_SwitchedAt = 0; ///< Heartbeats up to this number went to a replica that was replaced.
   int64_t m_ConfigVersion = 0;
+  int m_Refusals = 0; ///< Consecutive refusals by the current replica.
   TimePoint m_NextDue;
   TimePoint m_EarliestDue; ///< One retry period after the last heartbeat.
   TimePoint m_PermitEnd;
