Report outcomes early when many have gathered

Cause: a heartbeat carried 256 outcomes and came once a second, so a minion that completes 400 claims a second (8 slots, 20 ms) would reach the bound of 1,024 outcomes and have claims refused. Change: 64 unreported outcomes make a heartbeat due, 200 ms after the last one at the earliest; a heartbeat carries up to 1,024 outcomes and 1 MiB. Acknowledgements are looked up in a set, so that 1,024 of them are not compared one by one.

--- a/include/anvil/agent/AgentTypes.h
+++ b/include/anvil/agent/AgentTypes.h
@@ -45,7 +45,8 @@
   size_t m_MaxClaimBytes = 4u << 20;    ///< Stored response bodies of all claims.
   size_t m_MaxStoredBody = 64u << 10;   ///< A larger response is not stored; its claim becomes unknown.
   size_t m_MaxTokens = 16384;           ///< Tokens remembered after their response was dropped.
-  size_t m_MaxReportedOutcomes = 256;   ///< Outcomes in one heartbeat.
+  size_t m_MaxReportedOutcomes = 1024;  ///< Outcomes in one heartbeat.
+  size_t m_HurryOutcomes = 64;          ///< Unreported outcomes that make a heartbeat due early.
   size_t m_MaxReportedBytes = 1u << 20; ///< Response bodies in one heartbeat.
   size_t m_MaxRemembered = 16384;       ///< Start tokens of tasks remembered after their end.
   Duration m_MaxPermit = std::chrono::milliseconds(1500); ///< Longer permits are cut to this.
--- a/src/agent/AgentGate.cpp
+++ b/src/agent/AgentGate.cpp
@@ -118,8 +118,7 @@
       Out.push_back(SwitchControl{"heartbeat refused"});
     return;
   }
-  for (const std::string &ClaimId : Reply.acknowledgedClaims)
-    m_Requests.claims().acknowledge(ClaimId, Reply.sequence);
+  m_Requests.claims().acknowledge(Reply.acknowledgedClaims, Reply.sequence);
   if (Verdict.m_Use == ReplyUse::Late)
     return;
   m_LastRefusal.clear();
@@ -208,7 +207,9 @@
 // A gang starts once all its members are reported, so a change does not wait for the next regular heartbeat.
 void AgentGate::Impl::reportChanges(TimePoint Now) {
   const bool HealthChanged = std::exchange(m_WasHealthy, m_Requests.healthy()) != m_Requests.healthy();
-  if (m_Tasks.takeChanged() || HealthChanged)
+  // Fast claims would otherwise reach the bound on unacknowledged outcomes between two regular heartbeats.
+  const bool ManyOutcomes = m_Requests.claims().unreported() >= m_Options.m_HurryOutcomes;
+  if (m_Tasks.takeChanged() || HealthChanged || ManyOutcomes)
     m_Session.hurry(Now);
 }
 
--- a/src/agent/ClaimLedger.cpp
+++ b/src/agent/ClaimLedger.cpp
@@ -47,6 +47,7 @@
   Claim.m_Acked = Refusal;
   if (!Refusal) {
     m_Unacked.insert(Key);
+    ++m_Unreported;
     m_UnackedBytes += Claim.m_Stored.m_Body.size();
   }
   dropBodies();
@@ -63,8 +64,10 @@
     Bytes += Claim.m_Stored.m_Body.size();
     if (!Outcomes.empty() && Bytes > m_Options.m_MaxReportedBytes)
       break;
-    if (Claim.m_FirstReport == 0)
+    if (Claim.m_FirstReport == 0) {
       Claim.m_FirstReport = Sequence;
+      --m_Unreported;
+    }
     wire::ClaimOutcome &Report = Outcomes.emplace_back();
     Report.claimId = Key.m_ClaimId;
     Report.token = Key.m_Token;
@@ -76,10 +79,14 @@
   return Outcomes;
 }
 
-void ClaimLedger::acknowledge(const std::string &ClaimId, int64_t Sequence) {
+void ClaimLedger::acknowledge(const std::vector<std::string> &ClaimIds, int64_t Sequence) {
+  const std::set<std::string_view> Acknowledged(ClaimIds.begin(), ClaimIds.end());
+  if (Acknowledged.empty())
+    return;
   for (auto Next = m_Unacked.begin(); Next != m_Unacked.end();) {
     Entry &Claim = m_Entries.at(*Next);
-    if (Next->m_ClaimId != ClaimId || Claim.m_FirstReport == 0 || Claim.m_FirstReport > Sequence) {
+    const bool Reported = Claim.m_FirstReport != 0 && Claim.m_FirstReport <= Sequence;
+    if (!Reported || !Acknowledged.contains(Next->m_ClaimId)) {
       ++Next;
       continue;
     }
--- a/src/agent/ClaimLedger.h
+++ b/src/agent/ClaimLedger.h
@@ -48,8 +48,10 @@
   void close(const ClaimKey &Key, StoredOutcome Outcome);
   /// Returns the outcomes to report in heartbeat \p Sequence, oldest first and bounded.
   std::vector<wire::ClaimOutcome> report(int64_t Sequence);
-  /// Marks the outcomes of \p ClaimId that were first reported in \p Sequence or before as acknowledged.
-  void acknowledge(const std::string &ClaimId, int64_t Sequence);
+  /// Marks the outcomes of \p ClaimIds that were first reported in \p Sequence or before as acknowledged.
+  void acknowledge(const std::vector<std::string> &ClaimIds, int64_t Sequence);
+  /// Returns the outcomes that no heartbeat has carried yet.
+  size_t unreported() const { return m_Unreported; }
   /// Returns the outcomes that wait for an acknowledgement.
   size_t unacknowledged() const { return m_Unacked.size(); }
 
@@ -69,6 +71,7 @@
   std::set<ClaimKey> m_Unacked;     ///< Closed and not acknowledged.
   std::deque<ClaimKey> m_Droppable; ///< Acknowledged with a stored body, oldest first.
   size_t m_OpenCount = 0;
+  size_t m_Unreported = 0;
   size_t m_Bytes = 0;
   size_t m_UnackedBytes = 0;
   int64_t m_ForgottenUpTo = 0;
--- a/tests/agent/RequestTest.cpp
+++ b/tests/agent/RequestTest.cpp
@@ -202,6 +202,28 @@
   BOOST_TEST(B.m_Heartbeats.back().outcomes.empty());
 }
 
+// Guards against claims refused because the regular heartbeats report fewer outcomes than a fast minion produces.
+BOOST_AUTO_TEST_CASE(FastClaimsAreReportedEarly) {
+  GateBench B;
+  B.ready();
+  int64_t Refused = 0;
+  for (int64_t Token = 1; Token <= 8000; ++Token) {
+    const int64_t Call = B.arrive(GateBench::request("r", Token));
+    Refused += B.outcome(Call) == NotRun ? 1 : 0;
+    B.answer(B.m_Sent.size() - 1);
+    const size_t Before = B.m_Heartbeats.size();
+    B.pass(milliseconds(Token % 2));
+    if (B.m_Heartbeats.size() == Before)
+      continue;
+    wire::AgentHeartbeatReply Reply = GateBench::reply(B.m_Heartbeats.back().sequence);
+    for (const wire::ClaimOutcome &Outcome : B.m_Heartbeats.back().outcomes)
+      Reply.acknowledgedClaims.push_back(Outcome.claimId);
+    B.step(HeartbeatReplied{Reply});
+  }
+  BOOST_TEST(Refused == 0);
+  BOOST_TEST(B.m_Heartbeats.size() <= 22, "4 s allow one heartbeat each 200 ms");
+}
+
 // Guards against an acknowledgement of an earlier grant that hides the outcome of a later one with the same claim id.
 BOOST_AUTO_TEST_CASE(AcknowledgementCoversOnlyWhatWasReported) {
   GateBench B;
