--- a/tools/lib/environment.py
+++ b/tools/lib/environment.py
@@ -42,16 +42,18 @@
         connection.close()
 
 
-def free_port_range(count):
-    """Returns the first of `count` consecutive ports that are free now."""
+def claim_port_range(count):
+    """Returns a bound socket on the first of `count` consecutive ports, and that port.
+
+    The socket stays bound while the range is in use, so that two environments on one machine never share ports.
+    """
     for base in range(20000, 60000, count):
+        guard = socket.socket()
         try:
-            for port in (base, base + count // 2, base + count - 1):
-                with socket.socket() as probe:
-                    probe.bind(("127.0.0.1", port))
-            return base
+            guard.bind(("127.0.0.1", base))
+            return guard, base
         except OSError:
-            continue
+            guard.close()
     raise RuntimeError("no free ports")
 
 
@@ -75,10 +77,10 @@
     Usage: with Environment(build_dir, work_dir) as env: env.start_controls(); env.start_entry(1, "north"); ...
     """
 
-    def __init__(self, build_dir, work_dir, base_port=None):
+    def __init__(self, build_dir, work_dir):
         self.build_dir = build_dir
         self.work_dir = work_dir
-        self.base_port = base_port or free_port_range(1000)
+        self.guard, self.base_port = claim_port_range(1000)
         self.processes = {}
         self.commands = {}
         self.next_port = self.base_port + 100
@@ -89,6 +91,7 @@
 
     def __exit__(self, *_):
         self.stop_all()
+        self.guard.close()
 
     # ---- processes ----
 
