Queue worker commands and keep those of one task in order

Cause: the port sent each command at once over at most 16 connections. Of 40 tasks started in one reply, 8 were started and the others failed as overloaded; a stop could overtake the start of its task. Found by reading; the new test showed 8 of 40 starts before the change. Change: up to 15 commands at one time, one for each task, the rest waits; a repeated command replaces one that waits. Conclusion: all 40 start and stop; agentd tests pass.

--- a/src/agentd/HttpWorkerPort.cpp
+++ b/src/agentd/HttpWorkerPort.cpp
@@ -1,4 +1,4 @@
-#include <map>
+#include <list>
 #include <set>
 #include <utility>
 
@@ -18,7 +18,9 @@
 using agent::TaskKey;
 namespace json = boost::json;
 
-constexpr size_t MaxConnections = 16;
+/// Commands sent at one time; further ones wait. One more connection reads the worker's events.
+constexpr size_t MaxCommands = 15;
+constexpr size_t MaxConnections = MaxCommands + 1;
 constexpr size_t MaxStatusBytes = 1u << 20;
 
 int64_t millisOf(Duration Span) { return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count(); }
@@ -65,7 +67,7 @@
     Body["accelerators"] = Command.m_Resources.accelerators;
     Body["cores"] = Command.m_Resources.cores;
     Body["memory_mib"] = Command.m_Resources.memoryMib;
-    command("/tasks/start", Body, [this, Key = Command.m_Key](const net::HttpExchangeResult &Result) {
+    command("/tasks/start", Command.m_Key, Body, [this, Key = Command.m_Key](const net::HttpExchangeResult &Result) {
       m_Hooks.m_OnTask(startEvent(Key, Result));
     });
   }
@@ -73,21 +75,21 @@
   void renew(const agent::RenewTask &Command) override {
     json::object Body = keyObject(Command.m_Key);
     Body["lease_ms"] = millisOf(Command.m_Lease);
-    command("/tasks/renew", Body, nullptr);
+    command("/tasks/renew", Command.m_Key, Body, nullptr);
   }
 
   void checkpoint(const TaskKey &Key) override {
-    command("/tasks/checkpoint", keyObject(Key), [this, Key](const net::HttpExchangeResult &Result) {
+    command("/tasks/checkpoint", Key, keyObject(Key), [this, Key](const net::HttpExchangeResult &Result) {
       if (!Result.m_Status.ok() || Result.m_HttpStatus != 200)
         m_Hooks.m_OnTask({Key, TaskEventKind::CheckpointFailed, "worker did not accept the checkpoint"});
     });
   }
 
-  void throttle(const TaskKey &Key) override { command("/tasks/throttle", keyObject(Key), nullptr); }
+  void throttle(const TaskKey &Key) override { command("/tasks/throttle", Key, keyObject(Key), nullptr); }
 
   // A worker that does not know the key answers 404: the task is not running.
   void stop(const TaskKey &Key) override {
-    command("/tasks/stop", keyObject(Key), [this, Key](const net::HttpExchangeResult &Result) {
+    command("/tasks/stop", Key, keyObject(Key), [this, Key](const net::HttpExchangeResult &Result) {
       if (Result.m_Status.ok() && Result.m_HttpStatus == 404)
         m_Hooks.m_OnTask({Key, TaskEventKind::Stopped, "worker does not run the task"});
     });
@@ -106,17 +108,43 @@
     return {Key, TaskEventKind::StartFailed, "worker refused the start: " + Result.m_Body};
   }
 
-  void command(const std::string &Path, const json::object &Body, Answer OnAnswer) {
+  struct Pending {
+    TaskKey m_Key;
+    net::HttpClientRequest m_Request;
+    Answer m_OnAnswer;
+  };
+
+  void command(const std::string &Path, const TaskKey &Key, const json::object &Body, Answer OnAnswer) {
     net::HttpClientRequest Request;
     Request.m_Method = "POST";
     Request.m_Target = Path;
     Request.m_Fields.push_back({"Content-Type", "application/json"});
     Request.m_Body = json::serialize(Body);
-    m_Client->send(std::move(Request), m_Options.m_CommandTimeout,
-                   [OnAnswer = std::move(OnAnswer)](const net::HttpExchangeResult &Result) {
-                     if (OnAnswer)
-                       OnAnswer(Result);
-                   });
+    // Stops and renewals are repeated; while the worker hangs, only the newest of each kind waits.
+    std::erase_if(m_Pending, [&](const Pending &Each) { return Each.m_Key == Key && Each.m_Request.m_Target == Path; });
+    m_Pending.push_back({Key, std::move(Request), std::move(OnAnswer)});
+    sendPending();
+  }
+
+  // Commands of one task go one after the other, since a stop that overtakes a start would find nothing to stop.
+  void sendPending() {
+    for (auto Next = m_Pending.begin(); Next != m_Pending.end() && m_Busy.size() < MaxCommands;) {
+      if (!m_Busy.insert(Next->m_Key).second) {
+        ++Next;
+        continue;
+      }
+      m_Client->send(std::move(Next->m_Request), m_Options.m_CommandTimeout,
+                     [this, Key = Next->m_Key, OnAnswer = std::move(Next->m_OnAnswer)](
+                         const net::HttpExchangeResult &Result) { finishCommand(Key, OnAnswer, Result); });
+      Next = m_Pending.erase(Next);
+    }
+  }
+
+  void finishCommand(const TaskKey &Key, const Answer &OnAnswer, const net::HttpExchangeResult &Result) {
+    m_Busy.erase(Key);
+    if (OnAnswer)
+      OnAnswer(Result);
+    sendPending();
   }
 
   void schedulePoll(Duration Delay) {
@@ -174,6 +202,8 @@
   const WorkerPortOptions m_Options;
   const Hooks m_Hooks;
   boost::asio::steady_timer m_Timer;
+  std::list<Pending> m_Pending;
+  std::set<TaskKey> m_Busy; ///< Tasks with a command in progress.
   int64_t m_LastEvent = 0;
   int64_t m_Instance = 0; ///< Start of the worker process whose events are read.
   std::unique_ptr<net::HttpClient> m_Client;
--- a/tests/agentd/PortTest.cpp
+++ b/tests/agentd/PortTest.cpp
@@ -152,6 +152,23 @@
   BOOST_TEST(B.sees(TaskEventKind::CheckpointFailed));
 }
 
+// Guards against starts that fail, or stops that overtake their start, because many commands are given at once.
+BOOST_AUTO_TEST_CASE(WorkerCommandsWaitForEachOther) {
+  WorkerBench B({.m_StartTime = milliseconds(50)});
+  constexpr int32_t Tasks = 40;
+  for (int32_t Task = 0; Task < Tasks; ++Task) {
+    agent::StartTask Command;
+    Command.m_Key = {5, Task, 9};
+    Command.m_Lease = seconds(30);
+    B.m_Port->start(Command);
+    B.m_Port->stop(Command.m_Key);
+  }
+  const auto Count = [&B](TaskEventKind Kind) { return std::count(B.m_Events.begin(), B.m_Events.end(), Kind); };
+  BOOST_TEST(B.runUntil([&] { return Count(TaskEventKind::Stopped) == Tasks; }));
+  BOOST_TEST(Count(TaskEventKind::Started) == Tasks);
+  BOOST_TEST(B.m_Worker->counts().m_Running == 0);
+}
+
 // Guards against a worker that ignores a stop and is still believed, and whose task ends only with its lease.
 BOOST_AUTO_TEST_CASE(WorkerThatIgnoresStopEndsWithTheLease) {
   WorkerBench B({.m_IgnoreStop = true});
