--- a/include/anvil/agentd/Ports.h
+++ b/include/anvil/agentd/Ports.h
@@ -23,7 +23,7 @@
 };
 
 /// Returns a port that speaks HTTP/1.1 to a minion.
-std::unique_ptr<agent::MinionPort> makeHttpMinionPort(boost::asio::io_context &Io, MinionPortOptions Options);
+std::unique_ptr<agent::MinionPort> makeHttpMinionPort(boost::asio::io_context &Io, const MinionPortOptions &Options);
 
 /// Bounds of the connection to a worker.
 struct WorkerPortOptions {
@@ -33,7 +33,7 @@
 };
 
 /// Returns a port that sends JSON commands over HTTP to a worker and polls its events. See docs/agent.md.
-std::unique_ptr<agent::WorkerPort> makeHttpWorkerPort(boost::asio::io_context &Io, WorkerPortOptions Options,
+std::unique_ptr<agent::WorkerPort> makeHttpWorkerPort(boost::asio::io_context &Io, const WorkerPortOptions &Options,
                                                       agent::WorkerPort::Hooks Hooks);
 
 } // namespace anvil::agentd
--- a/src/agentd/HttpMinionPort.cpp
+++ b/src/agentd/HttpMinionPort.cpp
@@ -81,7 +81,7 @@
 
 } // namespace
 
-std::unique_ptr<agent::MinionPort> makeHttpMinionPort(boost::asio::io_context &Io, MinionPortOptions Options) {
+std::unique_ptr<agent::MinionPort> makeHttpMinionPort(boost::asio::io_context &Io, const MinionPortOptions &Options) {
   return std::make_unique<HttpMinionPort>(Io, Options);
 }
 
--- a/src/agentd/HttpWorkerPort.cpp
+++ b/src/agentd/HttpWorkerPort.cpp
@@ -211,7 +211,7 @@
 
 } // namespace
 
-std::unique_ptr<agent::WorkerPort> makeHttpWorkerPort(boost::asio::io_context &Io, WorkerPortOptions Options,
+std::unique_ptr<agent::WorkerPort> makeHttpWorkerPort(boost::asio::io_context &Io, const WorkerPortOptions &Options,
                                                       agent::WorkerPort::Hooks Hooks) {
   return std::make_unique<HttpWorkerPort>(Io, Options, std::move(Hooks));
 }
