--- a/tests/raft/ExplorerTest.cpp
+++ b/tests/raft/ExplorerTest.cpp
@@ -12,7 +12,8 @@
   uint64_t Promotions = 0;
   uint64_t Installs = 0;
   uint64_t Losses = 0;
-  for (uint64_t Seed = 1; Seed <= 60; ++Seed) {
+  constexpr uint64_t Seeds = 150;
+  for (uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
     SimOptions Options;
     Options.m_Seed = Seed;
     Options.m_Voters = 3 + static_cast<int>(Seed % 3);
@@ -24,10 +25,10 @@
     Losses += Report.m_Losses;
   }
   // A run in which nothing happens would prove nothing.
-  BOOST_TEST(Operations > 60 * 100);
-  BOOST_TEST(Promotions > 60);
-  BOOST_TEST(Installs > 60);
-  BOOST_TEST(Losses > 60);
+  BOOST_TEST(Operations > 100 * Seeds);
+  BOOST_TEST(Promotions > Seeds / 2);
+  BOOST_TEST(Installs > Seeds);
+  BOOST_TEST(Losses > Seeds);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/raft/support/Nemesis.cpp
+++ b/tests/raft/support/Nemesis.cpp
@@ -13,25 +13,61 @@
 
 } // namespace
 
+void Simulator::drawProfile() {
+  const auto Draw = [this](auto... Choices) {
+    const double Values[] = {static_cast<double>(Choices)...};
+    return Values[m_Random.below(sizeof...(Choices))];
+  };
+  m_Profile.m_MaxMessageDelay = static_cast<int64_t>(Draw(10'000, 60'000, 250'000));
+  m_Profile.m_MaxSyncDelay = static_cast<int64_t>(Draw(8'000, 60'000, 300'000));
+  m_Profile.m_LateRate = Draw(0, 0.01, 0.1);
+  m_Profile.m_NewLeaderCrashRate = Draw(0, 0.2, 0.6);
+  m_Profile.m_VoteCrashRate = Draw(0, 0.1, 0.3);
+  m_Profile.m_MaxRestartDelay = static_cast<int64_t>(Draw(20'000, 300'000, 1'500'000));
+  m_Profile.m_OperatorInterval = static_cast<int64_t>(Draw(40'000, 400'000));
+  m_Profile.m_TransferRate = Draw(0.01, 0.3);
+}
+
+SimReplica *Simulator::anyLeader() {
+  std::vector<SimReplica *> Leaders;
+  for (const auto &[Id, Replica] : m_Replicas)
+    if (Replica->m_Raft && Replica->m_Raft->status().m_Role == RaftRole::Leader)
+      Leaders.push_back(Replica.get());
+  return Leaders.empty() ? nullptr : m_Random.pick(Leaders);
+}
+
 void Simulator::clientOperation(int Client) {
   if (m_Repairing)
     return;
   const std::vector<ReplicaId> Up = upReplicas();
   if (!Up.empty()) {
-    SimReplica *Target = m_Random.chance(0.5) ? leader() : nullptr;
+    SimReplica *Target = m_Random.chance(0.6) ? anyLeader() : nullptr;
     if (Target == nullptr)
       Target = &replica(m_Random.pick(Up));
-    if (m_Random.chance(0.5)) {
+    if (m_Random.chance(0.5))
       write(*Target);
-    } else {
-      const uint64_t Context = m_NextContext++;
-      m_Checker.onInvoke(Context);
-      step(*Target, ReadInput{Context});
-    }
+    else
+      read(*Target);
   }
   schedule(m_Random.between(2'000, 40'000), [this, Client] { clientOperation(Client); });
 }
 
+void Simulator::read(SimReplica &Replica) {
+  const uint64_t Context = m_NextContext++;
+  m_Checker.onInvoke(Context);
+  step(Replica, ReadInput{Context});
+}
+
+/// Reads at every replica that takes itself for the leader, since an old leader must not answer.
+void Simulator::readAtLeaders() {
+  if (m_Repairing)
+    return;
+  for (const auto &[Id, Replica] : m_Replicas)
+    if (Replica->m_Raft && Replica->m_Raft->status().m_Role == RaftRole::Leader)
+      read(*Replica);
+  schedule(m_Random.between(2'000, 20'000), [this] { readAtLeaders(); });
+}
+
 void Simulator::nemesis() {
   if (m_Repairing)
     return;
@@ -64,7 +100,10 @@
     return;
   if (m_Random.chance(0.3))
     block(m_Random.pick(Up), m_Random.pick(Up));
-  if (m_Random.chance(0.15))
+  SimReplica *Leader = anyLeader();
+  if (m_Random.chance(0.1))
+    isolate(Leader != nullptr ? Leader->m_Id : m_Random.pick(Up));
+  if (m_Random.chance(0.1))
     isolate(m_Random.pick(Up));
 }
 
@@ -78,6 +117,16 @@
   }
 }
 
+void Simulator::crashSoon(SimReplica &Replica) {
+  scheduleFor(Replica, m_Random.between(0, 2 * m_Profile.m_MaxSyncDelay),
+              [this, &Replica] { crashAndRestart(Replica); });
+}
+
+void Simulator::crashAndRestart(SimReplica &Replica) {
+  crash(Replica.m_Id);
+  schedule(m_Random.between(1'000, m_Profile.m_MaxRestartDelay), [this, &Replica] { restart(Replica.m_Id); });
+}
+
 /// A disk may be lost for good only if no other member is down, so that a majority with its data remains.
 bool Simulator::mayLoseOne() {
   SimReplica *Leader = leader();
@@ -106,15 +155,16 @@
 void Simulator::operate() {
   if (m_Repairing)
     return;
-  schedule(m_Random.between(30'000, 400'000), [this] { operate(); });
-  SimReplica *Leader = leader();
+  schedule(m_Random.between(5'000, m_Profile.m_OperatorInterval), [this] { operate(); });
+  stopRemoved();
+  SimReplica *Leader = anyLeader();
   if (Leader == nullptr)
     return;
-  const RaftStatus Status = Leader->m_Raft->status();
-  const Membership &Members = Status.m_Members;
-  stopRemoved(Status);
+  const Membership Members = Leader->m_Raft->status().m_Members;
   if (removeDeadMember(*Leader, Members))
     return;
+  if (m_Random.chance(m_Profile.m_TransferRate))
+    return step(*Leader, TransferLeadershipInput{m_Random.pick(Members.m_Voters)});
   if (m_Random.chance(0.1))
     m_TargetVoters = 3 + m_Random.below(3);
   if (!Members.m_Learners.empty()) {
@@ -156,11 +206,9 @@
 }
 
 /// Stops replicas whose removal is committed; they never return.
-void Simulator::stopRemoved(const RaftStatus &Status) {
-  if (!Status.m_MembersCommitted)
-    return;
+void Simulator::stopRemoved() {
   for (const ReplicaId Id : m_RemovalRequested) {
-    if (Status.m_Members.contains(Id))
+    if (m_LastMembership.m_Members.contains(Id))
       continue;
     replica(Id).m_Raft.reset();
     replica(Id).m_Lost = true;
@@ -169,6 +217,7 @@
 
 void Simulator::repairAll() {
   m_Repairing = true;
+  m_Profile = {};
   m_SettleIndex = 0;
   m_DropRate = m_DuplicateRate = 0;
   heal();
--- a/tests/raft/support/SimDisk.cpp
+++ b/tests/raft/support/SimDisk.cpp
@@ -6,7 +6,10 @@
   if (Output.m_Hard)
     m_Unsynced.push_back({Output.m_Sequence, *Output.m_Hard});
   if (Output.m_Install)
-    m_Unsynced.push_back({Output.m_Sequence, *Output.m_Install});
+    m_Unsynced.push_back({Output.m_Sequence, Output.m_Install->m_Snapshot});
+  // A separate write, so that a crash can come between the snapshot and the removal of the old log.
+  if (Output.m_Install && !Output.m_Install->m_KeepSuffix)
+    m_Unsynced.push_back({Output.m_Sequence, Truncate{0}});
   if (Output.m_TruncateFrom)
     m_Unsynced.push_back({Output.m_Sequence, Truncate{*Output.m_TruncateFrom}});
   for (const LogEntry &Entry : Output.m_Append)
@@ -51,12 +54,6 @@
   m_Unsynced.pop_front();
 }
 
-void SimDisk::apply(const SnapshotInstall &Install) {
-  m_Image.m_Snapshot = Install.m_Snapshot;
-  if (!Install.m_KeepSuffix)
-    m_Image.m_Entries.clear();
-}
-
 void SimDisk::apply(const Truncate &Cut) {
   std::erase_if(m_Image.m_Entries, [&Cut](const LogEntry &Entry) { return Entry.m_Index >= Cut.m_First; });
 }
--- a/tests/raft/support/SimDisk.h
+++ b/tests/raft/support/SimDisk.h
@@ -39,12 +39,12 @@
   };
   struct Write {
     uint64_t m_Sequence = 0;
-    std::variant<HardState, SnapshotInstall, Truncate, LogEntry> m_Content;
+    std::variant<HardState, Snapshot, Truncate, LogEntry> m_Content;
   };
 
   void applyFront();
   void apply(const HardState &Hard) { m_Image.m_Hard = Hard; }
-  void apply(const SnapshotInstall &Install);
+  void apply(const Snapshot &Installed) { m_Image.m_Snapshot = Installed; }
   void apply(const Truncate &Cut);
   void apply(const LogEntry &Entry) { m_Image.m_Entries.push_back(Entry); }
 
--- a/tests/raft/support/Simulator.cpp
+++ b/tests/raft/support/Simulator.cpp
@@ -16,6 +16,7 @@
 constexpr uint64_t ChunkBytes = 64;
 constexpr uint64_t RetainedEntries = 20;
 constexpr uint64_t PromotionLag = 8;
+constexpr int64_t MaxLateMicros = 3'000'000;
 constexpr int64_t MinTickMicros = 10'000;
 constexpr int64_t MaxTickMicros = 20'000;
 
@@ -44,8 +45,10 @@
   m_NextReplica = m_Options.m_Voters + 1;
   if (!m_Options.m_Faults)
     return;
+  drawProfile();
   for (int Client = 0; Client < 3; ++Client)
     schedule(m_Random.between(0, 100'000), [this, Client] { clientOperation(Client); });
+  schedule(0, [this] { readAtLeaders(); });
   schedule(500'000, [this] { nemesis(); });
   schedule(2'000'000, [this] { operate(); });
 }
@@ -198,6 +201,10 @@
 void Simulator::carryOut(SimReplica &Replica, RaftOutput Output) {
   checkOutput(Replica, Output);
   persist(Replica, Output);
+  // The entry of a new term may reach the disk although no other replica hears of it.
+  const bool IsNewLeader = Output.m_Role && Output.m_Role->m_Role == RaftRole::Leader;
+  if (IsNewLeader && !m_Repairing && m_Random.chance(m_Profile.m_NewLeaderCrashRate / 2))
+    return crashAndRestart(Replica);
   if (Output.m_Install)
     install(Replica, Output.m_Install->m_Snapshot);
   for (const RaftMessage &Message : Output.m_Messages)
@@ -213,7 +220,15 @@
   if (Output.m_Role && Output.m_Role->m_Role == RaftRole::Leader) {
     ++m_Report.m_Elections;
     m_Checker.onLeader(Replica.m_Id, Output.m_Role->m_Term, *Replica.m_Raft);
+    if (!m_Repairing && m_Random.chance(m_Profile.m_NewLeaderCrashRate))
+      crashSoon(Replica);
   }
+  if (Output.m_Hard && !m_Repairing && m_Random.chance(m_Profile.m_VoteCrashRate))
+    crashSoon(Replica);
+  for (const LogEntry &Entry : Output.m_Committed)
+    if (!Replica.m_Disk.holds(Entry.m_Index, Entry.m_Term))
+      m_Checker.fail(absl::StrCat("durability: replica ", Replica.m_Id.value(), " delivers index ", Entry.m_Index,
+                                  " before it is on its disk"));
   checkCommitDurable(Replica);
 }
 
@@ -248,7 +263,7 @@
   if (Output.m_Sequence == 0)
     return;
   // The Output may be reported late or in another order than written; a report covers all earlier outputs.
-  scheduleFor(Replica, m_Random.between(100, m_Options.m_MaxSyncDelay), [this, &Replica, Sequence = Output.m_Sequence] {
+  scheduleFor(Replica, m_Random.between(100, m_Profile.m_MaxSyncDelay), [this, &Replica, Sequence = Output.m_Sequence] {
     Replica.m_Disk.sync(Sequence);
     step(Replica, PersistedInput{Sequence});
   });
@@ -268,8 +283,8 @@
     return;
   const int Copies = m_Random.chance(m_DuplicateRate) ? 2 : 1;
   for (int Copy = 0; Copy < Copies; ++Copy) {
-    schedule(m_Random.between(200, m_Options.m_MaxMessageDelay),
-             [this, Bytes = encodeMessage(Message)] { deliver(Bytes); });
+    const int64_t MaxDelay = m_Random.chance(m_Profile.m_LateRate) ? MaxLateMicros : m_Profile.m_MaxMessageDelay;
+    schedule(m_Random.between(200, MaxDelay), [this, Bytes = encodeMessage(Message)] { deliver(Bytes); });
   }
 }
 
@@ -296,6 +311,8 @@
     Replica.m_ToApply.pop_front();
     Replica.m_State = applyEntry(Replica.m_State, Entry);
     m_Checker.onApply(Replica.m_Id, Entry, Replica.m_State);
+    if (Entry.m_Kind == EntryKind::Membership && Entry.m_Index > m_LastMembership.m_Index)
+      m_LastMembership = Entry;
     const auto Written = Replica.m_Acknowledge.find(Entry.m_Index);
     if (Written == Replica.m_Acknowledge.end())
       continue;
--- a/tests/raft/support/Simulator.h
+++ b/tests/raft/support/Simulator.h
@@ -24,13 +24,27 @@
   int m_Voters = 3;
   /// Whether links fail, replicas crash, and members are lost and replaced.
   bool m_Faults = true;
-  /// Largest delay of a message and of a disk sync in microseconds.
-  int64_t m_MaxMessageDelay = 10'000;
-  int64_t m_MaxSyncDelay = 8'000;
   /// Sets further options of each replica.
   std::function<void(RaftOptions &)> m_Configure;
 };
 
+/// Timing and rates of faults, drawn for each run so that different runs stress different rules. Times in microseconds.
+struct SimProfile {
+  int64_t m_MaxMessageDelay = 10'000;
+  int64_t m_MaxSyncDelay = 8'000;
+  /// Share of messages that arrive up to 3 s late.
+  double m_LateRate = 0;
+  /// Chance that a replica crashes shortly after it won an election.
+  double m_NewLeaderCrashRate = 0;
+  /// Chance that a replica crashes shortly after it changed its term or vote.
+  double m_VoteCrashRate = 0;
+  int64_t m_MaxRestartDelay = 1'000'000;
+  /// Longest time between two actions of the operator.
+  int64_t m_OperatorInterval = 400'000;
+  /// Chance that the operator moves the leadership instead of changing the membership.
+  double m_TransferRate = 0;
+};
+
 /// Outcome and amount of work of a run.
 struct SimReport {
   /// First violated property, or nothing.
@@ -126,21 +140,29 @@
   void makeSnapshot(SimReplica &Replica);
 
   // Nemesis.cpp: clients, faults, operator.
+  void drawProfile();
+  /// Returns a random replica that takes itself for the leader, or null.
+  SimReplica *anyLeader();
   void clientOperation(int Client);
+  void read(SimReplica &Replica);
+  void readAtLeaders();
   void nemesis();
   void disturbLinks();
   void crashSome();
+  void crashSoon(SimReplica &Replica);
+  void crashAndRestart(SimReplica &Replica);
   bool mayLoseOne();
   void loseReplica();
   void operate();
   bool removeDeadMember(SimReplica &Leader, const Membership &Members);
   void changeMembership(SimReplica &Leader, MembershipChangeKind Kind, ReplicaId Id);
   void addLearner(SimReplica &Leader);
-  void stopRemoved(const RaftStatus &Status);
+  void stopRemoved();
   void repairAll();
   bool settled();
 
   SimOptions m_Options;
+  SimProfile m_Profile;
   SimRandom m_Random;
   SafetyChecker m_Checker;
   SimReport m_Report;
@@ -156,6 +178,8 @@
   LogIndex m_CheckedCommit = 0;
   size_t m_TargetVoters = 3;
   std::set<ReplicaId> m_RemovalRequested;
+  /// Last membership entry that a replica applied.
+  LogEntry m_LastMembership;
   bool m_Repairing = false;
   /// After the repair: index that all members have to reach.
   LogIndex m_SettleIndex = 0;
