--- a/include/anvil/raft/Raft.h
+++ b/include/anvil/raft/Raft.h
@@ -199,7 +199,7 @@
 
   /// Returns the meta data of a snapshot of the state machine at the applied index \p Index.
   ///
-  /// Errors: RaftErrc::ChangeRefused if the index is not applied or already compacted.
+  /// Errors: RaftErrc::ChangeRefused if the index is not applied and durable, or already compacted.
   absl::StatusOr<SnapshotMeta> snapshotMeta(LogIndex Index) const;
 
 private:
--- a/src/raft/RaftSnapshot.cpp
+++ b/src/raft/RaftSnapshot.cpp
@@ -9,11 +9,12 @@
 
 absl::StatusOr<SnapshotMeta> RaftCore::snapshotMeta(LogIndex Index) const {
   const std::optional<TermNumber> Term = m_Log.termAt(Index);
-  if (Index > m_Applied || !Term) {
-    return makeLayerError(
-        absl::StatusCode::kFailedPrecondition, RaftErrc::ChangeRefused,
-        absl::StrCat("no snapshot at index ", Index, ", applied ", m_Applied, ", compacted to ", m_Log.baseIndex()));
-  }
+  // An installed snapshot may be applied before it and the hard state of its term are durable. A further snapshot of
+  // that state on disk would then contradict the rest of the disk after a crash.
+  if (Index > m_Applied || Index > m_Durable || !Term)
+    return makeLayerError(absl::StatusCode::kFailedPrecondition, RaftErrc::ChangeRefused,
+                          absl::StrCat("no snapshot at index ", Index, ", applied ", m_Applied, ", durable ", m_Durable,
+                                       ", compacted to ", m_Log.baseIndex()));
   return SnapshotMeta{Index, *Term, m_Log.membershipAt(Index)};
 }
 
--- a/tests/raft/RaftSnapshotTest.cpp
+++ b/tests/raft/RaftSnapshotTest.cpp
@@ -96,7 +96,10 @@
   BOOST_TEST(*Last.m_Install->m_Snapshot.m_Data == Content);
   BOOST_TEST(!Last.m_Install->m_KeepSuffix);
   BOOST_TEST(Harness::sent<AppendResponse>(Last).empty());
+  Follower.step(AppliedInput{50});
+  BOOST_TEST(!Follower.raft().snapshotMeta(50).ok(), "the installed snapshot is not durable");
   const std::vector<AppendResponse> Answers = Harness::sent<AppendResponse>(Follower.sync());
+  BOOST_TEST(Follower.raft().snapshotMeta(50).ok());
   BOOST_TEST_REQUIRE(Answers.size() == 1U);
   BOOST_TEST(Answers[0].m_Match == 50U);
   BOOST_TEST(Follower.status().m_LastIndex == 50U);
