Bound the bytes in flight to a follower

Cause: 1,024 entries in flight may hold many large commands. Change: a follower has at most m_MaxInflightBytes (8 MiB) plus one batch unacknowledged. The limit on uncommitted entries rises to 65,536, which leaves room for a burst of 50,000 cancellations. Tests cover both this bound and the rule that a replaced entry does not become durable with its old write.

--- a/include/anvil/raft/RaftOptions.h
+++ b/include/anvil/raft/RaftOptions.h
@@ -30,10 +30,13 @@
   /// Limits of one AppendRequest. A single larger entry is sent alone.
   uint64_t m_MaxBatchEntries = 256;
   uint64_t m_MaxBatchBytes = 1 << 20;
-  /// Entries sent to one follower that it has not acknowledged yet.
+  /// Entries, and bytes of their data, sent to one follower that it has not acknowledged yet. The bytes may be
+  /// exceeded by one batch.
   uint64_t m_MaxInflightEntries = 1024;
-  /// Entries of the leader's log that are not committed yet; further proposals are refused as busy.
-  uint64_t m_MaxUncommittedEntries = 8192;
+  uint64_t m_MaxInflightBytes = 8 << 20;
+  /// Entries of the leader's log that are not committed yet; further proposals are refused as busy. Leaves room for a
+  /// burst of 50,000 cancellations.
+  uint64_t m_MaxUncommittedEntries = 65'536;
   /// Reads of this replica that wait for confirmation or application; further reads are refused as busy.
   uint64_t m_MaxPendingReads = 8192;
   /// Bytes of a snapshot in one message.
--- a/src/raft/Progress.h
+++ b/src/raft/Progress.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <optional>
 
 #include "anvil/base/Time.h"
@@ -44,14 +45,40 @@
   /// When the chunk at m_Offset was sent; empty if it is still to be sent.
   std::optional<TimePoint> m_ChunkSentAt;
 
+  /// Batches sent in Replicate mode that are not acknowledged yet.
+  struct Batch {
+    LogIndex m_LastIndex = 0;
+    uint64_t m_Bytes = 0;
+  };
+  std::deque<Batch> m_Batches;
+  uint64_t m_InflightBytes = 0;
+
+  /// Returns the number of entries in flight.
   uint64_t inflight() const { return m_Next - 1 - m_Match; }
 
+  void noteSent(LogIndex LastIndex, uint64_t Bytes) {
+    m_Next = LastIndex + 1;
+    m_Batches.push_back({LastIndex, Bytes});
+    m_InflightBytes += Bytes;
+  }
+
+  void noteAcknowledged(LogIndex Match) {
+    m_Match = std::max(m_Match, Match);
+    m_Next = std::max(m_Next, m_Match + 1);
+    while (!m_Batches.empty() && m_Batches.front().m_LastIndex <= m_Match) {
+      m_InflightBytes -= m_Batches.front().m_Bytes;
+      m_Batches.pop_front();
+    }
+  }
+
   /// Returns to sending single batches from \p Next, or after m_Match if that is later.
   void probeFrom(LogIndex Next) {
     m_Mode = ProgressMode::Probe;
     m_Next = std::max(Next, m_Match + 1);
     m_ProbeSent = false;
     m_Transfer = {};
+    m_Batches.clear();
+    m_InflightBytes = 0;
   }
 };
 
--- a/src/raft/Raft.cpp
+++ b/src/raft/Raft.cpp
@@ -42,7 +42,8 @@
     return badOption("m_HeartbeatInterval must be positive and below half of m_ElectionTimeoutMin");
   if (m_ReadTimeout <= Duration::zero())
     return badOption("m_ReadTimeout must be positive");
-  if (m_MaxBatchEntries == 0 || m_MaxBatchBytes == 0 || m_MaxInflightEntries == 0 || m_SnapshotChunkBytes == 0)
+  if (m_MaxBatchEntries == 0 || m_MaxBatchBytes == 0 || m_MaxInflightEntries == 0 || m_MaxInflightBytes == 0 ||
+      m_SnapshotChunkBytes == 0)
     return badOption("batch, in-flight and chunk limits must be positive");
   if (m_MaxUncommittedEntries == 0 || m_MaxPendingReads == 0)
     return badOption("limits on pending work must be positive");
--- a/src/raft/RaftLeader.cpp
+++ b/src/raft/RaftLeader.cpp
@@ -11,6 +11,13 @@
 /// Heartbeat intervals without progress after which entries in flight count as lost.
 constexpr int RetransmitIntervals = 3;
 
+uint64_t bytesOf(const std::vector<LogEntry> &Entries) {
+  uint64_t Bytes = 0;
+  for (const LogEntry &Entry : Entries)
+    Bytes += Entry.m_Data.size();
+  return Bytes;
+}
+
 } // namespace
 
 void RaftCore::tickLeader() {
@@ -75,7 +82,8 @@
 bool RaftCore::maySend(const Progress &Peer) const {
   if (Peer.m_Mode == ProgressMode::Probe)
     return !Peer.m_ProbeSent;
-  return Peer.m_Next <= m_Log.lastIndex() && Peer.inflight() < m_Options.m_MaxInflightEntries;
+  return Peer.m_Next <= m_Log.lastIndex() && Peer.inflight() < m_Options.m_MaxInflightEntries &&
+         Peer.m_InflightBytes < m_Options.m_MaxInflightBytes;
 }
 
 void RaftCore::sendEntries(ReplicaId To, Progress &Peer) {
@@ -97,7 +105,7 @@
     if (Peer.inflight() == 0)
       Peer.m_LastProgress = m_Now;
     Peer.m_SentCommit = std::max(Peer.m_SentCommit, std::min(m_Commit, Peer.m_Next - 1 + Count));
-    Peer.m_Next += Count;
+    Peer.noteSent(Peer.m_Next - 1 + Count, bytesOf(Request.m_Entries));
   }
   send(To, std::move(Request));
 }
@@ -150,11 +158,9 @@
 }
 
 void RaftCore::noteMatch(ReplicaId From, Progress &Peer, LogIndex Match) {
-  if (Match > Peer.m_Match) {
-    Peer.m_Match = Match;
+  if (Match > Peer.m_Match)
     Peer.m_LastProgress = m_Now;
-  }
-  Peer.m_Next = std::max(Peer.m_Next, Peer.m_Match + 1);
+  Peer.noteAcknowledged(Match);
   const bool SnapshotPending = Peer.m_Mode == ProgressMode::Snapshot && Peer.m_Match < Peer.m_Transfer.m_Meta.m_Index;
   if (Peer.m_Mode == ProgressMode::Replicate || SnapshotPending)
     return;
--- a/tests/raft/RaftRulesTest.cpp
+++ b/tests/raft/RaftRulesTest.cpp
@@ -91,6 +91,17 @@
   BOOST_TEST(Answers[0].m_Match == 4U);
 }
 
+// Guards against counting a write whose entries were replaced before it became durable.
+BOOST_AUTO_TEST_CASE(ReplacedEntriesAreNotDurableWithTheOldWrite) {
+  Harness Replica(3, {}, threeEntries());
+  const uint64_t OldWrite = Replica.receive(2, 3, AppendRequest{3, 3, 0, {command(4, 3), command(5, 3)}}).m_Sequence;
+  Replica.receive(3, 4, AppendRequest{3, 3, 0, {command(4, 4), command(5, 4)}});
+  BOOST_TEST(Replica.step(PersistedInput{OldWrite}).m_Messages.empty());
+  BOOST_TEST(Replica.status().m_Durable == 3U);
+  Replica.sync();
+  BOOST_TEST(Replica.status().m_Durable == 5U);
+}
+
 // Guards against a log that differs from the leader's after an append.
 BOOST_AUTO_TEST_CASE(AppendsKeepTheLogEqualToTheLeaders) {
   struct Case {
@@ -238,6 +249,17 @@
   }
 }
 
+// Guards against large entries that fill the memory of the transport.
+BOOST_AUTO_TEST_CASE(BytesInFlightAreBounded) {
+  Harness Replica(3, [](RaftOptions &Options) { Options.m_MaxInflightBytes = 1'000; });
+  Replica.leadAndCommit();
+  size_t Sent = 0;
+  for (uint64_t Context = 1; Context <= 20; ++Context)
+    Sent += Harness::sent<AppendRequest>(Replica.propose(Context, std::string(300, 'x')), 2).size();
+  BOOST_TEST(Sent == 4U);
+  BOOST_TEST(Harness::sent<AppendRequest>(Replica.ack(2, 4), 2).size() == 1U);
+}
+
 // Guards against a transfer that loses entries or blocks proposals for good.
 BOOST_AUTO_TEST_CASE(LeadershipMovesOnceTheTargetHoldsTheLog) {
   Harness Replica(3);
