--- a/include/anvil/agent/AgentTypes.h
+++ b/include/anvil/agent/AgentTypes.h
@@ -1,10 +1,10 @@
 #ifndef ANVIL_AGENT_AGENTTYPES_H
 #define ANVIL_AGENT_AGENTTYPES_H
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -25,7 +25,12 @@
   int64_t m_JobId = 0;
   int32_t m_TaskIndex = 0;
   int64_t m_StartToken = 0;
-  auto operator<=>(const TaskKey &) const = default;
+  bool operator==(const TaskKey &) const = default;
+  /// Orders by job, task and start token.
+  bool operator<(const TaskKey &Other) const {
+    return std::tie(m_JobId, m_TaskIndex, m_StartToken) <
+           std::tie(Other.m_JobId, Other.m_TaskIndex, Other.m_StartToken);
+  }
 };
 
 /// Bounds and periods of AgentGate. The defaults are those of the design page.
@@ -55,6 +60,8 @@
   Duration m_DrainLimit = std::chrono::seconds(600);
   /// Longest wait for control to confirm the departure of an agent that has nothing left to report.
   Duration m_FarewellLimit = std::chrono::seconds(5);
+  /// Time after the start before the first probe of the minion, which may still work for an earlier incarnation.
+  Duration m_SettleTime = std::chrono::seconds(2);
   int m_ConnectFailuresToOpen = 3;
   Duration m_ProbePeriod = std::chrono::seconds(5);           ///< Between probes of a reachable minion.
   Duration m_MinReopenDelay = std::chrono::milliseconds(500); ///< Before the first probe of an unreachable minion.
--- a/src/agent/AgentGate.cpp
+++ b/src/agent/AgentGate.cpp
@@ -29,6 +29,7 @@
   internal::RequestSlots m_Requests{m_Options};
   internal::TaskTable m_Tasks{m_Options};
   bool m_HadPermit = false;
+  bool m_WasHealthy = false;
   bool m_Leaving = false;
   bool m_Left = false;
   TimePoint m_LeaveLimit;
@@ -57,6 +58,7 @@
   bool idle() const { return m_Requests.idle() && m_Tasks.idle(); }
   void checkDeparture(TimePoint Now, ActionList &Out);
   void leave(TimePoint Now, ActionList &Out);
+  void reportChanges(TimePoint Now);
 };
 
 std::string_view AgentGate::Impl::departure() const {
@@ -116,7 +118,7 @@
   }
   for (const std::string &ClaimId : Reply.acknowledgedClaims)
     m_Requests.claims().acknowledge(ClaimId, Reply.sequence);
-  if (Verdict.m_Use == ReplyUse::AckOnly)
+  if (Verdict.m_Use == ReplyUse::Late)
     return;
   if (m_FarewellSequence != 0 && Reply.sequence >= m_FarewellSequence)
     m_LeaveLimit = m_Requests.claims().unacknowledged() == 0 ? Now : m_LeaveLimit;
@@ -183,6 +185,8 @@
   }
   const bool NothingToReport = m_Requests.claims().unacknowledged() == 0;
   const bool FarewellOver = m_IdleSince && NothingToReport && Now - *m_IdleSince >= m_Options.m_FarewellLimit;
+  if (FarewellOver)
+    Out.push_back(LogNote{"control did not confirm the departure in time"});
   if (Now >= m_LeaveLimit || FarewellOver)
     leave(Now, Out);
 }
@@ -198,6 +202,13 @@
   Out.push_back(std::move(Departure));
 }
 
+// A gang starts once all its members are reported, so a change does not wait for the next regular heartbeat.
+void AgentGate::Impl::reportChanges(TimePoint Now) {
+  const bool HealthChanged = std::exchange(m_WasHealthy, m_Requests.healthy()) != m_Requests.healthy();
+  if (m_Tasks.takeChanged() || HealthChanged)
+    m_Session.hurry(Now);
+}
+
 AgentGate::AgentGate(std::unique_ptr<Impl> State) : m_Impl(std::move(State)) {}
 AgentGate::~AgentGate() = default;
 
@@ -219,6 +230,7 @@
   m_Impl->notePermit(Now, Out);
   m_Impl->m_Requests.pump(m_Impl->startRule(Now), Now, Out);
   m_Impl->checkDeparture(Now, Out);
+  m_Impl->reportChanges(Now);
   return Out;
 }
 
--- a/src/entry/EntryHttp.cpp
+++ b/src/entry/EntryHttp.cpp
@@ -35,11 +35,13 @@
   Each.m_ArrivedAt = m_Hooks.m_Now();
   Each.m_Respond = std::move(Respond);
   if (Request.m_Path.starts_with("/services/")) {
-    Each.m_Service = true;
+    Each.m_By = Answerer::Service;
     return handleService(std::move(Request), Id);
   }
-  if (Request.m_Path.starts_with("/v1/"))
+  if (Request.m_Path.starts_with("/v1/")) {
+    Each.m_By = Answerer::Control;
     return handleOperator(Request, Id);
+  }
   handleOwn(Request, Id);
 }
 
@@ -49,7 +51,9 @@
     return respond(Id, std::move(*Error));
   auto &Call = std::get<route::RequestArrived>(Parsed);
   Call.m_Id = route::RequestId(Id);
-  Call.m_TraceId = m_Pending.at(Id).m_Id;
+  Pending &Its = m_Pending.at(Id);
+  Call.m_TraceId = Its.m_Id;
+  Its.m_Workspace = Call.m_Workspace;
   step(std::move(Call));
 }
 
@@ -59,6 +63,8 @@
     return respond(Id, std::move(*Error));
   if (const auto *Query = std::get_if<wire::QueryRequest>(&Call))
     return sendQuery(*Query, Id);
+  if (auto *Timeline = std::get_if<TimelineQuery>(&Call))
+    return sendTimeline(std::move(*Timeline), Id);
   sendCommand(std::move(std::get<CommandCall>(Call)), Id);
 }
 
@@ -80,14 +86,33 @@
                    const std::shared_ptr<Impl> Self = Weak.lock();
                    if (!Self)
                      return;
-                   absl::StatusOr<wire::QueryReply> Reply = Answer.status();
-                   if (Answer.ok())
-                     Reply = net::decodeAs<wire::QueryReply>(*Answer);
+                   if (!Answer.ok())
+                     return Self->respond(Id, renderControlFailure(Answer.status(), false));
+                   const absl::StatusOr<wire::QueryReply> Reply = net::decodeAs<wire::QueryReply>(*Answer);
                    Self->respond(Id,
                                  Reply.ok() ? renderQueryReply(*Reply) : renderControlFailure(Reply.status(), false));
                  });
 }
 
+void Entry::Impl::sendTimeline(TimelineQuery Query, int64_t Id) {
+  wire::QueryRequest Request;
+  Request.kind = "timeline";
+  Request.argument = Query.m_Argument;
+  m_Control.call(wire::Method::QUERY, net::encodeStruct(Request), OperatorTimeout, m_Pending.at(Id).m_Id,
+                 [Weak = weak_from_this(), Id, Query = std::move(Query)](const absl::StatusOr<std::string> &Answer) {
+                   const std::shared_ptr<Impl> Self = Weak.lock();
+                   if (!Self)
+                     return;
+                   std::string Events;
+                   if (Answer.ok()) {
+                     const absl::StatusOr<wire::QueryReply> Reply = net::decodeAs<wire::QueryReply>(*Answer);
+                     if (Reply.ok() && Reply->httpStatus == 200)
+                       Events = Reply->json;
+                   }
+                   Self->respond(Id, renderTimeline(Query, Self->m_Timeline, Events));
+                 });
+}
+
 void Entry::Impl::handleOwn(const net::HttpRequest &Request, int64_t Id) {
   const bool Reads = Request.m_Method == "GET" || Request.m_Method == "HEAD";
   if (Reads && Request.m_Path == "/healthz")
@@ -99,16 +124,16 @@
     Response.m_ContentType = metrics::PrometheusContentType;
     return respond(Id, std::move(Response));
   }
-  net::HttpResponse Response = net::makeHttpError(404, "not_found", "the path is not known");
+  net::HttpResponse Response = net::makeHttpError(404, "not-found", "the path is not known");
   setOutcome(Response, wire::Outcome::NOT_RUN);
   respond(Id, std::move(Response));
 }
 
 net::HttpResponse Entry::Impl::readiness() const {
   if (m_Draining)
-    return plainJson(503, "{\"status\":\"shutting_down\"}\n");
+    return plainJson(503, "{\"status\":\"shutting-down\"}\n");
   if (!m_Router.ready(m_Hooks.m_Now()))
-    return plainJson(503, "{\"status\":\"control_silent\"}\n");
+    return plainJson(503, "{\"status\":\"control-silent\"}\n");
   return plainJson(200, "{\"status\":\"ready\"}\n");
 }
 
@@ -128,7 +153,10 @@
   const Pending Each = std::move(Found->second);
   m_Pending.erase(Found);
   const Duration Taken = m_Hooks.m_Now() - Each.m_ArrivedAt;
-  (Each.m_Service ? m_Metrics.m_ServiceTime : m_Metrics.m_OperatorTime).add(Taken);
+  if (Each.m_By == Answerer::Service)
+    m_Metrics.m_ServiceTime.add(Taken);
+  if (Each.m_By == Answerer::Control)
+    m_Metrics.m_OperatorTime.add(Taken);
   Response.m_Fields.push_back({std::string(RequestIdField), Each.m_Id});
   Each.m_Respond(std::move(Response));
 }
--- /dev/null
+++ b/tests/agentd/AgentProcessTest.cpp
@@ -0,0 +1,152 @@
+#include "agentd/AgentBench.h"
+
+#include <fstream>
+#include <sstream>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace anvil;
+using agentd::AgentBench;
+using agentd::FakeControl;
+
+namespace {
+
+/// Text of a session without numbers that differ between runs: ports, sequence numbers, loads and times.
+class Transcript {
+public:
+  void line(const std::string &Text) { m_Text += Text + "\n"; }
+
+  /// Adds what the heartbeats of one agent say, each change once.
+  void heartbeats(const std::vector<wire::AgentHeartbeat> &Heartbeats) {
+    std::string Last;
+    for (const wire::AgentHeartbeat &Each : Heartbeats) {
+      const std::string Text = describe(Each);
+      if (Text != Last)
+        line(Text);
+      Last = Text;
+    }
+  }
+
+  void reply(const std::string &Id, const wire::ExecuteReply &Reply) {
+    std::ostringstream Out;
+    Out << "reply " << Id << " outcome=" << Reply.outcome << " status=" << Reply.httpStatus
+        << " reason=" << Reply.reason << " body=" << Reply.body;
+    line(Out.str());
+  }
+
+  const std::string &text() const { return m_Text; }
+
+private:
+  static std::string describe(const wire::AgentHeartbeat &Heartbeat) {
+    std::ostringstream Out;
+    const wire::TargetInfo &Target = Heartbeat.target;
+    Out << "heartbeat vm=" << Target.vm << " kind=" << Target.kind << " zone=" << Target.availabilityZone
+        << " rack=" << Target.rack << " service=" << Target.serviceName << " incarnation=" << Target.incarnation
+        << " accelerators=" << Target.capacity.accelerators << " slots=" << Target.slots
+        << " leaving=" << Heartbeat.leaving << " healthy=" << Heartbeat.targetHealthy;
+    for (const wire::TaskStatus &Task : Heartbeat.tasks)
+      Out << " task=" << Task.jobId << "/" << Task.taskIndex << "/" << Task.startToken << ":" << Task.state;
+    for (const wire::ClaimOutcome &Outcome : Heartbeat.outcomes)
+      Out << " outcome=" << Outcome.claimId << "/" << Outcome.token << ":" << Outcome.outcome << ":" << Outcome.body;
+    return Out.str();
+  }
+
+  std::string m_Text;
+};
+
+void minionSession(Transcript &Log) {
+  AgentBench B;
+  B.startMinionAgent();
+  Log.reply("r1", B.execute(AgentBench::request("r1", 41)));
+  BOOST_REQUIRE(B.runUntil([&] { return !B.last().outcomes.empty(); }));
+  BOOST_REQUIRE(B.runUntil([&] { return B.last().outcomes.empty(); }));
+  Log.reply("r1 again", B.execute(AgentBench::request("r1", 41)));
+  wire::ExecuteRequest Stale = AgentBench::request("r2", 42);
+  Stale.incarnation = 6;
+  Log.reply("r2", B.execute(Stale));
+  B.m_Control.m_Draining = true;
+  const size_t Before = B.m_Control.m_Heartbeats.size();
+  BOOST_REQUIRE(B.runUntil([&] { return B.m_Control.m_Heartbeats.size() > Before + 1; }));
+  Log.reply("r3", B.execute(AgentBench::request("r3", 0)));
+  B.m_Agent->beginDrain();
+  BOOST_REQUIRE(B.runUntil([&] { return B.m_Left.has_value(); }));
+  Log.heartbeats(B.m_Control.m_Heartbeats);
+  Log.line(std::string("left graceful=") + (*B.m_Left ? "1" : "0"));
+}
+
+void workerSession(Transcript &Log) {
+  AgentBench B;
+  B.startWorkerAgent();
+  BOOST_REQUIRE(B.order(wire::TaskOrder::PREPARE, wire::TaskState::PREPARED));
+  BOOST_REQUIRE(B.order(wire::TaskOrder::START, wire::TaskState::RUNNING));
+  BOOST_REQUIRE(B.order(wire::TaskOrder::CHECKPOINT_AND_STOP, wire::TaskState::CHECKPOINTED));
+  B.m_Control.m_Wanted.clear();
+  BOOST_REQUIRE(B.runUntil([&] { return B.last().tasks.empty(); }));
+  B.m_Agent->beginDrain();
+  BOOST_REQUIRE(B.runUntil([&] { return B.m_Left.has_value(); }));
+  Log.heartbeats(B.m_Control.m_Heartbeats);
+  Log.line(std::string("left graceful=") + (*B.m_Left ? "1" : "0"));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AgentProcessTest)
+
+// Guards against a change of what control and entry see of an agent that nobody intended.
+BOOST_AUTO_TEST_CASE(SessionMatchesTheGoldenFile) {
+  Transcript Log;
+  minionSession(Log);
+  workerSession(Log);
+  std::ifstream File(ANVIL_SOURCE_DIR "/tests/agentd/golden/agent-session.txt");
+  std::stringstream Expected;
+  Expected << File.rdbuf();
+  BOOST_TEST(Log.text() == Expected.str());
+}
+
+// Guards against a shutdown that cuts off a request in progress or forgets to report its outcome (H8).
+BOOST_AUTO_TEST_CASE(DrainFinishesTheRequestInProgress) {
+  AgentBench B;
+  B.startMinionAgent();
+  B.m_Minion->behaviour().m_ServiceMean = std::chrono::milliseconds(300);
+  std::optional<wire::ExecuteReply> Running;
+  B.send(AgentBench::request("r1", 41), Running);
+  BOOST_REQUIRE(B.runUntil([&] { return B.m_Minion->counts().m_Busy == 1; }));
+
+  B.m_Agent->beginDrain();
+  const wire::ExecuteReply Refused = B.execute(AgentBench::request("r2", 42));
+
+  BOOST_TEST(Refused.outcome == wire::Outcome::NOT_RUN);
+  BOOST_REQUIRE(B.runUntil([&] { return B.m_Left.has_value(); }));
+  BOOST_TEST(*B.m_Left);
+  BOOST_REQUIRE(Running.has_value());
+  BOOST_TEST(Running->outcome == wire::Outcome::COMPLETED);
+  BOOST_TEST(B.m_Minion->counts().m_Started == 1);
+}
+
+// Guards against a second SIGTERM that waits, or that hides what it cut off.
+BOOST_AUTO_TEST_CASE(CutOffEndsARequestAsUnknown) {
+  AgentBench B;
+  B.startMinionAgent();
+  B.m_Minion->behaviour().m_ServiceMean = std::chrono::seconds(30);
+  std::optional<wire::ExecuteReply> Running;
+  B.send(AgentBench::request("r1", 0), Running);
+  BOOST_REQUIRE(B.runUntil([&] { return B.m_Minion->counts().m_Busy == 1; }));
+
+  B.m_Agent->beginDrain();
+  B.m_Agent->cutOff();
+
+  BOOST_REQUIRE(B.runUntil([&] { return B.m_Left.has_value() && Running.has_value(); }));
+  BOOST_TEST(!*B.m_Left);
+  BOOST_TEST(Running->outcome == wire::Outcome::UNKNOWN);
+}
+
+// Guards against an agent that stays with a silent control replica until its permit is gone for good.
+BOOST_AUTO_TEST_CASE(SwitchesToAnotherControlReplica) {
+  AgentBench B;
+  FakeControl Silent(B.m_Io);
+  Silent.m_Silent = true;
+  B.startMinionAgent(&Silent);
+  BOOST_TEST(!Silent.m_Heartbeats.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
