--- a/tests/route/RouterSimulationTest.cpp
+++ b/tests/route/RouterSimulationTest.cpp
@@ -21,6 +21,7 @@
 constexpr int Slots = 8;
 constexpr int AgentQueueLimit = 8;
 constexpr int EntryQueueLimit = 200;
+constexpr size_t TotalQueueLimit = size_t{Entries} * EntryQueueLimit;
 constexpr Duration MeanService = milliseconds(20);
 constexpr Duration Warmup = seconds(1);
 
@@ -91,7 +92,7 @@
   for (const Arrival &Each : Arrivals) {
     while (!Starts.empty() && Starts.front() <= Each.m_At)
       Starts.pop_front();
-    if (Starts.size() >= Entries * EntryQueueLimit) {
+    if (Starts.size() >= TotalQueueLimit) {
       ++Result.m_Refused;
       continue;
     }
@@ -310,7 +311,7 @@
   // One queue, and at most the slots and the allowance of 2 for each agent in flight.
   BOOST_TEST(Ours.m_MaxInProgress <= EntryQueueLimit + Agents * (Slots + 2));
   BOOST_TEST(Ours.m_MaxBytes <= 100 * Ours.m_MaxInProgress);
-  BOOST_TEST(Ours.m_Retries <= static_cast<int64_t>(Arrivals.size() / 10) + 3 * Entries);
+  BOOST_TEST(Ours.m_Retries <= static_cast<int64_t>(Arrivals.size() / 10) + int64_t{3} * Entries);
   BOOST_TEST(Ours.m_BusyUs >= 0.95 * Ideal.m_BusyUs);
 }
 
