--- a/src/agentd/AgentProcess.cpp
+++ b/src/agentd/AgentProcess.cpp
@@ -90,6 +90,7 @@
   Options.m_Slots = static_cast<int32_t>(m_Settings.m_Slots);
   Options.m_QueueLimit = static_cast<size_t>(m_Settings.m_QueueLimit);
   Options.m_DrainLimit = m_Settings.m_DrainLimit;
+  Options.m_SettleTime = m_Settings.m_SettleTime;
   Options.m_Random = m_Hooks.m_Random;
   return Options;
 }
@@ -191,7 +192,7 @@
   step(agent::HeartbeatSent{Sequence});
   ++m_OpenHeartbeats;
   m_Control->call(wire::Method::AGENT_HEARTBEAT, net::encodeStruct(Action.m_Message), HeartbeatTimeout, "",
-                  [Self = weak_from_this(), Sequence](absl::StatusOr<std::string> Answer) {
+                  [Self = weak_from_this(), Sequence](const absl::StatusOr<std::string> &Answer) {
                     const std::shared_ptr<Impl> Alive = Self.lock();
                     if (Alive && !Alive->m_Closed)
                       Alive->finishHeartbeat(Sequence, Answer);
