Leave the digest of module config out of the session's golden file

Cause: a change of the canonical form of documents changed the entry's golden file. Change: the digest is normalised like ids and times.

--- a/tests/entry/EntrySessionTest.cpp
+++ b/tests/entry/EntrySessionTest.cpp
@@ -146,6 +146,8 @@
   Text = std::regex_replace(Text, std::regex("\r"), "");
   Text = std::regex_replace(Text, std::regex("e1-[0-9a-f]{8}-[0-9]+"), "ID");
   Text = std::regex_replace(Text, std::regex("attemptId=[0-9]+/"), "attemptId=N/");
+  // The canonical form of a document, which the digest is made of, belongs to module config.
+  Text = std::regex_replace(Text, std::regex(", digest=[0-9a-f]{32}"), ", digest=DIGEST");
   // Which of the two minions is chosen depends on the age of their last reports.
   Text = std::regex_replace(Text, std::regex("vm=minion-[12]"), "vm=VM");
   // Unset members of a command say nothing.
