state: Use representable enumerators in the tests of unknown values

The sanitizer build stopped at 9 cast to an enumeration with the values 1 to 3, which is undefined behaviour of the test itself. 0 and 7 are unknown to the state as well and inside the range of the type. 33 test cases pass with the address and undefined-behaviour sanitizers.

--- a/tests/state/ClaimTest.cpp
+++ b/tests/state/ClaimTest.cpp
@@ -69,7 +69,7 @@
        ClaimState::GRANTED,
        Outcome::NOT_RUN},
       {"unknown to this version",
-       {{static_cast<Outcome::type>(9), CommandStatus::INVALID}},
+       {{static_cast<Outcome::type>(0), CommandStatus::INVALID}},
        ClaimState::HELD,
        Outcome::UNKNOWN},
   };
--- a/tests/state/JobTest.cpp
+++ b/tests/state/JobTest.cpp
@@ -297,7 +297,7 @@
       {[](auto &S) { S.spec.estimateMs = -1; }, "spec.estimateMs"},
       {[](auto &S) { S.spec.name = std::string(129, 'n'); }, "spec.name"},
       {[](auto &S) { S.spec.payload = std::string(65'537, 'p'); }, "spec.payload"},
-      {[](auto &S) { S.spec.urgency = static_cast<wire::Urgency::type>(9); }, "spec.urgency"},
+      {[](auto &S) { S.spec.urgency = static_cast<wire::Urgency::type>(7); }, "spec.urgency"},
       {[](auto &S) { S.spec.adjacency = static_cast<wire::Adjacency::type>(0); }, "spec.adjacency"},
       {[](auto &S) { S.spec.idempotent = false; }, "submissionId"},
   };
