state: Close gaps in the tests that mutated code showed

A trial on a scratch copy removed or changed one check at a time and ran the state tests. Of 15 mutants that compiled, 4 survived: the proof by REFUSED after RUNNING, a resend to another VM, an old token on the current VM, and a withdrawn zone without targets that the configuration drops. Each has a case now.

--- a/tests/state/ClaimTest.cpp
+++ b/tests/state/ClaimTest.cpp
@@ -27,6 +27,7 @@
   BOOST_TEST(Resent.claimToken == First.claimToken);
   // Another attempt of the same entry does not, and neither does one without an attempt id.
   BOOST_TEST((C.apply(openClaim("k", "m", "entry-1/2")).claimState == ClaimState::HELD));
+  BOOST_TEST((C.apply(openClaim("k", "n", "entry-1/1")).claimState == ClaimState::HELD));
   BOOST_TEST((C.apply(openClaim("k", "m")).claimState == ClaimState::HELD));
   const CommandResult Reused = C.apply(openClaim("k", "m", "entry-1/1", "other"));
   BOOST_TEST((Reused.status == CommandStatus::INVALID));
@@ -95,6 +96,7 @@
   const int64_t Token = C.apply(openClaim("k", "n")).claimToken;
   BOOST_TEST(Token > Old);
   BOOST_TEST((C.statusOf(closeClaim("k", Old, Outcome::NOT_RUN, "m")) == CommandStatus::REFUSED));
+  BOOST_TEST((C.statusOf(closeClaim("k", Old, Outcome::NOT_RUN, "n")) == CommandStatus::REFUSED));
   BOOST_TEST((C.statusOf(closeClaim("k", Token, Outcome::COMPLETED, "m")) == CommandStatus::REFUSED));
   BOOST_TEST((C.statusOf(closeClaim("k", Token, Outcome::COMPLETED, "n", "ok", 2)) == CommandStatus::REFUSED));
   BOOST_TEST((C.apply(openClaim("k", "m")).claimState == ClaimState::HELD));
--- a/tests/state/ClusterTest.cpp
+++ b/tests/state/ClusterTest.cpp
@@ -92,13 +92,20 @@
 // Guards against a withdrawn zone that returns to service because the configuration dropped it for a while.
 BOOST_AUTO_TEST_CASE(WithdrawnZoneSurvivesConfigurationChanges) {
   Cluster C;
+  const auto WithZone = [](int64_t Version) {
+    std::string Text = documentText(Version);
+    return Text.insert(Text.find("  - {name: kollam"), "  - {name: alappuzha, region: kerala}\n");
+  };
+  C.apply(applyConfig(2, WithZone(2)));
   C.apply(zoneService("kollam", false, "r"));
-  std::string Text = documentText(2);
-  const std::string Line = "  - {name: kollam, region: kerala}\n";
-  Text.erase(Text.find(Line), Line.size());
-  BOOST_TEST((C.statusOf(applyConfig(2, Text)) == CommandStatus::OK));
+  C.apply(zoneService("alappuzha", false, "r"));
   C.apply(applyConfig(3, documentText(3)));
-  BOOST_TEST(C.m_State.withdrawnZones().size() == 1U);
+  C.apply(applyConfig(4, WithZone(4)));
+  BOOST_TEST(C.m_State.withdrawnZones().size() == 2U);
+  C.apply(zoneService("alappuzha", true, "r2"));
+  C.apply(applyConfig(5, documentText(5)));
+  // In service and without targets, so the configuration was the last to name it.
+  BOOST_TEST((C.statusOf(zoneService("alappuzha", false, "r3")) == CommandStatus::NOT_FOUND));
 }
 
 // Guards against a configuration that reverts, or two operators who both believe they won (H9).
--- a/tests/state/JobTest.cpp
+++ b/tests/state/JobTest.cpp
@@ -224,6 +224,14 @@
        "queued",
        false},
       {"stopped", true, false, ReclaimMode::STOP, "STOP", {STOPPED, STOPPED}, "queued", false},
+      {"refusals after running prove nothing",
+       false,
+       false,
+       ReclaimMode::STOP,
+       "STOP",
+       {REFUSED, REFUSED},
+       "outcome_unknown",
+       false},
       {"stopped too late", true, false, ReclaimMode::STOP, "STOP", {SUCCEEDED, SUCCEEDED}, "completed", false},
   };
   for (const Case &Each : Cases) {
