--- a/include/anvil/chart/StateChart.h
+++ b/include/anvil/chart/StateChart.h
@@ -53,7 +53,10 @@
   /// Checks \p Definition; an InvalidArgument error lists every fault with the names of the chart and the state.
   static absl::StatusOr<StateChart> create(const ChartDefinition &Definition);
 
+  /// Returns the name that errors and charts/ use.
   const std::string &name() const { return m_Name; }
+
+  /// Returns the state in which everything starts.
   StateIndex initial() const { return m_Initial; }
 
   /// Returns the state after \p Event in \p From, or nothing if the state ignores the event.
@@ -62,12 +65,14 @@
     return Target < 0 ? std::nullopt : std::optional<StateIndex>(Target);
   }
 
+  /// Returns true if no event leaves \p State.
   bool isFinal(StateIndex State) const { return m_IsFinal[static_cast<size_t>(State)]; }
 
   /// Returns the number of a name, or nothing if the chart has no such state or event.
   std::optional<StateIndex> stateNamed(std::string_view Name) const;
   std::optional<EventIndex> eventNamed(std::string_view Name) const;
 
+  /// Return the names by number.
   const std::vector<std::string> &states() const { return m_States; }
   const std::vector<std::string> &events() const { return m_Events; }
 
@@ -113,7 +118,10 @@
     return Target < 0 ? std::nullopt : std::optional<State>(static_cast<State>(Target));
   }
 
+  /// Returns the state in which everything starts.
   State initial() const { return m_Initial; }
+
+  /// Returns true if no event leaves \p Of.
   bool isFinal(State Of) const { return m_IsFinal[static_cast<size_t>(Of)]; }
 
 private:
--- a/include/anvil/config/Config.h
+++ b/include/anvil/config/Config.h
@@ -50,6 +50,7 @@
   Document m_Document;
   std::vector<Issue> m_Issues;
 
+  /// Returns true if the document may be applied.
   bool ok() const { return m_Issues.empty(); }
 };
 
--- a/include/anvil/state/ClusterState.h
+++ b/include/anvil/state/ClusterState.h
@@ -161,7 +161,10 @@
   /// Returns a version that rises with every change of routes().
   int64_t routeVersion() const;
 
+  /// Returns the availability zones that operators withdrew, ordered.
   std::vector<AvailabilityZoneId> withdrawnZones() const;
+
+  /// Returns the targets that take no new work because they are leaving, ordered.
   std::vector<VmId> drainingTargets() const;
 
   /// Returns the job or nothing; ended jobs are dropped once there are more than MaxEndedJobs.
@@ -190,6 +193,7 @@
   /// Returns the configuration in force as it was applied; version 0 before the first.
   ConfigView configuration() const;
 
+  /// Returns sizes and totals; walks the targets and the jobs that have not ended.
   Counters counters() const;
 
 private:
@@ -198,7 +202,7 @@
   std::unique_ptr<internal::StateData> m_Data;
 };
 
-/// Returns the name of a phase as it appears in charts, queries and logs.
+/// Return the name of a phase as it appears in charts, queries and logs.
 std::string_view nameOf(JobPhase Phase);
 std::string_view nameOf(TaskPhase Phase);
 std::string_view nameOf(VmPhase Phase);
--- a/include/anvil/state/StateEvents.h
+++ b/include/anvil/state/StateEvents.h
@@ -10,6 +10,8 @@
 
 namespace anvil::state {
 
+// Snapshots store phases as numbers: new enumerators go to the end.
+
 /// Phase of a job, as in charts/job.yaml.
 enum class JobPhase { Queued, Reserved, Starting, Running, Releasing, Completed, Failed, Cancelled, OutcomeUnknown };
 
--- a/tests/measure/StateMeasure.cpp
+++ b/tests/measure/StateMeasure.cpp
@@ -164,6 +164,14 @@
   }
 }
 
+void withdrawZone(Meter &Apply) {
+  wire::Command Command;
+  Command.__isset.setZoneService = true;
+  Command.setZoneService.availabilityZone = "zone-1";
+  Command.setZoneService.requestId = "request-1";
+  Apply.apply("withdraw", Command);
+}
+
 void loseAndCancel(Meter &Apply, state::ClusterState &State, int64_t Targets) {
   for (int64_t I = 0; I < Targets / 6; ++I) {
     wire::Command Command;
@@ -214,6 +222,7 @@
               static_cast<double>(Heap) / 1e6, static_cast<double>(Bytes.size()) / 1e6, SnapshotMicros / 1e3,
               RestoreMicros / 1e3, Equal ? 1 : 0);
   std::printf("  assignments=%zu assignments_for_vm_us=%.2f\n", Assignments, AssignmentMicros);
+  withdrawZone(Apply);
   loseAndCancel(Apply, State, Targets);
   Apply.print();
 }
