Keep a possibly granted claim call when its repetition is not sent

Change: only an answer ends the repetition; calls without a request remember that an earlier one may be open.

--- a/src/route/Router.cpp
+++ b/src/route/Router.cpp
@@ -253,7 +253,7 @@
     if (!Expired)
       return pollClaim(Each);
     if (Each.m_RepeatClaim)
-      keepOrphan({Each.m_Call.m_Id, Each.m_LastClaim, Each.m_Call.m_TraceId, TimePoint{}});
+      keepOrphan({Each.m_Call.m_Id, Each.m_LastClaim, Each.m_Call.m_TraceId, true, TimePoint{}});
     [[fallthrough]];
   case Phase::Claiming:
     return giveUp(Each, RefusalReason::ControlSilent, "the claim was not answered in time",
--- a/src/route/RouterClaims.cpp
+++ b/src/route/RouterClaims.cpp
@@ -50,9 +50,9 @@
     Claim.entry = m_Options.m_Entry;
     Claim.attemptId = absl::StrCat(Each.m_Call.m_Id.value(), "/", ++Each.m_ClaimCalls);
   }
-  Each.m_RepeatClaim = false;
   const ClaimCallId Id(m_NextClaimCall++);
-  m_ClaimCalls[Id.value()] = {Each.m_Call.m_Id, Each.m_LastClaim, Each.m_Call.m_TraceId, TimePoint{}};
+  m_ClaimCalls[Id.value()] = {Each.m_Call.m_Id, Each.m_LastClaim, Each.m_Call.m_TraceId, Each.m_RepeatClaim,
+                              TimePoint{}};
   const Duration Timeout = std::min(m_Options.m_ClaimTimeout, Duration(Each.m_Deadline - m_Now));
   m_Actions.emplace_back(OpenClaimAction{Id, Each.m_LastClaim, Timeout, Each.m_Call.m_TraceId});
   setPhase(Each, Phase::Claiming, Each.m_Deadline);
@@ -76,6 +76,7 @@
 }
 
 void Router::Impl::onClaim(Request &Each, wire::CommandResult Result) {
+  Each.m_RepeatClaim = false;
   switch (Result.status) {
   case wire::CommandStatus::OK:
     break;
@@ -141,7 +142,8 @@
 }
 
 void Router::Impl::onClaimLost(Request &Each, SendFailure Failure) {
-  Each.m_RepeatClaim = Failure == SendFailure::NoAnswer;
+  // A repetition that was not sent does not undo that an earlier call may have been granted.
+  Each.m_RepeatClaim = Each.m_RepeatClaim || Failure == SendFailure::NoAnswer;
   waitForClaim(Each);
 }
 
@@ -178,13 +180,14 @@
     ++m_Counters.m_LateClaims;
     return closeClaimNotRun(Call.m_Claim, Result->claimToken, Call.m_TraceId);
   }
-  if (std::get<SendFailure>(Event.m_Result) == SendFailure::NotSent && Call.m_GiveUpAt == TimePoint{})
+  if (std::get<SendFailure>(Event.m_Result) == SendFailure::NotSent && !Call.m_MayBeOpen)
     return;
   keepOrphan(std::move(Call));
 }
 
 // The claim may be open without anyone to run it; asking again tells its token, with which it is closed.
 void Router::Impl::keepOrphan(internal::ClaimCall Call) {
+  Call.m_MayBeOpen = true;
   if (Call.m_GiveUpAt == TimePoint{})
     Call.m_GiveUpAt = m_Now + OrphanLimit;
   if (m_Now >= Call.m_GiveUpAt || m_Orphans.size() >= MaxOrphans)
--- a/src/route/RouterImpl.h
+++ b/src/route/RouterImpl.h
@@ -44,9 +44,9 @@
   int64_t m_ClaimToken = 0;
   Duration m_PollDelay{0};
   TimePoint m_PollAt;
-  wire::OpenClaim m_LastClaim; ///< Repeated as it was if its answer was lost.
-  bool m_RepeatClaim = false;
-  bool m_AnswerLost = false; ///< A claimed attempt ended without an answer.
+  wire::OpenClaim m_LastClaim;
+  bool m_RepeatClaim = false; ///< m_LastClaim may have been granted without an answer.
+  bool m_AnswerLost = false;  ///< A claimed attempt ended without an answer.
 };
 
 /// One dispatched attempt. It outlives its request if the answer is late.
@@ -60,7 +60,8 @@
   RequestId m_Id;
   wire::OpenClaim m_Claim;
   std::string m_TraceId;
-  TimePoint m_GiveUpAt; ///< For a call without a request: when to stop asking.
+  bool m_MayBeOpen = false; ///< An earlier call with the same claim may have been granted.
+  TimePoint m_GiveUpAt;     ///< For a call without a request: when to stop asking.
 };
 
 /// Configuration of one service and its waiting requests.
--- a/tests/route/RouterHarness.h
+++ b/tests/route/RouterHarness.h
@@ -62,7 +62,8 @@
 /// overnight) and "reorder" (not idempotent), and targets "m0" to "m3", of which "m0" and "m1" are in zone "kochi".
 class RouterHarness {
 public:
-  explicit RouterHarness(int QueueLimit = 100, int Targets = 4) : m_Router(options()) {
+  explicit RouterHarness(int QueueLimit = 100, int Targets = 4, const std::string &Entry = "e1")
+      : m_Router(options(Entry)) {
     refresh();
     wire::ServiceConfig Service;
     Service.name = "sieve";
@@ -76,9 +77,9 @@
     step(Routes);
   }
 
-  static RouterOptions options() {
+  static RouterOptions options(const std::string &Entry) {
     RouterOptions Options;
-    Options.m_Entry = "e1";
+    Options.m_Entry = Entry;
     Options.m_Zone = AvailabilityZoneId("kochi");
     Options.m_Random = seededRandom(7);
     return Options;
