--- a/tests/state/JobTest.cpp
+++ b/tests/state/JobTest.cpp
@@ -224,6 +224,14 @@
        "queued",
        false},
       {"stopped", true, false, ReclaimMode::STOP, "STOP", {STOPPED, STOPPED}, "queued", false},
+      {"refusals after running prove nothing",
+       false,
+       false,
+       ReclaimMode::STOP,
+       "STOP",
+       {REFUSED, REFUSED},
+       "outcome_unknown",
+       false},
       {"stopped too late", true, false, ReclaimMode::STOP, "STOP", {SUCCEEDED, SUCCEEDED}, "completed", false},
   };
   for (const Case &Each : Cases) {
@@ -297,7 +305,7 @@
       {[](auto &S) { S.spec.estimateMs = -1; }, "spec.estimateMs"},
       {[](auto &S) { S.spec.name = std::string(129, 'n'); }, "spec.name"},
       {[](auto &S) { S.spec.payload = std::string(65'537, 'p'); }, "spec.payload"},
-      {[](auto &S) { S.spec.urgency = static_cast<wire::Urgency::type>(9); }, "spec.urgency"},
+      {[](auto &S) { S.spec.urgency = static_cast<wire::Urgency::type>(7); }, "spec.urgency"},
       {[](auto &S) { S.spec.adjacency = static_cast<wire::Adjacency::type>(0); }, "spec.adjacency"},
       {[](auto &S) { S.spec.idempotent = false; }, "submissionId"},
   };
