Bound the wait for closing claims at a shutdown

Cause: the limit of 2 s was set anew with each poll, so a shutdown waited up to the 30 s of the CloseClaim call. Change: one limit; a cut-off no longer lets the closing of its last connection end the entry with half a report, which the cut-off test now covers with the listener closed.

--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -114,26 +114,28 @@
 void Entry::Impl::closeListener() {
   m_Http->shutdown([Weak = weak_from_this()] {
     if (const std::shared_ptr<Impl> Self = Weak.lock())
-      Self->finishWhenClaimsAreClosed();
+      Self->finishWhenClaimsAreClosed(Self->m_Hooks.m_Now() + CloseClaimLimit);
   });
 }
 
-void Entry::Impl::finishWhenClaimsAreClosed() {
+void Entry::Impl::finishWhenClaimsAreClosed(TimePoint GiveUpAt) {
+  if (m_Stopped || m_CuttingOff)
+    return;
+  if (m_OpenCloses == 0 || m_Hooks.m_Now() >= GiveUpAt)
+    return stop();
   m_NoticeTimer.expires_after(ClosePollPeriod);
-  m_NoticeTimer.async_wait(
-      [Weak = weak_from_this(), GiveUpAt = m_Hooks.m_Now() + CloseClaimLimit](const boost::system::error_code &Error) {
-        const std::shared_ptr<Impl> Self = Weak.lock();
-        if (Error || !Self || Self->m_Stopped)
-          return;
-        if (Self->m_OpenCloses > 0 && Self->m_Hooks.m_Now() < GiveUpAt)
-          return Self->finishWhenClaimsAreClosed();
-        Self->stop();
-      });
+  m_NoticeTimer.async_wait([Weak = weak_from_this(), GiveUpAt](const boost::system::error_code &Error) {
+    const std::shared_ptr<Impl> Self = Weak.lock();
+    if (!Error && Self)
+      Self->finishWhenClaimsAreClosed(GiveUpAt);
+  });
 }
 
 void Entry::Impl::cutOff() {
   if (m_Stopped)
     return;
+  // The server reports its last connection as closed while it is cut off, before the report is complete.
+  m_CuttingOff = true;
   step(route::ShutdownStarted{});
   for (const auto &[Id, Each] : m_Pending) {
     m_Report.m_CutOff.push_back(absl::StrCat(Each.m_What, " request=", Each.m_Id));
--- a/src/entry/EntryImpl.h
+++ b/src/entry/EntryImpl.h
@@ -41,7 +41,7 @@
   void shutdown(std::function<void(EntryReport)> Stopped);
   void closeListener();
   void cutOff();
-  void finishWhenClaimsAreClosed();
+  void finishWhenClaimsAreClosed(TimePoint GiveUpAt);
   void stop();
   void tick();
 
@@ -95,6 +95,7 @@
   int64_t m_ConfigVersion = 0;
   int m_OpenCloses = 0; ///< CloseClaim commands without an answer.
   bool m_Draining = false;
+  bool m_CuttingOff = false;
   bool m_Stopped = false;
   std::function<void(EntryReport)> m_OnStopped;
   EntryReport m_Report;
--- a/tests/entry/EntrySessionTest.cpp
+++ b/tests/entry/EntrySessionTest.cpp
@@ -259,26 +259,30 @@
   BOOST_TEST(Stopped.get_future().get().m_CutOff.empty());
 }
 
-// Guards against a forced end that does not say what it cut off.
+// Guards against a forced end that does not say what it cut off, before and after the listener is closed.
 BOOST_AUTO_TEST_CASE(CutOffReportsWhatItCutOff) {
-  SessionHarness Harness;
-  Harness.awaitReady();
-  Harness.run([&Harness] { Harness.m_Agent->m_Hold = true; });
-  auto Answer =
-      std::async(std::launch::async, [&Harness] { return Harness.exchange(head("GET /services/sieve/q", Quote)); });
-  Harness.awaitHeld(1);
-  std::promise<entry::EntryReport> Stopped;
+  for (const bool ListenerClosed : {false, true}) {
+    SessionHarness Harness(ListenerClosed ? Duration(0) : std::chrono::hours(1));
+    Harness.awaitReady();
+    Harness.run([&Harness] { Harness.m_Agent->m_Hold = true; });
+    auto Answer =
+        std::async(std::launch::async, [&Harness] { return Harness.exchange(head("GET /services/sieve/q", Quote)); });
+    Harness.awaitHeld(1);
+    std::promise<entry::EntryReport> Stopped;
+    Harness.run([&] {
+      Harness.m_Entry->shutdown([&Stopped](const entry::EntryReport &Report) { Stopped.set_value(Report); });
+    });
+    while (ListenerClosed && Harness.accepts())
+      std::this_thread::yield();
 
-  Harness.run([&] {
-    Harness.m_Entry->shutdown([&Stopped](const entry::EntryReport &Report) { Stopped.set_value(Report); });
-    Harness.m_Entry->cutOff();
-  });
+    Harness.run([&Harness] { Harness.m_Entry->cutOff(); });
 
-  const entry::EntryReport Report = Stopped.get_future().get();
-  BOOST_REQUIRE(Report.m_CutOff.size() == 1U);
-  BOOST_TEST(Report.m_CutOff[0] == "GET /services/sieve/q request=q-1");
-  BOOST_TEST(Report.m_CutOffConnections == 1U);
-  BOOST_TEST(Answer.get().empty());
+    const entry::EntryReport Report = Stopped.get_future().get();
+    BOOST_REQUIRE(Report.m_CutOff.size() == 1U);
+    BOOST_TEST(Report.m_CutOff[0] == "GET /services/sieve/q request=q-1");
+    BOOST_TEST(Report.m_CutOffConnections == 1U);
+    BOOST_TEST(Answer.get().empty());
+  }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/entry/SessionHarness.h
+++ b/tests/entry/SessionHarness.h
@@ -158,6 +158,16 @@
     return Client.readAll();
   }
 
+  /// Returns true if the listener takes connections.
+  bool accepts() const {
+    try {
+      const anvil::testing::Caller Probe(m_Port);
+      return true;
+    } catch (const boost::system::system_error &) {
+      return false;
+    }
+  }
+
   void awaitReady() const {
     while (exchange("GET /readyz HTTP/1.1\r\n").find("200 OK") == std::string::npos)
       std::this_thread::sleep_for(std::chrono::milliseconds(10));
