--- a/include/anvil/agentd/AgentProcess.h
+++ b/include/anvil/agentd/AgentProcess.h
@@ -33,6 +33,7 @@
   int64_t m_Connections = 64;
   int64_t m_QueueLimit = 64;
   Duration m_DrainLimit = std::chrono::seconds(600);
+  Duration m_SettleTime = std::chrono::seconds(2);
 };
 
 /// Declares all settings of an agent in \p Reader, with \p Values as destinations.
@@ -42,6 +43,7 @@
 struct AgentHooks {
   std::function<TimePoint()> m_Now;
   std::function<double()> m_Random;
+  std::function<int64_t()> m_WallMicros; ///< Microseconds since the Unix epoch, for the time line.
   int64_t m_Incarnation = 0;
   /// Called once when the agent has left; the argument is false if work was cut off or an outcome not reported.
   std::function<void(bool)> m_OnLeft;
--- a/src/agent/AgentGate.cpp
+++ b/src/agent/AgentGate.cpp
@@ -28,6 +28,7 @@
   internal::ControlSession m_Session{m_Options};
   internal::RequestSlots m_Requests{m_Options};
   internal::TaskTable m_Tasks{m_Options};
+  std::string m_LastRefusal; ///< Logged once until a heartbeat is accepted.
   bool m_HadPermit = false;
   bool m_WasHealthy = false;
   bool m_Leaving = false;
@@ -111,15 +112,16 @@
   if (Verdict.m_Use == ReplyUse::Ignore)
     return;
   if (Verdict.m_Use == ReplyUse::Refused) {
-    Out.push_back(LogNote{absl::StrCat("heartbeat refused sequence=", Reply.sequence, " detail=", Reply.detail)});
+    if (std::exchange(m_LastRefusal, Reply.detail) != Reply.detail)
+      Out.push_back(LogNote{absl::StrCat("heartbeat refused sequence=", Reply.sequence, " detail=", Reply.detail)});
     if (m_Session.switchAfterRefusal(Reply.sequence))
       Out.push_back(SwitchControl{"heartbeat refused"});
     return;
   }
-  for (const std::string &ClaimId : Reply.acknowledgedClaims)
-    m_Requests.claims().acknowledge(ClaimId, Reply.sequence);
-  if (Verdict.m_Use == ReplyUse::AckOnly)
+  m_Requests.claims().acknowledge(Reply.acknowledgedClaims, Reply.sequence);
+  if (Verdict.m_Use == ReplyUse::Late)
     return;
+  m_LastRefusal.clear();
   if (m_FarewellSequence != 0 && Reply.sequence >= m_FarewellSequence)
     m_LeaveLimit = m_Requests.claims().unacknowledged() == 0 ? Now : m_LeaveLimit;
   if (!isWorker())
@@ -185,6 +187,8 @@
   }
   const bool NothingToReport = m_Requests.claims().unacknowledged() == 0;
   const bool FarewellOver = m_IdleSince && NothingToReport && Now - *m_IdleSince >= m_Options.m_FarewellLimit;
+  if (FarewellOver)
+    Out.push_back(LogNote{"control did not confirm the departure in time"});
   if (Now >= m_LeaveLimit || FarewellOver)
     leave(Now, Out);
 }
@@ -203,7 +207,9 @@
 // A gang starts once all its members are reported, so a change does not wait for the next regular heartbeat.
 void AgentGate::Impl::reportChanges(TimePoint Now) {
   const bool HealthChanged = std::exchange(m_WasHealthy, m_Requests.healthy()) != m_Requests.healthy();
-  if (m_Tasks.takeChanged() || HealthChanged)
+  // Fast claims would otherwise reach the bound on unacknowledged outcomes between two regular heartbeats.
+  const bool ManyOutcomes = m_Requests.claims().unreported() >= m_Options.m_HurryOutcomes;
+  if (m_Tasks.takeChanged() || HealthChanged || ManyOutcomes)
     m_Session.hurry(Now);
 }
 
--- a/src/agent/ControlSession.h
+++ b/src/agent/ControlSession.h
@@ -9,8 +9,8 @@
 
 /// How a heartbeat reply is to be used.
 enum class ReplyUse {
-  Ignore,  ///< Its heartbeat is not known.
-  AckOnly, ///< Late or older than what is in force: only its acknowledgements count.
+  Ignore,  ///< Its heartbeat is not known, or the replica lags behind one used before.
+  Late,    ///< A newer heartbeat was answered before: only its acknowledgements count.
   Refused, ///< The replica did not accept the heartbeat.
   InForce  ///< Newest reply so far: assignments and leases follow it.
 };
@@ -54,6 +54,7 @@
   int64_t m_LastIndex = 0;
   int64_t m_SwitchedAt = 0; ///< Heartbeats up to this number went to a replica that was replaced.
   int64_t m_ConfigVersion = 0;
+  int m_Refusals = 0; ///< Consecutive refusals by the current replica.
   TimePoint m_NextDue;
   TimePoint m_EarliestDue; ///< One retry period after the last heartbeat.
   TimePoint m_PermitEnd;
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 
 #include "EntryImpl.h"
+#include "anvil/timeline/FrameStamps.h"
 
 namespace anvil::entry {
 
@@ -14,11 +15,14 @@
 constexpr Duration TickPeriod = std::chrono::milliseconds(10);
 // A shutdown waits this long for the claims of requests that did not run to be closed.
 constexpr Duration CloseClaimLimit = std::chrono::seconds(2);
+// About 1.5 MB of events; at 100 requests a second it reaches back 20 s.
+constexpr size_t TimelineCapacity = 4096;
 constexpr Duration ClosePollPeriod = std::chrono::milliseconds(20);
 
-net::RpcOptions rpcOptions(const EntryHooks &Hooks) {
+net::RpcOptions rpcOptions(const EntryHooks &Hooks, timeline::Recorder &Timeline) {
   net::RpcOptions Options;
   Options.m_Random = Hooks.m_Random;
+  timeline::stampFrames(Options, Timeline, Hooks.m_WallMicros);
   return Options;
 }
 
@@ -53,8 +57,10 @@
 Entry::Impl::Impl(boost::asio::io_context &Io, EntryOptions Options, EntryHooks Hooks)
     : m_Io(Io), m_Options(std::move(Options)), m_Hooks(std::move(Hooks)),
       m_Instance(makeInstance(m_Options.m_Name, m_Hooks)), m_Router(routerOptions(m_Options, m_Hooks, m_Instance)),
-      m_Control(Io, m_Options.m_Controls, rpcOptions(m_Hooks), m_Hooks.m_Now), m_Agents(Io, rpcOptions(m_Hooks)),
-      m_TickTimer(Io), m_SyncTimer(Io), m_DrainTimer(Io), m_NoticeTimer(Io) {}
+      m_Timeline(m_Options.m_Name, TimelineCapacity, m_Hooks.m_WallMicros),
+      m_Control(Io, m_Options.m_Controls, rpcOptions(m_Hooks, m_Timeline), m_Hooks.m_Now),
+      m_Agents(Io, rpcOptions(m_Hooks, m_Timeline)), m_TickTimer(Io), m_SyncTimer(Io), m_DrainTimer(Io),
+      m_NoticeTimer(Io) {}
 
 absl::Status Entry::Impl::start() {
   const auto Handle = [Weak = weak_from_this()](net::HttpRequest Request, net::HttpResponder Respond) {
@@ -89,6 +95,7 @@
     return;
   m_Draining = true;
   m_OnStopped = std::move(Stopped);
+  m_Timeline.record("entry.shutdown-started", {}, "The entry reports not ready.");
   LOG(INFO) << "entry: shutdown started in_progress=" << m_Pending.size();
   m_NoticeTimer.expires_after(m_Options.m_DrainNotice);
   m_NoticeTimer.async_wait([Weak = weak_from_this()](const boost::system::error_code &Error) {
@@ -110,26 +117,28 @@
 void Entry::Impl::closeListener() {
   m_Http->shutdown([Weak = weak_from_this()] {
     if (const std::shared_ptr<Impl> Self = Weak.lock())
-      Self->finishWhenClaimsAreClosed();
+      Self->finishWhenClaimsAreClosed(Self->m_Hooks.m_Now() + CloseClaimLimit);
   });
 }
 
-void Entry::Impl::finishWhenClaimsAreClosed() {
+void Entry::Impl::finishWhenClaimsAreClosed(TimePoint GiveUpAt) {
+  if (m_Stopped || m_CuttingOff)
+    return;
+  if (m_OpenCloses == 0 || m_Hooks.m_Now() >= GiveUpAt)
+    return stop();
   m_NoticeTimer.expires_after(ClosePollPeriod);
-  m_NoticeTimer.async_wait(
-      [Weak = weak_from_this(), GiveUpAt = m_Hooks.m_Now() + CloseClaimLimit](const boost::system::error_code &Error) {
-        const std::shared_ptr<Impl> Self = Weak.lock();
-        if (Error || !Self || Self->m_Stopped)
-          return;
-        if (Self->m_OpenCloses > 0 && Self->m_Hooks.m_Now() < GiveUpAt)
-          return Self->finishWhenClaimsAreClosed();
-        Self->stop();
-      });
+  m_NoticeTimer.async_wait([Weak = weak_from_this(), GiveUpAt](const boost::system::error_code &Error) {
+    const std::shared_ptr<Impl> Self = Weak.lock();
+    if (!Error && Self)
+      Self->finishWhenClaimsAreClosed(GiveUpAt);
+  });
 }
 
 void Entry::Impl::cutOff() {
   if (m_Stopped)
     return;
+  // The server reports its last connection as closed while it is cut off, before the report is complete.
+  m_CuttingOff = true;
   step(route::ShutdownStarted{});
   for (const auto &[Id, Each] : m_Pending) {
     m_Report.m_CutOff.push_back(absl::StrCat(Each.m_What, " request=", Each.m_Id));
--- a/src/entry/EntryImpl.h
+++ b/src/entry/EntryImpl.h
@@ -16,6 +16,7 @@
 #include "anvil/entry/Entry.h"
 #include "anvil/net/HttpServer.h"
 #include "anvil/route/Router.h"
+#include "anvil/timeline/Timeline.h"
 
 namespace anvil::entry {
 
@@ -29,6 +30,7 @@
   struct Pending {
     std::string m_Id;   ///< X-Request-Id.
     std::string m_What; ///< Method and path.
+    std::string m_Workspace;
     TimePoint m_ArrivedAt;
     net::HttpResponder m_Respond;
     Answerer m_By = Answerer::Entry;
@@ -39,7 +41,7 @@
   void shutdown(std::function<void(EntryReport)> Stopped);
   void closeListener();
   void cutOff();
-  void finishWhenClaimsAreClosed();
+  void finishWhenClaimsAreClosed(TimePoint GiveUpAt);
   void stop();
   void tick();
 
@@ -48,6 +50,7 @@
   void sync();
   void onSync(absl::StatusOr<std::string> Answer, TimePoint AskedAt);
   void takeRoutes(wire::EntrySyncReply &Reply);
+  void noteConfig(int64_t Version);
 
   // EntryHttp.cpp: requests and responses.
   void handle(net::HttpRequest Request, net::HttpResponder Respond);
@@ -56,17 +59,19 @@
   void handleOwn(const net::HttpRequest &Request, int64_t Id);
   void sendCommand(CommandCall Call, int64_t Id);
   void sendQuery(const wire::QueryRequest &Query, int64_t Id);
+  void sendTimeline(TimelineQuery Query, int64_t Id);
   void respond(int64_t Id, net::HttpResponse Response);
   net::HttpResponse readiness() const;
   std::string metricsText() const;
 
   // EntryRouting.cpp: events and actions of the router.
   void step(route::RouterEvent Event);
-  void perform(route::OpenClaimAction Action);
-  void perform(route::CloseClaimAction Action);
-  void perform(route::DispatchAction Action);
+  void perform(const route::OpenClaimAction &Action);
+  void perform(const route::CloseClaimAction &Action);
+  void perform(const route::DispatchAction &Action);
   void perform(route::AnswerAction Action);
   void perform(const route::RefuseAction &Action);
+  void noteRequest(std::string_view Kind, route::RequestId Id, std::string_view Vm, std::string_view Text);
   void submit(wire::Command Command, Duration Timeout, std::string_view TraceId,
               std::function<void(absl::StatusOr<wire::CommandResult>)> Done);
 
@@ -75,6 +80,7 @@
   EntryHooks m_Hooks;
   std::string m_Instance; ///< Name and a random part that differs between two starts.
   route::Router m_Router;
+  timeline::Recorder m_Timeline; ///< Before the connections, which use its clock.
   ControlClient m_Control;
   AgentClients m_Agents;
   std::unique_ptr<net::HttpServer> m_Http;
@@ -89,6 +95,7 @@
   int64_t m_ConfigVersion = 0;
   int m_OpenCloses = 0; ///< CloseClaim commands without an answer.
   bool m_Draining = false;
+  bool m_CuttingOff = false;
   bool m_Stopped = false;
   std::function<void(EntryReport)> m_OnStopped;
   EntryReport m_Report;
--- a/src/route/RouterClaims.cpp
+++ b/src/route/RouterClaims.cpp
@@ -15,6 +15,8 @@
 constexpr Duration OrphanPeriod = std::chrono::seconds(1);
 constexpr Duration OrphanLimit = std::chrono::seconds(30);
 constexpr size_t MaxOrphans = 1024;
+// Calls of one request after which a refusal of its claim is final.
+constexpr int MaxClaimCallsRefused = 5;
 
 void hashPart(XXH3_state_t &State, const std::string &Part) {
   const uint64_t Size = Part.size();
@@ -45,11 +47,12 @@
       Claim.incarnation = Each.m_Target->m_Route.incarnation;
     }
     Claim.requestDigest = Each.m_Digest;
-    Claim.entry = absl::StrCat(m_Options.m_Entry, "/", Each.m_Call.m_Id.value(), "/", ++Each.m_ClaimCalls);
+    Claim.entry = m_Options.m_Entry;
+    Claim.attemptId = absl::StrCat(Each.m_Call.m_Id.value(), "/", ++Each.m_ClaimCalls);
   }
-  Each.m_RepeatClaim = false;
   const ClaimCallId Id(m_NextClaimCall++);
-  m_ClaimCalls[Id.value()] = {Each.m_Call.m_Id, Each.m_LastClaim, Each.m_Call.m_TraceId, TimePoint{}};
+  m_ClaimCalls[Id.value()] = {Each.m_Call.m_Id, Each.m_LastClaim, Each.m_Call.m_TraceId, Each.m_RepeatClaim,
+                              TimePoint{}};
   const Duration Timeout = std::min(m_Options.m_ClaimTimeout, Duration(Each.m_Deadline - m_Now));
   m_Actions.emplace_back(OpenClaimAction{Id, Each.m_LastClaim, Timeout, Each.m_Call.m_TraceId});
   setPhase(Each, Phase::Claiming, Each.m_Deadline);
@@ -73,6 +76,7 @@
 }
 
 void Router::Impl::onClaim(Request &Each, wire::CommandResult Result) {
+  Each.m_RepeatClaim = false;
   switch (Result.status) {
   case wire::CommandStatus::OK:
     break;
@@ -81,9 +85,10 @@
   case wire::CommandStatus::LIMIT:
     return giveUp(Each, RefusalReason::ClaimsFull, Result.message, spreadRetryAfter(Duration(0)));
   case wire::CommandStatus::INVALID:
-    return giveUp(Each, RefusalReason::KeyInvalid, Result.message, std::nullopt);
+    return giveUp(Each, Result.field == "requestDigest" ? RefusalReason::KeyConflict : RefusalReason::KeyInvalid,
+                  Result.message, std::nullopt);
   default:
-    return giveUp(Each, RefusalReason::ClaimRefused, Result.message, spreadRetryAfter(Duration(0)));
+    return onClaimRefused(Each, Result.message);
   }
   switch (Result.claimState) {
   case wire::ClaimState::GRANTED:
@@ -97,6 +102,15 @@
   giveUp(Each, RefusalReason::ClaimRefused, "control answered without a claim state", std::nullopt);
 }
 
+// Control refuses a claim in the name of a target that has left or restarted, which the routing table shows soon.
+void Router::Impl::onClaimRefused(Request &Each, std::string_view Message) {
+  if (Each.m_ClaimCalls >= MaxClaimCallsRefused)
+    return giveUp(Each, RefusalReason::ClaimRefused, Message, spreadRetryAfter(Duration(0)));
+  if (Each.m_Target)
+    Each.m_Tried.insert(Each.m_Target->m_Route.vm);
+  waitForClaim(Each);
+}
+
 void Router::Impl::onGranted(Request &Each, const wire::CommandResult &Result) {
   // A free claim proves that no earlier holder ran the request.
   Each.m_MayHaveRun = false;
@@ -128,7 +142,8 @@
 }
 
 void Router::Impl::onClaimLost(Request &Each, SendFailure Failure) {
-  Each.m_RepeatClaim = Failure == SendFailure::NoAnswer;
+  // A repetition that was not sent does not undo that an earlier call may have been granted.
+  Each.m_RepeatClaim = Each.m_RepeatClaim || Failure == SendFailure::NoAnswer;
   waitForClaim(Each);
 }
 
@@ -165,13 +180,14 @@
     ++m_Counters.m_LateClaims;
     return closeClaimNotRun(Call.m_Claim, Result->claimToken, Call.m_TraceId);
   }
-  if (std::get<SendFailure>(Event.m_Result) == SendFailure::NotSent && Call.m_GiveUpAt == TimePoint{})
+  if (std::get<SendFailure>(Event.m_Result) == SendFailure::NotSent && !Call.m_MayBeOpen)
     return;
   keepOrphan(std::move(Call));
 }
 
 // The claim may be open without anyone to run it; asking again tells its token, with which it is closed.
 void Router::Impl::keepOrphan(internal::ClaimCall Call) {
+  Call.m_MayBeOpen = true;
   if (Call.m_GiveUpAt == TimePoint{})
     Call.m_GiveUpAt = m_Now + OrphanLimit;
   if (m_Now >= Call.m_GiveUpAt || m_Orphans.size() >= MaxOrphans)
--- a/src/route/RouterImpl.h
+++ b/src/route/RouterImpl.h
@@ -44,9 +44,9 @@
   int64_t m_ClaimToken = 0;
   Duration m_PollDelay{0};
   TimePoint m_PollAt;
-  wire::OpenClaim m_LastClaim; ///< Repeated as it was if its answer was lost.
-  bool m_RepeatClaim = false;
-  bool m_AnswerLost = false; ///< A claimed attempt ended without an answer.
+  wire::OpenClaim m_LastClaim;
+  bool m_RepeatClaim = false; ///< m_LastClaim may have been granted without an answer.
+  bool m_AnswerLost = false;  ///< A claimed attempt ended without an answer.
 };
 
 /// One dispatched attempt. It outlives its request if the answer is late.
@@ -60,7 +60,8 @@
   RequestId m_Id;
   wire::OpenClaim m_Claim;
   std::string m_TraceId;
-  TimePoint m_GiveUpAt; ///< For a call without a request: when to stop asking.
+  bool m_MayBeOpen = false; ///< An earlier call with the same claim may have been granted.
+  TimePoint m_GiveUpAt;     ///< For a call without a request: when to stop asking.
 };
 
 /// Configuration of one service and its waiting requests.
@@ -82,7 +83,7 @@
   using Request = internal::Request;
 
   // Router.cpp: events, admission and the queue.
-  void on(RoutesChanged Event);
+  void on(const RoutesChanged &Event);
   void on(ConfigChanged Event);
   void on(FreshRead Event);
   void on(RequestArrived Event);
@@ -122,6 +123,7 @@
   void on(ClaimAnswered Event);
   void openClaim(Request &Each);
   void onClaim(Request &Each, wire::CommandResult Result);
+  void onClaimRefused(Request &Each, std::string_view Message);
   void onGranted(Request &Each, const wire::CommandResult &Result);
   void onClosed(Request &Each, wire::ClaimOutcome Stored);
   void onClaimLost(Request &Each, SendFailure Failure);
--- a/tests/agent/RequestTest.cpp
+++ b/tests/agent/RequestTest.cpp
@@ -202,6 +202,28 @@
   BOOST_TEST(B.m_Heartbeats.back().outcomes.empty());
 }
 
+// Guards against claims refused because the regular heartbeats report fewer outcomes than a fast minion produces.
+BOOST_AUTO_TEST_CASE(FastClaimsAreReportedEarly) {
+  GateBench B;
+  B.ready();
+  int64_t Refused = 0;
+  for (int64_t Token = 1; Token <= 8000; ++Token) {
+    const int64_t Call = B.arrive(GateBench::request("r", Token));
+    Refused += B.outcome(Call) == NotRun ? 1 : 0;
+    B.answer(B.m_Sent.size() - 1);
+    const size_t Before = B.m_Heartbeats.size();
+    B.pass(milliseconds(Token % 2));
+    if (B.m_Heartbeats.size() == Before)
+      continue;
+    wire::AgentHeartbeatReply Reply = GateBench::reply(B.m_Heartbeats.back().sequence);
+    for (const wire::ClaimOutcome &Outcome : B.m_Heartbeats.back().outcomes)
+      Reply.acknowledgedClaims.push_back(Outcome.claimId);
+    B.step(HeartbeatReplied{Reply});
+  }
+  BOOST_TEST(Refused == 0);
+  BOOST_TEST(B.m_Heartbeats.size() <= 22, "4 s allow one heartbeat each 200 ms");
+}
+
 // Guards against an acknowledgement of an earlier grant that hides the outcome of a later one with the same claim id.
 BOOST_AUTO_TEST_CASE(AcknowledgementCoversOnlyWhatWasReported) {
   GateBench B;
@@ -254,6 +276,19 @@
   BOOST_TEST(B.outcome(B.arrive(GateBench::request("a", 3))) == Unknown);
 }
 
+// Guards against a restarted agent that fills slots which requests of its earlier incarnation still use.
+BOOST_AUTO_TEST_CASE(MinionSettlesBeforeTheFirstRequest) {
+  GateBench B;
+  const TimePoint FirstTick = B.m_Now + milliseconds(50);
+  passWithPermit(B, milliseconds(1000));
+  BOOST_TEST(!B.m_Heartbeats.back().targetHealthy);
+  BOOST_TEST(B.m_Replies[B.arrive(GateBench::request("a"))].reason == "minion does not accept connections");
+  B.pass(FirstTick + milliseconds(1950) - B.m_Now);
+  BOOST_TEST(B.m_Probes == 0);
+  B.pass(milliseconds(50));
+  BOOST_TEST(B.m_Probes == 1);
+}
+
 // Guards against requests sent to a minion that accepts no connection, and against one that stays shut out after it
 // has come back.
 BOOST_AUTO_TEST_CASE(UnreachableMinionIsProbedUntilItReturns) {
