--- a/include/anvil/net/Rpc.h
+++ b/include/anvil/net/Rpc.h
@@ -72,6 +72,9 @@
 /// Returns the counters of this process.
 RpcCounters &rpcCounters();
 
+/// Returns the counters as JSON text, the answer to a QUERY of kind "footprint".
+std::string toJson(const RpcCounters &Counters);
+
 /// One call as the server sees it.
 struct RpcCall {
   wire::Method::type m_Method = wire::Method::QUERY;
--- a/src/agentd/AgentProcess.cpp
+++ b/src/agentd/AgentProcess.cpp
@@ -41,7 +41,7 @@
   void connectControl();
   void tick();
   void handleExecute(const net::RpcCall &Call, net::RpcResponder Respond);
-  void answerTimeline(const net::RpcCall &Call, const net::RpcResponder &Respond) const;
+  void answerQuery(const net::RpcCall &Call, const net::RpcResponder &Respond) const;
   void note(std::string_view Kind, timeline::Subject About, std::string_view Text);
   void noteTask(std::string_view Kind, const agent::TaskKey &Key, std::string_view Text);
   void step(agent::Event Incoming);
@@ -130,7 +130,7 @@
     handleExecute(Call, std::move(Respond));
   });
   m_Server->handle(wire::Method::QUERY, [this](const net::RpcCall &Call, const net::RpcResponder &Respond) {
-    answerTimeline(Call, Respond);
+    answerQuery(Call, Respond);
   });
   tick();
   return absl::OkStatus();
@@ -171,15 +171,18 @@
   step(agent::ExecuteArrived{Id, std::move(*Request)});
 }
 
-void AgentProcess::Impl::answerTimeline(const net::RpcCall &Call, const net::RpcResponder &Respond) const {
+void AgentProcess::Impl::answerQuery(const net::RpcCall &Call, const net::RpcResponder &Respond) const {
   const absl::StatusOr<wire::QueryRequest> Request = net::decodeAs<wire::QueryRequest>(Call.m_Body);
   if (!Request.ok())
     return Respond(Request.status());
-  if (Request->kind != "timeline-own")
-    return Respond(absl::InvalidArgumentError("an agent answers the kind timeline-own only"));
   wire::QueryReply Reply;
   Reply.httpStatus = 200;
-  Reply.json = timeline::toJson(m_Timeline.select(timeline::parseFilter(Request->argument)));
+  if (Request->kind == "timeline-own")
+    Reply.json = timeline::toJson(m_Timeline.select(timeline::parseFilter(Request->argument)));
+  else if (Request->kind == "footprint")
+    Reply.json = net::toJson(net::rpcCounters());
+  else
+    return Respond(absl::InvalidArgumentError("an agent answers the kinds timeline-own and footprint only"));
   Respond(net::encodeStruct(Reply));
 }
 
--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -307,6 +307,13 @@
     answerTimeline(*Request, Respond);
     return;
   }
+  if (Request->kind == "footprint") {
+    wire::QueryReply Reply;
+    Reply.httpStatus = 200;
+    Reply.json = net::toJson(net::rpcCounters());
+    Respond(net::encodeStruct(Reply));
+    return;
+  }
   // What the scheduler thinks is known to the leader only.
   net::RpcClient *Leader = m_Replica->leads() ? nullptr : m_Replica->peer(m_Replica->status().m_Leader);
   if (internal::needsLeader(*Request) && Leader) {
--- a/src/net/FrameStream.cpp
+++ b/src/net/FrameStream.cpp
@@ -16,6 +16,13 @@
   return Counters;
 }
 
+std::string toJson(const RpcCounters &Counters) {
+  return absl::StrCat("{\"rpc_bytes_sent\":", Counters.m_BytesSent,
+                      ",\"rpc_bytes_received\":", Counters.m_BytesReceived,
+                      ",\"silent_connections_closed\":", Counters.m_SilentConnectionsClosed,
+                      ",\"late_responses_dropped\":", Counters.m_LateResponsesDropped, "}");
+}
+
 namespace internal {
 
 namespace {
--- a/tests/agentd/AgentProcessTest.cpp
+++ b/tests/agentd/AgentProcessTest.cpp
@@ -149,4 +149,23 @@
   BOOST_TEST(!Silent.m_Heartbeats.empty());
 }
 
+// Guards against a footprint that can't be measured because the agent hides its RPC byte counts.
+BOOST_AUTO_TEST_CASE(AnswersItsFootprint) {
+  AgentBench B;
+  B.startMinionAgent();
+  wire::QueryRequest Request;
+  Request.kind = "footprint";
+  std::optional<wire::QueryReply> Reply;
+  B.m_Entry->call(wire::Method::QUERY, net::encodeStruct(Request), std::chrono::seconds(5), "",
+                  [&Reply](const absl::StatusOr<std::string> &Answer) {
+                    BOOST_REQUIRE_MESSAGE(Answer.ok(), Answer.status().ToString());
+                    Reply = *net::decodeAs<wire::QueryReply>(*Answer);
+                  });
+
+  BOOST_REQUIRE(B.runUntil([&] { return Reply.has_value(); }));
+  BOOST_TEST(Reply->httpStatus == 200);
+  BOOST_TEST(Reply->json.starts_with("{\"rpc_bytes_sent\":"), "reply is " << Reply->json);
+  BOOST_TEST(Reply->json.find("\"rpc_bytes_received\":0") == std::string::npos, "reply is " << Reply->json);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
