--- a/tools/lib/environment.py
+++ b/tools/lib/environment.py
@@ -47,7 +47,8 @@
 
     The socket stays bound while the range is in use, so that two environments on one machine never share ports.
     """
-    bases = list(range(20000, 60000, count))
+    # Below the ports that the kernel gives to outgoing connections.
+    bases = list(range(20000, 32000, count))
     first = os.getpid() % len(bases)
     for base in bases[first:] + bases[:first]:
         guard = socket.socket()
