Send the payload of a task only with its start order

Cause: every heartbeat reply repeated the payload of each task on the VM once a second for as long as the task ran. The agent reads the payload only when it starts a prepared task. Change: a reply carries the payload with the START order until the agent reports the task as started; PREPARE, THROTTLE and the renewals carry none.

--- a/cmake/modules/control.cmake
+++ b/cmake/modules/control.cmake
@@ -3,6 +3,8 @@
 add_executable(anvil-control daemons/ControlMain.cpp)
 target_link_libraries(anvil-control PRIVATE anvil_control)
 
+anvil_test(control LINK anvil_control)
+
 # Prints the cost of the log and of a restart. Reads a clock, so it is not a test.
 add_executable(control_measure tests/measure/ControlMeasure.cpp)
 target_link_libraries(control_measure PRIVATE anvil_net anvil_state anvil_store)
--- a/src/control/AgentSessions.cpp
+++ b/src/control/AgentSessions.cpp
@@ -36,6 +36,19 @@
   return true;
 }
 
+// An agent reads the payload only when it starts a prepared task. Payloads have up to 1 MiB and replies list every task
+// of a VM each second, so a payload goes out with the start order alone and no more once the task has started.
+void dropSpentPayloads(const wire::AgentHeartbeat &Heartbeat, wire::AgentHeartbeatReply &Reply) {
+  for (wire::Assignment &Wanted : Reply.assignments) {
+    const bool Started = std::any_of(Heartbeat.tasks.begin(), Heartbeat.tasks.end(), [&](const wire::TaskStatus &Task) {
+      return Task.jobId == Wanted.jobId && Task.taskIndex == Wanted.taskIndex && Task.startToken == Wanted.startToken &&
+             Task.state != wire::TaskState::PREPARED;
+    });
+    if (Wanted.order != wire::TaskOrder::START || Started)
+      Wanted.payload.clear();
+  }
+}
+
 } // namespace
 
 void AgentSessions::noteFreshRead(TimePoint RequestedAt) {
@@ -87,6 +100,7 @@
   Reply.accepted = true;
   Reply.renewedAtIndex = State.appliedIndex();
   Reply.assignments = State.assignmentsFor(Vm);
+  dropSpentPayloads(Heartbeat, Reply);
   if (State.mayStartOn(Vm, Heartbeat.target.incarnation) && Heartbeat.targetHealthy)
     Reply.permitMs = std::chrono::duration_cast<std::chrono::milliseconds>(PermitFor).count();
   return Reply;
