--- a/src/agentd/AgentProcess.cpp
+++ b/src/agentd/AgentProcess.cpp
@@ -129,9 +129,8 @@
   m_Server->handle(wire::Method::EXECUTE, [this](const net::RpcCall &Call, net::RpcResponder Respond) {
     handleExecute(Call, std::move(Respond));
   });
-  m_Server->handle(wire::Method::QUERY, [this](const net::RpcCall &Call, const net::RpcResponder &Respond) {
-    answerQuery(Call, Respond);
-  });
+  m_Server->handle(wire::Method::QUERY,
+                   [this](const net::RpcCall &Call, const net::RpcResponder &Respond) { answerQuery(Call, Respond); });
   tick();
   return absl::OkStatus();
 }
--- a/tests/measure/ControlMeasure.cpp
+++ b/tests/measure/ControlMeasure.cpp
@@ -2,6 +2,7 @@
 // a sync, and the time to open the store and restore the state by length of the log, with and without a snapshot.
 // Usage: control_measure FOLDER [ENTRIES ...], by default 1000 10000 30000 100000 300000 entries. FOLDER is replaced.
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -151,6 +152,70 @@
               Recovered.m_Entries.size(), Applied, OpenMillis, millisSince(Start));
 }
 
+wire::TargetInfo targetAt(int64_t Number) {
+  return commandAt(static_cast<raft::LogIndex>(Number)).registerTarget.target;
+}
+
+/// Prints the size of a heartbeat and its reply for a worker with \p Tasks running tasks.
+void measureHeartbeat(int32_t Tasks) {
+  wire::AgentHeartbeat Heartbeat;
+  wire::AgentHeartbeatReply Reply;
+  Heartbeat.target = targetAt(1);
+  Heartbeat.sequence = Reply.sequence = 1'000'000;
+  Reply.renewedAtIndex = 1'000'000'000;
+  for (int32_t Task = 0; Task < Tasks; ++Task) {
+    wire::TaskStatus &Status = Heartbeat.tasks.emplace_back();
+    Status.jobId = 1'000'000 + Task;
+    Status.taskIndex = Task;
+    Status.startToken = 100'000'000;
+    Status.state = wire::TaskState::RUNNING;
+    wire::Assignment &Wanted = Reply.assignments.emplace_back();
+    Wanted.jobId = Status.jobId;
+    Wanted.taskIndex = Task;
+    Wanted.startToken = Status.startToken;
+    Wanted.order = wire::TaskOrder::START;
+    Wanted.resources.cores = 2;
+    Wanted.resources.memoryMib = 1'024;
+    Wanted.leaseMs = 60'000;
+    Wanted.workspace = "team-100";
+  }
+  std::printf("%-34s %8d %10zu\n", "heartbeat, by running tasks", Tasks, net::encodeStruct(Heartbeat).size());
+  std::printf("%-34s %8d %10zu\n", "heartbeat reply, by running tasks", Tasks, net::encodeStruct(Reply).size());
+}
+
+/// Prints the size of messages that list \p Vms targets.
+void measureLists(int64_t Vms) {
+  wire::SessionReport Report;
+  wire::EntrySyncReply Sync;
+  Report.replica = "control-1";
+  Sync.routesChanged = true;
+  for (int64_t Number = 0; Number < Vms; ++Number) {
+    const wire::TargetInfo Info = targetAt(Number);
+    Report.vms.push_back(Info.vm);
+    Report.loads.emplace_back();
+    wire::RouteTarget &Route = Sync.routes.emplace_back();
+    Route.vm = Info.vm;
+    Route.availabilityZone = Info.availabilityZone;
+    Route.serviceName = "desk";
+    Route.agentAddress = Info.agentAddress;
+    Route.incarnation = 1'700'000'000'000'000;
+    Route.slots = 8;
+    Route.usable = true;
+  }
+  std::printf("%-34s %8ld %10zu\n", "session report, by agents", static_cast<long>(Vms),
+              net::encodeStruct(Report).size());
+  std::printf("%-34s %8ld %10zu\n", "entry sync with routes, by targets", static_cast<long>(Vms),
+              net::encodeStruct(Sync).size());
+}
+
+void measureMessages() {
+  std::printf("bodies of messages, without the frame\n%-34s %8s %10s\n", "message", "count", "bytes");
+  for (const int32_t Tasks : {0, 18, 64})
+    measureHeartbeat(Tasks);
+  for (const int64_t Vms : {200, 2'767, 8'300})
+    measureLists(Vms);
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -159,6 +224,7 @@
     return 2;
   }
   const std::string Folder = Arguments[1];
+  measureMessages();
   std::printf("commits of one command each, %ld s for each line\n", static_cast<long>(CommitTime.count()));
   std::printf("%8s %12s %10s %12s %14s\n", "grouped", "commits/s", "syncs/s", "ms_per_sync", "bytes_per_entry");
   for (const size_t Group : {1, 10, 100, 1000})
