state: List the accepted versions of the configuration

The entry sends the query kind config-history, which state::answerQuery refused as unknown, so GET /v1/config/history and anvilctl config history always gave 400. The state already remembers 1,024 versions.

The query answers version, digest, operator, environment, promoted from and index, newest first, 100 unless a limit from 1 to 1,024 is given.

--- a/include/anvil/state/ClusterState.h
+++ b/include/anvil/state/ClusterState.h
@@ -107,6 +107,16 @@
   int64_t m_Index = 0;
 };
 
+/// One accepted version of the configuration.
+struct ConfigVersionView {
+  int64_t m_Version = 0;
+  std::string m_Digest;
+  std::string m_OperatorId;
+  std::string m_Environment;
+  std::string m_PromotedFrom; ///< Environment and digest that it was tried in; empty if it was not promoted.
+  int64_t m_Index = 0;        ///< Log index at which it was accepted.
+};
+
 /// Applies committed commands and holds the only durable truth of the cluster.
 ///
 /// Usage: create() one for each replica, apply() every committed command in log order, answer from the read access.
@@ -193,6 +203,9 @@
   /// Returns the configuration in force as it was applied; version 0 before the first.
   ConfigView configuration() const;
 
+  /// Returns the newest \p Limit of the remembered versions (at most 1,024), newest first.
+  std::vector<ConfigVersionView> configHistory(size_t Limit) const;
+
   /// Returns sizes and totals; walks the targets and the jobs that have not ended.
   Counters counters() const;
 
--- a/include/anvil/state/StateQuery.h
+++ b/include/anvil/state/StateQuery.h
@@ -16,9 +16,10 @@
 /// | kind | argument |
 /// |---|---|
 /// | `job` | job number |
-/// | `jobs` | `key=value` pairs joined by `&`: `workspace`, `phase`, `after` (job number), `limit` (1 to 1,000, 100 by
-/// default) | | `config`, `status` | empty | | `explain/job`, `explain/vm`, `explain/zone`, `explain/workspace` |
-/// number or name |
+/// | `jobs` | `key=value` pairs joined by `&`: `workspace`, `phase`, `after` (job number), `limit` (1 to 1,000) |
+/// | `config`, `status` | empty |
+/// | `config-history` | versions to list, 1 to 1,024; 100 if empty |
+/// | `explain/job`, `explain/vm`, `explain/zone`, `explain/workspace` | number or name |
 ///
 /// Errors are `{"error": {"code", "message", "field"}}` with HTTP status 400 or 404.
 wire::QueryReply answerQuery(const ClusterState &State, std::string_view Kind, std::string_view Argument);
--- a/src/state/ClusterState.cpp
+++ b/src/state/ClusterState.cpp
@@ -326,6 +326,16 @@
   return View;
 }
 
+std::vector<ConfigVersionView> ClusterState::configHistory(size_t Limit) const {
+  std::vector<ConfigVersionView> History;
+  const auto &Versions = m_Data->m_ConfigVersions;
+  for (auto It = Versions.rbegin(); It != Versions.rend() && History.size() < Limit; ++It) {
+    const record::ConfigVersion &Each = It->second;
+    History.push_back({Each.version, Each.digest, Each.operatorId, Each.environment, Each.promotedFrom, Each.index});
+  }
+  return History;
+}
+
 Counters ClusterState::counters() const {
   Counters Result;
   Result.m_AppliedIndex = m_Data->m_AppliedIndex;
--- a/src/state/StateQuery.cpp
+++ b/src/state/StateQuery.cpp
@@ -22,6 +22,9 @@
 constexpr int32_t HttpNotFound = 404;
 constexpr int64_t MaxListedJobs = 1'000;
 constexpr int64_t DefaultListedJobs = 100;
+/// The state remembers as many versions.
+constexpr int64_t MaxListedVersions = 1'024;
+constexpr int64_t DefaultListedVersions = 100;
 
 wire::QueryReply reply(int32_t Status, const json::value &Body) {
   wire::QueryReply Result;
@@ -178,6 +181,22 @@
                                     {"document", View.m_Text}});
 }
 
+wire::QueryReply answerConfigHistory(const ClusterState &State, std::string_view Argument) {
+  int64_t Limit = DefaultListedVersions;
+  if (!Argument.empty() && (!absl::SimpleAtoi(toAbsl(Argument), &Limit) || Limit < 1 || Limit > MaxListedVersions))
+    return error(HttpBadRequest, "invalid", absl::StrCat("the limit must be from 1 to ", MaxListedVersions), "limit");
+  json::array Versions;
+  for (const ConfigVersionView &Each : State.configHistory(static_cast<size_t>(Limit))) {
+    Versions.push_back(json::object{{"version", Each.m_Version},
+                                    {"digest", Each.m_Digest},
+                                    {"operator", Each.m_OperatorId},
+                                    {"environment", Each.m_Environment},
+                                    {"promotedFrom", Each.m_PromotedFrom},
+                                    {"index", Each.m_Index}});
+  }
+  return reply(HttpOk, Versions);
+}
+
 json::array guaranteeWarnings(const ClusterState &State) {
   json::array Warnings;
   if (State.document() == nullptr)
@@ -263,6 +282,8 @@
     return answerJobs(State, Argument);
   if (Kind == "config")
     return answerConfig(State);
+  if (Kind == "config-history")
+    return answerConfigHistory(State, Argument);
   if (Kind == "status")
     return answerStatus(State);
   if (Kind.substr(0, Explain.size()) == Explain)
--- a/tests/state/ClusterTest.cpp
+++ b/tests/state/ClusterTest.cpp
@@ -7,6 +7,7 @@
 
 using namespace anvil::state;
 using namespace anvil::state::test;
+using anvil::wire::Command;
 using anvil::wire::CommandResult;
 using anvil::wire::CommandStatus;
 
@@ -239,4 +240,24 @@
   BOOST_TEST((serviceConfigs(*C.m_State.document())[0].classes[0].urgency == anvil::wire::Urgency::URGENT));
 }
 
+// Guards against a history that misses who applied or promoted a version, or that grows without bound.
+BOOST_AUTO_TEST_CASE(ConfigHistoryListsTheNewestVersionsFirst) {
+  Cluster C;
+  Command Promoted = applyConfig(2, documentText(2), "bruce");
+  Promoted.applyConfig.promotedFrom = "trial@abc";
+  const CommandResult Applied = C.apply(Promoted);
+  const std::string History = answerQuery(C.m_State, "config-history", "").json;
+  BOOST_TEST(History.starts_with("[{\"version\":2,\"digest\":\""), History);
+  BOOST_TEST((History.find("\"operator\":\"bruce\"") != std::string::npos), History);
+  BOOST_TEST((History.find("\"promotedFrom\":\"trial@abc\"") != std::string::npos), History);
+  BOOST_TEST((History.find("\"index\":" + std::to_string(Applied.index)) != std::string::npos), History);
+  for (int64_t Version = 3; Version <= 1030; ++Version)
+    C.apply(applyConfig(Version, documentText(Version)));
+  BOOST_TEST(C.m_State.configHistory(5000).size() == 1024U);
+  BOOST_TEST(C.m_State.configHistory(7).size() == 7U);
+  BOOST_TEST(C.m_State.configHistory(7).front().m_Version == 1030);
+  for (const char *Wrong : {"0", "1025", "-1", "many"})
+    BOOST_TEST(answerQuery(C.m_State, "config-history", Wrong).httpStatus == 400, Wrong);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
