control: Let operators change the members of the control group

ReplicaHost::changeMembership had no caller outside tests, so a control VM that lost its disk could not be replaced.

wire::Command gets the field changeReplicas (27). ReplicaHost::propose turns it into a membership change and never writes it to the log; what the replicated log refuses comes back as REFUSED. The entry serves GET /v1/controls and POST /v1/controls/{id}/add|promote|remove; anvilctl has control list|add|promote|remove, and remove asks for confirmation.

--- a/gen/anvil_types.cpp
+++ b/gen/anvil_types.cpp
@@ -318,6 +318,37 @@
   }
 }
 
+int _kReplicaChangeValues[] = {
+  ReplicaChange::ADD_LEARNER,
+  ReplicaChange::PROMOTE,
+  ReplicaChange::REMOVE
+};
+const char* _kReplicaChangeNames[] = {
+  "ADD_LEARNER",
+  "PROMOTE",
+  "REMOVE"
+};
+const std::map<int, const char*> _ReplicaChange_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kReplicaChangeValues, _kReplicaChangeNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const ReplicaChange::type& val) {
+  std::map<int, const char*>::const_iterator it = _ReplicaChange_VALUES_TO_NAMES.find(val);
+  if (it != _ReplicaChange_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const ReplicaChange::type& val) {
+  std::map<int, const char*>::const_iterator it = _ReplicaChange_VALUES_TO_NAMES.find(val);
+  if (it != _ReplicaChange_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 int _kCommandStatusValues[] = {
   CommandStatus::OK,
   CommandStatus::REFUSED,
@@ -7497,6 +7528,153 @@
 }
 
 
+ChangeReplicas::~ChangeReplicas() noexcept {
+}
+
+
+void ChangeReplicas::__set_replicaId(const int64_t val) {
+  this->replicaId = val;
+}
+
+void ChangeReplicas::__set_kind(const ReplicaChange::type val) {
+  this->kind = val;
+}
+
+void ChangeReplicas::__set_operatorId(const std::string& val) {
+  this->operatorId = val;
+}
+std::ostream& operator<<(std::ostream& out, const ChangeReplicas& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ChangeReplicas::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->replicaId);
+          this->__isset.replicaId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast234;
+          xfer += iprot->readI32(ecast234);
+          this->kind = static_cast<ReplicaChange::type>(ecast234);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->operatorId);
+          this->__isset.operatorId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ChangeReplicas::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ChangeReplicas");
+
+  xfer += oprot->writeFieldBegin("replicaId", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->replicaId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("operatorId", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->operatorId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ChangeReplicas &a, ChangeReplicas &b) {
+  using ::std::swap;
+  swap(a.replicaId, b.replicaId);
+  swap(a.kind, b.kind);
+  swap(a.operatorId, b.operatorId);
+  swap(a.__isset, b.__isset);
+}
+
+ChangeReplicas::ChangeReplicas(const ChangeReplicas& other235) {
+  replicaId = other235.replicaId;
+  kind = other235.kind;
+  operatorId = other235.operatorId;
+  __isset = other235.__isset;
+}
+ChangeReplicas::ChangeReplicas(ChangeReplicas&& other236) noexcept {
+  replicaId = other236.replicaId;
+  kind = other236.kind;
+  operatorId = std::move(other236.operatorId);
+  __isset = other236.__isset;
+}
+ChangeReplicas& ChangeReplicas::operator=(const ChangeReplicas& other237) {
+  replicaId = other237.replicaId;
+  kind = other237.kind;
+  operatorId = other237.operatorId;
+  __isset = other237.__isset;
+  return *this;
+}
+ChangeReplicas& ChangeReplicas::operator=(ChangeReplicas&& other238) noexcept {
+  replicaId = other238.replicaId;
+  kind = other238.kind;
+  operatorId = std::move(other238.operatorId);
+  __isset = other238.__isset;
+  return *this;
+}
+void ChangeReplicas::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ChangeReplicas(";
+  out << "replicaId=" << to_string(replicaId);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "operatorId=" << to_string(operatorId);
+  out << ")";
+}
+
+
 Command::~Command() noexcept {
 }
 
@@ -7593,6 +7771,11 @@
   this->expireClaims = val;
 __isset.expireClaims = true;
 }
+
+void Command::__set_changeReplicas(const ChangeReplicas& val) {
+  this->changeReplicas = val;
+__isset.changeReplicas = true;
+}
 std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
@@ -7773,6 +7956,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 27:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->changeReplicas.read(iprot);
+          this->__isset.changeReplicas = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7883,6 +8074,11 @@
     xfer += this->expireClaims.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.changeReplicas) {
+    xfer += oprot->writeFieldBegin("changeReplicas", ::apache::thrift::protocol::T_STRUCT, 27);
+    xfer += this->changeReplicas.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7909,97 +8105,102 @@
   swap(a.openClaim, b.openClaim);
   swap(a.closeClaim, b.closeClaim);
   swap(a.expireClaims, b.expireClaims);
+  swap(a.changeReplicas, b.changeReplicas);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other234) {
-  proposedAtUs = other234.proposedAtUs;
-  traceId = other234.traceId;
-  registerTarget = other234.registerTarget;
-  loseTarget = other234.loseTarget;
-  drainTarget = other234.drainTarget;
-  setZoneService = other234.setZoneService;
-  applyConfig = other234.applyConfig;
-  submitJob = other234.submitJob;
-  cancelJob = other234.cancelJob;
-  placeJob = other234.placeJob;
-  parkJob = other234.parkJob;
-  failJob = other234.failJob;
-  reclaimJob = other234.reclaimJob;
-  setWorkerAside = other234.setWorkerAside;
-  reportTasks = other234.reportTasks;
-  expireLeases = other234.expireLeases;
-  openClaim = other234.openClaim;
-  closeClaim = other234.closeClaim;
-  expireClaims = other234.expireClaims;
-  __isset = other234.__isset;
-}
-Command::Command(Command&& other235) noexcept {
-  proposedAtUs = other235.proposedAtUs;
-  traceId = std::move(other235.traceId);
-  registerTarget = std::move(other235.registerTarget);
-  loseTarget = std::move(other235.loseTarget);
-  drainTarget = std::move(other235.drainTarget);
-  setZoneService = std::move(other235.setZoneService);
-  applyConfig = std::move(other235.applyConfig);
-  submitJob = std::move(other235.submitJob);
-  cancelJob = std::move(other235.cancelJob);
-  placeJob = std::move(other235.placeJob);
-  parkJob = std::move(other235.parkJob);
-  failJob = std::move(other235.failJob);
-  reclaimJob = std::move(other235.reclaimJob);
-  setWorkerAside = std::move(other235.setWorkerAside);
-  reportTasks = std::move(other235.reportTasks);
-  expireLeases = std::move(other235.expireLeases);
-  openClaim = std::move(other235.openClaim);
-  closeClaim = std::move(other235.closeClaim);
-  expireClaims = std::move(other235.expireClaims);
-  __isset = other235.__isset;
+Command::Command(const Command& other239) {
+  proposedAtUs = other239.proposedAtUs;
+  traceId = other239.traceId;
+  registerTarget = other239.registerTarget;
+  loseTarget = other239.loseTarget;
+  drainTarget = other239.drainTarget;
+  setZoneService = other239.setZoneService;
+  applyConfig = other239.applyConfig;
+  submitJob = other239.submitJob;
+  cancelJob = other239.cancelJob;
+  placeJob = other239.placeJob;
+  parkJob = other239.parkJob;
+  failJob = other239.failJob;
+  reclaimJob = other239.reclaimJob;
+  setWorkerAside = other239.setWorkerAside;
+  reportTasks = other239.reportTasks;
+  expireLeases = other239.expireLeases;
+  openClaim = other239.openClaim;
+  closeClaim = other239.closeClaim;
+  expireClaims = other239.expireClaims;
+  changeReplicas = other239.changeReplicas;
+  __isset = other239.__isset;
+}
+Command::Command(Command&& other240) noexcept {
+  proposedAtUs = other240.proposedAtUs;
+  traceId = std::move(other240.traceId);
+  registerTarget = std::move(other240.registerTarget);
+  loseTarget = std::move(other240.loseTarget);
+  drainTarget = std::move(other240.drainTarget);
+  setZoneService = std::move(other240.setZoneService);
+  applyConfig = std::move(other240.applyConfig);
+  submitJob = std::move(other240.submitJob);
+  cancelJob = std::move(other240.cancelJob);
+  placeJob = std::move(other240.placeJob);
+  parkJob = std::move(other240.parkJob);
+  failJob = std::move(other240.failJob);
+  reclaimJob = std::move(other240.reclaimJob);
+  setWorkerAside = std::move(other240.setWorkerAside);
+  reportTasks = std::move(other240.reportTasks);
+  expireLeases = std::move(other240.expireLeases);
+  openClaim = std::move(other240.openClaim);
+  closeClaim = std::move(other240.closeClaim);
+  expireClaims = std::move(other240.expireClaims);
+  changeReplicas = std::move(other240.changeReplicas);
+  __isset = other240.__isset;
 }
-Command& Command::operator=(const Command& other236) {
-  proposedAtUs = other236.proposedAtUs;
-  traceId = other236.traceId;
-  registerTarget = other236.registerTarget;
-  loseTarget = other236.loseTarget;
-  drainTarget = other236.drainTarget;
-  setZoneService = other236.setZoneService;
-  applyConfig = other236.applyConfig;
-  submitJob = other236.submitJob;
-  cancelJob = other236.cancelJob;
-  placeJob = other236.placeJob;
-  parkJob = other236.parkJob;
-  failJob = other236.failJob;
-  reclaimJob = other236.reclaimJob;
-  setWorkerAside = other236.setWorkerAside;
-  reportTasks = other236.reportTasks;
-  expireLeases = other236.expireLeases;
-  openClaim = other236.openClaim;
-  closeClaim = other236.closeClaim;
-  expireClaims = other236.expireClaims;
-  __isset = other236.__isset;
+Command& Command::operator=(const Command& other241) {
+  proposedAtUs = other241.proposedAtUs;
+  traceId = other241.traceId;
+  registerTarget = other241.registerTarget;
+  loseTarget = other241.loseTarget;
+  drainTarget = other241.drainTarget;
+  setZoneService = other241.setZoneService;
+  applyConfig = other241.applyConfig;
+  submitJob = other241.submitJob;
+  cancelJob = other241.cancelJob;
+  placeJob = other241.placeJob;
+  parkJob = other241.parkJob;
+  failJob = other241.failJob;
+  reclaimJob = other241.reclaimJob;
+  setWorkerAside = other241.setWorkerAside;
+  reportTasks = other241.reportTasks;
+  expireLeases = other241.expireLeases;
+  openClaim = other241.openClaim;
+  closeClaim = other241.closeClaim;
+  expireClaims = other241.expireClaims;
+  changeReplicas = other241.changeReplicas;
+  __isset = other241.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other237) noexcept {
-  proposedAtUs = other237.proposedAtUs;
-  traceId = std::move(other237.traceId);
-  registerTarget = std::move(other237.registerTarget);
-  loseTarget = std::move(other237.loseTarget);
-  drainTarget = std::move(other237.drainTarget);
-  setZoneService = std::move(other237.setZoneService);
-  applyConfig = std::move(other237.applyConfig);
-  submitJob = std::move(other237.submitJob);
-  cancelJob = std::move(other237.cancelJob);
-  placeJob = std::move(other237.placeJob);
-  parkJob = std::move(other237.parkJob);
-  failJob = std::move(other237.failJob);
-  reclaimJob = std::move(other237.reclaimJob);
-  setWorkerAside = std::move(other237.setWorkerAside);
-  reportTasks = std::move(other237.reportTasks);
-  expireLeases = std::move(other237.expireLeases);
-  openClaim = std::move(other237.openClaim);
-  closeClaim = std::move(other237.closeClaim);
-  expireClaims = std::move(other237.expireClaims);
-  __isset = other237.__isset;
+Command& Command::operator=(Command&& other242) noexcept {
+  proposedAtUs = other242.proposedAtUs;
+  traceId = std::move(other242.traceId);
+  registerTarget = std::move(other242.registerTarget);
+  loseTarget = std::move(other242.loseTarget);
+  drainTarget = std::move(other242.drainTarget);
+  setZoneService = std::move(other242.setZoneService);
+  applyConfig = std::move(other242.applyConfig);
+  submitJob = std::move(other242.submitJob);
+  cancelJob = std::move(other242.cancelJob);
+  placeJob = std::move(other242.placeJob);
+  parkJob = std::move(other242.parkJob);
+  failJob = std::move(other242.failJob);
+  reclaimJob = std::move(other242.reclaimJob);
+  setWorkerAside = std::move(other242.setWorkerAside);
+  reportTasks = std::move(other242.reportTasks);
+  expireLeases = std::move(other242.expireLeases);
+  openClaim = std::move(other242.openClaim);
+  closeClaim = std::move(other242.closeClaim);
+  expireClaims = std::move(other242.expireClaims);
+  changeReplicas = std::move(other242.changeReplicas);
+  __isset = other242.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -8024,6 +8225,7 @@
   out << ", " << "openClaim="; (__isset.openClaim ? (out << to_string(openClaim)) : (out << "<null>"));
   out << ", " << "closeClaim="; (__isset.closeClaim ? (out << to_string(closeClaim)) : (out << "<null>"));
   out << ", " << "expireClaims="; (__isset.expireClaims ? (out << to_string(expireClaims)) : (out << "<null>"));
+  out << ", " << "changeReplicas="; (__isset.changeReplicas ? (out << to_string(changeReplicas)) : (out << "<null>"));
   out << ")";
 }
 
@@ -8101,9 +8303,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast238;
-          xfer += iprot->readI32(ecast238);
-          this->status = static_cast<CommandStatus::type>(ecast238);
+          int32_t ecast243;
+          xfer += iprot->readI32(ecast243);
+          this->status = static_cast<CommandStatus::type>(ecast243);
           this->__isset.status = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8143,9 +8345,9 @@
         break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast239;
-          xfer += iprot->readI32(ecast239);
-          this->claimState = static_cast<ClaimState::type>(ecast239);
+          int32_t ecast244;
+          xfer += iprot->readI32(ecast244);
+          this->claimState = static_cast<ClaimState::type>(ecast244);
           this->__isset.claimState = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8260,58 +8462,58 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandResult::CommandResult(const CommandResult& other240) {
-  status = other240.status;
-  message = other240.message;
-  index = other240.index;
-  jobId = other240.jobId;
-  configVersion = other240.configVersion;
-  claimState = other240.claimState;
-  claimToken = other240.claimToken;
-  claimOutcome = other240.claimOutcome;
-  winner = other240.winner;
-  field = other240.field;
-  __isset = other240.__isset;
+CommandResult::CommandResult(const CommandResult& other245) {
+  status = other245.status;
+  message = other245.message;
+  index = other245.index;
+  jobId = other245.jobId;
+  configVersion = other245.configVersion;
+  claimState = other245.claimState;
+  claimToken = other245.claimToken;
+  claimOutcome = other245.claimOutcome;
+  winner = other245.winner;
+  field = other245.field;
+  __isset = other245.__isset;
 }
-CommandResult::CommandResult(CommandResult&& other241) noexcept {
-  status = other241.status;
-  message = std::move(other241.message);
-  index = other241.index;
-  jobId = other241.jobId;
-  configVersion = other241.configVersion;
-  claimState = other241.claimState;
-  claimToken = other241.claimToken;
-  claimOutcome = std::move(other241.claimOutcome);
-  winner = std::move(other241.winner);
-  field = std::move(other241.field);
-  __isset = other241.__isset;
+CommandResult::CommandResult(CommandResult&& other246) noexcept {
+  status = other246.status;
+  message = std::move(other246.message);
+  index = other246.index;
+  jobId = other246.jobId;
+  configVersion = other246.configVersion;
+  claimState = other246.claimState;
+  claimToken = other246.claimToken;
+  claimOutcome = std::move(other246.claimOutcome);
+  winner = std::move(other246.winner);
+  field = std::move(other246.field);
+  __isset = other246.__isset;
 }
-CommandResult& CommandResult::operator=(const CommandResult& other242) {
-  status = other242.status;
-  message = other242.message;
-  index = other242.index;
-  jobId = other242.jobId;
-  configVersion = other242.configVersion;
-  claimState = other242.claimState;
-  claimToken = other242.claimToken;
-  claimOutcome = other242.claimOutcome;
-  winner = other242.winner;
-  field = other242.field;
-  __isset = other242.__isset;
+CommandResult& CommandResult::operator=(const CommandResult& other247) {
+  status = other247.status;
+  message = other247.message;
+  index = other247.index;
+  jobId = other247.jobId;
+  configVersion = other247.configVersion;
+  claimState = other247.claimState;
+  claimToken = other247.claimToken;
+  claimOutcome = other247.claimOutcome;
+  winner = other247.winner;
+  field = other247.field;
+  __isset = other247.__isset;
   return *this;
 }
-CommandResult& CommandResult::operator=(CommandResult&& other243) noexcept {
-  status = other243.status;
-  message = std::move(other243.message);
-  index = other243.index;
-  jobId = other243.jobId;
-  configVersion = other243.configVersion;
-  claimState = other243.claimState;
-  claimToken = other243.claimToken;
-  claimOutcome = std::move(other243.claimOutcome);
-  winner = std::move(other243.winner);
-  field = std::move(other243.field);
-  __isset = other243.__isset;
+CommandResult& CommandResult::operator=(CommandResult&& other248) noexcept {
+  status = other248.status;
+  message = std::move(other248.message);
+  index = other248.index;
+  jobId = other248.jobId;
+  configVersion = other248.configVersion;
+  claimState = other248.claimState;
+  claimToken = other248.claimToken;
+  claimOutcome = std::move(other248.claimOutcome);
+  winner = std::move(other248.winner);
+  field = std::move(other248.field);
+  __isset = other248.__isset;
   return *this;
 }
 void CommandResult::printTo(std::ostream& out) const {
@@ -8440,30 +8642,30 @@
   swap(a.__isset, b.__isset);
 }
 
-QueryRequest::QueryRequest(const QueryRequest& other244) {
-  kind = other244.kind;
-  argument = other244.argument;
-  linearizable = other244.linearizable;
-  __isset = other244.__isset;
+QueryRequest::QueryRequest(const QueryRequest& other249) {
+  kind = other249.kind;
+  argument = other249.argument;
+  linearizable = other249.linearizable;
+  __isset = other249.__isset;
 }
-QueryRequest::QueryRequest(QueryRequest&& other245) noexcept {
-  kind = std::move(other245.kind);
-  argument = std::move(other245.argument);
-  linearizable = other245.linearizable;
-  __isset = other245.__isset;
+QueryRequest::QueryRequest(QueryRequest&& other250) noexcept {
+  kind = std::move(other250.kind);
+  argument = std::move(other250.argument);
+  linearizable = other250.linearizable;
+  __isset = other250.__isset;
 }
-QueryRequest& QueryRequest::operator=(const QueryRequest& other246) {
-  kind = other246.kind;
-  argument = other246.argument;
-  linearizable = other246.linearizable;
-  __isset = other246.__isset;
+QueryRequest& QueryRequest::operator=(const QueryRequest& other251) {
+  kind = other251.kind;
+  argument = other251.argument;
+  linearizable = other251.linearizable;
+  __isset = other251.__isset;
   return *this;
 }
-QueryRequest& QueryRequest::operator=(QueryRequest&& other247) noexcept {
-  kind = std::move(other247.kind);
-  argument = std::move(other247.argument);
-  linearizable = other247.linearizable;
-  __isset = other247.__isset;
+QueryRequest& QueryRequest::operator=(QueryRequest&& other252) noexcept {
+  kind = std::move(other252.kind);
+  argument = std::move(other252.argument);
+  linearizable = other252.linearizable;
+  __isset = other252.__isset;
   return *this;
 }
 void QueryRequest::printTo(std::ostream& out) const {
@@ -8585,30 +8787,30 @@
   swap(a.__isset, b.__isset);
 }
 
-QueryReply::QueryReply(const QueryReply& other248) {
-  httpStatus = other248.httpStatus;
-  json = other248.json;
-  stale = other248.stale;
-  __isset = other248.__isset;
+QueryReply::QueryReply(const QueryReply& other253) {
+  httpStatus = other253.httpStatus;
+  json = other253.json;
+  stale = other253.stale;
+  __isset = other253.__isset;
 }
-QueryReply::QueryReply(QueryReply&& other249) noexcept {
-  httpStatus = other249.httpStatus;
-  json = std::move(other249.json);
-  stale = other249.stale;
-  __isset = other249.__isset;
+QueryReply::QueryReply(QueryReply&& other254) noexcept {
+  httpStatus = other254.httpStatus;
+  json = std::move(other254.json);
+  stale = other254.stale;
+  __isset = other254.__isset;
 }
-QueryReply& QueryReply::operator=(const QueryReply& other250) {
-  httpStatus = other250.httpStatus;
-  json = other250.json;
-  stale = other250.stale;
-  __isset = other250.__isset;
+QueryReply& QueryReply::operator=(const QueryReply& other255) {
+  httpStatus = other255.httpStatus;
+  json = other255.json;
+  stale = other255.stale;
+  __isset = other255.__isset;
   return *this;
 }
-QueryReply& QueryReply::operator=(QueryReply&& other251) noexcept {
-  httpStatus = other251.httpStatus;
-  json = std::move(other251.json);
-  stale = other251.stale;
-  __isset = other251.__isset;
+QueryReply& QueryReply::operator=(QueryReply&& other256) noexcept {
+  httpStatus = other256.httpStatus;
+  json = std::move(other256.json);
+  stale = other256.stale;
+  __isset = other256.__isset;
   return *this;
 }
 void QueryReply::printTo(std::ostream& out) const {
--- a/gen/anvil_types.h
+++ b/gen/anvil_types.h
@@ -160,6 +160,20 @@
 
 std::string to_string(const ReclaimMode::type& val);
 
+struct ReplicaChange {
+  enum type {
+    ADD_LEARNER = 1,
+    PROMOTE = 2,
+    REMOVE = 3
+  };
+};
+
+extern const std::map<int, const char*> _ReplicaChange_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const ReplicaChange::type& val);
+
+std::string to_string(const ReplicaChange::type& val);
+
 struct CommandStatus {
   enum type {
     OK = 1,
@@ -263,6 +277,8 @@
 
 class ExpireClaims;
 
+class ChangeReplicas;
+
 class Command;
 
 class CommandResult;
@@ -2932,8 +2948,71 @@
 
 std::ostream& operator<<(std::ostream& out, const ExpireClaims& obj);
 
+typedef struct _ChangeReplicas__isset {
+  _ChangeReplicas__isset() : replicaId(false), kind(false), operatorId(false) {}
+  bool replicaId :1;
+  bool kind :1;
+  bool operatorId :1;
+} _ChangeReplicas__isset;
+
+class ChangeReplicas : public virtual ::apache::thrift::TBase {
+ public:
+
+  ChangeReplicas(const ChangeReplicas&);
+  ChangeReplicas(ChangeReplicas&&) noexcept;
+  ChangeReplicas& operator=(const ChangeReplicas&);
+  ChangeReplicas& operator=(ChangeReplicas&&) noexcept;
+  ChangeReplicas() noexcept
+                 : replicaId(0),
+                   kind(static_cast<ReplicaChange::type>(0)),
+                   operatorId() {
+  }
+
+  virtual ~ChangeReplicas() noexcept;
+  int64_t replicaId;
+  /**
+   * 
+   * @see ReplicaChange
+   */
+  ReplicaChange::type kind;
+  std::string operatorId;
+
+  _ChangeReplicas__isset __isset;
+
+  void __set_replicaId(const int64_t val);
+
+  void __set_kind(const ReplicaChange::type val);
+
+  void __set_operatorId(const std::string& val);
+
+  bool operator == (const ChangeReplicas & rhs) const
+  {
+    if (!(replicaId == rhs.replicaId))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(operatorId == rhs.operatorId))
+      return false;
+    return true;
+  }
+  bool operator != (const ChangeReplicas &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ChangeReplicas & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ChangeReplicas &a, ChangeReplicas &b);
+
+std::ostream& operator<<(std::ostream& out, const ChangeReplicas& obj);
+
 typedef struct _Command__isset {
-  _Command__isset() : proposedAtUs(false), traceId(false), registerTarget(false), loseTarget(false), drainTarget(false), setZoneService(false), applyConfig(false), submitJob(false), cancelJob(false), placeJob(false), parkJob(false), failJob(false), reclaimJob(false), setWorkerAside(false), reportTasks(false), expireLeases(false), openClaim(false), closeClaim(false), expireClaims(false) {}
+  _Command__isset() : proposedAtUs(false), traceId(false), registerTarget(false), loseTarget(false), drainTarget(false), setZoneService(false), applyConfig(false), submitJob(false), cancelJob(false), placeJob(false), parkJob(false), failJob(false), reclaimJob(false), setWorkerAside(false), reportTasks(false), expireLeases(false), openClaim(false), closeClaim(false), expireClaims(false), changeReplicas(false) {}
   bool proposedAtUs :1;
   bool traceId :1;
   bool registerTarget :1;
@@ -2953,6 +3032,7 @@
   bool openClaim :1;
   bool closeClaim :1;
   bool expireClaims :1;
+  bool changeReplicas :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -2987,6 +3067,7 @@
   OpenClaim openClaim;
   CloseClaim closeClaim;
   ExpireClaims expireClaims;
+  ChangeReplicas changeReplicas;
 
   _Command__isset __isset;
 
@@ -3028,6 +3109,8 @@
 
   void __set_expireClaims(const ExpireClaims& val);
 
+  void __set_changeReplicas(const ChangeReplicas& val);
+
   bool operator == (const Command & rhs) const
   {
     if (!(proposedAtUs == rhs.proposedAtUs))
@@ -3102,6 +3185,10 @@
       return false;
     else if (__isset.expireClaims && !(expireClaims == rhs.expireClaims))
       return false;
+    if (__isset.changeReplicas != rhs.__isset.changeReplicas)
+      return false;
+    else if (__isset.changeReplicas && !(changeReplicas == rhs.changeReplicas))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
--- a/include/anvil/control/ReplicaHost.h
+++ b/include/anvil/control/ReplicaHost.h
@@ -60,6 +60,7 @@
   /// Handles an encoded message of another replica; bad bytes are counted and dropped.
   void receive(std::string_view Bytes);
   /// Replicates a command; \p Done runs exactly once. A replica that does not lead answers raft::RaftErrc::NotLeader.
+  /// A wire::ChangeReplicas becomes a membership change; one that is not allowed has the status REFUSED.
   void propose(wire::Command Command, CommandDone Done);
   /// Confirms that state() holds everything committed before this call.
   void read(std::function<void(absl::Status)> Done);
--- a/proto/anvil.thrift
+++ b/proto/anvil.thrift
@@ -216,6 +216,11 @@
 struct CloseClaim { 1: ClaimOutcome outcome, 2: string vm, 3: i64 incarnation }
 struct ExpireClaims { 1: i64 beforeUs }
 
+enum ReplicaChange { ADD_LEARNER = 1, PROMOTE = 2, REMOVE = 3 }
+// Changes the members of the control group. The leader turns it into a membership change of the replicated log; it is
+// never written to the log as a command.
+struct ChangeReplicas { 1: i64 replicaId, 2: ReplicaChange kind, 3: string operatorId }
+
 // Exactly one field is set.
 struct Command {
   1: i64 proposedAtUs,
@@ -236,7 +241,8 @@
   23: optional ExpireLeases expireLeases,
   24: optional OpenClaim openClaim,
   25: optional CloseClaim closeClaim,
-  26: optional ExpireClaims expireClaims
+  26: optional ExpireClaims expireClaims,
+  27: optional ChangeReplicas changeReplicas
 }
 
 enum CommandStatus { OK = 1, REFUSED = 2, CONFLICT = 3, NOT_FOUND = 4, LIMIT = 5, INVALID = 6 }
--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -61,6 +61,10 @@
   void answerTimeline(const wire::QueryRequest &Request, const net::RpcResponder &Respond);
   void answerQuery(const wire::QueryRequest &Request, bool Stale, const net::RpcResponder &Respond);
 
+  bool connectedTo(raft::ReplicaId Id) const {
+    const net::RpcClient *Peer = m_Replica->peer(Id);
+    return Id == m_Options.m_Replica.m_Raft.m_Self || (Peer && Peer->connected());
+  }
   TimePoint now() const { return m_Options.m_Replica.m_Now(); }
 
   boost::asio::io_context &m_Io;
@@ -343,7 +347,8 @@
                                  m_Options.m_Name,
                                  m_Options.m_AvailabilityZone,
                                  m_Sessions->size(),
-                                 now()};
+                                 now(),
+                                 [this](raft::ReplicaId Id) { return connectedTo(Id); }};
   wire::QueryReply Reply = internal::answerQuery(Request, Context);
   Reply.stale = Stale;
   Respond(net::encodeStruct(Reply));
--- a/src/control/Queries.cpp
+++ b/src/control/Queries.cpp
@@ -89,6 +89,24 @@
   return Reply;
 }
 
+wire::QueryReply answerControls(const QueryContext &Context) {
+  json::array Rows;
+  const auto Append = [&](const std::vector<raft::ReplicaId> &Ids, std::string_view Member) {
+    for (raft::ReplicaId Id : Ids) {
+      json::object Row;
+      Row["replica"] = Id.value();
+      Row["member"] = view(Member);
+      Row["leader"] = Id == Context.m_Raft.m_Leader;
+      Row["connected"] = Context.m_Connected(Id);
+      Row["committed"] = Context.m_Raft.m_MembersCommitted;
+      Rows.push_back(std::move(Row));
+    }
+  };
+  Append(Context.m_Raft.m_Members.m_Voters, "voter");
+  Append(Context.m_Raft.m_Members.m_Learners, "learner");
+  return replyOf(Rows);
+}
+
 wire::QueryReply answerTargets(const QueryContext &Context) {
   json::array Rows;
   Context.m_State.forEachTarget([&](const state::TargetView &Target) {
@@ -130,12 +148,14 @@
 } // namespace
 
 bool needsLeader(const wire::QueryRequest &Request) {
-  return Request.kind == "explain:job" || Request.kind == "status";
+  return Request.kind == "explain:job" || Request.kind == "status" || Request.kind == "controls";
 }
 
 wire::QueryReply answerQuery(const wire::QueryRequest &Request, const QueryContext &Context) {
   if (Request.kind == "status")
     return answerStatus(Context);
+  if (Request.kind == "controls")
+    return answerControls(Context);
   if (Request.kind == "targets")
     return answerTargets(Context);
   if (Request.kind == "explain:job")
--- a/src/control/Queries.h
+++ b/src/control/Queries.h
@@ -1,6 +1,7 @@
 #ifndef ANVIL_SRC_CONTROL_QUERIES_H
 #define ANVIL_SRC_CONTROL_QUERIES_H
 
+#include <functional>
 #include <string>
 
 #include "SchedulerDriver.h"
@@ -19,6 +20,8 @@
   std::string m_AvailabilityZone;
   size_t m_Sessions = 0;
   TimePoint m_Now;
+  /// Returns whether this replica has a connection to another one.
+  std::function<bool(raft::ReplicaId)> m_Connected;
 };
 
 /// Returns true if only the leader can answer the query in full.
--- a/src/control/ReplicaHost.cpp
+++ b/src/control/ReplicaHost.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <glog/logging.h>
 
+#include "MemberChange.h"
 #include "SyncWorker.h"
 #include "anvil/net/WireCodec.h"
 #include "anvil/raft/RaftCodec.h"
@@ -34,6 +35,7 @@
   void send(const std::vector<raft::RaftMessage> &Messages);
   void armTimer();
   void flushProposals();
+  void changeReplicas(const wire::ChangeReplicas &Change, CommandDone Done);
   void snapshotIfDue();
   void onSnapshotSaved(const raft::Snapshot &Snapshot);
   void fail(const absl::Status &Status);
@@ -213,6 +215,22 @@
   step(Input);
 }
 
+void ReplicaHost::Impl::changeReplicas(const wire::ChangeReplicas &Change, CommandDone Done) {
+  const raft::ReplicaId Replica(Change.replicaId);
+  const bool HasAddress = Replica == m_Options.m_Raft.m_Self || m_Links.contains(Replica);
+  if (std::optional<wire::CommandResult> Answer = internal::answerUnchanged(Change, m_Raft.status(), HasAddress)) {
+    Done(*std::move(Answer));
+    return;
+  }
+  LOG(INFO) << "replica: changing the control group kind=" << internal::nameOf(Change.kind)
+            << " replica=" << Change.replicaId << " operator=" << Change.operatorId;
+  const uint64_t Context = m_NextContext++;
+  m_Commands.emplace(Context, [Change, Done = std::move(Done)](absl::StatusOr<wire::CommandResult> Result) {
+    Done(internal::changeResult(Change, std::move(Result)));
+  });
+  step(raft::ChangeMembershipInput{Context, internal::raftKindOf(Change.kind), Replica});
+}
+
 void ReplicaHost::Impl::snapshotIfDue() {
   const auto Applied = static_cast<raft::LogIndex>(m_State.appliedIndex());
   if (m_SnapshotRunning || Applied < m_SnapshotIndex + m_Options.m_SnapshotEvery)
@@ -308,6 +326,10 @@
     Done(makeLayerError(absl::StatusCode::kUnavailable, raft::RaftErrc::NotLeader, "replica has stopped"));
     return;
   }
+  if (Command.__isset.changeReplicas) {
+    m_Impl->changeReplicas(Command.changeReplicas, std::move(Done));
+    return;
+  }
   Command.proposedAtUs = m_Impl->m_Options.m_WallClockMicros();
   const uint64_t Context = m_Impl->m_NextContext++;
   m_Impl->m_Commands.emplace(Context, std::move(Done));
--- a/src/ctl/Cli.cpp
+++ b/src/ctl/Cli.cpp
@@ -205,7 +205,7 @@
 }
 
 ExitCode configStatus(const Invocation &Call) { return get(Call, "/v1/config"); }
-ExitCode configHistory(const Invocation &Call) { return get(Call, "/v1/config/history"); }
+ExitCode configHistory(const Invocation &Call) { return get(Call, "/v1/config/history" + query(Call, {"limit"})); }
 ExitCode status(const Invocation &Call) { return get(Call, "/v1/status"); }
 ExitCode targets(const Invocation &Call) { return get(Call, "/v1/targets"); }
 
@@ -259,6 +259,22 @@
   return finish(Call, change(Call, "", {"POST", Target, {}, ""}), true);
 }
 
+ExitCode changeControl(const Invocation &Call, std::string_view Action) {
+  const std::string Target = absl::StrCat("/v1/controls/", Call.m_Args[0], "/", toAbsl(Action));
+  return finish(Call, change(Call, "", {"POST", Target, {}, ""}), true);
+}
+
+ExitCode controlList(const Invocation &Call) { return get(Call, "/v1/controls"); }
+ExitCode controlAdd(const Invocation &Call) { return changeControl(Call, "add"); }
+ExitCode controlPromote(const Invocation &Call) { return changeControl(Call, "promote"); }
+ExitCode controlRemove(const Invocation &Call) {
+  if (!Call.m_Options.m_Yes &&
+      !Call.m_Env.m_Confirm(absl::StrCat("Remove control replica ", Call.m_Args[0],
+                                         " from the group? Its number and data folder can't be used again.")))
+    return ExitCode::Usage;
+  return changeControl(Call, "remove");
+}
+
 ExitCode explain(const Invocation &Call) {
   return get(Call, absl::StrCat("/v1/explain/", Call.m_Args[0], "/", Call.m_Args[1]));
 }
@@ -325,7 +341,7 @@
        "anvilctl config promote env.yaml --trial 10.0.0.9:8080",
        configPromote},
       {{"config", "status"}, {}, {}, "Show the configuration in force.", "anvilctl config status", configStatus},
-      {{"config", "history"}, {}, {}, "List the accepted versions.", "anvilctl config history", configHistory},
+      {{"config", "history"}, {}, {"limit"}, "List the accepted versions.", "anvilctl config history", configHistory},
       {{"job", "submit"},
        {"FILE"},
        {"key", "request-id"},
@@ -353,6 +369,25 @@
        "Bring an availability zone back.",
        "anvilctl zone restore kochi",
        zoneRestore},
+      {{"control", "list"}, {}, {}, "List the members of the control group.", "anvilctl control list", controlList},
+      {{"control", "add"},
+       {"ID"},
+       {"request-id"},
+       "Add a replica as a learner, which does not vote.",
+       "anvilctl control add 4",
+       controlAdd},
+      {{"control", "promote"},
+       {"ID"},
+       {"request-id"},
+       "Make a learner that has caught up a voter.",
+       "anvilctl control promote 4",
+       controlPromote},
+      {{"control", "remove"},
+       {"ID"},
+       {"request-id"},
+       "Remove a replica from the group.",
+       "anvilctl control remove 1 --yes",
+       controlRemove},
       {{"explain"},
        {"KIND", "ID"},
        {},
--- a/src/entry/OperatorApi.cpp
+++ b/src/entry/OperatorApi.cpp
@@ -57,7 +57,7 @@
   return singleField(Call.m_Request, OperatorField, Operator) && isName(Operator);
 }
 
-bool readJobId(std::string_view Text, int64_t &Id) { return absl::SimpleAtoi(toAbsl(Text), &Id) && Id > 0; }
+bool readPositive(std::string_view Text, int64_t &Id) { return absl::SimpleAtoi(toAbsl(Text), &Id) && Id > 0; }
 
 OperatorCall submitJob(const Context &Call) {
   std::string Key;
@@ -87,14 +87,14 @@
 
 OperatorCall showJob(const Context &Call) {
   int64_t Id = 0;
-  if (!readJobId(Call.m_Parts[1], Id))
+  if (!readPositive(Call.m_Parts[1], Id))
     return badRequest("id", "must be a job number");
   return query(Call, "job", absl::StrCat(Id));
 }
 
 OperatorCall cancelJob(const Context &Call) {
   wire::CancelJob Cancel;
-  if (!readJobId(Call.m_Parts[1], Cancel.jobId))
+  if (!readPositive(Call.m_Parts[1], Cancel.jobId))
     return badRequest("id", "must be a job number");
   Cancel.reason = "cancelled by the caller";
   CommandCall Result = newCommand(Call);
@@ -127,6 +127,23 @@
   return Result;
 }
 
+OperatorCall changeControls(const Context &Call) {
+  static constexpr std::array<std::string_view, 3> Actions = {"add", "promote", "remove"};
+  wire::ChangeReplicas Change;
+  if (!readPositive(Call.m_Parts[1], Change.replicaId))
+    return badRequest("id", "must be a replica number");
+  const auto *const Action = std::find(Actions.begin(), Actions.end(), Call.m_Parts[2]);
+  if (Action == Actions.end())
+    return badRequest("action", "must be one of add, promote, remove");
+  if (!readOperator(Call, Change.operatorId))
+    return badRequest(OperatorField, "must name the operator");
+  // The wire values follow the order of the words and start at 1.
+  Change.kind = static_cast<wire::ReplicaChange::type>(Action - Actions.begin() + 1);
+  CommandCall Result = newCommand(Call);
+  Result.m_Command.__set_changeReplicas(Change);
+  return Result;
+}
+
 OperatorCall applyConfig(const Context &Call) {
   wire::ApplyConfig Change;
   if (!readOperator(Call, Change.operatorId))
@@ -144,7 +161,10 @@
 }
 
 OperatorCall showConfig(const Context &Call) { return query(Call, "config", ""); }
-OperatorCall showHistory(const Context &Call) { return query(Call, "config-history", ""); }
+OperatorCall showHistory(const Context &Call) {
+  return query(Call, "config-history", queryValue(Call.m_Request.m_Query, "limit").value_or(""));
+}
+OperatorCall showControls(const Context &Call) { return query(Call, "controls", ""); }
 OperatorCall showStatus(const Context &Call) { return query(Call, "status", ""); }
 OperatorCall showTargets(const Context &Call) { return query(Call, "targets", ""); }
 OperatorCall showTimeline(const Context &Call) {
@@ -170,6 +190,8 @@
       {"DELETE", {"jobs", "*"}, cancelJob},
       {"GET", {"explain", "*", "*"}, explain},
       {"POST", {"zones", "*", "*"}, setZone},
+      {"GET", {"controls"}, showControls},
+      {"POST", {"controls", "*", "*"}, changeControls},
       {"GET", {"config"}, showConfig},
       {"PUT", {"config"}, applyConfig},
       {"GET", {"config", "history"}, showHistory},
