--- a/tests/system/harness.py
+++ b/tests/system/harness.py
@@ -1,6 +1,7 @@
 """Shared by the system tests: an environment of two zones, a load of requests, and the check of what ran."""
 
 import http.client
+import json
 import os
 import sys
 import threading
@@ -31,6 +32,32 @@
     return by_zone
 
 
+def apply_version(env, version):
+    """Applies the sample configuration with another version; returns once it is accepted."""
+    with open(CONFIG, encoding="utf-8") as file:
+        text = file.read().replace("version: 1", f"version: {version}", 1)
+    path = os.path.join(env.work_dir, f"version-{version}.yaml")
+    with open(path, "w", encoding="utf-8") as file:
+        file.write(text)
+
+    def accepted():
+        try:
+            env.ctl("config", "apply", path)
+            return True
+        except RuntimeError:
+            return False
+    wait_until(accepted, 20, f"version {version} is accepted")
+
+
+def submit(env, key):
+    """Submits a small idempotent job; returns its number."""
+    path = os.path.join(env.work_dir, key + ".json")
+    with open(path, "w", encoding="utf-8") as file:
+        json.dump({"workspace": "rendering", "name": key, "tasks": 1, "per_task": {"accelerators": 1, "cores": 1},
+                   "idempotent": True}, file)
+    return env.ctl_json("job", "submit", path, "--key", key)["job_id"]
+
+
 class Load:
     """Sends non-idempotent requests, each with its own key, and repeats each through the other entry until its outcome
     is known or a time has passed."""
--- a/tools/lib/environment.py
+++ b/tools/lib/environment.py
@@ -151,22 +151,26 @@
     def entry_address(self, number):
         return f"127.0.0.1:{self.base_port + 20 + number}"
 
-    def controls(self):
-        return ",".join(self.control_address(number) for number in range(1, CONTROL_COUNT + 1))
+    def controls(self, numbers=range(1, CONTROL_COUNT + 1)):
+        return ",".join(self.control_address(number) for number in numbers)
 
-    def start_control(self, number):
-        replicas = ",".join(f"{each}={self.control_address(each)}" for each in range(1, CONTROL_COUNT + 1))
+    def data_folder(self, number):
+        return os.path.join(self.work_dir, f"data-{number}")
+
+    def start_control(self, number, replicas=range(1, CONTROL_COUNT + 1), bootstrap=True):
+        """Starts a control replica that knows the addresses of the given replicas."""
+        addresses = ",".join(f"{each}={self.control_address(each)}" for each in replicas)
         self.start(f"control-{number}", "anvil-control", "--name", f"control-{number}", "--availability-zone",
-                   f"zone-{number}", "--replica-id", number, "--replicas", replicas, "--data",
-                   os.path.join(self.work_dir, f"data-{number}"), "--bootstrap")
+                   f"zone-{number}", "--replica-id", number, "--replicas", addresses, "--data",
+                   self.data_folder(number), *(["--bootstrap"] if bootstrap else []))
 
     def start_controls(self):
         for number in range(1, CONTROL_COUNT + 1):
             self.start_control(number)
 
-    def start_entry(self, number, zone):
+    def start_entry(self, number, zone, controls=range(1, CONTROL_COUNT + 1)):
         self.start(f"entry-{number}", "anvil-entry", "--name", f"entry-{number}", "--availability-zone", zone,
-                   "--listen", self.entry_address(number), "--control", self.controls())
+                   "--listen", self.entry_address(number), "--control", self.controls(controls))
 
     def start_workers(self, zone, count, *options):
         """Starts simulated workers of 8 accelerators, 3 to a rack, and an agent beside each."""
