--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -93,6 +93,8 @@
   absl::StatusOr<std::unique_ptr<store::LogStore>> Store = store::LogStore::open({m_Options.m_SegmentBytes}, *m_Files);
   if (!Store.ok())
     return Store.status();
+  if (const int64_t Dropped = (*Store)->counters().m_TornBytesDropped; Dropped > 0)
+    LOG(WARNING) << "control: dropped an incomplete write at the end of the log bytes=" << Dropped;
   absl::StatusOr<std::unique_ptr<ReplicaHost>> Replica =
       ReplicaHost::create(m_Io, m_Options.m_Replica, *std::move(Store));
   if (!Replica.ok())
