--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -61,6 +61,10 @@
   void answerTimeline(const wire::QueryRequest &Request, const net::RpcResponder &Respond);
   void answerQuery(const wire::QueryRequest &Request, bool Stale, const net::RpcResponder &Respond);
 
+  bool connectedTo(raft::ReplicaId Id) const {
+    const net::RpcClient *Peer = m_Replica->peer(Id);
+    return Id == m_Options.m_Replica.m_Raft.m_Self || (Peer && Peer->connected());
+  }
   TimePoint now() const { return m_Options.m_Replica.m_Now(); }
 
   boost::asio::io_context &m_Io;
@@ -89,6 +93,8 @@
   absl::StatusOr<std::unique_ptr<store::LogStore>> Store = store::LogStore::open({m_Options.m_SegmentBytes}, *m_Files);
   if (!Store.ok())
     return Store.status();
+  if (const int64_t Dropped = (*Store)->counters().m_TornBytesDropped; Dropped > 0)
+    LOG(WARNING) << "control: dropped an incomplete write at the end of the log bytes=" << Dropped;
   absl::StatusOr<std::unique_ptr<ReplicaHost>> Replica =
       ReplicaHost::create(m_Io, m_Options.m_Replica, *std::move(Store));
   if (!Replica.ok())
@@ -350,7 +356,8 @@
                                  m_Options.m_Name,
                                  m_Options.m_AvailabilityZone,
                                  m_Sessions->size(),
-                                 now()};
+                                 now(),
+                                 [this](raft::ReplicaId Id) { return connectedTo(Id); }};
   wire::QueryReply Reply = internal::answerQuery(Request, Context);
   Reply.stale = Stale;
   Respond(net::encodeStruct(Reply));
