Ask the agent that holds a claim, so that a request outlives the entry that was granted it

Cause: a claim whose entry died between grant and dispatch stayed held, and every retry ended as unknown without the request having run. Control now names the holder of a held claim, and a retry sends the held token to that agent, which runs a token once and gives repeats the same response. JSON of queries uses snake_case like the rest of the HTTP interface.

--- a/gen/anvil_types.cpp
+++ b/gen/anvil_types.cpp
@@ -4309,6 +4309,10 @@
 void ExecuteRequest::__set_incarnation(const int64_t val) {
   this->incarnation = val;
 }
+
+void ExecuteRequest::__set_tokenSentBefore(const bool val) {
+  this->tokenSentBefore = val;
+}
 std::ostream& operator<<(std::ostream& out, const ExecuteRequest& obj)
 {
   obj.printTo(out);
@@ -4443,6 +4447,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->tokenSentBefore);
+          this->__isset.tokenSentBefore = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4512,6 +4524,10 @@
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("tokenSentBefore", ::apache::thrift::protocol::T_BOOL, 14);
+  xfer += oprot->writeBool(this->tokenSentBefore);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4532,6 +4548,7 @@
   swap(a.claimId, b.claimId);
   swap(a.claimToken, b.claimToken);
   swap(a.incarnation, b.incarnation);
+  swap(a.tokenSentBefore, b.tokenSentBefore);
   swap(a.__isset, b.__isset);
 }
 
@@ -4549,6 +4566,7 @@
   claimId = other134.claimId;
   claimToken = other134.claimToken;
   incarnation = other134.incarnation;
+  tokenSentBefore = other134.tokenSentBefore;
   __isset = other134.__isset;
 }
 ExecuteRequest::ExecuteRequest(ExecuteRequest&& other135) noexcept {
@@ -4565,6 +4583,7 @@
   claimId = std::move(other135.claimId);
   claimToken = other135.claimToken;
   incarnation = other135.incarnation;
+  tokenSentBefore = other135.tokenSentBefore;
   __isset = other135.__isset;
 }
 ExecuteRequest& ExecuteRequest::operator=(const ExecuteRequest& other136) {
@@ -4581,6 +4600,7 @@
   claimId = other136.claimId;
   claimToken = other136.claimToken;
   incarnation = other136.incarnation;
+  tokenSentBefore = other136.tokenSentBefore;
   __isset = other136.__isset;
   return *this;
 }
@@ -4598,6 +4618,7 @@
   claimId = std::move(other137.claimId);
   claimToken = other137.claimToken;
   incarnation = other137.incarnation;
+  tokenSentBefore = other137.tokenSentBefore;
   __isset = other137.__isset;
   return *this;
 }
@@ -4617,6 +4638,7 @@
   out << ", " << "claimId=" << to_string(claimId);
   out << ", " << "claimToken=" << to_string(claimToken);
   out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "tokenSentBefore=" << to_string(tokenSentBefore);
   out << ")";
 }
 
@@ -7297,6 +7319,10 @@
 void CloseClaim::__set_incarnation(const int64_t val) {
   this->incarnation = val;
 }
+
+void CloseClaim::__set_neverSent(const bool val) {
+  this->neverSent = val;
+}
 std::ostream& operator<<(std::ostream& out, const CloseClaim& obj)
 {
   obj.printTo(out);
@@ -7349,6 +7375,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->neverSent);
+          this->__isset.neverSent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7378,6 +7412,10 @@
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("neverSent", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->neverSent);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7388,6 +7426,7 @@
   swap(a.outcome, b.outcome);
   swap(a.vm, b.vm);
   swap(a.incarnation, b.incarnation);
+  swap(a.neverSent, b.neverSent);
   swap(a.__isset, b.__isset);
 }
 
@@ -7395,18 +7434,21 @@
   outcome = other226.outcome;
   vm = other226.vm;
   incarnation = other226.incarnation;
+  neverSent = other226.neverSent;
   __isset = other226.__isset;
 }
 CloseClaim::CloseClaim(CloseClaim&& other227) noexcept {
   outcome = std::move(other227.outcome);
   vm = std::move(other227.vm);
   incarnation = other227.incarnation;
+  neverSent = other227.neverSent;
   __isset = other227.__isset;
 }
 CloseClaim& CloseClaim::operator=(const CloseClaim& other228) {
   outcome = other228.outcome;
   vm = other228.vm;
   incarnation = other228.incarnation;
+  neverSent = other228.neverSent;
   __isset = other228.__isset;
   return *this;
 }
@@ -7414,6 +7456,7 @@
   outcome = std::move(other229.outcome);
   vm = std::move(other229.vm);
   incarnation = other229.incarnation;
+  neverSent = other229.neverSent;
   __isset = other229.__isset;
   return *this;
 }
@@ -7423,6 +7466,7 @@
   out << "outcome=" << to_string(outcome);
   out << ", " << "vm=" << to_string(vm);
   out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "neverSent=" << to_string(neverSent);
   out << ")";
 }
 
@@ -8273,6 +8317,14 @@
 void CommandResult::__set_field(const std::string& val) {
   this->field = val;
 }
+
+void CommandResult::__set_claimVm(const std::string& val) {
+  this->claimVm = val;
+}
+
+void CommandResult::__set_claimIncarnation(const int64_t val) {
+  this->claimIncarnation = val;
+}
 std::ostream& operator<<(std::ostream& out, const CommandResult& obj)
 {
   obj.printTo(out);
@@ -8385,6 +8437,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->claimVm);
+          this->__isset.claimVm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->claimIncarnation);
+          this->__isset.claimIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8442,6 +8510,14 @@
   xfer += oprot->writeString(this->field);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("claimVm", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->claimVm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("claimIncarnation", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->claimIncarnation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8459,6 +8535,8 @@
   swap(a.claimOutcome, b.claimOutcome);
   swap(a.winner, b.winner);
   swap(a.field, b.field);
+  swap(a.claimVm, b.claimVm);
+  swap(a.claimIncarnation, b.claimIncarnation);
   swap(a.__isset, b.__isset);
 }
 
@@ -8473,6 +8551,8 @@
   claimOutcome = other245.claimOutcome;
   winner = other245.winner;
   field = other245.field;
+  claimVm = other245.claimVm;
+  claimIncarnation = other245.claimIncarnation;
   __isset = other245.__isset;
 }
 CommandResult::CommandResult(CommandResult&& other246) noexcept {
@@ -8486,6 +8566,8 @@
   claimOutcome = std::move(other246.claimOutcome);
   winner = std::move(other246.winner);
   field = std::move(other246.field);
+  claimVm = std::move(other246.claimVm);
+  claimIncarnation = other246.claimIncarnation;
   __isset = other246.__isset;
 }
 CommandResult& CommandResult::operator=(const CommandResult& other247) {
@@ -8499,6 +8581,8 @@
   claimOutcome = other247.claimOutcome;
   winner = other247.winner;
   field = other247.field;
+  claimVm = other247.claimVm;
+  claimIncarnation = other247.claimIncarnation;
   __isset = other247.__isset;
   return *this;
 }
@@ -8513,6 +8597,8 @@
   claimOutcome = std::move(other248.claimOutcome);
   winner = std::move(other248.winner);
   field = std::move(other248.field);
+  claimVm = std::move(other248.claimVm);
+  claimIncarnation = other248.claimIncarnation;
   __isset = other248.__isset;
   return *this;
 }
@@ -8529,6 +8615,8 @@
   out << ", " << "claimOutcome=" << to_string(claimOutcome);
   out << ", " << "winner=" << to_string(winner);
   out << ", " << "field=" << to_string(field);
+  out << ", " << "claimVm=" << to_string(claimVm);
+  out << ", " << "claimIncarnation=" << to_string(claimIncarnation);
   out << ")";
 }
 
--- a/gen/anvil_types.h
+++ b/gen/anvil_types.h
@@ -1666,7 +1666,7 @@
 std::ostream& operator<<(std::ostream& out, const EntrySyncReply& obj);
 
 typedef struct _ExecuteRequest__isset {
-  _ExecuteRequest__isset() : requestId(false), serviceName(false), workspace(false), className(false), urgency(false), timeoutMs(false), httpMethod(false), path(false), contentType(false), body(false), claimId(false), claimToken(false), incarnation(false) {}
+  _ExecuteRequest__isset() : requestId(false), serviceName(false), workspace(false), className(false), urgency(false), timeoutMs(false), httpMethod(false), path(false), contentType(false), body(false), claimId(false), claimToken(false), incarnation(false), tokenSentBefore(false) {}
   bool requestId :1;
   bool serviceName :1;
   bool workspace :1;
@@ -1680,6 +1680,7 @@
   bool claimId :1;
   bool claimToken :1;
   bool incarnation :1;
+  bool tokenSentBefore :1;
 } _ExecuteRequest__isset;
 
 class ExecuteRequest : public virtual ::apache::thrift::TBase {
@@ -1702,7 +1703,8 @@
                    body(),
                    claimId(),
                    claimToken(0),
-                   incarnation(0) {
+                   incarnation(0),
+                   tokenSentBefore(0) {
   }
 
   virtual ~ExecuteRequest() noexcept;
@@ -1723,6 +1725,7 @@
   std::string claimId;
   int64_t claimToken;
   int64_t incarnation;
+  bool tokenSentBefore;
 
   _ExecuteRequest__isset __isset;
 
@@ -1752,6 +1755,8 @@
 
   void __set_incarnation(const int64_t val);
 
+  void __set_tokenSentBefore(const bool val);
+
   bool operator == (const ExecuteRequest & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -1780,6 +1785,8 @@
       return false;
     if (!(incarnation == rhs.incarnation))
       return false;
+    if (!(tokenSentBefore == rhs.tokenSentBefore))
+      return false;
     return true;
   }
   bool operator != (const ExecuteRequest &rhs) const {
@@ -2846,10 +2853,11 @@
 std::ostream& operator<<(std::ostream& out, const OpenClaim& obj);
 
 typedef struct _CloseClaim__isset {
-  _CloseClaim__isset() : outcome(false), vm(false), incarnation(false) {}
+  _CloseClaim__isset() : outcome(false), vm(false), incarnation(false), neverSent(false) {}
   bool outcome :1;
   bool vm :1;
   bool incarnation :1;
+  bool neverSent :1;
 } _CloseClaim__isset;
 
 class CloseClaim : public virtual ::apache::thrift::TBase {
@@ -2861,13 +2869,15 @@
   CloseClaim& operator=(CloseClaim&&) noexcept;
   CloseClaim() noexcept
              : vm(),
-               incarnation(0) {
+               incarnation(0),
+               neverSent(0) {
   }
 
   virtual ~CloseClaim() noexcept;
   ClaimOutcome outcome;
   std::string vm;
   int64_t incarnation;
+  bool neverSent;
 
   _CloseClaim__isset __isset;
 
@@ -2877,6 +2887,8 @@
 
   void __set_incarnation(const int64_t val);
 
+  void __set_neverSent(const bool val);
+
   bool operator == (const CloseClaim & rhs) const
   {
     if (!(outcome == rhs.outcome))
@@ -2885,6 +2897,8 @@
       return false;
     if (!(incarnation == rhs.incarnation))
       return false;
+    if (!(neverSent == rhs.neverSent))
+      return false;
     return true;
   }
   bool operator != (const CloseClaim &rhs) const {
@@ -3208,7 +3222,7 @@
 std::ostream& operator<<(std::ostream& out, const Command& obj);
 
 typedef struct _CommandResult__isset {
-  _CommandResult__isset() : status(false), message(false), index(false), jobId(false), configVersion(false), claimState(false), claimToken(false), claimOutcome(false), winner(false), field(false) {}
+  _CommandResult__isset() : status(false), message(false), index(false), jobId(false), configVersion(false), claimState(false), claimToken(false), claimOutcome(false), winner(false), field(false), claimVm(false), claimIncarnation(false) {}
   bool status :1;
   bool message :1;
   bool index :1;
@@ -3219,6 +3233,8 @@
   bool claimOutcome :1;
   bool winner :1;
   bool field :1;
+  bool claimVm :1;
+  bool claimIncarnation :1;
 } _CommandResult__isset;
 
 class CommandResult : public virtual ::apache::thrift::TBase {
@@ -3237,7 +3253,9 @@
                   claimState(static_cast<ClaimState::type>(0)),
                   claimToken(0),
                   winner(),
-                  field() {
+                  field(),
+                  claimVm(),
+                  claimIncarnation(0) {
   }
 
   virtual ~CommandResult() noexcept;
@@ -3259,6 +3277,8 @@
   ClaimOutcome claimOutcome;
   std::string winner;
   std::string field;
+  std::string claimVm;
+  int64_t claimIncarnation;
 
   _CommandResult__isset __isset;
 
@@ -3282,6 +3302,10 @@
 
   void __set_field(const std::string& val);
 
+  void __set_claimVm(const std::string& val);
+
+  void __set_claimIncarnation(const int64_t val);
+
   bool operator == (const CommandResult & rhs) const
   {
     if (!(status == rhs.status))
@@ -3304,6 +3328,10 @@
       return false;
     if (!(field == rhs.field))
       return false;
+    if (!(claimVm == rhs.claimVm))
+      return false;
+    if (!(claimIncarnation == rhs.claimIncarnation))
+      return false;
     return true;
   }
   bool operator != (const CommandResult &rhs) const {
--- a/gen/state_types.cpp
+++ b/gen/state_types.cpp
@@ -1284,6 +1284,10 @@
 void Claim::__set_outcome(const  ::anvil::wire::ClaimOutcome& val) {
   this->outcome = val;
 }
+
+void Claim::__set_shared(const bool val) {
+  this->shared = val;
+}
 std::ostream& operator<<(std::ostream& out, const Claim& obj)
 {
   obj.printTo(out);
@@ -1392,6 +1396,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->shared);
+          this->__isset.shared = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1449,6 +1461,10 @@
   xfer += this->outcome.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("shared", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->shared);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1466,6 +1482,7 @@
   swap(a.open, b.open);
   swap(a.closedAtUs, b.closedAtUs);
   swap(a.outcome, b.outcome);
+  swap(a.shared, b.shared);
   swap(a.__isset, b.__isset);
 }
 
@@ -1480,6 +1497,7 @@
   open = other32.open;
   closedAtUs = other32.closedAtUs;
   outcome = other32.outcome;
+  shared = other32.shared;
   __isset = other32.__isset;
 }
 Claim::Claim(Claim&& other33) noexcept {
@@ -1493,6 +1511,7 @@
   open = other33.open;
   closedAtUs = other33.closedAtUs;
   outcome = std::move(other33.outcome);
+  shared = other33.shared;
   __isset = other33.__isset;
 }
 Claim& Claim::operator=(const Claim& other34) {
@@ -1506,6 +1525,7 @@
   open = other34.open;
   closedAtUs = other34.closedAtUs;
   outcome = other34.outcome;
+  shared = other34.shared;
   __isset = other34.__isset;
   return *this;
 }
@@ -1520,6 +1540,7 @@
   open = other35.open;
   closedAtUs = other35.closedAtUs;
   outcome = std::move(other35.outcome);
+  shared = other35.shared;
   __isset = other35.__isset;
   return *this;
 }
@@ -1536,6 +1557,7 @@
   out << ", " << "open=" << to_string(open);
   out << ", " << "closedAtUs=" << to_string(closedAtUs);
   out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "shared=" << to_string(shared);
   out << ")";
 }
 
--- a/gen/state_types.h
+++ b/gen/state_types.h
@@ -483,7 +483,7 @@
 std::ostream& operator<<(std::ostream& out, const Submission& obj);
 
 typedef struct _Claim__isset {
-  _Claim__isset() : claimId(false), requestDigest(false), vm(false), incarnation(false), entry(false), attemptId(false), token(false), open(false), closedAtUs(false), outcome(false) {}
+  _Claim__isset() : claimId(false), requestDigest(false), vm(false), incarnation(false), entry(false), attemptId(false), token(false), open(false), closedAtUs(false), outcome(false), shared(false) {}
   bool claimId :1;
   bool requestDigest :1;
   bool vm :1;
@@ -494,6 +494,7 @@
   bool open :1;
   bool closedAtUs :1;
   bool outcome :1;
+  bool shared :1;
 } _Claim__isset;
 
 class Claim : public virtual ::apache::thrift::TBase {
@@ -512,7 +513,8 @@
           attemptId(),
           token(0),
           open(0),
-          closedAtUs(0) {
+          closedAtUs(0),
+          shared(0) {
   }
 
   virtual ~Claim() noexcept;
@@ -526,6 +528,7 @@
   bool open;
   int64_t closedAtUs;
    ::anvil::wire::ClaimOutcome outcome;
+  bool shared;
 
   _Claim__isset __isset;
 
@@ -549,6 +552,8 @@
 
   void __set_outcome(const  ::anvil::wire::ClaimOutcome& val);
 
+  void __set_shared(const bool val);
+
   bool operator == (const Claim & rhs) const
   {
     if (!(claimId == rhs.claimId))
@@ -571,6 +576,8 @@
       return false;
     if (!(outcome == rhs.outcome))
       return false;
+    if (!(shared == rhs.shared))
+      return false;
     return true;
   }
   bool operator != (const Claim &rhs) const {
--- a/proto/anvil.thrift
+++ b/proto/anvil.thrift
@@ -163,7 +163,9 @@
   10: binary body,
   11: string claimId,           // empty for idempotent requests
   12: i64 claimToken,
-  13: i64 incarnation           // the agent refuses another incarnation's request
+  13: i64 incarnation,          // the agent refuses another incarnation's request
+  // Another attempt may have sent this token before, so an agent of another incarnation can't say "not run".
+  14: bool tokenSentBefore
 }
 
 struct ExecuteReply {
@@ -213,7 +215,11 @@
   // without it the claim would be HELD by a token that nobody dispatches.
   6: string attemptId
 }
-struct CloseClaim { 1: ClaimOutcome outcome, 2: string vm, 3: i64 incarnation }
+struct CloseClaim {
+  1: ClaimOutcome outcome, 2: string vm, 3: i64 incarnation,
+  // The entry did not send the token. Refused once another attempt has been told the token, which may have sent it.
+  4: bool neverSent
+}
 struct ExpireClaims { 1: i64 beforeUs }
 
 enum ReplicaChange { ADD_LEARNER = 1, PROMOTE = 2, REMOVE = 3 }
@@ -259,7 +265,9 @@
   7: i64 claimToken,
   8: ClaimOutcome claimOutcome,
   9: string winner,             // who won a configuration race
-  10: string field              // the offending field of invalid input
+  10: string field,             // the offending field of invalid input
+  11: string claimVm,           // holder of an open claim
+  12: i64 claimIncarnation
 }
 
 struct QueryRequest { 1: string kind, 2: string argument, 3: bool linearizable }
--- a/proto/state.thrift
+++ b/proto/state.thrift
@@ -60,7 +60,9 @@
   7: i64 token,
   8: bool open,
   9: i64 closedAtUs,
-  10: anvil.ClaimOutcome outcome
+  10: anvil.ClaimOutcome outcome,
+  // Another attempt was told the token while the claim was open.
+  11: bool shared
 }
 
 struct ZoneRequest { 1: string requestId, 2: bool inService, 3: i64 index, 4: string message }
--- a/src/agent/RequestSlots.cpp
+++ b/src/agent/RequestSlots.cpp
@@ -66,7 +66,9 @@
 void RequestSlots::arrive(ExecuteArrived Arrived, const StartRule &Rule, TimePoint Now, ActionList &Out) {
   const wire::ExecuteRequest &Request = Arrived.m_Request;
   if (Request.incarnation != m_Options.m_Target.incarnation) {
-    reply(Arrived.m_Call, makeReply(wire::Outcome::NOT_RUN, "request is for another incarnation of this agent"), Out);
+    // The other incarnation may have run a token that was sent to it before.
+    const auto Outcome = Request.tokenSentBefore ? wire::Outcome::UNKNOWN : wire::Outcome::NOT_RUN;
+    reply(Arrived.m_Call, makeReply(Outcome, "request is for another incarnation of this agent"), Out);
     return;
   }
   if (hasClaim(Request) && repeatOfClaim(Arrived, Now, Out))
--- a/src/route/RouterAttempts.cpp
+++ b/src/route/RouterAttempts.cpp
@@ -33,6 +33,7 @@
   Execute.claimId = Each.m_ClaimId;
   Execute.claimToken = Each.m_ClaimToken;
   Execute.incarnation = Each.m_Target->m_Route.incarnation;
+  Execute.tokenSentBefore = Each.m_TokenShared;
   return Execute;
 }
 
@@ -116,16 +117,22 @@
   m_Targets.noteBusy(From, RetryAfter, m_Now);
   if (!isBusy(Reply.load))
     m_Targets.penalise(From, RefusalPenalty, m_Now);
-  if (!Each.m_ClaimId.empty())
-    closeClaimNotRun(Each.m_LastClaim, Each.m_ClaimToken, Each.m_Call.m_TraceId);
+  if (!Each.m_ClaimId.empty()) {
+    // The agent answers for the token, whoever sent it.
+    Each.m_MayHaveRun = false;
+    closeClaimNotRun(Each.m_LastClaim, Each.m_ClaimToken, Each.m_Call.m_TraceId, NotRunProof::AgentReply);
+  }
   retryOr(Each, RefusalReason::TargetsBusy, Reply.reason, RetryAfter);
 }
 
 void Router::Impl::onSendFailure(Request &Each, Target &To, SendFailure Failure) {
   m_Targets.penalise(To, FailurePenalty, m_Now);
+  // The attempt that was granted the token may have sent it, so its claim stays open.
+  if (Failure == SendFailure::NotSent && Each.m_TokenShared)
+    return waitForClaim(Each);
   if (Failure == SendFailure::NotSent) {
     if (!Each.m_ClaimId.empty())
-      closeClaimNotRun(Each.m_LastClaim, Each.m_ClaimToken, Each.m_Call.m_TraceId);
+      closeClaimNotRun(Each.m_LastClaim, Each.m_ClaimToken, Each.m_Call.m_TraceId, NotRunProof::NeverSent);
     return retryOr(Each, RefusalReason::NotSent, "", Duration(0));
   }
   Each.m_MayHaveRun = true;
--- a/src/route/RouterClaims.cpp
+++ b/src/route/RouterClaims.cpp
@@ -95,7 +95,7 @@
     return onGranted(Each, Result);
   case wire::ClaimState::HELD:
     Each.m_MayHaveRun = true;
-    return waitForClaim(Each);
+    return askHolder(Each, Result);
   case wire::ClaimState::CLOSED:
     return onClosed(Each, std::move(Result.claimOutcome));
   }
@@ -114,19 +114,37 @@
 void Router::Impl::onGranted(Request &Each, const wire::CommandResult &Result) {
   // A free claim proves that no earlier holder ran the request.
   Each.m_MayHaveRun = false;
+  Each.m_TokenShared = false;
   Each.m_ClaimToken = Result.claimToken;
   // A request that goes back to the queue takes from the retry budget there; one whose answer was lost does so here.
   const bool Allowed = !std::exchange(Each.m_AnswerLost, false) || mayRetry(Each);
   const bool Usable = Each.m_Target && internal::TargetTable::usable(*Each.m_Target) && fresh();
   if (Allowed && Usable && m_Now < Each.m_Deadline)
     return dispatch(Each);
-  closeClaimNotRun(Each.m_LastClaim, Result.claimToken, Each.m_Call.m_TraceId);
+  closeClaimNotRun(Each.m_LastClaim, Result.claimToken, Each.m_Call.m_TraceId, NotRunProof::NeverSent);
   releaseTarget(Each);
   if (Allowed)
     return enqueue(Each);
   giveUp(Each, RefusalReason::TargetsBusy, "", spreadRetryAfter(Duration(0)));
 }
 
+// The agent that holds the claim runs a token at most once: it returns the stored response, lets this attempt wait for
+// the one in progress, or runs the request if the entry that was granted the claim died before it sent the request.
+void Router::Impl::askHolder(Request &Each, const wire::CommandResult &Result) {
+  const internal::TargetPtr Holder = m_Targets.find(Each.m_Call.m_Service, Result.claimVm, Result.claimIncarnation);
+  if (!Holder || !internal::TargetTable::usable(*Holder) || !fresh() || m_Now >= Each.m_Deadline)
+    return waitForClaim(Each);
+  releaseTarget(Each);
+  Each.m_Target = Holder;
+  ++Holder->m_Outstanding;
+  Each.m_ClaimToken = Result.claimToken;
+  Each.m_TokenShared = true;
+  Each.m_LastClaim.vm = Result.claimVm;
+  Each.m_LastClaim.incarnation = Result.claimIncarnation;
+  ++m_Counters.m_HoldersAsked;
+  dispatch(Each);
+}
+
 void Router::Impl::onClosed(Request &Each, wire::ClaimOutcome Stored) {
   if (Stored.outcome == wire::Outcome::NOT_RUN)
     return waitForClaim(Each);
@@ -178,7 +196,7 @@
     if (Result->status != wire::CommandStatus::OK || Result->claimState != wire::ClaimState::GRANTED)
       return;
     ++m_Counters.m_LateClaims;
-    return closeClaimNotRun(Call.m_Claim, Result->claimToken, Call.m_TraceId);
+    return closeClaimNotRun(Call.m_Claim, Result->claimToken, Call.m_TraceId, NotRunProof::NeverSent);
   }
   if (std::get<SendFailure>(Event.m_Result) == SendFailure::NotSent && !Call.m_MayBeOpen)
     return;
@@ -197,8 +215,10 @@
   m_ClaimCalls[Id] = std::move(Call);
 }
 
-void Router::Impl::closeClaimNotRun(const wire::OpenClaim &Claim, int64_t Token, std::string_view TraceId) {
+void Router::Impl::closeClaimNotRun(const wire::OpenClaim &Claim, int64_t Token, std::string_view TraceId,
+                                    NotRunProof Proof) {
   CloseClaimAction Action;
+  Action.m_Claim.neverSent = Proof == NotRunProof::NeverSent;
   Action.m_Claim.outcome.claimId = Claim.claimId;
   Action.m_Claim.outcome.token = Token;
   Action.m_Claim.outcome.outcome = wire::Outcome::NOT_RUN;
--- a/src/route/RouterImpl.h
+++ b/src/route/RouterImpl.h
@@ -47,6 +47,7 @@
   wire::OpenClaim m_LastClaim;
   bool m_RepeatClaim = false; ///< m_LastClaim may have been granted without an answer.
   bool m_AnswerLost = false;  ///< A claimed attempt ended without an answer.
+  bool m_TokenShared = false; ///< m_ClaimToken was granted to another attempt, which may have sent it.
 };
 
 /// One dispatched attempt. It outlives its request if the answer is late.
@@ -82,6 +83,9 @@
 
   using Request = internal::Request;
 
+  /// Why a claimed request is known not to have run.
+  enum class NotRunProof { NeverSent, AgentReply };
+
   // Router.cpp: events, admission and the queue.
   void on(const RoutesChanged &Event);
   void on(ConfigChanged Event);
@@ -129,9 +133,10 @@
   void onClaimLost(Request &Each, SendFailure Failure);
   void onLateClaim(internal::ClaimCall Call, const ClaimAnswered &Event);
   void keepOrphan(internal::ClaimCall Call);
+  void askHolder(Request &Each, const wire::CommandResult &Result);
   void waitForClaim(Request &Each);
   void pollClaim(Request &Each);
-  void closeClaimNotRun(const wire::OpenClaim &Claim, int64_t Token, std::string_view TraceId);
+  void closeClaimNotRun(const wire::OpenClaim &Claim, int64_t Token, std::string_view TraceId, NotRunProof Proof);
 
   RouterOptions m_Options;
   RouterCounters m_Counters;
--- a/src/route/TargetTable.cpp
+++ b/src/route/TargetTable.cpp
@@ -39,6 +39,14 @@
   }
 }
 
+TargetPtr TargetTable::find(const std::string &Service, const std::string &Vm, int64_t Incarnation) const {
+  const auto Found = m_ByVm.find(Vm);
+  if (Found == m_ByVm.end() || Found->second->m_Route.incarnation != Incarnation ||
+      Found->second->m_Route.serviceName != Service)
+    return nullptr;
+  return Found->second;
+}
+
 TargetPtr TargetTable::choose(const std::string &Service, const std::set<std::string> &Tried, TimePoint Now) const {
   const auto Found = m_ByService.find(Service);
   if (Found == m_ByService.end())
--- a/src/route/TargetTable.h
+++ b/src/route/TargetTable.h
@@ -36,6 +36,9 @@
   /// Chooses a target with room, or returns null. Targets in \p Tried are used only if no other one is usable.
   TargetPtr choose(const std::string &Service, const std::set<std::string> &Tried, TimePoint Now) const;
 
+  /// Returns the target of that name and incarnation, or null.
+  TargetPtr find(const std::string &Service, const std::string &Vm, int64_t Incarnation) const;
+
   /// Returns true if the service has a target that may be sent requests.
   bool anyUsable(const std::string &Service) const;
   /// Returns true if \p Each may be sent requests.
--- a/src/state/Claims.cpp
+++ b/src/state/Claims.cpp
@@ -33,10 +33,13 @@
          Claim.entry == Command.entry && Claim.vm == Command.vm && Claim.incarnation == Command.incarnation;
 }
 
-wire::CommandResult answerExisting(const record::Claim &Claim, const wire::OpenClaim &Command) {
+wire::CommandResult answerExisting(record::Claim &Claim, const wire::OpenClaim &Command) {
   if (Claim.requestDigest != Command.requestDigest)
     return invalid("requestDigest", "the idempotency key was already used for another request");
-  return isResend(Claim, Command) ? granted(Claim) : describeClaim(Claim);
+  if (isResend(Claim, Command))
+    return granted(Claim);
+  Claim.shared = Claim.shared || Claim.open;
+  return describeClaim(Claim);
 }
 
 bool atLimit(const StateData &Data, int64_t MoreBytes) {
@@ -50,6 +53,8 @@
     return refused(absl::StrCat("token ", Command.outcome.token, " is not the current one"));
   if (Claim.vm != Command.vm || Claim.incarnation != Command.incarnation)
     return refused("the claim belongs to another VM or incarnation");
+  if (Command.neverSent && Claim.open && Claim.shared)
+    return refused("another attempt knows the token and may have sent it");
   return okResult();
 }
 
@@ -119,8 +124,12 @@
   wire::CommandResult Result = okResult(Claim.open ? "held by another attempt" : "closed");
   Result.claimState = Claim.open ? wire::ClaimState::HELD : wire::ClaimState::CLOSED;
   Result.claimToken = Claim.token;
-  if (!Claim.open)
+  if (Claim.open) {
+    Result.claimVm = Claim.vm;
+    Result.claimIncarnation = Claim.incarnation;
+  } else {
     Result.claimOutcome = Claim.outcome;
+  }
   return Result;
 }
 
--- a/src/state/Jobs.cpp
+++ b/src/state/Jobs.cpp
@@ -58,9 +58,9 @@
   if (static_cast<int64_t>(Spec.payload.size()) > Limits.m_PayloadKib << 10)
     return invalid("spec.payload", absl::StrCat("the payload has more than ", Limits.m_PayloadKib, " KiB"));
   if (Command.submissionId.size() > MaxNameBytes)
-    return invalid("submissionId", "the submission id has more than 128 bytes");
+    return invalid("submission_id", "the submission id has more than 128 bytes");
   if (Command.submissionId.empty() && !Spec.idempotent)
-    return invalid("submissionId", "a job that is not idempotent needs a submission id, so that resends are found");
+    return invalid("submission_id", "a job that is not idempotent needs a submission id, so that resends are found");
   return checkShape(Spec, Limits);
 }
 
@@ -163,7 +163,7 @@
   if (!Command.submissionId.empty()) {
     const auto Earlier = Data.m_Submissions.find(submissionKey(Command));
     if (Earlier != Data.m_Submissions.end() && Earlier->second.specHash != hashOf(Command.spec)) {
-      return jobResult(invalid("submissionId", "the submission id was already used for another job"),
+      return jobResult(invalid("submission_id", "the submission id was already used for another job"),
                        Earlier->second.jobId);
     }
     if (Earlier != Data.m_Submissions.end())
--- a/src/state/StateQuery.cpp
+++ b/src/state/StateQuery.cpp
@@ -45,7 +45,7 @@
 }
 
 json::object toJson(const wire::Resources &Amount) {
-  return {{"accelerators", Amount.accelerators}, {"cores", Amount.cores}, {"memoryMib", Amount.memoryMib}};
+  return {{"accelerators", Amount.accelerators}, {"cores", Amount.cores}, {"memory_mib", Amount.memoryMib}};
 }
 
 std::string_view nameOfUrgency(wire::Urgency::type Value) {
@@ -70,21 +70,21 @@
           {"reason", View.m_Reason},
           {"tasks", View.m_Spec.tasks},
           {"urgency", nameOfUrgency(View.m_Spec.urgency)},
-          {"submittedAtUs", View.m_SubmittedAtUs},
-          {"changedAtUs", View.m_ChangedAtUs},
+          {"submitted_at_us", View.m_SubmittedAtUs},
+          {"changed_at_us", View.m_ChangedAtUs},
           {"attempts", View.m_Attempts}};
 }
 
 json::object details(const JobView &View) {
   json::object Body = summary(View);
-  Body["perTask"] = toJson(View.m_Spec.perTask);
+  Body["per_task"] = toJson(View.m_Spec.perTask);
   Body["idempotent"] = View.m_Spec.idempotent;
   Body["checkpointable"] = View.m_Spec.checkpointable;
   Body["checkpointed"] = View.m_Checkpointed;
   Body["throttled"] = View.m_Throttled;
-  Body["deadlineMs"] = View.m_Spec.deadlineMs;
-  Body["leaseMs"] = View.m_Spec.leaseMs;
-  Body["submissionId"] = View.m_SubmissionId;
+  Body["deadline_ms"] = View.m_Spec.deadlineMs;
+  Body["lease_ms"] = View.m_Spec.leaseMs;
+  Body["submission_id"] = View.m_SubmissionId;
   json::array Members;
   for (const MemberView &Each : View.m_Members) {
     Members.push_back(
@@ -93,7 +93,7 @@
   Body["members"] = std::move(Members);
   json::array History;
   for (const JobNote &Each : View.m_History)
-    History.push_back(json::object{{"atUs", Each.m_AtUs}, {"phase", nameOf(Each.m_Phase)}, {"reason", Each.m_Reason}});
+    History.push_back(json::object{{"at_us", Each.m_AtUs}, {"phase", nameOf(Each.m_Phase)}, {"reason", Each.m_Reason}});
   Body["history"] = std::move(History);
   return Body;
 }
@@ -232,21 +232,21 @@
                     {"completed", Count.m_JobsCompleted},
                     {"failed", Count.m_JobsFailed},
                     {"cancelled", Count.m_JobsCancelled},
-                    {"outcomeUnknown", Count.m_JobsOutcomeUnknown}};
+                    {"outcome_unknown", Count.m_JobsOutcomeUnknown}};
   json::object Claims{{"stored", Count.m_Claims},
                       {"open", Count.m_OpenClaims},
                       {"bytes", Count.m_ClaimBytes},
-                      {"refusedByLimit", Count.m_ClaimsRefusedByLimit}};
+                      {"refused_by_limit", Count.m_ClaimsRefusedByLimit}};
   return reply(HttpOk,
-               json::object{{"appliedIndex", Count.m_AppliedIndex},
-                            {"configVersion", State.configuration().m_Version},
-                            {"routeVersion", State.routeVersion()},
+               json::object{{"applied_index", Count.m_AppliedIndex},
+                            {"config_version", State.configuration().m_Version},
+                            {"route_version", State.routeVersion()},
                             {"targets", json::object{{"known", Count.m_Targets}, {"lost", Count.m_LostTargets}}},
                             {"tasks", Count.m_Members},
                             {"jobs", std::move(Jobs)},
                             {"claims", std::move(Claims)},
-                            {"withdrawnZones", std::move(Withdrawn)},
-                            {"drainingTargets", std::move(Draining)},
+                            {"withdrawn_zones", std::move(Withdrawn)},
+                            {"draining_targets", std::move(Draining)},
                             {"warnings", guaranteeWarnings(State)}});
 }
 
--- a/tests/agent/RequestTest.cpp
+++ b/tests/agent/RequestTest.cpp
@@ -186,6 +186,18 @@
   BOOST_TEST(B.m_Sent.empty());
 }
 
+// Guards against "not run" for a token that an earlier incarnation may have run: the claim would be freed and the
+// request run again (H6).
+BOOST_AUTO_TEST_CASE(OtherIncarnationDoesNotKnowATokenThatWasSentBefore) {
+  GateBench B;
+  B.ready();
+  wire::ExecuteRequest Request = GateBench::request("a", 3);
+  Request.incarnation = GateBench::Incarnation - 1;
+  Request.tokenSentBefore = true;
+  BOOST_TEST(B.outcome(B.arrive(Request)) == Unknown);
+  BOOST_TEST(B.m_Sent.empty());
+}
+
 // Guards against outcomes that are lost before control has them, or repeated for ever.
 BOOST_AUTO_TEST_CASE(OutcomesRepeatUntilAcknowledged) {
   GateBench B;
--- a/tests/route/ClaimFuzzTest.cpp
+++ b/tests/route/ClaimFuzzTest.cpp
@@ -45,6 +45,7 @@
     bool m_Closed = false;
     wire::Outcome::type m_Outcome = wire::Outcome::UNKNOWN;
     bool m_Dispatched = false;
+    bool m_Shared = false; ///< Another attempt was told the token.
   };
 
   RouterHarness m_Entries[2] = {RouterHarness(100, 4, "e1"), RouterHarness(100, 4, "e2")};
@@ -67,7 +68,7 @@
     for (const DispatchAction &Each : std::exchange(Its.m_Dispatches, {}))
       execute(Entry, Each);
     for (const CloseClaimAction &Each : std::exchange(Its.m_Closes, {}))
-      later(delay(), [this, Each] { close(Each.m_Claim.outcome); });
+      later(delay(), [this, Each] { close(Each.m_Claim.outcome, Each.m_Claim.neverSent); });
   }
 
   void send(int Entry, const std::string &Key) {
@@ -98,20 +99,25 @@
       Its.m_Open = Open;
       Its.m_Token = ++m_LastToken;
     }
+    Its.m_Shared = Its.m_Shared || (!Its.m_Closed && !(Its.m_Open == Open));
     wire::CommandResult Result;
     Result.status = wire::CommandStatus::OK;
     Result.claimState = Its.m_Closed         ? wire::ClaimState::CLOSED
                         : Its.m_Open == Open ? wire::ClaimState::GRANTED
                                              : wire::ClaimState::HELD;
     Result.claimToken = Its.m_Token;
+    Result.claimVm = Its.m_Open.vm;
+    Result.claimIncarnation = Its.m_Open.incarnation;
     Result.claimOutcome.outcome = Its.m_Outcome;
     return Result;
   }
 
-  void close(const wire::ClaimOutcome &Outcome) {
+  void close(const wire::ClaimOutcome &Outcome, bool NeverSent) {
     const auto Found = m_Claims.find(Outcome.claimId);
     if (Found == m_Claims.end() || Found->second.m_Token != Outcome.token || Found->second.m_Closed)
       return;
+    if (NeverSent && Found->second.m_Shared)
+      return;
     if (Outcome.outcome == wire::Outcome::NOT_RUN) {
       m_Claims.erase(Found);
       return;
@@ -121,7 +127,8 @@
   }
 
   void execute(size_t Entry, const DispatchAction &Action) {
-    m_Claims.at(Action.m_Request.claimId).m_Dispatched = true;
+    if (const auto Found = m_Claims.find(Action.m_Request.claimId); Found != m_Claims.end())
+      Found->second.m_Dispatched = true;
     if (chance(0.1))
       return endAttempt(Entry, Action, AttemptStep::NotSent);
     if (chance(0.1))
@@ -129,22 +136,29 @@
     later(delay(), [this, Entry, Action] { runAtAgent(Entry, Action); });
   }
 
+  // An agent decides once for each token and gives repeats the same outcome.
+  wire::Outcome::type outcomeAtAgent(size_t Entry, const DispatchAction &Action) {
+    const auto [Found, First] = m_OutcomeOfToken.try_emplace(Action.m_Request.claimToken, wire::Outcome::NOT_RUN);
+    if (!First)
+      return Found->second;
+    if (chance(0.7)) {
+      ++m_RunsOfKey[Action.m_Request.claimId];
+      m_RunRequests.emplace(Entry, Action.m_Id.value());
+      Found->second = chance(0.9) ? wire::Outcome::COMPLETED : wire::Outcome::UNKNOWN;
+    }
+    return Found->second;
+  }
+
   void runAtAgent(size_t Entry, const DispatchAction &Action) {
     wire::ClaimOutcome Report;
     Report.claimId = Action.m_Request.claimId;
     Report.token = Action.m_Request.claimToken;
-    Report.outcome = wire::Outcome::NOT_RUN;
-    const bool Runs = chance(0.7);
-    if (Runs) {
-      ++m_RunsOfKey[Report.claimId];
-      m_RunRequests.emplace(Entry, Action.m_Id.value());
-      Report.outcome = chance(0.9) ? wire::Outcome::COMPLETED : wire::Outcome::UNKNOWN;
-    }
-    later(delay() * 10, [this, Report] { close(Report); });
+    Report.outcome = outcomeAtAgent(Entry, Action);
+    later(delay() * 10, [this, Report] { close(Report, false); });
     const bool AnswerLost = chance(0.2);
     endAttempt(Entry, Action,
                AnswerLost                                   ? AttemptStep::NoAnswer
-               : !Runs                                      ? AttemptStep::Refuses
+               : Report.outcome == wire::Outcome::NOT_RUN   ? AttemptStep::Refuses
                : Report.outcome == wire::Outcome::COMPLETED ? AttemptStep::Completes
                                                             : AttemptStep::RepliesUnknown);
   }
@@ -153,6 +167,7 @@
     later(delay(), [this, Entry, Action, What] { with(Entry, [&](RouterHarness &Its) { Its.finish(Action, What); }); });
   }
 
+  std::map<int64_t, wire::Outcome::type> m_OutcomeOfToken;
   std::function<double()> m_Random;
   TimePoint m_Now = timePointFromMicros(1000000);
   std::multimap<TimePoint, std::function<void()>> m_Events;
@@ -169,6 +184,7 @@
   int Completed = 0;
   int Unknown = 0;
   int Refused = 0;
+  int64_t HoldersAsked = 0;
   for (uint64_t Seed = 1; Seed <= 30; ++Seed) {
     ClaimWorld World(Seed);
     World.run(60);
@@ -180,6 +196,7 @@
       for (size_t Entry = 0; Entry < 2; ++Entry) {
         const RouterHarness &Its = World.m_Entries[Entry];
         BOOST_TEST(Its.m_DoubleAnswers == 0);
+        HoldersAsked += Its.m_Router.counters().m_HoldersAsked;
         BOOST_TEST(Its.m_Results.size() == static_cast<size_t>(Its.m_LastId));
         for (const auto &[Id, Result] : Its.m_Results) {
           Completed += Result == "completed" ? 1 : 0;
@@ -192,6 +209,7 @@
       }
     }
   }
+  BOOST_TEST(HoldersAsked > 0);
   BOOST_TEST_MESSAGE("completed " << Completed << ", unknown " << Unknown << ", refused " << Refused);
   // Each outcome has to occur for the checks above to mean something.
   BOOST_TEST(Completed > 0);
--- a/tests/state/ClaimTest.cpp
+++ b/tests/state/ClaimTest.cpp
@@ -34,6 +34,21 @@
   BOOST_TEST(Reused.field == "requestDigest");
 }
 
+// Guards against a claim that an entry frees as never sent after another attempt was told its token and may have sent
+// it: the request would run twice (H6).
+BOOST_AUTO_TEST_CASE(ASharedTokenIsFreedByTheAgentOnly) {
+  Cluster C;
+  const CommandResult Granted = C.apply(openClaim("k", "m", "entry-1/1"));
+  anvil::wire::Command Close = closeClaim("k", Granted.claimToken, Outcome::NOT_RUN, "m");
+  const CommandResult Told = C.apply(openClaim("k", "n", "entry-2/1"));
+  BOOST_TEST(Told.claimVm == "m");
+  Close.closeClaim.neverSent = true;
+  BOOST_TEST((C.apply(Close).status == CommandStatus::REFUSED));
+  Close.closeClaim.neverSent = false;
+  BOOST_TEST((C.apply(Close).status == CommandStatus::OK));
+  BOOST_TEST((C.apply(openClaim("k", "n", "entry-2/2")).claimState == ClaimState::GRANTED));
+}
+
 // Guards against outcomes that are lost, overwritten or accepted from whom they do not concern.
 BOOST_AUTO_TEST_CASE(OutcomesFollowTheRulesOfClaims) {
   struct Step {
--- a/tests/state/JobTest.cpp
+++ b/tests/state/JobTest.cpp
@@ -278,7 +278,7 @@
   BOOST_TEST(C.apply(submit(1, false, "order-1")).jobId == Job);
   const wire::CommandResult Other = C.apply(submit(2, false, "order-1"));
   BOOST_TEST((Other.status == CommandStatus::INVALID));
-  BOOST_TEST(Other.field == "submissionId");
+  BOOST_TEST(Other.field == "submission_id");
   BOOST_TEST((C.statusOf(cancel(Job)) == CommandStatus::OK));
   BOOST_TEST((C.statusOf(cancel(Job)) == CommandStatus::OK));
   BOOST_TEST(C.apply(submit(1, false, "order-1")).jobId == Job);
@@ -307,7 +307,7 @@
       {[](auto &S) { S.spec.payload = std::string(65'537, 'p'); }, "spec.payload"},
       {[](auto &S) { S.spec.urgency = static_cast<wire::Urgency::type>(7); }, "spec.urgency"},
       {[](auto &S) { S.spec.adjacency = static_cast<wire::Adjacency::type>(0); }, "spec.adjacency"},
-      {[](auto &S) { S.spec.idempotent = false; }, "submissionId"},
+      {[](auto &S) { S.spec.idempotent = false; }, "submission_id"},
   };
   Cluster C;
   for (const Case &Each : Cases) {
