--- a/include/anvil/net/HttpClient.h
+++ b/include/anvil/net/HttpClient.h
@@ -82,7 +82,7 @@
 
   /// Starts an exchange; \p Deadline bounds it from the connection to the last byte of the response.
   /// \returns a number for abandon().
-  uint64_t send(HttpClientRequest Request, Duration Deadline, HttpExchangeDone Done);
+  uint64_t send(const HttpClientRequest &Request, Duration Deadline, HttpExchangeDone Done);
   /// Closes the connection of an exchange, which ends with HttpClientErrc::Abandoned.
   void abandon(uint64_t Exchange);
   /// Opens and closes a connection without sending anything; \p Done receives whether it opened.
--- a/include/anvil/route/RouterTypes.h
+++ b/include/anvil/route/RouterTypes.h
@@ -195,7 +195,7 @@
   int64_t m_LateAnswers = 0;   ///< Dropped, because their request was no longer waiting.
   int64_t m_LateClaims = 0;    ///< Granted after their request had gone; closed again.
   int64_t m_ClaimPolls = 0;
-  int64_t m_HoldersAsked = 0; ///< Attempts sent to the agent that holds the claim of another attempt.
+  int64_t m_HoldersAsked = 0;      ///< Attempts sent to the agent that holds the claim of another attempt.
   int64_t m_ClaimPollsDelayed = 0; ///< By the bound on their rate.
   size_t m_InProgress = 0;
   size_t m_Queued = 0;
--- a/src/agent/RequestQueue.cpp
+++ b/src/agent/RequestQueue.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-bool RequestQueue::push(PendingRequest &&Request) {
+bool RequestQueue::push(PendingRequest &Request) {
   const std::string &Class = Request.m_Request.className;
   const auto Found = m_ClassCounts.find(Class);
   if (Found == m_ClassCounts.end() && m_ClassCounts.size() >= m_Options.m_MaxClasses)
--- a/src/agent/RequestQueue.h
+++ b/src/agent/RequestQueue.h
@@ -28,8 +28,8 @@
 public:
   explicit RequestQueue(const AgentOptions &Options) : m_Options(Options) {}
 
-  /// Returns false and leaves \p Request unchanged if a bound is reached.
-  bool push(PendingRequest &&Request);
+  /// Takes over \p Request, or returns false and leaves it unchanged if a bound is reached.
+  bool push(PendingRequest &Request);
   /// Takes the next request, or nothing.
   std::optional<PendingRequest> pop();
   /// Takes all requests whose deadline is at or before \p Now.
--- a/src/agent/RequestSlots.cpp
+++ b/src/agent/RequestSlots.cpp
@@ -89,7 +89,7 @@
   Pending.m_Request = std::move(Arrived.m_Request);
   const bool Claimed = hasClaim(Pending.m_Request);
   const ClaimKey Key = claimKey(Pending.m_Request);
-  if (!m_Queue.push(std::move(Pending)))
+  if (!m_Queue.push(Pending))
     return refuse(Arrived.m_Call, Pending.m_Request, "queue of the class is full", BusyRetryAfter, Out);
   if (Claimed)
     m_Claims.open(Key);
@@ -153,7 +153,7 @@
   }
 }
 
-void RequestSlots::finish(PendingRequest Request, wire::ExecuteReply Reply, TimePoint Now, ActionList &Out) {
+void RequestSlots::finish(const PendingRequest &Request, wire::ExecuteReply Reply, TimePoint Now, ActionList &Out) {
   const TimePoint LeftQueueAt = Request.m_StartedAt.value_or(Now);
   Reply.queuedUs = (LeftQueueAt - Request.m_ArrivedAt).count();
   Reply.serviceUs = (Now - LeftQueueAt).count();
--- a/src/agent/RequestSlots.h
+++ b/src/agent/RequestSlots.h
@@ -50,7 +50,7 @@
   void refuse(CallId Call, const wire::ExecuteRequest &Request, std::string_view Reason, Duration RetryAfter,
               ActionList &Out);
   void reply(CallId Call, wire::ExecuteReply Reply, ActionList &Out) const;
-  void finish(PendingRequest Request, wire::ExecuteReply Reply, TimePoint Now, ActionList &Out);
+  void finish(const PendingRequest &Request, wire::ExecuteReply Reply, TimePoint Now, ActionList &Out);
   void start(PendingRequest Request, TimePoint Now, ActionList &Out);
   void expireCallers(TimePoint Now, ActionList &Out);
   void expireWaiters(TimePoint Now, ActionList &Out);
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -97,7 +97,7 @@
   Impl(boost::asio::io_context &Io, Endpoint Peer, HttpClientOptions Options)
       : m_Io(Io), m_Peer(std::move(Peer)), m_Options(Options) {}
 
-  uint64_t send(HttpClientRequest Request, Duration Deadline, HttpExchangeDone Done);
+  uint64_t send(const HttpClientRequest &Request, Duration Deadline, HttpExchangeDone Done);
   void begin(const ExchangePtr &Item, Duration Deadline);
   std::shared_ptr<Connection> takeIdle();
   void connect(const ExchangePtr &Item, Duration Deadline);
@@ -127,7 +127,7 @@
   return tcp::endpoint(Address, m_Peer.m_Port);
 }
 
-uint64_t HttpClient::Impl::send(HttpClientRequest Request, Duration Deadline, HttpExchangeDone Done) {
+uint64_t HttpClient::Impl::send(const HttpClientRequest &Request, Duration Deadline, HttpExchangeDone Done) {
   auto Item = std::make_shared<Exchange>(m_Io);
   Item->m_Id = ++m_NextId;
   Item->m_Done = std::move(Done);
@@ -324,8 +324,8 @@
   return std::unique_ptr<HttpClient>(new HttpClient(std::make_shared<Impl>(Io, std::move(Peer), Options)));
 }
 
-uint64_t HttpClient::send(HttpClientRequest Request, Duration Deadline, HttpExchangeDone Done) {
-  return m_Impl->send(std::move(Request), Deadline, std::move(Done));
+uint64_t HttpClient::send(const HttpClientRequest &Request, Duration Deadline, HttpExchangeDone Done) {
+  return m_Impl->send(Request, Deadline, std::move(Done));
 }
 
 void HttpClient::abandon(uint64_t Exchange) {
