--- a/tools/lib/footprint.py
+++ b/tools/lib/footprint.py
@@ -21,6 +21,7 @@
 REQUESTS_PER_SECOND = 100
 JOB_RUN_MS = 3000
 JOBS_AT_ONCE = 10
+REPEATS = 5
 TICKS = os.sysconf("SC_CLK_TCK")
 
 # Section 3 of the design page: what control may cost on each node.
@@ -28,11 +29,13 @@
 MEMORY_LIMIT = 32 * 1000 * 1000
 BYTES_LIMIT = 9000
 CONTROL_VM_LIMIT = 7
+URGENT_START_LIMIT = 5.5
+CONFIG_LIMIT = 6.0
 LIMITED_ROLES = ("agent of a minion", "agent of a worker")
 ROLES = ("control leader", "control follower", "entry") + LIMITED_ROLES
 
 CONFIG = """environment: footprint
-version: 1
+version: {version}
 availability_zones:
   - name: north
     region: local
@@ -55,9 +58,9 @@
 """
 
 
-def write_config(path, workers):
+def write_config(path, workers, version=1):
     with open(path, "w", encoding="utf-8") as file:
-        file.write(CONFIG.format(north=workers - workers // 2, south=workers // 2, accelerators=8 * workers,
+        file.write(CONFIG.format(version=version, north=workers - workers // 2, south=workers // 2, accelerators=8 * workers,
                                  cores=64 * workers, memory=256 * workers))
 
 
@@ -208,10 +211,43 @@
         result["outcomes"] = load.outcomes
         result["jobs_submitted"] = load.jobs
         result["jobs"] = count_phases(env)
+        repeats = min(REPEATS, workers)
+        result["urgent_start_seconds"] = [urgent_start_seconds(env, number) for number in range(repeats)]
+        result["config_seconds"] = [config_seconds(env, workers, 2 + number) for number in range(REPEATS)]
         result["leader_changed"] = env.leader() != leader
     return result
 
 
+def job_phase(env, job):
+    return call(env.entry_address(2), "GET", f"/v1/jobs/{job}").json()["phase"]
+
+
+def urgent_start_seconds(env, number):
+    """Returns the time from the submission of an urgent job until control shows it as running."""
+    job = {"workspace": "rendering", "name": f"urgent-{number}", "tasks": 1,
+           "per_task": {"accelerators": 8, "cores": 32, "memory_gib": 64}, "idempotent": True, "urgency": "urgent",
+           "estimate_ms": 1000, "payload": json.dumps({"run_ms": 60000})}
+    start = time.monotonic()
+    answer = call(env.entry_address(1), "POST", "/v1/jobs", json.dumps(job),
+                  {"Content-Type": "application/json", "Idempotency-Key": f"urgent-{number}"}).json()
+    wait_until(lambda: job_phase(env, answer["job_id"]) == "running", 30, "the urgent job runs")
+    return time.monotonic() - start
+
+
+def config_seconds(env, workers, version):
+    """Returns the time from the submission of a configuration until both entries report it in force."""
+    path = os.path.join(env.work_dir, "environment.yaml")
+    write_config(path, workers, version)
+    with open(path, encoding="utf-8") as file:
+        document = file.read()
+    start = time.monotonic()
+    call(env.entry_address(1), "PUT", "/v1/config", document, {"Anvil-Operator": "footprint"})
+    for entry in (1, 2):
+        wait_until(lambda: f"anvil_entry_config_version {version}\n" in
+                   call(env.entry_address(entry), "GET", "/metrics").body, 30, "the configuration is in force")
+    return time.monotonic() - start
+
+
 def count_phases(env):
     phases = {}
     for job in json.loads(call(env.entry_address(1), "GET", "/v1/jobs").body)["jobs"]:
@@ -243,6 +279,10 @@
                   f"  {verdict(role, largest)}", flush=True)
     print(f"       requests/s={result['requests_per_second']:.0f} outcomes={result['outcomes']} jobs={result['jobs']}"
           f" machine_load={result['machine_load']:.1f} leader_changed={result['leader_changed']}", flush=True)
+    for name, limit in (("urgent_start_seconds", URGENT_START_LIMIT), ("config_seconds", CONFIG_LIMIT)):
+        largest = max(result[name])
+        print(f"       {name} max={largest:.2f} of {len(result[name])}, limit {limit}:"
+              f" {'met' if largest <= limit else 'missed'}", flush=True)
 
 
 def main():
