--- a/tests/system/harness.py
+++ b/tests/system/harness.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import shutil
 import sys
 import threading
 import time
@@ -129,6 +130,8 @@
 def main(test):
     """Runs one test with the folder of the programs and a work folder from the command line; returns the exit code."""
     build_dir, work_dir = sys.argv[1:3]
+    # Data folders of an earlier run would bring its configuration, jobs and claims back.
+    shutil.rmtree(work_dir, ignore_errors=True)
     with Environment(build_dir, work_dir) as env:
         problems = test(env)
     for problem in problems:
