--- a/src/agent/RequestSlots.cpp
+++ b/src/agent/RequestSlots.cpp
@@ -139,7 +139,7 @@
     if (!Next)
       return;
     if (Next->m_Deadline <= Now)
-      finish(std::move(*Next), makeReply(wire::Outcome::NOT_RUN, "deadline passed in the queue"), Now, Out);
+      finish(*Next, makeReply(wire::Outcome::NOT_RUN, "deadline passed in the queue"), Now, Out);
     else
       start(std::move(*Next), Now, Out);
   }
@@ -149,7 +149,7 @@
   for (PendingRequest &Request : m_Queue.takeAll()) {
     wire::ExecuteReply Reply = makeReply(wire::Outcome::NOT_RUN, Reason);
     Reply.retryAfterMs = millisOf(RetryAfter);
-    finish(std::move(Request), std::move(Reply), Now, Out);
+    finish(Request, std::move(Reply), Now, Out);
   }
 }
 
@@ -177,7 +177,7 @@
   Reply.httpStatus = Answer.m_HttpStatus;
   Reply.contentType = std::move(Answer.m_ContentType);
   Reply.body = std::move(Answer.m_Body);
-  finish(std::move(Found.mapped()), std::move(Reply), Now, Out);
+  finish(Found.mapped(), std::move(Reply), Now, Out);
 }
 
 void RequestSlots::failed(const MinionFailed &Failure, TimePoint Now, ActionList &Out) {
@@ -189,7 +189,7 @@
   const wire::Outcome::type Outcome = Failure.m_AnyByteSent ? wire::Outcome::UNKNOWN : wire::Outcome::NOT_RUN;
   Out.push_back(LogNote{absl::StrCat("exchange with the minion failed request=", Found.mapped().m_Request.requestId,
                                      " sent=", Failure.m_AnyByteSent ? "yes" : "no", " reason=", Failure.m_Reason)});
-  finish(std::move(Found.mapped()), makeReply(Outcome, Failure.m_Reason), Now, Out);
+  finish(Found.mapped(), makeReply(Outcome, Failure.m_Reason), Now, Out);
 }
 
 void RequestSlots::probed(const MinionProbed &Probe, TimePoint Now, ActionList &Out) {
@@ -199,7 +199,7 @@
 
 void RequestSlots::tick(TimePoint Now, ActionList &Out) {
   for (PendingRequest &Request : m_Queue.takeExpired(Now))
-    finish(std::move(Request), makeReply(wire::Outcome::NOT_RUN, "deadline passed in the queue"), Now, Out);
+    finish(Request, makeReply(wire::Outcome::NOT_RUN, "deadline passed in the queue"), Now, Out);
   expireCallers(Now, Out);
   expireWaiters(Now, Out);
   abandonHung(Now, Out);
@@ -236,7 +236,7 @@
         LogNote{absl::StrCat("abandoned an exchange without an answer request=", Current->second.m_Request.requestId)});
     PendingRequest Request = std::move(Current->second);
     m_Running.erase(Current);
-    finish(std::move(Request), makeReply(wire::Outcome::UNKNOWN, "minion did not answer"), Now, Out);
+    finish(Request, makeReply(wire::Outcome::UNKNOWN, "minion did not answer"), Now, Out);
   }
 }
 
@@ -246,8 +246,7 @@
     auto Node = m_Running.extract(m_Running.begin());
     Cut.push_back(absl::StrCat("request=", Node.mapped().m_Request.requestId));
     Out.push_back(AbandonExchange{Node.key()});
-    finish(std::move(Node.mapped()), makeReply(wire::Outcome::UNKNOWN, "cut off by the shutdown of the agent"), Now,
-           Out);
+    finish(Node.mapped(), makeReply(wire::Outcome::UNKNOWN, "cut off by the shutdown of the agent"), Now, Out);
   }
 }
 
--- a/src/agentd/HttpWorkerPort.cpp
+++ b/src/agentd/HttpWorkerPort.cpp
@@ -133,7 +133,7 @@
         ++Next;
         continue;
       }
-      m_Client->send(std::move(Next->m_Request), m_Options.m_CommandTimeout,
+      m_Client->send(Next->m_Request, m_Options.m_CommandTimeout,
                      [this, Key = Next->m_Key, OnAnswer = std::move(Next->m_OnAnswer)](
                          const net::HttpExchangeResult &Result) { finishCommand(Key, OnAnswer, Result); });
       Next = m_Pending.erase(Next);
@@ -158,7 +158,7 @@
   void poll() {
     net::HttpClientRequest Request;
     Request.m_Target = "/tasks?after=" + std::to_string(m_LastEvent);
-    m_Client->send(std::move(Request), m_Options.m_CommandTimeout, [this](const net::HttpExchangeResult &Result) {
+    m_Client->send(Request, m_Options.m_CommandTimeout, [this](const net::HttpExchangeResult &Result) {
       if (Result.m_Status.ok() && Result.m_HttpStatus == 200)
         readStatus(Result.m_Body);
       schedulePoll(m_Options.m_PollPeriod);
