--- a/tests/control/LeaderDutiesTest.cpp
+++ b/tests/control/LeaderDutiesTest.cpp
@@ -19,8 +19,9 @@
   int64_t m_NowMs = 0;
   int64_t m_WallSkewUs = 0;
   int64_t m_Index = 0;
-  LeaderDuties m_Duties{[this](const wire::Command &Command, const SchedulerDriver::Refused &) { m_Queue.push_back(Command); },
-                        [this] { return wallUs(); }};
+  LeaderDuties m_Duties{
+      [this](const wire::Command &Command, const SchedulerDriver::Refused &) { m_Queue.push_back(Command); },
+      [this] { return wallUs(); }};
 
   LeaderBench() {
     m_State.setEventHook(
