raft: Bring a replica up to date that lost entries it had acknowledged

Cause: a rejection at or below the match index was taken for a late one and dropped, so a voter whose disk had lost its last synced block got no entries until the leader changed, and its group bore no further loss. Such a rejection now lowers the match index and starts the search for the common prefix; a late one only costs a probe.

--- a/src/raft/RaftLeader.cpp
+++ b/src/raft/RaftLeader.cpp
@@ -171,16 +171,20 @@
 }
 
 /// Moves back to the last index that may be common, skipping a whole term at a time.
+// A rejection at the match index itself comes from a replica that lost entries it had acknowledged, for example with
+// the last block of its disk, or is a late one. Both are answered by a search for the common prefix: lowering the match
+// index never undoes a commit, and without it the replica would get no entries until the leader changes.
 void RaftCore::noteRejection(Progress &Peer, const AppendResponse &Response) {
-  const bool Stale = Response.m_RejectedPrev <= Peer.m_Match ||
-                     (Peer.m_Mode == ProgressMode::Probe && Response.m_RejectedPrev != Peer.m_Next - 1);
-  if (Stale || Peer.m_Mode == ProgressMode::Snapshot)
+  const bool Stale = Peer.m_Mode == ProgressMode::Probe ? Response.m_RejectedPrev != Peer.m_Next - 1
+                                                        : Response.m_RejectedPrev < Peer.m_Match;
+  if (Stale || Peer.m_Mode == ProgressMode::Snapshot || Response.m_RejectedPrev == 0)
     return;
-  const LogIndex Limit = std::min(Response.m_HintIndex, Response.m_RejectedPrev - 1);
-  // The common prefix ends before the log in memory, which only a snapshot can bridge.
-  if (Limit < m_Log.baseIndex())
-    return Peer.probeFrom(Limit + 1);
-  Peer.probeFrom(m_Log.lastIndexWithTermUpTo(Limit, Response.m_HintTerm) + 1);
+  LogIndex Common = std::min(Response.m_HintIndex, Response.m_RejectedPrev - 1);
+  // If the common prefix ends before the log in memory, only a snapshot can bridge the gap.
+  if (Common >= m_Log.baseIndex())
+    Common = m_Log.lastIndexWithTermUpTo(Common, Response.m_HintTerm);
+  Peer.m_Match = std::min(Peer.m_Match, Common);
+  Peer.probeFrom(Common + 1);
 }
 
 void RaftCore::on(const RaftMessage &Message, const AppendResponse &Response) {
