--- a/tests/system/backup_test.py
+++ b/tests/system/backup_test.py
@@ -17,7 +17,7 @@
 
 
 def accepted_state(env):
-    jobs = [(each["id"], each["name"], each["workspace"], each["phase"], each["submittedAtUs"])
+    jobs = [(each["id"], each["name"], each["workspace"], each["phase"], each["submitted_at_us"])
             for each in env.ctl_json("job", "list")["jobs"]]
     return {"config": env.ctl_json("config", "status"), "history": env.ctl_json("config", "history"), "jobs": jobs}
 
