Answer a resent command with the index of the first one

Change: the index of the state is kept; only a result without one gets that of the log entry. system_config: 5 problems before, passed after.

--- a/src/control/ReplicaHost.cpp
+++ b/src/control/ReplicaHost.cpp
@@ -172,7 +172,9 @@
       continue;
     }
     wire::CommandResult Outcome = m_Results[Result.m_Index];
-    Outcome.index = static_cast<int64_t>(Result.m_Index);
+    // The answer to a repeated command names the entry of the first one.
+    if (Outcome.index == 0)
+      Outcome.index = static_cast<int64_t>(Result.m_Index);
     Node.mapped()(std::move(Outcome));
   }
 }
