Wait for the job phase outcome_unknown in the gang test

The time line of the failing run shows the job as outcome_unknown 19 s after it ran, without a second attempt. Change: the test waits for the same phase by its real name; all bounds stay. system_gang: timed out before, passed after.

--- a/tests/system/gang_test.py
+++ b/tests/system/gang_test.py
@@ -49,7 +49,7 @@
     job = env.ctl_json("job", "submit", path, "--key", "not-idempotent")["job_id"]
     wait_until(lambda: phase(env, job) == "running", 30, "the second gang runs")
     env.kill(used_workers(env)[0] + "-agent")
-    wait_until(lambda: phase(env, job) == "outcome-unknown", 60, "a started non-idempotent job is not run again")
+    wait_until(lambda: phase(env, job) == "outcome_unknown", 60, "a started non-idempotent job is not run again")
 
     path = write_job(env, "cancelled", payload=json.dumps({"run_ms": 60000}))
     job = env.ctl_json("job", "submit", path, "--key", "cancelled")["job_id"]
