ctl: End 'job wait' for jobs with an unknown outcome

Cause: the set of final phases named outcome-unknown; the state's name is outcome_unknown (charts/job.yaml), so the wait never ended for such a job. Found by reading while correcting the same name in the gang test. Built; no test of 'job wait' on such a job was run.

--- a/src/ctl/Cli.cpp
+++ b/src/ctl/Cli.cpp
@@ -227,7 +227,7 @@
 
 // Shows each phase once while the job goes on.
 ExitCode jobWait(const Invocation &Call) {
-  static const std::set<std::string> Ended = {"completed", "failed", "cancelled", "outcome-unknown"};
+  static const std::set<std::string> Ended = {"completed", "failed", "cancelled", "outcome_unknown"};
   std::string Last;
   while (true) {
     const ApiResult Result = Call.m_Env.m_Call("", {"GET", "/v1/jobs/" + Call.m_Args[0], {}, ""});
