--- a/bench/Baselines.cpp
+++ b/bench/Baselines.cpp
@@ -9,10 +9,12 @@
 
 constexpr size_t MaxFailedShapes = 64;
 
-/// Keeps queue and free resources of the baselines. No reclaim, no guarantees; idempotent jobs are repeated.
+/// Keeps queue and free resources of the baselines. No reclaim, no guarantees;
+/// idempotent jobs are repeated.
 class Simple {
 public:
-  Simple(const Table &Source, bool Skip, bool Partition) : m_Table(Source), m_Skip(Skip), m_Partition(Partition) {
+  Simple(const Table &Source, bool Skip, bool Partition)
+      : m_Table(Source), m_Skip(Skip), m_Partition(Partition) {
     for (size_t I = 0; I < Source.m_Workers.size(); ++I) {
       m_Index[Source.m_Workers[I].m_Vm] = I;
       m_Free.push_back(Source.m_Workers[I].m_Capacity);
@@ -41,7 +43,8 @@
     std::vector<double> Weight;
     for (const WorkspaceConfig &Each : m_Table.m_Workspaces) {
       const GuaranteedShape &Shape = Each.m_Guarantees[0];
-      Weight.push_back(static_cast<double>(Shape.m_Resources.m_Accelerators * Shape.m_Count));
+      Weight.push_back(static_cast<double>(Shape.m_Resources.m_Accelerators *
+                                           Shape.m_Count));
     }
     std::vector<double> Given(Weight.size());
     for (size_t I = 0; I < m_Free.size(); ++I) {
@@ -114,10 +117,12 @@
   }
 
   bool knownToFail(const JobSpec &Spec) const {
-    return std::any_of(m_Failed.begin(), m_Failed.end(), [&](const JobSpec &Each) {
-      return (!m_Partition || Each.m_Workspace == Spec.m_Workspace) && Each.m_PerTask == Spec.m_PerTask &&
-             Each.m_Tasks <= Spec.m_Tasks;
-    });
+    return std::any_of(
+        m_Failed.begin(), m_Failed.end(), [&](const JobSpec &Each) {
+          return (!m_Partition || Each.m_Workspace == Spec.m_Workspace) &&
+                 Each.m_PerTask == Spec.m_PerTask &&
+                 Each.m_Tasks <= Spec.m_Tasks;
+        });
   }
 
   bool placeOne(JobId Id) {
@@ -127,11 +132,15 @@
       return false;
     const int Owner = m_Partition ? ownerOf(Spec) : -1;
     const Resources &Need = Spec.m_PerTask;
-    for (size_t I = 0; I < m_Free.size() && std::ssize(Job.m_Workers) < Spec.m_Tasks; ++I) {
-      if (!m_Up[I] || m_Owner[I] != Owner || m_Table.m_Workers[I].m_Zone == m_Withdrawn)
+    for (size_t I = 0;
+         I < m_Free.size() && std::ssize(Job.m_Workers) < Spec.m_Tasks; ++I) {
+      if (!m_Up[I] || m_Owner[I] != Owner ||
+          m_Table.m_Workers[I].m_Zone == m_Withdrawn)
         continue;
-      while (std::ssize(Job.m_Workers) < Spec.m_Tasks && m_Free[I].m_Accelerators >= Need.m_Accelerators &&
-             m_Free[I].m_Cores >= Need.m_Cores && m_Free[I].m_MemoryMib >= Need.m_MemoryMib) {
+      while (std::ssize(Job.m_Workers) < Spec.m_Tasks &&
+             m_Free[I].m_Accelerators >= Need.m_Accelerators &&
+             m_Free[I].m_Cores >= Need.m_Cores &&
+             m_Free[I].m_MemoryMib >= Need.m_MemoryMib) {
         change(I, Need, -1);
         Job.m_Workers.push_back(I);
       }
@@ -146,7 +155,8 @@
     }
     PlaceGang Action{Id, {}, "first fit"};
     for (size_t I = 0; I < Job.m_Workers.size(); ++I)
-      Action.m_Members.push_back({static_cast<int32_t>(I), m_Table.m_Workers[Job.m_Workers[I]].m_Vm});
+      Action.m_Members.push_back(
+          {static_cast<int32_t>(I), m_Table.m_Workers[Job.m_Workers[I]].m_Vm});
     m_Actions.emplace_back(std::move(Action));
     return true;
   }
@@ -180,7 +190,10 @@
 };
 
 Policy wrap(std::shared_ptr<Simple> State) {
-  return [State = std::move(State)](const SchedulerEvent &Event, TimePoint Now) { return State->step(Event, Now); };
+  return
+      [State = std::move(State)](const SchedulerEvent &Event, TimePoint Now) {
+        return State->step(Event, Now);
+      };
 }
 
 } // namespace
@@ -189,6 +202,8 @@
   return wrap(std::make_shared<Simple>(Source, Skip, false));
 }
 
-Policy staticPartition(const Table &Source) { return wrap(std::make_shared<Simple>(Source, true, true)); }
+Policy staticPartition(const Table &Source) {
+  return wrap(std::make_shared<Simple>(Source, true, true));
+}
 
 } // namespace anvil::bench
--- a/bench/Cost.cpp
+++ b/bench/Cost.cpp
@@ -16,14 +16,18 @@
 /// Drives one scheduler at one size and times its steps.
 class CostRun {
 public:
-  CostRun(int Divisor, uint64_t Seed) : m_Divisor(Divisor), m_Random(Seed), m_Scheduler(make()) {}
+  CostRun(int Divisor, uint64_t Seed)
+      : m_Divisor(Divisor), m_Random(Seed), m_Scheduler(make()) {}
 
   CostFigures run() {
     setUp();
-    steadyState(m_Figures.m_DecisionP50, m_Figures.m_DecisionP99, m_Figures.m_ScansPerDecision);
+    steadyState(m_Figures.m_DecisionP50, m_Figures.m_DecisionP99,
+                m_Figures.m_ScansPerDecision);
     addBacklog();
-    steadyState(m_Figures.m_BacklogP50, m_Figures.m_BacklogP99, m_Figures.m_BacklogScans);
-    m_Figures.m_StateMegabytes = static_cast<double>(m_Scheduler.approximateBytes()) / 1e6;
+    steadyState(m_Figures.m_BacklogP50, m_Figures.m_BacklogP99,
+                m_Figures.m_BacklogScans);
+    m_Figures.m_StateMegabytes =
+        static_cast<double>(m_Scheduler.approximateBytes()) / 1e6;
     cancelWave();
     zoneLoss();
     return m_Figures;
@@ -35,7 +39,8 @@
   double step(const SchedulerEvent &Event) {
     const auto Before = std::chrono::steady_clock::now();
     m_Last = m_Scheduler.step(Event, m_Now);
-    const std::chrono::duration<double, std::milli> Span = std::chrono::steady_clock::now() - Before;
+    const std::chrono::duration<double, std::milli> Span =
+        std::chrono::steady_clock::now() - Before;
     for (const SchedulerAction &Action : m_Last) {
       if (const auto *Place = std::get_if<PlaceGang>(&Action))
         m_Placed.push_back(Place->m_Job);
@@ -55,10 +60,12 @@
     Spec.m_Checkpointable = m_Random() % 2 == 0;
     Spec.m_DeclaredRunTime = std::chrono::minutes(30 + m_Random() % 600);
     if (Pick < 82) {
-      Spec.m_Tasks = static_cast<int32_t>(std::min<uint64_t>(64 + m_Random() % 193, 3072 / m_Divisor));
+      Spec.m_Tasks = static_cast<int32_t>(
+          std::min<uint64_t>(64 + m_Random() % 193, 3072 / m_Divisor));
       Spec.m_PerTask = {0, 2, 3 * Gib};
     } else {
-      Spec.m_Tasks = static_cast<int32_t>(std::min(256 >> (m_Random() % 6), 2048 / m_Divisor));
+      Spec.m_Tasks = static_cast<int32_t>(
+          std::min(256 >> (m_Random() % 6), 2048 / m_Divisor));
       Spec.m_PerTask = {1, 6, 24 * Gib};
       Spec.m_Adjacency = Adjacency::Rack;
       Spec.m_Urgency = Pick >= 95 ? Urgency::Urgent : Urgency::Batch;
@@ -91,7 +98,9 @@
     ConfigurationChanged Config;
     for (int I = 0; I < m_Teams; ++I)
       Config.m_Workspaces.push_back(
-          {WorkspaceId(absl::StrCat("team-", I)), {}, {{"shape", {8, 64, 256 * Gib}, Adjacency::Vm, 3}}});
+          {WorkspaceId(absl::StrCat("team-", I)),
+           {},
+           {{"shape", {8, 64, 256 * Gib}, Adjacency::Vm, 3}}});
     step(Config);
     for (const WorkerUp &Each : Fleet) {
       step(Each);
@@ -134,19 +143,22 @@
       startPlaced();
       settleReclaims();
     }
-    const int64_t Scanned = m_Scheduler.counts().m_WorkersScanned - ScannedBefore;
+    const int64_t Scanned =
+        m_Scheduler.counts().m_WorkersScanned - ScannedBefore;
     Scans = static_cast<double>(Scanned) / static_cast<double>(Spans.size());
     std::sort(Spans.begin(), Spans.end());
     P50 = Spans[Spans.size() / 2];
     P99 = Spans[Spans.size() * 99 / 100];
   }
 
-  /// Submits gangs until a share of the fleet's accelerators is waited for in vain.
+  /// Submits gangs until a share of the fleet's accelerators is waited for in
+  /// vain.
   void addBacklog() {
     const int64_t Wanted = std::max(8, 400 / m_Divisor);
     for (int I = 0; I < 4000 && m_Scheduler.counts().m_Queued < Wanted; ++I) {
       JobSpec Spec = draw();
-      Spec.m_Tasks = static_cast<int32_t>(std::min<uint64_t>(8 + m_Random() % 249, 2048 / m_Divisor));
+      Spec.m_Tasks = static_cast<int32_t>(
+          std::min<uint64_t>(8 + m_Random() % 249, 2048 / m_Divisor));
       Spec.m_PerTask = {1, 6, 24 * Gib};
       double Ignored = 0;
       submit(Spec, Ignored);
@@ -169,7 +181,8 @@
     m_Reclaimed.clear();
   }
 
-  /// Queues 50,000 small jobs (fewer at smaller sizes) and cancels all of them at one instant.
+  /// Queues 50,000 small jobs (fewer at smaller sizes) and cancels all of them
+  /// at one instant.
   void cancelWave() {
     const int Count = 50'000 / m_Divisor;
     std::vector<JobId> Wave;
@@ -198,11 +211,13 @@
     settleReclaims();
   }
 
-  /// Withdraws one zone until no more gangs are asked to move, then loses all its workers at once.
+  /// Withdraws one zone until no more gangs are asked to move, then loses all
+  /// its workers at once.
   void zoneLoss() {
     advance(std::chrono::seconds(1));
     const int64_t ScannedBefore = m_Scheduler.counts().m_WorkersScanned;
-    m_Figures.m_ZoneWithdrawn = step(ZoneWithdrawn{AvailabilityZoneId("zone-2"), std::chrono::seconds(60)});
+    m_Figures.m_ZoneWithdrawn = step(
+        ZoneWithdrawn{AvailabilityZoneId("zone-2"), std::chrono::seconds(60)});
     for (int Quiet = 0; Quiet < 6;) {
       advance(std::chrono::milliseconds(100));
       m_Figures.m_ZoneWithdrawn += step(Tick{});
@@ -212,7 +227,8 @@
       m_Reclaimed.clear();
       startPlaced();
     }
-    m_Figures.m_ZoneScans = static_cast<double>(m_Scheduler.counts().m_WorkersScanned - ScannedBefore);
+    m_Figures.m_ZoneScans = static_cast<double>(
+        m_Scheduler.counts().m_WorkersScanned - ScannedBefore);
     for (const WorkerUp &Each : fullFleet(m_Divisor)) {
       if (Each.m_Zone.str() == "zone-4")
         m_Figures.m_ZoneLost += step(WorkerLost{Each.m_Vm});
@@ -238,9 +254,12 @@
 
 } // namespace
 
-CostFigures measureCost(int Divisor, uint64_t Seed) { return CostRun(Divisor, Seed).run(); }
+CostFigures measureCost(int Divisor, uint64_t Seed) {
+  return CostRun(Divisor, Seed).run();
+}
 
-double slopeOf(const std::vector<CostFigures> &Sizes, double CostFigures::*Value) {
+double slopeOf(const std::vector<CostFigures> &Sizes,
+               double CostFigures::*Value) {
   double SumX = 0;
   double SumY = 0;
   double SumXX = 0;
--- a/bench/Cost.h
+++ b/bench/Cost.h
@@ -32,7 +32,8 @@
 CostFigures measureCost(int Divisor, uint64_t Seed);
 
 /// Returns the slope of log(value) over log(workers), fitted over all sizes.
-double slopeOf(const std::vector<CostFigures> &Sizes, double CostFigures::*Value);
+double slopeOf(const std::vector<CostFigures> &Sizes,
+               double CostFigures::*Value);
 
 } // namespace anvil::bench
 
--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -1,5 +1,6 @@
 // Measures the scheduler against baselines and the targets of the design page.
-// Usage: anvil_bench OUTPUT.json [today] [full] [cost]; without names everything is run.
+// Usage: anvil_bench OUTPUT.json [today] [full] [cost]; without names
+// everything is run.
 #include <cstdio>
 #include <memory>
 #include <set>
@@ -19,21 +20,28 @@
 constexpr int Divisors[] = {16, 8, 4, 2, 1};
 
 Policy ours() {
-  auto Scheduler = std::make_shared<anvil::sched::Scheduler>(*anvil::sched::Scheduler::create({}));
-  return [Scheduler](const anvil::sched::SchedulerEvent &Event, anvil::TimePoint Now) {
-    return Scheduler->step(Event, Now);
-  };
+  auto Scheduler = std::make_shared<anvil::sched::Scheduler>(
+      *anvil::sched::Scheduler::create({}));
+  return
+      [Scheduler](const anvil::sched::SchedulerEvent &Event,
+                  anvil::TimePoint Now) { return Scheduler->step(Event, Now); };
 }
 
 TableFigures measure(const Table &Source) {
-  TableFigures Result{
-      Source.m_Name, Source.m_Seed, Source.m_Load, completionBound(Source, std::chrono::milliseconds(200)), {}};
-  const Policy Policies[] = {ours(), firstComeFirstServed(Source, false), firstComeFirstServed(Source, true),
+  TableFigures Result{Source.m_Name,
+                      Source.m_Seed,
+                      Source.m_Load,
+                      completionBound(Source, std::chrono::milliseconds(200)),
+                      {}};
+  const Policy Policies[] = {ours(), firstComeFirstServed(Source, false),
+                             firstComeFirstServed(Source, true),
                              staticPartition(Source)};
   for (const Policy &Each : Policies) {
     Result.m_Policies.push_back(World(Source, Each).run());
-    std::fprintf(stderr, "bench: ran table=%s seed=%llu policy=%s\n", Source.m_Name.c_str(),
-                 static_cast<unsigned long long>(Source.m_Seed), PolicyNames[Result.m_Policies.size() - 1].c_str());
+    std::fprintf(stderr, "bench: ran table=%s seed=%llu policy=%s\n",
+                 Source.m_Name.c_str(),
+                 static_cast<unsigned long long>(Source.m_Seed),
+                 PolicyNames[Result.m_Policies.size() - 1].c_str());
   }
   return Result;
 }
@@ -42,11 +50,14 @@
 
 int main(int Count, char **Arguments) {
   if (Count < 2) {
-    std::fprintf(stderr, "usage: anvil_bench OUTPUT.json [today] [full] [cost]\n");
+    std::fprintf(stderr,
+                 "usage: anvil_bench OUTPUT.json [today] [full] [cost]\n");
     return 2;
   }
   const std::set<std::string> Parts(Arguments + 2, Arguments + Count);
-  auto Wanted = [&](const char *Part) { return Parts.empty() || Parts.contains(Part); };
+  auto Wanted = [&](const char *Part) {
+    return Parts.empty() || Parts.contains(Part);
+  };
   std::vector<TableFigures> Tables;
   std::vector<CostFigures> Sizes;
   if (Wanted("today")) {
--- a/bench/Report.h
+++ b/bench/Report.h
@@ -19,13 +19,16 @@
   std::vector<Figures> m_Policies{};
 };
 
-inline const std::vector<std::string> PolicyNames = {"anvil", "fcfs", "fcfs-skip", "partition"};
+inline const std::vector<std::string> PolicyNames = {"anvil", "fcfs",
+                                                     "fcfs-skip", "partition"};
 
 /// Prints the tables and the targets of section 3 of the design page.
-void printReport(const std::vector<TableFigures> &Tables, const std::vector<CostFigures> &Sizes);
+void printReport(const std::vector<TableFigures> &Tables,
+                 const std::vector<CostFigures> &Sizes);
 
 /// Writes the figures as JSON; returns false if the file cannot be written.
-bool writeJson(const std::string &Path, const std::vector<TableFigures> &Tables, const std::vector<CostFigures> &Sizes);
+bool writeJson(const std::string &Path, const std::vector<TableFigures> &Tables,
+               const std::vector<CostFigures> &Sizes);
 
 } // namespace anvil::bench
 
--- a/bench/World.cpp
+++ b/bench/World.cpp
@@ -20,13 +20,16 @@
 constexpr double CheckpointHangs = 0.03;
 constexpr std::array<int64_t, 3> GangSizes = {8, 64, 256};
 
-double secondsOf(Duration Span) { return static_cast<double>(Span.count()) / 1e6; }
+double secondsOf(Duration Span) {
+  return static_cast<double>(Span.count()) / 1e6;
+}
 
 double quantile(std::vector<double> &Values, double Share) {
   if (Values.empty())
     return 0;
   std::sort(Values.begin(), Values.end());
-  const auto At = static_cast<size_t>(Share * static_cast<double>(Values.size()));
+  const auto At =
+      static_cast<size_t>(Share * static_cast<double>(Values.size()));
   return Values[std::min(At, Values.size() - 1)];
 }
 
@@ -36,26 +39,33 @@
   Target.m_MemoryMib += Amount.m_MemoryMib * Factor;
 }
 
-double acceleratorsOf(const JobSpec &Spec) { return static_cast<double>(Spec.m_PerTask.m_Accelerators * Spec.m_Tasks); }
+double acceleratorsOf(const JobSpec &Spec) {
+  return static_cast<double>(Spec.m_PerTask.m_Accelerators * Spec.m_Tasks);
+}
 } // namespace
 
 World::World(const Table &Source, Policy Scheduler)
-    : m_Table(Source), m_Policy(std::move(Scheduler)), m_Jobs(Source.m_Jobs.size()), m_Random(Source.m_Seed) {
+    : m_Table(Source), m_Policy(std::move(Scheduler)),
+      m_Jobs(Source.m_Jobs.size()), m_Random(Source.m_Seed) {
   absl::flat_hash_map<RackId, int32_t> Racks;
   for (const WorkerUp &Each : Source.m_Workers) {
     auto Zone = std::find(m_Zones.begin(), m_Zones.end(), Each.m_Zone);
     if (Zone == m_Zones.end())
       Zone = m_Zones.insert(m_Zones.end(), Each.m_Zone);
-    const int32_t Rack = Racks.try_emplace(Each.m_Rack, static_cast<int32_t>(Racks.size())).first->second;
+    const int32_t Rack =
+        Racks.try_emplace(Each.m_Rack, static_cast<int32_t>(Racks.size()))
+            .first->second;
     m_WorkerIndex[Each.m_Vm] = static_cast<int32_t>(m_Workers.size());
-    m_Workers.push_back({{}, true, static_cast<int32_t>(Zone - m_Zones.begin()), Rack});
+    m_Workers.push_back(
+        {{}, true, static_cast<int32_t>(Zone - m_Zones.begin()), Rack});
     m_CapacityNow += static_cast<double>(Each.m_Capacity.m_Accelerators);
   }
   m_RackCount = static_cast<int32_t>(Racks.size());
 }
 
 void World::push(TimePoint At, Kind What, int32_t Job, bool AtCheckpoint) {
-  m_Queue.push({At, m_Sequence++, What, Job, Job >= 0 ? m_Jobs[Job].m_Generation : 0, AtCheckpoint});
+  m_Queue.push({At, m_Sequence++, What, Job,
+                Job >= 0 ? m_Jobs[Job].m_Generation : 0, AtCheckpoint});
 }
 
 Figures World::run() {
@@ -72,7 +82,8 @@
   push(m_Now, Kind::Tick);
   push(m_Now, Kind::Sample);
   m_Open = static_cast<int64_t>(m_Table.m_Jobs.size());
-  while (!m_Queue.empty() && m_Open > 0 && m_Queue.top().m_At <= m_Table.m_Horizon) {
+  while (!m_Queue.empty() && m_Open > 0 &&
+         m_Queue.top().m_At <= m_Table.m_Horizon) {
     const Event Each = m_Queue.top();
     m_Queue.pop();
     accountOutage(Each.m_At);
@@ -84,7 +95,8 @@
 }
 
 void World::handle(const Event &Each) {
-  const bool Stale = Each.m_Job >= 0 && Each.m_Generation != m_Jobs[Each.m_Job].m_Generation;
+  const bool Stale =
+      Each.m_Job >= 0 && Each.m_Generation != m_Jobs[Each.m_Job].m_Generation;
   if (Stale)
     return;
   switch (Each.m_Kind) {
@@ -93,7 +105,8 @@
     m_Jobs[Each.m_Job].m_Entitled = entitled(Each.m_Job);
     ++m_Waiting;
     m_DemandNow += acceleratorsOf(m_Table.m_Jobs[Each.m_Job].m_Spec);
-    return feed(JobSubmitted{JobId(Each.m_Job), m_Table.m_Jobs[Each.m_Job].m_Spec});
+    return feed(
+        JobSubmitted{JobId(Each.m_Job), m_Table.m_Jobs[Each.m_Job].m_Spec});
   case Kind::Start:
     return start(Each.m_Job);
   case Kind::End:
@@ -106,13 +119,16 @@
     return feed(CheckpointDone{JobId(Each.m_Job)});
   case Kind::Fail: {
     JobState &Job = m_Jobs[Each.m_Job];
-    const auto Bad = std::find_if(Job.m_Workers.begin(), Job.m_Workers.end(), [&](int32_t Worker) {
-      const VmId &Vm = m_Table.m_Workers[Worker].m_Vm;
-      return std::find(m_Table.m_Faulty.begin(), m_Table.m_Faulty.end(), Vm) != m_Table.m_Faulty.end();
-    });
+    const auto Bad = std::find_if(
+        Job.m_Workers.begin(), Job.m_Workers.end(), [&](int32_t Worker) {
+          const VmId &Vm = m_Table.m_Workers[Worker].m_Vm;
+          return std::find(m_Table.m_Faulty.begin(), m_Table.m_Faulty.end(),
+                           Vm) != m_Table.m_Faulty.end();
+        });
     ++Job.m_Generation;
     push(m_Now + StopTime, Kind::Release, Each.m_Job);
-    return feed(TaskFailed{JobId(Each.m_Job), 0, m_Table.m_Workers[*Bad].m_Vm, "exit code 1"});
+    return feed(TaskFailed{JobId(Each.m_Job), 0, m_Table.m_Workers[*Bad].m_Vm,
+                           "exit code 1"});
   }
   case Kind::Withdraw:
     return noteZone(true);
@@ -150,7 +166,8 @@
     m_Figures.m_Quarantines += Quarantine->m_Quarantined ? 1 : 0;
   if (const auto *Probe = std::get_if<ProbeWorker>(&Action)) {
     const bool Faulty =
-        std::find(m_Table.m_Faulty.begin(), m_Table.m_Faulty.end(), Probe->m_Vm) != m_Table.m_Faulty.end();
+        std::find(m_Table.m_Faulty.begin(), m_Table.m_Faulty.end(),
+                  Probe->m_Vm) != m_Table.m_Faulty.end();
     feed(ProbeEnded{Probe->m_Vm, !Faulty || m_Now >= m_Table.m_RepairedAt});
   }
 }
@@ -159,16 +176,19 @@
   const auto Index = static_cast<int32_t>(Action.m_Job.value());
   JobState &Job = m_Jobs[Index];
   const JobSpec &Spec = m_Table.m_Jobs[Index].m_Spec;
-  if (static_cast<int32_t>(Action.m_Members.size()) != Spec.m_Tasks || Job.m_Phase != Phase::Waiting)
+  if (static_cast<int32_t>(Action.m_Members.size()) != Spec.m_Tasks ||
+      Job.m_Phase != Phase::Waiting)
     ++m_Figures.m_PartialGangs;
   for (const MemberPlacement &Each : Action.m_Members) {
     const int32_t Worker = m_WorkerIndex.at(Each.m_Vm);
-    if (!m_Workers[Worker].m_Alive || m_Workers[Worker].m_Zone == m_WithdrawnZone)
+    if (!m_Workers[Worker].m_Alive ||
+        m_Workers[Worker].m_Zone == m_WithdrawnZone)
       ++m_Figures.m_StartsWithdrawn;
     addAmount(m_Workers[Worker].m_Used, Spec.m_PerTask, 1);
     const Resources &Used = m_Workers[Worker].m_Used;
     const Resources &Capacity = m_Table.m_Workers[Worker].m_Capacity;
-    if (Used.m_Accelerators > Capacity.m_Accelerators || Used.m_Cores > Capacity.m_Cores ||
+    if (Used.m_Accelerators > Capacity.m_Accelerators ||
+        Used.m_Cores > Capacity.m_Cores ||
         Used.m_MemoryMib > Capacity.m_MemoryMib)
       ++m_Figures.m_OverCapacity;
     Job.m_Workers.push_back(Worker);
@@ -193,10 +213,13 @@
   Job.m_StartedAt = m_Now;
   Job.m_CheckpointAt = m_Now;
   const bool Faulty =
-      m_Now < m_Table.m_RepairedAt && std::any_of(Job.m_Workers.begin(), Job.m_Workers.end(), [&](int32_t Worker) {
-        const VmId &Vm = m_Table.m_Workers[Worker].m_Vm;
-        return std::find(m_Table.m_Faulty.begin(), m_Table.m_Faulty.end(), Vm) != m_Table.m_Faulty.end();
-      });
+      m_Now < m_Table.m_RepairedAt &&
+      std::any_of(
+          Job.m_Workers.begin(), Job.m_Workers.end(), [&](int32_t Worker) {
+            const VmId &Vm = m_Table.m_Workers[Worker].m_Vm;
+            return std::find(m_Table.m_Faulty.begin(), m_Table.m_Faulty.end(),
+                             Vm) != m_Table.m_Faulty.end();
+          });
   Job.m_MayStartAgain = Source.m_Spec.m_Idempotent;
   if (Faulty)
     push(m_Now + std::chrono::seconds(1), Kind::Fail, Index);
@@ -234,7 +257,8 @@
   if (Draw < CheckpointHangs)
     return;
   Job.m_ReleasePending = true;
-  push(m_Now + Duration(static_cast<int64_t>(Span * 1e6)), Kind::Release, Index, true);
+  push(m_Now + Duration(static_cast<int64_t>(Span * 1e6)), Kind::Release, Index,
+       true);
 }
 
 void World::release(int32_t Index, bool AtCheckpoint) {
@@ -267,7 +291,8 @@
 
 void World::free(int32_t Index) {
   for (const int32_t Worker : m_Jobs[Index].m_Workers)
-    addAmount(m_Workers[Worker].m_Used, m_Table.m_Jobs[Index].m_Spec.m_PerTask, -1);
+    addAmount(m_Workers[Worker].m_Used, m_Table.m_Jobs[Index].m_Spec.m_PerTask,
+              -1);
   m_Jobs[Index].m_Workers.clear();
 }
 
@@ -289,11 +314,13 @@
 
 void World::noteZone(bool Withdrawn) {
   const AvailabilityZoneId &Name = m_Table.m_Outage->m_Zone;
-  const auto Zone = static_cast<int32_t>(std::find(m_Zones.begin(), m_Zones.end(), Name) - m_Zones.begin());
+  const auto Zone = static_cast<int32_t>(
+      std::find(m_Zones.begin(), m_Zones.end(), Name) - m_Zones.begin());
   double ZoneCapacity = 0;
   for (size_t I = 0; I < m_Workers.size(); ++I) {
     if (m_Workers[I].m_Zone == Zone)
-      ZoneCapacity += static_cast<double>(m_Table.m_Workers[I].m_Capacity.m_Accelerators);
+      ZoneCapacity +=
+          static_cast<double>(m_Table.m_Workers[I].m_Capacity.m_Accelerators);
   }
   if (Withdrawn) {
     m_WithdrawnZone = Zone;
@@ -317,16 +344,22 @@
   std::vector<int32_t> Hit;
   for (size_t I = 0; I < m_Jobs.size(); ++I) {
     JobState &Job = m_Jobs[I];
-    const bool There = std::any_of(Job.m_Workers.begin(), Job.m_Workers.end(),
-                                   [this](int32_t Worker) { return m_Workers[Worker].m_Zone == m_WithdrawnZone; });
-    if (!There || (Job.m_Phase != Phase::Placed && Job.m_Phase != Phase::Running))
+    const bool There = std::any_of(
+        Job.m_Workers.begin(), Job.m_Workers.end(), [this](int32_t Worker) {
+          return m_Workers[Worker].m_Zone == m_WithdrawnZone;
+        });
+    if (!There ||
+        (Job.m_Phase != Phase::Placed && Job.m_Phase != Phase::Running))
       continue;
-    // The members that are left stop at once; the lost ones count as running until their lease ends.
+    // The members that are left stop at once; the lost ones count as running
+    // until their lease ends.
     if (Job.m_Phase == Phase::Running) {
       const bool Checkpointable = m_Table.m_Jobs[I].m_Spec.m_Checkpointable;
-      const TimePoint Until = Checkpointable ? Job.m_CheckpointAt : Job.m_StartedAt;
+      const TimePoint Until =
+          Checkpointable ? Job.m_CheckpointAt : Job.m_StartedAt;
       Job.m_Kept += Until - Job.m_StartedAt;
-      m_Figures.m_LostWork += secondsOf(m_Now - Until) * acceleratorsOf(m_Table.m_Jobs[I].m_Spec);
+      m_Figures.m_LostWork +=
+          secondsOf(m_Now - Until) * acceleratorsOf(m_Table.m_Jobs[I].m_Spec);
       Job.m_Phase = Phase::Frozen;
     }
     ++Job.m_Generation;
@@ -363,7 +396,8 @@
   }
   const TimePoint Last = m_Table.m_Outage->m_Back + OutageTail;
   const TimePoint To = std::min(Until, Last);
-  m_Figures.m_OutageAllowed += secondsOf(To - m_AccountedTo) * std::min(m_CapacityNow, m_DemandNow);
+  m_Figures.m_OutageAllowed +=
+      secondsOf(To - m_AccountedTo) * std::min(m_CapacityNow, m_DemandNow);
   m_AccountedTo = To;
   if (Until < Last)
     return;
@@ -372,28 +406,39 @@
   m_InOutage = false;
 }
 
-/// Returns whether enough pieces of its workspace's guarantee are idle for the job to claim its start.
+/// Returns whether enough pieces of its workspace's guarantee are idle for the
+/// job to claim its start.
 bool World::entitled(int32_t Index) const {
   const JobSpec &Spec = m_Table.m_Jobs[Index].m_Spec;
-  const auto Owner = std::find_if(m_Table.m_Workspaces.begin(), m_Table.m_Workspaces.end(),
-                                  [&](const WorkspaceConfig &Each) { return Each.m_Name == Spec.m_Workspace; });
-  if (m_WithdrawnZone >= 0 || Owner == m_Table.m_Workspaces.end() || Owner->m_Guarantees.size() != 1)
+  const auto Owner =
+      std::find_if(m_Table.m_Workspaces.begin(), m_Table.m_Workspaces.end(),
+                   [&](const WorkspaceConfig &Each) {
+                     return Each.m_Name == Spec.m_Workspace;
+                   });
+  if (m_WithdrawnZone >= 0 || Owner == m_Table.m_Workspaces.end() ||
+      Owner->m_Guarantees.size() != 1)
     return false;
   const GuaranteedShape &Shape = Owner->m_Guarantees[0];
   const Resources &Each = Spec.m_PerTask;
   auto PiecesOf = [&](const JobSpec &Some) {
-    const int64_t PerPiece =
-        std::max<int64_t>(1, Shape.m_Resources.m_Accelerators / std::max<int64_t>(1, Some.m_PerTask.m_Accelerators));
+    const int64_t PerPiece = std::max<int64_t>(
+        1, Shape.m_Resources.m_Accelerators /
+               std::max<int64_t>(1, Some.m_PerTask.m_Accelerators));
     return (Some.m_Tasks + PerPiece - 1) / PerPiece;
   };
-  if (Each.m_Accelerators == 0 || Each.m_Accelerators > Shape.m_Resources.m_Accelerators ||
-      Each.m_Cores * Shape.m_Resources.m_Accelerators > Shape.m_Resources.m_Cores * Each.m_Accelerators ||
-      Each.m_MemoryMib * Shape.m_Resources.m_Accelerators > Shape.m_Resources.m_MemoryMib * Each.m_Accelerators)
+  if (Each.m_Accelerators == 0 ||
+      Each.m_Accelerators > Shape.m_Resources.m_Accelerators ||
+      Each.m_Cores * Shape.m_Resources.m_Accelerators >
+          Shape.m_Resources.m_Cores * Each.m_Accelerators ||
+      Each.m_MemoryMib * Shape.m_Resources.m_Accelerators >
+          Shape.m_Resources.m_MemoryMib * Each.m_Accelerators)
     return false;
   int64_t Pieces = PiecesOf(Spec);
   for (size_t I = 0; I < m_Jobs.size(); ++I) {
     const JobSpec &Other = m_Table.m_Jobs[I].m_Spec;
-    if (static_cast<int32_t>(I) != Index && m_Jobs[I].m_Phase != Phase::Future && m_Jobs[I].m_Phase != Phase::Over &&
+    if (static_cast<int32_t>(I) != Index &&
+        m_Jobs[I].m_Phase != Phase::Future &&
+        m_Jobs[I].m_Phase != Phase::Over &&
         Other.m_Workspace == Spec.m_Workspace)
       Pieces += PiecesOf(Other);
   }
@@ -429,7 +474,8 @@
     m_IdleSum += static_cast<double>(All[0]) / static_cast<double>(Largest[3]);
     ++m_IdleCount;
   }
-  const std::array<const std::vector<int64_t> *, 4> Levels = {&Vm, &Rack, &Zone, &All};
+  const std::array<const std::vector<int64_t> *, 4> Levels = {&Vm, &Rack, &Zone,
+                                                              &All};
   for (size_t G = 0; G < GangSizes.size(); ++G) {
     size_t Level = 0;
     while (Level < 3 && Largest[Level] < GangSizes[G])
@@ -439,7 +485,8 @@
     int64_t Usable = 0;
     for (const int64_t Free : *Levels[Level])
       Usable += Free / GangSizes[G] * GangSizes[G];
-    m_FragmentationSum[G] += 1 - static_cast<double>(Usable) / static_cast<double>(All[0]);
+    m_FragmentationSum[G] +=
+        1 - static_cast<double>(Usable) / static_cast<double>(All[0]);
     ++m_FragmentationCount[G];
   }
 }
@@ -457,9 +504,11 @@
     ++Target.m_Jobs;
     const TimePoint End = Job.m_Finished ? Job.m_EndedAt : m_Now;
     Times.push_back(secondsOf(End - Source.m_At));
-    Starts.push_back(secondsOf((Job.m_EverStarted ? Job.m_FirstStart : m_Now) - Source.m_At));
+    Starts.push_back(secondsOf((Job.m_EverStarted ? Job.m_FirstStart : m_Now) -
+                               Source.m_At));
     Target.m_Finished += Job.m_Finished ? 1 : 0;
-    if (Source.m_Spec.m_Deadline.count() > 0 && (!Job.m_Finished || End - Source.m_At > Source.m_Spec.m_Deadline))
+    if (Source.m_Spec.m_Deadline.count() > 0 &&
+        (!Job.m_Finished || End - Source.m_At > Source.m_Spec.m_Deadline))
       ++Late;
     if (Job.m_Entitled) {
       ++m_Figures.m_GuaranteeClaims;
@@ -472,7 +521,8 @@
     Target.m_Mean += Each / static_cast<double>(Times.size());
     m_Figures.m_MeanCompletion += Each / static_cast<double>(m_Jobs.size());
   }
-  Target.m_LateShare = static_cast<double>(Late) / static_cast<double>(Times.size());
+  Target.m_LateShare =
+      static_cast<double>(Late) / static_cast<double>(Times.size());
   Target.m_Median = quantile(Times, 0.5);
   Target.m_P99 = quantile(Times, 0.99);
   Target.m_StartP99 = quantile(Starts, 0.99);
@@ -487,9 +537,11 @@
   }
   for (size_t G = 0; G < GangSizes.size(); ++G) {
     if (m_FragmentationCount[G] > 0)
-      m_Figures.m_Fragmentation[G] = m_FragmentationSum[G] / static_cast<double>(m_FragmentationCount[G]);
+      m_Figures.m_Fragmentation[G] =
+          m_FragmentationSum[G] / static_cast<double>(m_FragmentationCount[G]);
   }
-  m_Figures.m_IdleWhileShort = m_IdleCount > 0 ? m_IdleSum / static_cast<double>(m_IdleCount) : 0;
+  m_Figures.m_IdleWhileShort =
+      m_IdleCount > 0 ? m_IdleSum / static_cast<double>(m_IdleCount) : 0;
   m_Figures.m_ReclaimP50 = quantile(m_ReclaimTimes, 0.5);
   m_Figures.m_ReclaimP99 = quantile(m_ReclaimTimes, 0.99);
 }
--- a/bench/World.h
+++ b/bench/World.h
@@ -55,7 +55,8 @@
 };
 
 /// A scheduler under measurement.
-using Policy = std::function<std::vector<SchedulerAction>(const SchedulerEvent &, TimePoint)>;
+using Policy = std::function<std::vector<SchedulerAction>(
+    const SchedulerEvent &, TimePoint)>;
 
 /// Figures of one class.
 struct ClassFigures {
@@ -76,14 +77,16 @@
   int64_t m_GivenUp = 0;
   /// Mean share of free accelerators that a gang of 8, 64, 256 cannot use.
   std::array<double, 3> m_Fragmentation{};
-  /// Mean share of accelerators that are free while the jobs in the system ask for more than there are.
+  /// Mean share of accelerators that are free while the jobs in the system ask
+  /// for more than there are.
   double m_IdleWhileShort = 0;
   double m_Work = 0;
   double m_LostWork = 0;
   int64_t m_Reclaims = 0;
   double m_ReclaimP50 = 0;
   double m_ReclaimP99 = 0;
-  /// Work done from the withdrawal until ten minutes after the return, and what the remaining capacity allows.
+  /// Work done from the withdrawal until ten minutes after the return, and what
+  /// the remaining capacity allows.
   double m_OutageWork = 0;
   double m_OutageAllowed = 0;
   int64_t m_GuaranteeClaims = 0;
@@ -95,14 +98,27 @@
   int64_t m_Quarantines = 0;
 };
 
-/// Runs an arrival table against a policy under a virtual clock: an event queue in memory that plays the workers.
+/// Runs an arrival table against a policy under a virtual clock: an event queue
+/// in memory that plays the workers.
 class World {
 public:
   World(const Table &Source, Policy Scheduler);
   Figures run();
 
 private:
-  enum class Kind { Arrive, Start, End, Release, Checkpoint, Fail, Withdraw, Vanish, Return, Sample, Tick };
+  enum class Kind {
+    Arrive,
+    Start,
+    End,
+    Release,
+    Checkpoint,
+    Fail,
+    Withdraw,
+    Vanish,
+    Return,
+    Sample,
+    Tick
+  };
   struct Event {
     TimePoint m_At{};
     int64_t m_Sequence = 0;
@@ -111,7 +127,8 @@
     int32_t m_Generation = 0;
     bool m_AtCheckpoint = false;
     bool operator>(const Event &Other) const {
-      return m_At != Other.m_At ? m_At > Other.m_At : m_Sequence > Other.m_Sequence;
+      return m_At != Other.m_At ? m_At > Other.m_At
+                                : m_Sequence > Other.m_Sequence;
     }
   };
   enum class Phase { Future, Waiting, Placed, Running, Frozen, Over };
@@ -139,7 +156,8 @@
     int32_t m_Rack = 0;
   };
 
-  void push(TimePoint At, Kind What, int32_t Job = -1, bool AtCheckpoint = false);
+  void push(TimePoint At, Kind What, int32_t Job = -1,
+            bool AtCheckpoint = false);
   void handle(const Event &Each);
   void feed(const SchedulerEvent &Each);
   void apply(const SchedulerAction &Action);
--- a/daemons/ControlMain.cpp
+++ b/daemons/ControlMain.cpp
@@ -1,4 +1,5 @@
-// The control process: one replica of the replicated state, and the sessions of agents and entries.
+// The control process: one replica of the replicated state, and the sessions of
+// agents and entries.
 
 #include <iostream>
 
@@ -16,10 +17,11 @@
   boost::asio::io_context Io;
   anvil::control::fillProcessHooks(Options);
   int ExitCode = 0;
-  auto Server = anvil::control::ControlServer::create(Io, std::move(Options), [&](const absl::Status &) {
-    ExitCode = 1;
-    Io.stop();
-  });
+  auto Server = anvil::control::ControlServer::create(
+      Io, std::move(Options), [&](const absl::Status &) {
+        ExitCode = 1;
+        Io.stop();
+      });
   if (!Server.ok()) {
     LOG(ERROR) << "control: can't start: " << Server.status().message();
     return 1;
@@ -28,7 +30,8 @@
   const anvil::daemon::TerminationSignals Signals(
       Io, [&] { (*Server)->shutDown([&] { Io.stop(); }); },
       [&] {
-        LOG(WARNING) << "control: second signal, leaving without handing leadership over";
+        LOG(WARNING) << "control: second signal, leaving without handing "
+                        "leadership over";
         Io.stop();
       });
   Io.run();
@@ -42,8 +45,10 @@
   anvil::daemon::startLogging(Argv[0]);
   anvil::control::ControlOptions Options;
   anvil::daemon::Settings Reader = anvil::control::controlSettings(Options);
-  const auto Mode = Reader.read({Argv + 1, Argv + Argc}, anvil::daemon::environmentVariable);
-  if (const std::optional<int> Code = anvil::daemon::finishStart(Reader, Mode, "anvil-control"))
+  const auto Mode =
+      Reader.read({Argv + 1, Argv + Argc}, anvil::daemon::environmentVariable);
+  if (const std::optional<int> Code =
+          anvil::daemon::finishStart(Reader, Mode, "anvil-control"))
     return *Code;
   return serve(std::move(Options));
 }
--- a/daemons/CtlMain.cpp
+++ b/daemons/CtlMain.cpp
@@ -41,11 +41,13 @@
 std::string newId() {
   std::ostringstream Text;
   Text << "ctl-" << std::hex << anvil::daemon::wallClockMicros() << "-"
-       << static_cast<uint32_t>(anvil::daemon::makeRandomSource()() * UINT32_MAX);
+       << static_cast<uint32_t>(anvil::daemon::makeRandomSource()() *
+                                UINT32_MAX);
   return Text.str();
 }
 
-/// Options that may stand anywhere on the command line, and the words that are left.
+/// Options that may stand anywhere on the command line, and the words that are
+/// left.
 struct CommandLine {
   std::vector<std::string> m_Settings;
   std::vector<std::string> m_Words;
@@ -61,7 +63,8 @@
       Line.m_Help = true;
     } else if (Word == "--yes" || Word == "--version") {
       Line.m_Settings.push_back(Word);
-    } else if (Name == "--entry" || Name == "--operator" || Name == "--output") {
+    } else if (Name == "--entry" || Name == "--operator" ||
+               Name == "--output") {
       Line.m_Settings.push_back(Word);
       if (Name == Word && I + 1 < Argc)
         Line.m_Settings.emplace_back(Argv[++I]);
@@ -82,21 +85,29 @@
   }
   std::vector<anvil::net::Endpoint> Entries;
   CliOptions Options;
-  anvil::daemon::Settings Reader("anvilctl", "Operates an anvilwheel environment through its entries.");
-  Reader.addEndpoints("entry", "127.0.0.1:8080", "Entries to call, the first that answers.", Entries);
+  anvil::daemon::Settings Reader(
+      "anvilctl", "Operates an anvilwheel environment through its entries.");
+  Reader.addEndpoints("entry", "127.0.0.1:8080",
+                      "Entries to call, the first that answers.", Entries);
   const char *User = std::getenv("USER");
-  Reader.addName("operator", User && *User ? User : "operator", "Name recorded with changes.", Options.m_Operator);
+  Reader.addName("operator", User && *User ? User : "operator",
+                 "Name recorded with changes.", Options.m_Operator);
   Reader.add("output", "table", "table or json.", [&](std::string_view Text) {
     Options.m_Json = Text == "json";
-    return Text == "json" || Text == "table" ? absl::OkStatus() : absl::InvalidArgumentError("must be table or json");
+    return Text == "json" || Text == "table"
+               ? absl::OkStatus()
+               : absl::InvalidArgumentError("must be table or json");
   });
   Reader.addSwitch("yes", "Do not ask for confirmation.", Options.m_Yes);
-  const auto Mode = Reader.read(Line.m_Settings, anvil::daemon::environmentVariable);
-  if (const std::optional<int> Code = anvil::daemon::finishStart(Reader, Mode, "anvilctl"))
+  const auto Mode =
+      Reader.read(Line.m_Settings, anvil::daemon::environmentVariable);
+  if (const std::optional<int> Code =
+          anvil::daemon::finishStart(Reader, Mode, "anvilctl"))
     return *Code;
 
   CliEnvironment Environment;
-  Environment.m_Call = [&](const std::string &Entry, const anvil::ctl::ApiCall &Call) {
+  Environment.m_Call = [&](const std::string &Entry,
+                           const anvil::ctl::ApiCall &Call) {
     if (Entry.empty())
       return anvil::ctl::callAny(Entries, Call, CallTimeout);
     const auto Named = anvil::net::parseEndpoint(Entry);
@@ -110,9 +121,12 @@
     Environment.m_Entries.push_back(Entry.str());
   Environment.m_ReadFile = readFile;
   Environment.m_NewId = newId;
-  Environment.m_Sleep = [](anvil::Duration Span) { std::this_thread::sleep_for(Span); };
+  Environment.m_Sleep = [](anvil::Duration Span) {
+    std::this_thread::sleep_for(Span);
+  };
   Environment.m_Confirm = confirm;
   Environment.m_Out = &std::cout;
   Environment.m_Err = &std::cerr;
-  return static_cast<int>(anvil::ctl::runCommand(Line.m_Words, Options, Environment));
+  return static_cast<int>(
+      anvil::ctl::runCommand(Line.m_Words, Options, Environment));
 }
--- a/fakes/FakeHttpServer.h
+++ b/fakes/FakeHttpServer.h
@@ -18,7 +18,8 @@
 
 namespace anvil::fakes {
 
-/// Connection of one request, with ways to end it that a real server would not offer.
+/// Connection of one request, with ways to end it that a real server would not
+/// offer.
 class FakeConnection {
 public:
   virtual ~FakeConnection() = default;
@@ -30,19 +31,22 @@
   virtual void sendRaw(std::string Bytes, bool Close) = 0;
   /// Closes without a response.
   virtual void close() = 0;
-  /// Calls \p Hook once if the peer closes before the response. The hook must not own this connection.
+  /// Calls \p Hook once if the peer closes before the response. The hook must
+  /// not own this connection.
   virtual void onPeerClosed(std::function<void()> Hook) = 0;
 };
 
 using FakeConnectionPtr = std::shared_ptr<FakeConnection>;
-using FakeHandler = std::function<void(const net::HttpRequest &, const FakeConnectionPtr &)>;
+using FakeHandler =
+    std::function<void(const net::HttpRequest &, const FakeConnectionPtr &)>;
 
 /// Serves plain HTTP/1.1 on a loopback port for the stand-ins of the platform.
 class FakeHttpServer {
 public:
   /// Binds and listens; port 0 takes a free port.
-  static absl::StatusOr<std::unique_ptr<FakeHttpServer>> create(boost::asio::io_context &Io,
-                                                                const net::Endpoint &Listen, FakeHandler Handler);
+  static absl::StatusOr<std::unique_ptr<FakeHttpServer>>
+  create(boost::asio::io_context &Io, const net::Endpoint &Listen,
+         FakeHandler Handler);
   /// Closes the listener and all connections.
   ~FakeHttpServer();
   net::Endpoint endpoint() const;
@@ -58,7 +62,8 @@
 };
 
 /// Runs \p Hook after \p Delay on the thread of \p Io.
-void runAfter(boost::asio::io_context &Io, Duration Delay, std::function<void()> Hook);
+void runAfter(boost::asio::io_context &Io, Duration Delay,
+              std::function<void()> Hook);
 
 } // namespace anvil::fakes
 
--- a/fakes/FakeMinion.cpp
+++ b/fakes/FakeMinion.cpp
@@ -36,17 +36,20 @@
   return json::serialize(Out);
 }
 
-/// Applies one member of a POST /faults body; returns false for an unknown name.
-bool applyFault(FakeMinionOptions &Options, std::string_view Name, const json::value &Value) {
+/// Applies one member of a POST /faults body; returns false for an unknown
+/// name.
+bool applyFault(FakeMinionOptions &Options, std::string_view Name,
+                const json::value &Value) {
   struct Rate {
     std::string_view m_Name;
     double FakeMinionOptions::*m_Field;
   };
-  constexpr Rate Rates[] = {{"fail-rate", &FakeMinionOptions::m_FailRate},
-                            {"hang-rate", &FakeMinionOptions::m_HangRate},
-                            {"truncate-rate", &FakeMinionOptions::m_TruncateRate},
-                            {"close-rate", &FakeMinionOptions::m_CloseRate},
-                            {"late-rate", &FakeMinionOptions::m_LateRate}};
+  constexpr Rate Rates[] = {
+      {"fail-rate", &FakeMinionOptions::m_FailRate},
+      {"hang-rate", &FakeMinionOptions::m_HangRate},
+      {"truncate-rate", &FakeMinionOptions::m_TruncateRate},
+      {"close-rate", &FakeMinionOptions::m_CloseRate},
+      {"late-rate", &FakeMinionOptions::m_LateRate}};
   for (const Rate &Each : Rates) {
     if (Each.m_Name != Name)
       continue;
@@ -54,7 +57,8 @@
     return true;
   }
   if (Name == "service-ms")
-    Options.m_ServiceMean = std::chrono::milliseconds(Value.to_number<int64_t>());
+    Options.m_ServiceMean =
+        std::chrono::milliseconds(Value.to_number<int64_t>());
   else if (Name == "late-ms")
     Options.m_LateTime = std::chrono::milliseconds(Value.to_number<int64_t>());
   else
@@ -65,10 +69,12 @@
 } // namespace
 
 struct FakeMinion::Impl : std::enable_shared_from_this<FakeMinion::Impl> {
-  Impl(boost::asio::io_context &Io, FakeMinionOptions Options) : m_Io(Io), m_Options(std::move(Options)) {}
+  Impl(boost::asio::io_context &Io, FakeMinionOptions Options)
+      : m_Io(Io), m_Options(std::move(Options)) {}
 
   void handle(const net::HttpRequest &Request, const FakeConnectionPtr &Link);
-  void changeFaults(const net::HttpRequest &Request, const FakeConnectionPtr &Link);
+  void changeFaults(const net::HttpRequest &Request,
+                    const FakeConnectionPtr &Link);
   void run(const net::HttpRequest &Request, const FakeConnectionPtr &Link);
   void finish(const std::string &Body, const FakeConnectionPtr &Link);
   void release() {
@@ -101,11 +107,13 @@
   Out["path"] = Request.m_Path;
   Out["received"] = static_cast<int64_t>(Request.m_Body.size());
   if (m_Options.m_ResponseBytes > 0)
-    Out["padding"] = std::string(static_cast<size_t>(m_Options.m_ResponseBytes), 'x');
+    Out["padding"] =
+        std::string(static_cast<size_t>(m_Options.m_ResponseBytes), 'x');
   return json::serialize(Out);
 }
 
-void FakeMinion::Impl::handle(const net::HttpRequest &Request, const FakeConnectionPtr &Link) {
+void FakeMinion::Impl::handle(const net::HttpRequest &Request,
+                              const FakeConnectionPtr &Link) {
   if (Request.m_Path == "/counts")
     return Link->respond(200, describe(m_Counts, Request.m_Query == "full"));
   if (Request.m_Path == "/faults" && Request.m_Method == "POST")
@@ -117,12 +125,14 @@
   run(Request, Link);
 }
 
-void FakeMinion::Impl::changeFaults(const net::HttpRequest &Request, const FakeConnectionPtr &Link) {
+void FakeMinion::Impl::changeFaults(const net::HttpRequest &Request,
+                                    const FakeConnectionPtr &Link) {
   FakeMinionOptions Changed = m_Options;
   try {
     const json::object Wanted = json::parse(Request.m_Body).as_object();
     for (const auto &Member : Wanted)
-      if (!applyFault(Changed, {Member.key().data(), Member.key().size()}, Member.value()))
+      if (!applyFault(Changed, {Member.key().data(), Member.key().size()},
+                      Member.value()))
         return Link->respond(400, R"({"error":"unknown name"})");
   } catch (const std::exception &) {
     return Link->respond(400, R"({"error":"not an object of numbers"})");
@@ -131,7 +141,8 @@
   Link->respond(200, "{}");
 }
 
-void FakeMinion::Impl::run(const net::HttpRequest &Request, const FakeConnectionPtr &Link) {
+void FakeMinion::Impl::run(const net::HttpRequest &Request,
+                           const FakeConnectionPtr &Link) {
   ++m_Counts.m_Started;
   ++m_Counts.m_Busy;
   m_Counts.m_MostBusy = std::max(m_Counts.m_MostBusy, m_Counts.m_Busy);
@@ -141,11 +152,15 @@
   if (chance(m_Options.m_HangRate))
     return Link->onPeerClosed([Self = shared_from_this()] { Self->release(); });
   runAfter(m_Io, serviceTime(),
-           [Self = shared_from_this(), Link, Body = bodyOf(Request)] { Self->finish(Body, Link); });
+           [Self = shared_from_this(), Link, Body = bodyOf(Request)] {
+             Self->finish(Body, Link);
+           });
 }
 
-void FakeMinion::Impl::finish(const std::string &Body, const FakeConnectionPtr &Link) {
-  // The slot is free before the response leaves, so that the next request never meets a busy slot.
+void FakeMinion::Impl::finish(const std::string &Body,
+                              const FakeConnectionPtr &Link) {
+  // The slot is free before the response leaves, so that the next request never
+  // meets a busy slot.
   release();
   if (chance(m_Options.m_CloseRate))
     return Link->close();
@@ -156,14 +171,18 @@
   Link->respond(200, Body);
 }
 
-FakeMinion::FakeMinion(std::shared_ptr<Impl> State) : m_Impl(std::move(State)) {}
+FakeMinion::FakeMinion(std::shared_ptr<Impl> State)
+    : m_Impl(std::move(State)) {}
 FakeMinion::~FakeMinion() { m_Impl->m_Server.reset(); }
 
-absl::StatusOr<std::unique_ptr<FakeMinion>> FakeMinion::create(boost::asio::io_context &Io, FakeMinionOptions Options) {
+absl::StatusOr<std::unique_ptr<FakeMinion>>
+FakeMinion::create(boost::asio::io_context &Io, FakeMinionOptions Options) {
   const net::Endpoint Listen = Options.m_Listen;
   auto State = std::make_shared<Impl>(Io, std::move(Options));
-  auto Server =
-      FakeHttpServer::create(Io, Listen, [Weak = std::weak_ptr<Impl>(State)](const auto &Request, const auto &Link) {
+  auto Server = FakeHttpServer::create(
+      Io, Listen,
+      [Weak = std::weak_ptr<Impl>(State)](const auto &Request,
+                                          const auto &Link) {
         if (const std::shared_ptr<Impl> Self = Weak.lock())
           Self->handle(Request, Link);
       });
@@ -173,7 +192,9 @@
   return std::unique_ptr<FakeMinion>(new FakeMinion(std::move(State)));
 }
 
-net::Endpoint FakeMinion::endpoint() const { return m_Impl->m_Server->endpoint(); }
+net::Endpoint FakeMinion::endpoint() const {
+  return m_Impl->m_Server->endpoint();
+}
 const FakeMinionCounts &FakeMinion::counts() const { return m_Impl->m_Counts; }
 FakeMinionOptions &FakeMinion::behaviour() { return m_Impl->m_Options; }
 FakeHttpServer &FakeMinion::server() { return *m_Impl->m_Server; }
--- a/fakes/FakeMinion.h
+++ b/fakes/FakeMinion.h
@@ -22,10 +22,11 @@
   ServiceTime m_Distribution = ServiceTime::Fixed;
   int64_t m_ResponseBytes = 0; ///< Padding added to each response.
   double m_FailRate = 0;       ///< Answers 500.
-  double m_HangRate = 0;       ///< Never answers; the slot is free once the caller closes.
-  double m_TruncateRate = 0;   ///< Closes in the middle of the response.
-  double m_CloseRate = 0;      ///< Runs the request and closes without a response.
-  double m_LateRate = 0;       ///< Takes m_LateTime longer.
+  double m_HangRate =
+      0; ///< Never answers; the slot is free once the caller closes.
+  double m_TruncateRate = 0; ///< Closes in the middle of the response.
+  double m_CloseRate = 0; ///< Runs the request and closes without a response.
+  double m_LateRate = 0;  ///< Takes m_LateTime longer.
   Duration m_LateTime = std::chrono::seconds(2);
   std::function<double()> m_Random; ///< Numbers in [0, 1). Required.
 };
@@ -41,13 +42,16 @@
   std::map<std::string, int64_t> m_Keys;     ///< Runs by Idempotency-Key.
 };
 
-/// Simulates a back end with a fixed number of slots that can't tell a repeated request from a new one.
+/// Simulates a back end with a fixed number of slots that can't tell a repeated
+/// request from a new one.
 ///
-/// Any method and path runs a request. `GET /counts` shows the counts as JSON with every id that ran more than once;
-/// `GET /counts?full` lists all ids. `POST /faults` changes rates and times by the names of the flags.
+/// Any method and path runs a request. `GET /counts` shows the counts as JSON
+/// with every id that ran more than once; `GET /counts?full` lists all ids.
+/// `POST /faults` changes rates and times by the names of the flags.
 class FakeMinion {
 public:
-  static absl::StatusOr<std::unique_ptr<FakeMinion>> create(boost::asio::io_context &Io, FakeMinionOptions Options);
+  static absl::StatusOr<std::unique_ptr<FakeMinion>>
+  create(boost::asio::io_context &Io, FakeMinionOptions Options);
   ~FakeMinion();
   net::Endpoint endpoint() const;
   const FakeMinionCounts &counts() const;
--- a/fakes/FakeWorker.cpp
+++ b/fakes/FakeWorker.cpp
@@ -29,7 +29,8 @@
 };
 
 struct Task {
-  int64_t m_Run = 0; ///< Number of this run; timers of earlier runs are ignored.
+  int64_t m_Run =
+      0; ///< Number of this run; timers of earlier runs are ignored.
   int64_t m_Accelerators = 0;
   int64_t m_Cores = 0;
   SteadyTime m_StartedAt;
@@ -39,15 +40,18 @@
 };
 
 Key keyOf(const json::object &Body) {
-  return {Body.at("job").to_number<int64_t>(), Body.at("task").to_number<int64_t>(),
+  return {Body.at("job").to_number<int64_t>(),
+          Body.at("task").to_number<int64_t>(),
           Body.at("token").to_number<int64_t>()};
 }
 
 json::object keyObject(const Key &Which) {
-  return {{"job", Which.m_Job}, {"task", Which.m_Task}, {"token", Which.m_Token}};
+  return {
+      {"job", Which.m_Job}, {"task", Which.m_Task}, {"token", Which.m_Token}};
 }
 
-int64_t numberOr(const json::object &Body, std::string_view Name, int64_t Default) {
+int64_t numberOr(const json::object &Body, std::string_view Name,
+                 int64_t Default) {
   const json::value *Value = Body.if_contains(Name);
   return Value && Value->is_number() ? Value->to_number<int64_t>() : Default;
 }
@@ -64,16 +68,20 @@
 } // namespace
 
 struct FakeWorker::Impl : std::enable_shared_from_this<FakeWorker::Impl> {
-  Impl(boost::asio::io_context &Io, FakeWorkerOptions Options) : m_Io(Io), m_Options(std::move(Options)) {}
+  Impl(boost::asio::io_context &Io, FakeWorkerOptions Options)
+      : m_Io(Io), m_Options(std::move(Options)) {}
 
   void handle(const net::HttpRequest &Request, const FakeConnectionPtr &Link);
-  void command(const std::string &Name, const json::object &Body, const FakeConnectionPtr &Link);
-  void start(const Key &Which, const json::object &Body, const FakeConnectionPtr &Link);
+  void command(const std::string &Name, const json::object &Body,
+               const FakeConnectionPtr &Link);
+  void start(const Key &Which, const json::object &Body,
+             const FakeConnectionPtr &Link);
   void launch(const Key &Which, const json::object &Body);
   void watchLease(const Key &Which, int64_t Run);
   void checkpoint(const Key &Which, const FakeConnectionPtr &Link);
   void stop(const Key &Which, const FakeConnectionPtr &Link);
-  void endTask(const Key &Which, int64_t Run, std::string_view Kind, std::string_view Detail);
+  void endTask(const Key &Which, int64_t Run, std::string_view Kind,
+               std::string_view Detail);
   void report(const Key &Which, std::string_view Kind, std::string_view Detail);
   std::string status(int64_t After) const;
   std::string describe() const;
@@ -89,25 +97,31 @@
   std::unique_ptr<FakeHttpServer> m_Server;
 };
 
-void FakeWorker::Impl::handle(const net::HttpRequest &Request, const FakeConnectionPtr &Link) {
+void FakeWorker::Impl::handle(const net::HttpRequest &Request,
+                              const FakeConnectionPtr &Link) {
   if (Request.m_Path == "/counts")
     return Link->respond(200, describe());
   if (Request.m_Path == "/tasks" && Request.m_Method == "GET") {
     const size_t Mark = Request.m_Query.find("after=");
-    const std::string After = Mark == std::string::npos ? "0" : Request.m_Query.substr(Mark + 6);
+    const std::string After =
+        Mark == std::string::npos ? "0" : Request.m_Query.substr(Mark + 6);
     return Link->respond(200, status(std::atoll(After.c_str())));
   }
   const std::string Prefix = "/tasks/";
-  if (Request.m_Method != "POST" || Request.m_Path.compare(0, Prefix.size(), Prefix) != 0)
+  if (Request.m_Method != "POST" ||
+      Request.m_Path.compare(0, Prefix.size(), Prefix) != 0)
     return Link->respond(404, R"({"error":"unknown path"})");
   try {
-    command(Request.m_Path.substr(Prefix.size()), json::parse(Request.m_Body).as_object(), Link);
+    command(Request.m_Path.substr(Prefix.size()),
+            json::parse(Request.m_Body).as_object(), Link);
   } catch (const std::exception &Error) {
     Link->respond(400, json::serialize(json::object{{"error", Error.what()}}));
   }
 }
 
-void FakeWorker::Impl::command(const std::string &Name, const json::object &Body, const FakeConnectionPtr &Link) {
+void FakeWorker::Impl::command(const std::string &Name,
+                               const json::object &Body,
+                               const FakeConnectionPtr &Link) {
   const Key Which = keyOf(Body);
   if (Name == "start")
     return start(Which, Body, Link);
@@ -124,8 +138,10 @@
   }
   if (Name != "renew")
     return Link->respond(404, R"({"error":"unknown command"})");
-  const auto Lease = std::chrono::milliseconds(Body.at("lease_ms").to_number<int64_t>());
-  Found->second.m_LeaseEnd = std::max(Found->second.m_LeaseEnd, std::chrono::steady_clock::now() + Lease);
+  const auto Lease =
+      std::chrono::milliseconds(Body.at("lease_ms").to_number<int64_t>());
+  Found->second.m_LeaseEnd = std::max(Found->second.m_LeaseEnd,
+                                      std::chrono::steady_clock::now() + Lease);
   Link->respond(200, "{}");
 }
 
@@ -139,7 +155,8 @@
   return Accelerators <= m_Options.m_Accelerators && Cores <= m_Options.m_Cores;
 }
 
-void FakeWorker::Impl::start(const Key &Which, const json::object &Body, const FakeConnectionPtr &Link) {
+void FakeWorker::Impl::start(const Key &Which, const json::object &Body,
+                             const FakeConnectionPtr &Link) {
   ++m_Counts.m_StartCalls;
   if (m_Options.m_FailStarts)
     return Link->respond(500, R"({"error":"simulated start failure"})");
@@ -152,22 +169,31 @@
 }
 
 void FakeWorker::Impl::launch(const Key &Which, const json::object &Body) {
-  ++m_Counts.m_Starts[absl::StrCat(Which.m_Job, "/", Which.m_Task, "/", Which.m_Token)];
+  ++m_Counts.m_Starts[absl::StrCat(Which.m_Job, "/", Which.m_Task, "/",
+                                   Which.m_Token)];
   const json::object Payload = payloadOf(Body);
   Task &Started = m_Tasks[Which];
   Started.m_Run = ++m_LastRun;
   Started.m_Accelerators = numberOr(Body, "accelerators", 0);
   Started.m_Cores = numberOr(Body, "cores", 0);
   Started.m_StartedAt = std::chrono::steady_clock::now();
-  Started.m_LeaseEnd = Started.m_StartedAt + std::chrono::milliseconds(numberOr(Body, "lease_ms", 0));
-  if (const json::value *Exit = Payload.if_contains("exit"); Exit && Exit->is_string())
-    Started.m_Exit = json::value_to<std::string>(*Exit) == "failed" ? "failed" : "succeeded";
+  Started.m_LeaseEnd = Started.m_StartedAt +
+                       std::chrono::milliseconds(numberOr(Body, "lease_ms", 0));
+  if (const json::value *Exit = Payload.if_contains("exit");
+      Exit && Exit->is_string())
+    Started.m_Exit =
+        json::value_to<std::string>(*Exit) == "failed" ? "failed" : "succeeded";
   m_Counts.m_Running = static_cast<int64_t>(m_Tasks.size());
-  const int64_t DefaultMs = std::chrono::duration_cast<std::chrono::milliseconds>(m_Options.m_RunTime).count();
-  const auto RunTime = std::chrono::milliseconds(numberOr(Payload, "run_ms", DefaultMs));
-  runAfter(m_Io, RunTime, [Self = shared_from_this(), Which, Run = Started.m_Run, Exit = Started.m_Exit] {
-    Self->endTask(Which, Run, Exit, "run time over");
-  });
+  const int64_t DefaultMs =
+      std::chrono::duration_cast<std::chrono::milliseconds>(m_Options.m_RunTime)
+          .count();
+  const auto RunTime =
+      std::chrono::milliseconds(numberOr(Payload, "run_ms", DefaultMs));
+  runAfter(m_Io, RunTime,
+           [Self = shared_from_this(), Which, Run = Started.m_Run,
+            Exit = Started.m_Exit] {
+             Self->endTask(Which, Run, Exit, "run time over");
+           });
   watchLease(Which, Started.m_Run);
 }
 
@@ -175,21 +201,25 @@
   const auto Found = m_Tasks.find(Which);
   if (Found == m_Tasks.end() || Found->second.m_Run != Run)
     return;
-  const auto Left =
-      std::chrono::ceil<std::chrono::microseconds>(Found->second.m_LeaseEnd - std::chrono::steady_clock::now());
+  const auto Left = std::chrono::ceil<std::chrono::microseconds>(
+      Found->second.m_LeaseEnd - std::chrono::steady_clock::now());
   if (Left.count() <= 0) {
     ++m_Counts.m_LeaseStops;
     return endTask(Which, Run, "stopped", "lease ran out on the worker");
   }
-  runAfter(m_Io, Left, [Self = shared_from_this(), Which, Run] { Self->watchLease(Which, Run); });
+  runAfter(m_Io, Left, [Self = shared_from_this(), Which, Run] {
+    Self->watchLease(Which, Run);
+  });
 }
 
-void FakeWorker::Impl::checkpoint(const Key &Which, const FakeConnectionPtr &Link) {
+void FakeWorker::Impl::checkpoint(const Key &Which,
+                                  const FakeConnectionPtr &Link) {
   Link->respond(200, "{}");
-  runAfter(m_Io, m_Options.m_CheckpointTime, [Self = shared_from_this(), Which] {
-    if (Self->m_Tasks.contains(Which))
-      Self->report(Which, "checkpointed", "");
-  });
+  runAfter(m_Io, m_Options.m_CheckpointTime,
+           [Self = shared_from_this(), Which] {
+             if (Self->m_Tasks.contains(Which))
+               Self->report(Which, "checkpointed", "");
+           });
 }
 
 void FakeWorker::Impl::stop(const Key &Which, const FakeConnectionPtr &Link) {
@@ -197,11 +227,13 @@
   if (m_Options.m_IgnoreStop)
     return;
   const int64_t Run = m_Tasks.at(Which).m_Run;
-  runAfter(m_Io, m_Options.m_StopTime,
-           [Self = shared_from_this(), Which, Run] { Self->endTask(Which, Run, "stopped", "stopped on request"); });
+  runAfter(m_Io, m_Options.m_StopTime, [Self = shared_from_this(), Which, Run] {
+    Self->endTask(Which, Run, "stopped", "stopped on request");
+  });
 }
 
-void FakeWorker::Impl::endTask(const Key &Which, int64_t Run, std::string_view Kind, std::string_view Detail) {
+void FakeWorker::Impl::endTask(const Key &Which, int64_t Run,
+                               std::string_view Kind, std::string_view Detail) {
   const auto Found = m_Tasks.find(Which);
   if (Found == m_Tasks.end() || Found->second.m_Run != Run)
     return;
@@ -210,7 +242,8 @@
   report(Which, Kind, Detail);
 }
 
-void FakeWorker::Impl::report(const Key &Which, std::string_view Kind, std::string_view Detail) {
+void FakeWorker::Impl::report(const Key &Which, std::string_view Kind,
+                              std::string_view Detail) {
   json::object Event = keyObject(Which);
   Event["sequence"] = ++m_LastEvent;
   Event["kind"] = json::string(Kind);
@@ -226,7 +259,8 @@
     if (Event.at("sequence").to_number<int64_t>() > After)
       Events.push_back(Event);
   json::array Running;
-  const SteadyTime UsageAt = std::chrono::steady_clock::now() - m_Options.m_UsageLag;
+  const SteadyTime UsageAt =
+      std::chrono::steady_clock::now() - m_Options.m_UsageLag;
   for (const auto &[Which, Each] : m_Tasks) {
     json::object Item = keyObject(Which);
     const int64_t Used = Each.m_Throttled ? Each.m_Cores / 2 : Each.m_Cores;
@@ -253,14 +287,18 @@
   return json::serialize(Out);
 }
 
-FakeWorker::FakeWorker(std::shared_ptr<Impl> State) : m_Impl(std::move(State)) {}
+FakeWorker::FakeWorker(std::shared_ptr<Impl> State)
+    : m_Impl(std::move(State)) {}
 FakeWorker::~FakeWorker() { m_Impl->m_Server.reset(); }
 
-absl::StatusOr<std::unique_ptr<FakeWorker>> FakeWorker::create(boost::asio::io_context &Io, FakeWorkerOptions Options) {
+absl::StatusOr<std::unique_ptr<FakeWorker>>
+FakeWorker::create(boost::asio::io_context &Io, FakeWorkerOptions Options) {
   const net::Endpoint Listen = Options.m_Listen;
   auto State = std::make_shared<Impl>(Io, std::move(Options));
-  auto Server =
-      FakeHttpServer::create(Io, Listen, [Weak = std::weak_ptr<Impl>(State)](const auto &Request, const auto &Link) {
+  auto Server = FakeHttpServer::create(
+      Io, Listen,
+      [Weak = std::weak_ptr<Impl>(State)](const auto &Request,
+                                          const auto &Link) {
         if (const std::shared_ptr<Impl> Self = Weak.lock())
           Self->handle(Request, Link);
       });
@@ -270,7 +308,9 @@
   return std::unique_ptr<FakeWorker>(new FakeWorker(std::move(State)));
 }
 
-net::Endpoint FakeWorker::endpoint() const { return m_Impl->m_Server->endpoint(); }
+net::Endpoint FakeWorker::endpoint() const {
+  return m_Impl->m_Server->endpoint();
+}
 const FakeWorkerCounts &FakeWorker::counts() const { return m_Impl->m_Counts; }
 FakeWorkerOptions &FakeWorker::behaviour() { return m_Impl->m_Options; }
 
--- a/fakes/FakeWorkerMain.cpp
+++ b/fakes/FakeWorkerMain.cpp
@@ -12,22 +12,33 @@
 
 using namespace anvil;
 
-void declare(daemon::Settings &Reader, fakes::FakeWorkerOptions &Options, int64_t &Targets) {
+void declare(daemon::Settings &Reader, fakes::FakeWorkerOptions &Options,
+             int64_t &Targets) {
   const Duration Zero(0);
   const Duration Hour = std::chrono::hours(1);
-  Reader.addEndpoint("listen", "127.0.0.1:0", "First address; further targets take the ports after it.",
+  Reader.addEndpoint("listen", "127.0.0.1:0",
+                     "First address; further targets take the ports after it.",
                      Options.m_Listen);
-  Reader.addInteger("targets", 1, 1, 256, "Simulated workers in this process.", Targets);
-  Reader.addInteger("accelerators", 8, 0, 1024, "Accelerators of each worker.", Options.m_Accelerators);
-  Reader.addInteger("cores", 64, 0, 65536, "Cores of each worker.", Options.m_Cores);
-  Reader.addDuration("run-time", "10s", Zero, std::chrono::hours(24), "Run time of tasks without run_ms.",
-                     Options.m_RunTime);
-  Reader.addDuration("checkpoint-time", "100ms", Zero, Hour, "Time to write a checkpoint.", Options.m_CheckpointTime);
-  Reader.addDuration("stop-time", "20ms", Zero, Hour, "Time to stop a task.", Options.m_StopTime);
-  Reader.addDuration("start-time", "0s", Zero, Hour, "Time before a start is answered.", Options.m_StartTime);
-  Reader.addDuration("usage-lag", "5s", Zero, Hour, "Age of the reported usage.", Options.m_UsageLag);
+  Reader.addInteger("targets", 1, 1, 256, "Simulated workers in this process.",
+                    Targets);
+  Reader.addInteger("accelerators", 8, 0, 1024, "Accelerators of each worker.",
+                    Options.m_Accelerators);
+  Reader.addInteger("cores", 64, 0, 65536, "Cores of each worker.",
+                    Options.m_Cores);
+  Reader.addDuration("run-time", "10s", Zero, std::chrono::hours(24),
+                     "Run time of tasks without run_ms.", Options.m_RunTime);
+  Reader.addDuration("checkpoint-time", "100ms", Zero, Hour,
+                     "Time to write a checkpoint.", Options.m_CheckpointTime);
+  Reader.addDuration("stop-time", "20ms", Zero, Hour, "Time to stop a task.",
+                     Options.m_StopTime);
+  Reader.addDuration("start-time", "0s", Zero, Hour,
+                     "Time before a start is answered.", Options.m_StartTime);
+  Reader.addDuration("usage-lag", "5s", Zero, Hour,
+                     "Age of the reported usage.", Options.m_UsageLag);
   Reader.addSwitch("fail-starts", "Refuse every start.", Options.m_FailStarts);
-  Reader.addSwitch("ignore-stop", "Let tasks end only with their lease or run time.", Options.m_IgnoreStop);
+  Reader.addSwitch("ignore-stop",
+                   "Let tasks end only with their lease or run time.",
+                   Options.m_IgnoreStop);
 }
 
 } // namespace
@@ -35,10 +46,14 @@
 int main(int Argc, char **Argv) {
   fakes::FakeWorkerOptions Options;
   int64_t Targets = 1;
-  daemon::Settings Reader("anvil-fake-worker", "Simulates workers for tests, the demo and measurements.");
+  daemon::Settings Reader(
+      "anvil-fake-worker",
+      "Simulates workers for tests, the demo and measurements.");
   declare(Reader, Options, Targets);
-  const auto Mode = Reader.read({Argv + 1, Argv + Argc}, daemon::environmentVariable);
-  if (const std::optional<int> Code = daemon::finishStart(Reader, Mode, "anvil-fake-worker"))
+  const auto Mode =
+      Reader.read({Argv + 1, Argv + Argc}, daemon::environmentVariable);
+  if (const std::optional<int> Code =
+          daemon::finishStart(Reader, Mode, "anvil-fake-worker"))
     return *Code;
 
   Options.m_Instance = daemon::wallClockMicros();
@@ -53,7 +68,8 @@
       std::cerr << Worker.status().message() << "\n";
       return 1;
     }
-    std::cout << "listening worker-" << Index << " " << (*Worker)->endpoint().str() << std::endl;
+    std::cout << "listening worker-" << Index << " "
+              << (*Worker)->endpoint().str() << std::endl;
     Workers.push_back(std::move(*Worker));
   }
   daemon::TerminationSignals Signals(
--- a/include/anvil/agent/AgentGate.h
+++ b/include/anvil/agent/AgentGate.h
@@ -9,15 +9,19 @@
 
 namespace anvil::agent {
 
-/// Last check before anything starts on a target: permits, slots, queue, claim tokens and task leases.
+/// Last check before anything starts on a target: permits, slots, queue, claim
+/// tokens and task leases.
 ///
-/// Usage: create one for each process lifetime, pass each event with the current time to step(), and carry out the
-/// returned actions in order. A Tick every 50 ms drives heartbeats, deadlines and leases. It reads no clock and does
-/// no I/O.
+/// Usage: create one for each process lifetime, pass each event with the
+/// current time to step(), and carry out the returned actions in order. A Tick
+/// every 50 ms drives heartbeats, deadlines and leases. It reads no clock and
+/// does no I/O.
 class AgentGate {
 public:
-  /// \returns kInvalidArgument if the random hook is missing, the incarnation is 0 or a bound is not positive.
-  static absl::StatusOr<std::unique_ptr<AgentGate>> create(AgentOptions Options);
+  /// \returns kInvalidArgument if the random hook is missing, the incarnation
+  /// is 0 or a bound is not positive.
+  static absl::StatusOr<std::unique_ptr<AgentGate>>
+  create(AgentOptions Options);
   ~AgentGate();
 
   /// Applies one event at \p Now, which never decreases.
--- a/include/anvil/agent/AgentTypes.h
+++ b/include/anvil/agent/AgentTypes.h
@@ -37,37 +37,51 @@
 struct AgentOptions {
   wire::TargetInfo m_Target;
   int32_t m_Slots = 8;
-  size_t m_QueueLimit = 64;             ///< Queued requests of one class.
-  size_t m_MaxClasses = 32;             ///< Classes with queued requests at one time.
-  size_t m_MaxQueuedBytes = 8u << 20;   ///< Request bodies in all queues.
-  size_t m_MaxWaiters = 16;             ///< Repeats that wait for one running claim.
-  size_t m_MaxUnackedClaims = 1024;     ///< Outcomes that control has not acknowledged.
-  size_t m_MaxClaimBytes = 4u << 20;    ///< Stored response bodies of all claims.
-  size_t m_MaxStoredBody = 64u << 10;   ///< A larger response is not stored; its claim becomes unknown.
-  size_t m_MaxTokens = 16384;           ///< Tokens remembered after their response was dropped.
-  size_t m_MaxReportedOutcomes = 1024;  ///< Outcomes in one heartbeat.
-  size_t m_HurryOutcomes = 64;          ///< Unreported outcomes that make a heartbeat due early.
+  size_t m_QueueLimit = 64; ///< Queued requests of one class.
+  size_t m_MaxClasses = 32; ///< Classes with queued requests at one time.
+  size_t m_MaxQueuedBytes = 8u << 20; ///< Request bodies in all queues.
+  size_t m_MaxWaiters = 16; ///< Repeats that wait for one running claim.
+  size_t m_MaxUnackedClaims =
+      1024; ///< Outcomes that control has not acknowledged.
+  size_t m_MaxClaimBytes = 4u << 20; ///< Stored response bodies of all claims.
+  size_t m_MaxStoredBody =
+      64u
+      << 10; ///< A larger response is not stored; its claim becomes unknown.
+  size_t m_MaxTokens =
+      16384; ///< Tokens remembered after their response was dropped.
+  size_t m_MaxReportedOutcomes = 1024; ///< Outcomes in one heartbeat.
+  size_t m_HurryOutcomes =
+      64; ///< Unreported outcomes that make a heartbeat due early.
   size_t m_MaxReportedBytes = 1u << 20; ///< Response bodies in one heartbeat.
-  size_t m_MaxRemembered = 16384;       ///< Start tokens of tasks remembered after their end.
-  Duration m_MaxPermit = std::chrono::milliseconds(1500); ///< Longer permits are cut to this.
+  size_t m_MaxRemembered =
+      16384; ///< Start tokens of tasks remembered after their end.
+  Duration m_MaxPermit =
+      std::chrono::milliseconds(1500); ///< Longer permits are cut to this.
   Duration m_HeartbeatPeriod = std::chrono::seconds(1);
   Duration m_RetryPeriod = std::chrono::milliseconds(200);
   Duration m_ReconnectSpread = std::chrono::seconds(2);
-  /// Time after which an accepted reply without a permit (a withdrawn zone) no longer causes quick retries.
+  /// Time after which an accepted reply without a permit (a withdrawn zone) no
+  /// longer causes quick retries.
   Duration m_QuickRetryLimit = std::chrono::seconds(3);
-  /// An exchange may outlive its caller's deadline by this time and keeps its slot meanwhile.
+  /// An exchange may outlive its caller's deadline by this time and keeps its
+  /// slot meanwhile.
   Duration m_HungSlotLimit = std::chrono::seconds(60);
   Duration m_StopRetryPeriod = std::chrono::seconds(1);
   Duration m_DrainLimit = std::chrono::seconds(600);
-  /// Longest wait for control to confirm the departure of an agent that has nothing left to report.
+  /// Longest wait for control to confirm the departure of an agent that has
+  /// nothing left to report.
   Duration m_FarewellLimit = std::chrono::seconds(5);
-  /// Time after the start before the first probe of the minion, which may still work for an earlier incarnation.
+  /// Time after the start before the first probe of the minion, which may still
+  /// work for an earlier incarnation.
   Duration m_SettleTime = std::chrono::seconds(2);
   int m_ConnectFailuresToOpen = 3;
-  Duration m_ProbePeriod = std::chrono::seconds(5);           ///< Between probes of a reachable minion.
-  Duration m_MinReopenDelay = std::chrono::milliseconds(500); ///< Before the first probe of an unreachable minion.
+  Duration m_ProbePeriod =
+      std::chrono::seconds(5); ///< Between probes of a reachable minion.
+  Duration m_MinReopenDelay = std::chrono::milliseconds(
+      500); ///< Before the first probe of an unreachable minion.
   Duration m_MaxReopenDelay = std::chrono::seconds(8);
-  /// Returns a number in [0, 1); spreads heartbeats and reconnections. Required.
+  /// Returns a number in [0, 1); spreads heartbeats and reconnections.
+  /// Required.
   std::function<double()> m_Random;
 };
 
@@ -90,7 +104,8 @@
 /// The exchange ended without a whole response.
 struct MinionFailed {
   ExchangeId m_Exchange;
-  bool m_AnyByteSent = true;    ///< False only if it is certain that no byte of the request was written.
+  bool m_AnyByteSent = true;    ///< False only if it is certain that no byte of
+                                ///< the request was written.
   bool m_ConnectFailed = false; ///< No connection could be opened.
   std::string m_Reason;
 };
@@ -100,7 +115,8 @@
   bool m_Reachable = false;
 };
 
-/// The shell is about to hand a heartbeat to the network. Permits and leases count from this event.
+/// The shell is about to hand a heartbeat to the network. Permits and leases
+/// count from this event.
 struct HeartbeatSent {
   int64_t m_Sequence = 0;
 };
@@ -155,8 +171,10 @@
 /// The operator asked the agent to leave now (second SIGTERM).
 struct CutOff {};
 
-using Event = std::variant<ExecuteArrived, MinionAnswered, MinionFailed, MinionProbed, HeartbeatSent, HeartbeatReplied,
-                           HeartbeatFailed, TaskEvent, WorkerInventory, Tick, DrainBegin, CutOff>;
+using Event =
+    std::variant<ExecuteArrived, MinionAnswered, MinionFailed, MinionProbed,
+                 HeartbeatSent, HeartbeatReplied, HeartbeatFailed, TaskEvent,
+                 WorkerInventory, Tick, DrainBegin, CutOff>;
 
 // ---- actions ----
 
@@ -222,8 +240,10 @@
 
 /// Exit the process. The departure is graceful if nothing was cut off.
 struct Leave {
-  std::vector<std::string> m_CutOff; ///< One description for each request or task in progress.
-  size_t m_UnreportedOutcomes = 0;   ///< Claim outcomes that control has not acknowledged.
+  std::vector<std::string>
+      m_CutOff; ///< One description for each request or task in progress.
+  size_t m_UnreportedOutcomes =
+      0; ///< Claim outcomes that control has not acknowledged.
 };
 
 /// Write one log line.
@@ -231,8 +251,10 @@
   std::string m_Text;
 };
 
-using Action = std::variant<ReplyToCall, SendToMinion, AbandonExchange, ProbeMinion, SendHeartbeat, SwitchControl,
-                            StartTask, RenewTask, CheckpointTask, ThrottleTask, StopTask, Leave, LogNote>;
+using Action =
+    std::variant<ReplyToCall, SendToMinion, AbandonExchange, ProbeMinion,
+                 SendHeartbeat, SwitchControl, StartTask, RenewTask,
+                 CheckpointTask, ThrottleTask, StopTask, Leave, LogNote>;
 using ActionList = std::vector<Action>;
 
 } // namespace anvil::agent
--- a/include/anvil/agent/MinionPort.h
+++ b/include/anvil/agent/MinionPort.h
@@ -11,7 +11,8 @@
 /// How one exchange with the minion ended.
 struct MinionResult {
   bool m_Whole = false;         ///< The whole response was received.
-  bool m_AnyByteSent = true;    ///< False only if it is certain that no byte of the request was written.
+  bool m_AnyByteSent = true;    ///< False only if it is certain that no byte of
+                                ///< the request was written.
   bool m_ConnectFailed = false; ///< No connection could be opened.
   std::string m_Reason;         ///< Why the response is not whole.
   int32_t m_HttpStatus = 0;
@@ -26,7 +27,8 @@
 
   virtual ~MinionPort() = default;
   /// Sends \p Request and reports the result once, never inside this call.
-  virtual void send(ExchangeId Exchange, const wire::ExecuteRequest &Request, Done OnDone) = 0;
+  virtual void send(ExchangeId Exchange, const wire::ExecuteRequest &Request,
+                    Done OnDone) = 0;
   /// Closes the connection of an exchange; its result is still reported.
   virtual void abandon(ExchangeId Exchange) = 0;
   /// Reports whether the minion accepts a connection.
--- a/include/anvil/agent/WorkerPort.h
+++ b/include/anvil/agent/WorkerPort.h
@@ -7,9 +7,11 @@
 
 namespace anvil::agent {
 
-/// Commands the worker beside this agent. What happens to tasks comes back through the hooks.
+/// Commands the worker beside this agent. What happens to tasks comes back
+/// through the hooks.
 ///
-/// Every command may be repeated; the worker starts a task key once and ignores commands for keys it does not run.
+/// Every command may be repeated; the worker starts a task key once and ignores
+/// commands for keys it does not run.
 class WorkerPort {
 public:
   /// Receive what the worker reports, on the thread of the port.
--- a/include/anvil/agentd/AgentProcess.h
+++ b/include/anvil/agentd/AgentProcess.h
@@ -21,7 +21,8 @@
 /// Settings of one agent process.
 struct AgentSettings {
   net::Endpoint m_Listen;
-  net::Endpoint m_Advertise; ///< Address that entries use; the port is 0 if it is the listener's own.
+  net::Endpoint m_Advertise; ///< Address that entries use; the port is 0 if it
+                             ///< is the listener's own.
   std::vector<net::Endpoint> m_Control;
   wire::TargetInfo m_Target; ///< Without address and incarnation.
   MinionPortOptions m_Minion;
@@ -36,30 +37,37 @@
   Duration m_SettleTime = std::chrono::seconds(2);
 };
 
-/// Declares all settings of an agent in \p Reader, with \p Values as destinations.
+/// Declares all settings of an agent in \p Reader, with \p Values as
+/// destinations.
 void declareAgentSettings(daemon::Settings &Reader, AgentSettings &Values);
 
 /// Time and randomness of an agent process.
 struct AgentHooks {
   std::function<TimePoint()> m_Now;
   std::function<double()> m_Random;
-  std::function<int64_t()> m_WallMicros; ///< Microseconds since the Unix epoch, for the time line.
+  std::function<int64_t()>
+      m_WallMicros; ///< Microseconds since the Unix epoch, for the time line.
   int64_t m_Incarnation = 0;
-  /// Called once when the agent has left; the argument is false if work was cut off or an outcome not reported.
+  /// Called once when the agent has left; the argument is false if work was cut
+  /// off or an outcome not reported.
   std::function<void(bool)> m_OnLeft;
 };
 
-/// Returns an incarnation number from the wall clock and random bits; later starts get larger numbers.
+/// Returns an incarnation number from the wall clock and random bits; later
+/// starts get larger numbers.
 int64_t makeIncarnation(int64_t WallClockMicros, double Random);
 
-/// Connects an AgentGate with the EXECUTE listener, the control replicas and the target.
+/// Connects an AgentGate with the EXECUTE listener, the control replicas and
+/// the target.
 ///
-/// Usage: create it, run the io_context, call beginDrain() and cutOff() on signals.
+/// Usage: create it, run the io_context, call beginDrain() and cutOff() on
+/// signals.
 class AgentProcess {
 public:
-  /// \returns kUnavailable if the listener can't be bound, kInvalidArgument for settings the gate refuses.
-  static absl::StatusOr<std::unique_ptr<AgentProcess>> create(boost::asio::io_context &Io, AgentSettings Settings,
-                                                              AgentHooks Hooks);
+  /// \returns kUnavailable if the listener can't be bound, kInvalidArgument for
+  /// settings the gate refuses.
+  static absl::StatusOr<std::unique_ptr<AgentProcess>>
+  create(boost::asio::io_context &Io, AgentSettings Settings, AgentHooks Hooks);
   ~AgentProcess();
 
   /// Announces leaving, refuses new work and finishes what is in progress.
--- a/include/anvil/base/Ids.h
+++ b/include/anvil/base/Ids.h
@@ -23,7 +23,8 @@
   const std::string &str() const { return m_Value; }
   bool empty() const { return m_Value.empty(); }
 
-  // clang-tidy 14 reports the code that the compiler generates for the defaulted operator.
+  // clang-tidy 14 reports the code that the compiler generates for the
+  // defaulted operator.
   // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   auto operator<=>(const NamedId &) const = default;
 
@@ -36,7 +37,10 @@
   std::string m_Value;
 };
 
-template <typename Tag> std::ostream &operator<<(std::ostream &Out, const NamedId<Tag> &Id) { return Out << Id.str(); }
+template <typename Tag>
+std::ostream &operator<<(std::ostream &Out, const NamedId<Tag> &Id) {
+  return Out << Id.str();
+}
 
 /// Number identifier whose type keeps identifiers of different things apart.
 template <typename Tag> class NumericId {
@@ -47,7 +51,8 @@
   /// Returns the number as it appears in messages and logs.
   constexpr int64_t value() const { return m_Value; }
 
-  // clang-tidy 14 reports the code that the compiler generates for the defaulted operator.
+  // clang-tidy 14 reports the code that the compiler generates for the
+  // defaulted operator.
   // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   auto operator<=>(const NumericId &) const = default;
 
@@ -60,7 +65,8 @@
   int64_t m_Value = 0;
 };
 
-template <typename Tag> std::ostream &operator<<(std::ostream &Out, const NumericId<Tag> &Id) {
+template <typename Tag>
+std::ostream &operator<<(std::ostream &Out, const NumericId<Tag> &Id) {
   return Out << Id.value();
 }
 
--- a/include/anvil/base/Port.h
+++ b/include/anvil/base/Port.h
@@ -7,11 +7,16 @@
 
 namespace anvil {
 
-/// Converts for Abseil, whose string_view in Debian's build is a type of its own.
-inline absl::string_view toAbsl(std::string_view Text) { return {Text.data(), Text.size()}; }
+/// Converts for Abseil, whose string_view in Debian's build is a type of its
+/// own.
+inline absl::string_view toAbsl(std::string_view Text) {
+  return {Text.data(), Text.size()};
+}
 
 /// Converts a view that Abseil returned.
-inline std::string_view fromAbsl(absl::string_view Text) { return {Text.data(), Text.size()}; }
+inline std::string_view fromAbsl(absl::string_view Text) {
+  return {Text.data(), Text.size()};
+}
 
 } // namespace anvil
 
--- a/include/anvil/base/Time.h
+++ b/include/anvil/base/Time.h
@@ -11,7 +11,8 @@
 
 /// Clock tag for instants that decision modules receive as arguments.
 ///
-/// It has no now(): only shells read clocks. The epoch is arbitrary, so two processes must not compare instants.
+/// It has no now(): only shells read clocks. The epoch is arbitrary, so two
+/// processes must not compare instants.
 struct MonotonicClock {
   using duration = Duration;
   using rep = duration::rep;
@@ -23,10 +24,14 @@
 using TimePoint = MonotonicClock::time_point;
 
 /// Returns the instant \p Micros microseconds after the epoch of the clock.
-constexpr TimePoint timePointFromMicros(int64_t Micros) { return TimePoint(Duration(Micros)); }
+constexpr TimePoint timePointFromMicros(int64_t Micros) {
+  return TimePoint(Duration(Micros));
+}
 
 /// Returns the microseconds between the epoch of the clock and \p Time.
-constexpr int64_t microsOf(TimePoint Time) { return Time.time_since_epoch().count(); }
+constexpr int64_t microsOf(TimePoint Time) {
+  return Time.time_since_epoch().count();
+}
 
 } // namespace anvil
 
--- a/include/anvil/config/Config.h
+++ b/include/anvil/config/Config.h
@@ -36,7 +36,8 @@
   std::string m_File;
   /// Counted from 1; 0 if the document was not read from text.
   int m_Line = 0;
-  /// Path such as `workspaces[1].guarantees[0].count`; empty for the whole document.
+  /// Path such as `workspaces[1].guarantees[0].count`; empty for the whole
+  /// document.
   std::string m_Field;
   Rule m_Rule = Rule::Syntax;
   std::string m_Message;
@@ -45,7 +46,8 @@
 /// Returns `file:line: field: message [rule]`.
 std::string toString(const Issue &Fault);
 
-/// A document and everything that is wrong with it; usable only if m_Issues is empty.
+/// A document and everything that is wrong with it; usable only if m_Issues is
+/// empty.
 struct ParseResult {
   Document m_Document;
   std::vector<Issue> m_Issues;
@@ -56,23 +58,28 @@
 
 /// Largest accepted document in bytes.
 ///
-/// Every replica parses the document while it applies the command, at about 0.4 us per byte, and an election starts
-/// after 500 ms of silence. 200 teams with one guarantee each need 37 KiB.
+/// Every replica parses the document while it applies the command, at about 0.4
+/// us per byte, and an election starts after 500 ms of silence. 200 teams with
+/// one guarantee each need 37 KiB.
 inline constexpr size_t MaxDocumentBytes = 256 << 10;
 
-/// Reads and validates \p Yaml and reports all faults in one pass, ordered by line; \p File names it in errors.
+/// Reads and validates \p Yaml and reports all faults in one pass, ordered by
+/// line; \p File names it in errors.
 ParseResult parseDocument(std::string_view Yaml, std::string_view File);
 
-/// Checks the rules that concern values: names, quotas, guarantees and capacity. The issues carry no file and no line.
+/// Checks the rules that concern values: names, quotas, guarantees and
+/// capacity. The issues carry no file and no line.
 std::vector<Issue> validate(const Document &Doc);
 
 /// Returns a text that is equal for documents of equal meaning.
 ///
-/// It is independent of comments, key order and the order of named entries. It leaves out `environment` and `version`,
-/// so that a promoted document keeps the digest that the trial environment ran.
+/// It is independent of comments, key order and the order of named entries. It
+/// leaves out `environment` and `version`, so that a promoted document keeps
+/// the digest that the trial environment ran.
 std::string canonicalForm(const Document &Doc);
 
-/// Returns the xxHash3 128-bit digest of canonicalForm() as 32 hexadecimal digits.
+/// Returns the xxHash3 128-bit digest of canonicalForm() as 32 hexadecimal
+/// digits.
 std::string contentDigest(const Document &Doc);
 
 /// Kind of a difference between two documents.
@@ -104,7 +111,8 @@
   std::string m_After;
 };
 
-/// Returns the differences from \p Old to \p New, ordered by section and name; empty exactly if the digests are equal.
+/// Returns the differences from \p Old to \p New, ordered by section and name;
+/// empty exactly if the digests are equal.
 std::vector<Change> diff(const Document &Old, const Document &New);
 
 /// Returns the sum of all declared workers.
--- a/include/anvil/config/Document.h
+++ b/include/anvil/config/Document.h
@@ -92,7 +92,8 @@
   int64_t m_LeaseMs = 7'200'000;
   /// Claims, open and closed.
   int64_t m_Claims = 100'000;
-  /// Bytes of all claims and their stored responses, in MiB; holds 100,000 claims with responses of about 300 bytes.
+  /// Bytes of all claims and their stored responses, in MiB; holds 100,000
+  /// claims with responses of about 300 bytes.
   int64_t m_ClaimMib = 96;
   /// Age from which closed claims may be removed.
   int64_t m_ClaimRetentionS = 86'400;
--- a/include/anvil/control/ControlServer.h
+++ b/include/anvil/control/ControlServer.h
@@ -23,15 +23,19 @@
 
 /// Serves agents, entries and other replicas on one endpoint.
 ///
-/// Usage: create(), then run the io_context. shutDown() hands leadership over and calls back when it may exit.
+/// Usage: create(), then run the io_context. shutDown() hands leadership over
+/// and calls back when it may exit.
 class ControlServer {
 public:
-  /// Opens the data folder, recovers the state and listens. \p OnFatal runs if the storage fails later.
-  static absl::StatusOr<std::unique_ptr<ControlServer>> create(boost::asio::io_context &Io, ControlOptions Options,
-                                                               std::function<void(const absl::Status &)> OnFatal);
+  /// Opens the data folder, recovers the state and listens. \p OnFatal runs if
+  /// the storage fails later.
+  static absl::StatusOr<std::unique_ptr<ControlServer>>
+  create(boost::asio::io_context &Io, ControlOptions Options,
+         std::function<void(const absl::Status &)> OnFatal);
   ~ControlServer();
 
-  /// Gives up leadership, waits until another replica leads or a second has passed, then runs \p Done.
+  /// Gives up leadership, waits until another replica leads or a second has
+  /// passed, then runs \p Done.
   void shutDown(std::function<void()> Done);
   /// Returns the bound endpoint.
   net::Endpoint endpoint() const;
--- a/include/anvil/ctl/Cli.h
+++ b/include/anvil/ctl/Cli.h
@@ -17,11 +17,13 @@
 /// Exit codes of anvilctl.
 enum class ExitCode {
   Ok = 0,
-  Refused = 1,     ///< The system refused the call or its input; nothing was changed.
-  Usage = 2,       ///< The command line is wrong.
+  Refused =
+      1,     ///< The system refused the call or its input; nothing was changed.
+  Usage = 2, ///< The command line is wrong.
   Unreachable = 3, ///< No entry answered; nothing was changed.
-  Unknown = 4,     ///< The call may or may not have taken effect; repeating it with the same id is safe.
-  Failed = 5       ///< The awaited job ended without success.
+  Unknown = 4, ///< The call may or may not have taken effect; repeating it with
+               ///< the same id is safe.
+  Failed = 5   ///< The awaited job ended without success.
 };
 
 /// One call to the HTTP interface of an entry.
@@ -43,11 +45,14 @@
 
 /// What the commands need from outside; tests replace all of it.
 struct CliEnvironment {
-  /// Calls the named entry ("ip:port") or, with an empty name, any entry of the settings.
+  /// Calls the named entry ("ip:port") or, with an empty name, any entry of the
+  /// settings.
   std::function<ApiResult(const std::string &Entry, const ApiCall &)> m_Call;
-  std::vector<std::string> m_Entries; ///< All entries of the settings as "ip:port".
+  std::vector<std::string>
+      m_Entries; ///< All entries of the settings as "ip:port".
   std::function<std::optional<std::string>(const std::string &Path)> m_ReadFile;
-  std::function<std::string()> m_NewId; ///< A fresh id for calls that change something.
+  std::function<std::string()>
+      m_NewId; ///< A fresh id for calls that change something.
   std::function<void(Duration)> m_Sleep;
   /// Asks a question on the terminal and returns whether the answer was yes.
   std::function<bool(const std::string &Question)> m_Confirm;
@@ -63,7 +68,8 @@
 };
 
 /// Runs one command, such as {"zone", "withdraw", "kochi"}.
-ExitCode runCommand(const std::vector<std::string> &Words, const CliOptions &Options,
+ExitCode runCommand(const std::vector<std::string> &Words,
+                    const CliOptions &Options,
                     const CliEnvironment &Environment);
 
 /// Returns the overview of all commands with an example each.
@@ -72,7 +78,8 @@
 /// Returns a completion script for bash.
 std::string bashCompletion();
 
-/// Returns JSON text as an aligned table: a row for each object of an array, or a line for each field of an object.
+/// Returns JSON text as an aligned table: a row for each object of an array, or
+/// a line for each field of an object.
 std::string renderTable(std::string_view Json);
 
 } // namespace anvil::ctl
--- a/include/anvil/ctl/HttpCaller.h
+++ b/include/anvil/ctl/HttpCaller.h
@@ -11,7 +11,8 @@
 /// Calls the first entry that can be reached, within \p Timeout for each.
 ///
 /// Goes on to the next entry only if no byte of the call was sent.
-ApiResult callAny(const std::vector<net::Endpoint> &Entries, const ApiCall &Call, Duration Timeout);
+ApiResult callAny(const std::vector<net::Endpoint> &Entries,
+                  const ApiCall &Call, Duration Timeout);
 
 } // namespace anvil::ctl
 
--- a/include/anvil/daemon/Process.h
+++ b/include/anvil/daemon/Process.h
@@ -14,7 +14,8 @@
 
 namespace anvil::daemon {
 
-/// Sends the log of this process to stderr. Called once, before the first log line.
+/// Sends the log of this process to stderr. Called once, before the first log
+/// line.
 void startLogging(const char *Program);
 
 /// Returns the time on this process's monotonic clock.
@@ -26,13 +27,16 @@
 /// Returns numbers in [0, 1) from a generator seeded by the operating system.
 std::function<double()> makeRandomSource();
 
-/// Runs a hook for the first and another for the second termination signal (SIGTERM or SIGINT).
+/// Runs a hook for the first and another for the second termination signal
+/// (SIGTERM or SIGINT).
 ///
-/// Usage: keep the object for the lifetime of the io_context; the hooks run on its thread. Destroying it stops waiting
-/// for signals, so that the io_context can run out of work.
+/// Usage: keep the object for the lifetime of the io_context; the hooks run on
+/// its thread. Destroying it stops waiting for signals, so that the io_context
+/// can run out of work.
 class TerminationSignals {
 public:
-  TerminationSignals(boost::asio::io_context &Io, std::function<void()> First, std::function<void()> Second);
+  TerminationSignals(boost::asio::io_context &Io, std::function<void()> First,
+                     std::function<void()> Second);
   ~TerminationSignals();
   TerminationSignals(const TerminationSignals &) = delete;
   TerminationSignals &operator=(const TerminationSignals &) = delete;
--- a/include/anvil/daemon/Settings.h
+++ b/include/anvil/daemon/Settings.h
@@ -25,11 +25,14 @@
 
 } // namespace daemon
 
-template <> struct LayerErrorTraits<daemon::SettingsErrc> { static constexpr std::string_view Layer = "settings"; };
+template <> struct LayerErrorTraits<daemon::SettingsErrc> {
+  static constexpr std::string_view Layer = "settings";
+};
 
 namespace daemon {
 
-/// Parses one setting's text and stores the value; the message of a failure says what is wrong with the value.
+/// Parses one setting's text and stores the value; the message of a failure
+/// says what is wrong with the value.
 using SettingParser = std::function<absl::Status(std::string_view)>;
 
 /// What the command line asks a process to do.
@@ -43,59 +46,76 @@
 /// Whether a process can start without a value for a setting.
 enum class Presence { Optional, Required };
 
-/// Reads the settings of a process from command-line flags and `ANVIL_*` environment variables; flags win.
+/// Reads the settings of a process from command-line flags and `ANVIL_*`
+/// environment variables; flags win.
 ///
-/// A setting is declared once with its name, default, help text and destination. The flag is `--NAME`; the variable
-/// is `ANVIL_NAME` in upper case with underscores. read() checks all settings and reports every wrong one in a single
-/// status. Usage:
+/// A setting is declared once with its name, default, help text and
+/// destination. The flag is `--NAME`; the variable is `ANVIL_NAME` in upper
+/// case with underscores. read() checks all settings and reports every wrong
+/// one in a single status. Usage:
 ///
 ///     Settings Reader("anvil-entry", "Routes requests to minions.");
-///     Reader.addEndpoint("listen", "127.0.0.1:8080", "Address of the HTTP listener.", Options.m_Listen);
-///     absl::StatusOr<StartMode> Mode = Reader.read({argv + 1, argv + argc}, environmentVariable);
+///     Reader.addEndpoint("listen", "127.0.0.1:8080", "Address of the HTTP
+///     listener.", Options.m_Listen); absl::StatusOr<StartMode> Mode =
+///     Reader.read({argv + 1, argv + argc}, environmentVariable);
 ///
 /// The destinations must outlive the call of read().
 class Settings {
 public:
   /// Returns the value of an environment variable, or nothing if it is not set.
-  using Environment = std::function<std::optional<std::string>(const std::string &)>;
-  /// A check across settings, run after each of them was accepted; returns the problem or OK.
+  using Environment =
+      std::function<std::optional<std::string>(const std::string &)>;
+  /// A check across settings, run after each of them was accepted; returns the
+  /// problem or OK.
   using Check = std::function<absl::Status()>;
 
   Settings(std::string_view Program, std::string_view Description);
 
-  /// Declares a setting with a parser of its own. An empty \p Default of a required setting is not parsed.
-  void add(std::string_view Name, std::string_view Default, std::string_view Help, SettingParser Parser,
+  /// Declares a setting with a parser of its own. An empty \p Default of a
+  /// required setting is not parsed.
+  void add(std::string_view Name, std::string_view Default,
+           std::string_view Help, SettingParser Parser,
            Presence Needed = Presence::Optional);
 
   /// Declares a text; a required text must not be empty.
-  void addText(std::string_view Name, std::string_view Default, std::string_view Help, std::string &Value,
+  void addText(std::string_view Name, std::string_view Default,
+               std::string_view Help, std::string &Value,
                Presence Needed = Presence::Optional);
   /// Declares an identifier of 1 to 64 letters, digits, '-', '_' or '.'.
-  void addName(std::string_view Name, std::string_view Default, std::string_view Help, std::string &Value,
+  void addName(std::string_view Name, std::string_view Default,
+               std::string_view Help, std::string &Value,
                Presence Needed = Presence::Required);
   /// Declares an integer from \p Min to \p Max.
-  void addInteger(std::string_view Name, int64_t Default, int64_t Min, int64_t Max, std::string_view Help,
-                  int64_t &Value);
+  void addInteger(std::string_view Name, int64_t Default, int64_t Min,
+                  int64_t Max, std::string_view Help, int64_t &Value);
   /// Declares a decimal number from \p Min to \p Max.
-  void addNumber(std::string_view Name, double Default, double Min, double Max, std::string_view Help, double &Value);
+  void addNumber(std::string_view Name, double Default, double Min, double Max,
+                 std::string_view Help, double &Value);
   /// Declares "true" or "false"; a flag without a value means true.
   void addSwitch(std::string_view Name, std::string_view Help, bool &Value);
-  /// Declares a span of time with a unit: "250us", "250ms", "10s", "5m" or "2h".
-  void addDuration(std::string_view Name, std::string_view Default, Duration Min, Duration Max, std::string_view Help,
+  /// Declares a span of time with a unit: "250us", "250ms", "10s", "5m" or
+  /// "2h".
+  void addDuration(std::string_view Name, std::string_view Default,
+                   Duration Min, Duration Max, std::string_view Help,
                    Duration &Value);
   /// Declares "ip:port".
-  void addEndpoint(std::string_view Name, std::string_view Default, std::string_view Help, net::Endpoint &Value,
+  void addEndpoint(std::string_view Name, std::string_view Default,
+                   std::string_view Help, net::Endpoint &Value,
                    Presence Needed = Presence::Required);
-  /// Declares a comma-separated list of "ip:port"; a required list has at least one.
-  void addEndpoints(std::string_view Name, std::string_view Default, std::string_view Help,
-                    std::vector<net::Endpoint> &Value, Presence Needed = Presence::Required);
+  /// Declares a comma-separated list of "ip:port"; a required list has at least
+  /// one.
+  void addEndpoints(std::string_view Name, std::string_view Default,
+                    std::string_view Help, std::vector<net::Endpoint> &Value,
+                    Presence Needed = Presence::Required);
   /// Adds a check across settings.
   void addCheck(Check Rule);
 
-  /// Parses \p Arguments (without the program name) and \p Read, and stores the values.
-  /// \returns kInvalidArgument (SettingsErrc::Invalid) with one line for each wrong setting that names the flag, the
-  /// variable it came from, if any, and the problem.
-  absl::StatusOr<StartMode> read(const std::vector<std::string> &Arguments, const Environment &Read) const;
+  /// Parses \p Arguments (without the program name) and \p Read, and stores the
+  /// values. \returns kInvalidArgument (SettingsErrc::Invalid) with one line
+  /// for each wrong setting that names the flag, the variable it came from, if
+  /// any, and the problem.
+  absl::StatusOr<StartMode> read(const std::vector<std::string> &Arguments,
+                                 const Environment &Read) const;
 
   /// Returns the help text with the flag, variable and default of each setting.
   std::string help() const;
@@ -115,8 +135,10 @@
     std::vector<std::string> m_Stray; ///< Words that belong to no flag.
   };
 
-  absl::StatusOr<FlagValues> parseFlags(const std::vector<std::string> &Arguments) const;
-  absl::Status readOne(const Setting &Each, const FlagValues &Flags, const Environment &Read) const;
+  absl::StatusOr<FlagValues>
+  parseFlags(const std::vector<std::string> &Arguments) const;
+  absl::Status readOne(const Setting &Each, const FlagValues &Flags,
+                       const Environment &Read) const;
 
   std::string m_Program;
   std::string m_Description;
@@ -130,12 +152,16 @@
 /// Parses a span of time such as "250ms"; units are us, ms, s, m and h.
 absl::StatusOr<Duration> parseDuration(std::string_view Text);
 
-/// Returns a span of time in the largest unit that shows it as a whole number, such as "1500ms" or "2h".
+/// Returns a span of time in the largest unit that shows it as a whole number,
+/// such as "1500ms" or "2h".
 std::string formatDuration(Duration Value);
 
 /// Prints help, version or the errors of \p Mode for the modes that don't run.
-/// \returns the exit code, or nothing if the process is to run: 0 after help, version and check, 2 for wrong settings.
-std::optional<int> finishStart(const Settings &Reader, const absl::StatusOr<StartMode> &Mode, std::string_view Program);
+/// \returns the exit code, or nothing if the process is to run: 0 after help,
+/// version and check, 2 for wrong settings.
+std::optional<int> finishStart(const Settings &Reader,
+                               const absl::StatusOr<StartMode> &Mode,
+                               std::string_view Program);
 
 } // namespace daemon
 } // namespace anvil
--- a/include/anvil/entry/EntryOptions.h
+++ b/include/anvil/entry/EntryOptions.h
@@ -23,8 +23,9 @@
   Duration m_SyncPeriod = std::chrono::milliseconds(250);
   Duration m_ReceiveLimit = std::chrono::seconds(10);
   Duration m_IdleLimit = std::chrono::seconds(60);
-  Duration m_DrainNotice = std::chrono::seconds(1); ///< Between reporting not ready and closing the listener.
-  Duration m_DrainLimit{0};                         ///< 0 waits for every request in progress.
+  Duration m_DrainNotice = std::chrono::seconds(
+      1); ///< Between reporting not ready and closing the listener.
+  Duration m_DrainLimit{0}; ///< 0 waits for every request in progress.
 };
 
 /// Declares the settings of an entry; \p Options must outlive the reader.
--- a/include/anvil/member/FailureDetector.h
+++ b/include/anvil/member/FailureDetector.h
@@ -12,28 +12,34 @@
 
 /// Settings of a FailureDetector.
 struct FailureDetectorOptions {
-  /// A target without a heartbeat for this long is lost. Ten heartbeats, so that lost or late ones are no loss.
+  /// A target without a heartbeat for this long is lost. Ten heartbeats, so
+  /// that lost or late ones are no loss.
   Duration m_LostAfter = std::chrono::seconds(10);
-  /// Time between two ticks above which this process itself must have been paused.
+  /// Time between two ticks above which this process itself must have been
+  /// paused.
   Duration m_PauseLimit = std::chrono::seconds(2);
 };
 
 /// Tells which targets have not been heard of for too long.
 ///
-/// Usage: watch() every target when leadership begins or a target joins, heard() for each reported heartbeat, tick()
-/// at least every second. A pause of the own process counts for no target: after it every silence starts anew from
-/// where it was.
+/// Usage: watch() every target when leadership begins or a target joins,
+/// heard() for each reported heartbeat, tick() at least every second. A pause
+/// of the own process counts for no target: after it every silence starts anew
+/// from where it was.
 class FailureDetector {
 public:
-  explicit FailureDetector(FailureDetectorOptions Options) : m_Options(Options) {}
+  explicit FailureDetector(FailureDetectorOptions Options)
+      : m_Options(Options) {}
 
-  /// Starts to watch \p Vm as if it had been heard of just now; keeps the record of a known one.
+  /// Starts to watch \p Vm as if it had been heard of just now; keeps the
+  /// record of a known one.
   void watch(const VmId &Vm, TimePoint Now);
   /// Stops watching.
   void forget(const VmId &Vm);
   /// Notes a heartbeat; unknown targets are ignored.
   void heard(const VmId &Vm, TimePoint Now);
-  /// Returns the targets that are lost, each once until it is heard of or watched again.
+  /// Returns the targets that are lost, each once until it is heard of or
+  /// watched again.
   std::vector<VmId> tick(TimePoint Now);
   /// Returns the number of watched targets.
   size_t size() const { return m_LastHeard.size(); }
--- a/include/anvil/metrics/Metrics.h
+++ b/include/anvil/metrics/Metrics.h
@@ -13,8 +13,9 @@
 
 /// Running quantiles of a time, in constant memory.
 ///
-/// The quantiles 0.5, 0.9, 0.99 and 0.999 are exact for the first 16 times and from then on estimated over all times
-/// since the start with the P-square algorithm.
+/// The quantiles 0.5, 0.9, 0.99 and 0.999 are exact for the first 16 times and
+/// from then on estimated over all times since the start with the P-square
+/// algorithm.
 class TimeSummary {
 public:
   TimeSummary();
@@ -48,30 +49,39 @@
 
 /// Writes metrics in the Prometheus text format, version 0.0.4.
 ///
-/// Usage: for each metric call one of the heads, then its samples, then take text().
+/// Usage: for each metric call one of the heads, then its samples, then take
+/// text().
 class PrometheusText {
 public:
   /// Starts a metric that only grows.
-  void counter(std::string_view Name, std::string_view Help) { head(Name, Help, "counter"); }
+  void counter(std::string_view Name, std::string_view Help) {
+    head(Name, Help, "counter");
+  }
   /// Starts a metric that goes up and down.
-  void gauge(std::string_view Name, std::string_view Help) { head(Name, Help, "gauge"); }
+  void gauge(std::string_view Name, std::string_view Help) {
+    head(Name, Help, "gauge");
+  }
   /// Adds a value of the metric that was started last.
   void sample(double Value, const std::vector<Label> &Labels = {});
   /// Writes a whole metric of type summary without labels.
-  void summary(std::string_view Name, std::string_view Help, const TimeSummary &Times);
+  void summary(std::string_view Name, std::string_view Help,
+               const TimeSummary &Times);
 
   const std::string &text() const { return m_Text; }
 
 private:
-  void head(std::string_view Name, std::string_view Help, std::string_view Type);
-  void line(std::string_view Name, double Value, const std::vector<Label> &Labels);
+  void head(std::string_view Name, std::string_view Help,
+            std::string_view Type);
+  void line(std::string_view Name, double Value,
+            const std::vector<Label> &Labels);
 
   std::string m_Name;
   std::string m_Text;
 };
 
 /// Content type of the Prometheus text format.
-inline constexpr std::string_view PrometheusContentType = "text/plain; version=0.0.4; charset=utf-8";
+inline constexpr std::string_view PrometheusContentType =
+    "text/plain; version=0.0.4; charset=utf-8";
 
 } // namespace anvil::metrics
 
--- a/include/anvil/net/Endpoint.h
+++ b/include/anvil/net/Endpoint.h
@@ -21,7 +21,8 @@
 };
 
 /// Parses "ip:port" or "[ipv6]:port".
-/// \returns kInvalidArgument that quotes the text if it is not an IP number and a port up to 65535.
+/// \returns kInvalidArgument that quotes the text if it is not an IP number and
+/// a port up to 65535.
 absl::StatusOr<Endpoint> parseEndpoint(std::string_view Text);
 
 /// Parses a comma-separated list of endpoints; an empty text is an empty list.
--- a/include/anvil/net/Http.h
+++ b/include/anvil/net/Http.h
@@ -23,7 +23,8 @@
   std::string m_Body;
   std::string m_Peer; ///< ip:port of the caller.
 
-  /// Returns the value of the first header named \p Name, ignoring case, or nothing.
+  /// Returns the value of the first header named \p Name, ignoring case, or
+  /// nothing.
   std::optional<std::string_view> field(std::string_view Name) const;
   /// Returns the number of headers named \p Name, ignoring case.
   size_t fieldCount(std::string_view Name) const;
@@ -39,10 +40,14 @@
   std::string m_Body;
 };
 
-/// Returns a response with the body `{"error":{"code":...,"message":...,"field":...}}`.
+/// Returns a response with the body
+/// `{"error":{"code":...,"message":...,"field":...}}`.
 ///
-/// \p Code is a stable word for programs, \p Message a sentence for people; "field" is left out if \p Field is empty.
-HttpResponse makeHttpError(int Status, std::string_view Code, std::string_view Message, std::string_view Field = "");
+/// \p Code is a stable word for programs, \p Message a sentence for people;
+/// "field" is left out if \p Field is empty.
+HttpResponse makeHttpError(int Status, std::string_view Code,
+                           std::string_view Message,
+                           std::string_view Field = "");
 
 /// Returns true if both texts are equal when ASCII case is ignored.
 bool equalsIgnoringCase(std::string_view Left, std::string_view Right);
--- a/include/anvil/net/HttpClient.h
+++ b/include/anvil/net/HttpClient.h
@@ -24,10 +24,11 @@
 
 /// Why an exchange ended without a whole response.
 enum class HttpClientErrc {
-  Connect = 1,    ///< No connection could be opened.
-  Write = 2,      ///< The request could not be written whole.
-  Read = 3,       ///< The connection ended before the response was whole.
-  Malformed = 4,  ///< The response is not valid HTTP, or its end can't be recognised.
+  Connect = 1, ///< No connection could be opened.
+  Write = 2,   ///< The request could not be written whole.
+  Read = 3,    ///< The connection ended before the response was whole.
+  Malformed =
+      4, ///< The response is not valid HTTP, or its end can't be recognised.
   TooLarge = 5,   ///< The response exceeds a limit.
   Deadline = 6,   ///< The deadline of the exchange passed.
   Overloaded = 7, ///< All connections are in use.
@@ -36,7 +37,9 @@
 
 } // namespace net
 
-template <> struct LayerErrorTraits<net::HttpClientErrc> { static constexpr std::string_view Layer = "http-client"; };
+template <> struct LayerErrorTraits<net::HttpClientErrc> {
+  static constexpr std::string_view Layer = "http-client";
+};
 
 namespace net {
 
@@ -46,7 +49,8 @@
   size_t m_MaxHeaderBytes = 16u << 10;
   size_t m_MaxBodyBytes = 4u << 20;
   Duration m_ConnectTimeout = std::chrono::seconds(1);
-  /// An idle connection is not reused after this time, because the peer may be about to close it.
+  /// An idle connection is not reused after this time, because the peer may be
+  /// about to close it.
   Duration m_IdleLimit = std::chrono::seconds(5);
 };
 
@@ -54,38 +58,48 @@
 struct HttpClientRequest {
   std::string m_Method = "GET";
   std::string m_Target = "/";
-  std::vector<HttpField> m_Fields; ///< Host, Connection and Content-Length are added.
+  std::vector<HttpField>
+      m_Fields; ///< Host, Connection and Content-Length are added.
   std::string m_Body;
 };
 
 /// How an exchange ended.
 struct HttpExchangeResult {
   absl::Status m_Status;     ///< OK only if the whole response was received.
-  bool m_AnyByteSent = true; ///< False only if it is certain that no byte of the request was written.
+  bool m_AnyByteSent = true; ///< False only if it is certain that no byte of
+                             ///< the request was written.
   int m_HttpStatus = 0;
   std::string m_ContentType;
   std::string m_Body;
 };
 
-/// Receives the result of an exchange, once and never inside the call that started it.
+/// Receives the result of an exchange, once and never inside the call that
+/// started it.
 using HttpExchangeDone = std::function<void(HttpExchangeResult)>;
 
-/// Sends HTTP/1.1 requests to one peer over a bounded set of connections that are kept open for reuse.
+/// Sends HTTP/1.1 requests to one peer over a bounded set of connections that
+/// are kept open for reuse.
 ///
-/// A request is written at most once: a failed exchange is never repeated, since the peer may have seen it. A response
-/// without Content-Length or chunks is an error, because a cut connection would look like its end. Single-threaded.
+/// A request is written at most once: a failed exchange is never repeated,
+/// since the peer may have seen it. A response without Content-Length or chunks
+/// is an error, because a cut connection would look like its end.
+/// Single-threaded.
 class HttpClient {
 public:
-  static std::unique_ptr<HttpClient> create(boost::asio::io_context &Io, Endpoint Peer, HttpClientOptions Options);
+  static std::unique_ptr<HttpClient>
+  create(boost::asio::io_context &Io, Endpoint Peer, HttpClientOptions Options);
   /// Abandons all exchanges; nothing is reported any more.
   ~HttpClient();
 
-  /// Starts an exchange; \p Deadline bounds it from the connection to the last byte of the response.
-  /// \returns a number for abandon().
-  uint64_t send(const HttpClientRequest &Request, Duration Deadline, HttpExchangeDone Done);
-  /// Closes the connection of an exchange, which ends with HttpClientErrc::Abandoned.
+  /// Starts an exchange; \p Deadline bounds it from the connection to the last
+  /// byte of the response. \returns a number for abandon().
+  uint64_t send(const HttpClientRequest &Request, Duration Deadline,
+                HttpExchangeDone Done);
+  /// Closes the connection of an exchange, which ends with
+  /// HttpClientErrc::Abandoned.
   void abandon(uint64_t Exchange);
-  /// Opens and closes a connection without sending anything; \p Done receives whether it opened.
+  /// Opens and closes a connection without sending anything; \p Done receives
+  /// whether it opened.
   void probe(std::function<void(bool)> Done);
   /// Returns the connections in use and idle.
   size_t connectionCount() const;
--- a/include/anvil/net/HttpServer.h
+++ b/include/anvil/net/HttpServer.h
@@ -27,7 +27,9 @@
 
 } // namespace net
 
-template <> struct LayerErrorTraits<net::HttpErrc> { static constexpr std::string_view Layer = "http"; };
+template <> struct LayerErrorTraits<net::HttpErrc> {
+  static constexpr std::string_view Layer = "http";
+};
 
 namespace net {
 
@@ -35,33 +37,40 @@
 struct HttpServerOptions {
   size_t m_MaxHeaderBytes = 16u << 10;
   size_t m_MaxBodyBytes = 1u << 20;
-  Duration m_ReceiveLimit = std::chrono::seconds(10); ///< From the first byte of a request to its last.
-  Duration m_IdleLimit = std::chrono::seconds(60);    ///< A connection without a request for this long is closed.
-  Duration m_SendLimit = std::chrono::seconds(30);    ///< To write one response.
+  Duration m_ReceiveLimit = std::chrono::seconds(
+      10); ///< From the first byte of a request to its last.
+  Duration m_IdleLimit = std::chrono::seconds(
+      60); ///< A connection without a request for this long is closed.
+  Duration m_SendLimit = std::chrono::seconds(30); ///< To write one response.
   size_t m_MaxConnections = 1024;
-  size_t m_MaxRequests = 512; ///< Requests handed to the handler and not yet answered.
-  /// Bodies of all requests being received or handled. Chunked requests count with the full body limit.
+  size_t m_MaxRequests =
+      512; ///< Requests handed to the handler and not yet answered.
+  /// Bodies of all requests being received or handled. Chunked requests count
+  /// with the full body limit.
   size_t m_MaxBufferedBytes = 64u << 20;
-  /// Fields added to each refusal of the server itself; the entry states the outcome here.
+  /// Fields added to each refusal of the server itself; the entry states the
+  /// outcome here.
   std::vector<HttpField> m_RefusalFields;
 };
 
 /// Why the server itself refused or gave up a request.
 enum class HttpRefusal {
-  Malformed,          ///< 400: not HTTP, or a broken header or chunk.
-  HeaderTooLarge,     ///< 431
-  BodyTooLarge,       ///< 413
-  Truncated,          ///< 400: the caller closed its side in the middle of a request.
-  TooSlow,            ///< 408
+  Malformed,      ///< 400: not HTTP, or a broken header or chunk.
+  HeaderTooLarge, ///< 431
+  BodyTooLarge,   ///< 413
+  Truncated, ///< 400: the caller closed its side in the middle of a request.
+  TooSlow,   ///< 408
   UnsupportedMethod,  ///< 405
   TooManyConnections, ///< 503
   TooManyRequests,    ///< 503
   TooManyBytes,       ///< 503
-  Disconnected        ///< No response: the connection broke while receiving or sending.
+  Disconnected        ///< No response: the connection broke while receiving or
+                      ///< sending.
 };
 inline constexpr size_t HttpRefusalCount = 10;
 
-/// Returns the name of \p Reason for metrics and error codes, such as "header-too-large".
+/// Returns the name of \p Reason for metrics and error codes, such as
+/// "header-too-large".
 std::string_view httpRefusalName(HttpRefusal Reason);
 
 /// Counts of one HTTP server since its start, and its current use.
@@ -74,21 +83,25 @@
   size_t m_BufferedBytes = 0;
 };
 
-/// Answers one request, at most once, from any later event on the same io_context.
+/// Answers one request, at most once, from any later event on the same
+/// io_context.
 using HttpResponder = std::function<void(HttpResponse)>;
 /// Handles one request that was received whole.
 using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
 
-/// Serves HTTP/1.1 with bounds on sizes, times and numbers; input that breaks a bound gets a JSON error.
+/// Serves HTTP/1.1 with bounds on sizes, times and numbers; input that breaks a
+/// bound gets a JSON error.
 ///
-/// Usage: `auto Server = HttpServer::create(Io, Listen, Options, Handler);` then run the io_context. Single-threaded:
-/// the handler runs on the thread of the io_context.
+/// Usage: `auto Server = HttpServer::create(Io, Listen, Options, Handler);`
+/// then run the io_context. Single-threaded: the handler runs on the thread of
+/// the io_context.
 class HttpServer {
 public:
   /// Binds and listens. Port 0 takes a free port, see endpoint().
   /// \returns kUnavailable (HttpErrc::Listen) if the address can't be bound.
-  static absl::StatusOr<std::unique_ptr<HttpServer>> create(boost::asio::io_context &Io, const Endpoint &Listen,
-                                                            HttpServerOptions Options, HttpHandler Handler);
+  static absl::StatusOr<std::unique_ptr<HttpServer>>
+  create(boost::asio::io_context &Io, const Endpoint &Listen,
+         HttpServerOptions Options, HttpHandler Handler);
   /// Closes all connections.
   ~HttpServer();
 
@@ -96,7 +109,8 @@
   Endpoint endpoint() const;
   const HttpCounters &counters() const;
 
-  /// Stops accepting, closes idle connections, lets requests in progress finish and then calls \p Done once.
+  /// Stops accepting, closes idle connections, lets requests in progress finish
+  /// and then calls \p Done once.
   ///
   /// A request whose first byte has arrived is in progress.
   void shutdown(std::function<void()> Done);
--- a/include/anvil/net/Rpc.h
+++ b/include/anvil/net/Rpc.h
@@ -28,12 +28,15 @@
   NoAnswer = 2,  ///< The request may have reached the peer; nothing came back.
   Remote = 3,    ///< The peer answered with an error; its status code is kept.
   Malformed = 4, ///< Bytes that are not a frame of this protocol version.
-  Overloaded = 5 ///< A local bound on queued bytes or open calls was reached; not sent.
+  Overloaded =
+      5 ///< A local bound on queued bytes or open calls was reached; not sent.
 };
 
 } // namespace net
 
-template <> struct LayerErrorTraits<net::RpcErrc> { static constexpr std::string_view Layer = "rpc"; };
+template <> struct LayerErrorTraits<net::RpcErrc> {
+  static constexpr std::string_view Layer = "rpc";
+};
 
 namespace net {
 
@@ -45,14 +48,17 @@
 
 /// Bounds and periods of connections between our processes.
 struct RpcOptions {
-  Duration m_PingAfter = std::chrono::seconds(1);   ///< A ping is sent after this time without a received byte.
-  Duration m_SilentLimit = std::chrono::seconds(3); ///< A connection without a received byte for this long is closed.
+  Duration m_PingAfter = std::chrono::seconds(
+      1); ///< A ping is sent after this time without a received byte.
+  Duration m_SilentLimit = std::chrono::seconds(
+      3); ///< A connection without a received byte for this long is closed.
   Duration m_ConnectTimeout = std::chrono::seconds(1);
-  Duration m_MinBackoff = std::chrono::milliseconds(50); ///< Delay before the first reconnection.
+  Duration m_MinBackoff =
+      std::chrono::milliseconds(50); ///< Delay before the first reconnection.
   Duration m_MaxBackoff = std::chrono::seconds(2);
   size_t m_MaxFrameBytes = 16u << 20;
   size_t m_MaxQueuedBytes = 32u << 20; ///< Unsent bytes of one connection.
-  size_t m_MaxOpenCalls = 65536;       ///< Calls of one client without an answer.
+  size_t m_MaxOpenCalls = 65536; ///< Calls of one client without an answer.
   /// Returns a number in [0, 1); spreads reconnections. Required.
   std::function<double()> m_Random;
   /// Returns the stamp of a frame that is sent; may be empty.
@@ -61,7 +67,8 @@
   std::function<void(ClockStamp)> m_ObserveStamp;
 };
 
-/// Bytes and calls of one process over all its RPC connections; used for the footprint of control traffic.
+/// Bytes and calls of one process over all its RPC connections; used for the
+/// footprint of control traffic.
 struct RpcCounters {
   int64_t m_BytesSent = 0;
   int64_t m_BytesReceived = 0;
@@ -72,7 +79,8 @@
 /// Returns the counters of this process.
 RpcCounters &rpcCounters();
 
-/// Returns the counters as JSON text, the answer to a QUERY of kind "footprint".
+/// Returns the counters as JSON text, the answer to a QUERY of kind
+/// "footprint".
 std::string toJson(const RpcCounters &Counters);
 
 /// One call as the server sees it.
@@ -91,17 +99,20 @@
 
 /// Accepts framed calls and dispatches them to handlers by method.
 ///
-/// Usage: `auto Server = RpcServer::create(Io, Endpoint, Options); (*Server)->handle(Method, Handler);`
-/// Single-threaded: handlers run on the thread of the io_context.
+/// Usage: `auto Server = RpcServer::create(Io, Endpoint, Options);
+/// (*Server)->handle(Method, Handler);` Single-threaded: handlers run on the
+/// thread of the io_context.
 class RpcServer {
 public:
   /// Binds and listens. Port 0 takes a free port, see endpoint().
   /// \returns kUnavailable if the address can't be bound.
-  static absl::StatusOr<std::unique_ptr<RpcServer>> create(boost::asio::io_context &Io, const Endpoint &Listen,
-                                                           RpcOptions Options);
+  static absl::StatusOr<std::unique_ptr<RpcServer>>
+  create(boost::asio::io_context &Io, const Endpoint &Listen,
+         RpcOptions Options);
   ~RpcServer();
 
-  /// Sets the handler of \p Method. Calls of other methods are answered with kUnimplemented.
+  /// Sets the handler of \p Method. Calls of other methods are answered with
+  /// kUnimplemented.
   void handle(wire::Method::type Method, RpcHandler Handler);
   /// Returns the bound endpoint.
   Endpoint endpoint() const;
@@ -119,18 +130,23 @@
 /// Receives the encoded answer, or a status with an RpcErrc.
 using RpcDone = std::function<void(absl::StatusOr<std::string>)>;
 
-/// Sends calls to one peer over one connection, which it opens on demand and replaces when it fails or goes silent.
+/// Sends calls to one peer over one connection, which it opens on demand and
+/// replaces when it fails or goes silent.
 ///
-/// Usage: `auto Client = RpcClient::create(Io, Peer, Options); Client->call(Method, Body, Timeout, TraceId, Done);`
-/// Done runs exactly once for each call, never inside call().
+/// Usage: `auto Client = RpcClient::create(Io, Peer, Options);
+/// Client->call(Method, Body, Timeout, TraceId, Done);` Done runs exactly once
+/// for each call, never inside call().
 class RpcClient {
 public:
-  static std::unique_ptr<RpcClient> create(boost::asio::io_context &Io, Endpoint Peer, RpcOptions Options);
+  static std::unique_ptr<RpcClient> create(boost::asio::io_context &Io,
+                                           Endpoint Peer, RpcOptions Options);
   /// Fails open calls with NoAnswer or NotSent.
   ~RpcClient();
 
-  /// Sends a request; \p Timeout bounds the whole call including the connection.
-  void call(wire::Method::type Method, std::string Body, Duration Timeout, std::string_view TraceId, RpcDone Done);
+  /// Sends a request; \p Timeout bounds the whole call including the
+  /// connection.
+  void call(wire::Method::type Method, std::string Body, Duration Timeout,
+            std::string_view TraceId, RpcDone Done);
   /// Sends a one-way message; it is dropped while there is no connection.
   void notify(wire::Method::type Method, std::string Body);
   /// Returns the peer that calls go to.
--- a/include/anvil/net/WireCodec.h
+++ b/include/anvil/net/WireCodec.h
@@ -17,7 +17,8 @@
 std::string encodeStruct(const apache::thrift::TBase &Value);
 
 /// Decodes a Thrift struct from the compact protocol.
-/// \returns kInvalidArgument (RpcErrc::Malformed) if the bytes are not one whole struct.
+/// \returns kInvalidArgument (RpcErrc::Malformed) if the bytes are not one
+/// whole struct.
 absl::Status decodeStruct(std::string_view Bytes, apache::thrift::TBase &Value);
 
 /// Decodes a Thrift struct of type \p T.
--- a/include/anvil/raft/Raft.h
+++ b/include/anvil/raft/Raft.h
@@ -19,7 +19,8 @@
 
 namespace anvil::raft {
 
-/// Time has passed. The host sends one at least every tenth of the election timeout, or at Raft::nextDeadline().
+/// Time has passed. The host sends one at least every tenth of the election
+/// timeout, or at Raft::nextDeadline().
 struct TickInput {};
 
 /// A message from another replica arrived.
@@ -34,18 +35,21 @@
   std::string m_Data;
 };
 
-/// Commands to append in this order; several in one input share messages and disk writes.
+/// Commands to append in this order; several in one input share messages and
+/// disk writes.
 struct ProposeInput {
   std::vector<Proposal> m_Proposals;
 };
 
-/// A linearizable read. It may be answered from the local state machine once its ReadResult is output.
+/// A linearizable read. It may be answered from the local state machine once
+/// its ReadResult is output.
 struct ReadInput {
   /// Chosen by the host and returned in ReadResult.
   uint64_t m_Context = 0;
 };
 
-/// Everything that outputs up to and including m_Sequence asked to persist is synced to disk.
+/// Everything that outputs up to and including m_Sequence asked to persist is
+/// synced to disk.
 struct PersistedInput {
   uint64_t m_Sequence = 0;
 };
@@ -55,7 +59,8 @@
   LogIndex m_Index = 0;
 };
 
-/// The host made a snapshot at an applied index and synced it to disk with the meta data of Raft::snapshotMeta().
+/// The host made a snapshot at an applied index and synced it to disk with the
+/// meta data of Raft::snapshotMeta().
 struct SnapshotMadeInput {
   Snapshot m_Snapshot;
 };
@@ -70,31 +75,34 @@
   ReplicaId m_Replica;
 };
 
-/// Hands leadership to another voter. Proposals are refused as busy until it took over or one election timeout passed.
+/// Hands leadership to another voter. Proposals are refused as busy until it
+/// took over or one election timeout passed.
 struct TransferLeadershipInput {
   ReplicaId m_Target;
 };
 
 /// Event for Raft::step().
-using RaftInput = std::variant<TickInput, ReceiveInput, ProposeInput, ReadInput, PersistedInput, AppliedInput,
-                               SnapshotMadeInput, ChangeMembershipInput, TransferLeadershipInput>;
+using RaftInput = std::variant<TickInput, ReceiveInput, ProposeInput, ReadInput,
+                               PersistedInput, AppliedInput, SnapshotMadeInput,
+                               ChangeMembershipInput, TransferLeadershipInput>;
 
 /// Part that a replica plays in its group.
 enum class RaftRole { Follower, PreCandidate, Candidate, Leader };
 
 /// Outcome of a proposal or membership change.
 ///
-/// OK: committed at m_Index and durable here; the entry is in RaftOutput::m_Committed of the same output.
-/// NotLeader, Busy, ChangeRefused: never appended. Superseded: will never take effect. OutcomeUnknown: may or may not
-/// have taken effect.
+/// OK: committed at m_Index and durable here; the entry is in
+/// RaftOutput::m_Committed of the same output. NotLeader, Busy, ChangeRefused:
+/// never appended. Superseded: will never take effect. OutcomeUnknown: may or
+/// may not have taken effect.
 struct ProposalResult {
   uint64_t m_Context = 0;
   absl::Status m_Status;
   LogIndex m_Index = 0;
 };
 
-/// Outcome of a read: OK when the local state machine is fresh enough to answer it, else NotLeader, Busy or
-/// ReadNotConfirmed.
+/// Outcome of a read: OK when the local state machine is fresh enough to answer
+/// it, else NotLeader, Busy or ReadNotConfirmed.
 struct ReadResult {
   uint64_t m_Context = 0;
   absl::Status m_Status;
@@ -105,7 +113,8 @@
 /// A snapshot from the leader that replaces the state machine.
 struct SnapshotInstall {
   Snapshot m_Snapshot;
-  /// Whether entries after the snapshot stay in the log. If not, the host drops all entries of the log on disk.
+  /// Whether entries after the snapshot stay in the log. If not, the host drops
+  /// all entries of the log on disk.
   bool m_KeepSuffix = false;
 };
 
@@ -121,27 +130,34 @@
 
 /// Effects of one step, for the host to carry out.
 ///
-/// The host makes durable, in this order: m_Hard, m_Install, m_TruncateFrom, m_Append. It then reports m_Sequence with
-/// a PersistedInput; one sync may cover several outputs. Messages may be sent at once, because those that depend on
-/// unsynced data are held back until the report.
+/// The host makes durable, in this order: m_Hard, m_Install, m_TruncateFrom,
+/// m_Append. It then reports m_Sequence with a PersistedInput; one sync may
+/// cover several outputs. Messages may be sent at once, because those that
+/// depend on unsynced data are held back until the report.
 struct RaftOutput {
-  /// Number to report once the output is durable; 0 if there is nothing to persist.
+  /// Number to report once the output is durable; 0 if there is nothing to
+  /// persist.
   uint64_t m_Sequence = 0;
   std::optional<HardState> m_Hard;
-  /// Snapshot to save and to restore the state machine from, before any entry of m_Committed.
+  /// Snapshot to save and to restore the state machine from, before any entry
+  /// of m_Committed.
   std::optional<SnapshotInstall> m_Install;
-  /// First index to remove from the log on disk, before m_Append. May be before the first entry on disk.
+  /// First index to remove from the log on disk, before m_Append. May be before
+  /// the first entry on disk.
   std::optional<LogIndex> m_TruncateFrom;
-  /// Entries to append to the log on disk. The first may follow the snapshot directly.
+  /// Entries to append to the log on disk. The first may follow the snapshot
+  /// directly.
   std::vector<LogEntry> m_Append;
 
   std::vector<RaftMessage> m_Messages;
-  /// Entries to apply in order. The host then reports AppliedInput, also for entries that are no commands.
+  /// Entries to apply in order. The host then reports AppliedInput, also for
+  /// entries that are no commands.
   std::vector<LogEntry> m_Committed;
   std::vector<ProposalResult> m_Proposals;
   std::vector<ReadResult> m_Reads;
   std::optional<RoleChange> m_Role;
-  /// Entries up to this index are covered by a saved snapshot and may be deleted from disk.
+  /// Entries up to this index are covered by a saved snapshot and may be
+  /// deleted from disk.
   std::optional<LogIndex> m_CompactTo;
 };
 
@@ -166,21 +182,24 @@
 class RaftCore;
 } // namespace internal
 
-/// Replicates a log among a few replicas as a deterministic state machine without I/O, clock or random source.
+/// Replicates a log among a few replicas as a deterministic state machine
+/// without I/O, clock or random source.
 ///
 /// The host calls step() for each event and carries out the returned effects:
 ///
 ///     absl::StatusOr<Raft> Replica = Raft::create(Options, StateFromDisk);
 ///     RaftOutput Output = Replica->step(TickInput{}, Now);
 ///
-/// Instants must not decrease. Clocks of replicas may run at different rates: safety never depends on time, and the
-/// time bounds scale with the rate. An instance is not thread safe.
+/// Instants must not decrease. Clocks of replicas may run at different rates:
+/// safety never depends on time, and the time bounds scale with the rate. An
+/// instance is not thread safe.
 class Raft {
 public:
   /// Returns a follower that continues from \p State.
   ///
   /// Errors: RaftErrc::BadOptions, RaftErrc::BadPersistentState.
-  static absl::StatusOr<Raft> create(RaftOptions Options, RaftPersistentState State);
+  static absl::StatusOr<Raft> create(RaftOptions Options,
+                                     RaftPersistentState State);
 
   Raft(Raft &&Other) noexcept;
   Raft &operator=(Raft &&Other) noexcept;
@@ -194,12 +213,15 @@
 
   RaftStatus status() const;
 
-  /// Returns the term of the entry at \p Index, or nothing if it is compacted or beyond the end of the log.
+  /// Returns the term of the entry at \p Index, or nothing if it is compacted
+  /// or beyond the end of the log.
   std::optional<TermNumber> termAt(LogIndex Index) const;
 
-  /// Returns the meta data of a snapshot of the state machine at the applied index \p Index.
+  /// Returns the meta data of a snapshot of the state machine at the applied
+  /// index \p Index.
   ///
-  /// Errors: RaftErrc::ChangeRefused if the index is not applied and durable, or already compacted.
+  /// Errors: RaftErrc::ChangeRefused if the index is not applied and durable,
+  /// or already compacted.
   absl::StatusOr<SnapshotMeta> snapshotMeta(LogIndex Index) const;
 
 private:
--- a/include/anvil/raft/RaftCodec.h
+++ b/include/anvil/raft/RaftCodec.h
@@ -14,9 +14,10 @@
 /// Version byte that starts every encoded value. Other versions are refused.
 inline constexpr uint8_t CodecVersion = 1;
 
-// Integers are LEB128 varints in their shortest form, byte strings have a length prefix, and flags are one byte 0 or 1.
-// The decoders refuse truncated input, trailing bytes and values out of range with RaftErrc::BadEncoding; the error
-// text names the field and the offset.
+// Integers are LEB128 varints in their shortest form, byte strings have a
+// length prefix, and flags are one byte 0 or 1. The decoders refuse truncated
+// input, trailing bytes and values out of range with RaftErrc::BadEncoding; the
+// error text names the field and the offset.
 
 /// Returns the bytes of \p Message for the transport.
 std::string encodeMessage(const RaftMessage &Message);
--- a/include/anvil/raft/RaftError.h
+++ b/include/anvil/raft/RaftError.h
@@ -17,11 +17,14 @@
   NotLeader = 4,
   /// A limit on pending work is reached. Nothing was appended.
   Busy = 5,
-  /// The membership change or transfer is not allowed in the present state. Nothing was appended.
+  /// The membership change or transfer is not allowed in the present state.
+  /// Nothing was appended.
   ChangeRefused = 6,
-  /// Another entry was committed at the index of the proposal, which therefore never takes effect.
+  /// Another entry was committed at the index of the proposal, which therefore
+  /// never takes effect.
   Superseded = 7,
-  /// A snapshot replaced the index of the proposal, so whether it took effect is unknown here.
+  /// A snapshot replaced the index of the proposal, so whether it took effect
+  /// is unknown here.
   OutcomeUnknown = 8,
   /// The read was not confirmed in time or the leader changed.
   ReadNotConfirmed = 9,
@@ -29,6 +32,8 @@
 
 } // namespace anvil::raft
 
-template <> struct anvil::LayerErrorTraits<anvil::raft::RaftErrc> { static constexpr std::string_view Layer = "raft"; };
+template <> struct anvil::LayerErrorTraits<anvil::raft::RaftErrc> {
+  static constexpr std::string_view Layer = "raft";
+};
 
 #endif // ANVIL_RAFT_RAFTERROR_H
--- a/include/anvil/raft/RaftMessages.h
+++ b/include/anvil/raft/RaftMessages.h
@@ -17,7 +17,8 @@
   LogIndex m_LastIndex = 0;
   TermNumber m_LastTerm = 0;
   bool m_PreVote = false;
-  /// The leader asked for this election, so a recent contact with it is no reason to refuse.
+  /// The leader asked for this election, so a recent contact with it is no
+  /// reason to refuse.
   bool m_Transfer = false;
 
   bool operator==(const VoteRequest &) const = default;
@@ -45,11 +46,13 @@
 /// Answers an AppendRequest or the last chunk of a snapshot.
 struct AppendResponse {
   bool m_Success = false;
-  /// On success: last index that is durable on the sender and equal to the leader's log.
+  /// On success: last index that is durable on the sender and equal to the
+  /// leader's log.
   LogIndex m_Match = 0;
   /// On refusal: m_PrevIndex of the refused request.
   LogIndex m_RejectedPrev = 0;
-  /// On refusal: position in the sender's log from which the leader searches for the last common entry.
+  /// On refusal: position in the sender's log from which the leader searches
+  /// for the last common entry.
   LogIndex m_HintIndex = 0;
   TermNumber m_HintTerm = 0;
 
@@ -119,9 +122,10 @@
 
 /// Message between two replicas of a group.
 struct RaftMessage {
-  using Body =
-      std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, HeartbeatRequest, HeartbeatResponse,
-                   SnapshotChunk, SnapshotChunkResponse, ReadIndexRequest, ReadIndexResponse, TimeoutNow>;
+  using Body = std::variant<VoteRequest, VoteResponse, AppendRequest,
+                            AppendResponse, HeartbeatRequest, HeartbeatResponse,
+                            SnapshotChunk, SnapshotChunkResponse,
+                            ReadIndexRequest, ReadIndexResponse, TimeoutNow>;
 
   ReplicaId m_From;
   ReplicaId m_To;
--- a/include/anvil/raft/RaftTypes.h
+++ b/include/anvil/raft/RaftTypes.h
@@ -10,13 +10,15 @@
 
 namespace anvil::raft {
 
-/// Identifies one replica of a group; positive, and never reused after the disk of a replica was lost.
+/// Identifies one replica of a group; positive, and never reused after the disk
+/// of a replica was lost.
 using ReplicaId = NumericId<struct ReplicaTag>;
 
 /// Stands for "no replica", e.g. no vote cast or no known leader.
 inline constexpr ReplicaId NoReplica{};
 
-/// Position in the replicated log; the first entry has index 1, and 0 means "before the log".
+/// Position in the replicated log; the first entry has index 1, and 0 means
+/// "before the log".
 using LogIndex = uint64_t;
 
 /// Number of an election period; a term has at most one leader.
@@ -60,7 +62,8 @@
   bool operator==(const LogEntry &) const = default;
 };
 
-/// Election state that must be durable before a replica answers or requests a vote.
+/// Election state that must be durable before a replica answers or requests a
+/// vote.
 struct HardState {
   TermNumber m_Term = 0;
   ReplicaId m_VotedFor;
@@ -78,7 +81,8 @@
   bool operator==(const SnapshotMeta &) const = default;
 };
 
-/// Serialised state machine; shared, so that transfers to several replicas need no copies.
+/// Serialised state machine; shared, so that transfers to several replicas need
+/// no copies.
 using SnapshotData = std::shared_ptr<const std::string>;
 
 /// A snapshot with its content.
@@ -91,14 +95,17 @@
 struct RaftPersistentState {
   HardState m_Hard;
   Snapshot m_Snapshot;
-  /// Entries in order without gaps. Entries that the snapshot includes are allowed and are skipped.
+  /// Entries in order without gaps. Entries that the snapshot includes are
+  /// allowed and are skipped.
   std::vector<LogEntry> m_Entries;
 };
 
-/// Returns the initial state of each voter of a new group, which the host makes durable before the first start.
+/// Returns the initial state of each voter of a new group, which the host makes
+/// durable before the first start.
 ///
-/// The membership is the log's first entry, so every voter must start with the same list. A replica that joins an
-/// existing group starts with an empty RaftPersistentState instead.
+/// The membership is the log's first entry, so every voter must start with the
+/// same list. A replica that joins an existing group starts with an empty
+/// RaftPersistentState instead.
 RaftPersistentState bootstrapState(Membership Members);
 
 } // namespace anvil::raft
--- a/include/anvil/route/Router.h
+++ b/include/anvil/route/Router.h
@@ -8,11 +8,14 @@
 
 namespace anvil::route {
 
-/// Decides for each request which agent runs it, when, how often it is tried, and what the caller is told.
+/// Decides for each request which agent runs it, when, how often it is tried,
+/// and what the caller is told.
 ///
-/// Usage: feed step() with events and carry out the returned actions in their order. Each request that arrives gets
-/// exactly one AnswerAction or RefuseAction. A RefuseAction is a promise that the request did not run (H5). There is
-/// no I/O, clock or random source inside; the same events with the same random numbers give the same actions.
+/// Usage: feed step() with events and carry out the returned actions in their
+/// order. Each request that arrives gets exactly one AnswerAction or
+/// RefuseAction. A RefuseAction is a promise that the request did not run (H5).
+/// There is no I/O, clock or random source inside; the same events with the
+/// same random numbers give the same actions.
 class Router {
 public:
   explicit Router(RouterOptions Options);
@@ -20,11 +23,13 @@
   Router(Router &&) noexcept;
   Router &operator=(Router &&) noexcept;
 
-  /// Returns what is to be done because of \p Event at \p Now. \p Now must not go back.
+  /// Returns what is to be done because of \p Event at \p Now. \p Now must not
+  /// go back.
   std::vector<RouterAction> step(RouterEvent Event, TimePoint Now);
 
   const RouterCounters &counters() const;
-  /// Returns true if requests are routed: control is fresh, a configuration is known and no shutdown has begun.
+  /// Returns true if requests are routed: control is fresh, a configuration is
+  /// known and no shutdown has begun.
   bool ready(TimePoint Now) const;
 
 private:
--- a/include/anvil/route/RouterTypes.h
+++ b/include/anvil/route/RouterTypes.h
@@ -22,26 +22,34 @@
 
 /// Bounds and periods of a Router.
 struct RouterOptions {
-  /// Names this start of the entry; two starts must differ, because claims are matched to their owner by it.
+  /// Names this start of the entry; two starts must differ, because claims are
+  /// matched to their owner by it.
   std::string m_Entry;
   AvailabilityZoneId m_Zone;
-  size_t m_MaxRequests = 4096;                             ///< Requests waiting, claiming or running.
-  size_t m_MaxBytes = 64u << 20;                           ///< Bodies of those requests.
-  size_t m_DefaultQueueLimit = 64;                         ///< For a class without a queue limit of its own.
-  Duration m_DefaultDeadline = std::chrono::seconds(30);   ///< For a class without a deadline.
-  Duration m_AnswerGrace = std::chrono::milliseconds(200); ///< For an agent's own answer at the deadline to arrive.
-  Duration m_FreshLimit = std::chrono::milliseconds(2500); ///< Without a fresh read for this long, nothing is routed.
-  Duration m_AgeStep = std::chrono::seconds(5);            ///< Waiting this long raises a request by one urgency.
+  size_t m_MaxRequests = 4096;   ///< Requests waiting, claiming or running.
+  size_t m_MaxBytes = 64u << 20; ///< Bodies of those requests.
+  size_t m_DefaultQueueLimit =
+      64; ///< For a class without a queue limit of its own.
+  Duration m_DefaultDeadline =
+      std::chrono::seconds(30); ///< For a class without a deadline.
+  Duration m_AnswerGrace = std::chrono::milliseconds(
+      200); ///< For an agent's own answer at the deadline to arrive.
+  Duration m_FreshLimit = std::chrono::milliseconds(
+      2500); ///< Without a fresh read for this long, nothing is routed.
+  Duration m_AgeStep = std::chrono::seconds(
+      5); ///< Waiting this long raises a request by one urgency.
   int m_MaxAttempts = 3;
   double m_RetryShare = 0.1;  ///< Retries allowed per recent request.
   double m_RetryConstant = 3; ///< Retries allowed besides, within the window.
   Duration m_RetryWindow = std::chrono::seconds(10);
-  Duration m_ClaimPollMin = std::chrono::milliseconds(100); ///< First delay before a held claim is asked for again.
+  Duration m_ClaimPollMin = std::chrono::milliseconds(
+      100); ///< First delay before a held claim is asked for again.
   Duration m_ClaimPollMax = std::chrono::seconds(1);
   double m_ClaimPollsPerSecond = 100; ///< Over all requests of this entry.
   Duration m_ClaimTimeout = std::chrono::seconds(2);
   Duration m_PenaltyHalfLife = std::chrono::seconds(2);
-  Duration m_HintLife = std::chrono::milliseconds(500); ///< The load that an agent reported counts less until then.
+  Duration m_HintLife = std::chrono::milliseconds(
+      500); ///< The load that an agent reported counts less until then.
   /// Returns a number in [0, 1). Required.
   std::function<double()> m_Random;
 };
@@ -57,7 +65,8 @@
   std::vector<std::string> m_Workspaces;
 };
 
-/// A replica with a fresh linearizable read answered a sync that was sent at m_AskedAt.
+/// A replica with a fresh linearizable read answered a sync that was sent at
+/// m_AskedAt.
 struct FreshRead {
   TimePoint m_AskedAt;
 };
@@ -67,8 +76,9 @@
   RequestId m_Id;
   std::string m_Service;
   std::string m_Workspace;
-  std::string m_Class;               ///< Empty: the only class of the service, or the one named "default".
-  std::string m_Key;                 ///< Idempotency key; empty if there is none.
+  std::string m_Class; ///< Empty: the only class of the service, or the one
+                       ///< named "default".
+  std::string m_Key;   ///< Idempotency key; empty if there is none.
   std::optional<Duration> m_Timeout; ///< The caller's own limit.
   std::string m_Method;
   std::string m_Path;
@@ -101,8 +111,9 @@
 /// New requests are refused from now on.
 struct ShutdownStarted {};
 
-using RouterEvent = std::variant<RoutesChanged, ConfigChanged, FreshRead, RequestArrived, AttemptEnded, ClaimAnswered,
-                                 Tick, ShutdownStarted>;
+using RouterEvent =
+    std::variant<RoutesChanged, ConfigChanged, FreshRead, RequestArrived,
+                 AttemptEnded, ClaimAnswered, Tick, ShutdownStarted>;
 
 /// Why a request was refused. Every refusal means that the request did not run.
 enum class RefusalReason {
@@ -145,7 +156,8 @@
   std::string m_TraceId;
 };
 
-/// Tell control that the request of a claim did not run; repeated by the shell until it is committed.
+/// Tell control that the request of a claim did not run; repeated by the shell
+/// until it is committed.
 struct CloseClaimAction {
   wire::CloseClaim m_Claim;
   std::string m_TraceId;
@@ -158,8 +170,9 @@
   std::string m_Vm;
   std::string m_AgentAddress;
   wire::ExecuteRequest m_Request;
-  Duration m_Timeout{0}; ///< For the call; a little longer than the agent's own limit.
-  Duration m_Waited{0};  ///< Since the request arrived.
+  Duration m_Timeout{
+      0}; ///< For the call; a little longer than the agent's own limit.
+  Duration m_Waited{0}; ///< Since the request arrived.
 };
 
 /// Give the caller a response. The outcome is completed or unknown.
@@ -177,11 +190,12 @@
 struct RefuseAction {
   RequestId m_Id;
   RefusalReason m_Reason = RefusalReason::QueueFull;
-  std::string m_Detail;                 ///< What an agent or control said; may be empty.
+  std::string m_Detail; ///< What an agent or control said; may be empty.
   std::optional<Duration> m_RetryAfter; ///< Set if trying again later can help.
 };
 
-using RouterAction = std::variant<OpenClaimAction, CloseClaimAction, DispatchAction, AnswerAction, RefuseAction>;
+using RouterAction = std::variant<OpenClaimAction, CloseClaimAction,
+                                  DispatchAction, AnswerAction, RefuseAction>;
 
 /// Counts since the start, and the current use of a Router.
 struct RouterCounters {
@@ -192,10 +206,13 @@
   int64_t m_Attempts = 0;
   int64_t m_Retries = 0;
   int64_t m_RetriesDenied = 0; ///< By the retry budget.
-  int64_t m_LateAnswers = 0;   ///< Dropped, because their request was no longer waiting.
-  int64_t m_LateClaims = 0;    ///< Granted after their request had gone; closed again.
+  int64_t m_LateAnswers =
+      0; ///< Dropped, because their request was no longer waiting.
+  int64_t m_LateClaims =
+      0; ///< Granted after their request had gone; closed again.
   int64_t m_ClaimPolls = 0;
-  int64_t m_HoldersAsked = 0;      ///< Attempts sent to the agent that holds the claim of another attempt.
+  int64_t m_HoldersAsked = 0; ///< Attempts sent to the agent that holds the
+                              ///< claim of another attempt.
   int64_t m_ClaimPollsDelayed = 0; ///< By the bound on their rate.
   size_t m_InProgress = 0;
   size_t m_Queued = 0;
--- a/include/anvil/sched/Action.h
+++ b/include/anvil/sched/Action.h
@@ -12,7 +12,8 @@
 
 namespace anvil::sched {
 
-/// Place all members of a job at once. Answered by PlacementConfirmed or PlacementRefused.
+/// Place all members of a job at once. Answered by PlacementConfirmed or
+/// PlacementRefused.
 struct PlaceGang {
   JobId m_Job{};
   std::vector<MemberPlacement> m_Members{};
@@ -24,8 +25,8 @@
 
 /// Take the resources of a placed job back. Answered by GangReleased.
 ///
-/// Checkpoint asks all members to write a checkpoint and stop. If the deadline passes, the scheduler follows with
-/// Throttle and then Stop.
+/// Checkpoint asks all members to write a checkpoint and stop. If the deadline
+/// passes, the scheduler follows with Throttle and then Stop.
 struct ReclaimJob {
   JobId m_Job{};
   ReclaimMode m_Mode = ReclaimMode::Checkpoint;
@@ -33,7 +34,8 @@
   std::string m_Reason{};
 };
 
-/// The job cannot be placed as things are; it is looked at again when capacity or configuration change.
+/// The job cannot be placed as things are; it is looked at again when capacity
+/// or configuration change.
 struct ParkJob {
   JobId m_Job{};
   std::string m_Reason{};
@@ -58,7 +60,8 @@
   std::string m_Reason{};
 };
 
-/// m_Missing pieces of a guaranteed shape cannot be kept at present; zero says that all are kept again.
+/// m_Missing pieces of a guaranteed shape cannot be kept at present; zero says
+/// that all are kept again.
 struct WarnGuarantee {
   WorkspaceId m_Workspace{};
   std::string m_Shape{};
@@ -68,7 +71,8 @@
 
 /// Everything the scheduler asks for.
 using SchedulerAction =
-    std::variant<PlaceGang, ReclaimJob, ParkJob, GiveUpJob, QuarantineWorker, ProbeWorker, WarnGuarantee>;
+    std::variant<PlaceGang, ReclaimJob, ParkJob, GiveUpJob, QuarantineWorker,
+                 ProbeWorker, WarnGuarantee>;
 
 } // namespace anvil::sched
 
--- a/include/anvil/sched/Event.h
+++ b/include/anvil/sched/Event.h
@@ -12,19 +12,23 @@
 
 namespace anvil::sched {
 
-/// A worker registered, came back, or changed its properties. Replaces what is known of the VM except running gangs.
+/// A worker registered, came back, or changed its properties. Replaces what is
+/// known of the VM except running gangs.
 struct WorkerUp {
   VmId m_Vm{};
   AvailabilityZoneId m_Zone{};
   RackId m_Rack{};
   Resources m_Capacity{};
-  /// Set when the scheduler is rebuilt and the replicated state has the worker draining.
+  /// Set when the scheduler is rebuilt and the replicated state has the worker
+  /// draining.
   bool m_Draining = false;
-  /// Set when the scheduler is rebuilt and the replicated state has the worker quarantined.
+  /// Set when the scheduler is rebuilt and the replicated state has the worker
+  /// quarantined.
   bool m_Quarantined = false;
 };
 
-/// The failure detector declared the worker lost. Gangs on it keep their resources until GangReleased.
+/// The failure detector declared the worker lost. Gangs on it keep their
+/// resources until GangReleased.
 struct WorkerLost {
   VmId m_Vm{};
 };
@@ -44,7 +48,8 @@
 /// Where a restored job stands in the replicated state.
 enum class RestoredPhase { Queued, Placed, Running, Stopping };
 
-/// A job known to the replicated state when a new leader rebuilds the scheduler. Workers and configuration come first.
+/// A job known to the replicated state when a new leader rebuilds the
+/// scheduler. Workers and configuration come first.
 struct JobRestored {
   JobId m_Job{};
   JobSpec m_Spec{};
@@ -65,7 +70,8 @@
   JobId m_Job{};
 };
 
-/// The replicated state refused a PlaceGang, or a member refused before any member started. Nothing is held any more.
+/// The replicated state refused a PlaceGang, or a member refused before any
+/// member started. Nothing is held any more.
 struct PlacementRefused {
   JobId m_Job{};
   std::string m_Reason{};
@@ -79,13 +85,15 @@
   int32_t m_TaskIndex = 0;
 };
 
-/// One member ended with success. Its resources stay with the gang until the job ends.
+/// One member ended with success. Its resources stay with the gang until the
+/// job ends.
 struct TaskEnded {
   JobId m_Job{};
   int32_t m_TaskIndex = 0;
 };
 
-/// One member failed on its VM. The replicated state stops the other members; GangReleased follows.
+/// One member failed on its VM. The replicated state stops the other members;
+/// GangReleased follows.
 struct TaskFailed {
   JobId m_Job{};
   int32_t m_TaskIndex = 0;
@@ -103,17 +111,21 @@
   JobId m_Job{};
 };
 
-/// The job was cancelled. The resources of a placed gang stay held until GangReleased.
+/// The job was cancelled. The resources of a placed gang stay held until
+/// GangReleased.
 struct JobCancelled {
   JobId m_Job{};
 };
 
-/// No member runs any more (stopped, failed, or its lease expired); the resources of the gang are free.
+/// No member runs any more (stopped, failed, or its lease expired); the
+/// resources of the gang are free.
 struct GangReleased {
   JobId m_Job{};
-  /// Some member had started. Decides whether a job that is not idempotent may be placed again.
+  /// Some member had started. Decides whether a job that is not idempotent may
+  /// be placed again.
   bool m_AnyStarted = false;
-  /// All members stopped at a checkpoint, so that nothing is run twice when the job continues.
+  /// All members stopped at a checkpoint, so that nothing is run twice when the
+  /// job continues.
   bool m_StoppedAtCheckpoint = false;
 };
 
@@ -125,7 +137,8 @@
 /// Operators withdrew an availability zone. Nothing starts in it from now on.
 struct ZoneWithdrawn {
   AvailabilityZoneId m_Zone{};
-  /// Time until its workers may disappear. Jobs that can be stopped are out by then.
+  /// Time until its workers may disappear. Jobs that can be stopped are out by
+  /// then.
   Duration m_Notice{std::chrono::seconds(60)};
 };
 
@@ -139,7 +152,8 @@
   std::vector<WorkspaceConfig> m_Workspaces{};
 };
 
-/// Measured use of a worker by all its tasks. Reports lag and may be out of order.
+/// Measured use of a worker by all its tasks. Reports lag and may be out of
+/// order.
 struct UsageReported {
   VmId m_Vm{};
   Resources m_Used{};
@@ -152,14 +166,18 @@
   bool m_Healthy = false;
 };
 
-/// Time passed. Due at least every 100 ms while jobs are queued or being reclaimed, and every second otherwise.
+/// Time passed. Due at least every 100 ms while jobs are queued or being
+/// reclaimed, and every second otherwise.
 struct Tick {};
 
-/// Everything the scheduler learns. Events on unknown jobs or workers are ignored.
+/// Everything the scheduler learns. Events on unknown jobs or workers are
+/// ignored.
 using SchedulerEvent =
-    std::variant<WorkerUp, WorkerLost, WorkerDrained, JobSubmitted, JobRestored, PlacementConfirmed, PlacementRefused,
-                 TaskStarted, TaskEnded, TaskFailed, JobStarted, JobEnded, JobCancelled, GangReleased, CheckpointDone,
-                 ZoneWithdrawn, ZoneRestored, ConfigurationChanged, UsageReported, ProbeEnded, Tick>;
+    std::variant<WorkerUp, WorkerLost, WorkerDrained, JobSubmitted, JobRestored,
+                 PlacementConfirmed, PlacementRefused, TaskStarted, TaskEnded,
+                 TaskFailed, JobStarted, JobEnded, JobCancelled, GangReleased,
+                 CheckpointDone, ZoneWithdrawn, ZoneRestored,
+                 ConfigurationChanged, UsageReported, ProbeEnded, Tick>;
 
 } // namespace anvil::sched
 
--- a/include/anvil/sched/Job.h
+++ b/include/anvil/sched/Job.h
@@ -44,7 +44,8 @@
   bool m_Idempotent = false;
   /// The job may be stopped at a checkpoint and continued from it.
   bool m_Checkpointable = false;
-  /// Declared run time; zero is unknown. A hint, corrected by what is learned and never used as a bound.
+  /// Declared run time; zero is unknown. A hint, corrected by what is learned
+  /// and never used as a bound.
   Duration m_DeclaredRunTime{0};
 };
 
@@ -56,7 +57,8 @@
   bool operator==(const MemberPlacement &) const = default;
 };
 
-/// A guaranteed shape of a workspace: m_Count pieces of m_Resources, each within one VM, one rack, or anywhere.
+/// A guaranteed shape of a workspace: m_Count pieces of m_Resources, each
+/// within one VM, one rack, or anywhere.
 struct GuaranteedShape {
   std::string m_Name{};
   Resources m_Resources{};
@@ -66,7 +68,8 @@
   bool operator==(const GuaranteedShape &) const = default;
 };
 
-/// Limits and guarantees of one workspace. A quota field of zero means that the resource is not limited.
+/// Limits and guarantees of one workspace. A quota field of zero means that the
+/// resource is not limited.
 struct WorkspaceConfig {
   WorkspaceId m_Name{};
   Resources m_Quota{};
--- a/include/anvil/sched/Scheduler.h
+++ b/include/anvil/sched/Scheduler.h
@@ -27,27 +27,33 @@
 
 /// Settings of a Scheduler. The defaults serve both users' deployments.
 struct SchedulerOptions {
-  /// Least time between two looks at the whole queue, so that a burst of events costs one look.
+  /// Least time between two looks at the whole queue, so that a burst of events
+  /// costs one look.
   Duration m_PassInterval{std::chrono::milliseconds(20)};
-  /// Steps of a reclaim. Their sum stays below 5.5 s, within which urgent work starts.
+  /// Steps of a reclaim. Their sum stays below 5.5 s, within which urgent work
+  /// starts.
   Duration m_CheckpointTime{std::chrono::milliseconds(2500)};
   Duration m_ThrottleTime{std::chrono::milliseconds(500)};
   Duration m_StopTime{std::chrono::milliseconds(1000)};
   /// A job that failed this often is given up.
   int32_t m_MaxFailures = 5;
-  /// Delay before the first repetition of a failed job; doubles up to m_MaxRetryDelay.
+  /// Delay before the first repetition of a failed job; doubles up to
+  /// m_MaxRetryDelay.
   Duration m_RetryDelay{std::chrono::seconds(1)};
   Duration m_MaxRetryDelay{std::chrono::minutes(5)};
   /// Different jobs that must fail on a worker before it is quarantined.
   int32_t m_QuarantineEvidence = 3;
-  /// Largest share of the workers in quarantine at a time; at least one worker is always allowed.
+  /// Largest share of the workers in quarantine at a time; at least one worker
+  /// is always allowed.
   double m_MaxQuarantinedShare = 0.1;
-  /// Delay before the first probe of a quarantined worker; doubles up to m_MaxProbeDelay.
+  /// Delay before the first probe of a quarantined worker; doubles up to
+  /// m_MaxProbeDelay.
   Duration m_ProbeDelay{std::chrono::seconds(30)};
   Duration m_MaxProbeDelay{std::chrono::minutes(30)};
   /// Gangs that may hold workers for themselves at a time.
   int32_t m_MaxReservations = 8;
-  /// Placement searches in one step; the rest of the queue follows at the next tick.
+  /// Placement searches in one step; the rest of the queue follows at the next
+  /// tick.
   int32_t m_MaxSearches = 96;
 };
 
@@ -59,7 +65,8 @@
   int64_t m_Parked = 0;
   int64_t m_Placed = 0;
   int64_t m_Reservations = 0;
-  /// Worker records read by placement searches so far: a measure of cost that does not depend on the machine.
+  /// Worker records read by placement searches so far: a measure of cost that
+  /// does not depend on the machine.
   int64_t m_WorkersScanned = 0;
   /// Pieces of guaranteed shapes that are not claimable at present.
   int64_t m_GuaranteesMissing = 0;
@@ -67,10 +74,12 @@
 
 /// Decides where and when jobs run.
 ///
-/// Deterministic: holds no clock, thread, file or random source. Pass each event with the time to step() and propose
-/// the returned actions. An action takes effect in the scheduler at once; an action that the replicated state refuses
-/// comes back as an event (PlacementRefused). To rebuild on a new leader, pass ConfigurationChanged, WorkerUp and
-/// ZoneWithdrawn for all that is known, then JobRestored for every job that is not over.
+/// Deterministic: holds no clock, thread, file or random source. Pass each
+/// event with the time to step() and propose the returned actions. An action
+/// takes effect in the scheduler at once; an action that the replicated state
+/// refuses comes back as an event (PlacementRefused). To rebuild on a new
+/// leader, pass ConfigurationChanged, WorkerUp and ZoneWithdrawn for all that
+/// is known, then JobRestored for every job that is not over.
 class Scheduler {
 public:
   /// Returns a scheduler without workers and jobs, or SchedErrc::InvalidOption.
@@ -80,21 +89,23 @@
   Scheduler &operator=(Scheduler &&) noexcept;
   ~Scheduler();
 
-  /// Takes in one event and returns what is to be done. \p Now must not go back.
+  /// Takes in one event and returns what is to be done. \p Now must not go
+  /// back.
   std::vector<SchedulerAction> step(const SchedulerEvent &Event, TimePoint Now);
 
-  /// Tells in sentences the state of a job, why, what it waits for and what would change it. SchedErrc::UnknownJob if
-  /// the job is not known or over.
+  /// Tells in sentences the state of a job, why, what it waits for and what
+  /// would change it. SchedErrc::UnknownJob if the job is not known or over.
   absl::StatusOr<std::string> explain(JobId Job, TimePoint Now) const;
 
   /// Returns sums over the state.
   SchedulerCounts counts() const;
 
-  /// Returns an estimate of the memory held, in bytes. Costs a pass over the whole state.
+  /// Returns an estimate of the memory held, in bytes. Costs a pass over the
+  /// whole state.
   int64_t approximateBytes() const;
 
-  /// Checks every invariant of the state and returns the first violation; empty when all hold. Costs a pass over the
-  /// whole state; meant for tests.
+  /// Checks every invariant of the state and returns the first violation; empty
+  /// when all hold. Costs a pass over the whole state; meant for tests.
   std::string findViolation() const;
 
 private:
--- a/include/anvil/state/ClusterState.h
+++ b/include/anvil/state/ClusterState.h
@@ -53,7 +53,8 @@
   /// Placements so far.
   int32_t m_Attempts = 0;
   bool m_Throttled = false;
-  /// True once all members of an attempt were checkpointed, so that the next one can continue from there.
+  /// True once all members of an attempt were checkpointed, so that the next
+  /// one can continue from there.
   bool m_Checkpointed = false;
   /// Why the job waits or how it ended; the newest reason.
   std::string m_Reason;
@@ -68,7 +69,8 @@
   VmPhase m_Phase = VmPhase::Up;
   bool m_Quarantined = false;
   std::string m_QuarantineReason;
-  /// Resources of members that hold or may still use them, also after a loss until the lease has expired.
+  /// Resources of members that hold or may still use them, also after a loss
+  /// until the lease has expired.
   wire::Resources m_Used;
   /// Up, not quarantined and in an availability zone that is in service.
   bool m_Usable = false;
@@ -113,56 +115,67 @@
   std::string m_Digest;
   std::string m_OperatorId;
   std::string m_Environment;
-  std::string m_PromotedFrom; ///< Environment and digest that it was tried in; empty if it was not promoted.
+  std::string m_PromotedFrom; ///< Environment and digest that it was tried in;
+                              ///< empty if it was not promoted.
   int64_t m_Index = 0;        ///< Log index at which it was accepted.
 };
 
 /// Applies committed commands and holds the only durable truth of the cluster.
 ///
-/// Usage: create() one for each replica, apply() every committed command in log order, answer from the read access.
-/// Equal commands give equal results and equal snapshot bytes on every replica. Commands carry the proposer's time;
+/// Usage: create() one for each replica, apply() every committed command in log
+/// order, answer from the read access. Equal commands give equal results and
+/// equal snapshot bytes on every replica. Commands carry the proposer's time;
 /// the state reads no clock and does no I/O. Not thread safe.
 class ClusterState {
 public:
   /// Returns an empty state, or an error if a chart is wrong.
   static absl::StatusOr<ClusterState> create();
 
-  /// Returns the state that snapshot() wrote; an unknown format version or damaged bytes are errors.
+  /// Returns the state that snapshot() wrote; an unknown format version or
+  /// damaged bytes are errors.
   static absl::StatusOr<ClusterState> restore(std::string_view Snapshot);
 
   ClusterState(ClusterState &&) noexcept;
   ClusterState &operator=(ClusterState &&) noexcept;
   ~ClusterState();
 
-  /// Applies the command at log position \p Index, which must be above all earlier ones.
+  /// Applies the command at log position \p Index, which must be above all
+  /// earlier ones.
   ///
-  /// A repeated index changes nothing and is INVALID. Refusals leave the state as it was and say why.
+  /// A repeated index changes nothing and is INVALID. Refusals leave the state
+  /// as it was and say why.
   wire::CommandResult apply(const wire::Command &Command, int64_t Index);
 
   /// Returns all state as bytes with a format version and a checksum.
   std::string snapshot() const;
 
-  /// Sets the receiver of changes; empty switches it off. Not part of a snapshot.
+  /// Sets the receiver of changes; empty switches it off. Not part of a
+  /// snapshot.
   void setEventHook(StateEventHook Hook);
 
   /// Returns the log index of the last applied command; 0 before the first.
   int64_t appliedIndex() const;
 
-  /// Returns what the agent of \p Vm should do about each of its tasks, ordered by job and task.
+  /// Returns what the agent of \p Vm should do about each of its tasks, ordered
+  /// by job and task.
   ///
-  /// Cost grows with the tasks of this VM only. Every assignment, PREPARE included, carries the token of its placement;
-  /// only START and THROTTLE permit the task to run. A task that is not listed must not run.
+  /// Cost grows with the tasks of this VM only. Every assignment, PREPARE
+  /// included, carries the token of its placement; only START and THROTTLE
+  /// permit the task to run. A task that is not listed must not run.
   std::vector<wire::Assignment> assignmentsFor(const VmId &Vm) const;
 
   /// Returns the known target or nothing.
   std::optional<TargetView> target(const VmId &Vm) const;
 
   /// Calls \p Visit for every target in name order.
-  void forEachTarget(const std::function<void(const TargetView &)> &Visit) const;
+  void
+  forEachTarget(const std::function<void(const TargetView &)> &Visit) const;
 
-  /// Returns true if \p Incarnation is the current one of \p Vm and new work may start there: up, zone in service.
+  /// Returns true if \p Incarnation is the current one of \p Vm and new work
+  /// may start there: up, zone in service.
   ///
-  /// Quarantine does not count here: a quarantined worker keeps the tasks that it has.
+  /// Quarantine does not count here: a quarantined worker keeps the tasks that
+  /// it has.
   bool mayStartOn(const VmId &Vm, int64_t Incarnation) const;
 
   /// Returns the minions for the entries, ordered by VM.
@@ -174,19 +187,24 @@
   /// Returns the availability zones that operators withdrew, ordered.
   std::vector<AvailabilityZoneId> withdrawnZones() const;
 
-  /// Returns the targets that take no new work because they are leaving, ordered.
+  /// Returns the targets that take no new work because they are leaving,
+  /// ordered.
   std::vector<VmId> drainingTargets() const;
 
-  /// Returns the job or nothing; ended jobs are dropped once there are more than MaxEndedJobs.
+  /// Returns the job or nothing; ended jobs are dropped once there are more
+  /// than MaxEndedJobs.
   std::optional<JobView> job(JobId Id) const;
 
   /// Returns the numbers of the jobs that have not ended, ordered.
   std::vector<JobId> liveJobs() const;
 
-  /// Calls \p Visit for each job above \p After in order, until it returns false.
-  void forEachJob(JobId After, const std::function<bool(const JobView &)> &Visit) const;
+  /// Calls \p Visit for each job above \p After in order, until it returns
+  /// false.
+  void forEachJob(JobId After,
+                  const std::function<bool(const JobView &)> &Visit) const;
 
-  /// Returns the lost members whose lease has ended at \p NowUs, as commands for the leader to propose.
+  /// Returns the lost members whose lease has ended at \p NowUs, as commands
+  /// for the leader to propose.
   ///
   /// \p NowUs is the time that the leader would put into the commands.
   std::vector<wire::ExpireLeases> expiredLeases(int64_t NowUs) const;
@@ -200,13 +218,16 @@
   /// Returns the parsed configuration in force, or null before the first.
   const config::Document *document() const;
 
-  /// Returns the configuration in force as it was applied; version 0 before the first.
+  /// Returns the configuration in force as it was applied; version 0 before the
+  /// first.
   ConfigView configuration() const;
 
-  /// Returns the newest \p Limit of the remembered versions (at most 1,024), newest first.
+  /// Returns the newest \p Limit of the remembered versions (at most 1,024),
+  /// newest first.
   std::vector<ConfigVersionView> configHistory(size_t Limit) const;
 
-  /// Returns sizes and totals; walks the targets and the jobs that have not ended.
+  /// Returns sizes and totals; walks the targets and the jobs that have not
+  /// ended.
   Counters counters() const;
 
 private:
--- a/include/anvil/state/StateEvents.h
+++ b/include/anvil/state/StateEvents.h
@@ -13,10 +13,29 @@
 // Snapshots store phases as numbers: new enumerators go to the end.
 
 /// Phase of a job, as in charts/job.yaml.
-enum class JobPhase { Queued, Reserved, Starting, Running, Releasing, Completed, Failed, Cancelled, OutcomeUnknown };
+enum class JobPhase {
+  Queued,
+  Reserved,
+  Starting,
+  Running,
+  Releasing,
+  Completed,
+  Failed,
+  Cancelled,
+  OutcomeUnknown
+};
 
 /// Phase of one member of a gang, as in charts/task.yaml.
-enum class TaskPhase { Reserved, Prepared, Starting, Running, Stopping, Lost, Succeeded, Released };
+enum class TaskPhase {
+  Reserved,
+  Prepared,
+  Starting,
+  Running,
+  Stopping,
+  Lost,
+  Succeeded,
+  Released
+};
 
 /// Phase of a target VM, as in charts/vm.yaml.
 enum class VmPhase { Up, Draining, Lost, Removed };
@@ -29,7 +48,8 @@
   JobId m_Job;
 };
 
-/// A job moved between phases that are not final; Queued means that it was released and waits again.
+/// A job moved between phases that are not final; Queued means that it was
+/// released and waits again.
 struct JobPhaseChanged {
   JobId m_Job;
   JobPhase m_Phase = JobPhase::Queued;
@@ -61,7 +81,8 @@
   int32_t m_TaskIndex = 0;
   VmId m_Vm;
   TaskPhase m_Phase = TaskPhase::Reserved;
-  /// True if the task ended without success by its own report, false for an ordered stop.
+  /// True if the task ended without success by its own report, false for an
+  /// ordered stop.
   bool m_Failed = false;
   int32_t m_UsedCores = 0;
 };
@@ -116,13 +137,17 @@
 
 /// One change of the replicated state.
 using StateEvent =
-    std::variant<JobSubmitted, JobPhaseChanged, JobEnded, JobThrottled, TaskReleased, TaskReported, TargetUp,
-                 TargetLost, TargetDrained, WorkerQuarantined, TargetRemoved, ZoneChanged, ConfigChanged, ClaimChanged>;
+    std::variant<JobSubmitted, JobPhaseChanged, JobEnded, JobThrottled,
+                 TaskReleased, TaskReported, TargetUp, TargetLost,
+                 TargetDrained, WorkerQuarantined, TargetRemoved, ZoneChanged,
+                 ConfigChanged, ClaimChanged>;
 
-/// Receives each change during apply(), in order, with the log index of its command.
+/// Receives each change during apply(), in order, with the log index of its
+/// command.
 ///
 /// The hook must not call apply(); the state may be in the middle of a command.
-using StateEventHook = std::function<void(const StateEvent &Event, int64_t Index)>;
+using StateEventHook =
+    std::function<void(const StateEvent &Event, int64_t Index)>;
 
 } // namespace anvil::state
 
--- a/include/anvil/store/FileSystem.h
+++ b/include/anvil/store/FileSystem.h
@@ -16,7 +16,8 @@
 class AppendFile {
 public:
   virtual ~AppendFile() = default;
-  /// Appends all bytes. \returns kResourceExhausted if the disk is full, kInternal for other failures.
+  /// Appends all bytes. \returns kResourceExhausted if the disk is full,
+  /// kInternal for other failures.
   virtual absl::Status append(std::string_view Bytes) = 0;
   /// Returns once everything appended so far survives a crash.
   virtual absl::Status sync() = 0;
@@ -28,19 +29,23 @@
   virtual ~DirectoryLock() = default;
 };
 
-/// The file operations that the store needs; tests put a fake with faults behind it.
+/// The file operations that the store needs; tests put a fake with faults
+/// behind it.
 ///
-/// Names of files are relative to the data folder. Creation, renaming and removal last only after syncDirectory().
+/// Names of files are relative to the data folder. Creation, renaming and
+/// removal last only after syncDirectory().
 class FileSystem {
 public:
   virtual ~FileSystem() = default;
   /// Opens \p Name for appending, and creates it if it does not exist.
-  virtual absl::StatusOr<std::unique_ptr<AppendFile>> openAppend(const std::string &Name) = 0;
+  virtual absl::StatusOr<std::unique_ptr<AppendFile>>
+  openAppend(const std::string &Name) = 0;
   /// Returns the whole content. \returns kNotFound if there is no such file.
   virtual absl::StatusOr<std::string> read(const std::string &Name) = 0;
   /// Cuts the file to \p Size bytes and syncs it.
   virtual absl::Status truncate(const std::string &Name, uint64_t Size) = 0;
-  virtual absl::Status rename(const std::string &From, const std::string &To) = 0;
+  virtual absl::Status rename(const std::string &From,
+                              const std::string &To) = 0;
   virtual absl::Status remove(const std::string &Name) = 0;
   /// Returns the names of all files, sorted.
   virtual absl::StatusOr<std::vector<std::string>> list() = 0;
@@ -49,8 +54,10 @@
   virtual absl::StatusOr<std::unique_ptr<DirectoryLock>> lock() = 0;
 };
 
-/// Returns the file system below \p Folder, which is created if it does not exist.
-absl::StatusOr<std::unique_ptr<FileSystem>> openDataFolder(const std::string &Folder);
+/// Returns the file system below \p Folder, which is created if it does not
+/// exist.
+absl::StatusOr<std::unique_ptr<FileSystem>>
+openDataFolder(const std::string &Folder);
 
 } // namespace anvil::store
 
--- a/include/anvil/timeline/FrameStamps.h
+++ b/include/anvil/timeline/FrameStamps.h
@@ -8,9 +8,11 @@
 
 namespace anvil::timeline {
 
-/// Makes RPC frames carry the clock of \p Recorder and take in the clocks of peers, so that merged time lines keep
-/// causes before effects. The recorder must outlive all connections made with \p Options.
-inline void stampFrames(net::RpcOptions &Options, Recorder &Recorder, const std::function<int64_t()> &WallMicros) {
+/// Makes RPC frames carry the clock of \p Recorder and take in the clocks of
+/// peers, so that merged time lines keep causes before effects. The recorder
+/// must outlive all connections made with \p Options.
+inline void stampFrames(net::RpcOptions &Options, Recorder &Recorder,
+                        const std::function<int64_t()> &WallMicros) {
   Options.m_Stamp = [&Recorder, WallMicros] {
     const HybridTime Now = Recorder.clock().now(WallMicros());
     return net::ClockStamp{Now.m_WallUs, Now.m_Logical};
--- a/include/anvil/timeline/HybridClock.h
+++ b/include/anvil/timeline/HybridClock.h
@@ -7,8 +7,9 @@
 
 namespace anvil::timeline {
 
-/// Time stamp that follows wall clocks and keeps causes before effects: microseconds since the Unix epoch and a counter
-/// for events within one microsecond or behind a clock that runs ahead.
+/// Time stamp that follows wall clocks and keeps causes before effects:
+/// microseconds since the Unix epoch and a counter for events within one
+/// microsecond or behind a clock that runs ahead.
 struct HybridTime {
   int64_t m_WallUs = 0;
   int32_t m_Logical = 0;
@@ -18,12 +19,15 @@
 
 /// Gives time stamps to the events of one process.
 ///
-/// Usage: now() for an own event or a message to send, observe() for the stamp of a received message. Every stamp is
-/// above all that were given or observed before. A remote clock may pull this one ahead by at most m_MaxAhead; a
-/// stamp farther ahead is counted and otherwise ignored, so that one wrong clock can't move all others.
+/// Usage: now() for an own event or a message to send, observe() for the stamp
+/// of a received message. Every stamp is above all that were given or observed
+/// before. A remote clock may pull this one ahead by at most m_MaxAhead; a
+/// stamp farther ahead is counted and otherwise ignored, so that one wrong
+/// clock can't move all others.
 class HybridClock {
 public:
-  /// Largest lead of a remote stamp over the own wall clock that is followed: 60 s.
+  /// Largest lead of a remote stamp over the own wall clock that is followed:
+  /// 60 s.
   static constexpr int64_t MaxAheadUs = 60'000'000;
 
   /// Returns the next stamp; \p WallUs is the wall clock of this process.
--- a/src/agent/AgentGate.cpp
+++ b/src/agent/AgentGate.cpp
@@ -35,9 +35,12 @@
   bool m_Left = false;
   TimePoint m_LeaveLimit;
   std::optional<TimePoint> m_IdleSince;
-  int64_t m_FarewellSequence = 0; ///< First heartbeat that reported an idle, leaving agent; 0 is none.
+  int64_t m_FarewellSequence =
+      0; ///< First heartbeat that reported an idle, leaving agent; 0 is none.
 
-  bool isWorker() const { return m_Options.m_Target.kind == wire::TargetKind::WORKER; }
+  bool isWorker() const {
+    return m_Options.m_Target.kind == wire::TargetKind::WORKER;
+  }
   std::string_view departure() const;
   StartRule startRule(TimePoint Now) const;
   void notePermit(TimePoint Now, ActionList &Out);
@@ -82,7 +85,9 @@
 void AgentGate::Impl::notePermit(TimePoint Now, ActionList &Out) {
   const bool Has = m_Session.hasPermit(Now);
   if (Has != m_HadPermit)
-    Out.push_back(LogNote{Has ? "start permit granted" : "start permit lost; starts are refused as not run"});
+    Out.push_back(
+        LogNote{Has ? "start permit granted"
+                    : "start permit lost; starts are refused as not run"});
   m_HadPermit = Has;
 }
 
@@ -94,26 +99,32 @@
   m_Requests.answered(std::move(Event), Now, Out);
 }
 
-void AgentGate::Impl::on(const MinionFailed &Event, TimePoint Now, ActionList &Out) {
+void AgentGate::Impl::on(const MinionFailed &Event, TimePoint Now,
+                         ActionList &Out) {
   m_Requests.failed(Event, Now, Out);
 }
 
-void AgentGate::Impl::on(const MinionProbed &Event, TimePoint Now, ActionList &Out) {
+void AgentGate::Impl::on(const MinionProbed &Event, TimePoint Now,
+                         ActionList &Out) {
   m_Requests.probed(Event, Now, Out);
 }
 
-void AgentGate::Impl::on(const HeartbeatSent &Event, TimePoint Now, ActionList &) {
+void AgentGate::Impl::on(const HeartbeatSent &Event, TimePoint Now,
+                         ActionList &) {
   m_Session.sent(Event.m_Sequence, Now);
 }
 
-void AgentGate::Impl::on(const HeartbeatReplied &Event, TimePoint Now, ActionList &Out) {
+void AgentGate::Impl::on(const HeartbeatReplied &Event, TimePoint Now,
+                         ActionList &Out) {
   const wire::AgentHeartbeatReply &Reply = Event.m_Reply;
   const ReplyVerdict Verdict = m_Session.replied(Reply, Now);
   if (Verdict.m_Use == ReplyUse::Ignore)
     return;
   if (Verdict.m_Use == ReplyUse::Refused) {
     if (std::exchange(m_LastRefusal, Reply.detail) != Reply.detail)
-      Out.push_back(LogNote{absl::StrCat("heartbeat refused sequence=", Reply.sequence, " detail=", Reply.detail)});
+      Out.push_back(
+          LogNote{absl::StrCat("heartbeat refused sequence=", Reply.sequence,
+                               " detail=", Reply.detail)});
     if (m_Session.switchAfterRefusal(Reply.sequence))
       Out.push_back(SwitchControl{"heartbeat refused"});
     return;
@@ -123,22 +134,32 @@
     return;
   m_LastRefusal.clear();
   if (m_FarewellSequence != 0 && Reply.sequence >= m_FarewellSequence)
-    m_LeaveLimit = m_Requests.claims().unacknowledged() == 0 ? Now : m_LeaveLimit;
+    m_LeaveLimit =
+        m_Requests.claims().unacknowledged() == 0 ? Now : m_LeaveLimit;
   if (!isWorker())
     return;
   const std::string_view Departure = departure();
   const bool Permit = Departure.empty() && m_Session.hasPermit(Now);
-  m_Tasks.assign(Reply.assignments, AssignmentContext{Verdict.m_SentAt, Now, Permit, Departure}, Out);
+  m_Tasks.assign(Reply.assignments,
+                 AssignmentContext{Verdict.m_SentAt, Now, Permit, Departure},
+                 Out);
 }
 
-void AgentGate::Impl::on(const HeartbeatFailed &Event, TimePoint Now, ActionList &Out) {
+void AgentGate::Impl::on(const HeartbeatFailed &Event, TimePoint Now,
+                         ActionList &Out) {
   if (m_Session.failed(Event.m_Sequence, Now))
     Out.push_back(SwitchControl{Event.m_Reason});
 }
 
-void AgentGate::Impl::on(const TaskEvent &Event, TimePoint Now, ActionList &Out) { m_Tasks.event(Event, Now, Out); }
+void AgentGate::Impl::on(const TaskEvent &Event, TimePoint Now,
+                         ActionList &Out) {
+  m_Tasks.event(Event, Now, Out);
+}
 
-void AgentGate::Impl::on(const WorkerInventory &Event, TimePoint, ActionList &Out) { m_Tasks.inventory(Event, Out); }
+void AgentGate::Impl::on(const WorkerInventory &Event, TimePoint,
+                         ActionList &Out) {
+  m_Tasks.inventory(Event, Out);
+}
 
 void AgentGate::Impl::on(const Tick &, TimePoint Now, ActionList &Out) {
   if (isWorker())
@@ -186,7 +207,8 @@
     m_Session.hurry(Now);
   }
   const bool NothingToReport = m_Requests.claims().unacknowledged() == 0;
-  const bool FarewellOver = m_IdleSince && NothingToReport && Now - *m_IdleSince >= m_Options.m_FarewellLimit;
+  const bool FarewellOver = m_IdleSince && NothingToReport &&
+                            Now - *m_IdleSince >= m_Options.m_FarewellLimit;
   if (FarewellOver)
     Out.push_back(LogNote{"control did not confirm the departure in time"});
   if (Now >= m_LeaveLimit || FarewellOver)
@@ -204,11 +226,15 @@
   Out.push_back(std::move(Departure));
 }
 
-// A gang starts once all its members are reported, so a change does not wait for the next regular heartbeat.
+// A gang starts once all its members are reported, so a change does not wait
+// for the next regular heartbeat.
 void AgentGate::Impl::reportChanges(TimePoint Now) {
-  const bool HealthChanged = std::exchange(m_WasHealthy, m_Requests.healthy()) != m_Requests.healthy();
-  // Fast claims would otherwise reach the bound on unacknowledged outcomes between two regular heartbeats.
-  const bool ManyOutcomes = m_Requests.claims().unreported() >= m_Options.m_HurryOutcomes;
+  const bool HealthChanged =
+      std::exchange(m_WasHealthy, m_Requests.healthy()) != m_Requests.healthy();
+  // Fast claims would otherwise reach the bound on unacknowledged outcomes
+  // between two regular heartbeats.
+  const bool ManyOutcomes =
+      m_Requests.claims().unreported() >= m_Options.m_HurryOutcomes;
   if (m_Tasks.takeChanged() || HealthChanged || ManyOutcomes)
     m_Session.hurry(Now);
 }
@@ -216,21 +242,30 @@
 AgentGate::AgentGate(std::unique_ptr<Impl> State) : m_Impl(std::move(State)) {}
 AgentGate::~AgentGate() = default;
 
-absl::StatusOr<std::unique_ptr<AgentGate>> AgentGate::create(AgentOptions Options) {
+absl::StatusOr<std::unique_ptr<AgentGate>>
+AgentGate::create(AgentOptions Options) {
   if (!Options.m_Random)
     return absl::InvalidArgumentError("agent: random hook is missing");
   if (Options.m_Target.incarnation == 0)
     return absl::InvalidArgumentError("agent: incarnation is 0");
   if (Options.m_Slots <= 0 || Options.m_QueueLimit == 0)
-    return absl::InvalidArgumentError("agent: slots and queue limit must be positive");
-  if (Options.m_MaxUnackedClaims == 0 || Options.m_MaxTokens < Options.m_MaxUnackedClaims)
-    return absl::InvalidArgumentError("agent: remembered tokens must cover all unacknowledged claims");
-  return std::unique_ptr<AgentGate>(new AgentGate(std::make_unique<Impl>(std::move(Options))));
+    return absl::InvalidArgumentError(
+        "agent: slots and queue limit must be positive");
+  if (Options.m_MaxUnackedClaims == 0 ||
+      Options.m_MaxTokens < Options.m_MaxUnackedClaims)
+    return absl::InvalidArgumentError(
+        "agent: remembered tokens must cover all unacknowledged claims");
+  return std::unique_ptr<AgentGate>(
+      new AgentGate(std::make_unique<Impl>(std::move(Options))));
 }
 
 ActionList AgentGate::step(Event Incoming, TimePoint Now) {
   ActionList Out;
-  std::visit([&](auto &&Event) { m_Impl->on(std::forward<decltype(Event)>(Event), Now, Out); }, std::move(Incoming));
+  std::visit(
+      [&](auto &&Event) {
+        m_Impl->on(std::forward<decltype(Event)>(Event), Now, Out);
+      },
+      std::move(Incoming));
   m_Impl->notePermit(Now, Out);
   m_Impl->m_Requests.pump(m_Impl->startRule(Now), Now, Out);
   m_Impl->checkDeparture(Now, Out);
@@ -238,7 +273,9 @@
   return Out;
 }
 
-bool AgentGate::hasPermit(TimePoint Now) const { return m_Impl->m_Session.hasPermit(Now); }
+bool AgentGate::hasPermit(TimePoint Now) const {
+  return m_Impl->m_Session.hasPermit(Now);
+}
 
 wire::Load AgentGate::load() const { return m_Impl->m_Requests.load(); }
 
--- a/src/agent/ClaimLedger.cpp
+++ b/src/agent/ClaimLedger.cpp
@@ -9,19 +9,22 @@
   const auto Found = m_Entries.find(Key);
   if (Found != m_Entries.end())
     return Found->second.m_Open ? ClaimKnown::Open : ClaimKnown::Closed;
-  return Key.m_Token <= m_ForgottenUpTo ? ClaimKnown::Forgotten : ClaimKnown::Never;
+  return Key.m_Token <= m_ForgottenUpTo ? ClaimKnown::Forgotten
+                                        : ClaimKnown::Never;
 }
 
 StoredOutcome ClaimLedger::outcomeOf(const ClaimKey &Key) const {
   const auto Found = m_Entries.find(Key);
-  // Passing on an empty body as a completed response would hand the caller a response that is not whole.
+  // Passing on an empty body as a completed response would hand the caller a
+  // response that is not whole.
   if (Found == m_Entries.end() || Found->second.m_BodyDropped)
     return {};
   return Found->second.m_Stored;
 }
 
 bool ClaimLedger::full() const {
-  return m_Unacked.size() + m_OpenCount >= m_Options.m_MaxUnackedClaims || m_UnackedBytes >= m_Options.m_MaxClaimBytes;
+  return m_Unacked.size() + m_OpenCount >= m_Options.m_MaxUnackedClaims ||
+         m_UnackedBytes >= m_Options.m_MaxClaimBytes;
 }
 
 void ClaimLedger::open(const ClaimKey &Key) {
@@ -42,8 +45,10 @@
     Outcome = {};
   Claim.m_Stored = std::move(Outcome);
   m_Bytes += Claim.m_Stored.m_Body.size();
-  // Refusals beyond the bound stay as tokens only: the entry's answer frees the claim, and repeats are still refused.
-  const bool Refusal = Inserted && m_Unacked.size() + m_OpenCount >= m_Options.m_MaxUnackedClaims;
+  // Refusals beyond the bound stay as tokens only: the entry's answer frees the
+  // claim, and repeats are still refused.
+  const bool Refusal = Inserted && m_Unacked.size() + m_OpenCount >=
+                                       m_Options.m_MaxUnackedClaims;
   Claim.m_Acked = Refusal;
   if (!Refusal) {
     m_Unacked.insert(Key);
@@ -79,13 +84,16 @@
   return Outcomes;
 }
 
-void ClaimLedger::acknowledge(const std::vector<std::string> &ClaimIds, int64_t Sequence) {
-  const std::set<std::string_view> Acknowledged(ClaimIds.begin(), ClaimIds.end());
+void ClaimLedger::acknowledge(const std::vector<std::string> &ClaimIds,
+                              int64_t Sequence) {
+  const std::set<std::string_view> Acknowledged(ClaimIds.begin(),
+                                                ClaimIds.end());
   if (Acknowledged.empty())
     return;
   for (auto Next = m_Unacked.begin(); Next != m_Unacked.end();) {
     Entry &Claim = m_Entries.at(*Next);
-    const bool Reported = Claim.m_FirstReport != 0 && Claim.m_FirstReport <= Sequence;
+    const bool Reported =
+        Claim.m_FirstReport != 0 && Claim.m_FirstReport <= Sequence;
     if (!Reported || !Acknowledged.contains(Next->m_ClaimId)) {
       ++Next;
       continue;
@@ -112,7 +120,8 @@
 }
 
 void ClaimLedger::dropTokens() {
-  for (auto Next = m_Entries.begin(); Next != m_Entries.end() && m_Entries.size() > m_Options.m_MaxTokens;) {
+  for (auto Next = m_Entries.begin();
+       Next != m_Entries.end() && m_Entries.size() > m_Options.m_MaxTokens;) {
     const Entry &Claim = Next->second;
     if (Claim.m_Open || !Claim.m_Acked) {
       ++Next;
--- a/src/agent/ControlSession.cpp
+++ b/src/agent/ControlSession.cpp
@@ -5,17 +5,21 @@
 namespace anvil::agent::internal {
 
 namespace {
-/// Heartbeats without an answer that are remembered; the shell has at most a few open.
+/// Heartbeats without an answer that are remembered; the shell has at most a
+/// few open.
 constexpr size_t MaxInFlight = 16;
 constexpr double JitterShare = 0.1;
-/// One refusal is common while the agent is being registered. With two, 200 ms apart, another replica is asked before
-/// the permit of the last accepted heartbeat, 1 s before, has run out.
+/// One refusal is common while the agent is being registered. With two, 200 ms
+/// apart, another replica is asked before the permit of the last accepted
+/// heartbeat, 1 s before, has run out.
 constexpr int RefusalsToSwitch = 2;
 } // namespace
 
 Duration ControlSession::jittered(Duration Period) const {
-  const double Factor = 1.0 - JitterShare + 2 * JitterShare * m_Options.m_Random();
-  return Duration(static_cast<int64_t>(static_cast<double>(Period.count()) * Factor));
+  const double Factor =
+      1.0 - JitterShare + 2 * JitterShare * m_Options.m_Random();
+  return Duration(
+      static_cast<int64_t>(static_cast<double>(Period.count()) * Factor));
 }
 
 bool ControlSession::takeDue(TimePoint Now) {
@@ -26,7 +30,9 @@
   return true;
 }
 
-void ControlSession::hurry(TimePoint Now) { m_NextDue = std::min(m_NextDue, std::max(Now, m_EarliestDue)); }
+void ControlSession::hurry(TimePoint Now) {
+  m_NextDue = std::min(m_NextDue, std::max(Now, m_EarliestDue));
+}
 
 void ControlSession::sent(int64_t Sequence, TimePoint Now) {
   m_InFlight.emplace(Sequence, Now);
@@ -34,7 +40,8 @@
     m_InFlight.erase(m_InFlight.begin());
 }
 
-ReplyVerdict ControlSession::replied(const wire::AgentHeartbeatReply &Reply, TimePoint Now) {
+ReplyVerdict ControlSession::replied(const wire::AgentHeartbeatReply &Reply,
+                                     TimePoint Now) {
   const auto Found = m_InFlight.find(Reply.sequence);
   if (Found == m_InFlight.end())
     return {};
@@ -47,8 +54,9 @@
     m_NextDue = std::min(m_NextDue, Now + jittered(m_Options.m_RetryPeriod));
     return {ReplyUse::Refused, SentAt};
   }
-  // A replica that lags behind the one used before must not bring back assignments or permits that have ended, nor
-  // acknowledge the outcome of a claim that it has not seen yet.
+  // A replica that lags behind the one used before must not bring back
+  // assignments or permits that have ended, nor acknowledge the outcome of a
+  // claim that it has not seen yet.
   if (Reply.renewedAtIndex < m_LastIndex) {
     m_NextDue = std::min(m_NextDue, Now + jittered(m_Options.m_RetryPeriod));
     return {ReplyUse::Ignore, SentAt};
@@ -62,9 +70,11 @@
   return {ReplyUse::InForce, SentAt};
 }
 
-void ControlSession::applyPermit(const wire::AgentHeartbeatReply &Reply, TimePoint SentAt, TimePoint Now) {
+void ControlSession::applyPermit(const wire::AgentHeartbeatReply &Reply,
+                                 TimePoint SentAt, TimePoint Now) {
   const Duration Granted = std::clamp<Duration>(
-      std::chrono::milliseconds(std::clamp<int64_t>(Reply.permitMs, 0, 60000)), Duration(0), m_Options.m_MaxPermit);
+      std::chrono::milliseconds(std::clamp<int64_t>(Reply.permitMs, 0, 60000)),
+      Duration(0), m_Options.m_MaxPermit);
   m_PermitEnd = SentAt + Granted;
   if (hasPermit(Now)) {
     m_Denied = false;
@@ -73,7 +83,8 @@
   if (!m_Denied)
     m_DeniedSince = Now;
   m_Denied = true;
-  // A withdrawn zone stays without a permit for hours; its agents return to the normal period to spare control.
+  // A withdrawn zone stays without a permit for hours; its agents return to the
+  // normal period to spare control.
   if (!m_Draining && Now - m_DeniedSince < m_Options.m_QuickRetryLimit)
     m_NextDue = std::min(m_NextDue, Now + jittered(m_Options.m_RetryPeriod));
 }
@@ -83,8 +94,11 @@
   if (Sequence <= m_SwitchedAt || Sequence < m_LastApplied)
     return false;
   m_SwitchedAt = m_Sequence;
-  // All agents of a lost replica notice at the same time; spreading keeps them from arriving elsewhere together.
-  const double Spread = static_cast<double>(m_Options.m_ReconnectSpread.count()) * m_Options.m_Random();
+  // All agents of a lost replica notice at the same time; spreading keeps them
+  // from arriving elsewhere together.
+  const double Spread =
+      static_cast<double>(m_Options.m_ReconnectSpread.count()) *
+      m_Options.m_Random();
   m_NextDue = Now + Duration(static_cast<int64_t>(Spread));
   return true;
 }
--- a/src/agent/ControlSession.h
+++ b/src/agent/ControlSession.h
@@ -9,8 +9,10 @@
 
 /// How a heartbeat reply is to be used.
 enum class ReplyUse {
-  Ignore,  ///< Its heartbeat is not known, or the replica lags behind one used before.
-  Late,    ///< A newer heartbeat was answered before: only its acknowledgements count.
+  Ignore,  ///< Its heartbeat is not known, or the replica lags behind one used
+           ///< before.
+  Late,    ///< A newer heartbeat was answered before: only its acknowledgements
+           ///< count.
   Refused, ///< The replica did not accept the heartbeat.
   InForce  ///< Newest reply so far: assignments and leases follow it.
 };
@@ -21,14 +23,16 @@
   TimePoint m_SentAt;
 };
 
-/// Times heartbeats and counts the start permit from when each heartbeat was sent.
+/// Times heartbeats and counts the start permit from when each heartbeat was
+/// sent.
 class ControlSession {
 public:
   explicit ControlSession(const AgentOptions &Options) : m_Options(Options) {}
 
   /// Returns true if a heartbeat is due, and schedules the next one.
   bool takeDue(TimePoint Now);
-  /// Makes the next heartbeat due at once, or one retry period after the last one.
+  /// Makes the next heartbeat due at once, or one retry period after the last
+  /// one.
   void hurry(TimePoint Now);
   /// Returns the number of the next heartbeat.
   int64_t nextSequence() { return ++m_Sequence; }
@@ -36,7 +40,8 @@
   ReplyVerdict replied(const wire::AgentHeartbeatReply &Reply, TimePoint Now);
   /// Schedules the reconnection; returns true if the replica is to be replaced.
   bool failed(int64_t Sequence, TimePoint Now);
-  /// Returns true if the replica that refused heartbeat \p Sequence is to be replaced.
+  /// Returns true if the replica that refused heartbeat \p Sequence is to be
+  /// replaced.
   bool switchAfterRefusal(int64_t Sequence);
 
   bool hasPermit(TimePoint Now) const { return Now < m_PermitEnd; }
@@ -45,14 +50,16 @@
 
 private:
   Duration jittered(Duration Period) const;
-  void applyPermit(const wire::AgentHeartbeatReply &Reply, TimePoint SentAt, TimePoint Now);
+  void applyPermit(const wire::AgentHeartbeatReply &Reply, TimePoint SentAt,
+                   TimePoint Now);
 
   const AgentOptions &m_Options;
   std::map<int64_t, TimePoint> m_InFlight;
   int64_t m_Sequence = 0;
   int64_t m_LastApplied = 0;
   int64_t m_LastIndex = 0;
-  int64_t m_SwitchedAt = 0; ///< Heartbeats up to this number went to a replica that was replaced.
+  int64_t m_SwitchedAt =
+      0; ///< Heartbeats up to this number went to a replica that was replaced.
   int64_t m_ConfigVersion = 0;
   int m_Refusals = 0; ///< Consecutive refusals by the current replica.
   TimePoint m_NextDue;
--- a/src/agent/MinionHealth.h
+++ b/src/agent/MinionHealth.h
@@ -7,12 +7,15 @@
 
 /// Circuit breaker over recent failures to connect to the minion.
 ///
-/// Closed: requests pass. Open: requests are refused until a probe connects. The probe is a connection without a
-/// request, so that no caller's request is used to find out. It starts open, and the first probe waits for the settle
-/// time, because the agent can't see the slots that requests of an earlier incarnation still use.
+/// Closed: requests pass. Open: requests are refused until a probe connects.
+/// The probe is a connection without a request, so that no caller's request is
+/// used to find out. It starts open, and the first probe waits for the settle
+/// time, because the agent can't see the slots that requests of an earlier
+/// incarnation still use.
 class MinionHealth {
 public:
-  explicit MinionHealth(const AgentOptions &Options) : m_Options(Options), m_Delay(Options.m_MinReopenDelay) {}
+  explicit MinionHealth(const AgentOptions &Options)
+      : m_Options(Options), m_Delay(Options.m_MinReopenDelay) {}
 
   bool healthy() const { return m_Closed; }
   void connected();
