--- a/src/agent/RequestQueue.cpp
+++ b/src/agent/RequestQueue.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-/// Head start of urgent requests over those of \p Urgency, by typical deadlines: quotes seconds, reports minutes.
+/// Head start of urgent requests over those of \p Urgency, by typical
+/// deadlines: quotes seconds, reports minutes.
 Duration urgencyDelay(wire::Urgency::type Urgency) {
   switch (Urgency) {
   case wire::Urgency::URGENT:
@@ -26,7 +27,8 @@
 bool RequestQueue::push(PendingRequest &Request) {
   const std::string &Class = Request.m_Request.className;
   const auto Found = m_ClassCounts.find(Class);
-  if (Found == m_ClassCounts.end() && m_ClassCounts.size() >= m_Options.m_MaxClasses)
+  if (Found == m_ClassCounts.end() &&
+      m_ClassCounts.size() >= m_Options.m_MaxClasses)
     return false;
   if (Found != m_ClassCounts.end() && Found->second >= m_Options.m_QueueLimit)
     return false;
@@ -34,12 +36,14 @@
     return false;
   ++m_ClassCounts[Class];
   m_Bytes += Request.m_Request.body.size();
-  const Order Key{Request.m_ArrivedAt + urgencyDelay(Request.m_Request.urgency), ++m_NextSerial};
+  const Order Key{Request.m_ArrivedAt + urgencyDelay(Request.m_Request.urgency),
+                  ++m_NextSerial};
   m_Order.emplace(Key, std::move(Request));
   return true;
 }
 
-PendingRequest RequestQueue::remove(std::map<Order, PendingRequest>::iterator Where) {
+PendingRequest
+RequestQueue::remove(std::map<Order, PendingRequest>::iterator Where) {
   PendingRequest Request = std::move(Where->second);
   m_Order.erase(Where);
   m_Bytes -= Request.m_Request.body.size();
--- a/src/agent/RequestQueue.h
+++ b/src/agent/RequestQueue.h
@@ -22,13 +22,15 @@
 
 /// Requests that wait for a slot, bounded for each class.
 ///
-/// Each urgency adds a fixed delay to the arrival time and the earliest sum is next. A less urgent request therefore
-/// overtakes urgent ones that arrive later than its own delay, so it can't starve.
+/// Each urgency adds a fixed delay to the arrival time and the earliest sum is
+/// next. A less urgent request therefore overtakes urgent ones that arrive
+/// later than its own delay, so it can't starve.
 class RequestQueue {
 public:
   explicit RequestQueue(const AgentOptions &Options) : m_Options(Options) {}
 
-  /// Takes over \p Request, or returns false and leaves it unchanged if a bound is reached.
+  /// Takes over \p Request, or returns false and leaves it unchanged if a bound
+  /// is reached.
   bool push(PendingRequest &Request);
   /// Takes the next request, or nothing.
   std::optional<PendingRequest> pop();
--- a/src/agent/RequestSlots.h
+++ b/src/agent/RequestSlots.h
@@ -24,13 +24,15 @@
 public:
   explicit RequestSlots(const AgentOptions &Options);
 
-  void arrive(ExecuteArrived Arrived, const StartRule &Rule, TimePoint Now, ActionList &Out);
+  void arrive(ExecuteArrived Arrived, const StartRule &Rule, TimePoint Now,
+              ActionList &Out);
   void answered(MinionAnswered Answer, TimePoint Now, ActionList &Out);
   void failed(const MinionFailed &Failure, TimePoint Now, ActionList &Out);
   void probed(const MinionProbed &Probe, TimePoint Now, ActionList &Out);
   /// Ends what is past its deadline and probes the minion.
   void tick(TimePoint Now, ActionList &Out);
-  /// Refuses the queue if starts are not allowed, otherwise fills free slots from it.
+  /// Refuses the queue if starts are not allowed, otherwise fills free slots
+  /// from it.
   void pump(const StartRule &Rule, TimePoint Now, ActionList &Out);
   /// Ends everything at once and describes each exchange that was cut off.
   void cutOff(TimePoint Now, ActionList &Out, std::vector<std::string> &Cut);
@@ -46,16 +48,19 @@
     CallId m_Call;
     TimePoint m_Deadline;
   };
-  bool repeatOfClaim(const ExecuteArrived &Arrived, TimePoint Now, ActionList &Out);
-  void refuse(CallId Call, const wire::ExecuteRequest &Request, std::string_view Reason, Duration RetryAfter,
-              ActionList &Out);
+  bool repeatOfClaim(const ExecuteArrived &Arrived, TimePoint Now,
+                     ActionList &Out);
+  void refuse(CallId Call, const wire::ExecuteRequest &Request,
+              std::string_view Reason, Duration RetryAfter, ActionList &Out);
   void reply(CallId Call, wire::ExecuteReply Reply, ActionList &Out) const;
-  void finish(const PendingRequest &Request, wire::ExecuteReply Reply, TimePoint Now, ActionList &Out);
+  void finish(const PendingRequest &Request, wire::ExecuteReply Reply,
+              TimePoint Now, ActionList &Out);
   void start(PendingRequest Request, TimePoint Now, ActionList &Out);
   void expireCallers(TimePoint Now, ActionList &Out);
   void expireWaiters(TimePoint Now, ActionList &Out);
   void abandonHung(TimePoint Now, ActionList &Out);
-  void flushQueue(std::string_view Reason, Duration RetryAfter, TimePoint Now, ActionList &Out);
+  void flushQueue(std::string_view Reason, Duration RetryAfter, TimePoint Now,
+                  ActionList &Out);
 
   const AgentOptions &m_Options;
   RequestQueue m_Queue;
--- a/src/agent/TaskTable.cpp
+++ b/src/agent/TaskTable.cpp
@@ -9,17 +9,21 @@
 namespace anvil::agent::internal {
 
 namespace {
-/// A task is lost only if two inventories lack it, because one may have been taken before the task started.
+/// A task is lost only if two inventories lack it, because one may have been
+/// taken before the task started.
 constexpr int MissedInventoriesForLoss = 2;
-/// The worker's lease is extended once a tenth of it has passed, not with every heartbeat.
+/// The worker's lease is extended once a tenth of it has passed, not with every
+/// heartbeat.
 constexpr int RenewalsPerLease = 10;
 } // namespace
 
 bool TaskTable::active(const Record &Task) {
-  return Task.m_Phase == Phase::Starting || Task.m_Phase == Phase::Running || Task.m_Phase == Phase::Stopping;
+  return Task.m_Phase == Phase::Starting || Task.m_Phase == Phase::Running ||
+         Task.m_Phase == Phase::Stopping;
 }
 
-void TaskTable::end(Record &Task, wire::TaskState::type EndState, std::string_view Detail) {
+void TaskTable::end(Record &Task, wire::TaskState::type EndState,
+                    std::string_view Detail) {
   Task.m_Phase = Phase::Ended;
   Task.m_EndState = EndState;
   Task.m_Detail = std::string(Detail);
@@ -39,7 +43,8 @@
     MemoryMib += Task.m_Resources.memoryMib;
   }
   const wire::Resources &Capacity = m_Options.m_Target.capacity;
-  return Accelerators <= Capacity.accelerators && Cores <= Capacity.cores && MemoryMib <= Capacity.memoryMib;
+  return Accelerators <= Capacity.accelerators && Cores <= Capacity.cores &&
+         MemoryMib <= Capacity.memoryMib;
 }
 
 bool TaskTable::rememberStart(const TaskKey &Key) {
@@ -53,10 +58,12 @@
   return true;
 }
 
-void TaskTable::assign(const std::vector<wire::Assignment> &Wanted, const AssignmentContext &Context, ActionList &Out) {
+void TaskTable::assign(const std::vector<wire::Assignment> &Wanted,
+                       const AssignmentContext &Context, ActionList &Out) {
   for (auto &[Id, Task] : m_Tasks)
     Task.m_Wanted = false;
-  // Releases first, so that resources of dropped tasks are free for new ones of the same set.
+  // Releases first, so that resources of dropped tasks are free for new ones of
+  // the same set.
   for (const wire::Assignment &Item : Wanted) {
     const auto Found = m_Tasks.find({Item.jobId, Item.taskIndex});
     if (Found != m_Tasks.end())
@@ -76,17 +83,20 @@
     if (!active(Task))
       m_Tasks.erase(Current);
     else if (Task.m_Phase != Phase::Stopping)
-      beginStop(Current->first, Task, wire::TaskState::STOPPED, "no longer wanted by control", Now, Out);
+      beginStop(Current->first, Task, wire::TaskState::STOPPED,
+                "no longer wanted by control", Now, Out);
   }
 }
 
-void TaskTable::apply(const wire::Assignment &Wanted, const AssignmentContext &Context, ActionList &Out) {
+void TaskTable::apply(const wire::Assignment &Wanted,
+                      const AssignmentContext &Context, ActionList &Out) {
   const TaskId Id{Wanted.jobId, Wanted.taskIndex};
   Record &Task = m_Tasks[Id];
   if (Task.m_StartToken != Wanted.startToken) {
     if (active(Task)) {
       if (Task.m_Phase != Phase::Stopping)
-        beginStop(Id, Task, wire::TaskState::STOPPED, "replaced by a newer start token", Context.m_Now, Out);
+        beginStop(Id, Task, wire::TaskState::STOPPED,
+                  "replaced by a newer start token", Context.m_Now, Out);
       return;
     }
     if (Task.m_Phase == Phase::Ended)
@@ -97,7 +107,8 @@
     return applyToActive(Wanted, Task, Context, Out);
   if (Task.m_Phase == Phase::Ended)
     return;
-  const bool Begins = Wanted.order == wire::TaskOrder::PREPARE || Wanted.order == wire::TaskOrder::START;
+  const bool Begins = Wanted.order == wire::TaskOrder::PREPARE ||
+                      Wanted.order == wire::TaskOrder::START;
   if (Begins && !Context.m_Refusal.empty())
     return end(Task, wire::TaskState::REFUSED, Context.m_Refusal);
   switch (Wanted.order) {
@@ -119,7 +130,8 @@
 void TaskTable::prepare(const wire::Assignment &Wanted, Record &Task) {
   if (Task.m_Phase == Phase::Prepared)
     return;
-  // Tasks of an earlier incarnation hold resources that this table does not know; they are stopped first.
+  // Tasks of an earlier incarnation hold resources that this table does not
+  // know; they are stopped first.
   if (!m_InventoryClean)
     return;
   if (!fits(Wanted.resources))
@@ -129,11 +141,15 @@
   m_Changed = true;
 }
 
-void TaskTable::start(const wire::Assignment &Wanted, Record &Task, const AssignmentContext &Context, ActionList &Out) {
-  // Start tokens are remembered only for this incarnation; a task prepared by an earlier one may have run already.
+void TaskTable::start(const wire::Assignment &Wanted, Record &Task,
+                      const AssignmentContext &Context, ActionList &Out) {
+  // Start tokens are remembered only for this incarnation; a task prepared by
+  // an earlier one may have run already.
   if (Task.m_Phase != Phase::Prepared)
-    return end(Task, wire::TaskState::REFUSED, "not prepared by this incarnation");
-  const TimePoint LeaseEnd = Context.m_SentAt + std::chrono::milliseconds(Wanted.leaseMs);
+    return end(Task, wire::TaskState::REFUSED,
+               "not prepared by this incarnation");
+  const TimePoint LeaseEnd =
+      Context.m_SentAt + std::chrono::milliseconds(Wanted.leaseMs);
   if (!Context.m_Permit || LeaseEnd <= Context.m_Now)
     return;
   const TaskKey Key{Wanted.jobId, Wanted.taskIndex, Wanted.startToken};
@@ -142,19 +158,24 @@
   Task.m_Phase = Phase::Starting;
   Task.m_LeaseEnd = LeaseEnd;
   Task.m_WorkerLeaseEnd = LeaseEnd;
-  Out.push_back(StartTask{Key, LeaseEnd - Context.m_Now, Wanted.resources, Wanted.payload, Wanted.workspace});
+  Out.push_back(StartTask{Key, LeaseEnd - Context.m_Now, Wanted.resources,
+                          Wanted.payload, Wanted.workspace});
 }
 
-void TaskTable::renew(const wire::Assignment &Wanted, Record &Task, const AssignmentContext &Context, ActionList &Out) {
+void TaskTable::renew(const wire::Assignment &Wanted, Record &Task,
+                      const AssignmentContext &Context, ActionList &Out) {
   const Duration Lease = std::chrono::milliseconds(Wanted.leaseMs);
   Task.m_LeaseEnd = std::max(Task.m_LeaseEnd, Context.m_SentAt + Lease);
-  if (Task.m_Phase != Phase::Running || Task.m_LeaseEnd - Task.m_WorkerLeaseEnd < Lease / RenewalsPerLease)
+  if (Task.m_Phase != Phase::Running ||
+      Task.m_LeaseEnd - Task.m_WorkerLeaseEnd < Lease / RenewalsPerLease)
     return;
   Task.m_WorkerLeaseEnd = Task.m_LeaseEnd;
-  Out.push_back(RenewTask{{Wanted.jobId, Wanted.taskIndex, Wanted.startToken}, Task.m_LeaseEnd - Context.m_Now});
+  Out.push_back(RenewTask{{Wanted.jobId, Wanted.taskIndex, Wanted.startToken},
+                          Task.m_LeaseEnd - Context.m_Now});
 }
 
-void TaskTable::applyToActive(const wire::Assignment &Wanted, Record &Task, const AssignmentContext &Context,
+void TaskTable::applyToActive(const wire::Assignment &Wanted, Record &Task,
+                              const AssignmentContext &Context,
                               ActionList &Out) {
   const TaskId Id{Wanted.jobId, Wanted.taskIndex};
   if (Task.m_Phase == Phase::Stopping)
@@ -163,11 +184,13 @@
   if (Context.m_Now >= Task.m_LeaseEnd)
     return;
   if (Wanted.order == wire::TaskOrder::STOP)
-    return beginStop(Id, Task, wire::TaskState::STOPPED, "stopped by control", Context.m_Now, Out);
+    return beginStop(Id, Task, wire::TaskState::STOPPED, "stopped by control",
+                     Context.m_Now, Out);
   renew(Wanted, Task, Context, Out);
   if (Task.m_Phase != Phase::Running)
     return;
-  if (Wanted.order == wire::TaskOrder::CHECKPOINT_AND_STOP && !Task.m_Checkpointing) {
+  if (Wanted.order == wire::TaskOrder::CHECKPOINT_AND_STOP &&
+      !Task.m_Checkpointing) {
     Task.m_Checkpointing = true;
     Out.push_back(CheckpointTask{keyOf(Id, Task)});
   }
@@ -177,22 +200,27 @@
   }
 }
 
-void TaskTable::beginStop(const TaskId &Id, Record &Task, wire::TaskState::type EndState, std::string_view Detail,
-                          TimePoint Now, ActionList &Out) {
+void TaskTable::beginStop(const TaskId &Id, Record &Task,
+                          wire::TaskState::type EndState,
+                          std::string_view Detail, TimePoint Now,
+                          ActionList &Out) {
   Task.m_Phase = Phase::Stopping;
   Task.m_EndState = EndState;
   Task.m_Detail = std::string(Detail);
   Task.m_Missed = 0;
   Task.m_NextStop = Now + m_Options.m_StopRetryPeriod;
   Out.push_back(StopTask{keyOf(Id, Task)});
-  Out.push_back(LogNote{absl::StrCat("stopping task job=", Id.m_JobId, " task=", Id.m_TaskIndex,
-                                     " token=", Task.m_StartToken, " reason=", toAbsl(Detail))});
+  Out.push_back(LogNote{
+      absl::StrCat("stopping task job=", Id.m_JobId, " task=", Id.m_TaskIndex,
+                   " token=", Task.m_StartToken, " reason=", toAbsl(Detail))});
 }
 
 void TaskTable::event(const TaskEvent &Event, TimePoint Now, ActionList &Out) {
   const TaskId Id{Event.m_Key.m_JobId, Event.m_Key.m_TaskIndex};
   const auto Found = m_Tasks.find(Id);
-  if (Found == m_Tasks.end() || Found->second.m_StartToken != Event.m_Key.m_StartToken || !active(Found->second))
+  if (Found == m_Tasks.end() ||
+      Found->second.m_StartToken != Event.m_Key.m_StartToken ||
+      !active(Found->second))
     return;
   Record &Task = Found->second;
   switch (Event.m_Kind) {
@@ -223,10 +251,12 @@
     break;
   case TaskEventKind::Checkpointed:
     if (Task.m_Phase == Phase::Running)
-      beginStop(Id, Task, wire::TaskState::CHECKPOINTED, Event.m_Detail, Now, Out);
+      beginStop(Id, Task, wire::TaskState::CHECKPOINTED, Event.m_Detail, Now,
+                Out);
     break;
   case TaskEventKind::CheckpointFailed:
-    // The order is repeated with the next heartbeat reply until control asks for a stop.
+    // The order is repeated with the next heartbeat reply until control asks
+    // for a stop.
     Task.m_Checkpointing = false;
     Task.m_Detail = Event.m_Detail;
     break;
@@ -250,7 +280,8 @@
         Running.erase(Found);
     }
     Task.m_Missed = Listed ? 0 : Task.m_Missed + 1;
-    const bool Confirmed = Task.m_Phase == Phase::Running || Task.m_Phase == Phase::Stopping;
+    const bool Confirmed =
+        Task.m_Phase == Phase::Running || Task.m_Phase == Phase::Stopping;
     if (!Confirmed || Task.m_Missed < MissedInventoriesForLoss)
       continue;
     if (Task.m_Phase == Phase::Stopping)
@@ -263,8 +294,9 @@
   m_InventoryClean = Running.empty();
   for (const auto &[Key, Cores] : Running) {
     Out.push_back(StopTask{Key});
-    Out.push_back(LogNote{absl::StrCat("stopping a task of an earlier incarnation job=", Key.m_JobId,
-                                       " task=", Key.m_TaskIndex, " token=", Key.m_StartToken)});
+    Out.push_back(LogNote{absl::StrCat(
+        "stopping a task of an earlier incarnation job=", Key.m_JobId,
+        " task=", Key.m_TaskIndex, " token=", Key.m_StartToken)});
   }
 }
 
@@ -274,7 +306,8 @@
       continue;
     if (Task.m_Phase != Phase::Stopping) {
       if (Now >= Task.m_LeaseEnd)
-        beginStop(Id, Task, wire::TaskState::STOPPED, "lease ran out", Now, Out);
+        beginStop(Id, Task, wire::TaskState::STOPPED, "lease ran out", Now,
+                  Out);
     } else if (Now >= Task.m_NextStop) {
       Task.m_NextStop = Now + m_Options.m_StopRetryPeriod;
       Out.push_back(StopTask{keyOf(Id, Task)});
@@ -304,13 +337,15 @@
 }
 
 bool TaskTable::idle() const {
-  return std::none_of(m_Tasks.begin(), m_Tasks.end(), [](const auto &Item) { return active(Item.second); });
+  return std::none_of(m_Tasks.begin(), m_Tasks.end(),
+                      [](const auto &Item) { return active(Item.second); });
 }
 
 void TaskTable::describeActive(std::vector<std::string> &Cut) const {
   for (const auto &[Id, Task] : m_Tasks)
     if (active(Task))
-      Cut.push_back(absl::StrCat("task job=", Id.m_JobId, " index=", Id.m_TaskIndex, " token=", Task.m_StartToken));
+      Cut.push_back(absl::StrCat("task job=", Id.m_JobId, " index=",
+                                 Id.m_TaskIndex, " token=", Task.m_StartToken));
 }
 
 } // namespace anvil::agent::internal
--- a/src/agent/TaskTable.h
+++ b/src/agent/TaskTable.h
@@ -22,17 +22,21 @@
   std::string_view m_Refusal; ///< Not empty while the agent takes no new tasks.
 };
 
-/// Tasks of a worker: holds their resources, starts each start token once and stops tasks whose lease ran out.
+/// Tasks of a worker: holds their resources, starts each start token once and
+/// stops tasks whose lease ran out.
 ///
-/// Assignments are the full set that control wants; whatever is missing from it is stopped or released.
+/// Assignments are the full set that control wants; whatever is missing from it
+/// is stopped or released.
 class TaskTable {
 public:
   explicit TaskTable(const AgentOptions &Options) : m_Options(Options) {}
 
-  void assign(const std::vector<wire::Assignment> &Wanted, const AssignmentContext &Context, ActionList &Out);
+  void assign(const std::vector<wire::Assignment> &Wanted,
+              const AssignmentContext &Context, ActionList &Out);
   void event(const TaskEvent &Event, TimePoint Now, ActionList &Out);
   void inventory(const WorkerInventory &Inventory, ActionList &Out);
-  /// Stops tasks whose lease ran out and repeats stops that the worker has not confirmed.
+  /// Stops tasks whose lease ran out and repeats stops that the worker has not
+  /// confirmed.
   void tick(TimePoint Now, ActionList &Out);
   std::vector<wire::TaskStatus> statuses() const;
   /// Returns true if a status changed since the last call.
@@ -48,7 +52,8 @@
     int64_t m_JobId = 0;
     int32_t m_TaskIndex = 0;
     bool operator<(const TaskId &Other) const {
-      return std::tie(m_JobId, m_TaskIndex) < std::tie(Other.m_JobId, Other.m_TaskIndex);
+      return std::tie(m_JobId, m_TaskIndex) <
+             std::tie(Other.m_JobId, Other.m_TaskIndex);
     }
   };
   struct Record {
@@ -67,26 +72,34 @@
     int32_t m_UsedCores = 0;
   };
 
-  void apply(const wire::Assignment &Wanted, const AssignmentContext &Context, ActionList &Out);
-  void applyToActive(const wire::Assignment &Wanted, Record &Task, const AssignmentContext &Context, ActionList &Out);
+  void apply(const wire::Assignment &Wanted, const AssignmentContext &Context,
+             ActionList &Out);
+  void applyToActive(const wire::Assignment &Wanted, Record &Task,
+                     const AssignmentContext &Context, ActionList &Out);
   void prepare(const wire::Assignment &Wanted, Record &Task);
-  void start(const wire::Assignment &Wanted, Record &Task, const AssignmentContext &Context, ActionList &Out);
-  void renew(const wire::Assignment &Wanted, Record &Task, const AssignmentContext &Context, ActionList &Out);
+  void start(const wire::Assignment &Wanted, Record &Task,
+             const AssignmentContext &Context, ActionList &Out);
+  void renew(const wire::Assignment &Wanted, Record &Task,
+             const AssignmentContext &Context, ActionList &Out);
   void stopUnwanted(TimePoint Now, ActionList &Out);
-  void beginStop(const TaskId &Id, Record &Task, wire::TaskState::type EndState, std::string_view Detail, TimePoint Now,
-                 ActionList &Out);
-  void end(Record &Task, wire::TaskState::type EndState, std::string_view Detail);
+  void beginStop(const TaskId &Id, Record &Task, wire::TaskState::type EndState,
+                 std::string_view Detail, TimePoint Now, ActionList &Out);
+  void end(Record &Task, wire::TaskState::type EndState,
+           std::string_view Detail);
   bool rememberStart(const TaskKey &Key);
   bool fits(const wire::Resources &Wanted) const;
   static bool active(const Record &Task);
-  static TaskKey keyOf(const TaskId &Id, const Record &Task) { return {Id.m_JobId, Id.m_TaskIndex, Task.m_StartToken}; }
+  static TaskKey keyOf(const TaskId &Id, const Record &Task) {
+    return {Id.m_JobId, Id.m_TaskIndex, Task.m_StartToken};
+  }
 
   const AgentOptions &m_Options;
   std::map<TaskId, Record> m_Tasks;
   std::set<TaskKey> m_Started;
   std::deque<TaskKey> m_StartOrder;
   bool m_Changed = false;
-  bool m_InventoryClean = false; ///< The last inventory showed only tasks of this incarnation.
+  bool m_InventoryClean =
+      false; ///< The last inventory showed only tasks of this incarnation.
 };
 
 } // namespace anvil::agent::internal
--- a/src/agentd/AgentProcess.cpp
+++ b/src/agentd/AgentProcess.cpp
@@ -20,9 +20,11 @@
 namespace {
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(50);
-/// Shorter than the start permit, so that a silent replica is replaced before starts depend on it for long.
+/// Shorter than the start permit, so that a silent replica is replaced before
+/// starts depend on it for long.
 constexpr Duration HeartbeatTimeout = std::chrono::seconds(1);
-/// Events kept for the time line; at most about 0.5 MB of the 32 MB of an agent.
+/// Events kept for the time line; at most about 0.5 MB of the 32 MB of an
+/// agent.
 constexpr size_t TimelineCapacity = 2000;
 /// After the last answer, for the network to take the bytes.
 constexpr Duration FlushTime = std::chrono::milliseconds(200);
@@ -32,7 +34,9 @@
 struct AgentProcess::Impl : std::enable_shared_from_this<AgentProcess::Impl> {
   Impl(boost::asio::io_context &Io, AgentSettings Settings, AgentHooks Hooks)
       : m_Io(Io), m_Settings(std::move(Settings)), m_Hooks(std::move(Hooks)),
-        m_Timeline(m_Settings.m_Target.vm, TimelineCapacity, m_Hooks.m_WallMicros), m_TickTimer(Io), m_ExitTimer(Io) {}
+        m_Timeline(m_Settings.m_Target.vm, TimelineCapacity,
+                   m_Hooks.m_WallMicros),
+        m_TickTimer(Io), m_ExitTimer(Io) {}
 
   absl::Status open();
   agent::AgentOptions gateOptions() const;
@@ -41,26 +45,36 @@
   void connectControl();
   void tick();
   void handleExecute(const net::RpcCall &Call, net::RpcResponder Respond);
-  void answerQuery(const net::RpcCall &Call, const net::RpcResponder &Respond) const;
-  void note(std::string_view Kind, timeline::Subject About, std::string_view Text);
-  void noteTask(std::string_view Kind, const agent::TaskKey &Key, std::string_view Text);
+  void answerQuery(const net::RpcCall &Call,
+                   const net::RpcResponder &Respond) const;
+  void note(std::string_view Kind, timeline::Subject About,
+            std::string_view Text);
+  void noteTask(std::string_view Kind, const agent::TaskKey &Key,
+                std::string_view Text);
   void step(agent::Event Incoming);
 
   void perform(const agent::ReplyToCall &Action);
   void perform(const agent::SendToMinion &Action);
-  void perform(const agent::AbandonExchange &Action) { m_Minion->abandon(Action.m_Exchange); }
+  void perform(const agent::AbandonExchange &Action) {
+    m_Minion->abandon(Action.m_Exchange);
+  }
   void perform(const agent::ProbeMinion &Action);
   void perform(const agent::SendHeartbeat &Action);
   void perform(const agent::SwitchControl &Action);
   void perform(const agent::StartTask &Action);
   void perform(const agent::RenewTask &Action) { m_Worker->renew(Action); }
-  void perform(const agent::CheckpointTask &Action) { m_Worker->checkpoint(Action.m_Key); }
-  void perform(const agent::ThrottleTask &Action) { m_Worker->throttle(Action.m_Key); }
+  void perform(const agent::CheckpointTask &Action) {
+    m_Worker->checkpoint(Action.m_Key);
+  }
+  void perform(const agent::ThrottleTask &Action) {
+    m_Worker->throttle(Action.m_Key);
+  }
   void perform(const agent::StopTask &Action);
   void perform(const agent::Leave &Action);
   void perform(const agent::LogNote &Action);
 
-  void finishHeartbeat(int64_t Sequence, const absl::StatusOr<std::string> &Answer);
+  void finishHeartbeat(int64_t Sequence,
+                       const absl::StatusOr<std::string> &Answer);
   void exitWhenFlushed();
 
   boost::asio::io_context &m_Io;
@@ -87,14 +101,17 @@
   Options.m_Target = m_Settings.m_Target;
   Options.m_Target.incarnation = m_Hooks.m_Incarnation;
   const bool Announced = m_Settings.m_Advertise.m_Port != 0;
-  Options.m_Target.agentAddress = (Announced ? m_Settings.m_Advertise : m_Server->endpoint()).str();
+  Options.m_Target.agentAddress =
+      (Announced ? m_Settings.m_Advertise : m_Server->endpoint()).str();
   if (Options.m_Target.kind == wire::TargetKind::WORKER) {
-    Options.m_Target.capacity.accelerators = static_cast<int32_t>(m_Settings.m_Accelerators);
+    Options.m_Target.capacity.accelerators =
+        static_cast<int32_t>(m_Settings.m_Accelerators);
     Options.m_Target.capacity.cores = static_cast<int32_t>(m_Settings.m_Cores);
     Options.m_Target.capacity.memoryMib = m_Settings.m_MemoryMib;
   } else {
     Options.m_Target.slots = static_cast<int32_t>(m_Settings.m_Slots);
-    Options.m_Target.connections = static_cast<int32_t>(m_Settings.m_Connections);
+    Options.m_Target.connections =
+        static_cast<int32_t>(m_Settings.m_Connections);
   }
   Options.m_Slots = static_cast<int32_t>(m_Settings.m_Slots);
   Options.m_QueueLimit = static_cast<size_t>(m_Settings.m_QueueLimit);
@@ -117,7 +134,8 @@
   if (!Server.ok())
     return Server.status();
   m_Server = std::move(*Server);
-  absl::StatusOr<std::unique_ptr<agent::AgentGate>> Gate = agent::AgentGate::create(gateOptions());
+  absl::StatusOr<std::unique_ptr<agent::AgentGate>> Gate =
+      agent::AgentGate::create(gateOptions());
   if (!Gate.ok())
     return Gate.status();
   m_Gate = std::move(*Gate);
@@ -126,43 +144,54 @@
   m_ControlIndex = static_cast<size_t>(m_Hooks.m_Random() * Count);
   connectControl();
   openPorts();
-  m_Server->handle(wire::Method::EXECUTE, [this](const net::RpcCall &Call, net::RpcResponder Respond) {
-    handleExecute(Call, std::move(Respond));
-  });
-  m_Server->handle(wire::Method::QUERY,
-                   [this](const net::RpcCall &Call, const net::RpcResponder &Respond) { answerQuery(Call, Respond); });
+  m_Server->handle(wire::Method::EXECUTE,
+                   [this](const net::RpcCall &Call, net::RpcResponder Respond) {
+                     handleExecute(Call, std::move(Respond));
+                   });
+  m_Server->handle(
+      wire::Method::QUERY,
+      [this](const net::RpcCall &Call, const net::RpcResponder &Respond) {
+        answerQuery(Call, Respond);
+      });
   tick();
   return absl::OkStatus();
 }
 
 void AgentProcess::Impl::openPorts() {
   if (m_Settings.m_Target.kind == wire::TargetKind::MINION) {
-    m_Settings.m_Minion.m_Connections = static_cast<size_t>(m_Settings.m_Connections);
+    m_Settings.m_Minion.m_Connections =
+        static_cast<size_t>(m_Settings.m_Connections);
     m_Minion = makeHttpMinionPort(m_Io, m_Settings.m_Minion);
     return;
   }
   agent::WorkerPort::Hooks Hooks;
   Hooks.m_OnTask = [this](agent::TaskEvent Event) { step(std::move(Event)); };
-  Hooks.m_OnInventory = [this](agent::WorkerInventory Inventory) { step(std::move(Inventory)); };
+  Hooks.m_OnInventory = [this](agent::WorkerInventory Inventory) {
+    step(std::move(Inventory));
+  };
   m_Worker = makeHttpWorkerPort(m_Io, m_Settings.m_Worker, std::move(Hooks));
 }
 
 void AgentProcess::Impl::connectControl() {
-  m_Control = net::RpcClient::create(m_Io, m_Settings.m_Control[m_ControlIndex], rpcOptions());
+  m_Control = net::RpcClient::create(m_Io, m_Settings.m_Control[m_ControlIndex],
+                                     rpcOptions());
 }
 
 void AgentProcess::Impl::tick() {
   step(agent::Tick{});
   m_TickTimer.expires_after(TickPeriod);
-  m_TickTimer.async_wait([Self = weak_from_this()](const boost::system::error_code &Error) {
-    const std::shared_ptr<Impl> Alive = Self.lock();
-    if (!Error && Alive && !Alive->m_Closed)
-      Alive->tick();
-  });
+  m_TickTimer.async_wait(
+      [Self = weak_from_this()](const boost::system::error_code &Error) {
+        const std::shared_ptr<Impl> Alive = Self.lock();
+        if (!Error && Alive && !Alive->m_Closed)
+          Alive->tick();
+      });
 }
 
-void AgentProcess::Impl::handleExecute(const net::RpcCall &Call, net::RpcResponder Respond) {
-  absl::StatusOr<wire::ExecuteRequest> Request = net::decodeAs<wire::ExecuteRequest>(Call.m_Body);
+void AgentProcess::Impl::handleExecute(const net::RpcCall &Call,
+                                       net::RpcResponder Respond) {
+  absl::StatusOr<wire::ExecuteRequest> Request =
+      net::decodeAs<wire::ExecuteRequest>(Call.m_Body);
   if (!Request.ok())
     return Respond(Request.status());
   const agent::CallId Id(++m_NextCall);
@@ -170,31 +199,39 @@
   step(agent::ExecuteArrived{Id, std::move(*Request)});
 }
 
-void AgentProcess::Impl::answerQuery(const net::RpcCall &Call, const net::RpcResponder &Respond) const {
-  const absl::StatusOr<wire::QueryRequest> Request = net::decodeAs<wire::QueryRequest>(Call.m_Body);
+void AgentProcess::Impl::answerQuery(const net::RpcCall &Call,
+                                     const net::RpcResponder &Respond) const {
+  const absl::StatusOr<wire::QueryRequest> Request =
+      net::decodeAs<wire::QueryRequest>(Call.m_Body);
   if (!Request.ok())
     return Respond(Request.status());
   wire::QueryReply Reply;
   Reply.httpStatus = 200;
   if (Request->kind == "timeline-own")
-    Reply.json = timeline::toJson(m_Timeline.select(timeline::parseFilter(Request->argument)));
+    Reply.json = timeline::toJson(
+        m_Timeline.select(timeline::parseFilter(Request->argument)));
   else if (Request->kind == "footprint")
     Reply.json = net::toJson(net::rpcCounters());
   else
-    return Respond(absl::InvalidArgumentError("an agent answers the kinds timeline-own and footprint only"));
+    return Respond(absl::InvalidArgumentError(
+        "an agent answers the kinds timeline-own and footprint only"));
   Respond(net::encodeStruct(Reply));
 }
 
-void AgentProcess::Impl::note(std::string_view Kind, timeline::Subject About, std::string_view Text) {
+void AgentProcess::Impl::note(std::string_view Kind, timeline::Subject About,
+                              std::string_view Text) {
   About.m_Vm = m_Settings.m_Target.vm;
   About.m_AvailabilityZone = m_Settings.m_Target.availabilityZone;
   m_Timeline.record(Kind, std::move(About), Text);
 }
 
-void AgentProcess::Impl::noteTask(std::string_view Kind, const agent::TaskKey &Key, std::string_view Text) {
+void AgentProcess::Impl::noteTask(std::string_view Kind,
+                                  const agent::TaskKey &Key,
+                                  std::string_view Text) {
   timeline::Subject About;
   About.m_Job = std::to_string(Key.m_JobId);
-  note(Kind, std::move(About), "Task " + std::to_string(Key.m_TaskIndex) + " " + std::string(Text));
+  note(Kind, std::move(About),
+       "Task " + std::to_string(Key.m_TaskIndex) + " " + std::string(Text));
 }
 
 void AgentProcess::Impl::perform(const agent::LogNote &Action) {
@@ -215,7 +252,8 @@
 void AgentProcess::Impl::step(agent::Event Incoming) {
   if (m_Closed)
     return;
-  for (const agent::Action &Action : m_Gate->step(std::move(Incoming), m_Hooks.m_Now()))
+  for (const agent::Action &Action :
+       m_Gate->step(std::move(Incoming), m_Hooks.m_Now()))
     std::visit([this](const auto &Item) { perform(Item); }, Action);
 }
 
@@ -230,18 +268,24 @@
   timeline::Subject About;
   About.m_Request = Action.m_Request.requestId;
   About.m_Workspace = Action.m_Request.workspace;
-  note("agent.request-started", std::move(About), "The request goes to the minion.");
-  m_Minion->send(Exchange, Action.m_Request, [this, Exchange](agent::MinionResult Result) {
-    if (Result.m_Whole)
-      step(agent::MinionAnswered{Exchange, Result.m_HttpStatus, std::move(Result.m_ContentType),
-                                 std::move(Result.m_Body)});
-    else
-      step(agent::MinionFailed{Exchange, Result.m_AnyByteSent, Result.m_ConnectFailed, std::move(Result.m_Reason)});
-  });
+  note("agent.request-started", std::move(About),
+       "The request goes to the minion.");
+  m_Minion->send(Exchange, Action.m_Request,
+                 [this, Exchange](agent::MinionResult Result) {
+                   if (Result.m_Whole)
+                     step(agent::MinionAnswered{Exchange, Result.m_HttpStatus,
+                                                std::move(Result.m_ContentType),
+                                                std::move(Result.m_Body)});
+                   else
+                     step(agent::MinionFailed{Exchange, Result.m_AnyByteSent,
+                                              Result.m_ConnectFailed,
+                                              std::move(Result.m_Reason)});
+                 });
 }
 
 void AgentProcess::Impl::perform(const agent::ProbeMinion &) {
-  m_Minion->probe([this](bool Reachable) { step(agent::MinionProbed{Reachable}); });
+  m_Minion->probe(
+      [this](bool Reachable) { step(agent::MinionProbed{Reachable}); });
 }
 
 void AgentProcess::Impl::perform(const agent::SendHeartbeat &Action) {
@@ -249,32 +293,40 @@
   // Permits and leases count from here, before the first byte can leave.
   step(agent::HeartbeatSent{Sequence});
   ++m_OpenHeartbeats;
-  m_Control->call(wire::Method::AGENT_HEARTBEAT, net::encodeStruct(Action.m_Message), HeartbeatTimeout, "",
-                  [Self = weak_from_this(), Sequence](const absl::StatusOr<std::string> &Answer) {
+  m_Control->call(wire::Method::AGENT_HEARTBEAT,
+                  net::encodeStruct(Action.m_Message), HeartbeatTimeout, "",
+                  [Self = weak_from_this(),
+                   Sequence](const absl::StatusOr<std::string> &Answer) {
                     const std::shared_ptr<Impl> Alive = Self.lock();
                     if (Alive && !Alive->m_Closed)
                       Alive->finishHeartbeat(Sequence, Answer);
                   });
 }
 
-void AgentProcess::Impl::finishHeartbeat(int64_t Sequence, const absl::StatusOr<std::string> &Answer) {
+void AgentProcess::Impl::finishHeartbeat(
+    int64_t Sequence, const absl::StatusOr<std::string> &Answer) {
   --m_OpenHeartbeats;
   absl::StatusOr<wire::AgentHeartbeatReply> Reply =
-      Answer.ok() ? net::decodeAs<wire::AgentHeartbeatReply>(*Answer) : Answer.status();
+      Answer.ok() ? net::decodeAs<wire::AgentHeartbeatReply>(*Answer)
+                  : Answer.status();
   if (Reply.ok())
     step(agent::HeartbeatReplied{std::move(*Reply)});
   else
-    step(agent::HeartbeatFailed{Sequence, std::string(Reply.status().message())});
+    step(agent::HeartbeatFailed{Sequence,
+                                std::string(Reply.status().message())});
   if (m_Leave && m_OpenHeartbeats == 0)
     exitWhenFlushed();
 }
 
 void AgentProcess::Impl::perform(const agent::SwitchControl &Action) {
   m_ControlIndex = (m_ControlIndex + 1) % m_Settings.m_Control.size();
-  LOG(WARNING) << "agent: switching control replica to=" << m_Settings.m_Control[m_ControlIndex].str()
+  LOG(WARNING) << "agent: switching control replica to="
+               << m_Settings.m_Control[m_ControlIndex].str()
                << " reason=" << Action.m_Reason;
-  // This may run inside a callback of the old client, which is therefore destroyed later.
-  boost::asio::post(m_Io, [Old = std::shared_ptr<net::RpcClient>(std::move(m_Control))] {});
+  // This may run inside a callback of the old client, which is therefore
+  // destroyed later.
+  boost::asio::post(
+      m_Io, [Old = std::shared_ptr<net::RpcClient>(std::move(m_Control))] {});
   connectControl();
 }
 
@@ -283,25 +335,29 @@
   for (const std::string &Item : Action.m_CutOff)
     LOG(WARNING) << "agent: cut off " << Item;
   if (Action.m_UnreportedOutcomes > 0)
-    LOG(WARNING) << "agent: claim outcomes not acknowledged by control count=" << Action.m_UnreportedOutcomes;
+    LOG(WARNING) << "agent: claim outcomes not acknowledged by control count="
+                 << Action.m_UnreportedOutcomes;
   if (m_OpenHeartbeats == 0)
     exitWhenFlushed();
 }
 
 void AgentProcess::Impl::exitWhenFlushed() {
   m_ExitTimer.expires_after(FlushTime);
-  m_ExitTimer.async_wait([Self = weak_from_this()](const boost::system::error_code &Error) {
-    const std::shared_ptr<Impl> Alive = Self.lock();
-    if (Error || !Alive || Alive->m_Closed)
-      return;
-    const bool Graceful = Alive->m_Leave->m_CutOff.empty() && Alive->m_Leave->m_UnreportedOutcomes == 0;
-    LOG(INFO) << "agent: left graceful=" << (Graceful ? "yes" : "no");
-    if (Alive->m_Hooks.m_OnLeft)
-      Alive->m_Hooks.m_OnLeft(Graceful);
-  });
+  m_ExitTimer.async_wait(
+      [Self = weak_from_this()](const boost::system::error_code &Error) {
+        const std::shared_ptr<Impl> Alive = Self.lock();
+        if (Error || !Alive || Alive->m_Closed)
+          return;
+        const bool Graceful = Alive->m_Leave->m_CutOff.empty() &&
+                              Alive->m_Leave->m_UnreportedOutcomes == 0;
+        LOG(INFO) << "agent: left graceful=" << (Graceful ? "yes" : "no");
+        if (Alive->m_Hooks.m_OnLeft)
+          Alive->m_Hooks.m_OnLeft(Graceful);
+      });
 }
 
-AgentProcess::AgentProcess(std::shared_ptr<Impl> State) : m_Impl(std::move(State)) {}
+AgentProcess::AgentProcess(std::shared_ptr<Impl> State)
+    : m_Impl(std::move(State)) {}
 
 AgentProcess::~AgentProcess() {
   m_Impl->m_Closed = true;
@@ -312,9 +368,11 @@
   m_Impl->m_Worker.reset();
 }
 
-absl::StatusOr<std::unique_ptr<AgentProcess>> AgentProcess::create(boost::asio::io_context &Io, AgentSettings Settings,
-                                                                   AgentHooks Hooks) {
-  auto State = std::make_shared<Impl>(Io, std::move(Settings), std::move(Hooks));
+absl::StatusOr<std::unique_ptr<AgentProcess>>
+AgentProcess::create(boost::asio::io_context &Io, AgentSettings Settings,
+                     AgentHooks Hooks) {
+  auto State =
+      std::make_shared<Impl>(Io, std::move(Settings), std::move(Hooks));
   const absl::Status Status = State->open();
   if (!Status.ok())
     return Status;
@@ -325,6 +383,8 @@
 
 void AgentProcess::cutOff() { m_Impl->step(agent::CutOff{}); }
 
-net::Endpoint AgentProcess::endpoint() const { return m_Impl->m_Server->endpoint(); }
+net::Endpoint AgentProcess::endpoint() const {
+  return m_Impl->m_Server->endpoint();
+}
 
 } // namespace anvil::agentd
--- a/src/agentd/AgentSettings.cpp
+++ b/src/agentd/AgentSettings.cpp
@@ -22,7 +22,8 @@
   if (!Minion && Values.m_Cores == 0)
     return absl::InvalidArgumentError("--cores is required for a worker");
   if (Values.m_Connections < Values.m_Slots)
-    return absl::InvalidArgumentError("--connections must not be less than --slots");
+    return absl::InvalidArgumentError(
+        "--connections must not be less than --slots");
   return absl::OkStatus();
 }
 
@@ -30,7 +31,8 @@
   const std::string &Address = Values.m_Listen.m_Address;
   const bool AnyAddress = Address == "0.0.0.0" || Address == "::";
   if (AnyAddress && Values.m_Advertise.m_Port == 0)
-    return absl::InvalidArgumentError("--advertise is required if --listen covers all addresses");
+    return absl::InvalidArgumentError(
+        "--advertise is required if --listen covers all addresses");
   return absl::OkStatus();
 }
 
@@ -38,29 +40,54 @@
 
 void declareAgentSettings(daemon::Settings &Reader, AgentSettings &Values) {
   using daemon::Presence;
-  Reader.addEndpoint("listen", "", "Address that entries send requests to; port 0 takes a free port.", Values.m_Listen);
-  Reader.addEndpoint("advertise", "", "Address announced to entries, if it differs from the listener's.",
-                     Values.m_Advertise, Presence::Optional);
+  Reader.addEndpoint(
+      "listen", "",
+      "Address that entries send requests to; port 0 takes a free port.",
+      Values.m_Listen);
+  Reader.addEndpoint(
+      "advertise", "",
+      "Address announced to entries, if it differs from the listener's.",
+      Values.m_Advertise, Presence::Optional);
   Reader.addEndpoints("control", "", "Control replicas.", Values.m_Control);
-  Reader.addName("vm", "", "Name of this target VM, unique in the environment.", Values.m_Target.vm);
-  Reader.addName("availability-zone", "", "Availability zone of the VM.", Values.m_Target.availabilityZone);
+  Reader.addName("vm", "", "Name of this target VM, unique in the environment.",
+                 Values.m_Target.vm);
+  Reader.addName("availability-zone", "", "Availability zone of the VM.",
+                 Values.m_Target.availabilityZone);
   Reader.addName("rack", "", "Rack of the VM.", Values.m_Target.rack);
   Reader.add(
       "kind", "minion", "What the agent stands beside: minion or worker.",
-      [&Values](std::string_view Text) { return parseKind(Text, Values.m_Target.kind); }, Presence::Required);
-  Reader.addName("service", "", "Service of the minion.", Values.m_Target.serviceName, Presence::Optional);
-  Reader.addEndpoint("minion", "", "HTTP address of the minion.", Values.m_Minion.m_Minion, Presence::Optional);
-  Reader.addEndpoint("worker", "", "HTTP address of the worker.", Values.m_Worker.m_Worker, Presence::Optional);
-  Reader.addInteger("accelerators", 0, 0, 1024, "Accelerators of the worker.", Values.m_Accelerators);
-  Reader.addInteger("cores", 0, 0, 65536, "Cores of the worker.", Values.m_Cores);
-  Reader.addInteger("memory-mib", 0, 0, int64_t{1} << 40, "Memory of the worker in MiB.", Values.m_MemoryMib);
-  Reader.addInteger("slots", 8, 1, 4096, "Requests that the minion handles at one time.", Values.m_Slots);
-  Reader.addInteger("connections", 64, 1, 4096, "Connections that the minion accepts.", Values.m_Connections);
-  Reader.addInteger("queue-limit", 64, 1, 65536, "Queued requests of one class.", Values.m_QueueLimit);
-  Reader.addDuration("drain-limit", "10m", std::chrono::seconds(0), std::chrono::hours(24),
-                     "Longest graceful shutdown; what is left then is cut off.", Values.m_DrainLimit);
-  Reader.addDuration("settle-time", "2s", std::chrono::seconds(0), std::chrono::hours(1),
-                     "Time after the start before the minion gets requests; it may still work for an earlier agent.",
+      [&Values](std::string_view Text) {
+        return parseKind(Text, Values.m_Target.kind);
+      },
+      Presence::Required);
+  Reader.addName("service", "", "Service of the minion.",
+                 Values.m_Target.serviceName, Presence::Optional);
+  Reader.addEndpoint("minion", "", "HTTP address of the minion.",
+                     Values.m_Minion.m_Minion, Presence::Optional);
+  Reader.addEndpoint("worker", "", "HTTP address of the worker.",
+                     Values.m_Worker.m_Worker, Presence::Optional);
+  Reader.addInteger("accelerators", 0, 0, 1024, "Accelerators of the worker.",
+                    Values.m_Accelerators);
+  Reader.addInteger("cores", 0, 0, 65536, "Cores of the worker.",
+                    Values.m_Cores);
+  Reader.addInteger("memory-mib", 0, 0, int64_t{1} << 40,
+                    "Memory of the worker in MiB.", Values.m_MemoryMib);
+  Reader.addInteger("slots", 8, 1, 4096,
+                    "Requests that the minion handles at one time.",
+                    Values.m_Slots);
+  Reader.addInteger("connections", 64, 1, 4096,
+                    "Connections that the minion accepts.",
+                    Values.m_Connections);
+  Reader.addInteger("queue-limit", 64, 1, 65536,
+                    "Queued requests of one class.", Values.m_QueueLimit);
+  Reader.addDuration("drain-limit", "10m", std::chrono::seconds(0),
+                     std::chrono::hours(24),
+                     "Longest graceful shutdown; what is left then is cut off.",
+                     Values.m_DrainLimit);
+  Reader.addDuration("settle-time", "2s", std::chrono::seconds(0),
+                     std::chrono::hours(1),
+                     "Time after the start before the minion gets requests; it "
+                     "may still work for an earlier agent.",
                      Values.m_SettleTime);
   Reader.addCheck([&Values] { return checkTarget(Values); });
   Reader.addCheck([&Values] { return checkAddress(Values); });
@@ -68,7 +95,8 @@
 
 int64_t makeIncarnation(int64_t WallClockMicros, double Random) {
   constexpr int RandomBits = 10;
-  return (WallClockMicros << RandomBits) | static_cast<int64_t>(Random * (1 << RandomBits));
+  return (WallClockMicros << RandomBits) |
+         static_cast<int64_t>(Random * (1 << RandomBits));
 }
 
 } // namespace anvil::agentd
--- a/src/agentd/HttpMinionPort.cpp
+++ b/src/agentd/HttpMinionPort.cpp
@@ -13,7 +13,8 @@
 
 // The claim id is workspace/service/key; only the key is the caller's.
 std::string idempotencyKey(const wire::ExecuteRequest &Request) {
-  const std::string Prefix = Request.workspace + "/" + Request.serviceName + "/";
+  const std::string Prefix =
+      Request.workspace + "/" + Request.serviceName + "/";
   if (Request.claimId.compare(0, Prefix.size(), Prefix) == 0)
     return Request.claimId.substr(Prefix.size());
   return Request.claimId;
@@ -39,7 +40,8 @@
   Out.m_Whole = Result.m_Status.ok();
   Out.m_AnyByteSent = Result.m_AnyByteSent;
   Out.m_ConnectFailed = net::HttpClientErrc::Connect ==
-                        layerErrorOf<net::HttpClientErrc>(Result.m_Status).value_or(net::HttpClientErrc::Read);
+                        layerErrorOf<net::HttpClientErrc>(Result.m_Status)
+                            .value_or(net::HttpClientErrc::Read);
   Out.m_Reason = std::string(Result.m_Status.message());
   Out.m_HttpStatus = Result.m_HttpStatus;
   Out.m_ContentType = std::move(Result.m_ContentType);
@@ -49,17 +51,21 @@
 
 class HttpMinionPort : public agent::MinionPort {
 public:
-  HttpMinionPort(boost::asio::io_context &Io, const MinionPortOptions &Options) : m_Options(Options) {
+  HttpMinionPort(boost::asio::io_context &Io, const MinionPortOptions &Options)
+      : m_Options(Options) {
     net::HttpClientOptions Http;
     Http.m_MaxConnections = Options.m_Connections;
     Http.m_MaxBodyBytes = Options.m_MaxBodyBytes;
     m_Client = net::HttpClient::create(Io, Options.m_Minion, Http);
   }
 
-  void send(ExchangeId Exchange, const wire::ExecuteRequest &Request, Done OnDone) override {
-    const Duration Deadline = std::chrono::milliseconds(Request.timeoutMs) + m_Options.m_HungSlotLimit;
-    m_Exchanges[Exchange] =
-        m_Client->send(toHttp(Request), Deadline, [this, Exchange, OnDone](net::HttpExchangeResult Result) {
+  void send(ExchangeId Exchange, const wire::ExecuteRequest &Request,
+            Done OnDone) override {
+    const Duration Deadline = std::chrono::milliseconds(Request.timeoutMs) +
+                              m_Options.m_HungSlotLimit;
+    m_Exchanges[Exchange] = m_Client->send(
+        toHttp(Request), Deadline,
+        [this, Exchange, OnDone](net::HttpExchangeResult Result) {
           m_Exchanges.erase(Exchange);
           OnDone(toResult(std::move(Result)));
         });
@@ -71,7 +77,9 @@
       m_Client->abandon(Found->second);
   }
 
-  void probe(std::function<void(bool)> OnDone) override { m_Client->probe(std::move(OnDone)); }
+  void probe(std::function<void(bool)> OnDone) override {
+    m_Client->probe(std::move(OnDone));
+  }
 
 private:
   const MinionPortOptions m_Options;
@@ -81,7 +89,9 @@
 
 } // namespace
 
-std::unique_ptr<agent::MinionPort> makeHttpMinionPort(boost::asio::io_context &Io, const MinionPortOptions &Options) {
+std::unique_ptr<agent::MinionPort>
+makeHttpMinionPort(boost::asio::io_context &Io,
+                   const MinionPortOptions &Options) {
   return std::make_unique<HttpMinionPort>(Io, Options);
 }
 
--- a/src/agentd/HttpWorkerPort.cpp
+++ b/src/agentd/HttpWorkerPort.cpp
@@ -18,19 +18,25 @@
 using agent::TaskKey;
 namespace json = boost::json;
 
-/// Commands sent at one time; further ones wait. One more connection reads the worker's events.
+/// Commands sent at one time; further ones wait. One more connection reads the
+/// worker's events.
 constexpr size_t MaxCommands = 15;
 constexpr size_t MaxConnections = MaxCommands + 1;
 constexpr size_t MaxStatusBytes = 1u << 20;
 
-int64_t millisOf(Duration Span) { return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count(); }
+int64_t millisOf(Duration Span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
+}
 
 json::object keyObject(const TaskKey &Key) {
-  return {{"job", Key.m_JobId}, {"task", Key.m_TaskIndex}, {"token", Key.m_StartToken}};
+  return {{"job", Key.m_JobId},
+          {"task", Key.m_TaskIndex},
+          {"token", Key.m_StartToken}};
 }
 
 TaskKey keyOf(const json::object &Item) {
-  return {Item.at("job").to_number<int64_t>(), Item.at("task").to_number<int32_t>(),
+  return {Item.at("job").to_number<int64_t>(),
+          Item.at("task").to_number<int32_t>(),
           Item.at("token").to_number<int64_t>()};
 }
 
@@ -50,7 +56,8 @@
 
 class HttpWorkerPort : public agent::WorkerPort {
 public:
-  HttpWorkerPort(boost::asio::io_context &Io, const WorkerPortOptions &Options, Hooks Given)
+  HttpWorkerPort(boost::asio::io_context &Io, const WorkerPortOptions &Options,
+                 Hooks Given)
       : m_Options(Options), m_Hooks(std::move(Given)), m_Timer(Io) {
     net::HttpClientOptions Http;
     Http.m_MaxConnections = MaxConnections;
@@ -67,9 +74,10 @@
     Body["accelerators"] = Command.m_Resources.accelerators;
     Body["cores"] = Command.m_Resources.cores;
     Body["memory_mib"] = Command.m_Resources.memoryMib;
-    command("/tasks/start", Command.m_Key, Body, [this, Key = Command.m_Key](const net::HttpExchangeResult &Result) {
-      m_Hooks.m_OnTask(startEvent(Key, Result));
-    });
+    command("/tasks/start", Command.m_Key, Body,
+            [this, Key = Command.m_Key](const net::HttpExchangeResult &Result) {
+              m_Hooks.m_OnTask(startEvent(Key, Result));
+            });
   }
 
   void renew(const agent::RenewTask &Command) override {
@@ -79,33 +87,42 @@
   }
 
   void checkpoint(const TaskKey &Key) override {
-    command("/tasks/checkpoint", Key, keyObject(Key), [this, Key](const net::HttpExchangeResult &Result) {
-      if (!Result.m_Status.ok() || Result.m_HttpStatus != 200)
-        m_Hooks.m_OnTask({Key, TaskEventKind::CheckpointFailed, "worker did not accept the checkpoint"});
-    });
+    command("/tasks/checkpoint", Key, keyObject(Key),
+            [this, Key](const net::HttpExchangeResult &Result) {
+              if (!Result.m_Status.ok() || Result.m_HttpStatus != 200)
+                m_Hooks.m_OnTask({Key, TaskEventKind::CheckpointFailed,
+                                  "worker did not accept the checkpoint"});
+            });
   }
 
-  void throttle(const TaskKey &Key) override { command("/tasks/throttle", Key, keyObject(Key), nullptr); }
+  void throttle(const TaskKey &Key) override {
+    command("/tasks/throttle", Key, keyObject(Key), nullptr);
+  }
 
   // A worker that does not know the key answers 404: the task is not running.
   void stop(const TaskKey &Key) override {
-    command("/tasks/stop", Key, keyObject(Key), [this, Key](const net::HttpExchangeResult &Result) {
-      if (Result.m_Status.ok() && Result.m_HttpStatus == 404)
-        m_Hooks.m_OnTask({Key, TaskEventKind::Stopped, "worker does not run the task"});
-    });
+    command("/tasks/stop", Key, keyObject(Key),
+            [this, Key](const net::HttpExchangeResult &Result) {
+              if (Result.m_Status.ok() && Result.m_HttpStatus == 404)
+                m_Hooks.m_OnTask({Key, TaskEventKind::Stopped,
+                                  "worker does not run the task"});
+            });
   }
 
 private:
   using Answer = std::function<void(const net::HttpExchangeResult &)>;
 
-  static TaskEvent startEvent(const TaskKey &Key, const net::HttpExchangeResult &Result) {
+  static TaskEvent startEvent(const TaskKey &Key,
+                              const net::HttpExchangeResult &Result) {
     if (!Result.m_Status.ok()) {
-      const auto Kind = Result.m_AnyByteSent ? TaskEventKind::StartUnknown : TaskEventKind::StartFailed;
+      const auto Kind = Result.m_AnyByteSent ? TaskEventKind::StartUnknown
+                                             : TaskEventKind::StartFailed;
       return {Key, Kind, std::string(Result.m_Status.message())};
     }
     if (Result.m_HttpStatus == 200)
       return {Key, TaskEventKind::Started, ""};
-    return {Key, TaskEventKind::StartFailed, "worker refused the start: " + Result.m_Body};
+    return {Key, TaskEventKind::StartFailed,
+            "worker refused the start: " + Result.m_Body};
   }
 
   struct Pending {
@@ -114,33 +131,43 @@
     Answer m_OnAnswer;
   };
 
-  void command(const std::string &Path, const TaskKey &Key, const json::object &Body, Answer OnAnswer) {
+  void command(const std::string &Path, const TaskKey &Key,
+               const json::object &Body, Answer OnAnswer) {
     net::HttpClientRequest Request;
     Request.m_Method = "POST";
     Request.m_Target = Path;
     Request.m_Fields.push_back({"Content-Type", "application/json"});
     Request.m_Body = json::serialize(Body);
-    // Stops and renewals are repeated; while the worker hangs, only the newest of each kind waits.
-    std::erase_if(m_Pending, [&](const Pending &Each) { return Each.m_Key == Key && Each.m_Request.m_Target == Path; });
+    // Stops and renewals are repeated; while the worker hangs, only the newest
+    // of each kind waits.
+    std::erase_if(m_Pending, [&](const Pending &Each) {
+      return Each.m_Key == Key && Each.m_Request.m_Target == Path;
+    });
     m_Pending.push_back({Key, std::move(Request), std::move(OnAnswer)});
     sendPending();
   }
 
-  // Commands of one task go one after the other, since a stop that overtakes a start would find nothing to stop.
+  // Commands of one task go one after the other, since a stop that overtakes a
+  // start would find nothing to stop.
   void sendPending() {
-    for (auto Next = m_Pending.begin(); Next != m_Pending.end() && m_Busy.size() < MaxCommands;) {
+    for (auto Next = m_Pending.begin();
+         Next != m_Pending.end() && m_Busy.size() < MaxCommands;) {
       if (!m_Busy.insert(Next->m_Key).second) {
         ++Next;
         continue;
       }
-      m_Client->send(Next->m_Request, m_Options.m_CommandTimeout,
-                     [this, Key = Next->m_Key, OnAnswer = std::move(Next->m_OnAnswer)](
-                         const net::HttpExchangeResult &Result) { finishCommand(Key, OnAnswer, Result); });
+      m_Client->send(
+          Next->m_Request, m_Options.m_CommandTimeout,
+          [this, Key = Next->m_Key, OnAnswer = std::move(Next->m_OnAnswer)](
+              const net::HttpExchangeResult &Result) {
+            finishCommand(Key, OnAnswer, Result);
+          });
       Next = m_Pending.erase(Next);
     }
   }
 
-  void finishCommand(const TaskKey &Key, const Answer &OnAnswer, const net::HttpExchangeResult &Result) {
+  void finishCommand(const TaskKey &Key, const Answer &OnAnswer,
+                     const net::HttpExchangeResult &Result) {
     m_Busy.erase(Key);
     if (OnAnswer)
       OnAnswer(Result);
@@ -158,14 +185,16 @@
   void poll() {
     net::HttpClientRequest Request;
     Request.m_Target = "/tasks?after=" + std::to_string(m_LastEvent);
-    m_Client->send(Request, m_Options.m_CommandTimeout, [this](const net::HttpExchangeResult &Result) {
-      if (Result.m_Status.ok() && Result.m_HttpStatus == 200)
-        readStatus(Result.m_Body);
-      schedulePoll(m_Options.m_PollPeriod);
-    });
+    m_Client->send(Request, m_Options.m_CommandTimeout,
+                   [this](const net::HttpExchangeResult &Result) {
+                     if (Result.m_Status.ok() && Result.m_HttpStatus == 200)
+                       readStatus(Result.m_Body);
+                     schedulePoll(m_Options.m_PollPeriod);
+                   });
   }
 
-  // The worker's text is checked by reading it; anything unexpected counts as no answer.
+  // The worker's text is checked by reading it; anything unexpected counts as
+  // no answer.
   void readStatus(const std::string &Text) {
     std::vector<TaskEvent> Events;
     agent::WorkerInventory Inventory;
@@ -181,7 +210,9 @@
       for (const json::value &Item : Status.at("events").as_array())
         readEvent(Item.as_object(), Events, LastEvent);
       for (const json::value &Item : Status.at("running").as_array())
-        Inventory.m_Running.push_back({keyOf(Item.as_object()), Item.at("used_cores").to_number<int32_t>()});
+        Inventory.m_Running.push_back(
+            {keyOf(Item.as_object()),
+             Item.at("used_cores").to_number<int32_t>()});
     } catch (const std::exception &) {
       return;
     }
@@ -191,12 +222,15 @@
     m_Hooks.m_OnInventory(std::move(Inventory));
   }
 
-  static void readEvent(const json::object &Item, std::vector<TaskEvent> &Events, int64_t &LastEvent) {
+  static void readEvent(const json::object &Item,
+                        std::vector<TaskEvent> &Events, int64_t &LastEvent) {
     LastEvent = std::max(LastEvent, Item.at("sequence").to_number<int64_t>());
     const json::string &Name = Item.at("kind").as_string();
-    const std::optional<TaskEventKind> Kind = eventKind({Name.data(), Name.size()});
+    const std::optional<TaskEventKind> Kind =
+        eventKind({Name.data(), Name.size()});
     if (Kind)
-      Events.push_back({keyOf(Item), *Kind, json::value_to<std::string>(Item.at("detail"))});
+      Events.push_back(
+          {keyOf(Item), *Kind, json::value_to<std::string>(Item.at("detail"))});
   }
 
   const WorkerPortOptions m_Options;
@@ -205,14 +239,17 @@
   std::list<Pending> m_Pending;
   std::set<TaskKey> m_Busy; ///< Tasks with a command in progress.
   int64_t m_LastEvent = 0;
-  int64_t m_Instance = 0; ///< Start of the worker process whose events are read.
+  int64_t m_Instance =
+      0; ///< Start of the worker process whose events are read.
   std::unique_ptr<net::HttpClient> m_Client;
 };
 
 } // namespace
 
-std::unique_ptr<agent::WorkerPort> makeHttpWorkerPort(boost::asio::io_context &Io, const WorkerPortOptions &Options,
-                                                      agent::WorkerPort::Hooks Hooks) {
+std::unique_ptr<agent::WorkerPort>
+makeHttpWorkerPort(boost::asio::io_context &Io,
+                   const WorkerPortOptions &Options,
+                   agent::WorkerPort::Hooks Hooks) {
   return std::make_unique<HttpWorkerPort>(Io, Options, std::move(Hooks));
 }
 
--- a/src/base/LayerError.cpp
+++ b/src/base/LayerError.cpp
@@ -9,14 +9,17 @@
 namespace anvil::internal {
 
 namespace {
-std::string payloadUrl(std::string_view Layer) { return absl::StrCat("anvil.layer/", toAbsl(Layer)); }
+std::string payloadUrl(std::string_view Layer) {
+  return absl::StrCat("anvil.layer/", toAbsl(Layer));
+}
 } // namespace
 
 void setLayerCode(absl::Status &Status, std::string_view Layer, int Code) {
   Status.SetPayload(payloadUrl(Layer), absl::Cord(absl::StrCat(Code)));
 }
 
-std::optional<int> layerCode(const absl::Status &Status, std::string_view Layer) {
+std::optional<int> layerCode(const absl::Status &Status,
+                             std::string_view Layer) {
   absl::optional<absl::Cord> Payload = Status.GetPayload(payloadUrl(Layer));
   if (!Payload)
     return std::nullopt;
--- a/src/chart/StandardCharts.cpp
+++ b/src/chart/StandardCharts.cpp
@@ -38,10 +38,12 @@
 private:
   void fail(const YAML::Node &At, const std::string &Text) {
     if (m_Status.ok())
-      m_Status = absl::InvalidArgumentError(absl::StrCat(m_Origin, ":", At.Mark().line + 1, ": ", Text));
+      m_Status = absl::InvalidArgumentError(
+          absl::StrCat(m_Origin, ":", At.Mark().line + 1, ": ", Text));
   }
 
-  void checkKeys(const YAML::Node &Map, const std::vector<std::string> &Allowed) {
+  void checkKeys(const YAML::Node &Map,
+                 const std::vector<std::string> &Allowed) {
     if (!Map.IsMap())
       return fail(Map, "expected a mapping");
     std::set<std::string> Seen;
@@ -49,19 +51,23 @@
       const std::string Key = Entry.first.Scalar();
       if (!Seen.insert(Key).second)
         fail(Entry.first, absl::StrCat("key ", Key, " appears twice"));
-      if (!Allowed.empty() && std::find(Allowed.begin(), Allowed.end(), Key) == Allowed.end())
+      if (!Allowed.empty() &&
+          std::find(Allowed.begin(), Allowed.end(), Key) == Allowed.end())
         fail(Entry.first, absl::StrCat("key ", Key, " is unknown"));
     }
   }
 
-  std::string scalar(const YAML::Node &Node, const YAML::Node &Parent, const std::string &Key) {
+  std::string scalar(const YAML::Node &Node, const YAML::Node &Parent,
+                     const std::string &Key) {
     if (Node && Node.IsScalar())
       return Node.Scalar();
     fail(Node ? Node : Parent, absl::StrCat("key ", Key, " must be a name"));
     return {};
   }
 
-  std::vector<std::string> names(const YAML::Node &Node, const YAML::Node &Parent, const std::string &Key) {
+  std::vector<std::string> names(const YAML::Node &Node,
+                                 const YAML::Node &Parent,
+                                 const std::string &Key) {
     std::vector<std::string> Names;
     if (!Node)
       return Names;
@@ -74,7 +80,8 @@
     return Names;
   }
 
-  void readStates(const YAML::Node &Node, const YAML::Node &Parent, ChartDefinition &Chart) {
+  void readStates(const YAML::Node &Node, const YAML::Node &Parent,
+                  ChartDefinition &Chart) {
     if (!Node)
       return fail(Parent, "key states is missing");
     checkKeys(Node, {});
@@ -98,7 +105,9 @@
     if (!m_Status.ok())
       return State;
     for (const auto &Entry : On)
-      State.m_Transitions.push_back({Entry.first.Scalar(), scalar(Entry.second, On, Entry.first.Scalar())});
+      State.m_Transitions.push_back(
+          {Entry.first.Scalar(),
+           scalar(Entry.second, On, Entry.first.Scalar())});
     return State;
   }
 
@@ -108,19 +117,23 @@
 
 } // namespace
 
-absl::StatusOr<ChartDefinition> parseChart(std::string_view Yaml, std::string_view Origin) {
+absl::StatusOr<ChartDefinition> parseChart(std::string_view Yaml,
+                                           std::string_view Origin) {
   try {
     return ChartReader(Origin).read(YAML::Load(std::string(Yaml)));
   } catch (const YAML::Exception &Error) {
-    return absl::InvalidArgumentError(absl::StrCat(toAbsl(Origin), ":", Error.mark.line + 1, ": ", Error.msg));
+    return absl::InvalidArgumentError(absl::StrCat(
+        toAbsl(Origin), ":", Error.mark.line + 1, ": ", Error.msg));
   }
 }
 
 absl::StatusOr<StateChart> standardChart(std::string_view Name) {
   const std::string_view Text = internal::embeddedChartText(Name);
   if (Text.empty())
-    return absl::NotFoundError(absl::StrCat("chart ", toAbsl(Name), " is not part of this program"));
-  absl::StatusOr<ChartDefinition> Definition = parseChart(Text, absl::StrCat("charts/", toAbsl(Name), ".yaml"));
+    return absl::NotFoundError(
+        absl::StrCat("chart ", toAbsl(Name), " is not part of this program"));
+  absl::StatusOr<ChartDefinition> Definition =
+      parseChart(Text, absl::StrCat("charts/", toAbsl(Name), ".yaml"));
   if (!Definition.ok())
     return Definition.status();
   return StateChart::create(*Definition);
--- a/src/chart/StateChart.cpp
+++ b/src/chart/StateChart.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-std::optional<int16_t> indexOf(const std::vector<std::string> &Names, std::string_view Name) {
+std::optional<int16_t> indexOf(const std::vector<std::string> &Names,
+                               std::string_view Name) {
   const auto Found = std::find(Names.begin(), Names.end(), Name);
   if (Found == Names.end())
     return std::nullopt;
@@ -28,10 +29,12 @@
     Names.push_back(Name);
 }
 
-// Collects every fault of one definition, so that an author sees them all in one run.
+// Collects every fault of one definition, so that an author sees them all in
+// one run.
 class DefinitionChecker {
 public:
-  explicit DefinitionChecker(const ChartDefinition &Definition) : m_Definition(Definition) {
+  explicit DefinitionChecker(const ChartDefinition &Definition)
+      : m_Definition(Definition) {
     for (const StateDefinition &State : Definition.m_States)
       m_Names.push_back(State.m_Name);
     for (const std::string &Final : Definition.m_Final)
@@ -69,7 +72,8 @@
       Seen.push_back(State.m_Name);
     }
     if (!contains(m_Names, m_Definition.m_Initial))
-      addFault(absl::StrCat("initial state ", m_Definition.m_Initial, " is unknown"));
+      addFault(absl::StrCat("initial state ", m_Definition.m_Initial,
+                            " is unknown"));
     if (m_Definition.m_Final.empty())
       addFault("has no final state");
   }
@@ -79,11 +83,13 @@
     std::vector<std::string> Handled;
     for (const TransitionDefinition &Transition : State.m_Transitions) {
       if (contains(Handled, Transition.m_Event))
-        addStateFault(State.m_Name, absl::StrCat("handles event ", Transition.m_Event, " twice"));
+        addStateFault(State.m_Name, absl::StrCat("handles event ",
+                                                 Transition.m_Event, " twice"));
       Handled.push_back(Transition.m_Event);
       if (!contains(m_Names, Transition.m_Target)) {
-        addStateFault(State.m_Name,
-                      absl::StrCat("event ", Transition.m_Event, " leads to unknown state ", Transition.m_Target));
+        addStateFault(State.m_Name, absl::StrCat("event ", Transition.m_Event,
+                                                 " leads to unknown state ",
+                                                 Transition.m_Target));
       }
     }
     if (IsFinal && !State.m_Transitions.empty())
@@ -92,38 +98,53 @@
       checkRequired(State, Handled);
   }
 
-  void checkRequired(const StateDefinition &State, const std::vector<std::string> &Handled) {
+  void checkRequired(const StateDefinition &State,
+                     const std::vector<std::string> &Handled) {
     for (const std::string &Event : State.m_Ignored) {
       if (contains(Handled, Event))
-        addStateFault(State.m_Name, absl::StrCat("both handles and ignores event ", Event));
+        addStateFault(State.m_Name,
+                      absl::StrCat("both handles and ignores event ", Event));
       if (!contains(m_Definition.m_Required, Event))
-        addStateFault(State.m_Name, absl::StrCat("ignores event ", Event, ", which is not a required event"));
+        addStateFault(State.m_Name,
+                      absl::StrCat("ignores event ", Event,
+                                   ", which is not a required event"));
     }
     for (const std::string &Event : m_Definition.m_Required) {
       if (!contains(Handled, Event) && !contains(State.m_Ignored, Event))
-        addStateFault(State.m_Name, absl::StrCat("neither handles nor ignores required event ", Event));
+        addStateFault(
+            State.m_Name,
+            absl::StrCat("neither handles nor ignores required event ", Event));
     }
   }
 
   void checkRequiredAreUsed() {
     for (const std::string &Event : m_Definition.m_Required) {
-      const bool Used = std::any_of(m_Definition.m_States.begin(), m_Definition.m_States.end(), [&](const auto &State) {
-        return std::any_of(State.m_Transitions.begin(), State.m_Transitions.end(),
-                           [&](const auto &Transition) { return Transition.m_Event == Event; });
-      });
+      const bool Used =
+          std::any_of(m_Definition.m_States.begin(),
+                      m_Definition.m_States.end(), [&](const auto &State) {
+                        return std::any_of(State.m_Transitions.begin(),
+                                           State.m_Transitions.end(),
+                                           [&](const auto &Transition) {
+                                             return Transition.m_Event == Event;
+                                           });
+                      });
       if (!Used)
-        addFault(absl::StrCat("required event ", Event, " is handled by no state"));
+        addFault(
+            absl::StrCat("required event ", Event, " is handled by no state"));
     }
   }
 
-  // Marks every state that can be reached from the marked ones, or with Backwards every state that can reach them.
+  // Marks every state that can be reached from the marked ones, or with
+  // Backwards every state that can reach them.
   void spread(std::vector<std::string> &Marked, bool Backwards) const {
     for (size_t Before = 0; Before != Marked.size();) {
       Before = Marked.size();
       for (const StateDefinition &State : m_Definition.m_States) {
         for (const TransitionDefinition &Transition : State.m_Transitions) {
-          const std::string &From = Backwards ? Transition.m_Target : State.m_Name;
-          const std::string &To = Backwards ? State.m_Name : Transition.m_Target;
+          const std::string &From =
+              Backwards ? Transition.m_Target : State.m_Name;
+          const std::string &To =
+              Backwards ? State.m_Name : Transition.m_Target;
           if (contains(Marked, From))
             addOnce(Marked, To);
         }
@@ -151,7 +172,8 @@
 
 } // namespace
 
-absl::StatusOr<StateChart> StateChart::create(const ChartDefinition &Definition) {
+absl::StatusOr<StateChart>
+StateChart::create(const ChartDefinition &Definition) {
   DefinitionChecker Checker(Definition);
   if (absl::Status Status = Checker.check(); !Status.ok())
     return Status;
@@ -165,9 +187,11 @@
   }
   Chart.m_Next.assign(Chart.m_States.size() * Chart.m_Events.size(), -1);
   for (const StateDefinition &State : Definition.m_States) {
-    const auto Row = static_cast<size_t>(*Chart.stateNamed(State.m_Name)) * Chart.m_Events.size();
+    const auto Row = static_cast<size_t>(*Chart.stateNamed(State.m_Name)) *
+                     Chart.m_Events.size();
     for (const TransitionDefinition &Transition : State.m_Transitions) {
-      Chart.m_Next[Row + static_cast<size_t>(*Chart.eventNamed(Transition.m_Event))] =
+      Chart.m_Next[Row +
+                   static_cast<size_t>(*Chart.eventNamed(Transition.m_Event))] =
           *Chart.stateNamed(Transition.m_Target);
     }
   }
@@ -177,24 +201,33 @@
   return Chart;
 }
 
-std::optional<StateIndex> StateChart::stateNamed(std::string_view Name) const { return indexOf(m_States, Name); }
+std::optional<StateIndex> StateChart::stateNamed(std::string_view Name) const {
+  return indexOf(m_States, Name);
+}
 
-std::optional<EventIndex> StateChart::eventNamed(std::string_view Name) const { return indexOf(m_Events, Name); }
+std::optional<EventIndex> StateChart::eventNamed(std::string_view Name) const {
+  return indexOf(m_Events, Name);
+}
 
-absl::StatusOr<std::vector<int16_t>> internal::bindNames(std::string_view Chart, std::string_view Kind,
-                                                         std::span<const std::string_view> EnumeratorNames,
-                                                         const std::vector<std::string> &ChartNames) {
-  const std::string Prefix = absl::StrCat("chart ", toAbsl(Chart), ": ", toAbsl(Kind), " ");
+absl::StatusOr<std::vector<int16_t>>
+internal::bindNames(std::string_view Chart, std::string_view Kind,
+                    std::span<const std::string_view> EnumeratorNames,
+                    const std::vector<std::string> &ChartNames) {
+  const std::string Prefix =
+      absl::StrCat("chart ", toAbsl(Chart), ": ", toAbsl(Kind), " ");
   std::vector<int16_t> Indexes;
   for (const std::string_view Name : EnumeratorNames) {
     const std::optional<int16_t> Index = indexOf(ChartNames, Name);
     if (!Index)
-      return absl::InvalidArgumentError(absl::StrCat(Prefix, toAbsl(Name), " is missing from the chart"));
+      return absl::InvalidArgumentError(
+          absl::StrCat(Prefix, toAbsl(Name), " is missing from the chart"));
     Indexes.push_back(*Index);
   }
   for (const std::string &Name : ChartNames) {
-    if (std::find(EnumeratorNames.begin(), EnumeratorNames.end(), Name) == EnumeratorNames.end())
-      return absl::InvalidArgumentError(absl::StrCat(Prefix, Name, " is unknown to the program"));
+    if (std::find(EnumeratorNames.begin(), EnumeratorNames.end(), Name) ==
+        EnumeratorNames.end())
+      return absl::InvalidArgumentError(
+          absl::StrCat(Prefix, Name, " is unknown to the program"));
   }
   return Indexes;
 }
--- a/src/config/Canonical.cpp
+++ b/src/config/Canonical.cpp
@@ -18,18 +18,22 @@
 }
 
 std::string_view nameOf(Urgency Value) {
-  constexpr std::array<std::string_view, 4> Names = {"urgent", "working-day", "batch", "overnight"};
+  constexpr std::array<std::string_view, 4> Names = {"urgent", "working-day",
+                                                     "batch", "overnight"};
   return Names.at(static_cast<size_t>(Value));
 }
 
 std::string canonicalText(const Amount &Part) {
-  return absl::StrCat("accelerators=", Part.m_Accelerators, " cores=", Part.m_Cores, " memory_gib=", Part.m_MemoryGib);
+  return absl::StrCat("accelerators=", Part.m_Accelerators,
+                      " cores=", Part.m_Cores,
+                      " memory_gib=", Part.m_MemoryGib);
 }
 
 std::string canonicalText(const Zone &Part) {
   std::vector<std::string> Groups;
   for (const WorkerGroup &Group : Part.m_Workers) {
-    Groups.push_back(absl::StrCat(" workers(count=", Group.m_Count, " ", canonicalText(Group.m_Each),
+    Groups.push_back(absl::StrCat(" workers(count=", Group.m_Count, " ",
+                                  canonicalText(Group.m_Each),
                                   " per_rack=", Group.m_PerRack, ")"));
   }
   std::sort(Groups.begin(), Groups.end());
@@ -40,23 +44,29 @@
 }
 
 std::string canonicalText(const Guarantee &Part) {
-  return absl::StrCat(canonicalText(Part.m_Shape), " adjacency=", toAbsl(nameOf(Part.m_Adjacency)),
+  return absl::StrCat(canonicalText(Part.m_Shape),
+                      " adjacency=", toAbsl(nameOf(Part.m_Adjacency)),
                       " count=", Part.m_Count);
 }
 
 std::string canonicalText(const RequestClass &Part) {
-  return absl::StrCat("urgency=", toAbsl(nameOf(Part.m_Urgency)), " deadline_ms=", Part.m_DeadlineMs,
-                      " idempotent=", Part.m_Idempotent ? "true" : "false", " queue_limit=", Part.m_QueueLimit);
+  return absl::StrCat("urgency=", toAbsl(nameOf(Part.m_Urgency)),
+                      " deadline_ms=", Part.m_DeadlineMs,
+                      " idempotent=", Part.m_Idempotent ? "true" : "false",
+                      " queue_limit=", Part.m_QueueLimit);
 }
 
 std::string canonicalText(const Service &Part) {
-  return absl::StrCat("slots=", Part.m_Slots, " connections=", Part.m_Connections);
+  return absl::StrCat("slots=", Part.m_Slots,
+                      " connections=", Part.m_Connections);
 }
 
 std::string canonicalText(const Limits &Part) {
-  return absl::StrCat("live_jobs=", Part.m_LiveJobs, " gang_size=", Part.m_GangSize, " payload_kib=", Part.m_PayloadKib,
-                      " lease_ms=", Part.m_LeaseMs, " claims=", Part.m_Claims, " claim_mib=", Part.m_ClaimMib,
-                      " claim_retention_s=", Part.m_ClaimRetentionS);
+  return absl::StrCat(
+      "live_jobs=", Part.m_LiveJobs, " gang_size=", Part.m_GangSize,
+      " payload_kib=", Part.m_PayloadKib, " lease_ms=", Part.m_LeaseMs,
+      " claims=", Part.m_Claims, " claim_mib=", Part.m_ClaimMib,
+      " claim_retention_s=", Part.m_ClaimRetentionS);
 }
 
 } // namespace internal
@@ -66,16 +76,21 @@
   using internal::sortedByName;
   std::string Text;
   for (const Zone *Each : sortedByName(Doc.m_Zones))
-    absl::StrAppend(&Text, "zone ", Each->m_Name, " ", canonicalText(*Each), "\n");
+    absl::StrAppend(&Text, "zone ", Each->m_Name, " ", canonicalText(*Each),
+                    "\n");
   for (const Workspace *Each : sortedByName(Doc.m_Workspaces)) {
-    absl::StrAppend(&Text, "workspace ", Each->m_Name, " ", canonicalText(Each->m_Quota), "\n");
+    absl::StrAppend(&Text, "workspace ", Each->m_Name, " ",
+                    canonicalText(Each->m_Quota), "\n");
     for (const Guarantee *Inner : sortedByName(Each->m_Guarantees))
-      absl::StrAppend(&Text, "guarantee ", Inner->m_Name, " ", canonicalText(*Inner), "\n");
+      absl::StrAppend(&Text, "guarantee ", Inner->m_Name, " ",
+                      canonicalText(*Inner), "\n");
   }
   for (const Service *Each : sortedByName(Doc.m_Services)) {
-    absl::StrAppend(&Text, "service ", Each->m_Name, " ", canonicalText(*Each), "\n");
+    absl::StrAppend(&Text, "service ", Each->m_Name, " ", canonicalText(*Each),
+                    "\n");
     for (const RequestClass *Inner : sortedByName(Each->m_Classes))
-      absl::StrAppend(&Text, "class ", Inner->m_Name, " ", canonicalText(*Inner), "\n");
+      absl::StrAppend(&Text, "class ", Inner->m_Name, " ",
+                      canonicalText(*Inner), "\n");
   }
   absl::StrAppend(&Text, "limits ", canonicalText(Doc.m_Limits), "\n");
   return Text;
--- a/src/config/Canonical.h
+++ b/src/config/Canonical.h
@@ -10,17 +10,21 @@
 namespace anvil::config::internal {
 
 /// Returns pointers to \p Entries in name order.
-template <typename Entry> std::vector<const Entry *> sortedByName(const std::vector<Entry> &Entries) {
+template <typename Entry>
+std::vector<const Entry *> sortedByName(const std::vector<Entry> &Entries) {
   std::vector<const Entry *> Sorted;
   Sorted.reserve(Entries.size());
   for (const Entry &Each : Entries)
     Sorted.push_back(&Each);
   std::stable_sort(Sorted.begin(), Sorted.end(),
-                   [](const Entry *Left, const Entry *Right) { return Left->m_Name < Right->m_Name; });
+                   [](const Entry *Left, const Entry *Right) {
+                     return Left->m_Name < Right->m_Name;
+                   });
   return Sorted;
 }
 
-/// Return the canonical text of one part, without nested named entries where those are diffed on their own.
+/// Return the canonical text of one part, without nested named entries where
+/// those are diffed on their own.
 std::string canonicalText(const Amount &Part);
 std::string canonicalText(const Zone &Part);
 std::string canonicalText(const Guarantee &Part);
--- a/src/config/Diff.cpp
+++ b/src/config/Diff.cpp
@@ -9,16 +9,18 @@
 using internal::canonicalText;
 using internal::sortedByName;
 
-// Calls Both for each name that both lists have, Removed or Added for the others, in name order.
+// Calls Both for each name that both lists have, Removed or Added for the
+// others, in name order.
 template <typename Entry, typename OnAdded, typename OnRemoved, typename OnBoth>
-void mergeByName(const std::vector<Entry> &Old, const std::vector<Entry> &New, OnAdded Added, OnRemoved Removed,
-                 OnBoth Both) {
+void mergeByName(const std::vector<Entry> &Old, const std::vector<Entry> &New,
+                 OnAdded Added, OnRemoved Removed, OnBoth Both) {
   const auto Before = sortedByName(Old);
   const auto After = sortedByName(New);
   auto Left = Before.begin();
   auto Right = After.begin();
   while (Left != Before.end() || Right != After.end()) {
-    if (Right == After.end() || (Left != Before.end() && (*Left)->m_Name < (*Right)->m_Name)) {
+    if (Right == After.end() ||
+        (Left != Before.end() && (*Left)->m_Name < (*Right)->m_Name)) {
       Removed(**Left++);
     } else if (Left == Before.end() || (*Right)->m_Name < (*Left)->m_Name) {
       Added(**Right++);
@@ -31,7 +33,9 @@
 class Differ {
 public:
   std::vector<Change> run(const Document &Old, const Document &New) {
-    diffNamed(Old.m_Zones, New.m_Zones, "", {ChangeKind::ZoneAdded, ChangeKind::ZoneRemoved, ChangeKind::ZoneChanged});
+    diffNamed(Old.m_Zones, New.m_Zones, "",
+              {ChangeKind::ZoneAdded, ChangeKind::ZoneRemoved,
+               ChangeKind::ZoneChanged});
     diffWorkspaces(Old, New);
     diffServices(Old, New);
     const std::string Before = canonicalText(Old.m_Limits);
@@ -48,23 +52,30 @@
     ChangeKind m_Changed;
   };
 
-  static constexpr Kinds GuaranteeKinds = {ChangeKind::GuaranteeAdded, ChangeKind::GuaranteeRemoved,
+  static constexpr Kinds GuaranteeKinds = {ChangeKind::GuaranteeAdded,
+                                           ChangeKind::GuaranteeRemoved,
                                            ChangeKind::GuaranteeChanged};
-  static constexpr Kinds ClassKinds = {ChangeKind::ClassAdded, ChangeKind::ClassRemoved, ChangeKind::ClassChanged};
+  static constexpr Kinds ClassKinds = {ChangeKind::ClassAdded,
+                                       ChangeKind::ClassRemoved,
+                                       ChangeKind::ClassChanged};
 
   template <typename Entry>
-  void diffNamed(const std::vector<Entry> &Old, const std::vector<Entry> &New, const std::string &Prefix, Kinds As) {
+  void diffNamed(const std::vector<Entry> &Old, const std::vector<Entry> &New,
+                 const std::string &Prefix, Kinds As) {
     mergeByName(
         Old, New,
         [&](const Entry &Added) {
-          m_Changes.push_back({As.m_Added, Prefix + Added.m_Name, "", canonicalText(Added)});
+          m_Changes.push_back(
+              {As.m_Added, Prefix + Added.m_Name, "", canonicalText(Added)});
         },
         [&](const Entry &Removed) {
-          m_Changes.push_back({As.m_Removed, Prefix + Removed.m_Name, canonicalText(Removed), ""});
+          m_Changes.push_back({As.m_Removed, Prefix + Removed.m_Name,
+                               canonicalText(Removed), ""});
         },
         [&](const Entry &Before, const Entry &After) {
           if (canonicalText(Before) != canonicalText(After))
-            m_Changes.push_back({As.m_Changed, Prefix + After.m_Name, canonicalText(Before), canonicalText(After)});
+            m_Changes.push_back({As.m_Changed, Prefix + After.m_Name,
+                                 canonicalText(Before), canonicalText(After)});
         });
   }
 
@@ -72,30 +83,38 @@
     mergeByName(
         Old.m_Workspaces, New.m_Workspaces,
         [&](const Workspace &Added) {
-          m_Changes.push_back({ChangeKind::WorkspaceAdded, Added.m_Name, "", canonicalText(Added.m_Quota)});
+          m_Changes.push_back({ChangeKind::WorkspaceAdded, Added.m_Name, "",
+                               canonicalText(Added.m_Quota)});
           diffNamed({}, Added.m_Guarantees, Added.m_Name + "/", GuaranteeKinds);
         },
         [&](const Workspace &Removed) {
-          m_Changes.push_back({ChangeKind::WorkspaceRemoved, Removed.m_Name, canonicalText(Removed.m_Quota), ""});
+          m_Changes.push_back({ChangeKind::WorkspaceRemoved, Removed.m_Name,
+                               canonicalText(Removed.m_Quota), ""});
         },
         [&](const Workspace &Before, const Workspace &After) {
           if (Before.m_Quota != After.m_Quota) {
-            m_Changes.push_back(
-                {ChangeKind::QuotaChanged, After.m_Name, canonicalText(Before.m_Quota), canonicalText(After.m_Quota)});
+            m_Changes.push_back({ChangeKind::QuotaChanged, After.m_Name,
+                                 canonicalText(Before.m_Quota),
+                                 canonicalText(After.m_Quota)});
           }
-          diffNamed(Before.m_Guarantees, After.m_Guarantees, After.m_Name + "/", GuaranteeKinds);
+          diffNamed(Before.m_Guarantees, After.m_Guarantees, After.m_Name + "/",
+                    GuaranteeKinds);
         });
   }
 
   void diffServices(const Document &Old, const Document &New) {
     diffNamed(Old.m_Services, New.m_Services, "",
-              {ChangeKind::ServiceAdded, ChangeKind::ServiceRemoved, ChangeKind::ServiceChanged});
+              {ChangeKind::ServiceAdded, ChangeKind::ServiceRemoved,
+               ChangeKind::ServiceChanged});
     mergeByName(
         Old.m_Services, New.m_Services,
-        [&](const Service &Added) { diffNamed({}, Added.m_Classes, Added.m_Name + "/", ClassKinds); },
+        [&](const Service &Added) {
+          diffNamed({}, Added.m_Classes, Added.m_Name + "/", ClassKinds);
+        },
         [](const Service &) {},
         [&](const Service &Before, const Service &After) {
-          diffNamed(Before.m_Classes, After.m_Classes, After.m_Name + "/", ClassKinds);
+          diffNamed(Before.m_Classes, After.m_Classes, After.m_Name + "/",
+                    ClassKinds);
         });
   }
 
@@ -104,6 +123,8 @@
 
 } // namespace
 
-std::vector<Change> diff(const Document &Old, const Document &New) { return Differ().run(Old, New); }
+std::vector<Change> diff(const Document &Old, const Document &New) {
+  return Differ().run(Old, New);
+}
 
 } // namespace anvil::config
--- a/src/config/Parse.cpp
+++ b/src/config/Parse.cpp
@@ -19,7 +19,8 @@
 
 namespace {
 
-// Bounds of lists. They also stop YAML aliases from multiplying a small text into a huge document.
+// Bounds of lists. They also stop YAML aliases from multiplying a small text
+// into a huge document.
 constexpr size_t MaxZones = 64;
 constexpr size_t MaxWorkerGroups = 256;
 constexpr size_t MaxWorkspaces = 1'000;
@@ -37,34 +38,44 @@
   int64_t m_Max = MaxAmount;
 };
 
-// Reads nodes into a Document. Every fault is recorded and reading goes on with the default value.
+// Reads nodes into a Document. Every fault is recorded and reading goes on with
+// the default value.
 class DocumentReader {
 public:
   explicit DocumentReader(std::string_view File) : m_File(File) {}
 
   ParseResult read(const YAML::Node &Root) {
-    if (checkMap(Root, "", {"environment", "version", "availability_zones", "workspaces", "services", "limits"})) {
+    if (checkMap(Root, "",
+                 {"environment", "version", "availability_zones", "workspaces",
+                  "services", "limits"})) {
       Document &Doc = m_Result.m_Document;
       Doc.m_Environment = text(Root, "", "environment");
       Doc.m_Version = number(Root, "", "version", {1, INT64_MAX});
       readList(Root, "", "availability_zones", MaxZones, true,
-               [&](const YAML::Node &Node, const std::string &Path) { Doc.m_Zones.push_back(readZone(Node, Path)); });
-      readList(Root, "", "workspaces", MaxWorkspaces, true, [&](const YAML::Node &Node, const std::string &Path) {
-        Doc.m_Workspaces.push_back(readWorkspace(Node, Path));
-      });
-      readList(Root, "", "services", MaxServices, true, [&](const YAML::Node &Node, const std::string &Path) {
-        Doc.m_Services.push_back(readService(Node, Path));
-      });
+               [&](const YAML::Node &Node, const std::string &Path) {
+                 Doc.m_Zones.push_back(readZone(Node, Path));
+               });
+      readList(Root, "", "workspaces", MaxWorkspaces, true,
+               [&](const YAML::Node &Node, const std::string &Path) {
+                 Doc.m_Workspaces.push_back(readWorkspace(Node, Path));
+               });
+      readList(Root, "", "services", MaxServices, true,
+               [&](const YAML::Node &Node, const std::string &Path) {
+                 Doc.m_Services.push_back(readService(Node, Path));
+               });
       readLimits(Root);
       addValidation();
     }
     std::stable_sort(m_Result.m_Issues.begin(), m_Result.m_Issues.end(),
-                     [](const Issue &Left, const Issue &Right) { return Left.m_Line < Right.m_Line; });
+                     [](const Issue &Left, const Issue &Right) {
+                       return Left.m_Line < Right.m_Line;
+                     });
     return std::move(m_Result);
   }
 
   void addIssue(int Line, std::string Field, Rule Broken, std::string Message) {
-    m_Result.m_Issues.push_back({m_File, Line, std::move(Field), Broken, std::move(Message)});
+    m_Result.m_Issues.push_back(
+        {m_File, Line, std::move(Field), Broken, std::move(Message)});
   }
 
   ParseResult takeResult() { return std::move(m_Result); }
@@ -77,7 +88,8 @@
   }
 
   // Records the lines of all fields, so that validation can name them.
-  bool checkMap(const YAML::Node &Node, const std::string &Path, const std::vector<std::string> &Allowed) {
+  bool checkMap(const YAML::Node &Node, const std::string &Path,
+                const std::vector<std::string> &Allowed) {
     m_Lines[Path] = lineOf(Node);
     if (!Node.IsMap()) {
       addIssue(lineOf(Node), Path, Rule::WrongType, "must be a mapping");
@@ -85,27 +97,32 @@
     }
     std::set<std::string> Seen;
     for (const auto &Entry : Node) {
-      const std::string Key = Entry.first.IsScalar() ? Entry.first.Scalar() : "?";
+      const std::string Key =
+          Entry.first.IsScalar() ? Entry.first.Scalar() : "?";
       const int Line = lineOf(Entry.first);
       if (!Seen.insert(Key).second) {
         addIssue(Line, join(Path, Key), Rule::DuplicateField, "appears twice");
-      } else if (std::find(Allowed.begin(), Allowed.end(), Key) == Allowed.end()) {
+      } else if (std::find(Allowed.begin(), Allowed.end(), Key) ==
+                 Allowed.end()) {
         addIssue(Line, join(Path, Key), Rule::UnknownField,
-                 absl::StrCat("is unknown; allowed are ", absl::StrJoin(Allowed, ", ")));
+                 absl::StrCat("is unknown; allowed are ",
+                              absl::StrJoin(Allowed, ", ")));
       }
       m_Lines.emplace(join(Path, Key), Line);
     }
     return true;
   }
 
-  YAML::Node required(const YAML::Node &Map, const std::string &Path, const std::string &Key) {
+  YAML::Node required(const YAML::Node &Map, const std::string &Path,
+                      const std::string &Key) {
     YAML::Node Node = Map[Key];
     if (!Node)
       addIssue(lineOf(Map), join(Path, Key), Rule::MissingField, "is missing");
     return Node;
   }
 
-  std::string text(const YAML::Node &Map, const std::string &Path, const std::string &Key) {
+  std::string text(const YAML::Node &Map, const std::string &Path,
+                   const std::string &Key) {
     const YAML::Node Node = required(Map, Path, Key);
     if (!Node)
       return {};
@@ -115,7 +132,8 @@
     return {};
   }
 
-  int64_t number(const YAML::Node &Map, const std::string &Path, const std::string &Key, Range Allowed,
+  int64_t number(const YAML::Node &Map, const std::string &Path,
+                 const std::string &Key, Range Allowed,
                  std::optional<int64_t> Default = std::nullopt) {
     if (Default && !Map[Key])
       return *Default;
@@ -127,31 +145,38 @@
     const char *End = Digits.data() + Digits.size();
     const auto [Stop, Error] = std::from_chars(Digits.data(), End, Value);
     // A quoted number has the tag "!"; it is a text.
-    if (Stop != End || Digits.empty() || Error == std::errc::invalid_argument || Node.Tag() == "!") {
-      addIssue(lineOf(Node), join(Path, Key), Rule::WrongType, "must be a whole number");
+    if (Stop != End || Digits.empty() || Error == std::errc::invalid_argument ||
+        Node.Tag() == "!") {
+      addIssue(lineOf(Node), join(Path, Key), Rule::WrongType,
+               "must be a whole number");
       return Allowed.m_Min;
     }
-    if (Error == std::errc::result_out_of_range || Value < Allowed.m_Min || Value > Allowed.m_Max) {
+    if (Error == std::errc::result_out_of_range || Value < Allowed.m_Min ||
+        Value > Allowed.m_Max) {
       addIssue(lineOf(Node), join(Path, Key), Rule::OutOfRange,
-               absl::StrCat(Digits.substr(0, 20), " is not between ", Allowed.m_Min, " and ", Allowed.m_Max));
+               absl::StrCat(Digits.substr(0, 20), " is not between ",
+                            Allowed.m_Min, " and ", Allowed.m_Max));
       return Allowed.m_Min;
     }
     return Value;
   }
 
-  bool boolean(const YAML::Node &Map, const std::string &Path, const std::string &Key) {
+  bool boolean(const YAML::Node &Map, const std::string &Path,
+               const std::string &Key) {
     const YAML::Node Node = required(Map, Path, Key);
     if (!Node)
       return false;
-    const std::string Value = Node.IsScalar() && Node.Tag() != "!" ? Node.Scalar() : "";
+    const std::string Value =
+        Node.IsScalar() && Node.Tag() != "!" ? Node.Scalar() : "";
     if (Value != "true" && Value != "false")
-      addIssue(lineOf(Node), join(Path, Key), Rule::WrongType, "must be true or false");
+      addIssue(lineOf(Node), join(Path, Key), Rule::WrongType,
+               "must be true or false");
     return Value == "true";
   }
 
   template <typename Enum, size_t Count>
-  Enum choice(const YAML::Node &Map, const std::string &Path, const std::string &Key,
-              const std::array<Enum, Count> &Values) {
+  Enum choice(const YAML::Node &Map, const std::string &Path,
+              const std::string &Key, const std::array<Enum, Count> &Values) {
     const YAML::Node Node = required(Map, Path, Key);
     if (!Node)
       return Values[0];
@@ -167,8 +192,9 @@
   }
 
   template <typename ReadEntry>
-  void readList(const YAML::Node &Map, const std::string &Path, const std::string &Key, size_t MaxEntries,
-                bool Required, ReadEntry Read) {
+  void readList(const YAML::Node &Map, const std::string &Path,
+                const std::string &Key, size_t MaxEntries, bool Required,
+                ReadEntry Read) {
     const std::string Field = join(Path, Key);
     const YAML::Node List = Required ? required(Map, Path, Key) : Map[Key];
     if (!List)
@@ -177,7 +203,8 @@
       return addIssue(lineOf(List), Field, Rule::WrongType, "must be a list");
     if (List.size() > MaxEntries) {
       return addIssue(lineOf(List), Field, Rule::TooManyEntries,
-                      absl::StrCat("has ", List.size(), " entries, more than ", MaxEntries));
+                      absl::StrCat("has ", List.size(), " entries, more than ",
+                                   MaxEntries));
     }
     for (size_t I = 0; I < List.size(); ++I)
       Read(List[I], absl::StrCat(Field, "[", I, "]"));
@@ -197,15 +224,19 @@
       return Value;
     Value.m_Name = text(Node, Path, "name");
     Value.m_Region = text(Node, Path, "region");
-    readList(Node, Path, "workers", MaxWorkerGroups, false, [&](const YAML::Node &Entry, const std::string &Field) {
-      if (!checkMap(Entry, Field, {"count", "accelerators", "cores", "memory_gib", "per_rack"}))
-        return;
-      WorkerGroup Group;
-      Group.m_Count = number(Entry, Field, "count", {1, MaxCount});
-      Group.m_Each = readAmount(Entry, Field);
-      Group.m_PerRack = number(Entry, Field, "per_rack", {1, MaxCount});
-      Value.m_Workers.push_back(Group);
-    });
+    readList(
+        Node, Path, "workers", MaxWorkerGroups, false,
+        [&](const YAML::Node &Entry, const std::string &Field) {
+          if (!checkMap(
+                  Entry, Field,
+                  {"count", "accelerators", "cores", "memory_gib", "per_rack"}))
+            return;
+          WorkerGroup Group;
+          Group.m_Count = number(Entry, Field, "count", {1, MaxCount});
+          Group.m_Each = readAmount(Entry, Field);
+          Group.m_PerRack = number(Entry, Field, "per_rack", {1, MaxCount});
+          Value.m_Workers.push_back(Group);
+        });
     return Value;
   }
 
@@ -215,18 +246,24 @@
       return Value;
     Value.m_Name = text(Node, Path, "name");
     if (const YAML::Node Quota = required(Node, Path, "quota");
-        Quota && checkMap(Quota, Path + ".quota", {"accelerators", "cores", "memory_gib"}))
+        Quota && checkMap(Quota, Path + ".quota",
+                          {"accelerators", "cores", "memory_gib"}))
       Value.m_Quota = readAmount(Quota, Path + ".quota");
-    readList(Node, Path, "guarantees", MaxGuarantees, false, [&](const YAML::Node &Entry, const std::string &Field) {
-      if (!checkMap(Entry, Field, {"name", "accelerators", "cores", "memory_gib", "adjacency", "count"}))
-        return;
-      Guarantee Shape;
-      Shape.m_Name = text(Entry, Field, "name");
-      Shape.m_Shape = readAmount(Entry, Field);
-      Shape.m_Adjacency = choice(Entry, Field, "adjacency", std::array{Adjacency::Any, Adjacency::Rack, Adjacency::Vm});
-      Shape.m_Count = number(Entry, Field, "count", {1, MaxCount});
-      Value.m_Guarantees.push_back(Shape);
-    });
+    readList(Node, Path, "guarantees", MaxGuarantees, false,
+             [&](const YAML::Node &Entry, const std::string &Field) {
+               if (!checkMap(Entry, Field,
+                             {"name", "accelerators", "cores", "memory_gib",
+                              "adjacency", "count"}))
+                 return;
+               Guarantee Shape;
+               Shape.m_Name = text(Entry, Field, "name");
+               Shape.m_Shape = readAmount(Entry, Field);
+               Shape.m_Adjacency = choice(
+                   Entry, Field, "adjacency",
+                   std::array{Adjacency::Any, Adjacency::Rack, Adjacency::Vm});
+               Shape.m_Count = number(Entry, Field, "count", {1, MaxCount});
+               Value.m_Guarantees.push_back(Shape);
+             });
     return Value;
   }
 
@@ -237,53 +274,74 @@
     Value.m_Name = text(Node, Path, "name");
     Value.m_Slots = number(Node, Path, "slots", {1, 1'000});
     Value.m_Connections = number(Node, Path, "connections", {1, 100'000});
-    readList(Node, Path, "classes", MaxClasses, true, [&](const YAML::Node &Entry, const std::string &Field) {
-      if (!checkMap(Entry, Field, {"name", "urgency", "deadline_ms", "idempotent", "queue_limit"}))
-        return;
-      RequestClass Class;
-      Class.m_Name = text(Entry, Field, "name");
-      Class.m_Urgency = choice(Entry, Field, "urgency",
-                               std::array{Urgency::Urgent, Urgency::WorkingDay, Urgency::Batch, Urgency::Overnight});
-      Class.m_DeadlineMs = number(Entry, Field, "deadline_ms", {1, MaxDayMs});
-      Class.m_Idempotent = boolean(Entry, Field, "idempotent");
-      Class.m_QueueLimit = number(Entry, Field, "queue_limit", {1, 100'000});
-      Value.m_Classes.push_back(Class);
-    });
+    readList(Node, Path, "classes", MaxClasses, true,
+             [&](const YAML::Node &Entry, const std::string &Field) {
+               if (!checkMap(Entry, Field,
+                             {"name", "urgency", "deadline_ms", "idempotent",
+                              "queue_limit"}))
+                 return;
+               RequestClass Class;
+               Class.m_Name = text(Entry, Field, "name");
+               Class.m_Urgency =
+                   choice(Entry, Field, "urgency",
+                          std::array{Urgency::Urgent, Urgency::WorkingDay,
+                                     Urgency::Batch, Urgency::Overnight});
+               Class.m_DeadlineMs =
+                   number(Entry, Field, "deadline_ms", {1, MaxDayMs});
+               Class.m_Idempotent = boolean(Entry, Field, "idempotent");
+               Class.m_QueueLimit =
+                   number(Entry, Field, "queue_limit", {1, 100'000});
+               Value.m_Classes.push_back(Class);
+             });
     return Value;
   }
 
   void readLimits(const YAML::Node &Root) {
     const YAML::Node Node = Root["limits"];
-    if (!Node ||
-        !checkMap(Node, "limits",
-                  {"live_jobs", "gang_size", "payload_kib", "lease_ms", "claims", "claim_mib", "claim_retention_s"}))
+    if (!Node || !checkMap(Node, "limits",
+                           {"live_jobs", "gang_size", "payload_kib", "lease_ms",
+                            "claims", "claim_mib", "claim_retention_s"}))
       return;
     Limits &Value = m_Result.m_Document.m_Limits;
-    Value.m_LiveJobs = number(Node, "limits", "live_jobs", {1, 1'000'000}, Value.m_LiveJobs);
-    Value.m_GangSize = number(Node, "limits", "gang_size", {1, 256}, Value.m_GangSize);
-    Value.m_PayloadKib = number(Node, "limits", "payload_kib", {1, 1'024}, Value.m_PayloadKib);
-    Value.m_LeaseMs = number(Node, "limits", "lease_ms", {10'000, 7'200'000}, Value.m_LeaseMs);
-    Value.m_Claims = number(Node, "limits", "claims", {1, 1'000'000}, Value.m_Claims);
-    Value.m_ClaimMib = number(Node, "limits", "claim_mib", {1, 1'024}, Value.m_ClaimMib);
-    Value.m_ClaimRetentionS = number(Node, "limits", "claim_retention_s", {60, 2'592'000}, Value.m_ClaimRetentionS);
+    Value.m_LiveJobs =
+        number(Node, "limits", "live_jobs", {1, 1'000'000}, Value.m_LiveJobs);
+    Value.m_GangSize =
+        number(Node, "limits", "gang_size", {1, 256}, Value.m_GangSize);
+    Value.m_PayloadKib =
+        number(Node, "limits", "payload_kib", {1, 1'024}, Value.m_PayloadKib);
+    Value.m_LeaseMs = number(Node, "limits", "lease_ms", {10'000, 7'200'000},
+                             Value.m_LeaseMs);
+    Value.m_Claims =
+        number(Node, "limits", "claims", {1, 1'000'000}, Value.m_Claims);
+    Value.m_ClaimMib =
+        number(Node, "limits", "claim_mib", {1, 1'024}, Value.m_ClaimMib);
+    Value.m_ClaimRetentionS = number(Node, "limits", "claim_retention_s",
+                                     {60, 2'592'000}, Value.m_ClaimRetentionS);
   }
 
-  // True if a fault was found while reading \p Section, so that checks on its values would only repeat it.
+  // True if a fault was found while reading \p Section, so that checks on its
+  // values would only repeat it.
   bool hasIssueIn(const std::string &Section, size_t ReadIssues) const {
-    return std::any_of(m_Result.m_Issues.begin(), m_Result.m_Issues.begin() + static_cast<ptrdiff_t>(ReadIssues),
-                       [&](const Issue &Fault) { return absl::StartsWith(Fault.m_Field, Section); });
+    return std::any_of(m_Result.m_Issues.begin(),
+                       m_Result.m_Issues.begin() +
+                           static_cast<ptrdiff_t>(ReadIssues),
+                       [&](const Issue &Fault) {
+                         return absl::StartsWith(Fault.m_Field, Section);
+                       });
   }
 
   void addValidation() {
     const size_t ReadIssues = m_Result.m_Issues.size();
     for (Issue &Fault : validate(m_Result.m_Document)) {
       const bool Amounts = Fault.m_Rule >= Rule::GuaranteeExceedsQuota;
-      if (Amounts && (hasIssueIn("workspaces", ReadIssues) || hasIssueIn("availability_zones", ReadIssues)))
+      if (Amounts && (hasIssueIn("workspaces", ReadIssues) ||
+                      hasIssueIn("availability_zones", ReadIssues)))
         continue;
       if (hasIssueIn(Fault.m_Field, ReadIssues))
         continue;
       const auto Line = m_Lines.find(Fault.m_Field);
-      addIssue(Line == m_Lines.end() ? 0 : Line->second, std::move(Fault.m_Field), Fault.m_Rule,
+      addIssue(Line == m_Lines.end() ? 0 : Line->second,
+               std::move(Fault.m_Field), Fault.m_Rule,
                std::move(Fault.m_Message));
     }
   }
@@ -299,14 +357,17 @@
   DocumentReader Reader(File);
   if (Yaml.size() > MaxDocumentBytes) {
     Reader.addIssue(1, "", Rule::DocumentTooLarge,
-                    absl::StrCat("has ", Yaml.size(), " bytes, more than ", MaxDocumentBytes));
+                    absl::StrCat("has ", Yaml.size(), " bytes, more than ",
+                                 MaxDocumentBytes));
     return Reader.takeResult();
   }
   try {
     const std::vector<YAML::Node> Documents = YAML::LoadAll(std::string(Yaml));
     if (Documents.size() == 1)
       return Reader.read(Documents[0]);
-    Reader.addIssue(1, "", Rule::Syntax, absl::StrCat("has ", Documents.size(), " YAML documents instead of one"));
+    Reader.addIssue(1, "", Rule::Syntax,
+                    absl::StrCat("has ", Documents.size(),
+                                 " YAML documents instead of one"));
   } catch (const YAML::Exception &Error) {
     Reader.addIssue(Error.mark.line + 1, "", Rule::Syntax, Error.msg);
   }
--- a/src/config/Validate.cpp
+++ b/src/config/Validate.cpp
@@ -16,23 +16,26 @@
 
 bool isName(const std::string &Text) {
   const auto Allowed = [](char C) {
-    return (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') || (C >= '0' && C <= '9') || C == '-' || C == '_' ||
-           C == '.';
+    return (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') ||
+           (C >= '0' && C <= '9') || C == '-' || C == '_' || C == '.';
   };
-  return !Text.empty() && Text.size() <= MaxNameLength && std::all_of(Text.begin(), Text.end(), Allowed);
+  return !Text.empty() && Text.size() <= MaxNameLength &&
+         std::all_of(Text.begin(), Text.end(), Allowed);
 }
 
 Amount sum(const Amount &Left, const Amount &Right) {
-  return {Left.m_Accelerators + Right.m_Accelerators, Left.m_Cores + Right.m_Cores,
-          Left.m_MemoryGib + Right.m_MemoryGib};
+  return {Left.m_Accelerators + Right.m_Accelerators,
+          Left.m_Cores + Right.m_Cores, Left.m_MemoryGib + Right.m_MemoryGib};
 }
 
 Amount times(const Amount &Each, int64_t Count) {
-  return {Each.m_Accelerators * Count, Each.m_Cores * Count, Each.m_MemoryGib * Count};
+  return {Each.m_Accelerators * Count, Each.m_Cores * Count,
+          Each.m_MemoryGib * Count};
 }
 
 bool fits(const Amount &Needed, const Amount &Available) {
-  return Needed.m_Accelerators <= Available.m_Accelerators && Needed.m_Cores <= Available.m_Cores &&
+  return Needed.m_Accelerators <= Available.m_Accelerators &&
+         Needed.m_Cores <= Available.m_Cores &&
          Needed.m_MemoryGib <= Available.m_MemoryGib;
 }
 
@@ -59,11 +62,14 @@
     checkNames("workspaces", m_Doc.m_Workspaces);
     checkNames("services", m_Doc.m_Services);
     for (size_t I = 0; I < m_Doc.m_Zones.size(); ++I)
-      checkName(absl::StrCat("availability_zones[", I, "].region"), m_Doc.m_Zones[I].m_Region);
+      checkName(absl::StrCat("availability_zones[", I, "].region"),
+                m_Doc.m_Zones[I].m_Region);
     for (size_t I = 0; I < m_Doc.m_Workspaces.size(); ++I)
-      checkWorkspace(absl::StrCat("workspaces[", I, "]"), m_Doc.m_Workspaces[I]);
+      checkWorkspace(absl::StrCat("workspaces[", I, "]"),
+                     m_Doc.m_Workspaces[I]);
     for (size_t I = 0; I < m_Doc.m_Services.size(); ++I)
-      checkNames(absl::StrCat("services[", I, "].classes"), m_Doc.m_Services[I].m_Classes);
+      checkNames(absl::StrCat("services[", I, "].classes"),
+                 m_Doc.m_Services[I].m_Classes);
     checkCapacity();
     return std::move(m_Issues);
   }
@@ -76,18 +82,22 @@
   void checkName(const std::string &Field, const std::string &Name) {
     if (!isName(Name)) {
       add(Field, Rule::BadName,
-          absl::StrCat("\"", Name.substr(0, MaxNameLength),
-                       "\" is not a name of 1 to 63 letters, digits, '-', '_' or '.'"));
+          absl::StrCat(
+              "\"", Name.substr(0, MaxNameLength),
+              "\" is not a name of 1 to 63 letters, digits, '-', '_' or '.'"));
     }
   }
 
-  template <typename Entry> void checkNames(const std::string &List, const std::vector<Entry> &Entries) {
+  template <typename Entry>
+  void checkNames(const std::string &List, const std::vector<Entry> &Entries) {
     std::set<std::string> Seen;
     for (size_t I = 0; I < Entries.size(); ++I) {
       const std::string Field = absl::StrCat(List, "[", I, "].name");
       checkName(Field, Entries[I].m_Name);
       if (!Seen.insert(Entries[I].m_Name).second)
-        add(Field, Rule::DuplicateName, absl::StrCat("\"", Entries[I].m_Name, "\" is already used in ", List));
+        add(Field, Rule::DuplicateName,
+            absl::StrCat("\"", Entries[I].m_Name, "\" is already used in ",
+                         List));
     }
   }
 
@@ -101,25 +111,29 @@
     }
     if (!fits(Guaranteed, Space.m_Quota)) {
       add(Field + ".guarantees", Rule::GuaranteeExceedsQuota,
-          absl::StrCat("guarantees exceed the quota of workspace ", Space.m_Name, " by ",
+          absl::StrCat("guarantees exceed the quota of workspace ",
+                       Space.m_Name, " by ",
                        missing(Guaranteed, Space.m_Quota)));
     }
   }
 
-  // A shape with adjacency must fit into one worker or one rack, or no placement could ever honour it.
+  // A shape with adjacency must fit into one worker or one rack, or no
+  // placement could ever honour it.
   void checkShape(const std::string &Field, const Guarantee &Shape) {
     if (Shape.m_Adjacency == Adjacency::Any)
       return;
     const bool OneVm = Shape.m_Adjacency == Adjacency::Vm;
     for (const Zone &Each : m_Doc.m_Zones) {
       for (const WorkerGroup &Group : Each.m_Workers) {
-        const int64_t Workers = OneVm ? 1 : std::min(Group.m_PerRack, Group.m_Count);
+        const int64_t Workers =
+            OneVm ? 1 : std::min(Group.m_PerRack, Group.m_Count);
         if (fits(Shape.m_Shape, times(Group.m_Each, Workers)))
           return;
       }
     }
     add(Field, Rule::GuaranteeFitsNoWorker,
-        absl::StrCat("shape ", Shape.m_Name, " fits into no declared ", OneVm ? "worker" : "rack"));
+        absl::StrCat("shape ", Shape.m_Name, " fits into no declared ",
+                     OneVm ? "worker" : "rack"));
   }
 
   void checkCapacity() {
@@ -131,7 +145,9 @@
     const Amount Declared = declaredCapacity(m_Doc);
     if (!fits(Guaranteed, Declared)) {
       add("workspaces", Rule::GuaranteeExceedsCapacity,
-          absl::StrCat("guarantees of all workspaces exceed the declared capacity by ", missing(Guaranteed, Declared)));
+          absl::StrCat(
+              "guarantees of all workspaces exceed the declared capacity by ",
+              missing(Guaranteed, Declared)));
     }
   }
 
@@ -139,15 +155,20 @@
   std::vector<Issue> m_Issues;
 };
 
-template <typename Entry> const Entry *findNamed(const std::vector<Entry> &Entries, const std::string &Name) {
+template <typename Entry>
+const Entry *findNamed(const std::vector<Entry> &Entries,
+                       const std::string &Name) {
   const auto Found =
-      std::find_if(Entries.begin(), Entries.end(), [&](const Entry &Each) { return Each.m_Name == Name; });
+      std::find_if(Entries.begin(), Entries.end(),
+                   [&](const Entry &Each) { return Each.m_Name == Name; });
   return Found == Entries.end() ? nullptr : &*Found;
 }
 
 } // namespace
 
-std::vector<Issue> validate(const Document &Doc) { return Validator(Doc).run(); }
+std::vector<Issue> validate(const Document &Doc) {
+  return Validator(Doc).run();
+}
 
 Amount declaredCapacity(const Document &Doc) {
   Amount Total;
@@ -162,28 +183,32 @@
   return findNamed(Doc.m_Workspaces, Name);
 }
 
-const Service *findService(const Document &Doc, const std::string &Name) { return findNamed(Doc.m_Services, Name); }
+const Service *findService(const Document &Doc, const std::string &Name) {
+  return findNamed(Doc.m_Services, Name);
+}
 
 std::string_view nameOf(Rule Broken) {
-  constexpr std::array<std::string_view, 14> Names = {"syntax",
-                                                      "document-too-large",
-                                                      "missing-field",
-                                                      "unknown-field",
-                                                      "duplicate-field",
-                                                      "wrong-type",
-                                                      "out-of-range",
-                                                      "bad-name",
-                                                      "unknown-value",
-                                                      "too-many-entries",
-                                                      "duplicate-name",
-                                                      "guarantee-exceeds-quota",
-                                                      "guarantee-exceeds-capacity",
-                                                      "guarantee-fits-no-worker"};
+  constexpr std::array<std::string_view, 14> Names = {
+      "syntax",
+      "document-too-large",
+      "missing-field",
+      "unknown-field",
+      "duplicate-field",
+      "wrong-type",
+      "out-of-range",
+      "bad-name",
+      "unknown-value",
+      "too-many-entries",
+      "duplicate-name",
+      "guarantee-exceeds-quota",
+      "guarantee-exceeds-capacity",
+      "guarantee-fits-no-worker"};
   return Names.at(static_cast<size_t>(Broken));
 }
 
 std::string toString(const Issue &Fault) {
-  return absl::StrCat(Fault.m_File, ":", Fault.m_Line, ": ", Fault.m_Field.empty() ? "document" : Fault.m_Field, ": ",
+  return absl::StrCat(Fault.m_File, ":", Fault.m_Line, ": ",
+                      Fault.m_Field.empty() ? "document" : Fault.m_Field, ": ",
                       Fault.m_Message, " [", toAbsl(nameOf(Fault.m_Rule)), "]");
 }
 
--- a/src/control/AgentSessions.cpp
+++ b/src/control/AgentSessions.cpp
@@ -11,22 +11,26 @@
 constexpr Duration SessionKeptFor = std::chrono::minutes(1);
 
 bool sameProperties(const wire::TargetInfo &A, const wire::TargetInfo &B) {
-  return A.kind == B.kind && A.availabilityZone == B.availabilityZone && A.rack == B.rack &&
-         A.serviceName == B.serviceName && A.agentAddress == B.agentAddress && A.capacity == B.capacity &&
+  return A.kind == B.kind && A.availabilityZone == B.availabilityZone &&
+         A.rack == B.rack && A.serviceName == B.serviceName &&
+         A.agentAddress == B.agentAddress && A.capacity == B.capacity &&
          A.slots == B.slots && A.connections == B.connections;
 }
 
 // Returns true if the state already holds what the agent reports of a task.
-bool stateShows(const state::MemberView &Member, wire::TaskState::type Reported) {
+bool stateShows(const state::MemberView &Member,
+                wire::TaskState::type Reported) {
   using state::TaskPhase;
   switch (Reported) {
   case wire::TaskState::PREPARED:
     return Member.m_Phase != TaskPhase::Reserved;
   case wire::TaskState::RUNNING:
-    return Member.m_Phase != TaskPhase::Reserved && Member.m_Phase != TaskPhase::Prepared &&
+    return Member.m_Phase != TaskPhase::Reserved &&
+           Member.m_Phase != TaskPhase::Prepared &&
            Member.m_Phase != TaskPhase::Starting;
   case wire::TaskState::SUCCEEDED:
-    return Member.m_Phase == TaskPhase::Succeeded || Member.m_Phase == TaskPhase::Released;
+    return Member.m_Phase == TaskPhase::Succeeded ||
+           Member.m_Phase == TaskPhase::Released;
   case wire::TaskState::FAILED:
   case wire::TaskState::STOPPED:
   case wire::TaskState::CHECKPOINTED:
@@ -36,14 +40,20 @@
   return true;
 }
 
-// An agent reads the payload only when it starts a prepared task. Payloads have up to 1 MiB and replies list every task
-// of a VM each second, so a payload goes out with the start order alone and no more once the task has started.
-void dropSpentPayloads(const wire::AgentHeartbeat &Heartbeat, wire::AgentHeartbeatReply &Reply) {
+// An agent reads the payload only when it starts a prepared task. Payloads have
+// up to 1 MiB and replies list every task of a VM each second, so a payload
+// goes out with the start order alone and no more once the task has started.
+void dropSpentPayloads(const wire::AgentHeartbeat &Heartbeat,
+                       wire::AgentHeartbeatReply &Reply) {
   for (wire::Assignment &Wanted : Reply.assignments) {
-    const bool Started = std::any_of(Heartbeat.tasks.begin(), Heartbeat.tasks.end(), [&](const wire::TaskStatus &Task) {
-      return Task.jobId == Wanted.jobId && Task.taskIndex == Wanted.taskIndex && Task.startToken == Wanted.startToken &&
-             Task.state != wire::TaskState::PREPARED;
-    });
+    const bool Started =
+        std::any_of(Heartbeat.tasks.begin(), Heartbeat.tasks.end(),
+                    [&](const wire::TaskStatus &Task) {
+                      return Task.jobId == Wanted.jobId &&
+                             Task.taskIndex == Wanted.taskIndex &&
+                             Task.startToken == Wanted.startToken &&
+                             Task.state != wire::TaskState::PREPARED;
+                    });
     if (Wanted.order != wire::TaskOrder::START || Started)
       Wanted.payload.clear();
   }
@@ -56,10 +66,13 @@
   m_EverFresh = true;
 }
 
-bool AgentSessions::fresh(TimePoint Now) const { return m_EverFresh && Now - m_FreshRead <= ReadFreshFor; }
+bool AgentSessions::fresh(TimePoint Now) const {
+  return m_EverFresh && Now - m_FreshRead <= ReadFreshFor;
+}
 
-wire::AgentHeartbeatReply AgentSessions::handle(const wire::AgentHeartbeat &Heartbeat, const state::ClusterState &State,
-                                                TimePoint Now) {
+wire::AgentHeartbeatReply
+AgentSessions::handle(const wire::AgentHeartbeat &Heartbeat,
+                      const state::ClusterState &State, TimePoint Now) {
   wire::AgentHeartbeatReply Reply;
   Reply.sequence = Heartbeat.sequence;
   const VmId Vm(Heartbeat.target.vm);
@@ -71,8 +84,10 @@
   }
   Mine.m_LastHeartbeat = Now;
   Mine.m_Load = Heartbeat.load;
-  const bool Current = Known && Known->m_Info.incarnation == Heartbeat.target.incarnation &&
-                       Known->m_Phase != state::VmPhase::Lost && Known->m_Phase != state::VmPhase::Removed;
+  const bool Current =
+      Known && Known->m_Info.incarnation == Heartbeat.target.incarnation &&
+      Known->m_Phase != state::VmPhase::Lost &&
+      Known->m_Phase != state::VmPhase::Removed;
   if (!Current || !sameProperties(Known->m_Info, Heartbeat.target)) {
     proposeRegistration(Mine, Heartbeat.target, Now);
     if (!Current) {
@@ -101,13 +116,18 @@
   Reply.renewedAtIndex = State.appliedIndex();
   Reply.assignments = State.assignmentsFor(Vm);
   dropSpentPayloads(Heartbeat, Reply);
-  if (State.mayStartOn(Vm, Heartbeat.target.incarnation) && Heartbeat.targetHealthy)
-    Reply.permitMs = std::chrono::duration_cast<std::chrono::milliseconds>(PermitFor).count();
+  if (State.mayStartOn(Vm, Heartbeat.target.incarnation) &&
+      Heartbeat.targetHealthy)
+    Reply.permitMs =
+        std::chrono::duration_cast<std::chrono::milliseconds>(PermitFor)
+            .count();
   return Reply;
 }
 
-// A report repeats in every heartbeat until the state shows it, but is proposed again only after a while.
-void AgentSessions::proposeOnce(Session &Session, const std::string &Key, wire::Command Command, TimePoint Now) {
+// A report repeats in every heartbeat until the state shows it, but is proposed
+// again only after a while.
+void AgentSessions::proposeOnce(Session &Session, const std::string &Key,
+                                wire::Command Command, TimePoint Now) {
   const auto [It, New] = Session.m_Proposed.try_emplace(Key, Now);
   if (!New && Now - It->second < ProposeAgainAfter)
     return;
@@ -115,15 +135,20 @@
   m_Propose(std::move(Command));
 }
 
-void AgentSessions::proposeRegistration(Session &Session, const wire::TargetInfo &Target, TimePoint Now) {
+void AgentSessions::proposeRegistration(Session &Session,
+                                        const wire::TargetInfo &Target,
+                                        TimePoint Now) {
   wire::Command Command;
   Command.__isset.registerTarget = true;
   Command.registerTarget.target = Target;
-  proposeOnce(Session, absl::StrCat("register ", Target.incarnation), std::move(Command), Now);
+  proposeOnce(Session, absl::StrCat("register ", Target.incarnation),
+              std::move(Command), Now);
 }
 
-void AgentSessions::proposeTaskChanges(Session &Session, const wire::AgentHeartbeat &Heartbeat,
-                                       const state::ClusterState &State, TimePoint Now) {
+void AgentSessions::proposeTaskChanges(Session &Session,
+                                       const wire::AgentHeartbeat &Heartbeat,
+                                       const state::ClusterState &State,
+                                       TimePoint Now) {
   wire::Command Command;
   wire::ReportTasks &Report = Command.reportTasks;
   std::string Key = "tasks";
@@ -131,37 +156,49 @@
     const std::optional<state::JobView> Job = State.job(JobId(Task.jobId));
     if (!Job || Job->m_StartToken != Task.startToken)
       continue;
-    const auto Member = std::find_if(Job->m_Members.begin(), Job->m_Members.end(),
-                                     [&](const state::MemberView &Each) { return Each.m_TaskIndex == Task.taskIndex; });
+    const auto Member =
+        std::find_if(Job->m_Members.begin(), Job->m_Members.end(),
+                     [&](const state::MemberView &Each) {
+                       return Each.m_TaskIndex == Task.taskIndex;
+                     });
     if (Member == Job->m_Members.end() || stateShows(*Member, Task.state))
       continue;
     Report.tasks.push_back(Task);
-    absl::StrAppend(&Key, " ", Task.jobId, ".", Task.taskIndex, ".", Task.startToken, ".",
-                    static_cast<int>(Task.state));
+    absl::StrAppend(&Key, " ", Task.jobId, ".", Task.taskIndex, ".",
+                    Task.startToken, ".", static_cast<int>(Task.state));
   }
   if (Report.tasks.empty())
     return;
   Command.__isset.reportTasks = true;
   Report.vm = Heartbeat.target.vm;
   Report.incarnation = Heartbeat.target.incarnation;
-  std::erase_if(Session.m_Proposed,
-                [&](const auto &Each) { return Each.first.starts_with("tasks") && Each.first != Key; });
+  std::erase_if(Session.m_Proposed, [&](const auto &Each) {
+    return Each.first.starts_with("tasks") && Each.first != Key;
+  });
   proposeOnce(Session, Key, std::move(Command), Now);
 }
 
-void AgentSessions::closeClaims(Session &Session, const wire::AgentHeartbeat &Heartbeat,
-                                const state::ClusterState &State, TimePoint Now, wire::AgentHeartbeatReply &Reply) {
+void AgentSessions::closeClaims(Session &Session,
+                                const wire::AgentHeartbeat &Heartbeat,
+                                const state::ClusterState &State, TimePoint Now,
+                                wire::AgentHeartbeatReply &Reply) {
   for (const wire::ClaimOutcome &Outcome : Heartbeat.outcomes) {
-    // A token is the log index of its grant. A replica that has not applied the grant yet knows nothing of the claim,
-    // and an acknowledgement would lose the outcome.
+    // A token is the log index of its grant. A replica that has not applied the
+    // grant yet knows nothing of the claim, and an acknowledgement would lose
+    // the outcome.
     if (Outcome.token > State.appliedIndex())
       continue;
-    const std::optional<wire::CommandResult> Claim = State.claim(Outcome.claimId);
-    const bool Open = Claim && Claim->claimState == wire::ClaimState::HELD && Claim->claimToken == Outcome.token;
-    const bool Learned = Claim && Claim->claimState == wire::ClaimState::CLOSED &&
-                         Claim->claimOutcome.outcome == wire::Outcome::UNKNOWN &&
-                         Claim->claimOutcome.token == Outcome.token && Outcome.outcome == wire::Outcome::COMPLETED;
-    const std::string Key = absl::StrCat("claim ", Outcome.claimId, " ", Outcome.token);
+    const std::optional<wire::CommandResult> Claim =
+        State.claim(Outcome.claimId);
+    const bool Open = Claim && Claim->claimState == wire::ClaimState::HELD &&
+                      Claim->claimToken == Outcome.token;
+    const bool Learned =
+        Claim && Claim->claimState == wire::ClaimState::CLOSED &&
+        Claim->claimOutcome.outcome == wire::Outcome::UNKNOWN &&
+        Claim->claimOutcome.token == Outcome.token &&
+        Outcome.outcome == wire::Outcome::COMPLETED;
+    const std::string Key =
+        absl::StrCat("claim ", Outcome.claimId, " ", Outcome.token);
     if (!Open && !Learned) {
       Reply.acknowledgedClaims.push_back(Outcome.claimId);
       Session.m_Proposed.erase(Key);
@@ -188,7 +225,9 @@
 }
 
 void AgentSessions::expire(TimePoint Now) {
-  absl::erase_if(m_Sessions, [&](const auto &Each) { return Now - Each.second.m_LastHeartbeat > SessionKeptFor; });
+  absl::erase_if(m_Sessions, [&](const auto &Each) {
+    return Now - Each.second.m_LastHeartbeat > SessionKeptFor;
+  });
 }
 
 } // namespace anvil::control::internal
--- a/src/control/CommandRouter.cpp
+++ b/src/control/CommandRouter.cpp
@@ -18,9 +18,11 @@
 } // namespace
 
 bool certainlyNotAppended(const absl::Status &Status) {
-  const std::optional<raft::RaftErrc> Raft = layerErrorOf<raft::RaftErrc>(Status);
+  const std::optional<raft::RaftErrc> Raft =
+      layerErrorOf<raft::RaftErrc>(Status);
   if (Raft)
-    return *Raft == raft::RaftErrc::NotLeader || *Raft == raft::RaftErrc::Busy || *Raft == raft::RaftErrc::Superseded;
+    return *Raft == raft::RaftErrc::NotLeader ||
+           *Raft == raft::RaftErrc::Busy || *Raft == raft::RaftErrc::Superseded;
   const std::optional<net::RpcErrc> Rpc = layerErrorOf<net::RpcErrc>(Status);
   if (!Rpc)
     return false;
@@ -36,8 +38,10 @@
   CommandDone m_Done;
 };
 
-void CommandRouter::submit(wire::Command Command, Duration Timeout, CommandDone Done) {
-  attempt(std::make_shared<Attempt>(Attempt{std::move(Command), m_Now() + Timeout, std::move(Done)}));
+void CommandRouter::submit(wire::Command Command, Duration Timeout,
+                           CommandDone Done) {
+  attempt(std::make_shared<Attempt>(
+      Attempt{std::move(Command), m_Now() + Timeout, std::move(Done)}));
 }
 
 void CommandRouter::attempt(const std::shared_ptr<Attempt> &Try) {
@@ -50,21 +54,25 @@
     return;
   }
   std::weak_ptr<CommandRouter> Weak = weak_from_this();
-  m_Replica.propose(Try->m_Command, [Weak, Try](absl::StatusOr<wire::CommandResult> Result) {
-    auto Self = Weak.lock();
-    if (Result.ok() || !Self)
-      Try->m_Done(std::move(Result));
-    else if (certainlyNotAppended(Result.status()))
-      Self->retryLater(Try, Result.status());
-    else
-      Try->m_Done(
-          absl::AbortedError(absl::StrCat("the command may or may not take effect: ", Result.status().message())));
-  });
+  m_Replica.propose(
+      Try->m_Command, [Weak, Try](absl::StatusOr<wire::CommandResult> Result) {
+        auto Self = Weak.lock();
+        if (Result.ok() || !Self)
+          Try->m_Done(std::move(Result));
+        else if (certainlyNotAppended(Result.status()))
+          Self->retryLater(Try, Result.status());
+        else
+          Try->m_Done(absl::AbortedError(
+              absl::StrCat("the command may or may not take effect: ",
+                           Result.status().message())));
+      });
 }
 
-void CommandRouter::retryLater(const std::shared_ptr<Attempt> &Try, const absl::Status &Why) {
+void CommandRouter::retryLater(const std::shared_ptr<Attempt> &Try,
+                               const absl::Status &Why) {
   if (m_Now() + RetryDelay >= Try->m_Deadline) {
-    Try->m_Done(absl::UnavailableError(absl::StrCat("the command was not accepted in time: ", Why.message())));
+    Try->m_Done(absl::UnavailableError(
+        absl::StrCat("the command was not accepted in time: ", Why.message())));
     return;
   }
   auto Timer = std::make_shared<boost::asio::steady_timer>(m_Io, RetryDelay);
@@ -78,10 +86,12 @@
   });
 }
 
-void CommandRouter::forward(const std::shared_ptr<Attempt> &Try, net::RpcClient &Leader) {
+void CommandRouter::forward(const std::shared_ptr<Attempt> &Try,
+                            net::RpcClient &Leader) {
   std::weak_ptr<CommandRouter> Weak = weak_from_this();
-  Leader.call(wire::Method::FORWARD_COMMAND, net::encodeStruct(Try->m_Command), Try->m_Deadline - m_Now(),
-              Try->m_Command.traceId, [Weak, Try](absl::StatusOr<std::string> Reply) {
+  Leader.call(wire::Method::FORWARD_COMMAND, net::encodeStruct(Try->m_Command),
+              Try->m_Deadline - m_Now(), Try->m_Command.traceId,
+              [Weak, Try](absl::StatusOr<std::string> Reply) {
                 auto Self = Weak.lock();
                 if (Reply.ok())
                   Try->m_Done(net::decodeAs<wire::CommandResult>(*Reply));
@@ -89,7 +99,8 @@
                   Self->retryLater(Try, Reply.status());
                 else
                   Try->m_Done(absl::AbortedError(
-                      absl::StrCat("the command may or may not take effect: ", Reply.status().message())));
+                      absl::StrCat("the command may or may not take effect: ",
+                                   Reply.status().message())));
               });
 }
 
--- a/src/control/CommandRouter.h
+++ b/src/control/CommandRouter.h
@@ -13,11 +13,13 @@
 
 /// Brings a command to the leader, wherever it is, and its result back.
 ///
-/// A command is sent again only if it is certain that the earlier try was not appended. If that is not certain the
-/// result is kAborted: "the command may or may not take effect".
+/// A command is sent again only if it is certain that the earlier try was not
+/// appended. If that is not certain the result is kAborted: "the command may or
+/// may not take effect".
 class CommandRouter : public std::enable_shared_from_this<CommandRouter> {
 public:
-  CommandRouter(boost::asio::io_context &Io, ReplicaHost &Replica, std::function<TimePoint()> Now)
+  CommandRouter(boost::asio::io_context &Io, ReplicaHost &Replica,
+                std::function<TimePoint()> Now)
       : m_Io(Io), m_Replica(Replica), m_Now(std::move(Now)) {}
 
   /// Runs a command within \p Timeout; \p Done runs exactly once.
@@ -35,7 +37,8 @@
   std::function<TimePoint()> m_Now;
 };
 
-/// Returns true if the failed proposal is known not to have been appended anywhere.
+/// Returns true if the failed proposal is known not to have been appended
+/// anywhere.
 bool certainlyNotAppended(const absl::Status &Status);
 
 } // namespace anvil::control::internal
--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -39,8 +39,10 @@
 
 struct ControlServer::Impl : std::enable_shared_from_this<ControlServer::Impl> {
   Impl(boost::asio::io_context &Io, ControlOptions Options)
-      : m_Io(Io), m_Options(std::move(Options)), m_Timer(Io), m_HandOverTimer(Io),
-        m_Timeline(m_Options.m_Name, TimelineCapacity, m_Options.m_Replica.m_WallClockMicros) {}
+      : m_Io(Io), m_Options(std::move(Options)), m_Timer(Io),
+        m_HandOverTimer(Io), m_Timeline(m_Options.m_Name, TimelineCapacity,
+                                        m_Options.m_Replica.m_WallClockMicros) {
+  }
 
   absl::Status open(std::function<void(const absl::Status &)> OnFatal);
   void registerHandlers();
@@ -58,12 +60,15 @@
   void onForward(const net::RpcCall &Call, net::RpcResponder Respond);
   void onQuery(const net::RpcCall &Call, net::RpcResponder Respond);
   void awaitHandOver(TimePoint Deadline, std::function<void()> Done);
-  void answerTimeline(const wire::QueryRequest &Request, const net::RpcResponder &Respond);
-  void answerQuery(const wire::QueryRequest &Request, bool Stale, const net::RpcResponder &Respond);
+  void answerTimeline(const wire::QueryRequest &Request,
+                      const net::RpcResponder &Respond);
+  void answerQuery(const wire::QueryRequest &Request, bool Stale,
+                   const net::RpcResponder &Respond);
 
   bool connectedTo(raft::ReplicaId Id) const {
     const net::RpcClient *Peer = m_Replica->peer(Id);
-    return Id == m_Options.m_Replica.m_Raft.m_Self || (Peer && Peer->connected());
+    return Id == m_Options.m_Replica.m_Raft.m_Self ||
+           (Peer && Peer->connected());
   }
   TimePoint now() const { return m_Options.m_Replica.m_Now(); }
 
@@ -84,38 +89,52 @@
   bool m_Stopping = false;
 };
 
-absl::Status ControlServer::Impl::open(std::function<void(const absl::Status &)> OnFatal) {
-  timeline::stampFrames(m_Options.m_Replica.m_Rpc, m_Timeline, m_Options.m_Replica.m_WallClockMicros);
-  absl::StatusOr<std::unique_ptr<store::FileSystem>> Files = store::openDataFolder(m_Options.m_DataFolder);
+absl::Status
+ControlServer::Impl::open(std::function<void(const absl::Status &)> OnFatal) {
+  timeline::stampFrames(m_Options.m_Replica.m_Rpc, m_Timeline,
+                        m_Options.m_Replica.m_WallClockMicros);
+  absl::StatusOr<std::unique_ptr<store::FileSystem>> Files =
+      store::openDataFolder(m_Options.m_DataFolder);
   if (!Files.ok())
     return Files.status();
   m_Files = *std::move(Files);
-  absl::StatusOr<std::unique_ptr<store::LogStore>> Store = store::LogStore::open({m_Options.m_SegmentBytes}, *m_Files);
+  absl::StatusOr<std::unique_ptr<store::LogStore>> Store =
+      store::LogStore::open({m_Options.m_SegmentBytes}, *m_Files);
   if (!Store.ok())
     return Store.status();
-  if (const int64_t Dropped = (*Store)->counters().m_TornBytesDropped; Dropped > 0)
-    LOG(WARNING) << "control: dropped an incomplete write at the end of the log bytes=" << Dropped;
+  if (const int64_t Dropped = (*Store)->counters().m_TornBytesDropped;
+      Dropped > 0)
+    LOG(WARNING)
+        << "control: dropped an incomplete write at the end of the log bytes="
+        << Dropped;
   absl::StatusOr<std::unique_ptr<ReplicaHost>> Replica =
       ReplicaHost::create(m_Io, m_Options.m_Replica, *std::move(Store));
   if (!Replica.ok())
     return Replica.status();
   m_Replica = *std::move(Replica);
   absl::StatusOr<std::unique_ptr<net::RpcServer>> Server =
-      net::RpcServer::create(m_Io, m_Options.m_Listen, m_Options.m_Replica.m_Rpc);
+      net::RpcServer::create(m_Io, m_Options.m_Listen,
+                             m_Options.m_Replica.m_Rpc);
   if (!Server.ok())
     return Server.status();
   m_Server = *std::move(Server);
-  m_Router = std::make_shared<CommandRouter>(m_Io, *m_Replica, m_Options.m_Replica.m_Now);
+  m_Router = std::make_shared<CommandRouter>(m_Io, *m_Replica,
+                                             m_Options.m_Replica.m_Now);
   m_Sessions = std::make_unique<AgentSessions>([this](wire::Command Command) {
-    m_Router->submit(std::move(Command), OwnCommandTimeout, [](const absl::StatusOr<wire::CommandResult> &) {});
+    m_Router->submit(std::move(Command), OwnCommandTimeout,
+                     [](const absl::StatusOr<wire::CommandResult> &) {});
   });
   m_Leader = std::make_unique<LeaderDuties>(
-      [this](wire::Command Command, const internal::SchedulerDriver::Refused &Refused) {
-        m_Replica->propose(std::move(Command), [Refused](const absl::StatusOr<wire::CommandResult> &Result) {
-          // A proposal that failed with the leadership needs no answer: the next leader starts from the state.
-          if (Result.ok() && Result->status != wire::CommandStatus::OK)
-            Refused(*Result);
-        });
+      [this](wire::Command Command,
+             const internal::SchedulerDriver::Refused &Refused) {
+        m_Replica->propose(
+            std::move(Command),
+            [Refused](const absl::StatusOr<wire::CommandResult> &Result) {
+              // A proposal that failed with the leadership needs no answer: the
+              // next leader starts from the state.
+              if (Result.ok() && Result->status != wire::CommandStatus::OK)
+                Refused(*Result);
+            });
       },
       m_Options.m_Replica.m_WallClockMicros);
   registerHandlers();
@@ -125,7 +144,9 @@
     internal::recordStateEvent(Event, Index, m_Replica->state(), m_Timeline);
     m_Leader->onStateEvent(Event, now());
   };
-  Hooks.m_OnApplied = [this] { m_Leader->onApplied(m_Replica->state(), now()); };
+  Hooks.m_OnApplied = [this] {
+    m_Leader->onApplied(m_Replica->state(), now());
+  };
   Hooks.m_OnFatal = std::move(OnFatal);
   m_Replica->start(std::move(Hooks));
   armTick();
@@ -135,48 +156,69 @@
 void ControlServer::Impl::registerHandlers() {
   using wire::Method;
   m_Server->handle(Method::RAFT_MESSAGE,
-                   [this](const net::RpcCall &Call, const net::RpcResponder &) { m_Replica->receive(Call.m_Body); });
-  m_Server->handle(Method::AGENT_HEARTBEAT,
-                   [this](const net::RpcCall &Call, const net::RpcResponder &Respond) { onHeartbeat(Call, Respond); });
+                   [this](const net::RpcCall &Call, const net::RpcResponder &) {
+                     m_Replica->receive(Call.m_Body);
+                   });
+  m_Server->handle(
+      Method::AGENT_HEARTBEAT,
+      [this](const net::RpcCall &Call, const net::RpcResponder &Respond) {
+        onHeartbeat(Call, Respond);
+      });
   m_Server->handle(Method::SESSION_REPORT,
-                   [this](const net::RpcCall &Call, const net::RpcResponder &) { onSessionReport(Call); });
-  m_Server->handle(Method::ENTRY_SYNC,
-                   [this](const net::RpcCall &Call, const net::RpcResponder &Respond) { onEntrySync(Call, Respond); });
+                   [this](const net::RpcCall &Call, const net::RpcResponder &) {
+                     onSessionReport(Call);
+                   });
+  m_Server->handle(
+      Method::ENTRY_SYNC,
+      [this](const net::RpcCall &Call, const net::RpcResponder &Respond) {
+        onEntrySync(Call, Respond);
+      });
   m_Server->handle(Method::SUBMIT_COMMAND,
-                   [this](const net::RpcCall &Call, net::RpcResponder Respond) { onSubmit(Call, std::move(Respond)); });
-  m_Server->handle(Method::FORWARD_COMMAND, [this](const net::RpcCall &Call, net::RpcResponder Respond) {
-    onForward(Call, std::move(Respond));
-  });
+                   [this](const net::RpcCall &Call, net::RpcResponder Respond) {
+                     onSubmit(Call, std::move(Respond));
+                   });
+  m_Server->handle(Method::FORWARD_COMMAND,
+                   [this](const net::RpcCall &Call, net::RpcResponder Respond) {
+                     onForward(Call, std::move(Respond));
+                   });
   m_Server->handle(Method::QUERY,
-                   [this](const net::RpcCall &Call, net::RpcResponder Respond) { onQuery(Call, std::move(Respond)); });
+                   [this](const net::RpcCall &Call, net::RpcResponder Respond) {
+                     onQuery(Call, std::move(Respond));
+                   });
 }
 
 void ControlServer::Impl::onRole(const raft::RoleChange &Role) {
   if (Role.m_Role == raft::RaftRole::Leader) {
     LOG(INFO) << "control: became leader term=" << Role.m_Term;
-    m_Timeline.record("control.leader", {}, absl::StrCat("Leads in term ", Role.m_Term, "."));
+    m_Timeline.record("control.leader", {},
+                      absl::StrCat("Leads in term ", Role.m_Term, "."));
     beginLeading(Role.m_Term);
     return;
   }
   if (m_Leader->active()) {
     LOG(INFO) << "control: no longer leader term=" << Role.m_Term;
-    m_Timeline.record("control.leader", {}, absl::StrCat("No longer leads; the term is ", Role.m_Term, "."));
+    m_Timeline.record(
+        "control.leader", {},
+        absl::StrCat("No longer leads; the term is ", Role.m_Term, "."));
   }
   m_Leader->end();
 }
 
-// A confirmed read means that everything committed by earlier leaders has been applied here.
+// A confirmed read means that everything committed by earlier leaders has been
+// applied here.
 void ControlServer::Impl::beginLeading(raft::TermNumber Term) {
   std::weak_ptr<Impl> Weak = weak_from_this();
   m_Replica->read([Weak, Term](const absl::Status &Status) {
     auto Self = Weak.lock();
-    if (!Self || !Self->m_Replica->leads() || Self->m_Replica->status().m_Term != Term || Self->m_Leader->active())
+    if (!Self || !Self->m_Replica->leads() ||
+        Self->m_Replica->status().m_Term != Term || Self->m_Leader->active())
       return;
     if (!Status.ok()) {
       Self->beginLeading(Term);
       return;
     }
-    const absl::Status Began = Self->m_Leader->begin(Self->m_Replica->state(), Self->now());
+    const absl::Status Began =
+        Self->m_Leader->begin(Self->m_Replica->state(), Self->now());
     if (!Began.ok())
       LOG(ERROR) << "control: scheduler did not start: " << Began.message();
   });
@@ -235,8 +277,10 @@
     Leader->notify(wire::Method::SESSION_REPORT, net::encodeStruct(Report));
 }
 
-void ControlServer::Impl::onHeartbeat(const net::RpcCall &Call, const net::RpcResponder &Respond) {
-  absl::StatusOr<wire::AgentHeartbeat> Heartbeat = net::decodeAs<wire::AgentHeartbeat>(Call.m_Body);
+void ControlServer::Impl::onHeartbeat(const net::RpcCall &Call,
+                                      const net::RpcResponder &Respond) {
+  absl::StatusOr<wire::AgentHeartbeat> Heartbeat =
+      net::decodeAs<wire::AgentHeartbeat>(Call.m_Body);
   if (!Heartbeat.ok()) {
     Respond(Heartbeat.status());
     return;
@@ -245,17 +289,21 @@
     Respond(absl::UnavailableError("this replica is shutting down"));
     return;
   }
-  Respond(net::encodeStruct(m_Sessions->handle(*Heartbeat, m_Replica->state(), now())));
+  Respond(net::encodeStruct(
+      m_Sessions->handle(*Heartbeat, m_Replica->state(), now())));
 }
 
 void ControlServer::Impl::onSessionReport(const net::RpcCall &Call) {
-  const absl::StatusOr<wire::SessionReport> Report = net::decodeAs<wire::SessionReport>(Call.m_Body);
+  const absl::StatusOr<wire::SessionReport> Report =
+      net::decodeAs<wire::SessionReport>(Call.m_Body);
   if (Report.ok() && m_Replica->leads())
     m_Leader->heard(Report->vms, now());
 }
 
-void ControlServer::Impl::onEntrySync(const net::RpcCall &Call, const net::RpcResponder &Respond) {
-  const absl::StatusOr<wire::EntrySyncRequest> Request = net::decodeAs<wire::EntrySyncRequest>(Call.m_Body);
+void ControlServer::Impl::onEntrySync(const net::RpcCall &Call,
+                                      const net::RpcResponder &Respond) {
+  const absl::StatusOr<wire::EntrySyncRequest> Request =
+      net::decodeAs<wire::EntrySyncRequest>(Call.m_Body);
   if (!Request.ok()) {
     Respond(Request.status());
     return;
@@ -264,20 +312,25 @@
     Respond(absl::UnavailableError("this replica is shutting down"));
     return;
   }
-  wire::EntrySyncReply Reply = internal::entrySyncReply(*Request, m_Replica->state());
+  wire::EntrySyncReply Reply =
+      internal::entrySyncReply(*Request, m_Replica->state());
   Reply.fresh = m_Sessions->fresh(now());
   Respond(net::encodeStruct(Reply));
 }
 
-void ControlServer::Impl::onSubmit(const net::RpcCall &Call, net::RpcResponder Respond) {
-  absl::StatusOr<wire::Command> Command = net::decodeAs<wire::Command>(Call.m_Body);
+void ControlServer::Impl::onSubmit(const net::RpcCall &Call,
+                                   net::RpcResponder Respond) {
+  absl::StatusOr<wire::Command> Command =
+      net::decodeAs<wire::Command>(Call.m_Body);
   if (!Command.ok()) {
     Respond(Command.status());
     return;
   }
   Command->traceId = Call.m_TraceId;
-  m_Router->submit(*std::move(Command), std::min(Call.m_Timeout, MaxCommandTimeout),
-                   [Respond = std::move(Respond)](const absl::StatusOr<wire::CommandResult> &Result) {
+  m_Router->submit(*std::move(Command),
+                   std::min(Call.m_Timeout, MaxCommandTimeout),
+                   [Respond = std::move(Respond)](
+                       const absl::StatusOr<wire::CommandResult> &Result) {
                      if (Result.ok())
                        Respond(net::encodeStruct(*Result));
                      else
@@ -285,26 +338,33 @@
                    });
 }
 
-// Answers kUnavailable only if the command was certainly not appended, so that the sender may send it again.
-void ControlServer::Impl::onForward(const net::RpcCall &Call, net::RpcResponder Respond) {
-  absl::StatusOr<wire::Command> Command = net::decodeAs<wire::Command>(Call.m_Body);
+// Answers kUnavailable only if the command was certainly not appended, so that
+// the sender may send it again.
+void ControlServer::Impl::onForward(const net::RpcCall &Call,
+                                    net::RpcResponder Respond) {
+  absl::StatusOr<wire::Command> Command =
+      net::decodeAs<wire::Command>(Call.m_Body);
   if (!Command.ok()) {
     Respond(Command.status());
     return;
   }
   m_Replica->propose(*std::move(Command),
-                     [Respond = std::move(Respond)](const absl::StatusOr<wire::CommandResult> &Result) {
+                     [Respond = std::move(Respond)](
+                         const absl::StatusOr<wire::CommandResult> &Result) {
                        if (Result.ok())
                          Respond(net::encodeStruct(*Result));
                        else if (internal::certainlyNotAppended(Result.status()))
-                         Respond(absl::UnavailableError(Result.status().message()));
+                         Respond(
+                             absl::UnavailableError(Result.status().message()));
                        else
                          Respond(absl::AbortedError(Result.status().message()));
                      });
 }
 
-void ControlServer::Impl::onQuery(const net::RpcCall &Call, net::RpcResponder Respond) {
-  absl::StatusOr<wire::QueryRequest> Request = net::decodeAs<wire::QueryRequest>(Call.m_Body);
+void ControlServer::Impl::onQuery(const net::RpcCall &Call,
+                                  net::RpcResponder Respond) {
+  absl::StatusOr<wire::QueryRequest> Request =
+      net::decodeAs<wire::QueryRequest>(Call.m_Body);
   if (!Request.ok()) {
     Respond(Request.status());
     return;
@@ -321,22 +381,28 @@
     return;
   }
   // What the scheduler thinks is known to the leader only.
-  net::RpcClient *Leader = m_Replica->leads() ? nullptr : m_Replica->peer(m_Replica->status().m_Leader);
+  net::RpcClient *Leader = m_Replica->leads()
+                               ? nullptr
+                               : m_Replica->peer(m_Replica->status().m_Leader);
   if (internal::needsLeader(*Request) && Leader) {
-    Leader->call(wire::Method::QUERY, Call.m_Body, Call.m_Timeout, Call.m_TraceId, std::move(Respond));
+    Leader->call(wire::Method::QUERY, Call.m_Body, Call.m_Timeout,
+                 Call.m_TraceId, std::move(Respond));
     return;
   }
   std::weak_ptr<Impl> Weak = weak_from_this();
-  m_Replica->read([Weak, Request = *std::move(Request), Respond = std::move(Respond)](const absl::Status &Status) {
+  m_Replica->read([Weak, Request = *std::move(Request),
+                   Respond = std::move(Respond)](const absl::Status &Status) {
     auto Self = Weak.lock();
     if (!Self || (!Status.ok() && Request.linearizable))
-      Respond(absl::UnavailableError("no quorum confirms that the state is current"));
+      Respond(absl::UnavailableError(
+          "no quorum confirms that the state is current"));
     else
       Self->answerQuery(Request, !Status.ok(), Respond);
   });
 }
 
-void ControlServer::Impl::answerTimeline(const wire::QueryRequest &Request, const net::RpcResponder &Respond) {
+void ControlServer::Impl::answerTimeline(const wire::QueryRequest &Request,
+                                         const net::RpcResponder &Respond) {
   const auto Answer = [Respond](const std::vector<timeline::Event> &Events) {
     wire::QueryReply Reply;
     Reply.httpStatus = 200;
@@ -346,31 +412,37 @@
   if (Request.kind == "timeline-own")
     Answer(m_Timeline.select(timeline::parseFilter(Request.argument)));
   else
-    internal::gatherTimeline(m_Io, *m_Replica, m_Options.m_Replica.m_Rpc, m_Timeline, Request.argument, Answer);
+    internal::gatherTimeline(m_Io, *m_Replica, m_Options.m_Replica.m_Rpc,
+                             m_Timeline, Request.argument, Answer);
 }
 
-void ControlServer::Impl::answerQuery(const wire::QueryRequest &Request, bool Stale, const net::RpcResponder &Respond) {
-  internal::QueryContext Context{m_Replica->state(),
-                                 m_Replica->status(),
-                                 m_Leader->scheduler(),
-                                 m_Options.m_Name,
-                                 m_Options.m_AvailabilityZone,
-                                 m_Sessions->size(),
-                                 now(),
-                                 [this](raft::ReplicaId Id) { return connectedTo(Id); }};
+void ControlServer::Impl::answerQuery(const wire::QueryRequest &Request,
+                                      bool Stale,
+                                      const net::RpcResponder &Respond) {
+  internal::QueryContext Context{
+      m_Replica->state(),
+      m_Replica->status(),
+      m_Leader->scheduler(),
+      m_Options.m_Name,
+      m_Options.m_AvailabilityZone,
+      m_Sessions->size(),
+      now(),
+      [this](raft::ReplicaId Id) { return connectedTo(Id); }};
   wire::QueryReply Reply = internal::answerQuery(Request, Context);
   Reply.stale = Stale;
   Respond(net::encodeStruct(Reply));
 }
 
-void ControlServer::Impl::awaitHandOver(TimePoint Deadline, std::function<void()> Done) {
+void ControlServer::Impl::awaitHandOver(TimePoint Deadline,
+                                        std::function<void()> Done) {
   if (!m_Replica->leads() || now() >= Deadline) {
     Done();
     return;
   }
   m_HandOverTimer.expires_after(TickEvery / 2);
   std::weak_ptr<Impl> Weak = weak_from_this();
-  m_HandOverTimer.async_wait([Weak, Deadline, Done = std::move(Done)](boost::system::error_code Error) {
+  m_HandOverTimer.async_wait([Weak, Deadline, Done = std::move(Done)](
+                                 boost::system::error_code Error) {
     auto Self = Weak.lock();
     if (!Error && Self)
       Self->awaitHandOver(Deadline, Done);
@@ -386,7 +458,8 @@
   return std::unique_ptr<ControlServer>(new ControlServer(std::move(State)));
 }
 
-ControlServer::ControlServer(std::shared_ptr<Impl> State) : m_Impl(std::move(State)) {}
+ControlServer::ControlServer(std::shared_ptr<Impl> State)
+    : m_Impl(std::move(State)) {}
 ControlServer::~ControlServer() { m_Impl->m_Timer.cancel(); }
 
 void ControlServer::shutDown(std::function<void()> Done) {
@@ -395,7 +468,9 @@
   m_Impl->awaitHandOver(m_Impl->now() + HandOverLimit, std::move(Done));
 }
 
-net::Endpoint ControlServer::endpoint() const { return m_Impl->m_Server->endpoint(); }
+net::Endpoint ControlServer::endpoint() const {
+  return m_Impl->m_Server->endpoint();
+}
 const ReplicaHost &ControlServer::replica() const { return *m_Impl->m_Replica; }
 
 } // namespace anvil::control
--- a/src/control/ControlSettings.cpp
+++ b/src/control/ControlSettings.cpp
@@ -27,9 +27,11 @@
   const raft::ReplicaId Self(From.m_ReplicaId);
   const auto Mine = From.m_Replicas.find(Self);
   if (Mine == From.m_Replicas.end())
-    return absl::InvalidArgumentError(absl::StrCat("--replicas has no entry for --replica-id ", From.m_ReplicaId));
+    return absl::InvalidArgumentError(absl::StrCat(
+        "--replicas has no entry for --replica-id ", From.m_ReplicaId));
   Options.m_Replica.m_Raft.m_Self = Self;
-  Options.m_Replica.m_SnapshotEvery = static_cast<uint64_t>(From.m_SnapshotEvery);
+  Options.m_Replica.m_SnapshotEvery =
+      static_cast<uint64_t>(From.m_SnapshotEvery);
   Options.m_Replica.m_Peers = From.m_Replicas;
   Options.m_Replica.m_Peers.erase(Self);
   if (Options.m_Listen.m_Port == 0)
@@ -45,19 +47,25 @@
 
 } // namespace
 
-absl::StatusOr<std::map<raft::ReplicaId, net::Endpoint>> parseReplicas(std::string_view Text) {
+absl::StatusOr<std::map<raft::ReplicaId, net::Endpoint>>
+parseReplicas(std::string_view Text) {
   std::map<raft::ReplicaId, net::Endpoint> Replicas;
-  for (absl::string_view Part : absl::StrSplit(toAbsl(Text), ',', absl::SkipEmpty())) {
-    const std::pair<absl::string_view, absl::string_view> Pair = absl::StrSplit(Part, absl::MaxSplits('=', 1));
+  for (absl::string_view Part :
+       absl::StrSplit(toAbsl(Text), ',', absl::SkipEmpty())) {
+    const std::pair<absl::string_view, absl::string_view> Pair =
+        absl::StrSplit(Part, absl::MaxSplits('=', 1));
     int64_t Id = 0;
     if (!absl::SimpleAtoi(Pair.first, &Id) || Id <= 0 || Id > MaxReplicaId)
       return absl::InvalidArgumentError(
-          absl::StrCat("'", Part, "' is not ID=IP:PORT with an ID from 1 to ", MaxReplicaId));
-    const absl::StatusOr<net::Endpoint> Endpoint = net::parseEndpoint(fromAbsl(Pair.second));
+          absl::StrCat("'", Part, "' is not ID=IP:PORT with an ID from 1 to ",
+                       MaxReplicaId));
+    const absl::StatusOr<net::Endpoint> Endpoint =
+        net::parseEndpoint(fromAbsl(Pair.second));
     if (!Endpoint.ok())
       return Endpoint.status();
     if (!Replicas.emplace(raft::ReplicaId(Id), *Endpoint).second)
-      return absl::InvalidArgumentError(absl::StrCat("replica ", Id, " appears twice"));
+      return absl::InvalidArgumentError(
+          absl::StrCat("replica ", Id, " appears twice"));
   }
   if (Replicas.empty())
     return absl::InvalidArgumentError("needs at least one ID=IP:PORT");
@@ -66,28 +74,41 @@
 
 daemon::Settings controlSettings(ControlOptions &Options) {
   auto Shared = std::make_shared<Parsed>();
-  daemon::Settings Reader("anvil-control", "Keeps one replica of the cluster state and the sessions of agents.");
-  Reader.addName("name", "", "Name of this process in logs and time lines.", Options.m_Name);
-  Reader.addName("availability-zone", "", "Availability zone of this VM.", Options.m_AvailabilityZone);
+  daemon::Settings Reader(
+      "anvil-control",
+      "Keeps one replica of the cluster state and the sessions of agents.");
+  Reader.addName("name", "", "Name of this process in logs and time lines.",
+                 Options.m_Name);
+  Reader.addName("availability-zone", "", "Availability zone of this VM.",
+                 Options.m_AvailabilityZone);
   Reader.addInteger("replica-id", 0, 0, MaxReplicaId,
-                    "Number of this replica; a replica that lost its disk must get a new one.", Shared->m_ReplicaId);
+                    "Number of this replica; a replica that lost its disk must "
+                    "get a new one.",
+                    Shared->m_ReplicaId);
   Reader.add(
       "replicas", "", "All replicas as ID=IP:PORT,...",
       [Shared](std::string_view Text) {
-        absl::StatusOr<std::map<raft::ReplicaId, net::Endpoint>> Replicas = parseReplicas(Text);
+        absl::StatusOr<std::map<raft::ReplicaId, net::Endpoint>> Replicas =
+            parseReplicas(Text);
         if (!Replicas.ok())
           return Replicas.status();
         Shared->m_Replicas = *std::move(Replicas);
         return absl::OkStatus();
       },
       daemon::Presence::Required);
-  Reader.addEndpoint("listen", "", "Address to listen on, if it differs from that in --replicas.", Options.m_Listen,
-                     daemon::Presence::Optional);
-  Reader.addText("data", "", "Folder for the log and snapshots; survives restarts.", Options.m_DataFolder,
-                 daemon::Presence::Required);
-  Reader.addSwitch("bootstrap", "Start a new group of all --replicas if the data folder is empty.",
-                   Shared->m_Bootstrap);
-  Reader.addInteger("snapshot-every", DefaultSnapshotEvery, 100, MaxSnapshotEvery, "Changes between two snapshots.",
+  Reader.addEndpoint(
+      "listen", "",
+      "Address to listen on, if it differs from that in --replicas.",
+      Options.m_Listen, daemon::Presence::Optional);
+  Reader.addText("data", "",
+                 "Folder for the log and snapshots; survives restarts.",
+                 Options.m_DataFolder, daemon::Presence::Required);
+  Reader.addSwitch(
+      "bootstrap",
+      "Start a new group of all --replicas if the data folder is empty.",
+      Shared->m_Bootstrap);
+  Reader.addInteger("snapshot-every", DefaultSnapshotEvery, 100,
+                    MaxSnapshotEvery, "Changes between two snapshots.",
                     Shared->m_SnapshotEvery);
   Reader.addCheck([Shared, &Options] { return finish(*Shared, Options); });
   return Reader;
--- a/src/control/LeaderDuties.cpp
+++ b/src/control/LeaderDuties.cpp
@@ -20,17 +20,21 @@
 
 } // namespace
 
-LeaderDuties::LeaderDuties(SchedulerDriver::Propose Propose, std::function<int64_t()> WallClockMicros)
-    : m_Propose(Propose), m_WallClockMicros(std::move(WallClockMicros)), m_Scheduler(std::move(Propose)) {}
+LeaderDuties::LeaderDuties(SchedulerDriver::Propose Propose,
+                           std::function<int64_t()> WallClockMicros)
+    : m_Propose(Propose), m_WallClockMicros(std::move(WallClockMicros)),
+      m_Scheduler(std::move(Propose)) {}
 
-absl::Status LeaderDuties::begin(const state::ClusterState &State, TimePoint Now) {
+absl::Status LeaderDuties::begin(const state::ClusterState &State,
+                                 TimePoint Now) {
   m_Detector = member::FailureDetector({});
   m_LostSince.clear();
   m_BeganAt = Now;
   m_LastExpiry = Now;
   m_LastClaimExpiry = Now;
   State.forEachTarget([&](const state::TargetView &Target) {
-    if (Target.m_Phase == state::VmPhase::Up || Target.m_Phase == state::VmPhase::Draining)
+    if (Target.m_Phase == state::VmPhase::Up ||
+        Target.m_Phase == state::VmPhase::Draining)
       m_Detector.watch(VmId(Target.m_Info.vm), Now);
   });
   return m_Scheduler.begin(State, Now, m_WallClockMicros());
@@ -58,7 +62,9 @@
   m_Scheduler.onStateEvent(Event);
 }
 
-void LeaderDuties::onApplied(const state::ClusterState &State, TimePoint Now) { m_Scheduler.flush(State, Now); }
+void LeaderDuties::onApplied(const state::ClusterState &State, TimePoint Now) {
+  m_Scheduler.flush(State, Now);
+}
 
 void LeaderDuties::tick(const state::ClusterState &State, TimePoint Now) {
   if (!active())
@@ -72,17 +78,20 @@
   expireClaims(State, Now);
 }
 
-// Refused proposals are tried again at a later tick as long as the state asks for them.
+// Refused proposals are tried again at a later tick as long as the state asks
+// for them.
 void LeaderDuties::proposeQuietly(wire::Command Command) {
   m_Propose(std::move(Command), [](const wire::CommandResult &) {});
 }
 
-void LeaderDuties::declareLost(const state::ClusterState &State, TimePoint Now) {
+void LeaderDuties::declareLost(const state::ClusterState &State,
+                               TimePoint Now) {
   for (const VmId &Vm : m_Detector.tick(Now)) {
     const std::optional<state::TargetView> Target = State.target(Vm);
     if (!Target)
       continue;
-    // Watched again, so that a proposal that is lost with a leader change is repeated.
+    // Watched again, so that a proposal that is lost with a leader change is
+    // repeated.
     m_Detector.watch(Vm, Now);
     if (Target->m_Phase == state::VmPhase::Lost)
       continue;
@@ -96,22 +105,35 @@
   }
 }
 
-// The time stamped on the loss comes from the clock of whichever leader proposed it, and the commit may have come
-// later. So this leader also waits for the whole lease on its own clock: replicas may have renewed the lease until
-// their last read went stale.
-void LeaderDuties::expireLeases(const state::ClusterState &State, TimePoint Now) {
-  for (const wire::ExpireLeases &Expired : State.expiredLeases(m_WallClockMicros())) {
+// The time stamped on the loss comes from the clock of whichever leader
+// proposed it, and the commit may have come later. So this leader also waits
+// for the whole lease on its own clock: replicas may have renewed the lease
+// until their last read went stale.
+void LeaderDuties::expireLeases(const state::ClusterState &State,
+                                TimePoint Now) {
+  for (const wire::ExpireLeases &Expired :
+       State.expiredLeases(m_WallClockMicros())) {
     const std::optional<state::JobView> Job = State.job(JobId(Expired.jobId));
     if (!Job)
       continue;
     const Duration Lease = std::chrono::milliseconds(Job->m_Spec.leaseMs);
-    const Duration Wait = Lease + Lease / ClockRateDivisor + ReadFreshFor + StopWithin;
-    const bool Waited = std::all_of(Expired.taskIndexes.begin(), Expired.taskIndexes.end(), [&](int32_t Index) {
-      const auto Member = std::find_if(Job->m_Members.begin(), Job->m_Members.end(),
-                                       [&](const state::MemberView &Each) { return Each.m_TaskIndex == Index; });
-      const auto Since = Member == Job->m_Members.end() ? m_LostSince.end() : m_LostSince.find(Member->m_Vm);
-      return Now - (Since == m_LostSince.end() ? m_BeganAt : Since->second) >= Wait;
-    });
+    const Duration Wait =
+        Lease + Lease / ClockRateDivisor + ReadFreshFor + StopWithin;
+    const bool Waited = std::all_of(
+        Expired.taskIndexes.begin(), Expired.taskIndexes.end(),
+        [&](int32_t Index) {
+          const auto Member =
+              std::find_if(Job->m_Members.begin(), Job->m_Members.end(),
+                           [&](const state::MemberView &Each) {
+                             return Each.m_TaskIndex == Index;
+                           });
+          const auto Since = Member == Job->m_Members.end()
+                                 ? m_LostSince.end()
+                                 : m_LostSince.find(Member->m_Vm);
+          return Now -
+                     (Since == m_LostSince.end() ? m_BeganAt : Since->second) >=
+                 Wait;
+        });
     if (!Waited)
       continue;
     wire::Command Command;
@@ -121,16 +143,20 @@
   }
 }
 
-void LeaderDuties::expireClaims(const state::ClusterState &State, TimePoint Now) {
+void LeaderDuties::expireClaims(const state::ClusterState &State,
+                                TimePoint Now) {
   const state::Counters Counters = State.counters();
-  if (Now - m_LastClaimExpiry < ClaimExpiryEvery || Counters.m_Claims == Counters.m_OpenClaims)
+  if (Now - m_LastClaimExpiry < ClaimExpiryEvery ||
+      Counters.m_Claims == Counters.m_OpenClaims)
     return;
   m_LastClaimExpiry = Now;
   const config::Document *Document = State.document();
-  const int64_t RetentionS = Document ? Document->m_Limits.m_ClaimRetentionS : config::Limits{}.m_ClaimRetentionS;
+  const int64_t RetentionS = Document ? Document->m_Limits.m_ClaimRetentionS
+                                      : config::Limits{}.m_ClaimRetentionS;
   wire::Command Command;
   Command.__isset.expireClaims = true;
-  Command.expireClaims.beforeUs = m_WallClockMicros() - RetentionS * MicrosPerSecond;
+  Command.expireClaims.beforeUs =
+      m_WallClockMicros() - RetentionS * MicrosPerSecond;
   proposeQuietly(std::move(Command));
 }
 
--- a/src/control/LeaderDuties.h
+++ b/src/control/LeaderDuties.h
@@ -12,13 +12,16 @@
 
 namespace anvil::control::internal {
 
-/// What the leader does besides ordering commands: scheduling, failure detection, expiry of leases and claims.
+/// What the leader does besides ordering commands: scheduling, failure
+/// detection, expiry of leases and claims.
 ///
-/// Decision code. Usage: begin() when leadership is confirmed, heard() for each report of a replica, onStateEvent() and
-/// onApplied() for changes, tick() every 100 ms, end() when leadership is lost.
+/// Decision code. Usage: begin() when leadership is confirmed, heard() for each
+/// report of a replica, onStateEvent() and onApplied() for changes, tick()
+/// every 100 ms, end() when leadership is lost.
 class LeaderDuties {
 public:
-  LeaderDuties(SchedulerDriver::Propose Propose, std::function<int64_t()> WallClockMicros);
+  LeaderDuties(SchedulerDriver::Propose Propose,
+               std::function<int64_t()> WallClockMicros);
 
   absl::Status begin(const state::ClusterState &State, TimePoint Now);
   void end();
--- a/src/control/MemberChange.cpp
+++ b/src/control/MemberChange.cpp
@@ -8,14 +8,16 @@
 
 namespace {
 
-wire::CommandResult makeResult(wire::CommandStatus::type Status, std::string Message) {
+wire::CommandResult makeResult(wire::CommandStatus::type Status,
+                               std::string Message) {
   wire::CommandResult Result;
   Result.status = Status;
   Result.message = std::move(Message);
   return Result;
 }
 
-bool inForce(const wire::ChangeReplicas &Change, const raft::Membership &Members) {
+bool inForce(const wire::ChangeReplicas &Change,
+             const raft::Membership &Members) {
   const raft::ReplicaId Replica(Change.replicaId);
   switch (Change.kind) {
   case wire::ReplicaChange::ADD_LEARNER:
@@ -50,11 +52,14 @@
   return raft::MembershipChangeKind::RemoveReplica;
 }
 
-std::optional<wire::CommandResult> answerUnchanged(const wire::ChangeReplicas &Change, const raft::RaftStatus &Status,
-                                                   bool HasAddress) {
+std::optional<wire::CommandResult>
+answerUnchanged(const wire::ChangeReplicas &Change,
+                const raft::RaftStatus &Status, bool HasAddress) {
   if (nameOf(Change.kind) == "unknown")
-    return makeResult(wire::CommandStatus::INVALID, "the kind of change is unknown");
-  // A leader that lost its quorum might answer from members that are out of date.
+    return makeResult(wire::CommandStatus::INVALID,
+                      "the kind of change is unknown");
+  // A leader that lost its quorum might answer from members that are out of
+  // date.
   if (Status.m_Role != raft::RaftRole::Leader || !Status.m_MembersCommitted)
     return std::nullopt;
   if (inForce(Change, Status.m_Members))
@@ -62,19 +67,24 @@
   if (Change.kind == wire::ReplicaChange::ADD_LEARNER && !HasAddress)
     return makeResult(wire::CommandStatus::REFUSED,
                       absl::StrCat("replica ", Change.replicaId,
-                                   " is not in --replicas of the leader; restart each control process with the new "
+                                   " is not in --replicas of the leader; "
+                                   "restart each control process with the new "
                                    "list first"));
   return std::nullopt;
 }
 
-absl::StatusOr<wire::CommandResult> changeResult(const wire::ChangeReplicas &Change,
-                                                 absl::StatusOr<wire::CommandResult> Outcome) {
-  if (layerErrorOf<raft::RaftErrc>(Outcome.status()) == raft::RaftErrc::ChangeRefused)
-    return makeResult(wire::CommandStatus::REFUSED, std::string(Outcome.status().message()));
+absl::StatusOr<wire::CommandResult>
+changeResult(const wire::ChangeReplicas &Change,
+             absl::StatusOr<wire::CommandResult> Outcome) {
+  if (layerErrorOf<raft::RaftErrc>(Outcome.status()) ==
+      raft::RaftErrc::ChangeRefused)
+    return makeResult(wire::CommandStatus::REFUSED,
+                      std::string(Outcome.status().message()));
   if (!Outcome.ok())
     return Outcome;
   Outcome->status = wire::CommandStatus::OK;
-  Outcome->message = absl::StrCat(toAbsl(nameOf(Change.kind)), " of replica ", Change.replicaId, " is committed");
+  Outcome->message = absl::StrCat(toAbsl(nameOf(Change.kind)), " of replica ",
+                                  Change.replicaId, " is committed");
   return Outcome;
 }
 
--- a/src/control/Queries.cpp
+++ b/src/control/Queries.cpp
@@ -29,7 +29,9 @@
   return "unknown";
 }
 
-json::string_view view(std::string_view Text) { return {Text.data(), Text.size()}; }
+json::string_view view(std::string_view Text) {
+  return {Text.data(), Text.size()};
+}
 
 json::array idsOf(const std::vector<raft::ReplicaId> &Ids) {
   json::array Array;
@@ -91,7 +93,8 @@
 
 wire::QueryReply answerControls(const QueryContext &Context) {
   json::array Rows;
-  const auto Append = [&](const std::vector<raft::ReplicaId> &Ids, std::string_view Member) {
+  const auto Append = [&](const std::vector<raft::ReplicaId> &Ids,
+                          std::string_view Member) {
     for (raft::ReplicaId Id : Ids) {
       json::object Row;
       Row["replica"] = Id.value();
@@ -114,7 +117,8 @@
       return;
     json::object Row;
     Row["vm"] = Target.m_Info.vm;
-    Row["kind"] = Target.m_Info.kind == wire::TargetKind::WORKER ? "worker" : "minion";
+    Row["kind"] =
+        Target.m_Info.kind == wire::TargetKind::WORKER ? "worker" : "minion";
     Row["availability_zone"] = Target.m_Info.availabilityZone;
     Row["rack"] = Target.m_Info.rack;
     Row["service"] = Target.m_Info.serviceName;
@@ -131,12 +135,15 @@
 }
 
 // The scheduler knows what a queued job waits for; the state knows the rest.
-wire::QueryReply answerExplainJob(const wire::QueryRequest &Request, const QueryContext &Context) {
-  wire::QueryReply Reply = state::answerQuery(Context.m_State, "explain/job", Request.argument);
+wire::QueryReply answerExplainJob(const wire::QueryRequest &Request,
+                                  const QueryContext &Context) {
+  wire::QueryReply Reply =
+      state::answerQuery(Context.m_State, "explain/job", Request.argument);
   int64_t Id = 0;
   if (Reply.httpStatus != 200 || !absl::SimpleAtoi(Request.argument, &Id))
     return Reply;
-  const std::string Sentence = Context.m_Scheduler.explain(JobId(Id), Context.m_Now);
+  const std::string Sentence =
+      Context.m_Scheduler.explain(JobId(Id), Context.m_Now);
   json::value Body = json::parse(Reply.json);
   if (Sentence.empty() || !Body.is_object())
     return Reply;
@@ -148,10 +155,12 @@
 } // namespace
 
 bool needsLeader(const wire::QueryRequest &Request) {
-  return Request.kind == "explain:job" || Request.kind == "status" || Request.kind == "controls";
+  return Request.kind == "explain:job" || Request.kind == "status" ||
+         Request.kind == "controls";
 }
 
-wire::QueryReply answerQuery(const wire::QueryRequest &Request, const QueryContext &Context) {
+wire::QueryReply answerQuery(const wire::QueryRequest &Request,
+                             const QueryContext &Context) {
   if (Request.kind == "status")
     return answerStatus(Context);
   if (Request.kind == "controls")
@@ -161,12 +170,14 @@
   if (Request.kind == "explain:job")
     return answerExplainJob(Request, Context);
   if (Request.kind.starts_with(ExplainPrefix))
-    return state::answerQuery(Context.m_State, "explain/" + Request.kind.substr(ExplainPrefix.size()),
-                              Request.argument);
+    return state::answerQuery(
+        Context.m_State, "explain/" + Request.kind.substr(ExplainPrefix.size()),
+        Request.argument);
   return state::answerQuery(Context.m_State, Request.kind, Request.argument);
 }
 
-wire::EntrySyncReply entrySyncReply(const wire::EntrySyncRequest &Request, const state::ClusterState &State) {
+wire::EntrySyncReply entrySyncReply(const wire::EntrySyncRequest &Request,
+                                    const state::ClusterState &State) {
   wire::EntrySyncReply Reply;
   Reply.routeVersion = State.routeVersion();
   Reply.routesChanged = Request.routeVersion != Reply.routeVersion;
--- a/src/control/Queries.h
+++ b/src/control/Queries.h
@@ -27,11 +27,15 @@
 /// Returns true if only the leader can answer the query in full.
 bool needsLeader(const wire::QueryRequest &Request);
 
-/// Answers a query with JSON text; unknown kinds and names give an HTTP status of 400 or 404 and a JSON error.
-wire::QueryReply answerQuery(const wire::QueryRequest &Request, const QueryContext &Context);
-
-/// Returns the routing table and configuration, each only if newer than the version that the entry has.
-wire::EntrySyncReply entrySyncReply(const wire::EntrySyncRequest &Request, const state::ClusterState &State);
+/// Answers a query with JSON text; unknown kinds and names give an HTTP status
+/// of 400 or 404 and a JSON error.
+wire::QueryReply answerQuery(const wire::QueryRequest &Request,
+                             const QueryContext &Context);
+
+/// Returns the routing table and configuration, each only if newer than the
+/// version that the entry has.
+wire::EntrySyncReply entrySyncReply(const wire::EntrySyncRequest &Request,
+                                    const state::ClusterState &State);
 
 } // namespace anvil::control::internal
 
--- a/src/control/ReplicaHost.cpp
+++ b/src/control/ReplicaHost.cpp
@@ -20,8 +20,10 @@
 struct ReplicaHost::Impl : std::enable_shared_from_this<ReplicaHost::Impl> {
   using ReadDone = std::function<void(absl::Status)>;
 
-  Impl(boost::asio::io_context &Io, ReplicaHostOptions Options, raft::Raft Consensus, state::ClusterState State)
-      : m_Io(Io), m_Options(std::move(Options)), m_Raft(std::move(Consensus)), m_State(std::move(State)), m_Timer(Io) {}
+  Impl(boost::asio::io_context &Io, ReplicaHostOptions Options,
+       raft::Raft Consensus, state::ClusterState State)
+      : m_Io(Io), m_Options(std::move(Options)), m_Raft(std::move(Consensus)),
+        m_State(std::move(State)), m_Timer(Io) {}
 
   void startWorker(std::unique_ptr<store::LogStore> Store);
   void start(Hooks Receivers);
@@ -50,14 +52,16 @@
   std::unique_ptr<SyncWorker> m_Worker;
   std::unordered_map<uint64_t, CommandDone> m_Commands;
   std::unordered_map<uint64_t, ReadDone> m_Reads;
-  std::unordered_map<uint64_t, wire::CommandResult> m_Results; ///< By log index, during one output.
+  std::unordered_map<uint64_t, wire::CommandResult>
+      m_Results; ///< By log index, during one output.
   std::vector<raft::Proposal> m_Queued;
   uint64_t m_NextContext = 1;
   raft::LogIndex m_SnapshotIndex = 0;
   bool m_SnapshotRunning = false;
   bool m_Failed = false;
   bool m_InStep = false;
-  std::vector<raft::RaftInput> m_Deferred; ///< Inputs that arrived while an output was handled.
+  std::vector<raft::RaftInput>
+      m_Deferred; ///< Inputs that arrived while an output was handled.
 };
 
 void ReplicaHost::Impl::startWorker(std::unique_ptr<store::LogStore> Store) {
@@ -75,7 +79,8 @@
     if (auto Self = Weak.lock())
       Self->fail(Status);
   };
-  m_Worker = std::make_unique<SyncWorker>(m_Io, std::move(Store), std::move(Completions));
+  m_Worker = std::make_unique<SyncWorker>(m_Io, std::move(Store),
+                                          std::move(Completions));
 }
 
 void ReplicaHost::Impl::start(Hooks Receivers) {
@@ -86,7 +91,8 @@
   step(raft::TickInput{});
 }
 
-// Effects may ask for further steps; those wait until the present output has been carried out.
+// Effects may ask for further steps; those wait until the present output has
+// been carried out.
 void ReplicaHost::Impl::step(const raft::RaftInput &Input) {
   if (m_Failed)
     return;
@@ -134,7 +140,8 @@
 }
 
 void ReplicaHost::Impl::install(const raft::Snapshot &Snapshot) {
-  absl::StatusOr<state::ClusterState> Restored = state::ClusterState::restore(*Snapshot.m_Data);
+  absl::StatusOr<state::ClusterState> Restored =
+      state::ClusterState::restore(*Snapshot.m_Data);
   if (!Restored.ok()) {
     fail(Restored.status());
     return;
@@ -156,7 +163,8 @@
       fail(Status);
       return;
     }
-    m_Results[Entry.m_Index] = m_State.apply(Command, static_cast<int64_t>(Entry.m_Index));
+    m_Results[Entry.m_Index] =
+        m_State.apply(Command, static_cast<int64_t>(Entry.m_Index));
   }
   step(raft::AppliedInput{Entries.back().m_Index});
   if (m_Hooks.m_OnApplied)
@@ -164,7 +172,8 @@
   snapshotIfDue();
 }
 
-void ReplicaHost::Impl::finishProposals(const std::vector<raft::ProposalResult> &Results) {
+void ReplicaHost::Impl::finishProposals(
+    const std::vector<raft::ProposalResult> &Results) {
   for (const raft::ProposalResult &Result : Results) {
     auto Node = m_Commands.extract(Result.m_Context);
     if (Node.empty())
@@ -181,7 +190,8 @@
   }
 }
 
-void ReplicaHost::Impl::finishReads(const std::vector<raft::ReadResult> &Results) {
+void ReplicaHost::Impl::finishReads(
+    const std::vector<raft::ReadResult> &Results) {
   for (const raft::ReadResult &Result : Results) {
     auto Node = m_Reads.extract(Result.m_Context);
     if (!Node.empty())
@@ -193,12 +203,14 @@
   for (const raft::RaftMessage &Message : Messages) {
     const auto Link = m_Links.find(Message.m_To);
     if (Link != m_Links.end())
-      Link->second->notify(wire::Method::RAFT_MESSAGE, raft::encodeMessage(Message));
+      Link->second->notify(wire::Method::RAFT_MESSAGE,
+                           raft::encodeMessage(Message));
   }
 }
 
 void ReplicaHost::Impl::armTimer() {
-  const Duration Wait = std::max(m_Raft.nextDeadline() - m_Options.m_Now(), Duration(1000));
+  const Duration Wait =
+      std::max(m_Raft.nextDeadline() - m_Options.m_Now(), Duration(1000));
   m_Timer.expires_after(std::min<Duration>(Wait, std::chrono::seconds(1)));
   std::weak_ptr<Impl> Weak = weak_from_this();
   m_Timer.async_wait([Weak](boost::system::error_code Error) {
@@ -217,25 +229,32 @@
   step(Input);
 }
 
-void ReplicaHost::Impl::changeReplicas(const wire::ChangeReplicas &Change, CommandDone Done) {
+void ReplicaHost::Impl::changeReplicas(const wire::ChangeReplicas &Change,
+                                       CommandDone Done) {
   const raft::ReplicaId Replica(Change.replicaId);
-  const bool HasAddress = Replica == m_Options.m_Raft.m_Self || m_Links.contains(Replica);
-  if (std::optional<wire::CommandResult> Answer = internal::answerUnchanged(Change, m_Raft.status(), HasAddress)) {
+  const bool HasAddress =
+      Replica == m_Options.m_Raft.m_Self || m_Links.contains(Replica);
+  if (std::optional<wire::CommandResult> Answer =
+          internal::answerUnchanged(Change, m_Raft.status(), HasAddress)) {
     Done(*std::move(Answer));
     return;
   }
-  LOG(INFO) << "replica: changing the control group kind=" << internal::nameOf(Change.kind)
-            << " replica=" << Change.replicaId << " operator=" << Change.operatorId;
+  LOG(INFO) << "replica: changing the control group kind="
+            << internal::nameOf(Change.kind) << " replica=" << Change.replicaId
+            << " operator=" << Change.operatorId;
   const uint64_t Context = m_NextContext++;
-  m_Commands.emplace(Context, [Change, Done = std::move(Done)](absl::StatusOr<wire::CommandResult> Result) {
+  m_Commands.emplace(Context, [Change, Done = std::move(Done)](
+                                  absl::StatusOr<wire::CommandResult> Result) {
     Done(internal::changeResult(Change, std::move(Result)));
   });
-  step(raft::ChangeMembershipInput{Context, internal::raftKindOf(Change.kind), Replica});
+  step(raft::ChangeMembershipInput{Context, internal::raftKindOf(Change.kind),
+                                   Replica});
 }
 
 void ReplicaHost::Impl::snapshotIfDue() {
   const auto Applied = static_cast<raft::LogIndex>(m_State.appliedIndex());
-  if (m_SnapshotRunning || Applied < m_SnapshotIndex + m_Options.m_SnapshotEvery)
+  if (m_SnapshotRunning ||
+      Applied < m_SnapshotIndex + m_Options.m_SnapshotEvery)
     return;
   absl::StatusOr<raft::SnapshotMeta> Meta = m_Raft.snapshotMeta(Applied);
   if (!Meta.ok())
@@ -250,14 +269,16 @@
 void ReplicaHost::Impl::onSnapshotSaved(const raft::Snapshot &Snapshot) {
   m_SnapshotRunning = false;
   m_SnapshotIndex = std::max(m_SnapshotIndex, Snapshot.m_Meta.m_Index);
-  LOG(INFO) << "replica: saved snapshot index=" << Snapshot.m_Meta.m_Index << " bytes=" << Snapshot.m_Data->size();
+  LOG(INFO) << "replica: saved snapshot index=" << Snapshot.m_Meta.m_Index
+            << " bytes=" << Snapshot.m_Data->size();
   step(raft::SnapshotMadeInput{Snapshot});
 }
 
 void ReplicaHost::Impl::fail(const absl::Status &Status) {
   if (std::exchange(m_Failed, true))
     return;
-  LOG(ERROR) << "replica: stopped, storage or log is unusable: " << Status.message();
+  LOG(ERROR) << "replica: stopped, storage or log is unusable: "
+             << Status.message();
   m_Timer.cancel();
   m_Links.clear();
   if (m_Hooks.m_OnFatal)
@@ -266,8 +287,10 @@
 
 namespace {
 
-// Makes the first state of a new group durable, so that a crash right after the start can't lose it.
-absl::StatusOr<raft::RaftPersistentState> bootstrap(const raft::Membership &Members, store::LogStore &Store) {
+// Makes the first state of a new group durable, so that a crash right after the
+// start can't lose it.
+absl::StatusOr<raft::RaftPersistentState>
+bootstrap(const raft::Membership &Members, store::LogStore &Store) {
   raft::RaftPersistentState Initial = raft::bootstrapState(Members);
   store::StoreBatch Batch;
   Batch.m_Append = Initial.m_Entries;
@@ -280,10 +303,12 @@
 } // namespace
 
 absl::StatusOr<std::unique_ptr<ReplicaHost>>
-ReplicaHost::create(boost::asio::io_context &Io, ReplicaHostOptions Options, std::unique_ptr<store::LogStore> Store) {
+ReplicaHost::create(boost::asio::io_context &Io, ReplicaHostOptions Options,
+                    std::unique_ptr<store::LogStore> Store) {
   raft::RaftPersistentState Recovered = Store->takeRecovered();
   if (Store->empty() && Options.m_Bootstrap) {
-    absl::StatusOr<raft::RaftPersistentState> Initial = bootstrap(*Options.m_Bootstrap, *Store);
+    absl::StatusOr<raft::RaftPersistentState> Initial =
+        bootstrap(*Options.m_Bootstrap, *Store);
     if (!Initial.ok())
       return Initial.status();
     Recovered = *std::move(Initial);
@@ -291,19 +316,23 @@
   const raft::SnapshotData Data = Recovered.m_Snapshot.m_Data;
   const raft::LogIndex SnapshotIndex = Recovered.m_Snapshot.m_Meta.m_Index;
   absl::StatusOr<state::ClusterState> State =
-      SnapshotIndex ? state::ClusterState::restore(*Data) : state::ClusterState::create();
+      SnapshotIndex ? state::ClusterState::restore(*Data)
+                    : state::ClusterState::create();
   if (!State.ok())
     return State.status();
-  absl::StatusOr<raft::Raft> Consensus = raft::Raft::create(Options.m_Raft, std::move(Recovered));
+  absl::StatusOr<raft::Raft> Consensus =
+      raft::Raft::create(Options.m_Raft, std::move(Recovered));
   if (!Consensus.ok())
     return Consensus.status();
-  auto Shared = std::make_shared<Impl>(Io, std::move(Options), *std::move(Consensus), *std::move(State));
+  auto Shared = std::make_shared<Impl>(
+      Io, std::move(Options), *std::move(Consensus), *std::move(State));
   Shared->m_SnapshotIndex = SnapshotIndex;
   Shared->startWorker(std::move(Store));
   return std::unique_ptr<ReplicaHost>(new ReplicaHost(std::move(Shared)));
 }
 
-ReplicaHost::ReplicaHost(std::shared_ptr<Impl> State) : m_Impl(std::move(State)) {}
+ReplicaHost::ReplicaHost(std::shared_ptr<Impl> State)
+    : m_Impl(std::move(State)) {}
 
 ReplicaHost::~ReplicaHost() {
   m_Impl->m_Failed = true;
@@ -312,12 +341,15 @@
   m_Impl->m_Worker.reset();
 }
 
-void ReplicaHost::start(Hooks Receivers) { m_Impl->start(std::move(Receivers)); }
+void ReplicaHost::start(Hooks Receivers) {
+  m_Impl->start(std::move(Receivers));
+}
 
 void ReplicaHost::receive(std::string_view Bytes) {
   absl::StatusOr<raft::RaftMessage> Message = raft::decodeMessage(Bytes);
   if (!Message.ok()) {
-    LOG_EVERY_N(WARNING, 100) << "replica: dropped a message: " << Message.status().message();
+    LOG_EVERY_N(WARNING, 100)
+        << "replica: dropped a message: " << Message.status().message();
     return;
   }
   m_Impl->step(raft::ReceiveInput{*std::move(Message)});
@@ -325,7 +357,8 @@
 
 void ReplicaHost::propose(wire::Command Command, CommandDone Done) {
   if (m_Impl->m_Failed) {
-    Done(makeLayerError(absl::StatusCode::kUnavailable, raft::RaftErrc::NotLeader, "replica has stopped"));
+    Done(makeLayerError(absl::StatusCode::kUnavailable,
+                        raft::RaftErrc::NotLeader, "replica has stopped"));
     return;
   }
   if (Command.__isset.changeReplicas) {
@@ -351,11 +384,15 @@
   m_Impl->step(raft::ReadInput{Context});
 }
 
-void ReplicaHost::changeMembership(raft::MembershipChangeKind Kind, raft::ReplicaId Replica,
+void ReplicaHost::changeMembership(raft::MembershipChangeKind Kind,
+                                   raft::ReplicaId Replica,
                                    std::function<void(absl::Status)> Done) {
   const uint64_t Context = m_Impl->m_NextContext++;
   m_Impl->m_Commands.emplace(
-      Context, [Done = std::move(Done)](const absl::StatusOr<wire::CommandResult> &Result) { Done(Result.status()); });
+      Context, [Done = std::move(Done)](
+                   const absl::StatusOr<wire::CommandResult> &Result) {
+        Done(Result.status());
+      });
   m_Impl->step(raft::ChangeMembershipInput{Context, Kind, Replica});
 }
 
@@ -371,9 +408,13 @@
   }
 }
 
-const state::ClusterState &ReplicaHost::state() const { return m_Impl->m_State; }
+const state::ClusterState &ReplicaHost::state() const {
+  return m_Impl->m_State;
+}
 raft::RaftStatus ReplicaHost::status() const { return m_Impl->m_Raft.status(); }
-bool ReplicaHost::leads() const { return !m_Impl->m_Failed && status().m_Role == raft::RaftRole::Leader; }
+bool ReplicaHost::leads() const {
+  return !m_Impl->m_Failed && status().m_Role == raft::RaftRole::Leader;
+}
 
 net::RpcClient *ReplicaHost::peer(raft::ReplicaId Replica) {
   const auto It = m_Impl->m_Links.find(Replica);
--- a/src/control/SchedulerDriver.cpp
+++ b/src/control/SchedulerDriver.cpp
@@ -8,7 +8,9 @@
 
 namespace {
 
-sched::Resources resourcesOf(const wire::Resources &Wire) { return {Wire.accelerators, Wire.cores, Wire.memoryMib}; }
+sched::Resources resourcesOf(const wire::Resources &Wire) {
+  return {Wire.accelerators, Wire.cores, Wire.memoryMib};
+}
 
 sched::Urgency urgencyOf(wire::Urgency::type Wire) {
   switch (Wire) {
@@ -27,10 +29,13 @@
 sched::Adjacency adjacencyOf(wire::Adjacency::type Wire) {
   if (Wire == wire::Adjacency::VM)
     return sched::Adjacency::Vm;
-  return Wire == wire::Adjacency::RACK ? sched::Adjacency::Rack : sched::Adjacency::Any;
+  return Wire == wire::Adjacency::RACK ? sched::Adjacency::Rack
+                                       : sched::Adjacency::Any;
 }
 
-Duration milliseconds(int64_t Count) { return std::chrono::milliseconds(Count); }
+Duration milliseconds(int64_t Count) {
+  return std::chrono::milliseconds(Count);
+}
 
 sched::JobSpec specOf(const wire::JobSpec &Wire) {
   sched::JobSpec Spec;
@@ -52,16 +57,20 @@
   sched::WorkerUp Up;
   Up.m_Vm = VmId(Target.m_Info.vm);
   Up.m_Zone = AvailabilityZoneId(Target.m_Info.availabilityZone);
-  Up.m_Rack = RackId(absl::StrCat(Target.m_Info.availabilityZone, "/", Target.m_Info.rack));
+  Up.m_Rack = RackId(
+      absl::StrCat(Target.m_Info.availabilityZone, "/", Target.m_Info.rack));
   Up.m_Capacity = resourcesOf(Target.m_Info.capacity);
   Up.m_Draining = Target.m_Phase == state::VmPhase::Draining;
   Up.m_Quarantined = Target.m_Quarantined;
   return Up;
 }
 
-bool isWorker(const state::TargetView &Target) { return Target.m_Info.kind == wire::TargetKind::WORKER; }
+bool isWorker(const state::TargetView &Target) {
+  return Target.m_Info.kind == wire::TargetKind::WORKER;
+}
 
-sched::JobRestored restoredOf(const state::JobView &Job, TimePoint Now, int64_t WallClockUs) {
+sched::JobRestored restoredOf(const state::JobView &Job, TimePoint Now,
+                              int64_t WallClockUs) {
   sched::JobRestored Restored;
   Restored.m_Job = Job.m_Id;
   Restored.m_Spec = specOf(Job.m_Spec);
@@ -82,21 +91,26 @@
   }
   for (const state::MemberView &Member : Job.m_Members)
     Restored.m_Members.push_back({Member.m_TaskIndex, Member.m_Vm});
-  // Ages come from wall clocks of different leaders, so a clock that went back must not give a time ahead.
-  Restored.m_SubmittedAt = Now - Duration(std::max<int64_t>(WallClockUs - Job.m_SubmittedAtUs, 0));
-  Restored.m_StartedAt = Now - Duration(std::max<int64_t>(WallClockUs - Job.m_ChangedAtUs, 0));
+  // Ages come from wall clocks of different leaders, so a clock that went back
+  // must not give a time ahead.
+  Restored.m_SubmittedAt =
+      Now - Duration(std::max<int64_t>(WallClockUs - Job.m_SubmittedAtUs, 0));
+  Restored.m_StartedAt =
+      Now - Duration(std::max<int64_t>(WallClockUs - Job.m_ChangedAtUs, 0));
   return Restored;
 }
 
 sched::Resources resourcesOf(const config::Amount &Amount) {
   constexpr int64_t MibPerGib = 1024;
-  return {Amount.m_Accelerators, Amount.m_Cores, Amount.m_MemoryGib * MibPerGib};
+  return {Amount.m_Accelerators, Amount.m_Cores,
+          Amount.m_MemoryGib * MibPerGib};
 }
 
 sched::Adjacency adjacencyOf(config::Adjacency Declared) {
   if (Declared == config::Adjacency::Vm)
     return sched::Adjacency::Vm;
-  return Declared == config::Adjacency::Rack ? sched::Adjacency::Rack : sched::Adjacency::Any;
+  return Declared == config::Adjacency::Rack ? sched::Adjacency::Rack
+                                             : sched::Adjacency::Any;
 }
 
 sched::ConfigurationChanged configurationOf(const config::Document &Document) {
@@ -106,8 +120,10 @@
     Workspace.m_Name = WorkspaceId(Each.m_Name);
     Workspace.m_Quota = resourcesOf(Each.m_Quota);
     for (const config::Guarantee &Guarantee : Each.m_Guarantees)
-      Workspace.m_Guarantees.push_back({Guarantee.m_Name, resourcesOf(Guarantee.m_Shape),
-                                        adjacencyOf(Guarantee.m_Adjacency), static_cast<int32_t>(Guarantee.m_Count)});
+      Workspace.m_Guarantees.push_back(
+          {Guarantee.m_Name, resourcesOf(Guarantee.m_Shape),
+           adjacencyOf(Guarantee.m_Adjacency),
+           static_cast<int32_t>(Guarantee.m_Count)});
     Changed.m_Workspaces.push_back(std::move(Workspace));
   }
   return Changed;
@@ -116,12 +132,14 @@
 wire::ReclaimMode::type modeOf(sched::ReclaimMode Mode) {
   if (Mode == sched::ReclaimMode::Checkpoint)
     return wire::ReclaimMode::CHECKPOINT;
-  return Mode == sched::ReclaimMode::Throttle ? wire::ReclaimMode::THROTTLE : wire::ReclaimMode::STOP;
+  return Mode == sched::ReclaimMode::Throttle ? wire::ReclaimMode::THROTTLE
+                                              : wire::ReclaimMode::STOP;
 }
 
 } // namespace
 
-absl::Status SchedulerDriver::begin(const state::ClusterState &State, TimePoint Now, int64_t WallClockUs) {
+absl::Status SchedulerDriver::begin(const state::ClusterState &State,
+                                    TimePoint Now, int64_t WallClockUs) {
   end();
   absl::StatusOr<sched::Scheduler> Scheduler = sched::Scheduler::create({});
   if (!Scheduler.ok())
@@ -130,7 +148,8 @@
   if (State.document())
     feed(configurationOf(*State.document()), Now);
   State.forEachTarget([&](const state::TargetView &Target) {
-    if (isWorker(Target) && (Target.m_Phase == state::VmPhase::Up || Target.m_Phase == state::VmPhase::Draining))
+    if (isWorker(Target) && (Target.m_Phase == state::VmPhase::Up ||
+                             Target.m_Phase == state::VmPhase::Draining))
       feed(workerOf(Target), Now);
   });
   for (const AvailabilityZoneId &Zone : State.withdrawnZones())
@@ -165,7 +184,9 @@
   const state::ClusterState &m_State;
   TimePoint m_Now;
 
-  void feed(const sched::SchedulerEvent &Event) const { m_Driver.feed(Event, m_Now); }
+  void feed(const sched::SchedulerEvent &Event) const {
+    m_Driver.feed(Event, m_Now);
+  }
 
   void operator()(const state::JobSubmitted &Event) const {
     if (const std::optional<state::JobView> Job = m_State.job(Event.m_Job))
@@ -200,7 +221,8 @@
   }
   void operator()(const state::TaskReported &Event) const {
     if (Event.m_Failed)
-      feed(sched::TaskFailed{Event.m_Job, Event.m_TaskIndex, Event.m_Vm, "reported by the agent"});
+      feed(sched::TaskFailed{Event.m_Job, Event.m_TaskIndex, Event.m_Vm,
+                             "reported by the agent"});
     else if (Event.m_Phase == state::TaskPhase::Running)
       feed(sched::TaskStarted{Event.m_Job, Event.m_TaskIndex});
     else if (Event.m_Phase == state::TaskPhase::Succeeded)
@@ -212,13 +234,18 @@
       feed(workerOf(*Target));
   }
   void operator()(const state::TargetLost &Event) const {
-    // A new incarnation of the same VM is up already when its predecessor is reported lost.
+    // A new incarnation of the same VM is up already when its predecessor is
+    // reported lost.
     const std::optional<state::TargetView> Target = m_State.target(Event.m_Vm);
     if (!Target || Target->m_Info.incarnation == Event.m_Incarnation)
       feed(sched::WorkerLost{Event.m_Vm});
   }
-  void operator()(const state::TargetRemoved &Event) const { feed(sched::WorkerLost{Event.m_Vm}); }
-  void operator()(const state::TargetDrained &Event) const { feed(sched::WorkerDrained{Event.m_Vm, Event.m_Draining}); }
+  void operator()(const state::TargetRemoved &Event) const {
+    feed(sched::WorkerLost{Event.m_Vm});
+  }
+  void operator()(const state::TargetDrained &Event) const {
+    feed(sched::WorkerDrained{Event.m_Vm, Event.m_Draining});
+  }
   void operator()(const state::ZoneChanged &Event) const {
     if (Event.m_InService)
       feed(sched::ZoneRestored{Event.m_Zone});
@@ -255,10 +282,12 @@
   const std::vector<state::StateEvent> Events = std::exchange(m_Events, {});
   for (const state::StateEvent &Event : Events)
     std::visit(Translate{*this, State, Now}, Event);
-  const std::vector<sched::SchedulerEvent> Refusals = std::exchange(m_Refusals, {});
+  const std::vector<sched::SchedulerEvent> Refusals =
+      std::exchange(m_Refusals, {});
   for (const sched::SchedulerEvent &Event : Refusals)
     feed(Event, Now);
-  const std::vector<sched::SchedulerAction> Actions = std::exchange(m_Actions, {});
+  const std::vector<sched::SchedulerAction> Actions =
+      std::exchange(m_Actions, {});
   for (const sched::SchedulerAction &Action : Actions)
     propose(Action, State, Now);
 }
@@ -271,7 +300,8 @@
   flush(State, Now);
 }
 
-void SchedulerDriver::propose(const sched::SchedulerAction &Action, const state::ClusterState &State, TimePoint Now) {
+void SchedulerDriver::propose(const sched::SchedulerAction &Action,
+                              const state::ClusterState &State, TimePoint Now) {
   wire::Command Command;
   JobId Job;
   if (const auto *Place = std::get_if<sched::PlaceGang>(&Action)) {
@@ -292,7 +322,10 @@
     Command.reclaimJob.jobId = Reclaim->m_Job.value();
     Command.reclaimJob.mode = modeOf(Reclaim->m_Mode);
     Command.reclaimJob.reason = Reclaim->m_Reason;
-    Command.reclaimJob.byMs = std::chrono::duration_cast<std::chrono::milliseconds>(Reclaim->m_Deadline - Now).count();
+    Command.reclaimJob.byMs =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            Reclaim->m_Deadline - Now)
+            .count();
   } else if (const auto *Park = std::get_if<sched::ParkJob>(&Action)) {
     Command.__isset.parkJob = true;
     Command.parkJob.jobId = Park->m_Job.value();
@@ -301,27 +334,36 @@
     Command.__isset.failJob = true;
     Command.failJob.jobId = GiveUp->m_Job.value();
     Command.failJob.reason = GiveUp->m_Reason;
-  } else if (const auto *Quarantine = std::get_if<sched::QuarantineWorker>(&Action)) {
+  } else if (const auto *Quarantine =
+                 std::get_if<sched::QuarantineWorker>(&Action)) {
     Command.__isset.setWorkerAside = true;
     Command.setWorkerAside.vm = Quarantine->m_Vm.str();
     Command.setWorkerAside.aside = Quarantine->m_Quarantined;
     Command.setWorkerAside.reason = Quarantine->m_Reason;
   } else if (const auto *Probe = std::get_if<sched::ProbeWorker>(&Action)) {
-    // A worker has no self-test of its own; a live one is tried again, and failures quarantine it for longer.
+    // A worker has no self-test of its own; a live one is tried again, and
+    // failures quarantine it for longer.
     const std::optional<state::TargetView> Target = State.target(Probe->m_Vm);
-    m_Refusals.push_back(sched::ProbeEnded{Probe->m_Vm, Target && Target->m_Phase == state::VmPhase::Up});
+    m_Refusals.push_back(sched::ProbeEnded{
+        Probe->m_Vm, Target && Target->m_Phase == state::VmPhase::Up});
     return;
   } else {
     const auto &Warning = std::get<sched::WarnGuarantee>(Action);
-    const std::string Key = absl::StrCat(Warning.m_Workspace.str(), "/", Warning.m_Shape);
+    const std::string Key =
+        absl::StrCat(Warning.m_Workspace.str(), "/", Warning.m_Shape);
     if (Warning.m_Missing == 0)
       m_Warnings.erase(Key);
     else
-      m_Warnings[Key] = absl::StrCat(Key, ": ", Warning.m_Missing, " missing, ", Warning.m_Reason);
-    LOG(WARNING) << "sched: guarantee " << Key << " missing=" << Warning.m_Missing << " reason=" << Warning.m_Reason;
+      m_Warnings[Key] = absl::StrCat(Key, ": ", Warning.m_Missing, " missing, ",
+                                     Warning.m_Reason);
+    LOG(WARNING) << "sched: guarantee " << Key
+                 << " missing=" << Warning.m_Missing
+                 << " reason=" << Warning.m_Reason;
     return;
   }
-  m_Propose(std::move(Command), [this, Job](const wire::CommandResult &Result) { onRefused(Job, Result); });
+  m_Propose(std::move(Command), [this, Job](const wire::CommandResult &Result) {
+    onRefused(Job, Result);
+  });
 }
 
 void SchedulerDriver::onRefused(JobId Job, const wire::CommandResult &Result) {
--- a/src/control/SchedulerDriver.h
+++ b/src/control/SchedulerDriver.h
@@ -13,10 +13,12 @@
 
 namespace anvil::control::internal {
 
-/// Runs the scheduler on the leader: feeds it the changes of the replicated state and proposes what it decides.
+/// Runs the scheduler on the leader: feeds it the changes of the replicated
+/// state and proposes what it decides.
 ///
-/// Usage: begin() when leadership is confirmed and the state is complete, onStateEvent() for every change, flush()
-/// after each group of changes, tick() at least every 100 ms, end() when leadership is lost.
+/// Usage: begin() when leadership is confirmed and the state is complete,
+/// onStateEvent() for every change, flush() after each group of changes, tick()
+/// at least every 100 ms, end() when leadership is lost.
 class SchedulerDriver {
 public:
   using Refused = std::function<void(const wire::CommandResult &)>;
@@ -26,7 +28,8 @@
   explicit SchedulerDriver(Propose Hook) : m_Propose(std::move(Hook)) {}
 
   /// Builds a scheduler from the state. \returns the error of the scheduler.
-  absl::Status begin(const state::ClusterState &State, TimePoint Now, int64_t WallClockUs);
+  absl::Status begin(const state::ClusterState &State, TimePoint Now,
+                     int64_t WallClockUs);
   void end();
   bool active() const { return m_Scheduler.has_value(); }
 
@@ -44,7 +47,8 @@
   struct Translate;
 
   void feed(const sched::SchedulerEvent &Event, TimePoint Now);
-  void propose(const sched::SchedulerAction &Action, const state::ClusterState &State, TimePoint Now);
+  void propose(const sched::SchedulerAction &Action,
+               const state::ClusterState &State, TimePoint Now);
   void onRefused(JobId Job, const wire::CommandResult &Result);
 
   Propose m_Propose;
@@ -52,7 +56,8 @@
   std::vector<state::StateEvent> m_Events;
   std::vector<sched::SchedulerEvent> m_Refusals;
   std::vector<sched::SchedulerAction> m_Actions;
-  std::set<JobId> m_Started;                     ///< Jobs whose present placement got its start token.
+  std::set<JobId>
+      m_Started; ///< Jobs whose present placement got its start token.
   std::map<std::string, std::string> m_Warnings; ///< By workspace and shape.
 };
 
