--- a/src/control/StateTimeline.h
+++ b/src/control/StateTimeline.h
@@ -7,7 +7,8 @@
 namespace anvil::control::internal {
 
 /// Records a change of the replicated state as an event of the time line.
-void recordStateEvent(const state::StateEvent &Event, int64_t Index, const state::ClusterState &State,
+void recordStateEvent(const state::StateEvent &Event, int64_t Index,
+                      const state::ClusterState &State,
                       timeline::Recorder &Recorder);
 
 } // namespace anvil::control::internal
--- a/src/control/SyncWorker.cpp
+++ b/src/control/SyncWorker.cpp
@@ -5,8 +5,11 @@
 
 namespace anvil::control::internal {
 
-SyncWorker::SyncWorker(boost::asio::io_context &Io, std::unique_ptr<store::LogStore> Store, Completions Hooks)
-    : m_Io(Io), m_Store(std::move(Store)), m_Hooks(std::move(Hooks)), m_Thread([this] { run(); }) {}
+SyncWorker::SyncWorker(boost::asio::io_context &Io,
+                       std::unique_ptr<store::LogStore> Store,
+                       Completions Hooks)
+    : m_Io(Io), m_Store(std::move(Store)), m_Hooks(std::move(Hooks)),
+      m_Thread([this] { run(); }) {}
 
 SyncWorker::~SyncWorker() {
   {
@@ -17,8 +20,12 @@
   m_Thread.join();
 }
 
-void SyncWorker::persist(uint64_t Sequence, store::StoreBatch Batch) { push(PersistJob{Sequence, std::move(Batch)}); }
-void SyncWorker::saveSnapshot(raft::Snapshot Snapshot) { push(std::move(Snapshot)); }
+void SyncWorker::persist(uint64_t Sequence, store::StoreBatch Batch) {
+  push(PersistJob{Sequence, std::move(Batch)});
+}
+void SyncWorker::saveSnapshot(raft::Snapshot Snapshot) {
+  push(std::move(Snapshot));
+}
 void SyncWorker::compactTo(raft::LogIndex Index) { push(CompactJob{Index}); }
 
 void SyncWorker::push(Job Next) {
@@ -41,7 +48,8 @@
     }
     const absl::Status Status = runJobs(Jobs);
     if (!Status.ok()) {
-      boost::asio::post(m_Io, [Hook = m_Hooks.m_OnFailure, Status] { Hook(Status); });
+      boost::asio::post(m_Io,
+                        [Hook = m_Hooks.m_OnFailure, Status] { Hook(Status); });
       return;
     }
   }
@@ -59,25 +67,29 @@
     if (absl::Status Status = commit(Batches, Sequence); !Status.ok())
       return Status;
     if (const auto *Compact = std::get_if<CompactJob>(&Each)) {
-      if (absl::Status Status = m_Store->compactTo(Compact->m_Index); !Status.ok())
+      if (absl::Status Status = m_Store->compactTo(Compact->m_Index);
+          !Status.ok())
         return Status;
       continue;
     }
     const auto &Snapshot = std::get<raft::Snapshot>(Each);
     if (absl::Status Status = m_Store->saveSnapshot(Snapshot); !Status.ok())
       return Status;
-    boost::asio::post(m_Io, [Hook = m_Hooks.m_OnSnapshotSaved, Snapshot] { Hook(Snapshot); });
+    boost::asio::post(
+        m_Io, [Hook = m_Hooks.m_OnSnapshotSaved, Snapshot] { Hook(Snapshot); });
   }
   return commit(Batches, Sequence);
 }
 
-absl::Status SyncWorker::commit(std::vector<store::StoreBatch> &Batches, uint64_t Sequence) {
+absl::Status SyncWorker::commit(std::vector<store::StoreBatch> &Batches,
+                                uint64_t Sequence) {
   if (Batches.empty())
     return absl::OkStatus();
   if (absl::Status Status = m_Store->commit(Batches); !Status.ok())
     return Status;
   Batches.clear();
-  boost::asio::post(m_Io, [Hook = m_Hooks.m_OnPersisted, Sequence] { Hook(Sequence); });
+  boost::asio::post(
+      m_Io, [Hook = m_Hooks.m_OnPersisted, Sequence] { Hook(Sequence); });
   return absl::OkStatus();
 }
 
--- a/src/control/SyncWorker.h
+++ b/src/control/SyncWorker.h
@@ -19,17 +19,20 @@
 
 /// Runs blocking writes of a LogStore on a thread of its own.
 ///
-/// Batches that queue up while a sync runs share the next one (group commit). Completions run on the io_context, in
-/// order. After a failure only OnFailure runs, once.
+/// Batches that queue up while a sync runs share the next one (group commit).
+/// Completions run on the io_context, in order. After a failure only OnFailure
+/// runs, once.
 class SyncWorker {
 public:
   struct Completions {
-    std::function<void(uint64_t Sequence)> m_OnPersisted; ///< Everything up to the sequence is durable.
+    std::function<void(uint64_t Sequence)>
+        m_OnPersisted; ///< Everything up to the sequence is durable.
     std::function<void(raft::Snapshot)> m_OnSnapshotSaved;
     std::function<void(absl::Status)> m_OnFailure;
   };
 
-  SyncWorker(boost::asio::io_context &Io, std::unique_ptr<store::LogStore> Store, Completions Hooks);
+  SyncWorker(boost::asio::io_context &Io,
+             std::unique_ptr<store::LogStore> Store, Completions Hooks);
   /// Finishes what is queued, then stops the thread.
   ~SyncWorker();
   SyncWorker(const SyncWorker &) = delete;
@@ -55,7 +58,8 @@
   void push(Job Next);
   void run();
   absl::Status runJobs(std::vector<Job> &Jobs);
-  absl::Status commit(std::vector<store::StoreBatch> &Batches, uint64_t Sequence);
+  absl::Status commit(std::vector<store::StoreBatch> &Batches,
+                      uint64_t Sequence);
 
   boost::asio::io_context &m_Io;
   std::unique_ptr<store::LogStore> m_Store;
--- a/src/control/TimelineGather.h
+++ b/src/control/TimelineGather.h
@@ -11,16 +11,19 @@
 
 namespace anvil::control::internal {
 
-/// Most agents that one query asks; a query for one VM or job asks only the agents concerned.
+/// Most agents that one query asks; a query for one VM or job asks only the
+/// agents concerned.
 constexpr size_t MaxAgentsAsked = 256;
 /// A process that does not answer within this time is named as missing.
 constexpr Duration GatherTimeout = std::chrono::seconds(1);
 
 /// Collects the events of this replica, the other replicas and the agents.
 ///
-/// \p Done receives the merged events; processes that did not answer appear as events of kind "timeline.missing".
-void gatherTimeline(boost::asio::io_context &Io, ReplicaHost &Replica, const net::RpcOptions &Options,
-                    timeline::Recorder &Own, const std::string &Argument,
+/// \p Done receives the merged events; processes that did not answer appear as
+/// events of kind "timeline.missing".
+void gatherTimeline(boost::asio::io_context &Io, ReplicaHost &Replica,
+                    const net::RpcOptions &Options, timeline::Recorder &Own,
+                    const std::string &Argument,
                     std::function<void(std::vector<timeline::Event>)> Done);
 
 } // namespace anvil::control::internal
--- a/src/ctl/Cli.cpp
+++ b/src/ctl/Cli.cpp
@@ -3,408 +3,19 @@
 #include <algorithm>
 #include <set>
 
-#include <boost/json.hpp>
-
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 
-#include "anvil/base/Port.h"
-#include "anvil/config/Config.h"
-#include "anvil/timeline/Timeline.h"
+#include "Commands.h"
 
 namespace anvil::ctl {
 
-namespace json = boost::json;
+using internal::commands;
+using internal::CommandSpec;
+using internal::Invocation;
 
 namespace {
 
-constexpr int HttpOk = 200;
-constexpr int HttpClientError = 400;
-constexpr int HttpServerError = 500;
-constexpr int HttpUnavailable = 503;
-/// Answered when a change may or may not have been committed.
-constexpr int HttpOutcomeUnknown = 504;
-constexpr int DefaultTimelineLimit = 200;
-constexpr Duration WaitPollPeriod = std::chrono::milliseconds(500);
-
-/// A command as it was called.
-struct Invocation {
-  const CliOptions &m_Options;
-  const CliEnvironment &m_Env;
-  std::vector<std::string> m_Args; ///< After the words of the command.
-  std::map<std::string, std::string> m_Flags;
-
-  std::string flag(const std::string &Name, const std::string &Default = "") const {
-    const auto It = m_Flags.find(Name);
-    return It == m_Flags.end() ? Default : It->second;
-  }
-};
-
-struct CommandSpec {
-  std::vector<std::string> m_Words;
-  std::vector<std::string> m_Arguments; ///< Required, in order.
-  std::vector<std::string> m_Flags;     ///< Optional `--NAME VALUE`.
-  std::string m_Help;
-  std::string m_Example;
-  ExitCode (*m_Run)(const Invocation &);
-};
-
-ExitCode exitCodeOf(const ApiResult &Result, bool Changes) {
-  if (!Result.m_Reached)
-    return Result.m_AnySent && Changes ? ExitCode::Unknown : ExitCode::Unreachable;
-  if (Result.m_Status < HttpClientError)
-    return ExitCode::Ok;
-  if (Result.m_Status < HttpServerError)
-    return ExitCode::Refused;
-  if (Result.m_Status == HttpOutcomeUnknown && Changes)
-    return ExitCode::Unknown;
-  return Result.m_Status == HttpUnavailable ? ExitCode::Unreachable : ExitCode::Refused;
-}
-
-std::string errorText(const ApiResult &Result) {
-  if (!Result.m_Reached)
-    return Result.m_Error;
-  boost::system::error_code Error;
-  const json::value Body = json::parse(Result.m_Body, Error);
-  const json::value *Found = !Error && Body.is_object() ? Body.as_object().if_contains("error") : nullptr;
-  if (!Found || !Found->is_object())
-    return absl::StrCat("HTTP status ", Result.m_Status, ": ", Result.m_Body);
-  const json::value *Message = Found->as_object().if_contains("message");
-  const json::value *Field = Found->as_object().if_contains("field");
-  std::string Text = Message && Message->is_string() ? std::string(Message->as_string()) : "refused";
-  if (Field && Field->is_string() && !Field->as_string().empty())
-    Text = absl::StrCat(std::string(Field->as_string()), ": ", Text);
-  return Text;
-}
-
-// Prints the response, or the error to the error stream.
-ExitCode finish(const Invocation &Call, const ApiResult &Result, bool Changes) {
-  const ExitCode Code = exitCodeOf(Result, Changes);
-  if (Code == ExitCode::Ok) {
-    *Call.m_Env.m_Out << (Call.m_Options.m_Json ? Result.m_Body : renderTable(Result.m_Body));
-    if (Call.m_Options.m_Json && !Result.m_Body.ends_with('\n'))
-      *Call.m_Env.m_Out << "\n";
-    return Code;
-  }
-  *Call.m_Env.m_Err << "anvilctl: " << errorText(Result) << "\n";
-  if (Code == ExitCode::Unknown)
-    *Call.m_Env.m_Err << "anvilctl: the call may have taken effect; look at the state before you repeat it\n";
-  return Code;
-}
-
-ExitCode get(const Invocation &Call, const std::string &Target) {
-  return finish(Call, Call.m_Env.m_Call("", {"GET", Target, {}, ""}), false);
-}
-
-ApiResult change(const Invocation &Call, const std::string &Entry, ApiCall Request) {
-  Request.m_Fields.push_back({"Anvil-Operator", Call.m_Options.m_Operator});
-  Request.m_Fields.push_back({"X-Request-Id", Call.flag("request-id", Call.m_Env.m_NewId())});
-  return Call.m_Env.m_Call(Entry, Request);
-}
-
-std::string query(const Invocation &Call, const std::vector<std::string> &Names) {
-  std::vector<std::string> Parts;
-  for (const std::string &Name : Names)
-    if (const std::string Value = Call.flag(Name); !Value.empty())
-      Parts.push_back(absl::StrCat(Name, "=", Value));
-  return Parts.empty() ? "" : absl::StrCat("?", absl::StrJoin(Parts, "&"));
-}
-
-std::optional<std::string> readInput(const Invocation &Call) {
-  std::optional<std::string> Text = Call.m_Env.m_ReadFile(Call.m_Args[0]);
-  if (!Text)
-    *Call.m_Env.m_Err << "anvilctl: can't read " << Call.m_Args[0] << "\n";
-  return Text;
-}
-
-// Reads and checks a configuration document; prints every fault.
-std::optional<config::Document> readDocument(const Invocation &Call, std::string &Text) {
-  const std::optional<std::string> Input = readInput(Call);
-  if (!Input)
-    return std::nullopt;
-  Text = *Input;
-  config::ParseResult Parsed = config::parseDocument(Text, Call.m_Args[0]);
-  for (const config::Issue &Issue : Parsed.m_Issues)
-    *Call.m_Env.m_Err << config::toString(Issue) << "\n";
-  if (!Parsed.ok())
-    return std::nullopt;
-  return std::move(Parsed.m_Document);
-}
-
-// Returns a text field of the configuration that an entry reports.
-std::string configField(const ApiResult &Result, const char *Name) {
-  boost::system::error_code Error;
-  const json::value Body = json::parse(Result.m_Body, Error);
-  const json::value *Value = !Error && Body.is_object() ? Body.as_object().if_contains(Name) : nullptr;
-  return Value && Value->is_string() ? std::string(Value->as_string()) : "";
-}
-
-ExitCode configCheck(const Invocation &Call) {
-  std::string Text;
-  const std::optional<config::Document> Document = readDocument(Call, Text);
-  if (!Document)
-    return ExitCode::Refused;
-  *Call.m_Env.m_Out << "valid: environment " << Document->m_Environment << " version " << Document->m_Version
-                    << " digest " << config::contentDigest(*Document) << "\n";
-  return ExitCode::Ok;
-}
-
-ExitCode configDiff(const Invocation &Call) {
-  std::string Text;
-  const std::optional<config::Document> Wanted = readDocument(Call, Text);
-  if (!Wanted)
-    return ExitCode::Refused;
-  const ApiResult Current = Call.m_Env.m_Call("", {"GET", "/v1/config", {}, ""});
-  if (Current.m_Reached && Current.m_Status == 404) {
-    *Call.m_Env.m_Out << "no configuration is in force yet\n";
-    return ExitCode::Ok;
-  }
-  if (exitCodeOf(Current, false) != ExitCode::Ok)
-    return finish(Call, Current, false);
-  const config::ParseResult Old = config::parseDocument(configField(Current, "document"), "in force");
-  const std::vector<config::Change> Changes = config::diff(Old.m_Document, *Wanted);
-  for (const config::Change &Each : Changes)
-    *Call.m_Env.m_Out << Each.m_Name << "\n  - " << (Each.m_Before.empty() ? "(none)" : Each.m_Before) << "\n  + "
-                      << (Each.m_After.empty() ? "(none)" : Each.m_After) << "\n";
-  if (Changes.empty())
-    *Call.m_Env.m_Out << "no difference\n";
-  return ExitCode::Ok;
-}
-
-ExitCode configApply(const Invocation &Call) {
-  std::string Text;
-  if (!readDocument(Call, Text))
-    return ExitCode::Refused;
-  return finish(Call, change(Call, "", {"PUT", "/v1/config", {}, Text}), true);
-}
-
-// The content must be what the trial environment has in force, byte for byte in meaning; environment and version
-// differ.
-ExitCode configPromote(const Invocation &Call) {
-  std::string Text;
-  const std::optional<config::Document> Wanted = readDocument(Call, Text);
-  if (!Wanted)
-    return ExitCode::Refused;
-  const std::string Trial = Call.flag("trial");
-  if (Trial.empty()) {
-    *Call.m_Env.m_Err << "anvilctl: config promote needs --trial IP:PORT, an entry of the trial environment\n";
-    return ExitCode::Usage;
-  }
-  const ApiResult Tried = Call.m_Env.m_Call(Trial, {"GET", "/v1/config", {}, ""});
-  if (exitCodeOf(Tried, false) != ExitCode::Ok)
-    return finish(Call, Tried, false);
-  const std::string Digest = config::contentDigest(*Wanted);
-  if (configField(Tried, "digest") != Digest) {
-    *Call.m_Env.m_Err << "anvilctl: the trial environment runs digest " << configField(Tried, "digest")
-                      << ", this document has " << Digest << "; apply it there first\n";
-    return ExitCode::Refused;
-  }
-  const std::string From = absl::StrCat(configField(Tried, "environment"), "@", Digest);
-  return finish(Call, change(Call, "", {"PUT", absl::StrCat("/v1/config?promoted_from=", From), {}, Text}), true);
-}
-
-ExitCode configStatus(const Invocation &Call) { return get(Call, "/v1/config"); }
-ExitCode configHistory(const Invocation &Call) { return get(Call, "/v1/config/history" + query(Call, {"limit"})); }
-ExitCode status(const Invocation &Call) { return get(Call, "/v1/status"); }
-ExitCode targets(const Invocation &Call) { return get(Call, "/v1/targets"); }
-
-ExitCode jobSubmit(const Invocation &Call) {
-  const std::optional<std::string> Text = readInput(Call);
-  if (!Text)
-    return ExitCode::Refused;
-  ApiCall Request{"POST", "/v1/jobs", {{"Idempotency-Key", Call.flag("key", Call.m_Env.m_NewId())}}, *Text};
-  return finish(Call, change(Call, "", std::move(Request)), true);
-}
-
-ExitCode jobList(const Invocation &Call) {
-  return get(Call, "/v1/jobs" + query(Call, {"workspace", "phase", "after", "limit"}));
-}
-ExitCode jobShow(const Invocation &Call) { return get(Call, "/v1/jobs/" + Call.m_Args[0]); }
-ExitCode jobCancel(const Invocation &Call) {
-  return finish(Call, change(Call, "", {"DELETE", "/v1/jobs/" + Call.m_Args[0], {}, ""}), true);
-}
-
-// Shows each phase once while the job goes on.
-ExitCode jobWait(const Invocation &Call) {
-  static const std::set<std::string> Ended = {"completed", "failed", "cancelled", "outcome_unknown"};
-  std::string Last;
-  while (true) {
-    const ApiResult Result = Call.m_Env.m_Call("", {"GET", "/v1/jobs/" + Call.m_Args[0], {}, ""});
-    if (Result.m_Reached && Result.m_Status != HttpOk && Result.m_Status < HttpServerError)
-      return finish(Call, Result, false);
-    const std::string Phase = configField(Result, "phase");
-    if (!Phase.empty() && Phase != Last)
-      *Call.m_Env.m_Err << "job " << Call.m_Args[0] << ": " << Phase << "\n";
-    Last = Phase.empty() ? Last : Phase;
-    if (Ended.contains(Phase)) {
-      finish(Call, Result, false);
-      return Phase == "completed" ? ExitCode::Ok : ExitCode::Failed;
-    }
-    Call.m_Env.m_Sleep(WaitPollPeriod);
-  }
-}
-
-ExitCode zoneWithdraw(const Invocation &Call) {
-  const std::string &Zone = Call.m_Args[0];
-  if (!Call.m_Options.m_Yes && !Call.m_Env.m_Confirm(absl::StrCat("Withdraw availability zone ", Zone,
-                                                                  "? Nothing starts there any more and "
-                                                                  "its jobs are moved.")))
-    return ExitCode::Usage;
-  return finish(Call, change(Call, "", {"POST", absl::StrCat("/v1/zones/", Zone, "/withdraw"), {}, ""}), true);
-}
-
-ExitCode zoneRestore(const Invocation &Call) {
-  const std::string Target = absl::StrCat("/v1/zones/", Call.m_Args[0], "/restore");
-  return finish(Call, change(Call, "", {"POST", Target, {}, ""}), true);
-}
-
-ExitCode changeControl(const Invocation &Call, std::string_view Action) {
-  const std::string Target = absl::StrCat("/v1/controls/", Call.m_Args[0], "/", toAbsl(Action));
-  return finish(Call, change(Call, "", {"POST", Target, {}, ""}), true);
-}
-
-ExitCode controlList(const Invocation &Call) { return get(Call, "/v1/controls"); }
-ExitCode controlAdd(const Invocation &Call) { return changeControl(Call, "add"); }
-ExitCode controlPromote(const Invocation &Call) { return changeControl(Call, "promote"); }
-ExitCode controlRemove(const Invocation &Call) {
-  if (!Call.m_Options.m_Yes &&
-      !Call.m_Env.m_Confirm(absl::StrCat("Remove control replica ", Call.m_Args[0],
-                                         " from the group? Its number and data folder can't be used again.")))
-    return ExitCode::Usage;
-  return changeControl(Call, "remove");
-}
-
-ExitCode explain(const Invocation &Call) {
-  return get(Call, absl::StrCat("/v1/explain/", Call.m_Args[0], "/", Call.m_Args[1]));
-}
-
-// Each entry adds its own events to those of control and the agents, so all entries are asked and what they share is
-// shown once. An entry that does not answer is named, and the rest is still shown.
-ExitCode timeline(const Invocation &Call) {
-  const std::string Target = "/v1/timeline" + query(Call, {"job", "request", "vm", "workspace", "zone", "limit"});
-  std::vector<std::vector<timeline::Event>> Sources;
-  ApiResult Last;
-  for (const std::string &Entry : Call.m_Env.m_Entries) {
-    const ApiResult Result = Call.m_Env.m_Call(Entry, {"GET", Target, {}, ""});
-    absl::StatusOr<std::vector<timeline::Event>> Events = timeline::fromJson(Result.m_Body);
-    if (exitCodeOf(Result, false) == ExitCode::Ok && Events.ok()) {
-      Sources.push_back(*std::move(Events));
-      continue;
-    }
-    Last = Result;
-    *Call.m_Env.m_Err << "anvilctl: entry " << Entry << " did not answer: " << errorText(Result) << "\n";
-  }
-  if (Sources.empty())
-    return finish(Call, Last, false);
-  int Limit = DefaultTimelineLimit;
-  if (!absl::SimpleAtoi(Call.flag("limit", absl::StrCat(DefaultTimelineLimit)), &Limit) || Limit < 1) {
-    *Call.m_Env.m_Err << "anvilctl: --limit must be a positive number\n";
-    return ExitCode::Usage;
-  }
-  const std::vector<timeline::Event> Events = timeline::merge(Sources, static_cast<size_t>(Limit));
-  *Call.m_Env.m_Out << (Call.m_Options.m_Json ? timeline::toJson(Events) + "\n" : timeline::toText(Events));
-  return ExitCode::Ok;
-}
-
-ExitCode completion(const Invocation &Call) {
-  *Call.m_Env.m_Out << bashCompletion();
-  return ExitCode::Ok;
-}
-
-const std::vector<CommandSpec> &commands() {
-  static const std::vector<CommandSpec> Commands = {
-      {{"status"}, {}, {}, "Show the state of the cluster.", "anvilctl status", status},
-      {{"targets"}, {}, {}, "List the target VMs.", "anvilctl targets --output json", targets},
-      {{"config", "check"},
-       {"FILE"},
-       {},
-       "Check a document without applying it.",
-       "anvilctl config check env.yaml",
-       configCheck},
-      {{"config", "diff"},
-       {"FILE"},
-       {},
-       "Compare a document with the one in force.",
-       "anvilctl config diff env.yaml",
-       configDiff},
-      {{"config", "apply"},
-       {"FILE"},
-       {"request-id"},
-       "Put a document in force.",
-       "anvilctl config apply env.yaml",
-       configApply},
-      {{"config", "promote"},
-       {"FILE"},
-       {"trial", "request-id"},
-       "Put a document in force that the trial runs.",
-       "anvilctl config promote env.yaml --trial 10.0.0.9:8080",
-       configPromote},
-      {{"config", "status"}, {}, {}, "Show the configuration in force.", "anvilctl config status", configStatus},
-      {{"config", "history"}, {}, {"limit"}, "List the accepted versions.", "anvilctl config history", configHistory},
-      {{"job", "submit"},
-       {"FILE"},
-       {"key", "request-id"},
-       "Submit a job from a JSON file.",
-       "anvilctl job submit render.json --key nightly-1",
-       jobSubmit},
-      {{"job", "list"},
-       {},
-       {"workspace", "phase", "after", "limit"},
-       "List jobs.",
-       "anvilctl job list --workspace quotes",
-       jobList},
-      {{"job", "show"}, {"ID"}, {}, "Show one job.", "anvilctl job show 7", jobShow},
-      {{"job", "wait"}, {"ID"}, {}, "Wait until a job has ended.", "anvilctl job wait 7", jobWait},
-      {{"job", "cancel"}, {"ID"}, {"request-id"}, "Cancel a job.", "anvilctl job cancel 7", jobCancel},
-      {{"zone", "withdraw"},
-       {"NAME"},
-       {"request-id"},
-       "Take an availability zone out of service.",
-       "anvilctl zone withdraw kochi --yes",
-       zoneWithdraw},
-      {{"zone", "restore"},
-       {"NAME"},
-       {"request-id"},
-       "Bring an availability zone back.",
-       "anvilctl zone restore kochi",
-       zoneRestore},
-      {{"control", "list"}, {}, {}, "List the members of the control group.", "anvilctl control list", controlList},
-      {{"control", "add"},
-       {"ID"},
-       {"request-id"},
-       "Add a replica as a learner, which does not vote.",
-       "anvilctl control add 4",
-       controlAdd},
-      {{"control", "promote"},
-       {"ID"},
-       {"request-id"},
-       "Make a learner that has caught up a voter.",
-       "anvilctl control promote 4",
-       controlPromote},
-      {{"control", "remove"},
-       {"ID"},
-       {"request-id"},
-       "Remove a replica from the group.",
-       "anvilctl control remove 1 --yes",
-       controlRemove},
-      {{"explain"},
-       {"KIND", "ID"},
-       {},
-       "Tell why a job, vm, zone or workspace is as it is.",
-       "anvilctl explain job 7",
-       explain},
-      {{"timeline"},
-       {},
-       {"job", "request", "vm", "workspace", "zone", "limit"},
-       "Show events of all processes.",
-       "anvilctl timeline --job 7",
-       timeline},
-      {{"completion"}, {}, {}, "Print a completion script for bash.", "source <(anvilctl completion)", completion},
-  };
-  return Commands;
-}
-
 std::string usageOf(const CommandSpec &Spec) {
   std::string Text = absl::StrJoin(Spec.m_Words, " ");
   for (const std::string &Argument : Spec.m_Arguments)
@@ -416,57 +27,73 @@
 
 const CommandSpec *findCommand(const std::vector<std::string> &Words) {
   for (const CommandSpec &Spec : commands())
-    if (Words.size() >= Spec.m_Words.size() && std::equal(Spec.m_Words.begin(), Spec.m_Words.end(), Words.begin()))
+    if (Words.size() >= Spec.m_Words.size() &&
+        std::equal(Spec.m_Words.begin(), Spec.m_Words.end(), Words.begin()))
       return &Spec;
   return nullptr;
 }
 
-// Splits the words after the command into arguments and flags. Returns a problem, or an empty text.
-std::string readWords(const CommandSpec &Spec, const std::vector<std::string> &Words, Invocation &Call) {
+// Splits the words after the command into arguments and flags. Returns a
+// problem, or an empty text.
+std::string readWords(const CommandSpec &Spec,
+                      const std::vector<std::string> &Words, Invocation &Call) {
   for (size_t I = Spec.m_Words.size(); I < Words.size(); ++I) {
     if (!Words[I].starts_with("--")) {
       Call.m_Args.push_back(Words[I]);
       continue;
     }
     const size_t Equals = Words[I].find('=');
-    const std::string Name = Words[I].substr(2, Equals == std::string::npos ? Equals : Equals - 2);
-    if (std::find(Spec.m_Flags.begin(), Spec.m_Flags.end(), Name) == Spec.m_Flags.end())
+    const std::string Name =
+        Words[I].substr(2, Equals == std::string::npos ? Equals : Equals - 2);
+    if (std::find(Spec.m_Flags.begin(), Spec.m_Flags.end(), Name) ==
+        Spec.m_Flags.end())
       return absl::StrCat("unknown flag --", Name);
     if (Equals == std::string::npos && I + 1 == Words.size())
       return absl::StrCat("--", Name, " needs a value");
-    Call.m_Flags[Name] = Equals == std::string::npos ? Words[++I] : Words[I].substr(Equals + 1);
+    Call.m_Flags[Name] =
+        Equals == std::string::npos ? Words[++I] : Words[I].substr(Equals + 1);
   }
   if (Call.m_Args.size() != Spec.m_Arguments.size())
-    return absl::StrCat("expected ", Spec.m_Arguments.size(), " arguments, got ", Call.m_Args.size());
+    return absl::StrCat("expected ", Spec.m_Arguments.size(),
+                        " arguments, got ", Call.m_Args.size());
   return "";
 }
 
 } // namespace
 
-ExitCode runCommand(const std::vector<std::string> &Words, const CliOptions &Options,
+ExitCode runCommand(const std::vector<std::string> &Words,
+                    const CliOptions &Options,
                     const CliEnvironment &Environment) {
   const CommandSpec *Spec = findCommand(Words);
   if (!Spec) {
-    *Environment.m_Err << (Words.empty() ? std::string() : "anvilctl: unknown command\n") << cliHelp();
+    *Environment.m_Err << (Words.empty() ? std::string()
+                                         : "anvilctl: unknown command\n")
+                       << cliHelp();
     return ExitCode::Usage;
   }
   Invocation Call{Options, Environment, {}, {}};
   const std::string Problem = readWords(*Spec, Words, Call);
   if (!Problem.empty()) {
-    *Environment.m_Err << "anvilctl: " << Problem << "\nusage: anvilctl " << usageOf(*Spec)
-                       << "\nexample: " << Spec->m_Example << "\n";
+    *Environment.m_Err << "anvilctl: " << Problem << "\nusage: anvilctl "
+                       << usageOf(*Spec) << "\nexample: " << Spec->m_Example
+                       << "\n";
     return ExitCode::Usage;
   }
   return Spec->m_Run(Call);
 }
 
 std::string cliHelp() {
-  std::string Text = "Operates an anvilwheel environment through its entries.\n\n"
-                     "usage: anvilctl [--entry IP:PORT,...] [--operator NAME] [--output table|json] [--yes] COMMAND\n"
-                     "Settings also come from ANVIL_ENTRY, ANVIL_OPERATOR and ANVIL_OUTPUT; flags win.\n\ncommands:\n";
+  std::string Text =
+      "Operates an anvilwheel environment through its entries.\n\n"
+      "usage: anvilctl [--entry IP:PORT,...] [--operator NAME] [--output "
+      "table|json] [--yes] COMMAND\n"
+      "Settings also come from ANVIL_ENTRY, ANVIL_OPERATOR and ANVIL_OUTPUT; "
+      "flags win.\n\ncommands:\n";
   for (const CommandSpec &Spec : commands())
-    absl::StrAppend(&Text, "  ", usageOf(Spec), "\n      ", Spec.m_Help, " Example: ", Spec.m_Example, "\n");
-  Text += "\nexit codes: 0 done, 1 refused, 2 wrong usage, 3 no entry answered, 4 outcome unknown, 5 job failed\n";
+    absl::StrAppend(&Text, "  ", usageOf(Spec), "\n      ", Spec.m_Help,
+                    " Example: ", Spec.m_Example, "\n");
+  Text += "\nexit codes: 0 done, 1 refused, 2 wrong usage, 3 no entry "
+          "answered, 4 outcome unknown, 5 job failed\n";
   return Text;
 }
 
@@ -478,10 +105,13 @@
     if (Spec.m_Words.size() > 1)
       Second[Spec.m_Words[0]].insert(Spec.m_Words[1]);
   }
-  std::string Text = "_anvilctl() {\n  local words=\"" + absl::StrJoin(First, " ") + "\"\n  case \"$3\" in\n";
+  std::string Text = "_anvilctl() {\n  local words=\"" +
+                     absl::StrJoin(First, " ") + "\"\n  case \"$3\" in\n";
   for (const auto &[Word, Next] : Second)
-    absl::StrAppend(&Text, "    ", Word, ") words=\"", absl::StrJoin(Next, " "), "\" ;;\n");
-  Text += "  esac\n  COMPREPLY=($(compgen -W \"$words\" -- \"$2\"))\n}\ncomplete -F _anvilctl anvilctl\n";
+    absl::StrAppend(&Text, "    ", Word, ") words=\"", absl::StrJoin(Next, " "),
+                    "\" ;;\n");
+  Text += "  esac\n  COMPREPLY=($(compgen -W \"$words\" -- "
+          "\"$2\"))\n}\ncomplete -F _anvilctl anvilctl\n";
   return Text;
 }
 
--- a/src/ctl/Table.cpp
+++ b/src/ctl/Table.cpp
@@ -21,7 +21,8 @@
 }
 
 std::string padded(const std::string &Text, size_t Width) {
-  return Text.size() >= Width ? Text : Text + std::string(Width - Text.size(), ' ');
+  return Text.size() >= Width ? Text
+                              : Text + std::string(Width - Text.size(), ' ');
 }
 
 std::string rowsTable(const json::array &Rows) {
@@ -35,7 +36,8 @@
   for (const json::value &Row : Rows) {
     std::vector<std::string> Cells;
     for (const std::string &Name : Names) {
-      const json::value *Cell = Row.is_object() ? Row.as_object().if_contains(Name) : nullptr;
+      const json::value *Cell =
+          Row.is_object() ? Row.as_object().if_contains(Name) : nullptr;
       Cells.push_back(Cell ? cellOf(*Cell) : "-");
     }
     Lines.push_back(std::move(Cells));
@@ -47,21 +49,26 @@
   std::string Text;
   for (const auto &Line : Lines) {
     for (size_t I = 0; I < Line.size(); ++I)
-      absl::StrAppend(&Text, I ? "  " : "", I + 1 < Line.size() ? padded(Line[I], Widths[I]) : Line[I]);
+      absl::StrAppend(&Text, I ? "  " : "",
+                      I + 1 < Line.size() ? padded(Line[I], Widths[I])
+                                          : Line[I]);
     Text += "\n";
   }
   return Text;
 }
 
 bool isTable(const json::value &Value) {
-  return Value.is_array() && !Value.as_array().empty() && Value.as_array().front().is_object();
+  return Value.is_array() && !Value.as_array().empty() &&
+         Value.as_array().front().is_object();
 }
 
 bool isList(const json::value &Value) {
-  return Value.is_array() && !Value.as_array().empty() && Value.as_array().front().is_string();
+  return Value.is_array() && !Value.as_array().empty() &&
+         Value.as_array().front().is_string();
 }
 
-void appendFields(const json::object &Object, const std::string &Prefix, size_t Width, std::string &Text) {
+void appendFields(const json::object &Object, const std::string &Prefix,
+                  size_t Width, std::string &Text) {
   for (const auto &Field : Object) {
     const std::string Name = Prefix + std::string(Field.key());
     if (Field.value().is_object()) {
@@ -75,7 +82,8 @@
     } else {
       const std::string Cell = cellOf(Field.value());
       const bool Lines = Cell.find('\n') != std::string::npos;
-      absl::StrAppend(&Text, padded(Name, Width), Lines ? "\n" : "  ", Cell, "\n");
+      absl::StrAppend(&Text, padded(Name, Width), Lines ? "\n" : "  ", Cell,
+                      "\n");
     }
   }
 }
@@ -85,7 +93,8 @@
 std::string renderTable(std::string_view Json) {
   constexpr size_t NameWidth = 26;
   boost::system::error_code Error;
-  const json::value Value = json::parse(json::string_view(Json.data(), Json.size()), Error);
+  const json::value Value =
+      json::parse(json::string_view(Json.data(), Json.size()), Error);
   if (Error)
     return std::string(Json);
   if (isTable(Value))
--- a/src/daemon/Process.cpp
+++ b/src/daemon/Process.cpp
@@ -31,19 +31,26 @@
 
 std::function<double()> makeRandomSource() {
   std::random_device Device;
-  auto Generator = std::make_shared<std::mt19937_64>((uint64_t{Device()} << 32) ^ Device());
-  return [Generator] { return std::uniform_real_distribution<double>(0, 1)(*Generator); };
+  auto Generator =
+      std::make_shared<std::mt19937_64>((uint64_t{Device()} << 32) ^ Device());
+  return [Generator] {
+    return std::uniform_real_distribution<double>(0, 1)(*Generator);
+  };
 }
 
 struct TerminationSignals::Impl : std::enable_shared_from_this<Impl> {
-  Impl(boost::asio::io_context &Io, std::function<void()> First, std::function<void()> Second)
-      : m_Signals(Io, SIGTERM, SIGINT), m_First(std::move(First)), m_Second(std::move(Second)) {}
+  Impl(boost::asio::io_context &Io, std::function<void()> First,
+       std::function<void()> Second)
+      : m_Signals(Io, SIGTERM, SIGINT), m_First(std::move(First)),
+        m_Second(std::move(Second)) {}
 
   void wait() {
-    m_Signals.async_wait([Self = shared_from_this()](const boost::system::error_code &Error, int) {
+    m_Signals.async_wait([Self = shared_from_this()](
+                             const boost::system::error_code &Error, int) {
       if (Error || Self->m_Stopped)
         return;
-      const std::function<void()> Hook = Self->m_Count++ == 0 ? Self->m_First : Self->m_Second;
+      const std::function<void()> Hook =
+          Self->m_Count++ == 0 ? Self->m_First : Self->m_Second;
       Self->wait();
       Hook();
     });
@@ -56,7 +63,8 @@
   bool m_Stopped = false;
 };
 
-TerminationSignals::TerminationSignals(boost::asio::io_context &Io, std::function<void()> First,
+TerminationSignals::TerminationSignals(boost::asio::io_context &Io,
+                                       std::function<void()> First,
                                        std::function<void()> Second)
     : m_Impl(std::make_shared<Impl>(Io, std::move(First), std::move(Second))) {
   m_Impl->wait();
@@ -77,12 +85,14 @@
   rusage Usage{};
   if (getrusage(RUSAGE_SELF, &Usage) == 0) {
     const auto Seconds = [](const timeval &Time) {
-      return static_cast<double>(Time.tv_sec) + 1e-6 * static_cast<double>(Time.tv_usec);
+      return static_cast<double>(Time.tv_sec) +
+             1e-6 * static_cast<double>(Time.tv_usec);
     };
     Result.m_CpuSeconds = Seconds(Usage.ru_utime) + Seconds(Usage.ru_stime);
   }
   std::error_code Error;
-  for (std::filesystem::directory_iterator It("/proc/self/fd", Error), End; !Error && It != End; It.increment(Error))
+  for (std::filesystem::directory_iterator It("/proc/self/fd", Error), End;
+       !Error && It != End; It.increment(Error))
     ++Result.m_OpenFiles;
   return Result;
 }
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -22,18 +22,25 @@
 std::string variableName(std::string_view Name) {
   std::string Variable = "ANVIL_";
   for (const char C : Name)
-    Variable += C == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(C)));
+    Variable +=
+        C == '-'
+            ? '_'
+            : static_cast<char>(std::toupper(static_cast<unsigned char>(C)));
   return Variable;
 }
 
 bool isNameCharacter(char C) {
-  return std::isalnum(static_cast<unsigned char>(C)) != 0 || C == '-' || C == '_' || C == '.';
+  return std::isalnum(static_cast<unsigned char>(C)) != 0 || C == '-' ||
+         C == '_' || C == '.';
 }
 
-absl::Status invalid(std::string_view Message) { return absl::InvalidArgumentError(toAbsl(Message)); }
+absl::Status invalid(std::string_view Message) {
+  return absl::InvalidArgumentError(toAbsl(Message));
+}
 
 absl::Status checkName(std::string_view Text) {
-  if (Text.empty() || Text.size() > MaxNameLength || !std::all_of(Text.begin(), Text.end(), isNameCharacter))
+  if (Text.empty() || Text.size() > MaxNameLength ||
+      !std::all_of(Text.begin(), Text.end(), isNameCharacter))
     return invalid("must be 1 to 64 letters, digits, '-', '_' or '.'");
   return absl::OkStatus();
 }
@@ -44,20 +51,27 @@
 };
 
 // Longer suffixes come first, so that "ms" is not read as "s".
-constexpr TimeUnit Units[] = {{"us", 1}, {"ms", 1000}, {"s", 1000000}, {"m", 60000000}, {"h", 3600000000}};
+constexpr TimeUnit Units[] = {{"us", 1},
+                              {"ms", 1000},
+                              {"s", 1000000},
+                              {"m", 60000000},
+                              {"h", 3600000000}};
 
 } // namespace
 
 Settings::Settings(std::string_view Program, std::string_view Description)
     : m_Program(Program), m_Description(Description) {}
 
-void Settings::add(std::string_view Name, std::string_view Default, std::string_view Help, SettingParser Parser,
+void Settings::add(std::string_view Name, std::string_view Default,
+                   std::string_view Help, SettingParser Parser,
                    Presence Needed) {
-  m_Settings.push_back({std::string(Name), variableName(Name), std::string(Default), std::string(Help),
+  m_Settings.push_back({std::string(Name), variableName(Name),
+                        std::string(Default), std::string(Help),
                         std::move(Parser), Needed, false});
 }
 
-void Settings::addText(std::string_view Name, std::string_view Default, std::string_view Help, std::string &Value,
+void Settings::addText(std::string_view Name, std::string_view Default,
+                       std::string_view Help, std::string &Value,
                        Presence Needed) {
   auto Parse = [&Value](std::string_view Text) {
     Value = Text;
@@ -66,7 +80,8 @@
   add(Name, Default, Help, Parse, Needed);
 }
 
-void Settings::addName(std::string_view Name, std::string_view Default, std::string_view Help, std::string &Value,
+void Settings::addName(std::string_view Name, std::string_view Default,
+                       std::string_view Help, std::string &Value,
                        Presence Needed) {
   auto Parse = [&Value](std::string_view Text) {
     Value = Text;
@@ -75,24 +90,27 @@
   add(Name, Default, Help, Parse, Needed);
 }
 
-void Settings::addInteger(std::string_view Name, int64_t Default, int64_t Min, int64_t Max, std::string_view Help,
-                          int64_t &Value) {
+void Settings::addInteger(std::string_view Name, int64_t Default, int64_t Min,
+                          int64_t Max, std::string_view Help, int64_t &Value) {
   auto Parse = [&Value, Min, Max](std::string_view Text) {
     int64_t Number = 0;
-    if (!absl::SimpleAtoi(toAbsl(Text), &Number) || Number < Min || Number > Max)
-      return invalid(absl::StrCat("must be a whole number from ", Min, " to ", Max));
+    if (!absl::SimpleAtoi(toAbsl(Text), &Number) || Number < Min ||
+        Number > Max)
+      return invalid(
+          absl::StrCat("must be a whole number from ", Min, " to ", Max));
     Value = Number;
     return absl::OkStatus();
   };
   add(Name, absl::StrCat(Default), Help, Parse);
 }
 
-void Settings::addNumber(std::string_view Name, double Default, double Min, double Max, std::string_view Help,
-                         double &Value) {
+void Settings::addNumber(std::string_view Name, double Default, double Min,
+                         double Max, std::string_view Help, double &Value) {
   auto Parse = [&Value, Min, Max](std::string_view Text) {
     double Number = 0;
     // The negated form also refuses NaN.
-    if (!absl::SimpleAtod(toAbsl(Text), &Number) || !(Number >= Min && Number <= Max))
+    if (!absl::SimpleAtod(toAbsl(Text), &Number) ||
+        !(Number >= Min && Number <= Max))
       return invalid(absl::StrCat("must be a number from ", Min, " to ", Max));
     Value = Number;
     return absl::OkStatus();
@@ -100,7 +118,8 @@
   add(Name, absl::StrCat(Default), Help, Parse);
 }
 
-void Settings::addSwitch(std::string_view Name, std::string_view Help, bool &Value) {
+void Settings::addSwitch(std::string_view Name, std::string_view Help,
+                         bool &Value) {
   auto Parse = [&Value](std::string_view Text) {
     if (Text != "true" && Text != "false")
       return invalid("must be true or false");
@@ -111,21 +130,24 @@
   m_Settings.back().m_Switch = true;
 }
 
-void Settings::addDuration(std::string_view Name, std::string_view Default, Duration Min, Duration Max,
-                           std::string_view Help, Duration &Value) {
+void Settings::addDuration(std::string_view Name, std::string_view Default,
+                           Duration Min, Duration Max, std::string_view Help,
+                           Duration &Value) {
   auto Parse = [&Value, Min, Max](std::string_view Text) {
     const absl::StatusOr<Duration> Parsed = parseDuration(Text);
     if (!Parsed.ok())
       return Parsed.status();
     if (*Parsed < Min || *Parsed > Max)
-      return invalid(absl::StrCat("must be from ", formatDuration(Min), " to ", formatDuration(Max)));
+      return invalid(absl::StrCat("must be from ", formatDuration(Min), " to ",
+                                  formatDuration(Max)));
     Value = *Parsed;
     return absl::OkStatus();
   };
   add(Name, Default, Help, Parse);
 }
 
-void Settings::addEndpoint(std::string_view Name, std::string_view Default, std::string_view Help, net::Endpoint &Value,
+void Settings::addEndpoint(std::string_view Name, std::string_view Default,
+                           std::string_view Help, net::Endpoint &Value,
                            Presence Needed) {
   auto Parse = [&Value](std::string_view Text) {
     const absl::StatusOr<net::Endpoint> Parsed = net::parseEndpoint(Text);
@@ -137,10 +159,13 @@
   add(Name, Default, Help, Parse, Needed);
 }
 
-void Settings::addEndpoints(std::string_view Name, std::string_view Default, std::string_view Help,
-                            std::vector<net::Endpoint> &Value, Presence Needed) {
+void Settings::addEndpoints(std::string_view Name, std::string_view Default,
+                            std::string_view Help,
+                            std::vector<net::Endpoint> &Value,
+                            Presence Needed) {
   auto Parse = [&Value](std::string_view Text) {
-    const absl::StatusOr<std::vector<net::Endpoint>> Parsed = net::parseEndpoints(Text);
+    const absl::StatusOr<std::vector<net::Endpoint>> Parsed =
+        net::parseEndpoints(Text);
     if (!Parsed.ok())
       return invalid("must be a comma-separated list of ip:port");
     Value = *Parsed;
@@ -151,18 +176,21 @@
 
 void Settings::addCheck(Check Rule) { m_Checks.push_back(std::move(Rule)); }
 
-absl::StatusOr<Settings::FlagValues> Settings::parseFlags(const std::vector<std::string> &Arguments) const {
+absl::StatusOr<Settings::FlagValues>
+Settings::parseFlags(const std::vector<std::string> &Arguments) const {
   cxxopts::Options Flags(m_Program, m_Description);
   Flags.add_options()("help", "")("version", "")("check", "");
   for (const Setting &Each : m_Settings) {
     const auto Kind = cxxopts::value<std::string>();
-    Flags.add_options()(Each.m_Name, "", Each.m_Switch ? Kind->implicit_value("true") : Kind);
+    Flags.add_options()(Each.m_Name, "",
+                        Each.m_Switch ? Kind->implicit_value("true") : Kind);
   }
   std::vector<const char *> Raw{m_Program.c_str()};
   for (const std::string &Argument : Arguments)
     Raw.push_back(Argument.c_str());
   try {
-    const cxxopts::ParseResult Parsed = Flags.parse(static_cast<int>(Raw.size()), Raw.data());
+    const cxxopts::ParseResult Parsed =
+        Flags.parse(static_cast<int>(Raw.size()), Raw.data());
     FlagValues Result;
     for (const cxxopts::KeyValue &Each : Parsed.arguments())
       Result.m_Values[Each.key()] = Each.value();
@@ -173,31 +201,39 @@
   }
 }
 
-absl::Status Settings::readOne(const Setting &Each, const FlagValues &Flags, const Environment &Read) const {
+absl::Status Settings::readOne(const Setting &Each, const FlagValues &Flags,
+                               const Environment &Read) const {
   std::string Value = Each.m_Default;
   std::string Source = "default";
-  if (const std::optional<std::string> FromEnvironment = Read(Each.m_Variable)) {
+  if (const std::optional<std::string> FromEnvironment =
+          Read(Each.m_Variable)) {
     Value = *FromEnvironment;
     Source = Each.m_Variable;
   }
-  if (const auto Flag = Flags.m_Values.find(Each.m_Name); Flag != Flags.m_Values.end()) {
+  if (const auto Flag = Flags.m_Values.find(Each.m_Name);
+      Flag != Flags.m_Values.end()) {
     Value = Flag->second;
     Source = "flag";
   }
   if (Value.empty() && Each.m_Needed == Presence::Required)
-    return invalid(absl::StrCat("--", Each.m_Name, " (", Each.m_Variable, "): required"));
+    return invalid(
+        absl::StrCat("--", Each.m_Name, " (", Each.m_Variable, "): required"));
   if (Value.empty() && Source == "default")
     return absl::OkStatus();
   const absl::Status Status = Each.m_Parser(Value);
   if (Status.ok())
     return absl::OkStatus();
-  return invalid(absl::StrCat("--", Each.m_Name, " (", Source, "): ", Status.message(), ", not '", Value, "'"));
+  return invalid(absl::StrCat("--", Each.m_Name, " (", Source,
+                              "): ", Status.message(), ", not '", Value, "'"));
 }
 
-absl::StatusOr<StartMode> Settings::read(const std::vector<std::string> &Arguments, const Environment &Read) const {
+absl::StatusOr<StartMode>
+Settings::read(const std::vector<std::string> &Arguments,
+               const Environment &Read) const {
   const absl::StatusOr<FlagValues> Flags = parseFlags(Arguments);
   if (!Flags.ok())
-    return makeLayerError(absl::StatusCode::kInvalidArgument, SettingsErrc::Invalid,
+    return makeLayerError(absl::StatusCode::kInvalidArgument,
+                          SettingsErrc::Invalid,
                           fromAbsl(Flags.status().message()));
   if (Flags->m_Values.contains("help"))
     return StartMode::ShowHelp;
@@ -219,22 +255,28 @@
       Note(Rule());
   }
   if (!Problems.empty())
-    return makeLayerError(absl::StatusCode::kInvalidArgument, SettingsErrc::Invalid, absl::StrJoin(Problems, "\n  "));
-  return Flags->m_Values.contains("check") ? StartMode::CheckOnly : StartMode::Run;
+    return makeLayerError(absl::StatusCode::kInvalidArgument,
+                          SettingsErrc::Invalid,
+                          absl::StrJoin(Problems, "\n  "));
+  return Flags->m_Values.contains("check") ? StartMode::CheckOnly
+                                           : StartMode::Run;
 }
 
 std::string Settings::help() const {
-  std::string Text = absl::StrCat(m_Description, "\n\nUsage: ", m_Program, " [--NAME=VALUE ...]\n\n");
+  std::string Text = absl::StrCat(m_Description, "\n\nUsage: ", m_Program,
+                                  " [--NAME=VALUE ...]\n\n");
   for (const Setting &Each : m_Settings) {
-    absl::StrAppend(&Text, "  --", Each.m_Name, Each.m_Switch ? "" : "=VALUE", "  (", Each.m_Variable, ")\n      ",
-                    Each.m_Help);
+    absl::StrAppend(&Text, "  --", Each.m_Name, Each.m_Switch ? "" : "=VALUE",
+                    "  (", Each.m_Variable, ")\n      ", Each.m_Help);
     if (Each.m_Needed == Presence::Required && Each.m_Default.empty())
       absl::StrAppend(&Text, " Required.");
     else if (!Each.m_Default.empty())
       absl::StrAppend(&Text, " Default: ", Each.m_Default, ".");
     absl::StrAppend(&Text, "\n");
   }
-  absl::StrAppend(&Text, "  --check\n      Check the settings and exit.\n  --help\n      Show this text and exit.\n",
+  absl::StrAppend(&Text,
+                  "  --check\n      Check the settings and exit.\n  --help\n   "
+                  "   Show this text and exit.\n",
                   "  --version\n      Show the version and exit.\n");
   return Text;
 }
@@ -251,11 +293,15 @@
   for (const TimeUnit &Unit : Units) {
     if (!Text.ends_with(Unit.m_Suffix))
       continue;
-    const std::string_view Digits = Text.substr(0, Text.size() - Unit.m_Suffix.size());
+    const std::string_view Digits =
+        Text.substr(0, Text.size() - Unit.m_Suffix.size());
     int64_t Count = 0;
-    if (Digits.empty() || !std::all_of(Digits.begin(), Digits.end(), [](char C) { return C >= '0' && C <= '9'; }))
+    if (Digits.empty() ||
+        !std::all_of(Digits.begin(), Digits.end(),
+                     [](char C) { return C >= '0' && C <= '9'; }))
       break;
-    if (!absl::SimpleAtoi(toAbsl(Digits), &Count) || Count > MaxMicros / Unit.m_Micros)
+    if (!absl::SimpleAtoi(toAbsl(Digits), &Count) ||
+        Count > MaxMicros / Unit.m_Micros)
       break;
     return Duration(Count * Unit.m_Micros);
   }
@@ -272,7 +318,8 @@
   return absl::StrCat(Micros / Best->m_Micros, toAbsl(Best->m_Suffix));
 }
 
-std::optional<int> finishStart(const Settings &Reader, const absl::StatusOr<StartMode> &Mode,
+std::optional<int> finishStart(const Settings &Reader,
+                               const absl::StatusOr<StartMode> &Mode,
                                std::string_view Program) {
   if (!Mode.ok()) {
     std::cerr << Program << ": " << Mode.status().message() << "\n";
--- a/src/entry/AgentClients.h
+++ b/src/entry/AgentClients.h
@@ -14,12 +14,15 @@
 /// Keeps one RPC connection to each agent that requests are sent to.
 class AgentClients {
 public:
-  AgentClients(boost::asio::io_context &Io, net::RpcOptions Options) : m_Io(Io), m_Options(std::move(Options)) {}
-
-  /// Sends an ExecuteRequest. An address that can't be parsed ends the call as NotSent.
-  void execute(const std::string &Address, std::string Body, Duration Timeout, std::string_view TraceId,
-               net::RpcDone Done);
-  /// Closes the connections to addresses that are not in \p Listed and have no open call.
+  AgentClients(boost::asio::io_context &Io, net::RpcOptions Options)
+      : m_Io(Io), m_Options(std::move(Options)) {}
+
+  /// Sends an ExecuteRequest. An address that can't be parsed ends the call as
+  /// NotSent.
+  void execute(const std::string &Address, std::string Body, Duration Timeout,
+               std::string_view TraceId, net::RpcDone Done);
+  /// Closes the connections to addresses that are not in \p Listed and have no
+  /// open call.
   void keepOnly(const std::set<std::string> &Listed);
   size_t size() const { return m_Peers.size(); }
 
--- a/src/entry/ConfigUpload.cpp
+++ b/src/entry/ConfigUpload.cpp
@@ -6,12 +6,15 @@
 
 namespace anvil::entry {
 
-bool readConfigUpload(std::string_view Document, wire::ApplyConfig &Into, JsonProblem &Problem) {
-  const config::ParseResult Parsed = config::parseDocument(Document, "document");
+bool readConfigUpload(std::string_view Document, wire::ApplyConfig &Into,
+                      JsonProblem &Problem) {
+  const config::ParseResult Parsed =
+      config::parseDocument(Document, "document");
   if (!Parsed.ok()) {
     std::string Faults;
     for (const config::Issue &Each : Parsed.m_Issues)
-      absl::StrAppend(&Faults, Faults.empty() ? "" : "; ", config::toString(Each));
+      absl::StrAppend(&Faults, Faults.empty() ? "" : "; ",
+                      config::toString(Each));
     const std::string &Field = Parsed.m_Issues.front().m_Field;
     Problem = {Field.empty() ? "document" : Field, std::move(Faults)};
     return false;
--- a/src/entry/ConfigUpload.h
+++ b/src/entry/ConfigUpload.h
@@ -8,9 +8,11 @@
 
 namespace anvil::entry {
 
-/// Validates a configuration document and stores it with its version, environment and digest.
-/// \returns false and fills \p Problem with the field of the first fault and the text of all faults.
-bool readConfigUpload(std::string_view Document, wire::ApplyConfig &Into, JsonProblem &Problem);
+/// Validates a configuration document and stores it with its version,
+/// environment and digest. \returns false and fills \p Problem with the field
+/// of the first fault and the text of all faults.
+bool readConfigUpload(std::string_view Document, wire::ApplyConfig &Into,
+                      JsonProblem &Problem);
 
 } // namespace anvil::entry
 
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -11,15 +11,18 @@
 
 namespace {
 
-// Bounds the error of deadlines and poll times in the router, which acts on ticks.
+// Bounds the error of deadlines and poll times in the router, which acts on
+// ticks.
 constexpr Duration TickPeriod = std::chrono::milliseconds(10);
-// A shutdown waits this long for the claims of requests that did not run to be closed.
+// A shutdown waits this long for the claims of requests that did not run to be
+// closed.
 constexpr Duration CloseClaimLimit = std::chrono::seconds(2);
 // About 1.5 MB of events; at 100 requests a second it reaches back 20 s.
 constexpr size_t TimelineCapacity = 4096;
 constexpr Duration ClosePollPeriod = std::chrono::milliseconds(20);
 
-net::RpcOptions rpcOptions(const EntryHooks &Hooks, timeline::Recorder &Timeline) {
+net::RpcOptions rpcOptions(const EntryHooks &Hooks,
+                           timeline::Recorder &Timeline) {
   net::RpcOptions Options;
   Options.m_Random = Hooks.m_Random;
   timeline::stampFrames(Options, Timeline, Hooks.m_WallMicros);
@@ -31,7 +34,9 @@
   return absl::StrCat(Name, "-", absl::Hex(Part, absl::kZeroPad8));
 }
 
-route::RouterOptions routerOptions(const EntryOptions &Options, const EntryHooks &Hooks, const std::string &Instance) {
+route::RouterOptions routerOptions(const EntryOptions &Options,
+                                   const EntryHooks &Hooks,
+                                   const std::string &Instance) {
   route::RouterOptions Result;
   Result.m_Entry = Instance;
   Result.m_Zone = AvailabilityZoneId(Options.m_AvailabilityZone);
@@ -47,32 +52,40 @@
   Result.m_IdleLimit = Options.m_IdleLimit;
   Result.m_MaxConnections = static_cast<size_t>(Options.m_MaxConnections);
   Result.m_MaxRequests = static_cast<size_t>(Options.m_MaxRequests);
-  Result.m_MaxBufferedBytes = static_cast<size_t>(Options.m_MaxBufferedMib) << 20;
+  Result.m_MaxBufferedBytes = static_cast<size_t>(Options.m_MaxBufferedMib)
+                              << 20;
   Result.m_RefusalFields = {{"Anvil-Outcome", "not-run"}};
   return Result;
 }
 
 } // namespace
 
-Entry::Impl::Impl(boost::asio::io_context &Io, EntryOptions Options, EntryHooks Hooks)
+Entry::Impl::Impl(boost::asio::io_context &Io, EntryOptions Options,
+                  EntryHooks Hooks)
     : m_Io(Io), m_Options(std::move(Options)), m_Hooks(std::move(Hooks)),
-      m_Instance(makeInstance(m_Options.m_Name, m_Hooks)), m_Router(routerOptions(m_Options, m_Hooks, m_Instance)),
+      m_Instance(makeInstance(m_Options.m_Name, m_Hooks)),
+      m_Router(routerOptions(m_Options, m_Hooks, m_Instance)),
       m_Timeline(m_Options.m_Name, TimelineCapacity, m_Hooks.m_WallMicros),
-      m_Control(Io, m_Options.m_Controls, rpcOptions(m_Hooks, m_Timeline), m_Hooks.m_Now),
-      m_Agents(Io, rpcOptions(m_Hooks, m_Timeline)), m_TickTimer(Io), m_SyncTimer(Io), m_DrainTimer(Io),
-      m_NoticeTimer(Io) {}
+      m_Control(Io, m_Options.m_Controls, rpcOptions(m_Hooks, m_Timeline),
+                m_Hooks.m_Now),
+      m_Agents(Io, rpcOptions(m_Hooks, m_Timeline)), m_TickTimer(Io),
+      m_SyncTimer(Io), m_DrainTimer(Io), m_NoticeTimer(Io) {}
 
 absl::Status Entry::Impl::start() {
-  const auto Handle = [Weak = weak_from_this()](net::HttpRequest Request, net::HttpResponder Respond) {
+  const auto Handle = [Weak = weak_from_this()](net::HttpRequest Request,
+                                                net::HttpResponder Respond) {
     if (const std::shared_ptr<Impl> Self = Weak.lock())
       Self->handle(std::move(Request), std::move(Respond));
   };
-  auto Created = net::HttpServer::create(m_Io, m_Options.m_Listen, httpOptions(m_Options), Handle);
+  auto Created = net::HttpServer::create(m_Io, m_Options.m_Listen,
+                                         httpOptions(m_Options), Handle);
   if (!Created.ok())
     return Created.status();
   m_Http = std::move(*Created);
-  LOG(INFO) << "entry: started instance=" << m_Instance << " listen=" << m_Http->endpoint().str()
-            << " zone=" << m_Options.m_AvailabilityZone << " control=" << m_Control.current();
+  LOG(INFO) << "entry: started instance=" << m_Instance
+            << " listen=" << m_Http->endpoint().str()
+            << " zone=" << m_Options.m_AvailabilityZone
+            << " control=" << m_Control.current();
   syncLater(Duration(0));
   tick();
   return absl::OkStatus();
@@ -83,11 +96,12 @@
     return;
   step(route::Tick{});
   m_TickTimer.expires_after(TickPeriod);
-  m_TickTimer.async_wait([Weak = weak_from_this()](const boost::system::error_code &Error) {
-    const std::shared_ptr<Impl> Self = Weak.lock();
-    if (!Error && Self)
-      Self->tick();
-  });
+  m_TickTimer.async_wait(
+      [Weak = weak_from_this()](const boost::system::error_code &Error) {
+        const std::shared_ptr<Impl> Self = Weak.lock();
+        if (!Error && Self)
+          Self->tick();
+      });
 }
 
 void Entry::Impl::shutdown(std::function<void(EntryReport)> Stopped) {
@@ -95,25 +109,29 @@
     return;
   m_Draining = true;
   m_OnStopped = std::move(Stopped);
-  m_Timeline.record("entry.shutdown-started", {}, "The entry reports not ready.");
+  m_Timeline.record("entry.shutdown-started", {},
+                    "The entry reports not ready.");
   LOG(INFO) << "entry: shutdown started in_progress=" << m_Pending.size();
   m_NoticeTimer.expires_after(m_Options.m_DrainNotice);
-  m_NoticeTimer.async_wait([Weak = weak_from_this()](const boost::system::error_code &Error) {
-    const std::shared_ptr<Impl> Self = Weak.lock();
-    if (!Error && Self)
-      Self->closeListener();
-  });
+  m_NoticeTimer.async_wait(
+      [Weak = weak_from_this()](const boost::system::error_code &Error) {
+        const std::shared_ptr<Impl> Self = Weak.lock();
+        if (!Error && Self)
+          Self->closeListener();
+      });
   if (m_Options.m_DrainLimit == Duration(0))
     return;
   m_DrainTimer.expires_after(m_Options.m_DrainLimit);
-  m_DrainTimer.async_wait([Weak = weak_from_this()](const boost::system::error_code &Error) {
-    const std::shared_ptr<Impl> Self = Weak.lock();
-    if (!Error && Self)
-      Self->cutOff();
-  });
+  m_DrainTimer.async_wait(
+      [Weak = weak_from_this()](const boost::system::error_code &Error) {
+        const std::shared_ptr<Impl> Self = Weak.lock();
+        if (!Error && Self)
+          Self->cutOff();
+      });
 }
 
-// Requests whose first bytes have arrived are still routed; no other ones can arrive once the listener is closed.
+// Requests whose first bytes have arrived are still routed; no other ones can
+// arrive once the listener is closed.
 void Entry::Impl::closeListener() {
   m_Http->shutdown([Weak = weak_from_this()] {
     if (const std::shared_ptr<Impl> Self = Weak.lock())
@@ -127,7 +145,8 @@
   if (m_OpenCloses == 0 || m_Hooks.m_Now() >= GiveUpAt)
     return stop();
   m_NoticeTimer.expires_after(ClosePollPeriod);
-  m_NoticeTimer.async_wait([Weak = weak_from_this(), GiveUpAt](const boost::system::error_code &Error) {
+  m_NoticeTimer.async_wait([Weak = weak_from_this(),
+                            GiveUpAt](const boost::system::error_code &Error) {
     const std::shared_ptr<Impl> Self = Weak.lock();
     if (!Error && Self)
       Self->finishWhenClaimsAreClosed(GiveUpAt);
@@ -137,12 +156,15 @@
 void Entry::Impl::cutOff() {
   if (m_Stopped)
     return;
-  // The server reports its last connection as closed while it is cut off, before the report is complete.
+  // The server reports its last connection as closed while it is cut off,
+  // before the report is complete.
   m_CuttingOff = true;
   step(route::ShutdownStarted{});
   for (const auto &[Id, Each] : m_Pending) {
-    m_Report.m_CutOff.push_back(absl::StrCat(Each.m_What, " request=", Each.m_Id));
-    LOG(WARNING) << "entry: cut off request=" << Each.m_Id << " what=" << Each.m_What;
+    m_Report.m_CutOff.push_back(
+        absl::StrCat(Each.m_What, " request=", Each.m_Id));
+    LOG(WARNING) << "entry: cut off request=" << Each.m_Id
+                 << " what=" << Each.m_What;
   }
   m_Report.m_CutOffConnections = m_Http->cutOff();
   stop();
@@ -161,8 +183,9 @@
     std::exchange(m_OnStopped, nullptr)(std::move(m_Report));
 }
 
-absl::StatusOr<std::unique_ptr<Entry>> Entry::create(boost::asio::io_context &Io, EntryOptions Options,
-                                                     EntryHooks Hooks) {
+absl::StatusOr<std::unique_ptr<Entry>>
+Entry::create(boost::asio::io_context &Io, EntryOptions Options,
+              EntryHooks Hooks) {
   auto State = std::make_shared<Impl>(Io, std::move(Options), std::move(Hooks));
   const absl::Status Started = State->start();
   if (!Started.ok())
@@ -179,7 +202,9 @@
 
 net::Endpoint Entry::endpoint() const { return m_Impl->m_Http->endpoint(); }
 
-void Entry::shutdown(std::function<void(EntryReport)> Stopped) { m_Impl->shutdown(std::move(Stopped)); }
+void Entry::shutdown(std::function<void(EntryReport)> Stopped) {
+  m_Impl->shutdown(std::move(Stopped));
+}
 
 void Entry::cutOff() { m_Impl->cutOff(); }
 
--- a/src/entry/EntryHttp.cpp
+++ b/src/entry/EntryHttp.cpp
@@ -58,7 +58,8 @@
 }
 
 void Entry::Impl::handleOperator(const net::HttpRequest &Request, int64_t Id) {
-  OperatorCall Call = readOperatorRequest(Request, m_Pending.at(Id).m_Id, m_Hooks.m_WallMicros());
+  OperatorCall Call = readOperatorRequest(Request, m_Pending.at(Id).m_Id,
+                                          m_Hooks.m_WallMicros());
   if (auto *Error = std::get_if<net::HttpResponse>(&Call))
     return respond(Id, std::move(*Error));
   if (const auto *Query = std::get_if<wire::QueryRequest>(&Call))
@@ -71,46 +72,57 @@
 void Entry::Impl::sendCommand(CommandCall Call, int64_t Id) {
   const int OkStatus = Call.m_OkStatus;
   submit(std::move(Call.m_Command), OperatorTimeout, m_Pending.at(Id).m_Id,
-         [Weak = weak_from_this(), Id, OkStatus](const absl::StatusOr<wire::CommandResult> &Result) {
+         [Weak = weak_from_this(), Id,
+          OkStatus](const absl::StatusOr<wire::CommandResult> &Result) {
            const std::shared_ptr<Impl> Self = Weak.lock();
            if (!Self)
              return;
-           Self->respond(Id, Result.ok() ? renderCommandResult(*Result, OkStatus)
-                                         : renderControlFailure(Result.status(), true));
+           Self->respond(Id, Result.ok()
+                                 ? renderCommandResult(*Result, OkStatus)
+                                 : renderControlFailure(Result.status(), true));
          });
 }
 
 void Entry::Impl::sendQuery(const wire::QueryRequest &Query, int64_t Id) {
-  m_Control.call(wire::Method::QUERY, net::encodeStruct(Query), OperatorTimeout, m_Pending.at(Id).m_Id,
-                 [Weak = weak_from_this(), Id](const absl::StatusOr<std::string> &Answer) {
-                   const std::shared_ptr<Impl> Self = Weak.lock();
-                   if (!Self)
-                     return;
-                   if (!Answer.ok())
-                     return Self->respond(Id, renderControlFailure(Answer.status(), false));
-                   const absl::StatusOr<wire::QueryReply> Reply = net::decodeAs<wire::QueryReply>(*Answer);
-                   Self->respond(Id,
-                                 Reply.ok() ? renderQueryReply(*Reply) : renderControlFailure(Reply.status(), false));
-                 });
+  m_Control.call(
+      wire::Method::QUERY, net::encodeStruct(Query), OperatorTimeout,
+      m_Pending.at(Id).m_Id,
+      [Weak = weak_from_this(), Id](const absl::StatusOr<std::string> &Answer) {
+        const std::shared_ptr<Impl> Self = Weak.lock();
+        if (!Self)
+          return;
+        if (!Answer.ok())
+          return Self->respond(Id,
+                               renderControlFailure(Answer.status(), false));
+        const absl::StatusOr<wire::QueryReply> Reply =
+            net::decodeAs<wire::QueryReply>(*Answer);
+        Self->respond(Id, Reply.ok()
+                              ? renderQueryReply(*Reply)
+                              : renderControlFailure(Reply.status(), false));
+      });
 }
 
 void Entry::Impl::sendTimeline(TimelineQuery Query, int64_t Id) {
   wire::QueryRequest Request;
   Request.kind = "timeline";
   Request.argument = Query.m_Argument;
-  m_Control.call(wire::Method::QUERY, net::encodeStruct(Request), OperatorTimeout, m_Pending.at(Id).m_Id,
-                 [Weak = weak_from_this(), Id, Query = std::move(Query)](const absl::StatusOr<std::string> &Answer) {
-                   const std::shared_ptr<Impl> Self = Weak.lock();
-                   if (!Self)
-                     return;
-                   std::string Events;
-                   if (Answer.ok()) {
-                     const absl::StatusOr<wire::QueryReply> Reply = net::decodeAs<wire::QueryReply>(*Answer);
-                     if (Reply.ok() && Reply->httpStatus == 200)
-                       Events = Reply->json;
-                   }
-                   Self->respond(Id, renderTimeline(Query, Self->m_Timeline, Events));
-                 });
+  m_Control.call(
+      wire::Method::QUERY, net::encodeStruct(Request), OperatorTimeout,
+      m_Pending.at(Id).m_Id,
+      [Weak = weak_from_this(), Id,
+       Query = std::move(Query)](const absl::StatusOr<std::string> &Answer) {
+        const std::shared_ptr<Impl> Self = Weak.lock();
+        if (!Self)
+          return;
+        std::string Events;
+        if (Answer.ok()) {
+          const absl::StatusOr<wire::QueryReply> Reply =
+              net::decodeAs<wire::QueryReply>(*Answer);
+          if (Reply.ok() && Reply->httpStatus == 200)
+            Events = Reply->json;
+        }
+        Self->respond(Id, renderTimeline(Query, Self->m_Timeline, Events));
+      });
 }
 
 void Entry::Impl::handleOwn(const net::HttpRequest &Request, int64_t Id) {
@@ -124,7 +136,8 @@
     Response.m_ContentType = metrics::PrometheusContentType;
     return respond(Id, std::move(Response));
   }
-  net::HttpResponse Response = net::makeHttpError(404, "not-found", "the path is not known");
+  net::HttpResponse Response =
+      net::makeHttpError(404, "not-found", "the path is not known");
   setOutcome(Response, wire::Outcome::NOT_RUN);
   respond(Id, std::move(Response));
 }
@@ -143,7 +156,8 @@
   Gauges.m_RouteVersion = m_RouteVersion;
   Gauges.m_ConfigVersion = m_ConfigVersion;
   Gauges.m_AgentConnections = m_Agents.size();
-  return writeEntryMetrics(m_Metrics, Gauges, m_Http->counters(), m_Router.counters());
+  return writeEntryMetrics(m_Metrics, Gauges, m_Http->counters(),
+                           m_Router.counters());
 }
 
 void Entry::Impl::respond(int64_t Id, net::HttpResponse Response) {
--- a/src/entry/EntryImpl.h
+++ b/src/entry/EntryImpl.h
@@ -71,16 +71,19 @@
   void perform(const route::DispatchAction &Action);
   void perform(route::AnswerAction Action);
   void perform(const route::RefuseAction &Action);
-  void noteRequest(std::string_view Kind, route::RequestId Id, std::string_view Vm, std::string_view Text);
+  void noteRequest(std::string_view Kind, route::RequestId Id,
+                   std::string_view Vm, std::string_view Text);
   void submit(wire::Command Command, Duration Timeout, std::string_view TraceId,
               std::function<void(absl::StatusOr<wire::CommandResult>)> Done);
 
   boost::asio::io_context &m_Io;
   EntryOptions m_Options;
   EntryHooks m_Hooks;
-  std::string m_Instance; ///< Name and a random part that differs between two starts.
+  std::string
+      m_Instance; ///< Name and a random part that differs between two starts.
   route::Router m_Router;
-  timeline::Recorder m_Timeline; ///< Before the connections, which use its clock.
+  timeline::Recorder
+      m_Timeline; ///< Before the connections, which use its clock.
   ControlClient m_Control;
   AgentClients m_Agents;
   std::unique_ptr<net::HttpServer> m_Http;
--- a/src/entry/EntryMetrics.h
+++ b/src/entry/EntryMetrics.h
@@ -12,12 +12,15 @@
 
 /// Times that the entry measures itself.
 struct EntryMetrics {
-  metrics::TimeSummary m_ServiceTime;  ///< Requests for services, from arrival to response.
+  metrics::TimeSummary
+      m_ServiceTime; ///< Requests for services, from arrival to response.
   metrics::TimeSummary m_OperatorTime; ///< Requests of operators.
-  metrics::TimeSummary m_QueueTime;    ///< From arrival to the dispatch of an attempt.
+  metrics::TimeSummary
+      m_QueueTime; ///< From arrival to the dispatch of an attempt.
   int64_t m_Syncs = 0;
   int64_t m_SyncFailures = 0;
-  int64_t m_StaleSyncs = 0; ///< Answers of replicas without a fresh read, or with an older version.
+  int64_t m_StaleSyncs = 0; ///< Answers of replicas without a fresh read, or
+                            ///< with an older version.
 };
 
 /// State of the entry at the time of a scrape.
@@ -29,7 +32,9 @@
 };
 
 /// Returns all metrics of an entry in the Prometheus text format.
-std::string writeEntryMetrics(const EntryMetrics &Times, const EntryGauges &Gauges, const net::HttpCounters &Http,
+std::string writeEntryMetrics(const EntryMetrics &Times,
+                              const EntryGauges &Gauges,
+                              const net::HttpCounters &Http,
                               const route::RouterCounters &Routing);
 
 } // namespace anvil::entry
--- a/src/entry/EntrySync.cpp
+++ b/src/entry/EntrySync.cpp
@@ -10,17 +10,19 @@
 namespace anvil::entry {
 
 namespace {
-// Five silent replicas in turn still leave the sixth to answer within the 2.5 s that a read stays fresh.
+// Five silent replicas in turn still leave the sixth to answer within the 2.5 s
+// that a read stays fresh.
 constexpr Duration SyncTimeout = std::chrono::milliseconds(400);
 } // namespace
 
 void Entry::Impl::syncLater(Duration Delay) {
   m_SyncTimer.expires_after(Delay);
-  m_SyncTimer.async_wait([Weak = weak_from_this()](const boost::system::error_code &Error) {
-    const std::shared_ptr<Impl> Self = Weak.lock();
-    if (!Error && Self && !Self->m_Stopped)
-      Self->sync();
-  });
+  m_SyncTimer.async_wait(
+      [Weak = weak_from_this()](const boost::system::error_code &Error) {
+        const std::shared_ptr<Impl> Self = Weak.lock();
+        if (!Error && Self && !Self->m_Stopped)
+          Self->sync();
+      });
 }
 
 void Entry::Impl::sync() {
@@ -29,15 +31,17 @@
   Request.routeVersion = m_RouteVersion;
   Request.configVersion = m_ConfigVersion;
   const TimePoint AskedAt = m_Hooks.m_Now();
-  m_Control.callOnce(wire::Method::ENTRY_SYNC, net::encodeStruct(Request), SyncTimeout,
-                     [Weak = weak_from_this(), AskedAt](absl::StatusOr<std::string> Answer) {
-                       const std::shared_ptr<Impl> Self = Weak.lock();
-                       if (Self && !Self->m_Stopped)
-                         Self->onSync(std::move(Answer), AskedAt);
-                     });
+  m_Control.callOnce(
+      wire::Method::ENTRY_SYNC, net::encodeStruct(Request), SyncTimeout,
+      [Weak = weak_from_this(), AskedAt](absl::StatusOr<std::string> Answer) {
+        const std::shared_ptr<Impl> Self = Weak.lock();
+        if (Self && !Self->m_Stopped)
+          Self->onSync(std::move(Answer), AskedAt);
+      });
 }
 
-void Entry::Impl::onSync(absl::StatusOr<std::string> Answer, TimePoint AskedAt) {
+void Entry::Impl::onSync(absl::StatusOr<std::string> Answer,
+                         TimePoint AskedAt) {
   const Duration Used = m_Hooks.m_Now() - AskedAt;
   syncLater(std::max(Duration(0), m_Options.m_SyncPeriod - Used));
   absl::StatusOr<wire::EntrySyncReply> Reply = absl::UnknownError("no answer");
@@ -45,13 +49,16 @@
     Reply = net::decodeAs<wire::EntrySyncReply>(*Answer);
   if (!Reply.ok()) {
     ++m_Metrics.m_SyncFailures;
-    LOG_EVERY_N(WARNING, 20) << "entry: sync failed control=" << m_Control.current();
+    LOG_EVERY_N(WARNING, 20)
+        << "entry: sync failed control=" << m_Control.current();
     return;
   }
-  const bool Older = Reply->routeVersion < m_RouteVersion || Reply->configVersion < m_ConfigVersion;
+  const bool Older = Reply->routeVersion < m_RouteVersion ||
+                     Reply->configVersion < m_ConfigVersion;
   if (!Older)
     takeRoutes(*Reply);
-  // A replica that is behind or cut off answers with old state; what is in force never goes back.
+  // A replica that is behind or cut off answers with old state; what is in
+  // force never goes back.
   if (Older || !Reply->fresh) {
     ++m_Metrics.m_StaleSyncs;
     return m_Control.useNext();
@@ -62,7 +69,9 @@
 
 void Entry::Impl::noteConfig(int64_t Version) {
   LOG(INFO) << "entry: configuration in force version=" << Version;
-  m_Timeline.record("entry.config-in-force", {}, absl::StrCat("Configuration version ", Version, " is in force."));
+  m_Timeline.record(
+      "entry.config-in-force", {},
+      absl::StrCat("Configuration version ", Version, " is in force."));
 }
 
 void Entry::Impl::takeRoutes(wire::EntrySyncReply &Reply) {
@@ -71,7 +80,8 @@
   m_RouteVersion = Reply.routeVersion;
   m_ConfigVersion = Reply.configVersion;
   if (Reply.configChanged)
-    step(route::ConfigChanged{std::move(Reply.services), std::move(Reply.workspaces)});
+    step(route::ConfigChanged{std::move(Reply.services),
+                              std::move(Reply.workspaces)});
   if (!Reply.routesChanged)
     return;
   std::set<std::string> Listed;
--- a/src/entry/HttpText.cpp
+++ b/src/entry/HttpText.cpp
@@ -21,11 +21,13 @@
 }
 
 void setOutcome(net::HttpResponse &Response, wire::Outcome::type Outcome) {
-  Response.m_Fields.push_back({std::string(OutcomeField), std::string(outcomeName(Outcome))});
+  Response.m_Fields.push_back(
+      {std::string(OutcomeField), std::string(outcomeName(Outcome))});
 }
 
 void setRetryAfter(net::HttpResponse &Response, Duration After) {
-  const int64_t Seconds = std::max<int64_t>(1, (After.count() + 999999) / 1000000);
+  const int64_t Seconds =
+      std::max<int64_t>(1, (After.count() + 999999) / 1000000);
   Response.m_Fields.push_back({"Retry-After", std::to_string(Seconds)});
 }
 
@@ -42,17 +44,21 @@
 
 bool isName(std::string_view Text) {
   const auto Allowed = [](char C) {
-    return std::isalnum(static_cast<unsigned char>(C)) != 0 || C == '-' || C == '_' || C == '.';
+    return std::isalnum(static_cast<unsigned char>(C)) != 0 || C == '-' ||
+           C == '_' || C == '.';
   };
-  return !Text.empty() && Text.size() <= MaxNameLength && std::all_of(Text.begin(), Text.end(), Allowed);
+  return !Text.empty() && Text.size() <= MaxNameLength &&
+         std::all_of(Text.begin(), Text.end(), Allowed);
 }
 
 bool isToken(std::string_view Text, size_t MaxLength) {
   const auto Visible = [](char C) { return C > 0x20 && C < 0x7f; };
-  return !Text.empty() && Text.size() <= MaxLength && std::all_of(Text.begin(), Text.end(), Visible);
+  return !Text.empty() && Text.size() <= MaxLength &&
+         std::all_of(Text.begin(), Text.end(), Visible);
 }
 
-std::optional<std::string> queryValue(std::string_view Query, std::string_view Name) {
+std::optional<std::string> queryValue(std::string_view Query,
+                                      std::string_view Name) {
   while (!Query.empty()) {
     const size_t End = std::min(Query.find('&'), Query.size());
     const std::string_view Pair = Query.substr(0, End);
@@ -64,7 +70,8 @@
   return std::nullopt;
 }
 
-bool singleField(const net::HttpRequest &Request, std::string_view Name, std::string &Value) {
+bool singleField(const net::HttpRequest &Request, std::string_view Name,
+                 std::string &Value) {
   Value = std::string(Request.field(Name).value_or(""));
   return Request.fieldCount(Name) <= 1;
 }
--- a/src/entry/HttpText.h
+++ b/src/entry/HttpText.h
@@ -24,7 +24,8 @@
 /// Adds Retry-After in whole seconds, rounded up.
 void setRetryAfter(net::HttpResponse &Response, Duration After);
 
-/// Returns the parts of a path between its slashes: "/a/b" is {"a", "b"}, "/a/" is {"a", ""}.
+/// Returns the parts of a path between its slashes: "/a/b" is {"a", "b"}, "/a/"
+/// is {"a", ""}.
 std::vector<std::string_view> splitPath(std::string_view Path);
 
 /// Returns true for 1 to 64 letters, digits, '-', '_' or '.'.
@@ -33,12 +34,15 @@
 /// Returns true for 1 to \p MaxLength visible ASCII characters.
 bool isToken(std::string_view Text, size_t MaxLength);
 
-/// Returns the value of \p Name in a query such as "a=1&b=2", or nothing. Values are not percent-decoded.
-std::optional<std::string> queryValue(std::string_view Query, std::string_view Name);
+/// Returns the value of \p Name in a query such as "a=1&b=2", or nothing.
+/// Values are not percent-decoded.
+std::optional<std::string> queryValue(std::string_view Query,
+                                      std::string_view Name);
 
 /// Returns the value of a header that may appear once; empty if it is absent.
 /// \returns false if the header appears more than once.
-bool singleField(const net::HttpRequest &Request, std::string_view Name, std::string &Value);
+bool singleField(const net::HttpRequest &Request, std::string_view Name,
+                 std::string &Value);
 
 } // namespace anvil::entry
 
--- a/src/entry/JobJson.cpp
+++ b/src/entry/JobJson.cpp
@@ -15,7 +15,8 @@
 constexpr size_t MaxNameBytes = 128;
 constexpr size_t MaxPayloadBytes = 64u << 10;
 
-void readPerTask(const boost::json::object &Object, wire::Resources &Into, JsonProblem &Problem) {
+void readPerTask(const boost::json::object &Object, wire::Resources &Into,
+                 JsonProblem &Problem) {
   ObjectReader Reader(Object, "per_task.", Problem);
   int64_t Accelerators = 0;
   int64_t Cores = 0;
@@ -36,14 +37,16 @@
   size_t Urgency = static_cast<size_t>(wire::Urgency::BATCH) - 1;
   Reader.word("adjacency", {"any", "rack", "vm"}, Adjacency);
   Reader.flag("adjacency_required", Spec.adjacencyRequired);
-  Reader.word("urgency", {"urgent", "working-day", "batch", "overnight"}, Urgency);
+  Reader.word("urgency", {"urgent", "working-day", "batch", "overnight"},
+              Urgency);
   Spec.adjacency = static_cast<wire::Adjacency::type>(Adjacency + 1);
   Spec.urgency = static_cast<wire::Urgency::type>(Urgency + 1);
 }
 
 } // namespace
 
-bool parseJob(std::string_view Text, wire::JobSpec &Spec, JsonProblem &Problem) {
+bool parseJob(std::string_view Text, wire::JobSpec &Spec,
+              JsonProblem &Problem) {
   boost::json::object Document;
   if (!parseStrictObject(Text, Document, Problem))
     return false;
--- a/src/entry/OperatorApi.h
+++ b/src/entry/OperatorApi.h
@@ -19,22 +19,28 @@
 };
 
 /// What to do with a request of an operator; a response is sent as it is.
-using OperatorCall = std::variant<CommandCall, wire::QueryRequest, TimelineQuery, net::HttpResponse>;
+using OperatorCall = std::variant<CommandCall, wire::QueryRequest,
+                                  TimelineQuery, net::HttpResponse>;
 
 /// Turns a request for a path under `/v1/` into a command or a query.
 ///
-/// \p TraceId identifies the request; it also stands in for an idempotency key that the caller did not send.
-/// \returns a 4xx response that names the field if the request is not valid.
-OperatorCall readOperatorRequest(const net::HttpRequest &Request, std::string_view TraceId, int64_t NowMicros);
+/// \p TraceId identifies the request; it also stands in for an idempotency key
+/// that the caller did not send. \returns a 4xx response that names the field
+/// if the request is not valid.
+OperatorCall readOperatorRequest(const net::HttpRequest &Request,
+                                 std::string_view TraceId, int64_t NowMicros);
 
 /// Returns the response for the result of a command.
-net::HttpResponse renderCommandResult(const wire::CommandResult &Result, int OkStatus);
+net::HttpResponse renderCommandResult(const wire::CommandResult &Result,
+                                      int OkStatus);
 
 /// Returns the response for the result of a query.
 net::HttpResponse renderQueryReply(const wire::QueryReply &Reply);
 
-/// Returns the response for a call to control that failed. \p Changes is true for commands.
-net::HttpResponse renderControlFailure(const absl::Status &Status, bool Changes);
+/// Returns the response for a call to control that failed. \p Changes is true
+/// for commands.
+net::HttpResponse renderControlFailure(const absl::Status &Status,
+                                       bool Changes);
 
 } // namespace anvil::entry
 
--- a/src/entry/StrictJson.cpp
+++ b/src/entry/StrictJson.cpp
@@ -17,7 +17,8 @@
 
 constexpr size_t MaxDepth = 16;
 
-/// Receives the tokens of a document and stops at a key that its object already has.
+/// Receives the tokens of a document and stops at a key that its object already
+/// has.
 struct DuplicateFinder {
   // Boost.JSON prescribes the names of the bounds and of the functions.
   // NOLINTBEGIN(readability-identifier-naming)
@@ -43,7 +44,9 @@
     m_Levels.pop_back();
     return true;
   }
-  bool on_string_part(json::string_view, size_t, json::error_code &) { return true; }
+  bool on_string_part(json::string_view, size_t, json::error_code &) {
+    return true;
+  }
   bool on_string(json::string_view, size_t, json::error_code &) { return true; }
   bool on_key_part(json::string_view Part, size_t, json::error_code &) {
     m_Partial.append(Part.data(), Part.size());
@@ -61,7 +64,9 @@
   }
   bool on_number_part(json::string_view, json::error_code &) { return true; }
   bool on_int64(int64_t, json::string_view, json::error_code &) { return true; }
-  bool on_uint64(uint64_t, json::string_view, json::error_code &) { return true; }
+  bool on_uint64(uint64_t, json::string_view, json::error_code &) {
+    return true;
+  }
   bool on_double(double, json::string_view, json::error_code &) { return true; }
   bool on_bool(bool, json::error_code &) { return true; }
   bool on_null(json::error_code &) { return true; }
@@ -89,7 +94,8 @@
 
 } // namespace
 
-bool parseStrictObject(std::string_view Text, json::object &Into, JsonProblem &Problem) {
+bool parseStrictObject(std::string_view Text, json::object &Into,
+                       JsonProblem &Problem) {
   json::basic_parser<DuplicateFinder> Finder(parseOptions());
   json::error_code Error;
   const size_t Used = Finder.write_some(false, Text.data(), Text.size(), Error);
@@ -99,9 +105,11 @@
   }
   json::value Document;
   if (!Error)
-    Document = json::parse(json::string_view(Text.data(), Text.size()), Error, {}, parseOptions());
+    Document = json::parse(json::string_view(Text.data(), Text.size()), Error,
+                           {}, parseOptions());
   if (Error) {
-    Problem = {"", absl::StrCat("not valid JSON near byte ", Used, ": ", Error.message())};
+    Problem = {"", absl::StrCat("not valid JSON near byte ", Used, ": ",
+                                Error.message())};
     return false;
   }
   if (!Document.is_object()) {
@@ -124,7 +132,8 @@
   return m_Object.if_contains(json::string_view(Name.data(), Name.size()));
 }
 
-void ObjectReader::text(std::string_view Name, std::string &Value, size_t MinLength, size_t MaxLength) {
+void ObjectReader::text(std::string_view Name, std::string &Value,
+                        size_t MinLength, size_t MaxLength) {
   const json::value *Found = find(Name);
   if (Found == nullptr)
     return;
@@ -132,16 +141,20 @@
     return fail(Name, "must be a string");
   const json::string &Text = Found->get_string();
   if (Text.size() < MinLength || Text.size() > MaxLength)
-    return fail(Name, absl::StrCat("must have ", MinLength, " to ", MaxLength, " bytes"));
+    return fail(Name, absl::StrCat("must have ", MinLength, " to ", MaxLength,
+                                   " bytes"));
   Value.assign(Text.data(), Text.size());
 }
 
-void ObjectReader::integer(std::string_view Name, int64_t &Value, int64_t Min, int64_t Max) {
+void ObjectReader::integer(std::string_view Name, int64_t &Value, int64_t Min,
+                           int64_t Max) {
   const json::value *Found = find(Name);
   if (Found == nullptr)
     return;
-  const std::string Message = absl::StrCat("must be a whole number from ", Min, " to ", Max);
-  if (!Found->is_int64() || Found->get_int64() < Min || Found->get_int64() > Max)
+  const std::string Message =
+      absl::StrCat("must be a whole number from ", Min, " to ", Max);
+  if (!Found->is_int64() || Found->get_int64() < Min ||
+      Found->get_int64() > Max)
     return fail(Name, Message);
   Value = Found->get_int64();
 }
@@ -155,7 +168,9 @@
   Value = Found->get_bool();
 }
 
-void ObjectReader::word(std::string_view Name, const std::vector<std::string_view> &Words, size_t &Position) {
+void ObjectReader::word(std::string_view Name,
+                        const std::vector<std::string_view> &Words,
+                        size_t &Position) {
   std::string Text;
   const json::value *Found = find(Name);
   if (Found == nullptr)
--- a/src/entry/TimelineQuery.cpp
+++ b/src/entry/TimelineQuery.cpp
@@ -21,19 +21,23 @@
   std::string timeline::Subject::*m_Member;
 };
 
-constexpr std::array<SubjectKey, 5> SubjectKeys = {{{"job", &timeline::Subject::m_Job},
-                                                    {"request", &timeline::Subject::m_Request},
-                                                    {"vm", &timeline::Subject::m_Vm},
-                                                    {"workspace", &timeline::Subject::m_Workspace},
-                                                    {"zone", &timeline::Subject::m_AvailabilityZone}}};
+constexpr std::array<SubjectKey, 5> SubjectKeys = {
+    {{"job", &timeline::Subject::m_Job},
+     {"request", &timeline::Subject::m_Request},
+     {"vm", &timeline::Subject::m_Vm},
+     {"workspace", &timeline::Subject::m_Workspace},
+     {"zone", &timeline::Subject::m_AvailabilityZone}}};
 
-void append(std::string &Argument, std::string_view Key, std::string_view Value) {
-  absl::StrAppend(&Argument, Argument.empty() ? "" : "&", toAbsl(Key), "=", toAbsl(Value));
+void append(std::string &Argument, std::string_view Key,
+            std::string_view Value) {
+  absl::StrAppend(&Argument, Argument.empty() ? "" : "&", toAbsl(Key), "=",
+                  toAbsl(Value));
 }
 
 } // namespace
 
-bool readTimelineQuery(std::string_view Query, TimelineQuery &Into, std::string &Field) {
+bool readTimelineQuery(std::string_view Query, TimelineQuery &Into,
+                       std::string &Field) {
   for (const SubjectKey &Each : SubjectKeys) {
     const std::optional<std::string> Value = queryValue(Query, Each.m_Name);
     if (!Value)
@@ -55,14 +59,20 @@
   return Into.m_Text || Format == "json";
 }
 
-net::HttpResponse renderTimeline(const TimelineQuery &Query, const timeline::Recorder &Own, std::string_view Control) {
-  std::vector<std::vector<timeline::Event>> Sources = {Own.select(Query.m_Filter)};
-  absl::StatusOr<std::vector<timeline::Event>> Others = timeline::fromJson(Control);
+net::HttpResponse renderTimeline(const TimelineQuery &Query,
+                                 const timeline::Recorder &Own,
+                                 std::string_view Control) {
+  std::vector<std::vector<timeline::Event>> Sources = {
+      Own.select(Query.m_Filter)};
+  absl::StatusOr<std::vector<timeline::Event>> Others =
+      timeline::fromJson(Control);
   if (Others.ok())
     Sources.push_back(std::move(*Others));
-  const std::vector<timeline::Event> Events = timeline::merge(Sources, Query.m_Filter.m_Limit);
+  const std::vector<timeline::Event> Events =
+      timeline::merge(Sources, Query.m_Filter.m_Limit);
   net::HttpResponse Response;
-  Response.m_Body = Query.m_Text ? timeline::toText(Events) : timeline::toJson(Events);
+  Response.m_Body =
+      Query.m_Text ? timeline::toText(Events) : timeline::toJson(Events);
   if (Query.m_Text)
     Response.m_ContentType = "text/plain; charset=utf-8";
   if (!Others.ok())
--- a/src/entry/TimelineQuery.h
+++ b/src/entry/TimelineQuery.h
@@ -18,12 +18,16 @@
 
 /// Reads the query of a request.
 /// \returns false and names the wrong key in \p Field.
-bool readTimelineQuery(std::string_view Query, TimelineQuery &Into, std::string &Field);
+bool readTimelineQuery(std::string_view Query, TimelineQuery &Into,
+                       std::string &Field);
 
-/// Returns the response with the events of this entry and, if \p Control is the text of a time line, those of control.
+/// Returns the response with the events of this entry and, if \p Control is the
+/// text of a time line, those of control.
 ///
 /// Without control's events the response has `Anvil-Partial: true`.
-net::HttpResponse renderTimeline(const TimelineQuery &Query, const timeline::Recorder &Own, std::string_view Control);
+net::HttpResponse renderTimeline(const TimelineQuery &Query,
+                                 const timeline::Recorder &Own,
+                                 std::string_view Control);
 
 } // namespace anvil::entry
 
--- a/src/member/FailureDetector.cpp
+++ b/src/member/FailureDetector.cpp
@@ -4,7 +4,9 @@
 
 namespace anvil::member {
 
-void FailureDetector::watch(const VmId &Vm, TimePoint Now) { m_LastHeard.try_emplace(Vm, Now); }
+void FailureDetector::watch(const VmId &Vm, TimePoint Now) {
+  m_LastHeard.try_emplace(Vm, Now);
+}
 
 void FailureDetector::forget(const VmId &Vm) { m_LastHeard.erase(Vm); }
 
--- a/src/metrics/Metrics.cpp
+++ b/src/metrics/Metrics.cpp
@@ -19,11 +19,13 @@
 namespace acc = boost::accumulators;
 
 constexpr std::array<double, 4> Shares = {0.5, 0.9, 0.99, 0.999};
-// The P-square estimate starts after two markers for each quantile; until then the times themselves are kept.
+// The P-square estimate starts after two markers for each quantile; until then
+// the times themselves are kept.
 constexpr size_t ExactTimes = 16;
 
 using Accumulator = acc::accumulator_set<
-    double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max, acc::tag::extended_p_square_quantile>>;
+    double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max,
+                       acc::tag::extended_p_square_quantile>>;
 
 std::string formatNumber(double Value) {
   std::array<char, 40> Text{};
@@ -58,7 +60,8 @@
       return 0;
     std::vector<double> Sorted = m_First;
     std::sort(Sorted.begin(), Sorted.end());
-    return Sorted[static_cast<size_t>(Share * static_cast<double>(Sorted.size()))];
+    return Sorted[static_cast<size_t>(Share *
+                                      static_cast<double>(Sorted.size()))];
   }
 };
 
@@ -82,30 +85,41 @@
   return Result;
 }
 
-int64_t TimeSummary::count() const { return static_cast<int64_t>(acc::count(m_Impl->m_Times)); }
+int64_t TimeSummary::count() const {
+  return static_cast<int64_t>(acc::count(m_Impl->m_Times));
+}
 
 double TimeSummary::sumSeconds() const { return acc::sum(m_Impl->m_Times); }
 
-double TimeSummary::maxSeconds() const { return count() > 0 ? acc::max(m_Impl->m_Times) : 0; }
+double TimeSummary::maxSeconds() const {
+  return count() > 0 ? acc::max(m_Impl->m_Times) : 0;
+}
 
-void PrometheusText::head(std::string_view Name, std::string_view Help, std::string_view Type) {
+void PrometheusText::head(std::string_view Name, std::string_view Help,
+                          std::string_view Type) {
   m_Name = Name;
   m_Text.append("# HELP ").append(Name).append(" ").append(Help).append("\n");
   m_Text.append("# TYPE ").append(Name).append(" ").append(Type).append("\n");
 }
 
-void PrometheusText::line(std::string_view Name, double Value, const std::vector<Label> &Labels) {
+void PrometheusText::line(std::string_view Name, double Value,
+                          const std::vector<Label> &Labels) {
   m_Text.append(Name);
   for (size_t Index = 0; Index < Labels.size(); ++Index) {
     m_Text.append(Index == 0 ? "{" : ",").append(Labels[Index].m_Name);
     m_Text.append("=\"").append(escaped(Labels[Index].m_Value)).append("\"");
   }
-  m_Text.append(Labels.empty() ? " " : "} ").append(formatNumber(Value)).append("\n");
+  m_Text.append(Labels.empty() ? " " : "} ")
+      .append(formatNumber(Value))
+      .append("\n");
 }
 
-void PrometheusText::sample(double Value, const std::vector<Label> &Labels) { line(m_Name, Value, Labels); }
+void PrometheusText::sample(double Value, const std::vector<Label> &Labels) {
+  line(m_Name, Value, Labels);
+}
 
-void PrometheusText::summary(std::string_view Name, std::string_view Help, const TimeSummary &Times) {
+void PrometheusText::summary(std::string_view Name, std::string_view Help,
+                             const TimeSummary &Times) {
   head(Name, Help, "summary");
   for (const TimeSummary::Quantile &Each : Times.quantiles())
     line(Name, Each.m_Seconds, {{"quantile", formatNumber(Each.m_Share)}});
--- a/src/net/Endpoint.cpp
+++ b/src/net/Endpoint.cpp
@@ -18,7 +18,8 @@
 
 absl::StatusOr<Endpoint> parseEndpoint(std::string_view Text) {
   const auto Bad = [&] {
-    return absl::InvalidArgumentError(absl::StrCat("'", toAbsl(Text), "' is not an IP number and port (ip:port)"));
+    return absl::InvalidArgumentError(absl::StrCat(
+        "'", toAbsl(Text), "' is not an IP number and port (ip:port)"));
   };
   const size_t Colon = Text.rfind(':');
   if (Colon == std::string_view::npos || Colon == 0)
@@ -29,14 +30,16 @@
   boost::system::error_code Error;
   boost::asio::ip::make_address(Host, Error);
   uint32_t Port = 0;
-  if (Error || !absl::SimpleAtoi(toAbsl(Text.substr(Colon + 1)), &Port) || Port > UINT16_MAX)
+  if (Error || !absl::SimpleAtoi(toAbsl(Text.substr(Colon + 1)), &Port) ||
+      Port > UINT16_MAX)
     return Bad();
   return Endpoint{std::move(Host), static_cast<uint16_t>(Port)};
 }
 
 absl::StatusOr<std::vector<Endpoint>> parseEndpoints(std::string_view Text) {
   std::vector<Endpoint> Result;
-  for (absl::string_view Part : absl::StrSplit(toAbsl(Text), ',', absl::SkipEmpty())) {
+  for (absl::string_view Part :
+       absl::StrSplit(toAbsl(Text), ',', absl::SkipEmpty())) {
     absl::StatusOr<Endpoint> One = parseEndpoint(fromAbsl(Part));
     if (!One.ok())
       return One.status();
--- a/src/net/FrameStream.cpp
+++ b/src/net/FrameStream.cpp
@@ -17,10 +17,11 @@
 }
 
 std::string toJson(const RpcCounters &Counters) {
-  return absl::StrCat("{\"rpc_bytes_sent\":", Counters.m_BytesSent,
-                      ",\"rpc_bytes_received\":", Counters.m_BytesReceived,
-                      ",\"silent_connections_closed\":", Counters.m_SilentConnectionsClosed,
-                      ",\"late_responses_dropped\":", Counters.m_LateResponsesDropped, "}");
+  return absl::StrCat(
+      "{\"rpc_bytes_sent\":", Counters.m_BytesSent,
+      ",\"rpc_bytes_received\":", Counters.m_BytesReceived,
+      ",\"silent_connections_closed\":", Counters.m_SilentConnectionsClosed,
+      ",\"late_responses_dropped\":", Counters.m_LateResponsesDropped, "}");
 }
 
 namespace internal {
@@ -50,7 +51,8 @@
 } // namespace
 
 FrameStream::FrameStream(Tcp::socket Socket, const RpcOptions &Options)
-    : m_Socket(std::move(Socket)), m_Timer(m_Socket.get_executor()), m_Options(Options), m_Peer(describePeer(m_Socket)),
+    : m_Socket(std::move(Socket)), m_Timer(m_Socket.get_executor()),
+      m_Options(Options), m_Peer(describePeer(m_Socket)),
       m_LastReceived(std::chrono::steady_clock::now()) {
   boost::system::error_code Ignored;
   m_Socket.set_option(Tcp::no_delay(true), Ignored);
@@ -63,12 +65,15 @@
 
 absl::Status FrameStream::send(const wire::Frame &Frame) {
   if (m_Closed)
-    return makeLayerError(absl::StatusCode::kUnavailable, RpcErrc::NotSent, "connection is closed");
+    return makeLayerError(absl::StatusCode::kUnavailable, RpcErrc::NotSent,
+                          "connection is closed");
   std::string Bytes = frameBytes(stamped(Frame));
   if (Bytes.size() > m_Options.m_MaxFrameBytes + HeaderBytes)
-    return makeLayerError(absl::StatusCode::kResourceExhausted, RpcErrc::Overloaded, "frame exceeds the size limit");
+    return makeLayerError(absl::StatusCode::kResourceExhausted,
+                          RpcErrc::Overloaded, "frame exceeds the size limit");
   if (m_QueuedBytes + Bytes.size() > m_Options.m_MaxQueuedBytes)
-    return makeLayerError(absl::StatusCode::kResourceExhausted, RpcErrc::Overloaded, "send queue is full");
+    return makeLayerError(absl::StatusCode::kResourceExhausted,
+                          RpcErrc::Overloaded, "send queue is full");
   m_QueuedBytes += Bytes.size();
   m_Queue.push_back(std::move(Bytes));
   if (!m_Writing)
@@ -92,60 +97,69 @@
   }
   m_Writing = true;
   auto Self = shared_from_this();
-  boost::asio::async_write(m_Socket, boost::asio::buffer(m_Queue.front()),
-                           [Self](boost::system::error_code Error, size_t Size) {
-                             if (Error) {
-                               Self->close(absl::UnavailableError(absl::StrCat("write failed: ", Error.message())));
-                               return;
-                             }
-                             rpcCounters().m_BytesSent += static_cast<int64_t>(Size);
-                             Self->m_QueuedBytes -= Self->m_Queue.front().size();
-                             Self->m_Queue.pop_front();
-                             Self->writeNext();
-                           });
+  boost::asio::async_write(
+      m_Socket, boost::asio::buffer(m_Queue.front()),
+      [Self](boost::system::error_code Error, size_t Size) {
+        if (Error) {
+          Self->close(absl::UnavailableError(
+              absl::StrCat("write failed: ", Error.message())));
+          return;
+        }
+        rpcCounters().m_BytesSent += static_cast<int64_t>(Size);
+        Self->m_QueuedBytes -= Self->m_Queue.front().size();
+        Self->m_Queue.pop_front();
+        Self->writeNext();
+      });
 }
 
 void FrameStream::readHeader() {
   auto Self = shared_from_this();
-  boost::asio::async_read(m_Socket, boost::asio::buffer(m_Header), [Self](boost::system::error_code Error, size_t) {
-    if (Error) {
-      Self->close(absl::UnavailableError(absl::StrCat("read failed: ", Error.message())));
-      return;
-    }
-    size_t Size = 0;
-    for (unsigned char Byte : Self->m_Header)
-      Size = (Size << 8) | Byte;
-    Self->readBody(Size);
-  });
+  boost::asio::async_read(m_Socket, boost::asio::buffer(m_Header),
+                          [Self](boost::system::error_code Error, size_t) {
+                            if (Error) {
+                              Self->close(absl::UnavailableError(absl::StrCat(
+                                  "read failed: ", Error.message())));
+                              return;
+                            }
+                            size_t Size = 0;
+                            for (unsigned char Byte : Self->m_Header)
+                              Size = (Size << 8) | Byte;
+                            Self->readBody(Size);
+                          });
 }
 
 void FrameStream::readBody(size_t Size) {
   if (Size == 0 || Size > m_Options.m_MaxFrameBytes) {
-    close(makeLayerError(absl::StatusCode::kInvalidArgument, RpcErrc::Malformed,
-                         absl::StrCat("frame of ", Size, " bytes is outside the limit")));
+    close(makeLayerError(
+        absl::StatusCode::kInvalidArgument, RpcErrc::Malformed,
+        absl::StrCat("frame of ", Size, " bytes is outside the limit")));
     return;
   }
   m_Body.resize(Size);
   auto Self = shared_from_this();
-  boost::asio::async_read(m_Socket, boost::asio::buffer(m_Body), [Self](boost::system::error_code Error, size_t) {
-    if (Error) {
-      Self->close(absl::UnavailableError(absl::StrCat("read failed: ", Error.message())));
-      return;
-    }
-    Self->handleBody();
-  });
+  boost::asio::async_read(m_Socket, boost::asio::buffer(m_Body),
+                          [Self](boost::system::error_code Error, size_t) {
+                            if (Error) {
+                              Self->close(absl::UnavailableError(absl::StrCat(
+                                  "read failed: ", Error.message())));
+                              return;
+                            }
+                            Self->handleBody();
+                          });
 }
 
 void FrameStream::handleBody() {
   m_LastReceived = std::chrono::steady_clock::now();
   m_PingOutstanding = false;
-  rpcCounters().m_BytesReceived += static_cast<int64_t>(m_Body.size() + HeaderBytes);
+  rpcCounters().m_BytesReceived +=
+      static_cast<int64_t>(m_Body.size() + HeaderBytes);
   wire::Frame Frame;
   absl::Status Status = decodeStruct(m_Body, Frame);
   if (Status.ok() && Frame.version != wire::g_anvil_constants.PROTOCOL_VERSION)
     Status = makeLayerError(
         absl::StatusCode::kInvalidArgument, RpcErrc::Malformed,
-        absl::StrCat("protocol version ", Frame.version, ", expected ", wire::g_anvil_constants.PROTOCOL_VERSION));
+        absl::StrCat("protocol version ", Frame.version, ", expected ",
+                     wire::g_anvil_constants.PROTOCOL_VERSION));
   if (!Status.ok()) {
     close(Status);
     return;
@@ -155,7 +169,8 @@
   if (Frame.kind == wire::FrameKind::PING) {
     wire::Frame Pong;
     Pong.kind = wire::FrameKind::PONG;
-    // A full queue already counts as activity, so a pong that can't be queued is dropped.
+    // A full queue already counts as activity, so a pong that can't be queued
+    // is dropped.
     send(Pong).IgnoreError();
   } else if (Frame.kind != wire::FrameKind::PONG && m_OnFrame) {
     m_OnFrame(std::move(Frame));
--- a/src/net/FrameStream.h
+++ b/src/net/FrameStream.h
@@ -15,10 +15,11 @@
 
 namespace anvil::net::internal {
 
-/// Carries frames over one TCP connection and closes it when it fails or goes silent.
+/// Carries frames over one TCP connection and closes it when it fails or goes
+/// silent.
 ///
-/// Usage: create with an open socket, set the hooks, call start(). OnClosed runs once, with the reason, and the
-/// hooks are released after it.
+/// Usage: create with an open socket, set the hooks, call start(). OnClosed
+/// runs once, with the reason, and the hooks are released after it.
 class FrameStream : public std::enable_shared_from_this<FrameStream> {
 public:
   using Tcp = boost::asio::ip::tcp;
@@ -29,7 +30,8 @@
 
   /// Starts reading and the liveness check.
   void start();
-  /// Queues a frame. \returns RpcErrc::Overloaded past the bound of queued bytes, or NotSent if closed.
+  /// Queues a frame. \returns RpcErrc::Overloaded past the bound of queued
+  /// bytes, or NotSent if closed.
   absl::Status send(const wire::Frame &Frame);
   /// Closes the connection with \p Reason; later calls do nothing.
   void close(const absl::Status &Reason);
--- a/src/net/Http.cpp
+++ b/src/net/Http.cpp
@@ -10,7 +10,8 @@
 
 namespace anvil::net {
 
-std::optional<std::string_view> HttpRequest::field(std::string_view Name) const {
+std::optional<std::string_view>
+HttpRequest::field(std::string_view Name) const {
   for (const HttpField &Each : m_Fields) {
     if (equalsIgnoringCase(Each.m_Name, Name))
       return Each.m_Value;
@@ -19,13 +20,19 @@
 }
 
 size_t HttpRequest::fieldCount(std::string_view Name) const {
-  const auto Matches = [Name](const HttpField &Each) { return equalsIgnoringCase(Each.m_Name, Name); };
-  return static_cast<size_t>(std::count_if(m_Fields.begin(), m_Fields.end(), Matches));
+  const auto Matches = [Name](const HttpField &Each) {
+    return equalsIgnoringCase(Each.m_Name, Name);
+  };
+  return static_cast<size_t>(
+      std::count_if(m_Fields.begin(), m_Fields.end(), Matches));
 }
 
-std::string HttpRequest::target() const { return m_Query.empty() ? m_Path : m_Path + "?" + m_Query; }
+std::string HttpRequest::target() const {
+  return m_Query.empty() ? m_Path : m_Path + "?" + m_Query;
+}
 
-HttpResponse makeHttpError(int Status, std::string_view Code, std::string_view Message, std::string_view Field) {
+HttpResponse makeHttpError(int Status, std::string_view Code,
+                           std::string_view Message, std::string_view Field) {
   boost::json::object Error;
   Error["code"] = boost::json::string_view(Code.data(), Code.size());
   Error["message"] = boost::json::string_view(Message.data(), Message.size());
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -27,19 +27,24 @@
 using ErrorCode = boost::system::error_code;
 using SteadyTime = std::chrono::steady_clock::time_point;
 
-absl::Status clientError(absl::StatusCode Kind, HttpClientErrc Code, std::string_view Text) {
+absl::Status clientError(absl::StatusCode Kind, HttpClientErrc Code,
+                         std::string_view Text) {
   return makeLayerError(Kind, Code, Text);
 }
 
-absl::Status unavailable(HttpClientErrc Code, std::string_view What, const ErrorCode &Error) {
-  return clientError(absl::StatusCode::kUnavailable, Code, std::string(What) + ": " + Error.message());
+absl::Status unavailable(HttpClientErrc Code, std::string_view What,
+                         const ErrorCode &Error) {
+  return clientError(absl::StatusCode::kUnavailable, Code,
+                     std::string(What) + ": " + Error.message());
 }
 
 std::string serialise(const HttpClientRequest &Request, const Endpoint &Peer) {
-  std::string Text = absl::StrCat(Request.m_Method, " ", Request.m_Target, " HTTP/1.1\r\nHost: ", Peer.str(), "\r\n");
+  std::string Text = absl::StrCat(Request.m_Method, " ", Request.m_Target,
+                                  " HTTP/1.1\r\nHost: ", Peer.str(), "\r\n");
   for (const HttpField &Field : Request.m_Fields)
     absl::StrAppend(&Text, Field.m_Name, ": ", Field.m_Value, "\r\n");
-  absl::StrAppend(&Text, "Connection: keep-alive\r\nContent-Length: ", Request.m_Body.size(), "\r\n\r\n");
+  absl::StrAppend(&Text, "Connection: keep-alive\r\nContent-Length: ",
+                  Request.m_Body.size(), "\r\n\r\n");
   return Text + Request.m_Body;
 }
 
@@ -56,18 +61,21 @@
     if (hasControlCharacter(Field.m_Name) || hasControlCharacter(Field.m_Value))
       return false;
   const std::string Line = Request.m_Method + Request.m_Target;
-  return !Request.m_Target.empty() && !hasControlCharacter(Line) && Line.find(' ') == std::string::npos;
+  return !Request.m_Target.empty() && !hasControlCharacter(Line) &&
+         Line.find(' ') == std::string::npos;
 }
 
 struct Connection {
   explicit Connection(boost::asio::io_context &Io) : m_Socket(Io) {}
 
-  // A peer that closed shows as readable with no bytes; unexpected bytes make the connection unusable as well.
+  // A peer that closed shows as readable with no bytes; unexpected bytes make
+  // the connection unusable as well.
   bool quiet() {
     ErrorCode Error;
     m_Socket.non_blocking(true, Error);
     char Byte = 0;
-    m_Socket.receive(boost::asio::buffer(&Byte, 1), tcp::socket::message_peek, Error);
+    m_Socket.receive(boost::asio::buffer(&Byte, 1), tcp::socket::message_peek,
+                     Error);
     return Error == boost::asio::error::would_block;
   }
 
@@ -97,7 +105,8 @@
   Impl(boost::asio::io_context &Io, Endpoint Peer, HttpClientOptions Options)
       : m_Io(Io), m_Peer(std::move(Peer)), m_Options(Options) {}
 
-  uint64_t send(const HttpClientRequest &Request, Duration Deadline, HttpExchangeDone Done);
+  uint64_t send(const HttpClientRequest &Request, Duration Deadline,
+                HttpExchangeDone Done);
   void begin(const ExchangePtr &Item, Duration Deadline);
   std::shared_ptr<Connection> takeIdle();
   void connect(const ExchangePtr &Item, Duration Deadline);
@@ -116,32 +125,37 @@
   std::map<uint64_t, ExchangePtr> m_Open;
   std::deque<std::shared_ptr<Connection>> m_Idle;
   uint64_t m_NextId = 0;
-  bool m_Closed = false; ///< The client was destroyed; nothing is reported any more.
+  bool m_Closed =
+      false; ///< The client was destroyed; nothing is reported any more.
 };
 
 absl::StatusOr<tcp::endpoint> HttpClient::Impl::target() const {
   ErrorCode Error;
   const auto Address = boost::asio::ip::make_address(m_Peer.m_Address, Error);
   if (Error)
-    return clientError(absl::StatusCode::kInvalidArgument, HttpClientErrc::Connect, "address is not an IP number");
+    return clientError(absl::StatusCode::kInvalidArgument,
+                       HttpClientErrc::Connect, "address is not an IP number");
   return tcp::endpoint(Address, m_Peer.m_Port);
 }
 
-uint64_t HttpClient::Impl::send(const HttpClientRequest &Request, Duration Deadline, HttpExchangeDone Done) {
+uint64_t HttpClient::Impl::send(const HttpClientRequest &Request,
+                                Duration Deadline, HttpExchangeDone Done) {
   auto Item = std::make_shared<Exchange>(m_Io);
   Item->m_Id = ++m_NextId;
   Item->m_Done = std::move(Done);
   Item->m_Head = Request.m_Method == "HEAD";
   m_Open.emplace(Item->m_Id, Item);
   if (!wellFormed(Request)) {
-    fail(Item, clientError(absl::StatusCode::kInvalidArgument, HttpClientErrc::Write,
-                           "request line or header contains a control character"));
+    fail(Item,
+         clientError(absl::StatusCode::kInvalidArgument, HttpClientErrc::Write,
+                     "request line or header contains a control character"));
     return Item->m_Id;
   }
   Item->m_Text = serialise(Request, m_Peer);
   if (m_Open.size() > m_Options.m_MaxConnections) {
     fail(Item,
-         clientError(absl::StatusCode::kResourceExhausted, HttpClientErrc::Overloaded, "all connections are in use"));
+         clientError(absl::StatusCode::kResourceExhausted,
+                     HttpClientErrc::Overloaded, "all connections are in use"));
     return Item->m_Id;
   }
   begin(Item, Deadline);
@@ -150,12 +164,15 @@
 
 void HttpClient::Impl::begin(const ExchangePtr &Item, Duration Deadline) {
   Item->m_Deadline.expires_after(Deadline);
-  Item->m_Deadline.async_wait([Self = shared_from_this(), Item](const ErrorCode &Error) {
-    if (Error)
-      return;
-    const auto Code = Item->m_Connected ? HttpClientErrc::Deadline : HttpClientErrc::Connect;
-    Self->fail(Item, clientError(absl::StatusCode::kDeadlineExceeded, Code, "deadline of the exchange passed"));
-  });
+  Item->m_Deadline.async_wait(
+      [Self = shared_from_this(), Item](const ErrorCode &Error) {
+        if (Error)
+          return;
+        const auto Code = Item->m_Connected ? HttpClientErrc::Deadline
+                                            : HttpClientErrc::Connect;
+        Self->fail(Item, clientError(absl::StatusCode::kDeadlineExceeded, Code,
+                                     "deadline of the exchange passed"));
+      });
   Item->m_Link = takeIdle();
   if (Item->m_Link) {
     Item->m_Connected = true;
@@ -165,7 +182,8 @@
 }
 
 std::shared_ptr<Connection> HttpClient::Impl::takeIdle() {
-  const SteadyTime Oldest = std::chrono::steady_clock::now() - m_Options.m_IdleLimit;
+  const SteadyTime Oldest =
+      std::chrono::steady_clock::now() - m_Options.m_IdleLimit;
   while (!m_Idle.empty()) {
     std::shared_ptr<Connection> Link = std::move(m_Idle.back());
     m_Idle.pop_back();
@@ -179,21 +197,27 @@
   const absl::StatusOr<tcp::endpoint> Target = target();
   if (!Target.ok())
     return fail(Item, Target.status());
-  while (m_Open.size() + m_Idle.size() > m_Options.m_MaxConnections && !m_Idle.empty())
+  while (m_Open.size() + m_Idle.size() > m_Options.m_MaxConnections &&
+         !m_Idle.empty())
     m_Idle.pop_front();
   Item->m_Link = std::make_shared<Connection>(m_Io);
-  auto Limit = std::make_shared<boost::asio::steady_timer>(m_Io, std::min(Deadline, m_Options.m_ConnectTimeout));
+  auto Limit = std::make_shared<boost::asio::steady_timer>(
+      m_Io, std::min(Deadline, m_Options.m_ConnectTimeout));
   Limit->async_wait([Self = shared_from_this(), Item](const ErrorCode &Error) {
     if (!Error && !Item->m_Connected)
-      Self->fail(Item, clientError(absl::StatusCode::kDeadlineExceeded, HttpClientErrc::Connect, "connect timed out"));
+      Self->fail(Item,
+                 clientError(absl::StatusCode::kDeadlineExceeded,
+                             HttpClientErrc::Connect, "connect timed out"));
   });
   Item->m_Link->m_Socket.async_connect(
-      *Target, [Self = shared_from_this(), Item, Limit, Link = Item->m_Link](const ErrorCode &Error) {
+      *Target, [Self = shared_from_this(), Item, Limit,
+                Link = Item->m_Link](const ErrorCode &Error) {
         Limit->cancel();
         if (!Item->m_Done)
           return;
         if (Error)
-          return Self->fail(Item, unavailable(HttpClientErrc::Connect, "connect failed", Error));
+          return Self->fail(Item, unavailable(HttpClientErrc::Connect,
+                                              "connect failed", Error));
         Item->m_Connected = true;
         ErrorCode Ignored;
         Link->m_Socket.set_option(tcp::no_delay(true), Ignored);
@@ -206,45 +230,62 @@
   Item->m_AnyByteSent = true;
   boost::asio::async_write(
       Item->m_Link->m_Socket, boost::asio::buffer(Item->m_Text),
-      [Self = shared_from_this(), Item, Link = Item->m_Link](const ErrorCode &Error, size_t Written) {
+      [Self = shared_from_this(), Item,
+       Link = Item->m_Link](const ErrorCode &Error, size_t Written) {
         if (!Item->m_Done)
           return;
         if (!Error)
           return Self->read(Item);
         Item->m_AnyByteSent = Written > 0;
-        Self->fail(Item, unavailable(HttpClientErrc::Write, "write failed", Error));
+        Self->fail(Item,
+                   unavailable(HttpClientErrc::Write, "write failed", Error));
       });
 }
 
 void HttpClient::Impl::read(const ExchangePtr &Item) {
   Item->m_Text = std::string();
   Item->m_Parser.emplace();
-  Item->m_Parser->header_limit(static_cast<uint32_t>(m_Options.m_MaxHeaderBytes));
+  Item->m_Parser->header_limit(
+      static_cast<uint32_t>(m_Options.m_MaxHeaderBytes));
   Item->m_Parser->body_limit(m_Options.m_MaxBodyBytes);
   Item->m_Parser->skip(Item->m_Head);
-  http::async_read(Item->m_Link->m_Socket, Item->m_Link->m_Buffer, *Item->m_Parser,
-                   [Self = shared_from_this(), Item, Link = Item->m_Link](const ErrorCode &Error, size_t) {
+  http::async_read(Item->m_Link->m_Socket, Item->m_Link->m_Buffer,
+                   *Item->m_Parser,
+                   [Self = shared_from_this(), Item,
+                    Link = Item->m_Link](const ErrorCode &Error, size_t) {
                      if (Item->m_Done)
                        Self->onRead(Item, Error);
                    });
 }
 
 void HttpClient::Impl::onRead(const ExchangePtr &Item, const ErrorCode &Error) {
-  if (Error == http::error::body_limit || Error == http::error::header_limit || Error == http::error::buffer_overflow)
-    return fail(Item, clientError(absl::StatusCode::kResourceExhausted, HttpClientErrc::TooLarge,
+  if (Error == http::error::body_limit || Error == http::error::header_limit ||
+      Error == http::error::buffer_overflow)
+    return fail(Item, clientError(absl::StatusCode::kResourceExhausted,
+                                  HttpClientErrc::TooLarge,
                                   "response exceeds the limit"));
-  if (Error == http::error::partial_message || Error == http::error::end_of_stream)
-    return fail(Item, unavailable(HttpClientErrc::Read, "connection ended before the response was whole", Error));
-  if (Error && Error.category() == http::make_error_code(http::error::bad_version).category())
-    return fail(Item, unavailable(HttpClientErrc::Malformed, "response is malformed", Error));
+  if (Error == http::error::partial_message ||
+      Error == http::error::end_of_stream)
+    return fail(Item,
+                unavailable(HttpClientErrc::Read,
+                            "connection ended before the response was whole",
+                            Error));
+  if (Error && Error.category() ==
+                   http::make_error_code(http::error::bad_version).category())
+    return fail(Item, unavailable(HttpClientErrc::Malformed,
+                                  "response is malformed", Error));
   if (Error)
     return fail(Item, unavailable(HttpClientErrc::Read, "read failed", Error));
   if (Item->m_Parser->need_eof() && !Item->m_Head)
-    return fail(Item, clientError(absl::StatusCode::kUnavailable, HttpClientErrc::Malformed,
-                                  "response has neither Content-Length nor chunks"));
+    return fail(Item,
+                clientError(absl::StatusCode::kUnavailable,
+                            HttpClientErrc::Malformed,
+                            "response has neither Content-Length nor chunks"));
   if (Item->m_Parser->get().result_int() < 200)
-    return fail(Item, clientError(absl::StatusCode::kUnavailable, HttpClientErrc::Malformed,
-                                  "interim response where a final one was expected"));
+    return fail(Item,
+                clientError(absl::StatusCode::kUnavailable,
+                            HttpClientErrc::Malformed,
+                            "interim response where a final one was expected"));
   succeed(Item);
 }
 
@@ -254,7 +295,8 @@
   Result.m_HttpStatus = static_cast<int>(Response.result_int());
   const auto Type = Response[http::field::content_type];
   Result.m_ContentType = std::string(Type.data(), Type.size());
-  const bool Reusable = Response.keep_alive() && Item->m_Link->m_Buffer.size() == 0;
+  const bool Reusable =
+      Response.keep_alive() && Item->m_Link->m_Buffer.size() == 0;
   Result.m_Body = std::move(Response.body());
   if (Reusable) {
     Item->m_Link->m_IdleSince = std::chrono::steady_clock::now();
@@ -276,7 +318,8 @@
     Item->m_Link->m_Socket.close(Ignored);
   }
   release(Item);
-  boost::asio::post(m_Io, [Self = shared_from_this(), Done = std::exchange(Item->m_Done, nullptr),
+  boost::asio::post(m_Io, [Self = shared_from_this(),
+                           Done = std::exchange(Item->m_Done, nullptr),
                            Result = std::move(Result)]() mutable {
     if (!Self->m_Closed)
       Done(std::move(Result));
@@ -292,26 +335,30 @@
 void HttpClient::Impl::probe(std::function<void(bool)> Done) {
   const absl::StatusOr<tcp::endpoint> Target = target();
   if (!Target.ok())
-    return boost::asio::post(m_Io, [Self = shared_from_this(), Done = std::move(Done)] {
-      if (!Self->m_Closed)
-        Done(false);
-    });
+    return boost::asio::post(
+        m_Io, [Self = shared_from_this(), Done = std::move(Done)] {
+          if (!Self->m_Closed)
+            Done(false);
+        });
   auto Link = std::make_shared<Connection>(m_Io);
-  auto Limit = std::make_shared<boost::asio::steady_timer>(m_Io, m_Options.m_ConnectTimeout);
+  auto Limit = std::make_shared<boost::asio::steady_timer>(
+      m_Io, m_Options.m_ConnectTimeout);
   Limit->async_wait([Link](const ErrorCode &Error) {
     ErrorCode Ignored;
     if (!Error)
       Link->m_Socket.close(Ignored);
   });
   Link->m_Socket.async_connect(
-      *Target, [Self = shared_from_this(), Link, Limit, Done = std::move(Done)](const ErrorCode &Error) {
+      *Target, [Self = shared_from_this(), Link, Limit,
+                Done = std::move(Done)](const ErrorCode &Error) {
         Limit->cancel();
         if (!Self->m_Closed)
           Done(!Error);
       });
 }
 
-HttpClient::HttpClient(std::shared_ptr<Impl> State) : m_Impl(std::move(State)) {}
+HttpClient::HttpClient(std::shared_ptr<Impl> State)
+    : m_Impl(std::move(State)) {}
 
 HttpClient::~HttpClient() {
   m_Impl->m_Closed = true;
@@ -320,11 +367,15 @@
   m_Impl->m_Idle.clear();
 }
 
-std::unique_ptr<HttpClient> HttpClient::create(boost::asio::io_context &Io, Endpoint Peer, HttpClientOptions Options) {
-  return std::unique_ptr<HttpClient>(new HttpClient(std::make_shared<Impl>(Io, std::move(Peer), Options)));
+std::unique_ptr<HttpClient> HttpClient::create(boost::asio::io_context &Io,
+                                               Endpoint Peer,
+                                               HttpClientOptions Options) {
+  return std::unique_ptr<HttpClient>(
+      new HttpClient(std::make_shared<Impl>(Io, std::move(Peer), Options)));
 }
 
-uint64_t HttpClient::send(const HttpClientRequest &Request, Duration Deadline, HttpExchangeDone Done) {
+uint64_t HttpClient::send(const HttpClientRequest &Request, Duration Deadline,
+                          HttpExchangeDone Done) {
   return m_Impl->send(Request, Deadline, std::move(Done));
 }
 
@@ -333,11 +384,17 @@
   if (Found == m_Impl->m_Open.end())
     return;
   const ExchangePtr Item = Found->second;
-  m_Impl->fail(Item, clientError(absl::StatusCode::kCancelled, HttpClientErrc::Abandoned, "exchange was abandoned"));
+  m_Impl->fail(Item, clientError(absl::StatusCode::kCancelled,
+                                 HttpClientErrc::Abandoned,
+                                 "exchange was abandoned"));
 }
 
-void HttpClient::probe(std::function<void(bool)> Done) { m_Impl->probe(std::move(Done)); }
+void HttpClient::probe(std::function<void(bool)> Done) {
+  m_Impl->probe(std::move(Done));
+}
 
-size_t HttpClient::connectionCount() const { return m_Impl->m_Open.size() + m_Impl->m_Idle.size(); }
+size_t HttpClient::connectionCount() const {
+  return m_Impl->m_Open.size() + m_Impl->m_Idle.size();
+}
 
 } // namespace anvil::net
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -16,7 +16,8 @@
 using boost::asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
-// Delay before accepting again after accept() failed, which happens when the process has no free file descriptor.
+// Delay before accepting again after accept() failed, which happens when the
+// process has no free file descriptor.
 constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(100);
 
 struct RefusalText {
@@ -27,34 +28,49 @@
 };
 
 constexpr std::array<RefusalText, HttpRefusalCount> RefusalTexts = {{
-    {HttpRefusal::Malformed, 400, "malformed", "the request is not valid HTTP/1.1"},
-    {HttpRefusal::HeaderTooLarge, 431, "header-too-large", "the headers exceed the limit"},
-    {HttpRefusal::BodyTooLarge, 413, "body-too-large", "the body exceeds the limit"},
-    {HttpRefusal::Truncated, 400, "truncated", "the connection was closed before the end of the request"},
-    {HttpRefusal::TooSlow, 408, "too-slow", "the request was not received within the time limit"},
-    {HttpRefusal::UnsupportedMethod, 405, "unsupported-method", "the method is not supported"},
-    {HttpRefusal::TooManyConnections, 503, "too-many-connections", "the limit of open connections is reached"},
-    {HttpRefusal::TooManyRequests, 503, "too-many-requests", "the limit of requests in progress is reached"},
-    {HttpRefusal::TooManyBytes, 503, "too-many-bytes", "the limit of buffered request bodies is reached"},
+    {HttpRefusal::Malformed, 400, "malformed",
+     "the request is not valid HTTP/1.1"},
+    {HttpRefusal::HeaderTooLarge, 431, "header-too-large",
+     "the headers exceed the limit"},
+    {HttpRefusal::BodyTooLarge, 413, "body-too-large",
+     "the body exceeds the limit"},
+    {HttpRefusal::Truncated, 400, "truncated",
+     "the connection was closed before the end of the request"},
+    {HttpRefusal::TooSlow, 408, "too-slow",
+     "the request was not received within the time limit"},
+    {HttpRefusal::UnsupportedMethod, 405, "unsupported-method",
+     "the method is not supported"},
+    {HttpRefusal::TooManyConnections, 503, "too-many-connections",
+     "the limit of open connections is reached"},
+    {HttpRefusal::TooManyRequests, 503, "too-many-requests",
+     "the limit of requests in progress is reached"},
+    {HttpRefusal::TooManyBytes, 503, "too-many-bytes",
+     "the limit of buffered request bodies is reached"},
     {HttpRefusal::Disconnected, 400, "disconnected", "the connection broke"},
 }};
 
-const RefusalText &textOf(HttpRefusal Reason) { return RefusalTexts[static_cast<size_t>(Reason)]; }
+const RefusalText &textOf(HttpRefusal Reason) {
+  return RefusalTexts[static_cast<size_t>(Reason)];
+}
 
 } // namespace
 
-std::string_view httpRefusalName(HttpRefusal Reason) { return textOf(Reason).m_Name; }
+std::string_view httpRefusalName(HttpRefusal Reason) {
+  return textOf(Reason).m_Name;
+}
 
 namespace internal {
 
 HttpResponse makeRefusal(const HttpShared &Shared, HttpRefusal Reason) {
   const RefusalText &Text = textOf(Reason);
-  HttpResponse Response = makeHttpError(Text.m_Status, Text.m_Name, Text.m_Message);
+  HttpResponse Response =
+      makeHttpError(Text.m_Status, Text.m_Name, Text.m_Message);
   Response.m_Fields = Shared.m_Options.m_RefusalFields;
   if (Text.m_Status == 503)
     Response.m_Fields.push_back({"Retry-After", "1"});
   if (Text.m_Status == 405)
-    Response.m_Fields.push_back({"Allow", "GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS"});
+    Response.m_Fields.push_back(
+        {"Allow", "GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS"});
   return Response;
 }
 
@@ -73,7 +89,8 @@
 
   tcp::acceptor m_Acceptor;
   boost::asio::steady_timer m_Retry;
-  std::shared_ptr<internal::HttpShared> m_Shared = std::make_shared<internal::HttpShared>();
+  std::shared_ptr<internal::HttpShared> m_Shared =
+      std::make_shared<internal::HttpShared>();
   std::unordered_map<uint64_t, std::weak_ptr<internal::HttpSession>> m_Sessions;
   uint64_t m_NextSession = 0;
   size_t m_SweepAt = 64;
@@ -81,9 +98,10 @@
 };
 
 void HttpServer::Impl::accept() {
-  m_Acceptor.async_accept([Self = shared_from_this()](const ErrorCode &Error, tcp::socket Socket) {
-    Self->onAccept(Error, std::move(Socket));
-  });
+  m_Acceptor.async_accept(
+      [Self = shared_from_this()](const ErrorCode &Error, tcp::socket Socket) {
+        Self->onAccept(Error, std::move(Socket));
+      });
 }
 
 void HttpServer::Impl::onAccept(const ErrorCode &Error, tcp::socket Socket) {
@@ -92,11 +110,13 @@
   if (Error)
     return acceptLater();
   ++m_Shared->m_Counters.m_Connections;
-  if (m_Shared->m_Counters.m_OpenConnections >= m_Shared->m_Options.m_MaxConnections) {
+  if (m_Shared->m_Counters.m_OpenConnections >=
+      m_Shared->m_Options.m_MaxConnections) {
     refuseConnection(std::move(Socket));
   } else {
     ++m_Shared->m_Counters.m_OpenConnections;
-    m_Sessions[m_NextSession++] = internal::HttpSession::start(std::move(Socket), m_Shared);
+    m_Sessions[m_NextSession++] =
+        internal::HttpSession::start(std::move(Socket), m_Shared);
     forgetClosed();
   }
   accept();
@@ -110,14 +130,18 @@
   });
 }
 
-// Sends the refusal without waiting, so that refused connections hold no memory.
+// Sends the refusal without waiting, so that refused connections hold no
+// memory.
 void HttpServer::Impl::refuseConnection(tcp::socket Socket) {
   internal::countRefusal(*m_Shared, HttpRefusal::TooManyConnections);
-  const HttpResponse Response = internal::makeRefusal(*m_Shared, HttpRefusal::TooManyConnections);
-  std::string Text = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Type: application/json\r\n";
+  const HttpResponse Response =
+      internal::makeRefusal(*m_Shared, HttpRefusal::TooManyConnections);
+  std::string Text = "HTTP/1.1 503 Service Unavailable\r\nConnection: "
+                     "close\r\nContent-Type: application/json\r\n";
   for (const HttpField &Each : Response.m_Fields)
     Text += Each.m_Name + ": " + Each.m_Value + "\r\n";
-  Text += "Content-Length: " + std::to_string(Response.m_Body.size()) + "\r\n\r\n" + Response.m_Body;
+  Text += "Content-Length: " + std::to_string(Response.m_Body.size()) +
+          "\r\n\r\n" + Response.m_Body;
   ErrorCode Ignored;
   Socket.non_blocking(true, Ignored);
   Socket.write_some(boost::asio::buffer(Text), Ignored);
@@ -127,12 +151,14 @@
 void HttpServer::Impl::forgetClosed() {
   if (m_Sessions.size() < m_SweepAt)
     return;
-  std::erase_if(m_Sessions, [](const auto &Each) { return Each.second.expired(); });
+  std::erase_if(m_Sessions,
+                [](const auto &Each) { return Each.second.expired(); });
   m_SweepAt = std::max<size_t>(64, 2 * m_Sessions.size());
 }
 
 void HttpServer::Impl::finishShutdown() {
-  if (!m_Shared->m_Closing || m_Shared->m_Counters.m_OpenConnections > 0 || !m_Done)
+  if (!m_Shared->m_Closing || m_Shared->m_Counters.m_OpenConnections > 0 ||
+      !m_Done)
     return;
   const std::function<void()> Done = std::move(m_Done);
   m_Done = nullptr;
@@ -149,8 +175,9 @@
   return Count;
 }
 
-absl::StatusOr<std::unique_ptr<HttpServer>> HttpServer::create(boost::asio::io_context &Io, const Endpoint &Listen,
-                                                               HttpServerOptions Options, HttpHandler Handler) {
+absl::StatusOr<std::unique_ptr<HttpServer>>
+HttpServer::create(boost::asio::io_context &Io, const Endpoint &Listen,
+                   HttpServerOptions Options, HttpHandler Handler) {
   ErrorCode Error;
   const auto Address = boost::asio::ip::make_address(Listen.m_Address, Error);
   auto State = std::make_shared<Impl>(Io);
@@ -162,10 +189,12 @@
   if (!Error)
     State->m_Acceptor.bind(Bind, Error);
   if (!Error)
-    State->m_Acceptor.listen(boost::asio::socket_base::max_listen_connections, Error);
+    State->m_Acceptor.listen(boost::asio::socket_base::max_listen_connections,
+                             Error);
   if (Error)
     return makeLayerError(absl::StatusCode::kUnavailable, HttpErrc::Listen,
-                          "listening on " + Listen.str() + ": " + Error.message());
+                          "listening on " + Listen.str() + ": " +
+                              Error.message());
   State->m_Shared->m_Options = std::move(Options);
   State->m_Shared->m_Handler = std::move(Handler);
   State->m_Shared->m_SessionClosed = [Weak = std::weak_ptr<Impl>(State)] {
@@ -176,7 +205,8 @@
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(State)));
 }
 
-HttpServer::HttpServer(std::shared_ptr<Impl> State) : m_Impl(std::move(State)) {}
+HttpServer::HttpServer(std::shared_ptr<Impl> State)
+    : m_Impl(std::move(State)) {}
 
 HttpServer::~HttpServer() {
   m_Impl->m_Done = nullptr;
@@ -192,7 +222,9 @@
   return {Bound.address().to_string(), Bound.port()};
 }
 
-const HttpCounters &HttpServer::counters() const { return m_Impl->m_Shared->m_Counters; }
+const HttpCounters &HttpServer::counters() const {
+  return m_Impl->m_Shared->m_Counters;
+}
 
 void HttpServer::shutdown(std::function<void()> Done) {
   m_Impl->m_Done = std::move(Done);
--- a/src/net/HttpSession.cpp
+++ b/src/net/HttpSession.cpp
@@ -16,7 +16,8 @@
 namespace http = boost::beast::http;
 using ErrorCode = boost::system::error_code;
 
-// Time and bytes read from a caller after an error response, so that closing does not discard the response unread.
+// Time and bytes read from a caller after an error response, so that closing
+// does not discard the response unread.
 constexpr Duration LingerLimit = std::chrono::seconds(1);
 constexpr size_t LingerBytes = 4u << 20;
 
@@ -36,11 +37,13 @@
 }
 
 HttpRefusal refusalOf(const ErrorCode &Error) {
-  if (Error == http::error::header_limit || Error == http::error::buffer_overflow)
+  if (Error == http::error::header_limit ||
+      Error == http::error::buffer_overflow)
     return HttpRefusal::HeaderTooLarge;
   if (Error == http::error::body_limit)
     return HttpRefusal::BodyTooLarge;
-  if (Error == http::error::partial_message || Error == http::error::end_of_stream || Error == asio::error::eof)
+  if (Error == http::error::partial_message ||
+      Error == http::error::end_of_stream || Error == asio::error::eof)
     return HttpRefusal::Truncated;
   if (Error.category() == make_error_code(http::error::bad_method).category())
     return HttpRefusal::Malformed;
@@ -48,21 +51,27 @@
 }
 
 std::string withoutControls(std::string Value) {
-  const auto IsControl = [](char C) { return static_cast<unsigned char>(C) < 0x20 || C == 0x7f; };
-  Value.erase(std::remove_if(Value.begin(), Value.end(), IsControl), Value.end());
+  const auto IsControl = [](char C) {
+    return static_cast<unsigned char>(C) < 0x20 || C == 0x7f;
+  };
+  Value.erase(std::remove_if(Value.begin(), Value.end(), IsControl),
+              Value.end());
   return Value;
 }
 
-class Session : public HttpSession, public std::enable_shared_from_this<Session> {
+class Session : public HttpSession,
+                public std::enable_shared_from_this<Session> {
 public:
   Session(asio::ip::tcp::socket Socket, std::shared_ptr<HttpShared> Shared)
-      : m_Socket(std::move(Socket)), m_Timer(m_Socket.get_executor()), m_Shared(std::move(Shared)),
+      : m_Socket(std::move(Socket)), m_Timer(m_Socket.get_executor()),
+        m_Shared(std::move(Shared)),
         m_Buffer(m_Shared->m_Options.m_MaxHeaderBytes + (64u << 10)) {
     ErrorCode Ignored;
     m_Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
     const auto Remote = m_Socket.remote_endpoint(Ignored);
     if (!Ignored)
-      m_Peer = Remote.address().to_string() + ":" + std::to_string(Remote.port());
+      m_Peer =
+          Remote.address().to_string() + ":" + std::to_string(Remote.port());
   }
 
   void waitForRequest();
@@ -108,8 +117,10 @@
 void Session::armTimer(Duration Limit) {
   m_Timer.expires_after(Limit);
   m_Timer.async_wait([Self = shared_from_this()](const ErrorCode &Error) {
-    // A wait that was already queued when the timer was armed again must not act.
-    if (!Error && Self->m_Timer.expiry() <= asio::steady_timer::clock_type::now())
+    // A wait that was already queued when the timer was armed again must not
+    // act.
+    if (!Error &&
+        Self->m_Timer.expiry() <= asio::steady_timer::clock_type::now())
       Self->onTimer();
   });
 }
@@ -135,23 +146,28 @@
   if (m_Shared->m_Closing)
     return close();
   armTimer(m_Shared->m_Options.m_IdleLimit);
-  m_Socket.async_wait(asio::ip::tcp::socket::wait_read, [Self = shared_from_this()](const ErrorCode &Error) {
-    if (Self->m_Phase != Phase::Idle)
-      return;
-    if (Error)
-      return Self->close();
-    Self->readHeader();
-  });
+  m_Socket.async_wait(asio::ip::tcp::socket::wait_read,
+                      [Self = shared_from_this()](const ErrorCode &Error) {
+                        if (Self->m_Phase != Phase::Idle)
+                          return;
+                        if (Error)
+                          return Self->close();
+                        Self->readHeader();
+                      });
 }
 
 void Session::readHeader() {
   m_Phase = Phase::Receiving;
   armTimer(m_Shared->m_Options.m_ReceiveLimit);
   m_Parser = std::make_unique<http::request_parser<http::string_body>>();
-  m_Parser->header_limit(static_cast<std::uint32_t>(m_Shared->m_Options.m_MaxHeaderBytes));
+  m_Parser->header_limit(
+      static_cast<std::uint32_t>(m_Shared->m_Options.m_MaxHeaderBytes));
   m_Parser->body_limit(m_Shared->m_Options.m_MaxBodyBytes);
-  http::async_read_header(m_Socket, m_Buffer, *m_Parser,
-                          [Self = shared_from_this()](const ErrorCode &Error, size_t) { Self->onHeader(Error); });
+  http::async_read_header(
+      m_Socket, m_Buffer, *m_Parser,
+      [Self = shared_from_this()](const ErrorCode &Error, size_t) {
+        Self->onHeader(Error);
+      });
 }
 
 void Session::onHeader(const ErrorCode &Error) {
@@ -173,7 +189,8 @@
   size_t Needed = Length ? static_cast<size_t>(*Length) : 0;
   if (m_Parser->chunked())
     Needed = m_Shared->m_Options.m_MaxBodyBytes;
-  if (m_Shared->m_Counters.m_BufferedBytes + Needed > m_Shared->m_Options.m_MaxBufferedBytes)
+  if (m_Shared->m_Counters.m_BufferedBytes + Needed >
+      m_Shared->m_Options.m_MaxBufferedBytes)
     return false;
   m_ReservedBytes = Needed;
   m_Shared->m_Counters.m_BufferedBytes += Needed;
@@ -181,34 +198,38 @@
 }
 
 void Session::continueWithBody() {
-  if (m_Parser->is_done() || !beast::iequals(m_Parser->get()[http::field::expect], "100-continue"))
+  if (m_Parser->is_done() ||
+      !beast::iequals(m_Parser->get()[http::field::expect], "100-continue"))
     return readBody();
   static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
-  asio::async_write(m_Socket, asio::buffer(Continue.data(), Continue.size()),
-                    [Self = shared_from_this()](const ErrorCode &Error, size_t) {
-                      if (Self->m_Phase != Phase::Receiving)
-                        return;
-                      if (Error)
-                        return Self->onReadError(Error);
-                      Self->readBody();
-                    });
+  asio::async_write(
+      m_Socket, asio::buffer(Continue.data(), Continue.size()),
+      [Self = shared_from_this()](const ErrorCode &Error, size_t) {
+        if (Self->m_Phase != Phase::Receiving)
+          return;
+        if (Error)
+          return Self->onReadError(Error);
+        Self->readBody();
+      });
 }
 
 void Session::readBody() {
-  http::async_read(m_Socket, m_Buffer, *m_Parser, [Self = shared_from_this()](const ErrorCode &Error, size_t) {
-    if (Self->m_Phase != Phase::Receiving)
-      return;
-    if (Error)
-      return Self->onReadError(Error);
-    Self->handle();
-  });
+  http::async_read(m_Socket, m_Buffer, *m_Parser,
+                   [Self = shared_from_this()](const ErrorCode &Error, size_t) {
+                     if (Self->m_Phase != Phase::Receiving)
+                       return;
+                     if (Error)
+                       return Self->onReadError(Error);
+                     Self->handle();
+                   });
 }
 
 void Session::onReadError(const ErrorCode &Error) {
   if (m_TimedOut)
     return refuse(HttpRefusal::TooSlow);
   // The caller closed the connection between two requests.
-  if (Error == http::error::end_of_stream && !m_Parser->got_some() && m_Buffer.size() == 0)
+  if (Error == http::error::end_of_stream && !m_Parser->got_some() &&
+      m_Buffer.size() == 0)
     return close();
   const HttpRefusal Reason = refusalOf(Error);
   if (Reason != HttpRefusal::Disconnected)
@@ -227,26 +248,30 @@
   if (Mark != std::string::npos)
     Request.m_Query = Target.substr(Mark + 1);
   for (const auto &Each : Message)
-    Request.m_Fields.push_back({std::string(Each.name_string()), std::string(Each.value())});
+    Request.m_Fields.push_back(
+        {std::string(Each.name_string()), std::string(Each.value())});
   Request.m_Body = std::move(Message.body());
   Request.m_Peer = m_Peer;
   return Request;
 }
 
 void Session::handle() {
-  if (m_Shared->m_Counters.m_RequestsInProgress >= m_Shared->m_Options.m_MaxRequests)
+  if (m_Shared->m_Counters.m_RequestsInProgress >=
+      m_Shared->m_Options.m_MaxRequests)
     return refuse(HttpRefusal::TooManyRequests);
   m_Timer.cancel();
   m_Phase = Phase::Handling;
   ++m_Shared->m_Counters.m_Requests;
   ++m_Shared->m_Counters.m_RequestsInProgress;
   auto Answered = std::make_shared<bool>(false);
-  m_Shared->m_Handler(takeRequest(), [Self = shared_from_this(), Answered](HttpResponse Response) {
+  m_Shared->m_Handler(takeRequest(), [Self = shared_from_this(),
+                                      Answered](HttpResponse Response) {
     if (*Answered || Self->m_Phase != Phase::Handling)
       return;
     *Answered = true;
     Self->leaveHandling();
-    Self->respond(std::move(Response), Self->m_KeepAlive && !Self->m_Shared->m_Closing);
+    Self->respond(std::move(Response),
+                  Self->m_KeepAlive && !Self->m_Shared->m_Closing);
   });
 }
 
@@ -277,14 +302,17 @@
     m_Response->insert(Each.m_Name, withoutControls(Each.m_Value));
   const bool HasBody = Response.m_Status != 204 && Response.m_Status != 304;
   if (HasBody) {
-    m_Response->set(http::field::content_type, withoutControls(Response.m_ContentType));
+    m_Response->set(http::field::content_type,
+                    withoutControls(Response.m_ContentType));
     m_Response->content_length(Response.m_Body.size());
     if (!m_Head)
       m_Response->body() = std::move(Response.m_Body);
   }
-  http::async_write(m_Socket, *m_Response, [Self = shared_from_this(), KeepAlive](const ErrorCode &Error, size_t) {
-    Self->onSent(Error, KeepAlive);
-  });
+  http::async_write(
+      m_Socket, *m_Response,
+      [Self = shared_from_this(), KeepAlive](const ErrorCode &Error, size_t) {
+        Self->onSent(Error, KeepAlive);
+      });
 }
 
 void Session::onSent(const ErrorCode &Error, bool KeepAlive) {
@@ -306,7 +334,8 @@
 
 void Session::linger(size_t BytesLeft) {
   m_Socket.async_read_some(asio::buffer(m_Discard),
-                           [Self = shared_from_this(), BytesLeft](const ErrorCode &Error, size_t Count) {
+                           [Self = shared_from_this(),
+                            BytesLeft](const ErrorCode &Error, size_t Count) {
                              if (Self->m_Phase != Phase::Lingering)
                                return;
                              if (Error || Count >= BytesLeft)
@@ -340,7 +369,9 @@
 bool Session::cutOff() {
   if (m_Phase == Phase::Closed)
     return false;
-  const bool InProgress = m_Phase == Phase::Receiving || m_Phase == Phase::Handling || m_Phase == Phase::Sending;
+  const bool InProgress = m_Phase == Phase::Receiving ||
+                          m_Phase == Phase::Handling ||
+                          m_Phase == Phase::Sending;
   if (m_Phase == Phase::Handling)
     leaveHandling();
   close();
@@ -353,8 +384,11 @@
   ++Shared.m_Counters.m_Refusals[static_cast<size_t>(Reason)];
 }
 
-std::shared_ptr<HttpSession> HttpSession::start(asio::ip::tcp::socket Socket, std::shared_ptr<HttpShared> Shared) {
-  auto Created = std::make_shared<Session>(std::move(Socket), std::move(Shared));
+std::shared_ptr<HttpSession>
+HttpSession::start(asio::ip::tcp::socket Socket,
+                   std::shared_ptr<HttpShared> Shared) {
+  auto Created =
+      std::make_shared<Session>(std::move(Socket), std::move(Shared));
   Created->waitForRequest();
   return Created;
 }
--- a/src/net/HttpSession.h
+++ b/src/net/HttpSession.h
@@ -28,7 +28,8 @@
 /// Serves the requests of one connection, one after the other.
 class HttpSession {
 public:
-  static std::shared_ptr<HttpSession> start(boost::asio::ip::tcp::socket Socket, std::shared_ptr<HttpShared> Shared);
+  static std::shared_ptr<HttpSession> start(boost::asio::ip::tcp::socket Socket,
+                                            std::shared_ptr<HttpShared> Shared);
   virtual ~HttpSession() = default;
 
   /// Closes the connection if no request has begun.
--- a/src/net/RpcClient.cpp
+++ b/src/net/RpcClient.cpp
@@ -18,14 +18,19 @@
 
 namespace {
 
-absl::Status rpcError(absl::StatusCode Kind, RpcErrc Code, std::string_view Text) {
+absl::Status rpcError(absl::StatusCode Kind, RpcErrc Code,
+                      std::string_view Text) {
   return makeLayerError(Kind, Code, Text);
 }
 
-// The code of an answer comes from the peer, so it is checked before it is used.
+// The code of an answer comes from the peer, so it is checked before it is
+// used.
 absl::Status remoteError(const wire::Frame &Frame) {
-  const bool Known = Frame.errorCode > 0 && Frame.errorCode <= static_cast<int>(absl::StatusCode::kUnauthenticated);
-  const auto Kind = Known ? static_cast<absl::StatusCode>(Frame.errorCode) : absl::StatusCode::kUnknown;
+  const bool Known =
+      Frame.errorCode > 0 &&
+      Frame.errorCode <= static_cast<int>(absl::StatusCode::kUnauthenticated);
+  const auto Kind = Known ? static_cast<absl::StatusCode>(Frame.errorCode)
+                          : absl::StatusCode::kUnknown;
   return rpcError(Kind, RpcErrc::Remote, Frame.errorText);
 }
 
@@ -40,8 +45,8 @@
   enum class LinkState { Idle, Connecting, Open, Backoff };
 
   Impl(boost::asio::io_context &Io, Endpoint Peer, RpcOptions Options)
-      : m_Io(Io), m_Peer(std::move(Peer)), m_Options(std::move(Options)), m_Timer(Io),
-        m_Backoff(m_Options.m_MinBackoff) {}
+      : m_Io(Io), m_Peer(std::move(Peer)), m_Options(std::move(Options)),
+        m_Timer(Io), m_Backoff(m_Options.m_MinBackoff) {}
 
   void call(wire::Frame Frame, Duration Timeout, RpcDone Done);
   void connect();
@@ -63,20 +68,23 @@
   bool m_Stopped = false;
   std::shared_ptr<FrameStream> m_Stream;
   std::map<int64_t, OpenCall> m_Calls;
-  std::deque<wire::Frame> m_Waiting; ///< Frames of calls that wait for the connection.
+  std::deque<wire::Frame>
+      m_Waiting; ///< Frames of calls that wait for the connection.
   int64_t m_NextId = 1;
 };
 
 void RpcClient::Impl::call(wire::Frame Frame, Duration Timeout, RpcDone Done) {
   if (m_Calls.size() >= m_Options.m_MaxOpenCalls) {
     boost::asio::post(m_Io, [Done = std::move(Done)] {
-      Done(rpcError(absl::StatusCode::kResourceExhausted, RpcErrc::Overloaded, "too many open calls"));
+      Done(rpcError(absl::StatusCode::kResourceExhausted, RpcErrc::Overloaded,
+                    "too many open calls"));
     });
     return;
   }
   const int64_t Id = m_NextId++;
   Frame.requestId = Id;
-  Frame.timeoutMs = std::chrono::duration_cast<std::chrono::milliseconds>(Timeout).count();
+  Frame.timeoutMs =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Timeout).count();
   auto Deadline = std::make_shared<boost::asio::steady_timer>(m_Io, Timeout);
   std::weak_ptr<Impl> Weak = weak_from_this();
   Deadline->async_wait([Weak, Id](boost::system::error_code Error) {
@@ -86,8 +94,10 @@
     const auto It = Self->m_Calls.find(Id);
     if (It == Self->m_Calls.end())
       return;
-    const RpcErrc Code = It->second.m_Sent ? RpcErrc::NoAnswer : RpcErrc::NotSent;
-    Self->finish(Id, rpcError(absl::StatusCode::kDeadlineExceeded, Code, "deadline exceeded"));
+    const RpcErrc Code =
+        It->second.m_Sent ? RpcErrc::NoAnswer : RpcErrc::NotSent;
+    Self->finish(Id, rpcError(absl::StatusCode::kDeadlineExceeded, Code,
+                              "deadline exceeded"));
   });
   m_Calls.emplace(Id, OpenCall{std::move(Done), std::move(Deadline)});
   m_Waiting.push_back(std::move(Frame));
@@ -114,16 +124,19 @@
     if (!Cancelled)
       Socket->close(Ignored);
   });
-  Socket->async_connect(Tcp::endpoint(Address, m_Peer.m_Port), [Weak, Socket](boost::system::error_code Failed) {
-    auto Self = Weak.lock();
-    if (!Self || Self->m_Stopped)
-      return;
-    Self->m_Timer.cancel();
-    if (Failed || !Socket->is_open())
-      Self->onConnectFailed(absl::UnavailableError(absl::StrCat("connect to ", Self->m_Peer.str(), " failed")));
-    else
-      Self->onConnected(Socket);
-  });
+  Socket->async_connect(
+      Tcp::endpoint(Address, m_Peer.m_Port),
+      [Weak, Socket](boost::system::error_code Failed) {
+        auto Self = Weak.lock();
+        if (!Self || Self->m_Stopped)
+          return;
+        Self->m_Timer.cancel();
+        if (Failed || !Socket->is_open())
+          Self->onConnectFailed(absl::UnavailableError(
+              absl::StrCat("connect to ", Self->m_Peer.str(), " failed")));
+        else
+          Self->onConnected(Socket);
+      });
 }
 
 void RpcClient::Impl::onConnected(const std::shared_ptr<Tcp::socket> &Socket) {
@@ -147,7 +160,8 @@
   m_State = LinkState::Backoff;
   failUnsent(Reason);
   const double Jitter = 0.5 + m_Options.m_Random();
-  m_Timer.expires_after(std::chrono::duration_cast<Duration>(m_Backoff * Jitter));
+  m_Timer.expires_after(
+      std::chrono::duration_cast<Duration>(m_Backoff * Jitter));
   m_Backoff = std::min(m_Backoff * 2, m_Options.m_MaxBackoff);
   std::weak_ptr<Impl> Weak = weak_from_this();
   m_Timer.async_wait([Weak](boost::system::error_code Error) {
@@ -196,7 +210,8 @@
     if (Call.m_Sent)
       Sent.push_back(Id);
   for (int64_t Id : Sent)
-    finish(Id, rpcError(absl::StatusCode::kUnavailable, RpcErrc::NoAnswer, fromAbsl(Reason.message())));
+    finish(Id, rpcError(absl::StatusCode::kUnavailable, RpcErrc::NoAnswer,
+                        fromAbsl(Reason.message())));
   if (!m_Stopped && m_State == LinkState::Idle && !m_Waiting.empty())
     connect();
 }
@@ -214,7 +229,9 @@
 void RpcClient::Impl::failUnsent(const absl::Status &Reason) {
   const auto Waiting = std::exchange(m_Waiting, {});
   for (const wire::Frame &Frame : Waiting)
-    finish(Frame.requestId, rpcError(absl::StatusCode::kUnavailable, RpcErrc::NotSent, fromAbsl(Reason.message())));
+    finish(Frame.requestId,
+           rpcError(absl::StatusCode::kUnavailable, RpcErrc::NotSent,
+                    fromAbsl(Reason.message())));
 }
 
 void RpcClient::Impl::shutDown() {
@@ -225,15 +242,18 @@
   failUnsent(absl::CancelledError("client stopped"));
 }
 
-std::unique_ptr<RpcClient> RpcClient::create(boost::asio::io_context &Io, Endpoint Peer, RpcOptions Options) {
-  return std::unique_ptr<RpcClient>(new RpcClient(std::make_shared<Impl>(Io, std::move(Peer), std::move(Options))));
+std::unique_ptr<RpcClient> RpcClient::create(boost::asio::io_context &Io,
+                                             Endpoint Peer,
+                                             RpcOptions Options) {
+  return std::unique_ptr<RpcClient>(new RpcClient(
+      std::make_shared<Impl>(Io, std::move(Peer), std::move(Options))));
 }
 
 RpcClient::RpcClient(std::shared_ptr<Impl> State) : m_Impl(std::move(State)) {}
 RpcClient::~RpcClient() { m_Impl->shutDown(); }
 
-void RpcClient::call(wire::Method::type Method, std::string Body, Duration Timeout, std::string_view TraceId,
-                     RpcDone Done) {
+void RpcClient::call(wire::Method::type Method, std::string Body,
+                     Duration Timeout, std::string_view TraceId, RpcDone Done) {
   wire::Frame Frame;
   Frame.kind = wire::FrameKind::REQUEST;
   Frame.method = Method;
@@ -256,6 +276,8 @@
 }
 
 const Endpoint &RpcClient::peer() const { return m_Impl->m_Peer; }
-bool RpcClient::connected() const { return m_Impl->m_State == Impl::LinkState::Open; }
+bool RpcClient::connected() const {
+  return m_Impl->m_State == Impl::LinkState::Open;
+}
 
 } // namespace anvil::net
--- a/src/net/RpcServer.cpp
+++ b/src/net/RpcServer.cpp
@@ -17,11 +17,13 @@
 
 struct RpcServer::Impl : std::enable_shared_from_this<RpcServer::Impl> {
   Impl(boost::asio::io_context &Io, RpcOptions Options)
-      : m_Io(Io), m_Acceptor(Io), m_RetryTimer(Io), m_Options(std::move(Options)) {}
+      : m_Io(Io), m_Acceptor(Io), m_RetryTimer(Io),
+        m_Options(std::move(Options)) {}
 
   void accept();
   void add(Tcp::socket Socket);
-  void dispatch(const std::shared_ptr<FrameStream> &Stream, const wire::Frame &Frame);
+  void dispatch(const std::shared_ptr<FrameStream> &Stream,
+                const wire::Frame &Frame);
   void closeAll();
 
   boost::asio::io_context &m_Io;
@@ -34,7 +36,8 @@
 
 void RpcServer::Impl::accept() {
   auto Self = shared_from_this();
-  m_Acceptor.async_accept([Self](boost::system::error_code Error, Tcp::socket Socket) {
+  m_Acceptor.async_accept([Self](boost::system::error_code Error,
+                                 Tcp::socket Socket) {
     if (!Self->m_Acceptor.is_open())
       return;
     if (!Error) {
@@ -42,7 +45,8 @@
       Self->accept();
       return;
     }
-    // Out of descriptors, most likely: waits for some to be closed instead of spinning.
+    // Out of descriptors, most likely: waits for some to be closed instead of
+    // spinning.
     Self->m_RetryTimer.expires_after(std::chrono::milliseconds(100));
     Self->m_RetryTimer.async_wait([Self](boost::system::error_code Cancelled) {
       if (!Cancelled && Self->m_Acceptor.is_open())
@@ -69,7 +73,8 @@
   Stream->start();
 }
 
-void RpcServer::Impl::dispatch(const std::shared_ptr<FrameStream> &Stream, const wire::Frame &Frame) {
+void RpcServer::Impl::dispatch(const std::shared_ptr<FrameStream> &Stream,
+                               const wire::Frame &Frame) {
   RpcCall Call;
   Call.m_Method = Frame.method;
   Call.m_Body = Frame.body;
@@ -80,7 +85,8 @@
   RpcResponder Respond = [](const absl::StatusOr<std::string> &) {};
   if (!Call.m_OneWay) {
     std::weak_ptr<FrameStream> Weak = Stream;
-    Respond = [Weak, Id = Frame.requestId, Method = Frame.method](absl::StatusOr<std::string> Result) {
+    Respond = [Weak, Id = Frame.requestId,
+               Method = Frame.method](absl::StatusOr<std::string> Result) {
       auto Live = Weak.lock();
       if (!Live)
         return;
@@ -99,7 +105,8 @@
   }
   const auto It = m_Handlers.find(Frame.method);
   if (It == m_Handlers.end()) {
-    Respond(absl::UnimplementedError(absl::StrCat("no handler for method ", static_cast<int>(Frame.method))));
+    Respond(absl::UnimplementedError(absl::StrCat(
+        "no handler for method ", static_cast<int>(Frame.method))));
     return;
   }
   It->second(Call, std::move(Respond));
@@ -114,8 +121,9 @@
     Stream->close(absl::CancelledError("server stopped"));
 }
 
-absl::StatusOr<std::unique_ptr<RpcServer>> RpcServer::create(boost::asio::io_context &Io, const Endpoint &Listen,
-                                                             RpcOptions Options) {
+absl::StatusOr<std::unique_ptr<RpcServer>>
+RpcServer::create(boost::asio::io_context &Io, const Endpoint &Listen,
+                  RpcOptions Options) {
   auto State = std::make_shared<Impl>(Io, std::move(Options));
   boost::system::error_code Error;
   const auto Address = boost::asio::ip::make_address(Listen.m_Address, Error);
@@ -127,9 +135,11 @@
   if (!Error)
     State->m_Acceptor.bind(Local, Error);
   if (!Error)
-    State->m_Acceptor.listen(boost::asio::socket_base::max_listen_connections, Error);
+    State->m_Acceptor.listen(boost::asio::socket_base::max_listen_connections,
+                             Error);
   if (Error)
-    return absl::UnavailableError(absl::StrCat("rpc: can't listen on ", Listen.str(), ": ", Error.message()));
+    return absl::UnavailableError(absl::StrCat(
+        "rpc: can't listen on ", Listen.str(), ": ", Error.message()));
   State->accept();
   return std::unique_ptr<RpcServer>(new RpcServer(std::move(State)));
 }
@@ -144,7 +154,8 @@
 Endpoint RpcServer::endpoint() const {
   boost::system::error_code Error;
   const auto Local = m_Impl->m_Acceptor.local_endpoint(Error);
-  return Error ? Endpoint{} : Endpoint{Local.address().to_string(), Local.port()};
+  return Error ? Endpoint{}
+               : Endpoint{Local.address().to_string(), Local.port()};
 }
 
 void RpcServer::stopAccepting() {
--- a/src/net/WireCodec.cpp
+++ b/src/net/WireCodec.cpp
@@ -22,22 +22,30 @@
   return Buffer->getBufferAsString();
 }
 
-absl::Status decodeStruct(std::string_view Bytes, apache::thrift::TBase &Value) {
-  // The buffer only observes the bytes; Thrift's interface takes a mutable pointer.
+absl::Status decodeStruct(std::string_view Bytes,
+                          apache::thrift::TBase &Value) {
+  // The buffer only observes the bytes; Thrift's interface takes a mutable
+  // pointer.
   auto *Data = reinterpret_cast<uint8_t *>(const_cast<char *>(Bytes.data()));
-  auto Buffer = std::make_shared<TMemoryBuffer>(Data, static_cast<uint32_t>(Bytes.size()));
-  // The limits keep a damaged length field from allocating more than the message can hold.
+  auto Buffer = std::make_shared<TMemoryBuffer>(
+      Data, static_cast<uint32_t>(Bytes.size()));
+  // The limits keep a damaged length field from allocating more than the
+  // message can hold.
   const auto Limit = static_cast<int32_t>(Bytes.size());
   TCompactProtocolT<TMemoryBuffer> Protocol(Buffer, Limit, Limit);
   try {
     Value.read(&Protocol);
   } catch (const std::exception &Error) {
-    return makeLayerError(absl::StatusCode::kInvalidArgument, RpcErrc::Malformed,
-                          absl::StrCat("message of ", Bytes.size(), " bytes can't be decoded: ", Error.what()));
+    return makeLayerError(
+        absl::StatusCode::kInvalidArgument, RpcErrc::Malformed,
+        absl::StrCat("message of ", Bytes.size(),
+                     " bytes can't be decoded: ", Error.what()));
   }
   if (Buffer->available_read() != 0)
-    return makeLayerError(absl::StatusCode::kInvalidArgument, RpcErrc::Malformed,
-                          absl::StrCat(Buffer->available_read(), " bytes after the end of the message"));
+    return makeLayerError(absl::StatusCode::kInvalidArgument,
+                          RpcErrc::Malformed,
+                          absl::StrCat(Buffer->available_read(),
+                                       " bytes after the end of the message"));
   return absl::OkStatus();
 }
 
--- a/src/raft/Progress.h
+++ b/src/raft/Progress.h
@@ -24,7 +24,8 @@
 /// The leader's knowledge about another replica.
 struct Progress {
   ProgressMode m_Mode = ProgressMode::Probe;
-  /// Last index known to be durable on the replica and equal to the leader's log.
+  /// Last index known to be durable on the replica and equal to the leader's
+  /// log.
   LogIndex m_Match = 0;
   /// Next index to send.
   LogIndex m_Next = 1;
@@ -39,7 +40,8 @@
   /// When m_Match last grew or sending started after a pause.
   TimePoint m_LastProgress;
 
-  /// Snapshot in transfer; kept when a newer one is made, so that the transfer can end.
+  /// Snapshot in transfer; kept when a newer one is made, so that the transfer
+  /// can end.
   Snapshot m_Transfer;
   uint64_t m_Offset = 0;
   /// When the chunk at m_Offset was sent; empty if it is still to be sent.
@@ -71,7 +73,8 @@
     }
   }
 
-  /// Returns to sending single batches from \p Next, or after m_Match if that is later.
+  /// Returns to sending single batches from \p Next, or after m_Match if that
+  /// is later.
   void probeFrom(LogIndex Next) {
     m_Mode = ProgressMode::Probe;
     m_Next = std::max(Next, m_Match + 1);
--- a/src/raft/RaftCodec.cpp
+++ b/src/raft/RaftCodec.cpp
@@ -30,13 +30,18 @@
     byte(static_cast<uint8_t>(Rest));
   }
   void field(const char *, const bool &Value) { byte(Value ? 1 : 0); }
-  void field(const char *Name, const ReplicaId &Id) { field(Name, static_cast<uint64_t>(Id.value())); }
-  void field(const char *, const EntryKind &Kind) { byte(static_cast<uint8_t>(Kind)); }
+  void field(const char *Name, const ReplicaId &Id) {
+    field(Name, static_cast<uint64_t>(Id.value()));
+  }
+  void field(const char *, const EntryKind &Kind) {
+    byte(static_cast<uint8_t>(Kind));
+  }
   void field(const char *Name, const std::string &Value) {
     field(Name, static_cast<uint64_t>(Value.size()));
     m_Bytes += Value;
   }
-  template <typename T> void list(const char *Name, const std::vector<T> &Values) {
+  template <typename T>
+  void list(const char *Name, const std::vector<T> &Values) {
     field(Name, static_cast<uint64_t>(Values.size()));
     for (const T &Value : Values)
       fields(*this, Name, Value);
@@ -48,21 +53,25 @@
   std::string m_Bytes;
 };
 
-/// Reads fields in order and keeps the first error; reads after an error leave their target unchanged.
+/// Reads fields in order and keeps the first error; reads after an error leave
+/// their target unchanged.
 class Reader {
 public:
   explicit Reader(std::string_view Bytes) : m_Bytes(Bytes) {
     const uint8_t Version = byte("version");
     if (ok() && Version != CodecVersion)
-      fail("version", absl::StrCat("unsupported version ", Version, ", expected ", CodecVersion));
+      fail("version", absl::StrCat("unsupported version ", Version,
+                                   ", expected ", CodecVersion));
   }
 
   bool ok() const { return m_Error.ok(); }
 
   void fail(const char *Field, std::string_view Reason) {
     if (ok()) {
-      m_Error = makeLayerError(absl::StatusCode::kInvalidArgument, RaftErrc::BadEncoding,
-                               absl::StrCat("field ", Field, " at offset ", m_Position, ": ", toAbsl(Reason)));
+      m_Error = makeLayerError(absl::StatusCode::kInvalidArgument,
+                               RaftErrc::BadEncoding,
+                               absl::StrCat("field ", Field, " at offset ",
+                                            m_Position, ": ", toAbsl(Reason)));
     }
   }
 
@@ -108,7 +117,8 @@
   }
   void field(const char *Name, EntryKind &Kind) {
     const uint8_t Byte = byte(Name);
-    if (Byte < static_cast<uint8_t>(EntryKind::Command) || Byte > static_cast<uint8_t>(EntryKind::Membership))
+    if (Byte < static_cast<uint8_t>(EntryKind::Command) ||
+        Byte > static_cast<uint8_t>(EntryKind::Membership))
       return fail(Name, absl::StrCat("unknown entry kind ", Byte));
     Kind = static_cast<EntryKind>(Byte);
   }
@@ -135,12 +145,14 @@
   }
 
 private:
-  /// Reads a length; every counted element takes at least one byte, so a larger length cannot be honest.
+  /// Reads a length; every counted element takes at least one byte, so a larger
+  /// length cannot be honest.
   size_t count(const char *Name) {
     uint64_t Size = 0;
     field(Name, Size);
     if (ok() && Size > m_Bytes.size() - m_Position)
-      fail(Name, absl::StrCat("length ", Size, " exceeds the remaining ", m_Bytes.size() - m_Position, " bytes"));
+      fail(Name, absl::StrCat("length ", Size, " exceeds the remaining ",
+                              m_Bytes.size() - m_Position, " bytes"));
     return ok() ? static_cast<size_t>(Size) : 0;
   }
 
@@ -149,20 +161,24 @@
   absl::Status m_Error;
 };
 
-// Each fields() function lists the fields of one struct for both directions: \p T is const for the writer.
+// Each fields() function lists the fields of one struct for both directions: \p
+// T is const for the writer.
 template <typename T, typename U>
 concept Is = std::is_same_v<std::remove_const_t<T>, U>;
 
-template <typename Io, Is<ReplicaId> T> void fields(Io &Stream, const char *Name, T &Value) {
+template <typename Io, Is<ReplicaId> T>
+void fields(Io &Stream, const char *Name, T &Value) {
   Stream.field(Name, Value);
 }
 
-template <typename Io, Is<Membership> T> void fields(Io &Stream, const char *, T &Value) {
+template <typename Io, Is<Membership> T>
+void fields(Io &Stream, const char *, T &Value) {
   Stream.list("voters", Value.m_Voters);
   Stream.list("learners", Value.m_Learners);
 }
 
-template <typename Io, Is<LogEntry> T> void fields(Io &Stream, const char *, T &Value) {
+template <typename Io, Is<LogEntry> T>
+void fields(Io &Stream, const char *, T &Value) {
   Stream.field("index", Value.m_Index);
   Stream.field("term", Value.m_Term);
   Stream.field("kind", Value.m_Kind);
@@ -173,18 +189,21 @@
   }
 }
 
-template <typename Io, Is<HardState> T> void fields(Io &Stream, const char *, T &Value) {
+template <typename Io, Is<HardState> T>
+void fields(Io &Stream, const char *, T &Value) {
   Stream.field("term", Value.m_Term);
   Stream.field("voted_for", Value.m_VotedFor);
 }
 
-template <typename Io, Is<SnapshotMeta> T> void fields(Io &Stream, const char *, T &Value) {
+template <typename Io, Is<SnapshotMeta> T>
+void fields(Io &Stream, const char *, T &Value) {
   Stream.field("snapshot_index", Value.m_Index);
   Stream.field("snapshot_term", Value.m_Term);
   fields(Stream, "members", Value.m_Members);
 }
 
-template <typename Io, Is<VoteRequest> T> void fields(Io &Stream, const char *, T &Value) {
+template <typename Io, Is<VoteRequest> T>
+void fields(Io &Stream, const char *, T &Value) {
   Stream.field("election_term", Value.m_ElectionTerm);
   Stream.field("last_index", Value.m_LastIndex);
   Stream.field("last_term", Value.m_LastTerm);
@@ -192,20 +211,23 @@
   Stream.field("transfer", Value.m_Transfer);
 }
 
-template <typename Io, Is<VoteResponse> T> void fields(Io &Stream, const char *, T &Value) {
+template <typename Io, Is<VoteResponse> T>
+void fields(Io &Stream, const char *, T &Value) {
   Stream.field("election_term", Value.m_ElectionTerm);
   Stream.field("pre_vote", Value.m_PreVote);
   Stream.field("granted", Value.m_Granted);
 }
 
-template <typename Io, Is<AppendRequest> T> void fields(Io &Stream, const char *, T &Value) {
+template <typename Io, Is<AppendRequest> T>
+void fields(Io &Stream, const char *, T &Value) {
   Stream.field("prev_index", Value.m_PrevIndex);
   Stream.field("prev_term", Value.m_PrevTerm);
   Stream.field("commit", Value.m_Commit);
   Stream.list("entries", Value.m_Entries);
 }
 
-template <typename Io, Is<AppendResponse> T> void fields(Io &Stream, const char *, T &Value) {
+template <typename Io, Is<AppendResponse> T>
+void fields(Io &Stream, const char *, T &Value) {
   Stream.field("success", Value.m_Success);
   Stream.field("match", Value.m_Match);
   Stream.field("rejected_prev", Value.m_RejectedPrev);
@@ -213,32 +235,38 @@
   Stream.field("hint_term", Value.m_HintTerm);
 }
 
-template <typename Io, Is<HeartbeatRequest> T> void fields(Io &Stream, const char *, T &Value) {
+template <typename Io, Is<HeartbeatRequest> T>
+void fields(Io &Stream, const char *, T &Value) {
   Stream.field("commit", Value.m_Commit);
   Stream.field("round", Value.m_Round);
 }
 
-template <typename Io, Is<HeartbeatResponse> T> void fields(Io &Stream, const char *, T &Value) {
+template <typename Io, Is<HeartbeatResponse> T>
+void fields(Io &Stream, const char *, T &Value) {
   Stream.field("round", Value.m_Round);
 }
 
-template <typename Io, Is<SnapshotChunk> T> void fields(Io &Stream, const char *Name, T &Value) {
+template <typename Io, Is<SnapshotChunk> T>
+void fields(Io &Stream, const char *Name, T &Value) {
   fields(Stream, Name, Value.m_Meta);
   Stream.field("offset", Value.m_Offset);
   Stream.field("total_size", Value.m_TotalSize);
   Stream.field("data", Value.m_Data);
 }
 
-template <typename Io, Is<SnapshotChunkResponse> T> void fields(Io &Stream, const char *, T &Value) {
+template <typename Io, Is<SnapshotChunkResponse> T>
+void fields(Io &Stream, const char *, T &Value) {
   Stream.field("snapshot_index", Value.m_SnapshotIndex);
   Stream.field("next_offset", Value.m_NextOffset);
 }
 
-template <typename Io, Is<ReadIndexRequest> T> void fields(Io &Stream, const char *, T &Value) {
+template <typename Io, Is<ReadIndexRequest> T>
+void fields(Io &Stream, const char *, T &Value) {
   Stream.field("read_id", Value.m_ReadId);
 }
 
-template <typename Io, Is<ReadIndexResponse> T> void fields(Io &Stream, const char *, T &Value) {
+template <typename Io, Is<ReadIndexResponse> T>
+void fields(Io &Stream, const char *, T &Value) {
   Stream.field("read_id", Value.m_ReadId);
   Stream.field("confirmed", Value.m_Confirmed);
   Stream.field("index", Value.m_Index);
@@ -261,7 +289,8 @@
   return Value;
 }
 
-/// Sets \p Out to an empty body of the alternative number \p Type; returns false if there is none.
+/// Sets \p Out to an empty body of the alternative number \p Type; returns
+/// false if there is none.
 template <size_t I = 0> bool emptyBody(size_t Type, RaftMessage::Body &Out) {
   if constexpr (I < std::variant_size_v<RaftMessage::Body>) {
     if (Type != I)
@@ -276,12 +305,14 @@
 
 std::string encodeMessage(const RaftMessage &Message) {
   Writer Out;
-  // Type numbers start at 1, in the order of the alternatives of RaftMessage::Body.
+  // Type numbers start at 1, in the order of the alternatives of
+  // RaftMessage::Body.
   Out.byte(static_cast<uint8_t>(Message.m_Body.index() + 1));
   Out.field("from", Message.m_From);
   Out.field("to", Message.m_To);
   Out.field("term", Message.m_Term);
-  std::visit([&Out](const auto &Body) { fields(Out, "", Body); }, Message.m_Body);
+  std::visit([&Out](const auto &Body) { fields(Out, "", Body); },
+             Message.m_Body);
   return Out.take();
 }
 
@@ -302,12 +333,20 @@
 }
 
 std::string encodeEntry(const LogEntry &Entry) { return encodeValue(Entry); }
-absl::StatusOr<LogEntry> decodeEntry(std::string_view Bytes) { return decodeValue<LogEntry>(Bytes); }
+absl::StatusOr<LogEntry> decodeEntry(std::string_view Bytes) {
+  return decodeValue<LogEntry>(Bytes);
+}
 
 std::string encodeHardState(const HardState &Hard) { return encodeValue(Hard); }
-absl::StatusOr<HardState> decodeHardState(std::string_view Bytes) { return decodeValue<HardState>(Bytes); }
+absl::StatusOr<HardState> decodeHardState(std::string_view Bytes) {
+  return decodeValue<HardState>(Bytes);
+}
 
-std::string encodeSnapshotMeta(const SnapshotMeta &Meta) { return encodeValue(Meta); }
-absl::StatusOr<SnapshotMeta> decodeSnapshotMeta(std::string_view Bytes) { return decodeValue<SnapshotMeta>(Bytes); }
+std::string encodeSnapshotMeta(const SnapshotMeta &Meta) {
+  return encodeValue(Meta);
+}
+absl::StatusOr<SnapshotMeta> decodeSnapshotMeta(std::string_view Bytes) {
+  return decodeValue<SnapshotMeta>(Bytes);
+}
 
 } // namespace anvil::raft
--- a/src/raft/RaftCore.cpp
+++ b/src/raft/RaftCore.cpp
@@ -8,15 +8,19 @@
 
 namespace anvil::raft::internal {
 
-RaftCore::RaftCore(RaftOptions Options, HardState Hard, Snapshot Base, RaftLog Log, bool DropsStaleEntries)
-    : m_Options(std::move(Options)), m_Hard(Hard), m_Snapshot(std::move(Base)), m_Log(std::move(Log)) {
+RaftCore::RaftCore(RaftOptions Options, HardState Hard, Snapshot Base,
+                   RaftLog Log, bool DropsStaleEntries)
+    : m_Options(std::move(Options)), m_Hard(Hard), m_Snapshot(std::move(Base)),
+      m_Log(std::move(Log)) {
   const LogIndex SnapshotIndex = m_Snapshot.m_Meta.m_Index;
   m_Commit = m_Delivered = m_Applied = SnapshotIndex;
   m_Durable = m_Log.lastIndex();
   m_ReportedRole.m_Term = Hard.m_Term;
-  // A random start keeps the read ids of this run apart from those of earlier runs, whose answers may still arrive.
+  // A random start keeps the read ids of this run apart from those of earlier
+  // runs, whose answers may still arrive.
   m_NextReadId = m_Options.m_Random(std::numeric_limits<uint64_t>::max() / 2);
-  // Entries that an installed snapshot superseded would otherwise precede the next append on disk.
+  // Entries that an installed snapshot superseded would otherwise precede the
+  // next append on disk.
   if (DropsStaleEntries)
     m_Output.m_TruncateFrom = 1;
 }
@@ -42,7 +46,8 @@
 
 void RaftCore::handle(const ReceiveInput &Input) {
   const RaftMessage &Message = Input.m_Message;
-  if (Message.m_To != m_Options.m_Self || Message.m_From == m_Options.m_Self || !admitTerm(Message))
+  if (Message.m_To != m_Options.m_Self || Message.m_From == m_Options.m_Self ||
+      !admitTerm(Message))
     return;
   std::visit([&](const auto &Body) { on(Message, Body); }, Message.m_Body);
 }
@@ -50,12 +55,15 @@
 void RaftCore::handle(const ProposeInput &Input) {
   for (const Proposal &Item : Input.m_Proposals) {
     if (m_Role != RaftRole::Leader) {
-      failProposal(Item.m_Context, absl::StatusCode::kFailedPrecondition, RaftErrc::NotLeader, "not the leader");
+      failProposal(Item.m_Context, absl::StatusCode::kFailedPrecondition,
+                   RaftErrc::NotLeader, "not the leader");
     } else if (m_TransferTarget != NoReplica) {
-      failProposal(Item.m_Context, absl::StatusCode::kUnavailable, RaftErrc::Busy, "leadership is being transferred");
-    } else if (m_Log.lastIndex() - m_Commit >= m_Options.m_MaxUncommittedEntries) {
-      failProposal(Item.m_Context, absl::StatusCode::kResourceExhausted, RaftErrc::Busy,
-                   "too many uncommitted entries");
+      failProposal(Item.m_Context, absl::StatusCode::kUnavailable,
+                   RaftErrc::Busy, "leadership is being transferred");
+    } else if (m_Log.lastIndex() - m_Commit >=
+               m_Options.m_MaxUncommittedEntries) {
+      failProposal(Item.m_Context, absl::StatusCode::kResourceExhausted,
+                   RaftErrc::Busy, "too many uncommitted entries");
     } else {
       const LogIndex Index = append(EntryKind::Command, Item.m_Data, {});
       m_PendingProposals.insert({Index, {Item.m_Context, m_Hard.m_Term}});
@@ -64,8 +72,10 @@
 }
 
 void RaftCore::handle(const PersistedInput &Input) {
-  m_SyncedSequence = std::min(std::max(m_SyncedSequence, Input.m_Sequence), m_Sequence);
-  while (!m_PendingWrites.empty() && m_PendingWrites.front().m_Sequence <= m_SyncedSequence) {
+  m_SyncedSequence =
+      std::min(std::max(m_SyncedSequence, Input.m_Sequence), m_Sequence);
+  while (!m_PendingWrites.empty() &&
+         m_PendingWrites.front().m_Sequence <= m_SyncedSequence) {
     m_Durable = std::max(m_Durable, m_PendingWrites.front().m_LastIndex);
     m_PendingWrites.pop_front();
   }
@@ -93,17 +103,20 @@
 }
 
 void RaftCore::sealOutput() {
-  const bool Persists = m_Output.m_Install || m_Output.m_TruncateFrom || !m_Output.m_Append.empty() || m_Output.m_Hard;
+  const bool Persists = m_Output.m_Install || m_Output.m_TruncateFrom ||
+                        !m_Output.m_Append.empty() || m_Output.m_Hard;
   if (Persists) {
     m_Output.m_Sequence = ++m_Sequence;
     m_PendingWrites.push_back({m_Sequence, m_Log.lastIndex()});
   }
-  for (auto Held = m_HeldMessages.rbegin(); Held != m_HeldMessages.rend() && Held->m_Sequence == 0; ++Held)
+  for (auto Held = m_HeldMessages.rbegin();
+       Held != m_HeldMessages.rend() && Held->m_Sequence == 0; ++Held)
     Held->m_Sequence = m_Sequence;
 }
 
 void RaftCore::releaseHeldMessages() {
-  while (!m_HeldMessages.empty() && m_HeldMessages.front().m_Sequence <= m_SyncedSequence) {
+  while (!m_HeldMessages.empty() &&
+         m_HeldMessages.front().m_Sequence <= m_SyncedSequence) {
     RaftMessage &Message = m_HeldMessages.front().m_Message;
     // A message of an older term would be ignored by its receiver.
     if (Message.m_Term == m_Hard.m_Term)
@@ -125,9 +138,11 @@
   const auto [First, Last] = m_PendingProposals.equal_range(Entry.m_Index);
   for (auto Item = First; Item != Last; ++Item) {
     if (Item->second.m_Term == Entry.m_Term) {
-      m_Output.m_Proposals.push_back({Item->second.m_Context, absl::OkStatus(), Entry.m_Index});
+      m_Output.m_Proposals.push_back(
+          {Item->second.m_Context, absl::OkStatus(), Entry.m_Index});
     } else {
-      failProposal(Item->second.m_Context, absl::StatusCode::kAborted, RaftErrc::Superseded,
+      failProposal(Item->second.m_Context, absl::StatusCode::kAborted,
+                   RaftErrc::Superseded,
                    "another entry was committed in its place");
     }
   }
@@ -175,8 +190,10 @@
   m_Output.m_Hard = m_Hard;
 }
 
-LogIndex RaftCore::append(EntryKind Kind, std::string Data, Membership Members) {
-  appendLocal({m_Log.lastIndex() + 1, m_Hard.m_Term, Kind, std::move(Data), std::move(Members)});
+LogIndex RaftCore::append(EntryKind Kind, std::string Data,
+                          Membership Members) {
+  appendLocal({m_Log.lastIndex() + 1, m_Hard.m_Term, Kind, std::move(Data),
+               std::move(Members)});
   return m_Log.lastIndex();
 }
 
@@ -187,26 +204,32 @@
 
 void RaftCore::truncateLocal(LogIndex First) {
   m_Log.truncateFrom(First);
-  m_Output.m_TruncateFrom = std::min(First, m_Output.m_TruncateFrom.value_or(First));
+  m_Output.m_TruncateFrom =
+      std::min(First, m_Output.m_TruncateFrom.value_or(First));
   m_Durable = std::min(m_Durable, First - 1);
   for (PendingWrite &Write : m_PendingWrites)
     Write.m_LastIndex = std::min(Write.m_LastIndex, First - 1);
 }
 
 void RaftCore::send(ReplicaId To, RaftMessage::Body Body) {
-  m_Output.m_Messages.push_back({m_Options.m_Self, To, m_Hard.m_Term, std::move(Body)});
+  m_Output.m_Messages.push_back(
+      {m_Options.m_Self, To, m_Hard.m_Term, std::move(Body)});
 }
 
 void RaftCore::sendWhenDurable(ReplicaId To, RaftMessage::Body Body) {
-  m_HeldMessages.push_back({0, {m_Options.m_Self, To, m_Hard.m_Term, std::move(Body)}});
+  m_HeldMessages.push_back(
+      {0, {m_Options.m_Self, To, m_Hard.m_Term, std::move(Body)}});
 }
 
-void RaftCore::failProposal(uint64_t Context, absl::StatusCode Kind, RaftErrc Code, std::string_view Text) {
-  m_Output.m_Proposals.push_back({Context, makeLayerError(Kind, Code, Text), 0});
+void RaftCore::failProposal(uint64_t Context, absl::StatusCode Kind,
+                            RaftErrc Code, std::string_view Text) {
+  m_Output.m_Proposals.push_back(
+      {Context, makeLayerError(Kind, Code, Text), 0});
 }
 
 TimePoint RaftCore::nextDeadline() const {
-  TimePoint Result = m_Role == RaftRole::Leader ? m_HeartbeatDue : m_ElectionDeadline;
+  TimePoint Result =
+      m_Role == RaftRole::Leader ? m_HeartbeatDue : m_ElectionDeadline;
   if (m_Role == RaftRole::Leader && m_TransferTarget != NoReplica)
     Result = std::min(Result, m_TransferDeadline);
   for (const auto &[Id, Read] : m_LocalReads) {
--- a/src/raft/RaftCore.h
+++ b/src/raft/RaftCore.h
@@ -14,10 +14,12 @@
 
 namespace anvil::raft::internal {
 
-/// Implements Raft. The functions are spread over one source file per concern, named in the comments below.
+/// Implements Raft. The functions are spread over one source file per concern,
+/// named in the comments below.
 class RaftCore {
 public:
-  RaftCore(RaftOptions Options, HardState Hard, Snapshot Base, RaftLog Log, bool DropsStaleEntries);
+  RaftCore(RaftOptions Options, HardState Hard, Snapshot Base, RaftLog Log,
+           bool DropsStaleEntries);
 
   RaftOutput step(const RaftInput &Input, TimePoint Now);
   TimePoint nextDeadline() const;
@@ -53,7 +55,8 @@
     ReplicaId m_From;
     uint64_t m_ReadId = 0;
     LogIndex m_Index = 0;
-    /// Heartbeat round that confirms the read; it starts after the read arrived.
+    /// Heartbeat round that confirms the read; it starts after the read
+    /// arrived.
     uint64_t m_Round = 0;
   };
   /// Chunks received so far.
@@ -87,7 +90,8 @@
   void truncateLocal(LogIndex First);
   void send(ReplicaId To, RaftMessage::Body Body);
   void sendWhenDurable(ReplicaId To, RaftMessage::Body Body);
-  void failProposal(uint64_t Context, absl::StatusCode Kind, RaftErrc Code, std::string_view Text);
+  void failProposal(uint64_t Context, absl::StatusCode Kind, RaftErrc Code,
+                    std::string_view Text);
   bool isVoter() const { return m_Log.membership().isVoter(m_Options.m_Self); }
   LogIndex append(EntryKind Kind, std::string Data, Membership Members);
 
@@ -121,7 +125,9 @@
   void noteMatch(ReplicaId From, Progress &Peer, LogIndex Match);
   void noteRejection(Progress &Peer, const AppendResponse &Response);
   Progress *peerOf(const RaftMessage &Message);
-  bool committedInOwnTerm() const { return m_Log.termAt(m_Commit) == m_Hard.m_Term; }
+  bool committedInOwnTerm() const {
+    return m_Log.termAt(m_Commit) == m_Hard.m_Term;
+  }
   void on(const RaftMessage &Message, const AppendResponse &Response);
   void on(const RaftMessage &Message, const HeartbeatResponse &Response);
 
@@ -136,7 +142,8 @@
   // RaftSnapshot.cpp: both sides of the snapshot transfer, compaction.
   void startTransfer(Progress &Peer);
   void sendChunk(ReplicaId To, Progress &Peer);
-  bool continuesIncoming(const RaftMessage &Message, const SnapshotChunk &Chunk) const;
+  bool continuesIncoming(const RaftMessage &Message,
+                         const SnapshotChunk &Chunk) const;
   void installIncoming(ReplicaId From);
   void on(const RaftMessage &Message, const SnapshotChunk &Chunk);
   void on(const RaftMessage &Message, const SnapshotChunkResponse &Response);
@@ -150,7 +157,8 @@
   void failLeaderReads();
   void finishLocalReads();
   void failUnconfirmedReads(std::string_view Reason);
-  void failRead(uint64_t Context, absl::StatusCode Kind, RaftErrc Code, std::string_view Reason);
+  void failRead(uint64_t Context, absl::StatusCode Kind, RaftErrc Code,
+                std::string_view Reason);
   void on(const RaftMessage &Message, const ReadIndexRequest &Request);
   void on(const RaftMessage &Message, const ReadIndexResponse &Response);
 
--- a/src/raft/RaftElection.cpp
+++ b/src/raft/RaftElection.cpp
@@ -10,19 +10,24 @@
 
 /// Whether only the leader of the message's term sends such a message.
 bool isFromLeader(const RaftMessage::Body &Body) {
-  return std::holds_alternative<AppendRequest>(Body) || std::holds_alternative<HeartbeatRequest>(Body) ||
-         std::holds_alternative<SnapshotChunk>(Body) || std::holds_alternative<TimeoutNow>(Body);
+  return std::holds_alternative<AppendRequest>(Body) ||
+         std::holds_alternative<HeartbeatRequest>(Body) ||
+         std::holds_alternative<SnapshotChunk>(Body) ||
+         std::holds_alternative<TimeoutNow>(Body);
 }
 
 } // namespace
 
-/// Adopts a newer term and answers an older one; returns whether the message is to be handled.
+/// Adopts a newer term and answers an older one; returns whether the message is
+/// to be handled.
 bool RaftCore::admitTerm(const RaftMessage &Message) {
   const auto *Vote = std::get_if<VoteRequest>(&Message.m_Body);
-  // A replica that merely lost contact, or was removed, must not disturb a leader that a quorum can hear.
+  // A replica that merely lost contact, or was removed, must not disturb a
+  // leader that a quorum can hear.
   if (Vote != nullptr && !Vote->m_Transfer && hasFreshLeader())
     return false;
-  // A voter of an older term that grants a pre-vote does not adopt the term of the candidate yet.
+  // A voter of an older term that grants a pre-vote does not adopt the term of
+  // the candidate yet.
   const auto *Answer = std::get_if<VoteResponse>(&Message.m_Body);
   if (Message.m_Term < m_Hard.m_Term && Answer != nullptr && Answer->m_PreVote)
     return true;
@@ -32,14 +37,16 @@
   }
   // A pre-vote round does not change terms.
   if (Message.m_Term > m_Hard.m_Term && (Vote == nullptr || !Vote->m_PreVote))
-    becomeFollower(Message.m_Term, isFromLeader(Message.m_Body) ? Message.m_From : NoReplica);
+    becomeFollower(Message.m_Term,
+                   isFromLeader(Message.m_Body) ? Message.m_From : NoReplica);
   return true;
 }
 
 /// Tells a leader or candidate of an older term about the present one.
 void RaftCore::answerOldTerm(const RaftMessage &Message) {
   if (const auto *Vote = std::get_if<VoteRequest>(&Message.m_Body)) {
-    send(Message.m_From, VoteResponse{Vote->m_ElectionTerm, Vote->m_PreVote, false});
+    send(Message.m_From,
+         VoteResponse{Vote->m_ElectionTerm, Vote->m_PreVote, false});
   } else if (isFromLeader(Message.m_Body)) {
     sendWhenDurable(Message.m_From, AppendResponse{});
   }
@@ -49,12 +56,15 @@
 bool RaftCore::hasFreshLeader() const {
   if (m_Role == RaftRole::Leader)
     return true;
-  return m_Leader != NoReplica && m_Now - m_LastLeaderContact < m_Options.m_ElectionTimeoutMin;
+  return m_Leader != NoReplica &&
+         m_Now - m_LastLeaderContact < m_Options.m_ElectionTimeoutMin;
 }
 
 void RaftCore::resetElectionDeadline() {
-  const Duration Spread = m_Options.m_ElectionTimeoutMax - m_Options.m_ElectionTimeoutMin;
-  const auto Extra = static_cast<int64_t>(m_Options.m_Random(static_cast<uint64_t>(Spread.count())));
+  const Duration Spread =
+      m_Options.m_ElectionTimeoutMax - m_Options.m_ElectionTimeoutMin;
+  const auto Extra = static_cast<int64_t>(
+      m_Options.m_Random(static_cast<uint64_t>(Spread.count())));
   m_ElectionDeadline = m_Now + m_Options.m_ElectionTimeoutMin + Duration(Extra);
 }
 
@@ -83,11 +93,13 @@
 
 void RaftCore::requestVotes(bool PreVote, bool Transfer) {
   const TermNumber ElectionTerm = PreVote ? m_Hard.m_Term + 1 : m_Hard.m_Term;
-  const VoteRequest Request{ElectionTerm, m_Log.lastIndex(), m_Log.lastTerm(), PreVote, Transfer};
+  const VoteRequest Request{ElectionTerm, m_Log.lastIndex(), m_Log.lastTerm(),
+                            PreVote, Transfer};
   for (const ReplicaId Voter : m_Log.membership().m_Voters) {
     if (Voter == m_Options.m_Self)
       continue;
-    // A candidate that forgot its term after a crash could vote for another one in the same term.
+    // A candidate that forgot its term after a crash could vote for another one
+    // in the same term.
     if (PreVote) {
       send(Voter, Request);
     } else {
@@ -111,17 +123,20 @@
 }
 
 void RaftCore::countOwnVoteIfDurable() {
-  if (m_Role == RaftRole::Candidate && m_SyncedSequence >= m_OwnVoteSequence && !m_Votes.contains(m_Options.m_Self))
+  if (m_Role == RaftRole::Candidate && m_SyncedSequence >= m_OwnVoteSequence &&
+      !m_Votes.contains(m_Options.m_Self))
     countVote(m_Options.m_Self);
 }
 
-/// Makes a leader step down that has not heard a quorum for one election timeout.
+/// Makes a leader step down that has not heard a quorum for one election
+/// timeout.
 void RaftCore::checkQuorum() {
   size_t Heard = 0;
   for (const ReplicaId Voter : m_Log.membership().m_Voters) {
     const auto Peer = m_Peers.find(Voter);
     const bool IsSelf = Peer == m_Peers.end();
-    if (IsSelf || m_Now - Peer->second.m_LastContact < m_Options.m_ElectionTimeoutMin)
+    if (IsSelf ||
+        m_Now - Peer->second.m_LastContact < m_Options.m_ElectionTimeoutMin)
       ++Heard;
   }
   if (Heard < m_Log.membership().quorum())
@@ -129,29 +144,35 @@
 }
 
 void RaftCore::on(const RaftMessage &Message, const VoteRequest &Request) {
-  const bool UpToDate =
-      std::pair(Request.m_LastTerm, Request.m_LastIndex) >= std::pair(m_Log.lastTerm(), m_Log.lastIndex());
+  const bool UpToDate = std::pair(Request.m_LastTerm, Request.m_LastIndex) >=
+                        std::pair(m_Log.lastTerm(), m_Log.lastIndex());
   if (Request.m_PreVote) {
     const bool Granted = UpToDate && Request.m_ElectionTerm > m_Hard.m_Term;
-    return send(Message.m_From, VoteResponse{Request.m_ElectionTerm, true, Granted});
+    return send(Message.m_From,
+                VoteResponse{Request.m_ElectionTerm, true, Granted});
   }
-  const bool Free = m_Hard.m_VotedFor == NoReplica || m_Hard.m_VotedFor == Message.m_From;
-  const bool Granted = UpToDate && Free && m_Role != RaftRole::Leader && m_Leader == NoReplica;
+  const bool Free =
+      m_Hard.m_VotedFor == NoReplica || m_Hard.m_VotedFor == Message.m_From;
+  const bool Granted =
+      UpToDate && Free && m_Role != RaftRole::Leader && m_Leader == NoReplica;
   if (Granted) {
     if (m_Hard.m_VotedFor == NoReplica)
       setHardState(m_Hard.m_Term, Message.m_From);
     resetElectionDeadline();
   }
-  sendWhenDurable(Message.m_From, VoteResponse{Request.m_ElectionTerm, false, Granted});
+  sendWhenDurable(Message.m_From,
+                  VoteResponse{Request.m_ElectionTerm, false, Granted});
 }
 
 void RaftCore::on(const RaftMessage &Message, const VoteResponse &Response) {
   if (!Response.m_Granted)
     return;
-  const bool ForPreVote =
-      m_Role == RaftRole::PreCandidate && Response.m_PreVote && Response.m_ElectionTerm == m_Hard.m_Term + 1;
-  const bool ForElection =
-      m_Role == RaftRole::Candidate && !Response.m_PreVote && Response.m_ElectionTerm == m_Hard.m_Term;
+  const bool ForPreVote = m_Role == RaftRole::PreCandidate &&
+                          Response.m_PreVote &&
+                          Response.m_ElectionTerm == m_Hard.m_Term + 1;
+  const bool ForElection = m_Role == RaftRole::Candidate &&
+                           !Response.m_PreVote &&
+                           Response.m_ElectionTerm == m_Hard.m_Term;
   if (ForPreVote || ForElection)
     countVote(Message.m_From);
 }
--- a/src/raft/RaftFollower.cpp
+++ b/src/raft/RaftFollower.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-/// Whether the entries continue the request's position without gaps and with terms that do not decrease.
+/// Whether the entries continue the request's position without gaps and with
+/// terms that do not decrease.
 bool isWellFormed(const AppendRequest &Request, TermNumber SenderTerm) {
   LogIndex Index = Request.m_PrevIndex;
   TermNumber Term = Request.m_PrevTerm;
@@ -21,7 +22,8 @@
 
 } // namespace
 
-/// Follows the sender of a message that only the leader of the present term sends.
+/// Follows the sender of a message that only the leader of the present term
+/// sends.
 void RaftCore::followLeader(ReplicaId Leader) {
   if (m_Role != RaftRole::Follower || m_Leader != Leader)
     becomeFollower(m_Hard.m_Term, Leader);
@@ -35,17 +37,20 @@
   followLeader(Message.m_From);
   // Committed entries never change, so the leader can continue after them.
   if (Request.m_PrevIndex < m_Commit)
-    return sendWhenDurable(Message.m_From, AppendResponse{.m_Success = true, .m_Match = m_Commit});
+    return sendWhenDurable(
+        Message.m_From, AppendResponse{.m_Success = true, .m_Match = m_Commit});
   if (m_Log.termAt(Request.m_PrevIndex) != Request.m_PrevTerm)
     return refuseAppend(Message.m_From, Request);
   if (!acceptEntries(Request))
     return;
   const LogIndex Match = Request.m_PrevIndex + Request.m_Entries.size();
   raiseCommit(std::min(Request.m_Commit, Match));
-  sendWhenDurable(Message.m_From, AppendResponse{.m_Success = true, .m_Match = Match});
+  sendWhenDurable(Message.m_From,
+                  AppendResponse{.m_Success = true, .m_Match = Match});
 }
 
-/// Appends the entries that are new and drops a conflicting suffix; returns false if that would drop a committed entry.
+/// Appends the entries that are new and drops a conflicting suffix; returns
+/// false if that would drop a committed entry.
 bool RaftCore::acceptEntries(const AppendRequest &Request) {
   for (const LogEntry &Entry : Request.m_Entries) {
     if (m_Log.termAt(Entry.m_Index) == Entry.m_Term)
@@ -62,12 +67,15 @@
 void RaftCore::refuseAppend(ReplicaId To, const AppendRequest &Request) {
   AppendResponse Response;
   Response.m_RejectedPrev = Request.m_PrevIndex;
-  Response.m_HintIndex = m_Log.lastIndexWithTermUpTo(Request.m_PrevIndex, Request.m_PrevTerm);
+  Response.m_HintIndex =
+      m_Log.lastIndexWithTermUpTo(Request.m_PrevIndex, Request.m_PrevTerm);
   Response.m_HintTerm = *m_Log.termAt(Response.m_HintIndex);
   send(To, Response);
 }
 
-void RaftCore::raiseCommit(LogIndex Commit) { m_Commit = std::max(m_Commit, std::min(Commit, m_Log.lastIndex())); }
+void RaftCore::raiseCommit(LogIndex Commit) {
+  m_Commit = std::max(m_Commit, std::min(Commit, m_Log.lastIndex()));
+}
 
 void RaftCore::on(const RaftMessage &Message, const HeartbeatRequest &Request) {
   if (m_Role == RaftRole::Leader)
--- a/src/raft/RaftLeader.cpp
+++ b/src/raft/RaftLeader.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/// Heartbeat intervals without progress after which entries in flight count as lost.
+/// Heartbeat intervals without progress after which entries in flight count as
+/// lost.
 constexpr int RetransmitIntervals = 3;
 
 uint64_t bytesOf(const std::vector<LogEntry> &Entries) {
@@ -47,7 +48,9 @@
 /// Keeps one Progress for each other replica of the present membership.
 void RaftCore::syncPeers() {
   const Membership &Members = m_Log.membership();
-  std::erase_if(m_Peers, [&Members](const auto &Item) { return !Members.contains(Item.first); });
+  std::erase_if(m_Peers, [&Members](const auto &Item) {
+    return !Members.contains(Item.first);
+  });
   const auto Add = [this](ReplicaId Id) {
     if (Id == m_Options.m_Self || m_Peers.contains(Id))
       return;
@@ -82,7 +85,8 @@
 bool RaftCore::maySend(const Progress &Peer) const {
   if (Peer.m_Mode == ProgressMode::Probe)
     return !Peer.m_ProbeSent;
-  return Peer.m_Next <= m_Log.lastIndex() && Peer.inflight() < m_Options.m_MaxInflightEntries &&
+  return Peer.m_Next <= m_Log.lastIndex() &&
+         Peer.inflight() < m_Options.m_MaxInflightEntries &&
          Peer.m_InflightBytes < m_Options.m_MaxInflightBytes;
 }
 
@@ -91,12 +95,16 @@
   Request.m_PrevIndex = Peer.m_Next - 1;
   Request.m_PrevTerm = *m_Log.termAt(Request.m_PrevIndex);
   Request.m_Commit = m_Commit;
-  // A probe may be refused, so it carries entries only after the common prefix is known.
-  const bool Known = Peer.m_Mode == ProgressMode::Replicate || Peer.m_Next == Peer.m_Match + 1;
-  const uint64_t Room = m_Options.m_MaxInflightEntries - (Known ? Peer.inflight() : 0);
+  // A probe may be refused, so it carries entries only after the common prefix
+  // is known.
+  const bool Known =
+      Peer.m_Mode == ProgressMode::Replicate || Peer.m_Next == Peer.m_Match + 1;
+  const uint64_t Room =
+      m_Options.m_MaxInflightEntries - (Known ? Peer.inflight() : 0);
   if (Known) {
     Request.m_Entries =
-        m_Log.slice(Peer.m_Next, std::min(m_Options.m_MaxBatchEntries, Room), m_Options.m_MaxBatchBytes);
+        m_Log.slice(Peer.m_Next, std::min(m_Options.m_MaxBatchEntries, Room),
+                    m_Options.m_MaxBatchBytes);
   }
   const uint64_t Count = Request.m_Entries.size();
   if (Peer.m_Mode == ProgressMode::Probe) {
@@ -104,14 +112,16 @@
   } else {
     if (Peer.inflight() == 0)
       Peer.m_LastProgress = m_Now;
-    Peer.m_SentCommit = std::max(Peer.m_SentCommit, std::min(m_Commit, Peer.m_Next - 1 + Count));
+    Peer.m_SentCommit = std::max(Peer.m_SentCommit,
+                                 std::min(m_Commit, Peer.m_Next - 1 + Count));
     Peer.noteSent(Peer.m_Next - 1 + Count, bytesOf(Request.m_Entries));
   }
   send(To, std::move(Request));
 }
 
-/// Commits what a quorum holds durably. Only an entry of the own term is counted: one of an older term may still be
-/// replaced by a later leader even if a quorum holds it.
+/// Commits what a quorum holds durably. Only an entry of the own term is
+/// counted: one of an older term may still be replaced by a later leader even
+/// if a quorum holds it.
 void RaftCore::advanceCommit() {
   const LogIndex Index = quorumMatch();
   if (Index <= m_Commit || m_Log.termAt(Index) != m_Hard.m_Term)
@@ -129,12 +139,14 @@
   const Membership &Members = m_Log.membership();
   std::vector<LogIndex> Matches;
   for (const ReplicaId Voter : Members.m_Voters)
-    Matches.push_back(Voter == m_Options.m_Self ? m_Durable : m_Peers.at(Voter).m_Match);
+    Matches.push_back(Voter == m_Options.m_Self ? m_Durable
+                                                : m_Peers.at(Voter).m_Match);
   std::sort(Matches.begin(), Matches.end(), std::greater<>());
   return Matches[Members.quorum() - 1];
 }
 
-/// Ends the leadership of a replica whose removal is committed, after telling the others about the commit.
+/// Ends the leadership of a replica whose removal is committed, after telling
+/// the others about the commit.
 void RaftCore::stepDownIfRemoved() {
   if (isVoter() || m_Log.membershipIndex() > m_Commit)
     return;
@@ -148,7 +160,8 @@
   becomeFollower(m_Hard.m_Term, NoReplica);
 }
 
-/// Returns the progress of the sender, or nothing if this replica does not lead it.
+/// Returns the progress of the sender, or nothing if this replica does not lead
+/// it.
 Progress *RaftCore::peerOf(const RaftMessage &Message) {
   const auto Peer = m_Peers.find(Message.m_From);
   if (m_Role != RaftRole::Leader || Peer == m_Peers.end())
@@ -161,7 +174,8 @@
   if (Match > Peer.m_Match)
     Peer.m_LastProgress = m_Now;
   Peer.noteAcknowledged(Match);
-  const bool SnapshotPending = Peer.m_Mode == ProgressMode::Snapshot && Peer.m_Match < Peer.m_Transfer.m_Meta.m_Index;
+  const bool SnapshotPending = Peer.m_Mode == ProgressMode::Snapshot &&
+                               Peer.m_Match < Peer.m_Transfer.m_Meta.m_Index;
   if (Peer.m_Mode == ProgressMode::Replicate || SnapshotPending)
     return;
   Peer.probeFrom(Peer.m_Match + 1);
@@ -170,17 +184,23 @@
   flushPeer(From, Peer);
 }
 
-/// Moves back to the last index that may be common, skipping a whole term at a time.
-// A rejection at the match index itself comes from a replica that lost entries it had acknowledged, for example with
-// the last block of its disk, or is a late one. Both are answered by a search for the common prefix: lowering the match
-// index never undoes a commit, and without it the replica would get no entries until the leader changes.
+/// Moves back to the last index that may be common, skipping a whole term at a
+/// time.
+// A rejection at the match index itself comes from a replica that lost entries
+// it had acknowledged, for example with the last block of its disk, or is a
+// late one. Both are answered by a search for the common prefix: lowering the
+// match index never undoes a commit, and without it the replica would get no
+// entries until the leader changes.
 void RaftCore::noteRejection(Progress &Peer, const AppendResponse &Response) {
-  const bool Stale = Peer.m_Mode == ProgressMode::Probe ? Response.m_RejectedPrev != Peer.m_Next - 1
-                                                        : Response.m_RejectedPrev < Peer.m_Match;
-  if (Stale || Peer.m_Mode == ProgressMode::Snapshot || Response.m_RejectedPrev == 0)
+  const bool Stale = Peer.m_Mode == ProgressMode::Probe
+                         ? Response.m_RejectedPrev != Peer.m_Next - 1
+                         : Response.m_RejectedPrev < Peer.m_Match;
+  if (Stale || Peer.m_Mode == ProgressMode::Snapshot ||
+      Response.m_RejectedPrev == 0)
     return;
   LogIndex Common = std::min(Response.m_HintIndex, Response.m_RejectedPrev - 1);
-  // If the common prefix ends before the log in memory, only a snapshot can bridge the gap.
+  // If the common prefix ends before the log in memory, only a snapshot can
+  // bridge the gap.
   if (Common >= m_Log.baseIndex())
     Common = m_Log.lastIndexWithTermUpTo(Common, Response.m_HintTerm);
   Peer.m_Match = std::min(Peer.m_Match, Common);
@@ -192,18 +212,22 @@
   if (Peer == nullptr)
     return;
   if (Response.m_Success) {
-    noteMatch(Message.m_From, *Peer, std::min(Response.m_Match, m_Log.lastIndex()));
+    noteMatch(Message.m_From, *Peer,
+              std::min(Response.m_Match, m_Log.lastIndex()));
   } else {
     noteRejection(*Peer, Response);
   }
 }
 
-void RaftCore::on(const RaftMessage &Message, const HeartbeatResponse &Response) {
+void RaftCore::on(const RaftMessage &Message,
+                  const HeartbeatResponse &Response) {
   Progress *Peer = peerOf(Message);
   if (Peer == nullptr)
     return;
-  Peer->m_AckedRound = std::max(Peer->m_AckedRound, std::min(Response.m_Round, m_Round));
-  // The replica is reachable, so what it has not acknowledged for some time was lost.
+  Peer->m_AckedRound =
+      std::max(Peer->m_AckedRound, std::min(Response.m_Round, m_Round));
+  // The replica is reachable, so what it has not acknowledged for some time was
+  // lost.
   const Duration Patience = RetransmitIntervals * m_Options.m_HeartbeatInterval;
   if (Peer->m_Mode == ProgressMode::Snapshot) {
     if (Peer->m_ChunkSentAt && m_Now - *Peer->m_ChunkSentAt >= Patience)
