--- a/src/raft/RaftLog.cpp
+++ b/src/raft/RaftLog.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 absl::Status badState(std::string_view Text) {
-  return makeLayerError(absl::StatusCode::kDataLoss, RaftErrc::BadPersistentState, Text);
+  return makeLayerError(absl::StatusCode::kDataLoss,
+                        RaftErrc::BadPersistentState, Text);
 }
 
 absl::Status checkOrder(const std::vector<LogEntry> &Entries) {
@@ -20,15 +21,20 @@
     return badState("log starts at index 0");
   for (size_t I = 1; I < Entries.size(); ++I) {
     if (Entries[I].m_Index != Entries[I - 1].m_Index + 1)
-      return badState(absl::StrCat("log continues with index ", Entries[I].m_Index, " after ", Entries[I - 1].m_Index));
+      return badState(absl::StrCat("log continues with index ",
+                                   Entries[I].m_Index, " after ",
+                                   Entries[I - 1].m_Index));
     if (Entries[I].m_Term < Entries[I - 1].m_Term)
-      return badState(absl::StrCat("term decreases at index ", Entries[I].m_Index));
+      return badState(
+          absl::StrCat("term decreases at index ", Entries[I].m_Index));
   }
   return absl::OkStatus();
 }
 
-/// Whether entries that end before the snapshot, or disagree with it, were superseded by an installed snapshot.
-bool supersededBy(const SnapshotMeta &Base, const std::vector<LogEntry> &Entries) {
+/// Whether entries that end before the snapshot, or disagree with it, were
+/// superseded by an installed snapshot.
+bool supersededBy(const SnapshotMeta &Base,
+                  const std::vector<LogEntry> &Entries) {
   if (Entries.back().m_Index < Base.m_Index)
     return true;
   if (Entries.front().m_Index > Base.m_Index)
@@ -38,15 +44,17 @@
 
 } // namespace
 
-absl::StatusOr<RaftLog> RaftLog::create(const SnapshotMeta &Base, std::vector<LogEntry> Entries) {
+absl::StatusOr<RaftLog> RaftLog::create(const SnapshotMeta &Base,
+                                        std::vector<LogEntry> Entries) {
   if (absl::Status Error = checkOrder(Entries); !Error.ok())
     return Error;
   RaftLog Log(Base);
   if (Entries.empty() || supersededBy(Base, Entries))
     return Log;
   if (Entries.front().m_Index > Base.m_Index + 1) {
-    return badState(
-        absl::StrCat("log starts at index ", Entries.front().m_Index, " but the snapshot ends at ", Base.m_Index));
+    return badState(absl::StrCat("log starts at index ",
+                                 Entries.front().m_Index,
+                                 " but the snapshot ends at ", Base.m_Index));
   }
   for (LogEntry &Entry : Entries) {
     if (Entry.m_Index > Base.m_Index)
@@ -61,10 +69,12 @@
   return Index == m_BaseIndex ? m_BaseTerm : at(Index).m_Term;
 }
 
-std::vector<LogEntry> RaftLog::slice(LogIndex First, uint64_t MaxEntries, uint64_t MaxBytes) const {
+std::vector<LogEntry> RaftLog::slice(LogIndex First, uint64_t MaxEntries,
+                                     uint64_t MaxBytes) const {
   std::vector<LogEntry> Result;
   uint64_t Bytes = 0;
-  for (LogIndex Index = First; Index <= lastIndex() && Result.size() < MaxEntries; ++Index) {
+  for (LogIndex Index = First;
+       Index <= lastIndex() && Result.size() < MaxEntries; ++Index) {
     Bytes += at(Index).m_Data.size();
     if (!Result.empty() && Bytes > MaxBytes)
       break;
@@ -94,7 +104,9 @@
 
 void RaftLog::compactTo(LogIndex Index) {
   m_BaseTerm = *termAt(Index);
-  m_Entries.erase(m_Entries.begin(), m_Entries.begin() + static_cast<std::ptrdiff_t>(Index - m_BaseIndex));
+  m_Entries.erase(m_Entries.begin(),
+                  m_Entries.begin() +
+                      static_cast<std::ptrdiff_t>(Index - m_BaseIndex));
   m_BaseIndex = Index;
   while (m_Memberships.size() > 1 && m_Memberships[1].m_Index <= Index)
     m_Memberships.erase(m_Memberships.begin());
--- a/src/raft/RaftMembership.cpp
+++ b/src/raft/RaftMembership.cpp
@@ -10,7 +10,8 @@
 namespace {
 
 absl::Status refused(std::string_view Text) {
-  return makeLayerError(absl::StatusCode::kFailedPrecondition, RaftErrc::ChangeRefused, Text);
+  return makeLayerError(absl::StatusCode::kFailedPrecondition,
+                        RaftErrc::ChangeRefused, Text);
 }
 
 void insertSorted(std::vector<ReplicaId> &Ids, ReplicaId Id) {
@@ -32,20 +33,27 @@
 
 absl::Status RaftCore::checkChange(const ChangeMembershipInput &Change) const {
   if (m_Role != RaftRole::Leader)
-    return makeLayerError(absl::StatusCode::kFailedPrecondition, RaftErrc::NotLeader, "not the leader");
+    return makeLayerError(absl::StatusCode::kFailedPrecondition,
+                          RaftErrc::NotLeader, "not the leader");
   if (m_TransferTarget != NoReplica)
-    return makeLayerError(absl::StatusCode::kUnavailable, RaftErrc::Busy, "leadership is being transferred");
-  // Without these two rules, the majorities of two memberships might not overlap.
+    return makeLayerError(absl::StatusCode::kUnavailable, RaftErrc::Busy,
+                          "leadership is being transferred");
+  // Without these two rules, the majorities of two memberships might not
+  // overlap.
   if (!committedInOwnTerm())
     return refused("the leader has not committed an entry of its term yet");
   if (m_Log.membershipIndex() > m_Commit)
-    return refused(absl::StrCat("the membership change at index ", m_Log.membershipIndex(), " is not committed yet"));
+    return refused(absl::StrCat("the membership change at index ",
+                                m_Log.membershipIndex(),
+                                " is not committed yet"));
   const Membership &Members = m_Log.membership();
   switch (Change.m_Kind) {
   case MembershipChangeKind::AddLearner:
     if (Change.m_Replica.value() <= 0)
       return refused("a replica id must be positive");
-    return Members.contains(Change.m_Replica) ? refused("the replica is a member already") : absl::OkStatus();
+    return Members.contains(Change.m_Replica)
+               ? refused("the replica is a member already")
+               : absl::OkStatus();
   case MembershipChangeKind::PromoteLearner:
     return checkPromotion(Change.m_Replica);
   case MembershipChangeKind::RemoveReplica:
@@ -54,14 +62,17 @@
   return refused("unknown kind of change");
 }
 
-/// Refuses a learner that lags: as a voter it would count for the quorum before it can vote for new entries.
+/// Refuses a learner that lags: as a voter it would count for the quorum before
+/// it can vote for new entries.
 absl::Status RaftCore::checkPromotion(ReplicaId Learner) const {
   if (!m_Log.membership().isLearner(Learner))
     return refused("the replica is not a learner");
   const Progress &Peer = m_Peers.at(Learner);
   if (Peer.m_Match + m_Options.m_MaxPromotionLag < m_Log.lastIndex())
-    return refused(absl::StrCat("the learner is at index ", Peer.m_Match, " of ", m_Log.lastIndex()));
-  if (Peer.m_Match == 0 || m_Now - Peer.m_LastContact >= m_Options.m_ElectionTimeoutMin)
+    return refused(absl::StrCat("the learner is at index ", Peer.m_Match,
+                                " of ", m_Log.lastIndex()));
+  if (Peer.m_Match == 0 ||
+      m_Now - Peer.m_LastContact >= m_Options.m_ElectionTimeoutMin)
     return refused("the learner was not heard recently");
   return absl::OkStatus();
 }
@@ -91,7 +102,8 @@
 }
 
 void RaftCore::handle(const TransferLeadershipInput &Input) {
-  const bool Eligible = Input.m_Target != m_Options.m_Self && m_Log.membership().isVoter(Input.m_Target);
+  const bool Eligible = Input.m_Target != m_Options.m_Self &&
+                        m_Log.membership().isVoter(Input.m_Target);
   if (m_Role != RaftRole::Leader || !Eligible || m_TransferTarget != NoReplica)
     return;
   m_TransferTarget = Input.m_Target;
--- a/src/raft/RaftReads.cpp
+++ b/src/raft/RaftReads.cpp
@@ -9,11 +9,14 @@
 
 void RaftCore::handle(const ReadInput &Input) {
   if (m_LocalReads.size() >= m_Options.m_MaxPendingReads)
-    return failRead(Input.m_Context, absl::StatusCode::kResourceExhausted, RaftErrc::Busy, "too many pending reads");
+    return failRead(Input.m_Context, absl::StatusCode::kResourceExhausted,
+                    RaftErrc::Busy, "too many pending reads");
   if (m_Leader == NoReplica)
-    return failRead(Input.m_Context, absl::StatusCode::kUnavailable, RaftErrc::NotLeader, "no leader is known");
+    return failRead(Input.m_Context, absl::StatusCode::kUnavailable,
+                    RaftErrc::NotLeader, "no leader is known");
   const uint64_t ReadId = m_NextReadId++;
-  m_LocalReads[ReadId] = {Input.m_Context, m_Now + m_Options.m_ReadTimeout, false, 0};
+  m_LocalReads[ReadId] = {Input.m_Context, m_Now + m_Options.m_ReadTimeout,
+                          false, 0};
   if (m_Role == RaftRole::Leader) {
     startLeaderRead({m_Options.m_Self, ReadId, 0, 0});
   } else {
@@ -21,9 +24,11 @@
   }
 }
 
-/// Notes what the read must see and which quorum round confirms that no later leader existed when it arrived.
+/// Notes what the read must see and which quorum round confirms that no later
+/// leader existed when it arrived.
 void RaftCore::startLeaderRead(LeaderRead Read) {
-  // Until then, the commit index may be behind what earlier leaders acknowledged.
+  // Until then, the commit index may be behind what earlier leaders
+  // acknowledged.
   if (!committedInOwnTerm()) {
     m_EarlyReads.push_back(Read);
     return;
@@ -33,9 +38,11 @@
   m_LeaderReads.push_back(Read);
 }
 
-/// Starts a quorum round for waiting reads unless one is under way, so that reads share rounds.
+/// Starts a quorum round for waiting reads unless one is under way, so that
+/// reads share rounds.
 void RaftCore::startWantedRound() {
-  if (m_LeaderReads.empty() || m_LeaderReads.back().m_Round <= m_Round || confirmedRound() < m_Round)
+  if (m_LeaderReads.empty() || m_LeaderReads.back().m_Round <= m_Round ||
+      confirmedRound() < m_Round)
     return;
   broadcastHeartbeat();
   finishLeaderReads();
@@ -46,7 +53,8 @@
   const Membership &Members = m_Log.membership();
   std::vector<uint64_t> Rounds;
   for (const ReplicaId Voter : Members.m_Voters)
-    Rounds.push_back(Voter == m_Options.m_Self ? m_Round : m_Peers.at(Voter).m_AckedRound);
+    Rounds.push_back(
+        Voter == m_Options.m_Self ? m_Round : m_Peers.at(Voter).m_AckedRound);
   std::sort(Rounds.begin(), Rounds.end(), std::greater<>());
   return Rounds[Members.quorum() - 1];
 }
@@ -63,7 +71,8 @@
 
 void RaftCore::answerLeaderRead(const LeaderRead &Read, bool Confirmed) {
   if (Read.m_From != m_Options.m_Self)
-    return send(Read.m_From, ReadIndexResponse{Read.m_ReadId, Confirmed, Read.m_Index});
+    return send(Read.m_From,
+                ReadIndexResponse{Read.m_ReadId, Confirmed, Read.m_Index});
   const auto Local = m_LocalReads.find(Read.m_ReadId);
   if (Local == m_LocalReads.end() || !Confirmed)
     return;
@@ -78,17 +87,19 @@
     answerLeaderRead(Read, /*Confirmed=*/false);
 }
 
-/// Ends confirmed reads whose index is applied, and reads that were not confirmed in time.
+/// Ends confirmed reads whose index is applied, and reads that were not
+/// confirmed in time.
 void RaftCore::finishLocalReads() {
   std::erase_if(m_LocalReads, [this](const auto &Item) {
     const LocalRead &Read = Item.second;
     if (Read.m_Confirmed && Read.m_Index <= m_Applied) {
-      m_Output.m_Reads.push_back({Read.m_Context, absl::OkStatus(), Read.m_Index});
+      m_Output.m_Reads.push_back(
+          {Read.m_Context, absl::OkStatus(), Read.m_Index});
       return true;
     }
     if (!Read.m_Confirmed && m_Now >= Read.m_Deadline) {
-      failRead(Read.m_Context, absl::StatusCode::kDeadlineExceeded, RaftErrc::ReadNotConfirmed,
-               "not confirmed in time");
+      failRead(Read.m_Context, absl::StatusCode::kDeadlineExceeded,
+               RaftErrc::ReadNotConfirmed, "not confirmed in time");
       return true;
     }
     return false;
@@ -99,12 +110,14 @@
   std::erase_if(m_LocalReads, [this, Reason](const auto &Item) {
     if (Item.second.m_Confirmed)
       return false;
-    failRead(Item.second.m_Context, absl::StatusCode::kUnavailable, RaftErrc::ReadNotConfirmed, Reason);
+    failRead(Item.second.m_Context, absl::StatusCode::kUnavailable,
+             RaftErrc::ReadNotConfirmed, Reason);
     return true;
   });
 }
 
-void RaftCore::failRead(uint64_t Context, absl::StatusCode Kind, RaftErrc Code, std::string_view Reason) {
+void RaftCore::failRead(uint64_t Context, absl::StatusCode Kind, RaftErrc Code,
+                        std::string_view Reason) {
   m_Output.m_Reads.push_back({Context, makeLayerError(Kind, Code, Reason), 0});
 }
 
@@ -125,8 +138,8 @@
     Read->second.m_Index = Response.m_Index;
     return;
   }
-  failRead(Read->second.m_Context, absl::StatusCode::kUnavailable, RaftErrc::ReadNotConfirmed,
-           "the leader could not confirm the read");
+  failRead(Read->second.m_Context, absl::StatusCode::kUnavailable,
+           RaftErrc::ReadNotConfirmed, "the leader could not confirm the read");
   m_LocalReads.erase(Read);
 }
 
--- a/src/raft/RaftSnapshot.cpp
+++ b/src/raft/RaftSnapshot.cpp
@@ -9,19 +9,24 @@
 
 absl::StatusOr<SnapshotMeta> RaftCore::snapshotMeta(LogIndex Index) const {
   const std::optional<TermNumber> Term = m_Log.termAt(Index);
-  // An installed snapshot may be applied before it and the hard state of its term are durable. A further snapshot of
-  // that state on disk would then contradict the rest of the disk after a crash.
+  // An installed snapshot may be applied before it and the hard state of its
+  // term are durable. A further snapshot of that state on disk would then
+  // contradict the rest of the disk after a crash.
   if (Index > m_Applied || Index > m_Durable || !Term)
-    return makeLayerError(absl::StatusCode::kFailedPrecondition, RaftErrc::ChangeRefused,
-                          absl::StrCat("no snapshot at index ", Index, ", applied ", m_Applied, ", durable ", m_Durable,
-                                       ", compacted to ", m_Log.baseIndex()));
+    return makeLayerError(
+        absl::StatusCode::kFailedPrecondition, RaftErrc::ChangeRefused,
+        absl::StrCat("no snapshot at index ", Index, ", applied ", m_Applied,
+                     ", durable ", m_Durable, ", compacted to ",
+                     m_Log.baseIndex()));
   return SnapshotMeta{Index, *Term, m_Log.membershipAt(Index)};
 }
 
 void RaftCore::handle(const SnapshotMadeInput &Input) {
   const SnapshotMeta &Meta = Input.m_Snapshot.m_Meta;
-  const bool Known = Meta.m_Index <= m_Applied && m_Log.termAt(Meta.m_Index) == Meta.m_Term;
-  if (!Known || Meta.m_Index <= m_Snapshot.m_Meta.m_Index || !Input.m_Snapshot.m_Data)
+  const bool Known =
+      Meta.m_Index <= m_Applied && m_Log.termAt(Meta.m_Index) == Meta.m_Term;
+  if (!Known || Meta.m_Index <= m_Snapshot.m_Meta.m_Index ||
+      !Input.m_Snapshot.m_Data)
     return;
   m_Snapshot = Input.m_Snapshot;
   const LogIndex Retained = std::min(Meta.m_Index, m_Options.m_RetainedEntries);
@@ -49,19 +54,24 @@
   send(To, std::move(Chunk));
 }
 
-void RaftCore::on(const RaftMessage &Message, const SnapshotChunkResponse &Response) {
+void RaftCore::on(const RaftMessage &Message,
+                  const SnapshotChunkResponse &Response) {
   Progress *Peer = peerOf(Message);
   if (Peer == nullptr || Peer->m_Mode != ProgressMode::Snapshot)
     return;
-  if (Response.m_SnapshotIndex != Peer->m_Transfer.m_Meta.m_Index || Response.m_NextOffset == Peer->m_Offset)
+  if (Response.m_SnapshotIndex != Peer->m_Transfer.m_Meta.m_Index ||
+      Response.m_NextOffset == Peer->m_Offset)
     return;
   Peer->m_Offset = Response.m_NextOffset;
   Peer->m_ChunkSentAt.reset();
 }
 
-/// Whether the chunk belongs to the transfer in progress. The same leader may resume it in a later term.
-bool RaftCore::continuesIncoming(const RaftMessage &Message, const SnapshotChunk &Chunk) const {
-  return m_Incoming && m_Incoming->m_From == Message.m_From && m_Incoming->m_Meta == Chunk.m_Meta &&
+/// Whether the chunk belongs to the transfer in progress. The same leader may
+/// resume it in a later term.
+bool RaftCore::continuesIncoming(const RaftMessage &Message,
+                                 const SnapshotChunk &Chunk) const {
+  return m_Incoming && m_Incoming->m_From == Message.m_From &&
+         m_Incoming->m_Meta == Chunk.m_Meta &&
          m_Incoming->m_TotalSize == Chunk.m_TotalSize;
 }
 
@@ -71,10 +81,12 @@
   followLeader(Message.m_From);
   if (Chunk.m_Meta.m_Index <= m_Commit) {
     m_Incoming.reset();
-    return sendWhenDurable(Message.m_From, AppendResponse{.m_Success = true, .m_Match = m_Commit});
+    return sendWhenDurable(
+        Message.m_From, AppendResponse{.m_Success = true, .m_Match = m_Commit});
   }
   if (!continuesIncoming(Message, Chunk))
-    m_Incoming = IncomingSnapshot{Message.m_From, Chunk.m_Meta, Chunk.m_TotalSize, {}};
+    m_Incoming =
+        IncomingSnapshot{Message.m_From, Chunk.m_Meta, Chunk.m_TotalSize, {}};
   if (Chunk.m_Offset == m_Incoming->m_Bytes.size())
     m_Incoming->m_Bytes += Chunk.m_Data;
   const uint64_t Received = m_Incoming->m_Bytes.size();
@@ -91,7 +103,8 @@
   IncomingSnapshot Incoming = *std::exchange(m_Incoming, std::nullopt);
   const SnapshotMeta &Meta = Incoming.m_Meta;
   const bool KeepSuffix = m_Log.termAt(Meta.m_Index) == Meta.m_Term;
-  m_Snapshot = {Meta, std::make_shared<const std::string>(std::move(Incoming.m_Bytes))};
+  m_Snapshot = {
+      Meta, std::make_shared<const std::string>(std::move(Incoming.m_Bytes))};
   if (KeepSuffix) {
     m_Log.compactTo(Meta.m_Index);
   } else {
@@ -104,11 +117,12 @@
   m_Output.m_Install = SnapshotInstall{m_Snapshot, KeepSuffix};
   const auto End = m_PendingProposals.upper_bound(Meta.m_Index);
   for (auto Item = m_PendingProposals.begin(); Item != End; ++Item) {
-    failProposal(Item->second.m_Context, absl::StatusCode::kUnknown, RaftErrc::OutcomeUnknown,
-                 "a snapshot replaced the entry");
+    failProposal(Item->second.m_Context, absl::StatusCode::kUnknown,
+                 RaftErrc::OutcomeUnknown, "a snapshot replaced the entry");
   }
   m_PendingProposals.erase(m_PendingProposals.begin(), End);
-  sendWhenDurable(From, AppendResponse{.m_Success = true, .m_Match = Meta.m_Index});
+  sendWhenDurable(From,
+                  AppendResponse{.m_Success = true, .m_Match = Meta.m_Index});
 }
 
 } // namespace anvil::raft::internal
--- a/src/route/RetryBudget.h
+++ b/src/route/RetryBudget.h
@@ -17,7 +17,8 @@
     m_At = Now;
   }
   double value(TimePoint Now) const {
-    const double Age = static_cast<double>((Now - m_At).count()) / static_cast<double>(m_Window.count());
+    const double Age = static_cast<double>((Now - m_At).count()) /
+                       static_cast<double>(m_Window.count());
     return m_Value * std::exp(-Age);
   }
 
@@ -27,11 +28,13 @@
   TimePoint m_At{};
 };
 
-/// Bounds retries by a share of recent requests plus a constant, so that entries add little load to a failing service.
+/// Bounds retries by a share of recent requests plus a constant, so that
+/// entries add little load to a failing service.
 class RetryBudget {
 public:
   RetryBudget(double Share, double Constant, Duration Window)
-      : m_Share(Share), m_Constant(Constant), m_Requests(Window), m_Retries(Window) {}
+      : m_Share(Share), m_Constant(Constant), m_Requests(Window),
+        m_Retries(Window) {}
 
   void noteRequest(TimePoint Now) { m_Requests.add(Now); }
 
@@ -57,7 +60,8 @@
 
   /// Returns true and counts an event if the rate allows one now.
   bool take(TimePoint Now) {
-    const double Gained = m_PerSecond * 1e-6 * static_cast<double>((Now - m_At).count());
+    const double Gained =
+        m_PerSecond * 1e-6 * static_cast<double>((Now - m_At).count());
     const double Burst = m_PerSecond / 10 < 1 ? 1 : m_PerSecond / 10;
     m_Tokens = m_Tokens + Gained > Burst ? Burst : m_Tokens + Gained;
     m_At = Now;
--- a/src/route/Router.cpp
+++ b/src/route/Router.cpp
@@ -16,10 +16,12 @@
 bool isVisible(char C) { return C > 0x20 && C < 0x7f; }
 
 bool validKey(const std::string &Key) {
-  return Key.size() <= MaxKeyLength && std::all_of(Key.begin(), Key.end(), isVisible);
+  return Key.size() <= MaxKeyLength &&
+         std::all_of(Key.begin(), Key.end(), isVisible);
 }
 
-const wire::ServiceClass *findClass(const wire::ServiceConfig &Config, const std::string &Name) {
+const wire::ServiceClass *findClass(const wire::ServiceConfig &Config,
+                                    const std::string &Name) {
   if (Name.empty() && Config.classes.size() == 1)
     return &Config.classes.front();
   const std::string Wanted = Name.empty() ? "default" : Name;
@@ -30,39 +32,61 @@
   return nullptr;
 }
 
-int urgencyRank(wire::Urgency::type Urgency) { return std::clamp(static_cast<int>(Urgency) - 1, 0, 3); }
+int urgencyRank(wire::Urgency::type Urgency) {
+  return std::clamp(static_cast<int>(Urgency) - 1, 0, 3);
+}
 
 constexpr std::array<RefusalText, RefusalReasonCount> Texts = {{
-    {RefusalReason::UnknownService, 404, "unknown-service", "the service is not in the configuration", "service"},
-    {RefusalReason::UnknownWorkspace, 400, "unknown-workspace", "name a configured workspace", "Anvil-Workspace"},
-    {RefusalReason::UnknownClass, 400, "unknown-class", "name a class of the service", "Anvil-Class"},
-    {RefusalReason::KeyRequired, 400, "key-required", "the class is not idempotent and needs a key", "Idempotency-Key"},
-    {RefusalReason::KeyInvalid, 400, "key-invalid", "the key must be up to 255 visible characters", "Idempotency-Key"},
-    {RefusalReason::KeyConflict, 409, "key-conflict", "the key belongs to a different request", "Idempotency-Key"},
-    {RefusalReason::ShuttingDown, 503, "shutting-down", "this entry is shutting down", ""},
-    {RefusalReason::ControlSilent, 503, "control-silent", "no fresh answer from control", ""},
-    {RefusalReason::EntryFull, 503, "entry-full", "the entry holds as many requests as it may", ""},
-    {RefusalReason::QueueFull, 503, "queue-full", "the queue of the class is full", ""},
-    {RefusalReason::NoTarget, 503, "no-target", "the service has no usable target", ""},
-    {RefusalReason::DeadlinePassed, 503, "deadline-passed", "the deadline passed in the queue", ""},
-    {RefusalReason::TargetsBusy, 503, "targets-busy", "the agents refused the request", ""},
+    {RefusalReason::UnknownService, 404, "unknown-service",
+     "the service is not in the configuration", "service"},
+    {RefusalReason::UnknownWorkspace, 400, "unknown-workspace",
+     "name a configured workspace", "Anvil-Workspace"},
+    {RefusalReason::UnknownClass, 400, "unknown-class",
+     "name a class of the service", "Anvil-Class"},
+    {RefusalReason::KeyRequired, 400, "key-required",
+     "the class is not idempotent and needs a key", "Idempotency-Key"},
+    {RefusalReason::KeyInvalid, 400, "key-invalid",
+     "the key must be up to 255 visible characters", "Idempotency-Key"},
+    {RefusalReason::KeyConflict, 409, "key-conflict",
+     "the key belongs to a different request", "Idempotency-Key"},
+    {RefusalReason::ShuttingDown, 503, "shutting-down",
+     "this entry is shutting down", ""},
+    {RefusalReason::ControlSilent, 503, "control-silent",
+     "no fresh answer from control", ""},
+    {RefusalReason::EntryFull, 503, "entry-full",
+     "the entry holds as many requests as it may", ""},
+    {RefusalReason::QueueFull, 503, "queue-full",
+     "the queue of the class is full", ""},
+    {RefusalReason::NoTarget, 503, "no-target",
+     "the service has no usable target", ""},
+    {RefusalReason::DeadlinePassed, 503, "deadline-passed",
+     "the deadline passed in the queue", ""},
+    {RefusalReason::TargetsBusy, 503, "targets-busy",
+     "the agents refused the request", ""},
     {RefusalReason::NotSent, 503, "not-sent", "no agent could be reached", ""},
-    {RefusalReason::ClaimsFull, 429, "claims-full", "the limit of claims is reached", ""},
-    {RefusalReason::ClaimRefused, 503, "claim-refused", "control refused the claim", ""},
+    {RefusalReason::ClaimsFull, 429, "claims-full",
+     "the limit of claims is reached", ""},
+    {RefusalReason::ClaimRefused, 503, "claim-refused",
+     "control refused the claim", ""},
 }};
 
 } // namespace
 
-const RefusalText &refusalText(RefusalReason Reason) { return Texts[static_cast<size_t>(Reason)]; }
+const RefusalText &refusalText(RefusalReason Reason) {
+  return Texts[static_cast<size_t>(Reason)];
+}
 
-Router::Router(RouterOptions Options) : m_Impl(std::make_unique<Impl>(std::move(Options))) {}
+Router::Router(RouterOptions Options)
+    : m_Impl(std::make_unique<Impl>(std::move(Options))) {}
 Router::~Router() = default;
 Router::Router(Router &&) noexcept = default;
 Router &Router::operator=(Router &&) noexcept = default;
 
 std::vector<RouterAction> Router::step(RouterEvent Event, TimePoint Now) {
   m_Impl->m_Now = Now;
-  std::visit([this](auto &&Each) { m_Impl->on(std::forward<decltype(Each)>(Each)); }, std::move(Event));
+  std::visit(
+      [this](auto &&Each) { m_Impl->on(std::forward<decltype(Each)>(Each)); },
+      std::move(Event));
   return std::exchange(m_Impl->m_Actions, {});
 }
 
@@ -89,7 +113,9 @@
     Each.m_Config = std::move(Config);
   }
   // Requests of a service that was removed keep their queue until they end.
-  std::erase_if(m_Services, [](const auto &Each) { return !Each.second.m_Configured && Each.second.m_Queue.empty(); });
+  std::erase_if(m_Services, [](const auto &Each) {
+    return !Each.second.m_Configured && Each.second.m_Queue.empty();
+  });
   pumpAll();
 }
 
@@ -100,7 +126,9 @@
 
 void Router::Impl::on(ShutdownStarted) { m_Closing = true; }
 
-bool Router::Impl::fresh() const { return m_FreshAt && m_Now - *m_FreshAt <= m_Options.m_FreshLimit; }
+bool Router::Impl::fresh() const {
+  return m_FreshAt && m_Now - *m_FreshAt <= m_Options.m_FreshLimit;
+}
 
 void Router::Impl::on(RequestArrived Event) {
   ++m_Counters.m_Requests;
@@ -111,7 +139,8 @@
   if (Reason) {
     const bool Transient = refusalText(*Reason).m_Status == 503;
     const auto Wait = Duration(static_cast<int64_t>(m_RecentWaitUs));
-    const std::optional<Duration> RetryAfter = Transient ? std::optional(spreadRetryAfter(Wait)) : std::nullopt;
+    const std::optional<Duration> RetryAfter =
+        Transient ? std::optional(spreadRetryAfter(Wait)) : std::nullopt;
     return refuse(Event.m_Id, *Reason, "", RetryAfter);
   }
   m_Budget.noteRequest(m_Now);
@@ -120,7 +149,9 @@
   pump(ServiceName);
 }
 
-std::optional<RefusalReason> Router::Impl::admit(const RequestArrived &Call, wire::ServiceClass &Class) const {
+std::optional<RefusalReason>
+Router::Impl::admit(const RequestArrived &Call,
+                    wire::ServiceClass &Class) const {
   if (m_Closing)
     return RefusalReason::ShuttingDown;
   if (!fresh() || !m_Configured)
@@ -130,7 +161,8 @@
     return RefusalReason::UnknownService;
   if (!m_Workspaces.contains(Call.m_Workspace))
     return RefusalReason::UnknownWorkspace;
-  const wire::ServiceClass *Chosen = findClass(Found->second.m_Config, Call.m_Class);
+  const wire::ServiceClass *Chosen =
+      findClass(Found->second.m_Config, Call.m_Class);
   if (Chosen == nullptr)
     return RefusalReason::UnknownClass;
   Class = *Chosen;
@@ -141,22 +173,29 @@
   return std::nullopt;
 }
 
-std::optional<RefusalReason> Router::Impl::checkRoom(const RequestArrived &Call,
-                                                     const wire::ServiceClass &Class) const {
-  if (m_Requests.size() >= m_Options.m_MaxRequests || m_Counters.m_Bytes + Call.m_Body.size() > m_Options.m_MaxBytes)
+std::optional<RefusalReason>
+Router::Impl::checkRoom(const RequestArrived &Call,
+                        const wire::ServiceClass &Class) const {
+  if (m_Requests.size() >= m_Options.m_MaxRequests ||
+      m_Counters.m_Bytes + Call.m_Body.size() > m_Options.m_MaxBytes)
     return RefusalReason::EntryFull;
   if (!m_Targets.anyUsable(Call.m_Service))
     return RefusalReason::NoTarget;
   const Service &Its = m_Services.at(Call.m_Service);
   const auto Queued = Its.m_QueuedByClass.find(Class.name);
-  const size_t Limit = Class.queueLimit > 0 ? static_cast<size_t>(Class.queueLimit) : m_Options.m_DefaultQueueLimit;
+  const size_t Limit = Class.queueLimit > 0
+                           ? static_cast<size_t>(Class.queueLimit)
+                           : m_Options.m_DefaultQueueLimit;
   if (Queued != Its.m_QueuedByClass.end() && Queued->second >= Limit)
     return RefusalReason::QueueFull;
   return std::nullopt;
 }
 
-internal::Request &Router::Impl::insert(RequestArrived Call, wire::ServiceClass Class) {
-  Duration Limit = Class.deadlineMs > 0 ? std::chrono::milliseconds(Class.deadlineMs) : m_Options.m_DefaultDeadline;
+internal::Request &Router::Impl::insert(RequestArrived Call,
+                                        wire::ServiceClass Class) {
+  Duration Limit = Class.deadlineMs > 0
+                       ? std::chrono::milliseconds(Class.deadlineMs)
+                       : m_Options.m_DefaultDeadline;
   if (Call.m_Timeout)
     Limit = std::min(Limit, *Call.m_Timeout);
   Request &Each = m_Requests[Call.m_Id.value()];
@@ -186,7 +225,8 @@
 void Router::Impl::enqueue(Request &Each) {
   setPhase(Each, Phase::Queued, Each.m_Deadline);
   Service &Its = m_Services[Each.m_Call.m_Service];
-  Its.m_Queue.emplace(std::pair(Each.m_QueueKey, Each.m_Call.m_Id.value()), Each.m_Call.m_Id);
+  Its.m_Queue.emplace(std::pair(Each.m_QueueKey, Each.m_Call.m_Id.value()),
+                      Each.m_Call.m_Id);
   ++Its.m_QueuedByClass[Each.m_Class.name];
   ++m_Counters.m_Queued;
 }
@@ -208,7 +248,8 @@
   Service &Its = Found->second;
   while (!Its.m_Queue.empty()) {
     Request &Each = m_Requests.at(Its.m_Queue.begin()->second.value());
-    const internal::TargetPtr Chosen = m_Targets.choose(ServiceName, Each.m_Tried, m_Now);
+    const internal::TargetPtr Chosen =
+        m_Targets.choose(ServiceName, Each.m_Tried, m_Now);
     if (!Chosen)
       return;
     dequeue(Each);
@@ -228,7 +269,9 @@
     const int64_t Id = m_Orphans.begin()->second;
     m_Orphans.erase(m_Orphans.begin());
     const internal::ClaimCall &Call = m_ClaimCalls.at(Id);
-    m_Actions.emplace_back(OpenClaimAction{ClaimCallId(Id), Call.m_Claim, m_Options.m_ClaimTimeout, Call.m_TraceId});
+    m_Actions.emplace_back(OpenClaimAction{ClaimCallId(Id), Call.m_Claim,
+                                           m_Options.m_ClaimTimeout,
+                                           Call.m_TraceId});
   }
   if (!fresh())
     refuseQueuedWithoutControl();
@@ -239,7 +282,8 @@
   for (auto &[Name, Its] : m_Services) {
     while (!Its.m_Queue.empty()) {
       Request &Each = m_Requests.at(Its.m_Queue.begin()->second.value());
-      giveUp(Each, RefusalReason::ControlSilent, "", spreadRetryAfter(Duration(0)));
+      giveUp(Each, RefusalReason::ControlSilent, "",
+             spreadRetryAfter(Duration(0)));
     }
   }
 }
@@ -248,15 +292,18 @@
   const bool Expired = m_Now >= Each.m_Deadline;
   switch (Each.m_Phase) {
   case Phase::Queued:
-    return giveUp(Each, RefusalReason::DeadlinePassed, "", spreadRetryAfter(m_Now - Each.m_ArrivedAt));
+    return giveUp(Each, RefusalReason::DeadlinePassed, "",
+                  spreadRetryAfter(m_Now - Each.m_ArrivedAt));
   case Phase::ClaimWait:
     if (!Expired)
       return pollClaim(Each);
     if (Each.m_RepeatClaim)
-      keepOrphan({Each.m_Call.m_Id, Each.m_LastClaim, Each.m_Call.m_TraceId, true, TimePoint{}});
+      keepOrphan({Each.m_Call.m_Id, Each.m_LastClaim, Each.m_Call.m_TraceId,
+                  true, TimePoint{}});
     [[fallthrough]];
   case Phase::Claiming:
-    return giveUp(Each, RefusalReason::ControlSilent, "the claim was not answered in time",
+    return giveUp(Each, RefusalReason::ControlSilent,
+                  "the claim was not answered in time",
                   spreadRetryAfter(Duration(0)));
   case Phase::Running:
     return answerUnknown(Each, "the agent did not answer before the deadline");
--- a/src/route/RouterAttempts.cpp
+++ b/src/route/RouterAttempts.cpp
@@ -14,7 +14,8 @@
 constexpr Duration MaxRetryAfter = std::chrono::seconds(30);
 // Weight of the newest time in the moving average of the queue wait.
 constexpr double WaitWeight = 0.05;
-// Penalties in units of one failed request; an agent that refuses for another reason than its load counts half.
+// Penalties in units of one failed request; an agent that refuses for another
+// reason than its load counts half.
 constexpr double FailurePenalty = 1;
 constexpr double RefusalPenalty = 0.6;
 
@@ -25,7 +26,8 @@
   Execute.workspace = Each.m_Call.m_Workspace;
   Execute.className = Each.m_Class.name;
   Execute.urgency = Each.m_Class.urgency;
-  Execute.timeoutMs = std::max<int64_t>(1, (Each.m_Deadline - Now).count() / 1000);
+  Execute.timeoutMs =
+      std::max<int64_t>(1, (Each.m_Deadline - Now).count() / 1000);
   Execute.httpMethod = Each.m_Call.m_Method;
   Execute.path = Each.m_Call.m_Path;
   Execute.contentType = Each.m_Call.m_ContentType;
@@ -37,7 +39,9 @@
   return Execute;
 }
 
-bool isBusy(const wire::Load &Load) { return Load.queueLimit > 0 && Load.queued >= Load.queueLimit; }
+bool isBusy(const wire::Load &Load) {
+  return Load.queueLimit > 0 && Load.queued >= Load.queueLimit;
+}
 
 } // namespace
 
@@ -66,7 +70,8 @@
   Action.m_Timeout = Each.m_Deadline - m_Now + m_Options.m_AnswerGrace;
   Action.m_Waited = m_Now - Each.m_ArrivedAt;
   m_Actions.emplace_back(std::move(Action));
-  // From here on the attempt holds the target, so that a late answer still frees its place.
+  // From here on the attempt holds the target, so that a late answer still
+  // frees its place.
   Each.m_Target = nullptr;
   setPhase(Each, Phase::Running, Each.m_Deadline + m_Options.m_AnswerGrace);
 }
@@ -90,12 +95,14 @@
   } else if (Reply != nullptr) {
     onReply(Waiting->second, *Ended.m_Target, std::move(*Reply));
   } else {
-    onSendFailure(Waiting->second, *Ended.m_Target, std::get<SendFailure>(Event.m_Result));
+    onSendFailure(Waiting->second, *Ended.m_Target,
+                  std::get<SendFailure>(Event.m_Result));
   }
   pump(Ended.m_Target->m_Route.serviceName);
 }
 
-void Router::Impl::onReply(Request &Each, Target &From, wire::ExecuteReply Reply) {
+void Router::Impl::onReply(Request &Each, Target &From,
+                           wire::ExecuteReply Reply) {
   if (Reply.outcome == wire::Outcome::NOT_RUN)
     return onNotRun(Each, From, Reply);
   if (Reply.outcome == wire::Outcome::COMPLETED) {
@@ -112,34 +119,41 @@
   retryUnknown(Each, Reply.reason);
 }
 
-void Router::Impl::onNotRun(Request &Each, Target &From, const wire::ExecuteReply &Reply) {
-  const Duration RetryAfter = std::chrono::milliseconds(std::max<int64_t>(0, Reply.retryAfterMs));
+void Router::Impl::onNotRun(Request &Each, Target &From,
+                            const wire::ExecuteReply &Reply) {
+  const Duration RetryAfter =
+      std::chrono::milliseconds(std::max<int64_t>(0, Reply.retryAfterMs));
   m_Targets.noteBusy(From, RetryAfter, m_Now);
   if (!isBusy(Reply.load))
     m_Targets.penalise(From, RefusalPenalty, m_Now);
   if (!Each.m_ClaimId.empty()) {
     // The agent answers for the token, whoever sent it.
     Each.m_MayHaveRun = false;
-    closeClaimNotRun(Each.m_LastClaim, Each.m_ClaimToken, Each.m_Call.m_TraceId, NotRunProof::AgentReply);
+    closeClaimNotRun(Each.m_LastClaim, Each.m_ClaimToken, Each.m_Call.m_TraceId,
+                     NotRunProof::AgentReply);
   }
   retryOr(Each, RefusalReason::TargetsBusy, Reply.reason, RetryAfter);
 }
 
-void Router::Impl::onSendFailure(Request &Each, Target &To, SendFailure Failure) {
+void Router::Impl::onSendFailure(Request &Each, Target &To,
+                                 SendFailure Failure) {
   m_Targets.penalise(To, FailurePenalty, m_Now);
-  // The attempt that was granted the token may have sent it, so its claim stays open.
+  // The attempt that was granted the token may have sent it, so its claim stays
+  // open.
   if (Failure == SendFailure::NotSent && Each.m_TokenShared)
     return waitForClaim(Each);
   if (Failure == SendFailure::NotSent) {
     if (!Each.m_ClaimId.empty())
-      closeClaimNotRun(Each.m_LastClaim, Each.m_ClaimToken, Each.m_Call.m_TraceId, NotRunProof::NeverSent);
+      closeClaimNotRun(Each.m_LastClaim, Each.m_ClaimToken,
+                       Each.m_Call.m_TraceId, NotRunProof::NeverSent);
     return retryOr(Each, RefusalReason::NotSent, "", Duration(0));
   }
   Each.m_MayHaveRun = true;
   if (Each.m_ClaimId.empty())
     return retryUnknown(Each, "the connection to the agent was lost");
   Each.m_AnswerLost = true;
-  // The agent reports the outcome to control, so asking for the claim again finds it.
+  // The agent reports the outcome to control, so asking for the claim again
+  // finds it.
   waitForClaim(Each);
 }
 
@@ -154,7 +168,8 @@
   return true;
 }
 
-void Router::Impl::retryOr(Request &Each, RefusalReason Reason, std::string_view Detail, Duration RetryAfter) {
+void Router::Impl::retryOr(Request &Each, RefusalReason Reason,
+                           std::string_view Detail, Duration RetryAfter) {
   if (mayRetry(Each))
     return enqueue(Each);
   giveUp(Each, Reason, Detail, spreadRetryAfter(RetryAfter));
@@ -167,10 +182,12 @@
   answerUnknown(Each, Reason);
 }
 
-void Router::Impl::giveUp(Request &Each, RefusalReason Reason, std::string_view Detail,
+void Router::Impl::giveUp(Request &Each, RefusalReason Reason,
+                          std::string_view Detail,
                           std::optional<Duration> RetryAfter) {
   if (Each.m_MayHaveRun)
-    return answerUnknown(Each, Detail.empty() ? refusalText(Reason).m_Message : Detail);
+    return answerUnknown(Each, Detail.empty() ? refusalText(Reason).m_Message
+                                              : Detail);
   refuse(Each.m_Call.m_Id, Reason, Detail, RetryAfter);
   erase(Each);
 }
@@ -184,21 +201,26 @@
 }
 
 void Router::Impl::answer(Request &Each, AnswerAction Answer) {
-  ++(Answer.m_Outcome == wire::Outcome::COMPLETED ? m_Counters.m_Completed : m_Counters.m_Unknown);
+  ++(Answer.m_Outcome == wire::Outcome::COMPLETED ? m_Counters.m_Completed
+                                                  : m_Counters.m_Unknown);
   Answer.m_Id = Each.m_Call.m_Id;
   m_Actions.emplace_back(std::move(Answer));
   erase(Each);
 }
 
-void Router::Impl::refuse(RequestId Id, RefusalReason Reason, std::string_view Detail,
+void Router::Impl::refuse(RequestId Id, RefusalReason Reason,
+                          std::string_view Detail,
                           std::optional<Duration> RetryAfter) {
   ++m_Counters.m_Refused[static_cast<size_t>(Reason)];
-  m_Actions.emplace_back(RefuseAction{Id, Reason, std::string(Detail), RetryAfter});
+  m_Actions.emplace_back(
+      RefuseAction{Id, Reason, std::string(Detail), RetryAfter});
 }
 
 Duration Router::Impl::spreadRetryAfter(Duration Base) const {
   const Duration Bounded = std::clamp(Base, MinRetryAfter, MaxRetryAfter);
-  return Bounded + Duration(static_cast<int64_t>(m_Options.m_Random() * static_cast<double>(Bounded.count())));
+  return Bounded +
+         Duration(static_cast<int64_t>(m_Options.m_Random() *
+                                       static_cast<double>(Bounded.count())));
 }
 
 void Router::Impl::releaseTarget(Request &Each) {
--- a/src/route/RouterImpl.h
+++ b/src/route/RouterImpl.h
@@ -21,7 +21,8 @@
 enum class Phase {
   Queued,    ///< Waits for a target with room.
   Claiming,  ///< A target is reserved; control has been asked for the claim.
-  ClaimWait, ///< Another holder has the claim, or an attempt ended without an answer; asked again at m_PollAt.
+  ClaimWait, ///< Another holder has the claim, or an attempt ended without an
+             ///< answer; asked again at m_PollAt.
   Running    ///< An agent has the request.
 };
 
@@ -33,11 +34,13 @@
   TimePoint m_Deadline;
   Phase m_Phase = Phase::Queued;
   TimePoint m_WakeAt;   ///< Key in the table of wake times.
-  TimePoint m_QueueKey; ///< Arrival time, later for less urgent classes; lower is dispatched first.
+  TimePoint m_QueueKey; ///< Arrival time, later for less urgent classes; lower
+                        ///< is dispatched first.
   TargetPtr m_Target;   ///< Reserved or running there.
   std::set<std::string> m_Tried;
   int m_Attempts = 0;
-  bool m_MayHaveRun = false; ///< An earlier attempt, or the holder of the claim, may have run the request.
+  bool m_MayHaveRun = false; ///< An earlier attempt, or the holder of the
+                             ///< claim, may have run the request.
   std::string m_ClaimId;     ///< Empty for idempotent classes.
   std::string m_Digest;
   int m_ClaimCalls = 0;
@@ -45,9 +48,11 @@
   Duration m_PollDelay{0};
   TimePoint m_PollAt;
   wire::OpenClaim m_LastClaim;
-  bool m_RepeatClaim = false; ///< m_LastClaim may have been granted without an answer.
+  bool m_RepeatClaim =
+      false; ///< m_LastClaim may have been granted without an answer.
   bool m_AnswerLost = false;  ///< A claimed attempt ended without an answer.
-  bool m_TokenShared = false; ///< m_ClaimToken was granted to another attempt, which may have sent it.
+  bool m_TokenShared = false; ///< m_ClaimToken was granted to another attempt,
+                              ///< which may have sent it.
 };
 
 /// One dispatched attempt. It outlives its request if the answer is late.
@@ -61,8 +66,9 @@
   RequestId m_Id;
   wire::OpenClaim m_Claim;
   std::string m_TraceId;
-  bool m_MayBeOpen = false; ///< An earlier call with the same claim may have been granted.
-  TimePoint m_GiveUpAt;     ///< For a call without a request: when to stop asking.
+  bool m_MayBeOpen =
+      false; ///< An earlier call with the same claim may have been granted.
+  TimePoint m_GiveUpAt; ///< For a call without a request: when to stop asking.
 };
 
 /// Configuration of one service and its waiting requests.
@@ -78,7 +84,8 @@
 struct Router::Impl {
   explicit Impl(RouterOptions Options)
       : m_Options(std::move(Options)), m_Targets(m_Options),
-        m_Budget(m_Options.m_RetryShare, m_Options.m_RetryConstant, m_Options.m_RetryWindow),
+        m_Budget(m_Options.m_RetryShare, m_Options.m_RetryConstant,
+                 m_Options.m_RetryWindow),
         m_PollRate(m_Options.m_ClaimPollsPerSecond) {}
 
   using Request = internal::Request;
@@ -93,8 +100,10 @@
   void on(RequestArrived Event);
   void on(Tick Event);
   void on(ShutdownStarted Event);
-  std::optional<RefusalReason> admit(const RequestArrived &Call, wire::ServiceClass &Class) const;
-  std::optional<RefusalReason> checkRoom(const RequestArrived &Call, const wire::ServiceClass &Class) const;
+  std::optional<RefusalReason> admit(const RequestArrived &Call,
+                                     wire::ServiceClass &Class) const;
+  std::optional<RefusalReason> checkRoom(const RequestArrived &Call,
+                                         const wire::ServiceClass &Class) const;
   Request &insert(RequestArrived Call, wire::ServiceClass Class);
   bool fresh() const;
   void wake(Request &Each);
@@ -110,15 +119,19 @@
   void start(Request &Each, const internal::TargetPtr &Chosen);
   void dispatch(Request &Each);
   void onReply(Request &Each, internal::Target &From, wire::ExecuteReply Reply);
-  void onNotRun(Request &Each, internal::Target &From, const wire::ExecuteReply &Reply);
+  void onNotRun(Request &Each, internal::Target &From,
+                const wire::ExecuteReply &Reply);
   void onSendFailure(Request &Each, internal::Target &To, SendFailure Failure);
   bool mayRetry(const Request &Each);
-  void retryOr(Request &Each, RefusalReason Reason, std::string_view Detail, Duration RetryAfter);
+  void retryOr(Request &Each, RefusalReason Reason, std::string_view Detail,
+               Duration RetryAfter);
   void retryUnknown(Request &Each, std::string_view Reason);
-  void giveUp(Request &Each, RefusalReason Reason, std::string_view Detail, std::optional<Duration> RetryAfter);
+  void giveUp(Request &Each, RefusalReason Reason, std::string_view Detail,
+              std::optional<Duration> RetryAfter);
   void answerUnknown(Request &Each, std::string_view Reason);
   void answer(Request &Each, AnswerAction Answer);
-  void refuse(RequestId Id, RefusalReason Reason, std::string_view Detail, std::optional<Duration> RetryAfter);
+  void refuse(RequestId Id, RefusalReason Reason, std::string_view Detail,
+              std::optional<Duration> RetryAfter);
   Duration spreadRetryAfter(Duration Base) const;
   void releaseTarget(Request &Each);
   void erase(Request &Each);
@@ -136,7 +149,8 @@
   void askHolder(Request &Each, const wire::CommandResult &Result);
   void waitForClaim(Request &Each);
   void pollClaim(Request &Each);
-  void closeClaimNotRun(const wire::OpenClaim &Claim, int64_t Token, std::string_view TraceId, NotRunProof Proof);
+  void closeClaimNotRun(const wire::OpenClaim &Claim, int64_t Token,
+                        std::string_view TraceId, NotRunProof Proof);
 
   RouterOptions m_Options;
   RouterCounters m_Counters;
@@ -149,7 +163,8 @@
   std::unordered_map<int64_t, internal::Attempt> m_Attempts;
   std::unordered_map<int64_t, internal::ClaimCall> m_ClaimCalls;
   std::set<std::pair<TimePoint, int64_t>> m_Wakes;
-  /// Claim calls that were lost after their request had gone, with the time to ask again.
+  /// Claim calls that were lost after their request had gone, with the time to
+  /// ask again.
   std::set<std::pair<TimePoint, int64_t>> m_Orphans;
   std::vector<RouterAction> m_Actions;
   TimePoint m_Now{};
--- a/src/route/TargetTable.cpp
+++ b/src/route/TargetTable.cpp
@@ -9,13 +9,17 @@
 
 // A target with a higher penalty is used only if all targets have one.
 constexpr double AvoidAbove = 0.5;
-// Bounds how long a target that failed many times stays avoided after it recovered.
+// Bounds how long a target that failed many times stays avoided after it
+// recovered.
 constexpr double MaxPenalty = 8;
 constexpr Duration DefaultBusyTime = std::chrono::milliseconds(20);
 constexpr Duration MaxBusyTime = std::chrono::seconds(5);
 
-// Requests sent to a target beyond its slots. They keep the slots in use while answers and new requests travel.
-int queueAllowance(const Target &Each) { return std::max(1, Each.m_Route.slots / 4); }
+// Requests sent to a target beyond its slots. They keep the slots in use while
+// answers and new requests travel.
+int queueAllowance(const Target &Each) {
+  return std::max(1, Each.m_Route.slots / 4);
+}
 
 } // namespace
 
@@ -28,7 +32,8 @@
   for (const wire::RouteTarget &Route : Routes) {
     const auto Known = Old.find(Route.vm);
     TargetPtr Kept;
-    if (Known != Old.end() && Known->second->m_Route.incarnation == Route.incarnation)
+    if (Known != Old.end() &&
+        Known->second->m_Route.incarnation == Route.incarnation)
       Kept = Known->second;
     else
       Kept = std::make_shared<Target>();
@@ -39,15 +44,19 @@
   }
 }
 
-TargetPtr TargetTable::find(const std::string &Service, const std::string &Vm, int64_t Incarnation) const {
+TargetPtr TargetTable::find(const std::string &Service, const std::string &Vm,
+                            int64_t Incarnation) const {
   const auto Found = m_ByVm.find(Vm);
-  if (Found == m_ByVm.end() || Found->second->m_Route.incarnation != Incarnation ||
+  if (Found == m_ByVm.end() ||
+      Found->second->m_Route.incarnation != Incarnation ||
       Found->second->m_Route.serviceName != Service)
     return nullptr;
   return Found->second;
 }
 
-TargetPtr TargetTable::choose(const std::string &Service, const std::set<std::string> &Tried, TimePoint Now) const {
+TargetPtr TargetTable::choose(const std::string &Service,
+                              const std::set<std::string> &Tried,
+                              TimePoint Now) const {
   const auto Found = m_ByService.find(Service);
   if (Found == m_ByService.end())
     return nullptr;
@@ -64,9 +73,11 @@
     if (!Tried.contains(Each->m_Route.vm))
       Untried.push_back(Each);
   }
-  // Targets with a penalty are used only if no other one is usable, not already when the others are full.
+  // Targets with a penalty are used only if no other one is usable, not already
+  // when the others are full.
   const std::vector<TargetPtr> &Rest = Healthy.empty() ? Any : Healthy;
-  for (const std::vector<TargetPtr> *Candidates : {&std::as_const(Untried), &Rest}) {
+  for (const std::vector<TargetPtr> *Candidates :
+       {&std::as_const(Untried), &Rest}) {
     if (TargetPtr Free = chooseBelow(*Candidates, false, Now))
       return Free;
     if (TargetPtr Queueing = chooseBelow(*Candidates, true, Now))
@@ -75,10 +86,12 @@
   return nullptr;
 }
 
-TargetPtr TargetTable::chooseBelow(const std::vector<TargetPtr> &Candidates, bool AllowQueueing, TimePoint Now) const {
+TargetPtr TargetTable::chooseBelow(const std::vector<TargetPtr> &Candidates,
+                                   bool AllowQueueing, TimePoint Now) const {
   std::vector<TargetPtr> WithRoom;
   for (const TargetPtr &Each : Candidates) {
-    const int Limit = std::max(1, Each->m_Route.slots) + (AllowQueueing ? queueAllowance(*Each) : 0);
+    const int Limit = std::max(1, Each->m_Route.slots) +
+                      (AllowQueueing ? queueAllowance(*Each) : 0);
     if (Each->m_BusyUntil <= Now && loadOf(*Each, Now) < Limit)
       WithRoom.push_back(Each);
   }
@@ -88,27 +101,34 @@
   if (WithRoom.size() == 1)
     return WithRoom[First];
   const size_t Step = 1 + randomIndex(WithRoom.size() - 1);
-  return lighter(WithRoom[First], WithRoom[(First + Step) % WithRoom.size()], Now);
+  return lighter(WithRoom[First], WithRoom[(First + Step) % WithRoom.size()],
+                 Now);
 }
 
-TargetPtr TargetTable::lighter(const TargetPtr &Left, const TargetPtr &Right, TimePoint Now) const {
-  // Whole requests are compared, so that a small rest of an old report does not outweigh the availability zone.
+TargetPtr TargetTable::lighter(const TargetPtr &Left, const TargetPtr &Right,
+                               TimePoint Now) const {
+  // Whole requests are compared, so that a small rest of an old report does not
+  // outweigh the availability zone.
   const auto Score = [this, Now](const Target &Each) {
     const double Share =
-        (loadOf(Each, Now) + penaltyOf(Each, Now) * Each.m_Route.slots) / std::max(1, Each.m_Route.slots);
+        (loadOf(Each, Now) + penaltyOf(Each, Now) * Each.m_Route.slots) /
+        std::max(1, Each.m_Route.slots);
     return std::lround(Share * 8);
   };
   const long LeftScore = Score(*Left);
   const long RightScore = Score(*Right);
   if (LeftScore != RightScore)
     return LeftScore < RightScore ? Left : Right;
-  const bool RightIsNear = Right->m_Route.availabilityZone == m_Options.m_Zone.str();
-  const bool LeftIsNear = Left->m_Route.availabilityZone == m_Options.m_Zone.str();
+  const bool RightIsNear =
+      Right->m_Route.availabilityZone == m_Options.m_Zone.str();
+  const bool LeftIsNear =
+      Left->m_Route.availabilityZone == m_Options.m_Zone.str();
   return RightIsNear && !LeftIsNear ? Right : Left;
 }
 
 size_t TargetTable::randomIndex(size_t Count) const {
-  const auto Index = static_cast<size_t>(m_Options.m_Random() * static_cast<double>(Count));
+  const auto Index =
+      static_cast<size_t>(m_Options.m_Random() * static_cast<double>(Count));
   return std::min(Index, Count - 1);
 }
 
@@ -116,19 +136,23 @@
   const auto Found = m_ByService.find(Service);
   if (Found == m_ByService.end())
     return false;
-  return std::any_of(Found->second.begin(), Found->second.end(), [](const TargetPtr &Each) { return usable(*Each); });
+  return std::any_of(Found->second.begin(), Found->second.end(),
+                     [](const TargetPtr &Each) { return usable(*Each); });
 }
 
-void TargetTable::noteLoad(Target &Each, const wire::Load &Load, TimePoint Now) const {
+void TargetTable::noteLoad(Target &Each, const wire::Load &Load,
+                           TimePoint Now) const {
   const int Reported = Load.busySlots + Load.queued;
   Each.m_OtherLoad = std::max(0, Reported - Each.m_Outstanding);
   Each.m_ReportedAt = Now;
 }
 
-void TargetTable::noteBusy(Target &Each, Duration RetryAfter, TimePoint Now) const {
+void TargetTable::noteBusy(Target &Each, Duration RetryAfter,
+                           TimePoint Now) const {
   const Duration Base = std::clamp(RetryAfter, DefaultBusyTime, MaxBusyTime);
   // Entries that were refused together must not come back together.
-  const auto Jitter = Duration(static_cast<int64_t>(m_Options.m_Random() * 0.5 * static_cast<double>(Base.count())));
+  const auto Jitter = Duration(static_cast<int64_t>(
+      m_Options.m_Random() * 0.5 * static_cast<double>(Base.count())));
   Each.m_BusyUntil = Now + Base + Jitter;
 }
 
@@ -139,7 +163,8 @@
 
 double TargetTable::loadOf(const Target &Each, TimePoint Now) const {
   const double Age = static_cast<double>((Now - Each.m_ReportedAt).count());
-  const double Weight = std::max(0.0, 1 - Age / static_cast<double>(m_Options.m_HintLife.count()));
+  const double Weight = std::max(
+      0.0, 1 - Age / static_cast<double>(m_Options.m_HintLife.count()));
   return Each.m_Outstanding + Each.m_OtherLoad * Weight;
 }
 
@@ -147,7 +172,9 @@
   if (Each.m_Penalty == 0)
     return 0;
   const double Age = static_cast<double>((Now - Each.m_PenaltyAt).count());
-  return Each.m_Penalty * std::exp2(-Age / static_cast<double>(m_Options.m_PenaltyHalfLife.count()));
+  return Each.m_Penalty *
+         std::exp2(-Age /
+                   static_cast<double>(m_Options.m_PenaltyHalfLife.count()));
 }
 
 } // namespace anvil::route::internal
--- a/src/route/TargetTable.h
+++ b/src/route/TargetTable.h
@@ -14,11 +14,14 @@
 /// What the entry knows about one target.
 struct Target {
   wire::RouteTarget m_Route;
-  bool m_Listed = true;   ///< In the current routing table.
-  int m_Outstanding = 0;  ///< Requests of this entry that are claiming or running there.
-  double m_OtherLoad = 0; ///< Requests of others there when the agent last reported.
+  bool m_Listed = true; ///< In the current routing table.
+  int m_Outstanding =
+      0; ///< Requests of this entry that are claiming or running there.
+  double m_OtherLoad =
+      0; ///< Requests of others there when the agent last reported.
   TimePoint m_ReportedAt{};
-  TimePoint m_BusyUntil{}; ///< The agent asked not to be sent requests before this time.
+  TimePoint m_BusyUntil{}; ///< The agent asked not to be sent requests before
+                           ///< this time.
   double m_Penalty = 0;    ///< At m_PenaltyAt; decays from then on.
   TimePoint m_PenaltyAt{};
 };
@@ -30,21 +33,28 @@
 public:
   explicit TargetTable(const RouterOptions &Options) : m_Options(Options) {}
 
-  /// Takes over a routing table. Loads and penalties of targets that stay the same incarnation are kept.
+  /// Takes over a routing table. Loads and penalties of targets that stay the
+  /// same incarnation are kept.
   void replace(const std::vector<wire::RouteTarget> &Routes);
 
-  /// Chooses a target with room, or returns null. Targets in \p Tried are used only if no other one is usable.
-  TargetPtr choose(const std::string &Service, const std::set<std::string> &Tried, TimePoint Now) const;
+  /// Chooses a target with room, or returns null. Targets in \p Tried are used
+  /// only if no other one is usable.
+  TargetPtr choose(const std::string &Service,
+                   const std::set<std::string> &Tried, TimePoint Now) const;
 
   /// Returns the target of that name and incarnation, or null.
-  TargetPtr find(const std::string &Service, const std::string &Vm, int64_t Incarnation) const;
+  TargetPtr find(const std::string &Service, const std::string &Vm,
+                 int64_t Incarnation) const;
 
   /// Returns true if the service has a target that may be sent requests.
   bool anyUsable(const std::string &Service) const;
   /// Returns true if \p Each may be sent requests.
-  static bool usable(const Target &Each) { return Each.m_Listed && Each.m_Route.usable; }
+  static bool usable(const Target &Each) {
+    return Each.m_Listed && Each.m_Route.usable;
+  }
 
-  /// Takes over the load that an agent reported with the end of one request of this entry.
+  /// Takes over the load that an agent reported with the end of one request of
+  /// this entry.
   void noteLoad(Target &Each, const wire::Load &Load, TimePoint Now) const;
   /// Avoids a target because the agent has no room.
   void noteBusy(Target &Each, Duration RetryAfter, TimePoint Now) const;
@@ -56,8 +66,10 @@
   double penaltyOf(const Target &Each, TimePoint Now) const;
 
 private:
-  TargetPtr chooseBelow(const std::vector<TargetPtr> &Candidates, bool AllowQueueing, TimePoint Now) const;
-  TargetPtr lighter(const TargetPtr &Left, const TargetPtr &Right, TimePoint Now) const;
+  TargetPtr chooseBelow(const std::vector<TargetPtr> &Candidates,
+                        bool AllowQueueing, TimePoint Now) const;
+  TargetPtr lighter(const TargetPtr &Left, const TargetPtr &Right,
+                    TimePoint Now) const;
   size_t randomIndex(size_t Count) const;
 
   const RouterOptions &m_Options;
--- a/src/sched/Core.h
+++ b/src/sched/Core.h
@@ -18,11 +18,13 @@
 
 namespace anvil::sched::internal {
 
-/// State and decisions of the Scheduler. Events change the state (CoreEvents, CoreWorkers); passes over the queue
-/// decide (CorePass), with reclaim (CoreReclaim) and guarantees (CoreGuarantees) beside them.
+/// State and decisions of the Scheduler. Events change the state (CoreEvents,
+/// CoreWorkers); passes over the queue decide (CorePass), with reclaim
+/// (CoreReclaim) and guarantees (CoreGuarantees) beside them.
 class SchedulerCore {
 public:
-  explicit SchedulerCore(const SchedulerOptions &Options) : m_Options(Options), m_Finder(m_Fleet) {}
+  explicit SchedulerCore(const SchedulerOptions &Options)
+      : m_Options(Options), m_Finder(m_Fleet) {}
   SchedulerCore(const SchedulerCore &) = delete;
   SchedulerCore &operator=(const SchedulerCore &) = delete;
 
@@ -116,7 +118,8 @@
   bool tryPlace(JobIndex Index);
   void handleBlocked(JobIndex Index);
   std::vector<Member> search(JobIndex Index, std::string &Reason);
-  std::vector<Member> searchOwn(const Job &Target, RoomKind Kind, std::span<const WorkerIndex> Avoid);
+  std::vector<Member> searchOwn(const Job &Target, RoomKind Kind,
+                                std::span<const WorkerIndex> Avoid);
   std::vector<Member> searchHome(const Job &Target);
   std::vector<Member> searchBackfill(JobIndex Index);
   std::vector<WorkerIndex> avoided(const Job &Target) const;
@@ -141,15 +144,19 @@
   Plan planFreeing(JobIndex Index, std::span<const Victim> Victims);
   std::vector<Victim> victimsFor(JobIndex Index, bool Economy) const;
   std::vector<Victim> stoppingVictims() const;
-  bool victimAllowed(const Job &Target, const Job &Candidate, bool Economy) const;
+  bool victimAllowed(const Job &Target, const Job &Candidate,
+                     bool Economy) const;
   double victimCost(const Job &Candidate) const;
   bool withinGuarantee(const Job &Candidate) const;
-  std::vector<JobIndex> neededVictims(const Job &Target, const std::vector<Member> &Members,
+  std::vector<JobIndex> neededVictims(const Job &Target,
+                                      const std::vector<Member> &Members,
                                       std::span<const Victim> Victims) const;
-  void commitPlan(JobIndex Index, Plan Chosen, HoldKind Kind, const std::string &Reason);
+  void commitPlan(JobIndex Index, Plan Chosen, HoldKind Kind,
+                  const std::string &Reason);
   void startReclaim(JobIndex Index, const std::string &Reason);
   void continueReclaim(JobIndex Index);
-  void setHold(JobIndex Index, std::vector<Member> Members, HoldKind Kind, TimePoint ExpectedStart);
+  void setHold(JobIndex Index, std::vector<Member> Members, HoldKind Kind,
+               TimePoint ExpectedStart);
   void dropHold(JobIndex Index);
   void applyHold(const Hold &Target, int Sign);
   bool holdUsable(const Hold &Target) const;
@@ -159,11 +166,14 @@
   bool awaitsVictims(const Hold &Target) const;
   double harmOf(const Job &Target, const Plan &Chosen);
   Plan planByEnd(JobIndex Index, Duration &Wait);
-  std::vector<std::pair<WorkerIndex, Resources>> claimsInProgress(WorkspaceIndex Index) const;
-  Plan cheapestClaim(const Job &Target, std::span<const WorkerIndex> Homes, const Finder::RoomFn &RestOf) const;
+  std::vector<std::pair<WorkerIndex, Resources>>
+  claimsInProgress(WorkspaceIndex Index) const;
+  Plan cheapestClaim(const Job &Target, std::span<const WorkerIndex> Homes,
+                     const Finder::RoomFn &RestOf) const;
   Resources roomForHold(WorkerIndex Index, HoldKind Kind) const;
   bool mayTakeBack(const Job &Candidate, const Hold &Reservation) const;
-  bool claimVictims(const Job &Target, std::span<const Member> Members, std::vector<JobIndex> &Victims) const;
+  bool claimVictims(const Job &Target, std::span<const Member> Members,
+                    std::vector<JobIndex> &Victims) const;
   void dropHoldsOn(std::span<const Member> Members);
 
   // Guarantees (CoreGuarantees.cpp).
@@ -189,7 +199,9 @@
   void probe(WorkerIndex Index);
 
   void emit(SchedulerAction Action) { m_Actions.push_back(std::move(Action)); }
-  const std::string &vmName(WorkerIndex Index) const { return m_Fleet.worker(Index).m_Vm.str(); }
+  const std::string &vmName(WorkerIndex Index) const {
+    return m_Fleet.worker(Index).m_Vm.str();
+  }
   std::string explainQueued(const Job &Target, TimePoint Now) const;
   std::string describeNeed(const Job &Target) const;
 
--- a/src/sched/CoreEvents.cpp
+++ b/src/sched/CoreEvents.cpp
@@ -6,12 +6,14 @@
 
 namespace anvil::sched::internal {
 
-std::vector<SchedulerAction> SchedulerCore::step(const SchedulerEvent &Event, TimePoint Now) {
+std::vector<SchedulerAction> SchedulerCore::step(const SchedulerEvent &Event,
+                                                 TimePoint Now) {
   m_Now = std::max(m_Now, Now);
   m_Actions.clear();
   std::visit([this](const auto &Each) { on(Each); }, Event);
   runTimers();
-  // While a leader rebuilds, the queue is not looked at before the running gangs are known.
+  // While a leader rebuilds, the queue is not looked at before the running
+  // gangs are known.
   if (!std::holds_alternative<JobRestored>(Event))
     maybePass();
   return std::move(m_Actions);
@@ -40,16 +42,20 @@
   absl::flat_hash_map<WorkerIndex, int32_t> Tasks;
   for (const MemberPlacement &Entry : Event.m_Members) {
     WorkerIndex Worker = m_Fleet.find(Entry.m_Vm);
-    // A member on a VM that is not known holds nothing that could be given to others.
+    // A member on a VM that is not known holds nothing that could be given to
+    // others.
     if (Worker >= 0)
       ++Tasks[Worker];
   }
   std::vector<Member> Members;
   for (const auto &[Worker, Count] : Tasks)
     Members.push_back({Worker, Count});
-  std::sort(Members.begin(), Members.end(), [](const Member &A, const Member &B) { return A.m_Worker < B.m_Worker; });
+  std::sort(
+      Members.begin(), Members.end(),
+      [](const Member &A, const Member &B) { return A.m_Worker < B.m_Worker; });
   occupy(Index, std::move(Members));
-  Target.m_Phase = Event.m_Phase == RestoredPhase::Placed ? JobPhase::Placed : JobPhase::Running;
+  Target.m_Phase = Event.m_Phase == RestoredPhase::Placed ? JobPhase::Placed
+                                                          : JobPhase::Running;
   Target.m_Started = Event.m_Phase != RestoredPhase::Placed;
   Target.m_PlacedAt = Event.m_StartedAt;
   Target.m_StartedAt = Event.m_StartedAt;
@@ -68,7 +74,8 @@
 }
 
 void SchedulerCore::on(const PlacementRefused &Event) {
-  // A gang that refused this often in a row waits this long at most before the next attempt.
+  // A gang that refused this often in a row waits this long at most before the
+  // next attempt.
   constexpr int MaxDoublings = 8;
   constexpr Duration FirstDelay = std::chrono::milliseconds(200);
   const JobIndex Index = findJob(Event.m_Job);
@@ -82,12 +89,14 @@
     Target.m_FailedOn.push_back(Worker);
   Target.m_Block = BlockKind::Refused;
   ++Target.m_Refusals;
-  delay(Index, FirstDelay * (1 << std::min(Target.m_Refusals - 1, MaxDoublings)),
+  delay(Index,
+        FirstDelay * (1 << std::min(Target.m_Refusals - 1, MaxDoublings)),
         absl::StrCat("the placement was refused: ", Event.m_Reason));
 }
 
 void SchedulerCore::on(const TaskStarted &Event) {
-  if (const JobIndex Index = findJob(Event.m_Job); Index >= 0 && m_Jobs[Index].holdsResources())
+  if (const JobIndex Index = findJob(Event.m_Job);
+      Index >= 0 && m_Jobs[Index].holdsResources())
     m_Jobs[Index].m_Started = true;
 }
 
@@ -98,11 +107,13 @@
   if (Index < 0 || !m_Jobs[Index].holdsResources())
     return;
   Job &Target = m_Jobs[Index];
-  // Members that are being stopped report failures that say nothing about the worker.
+  // Members that are being stopped report failures that say nothing about the
+  // worker.
   if (Target.m_Phase == JobPhase::Stopping)
     return;
   ++Target.m_Failures;
-  Target.m_Reason = absl::StrCat("task ", Event.m_TaskIndex, " failed on ", Event.m_Vm.str(), ": ", Event.m_Detail);
+  Target.m_Reason = absl::StrCat("task ", Event.m_TaskIndex, " failed on ",
+                                 Event.m_Vm.str(), ": ", Event.m_Detail);
   beginStopping(Index, StopCause::Failed);
   if (const WorkerIndex Worker = m_Fleet.find(Event.m_Vm); Worker >= 0)
     noteFailure(Index, Worker);
@@ -126,7 +137,8 @@
   Job &Target = m_Jobs[Index];
   if (Target.holdsResources()) {
     noteSuccess(Target);
-    m_Estimator.learn(Target.m_Workspace, Target.m_Spec.m_Urgency, Target.m_Spec.m_DeclaredRunTime,
+    m_Estimator.learn(Target.m_Workspace, Target.m_Spec.m_Urgency,
+                      Target.m_Spec.m_DeclaredRunTime,
                       Target.m_Kept + ranFor(Target));
     vacate(Index);
   }
@@ -165,11 +177,13 @@
     return removeJob(Index);
   // A job that is not idempotent continues only from where it provably stopped.
   if (Started && !Target.m_Spec.m_Idempotent && !Event.m_StoppedAtCheckpoint)
-    return giveUp(
-        Index, absl::StrCat("it had started, is not idempotent and did not stop at a checkpoint; ", Target.m_Reason));
+    return giveUp(Index, absl::StrCat("it had started, is not idempotent and "
+                                      "did not stop at a checkpoint; ",
+                                      Target.m_Reason));
   if (Target.m_Failures >= m_Options.m_MaxFailures) {
     forgetEvidence(Target);
-    return giveUp(Index, absl::StrCat("it failed ", Target.m_Failures, " times; last: ", Target.m_Reason));
+    return giveUp(Index, absl::StrCat("it failed ", Target.m_Failures,
+                                      " times; last: ", Target.m_Reason));
   }
   if (Cause != StopCause::Failed) {
     if (!parkIfImpossible(Index))
@@ -177,18 +191,23 @@
     return;
   }
   const int Doublings = std::clamp(Target.m_Failures - 1, 0, 20);
-  delay(Index, std::min(m_Options.m_RetryDelay * (1 << Doublings), m_Options.m_MaxRetryDelay), Target.m_Reason);
+  delay(Index,
+        std::min(m_Options.m_RetryDelay * (1 << Doublings),
+                 m_Options.m_MaxRetryDelay),
+        Target.m_Reason);
 }
 
 void SchedulerCore::keepProgress(Job &Target, bool StoppedAtCheckpoint) {
-  if (Target.m_Phase == JobPhase::Placed || !Target.m_Spec.m_Checkpointable || !Target.m_Started)
+  if (Target.m_Phase == JobPhase::Placed || !Target.m_Spec.m_Checkpointable ||
+      !Target.m_Started)
     return;
   const TimePoint Until = StoppedAtCheckpoint ? m_Now : Target.m_CheckpointAt;
   Target.m_Kept += std::max(Until - Target.m_StartedAt, Duration::zero());
 }
 
 void SchedulerCore::on(const CheckpointDone &Event) {
-  if (const JobIndex Index = findJob(Event.m_Job); Index >= 0 && m_Jobs[Index].m_Started)
+  if (const JobIndex Index = findJob(Event.m_Job);
+      Index >= 0 && m_Jobs[Index].m_Started)
     m_Jobs[Index].m_CheckpointAt = m_Now;
 }
 
--- a/src/sched/CoreGuarantees.cpp
+++ b/src/sched/CoreGuarantees.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-/// Splits a shape into equal units, one for each accelerator, that may lie on different workers.
+/// Splits a shape into equal units, one for each accelerator, that may lie on
+/// different workers.
 Demand unitsOf(const GuaranteedShape &Shape) {
   const Resources &Whole = Shape.m_Resources;
   if (Shape.m_Adjacency == Adjacency::Vm)
@@ -18,7 +19,8 @@
   if (Count == 0)
     Count = std::max<int64_t>(1, Whole.m_Cores);
   auto Split = [Count](int64_t Amount) { return (Amount + Count - 1) / Count; };
-  return {{Split(Whole.m_Accelerators), Split(Whole.m_Cores), Split(Whole.m_MemoryMib)},
+  return {{Split(Whole.m_Accelerators), Split(Whole.m_Cores),
+           Split(Whole.m_MemoryMib)},
           static_cast<int32_t>(Count),
           Shape.m_Adjacency,
           Shape.m_Adjacency == Adjacency::Rack};
@@ -26,8 +28,9 @@
 
 } // namespace
 
-/// Keeps each guaranteed piece on concrete workers. On each worker, what cannot be reclaimed together with what is
-/// guaranteed to others stays within the capacity, so every piece can be claimed at any moment.
+/// Keeps each guaranteed piece on concrete workers. On each worker, what cannot
+/// be reclaimed together with what is guaranteed to others stays within the
+/// capacity, so every piece can be claimed at any moment.
 void SchedulerCore::rebuildHomes() {
   m_HomesDirty = false;
   for (Piece &Each : m_Pieces) {
@@ -55,12 +58,15 @@
 }
 
 bool SchedulerCore::pieceKept(const Piece &Target) const {
-  return std::all_of(Target.m_Parts.begin(), Target.m_Parts.end(), [this](const auto &Part) {
-    return m_Fleet.slot(Part.first).m_Usable && !anyNegative(m_Fleet.slot(Part.first).m_PinRoom);
-  });
+  return std::all_of(Target.m_Parts.begin(), Target.m_Parts.end(),
+                     [this](const auto &Part) {
+                       return m_Fleet.slot(Part.first).m_Usable &&
+                              !anyNegative(m_Fleet.slot(Part.first).m_PinRoom);
+                     });
 }
 
-/// Places a piece that fits one VM on the tightest worker. Reads all workers once for many pieces of equal size.
+/// Places a piece that fits one VM on the tightest worker. Reads all workers
+/// once for many pieces of equal size.
 bool SchedulerCore::placeOnOneVm(Piece &Target, PieceRooms &Rooms) {
   const Resources &Need = Target.m_Shape.m_Resources;
   if (Target.m_Shape.m_Adjacency != Adjacency::Vm)
@@ -69,17 +75,21 @@
     Rooms.m_Need = Need;
     Rooms.m_Workers.clear();
     for (WorkerIndex Index = 0; Index < m_Fleet.size(); ++Index) {
-      if (m_Fleet.slot(Index).m_Usable && fits(Need, m_Fleet.slot(Index).m_PinRoom))
+      if (m_Fleet.slot(Index).m_Usable &&
+          fits(Need, m_Fleet.slot(Index).m_PinRoom))
         Rooms.m_Workers.push_back(Index);
     }
     // The tightest worker is last, where it is taken from.
-    std::sort(Rooms.m_Workers.begin(), Rooms.m_Workers.end(), [this](WorkerIndex A, WorkerIndex B) {
-      const Resources &Left = m_Fleet.slot(A).m_PinRoom;
-      const Resources &Right = m_Fleet.slot(B).m_PinRoom;
-      if (Left.m_Accelerators != Right.m_Accelerators)
-        return Left.m_Accelerators > Right.m_Accelerators;
-      return Left.m_Cores != Right.m_Cores ? Left.m_Cores > Right.m_Cores : A > B;
-    });
+    std::sort(Rooms.m_Workers.begin(), Rooms.m_Workers.end(),
+              [this](WorkerIndex A, WorkerIndex B) {
+                const Resources &Left = m_Fleet.slot(A).m_PinRoom;
+                const Resources &Right = m_Fleet.slot(B).m_PinRoom;
+                if (Left.m_Accelerators != Right.m_Accelerators)
+                  return Left.m_Accelerators > Right.m_Accelerators;
+                return Left.m_Cores != Right.m_Cores
+                           ? Left.m_Cores > Right.m_Cores
+                           : A > B;
+              });
   }
   while (!Rooms.m_Workers.empty()) {
     const WorkerIndex Index = Rooms.m_Workers.back();
@@ -95,7 +105,8 @@
 
 bool SchedulerCore::placePiece(Piece &Target) {
   const Demand Units = unitsOf(Target.m_Shape);
-  // Gangs of the owner that cannot be reclaimed make a worker possible that would not be without them.
+  // Gangs of the owner that cannot be reclaimed make a worker possible that
+  // would not be without them.
   std::vector<WorkerIndex> Usable;
   for (WorkerIndex Index = 0; Index < m_Fleet.size(); ++Index) {
     const WorkerSlot &Slot = m_Fleet.slot(Index);
@@ -103,11 +114,14 @@
         (Slot.m_HasAccelerators || Units.m_PerTask.m_Accelerators == 0))
       Usable.push_back(Index);
   }
-  const std::vector<Member> Found = m_Finder.findAmong(Units, Usable, [&](WorkerIndex Index) {
-    // Gangs of the owner that cannot be reclaimed count as its guarantee in use.
-    const Claim Own = m_Fleet.claimOf(Index, Target.m_Workspace);
-    return m_Fleet.slot(Index).m_PinRoom + positive(Own.m_Pinned - Own.m_Guaranteed);
-  });
+  const std::vector<Member> Found =
+      m_Finder.findAmong(Units, Usable, [&](WorkerIndex Index) {
+        // Gangs of the owner that cannot be reclaimed count as its guarantee in
+        // use.
+        const Claim Own = m_Fleet.claimOf(Index, Target.m_Workspace);
+        return m_Fleet.slot(Index).m_PinRoom +
+               positive(Own.m_Pinned - Own.m_Guaranteed);
+      });
   for (const Member &Each : Found) {
     const Resources Amount = Units.m_PerTask * Each.m_Tasks;
     Target.m_Parts.emplace_back(Each.m_Worker, Amount);
@@ -131,7 +145,8 @@
   }
   for (Workspace &Each : m_Workspaces) {
     std::sort(Each.m_Homes.begin(), Each.m_Homes.end());
-    Each.m_Homes.erase(std::unique(Each.m_Homes.begin(), Each.m_Homes.end()), Each.m_Homes.end());
+    Each.m_Homes.erase(std::unique(Each.m_Homes.begin(), Each.m_Homes.end()),
+                       Each.m_Homes.end());
   }
   m_Dirty = true;
 }
@@ -143,7 +158,8 @@
     if (!Each.m_Parts.empty())
       continue;
     ++m_GuaranteesMissing;
-    const std::string Key = absl::StrCat(m_Workspaces[Each.m_Workspace].m_Name.str(), "\n", Each.m_Shape.m_Name);
+    const std::string Key = absl::StrCat(
+        m_Workspaces[Each.m_Workspace].m_Name.str(), "\n", Each.m_Shape.m_Name);
     ++Now[Key];
   }
   std::vector<std::string> Keys;
@@ -153,7 +169,8 @@
     if (!Now.contains(Key))
       Keys.push_back(Key);
   }
-  // Hash maps iterate in no fixed order, but actions must be the same on every run.
+  // Hash maps iterate in no fixed order, but actions must be the same on every
+  // run.
   std::sort(Keys.begin(), Keys.end());
   for (const std::string &Key : Keys) {
     const size_t Slash = Key.find('\n');
@@ -162,9 +179,11 @@
     const auto Before = m_Warned.find(Key);
     if (Before != m_Warned.end() && Before->second == Count)
       continue;
-    emit(WarnGuarantee{WorkspaceId(Key.substr(0, Slash)), Key.substr(Slash + 1), Count,
+    emit(WarnGuarantee{WorkspaceId(Key.substr(0, Slash)), Key.substr(Slash + 1),
+                       Count,
                        Count == 0 ? "all pieces are claimable again"
-                                  : "the workers in service, less what cannot be reclaimed, do not hold all pieces"});
+                                  : "the workers in service, less what cannot "
+                                    "be reclaimed, do not hold all pieces"});
   }
   m_Warned = std::move(Now);
 }
--- a/src/sched/CoreHealth.cpp
+++ b/src/sched/CoreHealth.cpp
@@ -25,7 +25,8 @@
 
 void SchedulerCore::noteFailure(JobIndex Index, WorkerIndex Worker) {
   Job &Target = m_Jobs[Index];
-  if (std::find(Target.m_FailedOn.begin(), Target.m_FailedOn.end(), Worker) == Target.m_FailedOn.end())
+  if (std::find(Target.m_FailedOn.begin(), Target.m_FailedOn.end(), Worker) ==
+      Target.m_FailedOn.end())
     Target.m_FailedOn.push_back(Worker);
   std::vector<FailureEvidence> &Evidence = m_Fleet.worker(Worker).m_Evidence;
   std::erase_if(Evidence, [&](const FailureEvidence &Entry) {
@@ -51,13 +52,17 @@
     return;
   for (const WorkerIndex Index : Target.m_FailedOn) {
     std::erase_if(m_Fleet.worker(Index).m_Evidence,
-                  [&](const FailureEvidence &Entry) { return Entry.m_Job == Target.m_Id; });
+                  [&](const FailureEvidence &Entry) {
+                    return Entry.m_Job == Target.m_Id;
+                  });
   }
 }
 
 void SchedulerCore::quarantine(WorkerIndex Index) {
   Worker &Target = m_Fleet.worker(Index);
-  const int Bound = std::max(1, static_cast<int>(std::floor(m_Options.m_MaxQuarantinedShare * m_Fleet.size())));
+  const int Bound =
+      std::max(1, static_cast<int>(std::floor(m_Options.m_MaxQuarantinedShare *
+                                              m_Fleet.size())));
   if (Target.m_Quarantined || m_QuarantinedCount >= Bound)
     return;
   Target.m_Quarantined = true;
@@ -69,10 +74,15 @@
     if (Failed >= 0 && m_Jobs[Failed].m_Failures > 0)
       --m_Jobs[Failed].m_Failures;
   }
-  emit(QuarantineWorker{Target.m_Vm, true,
-                        absl::StrCat(Target.m_Evidence.size(), " different jobs failed on it without a success")});
+  emit(QuarantineWorker{
+      Target.m_Vm, true,
+      absl::StrCat(Target.m_Evidence.size(),
+                   " different jobs failed on it without a success")});
   const int Doublings = std::min(Target.m_Probes, 20);
-  m_ProbeTimers.insert({m_Now + std::min(m_Options.m_ProbeDelay * (1 << Doublings), m_Options.m_MaxProbeDelay), Index});
+  m_ProbeTimers.insert(
+      {m_Now + std::min(m_Options.m_ProbeDelay * (1 << Doublings),
+                        m_Options.m_MaxProbeDelay),
+       Index});
   m_HomesDirty = true;
   m_Dirty = true;
 }
@@ -82,9 +92,13 @@
   if (!Target.m_Quarantined)
     return;
   const int Doublings = std::min(++Target.m_Probes, 20);
-  m_ProbeTimers.insert({m_Now + std::min(m_Options.m_ProbeDelay * (1 << Doublings), m_Options.m_MaxProbeDelay), Index});
+  m_ProbeTimers.insert(
+      {m_Now + std::min(m_Options.m_ProbeDelay * (1 << Doublings),
+                        m_Options.m_MaxProbeDelay),
+       Index});
   if (Target.m_Up)
-    emit(ProbeWorker{Target.m_Vm, absl::StrCat("probe ", Target.m_Probes, " of a quarantined worker")});
+    emit(ProbeWorker{Target.m_Vm, absl::StrCat("probe ", Target.m_Probes,
+                                               " of a quarantined worker")});
 }
 
 void SchedulerCore::on(const ProbeEnded &Event) {
@@ -94,9 +108,13 @@
   Worker &Target = m_Fleet.worker(Index);
   Target.m_Quarantined = false;
   --m_QuarantinedCount;
-  std::erase_if(m_ProbeTimers, [Index](const auto &Timer) { return Timer.second == Index; });
-  // On probation: one more job failing here sends it back, one success restores full trust.
-  const auto Kept = std::min(Target.m_Evidence.size(), static_cast<size_t>(m_Options.m_QuarantineEvidence - 1));
+  std::erase_if(m_ProbeTimers,
+                [Index](const auto &Timer) { return Timer.second == Index; });
+  // On probation: one more job failing here sends it back, one success restores
+  // full trust.
+  const auto Kept =
+      std::min(Target.m_Evidence.size(),
+               static_cast<size_t>(m_Options.m_QuarantineEvidence - 1));
   Target.m_Evidence.resize(Kept);
   for (FailureEvidence &Entry : Target.m_Evidence)
     Entry.m_At = m_Now;
--- a/src/sched/CoreJobs.cpp
+++ b/src/sched/CoreJobs.cpp
@@ -7,12 +7,15 @@
 namespace anvil::sched::internal {
 
 namespace {
-// Largest gang that is accepted; larger ones are taken for an error of the caller.
+// Largest gang that is accepted; larger ones are taken for an error of the
+// caller.
 constexpr int32_t MaxTasks = 100'000;
-// Largest amount of one resource in a demand, far from overflow when multiplied by MaxTasks.
+// Largest amount of one resource in a demand, far from overflow when multiplied
+// by MaxTasks.
 constexpr int64_t MaxAmount = int64_t{1} << 40;
-// Head start of a class in the queue. Within a class short work goes first, but no job is overtaken for longer than
-// AreaWeight times its own share of the fleet times its run time.
+// Head start of a class in the queue. Within a class short work goes first, but
+// no job is overtaken for longer than AreaWeight times its own share of the
+// fleet times its run time.
 constexpr double UrgentBias = -30 * 86400.0;
 constexpr double WorkingDayBias = -6 * 3600.0;
 constexpr double OvernightBias = 12 * 3600.0;
@@ -40,7 +43,8 @@
   return Found == m_JobIndex.end() ? -1 : Found->second;
 }
 
-JobIndex SchedulerCore::addJob(JobId Id, const JobSpec &Spec, TimePoint SubmittedAt) {
+JobIndex SchedulerCore::addJob(JobId Id, const JobSpec &Spec,
+                               TimePoint SubmittedAt) {
   JobIndex Index = static_cast<JobIndex>(m_Jobs.size());
   if (m_FreeJobs.empty()) {
     m_Jobs.emplace_back();
@@ -69,7 +73,8 @@
 }
 
 WorkspaceIndex SchedulerCore::workspaceIndex(const WorkspaceId &Name) {
-  const auto [Entry, Inserted] = m_WorkspaceIndex.try_emplace(Name, static_cast<WorkspaceIndex>(m_Workspaces.size()));
+  const auto [Entry, Inserted] = m_WorkspaceIndex.try_emplace(
+      Name, static_cast<WorkspaceIndex>(m_Workspaces.size()));
   if (Inserted)
     m_Workspaces.emplace_back().m_Name = Name;
   return Entry->second;
@@ -77,7 +82,8 @@
 
 std::string SchedulerCore::refusalOf(const JobSpec &Spec) const {
   if (Spec.m_Tasks < 1 || Spec.m_Tasks > MaxTasks)
-    return absl::StrCat("the number of tasks is ", Spec.m_Tasks, "; allowed are 1 to ", MaxTasks);
+    return absl::StrCat("the number of tasks is ", Spec.m_Tasks,
+                        "; allowed are 1 to ", MaxTasks);
   if (anyNegative(Spec.m_PerTask))
     return "a demand is negative";
   if (isZero(Spec.m_PerTask))
@@ -91,7 +97,9 @@
   Job &Target = m_Jobs[Index];
   Target.m_Phase = JobPhase::Queued;
   Target.m_Key = queueKey(Target);
-  Target.m_InQueue = m_Workspaces[Target.m_Workspace].m_Queue.insert({Target.m_Key, Index}).second;
+  Target.m_InQueue = m_Workspaces[Target.m_Workspace]
+                         .m_Queue.insert({Target.m_Key, Index})
+                         .second;
   ++m_QueuedCount;
   m_Dirty = true;
 }
@@ -115,7 +123,8 @@
 
 void SchedulerCore::park(JobIndex Index, std::string Reason) {
   Job &Target = m_Jobs[Index];
-  const bool Known = Target.m_Phase == JobPhase::Parked && Target.m_Reason == Reason;
+  const bool Known =
+      Target.m_Phase == JobPhase::Parked && Target.m_Reason == Reason;
   dequeue(Index);
   dropHold(Index);
   Target.m_Phase = JobPhase::Parked;
@@ -134,7 +143,8 @@
   Job &Target = m_Jobs[Index];
   Workspace &Owner = m_Workspaces[Target.m_Workspace];
   for (const Member &Each : Members) {
-    m_Fleet.occupy(Each.m_Worker, Index, Target.m_Workspace, Each.m_Tasks, Target.m_Spec.m_PerTask, Target.pinned());
+    m_Fleet.occupy(Each.m_Worker, Index, Target.m_Workspace, Each.m_Tasks,
+                   Target.m_Spec.m_PerTask, Target.pinned());
     m_Fleet.worker(Each.m_Worker).m_ChangedAt = m_Now;
     Owner.m_Used += Target.m_Spec.m_PerTask * Each.m_Tasks;
   }
@@ -146,7 +156,8 @@
   Job &Target = m_Jobs[Index];
   Workspace &Owner = m_Workspaces[Target.m_Workspace];
   for (const Member &Each : Target.m_Members) {
-    m_Fleet.vacate(Each.m_Worker, Index, Target.m_Workspace, Each.m_Tasks, Target.m_Spec.m_PerTask, Target.pinned());
+    m_Fleet.vacate(Each.m_Worker, Index, Target.m_Workspace, Each.m_Tasks,
+                   Target.m_Spec.m_PerTask, Target.pinned());
     m_Fleet.worker(Each.m_Worker).m_ChangedAt = m_Now;
     Owner.m_Used -= Target.m_Spec.m_PerTask * Each.m_Tasks;
   }
@@ -176,7 +187,8 @@
 }
 
 RunTimeEstimate SchedulerCore::estimateOf(const Job &Target) const {
-  return m_Estimator.estimate(Target.m_Workspace, Target.m_Spec.m_Urgency, Target.m_Spec.m_DeclaredRunTime,
+  return m_Estimator.estimate(Target.m_Workspace, Target.m_Spec.m_Urgency,
+                              Target.m_Spec.m_DeclaredRunTime,
                               Target.m_Kept + ranFor(Target));
 }
 
@@ -192,8 +204,10 @@
 }
 
 int SchedulerCore::rankOf(const Job &Target) const {
-  if (Target.m_Spec.m_Urgency != Urgency::Urgent && m_Now + CriticalMargin >= latestStart(Target))
-    return static_cast<int>(Urgency::WorkingDay) - (Target.m_Spec.m_Urgency == Urgency::WorkingDay ? 1 : 0);
+  if (Target.m_Spec.m_Urgency != Urgency::Urgent &&
+      m_Now + CriticalMargin >= latestStart(Target))
+    return static_cast<int>(Urgency::WorkingDay) -
+           (Target.m_Spec.m_Urgency == Urgency::WorkingDay ? 1 : 0);
   return static_cast<int>(Target.m_Spec.m_Urgency);
 }
 
@@ -205,7 +219,9 @@
   double Key = Base + biasOf(Target.m_Spec.m_Urgency) + AreaWeight * Area;
   const TimePoint Latest = latestStart(Target);
   if (Latest != TimePoint::max())
-    Key = std::min(Key, toSeconds((Latest - CriticalMargin).time_since_epoch()) + WorkingDayBias);
+    Key =
+        std::min(Key, toSeconds((Latest - CriticalMargin).time_since_epoch()) +
+                          WorkingDayBias);
   return static_cast<int64_t>(Key * 1e6);
 }
 
@@ -213,8 +229,11 @@
   const Workspace &Owner = m_Workspaces[Target.m_Workspace];
   const Resources &Quota = Owner.m_Config.m_Quota;
   const Resources After = Owner.m_Used + Target.total();
-  auto Over = [](int64_t Use, int64_t Limit) { return Limit > 0 && Use > Limit; };
-  return Over(After.m_Accelerators, Quota.m_Accelerators) || Over(After.m_Cores, Quota.m_Cores) ||
+  auto Over = [](int64_t Use, int64_t Limit) {
+    return Limit > 0 && Use > Limit;
+  };
+  return Over(After.m_Accelerators, Quota.m_Accelerators) ||
+         Over(After.m_Cores, Quota.m_Cores) ||
          Over(After.m_MemoryMib, Quota.m_MemoryMib);
 }
 
--- a/src/sched/CorePass.cpp
+++ b/src/sched/CorePass.cpp
@@ -8,12 +8,14 @@
 namespace anvil::sched::internal {
 
 namespace {
-// Queued jobs looked at in one pass; bounds the cost of a pass over a very long queue.
+// Queued jobs looked at in one pass; bounds the cost of a pass over a very long
+// queue.
 constexpr int MaxExamined = 20'000;
 // Shapes remembered as not fitting until capacity grows.
 constexpr size_t MaxFailedShapes = 64;
-// Plans in one pass, each of which costs some ten searches. Each purpose has its own bound, so that many small jobs
-// that look for shorter waiting do not keep urgent work or large gangs from planning.
+// Plans in one pass, each of which costs some ten searches. Each purpose has
+// its own bound, so that many small jobs that look for shorter waiting do not
+// keep urgent work or large gangs from planning.
 constexpr int MaxPreemptPlans = 2;
 constexpr int MaxEconomyPlans = 1;
 constexpr int MaxReservePlans = 1;
@@ -25,7 +27,8 @@
 constexpr Duration EvacuationInterval = std::chrono::milliseconds(500);
 // A gang that can be moved is backfilled if it can run at least this long.
 constexpr Duration LeastBackfill = std::chrono::minutes(2);
-// Head start lost by a workspace for each fair share that it uses beyond its own.
+// Head start lost by a workspace for each fair share that it uses beyond its
+// own.
 constexpr double FairPenaltySeconds = 1800;
 } // namespace
 
@@ -50,7 +53,8 @@
 }
 
 void SchedulerCore::maybePass() {
-  const bool EvacuationDue = m_Evacuate && m_Now - m_LastEvacuation >= EvacuationInterval;
+  const bool EvacuationDue =
+      m_Evacuate && m_Now - m_LastEvacuation >= EvacuationInterval;
   if (!m_Dirty && !m_HomesDirty && !EvacuationDue && !m_ReviewParked)
     return;
   if (m_AnyPass && m_Now - m_LastPass < m_Options.m_PassInterval)
@@ -88,26 +92,33 @@
 
 double SchedulerCore::queuePenalty(const Workspace &Source) const {
   const Resources &Capacity = m_Fleet.usableCapacity();
-  const double Share = dominantShare(positive(Source.m_Used - Source.m_GuaranteedTotal), Capacity);
-  const double Fair = 1.0 / static_cast<double>(std::max<size_t>(1, m_Workspaces.size()));
+  const double Share = dominantShare(
+      positive(Source.m_Used - Source.m_GuaranteedTotal), Capacity);
+  const double Fair =
+      1.0 / static_cast<double>(std::max<size_t>(1, m_Workspaces.size()));
   return std::max(0.0, Share / Fair - 1) * FairPenaltySeconds * 1e6;
 }
 
-/// Looks at the queues of all workspaces in the order of their keys, moved back by what each uses beyond its share.
+/// Looks at the queues of all workspaces in the order of their keys, moved back
+/// by what each uses beyond its share.
 void SchedulerCore::placeFromQueue() {
   struct Head {
     double m_Key = 0;
     WorkspaceIndex m_Workspace = 0;
     bool operator>(const Head &Other) const {
-      return m_Key != Other.m_Key ? m_Key > Other.m_Key : m_Workspace > Other.m_Workspace;
+      return m_Key != Other.m_Key ? m_Key > Other.m_Key
+                                  : m_Workspace > Other.m_Workspace;
     }
   };
   std::priority_queue<Head, std::vector<Head>, std::greater<>> Heads;
-  std::vector<std::set<std::pair<int64_t, JobIndex>>::iterator> Next(m_Workspaces.size());
+  std::vector<std::set<std::pair<int64_t, JobIndex>>::iterator> Next(
+      m_Workspaces.size());
   auto Push = [&](WorkspaceIndex Index) {
     const Workspace &Source = m_Workspaces[Index];
     if (Next[Index] != Source.m_Queue.end())
-      Heads.push({static_cast<double>(Next[Index]->first) + queuePenalty(Source), Index});
+      Heads.push(
+          {static_cast<double>(Next[Index]->first) + queuePenalty(Source),
+           Index});
   };
   for (size_t I = 0; I < m_Workspaces.size(); ++I) {
     Next[I] = m_Workspaces[I].m_Queue.begin();
@@ -123,7 +134,8 @@
     Heads.pop();
     const JobIndex Current = Next[Index]->second;
     ++Next[Index];
-    if (m_Jobs[Current].m_Hold < 0 && !tryPlace(Current) && m_Jobs[Current].m_Phase == JobPhase::Queued)
+    if (m_Jobs[Current].m_Hold < 0 && !tryPlace(Current) &&
+        m_Jobs[Current].m_Phase == JobPhase::Queued)
       handleBlocked(Current);
     Push(Index);
   }
@@ -152,7 +164,9 @@
   Members = searchBackfill(Index);
   if (Members.empty())
     return false;
-  place(Index, std::move(Members), "backfill into room reserved for a larger gang that cannot start sooner");
+  place(
+      Index, std::move(Members),
+      "backfill into room reserved for a larger gang that cannot start sooner");
   m_Jobs[Index].m_Backfilled = true;
   return true;
 }
@@ -167,7 +181,8 @@
   }
   const std::vector<WorkerIndex> Avoid = avoided(Target);
   if (Target.pinned()) {
-    Reason = "fits capacity guaranteed to no other workspace, as it cannot be reclaimed";
+    Reason = "fits capacity guaranteed to no other workspace, as it cannot be "
+             "reclaimed";
     return searchOwn(Target, RoomKind::Pinned, Avoid);
   }
   --m_SearchBudget;
@@ -182,7 +197,9 @@
   return Own.empty() ? Members : Own;
 }
 
-std::vector<Member> SchedulerCore::searchOwn(const Job &Target, RoomKind Kind, std::span<const WorkerIndex> Avoid) {
+std::vector<Member>
+SchedulerCore::searchOwn(const Job &Target, RoomKind Kind,
+                         std::span<const WorkerIndex> Avoid) {
   --m_SearchBudget;
   const bool Pinned = Kind == RoomKind::Pinned;
   addHomeBonus(Target.m_Workspace, 1, Pinned);
@@ -192,37 +209,46 @@
 }
 
 std::vector<Member> SchedulerCore::searchHome(const Job &Target) {
-  const std::vector<WorkerIndex> &Homes = m_Workspaces[Target.m_Workspace].m_Homes;
+  const std::vector<WorkerIndex> &Homes =
+      m_Workspaces[Target.m_Workspace].m_Homes;
   if (Homes.empty())
     return {};
   const std::vector<WorkerIndex> Avoid = avoided(Target);
   std::vector<WorkerIndex> Usable;
   for (const WorkerIndex Worker : Homes) {
-    // Work without accelerators would take the cores that the guaranteed accelerators need; it looks elsewhere first.
-    if (Target.m_Spec.m_PerTask.m_Accelerators == 0 && m_Fleet.slot(Worker).m_HasAccelerators)
+    // Work without accelerators would take the cores that the guaranteed
+    // accelerators need; it looks elsewhere first.
+    if (Target.m_Spec.m_PerTask.m_Accelerators == 0 &&
+        m_Fleet.slot(Worker).m_HasAccelerators)
       continue;
-    if (m_Fleet.slot(Worker).m_Usable && std::find(Avoid.begin(), Avoid.end(), Worker) == Avoid.end())
+    if (m_Fleet.slot(Worker).m_Usable &&
+        std::find(Avoid.begin(), Avoid.end(), Worker) == Avoid.end())
       Usable.push_back(Worker);
   }
   return m_Finder.findAmong(Target.demand(), Usable, [&](WorkerIndex Worker) {
     const Claim Own = m_Fleet.claimOf(Worker, Target.m_Workspace);
-    const Resources Rest = Own.m_Guaranteed - (Target.pinned() ? Own.m_Pinned : Own.m_Used);
+    const Resources Rest =
+        Own.m_Guaranteed - (Target.pinned() ? Own.m_Pinned : Own.m_Used);
     return minOf(m_Fleet.slot(Worker).m_Free, Rest);
   });
 }
 
-/// Uses room that reservations keep, if the job is expected to be gone in time. The reservation takes it back if not.
+/// Uses room that reservations keep, if the job is expected to be gone in time.
+/// The reservation takes it back if not.
 std::vector<Member> SchedulerCore::searchBackfill(JobIndex Index) {
   const Job &Target = m_Jobs[Index];
   if (Target.pinned() || m_SearchBudget <= 0)
     return {};
   // A gang that is moved at little cost need not be gone in time.
-  const bool Movable = Target.m_Spec.m_Checkpointable && Target.m_Spec.m_Idempotent;
+  const bool Movable =
+      Target.m_Spec.m_Checkpointable && Target.m_Spec.m_Idempotent;
   const TimePoint End = m_Now + (Movable ? LeastBackfill : remainingOf(Target));
   // A later end opens no more reservations than an earlier one.
-  const bool Known = std::any_of(m_FailedBackfills.begin(), m_FailedBackfills.end(), [&](const FailedShape &Failed) {
-    return Failed.m_End <= End && implies(Failed, Target);
-  });
+  const bool Known =
+      std::any_of(m_FailedBackfills.begin(), m_FailedBackfills.end(),
+                  [&](const FailedShape &Failed) {
+                    return Failed.m_End <= End && implies(Failed, Target);
+                  });
   if (Known)
     return {};
   std::vector<Hold *> Opened;
@@ -235,11 +261,13 @@
   --m_SearchBudget;
   for (Hold *Each : Opened)
     applyHold(*Each, -1);
-  std::vector<Member> Members = m_Finder.find(Target.demand(), RoomKind::Free, avoided(Target));
+  std::vector<Member> Members =
+      m_Finder.find(Target.demand(), RoomKind::Free, avoided(Target));
   for (Hold *Each : Opened)
     applyHold(*Each, 1);
   if (Members.empty() && m_FailedBackfills.size() < MaxFailedShapes)
-    m_FailedBackfills.push_back({Target.m_Workspace, false, Target.demand(), End});
+    m_FailedBackfills.push_back(
+        {Target.m_Workspace, false, Target.demand(), End});
   return Members;
 }
 
@@ -248,10 +276,12 @@
   // In a small fleet avoiding workers could leave no place at all.
   if (Count == 0 || m_Fleet.usableWorkers() <= static_cast<int32_t>(2 * Count))
     return {};
-  return {Target.m_FailedOn.end() - static_cast<ptrdiff_t>(Count), Target.m_FailedOn.end()};
+  return {Target.m_FailedOn.end() - static_cast<ptrdiff_t>(Count),
+          Target.m_FailedOn.end()};
 }
 
-void SchedulerCore::place(JobIndex Index, std::vector<Member> Members, std::string Reason) {
+void SchedulerCore::place(JobIndex Index, std::vector<Member> Members,
+                          std::string Reason) {
   Job &Target = m_Jobs[Index];
   dequeue(Index);
   dropHold(Index);
@@ -275,22 +305,27 @@
 /// Returns whether a job needs at least as much as a shape that did not fit.
 bool SchedulerCore::implies(const FailedShape &Failed, const Job &Target) {
   // Jobs that may borrow see the same room whatever their workspace.
-  if (Failed.m_Pinned != Target.pinned() || (Failed.m_Pinned && Failed.m_Workspace != Target.m_Workspace))
+  if (Failed.m_Pinned != Target.pinned() ||
+      (Failed.m_Pinned && Failed.m_Workspace != Target.m_Workspace))
     return false;
   const Demand Need = Target.demand();
   const bool SamePlaces =
-      !Failed.m_Need.m_Required || (Need.m_Required && Failed.m_Need.m_Adjacency == Need.m_Adjacency);
-  return SamePlaces && Failed.m_Need.m_Tasks <= Need.m_Tasks && fits(Failed.m_Need.m_PerTask, Need.m_PerTask);
+      !Failed.m_Need.m_Required ||
+      (Need.m_Required && Failed.m_Need.m_Adjacency == Need.m_Adjacency);
+  return SamePlaces && Failed.m_Need.m_Tasks <= Need.m_Tasks &&
+         fits(Failed.m_Need.m_PerTask, Need.m_PerTask);
 }
 
 bool SchedulerCore::knownToFail(const Job &Target) const {
-  return std::any_of(m_FailedShapes.begin(), m_FailedShapes.end(),
-                     [&](const FailedShape &Failed) { return implies(Failed, Target); });
+  return std::any_of(
+      m_FailedShapes.begin(), m_FailedShapes.end(),
+      [&](const FailedShape &Failed) { return implies(Failed, Target); });
 }
 
 void SchedulerCore::rememberFailure(const Job &Target) {
   if (m_FailedShapes.size() < MaxFailedShapes && avoided(Target).empty())
-    m_FailedShapes.push_back({Target.m_Workspace, Target.pinned(), Target.demand(), {}});
+    m_FailedShapes.push_back(
+        {Target.m_Workspace, Target.pinned(), Target.demand(), {}});
 }
 
 void SchedulerCore::capacityGrew() {
@@ -312,7 +347,8 @@
                            const Worker &Place = m_Fleet.worker(Index);
                            Resources Room = Place.m_Capacity;
                            for (const Claim &Row : Place.m_Claims) {
-                             if (Pinned && Row.m_Workspace != Target.m_Workspace)
+                             if (Pinned &&
+                                 Row.m_Workspace != Target.m_Workspace)
                                Room -= Row.m_Guaranteed;
                            }
                            return Room;
@@ -324,16 +360,21 @@
   const Job &Target = m_Jobs[Index];
   const Workspace &Owner = m_Workspaces[Target.m_Workspace];
   if (!Owner.m_Configured) {
-    park(Index, absl::StrCat("workspace ", Owner.m_Name.str(), " is not in the configuration"));
+    park(Index, absl::StrCat("workspace ", Owner.m_Name.str(),
+                             " is not in the configuration"));
     return true;
   }
   const Resources Need = Target.total();
-  auto Over = [](int64_t Use, int64_t Limit) { return Limit > 0 && Use > Limit; };
+  auto Over = [](int64_t Use, int64_t Limit) {
+    return Limit > 0 && Use > Limit;
+  };
   const Resources &Quota = Owner.m_Config.m_Quota;
-  if (Over(Need.m_Accelerators, Quota.m_Accelerators) || Over(Need.m_Cores, Quota.m_Cores) ||
+  if (Over(Need.m_Accelerators, Quota.m_Accelerators) ||
+      Over(Need.m_Cores, Quota.m_Cores) ||
       Over(Need.m_MemoryMib, Quota.m_MemoryMib)) {
-    park(Index,
-         absl::StrCat("it needs ", describeNeed(Target), ", more than the quota of workspace ", Owner.m_Name.str()));
+    park(Index, absl::StrCat("it needs ", describeNeed(Target),
+                             ", more than the quota of workspace ",
+                             Owner.m_Name.str()));
     return true;
   }
   return false;
--- a/src/sched/CorePlan.cpp
+++ b/src/sched/CorePlan.cpp
@@ -8,18 +8,21 @@
 namespace anvil::sched::internal {
 
 namespace {
-// Waiting time after which a gang that does not fit gets a reservation: for urgent work, and for other work the larger
-// of a fixed time and a multiple of its run time. Early reservations cost more than they give: with 3 min for all, 14
-// to 23% of the accelerators of the users' busy day were idle while more were asked for.
+// Waiting time after which a gang that does not fit gets a reservation: for
+// urgent work, and for other work the larger of a fixed time and a multiple of
+// its run time. Early reservations cost more than they give: with 3 min for
+// all, 14 to 23% of the accelerators of the users' busy day were idle while
+// more were asked for.
 constexpr Duration ReserveAfterUrgent = std::chrono::seconds(10);
 constexpr Duration ReserveAfterOther = std::chrono::minutes(60);
 constexpr int ReserveAfterRunTimes = 4;
-// Single tasks below this many accelerators find room soon enough without a reservation.
+// Single tasks below this many accelerators find room soon enough without a
+// reservation.
 constexpr int64_t LargeTask = 4;
 // Share of the accelerators or cores that reservations together may keep.
 constexpr double MaxReservedShare = 0.35;
-// A gang is not asked to leave for shorter work before it ran this long, so that gangs do not displace each other in
-// turn.
+// A gang is not asked to leave for shorter work before it ran this long, so
+// that gangs do not displace each other in turn.
 constexpr Duration LeastRun = std::chrono::minutes(2);
 // Time for which a gang and the one that it displaced stay as they are.
 constexpr Duration SettleTime = std::chrono::minutes(15);
@@ -29,79 +32,102 @@
 constexpr double PreemptRatio = 4;
 // Gangs asked to leave for one job when this only shortens waiting.
 constexpr size_t MaxEconomyVictims = 8;
-// A gang takes the place of smaller ones if they free at most this percentage of the accelerators that it uses.
+// A gang takes the place of smaller ones if they free at most this percentage
+// of the accelerators that it uses.
 constexpr int64_t MaxExchangePercent = 75;
-// Times a gang is displaced to shorten waiting, at most; guarantees and urgent work are not bound by it.
+// Times a gang is displaced to shorten waiting, at most; guarantees and urgent
+// work are not bound by it.
 constexpr int MaxEconomyReclaims = 6;
-// Delays between two plans for the same job: first, and with doublings the last.
+// Delays between two plans for the same job: first, and with doublings the
+// last.
 constexpr Duration FirstPlanDelay = std::chrono::milliseconds(500);
 constexpr int MaxPlanDoublings = 6;
-// A blocked job is checked at every this many plans for whether the workers could ever take it.
+// A blocked job is checked at every this many plans for whether the workers
+// could ever take it.
 constexpr int ImpossibleCheckEvery = 4;
 } // namespace
 
-/// Called for a job that found no room: claims its guarantee, displaces lower classes, or reserves.
+/// Called for a job that found no room: claims its guarantee, displaces lower
+/// classes, or reserves.
 void SchedulerCore::handleBlocked(JobIndex Index) {
   Job &Target = m_Jobs[Index];
   if (Target.m_Block != BlockKind::NoRoom || m_Now < Target.m_NextPlanAt)
     return;
   if (claimGuarantee(Index))
     return;
-  // Waiting for gangs of one's own class to end needs no plan, so the check comes first that a plan may lead anywhere.
-  const bool Urgent = rankOf(Target) == 0 || (Target.m_Spec.m_Urgency != Urgency::WorkingDay && rankOf(Target) == 1);
-  Target.m_NextPlanAt = m_Now + FirstPlanDelay * (1 << std::min(Target.m_Plans, Urgent ? 1 : MaxPlanDoublings));
+  // Waiting for gangs of one's own class to end needs no plan, so the check
+  // comes first that a plan may lead anywhere.
+  const bool Urgent =
+      rankOf(Target) == 0 ||
+      (Target.m_Spec.m_Urgency != Urgency::WorkingDay && rankOf(Target) == 1);
+  Target.m_NextPlanAt =
+      m_Now + FirstPlanDelay * (1 << std::min(Target.m_Plans,
+                                              Urgent ? 1 : MaxPlanDoublings));
   if (Target.m_Plans++ % ImpossibleCheckEvery == 0 && !couldEverFit(Target)) {
     park(Index, absl::StrCat("it needs ", describeNeed(Target),
-                             ", more than the workers in service could give it even when empty"));
+                             ", more than the workers in service could give it "
+                             "even when empty"));
     return;
   }
   if (Urgent && preempt(Index))
     return;
-  if (m_Now >= Target.m_YieldsUntil && (preemptIfItPays(Index) || exchange(Index)))
+  if (m_Now >= Target.m_YieldsUntil &&
+      (preemptIfItPays(Index) || exchange(Index)))
     return;
   reserve(Index);
 }
 
 double SchedulerCore::victimCost(const Job &Candidate) const {
   const Resources Total = Candidate.total();
-  const double Size = static_cast<double>(std::max<int64_t>(Total.m_Accelerators, Total.m_Cores / 8 + 1));
+  const double Size = static_cast<double>(
+      std::max<int64_t>(Total.m_Accelerators, Total.m_Cores / 8 + 1));
   double Lost = MoveSeconds;
   if (Candidate.m_Phase == JobPhase::Placed) {
     Lost = 0;
   } else if (!Candidate.m_Spec.m_Checkpointable) {
     Lost += toSeconds(m_Now - Candidate.m_CheckpointAt);
   }
-  // Stopping it without a checkpoint ends it for good, so it is asked only if nothing else helps.
+  // Stopping it without a checkpoint ends it for good, so it is asked only if
+  // nothing else helps.
   if (!Candidate.m_Spec.m_Idempotent)
     Lost += 3600;
-  const double ClassWeight = static_cast<double>(UrgencyCount - rankOf(Candidate));
+  const double ClassWeight =
+      static_cast<double>(UrgencyCount - rankOf(Candidate));
   return (Lost + 1) * ClassWeight * Size;
 }
 
 bool SchedulerCore::withinGuarantee(const Job &Candidate) const {
-  return std::any_of(Candidate.m_Members.begin(), Candidate.m_Members.end(), [&](const Member &Each) {
-    const Claim Own = m_Fleet.claimOf(Each.m_Worker, Candidate.m_Workspace);
-    return !isZero(Own.m_Guaranteed) && fits(Own.m_Used, Own.m_Guaranteed);
-  });
+  return std::any_of(
+      Candidate.m_Members.begin(), Candidate.m_Members.end(),
+      [&](const Member &Each) {
+        const Claim Own = m_Fleet.claimOf(Each.m_Worker, Candidate.m_Workspace);
+        return !isZero(Own.m_Guaranteed) && fits(Own.m_Used, Own.m_Guaranteed);
+      });
 }
 
 /// Returns whether a running gang may be displaced without need.
 bool SchedulerCore::settled(const Job &Candidate) const {
-  return m_Now - Candidate.m_StartedAt >= LeastRun && m_Now >= Candidate.m_SettledUntil;
+  return m_Now - Candidate.m_StartedAt >= LeastRun &&
+         m_Now >= Candidate.m_SettledUntil;
 }
 
-bool SchedulerCore::victimAllowed(const Job &Target, const Job &Candidate, bool Economy) const {
+bool SchedulerCore::victimAllowed(const Job &Target, const Job &Candidate,
+                                  bool Economy) const {
   if (Candidate.pinned() || Candidate.m_Phase == JobPhase::Stopping)
     return false;
   if (Candidate.m_Workspace != Target.m_Workspace && withinGuarantee(Candidate))
     return false;
   if (!Economy)
-    return rankOf(Candidate) > rankOf(Target) && rankOf(Candidate) >= static_cast<int>(Urgency::Batch);
-  if (Candidate.m_Phase != JobPhase::Running || !Candidate.m_Spec.m_Checkpointable || !Candidate.m_Spec.m_Idempotent)
+    return rankOf(Candidate) > rankOf(Target) &&
+           rankOf(Candidate) >= static_cast<int>(Urgency::Batch);
+  if (Candidate.m_Phase != JobPhase::Running ||
+      !Candidate.m_Spec.m_Checkpointable || !Candidate.m_Spec.m_Idempotent)
     return false;
-  if (rankOf(Candidate) < rankOf(Target) || !settled(Candidate) || Candidate.m_Reclaims >= MaxEconomyReclaims)
+  if (rankOf(Candidate) < rankOf(Target) || !settled(Candidate) ||
+      Candidate.m_Reclaims >= MaxEconomyReclaims)
     return false;
-  return toSeconds(remainingOf(Candidate)) > PreemptRatio * toSeconds(remainingOf(Target));
+  return toSeconds(remainingOf(Candidate)) >
+         PreemptRatio * toSeconds(remainingOf(Target));
 }
 
 std::vector<SchedulerCore::Victim> SchedulerCore::stoppingVictims() const {
@@ -111,7 +137,8 @@
   return Result;
 }
 
-std::vector<SchedulerCore::Victim> SchedulerCore::victimsFor(JobIndex Index, bool Economy) const {
+std::vector<SchedulerCore::Victim>
+SchedulerCore::victimsFor(JobIndex Index, bool Economy) const {
   std::vector<Victim> Result = stoppingVictims();
   const Job &Target = m_Jobs[Index];
   for (const JobIndex Each : m_Placed) {
@@ -125,21 +152,26 @@
   return Result;
 }
 
-/// Finds the shortest prefix of the victims that makes room, and within it the gangs that are in the way.
-SchedulerCore::Plan SchedulerCore::planFreeing(JobIndex Index, std::span<const Victim> Victims) {
+/// Finds the shortest prefix of the victims that makes room, and within it the
+/// gangs that are in the way.
+SchedulerCore::Plan
+SchedulerCore::planFreeing(JobIndex Index, std::span<const Victim> Victims) {
   const Job &Target = m_Jobs[Index];
   auto Change = [this](const Job &Candidate, int Sign) {
     for (const Member &Each : Candidate.m_Members)
-      m_Extra[Each.m_Worker] += Candidate.m_Spec.m_PerTask * (int64_t{Each.m_Tasks} * Sign);
+      m_Extra[Each.m_Worker] +=
+          Candidate.m_Spec.m_PerTask * (int64_t{Each.m_Tasks} * Sign);
   };
   auto Search = [&] {
     addHomeBonus(Target.m_Workspace, 1, true);
-    std::vector<Member> Found =
-        m_Finder.find(Target.demand(), Target.pinned() ? RoomKind::Pinned : RoomKind::Free, avoided(Target), m_Extra);
+    std::vector<Member> Found = m_Finder.find(
+        Target.demand(), Target.pinned() ? RoomKind::Pinned : RoomKind::Free,
+        avoided(Target), m_Extra);
     addHomeBonus(Target.m_Workspace, -1, true);
     return Found;
   };
-  // Applied is the number of victims presently counted as gone; Low is known to be too few, High to be enough.
+  // Applied is the number of victims presently counted as gone; Low is known to
+  // be too few, High to be enough.
   size_t Applied = 0;
   auto Apply = [&](size_t Wanted) {
     for (; Applied < Wanted; ++Applied)
@@ -166,18 +198,22 @@
   Apply(0);
   Result.m_Members = std::move(Best);
   if (!Result.m_Members.empty())
-    Result.m_Victims = neededVictims(Target, Result.m_Members, Victims.subspan(0, High));
+    Result.m_Victims =
+        neededVictims(Target, Result.m_Members, Victims.subspan(0, High));
   return Result;
 }
 
-std::vector<JobIndex> SchedulerCore::neededVictims(const Job &Target, const std::vector<Member> &Members,
-                                                   std::span<const Victim> Victims) const {
+std::vector<JobIndex>
+SchedulerCore::neededVictims(const Job &Target,
+                             const std::vector<Member> &Members,
+                             std::span<const Victim> Victims) const {
   absl::flat_hash_map<JobIndex, size_t> Order;
   for (size_t I = 0; I < Victims.size(); ++I)
     Order[Victims[I].m_Job] = I;
   std::vector<char> Chosen(Victims.size(), 0);
   for (const Member &Place : Members) {
-    Resources Missing = Target.m_Spec.m_PerTask * Place.m_Tasks - m_Fleet.slot(Place.m_Worker).m_Free;
+    Resources Missing = Target.m_Spec.m_PerTask * Place.m_Tasks -
+                        m_Fleet.slot(Place.m_Worker).m_Free;
     std::vector<std::pair<size_t, int32_t>> Here;
     for (const Occupant &Entry : m_Fleet.worker(Place.m_Worker).m_Occupants) {
       if (const auto Found = Order.find(Entry.m_Job); Found != Order.end())
@@ -217,11 +253,13 @@
   if (Chosen.m_Members.empty())
     return false;
   commitPlan(Index, std::move(Chosen), HoldKind::Reclaim,
-             absl::StrCat("room for job ", m_Jobs[Index].m_Id.value(), ", which is more urgent"));
+             absl::StrCat("room for job ", m_Jobs[Index].m_Id.value(),
+                          ", which is more urgent"));
   return true;
 }
 
-/// Keeps a displaced gang and the one that took its place from displacing each other in turn.
+/// Keeps a displaced gang and the one that took its place from displacing each
+/// other in turn.
 void SchedulerCore::settle(JobIndex Index, const Plan &Chosen) {
   m_Jobs[Index].m_SettledUntil = m_Now + SettleTime;
   for (const JobIndex Each : Chosen.m_Victims)
@@ -235,20 +273,25 @@
     if (Candidate.m_Phase == JobPhase::Stopping)
       continue;
     Harm += MoveSeconds;
-    // A gang that has room elsewhere is only moved; any other waits while the job runs.
-    if (knownToFail(Candidate) || m_Finder.find(Candidate.demand(), RoomKind::Open).empty())
+    // A gang that has room elsewhere is only moved; any other waits while the
+    // job runs.
+    if (knownToFail(Candidate) ||
+        m_Finder.find(Candidate.demand(), RoomKind::Open).empty())
       Harm += toSeconds(remainingOf(Target));
   }
   return Harm;
 }
 
-/// Asks gangs to checkpoint and leave if their delay together is less than the waiting that the job is spared.
+/// Asks gangs to checkpoint and leave if their delay together is less than the
+/// waiting that the job is spared.
 bool SchedulerCore::preemptIfItPays(JobIndex Index) {
   Job &Target = m_Jobs[Index];
-  if (rankOf(Target) >= static_cast<int>(Urgency::Overnight) || m_EconomyBudget <= 0)
+  if (rankOf(Target) >= static_cast<int>(Urgency::Overnight) ||
+      m_EconomyBudget <= 0)
     return false;
   const std::vector<Victim> Victims = victimsFor(Index, true);
-  // Gangs that stop anyway come first; without any other there is nothing to ask for.
+  // Gangs that stop anyway come first; without any other there is nothing to
+  // ask for.
   if (Victims.empty() || Victims.back().m_Cost < 0)
     return false;
   --m_EconomyBudget;
@@ -263,34 +306,42 @@
   if (harmOf(Target, Chosen) >= Spared)
     return false;
   settle(Index, Chosen);
-  commitPlan(Index, std::move(Chosen), HoldKind::Reclaim,
-             absl::StrCat("job ", Target.m_Id.value(), " is much shorter and waits"));
+  commitPlan(
+      Index, std::move(Chosen), HoldKind::Reclaim,
+      absl::StrCat("job ", Target.m_Id.value(), " is much shorter and waits"));
   return true;
 }
 
-/// Starts a larger gang in place of smaller ones that can be moved, if that uses clearly more of the capacity: free
-/// accelerators that no waiting gang fits into are of no use to anyone.
+/// Starts a larger gang in place of smaller ones that can be moved, if that
+/// uses clearly more of the capacity: free accelerators that no waiting gang
+/// fits into are of no use to anyone.
 bool SchedulerCore::exchange(JobIndex Index) {
   const Job &Target = m_Jobs[Index];
-  if (rankOf(Target) >= static_cast<int>(Urgency::Overnight) || Target.m_Spec.m_Tasks < 2 || m_EconomyBudget <= 0)
+  if (rankOf(Target) >= static_cast<int>(Urgency::Overnight) ||
+      Target.m_Spec.m_Tasks < 2 || m_EconomyBudget <= 0)
     return false;
   const Resources Need = Target.total();
-  const Resources Limit = {Need.m_Accelerators * MaxExchangePercent / 100, Need.m_Cores, Need.m_MemoryMib};
+  const Resources Limit = {Need.m_Accelerators * MaxExchangePercent / 100,
+                           Need.m_Cores, Need.m_MemoryMib};
   std::vector<Victim> Victims = stoppingVictims();
   for (const JobIndex Each : m_Placed) {
     const Job &Candidate = m_Jobs[Each];
-    const bool Movable = Candidate.m_Phase == JobPhase::Running && Candidate.m_Spec.m_Checkpointable &&
-                         Candidate.m_Spec.m_Idempotent && rankOf(Candidate) >= rankOf(Target);
+    const bool Movable = Candidate.m_Phase == JobPhase::Running &&
+                         Candidate.m_Spec.m_Checkpointable &&
+                         Candidate.m_Spec.m_Idempotent &&
+                         rankOf(Candidate) >= rankOf(Target);
     const Resources Size = Candidate.total();
     if (Movable && settled(Candidate) && fits(Size, Limit) &&
-        (Candidate.m_Workspace == Target.m_Workspace || !withinGuarantee(Candidate)))
+        (Candidate.m_Workspace == Target.m_Workspace ||
+         !withinGuarantee(Candidate)))
       Victims.push_back({static_cast<double>(Size.m_Accelerators), Each});
   }
   if (Victims.empty() || Victims.back().m_Cost < 0 || Need.m_Accelerators == 0)
     return false;
-  std::sort(Victims.begin(), Victims.end(), [](const Victim &A, const Victim &B) {
-    return A.m_Cost != B.m_Cost ? A.m_Cost < B.m_Cost : A.m_Job < B.m_Job;
-  });
+  std::sort(
+      Victims.begin(), Victims.end(), [](const Victim &A, const Victim &B) {
+        return A.m_Cost != B.m_Cost ? A.m_Cost < B.m_Cost : A.m_Job < B.m_Job;
+      });
   --m_EconomyBudget;
   Plan Chosen = planFreeing(Index, Victims);
   Resources Freed;
@@ -302,20 +353,24 @@
     return false;
   settle(Index, Chosen);
   commitPlan(Index, std::move(Chosen), HoldKind::Reclaim,
-             absl::StrCat("job ", Target.m_Id.value(), " uses more of the accelerators that are free"));
+             absl::StrCat("job ", Target.m_Id.value(),
+                          " uses more of the accelerators that are free"));
   return true;
 }
 
-/// Keeps the room that is expected to be free first, so that scattered small jobs cannot starve a large gang.
+/// Keeps the room that is expected to be free first, so that scattered small
+/// jobs cannot starve a large gang.
 bool SchedulerCore::reserve(JobIndex Index) {
   const Job &Target = m_Jobs[Index];
   const Duration Waited = m_Now - Target.m_SubmittedAt;
   Duration Needed = ReserveAfterUrgent;
   if (rankOf(Target) > 1)
-    Needed = std::max(ReserveAfterOther, estimateOf(Target).m_Median * ReserveAfterRunTimes);
+    Needed = std::max(ReserveAfterOther,
+                      estimateOf(Target).m_Median * ReserveAfterRunTimes);
   if (Waited < Needed || rankOf(Target) >= static_cast<int>(Urgency::Overnight))
     return false;
-  const bool Large = Target.m_Spec.m_Tasks > 1 || Target.m_Spec.m_PerTask.m_Accelerators >= LargeTask;
+  const bool Large = Target.m_Spec.m_Tasks > 1 ||
+                     Target.m_Spec.m_PerTask.m_Accelerators >= LargeTask;
   if (!Large || m_ReserveBudget <= 0)
     return false;
   int32_t Reservations = 0;
@@ -326,7 +381,9 @@
     ++Reservations;
     Reserved += m_Jobs[Each.m_Job].total();
   }
-  const bool TooMuch = Reservations > 0 && dominantShare(Reserved, m_Fleet.usableCapacity()) > MaxReservedShare;
+  const bool TooMuch =
+      Reservations > 0 &&
+      dominantShare(Reserved, m_Fleet.usableCapacity()) > MaxReservedShare;
   if (Reservations >= m_Options.m_MaxReservations || TooMuch)
     return false;
   --m_ReserveBudget;
@@ -334,7 +391,8 @@
   Plan Chosen = planByEnd(Index, Wait);
   if (Chosen.m_Members.empty())
     return false;
-  setHold(Index, std::move(Chosen.m_Members), HoldKind::Reservation, m_Now + Wait);
+  setHold(Index, std::move(Chosen.m_Members), HoldKind::Reservation,
+          m_Now + Wait);
   return true;
 }
 
@@ -342,11 +400,15 @@
   std::vector<Victim> Running;
   for (const JobIndex Each : m_Placed) {
     const Job &Candidate = m_Jobs[Each];
-    Running.push_back({Candidate.m_Phase == JobPhase::Stopping ? -1 : toSeconds(remainingOf(Candidate)), Each});
+    Running.push_back({Candidate.m_Phase == JobPhase::Stopping
+                           ? -1
+                           : toSeconds(remainingOf(Candidate)),
+                       Each});
   }
-  std::sort(Running.begin(), Running.end(), [](const Victim &A, const Victim &B) {
-    return A.m_Cost != B.m_Cost ? A.m_Cost < B.m_Cost : A.m_Job < B.m_Job;
-  });
+  std::sort(
+      Running.begin(), Running.end(), [](const Victim &A, const Victim &B) {
+        return A.m_Cost != B.m_Cost ? A.m_Cost < B.m_Cost : A.m_Job < B.m_Job;
+      });
   Plan Chosen = planFreeing(Index, Running);
   Wait = Duration::zero();
   for (const JobIndex Each : Chosen.m_Victims) {
@@ -356,7 +418,8 @@
   return Chosen;
 }
 
-void SchedulerCore::commitPlan(JobIndex Index, Plan Chosen, HoldKind Kind, const std::string &Reason) {
+void SchedulerCore::commitPlan(JobIndex Index, Plan Chosen, HoldKind Kind,
+                               const std::string &Reason) {
   setHold(Index, std::move(Chosen.m_Members), Kind, m_Now);
   m_Jobs[Index].m_Block = BlockKind::AwaitingReclaim;
   for (const JobIndex Each : Chosen.m_Victims)
--- a/src/sched/CoreReclaim.cpp
+++ b/src/sched/CoreReclaim.cpp
@@ -7,7 +7,8 @@
 namespace anvil::sched::internal {
 
 namespace {
-// A reservation whose room did not come free is planned anew after this delay at least.
+// A reservation whose room did not come free is planned anew after this delay
+// at least.
 constexpr Duration LeastReservation = std::chrono::minutes(1);
 // Delay before a job whose hold failed plans again.
 constexpr Duration ReplanDelay = std::chrono::milliseconds(500);
@@ -21,13 +22,16 @@
     return;
   const bool Started = Target.m_Phase == JobPhase::Running;
   const bool Checkpoint = Started && Target.m_Spec.m_Checkpointable;
-  Target.m_Reclaim = {true, Checkpoint ? ReclaimMode::Checkpoint : ReclaimMode::Stop,
-                      m_Now + (Checkpoint ? m_Options.m_CheckpointTime : m_Options.m_StopTime), Reason};
+  Target.m_Reclaim = {
+      true, Checkpoint ? ReclaimMode::Checkpoint : ReclaimMode::Stop,
+      m_Now + (Checkpoint ? m_Options.m_CheckpointTime : m_Options.m_StopTime),
+      Reason};
   Target.m_Reason = Reason;
   ++Target.m_Reclaims;
   beginStopping(Index, StopCause::Reclaimed);
   m_ReclaimTimers.insert({Target.m_Reclaim.m_Deadline, Index});
-  emit(ReclaimJob{Target.m_Id, Target.m_Reclaim.m_Mode, Target.m_Reclaim.m_Deadline, Reason});
+  emit(ReclaimJob{Target.m_Id, Target.m_Reclaim.m_Mode,
+                  Target.m_Reclaim.m_Deadline, Reason});
 }
 
 /// Goes to the next step after the deadline of the present one passed.
@@ -49,14 +53,16 @@
   emit(ReclaimJob{Target.m_Id, State.m_Mode, State.m_Deadline, State.m_Reason});
 }
 
-std::vector<std::pair<WorkerIndex, Resources>> SchedulerCore::claimsInProgress(WorkspaceIndex Index) const {
+std::vector<std::pair<WorkerIndex, Resources>>
+SchedulerCore::claimsInProgress(WorkspaceIndex Index) const {
   std::vector<std::pair<WorkerIndex, Resources>> Result;
   for (const Hold &Each : m_Holds) {
     const Job &Holder = m_Jobs[Each.m_Job];
     if (Each.m_Kind != HoldKind::Claim || Holder.m_Workspace != Index)
       continue;
     for (const Member &Place : Each.m_Members)
-      Result.emplace_back(Place.m_Worker, Holder.m_Spec.m_PerTask * Place.m_Tasks);
+      Result.emplace_back(Place.m_Worker,
+                          Holder.m_Spec.m_PerTask * Place.m_Tasks);
   }
   return Result;
 }
@@ -64,7 +70,8 @@
 /// Claims the guarantee of the job's workspace from those who borrowed it.
 bool SchedulerCore::claimGuarantee(JobIndex Index) {
   Job &Target = m_Jobs[Index];
-  const std::vector<WorkerIndex> &Homes = m_Workspaces[Target.m_Workspace].m_Homes;
+  const std::vector<WorkerIndex> &Homes =
+      m_Workspaces[Target.m_Workspace].m_Homes;
   if (Homes.empty())
     return false;
   const auto Claimed = claimsInProgress(Target.m_Workspace);
@@ -85,19 +92,25 @@
   Plan Chosen = cheapestClaim(Target, Usable, RestOf);
   if (Chosen.m_Members.empty()) {
     Chosen.m_Members = m_Finder.findAmong(Target.demand(), Usable, RestOf);
-    if (Chosen.m_Members.empty() || !claimVictims(Target, Chosen.m_Members, Chosen.m_Victims))
+    if (Chosen.m_Members.empty() ||
+        !claimVictims(Target, Chosen.m_Members, Chosen.m_Victims))
       return false;
   }
   dropHoldsOn(Chosen.m_Members);
   commitPlan(Index, std::move(Chosen), HoldKind::Claim,
-             absl::StrCat("workspace ", m_Workspaces[Target.m_Workspace].m_Name.str(),
-                          " claims its guaranteed capacity for job ", Target.m_Id.value()));
+             absl::StrCat("workspace ",
+                          m_Workspaces[Target.m_Workspace].m_Name.str(),
+                          " claims its guaranteed capacity for job ",
+                          Target.m_Id.value()));
   return true;
 }
 
-/// Chooses the one worker that takes the whole gang within the guarantee at the least cost; empty if there is none.
-SchedulerCore::Plan SchedulerCore::cheapestClaim(const Job &Target, std::span<const WorkerIndex> Homes,
-                                                 const Finder::RoomFn &RestOf) const {
+/// Chooses the one worker that takes the whole gang within the guarantee at the
+/// least cost; empty if there is none.
+SchedulerCore::Plan
+SchedulerCore::cheapestClaim(const Job &Target,
+                             std::span<const WorkerIndex> Homes,
+                             const Finder::RoomFn &RestOf) const {
   Plan Best;
   double BestCost = 0;
   for (const WorkerIndex Worker : Homes) {
@@ -117,26 +130,34 @@
   return Best;
 }
 
-/// Chooses the cheapest gangs beyond their own guarantee on each of the places; false if they do not suffice.
-bool SchedulerCore::claimVictims(const Job &Target, std::span<const Member> Members,
+/// Chooses the cheapest gangs beyond their own guarantee on each of the places;
+/// false if they do not suffice.
+bool SchedulerCore::claimVictims(const Job &Target,
+                                 std::span<const Member> Members,
                                  std::vector<JobIndex> &Victims) const {
   for (const Member &Place : Members) {
-    // Measured overuse and holds that the claim overrides do not take from the owner.
-    Resources Missing = Target.m_Spec.m_PerTask * Place.m_Tasks - roomForHold(Place.m_Worker, HoldKind::Claim);
+    // Measured overuse and holds that the claim overrides do not take from the
+    // owner.
+    Resources Missing = Target.m_Spec.m_PerTask * Place.m_Tasks -
+                        roomForHold(Place.m_Worker, HoldKind::Claim);
     std::vector<std::pair<double, Occupant>> Here;
     for (const Occupant &Entry : m_Fleet.worker(Place.m_Worker).m_Occupants) {
       const Job &Candidate = m_Jobs[Entry.m_Job];
       const bool Leaves = Candidate.m_Phase == JobPhase::Stopping ||
-                          std::find(Victims.begin(), Victims.end(), Entry.m_Job) != Victims.end();
+                          std::find(Victims.begin(), Victims.end(),
+                                    Entry.m_Job) != Victims.end();
       const Claim Own = m_Fleet.claimOf(Place.m_Worker, Candidate.m_Workspace);
       if (Leaves) {
         Here.emplace_back(-1, Entry);
         continue;
       }
-      if (Candidate.m_Workspace != Target.m_Workspace && !Candidate.pinned() && !fits(Own.m_Used, Own.m_Guaranteed))
+      if (Candidate.m_Workspace != Target.m_Workspace && !Candidate.pinned() &&
+          !fits(Own.m_Used, Own.m_Guaranteed))
         Here.emplace_back(victimCost(Candidate), Entry);
     }
-    std::stable_sort(Here.begin(), Here.end(), [](const auto &A, const auto &B) { return A.first < B.first; });
+    std::stable_sort(
+        Here.begin(), Here.end(),
+        [](const auto &A, const auto &B) { return A.first < B.first; });
     for (const auto &[Cost, Entry] : Here) {
       if (fits(Missing, Resources{}))
         break;
@@ -150,7 +171,8 @@
   return true;
 }
 
-void SchedulerCore::setHold(JobIndex Index, std::vector<Member> Members, HoldKind Kind, TimePoint ExpectedStart) {
+void SchedulerCore::setHold(JobIndex Index, std::vector<Member> Members,
+                            HoldKind Kind, TimePoint ExpectedStart) {
   dropHold(Index);
   m_Jobs[Index].m_Hold = static_cast<int32_t>(m_Holds.size());
   m_Holds.push_back({Index, std::move(Members), Kind, m_Now, ExpectedStart});
@@ -178,10 +200,13 @@
   for (const Hold &Each : m_Holds) {
     if (Each.m_Kind == HoldKind::Claim)
       continue;
-    const bool Overlaps = std::any_of(Each.m_Members.begin(), Each.m_Members.end(), [&](const Member &Held) {
-      return std::any_of(Members.begin(), Members.end(),
-                         [&](const Member &Place) { return Place.m_Worker == Held.m_Worker; });
-    });
+    const bool Overlaps = std::any_of(
+        Each.m_Members.begin(), Each.m_Members.end(), [&](const Member &Held) {
+          return std::any_of(Members.begin(), Members.end(),
+                             [&](const Member &Place) {
+                               return Place.m_Worker == Held.m_Worker;
+                             });
+        });
     if (Overlaps)
       Dropped.push_back(Each.m_Job);
   }
@@ -201,8 +226,9 @@
   }
 }
 
-/// Returns the room of a worker for a kind of hold: claims go before everything, reservations after everything. A
-/// reservation counts on gangs that end much later, so it must not keep others from room that is free now.
+/// Returns the room of a worker for a kind of hold: claims go before
+/// everything, reservations after everything. A reservation counts on gangs
+/// that end much later, so it must not keep others from room that is free now.
 Resources SchedulerCore::roomForHold(WorkerIndex Index, HoldKind Kind) const {
   const Worker &Place = m_Fleet.worker(Index);
   const Resources Free = Place.m_Capacity - Place.m_Reserved;
@@ -215,28 +241,39 @@
 
 bool SchedulerCore::holdUsable(const Hold &Target) const {
   return std::all_of(Target.m_Members.begin(), Target.m_Members.end(),
-                     [this](const Member &Each) { return m_Fleet.slot(Each.m_Worker).m_Usable; });
+                     [this](const Member &Each) {
+                       return m_Fleet.slot(Each.m_Worker).m_Usable;
+                     });
 }
 
-/// Returns whether the room of a hold, which is not applied at present, is free.
+/// Returns whether the room of a hold, which is not applied at present, is
+/// free.
 bool SchedulerCore::fitsOwnHold(const Job &Target, const Hold &Own) const {
-  return std::all_of(Own.m_Members.begin(), Own.m_Members.end(), [&](const Member &Each) {
-    const WorkerSlot &Slot = m_Fleet.slot(Each.m_Worker);
-    Resources Room = roomForHold(Each.m_Worker, Own.m_Kind);
-    if (Target.pinned()) {
-      const Claim Claimed = m_Fleet.claimOf(Each.m_Worker, Target.m_Workspace);
-      Room = minOf(Room, Slot.m_PinRoom + positive(Claimed.m_Guaranteed - Claimed.m_Pinned));
-    }
-    return fits(Target.m_Spec.m_PerTask * Each.m_Tasks, Room);
-  });
+  return std::all_of(
+      Own.m_Members.begin(), Own.m_Members.end(), [&](const Member &Each) {
+        const WorkerSlot &Slot = m_Fleet.slot(Each.m_Worker);
+        Resources Room = roomForHold(Each.m_Worker, Own.m_Kind);
+        if (Target.pinned()) {
+          const Claim Claimed =
+              m_Fleet.claimOf(Each.m_Worker, Target.m_Workspace);
+          Room = minOf(Room, Slot.m_PinRoom + positive(Claimed.m_Guaranteed -
+                                                       Claimed.m_Pinned));
+        }
+        return fits(Target.m_Spec.m_PerTask * Each.m_Tasks, Room);
+      });
 }
 
 bool SchedulerCore::awaitsVictims(const Hold &Target) const {
-  return std::any_of(Target.m_Members.begin(), Target.m_Members.end(), [this](const Member &Each) {
-    const std::vector<Occupant> &Here = m_Fleet.worker(Each.m_Worker).m_Occupants;
-    return std::any_of(Here.begin(), Here.end(),
-                       [this](const Occupant &Entry) { return m_Jobs[Entry.m_Job].m_Phase == JobPhase::Stopping; });
-  });
+  return std::any_of(
+      Target.m_Members.begin(), Target.m_Members.end(),
+      [this](const Member &Each) {
+        const std::vector<Occupant> &Here =
+            m_Fleet.worker(Each.m_Worker).m_Occupants;
+        return std::any_of(
+            Here.begin(), Here.end(), [this](const Occupant &Entry) {
+              return m_Jobs[Entry.m_Job].m_Phase == JobPhase::Stopping;
+            });
+      });
 }
 
 /// Tries to place a job that has a hold; returns whether it was placed.
@@ -271,15 +308,20 @@
   return false;
 }
 
-/// Returns whether a backfilled gang may be asked to leave: at once if it can be moved, and otherwise only after it has
-/// overstayed, since its work is lost.
-bool SchedulerCore::mayTakeBack(const Job &Candidate, const Hold &Reservation) const {
-  if (!Candidate.m_Backfilled || Candidate.pinned() || rankOf(Candidate) < static_cast<int>(Urgency::Batch))
+/// Returns whether a backfilled gang may be asked to leave: at once if it can
+/// be moved, and otherwise only after it has overstayed, since its work is
+/// lost.
+bool SchedulerCore::mayTakeBack(const Job &Candidate,
+                                const Hold &Reservation) const {
+  if (!Candidate.m_Backfilled || Candidate.pinned() ||
+      rankOf(Candidate) < static_cast<int>(Urgency::Batch))
     return false;
-  return (Candidate.m_Spec.m_Checkpointable && Candidate.m_Spec.m_Idempotent) || m_Now >= Reservation.m_ExpectedStart;
+  return (Candidate.m_Spec.m_Checkpointable && Candidate.m_Spec.m_Idempotent) ||
+         m_Now >= Reservation.m_ExpectedStart;
 }
 
-/// Takes back the room of a reservation once only backfilled gangs are in the way; plans anew if it is long overdue.
+/// Takes back the room of a reservation once only backfilled gangs are in the
+/// way; plans anew if it is long overdue.
 bool SchedulerCore::retryReservation(JobIndex Index) {
   Job &Target = m_Jobs[Index];
   const Hold Own = m_Holds[Target.m_Hold];
@@ -305,10 +347,13 @@
     m_Holds[Target.m_Hold].m_Kind = HoldKind::Reclaim;
     applyHold(m_Holds[Target.m_Hold], 1);
     for (const JobIndex Each : InTheWay)
-      startReclaim(Each, absl::StrCat("it was backfilled into the reservation of job ", Target.m_Id.value()));
+      startReclaim(
+          Each, absl::StrCat("it was backfilled into the reservation of job ",
+                             Target.m_Id.value()));
     return false;
   }
-  const Duration Planned = std::max(Own.m_ExpectedStart - Own.m_Since, LeastReservation);
+  const Duration Planned =
+      std::max(Own.m_ExpectedStart - Own.m_Since, LeastReservation);
   if (m_Now > Own.m_Since + Planned * 2) {
     dropHold(Index);
     Target.m_NextPlanAt = m_Now;
--- a/src/sched/CoreWorkers.cpp
+++ b/src/sched/CoreWorkers.cpp
@@ -7,7 +7,8 @@
 namespace anvil::sched::internal {
 
 namespace {
-// Searches for gangs that have to leave, in one step; bounds the cost of a step.
+// Searches for gangs that have to leave, in one step; bounds the cost of a
+// step.
 constexpr int MaxMovesPerStep = 48;
 } // namespace
 
@@ -88,16 +89,19 @@
 }
 
 bool SchedulerCore::onUnusable(const Job &Target, int32_t ZoneIndex) const {
-  return std::any_of(Target.m_Members.begin(), Target.m_Members.end(), [&](const Member &Each) {
-    const WorkerSlot &Slot = m_Fleet.slot(Each.m_Worker);
-    if (ZoneIndex >= 0)
-      return Slot.m_Zone == ZoneIndex;
-    return m_Fleet.zones()[Slot.m_Zone].m_Withdrawn || m_Fleet.worker(Each.m_Worker).m_Draining;
-  });
+  return std::any_of(Target.m_Members.begin(), Target.m_Members.end(),
+                     [&](const Member &Each) {
+                       const WorkerSlot &Slot = m_Fleet.slot(Each.m_Worker);
+                       if (ZoneIndex >= 0)
+                         return Slot.m_Zone == ZoneIndex;
+                       return m_Fleet.zones()[Slot.m_Zone].m_Withdrawn ||
+                              m_Fleet.worker(Each.m_Worker).m_Draining;
+                     });
 }
 
-/// Moves gangs off draining workers and withdrawn zones, most valuable first, as long as the rest has room for them.
-/// Those without room work on until the notice of the zone ends.
+/// Moves gangs off draining workers and withdrawn zones, most valuable first,
+/// as long as the rest has room for them. Those without room work on until the
+/// notice of the zone ends.
 void SchedulerCore::evacuate() {
   m_LastEvacuation = m_Now;
   std::vector<std::pair<double, JobIndex>> Leaving;
@@ -107,9 +111,11 @@
     if (Target.m_Phase == JobPhase::Stopping || !onUnusable(Target, -1))
       continue;
     AnyLeft = true;
-    // Within a class the gang nearest to its end goes first, since it frees its place soonest.
+    // Within a class the gang nearest to its end goes first, since it frees its
+    // place soonest.
     if (Target.m_Phase == JobPhase::Placed || Target.m_Spec.m_Checkpointable)
-      Leaving.emplace_back(rankOf(Target) * 1e9 + toSeconds(remainingOf(Target)), Index);
+      Leaving.emplace_back(
+          rankOf(Target) * 1e9 + toSeconds(remainingOf(Target)), Index);
   }
   std::sort(Leaving.begin(), Leaving.end());
   int Moves = MaxMovesPerStep;
@@ -117,7 +123,9 @@
     Job &Target = m_Jobs[Index];
     // A gang that has not started must not start there.
     if (Target.m_Phase == JobPhase::Placed) {
-      startReclaim(Index, "its worker or availability zone was withdrawn before it started");
+      startReclaim(
+          Index,
+          "its worker or availability zone was withdrawn before it started");
       continue;
     }
     if (Moves <= 0 || knownToFail(Target))
@@ -130,28 +138,35 @@
       continue;
     }
     setHold(Index, std::move(Members), HoldKind::Move, m_Now);
-    startReclaim(Index, "its worker or availability zone is withdrawn and there is room elsewhere");
+    startReclaim(Index, "its worker or availability zone is withdrawn and "
+                        "there is room elsewhere");
   }
   m_Evacuate = AnyLeft;
 }
 
-/// Stops what can be stopped in a withdrawn zone shortly before its workers may disappear.
+/// Stops what can be stopped in a withdrawn zone shortly before its workers may
+/// disappear.
 void SchedulerCore::evict(int32_t ZoneIndex) {
   Zone &Source = m_Fleet.zones()[ZoneIndex];
-  const Duration Lead = m_Options.m_CheckpointTime + m_Options.m_ThrottleTime + m_Options.m_StopTime;
-  if (!Source.m_Withdrawn || Source.m_EvictionDone || m_Now + Lead < Source.m_LeavesAt)
+  const Duration Lead = m_Options.m_CheckpointTime + m_Options.m_ThrottleTime +
+                        m_Options.m_StopTime;
+  if (!Source.m_Withdrawn || Source.m_EvictionDone ||
+      m_Now + Lead < Source.m_LeavesAt)
     return;
   bool Waiting = false;
   const std::vector<JobIndex> Placed(m_Placed.begin(), m_Placed.end());
   for (const JobIndex Index : Placed) {
     const Job &Target = m_Jobs[Index];
-    if (Target.m_Phase == JobPhase::Stopping || Target.pinned() || !onUnusable(Target, ZoneIndex))
+    if (Target.m_Phase == JobPhase::Stopping || Target.pinned() ||
+        !onUnusable(Target, ZoneIndex))
       continue;
-    if (!Target.m_Spec.m_Checkpointable && m_Now + m_Options.m_StopTime < Source.m_LeavesAt) {
+    if (!Target.m_Spec.m_Checkpointable &&
+        m_Now + m_Options.m_StopTime < Source.m_LeavesAt) {
       Waiting = true;
       continue;
     }
-    startReclaim(Index, absl::StrCat("availability zone ", Source.m_Name.str(), " leaves"));
+    startReclaim(Index, absl::StrCat("availability zone ", Source.m_Name.str(),
+                                     " leaves"));
   }
   Source.m_EvictionDone = !Waiting;
 }
@@ -166,8 +181,10 @@
   m_Pieces.clear();
   absl::flat_hash_map<std::string, std::vector<size_t>> Known;
   auto KeyOf = [](WorkspaceIndex Index, const GuaranteedShape &Shape) {
-    return absl::StrCat(Index, "/", Shape.m_Name, "/", Shape.m_Resources.m_Accelerators, "/", Shape.m_Resources.m_Cores,
-                        "/", Shape.m_Resources.m_MemoryMib, "/", static_cast<int>(Shape.m_Adjacency));
+    return absl::StrCat(
+        Index, "/", Shape.m_Name, "/", Shape.m_Resources.m_Accelerators, "/",
+        Shape.m_Resources.m_Cores, "/", Shape.m_Resources.m_MemoryMib, "/",
+        static_cast<int>(Shape.m_Adjacency));
   };
   for (size_t I = 0; I < Old.size(); ++I)
     Known[KeyOf(Old[I].m_Workspace, Old[I].m_Shape)].push_back(I);
@@ -199,15 +216,17 @@
 }
 
 void SchedulerCore::on(const UsageReported &Event) {
-  // Overuse counts at once but is forgotten only after it has been gone for this long, so that a worker that hovers
-  // around its limit is not filled and emptied in turn.
+  // Overuse counts at once but is forgotten only after it has been gone for
+  // this long, so that a worker that hovers around its limit is not filled and
+  // emptied in turn.
   constexpr Duration OveruseMemory = std::chrono::seconds(60);
   const WorkerIndex Index = m_Fleet.find(Event.m_Vm);
   if (Index < 0)
     return;
   Worker &Target = m_Fleet.worker(Index);
   // The report describes gangs that have changed since.
-  if (Event.m_MeasuredAt < Target.m_ChangedAt || Event.m_MeasuredAt < Target.m_OveruseAt)
+  if (Event.m_MeasuredAt < Target.m_ChangedAt ||
+      Event.m_MeasuredAt < Target.m_OveruseAt)
     return;
   Resources Overuse = positive(Event.m_Used - Target.m_Reserved);
   Overuse.m_Accelerators = 0;
--- a/src/sched/Estimator.h
+++ b/src/sched/Estimator.h
@@ -16,18 +16,21 @@
   Duration m_High{};
 };
 
-/// Learns, per workspace and class, by what factor run times differ from the declared ones.
+/// Learns, per workspace and class, by what factor run times differ from the
+/// declared ones.
 ///
-/// Keeps mean and variance of the logarithm of actual / declared. Jobs without a declared time are learned against
-/// DefaultRunTime.
+/// Keeps mean and variance of the logarithm of actual / declared. Jobs without
+/// a declared time are learned against DefaultRunTime.
 class Estimator {
 public:
   /// Stands in for a run time that was not declared.
   static constexpr Duration DefaultRunTime = std::chrono::minutes(10);
 
-  void learn(int32_t Workspace, Urgency Class, Duration Declared, Duration Actual);
+  void learn(int32_t Workspace, Urgency Class, Duration Declared,
+             Duration Actual);
   /// Estimates the whole run time of a job that has already run for \p Elapsed.
-  RunTimeEstimate estimate(int32_t Workspace, Urgency Class, Duration Declared, Duration Elapsed) const;
+  RunTimeEstimate estimate(int32_t Workspace, Urgency Class, Duration Declared,
+                           Duration Elapsed) const;
 
 private:
   struct Statistics {
--- a/src/sched/Finder.cpp
+++ b/src/sched/Finder.cpp
@@ -27,15 +27,18 @@
   int32_t m_Zone = 0;
 };
 
-/// Returns the smallest group that alone takes \p Remaining tasks, else the largest one.
-size_t pickGroup(const std::vector<RackGroup> &Groups, const std::vector<size_t> &Left, int64_t Remaining) {
+/// Returns the smallest group that alone takes \p Remaining tasks, else the
+/// largest one.
+size_t pickGroup(const std::vector<RackGroup> &Groups,
+                 const std::vector<size_t> &Left, int64_t Remaining) {
   size_t Best = 0;
   for (size_t I = 1; I < Left.size(); ++I) {
     const int64_t Tasks = Groups[Left[I]].m_Tasks;
     const int64_t BestTasks = Groups[Left[Best]].m_Tasks;
     const bool Enough = Tasks >= Remaining;
     const bool BestEnough = BestTasks >= Remaining;
-    if (Enough != BestEnough ? Enough : (Enough ? Tasks < BestTasks : Tasks > BestTasks))
+    if (Enough != BestEnough ? Enough
+                             : (Enough ? Tasks < BestTasks : Tasks > BestTasks))
       Best = I;
   }
   return Best;
@@ -58,7 +61,8 @@
 
 } // namespace
 
-std::vector<Member> Finder::find(const Demand &Need, RoomKind Kind, std::span<const WorkerIndex> Avoid,
+std::vector<Member> Finder::find(const Demand &Need, RoomKind Kind,
+                                 std::span<const WorkerIndex> Avoid,
                                  std::span<const Resources> Extra) {
   clear();
   if (Need.m_PerTask.m_Accelerators > 0) {
@@ -70,7 +74,9 @@
   return Result.empty() ? choose(m_All, Need) : Result;
 }
 
-std::vector<Member> Finder::findAmong(const Demand &Need, std::span<const WorkerIndex> Among, const RoomFn &Room) {
+std::vector<Member> Finder::findAmong(const Demand &Need,
+                                      std::span<const WorkerIndex> Among,
+                                      const RoomFn &Room) {
   clear();
   m_Scanned += static_cast<int64_t>(Among.size());
   for (const WorkerIndex Worker : Among)
@@ -85,7 +91,8 @@
   m_Considerate.m_Total = 0;
 }
 
-void Finder::scanAll(const Demand &Need, RoomKind Kind, std::span<const WorkerIndex> Avoid,
+void Finder::scanAll(const Demand &Need, RoomKind Kind,
+                     std::span<const WorkerIndex> Avoid,
                      std::span<const Resources> Extra) {
   const int32_t Count = m_Fleet->size();
   m_Scanned += Count;
@@ -93,22 +100,26 @@
     scanOne(Need, Kind, Avoid, Extra, Index);
 }
 
-void Finder::scanWithAccelerators(const Demand &Need, RoomKind Kind, std::span<const WorkerIndex> Avoid,
+void Finder::scanWithAccelerators(const Demand &Need, RoomKind Kind,
+                                  std::span<const WorkerIndex> Avoid,
                                   std::span<const Resources> Extra) {
   m_Scanned += static_cast<int64_t>(m_Fleet->withAccelerators().size());
   for (const WorkerIndex Index : m_Fleet->withAccelerators())
     scanOne(Need, Kind, Avoid, Extra, Index);
 }
 
-void Finder::scanOne(const Demand &Need, RoomKind Kind, std::span<const WorkerIndex> Avoid,
+void Finder::scanOne(const Demand &Need, RoomKind Kind,
+                     std::span<const WorkerIndex> Avoid,
                      std::span<const Resources> Extra, WorkerIndex Index) {
   const WorkerSlot &Slot = m_Fleet->slot(Index);
   if (!Slot.m_Usable)
     return;
-  Resources Room = roomOf(Slot, Kind, Extra.empty() ? Slot.m_Free : Slot.m_Free + Extra[Index]);
+  Resources Room = roomOf(
+      Slot, Kind, Extra.empty() ? Slot.m_Free : Slot.m_Free + Extra[Index]);
   if (!fits(Need.m_PerTask, Room))
     return;
-  if (!Avoid.empty() && std::find(Avoid.begin(), Avoid.end(), Index) != Avoid.end())
+  if (!Avoid.empty() &&
+      std::find(Avoid.begin(), Avoid.end(), Index) != Avoid.end())
     return;
   addCandidate(m_All, Need, Index, Room);
   if (Need.m_PerTask.m_Accelerators > 0)
@@ -122,14 +133,16 @@
   addCandidate(m_Considerate, Need, Index, Room);
 }
 
-void Finder::addCandidate(Candidates &Target, const Demand &Need, WorkerIndex Worker, const Resources &Room) const {
+void Finder::addCandidate(Candidates &Target, const Demand &Need,
+                          WorkerIndex Worker, const Resources &Room) const {
   const int32_t Tasks = piecesIn(Room, Need.m_PerTask, Need.m_Tasks);
   if (Tasks <= 0)
     return;
   const WorkerSlot &Slot = m_Fleet->slot(Worker);
   const Resources Left = Room - Need.m_PerTask * Tasks;
   Target.m_Entries.push_back(
-      {Worker, Tasks, Slot.m_Rack, Slot.m_Zone, Left.m_Accelerators * (int64_t{1} << 32) + Left.m_Cores});
+      {Worker, Tasks, Slot.m_Rack, Slot.m_Zone,
+       Left.m_Accelerators * (int64_t{1} << 32) + Left.m_Cores});
   Target.m_Total += Tasks;
 }
 
@@ -142,10 +155,12 @@
   return chooseRacks(From, Need);
 }
 
-std::vector<Member> Finder::chooseVm(const Candidates &From, const Demand &Need) const {
+std::vector<Member> Finder::chooseVm(const Candidates &From,
+                                     const Demand &Need) const {
   const Candidate *Best = nullptr;
   for (const Candidate &Entry : From.m_Entries) {
-    if (Entry.m_Tasks >= Need.m_Tasks && (Best == nullptr || Entry.m_Leftover < Best->m_Leftover))
+    if (Entry.m_Tasks >= Need.m_Tasks &&
+        (Best == nullptr || Entry.m_Leftover < Best->m_Leftover))
       Best = &Entry;
   }
   if (Best == nullptr)
@@ -153,15 +168,18 @@
   return {{Best->m_Worker, Need.m_Tasks}};
 }
 
-std::vector<Member> Finder::chooseRacks(Candidates &From, const Demand &Need) const {
+std::vector<Member> Finder::chooseRacks(Candidates &From,
+                                        const Demand &Need) const {
   std::vector<Candidate> &Entries = From.m_Entries;
-  std::sort(Entries.begin(), Entries.end(), [](const Candidate &A, const Candidate &B) {
-    if (A.m_Rack != B.m_Rack)
-      return A.m_Rack < B.m_Rack;
-    if (A.m_Tasks != B.m_Tasks)
-      return A.m_Tasks > B.m_Tasks;
-    return A.m_Leftover != B.m_Leftover ? A.m_Leftover < B.m_Leftover : A.m_Worker < B.m_Worker;
-  });
+  std::sort(Entries.begin(), Entries.end(),
+            [](const Candidate &A, const Candidate &B) {
+              if (A.m_Rack != B.m_Rack)
+                return A.m_Rack < B.m_Rack;
+              if (A.m_Tasks != B.m_Tasks)
+                return A.m_Tasks > B.m_Tasks;
+              return A.m_Leftover != B.m_Leftover ? A.m_Leftover < B.m_Leftover
+                                                  : A.m_Worker < B.m_Worker;
+            });
   std::vector<RackGroup> Groups;
   for (size_t I = 0; I < Entries.size(); ++I) {
     if (I == 0 || Entries[I].m_Rack != Entries[I - 1].m_Rack)
@@ -172,7 +190,8 @@
   const int32_t Zone = pickZone(Groups, Need.m_Tasks);
   std::vector<size_t> Left;
   for (size_t I = 0; I < Groups.size(); ++I) {
-    if (Groups[I].m_Tasks >= Need.m_Tasks || Zone < 0 || Groups[I].m_Zone == Zone)
+    if (Groups[I].m_Tasks >= Need.m_Tasks || Zone < 0 ||
+        Groups[I].m_Zone == Zone)
       Left.push_back(I);
   }
   std::vector<Member> Result;
@@ -180,18 +199,22 @@
   while (Remaining > 0) {
     const size_t Pick = pickGroup(Groups, Left, Remaining);
     const RackGroup &Group = Groups[Left[Pick]];
-    if (Need.m_Required && Need.m_Adjacency == Adjacency::Rack && Group.m_Tasks < Remaining)
+    if (Need.m_Required && Need.m_Adjacency == Adjacency::Rack &&
+        Group.m_Tasks < Remaining)
       return {};
-    takeFromRack({Entries.data() + Group.m_Begin, Group.m_End - Group.m_Begin}, Remaining, Result);
+    takeFromRack({Entries.data() + Group.m_Begin, Group.m_End - Group.m_Begin},
+                 Remaining, Result);
     Left.erase(Left.begin() + static_cast<ptrdiff_t>(Pick));
   }
   return Result;
 }
 
-void Finder::takeFromRack(std::span<const Candidate> Rack, int32_t &Remaining, std::vector<Member> &Result) const {
+void Finder::takeFromRack(std::span<const Candidate> Rack, int32_t &Remaining,
+                          std::vector<Member> &Result) const {
   for (size_t I = 0; I < Rack.size() && Remaining > 0; ++I) {
     size_t Pick = I;
-    // The last part goes where it fits most tightly; candidates are sorted by falling size.
+    // The last part goes where it fits most tightly; candidates are sorted by
+    // falling size.
     if (Rack[I].m_Tasks >= Remaining) {
       while (Pick + 1 < Rack.size() && Rack[Pick + 1].m_Tasks >= Remaining)
         ++Pick;
--- a/src/sched/Finder.h
+++ b/src/sched/Finder.h
@@ -20,7 +20,8 @@
 
 /// Which resources of a worker a search may use.
 enum class RoomKind {
-  /// Own guarantee, not borrowed from anyone and not lent (searched on home workers only).
+  /// Own guarantee, not borrowed from anyone and not lent (searched on home
+  /// workers only).
   Home,
   /// What is guaranteed to no other workspace.
   Open,
@@ -30,20 +31,26 @@
   Pinned,
 };
 
-/// Chooses workers for a whole gang: one VM if possible, else one rack, else one zone, else the fewest racks, and among
-/// equals the tightest fit, so that large holes stay whole.
+/// Chooses workers for a whole gang: one VM if possible, else one rack, else
+/// one zone, else the fewest racks, and among equals the tightest fit, so that
+/// large holes stay whole.
 class Finder {
 public:
-  /// Returns the room of a worker; an empty function selects by RoomKind from the slots.
+  /// Returns the room of a worker; an empty function selects by RoomKind from
+  /// the slots.
   using RoomFn = std::function<Resources(WorkerIndex)>;
 
   explicit Finder(const Fleet &Workers) : m_Fleet(&Workers) {}
 
-  /// Searches all usable workers but \p Avoid. Returns an empty list if the gang does not fit as a whole.
-  std::vector<Member> find(const Demand &Need, RoomKind Kind, std::span<const WorkerIndex> Avoid = {},
+  /// Searches all usable workers but \p Avoid. Returns an empty list if the
+  /// gang does not fit as a whole.
+  std::vector<Member> find(const Demand &Need, RoomKind Kind,
+                           std::span<const WorkerIndex> Avoid = {},
                            std::span<const Resources> Extra = {});
   /// Searches the given workers with the given rooms, whether usable or not.
-  std::vector<Member> findAmong(const Demand &Need, std::span<const WorkerIndex> Among, const RoomFn &Room);
+  std::vector<Member> findAmong(const Demand &Need,
+                                std::span<const WorkerIndex> Among,
+                                const RoomFn &Room);
 
   /// Worker records read so far.
   int64_t scanned() const { return m_Scanned; }
@@ -54,7 +61,8 @@
     int32_t m_Tasks = 0;
     int32_t m_Rack = 0;
     int32_t m_Zone = 0;
-    /// Accelerators, then cores, left over if the whole gang went here; orders equal fits.
+    /// Accelerators, then cores, left over if the whole gang went here; orders
+    /// equal fits.
     int64_t m_Leftover = 0;
   };
 
@@ -64,20 +72,28 @@
     int64_t m_Total = 0;
   };
 
-  void scanAll(const Demand &Need, RoomKind Kind, std::span<const WorkerIndex> Avoid, std::span<const Resources> Extra);
-  void scanWithAccelerators(const Demand &Need, RoomKind Kind, std::span<const WorkerIndex> Avoid,
+  void scanAll(const Demand &Need, RoomKind Kind,
+               std::span<const WorkerIndex> Avoid,
+               std::span<const Resources> Extra);
+  void scanWithAccelerators(const Demand &Need, RoomKind Kind,
+                            std::span<const WorkerIndex> Avoid,
                             std::span<const Resources> Extra);
-  void scanOne(const Demand &Need, RoomKind Kind, std::span<const WorkerIndex> Avoid, std::span<const Resources> Extra,
-               WorkerIndex Index);
-  void addCandidate(Candidates &Target, const Demand &Need, WorkerIndex Worker, const Resources &Room) const;
+  void scanOne(const Demand &Need, RoomKind Kind,
+               std::span<const WorkerIndex> Avoid,
+               std::span<const Resources> Extra, WorkerIndex Index);
+  void addCandidate(Candidates &Target, const Demand &Need, WorkerIndex Worker,
+                    const Resources &Room) const;
   void clear();
   std::vector<Member> choose(Candidates &From, const Demand &Need) const;
-  std::vector<Member> chooseVm(const Candidates &From, const Demand &Need) const;
+  std::vector<Member> chooseVm(const Candidates &From,
+                               const Demand &Need) const;
   std::vector<Member> chooseRacks(Candidates &From, const Demand &Need) const;
-  void takeFromRack(std::span<const Candidate> Rack, int32_t &Remaining, std::vector<Member> &Result) const;
+  void takeFromRack(std::span<const Candidate> Rack, int32_t &Remaining,
+                    std::vector<Member> &Result) const;
 
   const Fleet *m_Fleet;
-  /// All room, and for work without accelerators the room that leaves alone the cores that idle accelerators need.
+  /// All room, and for work without accelerators the room that leaves alone the
+  /// cores that idle accelerators need.
   Candidates m_All;
   Candidates m_Considerate;
   int64_t m_Scanned = 0;
--- a/src/sched/Fleet.cpp
+++ b/src/sched/Fleet.cpp
@@ -40,7 +40,8 @@
   Slot.m_Rack = m_RackIndex.try_emplace(Up.m_Rack, rackCount()).first->second;
   Slot.m_Zone = zoneIndex(Up.m_Zone);
   Slot.m_HasAccelerators = Up.m_Capacity.m_Accelerators > 0;
-  const auto Listed = std::lower_bound(m_WithAccelerators.begin(), m_WithAccelerators.end(), Index);
+  const auto Listed = std::lower_bound(m_WithAccelerators.begin(),
+                                       m_WithAccelerators.end(), Index);
   const bool IsListed = Listed != m_WithAccelerators.end() && *Listed == Index;
   if (Slot.m_HasAccelerators && !IsListed) {
     m_WithAccelerators.insert(Listed, Index);
@@ -61,11 +62,13 @@
 }
 
 void Fleet::dropEmptyRows(Worker &Target) {
-  std::erase_if(Target.m_Claims, [](const Claim &Row) { return isZero(Row.m_Guaranteed) && isZero(Row.m_Used); });
+  std::erase_if(Target.m_Claims, [](const Claim &Row) {
+    return isZero(Row.m_Guaranteed) && isZero(Row.m_Used);
+  });
 }
 
-void Fleet::occupy(WorkerIndex Index, JobIndex Job, WorkspaceIndex Workspace, int32_t Tasks, const Resources &PerTask,
-                   bool Pinned) {
+void Fleet::occupy(WorkerIndex Index, JobIndex Job, WorkspaceIndex Workspace,
+                   int32_t Tasks, const Resources &PerTask, bool Pinned) {
   Worker &Target = m_Workers[Index];
   const Resources Amount = PerTask * Tasks;
   Target.m_Reserved += Amount;
@@ -77,8 +80,8 @@
   refresh(Index);
 }
 
-void Fleet::vacate(WorkerIndex Index, JobIndex Job, WorkspaceIndex Workspace, int32_t Tasks, const Resources &PerTask,
-                   bool Pinned) {
+void Fleet::vacate(WorkerIndex Index, JobIndex Job, WorkspaceIndex Workspace,
+                   int32_t Tasks, const Resources &PerTask, bool Pinned) {
   Worker &Target = m_Workers[Index];
   const Resources Amount = PerTask * Tasks;
   Target.m_Reserved -= Amount;
@@ -86,12 +89,14 @@
   Row.m_Used -= Amount;
   if (Pinned)
     Row.m_Pinned -= Amount;
-  std::erase_if(Target.m_Occupants, [Job](const Occupant &Entry) { return Entry.m_Job == Job; });
+  std::erase_if(Target.m_Occupants,
+                [Job](const Occupant &Entry) { return Entry.m_Job == Job; });
   dropEmptyRows(Target);
   refresh(Index);
 }
 
-void Fleet::guarantee(WorkerIndex Index, WorkspaceIndex Workspace, const Resources &Amount) {
+void Fleet::guarantee(WorkerIndex Index, WorkspaceIndex Workspace,
+                      const Resources &Amount) {
   Worker &Target = m_Workers[Index];
   claimRow(Target, Workspace).m_Guaranteed += Amount;
   dropEmptyRows(Target);
@@ -115,7 +120,9 @@
     Slot.m_Open -= maxOf(Row.m_Guaranteed, Row.m_Used);
     Slot.m_PinRoom -= maxOf(Row.m_Guaranteed, Row.m_Pinned);
   }
-  const bool Usable = Target.m_Up && !Target.m_Draining && !Target.m_Quarantined && !m_Zones[Slot.m_Zone].m_Withdrawn;
+  const bool Usable = Target.m_Up && !Target.m_Draining &&
+                      !Target.m_Quarantined &&
+                      !m_Zones[Slot.m_Zone].m_Withdrawn;
   if (Usable == Slot.m_Usable)
     return;
   Slot.m_Usable = Usable;
@@ -139,12 +146,15 @@
 }
 
 int64_t Fleet::approximateBytes() const {
-  int64_t Bytes = static_cast<int64_t>(m_Slots.capacity() * sizeof(WorkerSlot) + m_Workers.capacity() * sizeof(Worker));
+  int64_t Bytes = static_cast<int64_t>(m_Slots.capacity() * sizeof(WorkerSlot) +
+                                       m_Workers.capacity() * sizeof(Worker));
   for (const Worker &Target : m_Workers) {
-    Bytes += static_cast<int64_t>(Target.m_Claims.capacity() * sizeof(Claim) +
-                                  Target.m_Occupants.capacity() * sizeof(Occupant) +
-                                  Target.m_Evidence.capacity() * sizeof(FailureEvidence));
-    Bytes += 2 * static_cast<int64_t>(sizeof(VmId) + Target.m_Vm.str().capacity());
+    Bytes += static_cast<int64_t>(
+        Target.m_Claims.capacity() * sizeof(Claim) +
+        Target.m_Occupants.capacity() * sizeof(Occupant) +
+        Target.m_Evidence.capacity() * sizeof(FailureEvidence));
+    Bytes +=
+        2 * static_cast<int64_t>(sizeof(VmId) + Target.m_Vm.str().capacity());
   }
   return Bytes;
 }
--- a/src/sched/Fleet.h
+++ b/src/sched/Fleet.h
@@ -42,13 +42,15 @@
   int32_t m_Tasks = 0;
 };
 
-/// The part of a worker that placement searches read; kept small and contiguous, since each search reads all of them.
+/// The part of a worker that placement searches read; kept small and
+/// contiguous, since each search reads all of them.
 struct WorkerSlot {
   /// Not reserved and not held; negative while a hold waits for gangs to leave.
   Resources m_Free{};
   /// Part of m_Free that is guaranteed to no one.
   Resources m_Open{};
-  /// What gangs that cannot be reclaimed may still take without touching a guarantee.
+  /// What gangs that cannot be reclaimed may still take without touching a
+  /// guarantee.
   Resources m_PinRoom{};
   int32_t m_Rack = 0;
   int32_t m_Zone = 0;
@@ -67,7 +69,8 @@
   VmId m_Vm{};
   Resources m_Capacity{};
   Resources m_Reserved{};
-  /// Held for queued jobs: by all holds, by claims of guarantees, and by reservations.
+  /// Held for queued jobs: by all holds, by claims of guarantees, and by
+  /// reservations.
   Resources m_Held{};
   Resources m_HeldByClaims{};
   Resources m_HeldByReservations{};
@@ -111,19 +114,23 @@
   const WorkerSlot &slot(WorkerIndex Index) const { return m_Slots[Index]; }
   const std::vector<WorkerSlot> &slots() const { return m_Slots; }
   /// Workers that have accelerators, in the order of their indices.
-  const std::vector<WorkerIndex> &withAccelerators() const { return m_WithAccelerators; }
+  const std::vector<WorkerIndex> &withAccelerators() const {
+    return m_WithAccelerators;
+  }
   std::vector<Zone> &zones() { return m_Zones; }
   const std::vector<Zone> &zones() const { return m_Zones; }
   /// Capacity of the usable workers.
   const Resources &usableCapacity() const { return m_UsableCapacity; }
   int32_t usableWorkers() const { return m_UsableWorkers; }
 
-  void occupy(WorkerIndex Index, JobIndex Job, WorkspaceIndex Workspace, int32_t Tasks, const Resources &PerTask,
-              bool Pinned);
-  void vacate(WorkerIndex Index, JobIndex Job, WorkspaceIndex Workspace, int32_t Tasks, const Resources &PerTask,
-              bool Pinned);
-  /// Adds \p Amount (negative to remove) to what \p Workspace is guaranteed on the worker.
-  void guarantee(WorkerIndex Index, WorkspaceIndex Workspace, const Resources &Amount);
+  void occupy(WorkerIndex Index, JobIndex Job, WorkspaceIndex Workspace,
+              int32_t Tasks, const Resources &PerTask, bool Pinned);
+  void vacate(WorkerIndex Index, JobIndex Job, WorkspaceIndex Workspace,
+              int32_t Tasks, const Resources &PerTask, bool Pinned);
+  /// Adds \p Amount (negative to remove) to what \p Workspace is guaranteed on
+  /// the worker.
+  void guarantee(WorkerIndex Index, WorkspaceIndex Workspace,
+                 const Resources &Amount);
   /// Keeps \p Amount (negative to release) from all searches.
   void hold(WorkerIndex Index, const Resources &Amount);
   /// Recomputes the slot after a change of the worker or its zone.
--- a/src/sched/Records.h
+++ b/src/sched/Records.h
@@ -19,7 +19,14 @@
 enum class JobPhase { Queued, Delayed, Parked, Placed, Running, Stopping };
 
 /// Why a queued job was not placed at the last look.
-enum class BlockKind { NotLookedAt, Quota, NoRoom, AwaitingReclaim, Reserved, Refused };
+enum class BlockKind {
+  NotLookedAt,
+  Quota,
+  NoRoom,
+  AwaitingReclaim,
+  Reserved,
+  Refused
+};
 
 /// Why the gang of a stopping job is being released.
 enum class StopCause { None, Reclaimed, Failed, Cancelled, WorkerLost };
@@ -46,9 +53,11 @@
   Duration m_Kept{};
   TimePoint m_NotBefore{};
   TimePoint m_NextPlanAt{};
-  /// Until then the gang is not displaced only to shorten waiting or to use more capacity.
+  /// Until then the gang is not displaced only to shorten waiting or to use
+  /// more capacity.
   TimePoint m_SettledUntil{};
-  /// Until then the job displaces no one for these purposes, after it was displaced for them itself.
+  /// Until then the job displaces no one for these purposes, after it was
+  /// displaced for them itself.
   TimePoint m_YieldsUntil{};
   int64_t m_Key = 0;
   int32_t m_Failures = 0;
@@ -71,12 +80,19 @@
   /// Reason of the present placement, parking or delay.
   std::string m_Reason{};
 
-  /// Neither idempotent nor checkpointable: once started it can only be stopped for good.
-  bool pinned() const { return !m_Spec.m_Idempotent && !m_Spec.m_Checkpointable; }
+  /// Neither idempotent nor checkpointable: once started it can only be stopped
+  /// for good.
+  bool pinned() const {
+    return !m_Spec.m_Idempotent && !m_Spec.m_Checkpointable;
+  }
   Resources total() const { return m_Spec.m_PerTask * m_Spec.m_Tasks; }
-  Demand demand() const { return {m_Spec.m_PerTask, m_Spec.m_Tasks, m_Spec.m_Adjacency, m_Spec.m_AdjacencyRequired}; }
+  Demand demand() const {
+    return {m_Spec.m_PerTask, m_Spec.m_Tasks, m_Spec.m_Adjacency,
+            m_Spec.m_AdjacencyRequired};
+  }
   bool holdsResources() const {
-    return m_Phase == JobPhase::Placed || m_Phase == JobPhase::Running || m_Phase == JobPhase::Stopping;
+    return m_Phase == JobPhase::Placed || m_Phase == JobPhase::Running ||
+           m_Phase == JobPhase::Stopping;
   }
 };
 
@@ -121,10 +137,14 @@
 };
 
 /// Converts seconds to a Duration.
-constexpr Duration seconds(double Seconds) { return Duration(static_cast<int64_t>(Seconds * 1e6)); }
+constexpr Duration seconds(double Seconds) {
+  return Duration(static_cast<int64_t>(Seconds * 1e6));
+}
 
 /// Converts a Duration to seconds.
-constexpr double toSeconds(Duration Span) { return static_cast<double>(Span.count()) / 1e6; }
+constexpr double toSeconds(Duration Span) {
+  return static_cast<double>(Span.count()) / 1e6;
+}
 
 } // namespace anvil::sched::internal
 
--- a/src/state/Claims.cpp
+++ b/src/state/Claims.cpp
@@ -14,9 +14,12 @@
   if (Command.claimId.empty() || Command.claimId.size() > MaxClaimIdBytes)
     return invalid("claimId", "the claim id must have 1 to 512 bytes");
   if (Command.requestDigest.size() > MaxFieldBytes)
-    return invalid("requestDigest", "the request digest has more than 128 bytes");
-  if (Command.entry.size() > MaxFieldBytes || Command.attemptId.size() > MaxFieldBytes)
-    return invalid(Command.entry.size() > MaxFieldBytes ? "entry" : "attemptId", "more than 128 bytes");
+    return invalid("requestDigest",
+                   "the request digest has more than 128 bytes");
+  if (Command.entry.size() > MaxFieldBytes ||
+      Command.attemptId.size() > MaxFieldBytes)
+    return invalid(Command.entry.size() > MaxFieldBytes ? "entry" : "attemptId",
+                   "more than 128 bytes");
   return std::nullopt;
 }
 
@@ -27,15 +30,19 @@
   return Result;
 }
 
-// A resend of the attempt that holds the claim gets its grant again: the agent runs a token only once.
+// A resend of the attempt that holds the claim gets its grant again: the agent
+// runs a token only once.
 bool isResend(const record::Claim &Claim, const wire::OpenClaim &Command) {
-  return Claim.open && !Command.attemptId.empty() && Claim.attemptId == Command.attemptId &&
-         Claim.entry == Command.entry && Claim.vm == Command.vm && Claim.incarnation == Command.incarnation;
+  return Claim.open && !Command.attemptId.empty() &&
+         Claim.attemptId == Command.attemptId && Claim.entry == Command.entry &&
+         Claim.vm == Command.vm && Claim.incarnation == Command.incarnation;
 }
 
-wire::CommandResult answerExisting(record::Claim &Claim, const wire::OpenClaim &Command) {
+wire::CommandResult answerExisting(record::Claim &Claim,
+                                   const wire::OpenClaim &Command) {
   if (Claim.requestDigest != Command.requestDigest)
-    return invalid("requestDigest", "the idempotency key was already used for another request");
+    return invalid("requestDigest",
+                   "the idempotency key was already used for another request");
   if (isResend(Claim, Command))
     return granted(Claim);
   Claim.shared = Claim.shared || Claim.open;
@@ -48,9 +55,11 @@
          Data.m_ClaimBytes + MoreBytes > Limits.m_ClaimMib << 20;
 }
 
-wire::CommandResult checkClose(const record::Claim &Claim, const wire::CloseClaim &Command) {
+wire::CommandResult checkClose(const record::Claim &Claim,
+                               const wire::CloseClaim &Command) {
   if (Claim.token != Command.outcome.token)
-    return refused(absl::StrCat("token ", Command.outcome.token, " is not the current one"));
+    return refused(absl::StrCat("token ", Command.outcome.token,
+                                " is not the current one"));
   if (Claim.vm != Command.vm || Claim.incarnation != Command.incarnation)
     return refused("the claim belongs to another VM or incarnation");
   if (Command.neverSent && Claim.open && Claim.shared)
@@ -58,7 +67,8 @@
   return okResult();
 }
 
-void storeOutcome(ApplyContext &Ctx, record::Claim &Claim, wire::ClaimOutcome Outcome) {
+void storeOutcome(ApplyContext &Ctx, record::Claim &Claim,
+                  wire::ClaimOutcome Outcome) {
   StateData &Data = Ctx.m_Data;
   Data.m_ClaimBytes -= bytesOf(Claim);
   if (Claim.open) {
@@ -74,7 +84,8 @@
   Ctx.emit(ClaimChanged{Claim.claimId, false});
 }
 
-void removeClaim(StateData &Data, std::map<std::string, record::Claim>::iterator Found) {
+void removeClaim(StateData &Data,
+                 std::map<std::string, record::Claim>::iterator Found) {
   const record::Claim &Claim = Found->second;
   Data.m_ClaimBytes -= bytesOf(Claim);
   if (Claim.open) {
@@ -85,18 +96,22 @@
   Data.m_Claims.erase(Found);
 }
 
-// The outcome itself is never dropped; a response that does not fit is stored without its body.
-wire::ClaimOutcome storable(const StateData &Data, const wire::ClaimOutcome &Given) {
+// The outcome itself is never dropped; a response that does not fit is stored
+// without its body.
+wire::ClaimOutcome storable(const StateData &Data,
+                            const wire::ClaimOutcome &Given) {
   wire::ClaimOutcome Stored = Given;
   const int64_t Room = (Data.limits().m_ClaimMib << 20) - Data.m_ClaimBytes;
-  if (Stored.body.size() > MaxResponseBytes || static_cast<int64_t>(Stored.body.size()) > Room)
+  if (Stored.body.size() > MaxResponseBytes ||
+      static_cast<int64_t>(Stored.body.size()) > Room)
     Stored.body = {};
   if (Stored.contentType.size() > MaxContentTypeBytes)
     Stored.contentType = {};
   return Stored;
 }
 
-wire::CommandResult closeWith(ApplyContext &Ctx, record::Claim &Claim, const wire::ClaimOutcome &Outcome) {
+wire::CommandResult closeWith(ApplyContext &Ctx, record::Claim &Claim,
+                              const wire::ClaimOutcome &Outcome) {
   const wire::ClaimOutcome Stored = storable(Ctx.m_Data, Outcome);
   const bool Cut = Stored.body.size() != Outcome.body.size();
   storeOutcome(Ctx, Claim, Stored);
@@ -106,14 +121,16 @@
   return Result;
 }
 
-wire::CommandResult closeAgain(ApplyContext &Ctx, record::Claim &Claim, const wire::ClaimOutcome &Outcome) {
+wire::CommandResult closeAgain(ApplyContext &Ctx, record::Claim &Claim,
+                               const wire::ClaimOutcome &Outcome) {
   const bool WasUnknown = Claim.outcome.outcome == wire::Outcome::UNKNOWN;
   if (WasUnknown && Outcome.outcome == wire::Outcome::COMPLETED)
     return closeWith(Ctx, Claim, Outcome);
   wire::CommandResult Result = describeClaim(Claim);
   if (Claim.outcome.outcome != Outcome.outcome) {
     Result.status = wire::CommandStatus::REFUSED;
-    Result.message = WasUnknown ? "the outcome was already reported as unknown" : "a completed claim never changes";
+    Result.message = WasUnknown ? "the outcome was already reported as unknown"
+                                : "a completed claim never changes";
   }
   return Result;
 }
@@ -121,8 +138,10 @@
 } // namespace
 
 wire::CommandResult describeClaim(const record::Claim &Claim) {
-  wire::CommandResult Result = okResult(Claim.open ? "held by another attempt" : "closed");
-  Result.claimState = Claim.open ? wire::ClaimState::HELD : wire::ClaimState::CLOSED;
+  wire::CommandResult Result =
+      okResult(Claim.open ? "held by another attempt" : "closed");
+  Result.claimState =
+      Claim.open ? wire::ClaimState::HELD : wire::ClaimState::CLOSED;
   Result.claimToken = Claim.token;
   if (Claim.open) {
     Result.claimVm = Claim.vm;
@@ -133,15 +152,18 @@
   return Result;
 }
 
-wire::CommandResult applyOpenClaim(ApplyContext &Ctx, const wire::OpenClaim &Command) {
+wire::CommandResult applyOpenClaim(ApplyContext &Ctx,
+                                   const wire::OpenClaim &Command) {
   StateData &Data = Ctx.m_Data;
   if (std::optional<wire::CommandResult> Fault = checkOpen(Command))
     return *Fault;
-  if (const auto Found = Data.m_Claims.find(Command.claimId); Found != Data.m_Claims.end())
+  if (const auto Found = Data.m_Claims.find(Command.claimId);
+      Found != Data.m_Claims.end())
     return answerExisting(Found->second, Command);
   Target *On = Data.findTarget(Command.vm);
   if (On == nullptr || On->m_Record.info.incarnation != Command.incarnation)
-    return refused(absl::StrCat("VM ", Command.vm, " is unknown or has another incarnation"));
+    return refused(absl::StrCat("VM ", Command.vm,
+                                " is unknown or has another incarnation"));
   if (!Data.usable(*On))
     return refused(absl::StrCat("VM ", Command.vm, " takes no new requests"));
   record::Claim Claim;
@@ -155,23 +177,29 @@
   Claim.open = true;
   if (atLimit(Data, bytesOf(Claim))) {
     ++Data.m_Totals.claimsRefusedByLimit;
-    return makeResult(wire::CommandStatus::LIMIT, "the bound on claims is reached; the request was not run");
+    return makeResult(
+        wire::CommandStatus::LIMIT,
+        "the bound on claims is reached; the request was not run");
   }
   Data.m_ClaimBytes += bytesOf(Claim);
   On->m_OpenClaims.insert(Command.claimId);
   Ctx.emit(ClaimChanged{Command.claimId, true});
-  return granted(Data.m_Claims.emplace(Command.claimId, std::move(Claim)).first->second);
+  return granted(
+      Data.m_Claims.emplace(Command.claimId, std::move(Claim)).first->second);
 }
 
-wire::CommandResult applyCloseClaim(ApplyContext &Ctx, const wire::CloseClaim &Command) {
+wire::CommandResult applyCloseClaim(ApplyContext &Ctx,
+                                    const wire::CloseClaim &Command) {
   const wire::ClaimOutcome &Outcome = Command.outcome;
   const auto Found = Ctx.m_Data.m_Claims.find(Outcome.claimId);
   if (Found == Ctx.m_Data.m_Claims.end())
     return notFound(absl::StrCat("claim ", Outcome.claimId, " is unknown"));
-  if (Outcome.outcome < wire::Outcome::COMPLETED || Outcome.outcome > wire::Outcome::UNKNOWN)
+  if (Outcome.outcome < wire::Outcome::COMPLETED ||
+      Outcome.outcome > wire::Outcome::UNKNOWN)
     return invalid("outcome", "the outcome is unknown to this version");
   record::Claim &Claim = Found->second;
-  if (wire::CommandResult Fault = checkClose(Claim, Command); Fault.status != wire::CommandStatus::OK)
+  if (wire::CommandResult Fault = checkClose(Claim, Command);
+      Fault.status != wire::CommandStatus::OK)
     return Fault;
   if (!Claim.open)
     return closeAgain(Ctx, Claim, Outcome);
@@ -182,16 +210,21 @@
   return okResult("freed");
 }
 
-wire::CommandResult applyExpireClaims(ApplyContext &Ctx, const wire::ExpireClaims &Command) {
+wire::CommandResult applyExpireClaims(ApplyContext &Ctx,
+                                      const wire::ExpireClaims &Command) {
   StateData &Data = Ctx.m_Data;
   size_t Removed = 0;
-  while (!Data.m_ClosedOrder.empty() && Data.m_ClosedOrder.begin()->m_ClosedAtUs < Command.beforeUs &&
+  while (!Data.m_ClosedOrder.empty() &&
+         Data.m_ClosedOrder.begin()->m_ClosedAtUs < Command.beforeUs &&
          Removed < MaxExpiredClaimsPerCommand) {
-    removeClaim(Data, Data.m_Claims.find(*Data.m_ClosedOrder.begin()->m_ClaimId));
+    removeClaim(Data,
+                Data.m_Claims.find(*Data.m_ClosedOrder.begin()->m_ClaimId));
     ++Removed;
   }
-  const bool More = !Data.m_ClosedOrder.empty() && Data.m_ClosedOrder.begin()->m_ClosedAtUs < Command.beforeUs;
-  return okResult(absl::StrCat("removed ", Removed, " claims", More ? "; more are left" : ""));
+  const bool More = !Data.m_ClosedOrder.empty() &&
+                    Data.m_ClosedOrder.begin()->m_ClosedAtUs < Command.beforeUs;
+  return okResult(absl::StrCat("removed ", Removed, " claims",
+                               More ? "; more are left" : ""));
 }
 
 void closeClaimsOf(ApplyContext &Ctx, Target &Gone) {
--- a/src/state/ClusterState.cpp
+++ b/src/state/ClusterState.cpp
@@ -18,14 +18,18 @@
 namespace {
 
 int fieldsSet(const wire::_Command__isset &Set) {
-  const bool Fields[] = {Set.registerTarget, Set.loseTarget,     Set.drainTarget, Set.setZoneService, Set.applyConfig,
-                         Set.submitJob,      Set.cancelJob,      Set.placeJob,    Set.parkJob,        Set.failJob,
-                         Set.reclaimJob,     Set.setWorkerAside, Set.reportTasks, Set.expireLeases,   Set.openClaim,
-                         Set.closeClaim,     Set.expireClaims};
-  return static_cast<int>(std::count(std::begin(Fields), std::end(Fields), true));
+  const bool Fields[] = {
+      Set.registerTarget, Set.loseTarget,   Set.drainTarget, Set.setZoneService,
+      Set.applyConfig,    Set.submitJob,    Set.cancelJob,   Set.placeJob,
+      Set.parkJob,        Set.failJob,      Set.reclaimJob,  Set.setWorkerAside,
+      Set.reportTasks,    Set.expireLeases, Set.openClaim,   Set.closeClaim,
+      Set.expireClaims};
+  return static_cast<int>(
+      std::count(std::begin(Fields), std::end(Fields), true));
 }
 
-wire::CommandResult applyTargetCommand(ApplyContext &Ctx, const wire::Command &Command) {
+wire::CommandResult applyTargetCommand(ApplyContext &Ctx,
+                                       const wire::Command &Command) {
   const wire::_Command__isset &Set = Command.__isset;
   if (Set.registerTarget)
     return applyRegister(Ctx, Command.registerTarget);
@@ -40,7 +44,8 @@
   return applyConfig(Ctx, Command.applyConfig);
 }
 
-wire::CommandResult applyJobCommand(ApplyContext &Ctx, const wire::Command &Command) {
+wire::CommandResult applyJobCommand(ApplyContext &Ctx,
+                                    const wire::Command &Command) {
   const wire::_Command__isset &Set = Command.__isset;
   if (Set.submitJob)
     return applySubmit(Ctx, Command.submitJob);
@@ -69,14 +74,16 @@
     return applyCloseClaim(Ctx, Command.closeClaim);
   if (Set.expireClaims)
     return applyExpireClaims(Ctx, Command.expireClaims);
-  if (Set.registerTarget || Set.loseTarget || Set.drainTarget || Set.setWorkerAside || Set.setZoneService ||
-      Set.applyConfig)
+  if (Set.registerTarget || Set.loseTarget || Set.drainTarget ||
+      Set.setWorkerAside || Set.setZoneService || Set.applyConfig)
     return applyTargetCommand(Ctx, Command);
   return applyJobCommand(Ctx, Command);
 }
 
-// Returns what the agent that holds the member should do, or nothing if the member needs no agent.
-std::optional<wire::TaskOrder::type> orderFor(const internal::Job &Of, const record::Member &Member,
+// Returns what the agent that holds the member should do, or nothing if the
+// member needs no agent.
+std::optional<wire::TaskOrder::type> orderFor(const internal::Job &Of,
+                                              const record::Member &Member,
                                               const internal::Target &On) {
   switch (internal::phaseOf(Member)) {
   case TaskPhase::Reserved:
@@ -85,9 +92,11 @@
   case TaskPhase::Starting:
     return wire::TaskOrder::START;
   case TaskPhase::Running:
-    return Of.m_Record.throttled ? wire::TaskOrder::THROTTLE : wire::TaskOrder::START;
+    return Of.m_Record.throttled ? wire::TaskOrder::THROTTLE
+                                 : wire::TaskOrder::START;
   case TaskPhase::Stopping:
-    return Of.m_Record.checkpointOrdered ? wire::TaskOrder::CHECKPOINT_AND_STOP : wire::TaskOrder::STOP;
+    return Of.m_Record.checkpointOrdered ? wire::TaskOrder::CHECKPOINT_AND_STOP
+                                         : wire::TaskOrder::STOP;
   case TaskPhase::Lost:
     // Only the incarnation that held the task can say how it ended.
     if (On.m_Record.info.incarnation == Member.incarnation)
@@ -116,11 +125,13 @@
   View.m_Reason = Record.reason;
   for (size_t Task = 0; Task < Record.members.size(); ++Task) {
     const record::Member &Member = Record.members[Task];
-    View.m_Members.push_back({static_cast<int32_t>(Task), VmId(Member.vm), Member.incarnation,
-                              internal::phaseOf(Member), Member.leaseEndsUs});
+    View.m_Members.push_back({static_cast<int32_t>(Task), VmId(Member.vm),
+                              Member.incarnation, internal::phaseOf(Member),
+                              Member.leaseEndsUs});
   }
   for (const record::Note &Each : Record.history)
-    View.m_History.push_back({Each.atUs, static_cast<JobPhase>(Each.phase), Each.reason});
+    View.m_History.push_back(
+        {Each.atUs, static_cast<JobPhase>(Each.phase), Each.reason});
   return View;
 }
 
@@ -138,7 +149,8 @@
 
 } // namespace
 
-ClusterState::ClusterState(std::unique_ptr<StateData> Data) : m_Data(std::move(Data)) {}
+ClusterState::ClusterState(std::unique_ptr<StateData> Data)
+    : m_Data(std::move(Data)) {}
 ClusterState::ClusterState(ClusterState &&) noexcept = default;
 ClusterState &ClusterState::operator=(ClusterState &&) noexcept = default;
 ClusterState::~ClusterState() = default;
@@ -154,15 +166,18 @@
   absl::StatusOr<Charts> Bound = Charts::load();
   if (!Bound.ok())
     return Bound.status();
-  absl::StatusOr<std::unique_ptr<StateData>> Data = internal::readSnapshot(Snapshot, *std::move(Bound));
+  absl::StatusOr<std::unique_ptr<StateData>> Data =
+      internal::readSnapshot(Snapshot, *std::move(Bound));
   if (!Data.ok())
     return Data.status();
   return ClusterState(*std::move(Data));
 }
 
-wire::CommandResult ClusterState::apply(const wire::Command &Command, int64_t Index) {
+wire::CommandResult ClusterState::apply(const wire::Command &Command,
+                                        int64_t Index) {
   if (Index <= m_Data->m_AppliedIndex) {
-    wire::CommandResult Repeated = internal::invalid("index", absl::StrCat("index ", Index, " was already applied"));
+    wire::CommandResult Repeated = internal::invalid(
+        "index", absl::StrCat("index ", Index, " was already applied"));
     Repeated.index = Index;
     return Repeated;
   }
@@ -175,13 +190,18 @@
   return Result;
 }
 
-std::string ClusterState::snapshot() const { return internal::writeSnapshot(*m_Data); }
+std::string ClusterState::snapshot() const {
+  return internal::writeSnapshot(*m_Data);
+}
 
-void ClusterState::setEventHook(StateEventHook Hook) { m_Data->m_Hook = std::move(Hook); }
+void ClusterState::setEventHook(StateEventHook Hook) {
+  m_Data->m_Hook = std::move(Hook);
+}
 
 int64_t ClusterState::appliedIndex() const { return m_Data->m_AppliedIndex; }
 
-std::vector<wire::Assignment> ClusterState::assignmentsFor(const VmId &Vm) const {
+std::vector<wire::Assignment>
+ClusterState::assignmentsFor(const VmId &Vm) const {
   std::vector<wire::Assignment> Wanted;
   const internal::Target *On = m_Data->findTarget(Vm.str());
   if (On == nullptr || On->phase() == VmPhase::Lost)
@@ -189,7 +209,8 @@
   Wanted.reserve(On->m_Members.size());
   for (const internal::TaskRef &Ref : On->m_Members) {
     const internal::Job &Of = *m_Data->findJob(Ref.m_Job);
-    const auto Order = orderFor(Of, Of.m_Record.members[static_cast<size_t>(Ref.m_Task)], *On);
+    const auto Order =
+        orderFor(Of, Of.m_Record.members[static_cast<size_t>(Ref.m_Task)], *On);
     if (!Order)
       continue;
     wire::Assignment &Added = Wanted.emplace_back();
@@ -212,14 +233,16 @@
   return viewOf(*m_Data, *Found);
 }
 
-void ClusterState::forEachTarget(const std::function<void(const TargetView &)> &Visit) const {
+void ClusterState::forEachTarget(
+    const std::function<void(const TargetView &)> &Visit) const {
   for (const auto &[Vm, Each] : m_Data->m_Targets)
     Visit(viewOf(*m_Data, Each));
 }
 
 bool ClusterState::mayStartOn(const VmId &Vm, int64_t Incarnation) const {
   const internal::Target *Found = m_Data->findTarget(Vm.str());
-  return Found != nullptr && Found->m_Record.info.incarnation == Incarnation && m_Data->acceptsStarts(*Found);
+  return Found != nullptr && Found->m_Record.info.incarnation == Incarnation &&
+         m_Data->acceptsStarts(*Found);
 }
 
 std::vector<wire::RouteTarget> ClusterState::routes() const {
@@ -275,21 +298,26 @@
   return Live;
 }
 
-void ClusterState::forEachJob(JobId After, const std::function<bool(const JobView &)> &Visit) const {
-  for (auto Next = m_Data->m_Jobs.upper_bound(After.value()); Next != m_Data->m_Jobs.end(); ++Next) {
+void ClusterState::forEachJob(
+    JobId After, const std::function<bool(const JobView &)> &Visit) const {
+  for (auto Next = m_Data->m_Jobs.upper_bound(After.value());
+       Next != m_Data->m_Jobs.end(); ++Next) {
     if (!Visit(viewOf(Next->second)))
       return;
   }
 }
 
-std::vector<wire::ExpireLeases> ClusterState::expiredLeases(int64_t NowUs) const {
+std::vector<wire::ExpireLeases>
+ClusterState::expiredLeases(int64_t NowUs) const {
   std::vector<wire::ExpireLeases> Commands;
   for (const int64_t Id : m_Data->m_JobsWithLost) {
     wire::ExpireLeases Command;
     Command.jobId = Id;
-    const std::vector<record::Member> &Members = m_Data->findJob(Id)->m_Record.members;
+    const std::vector<record::Member> &Members =
+        m_Data->findJob(Id)->m_Record.members;
     for (size_t Task = 0; Task < Members.size(); ++Task) {
-      if (internal::phaseOf(Members[Task]) == TaskPhase::Lost && Members[Task].leaseEndsUs <= NowUs)
+      if (internal::phaseOf(Members[Task]) == TaskPhase::Lost &&
+          Members[Task].leaseEndsUs <= NowUs)
         Command.taskIndexes.push_back(static_cast<int32_t>(Task));
     }
     if (!Command.taskIndexes.empty())
@@ -298,7 +326,8 @@
   return Commands;
 }
 
-std::optional<wire::CommandResult> ClusterState::claim(std::string_view ClaimId) const {
+std::optional<wire::CommandResult>
+ClusterState::claim(std::string_view ClaimId) const {
   const auto Found = m_Data->m_Claims.find(std::string(ClaimId));
   if (Found == m_Data->m_Claims.end())
     return std::nullopt;
@@ -307,16 +336,20 @@
 
 wire::Resources ClusterState::heldBy(const WorkspaceId &Workspace) const {
   const auto Found = m_Data->m_Held.find(Workspace.str());
-  return Found == m_Data->m_Held.end() ? wire::Resources() : internal::resourcesOf(Found->second);
+  return Found == m_Data->m_Held.end() ? wire::Resources()
+                                       : internal::resourcesOf(Found->second);
 }
 
-const config::Document *ClusterState::document() const { return m_Data->m_Document ? &*m_Data->m_Document : nullptr; }
+const config::Document *ClusterState::document() const {
+  return m_Data->m_Document ? &*m_Data->m_Document : nullptr;
+}
 
 ConfigView ClusterState::configuration() const {
   ConfigView View;
   if (m_Data->m_ConfigVersions.empty())
     return View;
-  const record::ConfigVersion &Newest = m_Data->m_ConfigVersions.rbegin()->second;
+  const record::ConfigVersion &Newest =
+      m_Data->m_ConfigVersions.rbegin()->second;
   View.m_Version = Newest.version;
   View.m_Digest = Newest.digest;
   View.m_Text = m_Data->m_DocumentText;
@@ -329,9 +362,11 @@
 std::vector<ConfigVersionView> ClusterState::configHistory(size_t Limit) const {
   std::vector<ConfigVersionView> History;
   const auto &Versions = m_Data->m_ConfigVersions;
-  for (auto It = Versions.rbegin(); It != Versions.rend() && History.size() < Limit; ++It) {
+  for (auto It = Versions.rbegin();
+       It != Versions.rend() && History.size() < Limit; ++It) {
     const record::ConfigVersion &Each = It->second;
-    History.push_back({Each.version, Each.digest, Each.operatorId, Each.environment, Each.promotedFrom, Each.index});
+    History.push_back({Each.version, Each.digest, Each.operatorId,
+                       Each.environment, Each.promotedFrom, Each.index});
   }
   return History;
 }
@@ -344,11 +379,13 @@
   Result.m_EndedJobs = static_cast<int64_t>(m_Data->m_EndedOrder.size());
   Result.m_LiveJobs = static_cast<int64_t>(m_Data->m_LiveJobs.size());
   for (const int64_t Id : m_Data->m_LiveJobs)
-    Result.m_QueuedJobs += m_Data->findJob(Id)->phase() == JobPhase::Queued ? 1 : 0;
+    Result.m_QueuedJobs +=
+        m_Data->findJob(Id)->phase() == JobPhase::Queued ? 1 : 0;
   for (const auto &[Vm, Each] : m_Data->m_Targets)
     Result.m_Members += static_cast<int64_t>(Each.m_Members.size());
   Result.m_Claims = static_cast<int64_t>(m_Data->m_Claims.size());
-  Result.m_OpenClaims = Result.m_Claims - static_cast<int64_t>(m_Data->m_ClosedOrder.size());
+  Result.m_OpenClaims =
+      Result.m_Claims - static_cast<int64_t>(m_Data->m_ClosedOrder.size());
   Result.m_ClaimBytes = m_Data->m_ClaimBytes;
   Result.m_JobsSubmitted = m_Data->m_Totals.jobsSubmitted;
   Result.m_JobsCompleted = m_Data->m_Totals.jobsCompleted;
--- a/src/state/Gang.cpp
+++ b/src/state/Gang.cpp
@@ -6,14 +6,16 @@
 
 namespace anvil::state::internal {
 
-void Gang::reserve(const std::vector<wire::MemberPlacement> &Placements, const std::string &Reason) {
+void Gang::reserve(const std::vector<wire::MemberPlacement> &Placements,
+                   const std::string &Reason) {
   record::Job &Record = m_Job.m_Record;
   Record.members.assign(Placements.size(), record::Member());
   Record.startToken = m_Ctx.m_Index;
   ++Record.attempts;
   m_Job.m_Counts = {};
   for (const wire::MemberPlacement &Placement : Placements) {
-    record::Member &Member = Record.members[static_cast<size_t>(Placement.taskIndex)];
+    record::Member &Member =
+        Record.members[static_cast<size_t>(Placement.taskIndex)];
     Member.vm = Placement.vm;
     Member.incarnation = Placement.incarnation;
     Member.phase = static_cast<int8_t>(m_Ctx.m_Data.m_Charts.m_Task.initial());
@@ -27,7 +29,8 @@
   const record::Job &Record = m_Job.m_Record;
   Target *On = m_Ctx.m_Data.findTarget(Record.members[Task].vm);
   const TaskRef Ref{Record.id, static_cast<int32_t>(Task)};
-  On->m_Members.insert(std::lower_bound(On->m_Members.begin(), On->m_Members.end(), Ref), Ref);
+  On->m_Members.insert(
+      std::lower_bound(On->m_Members.begin(), On->m_Members.end(), Ref), Ref);
   On->m_Used.add(Record.spec.perTask, 1);
   m_Ctx.m_Data.m_Held[Record.spec.workspace].add(Record.spec.perTask, 1);
 }
@@ -36,15 +39,18 @@
   const record::Job &Record = m_Job.m_Record;
   Target *On = m_Ctx.m_Data.findTarget(Record.members[Task].vm);
   const TaskRef Ref{Record.id, static_cast<int32_t>(Task)};
-  On->m_Members.erase(std::lower_bound(On->m_Members.begin(), On->m_Members.end(), Ref));
+  On->m_Members.erase(
+      std::lower_bound(On->m_Members.begin(), On->m_Members.end(), Ref));
   On->m_Used.add(Record.spec.perTask, -1);
   m_Ctx.m_Data.m_Held[Record.spec.workspace].add(Record.spec.perTask, -1);
-  m_Ctx.emit(TaskReleased{JobId(Record.id), Ref.m_Task, VmId(Record.members[Task].vm)});
+  m_Ctx.emit(TaskReleased{JobId(Record.id), Ref.m_Task,
+                          VmId(Record.members[Task].vm)});
 }
 
 bool Gang::moveMember(size_t Task, TaskEvent Event) {
   record::Member &Member = m_Job.m_Record.members[Task];
-  const std::optional<TaskPhase> Next = m_Ctx.m_Data.m_Charts.m_Task.next(phaseOf(Member), Event);
+  const std::optional<TaskPhase> Next =
+      m_Ctx.m_Data.m_Charts.m_Task.next(phaseOf(Member), Event);
   if (!Next)
     return false;
   --m_Job.m_Counts[static_cast<size_t>(phaseOf(Member))];
@@ -56,7 +62,8 @@
   if (*Next == TaskPhase::Running)
     Member.wasRunning = true;
   if (*Next == TaskPhase::Lost)
-    Member.leaseEndsUs = m_Ctx.m_NowUs + leaseSpanUs(m_Job.m_Record.spec.leaseMs);
+    Member.leaseEndsUs =
+        m_Ctx.m_NowUs + leaseSpanUs(m_Job.m_Record.spec.leaseMs);
   if (m_Job.count(TaskPhase::Lost) > 0) {
     m_Ctx.m_Data.m_JobsWithLost.insert(m_Job.m_Record.id);
   } else {
@@ -69,7 +76,8 @@
 
 bool Gang::moveJob(JobEvent Event, const std::string &Reason) {
   record::Job &Record = m_Job.m_Record;
-  const std::optional<JobPhase> Next = m_Ctx.m_Data.m_Charts.m_Job.next(m_Job.phase(), Event);
+  const std::optional<JobPhase> Next =
+      m_Ctx.m_Data.m_Charts.m_Job.next(m_Job.phase(), Event);
   if (!Next)
     return false;
   Record.phase = static_cast<int8_t>(*Next);
@@ -99,19 +107,25 @@
 
 void Gang::settle() {
   const auto All = static_cast<int32_t>(size());
-  if (m_Job.phase() == JobPhase::Reserved && m_Job.count(TaskPhase::Prepared) == All)
+  if (m_Job.phase() == JobPhase::Reserved &&
+      m_Job.count(TaskPhase::Prepared) == All)
     return start();
-  if (m_Job.phase() == JobPhase::Starting && m_Job.count(TaskPhase::Running) + m_Job.count(TaskPhase::Succeeded) == All)
+  if (m_Job.phase() == JobPhase::Starting &&
+      m_Job.count(TaskPhase::Running) + m_Job.count(TaskPhase::Succeeded) ==
+          All)
     moveJob(JobEvent::AllRunning, "all tasks run");
-  if (m_Job.phase() == JobPhase::Running && m_Job.count(TaskPhase::Succeeded) == All)
+  if (m_Job.phase() == JobPhase::Running &&
+      m_Job.count(TaskPhase::Succeeded) == All)
     return end(JobEvent::AllSucceeded, "all tasks succeeded");
   if (m_Job.phase() == JobPhase::Releasing &&
-      m_Job.count(TaskPhase::Released) + m_Job.count(TaskPhase::Succeeded) == All)
+      m_Job.count(TaskPhase::Released) + m_Job.count(TaskPhase::Succeeded) ==
+          All)
     finishRelease();
 }
 
 void Gang::start() {
-  moveJob(JobEvent::AllPrepared, absl::StrCat("all ", size(), " tasks are prepared"));
+  moveJob(JobEvent::AllPrepared,
+          absl::StrCat("all ", size(), " tasks are prepared"));
   for (size_t Task = 0; Task < size(); ++Task)
     moveMember(Task, TaskEvent::Start);
 }
@@ -119,18 +133,26 @@
 JobEvent Gang::eventAfterRelease() const {
   const record::Job &Record = m_Job.m_Record;
   const auto EndedBy = [](wire::TaskState::type Ending) {
-    return [Ending](const record::Member &Member) { return Member.ending == static_cast<int8_t>(Ending); };
+    return [Ending](const record::Member &Member) {
+      return Member.ending == static_cast<int8_t>(Ending);
+    };
   };
-  if (std::all_of(Record.members.begin(), Record.members.end(), EndedBy(wire::TaskState::SUCCEEDED)))
+  if (std::all_of(Record.members.begin(), Record.members.end(),
+                  EndedBy(wire::TaskState::SUCCEEDED)))
     return JobEvent::AllSucceeded;
   if (Record.pendingEnd == static_cast<int8_t>(PendingEnd::Cancelled))
     return JobEvent::Cancel;
   if (Record.pendingEnd == static_cast<int8_t>(PendingEnd::Failed))
     return JobEvent::Fail;
-  const bool Safe = std::all_of(Record.members.begin(), Record.members.end(), [&](const record::Member &Member) {
-    return !Member.mayHaveStarted || (Record.spec.checkpointable && EndedBy(wire::TaskState::CHECKPOINTED)(Member));
-  });
-  return Safe || Record.spec.idempotent ? JobEvent::Requeue : JobEvent::LoseOutcome;
+  const bool Safe =
+      std::all_of(Record.members.begin(), Record.members.end(),
+                  [&](const record::Member &Member) {
+                    return !Member.mayHaveStarted ||
+                           (Record.spec.checkpointable &&
+                            EndedBy(wire::TaskState::CHECKPOINTED)(Member));
+                  });
+  return Safe || Record.spec.idempotent ? JobEvent::Requeue
+                                        : JobEvent::LoseOutcome;
 }
 
 void Gang::finishRelease() {
@@ -141,7 +163,10 @@
   if (Event == JobEvent::AllSucceeded) {
     end(Event, "all tasks had succeeded when they were stopped");
   } else if (Event == JobEvent::LoseOutcome) {
-    end(Event, absl::StrCat("outcome unknown: the job is not idempotent and may have run; ", Cause));
+    end(Event,
+        absl::StrCat(
+            "outcome unknown: the job is not idempotent and may have run; ",
+            Cause));
   } else {
     end(Event, Cause);
   }
@@ -154,7 +179,9 @@
   bool Whole = true;
   for (const record::Member &Member : Record.members) {
     Started = Started || Member.mayHaveStarted;
-    Whole = Whole && (!Member.mayHaveStarted || Member.ending == static_cast<int8_t>(wire::TaskState::CHECKPOINTED));
+    Whole = Whole && (!Member.mayHaveStarted ||
+                      Member.ending ==
+                          static_cast<int8_t>(wire::TaskState::CHECKPOINTED));
   }
   Record.checkpointed = Record.checkpointed || (Started && Whole);
   clearMembers();
@@ -178,7 +205,8 @@
   moveJob(Event, Reason);
   record::Job &Record = m_Job.m_Record;
   Record.endedIndex = m_Ctx.m_Index;
-  m_Ctx.m_Data.m_PayloadBytes -= static_cast<int64_t>(Record.spec.payload.size());
+  m_Ctx.m_Data.m_PayloadBytes -=
+      static_cast<int64_t>(Record.spec.payload.size());
   Record.spec.payload = {};
   m_Ctx.m_Data.m_EndedOrder.emplace(Record.endedIndex, Record.id);
   m_Ctx.m_Data.m_LiveJobs.erase(Record.id);
@@ -212,11 +240,13 @@
 }
 
 void loseMembersOf(ApplyContext &Ctx, Target &Gone, const std::string &Reason) {
-  const std::vector<TaskRef> Members = Gone.m_Members; // changes while members are released
+  const std::vector<TaskRef> Members =
+      Gone.m_Members; // changes while members are released
   for (const TaskRef &Ref : Members) {
     Job *Found = Ctx.m_Data.findJob(Ref.m_Job);
     // An earlier member of the same gang may have released this one.
-    if (Found == nullptr || static_cast<size_t>(Ref.m_Task) >= Found->m_Record.members.size())
+    if (Found == nullptr ||
+        static_cast<size_t>(Ref.m_Task) >= Found->m_Record.members.size())
       continue;
     Gang Affected(Ctx, *Found);
     if (!Affected.moveMember(static_cast<size_t>(Ref.m_Task), TaskEvent::Lose))
@@ -226,7 +256,8 @@
   }
 }
 
-void releaseReservedOn(ApplyContext &Ctx, Target &On, const std::string &Reason) {
+void releaseReservedOn(ApplyContext &Ctx, Target &On,
+                       const std::string &Reason) {
   const std::vector<TaskRef> Members = On.m_Members;
   for (const TaskRef &Ref : Members) {
     Job *Found = Ctx.m_Data.findJob(Ref.m_Job);
