--- a/src/state/Placement.cpp
+++ b/src/state/Placement.cpp
@@ -11,10 +11,12 @@
 
 namespace {
 
-// Checks a placement against everything that may have changed since the scheduler planned it.
+// Checks a placement against everything that may have changed since the
+// scheduler planned it.
 class PlacementCheck {
 public:
-  PlacementCheck(const StateData &Data, const Job &Subject, const std::vector<wire::MemberPlacement> &Members)
+  PlacementCheck(const StateData &Data, const Job &Subject,
+                 const std::vector<wire::MemberPlacement> &Members)
       : m_Data(Data), m_Spec(Subject.m_Record.spec), m_Members(Members) {}
 
   std::optional<wire::CommandResult> run() const {
@@ -31,11 +33,15 @@
   // H2: no gang runs partially, so a placement names every member exactly once.
   std::optional<wire::CommandResult> checkWhole() const {
     if (m_Members.size() != static_cast<size_t>(m_Spec.tasks))
-      return invalid("members", absl::StrCat("a partial placement: ", m_Members.size(), " of ", m_Spec.tasks));
+      return invalid("members",
+                     absl::StrCat("a partial placement: ", m_Members.size(),
+                                  " of ", m_Spec.tasks));
     std::vector<bool> Seen(m_Members.size());
     for (const wire::MemberPlacement &Each : m_Members) {
-      if (Each.taskIndex < 0 || Each.taskIndex >= m_Spec.tasks || Seen[static_cast<size_t>(Each.taskIndex)])
-        return invalid("members", absl::StrCat("task ", Each.taskIndex, " is unknown or named twice"));
+      if (Each.taskIndex < 0 || Each.taskIndex >= m_Spec.tasks ||
+          Seen[static_cast<size_t>(Each.taskIndex)])
+        return invalid("members", absl::StrCat("task ", Each.taskIndex,
+                                               " is unknown or named twice"));
       Seen[static_cast<size_t>(Each.taskIndex)] = true;
     }
     return std::nullopt;
@@ -48,13 +54,15 @@
       if (On == nullptr || On->m_Record.info.kind != wire::TargetKind::WORKER)
         return refused(absl::StrCat("VM ", Each.vm, " is not a known worker"));
       if (On->m_Record.info.incarnation != Each.incarnation)
-        return refused(absl::StrCat("VM ", Each.vm, " has another incarnation"));
+        return refused(
+            absl::StrCat("VM ", Each.vm, " has another incarnation"));
       if (!m_Data.usable(*On))
         return refused(absl::StrCat("VM ", Each.vm, " is ", whyUnusable(*On)));
       const auto [Total, Added] = Wanted.try_emplace(Each.vm, On->m_Used);
       Total->second.add(m_Spec.perTask, 1);
       if (!Total->second.within(usageOf(On->m_Record.info.capacity)))
-        return refused(absl::StrCat("VM ", Each.vm, " has not enough free capacity"));
+        return refused(
+            absl::StrCat("VM ", Each.vm, " has not enough free capacity"));
     }
     return std::nullopt;
   }
@@ -64,17 +72,22 @@
       return std::string(nameOf(On.phase()));
     if (On.m_Record.quarantined)
       return "quarantined";
-    return absl::StrCat("in availability zone ", On.m_Record.info.availabilityZone, ", which is withdrawn");
+    return absl::StrCat("in availability zone ",
+                        On.m_Record.info.availabilityZone,
+                        ", which is withdrawn");
   }
 
   std::optional<wire::CommandResult> checkAdjacency() const {
     if (!m_Spec.adjacencyRequired || m_Spec.adjacency == wire::Adjacency::ANY)
       return std::nullopt;
-    const wire::TargetInfo &First = m_Data.findTarget(m_Members.front().vm)->m_Record.info;
+    const wire::TargetInfo &First =
+        m_Data.findTarget(m_Members.front().vm)->m_Record.info;
     for (const wire::MemberPlacement &Each : m_Members) {
       const wire::TargetInfo &Info = m_Data.findTarget(Each.vm)->m_Record.info;
-      const bool SameRack = Info.rack == First.rack && Info.availabilityZone == First.availabilityZone;
-      if (!SameRack || (m_Spec.adjacency == wire::Adjacency::VM && Info.vm != First.vm))
+      const bool SameRack = Info.rack == First.rack &&
+                            Info.availabilityZone == First.availabilityZone;
+      if (!SameRack ||
+          (m_Spec.adjacency == wire::Adjacency::VM && Info.vm != First.vm))
         return refused("the members are not as adjacent as the job requires");
     }
     return std::nullopt;
@@ -82,14 +95,18 @@
 
   std::optional<wire::CommandResult> checkQuota() const {
     const config::Workspace *Space =
-        m_Data.m_Document ? config::findWorkspace(*m_Data.m_Document, m_Spec.workspace) : nullptr;
+        m_Data.m_Document
+            ? config::findWorkspace(*m_Data.m_Document, m_Spec.workspace)
+            : nullptr;
     if (Space == nullptr)
-      return refused(absl::StrCat("workspace ", m_Spec.workspace, " is no longer configured"));
+      return refused(absl::StrCat("workspace ", m_Spec.workspace,
+                                  " is no longer configured"));
     const auto Held = m_Data.m_Held.find(m_Spec.workspace);
     Usage Total = Held == m_Data.m_Held.end() ? Usage() : Held->second;
     Total.add(m_Spec.perTask, m_Spec.tasks);
     if (!Total.within(usageOf(Space->m_Quota)))
-      return refused(absl::StrCat("workspace ", m_Spec.workspace, " would exceed its quota"));
+      return refused(absl::StrCat("workspace ", m_Spec.workspace,
+                                  " would exceed its quota"));
     return std::nullopt;
   }
 
@@ -121,7 +138,8 @@
 // Applies the reports of one agent.
 class ReportApplier {
 public:
-  ReportApplier(ApplyContext &Ctx, const wire::ReportTasks &Command) : m_Ctx(Ctx), m_Command(Command) {}
+  ReportApplier(ApplyContext &Ctx, const wire::ReportTasks &Command)
+      : m_Ctx(Ctx), m_Command(Command) {}
 
   void apply(const wire::TaskStatus &Status) {
     Job *Found = m_Ctx.m_Data.findJob(Status.jobId);
@@ -145,14 +163,18 @@
   }
 
 private:
-  // A report counts only for the placement that its token names, on the VM and incarnation that hold the member.
+  // A report counts only for the placement that its token names, on the VM and
+  // incarnation that hold the member.
   bool concerns(const Job &Subject, const wire::TaskStatus &Status) const {
     const record::Job &Record = Subject.m_Record;
-    if (Status.taskIndex < 0 || static_cast<size_t>(Status.taskIndex) >= Record.members.size() ||
+    if (Status.taskIndex < 0 ||
+        static_cast<size_t>(Status.taskIndex) >= Record.members.size() ||
         Record.startToken != Status.startToken)
       return false;
-    const record::Member &Member = Record.members[static_cast<size_t>(Status.taskIndex)];
-    return Member.vm == m_Command.vm && Member.incarnation == m_Command.incarnation;
+    const record::Member &Member =
+        Record.members[static_cast<size_t>(Status.taskIndex)];
+    return Member.vm == m_Command.vm &&
+           Member.incarnation == m_Command.incarnation;
   }
 
   static void noteEnding(record::Member &Member, wire::TaskState::type State) {
@@ -162,22 +184,27 @@
       Member.mayHaveStarted = false;
   }
 
-  void emitReport(const record::Member &Member, const wire::TaskStatus &Status) const {
+  void emitReport(const record::Member &Member,
+                  const wire::TaskStatus &Status) const {
     TaskReported Report;
     Report.m_Job = JobId(Status.jobId);
     Report.m_TaskIndex = Status.taskIndex;
     Report.m_Vm = VmId(m_Command.vm);
     Report.m_Phase = phaseOf(Member);
-    Report.m_Failed = Status.state == wire::TaskState::FAILED || Status.state == wire::TaskState::REFUSED;
+    Report.m_Failed = Status.state == wire::TaskState::FAILED ||
+                      Status.state == wire::TaskState::REFUSED;
     Report.m_UsedCores = Status.usedCores;
     m_Ctx.emit(Report);
   }
 
   std::string reasonOf(const wire::TaskStatus &Status) const {
-    constexpr std::array<std::string_view, 8> Verbs = {"",       "prepared", "started",      "succeeded",
-                                                       "failed", "stopped",  "checkpointed", "was refused"};
-    return absl::StrCat("task ", Status.taskIndex, " ", std::string(Verbs.at(static_cast<size_t>(Status.state))),
-                        " on VM ", m_Command.vm, Status.detail.empty() ? "" : ": ", Status.detail);
+    constexpr std::array<std::string_view, 8> Verbs = {
+        "",       "prepared", "started",      "succeeded",
+        "failed", "stopped",  "checkpointed", "was refused"};
+    return absl::StrCat(
+        "task ", Status.taskIndex, " ",
+        std::string(Verbs.at(static_cast<size_t>(Status.state))), " on VM ",
+        m_Command.vm, Status.detail.empty() ? "" : ": ", Status.detail);
   }
 
   ApplyContext &m_Ctx;
@@ -186,14 +213,17 @@
 
 } // namespace
 
-wire::CommandResult applyPlace(ApplyContext &Ctx, const wire::PlaceJob &Command) {
+wire::CommandResult applyPlace(ApplyContext &Ctx,
+                               const wire::PlaceJob &Command) {
   Job *Found = Ctx.m_Data.findJob(Command.jobId);
   if (Found == nullptr)
     return notFound(absl::StrCat("job ", Command.jobId, " is unknown"));
   wire::CommandResult Result = okResult("reserved");
   if (Found->phase() != JobPhase::Queued) {
-    Result = refused(absl::StrCat("job ", Command.jobId, " is ", std::string(nameOf(Found->phase()))));
-  } else if (std::optional<wire::CommandResult> Fault = PlacementCheck(Ctx.m_Data, *Found, Command.members).run()) {
+    Result = refused(absl::StrCat("job ", Command.jobId, " is ",
+                                  std::string(nameOf(Found->phase()))));
+  } else if (std::optional<wire::CommandResult> Fault =
+                 PlacementCheck(Ctx.m_Data, *Found, Command.members).run()) {
     Result = *Fault;
   } else {
     Gang(Ctx, *Found).reserve(Command.members, Command.reason);
@@ -202,14 +232,17 @@
   return Result;
 }
 
-wire::CommandResult applyReport(ApplyContext &Ctx, const wire::ReportTasks &Command) {
+wire::CommandResult applyReport(ApplyContext &Ctx,
+                                const wire::ReportTasks &Command) {
   const Target *From = Ctx.m_Data.findTarget(Command.vm);
   if (From == nullptr)
     return notFound(absl::StrCat("VM ", Command.vm, " is unknown"));
   const bool Stale = From->m_Record.info.incarnation != Command.incarnation;
   if (Stale || From->phase() == VmPhase::Lost) {
-    Ctx.m_Data.m_Totals.staleReports += static_cast<int64_t>(Command.tasks.size());
-    return refused(Stale ? "stale incarnation" : "the VM was declared lost and must register again");
+    Ctx.m_Data.m_Totals.staleReports +=
+        static_cast<int64_t>(Command.tasks.size());
+    return refused(Stale ? "stale incarnation"
+                         : "the VM was declared lost and must register again");
   }
   ReportApplier Applier(Ctx, Command);
   for (const wire::TaskStatus &Status : Command.tasks)
--- a/src/state/Snapshot.cpp
+++ b/src/state/Snapshot.cpp
@@ -53,10 +53,12 @@
   return Header;
 }
 
-// Reads records and rebuilds the derived parts. Throws Thrift exceptions on damaged bytes.
+// Reads records and rebuilds the derived parts. Throws Thrift exceptions on
+// damaged bytes.
 class SnapshotReader {
 public:
-  SnapshotReader(StateData &Data, TCompactProtocol &Protocol) : m_Data(Data), m_Protocol(Protocol) {}
+  SnapshotReader(StateData &Data, TCompactProtocol &Protocol)
+      : m_Data(Data), m_Protocol(Protocol) {}
 
   absl::Status read() {
     record::Header Header;
@@ -65,21 +67,32 @@
     m_Data.m_RouteVersion = Header.routeVersion;
     m_Data.m_Totals = Header.totals;
     m_Data.m_DocumentText = std::move(Header.document);
-    each<record::ConfigVersion>(Header.configVersions, [&](record::ConfigVersion &&Each) {
-      const int64_t Version = Each.version;
-      m_Data.m_ConfigVersions.emplace(Version, std::move(Each));
+    each<record::ConfigVersion>(
+        Header.configVersions, [&](record::ConfigVersion &&Each) {
+          const int64_t Version = Each.version;
+          m_Data.m_ConfigVersions.emplace(Version, std::move(Each));
+        });
+    each<record::Zone>(Header.zones, [&](record::Zone &&Each) {
+      ensureZone(m_Data, Each.name).m_Record = Each;
+    });
+    each<record::Target>(Header.targets, [&](record::Target &&Each) {
+      addTarget(std::move(Each));
+    });
+    each<record::Submission>(
+        Header.submissions,
+        [&](record::Submission &&Each) { addSubmission(std::move(Each)); });
+    each<record::Job>(Header.jobs,
+                      [&](record::Job &&Each) { addJob(std::move(Each)); });
+    each<record::Claim>(Header.claims, [&](record::Claim &&Each) {
+      addClaim(std::move(Each));
     });
-    each<record::Zone>(Header.zones, [&](record::Zone &&Each) { ensureZone(m_Data, Each.name).m_Record = Each; });
-    each<record::Target>(Header.targets, [&](record::Target &&Each) { addTarget(std::move(Each)); });
-    each<record::Submission>(Header.submissions, [&](record::Submission &&Each) { addSubmission(std::move(Each)); });
-    each<record::Job>(Header.jobs, [&](record::Job &&Each) { addJob(std::move(Each)); });
-    each<record::Claim>(Header.claims, [&](record::Claim &&Each) { addClaim(std::move(Each)); });
     readDocument();
     return m_Status;
   }
 
 private:
-  template <typename Record, typename Add> void each(int64_t Count, Add Insert) {
+  template <typename Record, typename Add>
+  void each(int64_t Count, Add Insert) {
     for (int64_t I = 0; I < Count && m_Status.ok(); ++I) {
       Record Next;
       Next.read(&m_Protocol);
@@ -87,7 +100,9 @@
     }
   }
 
-  void fail(const std::string &Text) { m_Status = absl::DataLossError(absl::StrCat("snapshot: ", Text)); }
+  void fail(const std::string &Text) {
+    m_Status = absl::DataLossError(absl::StrCat("snapshot: ", Text));
+  }
 
   void addTarget(record::Target &&Record) {
     ++ensureZone(m_Data, Record.info.availabilityZone).m_Targets;
@@ -107,7 +122,8 @@
     const int64_t Id = Record.id;
     Job &Added = m_Data.m_Jobs[Id];
     Added.m_Record = std::move(Record);
-    m_Data.m_PayloadBytes += static_cast<int64_t>(Added.m_Record.spec.payload.size());
+    m_Data.m_PayloadBytes +=
+        static_cast<int64_t>(Added.m_Record.spec.payload.size());
     if (m_Data.m_Charts.m_Job.isFinal(Added.phase())) {
       m_Data.m_EndedOrder.emplace(Added.m_Record.endedIndex, Id);
     } else {
@@ -128,7 +144,8 @@
       return;
     Target *On = m_Data.findTarget(Member.vm);
     if (On == nullptr)
-      return fail(absl::StrCat("job ", Of.m_Record.id, " has a task on unknown VM ", Member.vm));
+      return fail(absl::StrCat("job ", Of.m_Record.id,
+                               " has a task on unknown VM ", Member.vm));
     // Jobs come in order, so this keeps the list ordered.
     On->m_Members.push_back({Of.m_Record.id, static_cast<int32_t>(Task)});
     On->m_Used.add(Of.m_Record.spec.perTask, 1);
@@ -138,23 +155,27 @@
   void addClaim(record::Claim &&Record) {
     m_Data.m_ClaimBytes += bytesOf(Record);
     const std::string Id = Record.claimId;
-    record::Claim &Added = m_Data.m_Claims.emplace(Id, std::move(Record)).first->second;
+    record::Claim &Added =
+        m_Data.m_Claims.emplace(Id, std::move(Record)).first->second;
     if (!Added.open) {
       m_Data.m_ClosedOrder.insert({Added.closedAtUs, &Added.claimId});
       return;
     }
     Target *On = m_Data.findTarget(Added.vm);
     if (On == nullptr)
-      return fail(absl::StrCat("claim ", Id, " is open on unknown VM ", Added.vm));
+      return fail(
+          absl::StrCat("claim ", Id, " is open on unknown VM ", Added.vm));
     On->m_OpenClaims.insert(Id);
   }
 
   void readDocument() {
     if (m_Data.m_DocumentText.empty() || !m_Status.ok())
       return;
-    config::ParseResult Parsed = config::parseDocument(m_Data.m_DocumentText, "snapshot");
+    config::ParseResult Parsed =
+        config::parseDocument(m_Data.m_DocumentText, "snapshot");
     if (!Parsed.ok())
-      return fail(absl::StrCat("the configuration is refused: ", config::toString(Parsed.m_Issues.front())));
+      return fail(absl::StrCat("the configuration is refused: ",
+                               config::toString(Parsed.m_Issues.front())));
     m_Data.m_Document = std::move(Parsed.m_Document);
   }
 
@@ -166,14 +187,18 @@
 absl::Status checkEnvelope(std::string_view Bytes) {
   if (Bytes.size() < RecordsAt || Bytes.substr(0, Magic.size()) != Magic)
     return absl::DataLossError("snapshot: not a snapshot of the cluster state");
-  const uint64_t Version = readLittleEndian(Bytes.substr(VersionAt, sizeof(uint32_t)));
-  const auto Known = static_cast<uint64_t>(record::g_state_constants.SNAPSHOT_VERSION);
+  const uint64_t Version =
+      readLittleEndian(Bytes.substr(VersionAt, sizeof(uint32_t)));
+  const auto Known =
+      static_cast<uint64_t>(record::g_state_constants.SNAPSHOT_VERSION);
   if (Version != Known) {
     return absl::FailedPreconditionError(
-        absl::StrCat("snapshot: format version ", Version, " is unknown, this program reads ", Known));
+        absl::StrCat("snapshot: format version ", Version,
+                     " is unknown, this program reads ", Known));
   }
   const std::string_view Records = Bytes.substr(RecordsAt);
-  if (readLittleEndian(Bytes.substr(ChecksumAt, sizeof(uint64_t))) != XXH3_64bits(Records.data(), Records.size()))
+  if (readLittleEndian(Bytes.substr(ChecksumAt, sizeof(uint64_t))) !=
+      XXH3_64bits(Records.data(), Records.size()))
     return absl::DataLossError("snapshot: the checksum is wrong");
   return absl::OkStatus();
 }
@@ -203,25 +228,32 @@
   std::string Bytes;
   Bytes.reserve(RecordsAt + Size);
   Bytes.append(Magic);
-  appendLittleEndian(Bytes, static_cast<uint64_t>(record::g_state_constants.SNAPSHOT_VERSION), sizeof(uint32_t));
+  appendLittleEndian(
+      Bytes, static_cast<uint64_t>(record::g_state_constants.SNAPSHOT_VERSION),
+      sizeof(uint32_t));
   appendLittleEndian(Bytes, XXH3_64bits(Records, Size), sizeof(uint64_t));
   Bytes.append(reinterpret_cast<const char *>(Records), Size);
   return Bytes;
 }
 
-absl::StatusOr<std::unique_ptr<StateData>> readSnapshot(std::string_view Bytes, Charts Bound) {
+absl::StatusOr<std::unique_ptr<StateData>> readSnapshot(std::string_view Bytes,
+                                                        Charts Bound) {
   if (absl::Status Status = checkEnvelope(Bytes); !Status.ok())
     return Status;
   const std::string_view Records = Bytes.substr(RecordsAt);
-  // Thrift's default bound of 100 MB on a message is below the size of a full state.
-  const auto Configuration = std::make_shared<TConfiguration>(std::numeric_limits<int>::max());
-  const auto Buffer =
-      std::make_shared<TMemoryBuffer>(reinterpret_cast<uint8_t *>(const_cast<char *>(Records.data())),
-                                      static_cast<uint32_t>(Records.size()), TMemoryBuffer::OBSERVE, Configuration);
+  // Thrift's default bound of 100 MB on a message is below the size of a full
+  // state.
+  const auto Configuration =
+      std::make_shared<TConfiguration>(std::numeric_limits<int>::max());
+  const auto Buffer = std::make_shared<TMemoryBuffer>(
+      reinterpret_cast<uint8_t *>(const_cast<char *>(Records.data())),
+      static_cast<uint32_t>(Records.size()), TMemoryBuffer::OBSERVE,
+      Configuration);
   TCompactProtocol Protocol(Buffer);
   auto Data = std::make_unique<StateData>(std::move(Bound));
   try {
-    if (absl::Status Status = SnapshotReader(*Data, Protocol).read(); !Status.ok())
+    if (absl::Status Status = SnapshotReader(*Data, Protocol).read();
+        !Status.ok())
       return Status;
   } catch (const std::exception &Error) {
     return absl::DataLossError(absl::StrCat("snapshot: ", Error.what()));
--- a/src/state/Snapshot.h
+++ b/src/state/Snapshot.h
@@ -11,11 +11,14 @@
 
 namespace anvil::state::internal {
 
-/// Writes all records: magic, format version, checksum, header record, then the records of each kind in key order.
+/// Writes all records: magic, format version, checksum, header record, then the
+/// records of each kind in key order.
 std::string writeSnapshot(const StateData &Data);
 
-/// Reads what writeSnapshot() wrote and rebuilds everything that is derived from the records.
-absl::StatusOr<std::unique_ptr<StateData>> readSnapshot(std::string_view Bytes, Charts Bound);
+/// Reads what writeSnapshot() wrote and rebuilds everything that is derived
+/// from the records.
+absl::StatusOr<std::unique_ptr<StateData>> readSnapshot(std::string_view Bytes,
+                                                        Charts Bound);
 
 } // namespace anvil::state::internal
 
--- a/src/state/StateData.cpp
+++ b/src/state/StateData.cpp
@@ -7,22 +7,30 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> JobPhaseNames = {
-    "queued", "reserved", "starting", "running", "releasing", "completed", "failed", "cancelled", "outcome_unknown"};
+    "queued",    "reserved", "starting",  "running",        "releasing",
+    "completed", "failed",   "cancelled", "outcome_unknown"};
 constexpr std::array<std::string_view, 9> JobEventNames = {
-    "place", "all_prepared", "all_running", "all_succeeded", "release", "requeue", "cancel", "fail", "lose_outcome"};
-constexpr std::array<std::string_view, internal::TaskPhaseCount> TaskPhaseNames = {
-    "reserved", "prepared", "starting", "running", "stopping", "lost", "succeeded", "released"};
-constexpr std::array<std::string_view, 11> TaskEventNames = {"prepared",  "refused", "start",   "running",
-                                                             "succeeded", "failed",  "stopped", "checkpointed",
-                                                             "stop",      "lose",    "expire"};
-constexpr std::array<std::string_view, 4> VmPhaseNames = {"up", "draining", "lost", "removed"};
-constexpr std::array<std::string_view, 5> VmEventNames = {"register", "lose", "drain", "undrain", "forget"};
-constexpr std::array<std::string_view, 3> ZonePhaseNames = {"in_service", "withdrawn", "removed"};
-constexpr std::array<std::string_view, 3> ZoneEventNames = {"withdraw", "restore", "forget"};
+    "place",   "all_prepared", "all_running", "all_succeeded", "release",
+    "requeue", "cancel",       "fail",        "lose_outcome"};
+constexpr std::array<std::string_view, internal::TaskPhaseCount>
+    TaskPhaseNames = {"reserved", "prepared", "starting",  "running",
+                      "stopping", "lost",     "succeeded", "released"};
+constexpr std::array<std::string_view, 11> TaskEventNames = {
+    "prepared", "refused",      "start", "running", "succeeded", "failed",
+    "stopped",  "checkpointed", "stop",  "lose",    "expire"};
+constexpr std::array<std::string_view, 4> VmPhaseNames = {"up", "draining",
+                                                          "lost", "removed"};
+constexpr std::array<std::string_view, 5> VmEventNames = {
+    "register", "lose", "drain", "undrain", "forget"};
+constexpr std::array<std::string_view, 3> ZonePhaseNames = {
+    "in_service", "withdrawn", "removed"};
+constexpr std::array<std::string_view, 3> ZoneEventNames = {
+    "withdraw", "restore", "forget"};
 
 template <typename Phase, typename Event>
-absl::StatusOr<chart::BoundChart<Phase, Event>> bind(std::string_view Name, std::span<const std::string_view> Phases,
-                                                     std::span<const std::string_view> Events) {
+absl::StatusOr<chart::BoundChart<Phase, Event>>
+bind(std::string_view Name, std::span<const std::string_view> Phases,
+     std::span<const std::string_view> Events) {
   const absl::StatusOr<chart::StateChart> Chart = chart::standardChart(Name);
   if (!Chart.ok())
     return Chart.status();
@@ -31,10 +39,18 @@
 
 } // namespace
 
-std::string_view nameOf(JobPhase Phase) { return JobPhaseNames.at(static_cast<size_t>(Phase)); }
-std::string_view nameOf(TaskPhase Phase) { return TaskPhaseNames.at(static_cast<size_t>(Phase)); }
-std::string_view nameOf(VmPhase Phase) { return VmPhaseNames.at(static_cast<size_t>(Phase)); }
-std::string_view nameOf(ZonePhase Phase) { return ZonePhaseNames.at(static_cast<size_t>(Phase)); }
+std::string_view nameOf(JobPhase Phase) {
+  return JobPhaseNames.at(static_cast<size_t>(Phase));
+}
+std::string_view nameOf(TaskPhase Phase) {
+  return TaskPhaseNames.at(static_cast<size_t>(Phase));
+}
+std::string_view nameOf(VmPhase Phase) {
+  return VmPhaseNames.at(static_cast<size_t>(Phase));
+}
+std::string_view nameOf(ZonePhase Phase) {
+  return ZonePhaseNames.at(static_cast<size_t>(Phase));
+}
 
 namespace internal {
 
@@ -42,13 +58,15 @@
   auto JobChart = bind<JobPhase, JobEvent>("job", JobPhaseNames, JobEventNames);
   if (!JobChart.ok())
     return JobChart.status();
-  auto TaskChart = bind<TaskPhase, TaskEvent>("task", TaskPhaseNames, TaskEventNames);
+  auto TaskChart =
+      bind<TaskPhase, TaskEvent>("task", TaskPhaseNames, TaskEventNames);
   if (!TaskChart.ok())
     return TaskChart.status();
   auto VmChart = bind<VmPhase, VmEvent>("vm", VmPhaseNames, VmEventNames);
   if (!VmChart.ok())
     return VmChart.status();
-  auto ZoneChart = bind<ZonePhase, ZoneEvent>("zone", ZonePhaseNames, ZoneEventNames);
+  auto ZoneChart =
+      bind<ZonePhase, ZoneEvent>("zone", ZonePhaseNames, ZoneEventNames);
   if (!ZoneChart.ok())
     return ZoneChart.status();
   return Charts{*JobChart, *TaskChart, *VmChart, *ZoneChart};
@@ -61,10 +79,13 @@
 }
 
 bool Usage::within(const Usage &Limit) const {
-  return m_Accelerators <= Limit.m_Accelerators && m_Cores <= Limit.m_Cores && m_MemoryMib <= Limit.m_MemoryMib;
+  return m_Accelerators <= Limit.m_Accelerators && m_Cores <= Limit.m_Cores &&
+         m_MemoryMib <= Limit.m_MemoryMib;
 }
 
-Usage usageOf(const wire::Resources &Amount) { return {Amount.accelerators, Amount.cores, Amount.memoryMib}; }
+Usage usageOf(const wire::Resources &Amount) {
+  return {Amount.accelerators, Amount.cores, Amount.memoryMib};
+}
 
 Usage usageOf(const config::Amount &Amount) {
   return {Amount.m_Accelerators, Amount.m_Cores, Amount.m_MemoryGib * 1'024};
@@ -105,22 +126,29 @@
 
 bool StateData::zoneInService(const std::string &Name) const {
   const auto Found = m_Zones.find(Name);
-  return Found != m_Zones.end() && Found->second.phase() == ZonePhase::InService;
+  return Found != m_Zones.end() &&
+         Found->second.phase() == ZonePhase::InService;
 }
 
 bool StateData::acceptsStarts(const Target &On) const {
-  return On.phase() == VmPhase::Up && zoneInService(On.m_Record.info.availabilityZone);
+  return On.phase() == VmPhase::Up &&
+         zoneInService(On.m_Record.info.availabilityZone);
 }
 
-bool StateData::usable(const Target &On) const { return acceptsStarts(On) && !On.m_Record.quarantined; }
+bool StateData::usable(const Target &On) const {
+  return acceptsStarts(On) && !On.m_Record.quarantined;
+}
 
 int64_t bytesOf(const record::Claim &Claim) {
-  const size_t Text = Claim.claimId.size() * 2 + Claim.requestDigest.size() + Claim.vm.size() + Claim.entry.size() +
-                      Claim.attemptId.size() + Claim.outcome.body.size() + Claim.outcome.contentType.size();
+  const size_t Text = Claim.claimId.size() * 2 + Claim.requestDigest.size() +
+                      Claim.vm.size() + Claim.entry.size() +
+                      Claim.attemptId.size() + Claim.outcome.body.size() +
+                      Claim.outcome.contentType.size();
   return static_cast<int64_t>(Text) + ClaimOverheadBytes;
 }
 
-wire::CommandResult makeResult(wire::CommandStatus::type Status, std::string Message) {
+wire::CommandResult makeResult(wire::CommandStatus::type Status,
+                               std::string Message) {
   wire::CommandResult Result;
   Result.status = Status;
   Result.message = std::move(Message);
@@ -128,7 +156,8 @@
 }
 
 wire::CommandResult invalid(std::string Field, std::string Message) {
-  wire::CommandResult Result = makeResult(wire::CommandStatus::INVALID, std::move(Message));
+  wire::CommandResult Result =
+      makeResult(wire::CommandStatus::INVALID, std::move(Message));
   Result.field = std::move(Field);
   return Result;
 }
--- a/src/state/StateData.h
+++ b/src/state/StateData.h
@@ -19,9 +19,11 @@
 
 namespace anvil::state::internal {
 
-/// Bounds of what the state keeps. At the sizes of the design page, section 3, they hold it below 256 MB.
+/// Bounds of what the state keeps. At the sizes of the design page, section 3,
+/// they hold it below 256 MB.
 inline constexpr size_t MaxTargets = 50'000;
-/// 160 VMs fail on a day, so this keeps about 12 days of replaced VMs for queries.
+/// 160 VMs fail on a day, so this keeps about 12 days of replaced VMs for
+/// queries.
 inline constexpr size_t MaxLostTargets = 2'048;
 /// Two days of jobs at 4,600 a day.
 inline constexpr size_t MaxEndedJobs = 10'000;
@@ -39,12 +41,25 @@
 /// Map nodes, indexes and fixed fields of a claim, in bytes.
 inline constexpr int64_t ClaimOverheadBytes = 512;
 
-/// Lease of a lost member: the declared lease, 10% for clock rates and 5 s to stop (design page, section 8).
+/// Lease of a lost member: the declared lease, 10% for clock rates and 5 s to
+/// stop (design page, section 8).
 inline constexpr int64_t LeaseStopUs = 5'000'000;
-constexpr int64_t leaseSpanUs(int64_t LeaseMs) { return LeaseMs * 1'100 + LeaseStopUs; }
+constexpr int64_t leaseSpanUs(int64_t LeaseMs) {
+  return LeaseMs * 1'100 + LeaseStopUs;
+}
 
 /// Events of the charts, in the order of the names in StateData.cpp.
-enum class JobEvent { Place, AllPrepared, AllRunning, AllSucceeded, Release, Requeue, Cancel, Fail, LoseOutcome };
+enum class JobEvent {
+  Place,
+  AllPrepared,
+  AllRunning,
+  AllSucceeded,
+  Release,
+  Requeue,
+  Cancel,
+  Fail,
+  LoseOutcome
+};
 enum class TaskEvent {
   Prepared,
   Refused,
@@ -115,10 +130,14 @@
   std::array<int32_t, TaskPhaseCount> m_Counts{};
 
   JobPhase phase() const { return static_cast<JobPhase>(m_Record.phase); }
-  int32_t count(TaskPhase Phase) const { return m_Counts[static_cast<size_t>(Phase)]; }
+  int32_t count(TaskPhase Phase) const {
+    return m_Counts[static_cast<size_t>(Phase)];
+  }
 };
 
-inline TaskPhase phaseOf(const record::Member &Member) { return static_cast<TaskPhase>(Member.phase); }
+inline TaskPhase phaseOf(const record::Member &Member) {
+  return static_cast<TaskPhase>(Member.phase);
+}
 
 struct Zone {
   record::Zone m_Record;
@@ -134,11 +153,13 @@
 
   bool operator<(const ClosedClaim &Other) const {
     return std::pair<int64_t, const std::string &>(m_ClosedAtUs, *m_ClaimId) <
-           std::pair<int64_t, const std::string &>(Other.m_ClosedAtUs, *Other.m_ClaimId);
+           std::pair<int64_t, const std::string &>(Other.m_ClosedAtUs,
+                                                   *Other.m_ClaimId);
   }
 };
 
-/// All of the state. Ordered containers, so that every loop runs in the same order on each replica.
+/// All of the state. Ordered containers, so that every loop runs in the same
+/// order on each replica.
 struct StateData {
   explicit StateData(Charts Bound) : m_Charts(std::move(Bound)) {}
 
@@ -196,7 +217,8 @@
   }
 };
 
-wire::CommandResult makeResult(wire::CommandStatus::type Status, std::string Message);
+wire::CommandResult makeResult(wire::CommandStatus::type Status,
+                               std::string Message);
 inline wire::CommandResult okResult(std::string Message = {}) {
   return makeResult(wire::CommandStatus::OK, std::move(Message));
 }
@@ -212,33 +234,48 @@
 std::string bounded(std::string Reason);
 
 // Targets.cpp
-wire::CommandResult applyRegister(ApplyContext &Ctx, const wire::RegisterTarget &Command);
-wire::CommandResult applyLose(ApplyContext &Ctx, const wire::LoseTarget &Command);
-wire::CommandResult applyDrain(ApplyContext &Ctx, const wire::DrainTarget &Command);
-wire::CommandResult applyQuarantine(ApplyContext &Ctx, const wire::SetWorkerAside &Command);
+wire::CommandResult applyRegister(ApplyContext &Ctx,
+                                  const wire::RegisterTarget &Command);
+wire::CommandResult applyLose(ApplyContext &Ctx,
+                              const wire::LoseTarget &Command);
+wire::CommandResult applyDrain(ApplyContext &Ctx,
+                               const wire::DrainTarget &Command);
+wire::CommandResult applyQuarantine(ApplyContext &Ctx,
+                                    const wire::SetWorkerAside &Command);
 
 // Zones.cpp
-wire::CommandResult applyZoneService(ApplyContext &Ctx, const wire::SetZoneService &Command);
-wire::CommandResult applyConfig(ApplyContext &Ctx, const wire::ApplyConfig &Command);
+wire::CommandResult applyZoneService(ApplyContext &Ctx,
+                                     const wire::SetZoneService &Command);
+wire::CommandResult applyConfig(ApplyContext &Ctx,
+                                const wire::ApplyConfig &Command);
 /// Returns the zone, created in service if it is new.
 Zone &ensureZone(StateData &Data, const std::string &Name);
 
 // Jobs.cpp
-wire::CommandResult applySubmit(ApplyContext &Ctx, const wire::SubmitJob &Command);
-wire::CommandResult applyCancel(ApplyContext &Ctx, const wire::CancelJob &Command);
+wire::CommandResult applySubmit(ApplyContext &Ctx,
+                                const wire::SubmitJob &Command);
+wire::CommandResult applyCancel(ApplyContext &Ctx,
+                                const wire::CancelJob &Command);
 wire::CommandResult applyPark(ApplyContext &Ctx, const wire::ParkJob &Command);
 wire::CommandResult applyFail(ApplyContext &Ctx, const wire::FailJob &Command);
-wire::CommandResult applyReclaim(ApplyContext &Ctx, const wire::ReclaimJob &Command);
-wire::CommandResult applyExpireLeases(ApplyContext &Ctx, const wire::ExpireLeases &Command);
+wire::CommandResult applyReclaim(ApplyContext &Ctx,
+                                 const wire::ReclaimJob &Command);
+wire::CommandResult applyExpireLeases(ApplyContext &Ctx,
+                                      const wire::ExpireLeases &Command);
 
 // Placement.cpp
-wire::CommandResult applyPlace(ApplyContext &Ctx, const wire::PlaceJob &Command);
-wire::CommandResult applyReport(ApplyContext &Ctx, const wire::ReportTasks &Command);
+wire::CommandResult applyPlace(ApplyContext &Ctx,
+                               const wire::PlaceJob &Command);
+wire::CommandResult applyReport(ApplyContext &Ctx,
+                                const wire::ReportTasks &Command);
 
 // Claims.cpp
-wire::CommandResult applyOpenClaim(ApplyContext &Ctx, const wire::OpenClaim &Command);
-wire::CommandResult applyCloseClaim(ApplyContext &Ctx, const wire::CloseClaim &Command);
-wire::CommandResult applyExpireClaims(ApplyContext &Ctx, const wire::ExpireClaims &Command);
+wire::CommandResult applyOpenClaim(ApplyContext &Ctx,
+                                   const wire::OpenClaim &Command);
+wire::CommandResult applyCloseClaim(ApplyContext &Ctx,
+                                    const wire::CloseClaim &Command);
+wire::CommandResult applyExpireClaims(ApplyContext &Ctx,
+                                      const wire::ExpireClaims &Command);
 /// Turns the open claims of a target that is gone into UNKNOWN.
 void closeClaimsOf(ApplyContext &Ctx, Target &Gone);
 wire::CommandResult describeClaim(const record::Claim &Claim);
--- a/src/state/StateQuery.cpp
+++ b/src/state/StateQuery.cpp
@@ -33,7 +33,8 @@
   return Result;
 }
 
-wire::QueryReply error(int32_t Status, std::string_view Code, const std::string &Message, std::string_view Field) {
+wire::QueryReply error(int32_t Status, std::string_view Code,
+                       const std::string &Message, std::string_view Field) {
   json::object Fault{{"code", Code}, {"message", Message}};
   if (!Field.empty())
     Fault["field"] = Field;
@@ -41,11 +42,15 @@
 }
 
 wire::QueryReply notFound(std::string_view Kind, std::string_view Name) {
-  return error(HttpNotFound, "not-found", absl::StrCat(toAbsl(Kind), " ", toAbsl(Name), " is unknown"), {});
+  return error(HttpNotFound, "not-found",
+               absl::StrCat(toAbsl(Kind), " ", toAbsl(Name), " is unknown"),
+               {});
 }
 
 json::object toJson(const wire::Resources &Amount) {
-  return {{"accelerators", Amount.accelerators}, {"cores", Amount.cores}, {"memory_mib", Amount.memoryMib}};
+  return {{"accelerators", Amount.accelerators},
+          {"cores", Amount.cores},
+          {"memory_mib", Amount.memoryMib}};
 }
 
 std::string_view nameOfUrgency(wire::Urgency::type Value) {
@@ -87,18 +92,22 @@
   Body["submission_id"] = View.m_SubmissionId;
   json::array Members;
   for (const MemberView &Each : View.m_Members) {
-    Members.push_back(
-        json::object{{"task", Each.m_TaskIndex}, {"vm", Each.m_Vm.str()}, {"phase", nameOf(Each.m_Phase)}});
+    Members.push_back(json::object{{"task", Each.m_TaskIndex},
+                                   {"vm", Each.m_Vm.str()},
+                                   {"phase", nameOf(Each.m_Phase)}});
   }
   Body["members"] = std::move(Members);
   json::array History;
   for (const JobNote &Each : View.m_History)
-    History.push_back(json::object{{"at_us", Each.m_AtUs}, {"phase", nameOf(Each.m_Phase)}, {"reason", Each.m_Reason}});
+    History.push_back(json::object{{"at_us", Each.m_AtUs},
+                                   {"phase", nameOf(Each.m_Phase)},
+                                   {"reason", Each.m_Reason}});
   Body["history"] = std::move(History);
   return Body;
 }
 
-wire::QueryReply answerJob(const ClusterState &State, std::string_view Argument) {
+wire::QueryReply answerJob(const ClusterState &State,
+                           std::string_view Argument) {
   int64_t Id = 0;
   if (!absl::SimpleAtoi(toAbsl(Argument), &Id))
     return error(HttpBadRequest, "invalid", "the job must be a number", "id");
@@ -114,10 +123,12 @@
 };
 
 bool readLimit(const std::string &Value, int64_t &Limit) {
-  return absl::SimpleAtoi(Value, &Limit) && Limit >= 1 && Limit <= MaxListedJobs;
+  return absl::SimpleAtoi(Value, &Limit) && Limit >= 1 &&
+         Limit <= MaxListedJobs;
 }
 
-bool readPair(const std::string &Key, const std::string &Value, JobFilter &Filter) {
+bool readPair(const std::string &Key, const std::string &Value,
+              JobFilter &Filter) {
   if (Key == "after")
     return absl::SimpleAtoi(Value, &Filter.m_After);
   if (Key == "limit")
@@ -137,23 +148,30 @@
   for (const std::string &Pair : Pairs) {
     const size_t Equals = Pair.find('=');
     const std::string Key = Pair.substr(0, Equals);
-    if (!readPair(Key, Equals == std::string::npos ? "" : Pair.substr(Equals + 1), Filter))
+    if (!readPair(Key,
+                  Equals == std::string::npos ? "" : Pair.substr(Equals + 1),
+                  Filter))
       return Key.empty() ? "argument" : Key;
   }
   return {};
 }
 
-wire::QueryReply answerJobs(const ClusterState &State, std::string_view Argument) {
+wire::QueryReply answerJobs(const ClusterState &State,
+                            std::string_view Argument) {
   JobFilter Filter;
   if (const std::string Wrong = readFilter(Argument, Filter); !Wrong.empty()) {
-    return error(HttpBadRequest, "invalid", absl::StrCat("the value of ", Wrong, " is wrong or the key is unknown"),
-                 Wrong);
+    return error(
+        HttpBadRequest, "invalid",
+        absl::StrCat("the value of ", Wrong, " is wrong or the key is unknown"),
+        Wrong);
   }
   json::array Jobs;
   int64_t Next = 0;
   State.forEachJob(JobId(Filter.m_After), [&](const JobView &View) {
-    const bool Wanted = (Filter.m_Workspace.empty() || View.m_Spec.workspace == Filter.m_Workspace) &&
-                        (Filter.m_Phase.empty() || nameOf(View.m_Phase) == Filter.m_Phase);
+    const bool Wanted =
+        (Filter.m_Workspace.empty() ||
+         View.m_Spec.workspace == Filter.m_Workspace) &&
+        (Filter.m_Phase.empty() || nameOf(View.m_Phase) == Filter.m_Phase);
     if (!Wanted)
       return true;
     if (static_cast<int64_t>(Jobs.size()) == Filter.m_Limit) {
@@ -181,12 +199,18 @@
                                     {"document", View.m_Text}});
 }
 
-wire::QueryReply answerConfigHistory(const ClusterState &State, std::string_view Argument) {
+wire::QueryReply answerConfigHistory(const ClusterState &State,
+                                     std::string_view Argument) {
   int64_t Limit = DefaultListedVersions;
-  if (!Argument.empty() && (!absl::SimpleAtoi(toAbsl(Argument), &Limit) || Limit < 1 || Limit > MaxListedVersions))
-    return error(HttpBadRequest, "invalid", absl::StrCat("the limit must be from 1 to ", MaxListedVersions), "limit");
+  if (!Argument.empty() && (!absl::SimpleAtoi(toAbsl(Argument), &Limit) ||
+                            Limit < 1 || Limit > MaxListedVersions))
+    return error(
+        HttpBadRequest, "invalid",
+        absl::StrCat("the limit must be from 1 to ", MaxListedVersions),
+        "limit");
   json::array Versions;
-  for (const ConfigVersionView &Each : State.configHistory(static_cast<size_t>(Limit))) {
+  for (const ConfigVersionView &Each :
+       State.configHistory(static_cast<size_t>(Limit))) {
     Versions.push_back(json::object{{"version", Each.m_Version},
                                     {"digest", Each.m_Digest},
                                     {"operator", Each.m_OperatorId},
@@ -212,8 +236,9 @@
       Usable += View.m_Info.capacity.accelerators;
   });
   if (Guaranteed > Usable) {
-    Warnings.push_back(json::string(absl::StrCat("Guarantees need ", Guaranteed, " accelerators but only ", Usable,
-                                                 " are usable; ", Guaranteed - Usable, " are missing.")));
+    Warnings.push_back(json::string(absl::StrCat(
+        "Guarantees need ", Guaranteed, " accelerators but only ", Usable,
+        " are usable; ", Guaranteed - Usable, " are missing.")));
   }
   return Warnings;
 }
@@ -237,20 +262,23 @@
                       {"open", Count.m_OpenClaims},
                       {"bytes", Count.m_ClaimBytes},
                       {"refused_by_limit", Count.m_ClaimsRefusedByLimit}};
-  return reply(HttpOk,
-               json::object{{"applied_index", Count.m_AppliedIndex},
-                            {"config_version", State.configuration().m_Version},
-                            {"route_version", State.routeVersion()},
-                            {"targets", json::object{{"known", Count.m_Targets}, {"lost", Count.m_LostTargets}}},
-                            {"tasks", Count.m_Members},
-                            {"jobs", std::move(Jobs)},
-                            {"claims", std::move(Claims)},
-                            {"withdrawn_zones", std::move(Withdrawn)},
-                            {"draining_targets", std::move(Draining)},
-                            {"warnings", guaranteeWarnings(State)}});
+  return reply(
+      HttpOk,
+      json::object{{"applied_index", Count.m_AppliedIndex},
+                   {"config_version", State.configuration().m_Version},
+                   {"route_version", State.routeVersion()},
+                   {"targets", json::object{{"known", Count.m_Targets},
+                                            {"lost", Count.m_LostTargets}}},
+                   {"tasks", Count.m_Members},
+                   {"jobs", std::move(Jobs)},
+                   {"claims", std::move(Claims)},
+                   {"withdrawn_zones", std::move(Withdrawn)},
+                   {"draining_targets", std::move(Draining)},
+                   {"warnings", guaranteeWarnings(State)}});
 }
 
-wire::QueryReply answerExplain(const ClusterState &State, std::string_view Kind, std::string_view Name) {
+wire::QueryReply answerExplain(const ClusterState &State, std::string_view Kind,
+                               std::string_view Name) {
   std::vector<std::string> Sentences;
   int64_t Id = 0;
   if (Kind == "job" && absl::SimpleAtoi(toAbsl(Name), &Id)) {
@@ -262,19 +290,23 @@
   } else if (Kind == "workspace") {
     Sentences = internal::explainWorkspace(State, std::string(Name));
   } else {
-    return error(HttpBadRequest, "invalid", "explain takes a job number, vm, zone or workspace", "kind");
+    return error(HttpBadRequest, "invalid",
+                 "explain takes a job number, vm, zone or workspace", "kind");
   }
   if (Sentences.empty())
     return notFound(Kind, Name);
   json::array Explanation;
   for (const std::string &Each : Sentences)
     Explanation.push_back(json::string(Each));
-  return reply(HttpOk, json::object{{"kind", Kind}, {"id", Name}, {"explanation", std::move(Explanation)}});
+  return reply(HttpOk, json::object{{"kind", Kind},
+                                    {"id", Name},
+                                    {"explanation", std::move(Explanation)}});
 }
 
 } // namespace
 
-wire::QueryReply answerQuery(const ClusterState &State, std::string_view Kind, std::string_view Argument) {
+wire::QueryReply answerQuery(const ClusterState &State, std::string_view Kind,
+                             std::string_view Argument) {
   constexpr std::string_view Explain = "explain/";
   if (Kind == "job")
     return answerJob(State, Argument);
@@ -288,7 +320,8 @@
     return answerStatus(State);
   if (Kind.substr(0, Explain.size()) == Explain)
     return answerExplain(State, Kind.substr(Explain.size()), Argument);
-  return error(HttpBadRequest, "invalid", absl::StrCat("query ", toAbsl(Kind), " is unknown"), "kind");
+  return error(HttpBadRequest, "invalid",
+               absl::StrCat("query ", toAbsl(Kind), " is unknown"), "kind");
 }
 
 std::vector<wire::ServiceConfig> serviceConfigs(const config::Document &Doc) {
@@ -301,8 +334,10 @@
     for (const config::RequestClass &Class : Each.m_Classes) {
       wire::ServiceClass &Wire = Added.classes.emplace_back();
       Wire.name = Class.m_Name;
-      // Both enumerations list the urgencies in the same order; the wire values start at 1.
-      Wire.urgency = static_cast<wire::Urgency::type>(static_cast<int>(Class.m_Urgency) + 1);
+      // Both enumerations list the urgencies in the same order; the wire values
+      // start at 1.
+      Wire.urgency = static_cast<wire::Urgency::type>(
+          static_cast<int>(Class.m_Urgency) + 1);
       Wire.deadlineMs = Class.m_DeadlineMs;
       Wire.idempotent = Class.m_Idempotent;
       Wire.queueLimit = static_cast<int32_t>(Class.m_QueueLimit);
--- a/src/state/Targets.cpp
+++ b/src/state/Targets.cpp
@@ -16,11 +16,16 @@
 std::optional<wire::CommandResult> checkInfo(const wire::TargetInfo &Info) {
   if (Info.vm.empty() || Info.vm.size() > MaxIdBytes)
     return invalid("target.vm", "the VM name must have 1 to 128 bytes");
-  if (Info.availabilityZone.empty() || Info.availabilityZone.size() > MaxIdBytes)
-    return invalid("target.availabilityZone", "the availability zone must have 1 to 128 bytes");
-  if (Info.rack.size() > MaxIdBytes || Info.serviceName.size() > MaxIdBytes || Info.agentAddress.size() > MaxIdBytes)
-    return invalid("target", "rack, service and address must have at most 128 bytes each");
-  if (Info.kind != wire::TargetKind::MINION && Info.kind != wire::TargetKind::WORKER)
+  if (Info.availabilityZone.empty() ||
+      Info.availabilityZone.size() > MaxIdBytes)
+    return invalid("target.availabilityZone",
+                   "the availability zone must have 1 to 128 bytes");
+  if (Info.rack.size() > MaxIdBytes || Info.serviceName.size() > MaxIdBytes ||
+      Info.agentAddress.size() > MaxIdBytes)
+    return invalid(
+        "target", "rack, service and address must have at most 128 bytes each");
+  if (Info.kind != wire::TargetKind::MINION &&
+      Info.kind != wire::TargetKind::WORKER)
     return invalid("target.kind", "the kind must be MINION or WORKER");
   if (Info.incarnation <= 0)
     return invalid("target.incarnation", "the incarnation must be above 0");
@@ -29,10 +34,12 @@
   return std::nullopt;
 }
 
-// Members are charged against capacity, rack and zone, so these are fixed for one incarnation.
+// Members are charged against capacity, rack and zone, so these are fixed for
+// one incarnation.
 bool samePlace(const wire::TargetInfo &Left, const wire::TargetInfo &Right) {
-  return Left.kind == Right.kind && Left.availabilityZone == Right.availabilityZone && Left.rack == Right.rack &&
-         Left.capacity == Right.capacity;
+  return Left.kind == Right.kind &&
+         Left.availabilityZone == Right.availabilityZone &&
+         Left.rack == Right.rack && Left.capacity == Right.capacity;
 }
 
 void noteRouteChange(ApplyContext &Ctx, const Target &Of) {
@@ -41,7 +48,8 @@
 }
 
 bool moveTarget(ApplyContext &Ctx, Target &Subject, VmEvent Event) {
-  const std::optional<VmPhase> Next = Ctx.m_Data.m_Charts.m_Vm.next(Subject.phase(), Event);
+  const std::optional<VmPhase> Next =
+      Ctx.m_Data.m_Charts.m_Vm.next(Subject.phase(), Event);
   if (!Next)
     return false;
   Subject.m_Record.phase = static_cast<int8_t>(*Next);
@@ -52,10 +60,13 @@
 void forgetOldLostTargets(ApplyContext &Ctx) {
   StateData &Data = Ctx.m_Data;
   auto Next = Data.m_LostOrder.begin();
-  while (Data.m_LostOrder.size() > MaxLostTargets && Next != Data.m_LostOrder.end()) {
+  while (Data.m_LostOrder.size() > MaxLostTargets &&
+         Next != Data.m_LostOrder.end()) {
     Target &Oldest = *Data.findTarget(Next->second);
-    // Members of a lost target hold its resources until their leases have ended.
-    if (!Oldest.m_Members.empty() || !moveTarget(Ctx, Oldest, VmEvent::Forget)) {
+    // Members of a lost target hold its resources until their leases have
+    // ended.
+    if (!Oldest.m_Members.empty() ||
+        !moveTarget(Ctx, Oldest, VmEvent::Forget)) {
       ++Next;
       continue;
     }
@@ -73,9 +84,12 @@
   Record.lostIndex = Ctx.m_Index;
   Record.lostReason = bounded(Reason);
   Ctx.m_Data.m_LostOrder.emplace(Record.lostIndex, Record.info.vm);
-  Ctx.emit(TargetLost{VmId(Record.info.vm), Record.info.incarnation, Record.lostReason});
+  Ctx.emit(TargetLost{VmId(Record.info.vm), Record.info.incarnation,
+                      Record.lostReason});
   closeClaimsOf(Ctx, Gone);
-  loseMembersOf(Ctx, Gone, absl::StrCat("VM ", Record.info.vm, " was lost: ", Record.lostReason));
+  loseMembersOf(
+      Ctx, Gone,
+      absl::StrCat("VM ", Record.info.vm, " was lost: ", Record.lostReason));
 }
 
 void bringUp(ApplyContext &Ctx, Target &Subject, const wire::TargetInfo &Info) {
@@ -97,20 +111,26 @@
 
 wire::CommandResult addTarget(ApplyContext &Ctx, const wire::TargetInfo &Info) {
   if (Ctx.m_Data.m_Targets.size() >= MaxTargets)
-    return makeResult(wire::CommandStatus::LIMIT, absl::StrCat("there are already ", MaxTargets, " targets"));
+    return makeResult(
+        wire::CommandStatus::LIMIT,
+        absl::StrCat("there are already ", MaxTargets, " targets"));
   Target &Added = Ctx.m_Data.m_Targets[Info.vm];
   Added.m_Record.info = Info;
-  Added.m_Record.phase = static_cast<int8_t>(Ctx.m_Data.m_Charts.m_Vm.initial());
+  Added.m_Record.phase =
+      static_cast<int8_t>(Ctx.m_Data.m_Charts.m_Vm.initial());
   ++ensureZone(Ctx.m_Data, Info.availabilityZone).m_Targets;
   noteRouteChange(Ctx, Added);
   Ctx.emit(TargetUp{VmId(Info.vm), Info.incarnation});
   return okResult("registered");
 }
 
-wire::CommandResult registerAgain(ApplyContext &Ctx, Target &Known, const wire::TargetInfo &Info) {
+wire::CommandResult registerAgain(ApplyContext &Ctx, Target &Known,
+                                  const wire::TargetInfo &Info) {
   const wire::TargetInfo &Current = Known.m_Record.info;
   if (!samePlace(Current, Info))
-    return invalid("target", "kind, zone, rack and capacity can change only with a new incarnation");
+    return invalid(
+        "target",
+        "kind, zone, rack and capacity can change only with a new incarnation");
   if (Known.phase() == VmPhase::Lost) {
     bringUp(Ctx, Known, Info);
     return okResult("returned");
@@ -125,7 +145,8 @@
 
 } // namespace
 
-wire::CommandResult applyRegister(ApplyContext &Ctx, const wire::RegisterTarget &Command) {
+wire::CommandResult applyRegister(ApplyContext &Ctx,
+                                  const wire::RegisterTarget &Command) {
   const wire::TargetInfo &Info = Command.target;
   if (std::optional<wire::CommandResult> Fault = checkInfo(Info))
     return *Fault;
@@ -134,21 +155,25 @@
     return addTarget(Ctx, Info);
   const int64_t Current = Known->m_Record.info.incarnation;
   if (Info.incarnation < Current)
-    return refused(absl::StrCat("stale incarnation ", Info.incarnation, ", the current one is ", Current));
+    return refused(absl::StrCat("stale incarnation ", Info.incarnation,
+                                ", the current one is ", Current));
   if (Info.incarnation == Current)
     return registerAgain(Ctx, *Known, Info);
   // Tasks of the old incarnation may still run until their leases end.
-  markLost(Ctx, *Known, absl::StrCat("replaced by incarnation ", Info.incarnation));
+  markLost(Ctx, *Known,
+           absl::StrCat("replaced by incarnation ", Info.incarnation));
   bringUp(Ctx, *Known, Info);
   return okResult("new incarnation");
 }
 
-wire::CommandResult applyLose(ApplyContext &Ctx, const wire::LoseTarget &Command) {
+wire::CommandResult applyLose(ApplyContext &Ctx,
+                              const wire::LoseTarget &Command) {
   Target *Known = Ctx.m_Data.findTarget(Command.vm);
   if (Known == nullptr)
     return notFound(absl::StrCat("VM ", Command.vm, " is unknown"));
   if (Known->m_Record.info.incarnation != Command.incarnation)
-    return refused(absl::StrCat("incarnation ", Command.incarnation, " is not the current one"));
+    return refused(absl::StrCat("incarnation ", Command.incarnation,
+                                " is not the current one"));
   if (Known->phase() == VmPhase::Lost)
     return okResult("already lost");
   markLost(Ctx, *Known, Command.reason);
@@ -156,32 +181,39 @@
   return okResult("lost");
 }
 
-wire::CommandResult applyDrain(ApplyContext &Ctx, const wire::DrainTarget &Command) {
+wire::CommandResult applyDrain(ApplyContext &Ctx,
+                               const wire::DrainTarget &Command) {
   Target *Known = Ctx.m_Data.findTarget(Command.vm);
   if (Known == nullptr)
     return notFound(absl::StrCat("VM ", Command.vm, " is unknown"));
   if (Known->phase() == VmPhase::Lost)
     return refused(absl::StrCat("VM ", Command.vm, " is lost"));
-  if (!moveTarget(Ctx, *Known, Command.draining ? VmEvent::Drain : VmEvent::Undrain))
+  if (!moveTarget(Ctx, *Known,
+                  Command.draining ? VmEvent::Drain : VmEvent::Undrain))
     return okResult("unchanged");
   Ctx.emit(TargetDrained{VmId(Command.vm), Command.draining});
   if (Command.draining)
-    releaseReservedOn(Ctx, *Known, absl::StrCat("VM ", Command.vm, " is draining"));
+    releaseReservedOn(Ctx, *Known,
+                      absl::StrCat("VM ", Command.vm, " is draining"));
   return okResult(Command.draining ? "draining" : "back in use");
 }
 
-wire::CommandResult applyQuarantine(ApplyContext &Ctx, const wire::SetWorkerAside &Command) {
+wire::CommandResult applyQuarantine(ApplyContext &Ctx,
+                                    const wire::SetWorkerAside &Command) {
   Target *Known = Ctx.m_Data.findTarget(Command.vm);
   if (Known == nullptr)
     return notFound(absl::StrCat("VM ", Command.vm, " is unknown"));
   if (Known->m_Record.quarantined == Command.aside)
     return okResult("unchanged");
   Known->m_Record.quarantined = Command.aside;
-  Known->m_Record.quarantineReason = Command.aside ? bounded(Command.reason) : std::string();
+  Known->m_Record.quarantineReason =
+      Command.aside ? bounded(Command.reason) : std::string();
   noteRouteChange(Ctx, *Known);
-  Ctx.emit(WorkerQuarantined{VmId(Command.vm), Command.aside, bounded(Command.reason)});
+  Ctx.emit(WorkerQuarantined{VmId(Command.vm), Command.aside,
+                             bounded(Command.reason)});
   if (Command.aside)
-    releaseReservedOn(Ctx, *Known, absl::StrCat("VM ", Command.vm, " is quarantined"));
+    releaseReservedOn(Ctx, *Known,
+                      absl::StrCat("VM ", Command.vm, " is quarantined"));
   return okResult(Command.aside ? "quarantined" : "back in use");
 }
 
--- a/src/state/Zones.cpp
+++ b/src/state/Zones.cpp
@@ -16,23 +16,28 @@
 wire::CommandResult moveZone(ApplyContext &Ctx, Zone &Subject, bool InService) {
   const std::string &Name = Subject.m_Record.name;
   const ZoneEvent Event = InService ? ZoneEvent::Restore : ZoneEvent::Withdraw;
-  const std::optional<ZonePhase> Next = Ctx.m_Data.m_Charts.m_Zone.next(Subject.phase(), Event);
+  const std::optional<ZonePhase> Next =
+      Ctx.m_Data.m_Charts.m_Zone.next(Subject.phase(), Event);
   const char *Phase = InService ? "in service" : "withdrawn";
   if (!Next)
-    return okResult(absl::StrCat("availability zone ", Name, " is already ", Phase));
+    return okResult(
+        absl::StrCat("availability zone ", Name, " is already ", Phase));
   Subject.m_Record.phase = static_cast<int8_t>(*Next);
   Ctx.m_Data.m_RouteVersion = Ctx.m_Index;
   Ctx.emit(ZoneChanged{AvailabilityZoneId(Name), InService});
   if (!InService) {
     for (auto &[Vm, Each] : Ctx.m_Data.m_Targets) {
       if (Each.m_Record.info.availabilityZone == Name)
-        releaseReservedOn(Ctx, Each, absl::StrCat("availability zone ", Name, " was withdrawn"));
+        releaseReservedOn(
+            Ctx, Each,
+            absl::StrCat("availability zone ", Name, " was withdrawn"));
     }
   }
   return okResult(absl::StrCat("availability zone ", Name, " is ", Phase));
 }
 
-void remember(ApplyContext &Ctx, Zone &Subject, const wire::SetZoneService &Command, const std::string &Message) {
+void remember(ApplyContext &Ctx, Zone &Subject,
+              const wire::SetZoneService &Command, const std::string &Message) {
   std::vector<record::ZoneRequest> &Requests = Subject.m_Record.requests;
   if (Requests.size() >= MaxZoneRequests)
     Requests.erase(Requests.begin());
@@ -51,7 +56,8 @@
   return Text;
 }
 
-wire::CommandResult configResult(wire::CommandStatus::type Status, std::string Message,
+wire::CommandResult configResult(wire::CommandStatus::type Status,
+                                 std::string Message,
                                  const record::ConfigVersion &Winner) {
   wire::CommandResult Result = makeResult(Status, std::move(Message));
   Result.configVersion = Winner.version;
@@ -60,32 +66,45 @@
   return Result;
 }
 
-// Answers a version that was accepted before: the first response, or who won it.
-wire::CommandResult answerKnownVersion(const record::ConfigVersion &Known, const std::string &Digest) {
+// Answers a version that was accepted before: the first response, or who won
+// it.
+wire::CommandResult answerKnownVersion(const record::ConfigVersion &Known,
+                                       const std::string &Digest) {
   if (Known.digest == Digest)
     return configResult(wire::CommandStatus::OK, "accepted", Known);
-  return configResult(
-      wire::CommandStatus::CONFLICT,
-      absl::StrCat("version ", Known.version, " was already applied by ", Known.operatorId, " with other content"),
-      Known);
+  return configResult(wire::CommandStatus::CONFLICT,
+                      absl::StrCat("version ", Known.version,
+                                   " was already applied by ", Known.operatorId,
+                                   " with other content"),
+                      Known);
 }
 
-// A promoted document keeps the environment it was tried in; any other must name its own.
-std::optional<wire::CommandResult> checkEnvironment(const StateData &Data, const wire::ApplyConfig &Command,
-                                                    const config::Document &Doc) {
-  if (Command.environment != Doc.m_Environment && Command.promotedFrom != Doc.m_Environment) {
+// A promoted document keeps the environment it was tried in; any other must
+// name its own.
+std::optional<wire::CommandResult>
+checkEnvironment(const StateData &Data, const wire::ApplyConfig &Command,
+                 const config::Document &Doc) {
+  if (Command.environment != Doc.m_Environment &&
+      Command.promotedFrom != Doc.m_Environment) {
     return invalid("environment",
-                   absl::StrCat("the document is for environment ", Doc.m_Environment, ", not ", Command.environment));
-  }
-  if (!Data.m_ConfigVersions.empty() && Data.m_ConfigVersions.rbegin()->second.environment != Command.environment) {
-    return invalid("environment",
-                   absl::StrCat("this environment is ", Data.m_ConfigVersions.rbegin()->second.environment, ", not ",
+                   absl::StrCat("the document is for environment ",
+                                Doc.m_Environment, ", not ",
                                 Command.environment));
   }
+  if (!Data.m_ConfigVersions.empty() &&
+      Data.m_ConfigVersions.rbegin()->second.environment !=
+          Command.environment) {
+    return invalid(
+        "environment",
+        absl::StrCat("this environment is ",
+                     Data.m_ConfigVersions.rbegin()->second.environment,
+                     ", not ", Command.environment));
+  }
   return std::nullopt;
 }
 
-// Forgets zones that nobody names any more; a withdrawn zone stays, so that it cannot come back in service unasked.
+// Forgets zones that nobody names any more; a withdrawn zone stays, so that it
+// cannot come back in service unasked.
 void updateZones(StateData &Data) {
   for (const config::Zone &Each : Data.m_Document->m_Zones)
     ensureZone(Data, Each.m_Name);
@@ -93,9 +112,13 @@
     const Zone &Each = Next->second;
     const auto &Named = Data.m_Document->m_Zones;
     const bool Configured =
-        std::any_of(Named.begin(), Named.end(), [&](const config::Zone &Of) { return Of.m_Name == Next->first; });
-    const bool Forget = !Configured && Each.m_Targets == 0 &&
-                        Data.m_Charts.m_Zone.next(Each.phase(), ZoneEvent::Forget) == ZonePhase::Removed;
+        std::any_of(Named.begin(), Named.end(), [&](const config::Zone &Of) {
+          return Of.m_Name == Next->first;
+        });
+    const bool Forget =
+        !Configured && Each.m_Targets == 0 &&
+        Data.m_Charts.m_Zone.next(Each.phase(), ZoneEvent::Forget) ==
+            ZonePhase::Removed;
     Next = Forget ? Data.m_Zones.erase(Next) : std::next(Next);
   }
 }
@@ -106,22 +129,27 @@
   const auto [Found, Added] = Data.m_Zones.try_emplace(Name);
   if (Added) {
     Found->second.m_Record.name = Name;
-    Found->second.m_Record.phase = static_cast<int8_t>(Data.m_Charts.m_Zone.initial());
+    Found->second.m_Record.phase =
+        static_cast<int8_t>(Data.m_Charts.m_Zone.initial());
   }
   return Found->second;
 }
 
-wire::CommandResult applyZoneService(ApplyContext &Ctx, const wire::SetZoneService &Command) {
+wire::CommandResult applyZoneService(ApplyContext &Ctx,
+                                     const wire::SetZoneService &Command) {
   if (Command.requestId.empty() || Command.requestId.size() > MaxRequestIdBytes)
     return invalid("requestId", "the request id must have 1 to 128 bytes");
   const auto Found = Ctx.m_Data.m_Zones.find(Command.availabilityZone);
   if (Found == Ctx.m_Data.m_Zones.end())
-    return notFound(absl::StrCat("availability zone ", Command.availabilityZone, " is unknown"));
+    return notFound(absl::StrCat("availability zone ", Command.availabilityZone,
+                                 " is unknown"));
   for (const record::ZoneRequest &Earlier : Found->second.m_Record.requests) {
     if (Earlier.requestId != Command.requestId)
       continue;
     if (Earlier.inService != Command.inService)
-      return invalid("requestId", "the request id was already used for the opposite request");
+      return invalid(
+          "requestId",
+          "the request id was already used for the opposite request");
     wire::CommandResult First = okResult(Earlier.message);
     First.index = Earlier.index;
     return First;
@@ -131,26 +159,37 @@
   return Result;
 }
 
-wire::CommandResult applyConfig(ApplyContext &Ctx, const wire::ApplyConfig &Command) {
+wire::CommandResult applyConfig(ApplyContext &Ctx,
+                                const wire::ApplyConfig &Command) {
   StateData &Data = Ctx.m_Data;
-  config::ParseResult Parsed = config::parseDocument(Command.document, "document");
+  config::ParseResult Parsed =
+      config::parseDocument(Command.document, "document");
   if (!Parsed.ok())
-    return invalid(Parsed.m_Issues.front().m_Field, listIssues(Parsed.m_Issues));
+    return invalid(Parsed.m_Issues.front().m_Field,
+                   listIssues(Parsed.m_Issues));
   const std::string Digest = config::contentDigest(Parsed.m_Document);
   if (!Command.digest.empty() && Command.digest != Digest)
-    return invalid("digest", absl::StrCat("the content has digest ", Digest, ", not ", Command.digest));
+    return invalid("digest", absl::StrCat("the content has digest ", Digest,
+                                          ", not ", Command.digest));
   if (Command.version != Parsed.m_Document.m_Version) {
-    return invalid("version",
-                   absl::StrCat("the document has version ", Parsed.m_Document.m_Version, ", not ", Command.version));
+    return invalid("version", absl::StrCat("the document has version ",
+                                           Parsed.m_Document.m_Version,
+                                           ", not ", Command.version));
   }
-  if (std::optional<wire::CommandResult> Fault = checkEnvironment(Data, Command, Parsed.m_Document))
+  if (std::optional<wire::CommandResult> Fault =
+          checkEnvironment(Data, Command, Parsed.m_Document))
     return *Fault;
-  if (const auto Known = Data.m_ConfigVersions.find(Command.version); Known != Data.m_ConfigVersions.end())
+  if (const auto Known = Data.m_ConfigVersions.find(Command.version);
+      Known != Data.m_ConfigVersions.end())
     return answerKnownVersion(Known->second, Digest);
-  if (!Data.m_ConfigVersions.empty() && Command.version < Data.m_ConfigVersions.rbegin()->first) {
-    const record::ConfigVersion &Newest = Data.m_ConfigVersions.rbegin()->second;
+  if (!Data.m_ConfigVersions.empty() &&
+      Command.version < Data.m_ConfigVersions.rbegin()->first) {
+    const record::ConfigVersion &Newest =
+        Data.m_ConfigVersions.rbegin()->second;
     return configResult(wire::CommandStatus::REFUSED,
-                        absl::StrCat("version ", Command.version, " is older than ", Newest.version), Newest);
+                        absl::StrCat("version ", Command.version,
+                                     " is older than ", Newest.version),
+                        Newest);
   }
   record::ConfigVersion &Added = Data.m_ConfigVersions[Command.version];
   Added.version = Command.version;
--- a/src/store/LogStore.cpp
+++ b/src/store/LogStore.cpp
@@ -23,7 +23,8 @@
 constexpr absl::string_view SegmentPrefix = "log-";
 constexpr absl::string_view SnapshotPrefix = "snapshot-";
 constexpr absl::string_view TemporarySuffix = ".tmp";
-/// A segment smaller than this is not closed by a compaction, so that frequent snapshots don't leave many files.
+/// A segment smaller than this is not closed by a compaction, so that frequent
+/// snapshots don't leave many files.
 constexpr uint64_t MinClosedBytes = 1u << 20;
 
 std::string numberedName(absl::string_view Prefix, uint64_t Number) {
@@ -35,20 +36,24 @@
 struct LogStore::Impl {
   struct SegmentInfo {
     std::string m_Name;
-    raft::LogIndex m_LastIndex = 0; ///< Highest index of an entry inside; 0 if none.
+    raft::LogIndex m_LastIndex =
+        0; ///< Highest index of an entry inside; 0 if none.
   };
 
-  Impl(StoreOptions Options, FileSystem &Files) : m_Options(Options), m_Files(Files) {}
+  Impl(StoreOptions Options, FileSystem &Files)
+      : m_Options(Options), m_Files(Files) {}
 
   absl::Status recover();
   absl::Status loadSnapshots(const std::vector<std::string> &Names);
   absl::Status loadSegment(const std::string &Name, bool Last);
-  absl::Status replay(const std::string &Name, const Record &Each, SegmentInfo &Info);
+  absl::Status replay(const std::string &Name, const Record &Each,
+                      SegmentInfo &Info);
   void appendRecovered(raft::LogEntry Entry);
   absl::Status joinSnapshotAndLog();
   absl::Status startSegment();
   absl::Status writeBlock(std::string_view Payload, raft::LogIndex LastIndex);
-  absl::Status encodeBatch(const StoreBatch &Batch, std::string &Payload, raft::LogIndex &LastIndex);
+  absl::Status encodeBatch(const StoreBatch &Batch, std::string &Payload,
+                           raft::LogIndex &LastIndex);
   absl::Status saveSnapshot(const raft::Snapshot &Snapshot);
   absl::Status guard(const absl::Status &Status);
 
@@ -66,7 +71,8 @@
   StoreCounters m_Counters;
 };
 
-// What is on disk after a failed write or sync is not known, so the store refuses to go on.
+// What is on disk after a failed write or sync is not known, so the store
+// refuses to go on.
 absl::Status LogStore::Impl::guard(const absl::Status &Status) {
   if (!Status.ok())
     m_Failed = true;
@@ -88,16 +94,21 @@
     if (absl::StartsWith(Name, SegmentPrefix))
       Segments.push_back(Name);
   for (size_t I = 0; I < Segments.size(); ++I)
-    if (absl::Status Status = loadSegment(Segments[I], I + 1 == Segments.size()); !Status.ok())
+    if (absl::Status Status =
+            loadSegment(Segments[I], I + 1 == Segments.size());
+        !Status.ok())
       return Status;
   if (absl::Status Status = joinSnapshotAndLog(); !Status.ok())
     return Status;
   m_State.m_Hard = m_Hard;
-  m_Empty = m_State.m_Entries.empty() && m_State.m_Snapshot.m_Meta.m_Index == 0 && m_Hard == raft::HardState{};
+  m_Empty = m_State.m_Entries.empty() &&
+            m_State.m_Snapshot.m_Meta.m_Index == 0 &&
+            m_Hard == raft::HardState{};
   return startSegment();
 }
 
-absl::Status LogStore::Impl::loadSnapshots(const std::vector<std::string> &Names) {
+absl::Status
+LogStore::Impl::loadSnapshots(const std::vector<std::string> &Names) {
   std::string Newest;
   for (const std::string &Name : Names) {
     if (absl::EndsWith(Name, TemporarySuffix)) {
@@ -112,8 +123,10 @@
   absl::StatusOr<std::string> Content = m_Files.read(Newest);
   if (!Content.ok())
     return fromFileSystem(Content.status());
-  // A snapshot gets its name only after it was synced, so damage is never a cut-short write.
-  absl::StatusOr<raft::Snapshot> Snapshot = internal::decodeSnapshot(Newest, *Content);
+  // A snapshot gets its name only after it was synced, so damage is never a
+  // cut-short write.
+  absl::StatusOr<raft::Snapshot> Snapshot =
+      internal::decodeSnapshot(Newest, *Content);
   if (!Snapshot.ok())
     return Snapshot.status();
   m_State.m_Snapshot = *std::move(Snapshot);
@@ -125,7 +138,8 @@
   if (!Content.ok())
     return fromFileSystem(Content.status());
   const uint64_t Expected = m_Segments.empty() ? 0 : m_NextBlock;
-  absl::StatusOr<SegmentContent> Segment = internal::parseSegment(Name, *Content, Expected, Last);
+  absl::StatusOr<SegmentContent> Segment =
+      internal::parseSegment(Name, *Content, Expected, Last);
   if (!Segment.ok())
     return Segment.status();
   SegmentInfo Info{Name, 0};
@@ -136,8 +150,10 @@
         return Status;
   }
   if (Segment->m_ValidBytes < Content->size()) {
-    m_Counters.m_TornBytesDropped += static_cast<int64_t>(Content->size() - Segment->m_ValidBytes);
-    if (absl::Status Status = m_Files.truncate(Name, Segment->m_ValidBytes); !Status.ok())
+    m_Counters.m_TornBytesDropped +=
+        static_cast<int64_t>(Content->size() - Segment->m_ValidBytes);
+    if (absl::Status Status = m_Files.truncate(Name, Segment->m_ValidBytes);
+        !Status.ok())
       return fromFileSystem(Status);
   }
   if (Segment->m_ValidBytes == 0)
@@ -146,24 +162,29 @@
   return absl::OkStatus();
 }
 
-absl::Status LogStore::Impl::replay(const std::string &Name, const Record &Each, SegmentInfo &Info) {
+absl::Status LogStore::Impl::replay(const std::string &Name, const Record &Each,
+                                    SegmentInfo &Info) {
   if (Each.m_Kind == RecordKind::Entry || Each.m_Kind == RecordKind::Truncate) {
     absl::StatusOr<raft::LogEntry> Entry = raft::decodeEntry(Each.m_Payload);
     if (!Entry.ok())
-      return storeError(StoreErrc::Corrupt, absl::StrCat(Name, ": ", Entry.status().message()));
+      return storeError(StoreErrc::Corrupt,
+                        absl::StrCat(Name, ": ", Entry.status().message()));
     Info.m_LastIndex = std::max(Info.m_LastIndex, Entry->m_Index);
     if (Each.m_Kind == RecordKind::Entry) {
       appendRecovered(*std::move(Entry));
       return absl::OkStatus();
     }
-    while (!m_State.m_Entries.empty() && m_State.m_Entries.back().m_Index >= Entry->m_Index)
+    while (!m_State.m_Entries.empty() &&
+           m_State.m_Entries.back().m_Index >= Entry->m_Index)
       m_State.m_Entries.pop_back();
     return absl::OkStatus();
   }
   if (Each.m_Kind == RecordKind::HardState) {
-    absl::StatusOr<raft::HardState> Hard = raft::decodeHardState(Each.m_Payload);
+    absl::StatusOr<raft::HardState> Hard =
+        raft::decodeHardState(Each.m_Payload);
     if (!Hard.ok())
-      return storeError(StoreErrc::Corrupt, absl::StrCat(Name, ": ", Hard.status().message()));
+      return storeError(StoreErrc::Corrupt,
+                        absl::StrCat(Name, ": ", Hard.status().message()));
     m_Hard = *Hard;
     return absl::OkStatus();
   }
@@ -171,7 +192,9 @@
     m_State.m_Entries.clear();
     return absl::OkStatus();
   }
-  return storeError(StoreErrc::Format, absl::StrCat(Name, ": unknown record kind ", static_cast<int>(Each.m_Kind)));
+  return storeError(StoreErrc::Format,
+                    absl::StrCat(Name, ": unknown record kind ",
+                                 static_cast<int>(Each.m_Kind)));
 }
 
 void LogStore::Impl::appendRecovered(raft::LogEntry Entry) {
@@ -181,8 +204,9 @@
   Entries.push_back(std::move(Entry));
 }
 
-// A crash between saving an installed snapshot and recording it in the log leaves entries that the snapshot
-// contradicts; they were never acknowledged to the leader together with the snapshot and are dropped.
+// A crash between saving an installed snapshot and recording it in the log
+// leaves entries that the snapshot contradicts; they were never acknowledged to
+// the leader together with the snapshot and are dropped.
 absl::Status LogStore::Impl::joinSnapshotAndLog() {
   std::vector<raft::LogEntry> &Entries = m_State.m_Entries;
   const raft::SnapshotMeta &Meta = m_State.m_Snapshot.m_Meta;
@@ -190,20 +214,26 @@
     const raft::LogIndex First = Entries.front().m_Index;
     const raft::LogIndex Last = Entries.back().m_Index;
     const bool Covers = First <= Meta.m_Index && Meta.m_Index <= Last;
-    const bool Contradicts = Covers && Entries[Meta.m_Index - First].m_Term != Meta.m_Term;
+    const bool Contradicts =
+        Covers && Entries[Meta.m_Index - First].m_Term != Meta.m_Term;
     if (Last < Meta.m_Index || Contradicts)
       Entries.clear();
   }
   if (!Entries.empty() && Entries.front().m_Index > Meta.m_Index + 1)
     return storeError(StoreErrc::Corrupt,
-                      absl::StrCat("entries ", Meta.m_Index + 1, " to ", Entries.front().m_Index - 1, " are missing"));
+                      absl::StrCat("entries ", Meta.m_Index + 1, " to ",
+                                   Entries.front().m_Index - 1,
+                                   " are missing"));
   for (size_t I = 1; I < Entries.size(); ++I)
     if (Entries[I].m_Index != Entries[I - 1].m_Index + 1)
-      return storeError(StoreErrc::Corrupt, absl::StrCat("entry ", Entries[I - 1].m_Index + 1, " is missing"));
+      return storeError(
+          StoreErrc::Corrupt,
+          absl::StrCat("entry ", Entries[I - 1].m_Index + 1, " is missing"));
   return absl::OkStatus();
 }
 
-// Each segment starts with the election state, so that older segments can be deleted.
+// Each segment starts with the election state, so that older segments can be
+// deleted.
 absl::Status LogStore::Impl::startSegment() {
   const std::string Name = numberedName(SegmentPrefix, m_NextBlock);
   // A segment that holds only a header would get the same name again.
@@ -218,16 +248,19 @@
   m_Active = *std::move(File);
   m_ActiveBytes = 0;
   m_Segments.push_back({Name, 0});
-  if (absl::Status Status = m_Active->append(internal::segmentHeader()); !Status.ok())
+  if (absl::Status Status = m_Active->append(internal::segmentHeader());
+      !Status.ok())
     return guard(Status);
   std::string Payload;
-  internal::appendRecord(Payload, RecordKind::HardState, raft::encodeHardState(m_Hard));
+  internal::appendRecord(Payload, RecordKind::HardState,
+                         raft::encodeHardState(m_Hard));
   if (absl::Status Status = writeBlock(Payload, 0); !Status.ok())
     return Status;
   return guard(m_Files.syncDirectory());
 }
 
-absl::Status LogStore::Impl::writeBlock(std::string_view Payload, raft::LogIndex LastIndex) {
+absl::Status LogStore::Impl::writeBlock(std::string_view Payload,
+                                        raft::LogIndex LastIndex) {
   const std::string Bytes = internal::encodeBlock(m_NextBlock++, Payload);
   if (absl::Status Status = m_Active->append(Bytes); !Status.ok())
     return guard(Status);
@@ -236,17 +269,24 @@
   ++m_Counters.m_Syncs;
   m_Counters.m_Bytes += static_cast<int64_t>(Bytes.size());
   m_ActiveBytes += Bytes.size();
-  m_Segments.back().m_LastIndex = std::max(m_Segments.back().m_LastIndex, LastIndex);
+  m_Segments.back().m_LastIndex =
+      std::max(m_Segments.back().m_LastIndex, LastIndex);
   return absl::OkStatus();
 }
 
-absl::Status LogStore::Impl::encodeBatch(const StoreBatch &Batch, std::string &Payload, raft::LogIndex &LastIndex) {
+absl::Status LogStore::Impl::encodeBatch(const StoreBatch &Batch,
+                                         std::string &Payload,
+                                         raft::LogIndex &LastIndex) {
   if (Batch.m_Install) {
-    // The election state goes first: a snapshot of a term that the replica has not recorded could not be loaded.
+    // The election state goes first: a snapshot of a term that the replica has
+    // not recorded could not be loaded.
     if (Batch.m_Hard)
-      internal::appendRecord(Payload, RecordKind::HardState, raft::encodeHardState(*Batch.m_Hard));
+      internal::appendRecord(Payload, RecordKind::HardState,
+                             raft::encodeHardState(*Batch.m_Hard));
     if (!Payload.empty())
-      if (absl::Status Status = writeBlock(std::exchange(Payload, {}), LastIndex); !Status.ok())
+      if (absl::Status Status =
+              writeBlock(std::exchange(Payload, {}), LastIndex);
+          !Status.ok())
         return Status;
     if (absl::Status Status = saveSnapshot(*Batch.m_Install); !Status.ok())
       return Status;
@@ -256,31 +296,39 @@
   if (Batch.m_TruncateFrom) {
     raft::LogEntry Marker;
     Marker.m_Index = *Batch.m_TruncateFrom;
-    internal::appendRecord(Payload, RecordKind::Truncate, raft::encodeEntry(Marker));
+    internal::appendRecord(Payload, RecordKind::Truncate,
+                           raft::encodeEntry(Marker));
   }
   for (const raft::LogEntry &Entry : Batch.m_Append) {
-    internal::appendRecord(Payload, RecordKind::Entry, raft::encodeEntry(Entry));
+    internal::appendRecord(Payload, RecordKind::Entry,
+                           raft::encodeEntry(Entry));
     LastIndex = std::max(LastIndex, Entry.m_Index);
     ++m_Counters.m_Entries;
   }
   if (Batch.m_Hard) {
     m_Hard = *Batch.m_Hard;
-    internal::appendRecord(Payload, RecordKind::HardState, raft::encodeHardState(m_Hard));
+    internal::appendRecord(Payload, RecordKind::HardState,
+                           raft::encodeHardState(m_Hard));
   }
   return absl::OkStatus();
 }
 
 absl::Status LogStore::Impl::saveSnapshot(const raft::Snapshot &Snapshot) {
-  const std::string Name = numberedName(SnapshotPrefix, Snapshot.m_Meta.m_Index);
+  const std::string Name =
+      numberedName(SnapshotPrefix, Snapshot.m_Meta.m_Index);
   const std::string Temporary = absl::StrCat(Name, TemporarySuffix);
   // A leftover of an earlier try would otherwise be appended to.
-  if (absl::Status Status = m_Files.remove(Temporary); !Status.ok() && !absl::IsNotFound(Status))
+  if (absl::Status Status = m_Files.remove(Temporary);
+      !Status.ok() && !absl::IsNotFound(Status))
     return guard(Status);
   {
-    absl::StatusOr<std::unique_ptr<AppendFile>> File = m_Files.openAppend(Temporary);
+    absl::StatusOr<std::unique_ptr<AppendFile>> File =
+        m_Files.openAppend(Temporary);
     if (!File.ok())
       return guard(File.status());
-    if (absl::Status Status = (*File)->append(internal::encodeSnapshot(Snapshot)); !Status.ok())
+    if (absl::Status Status =
+            (*File)->append(internal::encodeSnapshot(Snapshot));
+        !Status.ok())
       return guard(Status);
     if (absl::Status Status = (*File)->sync(); !Status.ok())
       return guard(Status);
@@ -290,7 +338,8 @@
   return guard(m_Files.syncDirectory());
 }
 
-absl::StatusOr<std::unique_ptr<LogStore>> LogStore::open(StoreOptions Options, FileSystem &Files) {
+absl::StatusOr<std::unique_ptr<LogStore>> LogStore::open(StoreOptions Options,
+                                                         FileSystem &Files) {
   auto State = std::make_unique<Impl>(Options, Files);
   if (absl::Status Status = State->recover(); !Status.ok())
     return Status;
@@ -300,7 +349,9 @@
 LogStore::LogStore(std::unique_ptr<Impl> State) : m_Impl(std::move(State)) {}
 LogStore::~LogStore() = default;
 
-raft::RaftPersistentState LogStore::takeRecovered() { return std::move(m_Impl->m_State); }
+raft::RaftPersistentState LogStore::takeRecovered() {
+  return std::move(m_Impl->m_State);
+}
 bool LogStore::empty() const { return m_Impl->m_Empty; }
 const StoreCounters &LogStore::counters() const { return m_Impl->m_Counters; }
 
@@ -310,11 +361,13 @@
   std::string Payload;
   raft::LogIndex LastIndex = 0;
   for (const StoreBatch &Batch : Batches)
-    if (absl::Status Status = m_Impl->encodeBatch(Batch, Payload, LastIndex); !Status.ok())
+    if (absl::Status Status = m_Impl->encodeBatch(Batch, Payload, LastIndex);
+        !Status.ok())
       return Status;
   if (Payload.empty())
     return absl::OkStatus();
-  if (absl::Status Status = m_Impl->writeBlock(Payload, LastIndex); !Status.ok())
+  if (absl::Status Status = m_Impl->writeBlock(Payload, LastIndex);
+      !Status.ok())
     return Status;
   if (m_Impl->m_ActiveBytes < m_Impl->m_Options.m_SegmentBytes)
     return absl::OkStatus();
@@ -335,9 +388,11 @@
       return Status;
   std::deque<Impl::SegmentInfo> &Segments = m_Impl->m_Segments;
   while (Segments.size() > 1 && Segments.front().m_LastIndex <= Index) {
-    if (absl::Status Status = m_Impl->m_Files.remove(Segments.front().m_Name); !Status.ok())
+    if (absl::Status Status = m_Impl->m_Files.remove(Segments.front().m_Name);
+        !Status.ok())
       return m_Impl->guard(Status);
-    // Synced one by one, since a deletion that lasts before an older one would leave a gap in the block numbers.
+    // Synced one by one, since a deletion that lasts before an older one would
+    // leave a gap in the block numbers.
     if (absl::Status Status = m_Impl->m_Files.syncDirectory(); !Status.ok())
       return m_Impl->guard(Status);
     Segments.pop_front();
@@ -347,10 +402,12 @@
     return m_Impl->guard(Names.status());
   std::vector<std::string> Snapshots;
   for (const std::string &Name : *Names)
-    if (absl::StartsWith(Name, SnapshotPrefix) && !absl::EndsWith(Name, TemporarySuffix))
+    if (absl::StartsWith(Name, SnapshotPrefix) &&
+        !absl::EndsWith(Name, TemporarySuffix))
       Snapshots.push_back(Name);
   for (size_t I = 0; I + 1 < Snapshots.size(); ++I)
-    if (absl::Status Status = m_Impl->m_Files.remove(Snapshots[I]); !Status.ok())
+    if (absl::Status Status = m_Impl->m_Files.remove(Snapshots[I]);
+        !Status.ok())
       return m_Impl->guard(Status);
   return absl::OkStatus();
 }
--- a/src/store/PosixFileSystem.cpp
+++ b/src/store/PosixFileSystem.cpp
@@ -20,7 +20,8 @@
 
 absl::Status systemError(std::string_view What, const std::string &Path) {
   const int Code = errno;
-  const std::string Text = absl::StrCat(std::string(What), " ", Path, ": ", std::strerror(Code));
+  const std::string Text =
+      absl::StrCat(std::string(What), " ", Path, ": ", std::strerror(Code));
   if (Code == ENOSPC || Code == EDQUOT)
     return absl::ResourceExhaustedError(Text);
   if (Code == ENOENT)
@@ -45,7 +46,8 @@
 
 class PosixAppendFile : public AppendFile {
 public:
-  PosixAppendFile(int Fd, std::string Path) : m_Fd(Fd), m_Path(std::move(Path)) {}
+  PosixAppendFile(int Fd, std::string Path)
+      : m_Fd(Fd), m_Path(std::move(Path)) {}
 
   absl::Status append(std::string_view Bytes) override {
     while (!Bytes.empty()) {
@@ -82,8 +84,10 @@
 public:
   explicit PosixFileSystem(std::string Folder) : m_Folder(std::move(Folder)) {}
 
-  absl::StatusOr<std::unique_ptr<AppendFile>> openAppend(const std::string &Name) override {
-    const int Fd = ::open(path(Name).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, FileMode);
+  absl::StatusOr<std::unique_ptr<AppendFile>>
+  openAppend(const std::string &Name) override {
+    const int Fd = ::open(path(Name).c_str(),
+                          O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, FileMode);
     if (Fd < 0)
       return systemError("open", path(Name));
     return std::make_unique<PosixAppendFile>(Fd, path(Name));
@@ -99,7 +103,8 @@
     std::string Content(static_cast<size_t>(Info.st_size), '\0');
     size_t Done = 0;
     while (Done < Content.size()) {
-      const ssize_t Count = ::read(File.get(), Content.data() + Done, Content.size() - Done);
+      const ssize_t Count =
+          ::read(File.get(), Content.data() + Done, Content.size() - Done);
       if (Count < 0 && errno == EINTR)
         continue;
       if (Count < 0)
@@ -151,31 +156,37 @@
   }
 
   absl::Status syncDirectory() override {
-    const Descriptor Folder(::open(m_Folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+    const Descriptor Folder(
+        ::open(m_Folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
     if (Folder.get() < 0 || ::fsync(Folder.get()) != 0)
       return systemError("sync", m_Folder);
     return absl::OkStatus();
   }
 
   absl::StatusOr<std::unique_ptr<DirectoryLock>> lock() override {
-    const int Fd = ::open(path("lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, FileMode);
+    const int Fd =
+        ::open(path("lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, FileMode);
     if (Fd < 0)
       return systemError("open", path("lock"));
     auto Lock = std::make_unique<PosixLock>(Fd);
     if (::flock(Fd, LOCK_EX | LOCK_NB) != 0)
-      return absl::FailedPreconditionError(absl::StrCat("data folder ", m_Folder, " is in use by another process"));
+      return absl::FailedPreconditionError(absl::StrCat(
+          "data folder ", m_Folder, " is in use by another process"));
     return Lock;
   }
 
 private:
-  std::string path(const std::string &Name) const { return m_Folder + "/" + Name; }
+  std::string path(const std::string &Name) const {
+    return m_Folder + "/" + Name;
+  }
 
   std::string m_Folder;
 };
 
 } // namespace
 
-absl::StatusOr<std::unique_ptr<FileSystem>> openDataFolder(const std::string &Folder) {
+absl::StatusOr<std::unique_ptr<FileSystem>>
+openDataFolder(const std::string &Folder) {
   if (::mkdir(Folder.c_str(), FolderMode) != 0 && errno != EEXIST)
     return systemError("create folder", Folder);
   return std::make_unique<PosixFileSystem>(Folder);
--- a/src/store/Segment.cpp
+++ b/src/store/Segment.cpp
@@ -32,7 +32,9 @@
 uint64_t getNumber(std::string_view Bytes, size_t Offset, int Count) {
   uint64_t Value = 0;
   for (int I = 0; I < Count; ++I)
-    Value |= static_cast<uint64_t>(static_cast<unsigned char>(Bytes[Offset + I])) << (8 * I);
+    Value |=
+        static_cast<uint64_t>(static_cast<unsigned char>(Bytes[Offset + I]))
+        << (8 * I);
   return Value;
 }
 
@@ -56,16 +58,20 @@
 }
 
 // Returns the whole block at the offset, or nothing.
-std::optional<Block> blockAt(std::string_view Content, size_t Offset, size_t &End) {
-  if (Content.size() - Offset < BlockHeaderBytes || Content.substr(Offset, BlockMagic.size()) != BlockMagic)
+std::optional<Block> blockAt(std::string_view Content, size_t Offset,
+                             size_t &End) {
+  if (Content.size() - Offset < BlockHeaderBytes ||
+      Content.substr(Offset, BlockMagic.size()) != BlockMagic)
     return std::nullopt;
   const size_t Size = getNumber(Content, Offset + 4, 4);
   if (Content.size() - Offset - BlockHeaderBytes < Size)
     return std::nullopt;
-  const std::string_view Payload = Content.substr(Offset + BlockHeaderBytes, Size);
+  const std::string_view Payload =
+      Content.substr(Offset + BlockHeaderBytes, Size);
   Block Result;
   Result.m_Number = getNumber(Content, Offset + 8, 8);
-  if (getNumber(Content, Offset + 16, 8) != blockChecksum(Result.m_Number, Payload))
+  if (getNumber(Content, Offset + 16, 8) !=
+      blockChecksum(Result.m_Number, Payload))
     return std::nullopt;
   std::optional<std::vector<Record>> Records = parseRecords(Payload);
   if (!Records)
@@ -86,8 +92,11 @@
   return false;
 }
 
-absl::Status corrupt(const std::string &Name, size_t Offset, std::string_view What) {
-  return storeError(StoreErrc::Corrupt, absl::StrCat(Name, " at offset ", Offset, ": ", toAbsl(What)));
+absl::Status corrupt(const std::string &Name, size_t Offset,
+                     std::string_view What) {
+  return storeError(
+      StoreErrc::Corrupt,
+      absl::StrCat(Name, " at offset ", Offset, ": ", toAbsl(What)));
 }
 
 } // namespace
@@ -106,9 +115,11 @@
 absl::Status fromFileSystem(const absl::Status &Status) {
   if (Status.ok())
     return Status;
-  const StoreErrc Code = Status.code() == absl::StatusCode::kResourceExhausted    ? StoreErrc::Full
-                         : Status.code() == absl::StatusCode::kFailedPrecondition ? StoreErrc::Locked
-                                                                                  : StoreErrc::Io;
+  const StoreErrc Code =
+      Status.code() == absl::StatusCode::kResourceExhausted ? StoreErrc::Full
+      : Status.code() == absl::StatusCode::kFailedPrecondition
+          ? StoreErrc::Locked
+          : StoreErrc::Io;
   return storeError(Code, fromAbsl(Status.message()));
 }
 
@@ -118,7 +129,8 @@
   return Bytes;
 }
 
-void appendRecord(std::string &Payload, RecordKind Kind, std::string_view Bytes) {
+void appendRecord(std::string &Payload, RecordKind Kind,
+                  std::string_view Bytes) {
   Payload.push_back(static_cast<char>(Kind));
   putNumber(Payload, Bytes.size(), 4);
   Payload.append(Bytes);
@@ -133,8 +145,9 @@
   return Bytes;
 }
 
-absl::StatusOr<SegmentContent> parseSegment(const std::string &Name, std::string_view Content, uint64_t NextNumber,
-                                            bool Last) {
+absl::StatusOr<SegmentContent> parseSegment(const std::string &Name,
+                                            std::string_view Content,
+                                            uint64_t NextNumber, bool Last) {
   SegmentContent Result;
   if (Content.size() < SegmentHeaderBytes) {
     if (Last)
@@ -146,7 +159,8 @@
   const uint64_t Version = getNumber(Content, SegmentMagic.size(), 4);
   if (Version != FormatVersion)
     return storeError(StoreErrc::Format,
-                      absl::StrCat(Name, " has format version ", Version, ", expected ", FormatVersion));
+                      absl::StrCat(Name, " has format version ", Version,
+                                   ", expected ", FormatVersion));
   size_t Offset = SegmentHeaderBytes;
   Result.m_ValidBytes = Offset;
   while (Offset < Content.size()) {
@@ -158,7 +172,9 @@
       return Result;
     }
     if (NextNumber != 0 && Next->m_Number != NextNumber)
-      return corrupt(Name, Offset, absl::StrCat("block ", Next->m_Number, ", expected ", NextNumber));
+      return corrupt(
+          Name, Offset,
+          absl::StrCat("block ", Next->m_Number, ", expected ", NextNumber));
     NextNumber = Next->m_Number + 1;
     Result.m_Blocks.push_back(*std::move(Next));
     Offset = End;
@@ -180,26 +196,32 @@
   return Bytes + Body;
 }
 
-absl::StatusOr<raft::Snapshot> decodeSnapshot(const std::string &Name, std::string_view Content) {
+absl::StatusOr<raft::Snapshot> decodeSnapshot(const std::string &Name,
+                                              std::string_view Content) {
   constexpr size_t HeaderBytes = SegmentHeaderBytes + ChecksumBytes;
-  if (Content.size() < HeaderBytes + 4 || Content.substr(0, SnapshotMagic.size()) != SnapshotMagic)
+  if (Content.size() < HeaderBytes + 4 ||
+      Content.substr(0, SnapshotMagic.size()) != SnapshotMagic)
     return corrupt(Name, 0, "not a snapshot");
   const uint64_t Version = getNumber(Content, SnapshotMagic.size(), 4);
   if (Version != FormatVersion)
     return storeError(StoreErrc::Format,
-                      absl::StrCat(Name, " has format version ", Version, ", expected ", FormatVersion));
+                      absl::StrCat(Name, " has format version ", Version,
+                                   ", expected ", FormatVersion));
   const std::string_view Body = Content.substr(HeaderBytes);
-  if (getNumber(Content, SegmentHeaderBytes, ChecksumBytes) != XXH64(Body.data(), Body.size(), 0))
+  if (getNumber(Content, SegmentHeaderBytes, ChecksumBytes) !=
+      XXH64(Body.data(), Body.size(), 0))
     return corrupt(Name, HeaderBytes, "checksum mismatch");
   const size_t MetaSize = getNumber(Body, 0, 4);
   if (MetaSize > Body.size() - 4)
     return corrupt(Name, HeaderBytes, "size of the meta data is out of range");
-  absl::StatusOr<raft::SnapshotMeta> Meta = raft::decodeSnapshotMeta(Body.substr(4, MetaSize));
+  absl::StatusOr<raft::SnapshotMeta> Meta =
+      raft::decodeSnapshotMeta(Body.substr(4, MetaSize));
   if (!Meta.ok())
     return corrupt(Name, HeaderBytes + 4, fromAbsl(Meta.status().message()));
   raft::Snapshot Result;
   Result.m_Meta = *std::move(Meta);
-  Result.m_Data = std::make_shared<const std::string>(Body.substr(4 + MetaSize));
+  Result.m_Data =
+      std::make_shared<const std::string>(Body.substr(4 + MetaSize));
   return Result;
 }
 
--- a/src/store/Segment.h
+++ b/src/store/Segment.h
@@ -46,24 +46,29 @@
 std::string segmentHeader();
 
 /// Appends one record to the payload of a block.
-void appendRecord(std::string &Payload, RecordKind Kind, std::string_view Bytes);
+void appendRecord(std::string &Payload, RecordKind Kind,
+                  std::string_view Bytes);
 
 /// Returns the bytes of a block.
 std::string encodeBlock(uint64_t Number, std::string_view Payload);
 
 /// Reads a segment.
 ///
-/// Bytes after the last whole block are a cut-short write if the segment is the \p Last one and no block with a later
-/// number follows them: the next block is written only after the previous one was synced. Otherwise they are damage
+/// Bytes after the last whole block are a cut-short write if the segment is the
+/// \p Last one and no block with a later number follows them: the next block is
+/// written only after the previous one was synced. Otherwise they are damage
 /// (StoreErrc::Corrupt with file and offset).
-absl::StatusOr<SegmentContent> parseSegment(const std::string &Name, std::string_view Content, uint64_t NextNumber,
-                                            bool Last);
+absl::StatusOr<SegmentContent> parseSegment(const std::string &Name,
+                                            std::string_view Content,
+                                            uint64_t NextNumber, bool Last);
 
 /// Returns the bytes of a snapshot file.
 std::string encodeSnapshot(const raft::Snapshot &Snapshot);
 
-/// Returns the snapshot in the bytes of a file, or StoreErrc::Corrupt or Format.
-absl::StatusOr<raft::Snapshot> decodeSnapshot(const std::string &Name, std::string_view Content);
+/// Returns the snapshot in the bytes of a file, or StoreErrc::Corrupt or
+/// Format.
+absl::StatusOr<raft::Snapshot> decodeSnapshot(const std::string &Name,
+                                              std::string_view Content);
 
 /// Returns a status with \p Code.
 absl::Status storeError(StoreErrc Code, std::string_view Text);
--- a/src/timeline/Timeline.cpp
+++ b/src/timeline/Timeline.cpp
@@ -12,14 +12,19 @@
 
 namespace {
 
-bool fieldMatches(const std::string &Wanted, const std::string &Actual) { return Wanted.empty() || Wanted == Actual; }
+bool fieldMatches(const std::string &Wanted, const std::string &Actual) {
+  return Wanted.empty() || Wanted == Actual;
+}
 
 } // namespace
 
-Recorder::Recorder(std::string_view Process, size_t Capacity, std::function<int64_t()> WallClockMicros)
-    : m_Process(Process), m_Capacity(Capacity), m_WallClockMicros(std::move(WallClockMicros)) {}
+Recorder::Recorder(std::string_view Process, size_t Capacity,
+                   std::function<int64_t()> WallClockMicros)
+    : m_Process(Process), m_Capacity(Capacity),
+      m_WallClockMicros(std::move(WallClockMicros)) {}
 
-void Recorder::record(std::string_view Kind, Subject About, std::string_view Text, int64_t LogIndex) {
+void Recorder::record(std::string_view Kind, Subject About,
+                      std::string_view Text, int64_t LogIndex) {
   Event Next;
   Next.m_At = m_Clock.now(m_WallClockMicros());
   Next.m_Process = m_Process;
@@ -38,39 +43,48 @@
 bool matches(const Event &Candidate, const Filter &Wanted) {
   const Subject &About = Candidate.m_Subject;
   const Subject &Only = Wanted.m_Subject;
-  return Candidate.m_At.m_WallUs >= Wanted.m_FromUs && Candidate.m_At.m_WallUs <= Wanted.m_ToUs &&
-         fieldMatches(Only.m_Job, About.m_Job) && fieldMatches(Only.m_Request, About.m_Request) &&
-         fieldMatches(Only.m_Vm, About.m_Vm) && fieldMatches(Only.m_Workspace, About.m_Workspace) &&
+  return Candidate.m_At.m_WallUs >= Wanted.m_FromUs &&
+         Candidate.m_At.m_WallUs <= Wanted.m_ToUs &&
+         fieldMatches(Only.m_Job, About.m_Job) &&
+         fieldMatches(Only.m_Request, About.m_Request) &&
+         fieldMatches(Only.m_Vm, About.m_Vm) &&
+         fieldMatches(Only.m_Workspace, About.m_Workspace) &&
          fieldMatches(Only.m_AvailabilityZone, About.m_AvailabilityZone);
 }
 
 std::vector<Event> Recorder::select(const Filter &Wanted) const {
   std::vector<Event> Result;
-  for (auto It = m_Events.rbegin(); It != m_Events.rend() && Result.size() < Wanted.m_Limit; ++It)
+  for (auto It = m_Events.rbegin();
+       It != m_Events.rend() && Result.size() < Wanted.m_Limit; ++It)
     if (matches(*It, Wanted))
       Result.push_back(*It);
   std::reverse(Result.begin(), Result.end());
   return Result;
 }
 
-std::vector<Event> merge(std::span<const std::vector<Event>> Sources, size_t Limit) {
+std::vector<Event> merge(std::span<const std::vector<Event>> Sources,
+                         size_t Limit) {
   std::vector<Event> All;
   for (const std::vector<Event> &Source : Sources)
     All.insert(All.end(), Source.begin(), Source.end());
   std::sort(All.begin(), All.end(), [](const Event &A, const Event &B) {
-    return std::tie(A.m_At, A.m_Process, A.m_Sequence) < std::tie(B.m_At, B.m_Process, B.m_Sequence);
+    return std::tie(A.m_At, A.m_Process, A.m_Sequence) <
+           std::tie(B.m_At, B.m_Process, B.m_Sequence);
   });
   std::vector<Event> Result;
   std::set<std::pair<int64_t, std::string>> Seen;
   for (Event &Each : All) {
     // The same event of one process comes through several entries.
-    if (!Result.empty() && Result.back().m_Process == Each.m_Process && Result.back().m_Sequence == Each.m_Sequence &&
+    if (!Result.empty() && Result.back().m_Process == Each.m_Process &&
+        Result.back().m_Sequence == Each.m_Sequence &&
         Result.back().m_At == Each.m_At && Each.m_Sequence != 0)
       continue;
     const bool Replicated = Each.m_LogIndex != 0;
-    if (Replicated && !Seen.insert({Each.m_LogIndex, absl::StrCat(Each.m_Kind, " ", Each.m_Subject.m_Job, " ",
-                                                                  Each.m_Subject.m_Vm, " ", Each.m_Text)})
-                           .second)
+    if (Replicated &&
+        !Seen.insert({Each.m_LogIndex,
+                      absl::StrCat(Each.m_Kind, " ", Each.m_Subject.m_Job, " ",
+                                   Each.m_Subject.m_Vm, " ", Each.m_Text)})
+             .second)
       continue;
     Result.push_back(std::move(Each));
   }
--- a/src/timeline/TimelineFormat.cpp
+++ b/src/timeline/TimelineFormat.cpp
@@ -24,11 +24,12 @@
   std::string Subject::*m_Member;
 };
 
-constexpr std::array<SubjectField, 5> SubjectFields = {{{"job", &Subject::m_Job},
-                                                        {"request", &Subject::m_Request},
-                                                        {"vm", &Subject::m_Vm},
-                                                        {"workspace", &Subject::m_Workspace},
-                                                        {"zone", &Subject::m_AvailabilityZone}}};
+constexpr std::array<SubjectField, 5> SubjectFields = {
+    {{"job", &Subject::m_Job},
+     {"request", &Subject::m_Request},
+     {"vm", &Subject::m_Vm},
+     {"workspace", &Subject::m_Workspace},
+     {"zone", &Subject::m_AvailabilityZone}}};
 
 json::object objectOf(const Event &Each) {
   json::object Object;
@@ -40,7 +41,8 @@
     Object["log_index"] = Each.m_LogIndex;
   Object["kind"] = Each.m_Kind;
   for (const SubjectField &Field : SubjectFields)
-    if (const std::string &Value = Each.m_Subject.*Field.m_Member; !Value.empty())
+    if (const std::string &Value = Each.m_Subject.*Field.m_Member;
+        !Value.empty())
       Object[Field.m_Name] = Value;
   Object["text"] = Each.m_Text;
   return Object;
@@ -48,7 +50,8 @@
 
 std::string textOf(const json::object &Object, std::string_view Name) {
   const json::value *Value = Object.if_contains(Name);
-  return Value && Value->is_string() ? std::string(Value->as_string()) : std::string();
+  return Value && Value->is_string() ? std::string(Value->as_string())
+                                     : std::string();
 }
 
 int64_t numberOf(const json::object &Object, std::string_view Name) {
@@ -58,7 +61,8 @@
 
 Event eventOf(const json::object &Object) {
   Event Each;
-  Each.m_At = {numberOf(Object, "at_us"), static_cast<int32_t>(numberOf(Object, "logical"))};
+  Each.m_At = {numberOf(Object, "at_us"),
+               static_cast<int32_t>(numberOf(Object, "logical"))};
   Each.m_Process = textOf(Object, "process");
   Each.m_Sequence = numberOf(Object, "sequence");
   Each.m_LogIndex = numberOf(Object, "log_index");
@@ -74,7 +78,8 @@
   std::tm Parts{};
   gmtime_r(&Seconds, &Parts);
   std::array<char, 48> Text{};
-  std::snprintf(Text.data(), Text.size(), "%02d:%02d:%02d.%06d", Parts.tm_hour, Parts.tm_min, Parts.tm_sec,
+  std::snprintf(Text.data(), Text.size(), "%02d:%02d:%02d.%06d", Parts.tm_hour,
+                Parts.tm_min, Parts.tm_sec,
                 static_cast<int>(WallUs % MicrosPerSecond));
   return Text.data();
 }
@@ -83,8 +88,10 @@
 
 Filter parseFilter(std::string_view Argument) {
   Filter Wanted;
-  for (absl::string_view Part : absl::StrSplit(toAbsl(Argument), '&', absl::SkipEmpty())) {
-    const std::pair<std::string, std::string> Pair = absl::StrSplit(Part, absl::MaxSplits('=', 1));
+  for (absl::string_view Part :
+       absl::StrSplit(toAbsl(Argument), '&', absl::SkipEmpty())) {
+    const std::pair<std::string, std::string> Pair =
+        absl::StrSplit(Part, absl::MaxSplits('=', 1));
     for (const SubjectField &Field : SubjectFields)
       if (Pair.first == Field.m_Name)
         Wanted.m_Subject.*Field.m_Member = Pair.second;
@@ -104,13 +111,15 @@
 
 absl::StatusOr<std::vector<Event>> fromJson(std::string_view Json) {
   boost::system::error_code Error;
-  const json::value Value = json::parse(json::string_view(Json.data(), Json.size()), Error);
+  const json::value Value =
+      json::parse(json::string_view(Json.data(), Json.size()), Error);
   if (Error || !Value.is_array())
     return absl::InvalidArgumentError("timeline: not a JSON array of events");
   std::vector<Event> Events;
   for (const json::value &Each : Value.as_array()) {
     if (!Each.is_object())
-      return absl::InvalidArgumentError("timeline: an event is not a JSON object");
+      return absl::InvalidArgumentError(
+          "timeline: an event is not a JSON object");
     Events.push_back(eventOf(Each.as_object()));
   }
   return Events;
@@ -119,9 +128,11 @@
 std::string toText(std::span<const Event> Events) {
   std::string Text;
   for (const Event &Each : Events) {
-    absl::StrAppend(&Text, timeOf(Each.m_At.m_WallUs), " ", Each.m_Process, " ", Each.m_Kind);
+    absl::StrAppend(&Text, timeOf(Each.m_At.m_WallUs), " ", Each.m_Process, " ",
+                    Each.m_Kind);
     for (const SubjectField &Field : SubjectFields)
-      if (const std::string &Value = Each.m_Subject.*Field.m_Member; !Value.empty())
+      if (const std::string &Value = Each.m_Subject.*Field.m_Member;
+          !Value.empty())
         absl::StrAppend(&Text, " ", Field.m_Name, "=", Value);
     absl::StrAppend(&Text, ": ", Each.m_Text, "\n");
   }
--- a/tests/agent/GateBench.h
+++ b/tests/agent/GateBench.h
@@ -18,7 +18,8 @@
 public:
   static constexpr int64_t Incarnation = 7;
 
-  explicit GateBench(AgentOptions Options = {}, wire::TargetKind::type Kind = wire::TargetKind::MINION) {
+  explicit GateBench(AgentOptions Options = {},
+                     wire::TargetKind::type Kind = wire::TargetKind::MINION) {
     Options.m_Target.vm = "vm-1";
     Options.m_Target.kind = Kind;
     Options.m_Target.incarnation = Incarnation;
@@ -30,7 +31,8 @@
     m_Gate = std::move(*AgentGate::create(std::move(Options)));
   }
 
-  /// Applies an event and files the actions; heartbeats are reported as sent at once.
+  /// Applies an event and files the actions; heartbeats are reported as sent at
+  /// once.
   void step(Event Incoming) {
     for (Action &Each : m_Gate->step(std::move(Incoming), m_Now))
       std::visit([this](auto &Item) { file(std::move(Item)); }, Each);
@@ -56,7 +58,8 @@
     return m_Heartbeats.back().sequence;
   }
 
-  static wire::AgentHeartbeatReply reply(int64_t Sequence, int64_t PermitMs = 1500) {
+  static wire::AgentHeartbeatReply reply(int64_t Sequence,
+                                         int64_t PermitMs = 1500) {
     wire::AgentHeartbeatReply Reply;
     Reply.sequence = Sequence;
     Reply.accepted = true;
@@ -80,7 +83,8 @@
     BOOST_REQUIRE(m_Gate->hasPermit(m_Now));
   }
 
-  static wire::ExecuteRequest request(const std::string &Id, int64_t Token = 0, int64_t TimeoutMs = 10000) {
+  static wire::ExecuteRequest request(const std::string &Id, int64_t Token = 0,
+                                      int64_t TimeoutMs = 10000) {
     wire::ExecuteRequest Request;
     Request.requestId = Id;
     Request.className = "quote";
@@ -102,19 +106,23 @@
   /// Returns the outcome that call \p Call got, or 0 if it has no answer.
   int outcome(int64_t Call) const {
     const auto Found = m_Replies.find(Call);
-    return Found == m_Replies.end() ? 0 : static_cast<int>(Found->second.outcome);
+    return Found == m_Replies.end() ? 0
+                                    : static_cast<int>(Found->second.outcome);
   }
 
-  /// Answers the exchange number \p Index, counted from 0, with a whole response.
+  /// Answers the exchange number \p Index, counted from 0, with a whole
+  /// response.
   void answer(size_t Index, const std::string &Body = "done") {
     step(MinionAnswered{m_Sent.at(Index).m_Exchange, 200, "text/plain", Body});
   }
 
   void fail(size_t Index, bool AnyByteSent, bool ConnectFailed = false) {
-    step(MinionFailed{m_Sent.at(Index).m_Exchange, AnyByteSent, ConnectFailed, "simulated"});
+    step(MinionFailed{m_Sent.at(Index).m_Exchange, AnyByteSent, ConnectFailed,
+                      "simulated"});
   }
 
-  /// Returns the state that the last heartbeat reported for the only task, or 0.
+  /// Returns the state that the last heartbeat reported for the only task, or
+  /// 0.
   int taskState() const {
     const auto &Tasks = m_Heartbeats.back().tasks;
     return Tasks.size() == 1 ? static_cast<int>(Tasks[0].state) : 0;
@@ -137,7 +145,8 @@
 
 private:
   void file(ReplyToCall Item) {
-    BOOST_TEST(!m_Replies.contains(Item.m_Call.value()), "call " << Item.m_Call.value() << " was answered twice");
+    BOOST_TEST(!m_Replies.contains(Item.m_Call.value()),
+               "call " << Item.m_Call.value() << " was answered twice");
     m_Replies[Item.m_Call.value()] = std::move(Item.m_Reply);
   }
   void file(SendToMinion Item) { m_Sent.push_back(std::move(Item)); }
--- a/tests/agent/PermitTest.cpp
+++ b/tests/agent/PermitTest.cpp
@@ -32,7 +32,8 @@
   BOOST_TEST(B.m_Sent.size() == 1);
 }
 
-// Guards against a permit counted from when the reply arrived instead of when the heartbeat was sent.
+// Guards against a permit counted from when the reply arrived instead of when
+// the heartbeat was sent.
 BOOST_AUTO_TEST_CASE(PermitCountsFromTheHeartbeat) {
   GateBench B;
   const int64_t Sequence = B.nextHeartbeat();
@@ -46,19 +47,24 @@
 
 struct ReplyOrder {
   const char *m_Name;
-  std::vector<size_t> m_Order;    ///< Which of three heartbeats, 1 s apart, are answered, in this order.
+  std::vector<size_t> m_Order;    ///< Which of three heartbeats, 1 s apart, are
+                                  ///< answered, in this order.
   std::vector<int64_t> m_Permits; ///< Permit of each heartbeat's reply in ms.
-  int64_t m_EndMs;                ///< End of the permit after the first heartbeat; 0 is none.
+  int64_t m_EndMs; ///< End of the permit after the first heartbeat; 0 is none.
 };
 
-// Guards against late, repeated or reordered replies that extend a permit or undo its withdrawal.
+// Guards against late, repeated or reordered replies that extend a permit or
+// undo its withdrawal.
 BOOST_AUTO_TEST_CASE(ReorderedRepliesNeverExtendThePermit) {
   const ReplyOrder Cases[] = {
       {"in order", {0, 1, 2}, {1500, 1500, 1500}, 3500},
       {"oldest last", {2, 1, 0}, {1500, 1500, 1500}, 3500},
       {"only the oldest, late", {0}, {1500, 1500, 1500}, 0},
       {"withdrawn in the newest", {0, 1, 2}, {1500, 1500, 0}, 0},
-      {"withdrawn in the newest, older ones later", {2, 0, 1}, {1500, 1500, 0}, 0},
+      {"withdrawn in the newest, older ones later",
+       {2, 0, 1},
+       {1500, 1500, 0},
+       0},
       {"repeated reply", {1, 1, 1}, {1500, 1500, 1500}, 2500},
       {"permit above the maximum", {2}, {0, 0, 60000}, 3500},
       {"negative permit", {2}, {0, 0, -5}, 0},
@@ -74,36 +80,45 @@
         Sequences.push_back(B.nextHeartbeat());
       BOOST_REQUIRE(B.m_Now == FirstSent + milliseconds(2000));
       for (size_t Index : Case.m_Order)
-        B.step(HeartbeatReplied{GateBench::reply(Sequences[Index], Case.m_Permits[Index])});
+        B.step(HeartbeatReplied{
+            GateBench::reply(Sequences[Index], Case.m_Permits[Index])});
 
       const TimePoint End = FirstSent + milliseconds(Case.m_EndMs);
       const bool Expected = End > B.m_Now;
       BOOST_TEST(B.m_Gate->hasPermit(B.m_Now) == Expected);
-      BOOST_TEST(B.m_Gate->hasPermit(std::max(End - milliseconds(1), B.m_Now)) == Expected);
+      BOOST_TEST(B.m_Gate->hasPermit(
+                     std::max(End - milliseconds(1), B.m_Now)) == Expected);
       BOOST_TEST(!B.m_Gate->hasPermit(std::max(End, B.m_Now)));
     }
   }
 }
 
-// Guards against a start later than 3 s after a withdrawal on an agent whose clock runs 10% fast or slow (H3). Control
-// reads the withdrawn set G = 1 s before its last answer at the latest, so the permit must end by W + 1 s + 1.5 s.
+// Guards against a start later than 3 s after a withdrawal on an agent whose
+// clock runs 10% fast or slow (H3). Control reads the withdrawn set G = 1 s
+// before its last answer at the latest, so the permit must end by W + 1 s + 1.5
+// s.
 BOOST_AUTO_TEST_CASE(NoStartThreeSecondsAfterAWithdrawalWithAWrongClock) {
   for (const double Rate : {0.9, 1.0, 1.1}) {
     BOOST_TEST_CONTEXT("clock rate " << Rate) {
       GateBench B;
       const auto LocalAt = [&](Duration True) {
-        return timePointFromMicros(1000000000 + static_cast<int64_t>(static_cast<double>(True.count()) * Rate));
+        return timePointFromMicros(
+            1000000000 +
+            static_cast<int64_t>(static_cast<double>(True.count()) * Rate));
       };
       B.m_Now = LocalAt(Duration(0));
       B.step(MinionProbed{true});
-      // Withdrawn at true time 0. The replica's last read before it counts as fresh until true time 1 s.
+      // Withdrawn at true time 0. The replica's last read before it counts as
+      // fresh until true time 1 s.
       Duration LastStart(0);
-      for (Duration True(0); True < std::chrono::seconds(4); True += milliseconds(10)) {
+      for (Duration True(0); True < std::chrono::seconds(4);
+           True += milliseconds(10)) {
         B.m_Now = LocalAt(True);
         const size_t Before = B.m_Heartbeats.size();
         B.step(Tick{});
         if (B.m_Heartbeats.size() > Before && True < std::chrono::seconds(1))
-          B.step(HeartbeatReplied{GateBench::reply(B.m_Heartbeats.back().sequence)});
+          B.step(HeartbeatReplied{
+              GateBench::reply(B.m_Heartbeats.back().sequence)});
         const size_t Sent = B.m_Sent.size();
         B.arrive(GateBench::request("r"));
         if (B.m_Sent.size() > Sent) {
@@ -117,7 +132,8 @@
   }
 }
 
-// Guards against queued requests that start on an expired permit or keep their callers waiting without one.
+// Guards against queued requests that start on an expired permit or keep their
+// callers waiting without one.
 BOOST_AUTO_TEST_CASE(PermitEndsWhileQueued) {
   AgentOptions Options;
   Options.m_Slots = 1;
@@ -133,8 +149,8 @@
   BOOST_TEST(B.m_Sent.size() == 1);
 }
 
-// Guards against a replica that lags behind the one used before and brings back what has ended, or acknowledges an
-// outcome of a claim that it does not know.
+// Guards against a replica that lags behind the one used before and brings back
+// what has ended, or acknowledges an outcome of a claim that it does not know.
 BOOST_AUTO_TEST_CASE(ReplyOfALaggingReplicaChangesNothing) {
   GateBench B;
   B.ready();
@@ -152,7 +168,8 @@
   BOOST_TEST(B.m_Heartbeats.back().outcomes.size() == 1);
 }
 
-// Guards against new work on a draining target, and against a target that stays closed after the drain was undone.
+// Guards against new work on a draining target, and against a target that stays
+// closed after the drain was undone.
 BOOST_AUTO_TEST_CASE(DrainingRefusesUntilItIsUndone) {
   GateBench B;
   B.ready();
@@ -170,12 +187,14 @@
 struct PaceCase {
   const char *m_Name;
   double m_Random;
-  int64_t m_FirstMs; ///< Expected time to the next heartbeat in ms, to the next tick of 50 ms.
+  int64_t m_FirstMs; ///< Expected time to the next heartbeat in ms, to the next
+                     ///< tick of 50 ms.
 };
 
 // Guards against agents that all send at the same moment.
 BOOST_AUTO_TEST_CASE(HeartbeatsAreSpreadByTenPercent) {
-  const PaceCase Cases[] = {{"lowest", 0.0, 900}, {"middle", 0.5, 1000}, {"highest", 0.999999, 1100}};
+  const PaceCase Cases[] = {
+      {"lowest", 0.0, 900}, {"middle", 0.5, 1000}, {"highest", 0.999999, 1100}};
   for (const PaceCase &Case : Cases) {
     BOOST_TEST_CONTEXT(Case.m_Name) {
       AgentOptions Options;
@@ -189,8 +208,9 @@
   }
 }
 
-// Guards against an agent that waits a full period after a refusal, stays with a replica that can't serve it, or loses
-// its permit although another replica would renew it.
+// Guards against an agent that waits a full period after a refusal, stays with
+// a replica that can't serve it, or loses its permit although another replica
+// would renew it.
 BOOST_AUTO_TEST_CASE(RefusalsCauseQuickRetriesElsewhere) {
   GateBench B;
   B.beat();
@@ -206,7 +226,8 @@
   BOOST_TEST(B.m_Gate->hasPermit(B.m_Now));
 }
 
-// Guards against all agents of a lost replica arriving at the next one at once, and against one loss switching twice.
+// Guards against all agents of a lost replica arriving at the next one at once,
+// and against one loss switching twice.
 BOOST_AUTO_TEST_CASE(LostReplicaIsReplacedAfterASpread) {
   AgentOptions Options;
   double Random = 0.5;
--- a/tests/agent/RandomTest.cpp
+++ b/tests/agent/RandomTest.cpp
@@ -13,25 +13,30 @@
 constexpr uint64_t Seeds = 60;
 constexpr int EventsPerSeed = 1500;
 constexpr size_t Slots = 3;
-constexpr int32_t AcceleratorsPerTask = 3; ///< Two of five tasks fit on the worker of GateBench.
+constexpr int32_t AcceleratorsPerTask =
+    3; ///< Two of five tasks fit on the worker of GateBench.
 
 /// Random numbers that are the same on every platform.
 class Dice {
 public:
   explicit Dice(uint64_t Seed) : m_Generator(Seed) {}
-  size_t below(size_t Bound) { return static_cast<size_t>(m_Generator() % Bound); }
+  size_t below(size_t Bound) {
+    return static_cast<size_t>(m_Generator() % Bound);
+  }
   bool oneIn(size_t Bound) { return below(Bound) == 0; }
 
 private:
   std::mt19937_64 m_Generator;
 };
 
-/// Keeps the permit as the rules of the page define it, apart from the code under test.
+/// Keeps the permit as the rules of the page define it, apart from the code
+/// under test.
 class PermitModel {
 public:
   void sent(int64_t Sequence, TimePoint Now) { m_SentAt[Sequence] = Now; }
   void replied(const wire::AgentHeartbeatReply &Reply) {
-    if (!Reply.accepted || Reply.sequence < m_Newest || !m_SentAt.contains(Reply.sequence))
+    if (!Reply.accepted || Reply.sequence < m_Newest ||
+        !m_SentAt.contains(Reply.sequence))
       return;
     m_Newest = Reply.sequence;
     m_End = m_SentAt[Reply.sequence] + milliseconds(Reply.permitMs);
@@ -104,10 +109,14 @@
   }
 
   void arrive() {
-    const int64_t Token = m_Dice.oneIn(3) ? 0 : m_NextToken + 1 - static_cast<int64_t>(m_Dice.below(12));
+    const int64_t Token =
+        m_Dice.oneIn(3)
+            ? 0
+            : m_NextToken + 1 - static_cast<int64_t>(m_Dice.below(12));
     m_NextToken += m_Dice.oneIn(2) ? 1 : 0;
-    wire::ExecuteRequest Request = GateBench::request("r" + std::to_string(++m_Requests), std::max<int64_t>(Token, 0),
-                                                      static_cast<int64_t>(1 + m_Dice.below(1500)));
+    wire::ExecuteRequest Request = GateBench::request(
+        "r" + std::to_string(++m_Requests), std::max<int64_t>(Token, 0),
+        static_cast<int64_t>(1 + m_Dice.below(1500)));
     if (m_Dice.oneIn(20))
       Request.incarnation = GateBench::Incarnation - 1;
     const int64_t Call = m_Bench.arrive(Request);
@@ -126,17 +135,21 @@
     if (!m_Dice.oneIn(3))
       return m_Bench.answer(Index);
     m_Traces[Index].m_BytesSeen = m_Dice.oneIn(2);
-    m_Bench.fail(Index, m_Traces[Index].m_BytesSeen, !m_Traces[Index].m_BytesSeen && m_Dice.oneIn(2));
+    m_Bench.fail(Index, m_Traces[Index].m_BytesSeen,
+                 !m_Traces[Index].m_BytesSeen && m_Dice.oneIn(2));
   }
 
   void reply() {
     if (m_Bench.m_Heartbeats.empty())
       return;
-    const size_t Back = std::min<size_t>(m_Dice.below(4), m_Bench.m_Heartbeats.size() - 1);
-    const wire::AgentHeartbeat Heartbeat = m_Bench.m_Heartbeats[m_Bench.m_Heartbeats.size() - 1 - Back];
+    const size_t Back =
+        std::min<size_t>(m_Dice.below(4), m_Bench.m_Heartbeats.size() - 1);
+    const wire::AgentHeartbeat Heartbeat =
+        m_Bench.m_Heartbeats[m_Bench.m_Heartbeats.size() - 1 - Back];
     if (!m_Answered.insert(Heartbeat.sequence).second)
       return;
-    wire::AgentHeartbeatReply Reply = GateBench::reply(Heartbeat.sequence, m_Dice.oneIn(6) ? 0 : 1500);
+    wire::AgentHeartbeatReply Reply =
+        GateBench::reply(Heartbeat.sequence, m_Dice.oneIn(6) ? 0 : 1500);
     Reply.accepted = !m_Dice.oneIn(6);
     for (const wire::ClaimOutcome &Outcome : Heartbeat.outcomes)
       if (m_Dice.oneIn(2))
@@ -147,32 +160,45 @@
 
   void check() {
     while (m_HeartbeatsSeen < m_Bench.m_Heartbeats.size())
-      m_Model.sent(m_Bench.m_Heartbeats[m_HeartbeatsSeen++].sequence, m_Bench.m_Now);
+      m_Model.sent(m_Bench.m_Heartbeats[m_HeartbeatsSeen++].sequence,
+                   m_Bench.m_Now);
     while (m_Traces.size() < m_Bench.m_Sent.size())
       noteStart(m_Bench.m_Sent[m_Traces.size()]);
     checkSlots();
-    std::erase_if(m_Unanswered, [this](const auto &Item) { return checkReply(Item.first, Item.second); });
+    std::erase_if(m_Unanswered, [this](const auto &Item) {
+      return checkReply(Item.first, Item.second);
+    });
   }
 
   void noteStart(const SendToMinion &Start) {
-    BOOST_REQUIRE_MESSAGE(m_Model.held(m_Bench.m_Now), "start without a permit: " << Start.m_Request.requestId);
+    BOOST_REQUIRE_MESSAGE(
+        m_Model.held(m_Bench.m_Now),
+        "start without a permit: " << Start.m_Request.requestId);
     const int64_t Token = Start.m_Request.claimToken;
     if (Token != 0)
-      BOOST_REQUIRE_MESSAGE(m_TokensRun.insert(Token).second, "token ran twice: " << Token);
+      BOOST_REQUIRE_MESSAGE(m_TokensRun.insert(Token).second,
+                            "token ran twice: " << Token);
     const std::string Name = runName(Start.m_Request);
-    BOOST_REQUIRE_MESSAGE(!m_ToldNotRun.contains(Name), "started after it was reported as not run: " << Name);
+    BOOST_REQUIRE_MESSAGE(!m_ToldNotRun.contains(Name),
+                          "started after it was reported as not run: " << Name);
     m_Traces.push_back({Name});
   }
 
   void checkSlots() {
-    const auto Open = std::count_if(m_Traces.begin(), m_Traces.end(), [](const auto &Each) { return Each.m_Open; });
-    // Abandoned exchanges are closed by the port; the newest of the same number have no further event.
-    BOOST_REQUIRE(m_Bench.m_Gate->load().busySlots <= static_cast<int32_t>(Slots));
+    const auto Open =
+        std::count_if(m_Traces.begin(), m_Traces.end(),
+                      [](const auto &Each) { return Each.m_Open; });
+    // Abandoned exchanges are closed by the port; the newest of the same number
+    // have no further event.
+    BOOST_REQUIRE(m_Bench.m_Gate->load().busySlots <=
+                  static_cast<int32_t>(Slots));
     BOOST_REQUIRE(Open - m_Bench.m_Abandoned <= static_cast<int64_t>(Slots));
   }
 
   static std::string runName(const wire::ExecuteRequest &Request) {
-    return Request.claimToken != 0 ? "token " + std::to_string(Request.claimToken) : Request.requestId;
+    return Request.claimToken != 0
+               ? "token " + std::to_string(Request.claimToken)
+               : Request.requestId;
   }
 
   // Returns true if the call has been answered.
@@ -180,11 +206,13 @@
     const auto Reply = m_Bench.m_Replies.find(Call);
     if (Reply == m_Bench.m_Replies.end())
       return false;
-    if (Reply->second.outcome != wire::Outcome::NOT_RUN || Request.incarnation != GateBench::Incarnation)
+    if (Reply->second.outcome != wire::Outcome::NOT_RUN ||
+        Request.incarnation != GateBench::Incarnation)
       return true;
     m_ToldNotRun.insert(runName(Request));
     for (const ExchangeTrace &Trace : m_Traces)
-      BOOST_REQUIRE_MESSAGE(Trace.m_Name != runName(Request) || !Trace.m_BytesSeen,
+      BOOST_REQUIRE_MESSAGE(Trace.m_Name != runName(Request) ||
+                                !Trace.m_BytesSeen,
                             "not run, but the minion saw " << Trace.m_Name);
     return true;
   }
@@ -213,7 +241,8 @@
 /// Random worker-side events with the checks that must hold after each of them.
 class TaskWalk {
 public:
-  explicit TaskWalk(uint64_t Seed) : m_Dice(Seed), m_Bench({}, wire::TargetKind::WORKER) {
+  explicit TaskWalk(uint64_t Seed)
+      : m_Dice(Seed), m_Bench({}, wire::TargetKind::WORKER) {
     m_Bench.step(WorkerInventory{});
   }
 
@@ -246,8 +275,10 @@
       Item.jobId = 1;
       Item.taskIndex = Task;
       Item.startToken = m_Token;
-      Item.order = m_Dice.oneIn(8) ? static_cast<wire::TaskOrder::type>(3 + m_Dice.below(3))
-                                   : static_cast<wire::TaskOrder::type>(1 + m_Dice.below(2));
+      Item.order =
+          m_Dice.oneIn(8)
+              ? static_cast<wire::TaskOrder::type>(3 + m_Dice.below(3))
+              : static_cast<wire::TaskOrder::type>(1 + m_Dice.below(2));
       Item.resources.accelerators = AcceleratorsPerTask;
       Item.leaseMs = 3000;
       Items.push_back(Item);
@@ -257,10 +288,11 @@
   }
 
   void reply() {
-    if (m_Bench.m_Heartbeats.empty() || !m_Answered.insert(m_Bench.m_Heartbeats.back().sequence).second)
+    if (m_Bench.m_Heartbeats.empty() ||
+        !m_Answered.insert(m_Bench.m_Heartbeats.back().sequence).second)
       return;
-    wire::AgentHeartbeatReply Reply =
-        GateBench::reply(m_Bench.m_Heartbeats.back().sequence, m_Dice.oneIn(5) ? 0 : 1500);
+    wire::AgentHeartbeatReply Reply = GateBench::reply(
+        m_Bench.m_Heartbeats.back().sequence, m_Dice.oneIn(5) ? 0 : 1500);
     Reply.assignments = wanted();
     m_Model.replied(Reply);
     m_Bench.step(HeartbeatReplied{Reply});
@@ -273,8 +305,10 @@
     std::advance(Which, static_cast<long>(m_Dice.below(m_Running.size())));
     const TaskKey Key = *Which;
     const auto Kind = static_cast<TaskEventKind>(m_Dice.below(8));
-    const bool Ends = Kind == TaskEventKind::StartFailed || Kind == TaskEventKind::Succeeded ||
-                      Kind == TaskEventKind::Failed || Kind == TaskEventKind::Stopped;
+    const bool Ends = Kind == TaskEventKind::StartFailed ||
+                      Kind == TaskEventKind::Succeeded ||
+                      Kind == TaskEventKind::Failed ||
+                      Kind == TaskEventKind::Stopped;
     if (Ends)
       m_Running.erase(Which);
     m_Bench.step(TaskEvent{Key, Kind, "simulated"});
@@ -282,11 +316,14 @@
 
   void check() {
     while (m_HeartbeatsSeen < m_Bench.m_Heartbeats.size())
-      m_Model.sent(m_Bench.m_Heartbeats[m_HeartbeatsSeen++].sequence, m_Bench.m_Now);
+      m_Model.sent(m_Bench.m_Heartbeats[m_HeartbeatsSeen++].sequence,
+                   m_Bench.m_Now);
     for (; m_StartsSeen < m_Bench.m_Starts.size(); ++m_StartsSeen) {
       const TaskKey Key = m_Bench.m_Starts[m_StartsSeen].m_Key;
-      BOOST_REQUIRE_MESSAGE(m_Model.held(m_Bench.m_Now), "task started without a permit");
-      BOOST_REQUIRE_MESSAGE(m_EverStarted.insert(Key).second, "start token used twice: " << Key.m_StartToken);
+      BOOST_REQUIRE_MESSAGE(m_Model.held(m_Bench.m_Now),
+                            "task started without a permit");
+      BOOST_REQUIRE_MESSAGE(m_EverStarted.insert(Key).second,
+                            "start token used twice: " << Key.m_StartToken);
       m_Running.insert(Key);
     }
     BOOST_REQUIRE_MESSAGE(m_Running.size() * AcceleratorsPerTask <= 8,
@@ -308,14 +345,16 @@
 
 BOOST_AUTO_TEST_SUITE(RandomTest)
 
-// Guards against an order of events, not thought of above, that starts without a permit, overfills the slots, runs a
-// token twice or calls a request not run that the minion saw.
+// Guards against an order of events, not thought of above, that starts without
+// a permit, overfills the slots, runs a token twice or calls a request not run
+// that the minion saw.
 BOOST_AUTO_TEST_CASE(RequestRulesHoldAfterEachEvent) {
   for (uint64_t Seed = 1; Seed <= Seeds; ++Seed)
     BOOST_TEST_CONTEXT("seed " << Seed) { RequestWalk(Seed).run(); }
 }
 
-// Guards against an order of events that starts a token twice, without a permit or beyond the worker's resources.
+// Guards against an order of events that starts a token twice, without a permit
+// or beyond the worker's resources.
 BOOST_AUTO_TEST_CASE(TaskRulesHoldAfterEachEvent) {
   for (uint64_t Seed = 1; Seed <= Seeds; ++Seed)
     BOOST_TEST_CONTEXT("seed " << Seed) { TaskWalk(Seed).run(); }
--- a/tests/agent/RequestTest.cpp
+++ b/tests/agent/RequestTest.cpp
@@ -35,9 +35,10 @@
 
 // Guards against "not run" for a request that the minion may have seen (H5).
 BOOST_AUTO_TEST_CASE(OutcomeFollowsTheBytesSent) {
-  const ExchangeEnd Cases[] = {{"no connection", false, true, NotRun},
-                               {"closed before the first byte", false, false, NotRun},
-                               {"closed after the first byte", true, false, Unknown}};
+  const ExchangeEnd Cases[] = {
+      {"no connection", false, true, NotRun},
+      {"closed before the first byte", false, false, NotRun},
+      {"closed after the first byte", true, false, Unknown}};
   for (const ExchangeEnd &Case : Cases) {
     BOOST_TEST_CONTEXT(Case.m_Name) {
       GateBench B;
@@ -65,7 +66,8 @@
   BOOST_TEST(B.m_Sent.size() == 9);
 }
 
-// Guards against a slot that is given away while the minion still works for a caller whose deadline has passed.
+// Guards against a slot that is given away while the minion still works for a
+// caller whose deadline has passed.
 BOOST_AUTO_TEST_CASE(SlotStaysTakenAfterTheCallersDeadline) {
   GateBench B(oneSlot());
   B.ready();
@@ -126,7 +128,8 @@
   BOOST_TEST(B.m_Sent.size() == 1);
 }
 
-// Guards against urgent work behind batch work, and against batch work that urgent work keeps out for ever.
+// Guards against urgent work behind batch work, and against batch work that
+// urgent work keeps out for ever.
 BOOST_AUTO_TEST_CASE(UrgencyOrdersTheQueueWithAgeing) {
   GateBench B(oneSlot());
   B.ready();
@@ -147,7 +150,8 @@
   BOOST_TEST(B.m_Sent[3].m_Request.requestId == "urgent and later");
 }
 
-// Guards against a claim token that runs twice or whose repeat gets another answer than the first (H6).
+// Guards against a claim token that runs twice or whose repeat gets another
+// answer than the first (H6).
 BOOST_AUTO_TEST_CASE(RepeatedTokenWaitsThenGetsTheStoredOutcome) {
   GateBench B;
   B.ready();
@@ -176,7 +180,8 @@
   BOOST_TEST(B.m_Sent.empty());
 }
 
-// Guards against running requests that were claimed for the process before the restart.
+// Guards against running requests that were claimed for the process before the
+// restart.
 BOOST_AUTO_TEST_CASE(OtherIncarnationIsRefused) {
   GateBench B;
   B.ready();
@@ -186,8 +191,8 @@
   BOOST_TEST(B.m_Sent.empty());
 }
 
-// Guards against "not run" for a token that an earlier incarnation may have run: the claim would be freed and the
-// request run again (H6).
+// Guards against "not run" for a token that an earlier incarnation may have
+// run: the claim would be freed and the request run again (H6).
 BOOST_AUTO_TEST_CASE(OtherIncarnationDoesNotKnowATokenThatWasSentBefore) {
   GateBench B;
   B.ready();
@@ -198,7 +203,8 @@
   BOOST_TEST(B.m_Sent.empty());
 }
 
-// Guards against outcomes that are lost before control has them, or repeated for ever.
+// Guards against outcomes that are lost before control has them, or repeated
+// for ever.
 BOOST_AUTO_TEST_CASE(OutcomesRepeatUntilAcknowledged) {
   GateBench B;
   B.ready();
@@ -214,7 +220,8 @@
   BOOST_TEST(B.m_Heartbeats.back().outcomes.empty());
 }
 
-// Guards against claims refused because the regular heartbeats report fewer outcomes than a fast minion produces.
+// Guards against claims refused because the regular heartbeats report fewer
+// outcomes than a fast minion produces.
 BOOST_AUTO_TEST_CASE(FastClaimsAreReportedEarly) {
   GateBench B;
   B.ready();
@@ -227,16 +234,19 @@
     B.pass(milliseconds(Token % 2));
     if (B.m_Heartbeats.size() == Before)
       continue;
-    wire::AgentHeartbeatReply Reply = GateBench::reply(B.m_Heartbeats.back().sequence);
+    wire::AgentHeartbeatReply Reply =
+        GateBench::reply(B.m_Heartbeats.back().sequence);
     for (const wire::ClaimOutcome &Outcome : B.m_Heartbeats.back().outcomes)
       Reply.acknowledgedClaims.push_back(Outcome.claimId);
     B.step(HeartbeatReplied{Reply});
   }
   BOOST_TEST(Refused == 0);
-  BOOST_TEST(B.m_Heartbeats.size() <= 22, "4 s allow one heartbeat each 200 ms");
+  BOOST_TEST(B.m_Heartbeats.size() <= 22,
+             "4 s allow one heartbeat each 200 ms");
 }
 
-// Guards against an acknowledgement of an earlier grant that hides the outcome of a later one with the same claim id.
+// Guards against an acknowledgement of an earlier grant that hides the outcome
+// of a later one with the same claim id.
 BOOST_AUTO_TEST_CASE(AcknowledgementCoversOnlyWhatWasReported) {
   GateBench B;
   B.ready();
@@ -256,7 +266,8 @@
   BOOST_TEST(B.m_Heartbeats.back().outcomes[0].token == 9);
 }
 
-// Guards against an agent that runs out of memory, or forgets outcomes, while control acknowledges nothing.
+// Guards against an agent that runs out of memory, or forgets outcomes, while
+// control acknowledges nothing.
 BOOST_AUTO_TEST_CASE(ClaimsAreBounded) {
   AgentOptions Options;
   Options.m_MaxUnackedClaims = 3;
@@ -270,13 +281,15 @@
   BOOST_TEST(B.outcome(B.arrive(GateBench::request("r", 4))) == NotRun);
   BOOST_TEST(B.outcome(B.arrive(GateBench::request("r", 5))) == NotRun);
   BOOST_TEST(B.outcome(B.arrive(GateBench::request("r", 0))) == None);
-  // Token 4 is forgotten by now. It must not be claimed to be refused, and it must not run.
+  // Token 4 is forgotten by now. It must not be claimed to be refused, and it
+  // must not run.
   BOOST_TEST(B.outcome(B.arrive(GateBench::request("r", 4))) == Unknown);
   BOOST_TEST(B.outcome(B.arrive(GateBench::request("r", 2))) == Completed);
   BOOST_TEST(B.m_Sent.size() == 4);
 }
 
-// Guards against passing on an empty body for a response that was too large to store (H4).
+// Guards against passing on an empty body for a response that was too large to
+// store (H4).
 BOOST_AUTO_TEST_CASE(ResponseTooLargeToStoreBecomesUnknown) {
   AgentOptions Options;
   Options.m_MaxStoredBody = 10;
@@ -288,21 +301,23 @@
   BOOST_TEST(B.outcome(B.arrive(GateBench::request("a", 3))) == Unknown);
 }
 
-// Guards against a restarted agent that fills slots which requests of its earlier incarnation still use.
+// Guards against a restarted agent that fills slots which requests of its
+// earlier incarnation still use.
 BOOST_AUTO_TEST_CASE(MinionSettlesBeforeTheFirstRequest) {
   GateBench B;
   const TimePoint FirstTick = B.m_Now + milliseconds(50);
   passWithPermit(B, milliseconds(1000));
   BOOST_TEST(!B.m_Heartbeats.back().targetHealthy);
-  BOOST_TEST(B.m_Replies[B.arrive(GateBench::request("a"))].reason == "minion does not accept connections");
+  BOOST_TEST(B.m_Replies[B.arrive(GateBench::request("a"))].reason ==
+             "minion does not accept connections");
   B.pass(FirstTick + milliseconds(1950) - B.m_Now);
   BOOST_TEST(B.m_Probes == 0);
   B.pass(milliseconds(50));
   BOOST_TEST(B.m_Probes == 1);
 }
 
-// Guards against requests sent to a minion that accepts no connection, and against one that stays shut out after it
-// has come back.
+// Guards against requests sent to a minion that accepts no connection, and
+// against one that stays shut out after it has come back.
 BOOST_AUTO_TEST_CASE(UnreachableMinionIsProbedUntilItReturns) {
   GateBench B;
   B.ready();
@@ -321,7 +336,8 @@
   BOOST_TEST(B.m_Sent.size() == 4);
 }
 
-// Guards against a drain that takes new work, ends early, or leaves before control has the outcomes (H7, H8).
+// Guards against a drain that takes new work, ends early, or leaves before
+// control has the outcomes (H7, H8).
 BOOST_AUTO_TEST_CASE(LeavesOnceEverythingIsReported) {
   GateBench B(oneSlot());
   B.ready();
@@ -345,7 +361,8 @@
   BOOST_TEST(B.m_Leaves[0].m_UnreportedOutcomes == 0);
 }
 
-// Guards against a shutdown without end, and against one that hides what it cut off.
+// Guards against a shutdown without end, and against one that hides what it cut
+// off.
 BOOST_AUTO_TEST_CASE(DrainLimitCutsOffAndReportsIt) {
   AgentOptions Options;
   Options.m_DrainLimit = std::chrono::seconds(30);
--- a/tests/agent/TaskTest.cpp
+++ b/tests/agent/TaskTest.cpp
@@ -23,12 +23,15 @@
 
 /// A worker's gate that knows that nothing runs yet.
 struct WorkerBench : GateBench {
-  explicit WorkerBench(AgentOptions Options = {}) : GateBench(std::move(Options), wire::TargetKind::WORKER) {
+  explicit WorkerBench(AgentOptions Options = {})
+      : GateBench(std::move(Options), wire::TargetKind::WORKER) {
     step(WorkerInventory{});
     beat();
   }
 
-  void report(TaskEventKind Kind, int64_t Token = 9) { step(TaskEvent{keyOf(Token), Kind, "simulated"}); }
+  void report(TaskEventKind Kind, int64_t Token = 9) {
+    step(TaskEvent{keyOf(Token), Kind, "simulated"});
+  }
 
   void run() {
     beat({assignment(wire::TaskOrder::PREPARE)});
@@ -47,7 +50,8 @@
 
 BOOST_AUTO_TEST_SUITE(TaskTest)
 
-// Guards against a start that comes before the preparation or is repeated with every reply (H2, H6).
+// Guards against a start that comes before the preparation or is repeated with
+// every reply (H2, H6).
 BOOST_AUTO_TEST_CASE(PreparesThenStartsOnce) {
   WorkerBench B;
   B.beat({assignment(wire::TaskOrder::PREPARE)});
@@ -62,7 +66,8 @@
   BOOST_TEST(B.taskState() == wire::TaskState::RUNNING);
 }
 
-// Guards against a start token that runs again after control had dropped the task.
+// Guards against a start token that runs again after control had dropped the
+// task.
 BOOST_AUTO_TEST_CASE(UsedStartTokenNeverStartsAgain) {
   WorkerBench B;
   B.run();
@@ -74,7 +79,8 @@
   BOOST_TEST(B.nextState() == wire::TaskState::FAILED);
 }
 
-// Guards against a restarted agent that runs a task which its earlier incarnation may have run.
+// Guards against a restarted agent that runs a task which its earlier
+// incarnation may have run.
 BOOST_AUTO_TEST_CASE(StartWithoutOwnPreparationIsRefused) {
   WorkerBench B;
   B.beat({assignment(wire::TaskOrder::START)});
@@ -82,7 +88,8 @@
   BOOST_TEST(B.nextState() == wire::TaskState::REFUSED);
 }
 
-// Guards against tasks of an earlier incarnation that keep running, or whose resources are promised again.
+// Guards against tasks of an earlier incarnation that keep running, or whose
+// resources are promised again.
 BOOST_AUTO_TEST_CASE(TasksOfAnEarlierIncarnationAreStoppedFirst) {
   GateBench B({}, wire::TargetKind::WORKER);
   B.beat({assignment(wire::TaskOrder::PREPARE)});
@@ -97,7 +104,8 @@
   BOOST_TEST(B.taskState() == wire::TaskState::PREPARED);
 }
 
-// Guards against a start in a withdrawn zone, and against a gang member that gives up because of a short loss.
+// Guards against a start in a withdrawn zone, and against a gang member that
+// gives up because of a short loss.
 BOOST_AUTO_TEST_CASE(StartWaitsForAPermit) {
   WorkerBench B;
   B.beat({assignment(wire::TaskOrder::PREPARE)});
@@ -110,7 +118,8 @@
   BOOST_TEST(B.m_Starts.size() == 1);
 }
 
-// Guards against resources that are promised twice, and against a partial gang on one worker.
+// Guards against resources that are promised twice, and against a partial gang
+// on one worker.
 BOOST_AUTO_TEST_CASE(MemberThatDoesNotFitIsRefused) {
   WorkerBench B;
   wire::Assignment Second = assignment(wire::TaskOrder::PREPARE);
@@ -129,7 +138,8 @@
   BOOST_TEST(B.m_Starts.empty());
 }
 
-// Guards against a task that outlives its lease, or a lease counted from when the reply arrived.
+// Guards against a task that outlives its lease, or a lease counted from when
+// the reply arrived.
 BOOST_AUTO_TEST_CASE(LeaseCountsFromTheHeartbeatAndStopsTheTask) {
   WorkerBench B;
   B.beat({assignment(wire::TaskOrder::PREPARE)});
@@ -146,13 +156,15 @@
   B.pass(milliseconds(100));
   BOOST_TEST(B.m_Stops.size() == 1);
   B.pass(milliseconds(2100));
-  BOOST_TEST(B.m_Stops.size() == 3, "an unconfirmed stop is repeated every second");
+  BOOST_TEST(B.m_Stops.size() == 3,
+             "an unconfirmed stop is repeated every second");
   B.report(TaskEventKind::Stopped);
   BOOST_TEST(B.nextState() == wire::TaskState::STOPPED);
   BOOST_TEST(B.m_Heartbeats.back().tasks[0].detail == "lease ran out");
 }
 
-// Guards against late replies that extend a lease beyond their own heartbeat, and against renewing an expired one.
+// Guards against late replies that extend a lease beyond their own heartbeat,
+// and against renewing an expired one.
 BOOST_AUTO_TEST_CASE(OldRepliesDoNotRenew) {
   WorkerBench B;
   B.run();
@@ -191,7 +203,8 @@
   BOOST_TEST(B.m_Heartbeats.back().tasks.empty());
 }
 
-// Guards against a lagging replica that has not seen a task yet and would stop it.
+// Guards against a lagging replica that has not seen a task yet and would stop
+// it.
 BOOST_AUTO_TEST_CASE(LaggingReplicaStopsNothing) {
   WorkerBench B;
   B.run();
@@ -204,18 +217,26 @@
 struct OrderCase {
   const char *m_Name;
   wire::TaskOrder::type m_Order;
-  std::vector<TaskEventKind> m_Events; ///< What the worker reports after the order.
+  std::vector<TaskEventKind>
+      m_Events; ///< What the worker reports after the order.
   size_t m_Checkpoints;
   size_t m_Throttles;
   size_t m_Stops;
   int m_State;
 };
 
-// Guards against reclaim orders that are dropped, repeated or reported with the wrong end.
+// Guards against reclaim orders that are dropped, repeated or reported with the
+// wrong end.
 BOOST_AUTO_TEST_CASE(ReclaimOrders) {
   using Kind = TaskEventKind;
   const OrderCase Cases[] = {
-      {"stop", wire::TaskOrder::STOP, {Kind::Stopped}, 0, 0, 1, wire::TaskState::STOPPED},
+      {"stop",
+       wire::TaskOrder::STOP,
+       {Kind::Stopped},
+       0,
+       0,
+       1,
+       wire::TaskState::STOPPED},
       {"stop of a task that just succeeded",
        wire::TaskOrder::STOP,
        {Kind::Succeeded},
@@ -230,7 +251,13 @@
        0,
        1,
        wire::TaskState::CHECKPOINTED},
-      {"checkpoint in progress", wire::TaskOrder::CHECKPOINT_AND_STOP, {}, 1, 0, 0, wire::TaskState::RUNNING},
+      {"checkpoint in progress",
+       wire::TaskOrder::CHECKPOINT_AND_STOP,
+       {},
+       1,
+       0,
+       0,
+       wire::TaskState::RUNNING},
       {"failed checkpoint is tried again",
        wire::TaskOrder::CHECKPOINT_AND_STOP,
        {Kind::CheckpointFailed},
@@ -238,8 +265,20 @@
        0,
        0,
        wire::TaskState::RUNNING},
-      {"throttle", wire::TaskOrder::THROTTLE, {}, 0, 1, 0, wire::TaskState::RUNNING},
-      {"task fails", wire::TaskOrder::START, {Kind::Failed}, 0, 0, 0, wire::TaskState::FAILED},
+      {"throttle",
+       wire::TaskOrder::THROTTLE,
+       {},
+       0,
+       1,
+       0,
+       wire::TaskState::RUNNING},
+      {"task fails",
+       wire::TaskOrder::START,
+       {Kind::Failed},
+       0,
+       0,
+       0,
+       wire::TaskState::FAILED},
   };
   for (const OrderCase &Case : Cases) {
     BOOST_TEST_CONTEXT(Case.m_Name) {
@@ -257,7 +296,8 @@
   }
 }
 
-// Guards against a failed start that keeps resources, and against calling a start failed that may have happened.
+// Guards against a failed start that keeps resources, and against calling a
+// start failed that may have happened.
 BOOST_AUTO_TEST_CASE(FailedStarts) {
   WorkerBench Certain;
   Certain.beat({assignment(wire::TaskOrder::PREPARE)});
@@ -276,7 +316,8 @@
   BOOST_TEST(Doubtful.nextState() == wire::TaskState::FAILED);
 }
 
-// Guards against a restarted worker whose lost tasks count as running until their lease ends.
+// Guards against a restarted worker whose lost tasks count as running until
+// their lease ends.
 BOOST_AUTO_TEST_CASE(TaskMissingFromTwoInventoriesHasFailed) {
   WorkerBench B;
   B.run();
@@ -298,7 +339,8 @@
   Other.jobId = 6;
   B.beat({assignment(wire::TaskOrder::START), Other});
   B.nextHeartbeat();
-  BOOST_TEST(B.m_Heartbeats.back().tasks.back().state == wire::TaskState::REFUSED);
+  BOOST_TEST(B.m_Heartbeats.back().tasks.back().state ==
+             wire::TaskState::REFUSED);
   BOOST_TEST(B.m_Leaves.empty());
   B.report(TaskEventKind::Succeeded);
   B.beat();
--- a/tests/agentd/AgentBench.h
+++ b/tests/agentd/AgentBench.h
@@ -17,7 +17,8 @@
 
 namespace anvil::agentd {
 
-/// An agent process with a simulated target, a hand-written control and an entry's connection.
+/// An agent process with a simulated target, a hand-written control and an
+/// entry's connection.
 struct AgentBench : support::Loopback {
   AgentSettings settings(wire::TargetKind::type Kind) const {
     AgentSettings Values;
@@ -42,7 +43,8 @@
     Hooks.m_WallMicros = [] { return int64_t{1}; };
     Hooks.m_Incarnation = 7;
     Hooks.m_OnLeft = [this](bool Graceful) { m_Left = Graceful; };
-    auto Created = AgentProcess::create(m_Io, std::move(Values), std::move(Hooks));
+    auto Created =
+        AgentProcess::create(m_Io, std::move(Values), std::move(Hooks));
     BOOST_REQUIRE_MESSAGE(Created.ok(), Created.status().ToString());
     m_Agent = std::move(*Created);
     net::RpcOptions Options;
@@ -50,7 +52,8 @@
     m_Entry = net::RpcClient::create(m_Io, m_Agent->endpoint(), Options);
   }
 
-  /// Starts an agent beside a simulated minion; \p OtherControl is a second replica, which is tried first.
+  /// Starts an agent beside a simulated minion; \p OtherControl is a second
+  /// replica, which is tried first.
   void startMinionAgent(const FakeControl *OtherControl = nullptr) {
     fakes::FakeMinionOptions Options;
     Options.m_Random = [] { return 0.0; };
@@ -61,7 +64,9 @@
     if (OtherControl)
       Values.m_Control.push_back(OtherControl->endpoint());
     startAgent(Values);
-    BOOST_REQUIRE(runUntil([this] { return !m_Control.m_Heartbeats.empty() && last().targetHealthy; }));
+    BOOST_REQUIRE(runUntil([this] {
+      return !m_Control.m_Heartbeats.empty() && last().targetHealthy;
+    }));
   }
 
   void startWorkerAgent() {
@@ -72,17 +77,22 @@
     startAgent(Values);
   }
 
-  /// Time for the agent that moves at most 50 ms between two readings, so that a busy machine ends no permit.
+  /// Time for the agent that moves at most 50 ms between two readings, so that
+  /// a busy machine ends no permit.
   TimePoint steadyNow() {
     const TimePoint Real = daemon::monotonicNow();
-    m_Clock += std::min<Duration>(Real - m_LastRead, std::chrono::milliseconds(50));
+    m_Clock +=
+        std::min<Duration>(Real - m_LastRead, std::chrono::milliseconds(50));
     m_LastRead = Real;
     return m_Clock;
   }
 
-  const wire::AgentHeartbeat &last() const { return m_Control.m_Heartbeats.back(); }
+  const wire::AgentHeartbeat &last() const {
+    return m_Control.m_Heartbeats.back();
+  }
 
-  /// Makes control want one task in \p Order and waits until its state is \p State.
+  /// Makes control want one task in \p Order and waits until its state is \p
+  /// State.
   bool order(wire::TaskOrder::type Order, wire::TaskState::type State) {
     wire::Assignment Task;
     Task.jobId = 5;
@@ -91,8 +101,10 @@
     Task.resources.cores = 4;
     Task.leaseMs = 60000;
     m_Control.m_Wanted = {Task};
-    return runUntil(
-        [&] { return !m_Control.m_Heartbeats.empty() && last().tasks.size() == 1 && last().tasks[0].state == State; });
+    return runUntil([&] {
+      return !m_Control.m_Heartbeats.empty() && last().tasks.size() == 1 &&
+             last().tasks[0].state == State;
+    });
   }
 
   static wire::ExecuteRequest request(const std::string &Id, int64_t Token) {
@@ -113,10 +125,13 @@
     return Request;
   }
 
-  void send(const wire::ExecuteRequest &Request, std::optional<wire::ExecuteReply> &Reply) {
-    m_Entry->call(wire::Method::EXECUTE, net::encodeStruct(Request), std::chrono::seconds(15), "",
+  void send(const wire::ExecuteRequest &Request,
+            std::optional<wire::ExecuteReply> &Reply) {
+    m_Entry->call(wire::Method::EXECUTE, net::encodeStruct(Request),
+                  std::chrono::seconds(15), "",
                   [&Reply](const absl::StatusOr<std::string> &Answer) {
-                    BOOST_REQUIRE_MESSAGE(Answer.ok(), Answer.status().ToString());
+                    BOOST_REQUIRE_MESSAGE(Answer.ok(),
+                                          Answer.status().ToString());
                     Reply = *net::decodeAs<wire::ExecuteReply>(*Answer);
                   });
   }
--- a/tests/agentd/AgentProcessTest.cpp
+++ b/tests/agentd/AgentProcessTest.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-/// Text of a session without numbers that differ between runs: ports, sequence numbers, loads and times.
+/// Text of a session without numbers that differ between runs: ports, sequence
+/// numbers, loads and times.
 class Transcript {
 public:
   void line(const std::string &Text) { m_Text += Text + "\n"; }
@@ -29,8 +30,9 @@
 
   void reply(const std::string &Id, const wire::ExecuteReply &Reply) {
     std::ostringstream Out;
-    Out << "reply " << Id << " outcome=" << Reply.outcome << " status=" << Reply.httpStatus
-        << " reason=" << Reply.reason << " body=" << Reply.body;
+    Out << "reply " << Id << " outcome=" << Reply.outcome
+        << " status=" << Reply.httpStatus << " reason=" << Reply.reason
+        << " body=" << Reply.body;
     line(Out.str());
   }
 
@@ -40,14 +42,19 @@
   static std::string describe(const wire::AgentHeartbeat &Heartbeat) {
     std::ostringstream Out;
     const wire::TargetInfo &Target = Heartbeat.target;
-    Out << "heartbeat vm=" << Target.vm << " kind=" << Target.kind << " zone=" << Target.availabilityZone
-        << " rack=" << Target.rack << " service=" << Target.serviceName << " incarnation=" << Target.incarnation
-        << " accelerators=" << Target.capacity.accelerators << " slots=" << Target.slots
-        << " leaving=" << Heartbeat.leaving << " healthy=" << Heartbeat.targetHealthy;
+    Out << "heartbeat vm=" << Target.vm << " kind=" << Target.kind
+        << " zone=" << Target.availabilityZone << " rack=" << Target.rack
+        << " service=" << Target.serviceName
+        << " incarnation=" << Target.incarnation
+        << " accelerators=" << Target.capacity.accelerators
+        << " slots=" << Target.slots << " leaving=" << Heartbeat.leaving
+        << " healthy=" << Heartbeat.targetHealthy;
     for (const wire::TaskStatus &Task : Heartbeat.tasks)
-      Out << " task=" << Task.jobId << "/" << Task.taskIndex << "/" << Task.startToken << ":" << Task.state;
+      Out << " task=" << Task.jobId << "/" << Task.taskIndex << "/"
+          << Task.startToken << ":" << Task.state;
     for (const wire::ClaimOutcome &Outcome : Heartbeat.outcomes)
-      Out << " outcome=" << Outcome.claimId << "/" << Outcome.token << ":" << Outcome.outcome << ":" << Outcome.body;
+      Out << " outcome=" << Outcome.claimId << "/" << Outcome.token << ":"
+          << Outcome.outcome << ":" << Outcome.body;
     return Out.str();
   }
 
@@ -66,7 +73,8 @@
   Log.reply("r2", B.execute(Stale));
   B.m_Control.m_Draining = true;
   const size_t Before = B.m_Control.m_Heartbeats.size();
-  BOOST_REQUIRE(B.runUntil([&] { return B.m_Control.m_Heartbeats.size() > Before + 1; }));
+  BOOST_REQUIRE(
+      B.runUntil([&] { return B.m_Control.m_Heartbeats.size() > Before + 1; }));
   Log.reply("r3", B.execute(AgentBench::request("r3", 0)));
   B.m_Agent->beginDrain();
   BOOST_REQUIRE(B.runUntil([&] { return B.m_Left.has_value(); }));
@@ -79,7 +87,8 @@
   B.startWorkerAgent();
   BOOST_REQUIRE(B.order(wire::TaskOrder::PREPARE, wire::TaskState::PREPARED));
   BOOST_REQUIRE(B.order(wire::TaskOrder::START, wire::TaskState::RUNNING));
-  BOOST_REQUIRE(B.order(wire::TaskOrder::CHECKPOINT_AND_STOP, wire::TaskState::CHECKPOINTED));
+  BOOST_REQUIRE(B.order(wire::TaskOrder::CHECKPOINT_AND_STOP,
+                        wire::TaskState::CHECKPOINTED));
   B.m_Control.m_Wanted.clear();
   BOOST_REQUIRE(B.runUntil([&] { return B.last().tasks.empty(); }));
   B.m_Agent->beginDrain();
@@ -92,7 +101,8 @@
 
 BOOST_AUTO_TEST_SUITE(AgentProcessTest)
 
-// Guards against a change of what control and entry see of an agent that nobody intended.
+// Guards against a change of what control and entry see of an agent that nobody
+// intended.
 BOOST_AUTO_TEST_CASE(SessionMatchesTheGoldenFile) {
   Transcript Log;
   minionSession(Log);
@@ -103,7 +113,8 @@
   BOOST_TEST(Log.text() == Expected.str());
 }
 
-// Guards against a shutdown that cuts off a request in progress or forgets to report its outcome (H8).
+// Guards against a shutdown that cuts off a request in progress or forgets to
+// report its outcome (H8).
 BOOST_AUTO_TEST_CASE(DrainFinishesTheRequestInProgress) {
   AgentBench B;
   B.startMinionAgent();
@@ -135,12 +146,14 @@
   B.m_Agent->beginDrain();
   B.m_Agent->cutOff();
 
-  BOOST_REQUIRE(B.runUntil([&] { return B.m_Left.has_value() && Running.has_value(); }));
+  BOOST_REQUIRE(
+      B.runUntil([&] { return B.m_Left.has_value() && Running.has_value(); }));
   BOOST_TEST(!*B.m_Left);
   BOOST_TEST(Running->outcome == wire::Outcome::UNKNOWN);
 }
 
-// Guards against an agent that stays with a silent control replica until its permit is gone for good.
+// Guards against an agent that stays with a silent control replica until its
+// permit is gone for good.
 BOOST_AUTO_TEST_CASE(SwitchesToAnotherControlReplica) {
   AgentBench B;
   FakeControl Silent(B.m_Io);
@@ -149,23 +162,27 @@
   BOOST_TEST(!Silent.m_Heartbeats.empty());
 }
 
-// Guards against a footprint that can't be measured because the agent hides its RPC byte counts.
+// Guards against a footprint that can't be measured because the agent hides its
+// RPC byte counts.
 BOOST_AUTO_TEST_CASE(AnswersItsFootprint) {
   AgentBench B;
   B.startMinionAgent();
   wire::QueryRequest Request;
   Request.kind = "footprint";
   std::optional<wire::QueryReply> Reply;
-  B.m_Entry->call(wire::Method::QUERY, net::encodeStruct(Request), std::chrono::seconds(5), "",
-                  [&Reply](const absl::StatusOr<std::string> &Answer) {
-                    BOOST_REQUIRE_MESSAGE(Answer.ok(), Answer.status().ToString());
-                    Reply = *net::decodeAs<wire::QueryReply>(*Answer);
-                  });
+  B.m_Entry->call(
+      wire::Method::QUERY, net::encodeStruct(Request), std::chrono::seconds(5),
+      "", [&Reply](const absl::StatusOr<std::string> &Answer) {
+        BOOST_REQUIRE_MESSAGE(Answer.ok(), Answer.status().ToString());
+        Reply = *net::decodeAs<wire::QueryReply>(*Answer);
+      });
 
   BOOST_REQUIRE(B.runUntil([&] { return Reply.has_value(); }));
   BOOST_TEST(Reply->httpStatus == 200);
-  BOOST_TEST(Reply->json.starts_with("{\"rpc_bytes_sent\":"), "reply is " << Reply->json);
-  BOOST_TEST(Reply->json.find("\"rpc_bytes_received\":0") == std::string::npos, "reply is " << Reply->json);
+  BOOST_TEST(Reply->json.starts_with("{\"rpc_bytes_sent\":"),
+             "reply is " << Reply->json);
+  BOOST_TEST(Reply->json.find("\"rpc_bytes_received\":0") == std::string::npos,
+             "reply is " << Reply->json);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/agentd/FakeControl.h
+++ b/tests/agentd/FakeControl.h
@@ -12,7 +12,8 @@
 
 namespace anvil::agentd {
 
-/// Hand-written control replica: answers heartbeats as the test says and keeps what it received.
+/// Hand-written control replica: answers heartbeats as the test says and keeps
+/// what it received.
 class FakeControl {
 public:
   using Reply = wire::AgentHeartbeatReply;
@@ -20,13 +21,17 @@
   explicit FakeControl(boost::asio::io_context &Io) {
     net::RpcOptions Options;
     Options.m_Random = [] { return 0.5; };
-    m_Server = std::move(*net::RpcServer::create(Io, {"127.0.0.1", 0}, Options));
-    m_Server->handle(wire::Method::AGENT_HEARTBEAT, [this](const net::RpcCall &Call, const net::RpcResponder &Respond) {
-      m_Heartbeats.push_back(*net::decodeAs<wire::AgentHeartbeat>(Call.m_Body));
-      if (m_Silent)
-        return;
-      Respond(net::encodeStruct(makeReply(m_Heartbeats.back())));
-    });
+    m_Server =
+        std::move(*net::RpcServer::create(Io, {"127.0.0.1", 0}, Options));
+    m_Server->handle(
+        wire::Method::AGENT_HEARTBEAT,
+        [this](const net::RpcCall &Call, const net::RpcResponder &Respond) {
+          m_Heartbeats.push_back(
+              *net::decodeAs<wire::AgentHeartbeat>(Call.m_Body));
+          if (m_Silent)
+            return;
+          Respond(net::encodeStruct(makeReply(m_Heartbeats.back())));
+        });
   }
 
   net::Endpoint endpoint() const { return m_Server->endpoint(); }
--- a/tests/agentd/PortTest.cpp
+++ b/tests/agentd/PortTest.cpp
@@ -28,7 +28,8 @@
 };
 
 struct WorkerBench : Loopback {
-  explicit WorkerBench(fakes::FakeWorkerOptions Options = {}, Duration CommandTimeout = seconds(10)) {
+  explicit WorkerBench(fakes::FakeWorkerOptions Options = {},
+                       Duration CommandTimeout = seconds(10)) {
     Options.m_UsageLag = Duration(0);
     m_Worker = std::move(*fakes::FakeWorker::create(m_Io, Options));
     agentd::WorkerPortOptions Port;
@@ -36,8 +37,12 @@
     Port.m_PollPeriod = milliseconds(10);
     Port.m_CommandTimeout = CommandTimeout;
     agent::WorkerPort::Hooks Hooks;
-    Hooks.m_OnTask = [this](const agent::TaskEvent &Event) { m_Events.push_back(Event.m_Kind); };
-    Hooks.m_OnInventory = [this](const agent::WorkerInventory &Inventory) { m_Inventory = Inventory; };
+    Hooks.m_OnTask = [this](const agent::TaskEvent &Event) {
+      m_Events.push_back(Event.m_Kind);
+    };
+    Hooks.m_OnInventory = [this](const agent::WorkerInventory &Inventory) {
+      m_Inventory = Inventory;
+    };
     m_Port = agentd::makeHttpWorkerPort(m_Io, Port, Hooks);
   }
 
@@ -50,7 +55,10 @@
   }
 
   bool sees(TaskEventKind Kind) {
-    return runUntil([&] { return std::find(m_Events.begin(), m_Events.end(), Kind) != m_Events.end(); });
+    return runUntil([&] {
+      return std::find(m_Events.begin(), m_Events.end(), Kind) !=
+             m_Events.end();
+    });
   }
 
   std::vector<TaskEventKind> m_Events;
@@ -63,14 +71,16 @@
 
 BOOST_AUTO_TEST_SUITE(PortTest)
 
-// Guards against a broken response passed on as whole, a repeated request, and a wrong claim that nothing was sent.
+// Guards against a broken response passed on as whole, a repeated request, and
+// a wrong claim that nothing was sent.
 BOOST_AUTO_TEST_CASE(MinionFaults) {
   using Options = fakes::FakeMinionOptions;
-  const MinionFault Cases[] = {{"none", nullptr, true, 200},
-                               {"error status", &Options::m_FailRate, true, 500},
-                               {"truncated", &Options::m_TruncateRate, false, 0},
-                               {"closed after running", &Options::m_CloseRate, false, 0},
-                               {"hanging", &Options::m_HangRate, false, 0}};
+  const MinionFault Cases[] = {
+      {"none", nullptr, true, 200},
+      {"error status", &Options::m_FailRate, true, 500},
+      {"truncated", &Options::m_TruncateRate, false, 0},
+      {"closed after running", &Options::m_CloseRate, false, 0},
+      {"hanging", &Options::m_HangRate, false, 0}};
   for (const MinionFault &Case : Cases) {
     BOOST_TEST_CONTEXT(Case.m_Name) {
       Loopback B;
@@ -80,8 +90,10 @@
       if (Case.m_Rate)
         Behaviour.*Case.m_Rate = 1;
       auto Minion = std::move(*fakes::FakeMinion::create(B.m_Io, Behaviour));
-      const Duration Deadline = Behaviour.m_HangRate > 0 ? Duration(milliseconds(100)) : seconds(10);
-      auto Port = agentd::makeHttpMinionPort(B.m_Io, {Minion->endpoint(), 64, 1u << 20, Deadline});
+      const Duration Deadline =
+          Behaviour.m_HangRate > 0 ? Duration(milliseconds(100)) : seconds(10);
+      auto Port = agentd::makeHttpMinionPort(
+          B.m_Io, {Minion->endpoint(), 64, 1u << 20, Deadline});
       wire::ExecuteRequest Request;
       Request.requestId = "r1";
       Request.workspace = "retail";
@@ -90,7 +102,8 @@
       Request.httpMethod = "POST";
       Request.path = "/reorder?book=12";
       std::optional<agent::MinionResult> Result;
-      Port->send(agent::ExchangeId(1), Request, [&](const agent::MinionResult &Got) { Result = Got; });
+      Port->send(agent::ExchangeId(1), Request,
+                 [&](const agent::MinionResult &Got) { Result = Got; });
       BOOST_REQUIRE(B.runUntil([&] { return Result.has_value(); }));
       BOOST_TEST(Result->m_Whole == Case.m_Whole);
       BOOST_TEST(Result->m_HttpStatus == Case.m_Status);
@@ -101,7 +114,8 @@
   }
 }
 
-// Guards against a failed start reported as certain when the worker may have started the task.
+// Guards against a failed start reported as certain when the worker may have
+// started the task.
 BOOST_AUTO_TEST_CASE(WorkerStartResults) {
   WorkerBench Good;
   Good.start(seconds(10));
@@ -116,7 +130,8 @@
   BOOST_TEST(Slow.sees(TaskEventKind::StartUnknown));
 }
 
-// Guards against a task that outlives its lease when the agent is gone, and against a renewal that is not applied.
+// Guards against a task that outlives its lease when the agent is gone, and
+// against a renewal that is not applied.
 BOOST_AUTO_TEST_CASE(WorkerStopsTasksWhoseLeaseRanOut) {
   WorkerBench B;
   B.start(milliseconds(100));
@@ -129,13 +144,15 @@
   BOOST_TEST(Renewed.sees(TaskEventKind::Succeeded));
 }
 
-// Guards against commands that reach the worker under the wrong key or whose effect is not reported.
+// Guards against commands that reach the worker under the wrong key or whose
+// effect is not reported.
 BOOST_AUTO_TEST_CASE(WorkerCommands) {
   WorkerBench B;
   B.start(seconds(10));
   BOOST_REQUIRE(B.sees(TaskEventKind::Started));
   const auto Uses = [&B](int32_t Cores) {
-    return B.m_Inventory && B.m_Inventory->m_Running.size() == 1 && B.m_Inventory->m_Running[0].m_Key == Key &&
+    return B.m_Inventory && B.m_Inventory->m_Running.size() == 1 &&
+           B.m_Inventory->m_Running[0].m_Key == Key &&
            B.m_Inventory->m_Running[0].m_UsedCores == Cores;
   };
   BOOST_TEST(B.runUntil([&] { return Uses(8); }));
@@ -147,12 +164,14 @@
   BOOST_TEST(B.sees(TaskEventKind::Stopped));
   B.m_Events.clear();
   B.m_Port->stop(Key);
-  BOOST_TEST(B.sees(TaskEventKind::Stopped), "a stop of a task that is gone is confirmed");
+  BOOST_TEST(B.sees(TaskEventKind::Stopped),
+             "a stop of a task that is gone is confirmed");
   B.m_Port->checkpoint(Key);
   BOOST_TEST(B.sees(TaskEventKind::CheckpointFailed));
 }
 
-// Guards against starts that fail, or stops that overtake their start, because many commands are given at once.
+// Guards against starts that fail, or stops that overtake their start, because
+// many commands are given at once.
 BOOST_AUTO_TEST_CASE(WorkerCommandsWaitForEachOther) {
   WorkerBench B({.m_StartTime = milliseconds(50)});
   constexpr int32_t Tasks = 40;
@@ -163,13 +182,17 @@
     B.m_Port->start(Command);
     B.m_Port->stop(Command.m_Key);
   }
-  const auto Count = [&B](TaskEventKind Kind) { return std::count(B.m_Events.begin(), B.m_Events.end(), Kind); };
-  BOOST_TEST(B.runUntil([&] { return Count(TaskEventKind::Stopped) == Tasks; }));
+  const auto Count = [&B](TaskEventKind Kind) {
+    return std::count(B.m_Events.begin(), B.m_Events.end(), Kind);
+  };
+  BOOST_TEST(
+      B.runUntil([&] { return Count(TaskEventKind::Stopped) == Tasks; }));
   BOOST_TEST(Count(TaskEventKind::Started) == Tasks);
   BOOST_TEST(B.m_Worker->counts().m_Running == 0);
 }
 
-// Guards against a worker that ignores a stop and is still believed, and whose task ends only with its lease.
+// Guards against a worker that ignores a stop and is still believed, and whose
+// task ends only with its lease.
 BOOST_AUTO_TEST_CASE(WorkerThatIgnoresStopEndsWithTheLease) {
   WorkerBench B({.m_IgnoreStop = true});
   B.start(milliseconds(300));
@@ -179,7 +202,8 @@
   BOOST_TEST(B.m_Worker->counts().m_LeaseStops == 1);
 }
 
-// Guards against the events of a restarted worker being taken for events that were read before.
+// Guards against the events of a restarted worker being taken for events that
+// were read before.
 BOOST_AUTO_TEST_CASE(EventsAreReadAgainAfterAWorkerRestart) {
   WorkerBench B({.m_RunTime = milliseconds(10)});
   B.start(seconds(10));
--- a/tests/chart/StateChartTest.cpp
+++ b/tests/chart/StateChartTest.cpp
@@ -19,7 +19,8 @@
   Chart.m_Initial = "open";
   Chart.m_Final = {"gone"};
   Chart.m_Required = {"shut", "remove"};
-  Chart.m_States = {{"open", {{"shut", "closed"}, {"remove", "gone"}}, {}}, {"closed", {{"remove", "gone"}}, {"shut"}}};
+  Chart.m_States = {{"open", {{"shut", "closed"}, {"remove", "gone"}}, {}},
+                    {"closed", {{"remove", "gone"}}, {"shut"}}};
   return Chart;
 }
 
@@ -36,7 +37,8 @@
 
 BOOST_AUTO_TEST_SUITE(StateChartTest)
 
-// Guards against a chart that starts although a state cannot be reached, left or told what to do.
+// Guards against a chart that starts although a state cannot be reached, left
+// or told what to do.
 BOOST_AUTO_TEST_CASE(EachFaultIsNamedWithChartAndState) {
   const std::vector<FaultCase> Cases = {
       {"unreachable state",
@@ -44,31 +46,42 @@
          C.m_States.push_back({"ajar", {{"remove", "gone"}}, {"shut"}});
        },
        "chart door: state ajar: cannot be reached from the initial state"},
-      {"required event not handled", [](auto &C) { C.m_States[1].m_Ignored.clear(); },
-       "chart door: state closed: neither handles nor ignores required event shut"},
-      {"required event handled nowhere", [](auto &C) { C.m_States[0].m_Transitions[0].m_Event = "close"; },
+      {"required event not handled",
+       [](auto &C) { C.m_States[1].m_Ignored.clear(); },
+       "chart door: state closed: neither handles nor ignores required event "
+       "shut"},
+      {"required event handled nowhere",
+       [](auto &C) { C.m_States[0].m_Transitions[0].m_Event = "close"; },
        "chart door: required event shut is handled by no state"},
-      {"unknown target", [](auto &C) { C.m_States[0].m_Transitions[0].m_Target = "cloesd"; },
+      {"unknown target",
+       [](auto &C) { C.m_States[0].m_Transitions[0].m_Target = "cloesd"; },
        "chart door: state open: event shut leads to unknown state cloesd"},
       {"no way to a final state",
        [](auto &C) {
          C.m_States[1] = {"closed", {{"remove", "closed"}}, {"shut"}};
        },
        "chart door: state closed: has no way to a final state"},
-      {"unknown initial state", [](auto &C) { C.m_Initial = "opne"; }, "chart door: initial state opne is unknown"},
-      {"no final state", [](auto &C) { C.m_Final.clear(); }, "chart door: has no final state"},
+      {"unknown initial state", [](auto &C) { C.m_Initial = "opne"; },
+       "chart door: initial state opne is unknown"},
+      {"no final state", [](auto &C) { C.m_Final.clear(); },
+       "chart door: has no final state"},
       {"event handled twice",
        [](auto &C) {
          C.m_States[0].m_Transitions.push_back({"shut", "open"});
        },
        "chart door: state open: handles event shut twice"},
-      {"state defined twice", [](auto &C) { C.m_States.push_back(C.m_States[1]); },
+      {"state defined twice",
+       [](auto &C) { C.m_States.push_back(C.m_States[1]); },
        "chart door: state closed: is defined twice"},
-      {"event handled and ignored", [](auto &C) { C.m_States[0].m_Ignored = {"shut"}; },
+      {"event handled and ignored",
+       [](auto &C) { C.m_States[0].m_Ignored = {"shut"}; },
        "chart door: state open: both handles and ignores event shut"},
-      {"ignored event is not required", [](auto &C) { C.m_States[1].m_Ignored.push_back("knock"); },
-       "chart door: state closed: ignores event knock, which is not a required event"},
-      {"final state with transitions", [](auto &C) { C.m_Final.push_back("closed"); },
+      {"ignored event is not required",
+       [](auto &C) { C.m_States[1].m_Ignored.push_back("knock"); },
+       "chart door: state closed: ignores event knock, which is not a required "
+       "event"},
+      {"final state with transitions",
+       [](auto &C) { C.m_Final.push_back("closed"); },
        "chart door: state closed: is final but has transitions"},
   };
   for (const FaultCase &Case : Cases) {
@@ -77,7 +90,8 @@
       Case.m_Break(Chart);
       const absl::Status Status = StateChart::create(Chart).status();
       const std::string Message(Status.message());
-      BOOST_TEST(Message.find(Case.m_Expected) != std::string::npos, "got: " << Message);
+      BOOST_TEST(Message.find(Case.m_Expected) != std::string::npos,
+                 "got: " << Message);
     }
   }
 }
@@ -88,11 +102,13 @@
   Chart.m_States[0].m_Transitions[0].m_Target = "cloesd";
   Chart.m_States[1].m_Ignored.clear();
   const std::string Message(StateChart::create(Chart).status().message());
-  BOOST_TEST(Message.find("unknown state cloesd") != std::string::npos, Message);
+  BOOST_TEST(Message.find("unknown state cloesd") != std::string::npos,
+             Message);
   BOOST_TEST(Message.find("required event shut") != std::string::npos, Message);
 }
 
-// Guards against transitions that differ from the chart, or ignored events that move the state.
+// Guards against transitions that differ from the chart, or ignored events that
+// move the state.
 BOOST_AUTO_TEST_CASE(FollowsTransitionsAndIgnoresTheRest) {
   const absl::StatusOr<StateChart> Chart = StateChart::create(door());
   BOOST_REQUIRE(Chart.ok());
@@ -111,19 +127,26 @@
   const absl::StatusOr<StateChart> Chart = StateChart::create(door());
   const std::array<std::string_view, 3> States = {"gone", "open", "closed"};
   const std::array<std::string_view, 2> Events = {"remove", "shut"};
-  const auto Bound = BoundChart<DoorState, DoorEvent>::create(*Chart, States, Events);
+  const auto Bound =
+      BoundChart<DoorState, DoorEvent>::create(*Chart, States, Events);
   BOOST_REQUIRE(Bound.ok());
   BOOST_TEST((Bound->initial() == DoorState::Open));
-  BOOST_TEST((Bound->next(DoorState::Open, DoorEvent::Shut) == DoorState::Closed));
-  BOOST_TEST((Bound->next(DoorState::Closed, DoorEvent::Remove) == DoorState::Gone));
+  BOOST_TEST(
+      (Bound->next(DoorState::Open, DoorEvent::Shut) == DoorState::Closed));
+  BOOST_TEST(
+      (Bound->next(DoorState::Closed, DoorEvent::Remove) == DoorState::Gone));
   BOOST_TEST(!Bound->next(DoorState::Gone, DoorEvent::Remove).has_value());
   BOOST_TEST(Bound->isFinal(DoorState::Gone));
 
-  const auto Missing = BoundChart<DoorState, DoorEvent>::create(*Chart, std::span(States).first(2), Events);
-  BOOST_TEST(Missing.status().message() == "chart door: state closed is unknown to the program");
+  const auto Missing = BoundChart<DoorState, DoorEvent>::create(
+      *Chart, std::span(States).first(2), Events);
+  BOOST_TEST(Missing.status().message() ==
+             "chart door: state closed is unknown to the program");
   const std::array<std::string_view, 2> Misspelt = {"remove", "slam"};
-  const auto Unknown = BoundChart<DoorState, DoorEvent>::create(*Chart, States, Misspelt);
-  BOOST_TEST(Unknown.status().message() == "chart door: event slam is missing from the chart");
+  const auto Unknown =
+      BoundChart<DoorState, DoorEvent>::create(*Chart, States, Misspelt);
+  BOOST_TEST(Unknown.status().message() ==
+             "chart door: event slam is missing from the chart");
 }
 
 // Guards against a shipped chart that the program refuses at start.
@@ -134,7 +157,8 @@
     if (Chart.ok())
       BOOST_TEST(Chart->name() == Name);
   }
-  BOOST_TEST(standardChart("nothing").status().message() == "chart nothing is not part of this program");
+  BOOST_TEST(standardChart("nothing").status().message() ==
+             "chart nothing is not part of this program");
 }
 
 // Guards against mistakes in a chart file that are read as something else.
@@ -147,13 +171,18 @@
       {"chart: a\nchart: b\n", "x.yaml:2: key chart appears twice"},
       {"chart: a\ninital: b\n", "x.yaml:2: key inital is unknown"},
       {"chart: a\ninitial: [b]\n", "x.yaml:2: key initial must be a name"},
-      {"chart: a\ninitial: b\nfinal: c\nstates: {}\n", "x.yaml:3: key final must be a list of names"},
-      {"chart: a\ninitial: b\nstates:\n  b: {on: {x: b, x: c}}\n", "x.yaml:4: key x appears twice"},
-      {"chart: a\ninitial: b\nstates:\n  b:\n    at: {x: b}\n", "x.yaml:5: key at is unknown"},
+      {"chart: a\ninitial: b\nfinal: c\nstates: {}\n",
+       "x.yaml:3: key final must be a list of names"},
+      {"chart: a\ninitial: b\nstates:\n  b: {on: {x: b, x: c}}\n",
+       "x.yaml:4: key x appears twice"},
+      {"chart: a\ninitial: b\nstates:\n  b:\n    at: {x: b}\n",
+       "x.yaml:5: key at is unknown"},
       {"chart: [\n", "x.yaml:2: end of sequence flow not found"},
   };
   for (const Case &Each : Cases)
-    BOOST_TEST(anvil::fromAbsl(parseChart(Each.m_Yaml, "x.yaml").status().message()) == Each.m_Expected);
+    BOOST_TEST(
+        anvil::fromAbsl(parseChart(Each.m_Yaml, "x.yaml").status().message()) ==
+        Each.m_Expected);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/config/ConfigTest.cpp
+++ b/tests/config/ConfigTest.cpp
@@ -17,7 +17,8 @@
   return Text.str();
 }
 
-std::string replaced(std::string Text, const std::string &From, const std::string &To) {
+std::string replaced(std::string Text, const std::string &From,
+                     const std::string &To) {
   const size_t At = Text.find(From);
   BOOST_REQUIRE_MESSAGE(At != std::string::npos, "not in the sample: " << From);
   return Text.replace(At, From.size(), To);
@@ -53,19 +54,24 @@
 
 BOOST_AUTO_TEST_SUITE(ConfigTest)
 
-// Guards against samples that no environment accepts, or that differ from the firms' real sizes.
+// Guards against samples that no environment accepts, or that differ from the
+// firms' real sizes.
 BOOST_AUTO_TEST_CASE(SamplesAreValidAtTheRealSizes) {
-  const ParseResult Malabar = parseDocument(sample("malabar.yaml"), "malabar.yaml");
+  const ParseResult Malabar =
+      parseDocument(sample("malabar.yaml"), "malabar.yaml");
   BOOST_TEST(Malabar.ok(), joined(Malabar.m_Issues));
   BOOST_TEST(Malabar.m_Document.m_Zones.size() == 3U);
   BOOST_TEST((declaredCapacity(Malabar.m_Document) == Amount{80, 640, 2560}));
-  const ParseResult Swanbourne = parseDocument(sample("swanbourne.yaml"), "swanbourne.yaml");
+  const ParseResult Swanbourne =
+      parseDocument(sample("swanbourne.yaml"), "swanbourne.yaml");
   BOOST_TEST(Swanbourne.ok(), joined(Swanbourne.m_Issues));
   BOOST_TEST(Swanbourne.m_Document.m_Zones.size() == 4U);
-  BOOST_TEST((declaredCapacity(Swanbourne.m_Document) == Amount{80, 1280, 5120}));
+  BOOST_TEST(
+      (declaredCapacity(Swanbourne.m_Document) == Amount{80, 1280, 5120}));
 }
 
-// Guards against a fault that is accepted, or an error that does not lead to the place.
+// Guards against a fault that is accepted, or an error that does not lead to
+// the place.
 BOOST_AUTO_TEST_CASE(EachFaultNamesFileLineFieldAndRule) {
   struct Case {
     const char *m_From;
@@ -73,49 +79,73 @@
     const char *m_Expected;
   };
   const std::vector<Case> Cases = {
-      {"version: 3", "version: 3\nversion: 4", "f:3: version: appears twice [duplicate-field]"},
+      {"version: 3", "version: 3\nversion: 4",
+       "f:3: version: appears twice [duplicate-field]"},
       {"version: 3", "version: 3\nverison: 4",
-       "f:3: verison: is unknown; allowed are environment, version, availability_zones, workspaces, services, limits "
+       "f:3: verison: is unknown; allowed are environment, version, "
+       "availability_zones, workspaces, services, limits "
        "[unknown-field]"},
-      {"version: 3", "version: three", "f:2: version: must be a whole number [wrong-type]"},
-      {"version: 3", "version: \"3\"", "f:2: version: must be a whole number [wrong-type]"},
-      {"version: 3", "version: 3.5", "f:2: version: must be a whole number [wrong-type]"},
-      {"version: 3", "version: 0", "f:2: version: 0 is not between 1 and 9223372036854775807 [out-of-range]"},
+      {"version: 3", "version: three",
+       "f:2: version: must be a whole number [wrong-type]"},
+      {"version: 3", "version: \"3\"",
+       "f:2: version: must be a whole number [wrong-type]"},
+      {"version: 3", "version: 3.5",
+       "f:2: version: must be a whole number [wrong-type]"},
+      {"version: 3", "version: 0",
+       "f:2: version: 0 is not between 1 and 9223372036854775807 "
+       "[out-of-range]"},
       {"version: 3", "version: 99999999999999999999",
-       "f:2: version: 99999999999999999999 is not between 1 and 9223372036854775807 [out-of-range]"},
-      {"environment: trial\n", "", "f:1: environment: is missing [missing-field]"},
-      {"environment: trial", "environment: [trial]", "f:1: environment: must be a text [wrong-type]"},
+       "f:2: version: 99999999999999999999 is not between 1 and "
+       "9223372036854775807 [out-of-range]"},
+      {"environment: trial\n", "",
+       "f:1: environment: is missing [missing-field]"},
+      {"environment: trial", "environment: [trial]",
+       "f:1: environment: must be a text [wrong-type]"},
       {"environment: trial", "environment: try it",
-       "f:1: environment: \"try it\" is not a name of 1 to 63 letters, digits, '-', '_' or '.' [bad-name]"},
+       "f:1: environment: \"try it\" is not a name of 1 to 63 letters, digits, "
+       "'-', '_' or '.' [bad-name]"},
       {"count: 2", "count: 0",
-       "f:6: availability_zones[0].workers[0].count: 0 is not between 1 and 100000 "
+       "f:6: availability_zones[0].workers[0].count: 0 is not between 1 and "
+       "100000 "
        "[out-of-range]"},
-      {", per_rack: 2", "", "f:6: availability_zones[0].workers[0].per_rack: is missing [missing-field]"},
+      {", per_rack: 2", "",
+       "f:6: availability_zones[0].workers[0].per_rack: is missing "
+       "[missing-field]"},
       {"adjacency: vm", "adjacency: near",
-       "f:11: workspaces[0].guarantees[0].adjacency: must be one of any, rack, vm [unknown-value]"},
+       "f:11: workspaces[0].guarantees[0].adjacency: must be one of any, rack, "
+       "vm [unknown-value]"},
       {"count: 1}", "count: 3}",
-       "f:10: workspaces[0].guarantees: guarantees exceed the quota of workspace sieving by 8 accelerators and 64 "
+       "f:10: workspaces[0].guarantees: guarantees exceed the quota of "
+       "workspace sieving by 8 accelerators and 64 "
        "cores and 256 GiB of memory [guarantee-exceeds-quota]"},
       {"count: 2", "count: 1", ""}, // one worker still holds the guarantee
       {"{count: 2, accelerators: 8", "{count: 2, accelerators: 3",
-       "f:7: workspaces: guarantees of all workspaces exceed the declared capacity by 2 accelerators "
+       "f:7: workspaces: guarantees of all workspaces exceed the declared "
+       "capacity by 2 accelerators "
        "[guarantee-exceeds-capacity]"},
       {"{count: 2, accelerators: 8", "{count: 4, accelerators: 4",
-       "f:11: workspaces[0].guarantees[0]: shape grading fits into no declared worker [guarantee-fits-no-worker]"},
+       "f:11: workspaces[0].guarantees[0]: shape grading fits into no declared "
+       "worker [guarantee-fits-no-worker]"},
       {"idempotent: true", "idempotent: yes",
        "f:17: services[0].classes[0].idempotent: must be true or false "
        "[wrong-type]"},
-      {"services:\n  - name: shellgrit", "services:\n  - {}\n  - name: shellgrit",
+      {"services:\n  - name: shellgrit",
+       "services:\n  - {}\n  - name: shellgrit",
        "f:13: services[0].classes: is missing [missing-field]"},
-      {"  - name: sieving", "  - {name: sieving, quota: {accelerators: 1, cores: 1, memory_gib: 1}}\n  - name: sieving",
-       "f:9: workspaces[1].name: \"sieving\" is already used in workspaces [duplicate-name]"},
+      {"  - name: sieving",
+       "  - {name: sieving, quota: {accelerators: 1, cores: 1, memory_gib: "
+       "1}}\n  - name: sieving",
+       "f:9: workspaces[1].name: \"sieving\" is already used in workspaces "
+       "[duplicate-name]"},
       {"workspaces:\n", "limits: {gang_size: 257}\nworkspaces:\n",
        "f:7: limits.gang_size: 257 is not between 1 and 256 [out-of-range]"},
       {"environment: trial", "environment: [", "[syntax]"},
-      {"environment: trial", "environment: trial\n---\na: b\n---", "has 3 YAML documents instead of one [syntax]"},
+      {"environment: trial", "environment: trial\n---\na: b\n---",
+       "has 3 YAML documents instead of one [syntax]"},
   };
   for (const Case &Each : Cases) {
-    const ParseResult Result = parseDocument(replaced(Small, Each.m_From, Each.m_To), "f");
+    const ParseResult Result =
+        parseDocument(replaced(Small, Each.m_From, Each.m_To), "f");
     const std::string Found = joined(Result.m_Issues);
     BOOST_TEST_CONTEXT(Each.m_From << " -> " << Each.m_To) {
       if (std::string(Each.m_Expected).empty()) {
@@ -138,30 +168,39 @@
   for (const Issue &Each : Result.m_Issues)
     Lines.push_back(Each.m_Line);
   // The misspelt region is both unknown and missing.
-  BOOST_TEST(Lines == (std::vector<int>{2, 4, 5, 14}), boost::test_tools::per_element());
+  BOOST_TEST(Lines == (std::vector<int>{2, 4, 5, 14}),
+             boost::test_tools::per_element());
 }
 
 // Guards against a small text that costs the replicas much memory or time.
 BOOST_AUTO_TEST_CASE(HostileTextIsRefused) {
-  const ParseResult Large = parseDocument(std::string(MaxDocumentBytes + 1, ' '), "f");
-  BOOST_TEST(joined(Large.m_Issues).find("[document-too-large]") != std::string::npos);
+  const ParseResult Large =
+      parseDocument(std::string(MaxDocumentBytes + 1, ' '), "f");
+  BOOST_TEST(joined(Large.m_Issues).find("[document-too-large]") !=
+             std::string::npos);
   const ParseResult Deep = parseDocument(std::string(200'000, '['), "f");
   BOOST_TEST(joined(Deep.m_Issues).find("[syntax]") != std::string::npos);
-  std::string Many = "environment: a\nversion: 1\navailability_zones: [&z {name: a, region: b}";
+  std::string Many = "environment: a\nversion: 1\navailability_zones: [&z "
+                     "{name: a, region: b}";
   for (int I = 0; I < 1'000; ++I)
     Many += ", *z";
   Many += "]\nworkspaces: []\nservices: []\n";
-  BOOST_TEST(joined(parseDocument(Many, "f").m_Issues).find("has 1001 entries, more than 64") != std::string::npos);
+  BOOST_TEST(joined(parseDocument(Many, "f").m_Issues)
+                 .find("has 1001 entries, more than 64") != std::string::npos);
 }
 
-// Guards against digests that depend on the writing, or that miss a change of content.
+// Guards against digests that depend on the writing, or that miss a change of
+// content.
 BOOST_AUTO_TEST_CASE(DigestDependsOnContentOnly) {
-  const std::string Digest = contentDigest(parseDocument(Small, "f").m_Document);
+  const std::string Digest =
+      contentDigest(parseDocument(Small, "f").m_Document);
   BOOST_TEST(Digest.size() == 32U);
   const std::string Reordered =
-      replaced("# note\n" + Small, "{name: grading, accelerators: 8,", "{accelerators: 8, name: grading,");
+      replaced("# note\n" + Small, "{name: grading, accelerators: 8,",
+               "{accelerators: 8, name: grading,");
   BOOST_TEST(contentDigest(parseDocument(Reordered, "f").m_Document) == Digest);
-  const std::string Promoted = replaced(replaced(Small, "trial", "production"), "version: 3", "version: 9");
+  const std::string Promoted = replaced(replaced(Small, "trial", "production"),
+                                        "version: 3", "version: 9");
   BOOST_TEST(contentDigest(parseDocument(Promoted, "f").m_Document) == Digest);
   const std::vector<std::pair<std::string, std::string>> Changes = {
       {"kochi", "kollam"},
@@ -175,12 +214,17 @@
   for (const auto &[From, To] : Changes) {
     const ParseResult Changed = parseDocument(replaced(Small, From, To), "f");
     BOOST_TEST(Changed.ok(), joined(Changed.m_Issues));
-    BOOST_TEST(contentDigest(Changed.m_Document) != Digest, "not in the digest: " << To);
-    BOOST_TEST(diff(parseDocument(Small, "f").m_Document, Changed.m_Document).size() >= 1U, "not in the diff: " << To);
+    BOOST_TEST(contentDigest(Changed.m_Document) != Digest,
+               "not in the digest: " << To);
+    BOOST_TEST(
+        diff(parseDocument(Small, "f").m_Document, Changed.m_Document).size() >=
+            1U,
+        "not in the diff: " << To);
   }
 }
 
-// Guards against a scheduler or entry that is not told of a change, or is told of one that did not happen.
+// Guards against a scheduler or entry that is not told of a change, or is told
+// of one that did not happen.
 BOOST_AUTO_TEST_CASE(DiffListsTypedChanges) {
   const Document Old = parseDocument(Small, "f").m_Document;
   BOOST_TEST(diff(Old, Old).empty());
@@ -188,23 +232,27 @@
   New.m_Zones.push_back({"kollam", "kerala", {}});
   New.m_Workspaces[0].m_Quota.m_Cores = 256;
   New.m_Workspaces[0].m_Guarantees[0].m_Name = "drying";
-  New.m_Workspaces.push_back({"pricing", {}, {{"quotes", {1, 1, 1}, Adjacency::Any, 2}}});
+  New.m_Workspaces.push_back(
+      {"pricing", {}, {{"quotes", {1, 1, 1}, Adjacency::Any, 2}}});
   New.m_Services[0].m_Classes[0].m_DeadlineMs = 1'500;
   New.m_Limits.m_Claims = 5;
   std::vector<std::pair<ChangeKind, std::string>> Found;
   for (const Change &Each : diff(Old, New))
     Found.emplace_back(Each.m_Kind, Each.m_Name);
-  const std::vector<std::pair<ChangeKind, std::string>> Expected = {{ChangeKind::ZoneAdded, "kollam"},
-                                                                    {ChangeKind::WorkspaceAdded, "pricing"},
-                                                                    {ChangeKind::GuaranteeAdded, "pricing/quotes"},
-                                                                    {ChangeKind::QuotaChanged, "sieving"},
-                                                                    {ChangeKind::GuaranteeAdded, "sieving/drying"},
-                                                                    {ChangeKind::GuaranteeRemoved, "sieving/grading"},
-                                                                    {ChangeKind::ClassChanged, "shellgrit/quote"},
-                                                                    {ChangeKind::LimitsChanged, "limits"}};
+  const std::vector<std::pair<ChangeKind, std::string>> Expected = {
+      {ChangeKind::ZoneAdded, "kollam"},
+      {ChangeKind::WorkspaceAdded, "pricing"},
+      {ChangeKind::GuaranteeAdded, "pricing/quotes"},
+      {ChangeKind::QuotaChanged, "sieving"},
+      {ChangeKind::GuaranteeAdded, "sieving/drying"},
+      {ChangeKind::GuaranteeRemoved, "sieving/grading"},
+      {ChangeKind::ClassChanged, "shellgrit/quote"},
+      {ChangeKind::LimitsChanged, "limits"}};
   BOOST_TEST((Found == Expected));
-  BOOST_TEST(diff(Old, New)[3].m_Before == "accelerators=16 cores=128 memory_gib=512");
-  BOOST_TEST(diff(Old, New)[3].m_After == "accelerators=16 cores=256 memory_gib=512");
+  BOOST_TEST(diff(Old, New)[3].m_Before ==
+             "accelerators=16 cores=128 memory_gib=512");
+  BOOST_TEST(diff(Old, New)[3].m_After ==
+             "accelerators=16 cores=256 memory_gib=512");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/control/AgentSessionsTest.cpp
+++ b/tests/control/AgentSessionsTest.cpp
@@ -23,9 +23,12 @@
     m_Sessions.noteFreshRead(Now);
   }
 
-  void report(wire::TaskState::type State) { m_Cluster.apply(state::test::report("a", m_Job, 0, m_Token, State)); }
+  void report(wire::TaskState::type State) {
+    m_Cluster.apply(state::test::report("a", m_Job, 0, m_Token, State));
+  }
 
-  /// Returns the only assignment in the answer to a heartbeat that lists the task in \p States.
+  /// Returns the only assignment in the answer to a heartbeat that lists the
+  /// task in \p States.
   wire::Assignment assigned(const std::vector<wire::TaskState::type> &States) {
     wire::AgentHeartbeat Heartbeat;
     Heartbeat.target = m_Cluster.m_State.target(VmId("a"))->m_Info;
@@ -36,7 +39,8 @@
       Task.startToken = m_Token;
       Task.state = State;
     }
-    const wire::AgentHeartbeatReply Reply = m_Sessions.handle(Heartbeat, m_Cluster.m_State, Now);
+    const wire::AgentHeartbeatReply Reply =
+        m_Sessions.handle(Heartbeat, m_Cluster.m_State, Now);
     m_ReplyBytes = net::encodeStruct(Reply).size();
     BOOST_REQUIRE(Reply.assignments.size() == 1);
     return Reply.assignments[0];
@@ -63,7 +67,8 @@
   BOOST_TEST(Repeated.payload.size() == PayloadBytes);
 }
 
-// Guards against an agent of a later attempt that gets no payload because an earlier attempt had started.
+// Guards against an agent of a later attempt that gets no payload because an
+// earlier attempt had started.
 BOOST_AUTO_TEST_CASE(SendsThePayloadIfAnotherStartTokenRuns) {
   report(wire::TaskState::PREPARED);
   const int64_t Token = m_Token;
@@ -75,7 +80,8 @@
   BOOST_TEST(Wanted.payload.size() == PayloadBytes);
 }
 
-// Guards against replies that repeat the payload of every task each second, past the 9 KB/s of a node.
+// Guards against replies that repeat the payload of every task each second,
+// past the 9 KB/s of a node.
 BOOST_AUTO_TEST_CASE(LeavesThePayloadOutBeforeAndAfterTheStart) {
   const wire::Assignment Prepare = assigned({});
   BOOST_TEST(Prepare.order == wire::TaskOrder::PREPARE);
--- a/tests/control/LeaderDutiesTest.cpp
+++ b/tests/control/LeaderDutiesTest.cpp
@@ -11,26 +11,33 @@
 
 TimePoint at(int64_t Ms) { return timePointFromMicros(Ms * 1000); }
 
-// A leader of one replica: what it proposes is applied at the next step of the clock.
+// A leader of one replica: what it proposes is applied at the next step of the
+// clock.
 struct LeaderBench {
   state::ClusterState m_State = *state::ClusterState::create();
   std::vector<wire::Command> m_Queue;
-  std::vector<std::pair<int64_t, wire::Command>> m_Applied; ///< With the time in ms.
+  std::vector<std::pair<int64_t, wire::Command>>
+      m_Applied; ///< With the time in ms.
   int64_t m_NowMs = 0;
   int64_t m_WallSkewUs = 0;
   int64_t m_Index = 0;
   LeaderDuties m_Duties{
-      [this](const wire::Command &Command, const SchedulerDriver::Refused &) { m_Queue.push_back(Command); },
+      [this](const wire::Command &Command, const SchedulerDriver::Refused &) {
+        m_Queue.push_back(Command);
+      },
       [this] { return wallUs(); }};
 
   LeaderBench() {
-    m_State.setEventHook(
-        [this](const state::StateEvent &Event, int64_t) { m_Duties.onStateEvent(Event, at(m_NowMs)); });
+    m_State.setEventHook([this](const state::StateEvent &Event, int64_t) {
+      m_Duties.onStateEvent(Event, at(m_NowMs));
+    });
     apply(applyConfig(1, documentText(1)));
     BOOST_REQUIRE(m_Duties.begin(m_State, at(m_NowMs)).ok());
   }
 
-  int64_t wallUs() const { return 1'000'000'000 + m_NowMs * 1000 + m_WallSkewUs; }
+  int64_t wallUs() const {
+    return 1'000'000'000 + m_NowMs * 1000 + m_WallSkewUs;
+  }
 
   wire::CommandResult apply(wire::Command Command) {
     Command.proposedAtUs = wallUs();
@@ -73,7 +80,8 @@
     Submit.submitJob.spec.leaseMs = LeaseMs;
     const JobId Job(apply(Submit).jobId);
     run(1000, {"a", "b"});
-    for (const wire::TaskState::type What : {wire::TaskState::PREPARED, wire::TaskState::RUNNING}) {
+    for (const wire::TaskState::type What :
+         {wire::TaskState::PREPARED, wire::TaskState::RUNNING}) {
       report("a", Job, What);
       report("b", Job, What);
     }
@@ -91,29 +99,35 @@
 };
 
 bool isLoss(const wire::Command &Command) { return Command.__isset.loseTarget; }
-bool isExpiry(const wire::Command &Command) { return Command.__isset.expireLeases; }
+bool isExpiry(const wire::Command &Command) {
+  return Command.__isset.expireLeases;
+}
 
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(LeaderDutiesTest, LeaderBench)
 
-// Guards against a gang that waits for ever because its placement is never proposed.
+// Guards against a gang that waits for ever because its placement is never
+// proposed.
 BOOST_AUTO_TEST_CASE(PlacesAQueuedGangWhole) {
   const JobId Job = runGang();
   BOOST_TEST(m_State.job(Job)->m_Members.size() == 2u);
 }
 
-// Guards against a member being placed again while its old task may still run: the whole lease, a tenth for clock
-// rates, the age of the last read and the time to stop must have passed since the loss (H2, H6).
+// Guards against a member being placed again while its old task may still run:
+// the whole lease, a tenth for clock rates, the age of the last read and the
+// time to stop must have passed since the loss (H2, H6).
 BOOST_AUTO_TEST_CASE(WaitsForTheWholeLeaseBeforeAMemberIsFreed) {
   runGang();
-  // 10 s until the loss, 8.2 s until the lease is over, and as much again in reserve.
+  // 10 s until the loss, 8.2 s until the lease is over, and as much again in
+  // reserve.
   run(40000, {"a"});
   const int64_t LostMs = firstAppliedMs(isLoss);
   const int64_t FreedMs = firstAppliedMs(isExpiry);
   BOOST_REQUIRE(LostMs > 0);
   BOOST_REQUIRE(FreedMs > 0);
-  BOOST_TEST(FreedMs - LostMs >= LeaseMs + LeaseMs / 10 + 1000 + 5000, "freed after " << FreedMs - LostMs << " ms");
+  BOOST_TEST(FreedMs - LostMs >= LeaseMs + LeaseMs / 10 + 1000 + 5000,
+             "freed after " << FreedMs - LostMs << " ms");
 }
 
 // Guards against a wall clock that jumps ahead ending leases early.
@@ -128,7 +142,8 @@
   BOOST_TEST(firstAppliedMs(isExpiry) > 0);
 }
 
-// Guards against a new leader that has not seen the loss itself freeing the members at once.
+// Guards against a new leader that has not seen the loss itself freeing the
+// members at once.
 BOOST_AUTO_TEST_CASE(ANewLeaderCountsTheLeaseAnew) {
   runGang();
   while (firstAppliedMs(isLoss) < 0)
@@ -138,7 +153,8 @@
   m_Duties.end();
   BOOST_REQUIRE(m_Duties.begin(m_State, at(m_NowMs)).ok());
   run(20000, {"a"});
-  BOOST_TEST(firstAppliedMs(isExpiry) - BeganMs >= LeaseMs + LeaseMs / 10 + 1000 + 5000);
+  BOOST_TEST(firstAppliedMs(isExpiry) - BeganMs >=
+             LeaseMs + LeaseMs / 10 + 1000 + 5000);
 }
 
 // Guards against a few late heartbeats costing a running gang.
--- a/tests/control/MemberChangeTest.cpp
+++ b/tests/control/MemberChangeTest.cpp
@@ -21,7 +21,8 @@
 raft::RaftStatus leaderStatus() {
   raft::RaftStatus Status;
   Status.m_Role = raft::RaftRole::Leader;
-  Status.m_Members.m_Voters = {raft::ReplicaId(1), raft::ReplicaId(2), raft::ReplicaId(3)};
+  Status.m_Members.m_Voters = {raft::ReplicaId(1), raft::ReplicaId(2),
+                               raft::ReplicaId(3)};
   Status.m_Members.m_Learners = {raft::ReplicaId(4)};
   Status.m_MembersCommitted = true;
   return Status;
@@ -31,7 +32,8 @@
 
 BOOST_AUTO_TEST_SUITE(MemberChangeTest)
 
-// Guards against a resent change that is reported as refused, or one that a rule of the log never sees.
+// Guards against a resent change that is reported as refused, or one that a
+// rule of the log never sees.
 BOOST_AUTO_TEST_CASE(OnlyChangesThatNeedNoEntryAreAnsweredAtOnce) {
   struct Case {
     ReplicaChange::type m_Kind;
@@ -52,8 +54,10 @@
       {static_cast<ReplicaChange::type>(9), 3, true, CommandStatus::INVALID},
   };
   for (const Case &Each : Cases) {
-    BOOST_TEST_CONTEXT("kind " << Each.m_Kind << " replica " << Each.m_Replica << " address " << Each.m_HasAddress) {
-      const auto Answer = answerUnchanged(change(Each.m_Kind, Each.m_Replica), leaderStatus(), Each.m_HasAddress);
+    BOOST_TEST_CONTEXT("kind " << Each.m_Kind << " replica " << Each.m_Replica
+                               << " address " << Each.m_HasAddress) {
+      const auto Answer = answerUnchanged(change(Each.m_Kind, Each.m_Replica),
+                                          leaderStatus(), Each.m_HasAddress);
       BOOST_TEST(Answer.has_value() == Each.m_Answer.has_value());
       if (Answer && Each.m_Answer)
         BOOST_TEST((Answer->status == *Each.m_Answer), Answer->message);
@@ -68,19 +72,25 @@
   raft::RaftStatus Uncommitted = leaderStatus();
   Uncommitted.m_MembersCommitted = false;
   for (const raft::RaftStatus &Each : {Follower, Uncommitted})
-    BOOST_TEST(!answerUnchanged(change(ReplicaChange::ADD_LEARNER, 4), Each, true).has_value());
+    BOOST_TEST(
+        !answerUnchanged(change(ReplicaChange::ADD_LEARNER, 4), Each, true)
+             .has_value());
 }
 
-// Guards against a refusal that the router repeats until its deadline, and a lost leadership that looks like a refusal.
+// Guards against a refusal that the router repeats until its deadline, and a
+// lost leadership that looks like a refusal.
 BOOST_AUTO_TEST_CASE(RefusalsBecomeResultsAndOtherErrorsStay) {
   const wire::ChangeReplicas Change = change(ReplicaChange::PROMOTE, 4);
   const auto Refused = changeResult(
-      Change, makeLayerError(absl::StatusCode::kFailedPrecondition, raft::RaftErrc::ChangeRefused, "it lags"));
+      Change, makeLayerError(absl::StatusCode::kFailedPrecondition,
+                             raft::RaftErrc::ChangeRefused, "it lags"));
   BOOST_REQUIRE(Refused.ok());
   BOOST_TEST((Refused->status == CommandStatus::REFUSED));
   const auto Lost =
-      changeResult(Change, makeLayerError(absl::StatusCode::kFailedPrecondition, raft::RaftErrc::NotLeader, "no"));
-  BOOST_TEST((layerErrorOf<raft::RaftErrc>(Lost.status()) == raft::RaftErrc::NotLeader));
+      changeResult(Change, makeLayerError(absl::StatusCode::kFailedPrecondition,
+                                          raft::RaftErrc::NotLeader, "no"));
+  BOOST_TEST((layerErrorOf<raft::RaftErrc>(Lost.status()) ==
+              raft::RaftErrc::NotLeader));
   const auto Done = changeResult(Change, wire::CommandResult());
   BOOST_REQUIRE(Done.ok());
   BOOST_TEST((Done->status == CommandStatus::OK));
