--- a/tests/control/PermitTest.cpp
+++ b/tests/control/PermitTest.cpp
@@ -10,13 +10,16 @@
 TimePoint at(int64_t Ms) { return timePointFromMicros(Ms * 1000); }
 
 constexpr int64_t Incarnation = 5;
-constexpr int64_t PermitMs = std::chrono::duration_cast<std::chrono::milliseconds>(PermitFor).count();
+constexpr int64_t PermitMs =
+    std::chrono::duration_cast<std::chrono::milliseconds>(PermitFor).count();
 
 // Sessions of one replica whose proposals are applied to its own state at once.
 struct SessionBench {
   state::ClusterState m_State = *state::ClusterState::create();
   std::vector<wire::Command> m_Proposed;
-  AgentSessions m_Sessions{[this](wire::Command Command) { m_Proposed.push_back(std::move(Command)); }};
+  AgentSessions m_Sessions{[this](wire::Command Command) {
+    m_Proposed.push_back(std::move(Command));
+  }};
   int64_t m_Index = 0;
   int64_t m_Sequence = 0;
 
@@ -27,14 +30,17 @@
     return m_State.apply(Command, ++m_Index);
   }
 
-  static wire::AgentHeartbeat heartbeat(int64_t HeartbeatIncarnation = Incarnation) {
+  static wire::AgentHeartbeat
+  heartbeat(int64_t HeartbeatIncarnation = Incarnation) {
     wire::AgentHeartbeat Heartbeat;
-    Heartbeat.target = registerMinion("m", HeartbeatIncarnation).registerTarget.target;
+    Heartbeat.target =
+        registerMinion("m", HeartbeatIncarnation).registerTarget.target;
     Heartbeat.targetHealthy = true;
     return Heartbeat;
   }
 
-  wire::AgentHeartbeatReply send(wire::AgentHeartbeat Heartbeat, int64_t NowMs) {
+  wire::AgentHeartbeatReply send(wire::AgentHeartbeat Heartbeat,
+                                 int64_t NowMs) {
     Heartbeat.sequence = ++m_Sequence;
     return m_Sessions.handle(Heartbeat, m_State, at(NowMs));
   }
@@ -51,7 +57,8 @@
 
 BOOST_FIXTURE_TEST_SUITE(PermitTest, SessionBench)
 
-// Guards against a permit from a replica that has not heard of a withdrawal: it may be isolated (H3, H7).
+// Guards against a permit from a replica that has not heard of a withdrawal: it
+// may be isolated (H3, H7).
 BOOST_AUTO_TEST_CASE(GivesPermitsOnlyWhileTheLastReadIsFresh) {
   registerAgent();
   BOOST_TEST(send(heartbeat(), 10).permitMs == 0);
@@ -63,7 +70,8 @@
   BOOST_TEST(!Late.accepted);
 }
 
-// Guards against a read that was confirmed late moving the freshness forward past its own request.
+// Guards against a read that was confirmed late moving the freshness forward
+// past its own request.
 BOOST_AUTO_TEST_CASE(CountsFreshnessFromTheRequestOfTheRead) {
   registerAgent();
   m_Sessions.noteFreshRead(at(500));
@@ -72,13 +80,15 @@
   BOOST_TEST(send(heartbeat(), 1501).permitMs == 0);
 }
 
-// Guards against the sum of freshness and permit leaving no room below 3 s for clock rates 10% apart.
+// Guards against the sum of freshness and permit leaving no room below 3 s for
+// clock rates 10% apart.
 BOOST_AUTO_TEST_CASE(PermitEndsWithinThreeSecondsOfAWithdrawal) {
   const Duration Worst = ReadFreshFor + PermitFor;
   BOOST_TEST((Worst + Worst / 10 <= std::chrono::seconds(3)));
 }
 
-// Guards against permits in a withdrawn zone, on a leaving target or for a sick one.
+// Guards against permits in a withdrawn zone, on a leaving target or for a sick
+// one.
 BOOST_AUTO_TEST_CASE(GivesNoPermitWhereNothingMayStart) {
   registerAgent();
   m_Sessions.noteFreshRead(at(0));
@@ -97,7 +107,8 @@
   BOOST_TEST(Draining.draining);
 }
 
-// Guards against an older incarnation being served beside the one that replaced it.
+// Guards against an older incarnation being served beside the one that replaced
+// it.
 BOOST_AUTO_TEST_CASE(RefusesAnOlderIncarnation) {
   registerAgent();
   m_Sessions.noteFreshRead(at(0));
@@ -120,7 +131,8 @@
   BOOST_TEST(static_cast<bool>(m_Proposed[0].__isset.drainTarget));
 }
 
-// Guards against an outcome being acknowledged, and so lost, by a replica that has not applied the grant yet.
+// Guards against an outcome being acknowledged, and so lost, by a replica that
+// has not applied the grant yet.
 BOOST_AUTO_TEST_CASE(AcknowledgesNoOutcomeThatItCannotKnow) {
   registerAgent();
   wire::AgentHeartbeat Reporting = heartbeat();
@@ -131,7 +143,8 @@
   Reporting.outcomes = {Outcome};
   BOOST_TEST(send(Reporting, 1).acknowledgedClaims.empty());
 
-  const wire::CommandResult Granted = apply(openClaim("w/s/k", "m", "entry-1/1", "digest", Incarnation));
+  const wire::CommandResult Granted =
+      apply(openClaim("w/s/k", "m", "entry-1/1", "digest", Incarnation));
   BOOST_REQUIRE((Granted.claimState == wire::ClaimState::GRANTED));
   BOOST_TEST(Granted.claimToken == Outcome.token);
   BOOST_TEST(send(Reporting, 2).acknowledgedClaims.empty());
--- a/tests/ctl/CliTest.cpp
+++ b/tests/ctl/CliTest.cpp
@@ -24,7 +24,8 @@
       return m_Answer;
     };
     Environment.m_Entries = {"127.0.0.1:1", "127.0.0.1:2"};
-    Environment.m_ReadFile = [this](const std::string &Path) -> std::optional<std::string> {
+    Environment.m_ReadFile =
+        [this](const std::string &Path) -> std::optional<std::string> {
       const auto It = m_Files.find(Path);
       return It == m_Files.end() ? std::nullopt : std::optional(It->second);
     };
@@ -46,18 +47,44 @@
 
 BOOST_FIXTURE_TEST_SUITE(CliTest, CliBench)
 
-// Guards against a script taking a refused or unknown change for a done one, or repeating one that may be done.
+// Guards against a script taking a refused or unknown change for a done one, or
+// repeating one that may be done.
 BOOST_AUTO_TEST_CASE(ExitCodeTellsWhatIsKnown) {
-  const std::string Refusal = R"({"error":{"code":"conflict","message":"taken","field":"version"}})";
+  const std::string Refusal =
+      R"({"error":{"code":"conflict","message":"taken","field":"version"}})";
   const std::vector<ExitCase> Cases = {
-      {"done", {"zone", "restore", "kochi"}, {true, true, 200, "{}", ""}, ExitCode::Ok},
-      {"conflict", {"zone", "restore", "kochi"}, {true, true, 409, Refusal, ""}, ExitCode::Refused},
-      {"bad input", {"job", "show", "x"}, {true, true, 400, Refusal, ""}, ExitCode::Refused},
-      {"no entry", {"status"}, {false, false, 0, "", "connect failed"}, ExitCode::Unreachable},
-      {"no control", {"status"}, {true, true, 503, Refusal, ""}, ExitCode::Unreachable},
-      {"change without an answer", {"job", "cancel", "7"}, {false, true, 0, "", "cut"}, ExitCode::Unknown},
-      {"read without an answer", {"job", "show", "7"}, {false, true, 0, "", "cut"}, ExitCode::Unreachable},
-      {"change not confirmed", {"zone", "restore", "kochi"}, {true, true, 504, Refusal, ""}, ExitCode::Unknown},
+      {"done",
+       {"zone", "restore", "kochi"},
+       {true, true, 200, "{}", ""},
+       ExitCode::Ok},
+      {"conflict",
+       {"zone", "restore", "kochi"},
+       {true, true, 409, Refusal, ""},
+       ExitCode::Refused},
+      {"bad input",
+       {"job", "show", "x"},
+       {true, true, 400, Refusal, ""},
+       ExitCode::Refused},
+      {"no entry",
+       {"status"},
+       {false, false, 0, "", "connect failed"},
+       ExitCode::Unreachable},
+      {"no control",
+       {"status"},
+       {true, true, 503, Refusal, ""},
+       ExitCode::Unreachable},
+      {"change without an answer",
+       {"job", "cancel", "7"},
+       {false, true, 0, "", "cut"},
+       ExitCode::Unknown},
+      {"read without an answer",
+       {"job", "show", "7"},
+       {false, true, 0, "", "cut"},
+       ExitCode::Unreachable},
+      {"change not confirmed",
+       {"zone", "restore", "kochi"},
+       {true, true, 504, Refusal, ""},
+       ExitCode::Unknown},
       {"unknown command", {"zone", "explode", "kochi"}, {}, ExitCode::Usage},
       {"missing argument", {"job", "show"}, {}, ExitCode::Usage},
       {"unknown flag", {"status", "--colour", "red"}, {}, ExitCode::Usage},
@@ -66,7 +93,8 @@
   for (const ExitCase &Case : Cases) {
     m_Answer = Case.m_Answer;
     const ExitCode Got = run(Case.m_Words);
-    BOOST_TEST(static_cast<int>(Got) == static_cast<int>(Case.m_Expected), Case.m_What);
+    BOOST_TEST(static_cast<int>(Got) == static_cast<int>(Case.m_Expected),
+               Case.m_What);
   }
 }
 
@@ -81,7 +109,8 @@
   BOOST_TEST(m_Calls[0].second.m_Target == "/v1/zones/kochi/withdraw");
 }
 
-// Guards against a wrong document reaching control, and against errors that don't say where the fault is.
+// Guards against a wrong document reaching control, and against errors that
+// don't say where the fault is.
 BOOST_AUTO_TEST_CASE(WrongDocumentIsNotSent) {
   m_Files["bad.yaml"] = "environment: live\nversion: nine\n";
   BOOST_TEST((run({"config", "apply", "bad.yaml"}) == ExitCode::Refused));
@@ -91,31 +120,38 @@
 
 // Guards against promoting a document that the trial environment does not run.
 BOOST_AUTO_TEST_CASE(PromotionNeedsTheDigestOfTheTrial) {
-  m_Files["live.yaml"] = "environment: live\nversion: 2\navailability_zones:\n  - {name: kochi, region: kerala}\n"
+  m_Files["live.yaml"] = "environment: live\nversion: 2\navailability_zones:\n "
+                         " - {name: kochi, region: kerala}\n"
                          "workspaces: []\nservices: []\n";
   m_Answer.m_Body = R"({"environment":"trial","digest":"other"})";
-  BOOST_TEST((run({"config", "promote", "live.yaml", "--trial", "127.0.0.1:9"}) == ExitCode::Refused));
+  BOOST_TEST((run({"config", "promote", "live.yaml", "--trial",
+                   "127.0.0.1:9"}) == ExitCode::Refused));
   BOOST_REQUIRE(m_Calls.size() == 1u);
   BOOST_TEST(m_Calls[0].first == "127.0.0.1:9");
   run({"config", "check", "live.yaml"});
   const std::string Valid = m_Out.str();
   const std::string Digest = Valid.substr(Valid.find("digest ") + 7, 32);
   m_Answer.m_Body = R"({"environment":"trial","digest":")" + Digest + "\"}";
-  BOOST_TEST((run({"config", "promote", "live.yaml", "--trial", "127.0.0.1:9"}) == ExitCode::Ok), m_Err.str());
-  BOOST_TEST(m_Calls.back().second.m_Target == "/v1/config?promoted_from=trial@" + Digest);
+  BOOST_TEST((run({"config", "promote", "live.yaml", "--trial",
+                   "127.0.0.1:9"}) == ExitCode::Ok),
+             m_Err.str());
+  BOOST_TEST(m_Calls.back().second.m_Target ==
+             "/v1/config?promoted_from=trial@" + Digest);
 }
 
 // Guards against a table that drops fields or rows.
 BOOST_AUTO_TEST_CASE(RendersRowsAndFields) {
-  BOOST_TEST(renderTable(R"([{"vm":"a","slots":8},{"vm":"bcd","zone":"kochi"}])") ==
-             "vm   slots  zone\na    8      -\nbcd  -      kochi\n");
+  BOOST_TEST(
+      renderTable(R"([{"vm":"a","slots":8},{"vm":"bcd","zone":"kochi"}])") ==
+      "vm   slots  zone\na    8      -\nbcd  -      kochi\n");
   BOOST_TEST(renderTable("[]") == "none\n");
   BOOST_TEST(renderTable("not json") == "not json");
 }
 
 // Guards against a time line that is lost because one entry is down.
 BOOST_AUTO_TEST_CASE(TimelineAsksEveryEntry) {
-  m_Answer.m_Body = R"([{"at_us":1000000,"process":"entry-1","sequence":1,"kind":"k","text":"t"}])";
+  m_Answer.m_Body =
+      R"([{"at_us":1000000,"process":"entry-1","sequence":1,"kind":"k","text":"t"}])";
   BOOST_TEST((run({"timeline"}) == ExitCode::Ok));
   BOOST_TEST(m_Calls.size() == 2u);
   BOOST_TEST(m_Out.str() == "00:00:01.000000 entry-1 k: t\n");
--- a/tests/daemon/SettingsTest.cpp
+++ b/tests/daemon/SettingsTest.cpp
@@ -17,19 +17,23 @@
   bool m_Verbose = false;
 };
 
-absl::StatusOr<StartMode> readSample(Sample &Into, const std::vector<std::string> &Arguments,
-                                     const std::map<std::string, std::string> &Variables) {
+absl::StatusOr<StartMode>
+readSample(Sample &Into, const std::vector<std::string> &Arguments,
+           const std::map<std::string, std::string> &Variables) {
   Settings Reader("sample", "A sample.");
   Reader.addName("name", "", "Name of the process.", Into.m_Name);
   Reader.addInteger("max-requests", 10, 1, 100, "Bound.", Into.m_Limit);
-  Reader.addDuration("drain-limit", "30s", std::chrono::seconds(1), std::chrono::hours(1), "Limit.", Into.m_Drain);
+  Reader.addDuration("drain-limit", "30s", std::chrono::seconds(1),
+                     std::chrono::hours(1), "Limit.", Into.m_Drain);
   Reader.addSwitch("verbose", "Log more.", Into.m_Verbose);
-  return Reader.read(Arguments, [&Variables](const std::string &Name) -> std::optional<std::string> {
-    const auto It = Variables.find(Name);
-    if (It == Variables.end())
-      return std::nullopt;
-    return It->second;
-  });
+  return Reader.read(
+      Arguments,
+      [&Variables](const std::string &Name) -> std::optional<std::string> {
+        const auto It = Variables.find(Name);
+        if (It == Variables.end())
+          return std::nullopt;
+        return It->second;
+      });
 }
 
 } // namespace
@@ -39,7 +43,9 @@
 // Guards against a variable that overrides the flag an operator has just typed.
 BOOST_AUTO_TEST_CASE(FlagWinsOverVariableWinsOverDefault) {
   Sample Read;
-  const auto Mode = readSample(Read, {"--name=a", "--verbose"}, {{"ANVIL_NAME", "b"}, {"ANVIL_MAX_REQUESTS", "7"}});
+  const auto Mode =
+      readSample(Read, {"--name=a", "--verbose"},
+                 {{"ANVIL_NAME", "b"}, {"ANVIL_MAX_REQUESTS", "7"}});
 
   BOOST_REQUIRE_MESSAGE(Mode.ok(), Mode.status());
   BOOST_TEST((*Mode == StartMode::Run));
@@ -52,15 +58,19 @@
 // Guards against an operator who fixes one wrong setting per start.
 BOOST_AUTO_TEST_CASE(NamesEveryWrongSettingInOneMessage) {
   Sample Read;
-  const auto Mode = readSample(Read, {"--drain-limit=5", "--max-requests=0"}, {});
+  const auto Mode =
+      readSample(Read, {"--drain-limit=5", "--max-requests=0"}, {});
 
   BOOST_REQUIRE(!Mode.ok());
-  BOOST_TEST((layerErrorOf<daemon::SettingsErrc>(Mode.status()) == daemon::SettingsErrc::Invalid));
+  BOOST_TEST((layerErrorOf<daemon::SettingsErrc>(Mode.status()) ==
+              daemon::SettingsErrc::Invalid));
   const std::string Text(Mode.status().message());
   for (const char *Part :
-       {"--name (ANVIL_NAME): required", "--max-requests (flag): must be a whole number from 1 to 100",
+       {"--name (ANVIL_NAME): required",
+        "--max-requests (flag): must be a whole number from 1 to 100",
         "--drain-limit (flag): must be a whole number with the unit"})
-    BOOST_TEST(Text.find(Part) != std::string::npos, "missing '" << Part << "' in: " << Text);
+    BOOST_TEST(Text.find(Part) != std::string::npos,
+               "missing '" << Part << "' in: " << Text);
 }
 
 struct BadArguments {
@@ -70,14 +80,17 @@
 
 // Guards against a mistyped flag that is silently ignored.
 BOOST_AUTO_TEST_CASE(RefusesUnknownFlagsAndWords) {
-  for (const BadArguments &Case : {BadArguments{{"--name=a", "--nmae=b"}, "nmae"},
-                                   {{"--name=a", "stray"}, "stray"},
-                                   {{"--name=a", "--verbose=maybe"}, "must be true or false"},
-                                   {{"--name=a b"}, "letters, digits"}}) {
+  for (const BadArguments &Case :
+       {BadArguments{{"--name=a", "--nmae=b"}, "nmae"},
+        {{"--name=a", "stray"}, "stray"},
+        {{"--name=a", "--verbose=maybe"}, "must be true or false"},
+        {{"--name=a b"}, "letters, digits"}}) {
     Sample Read;
     const auto Mode = readSample(Read, Case.m_Arguments, {});
     BOOST_REQUIRE(!Mode.ok());
-    BOOST_TEST(std::string(Mode.status().message()).find(Case.m_Part) != std::string::npos, Mode.status());
+    BOOST_TEST(std::string(Mode.status().message()).find(Case.m_Part) !=
+                   std::string::npos,
+               Mode.status());
   }
 }
 
@@ -86,7 +99,8 @@
   Sample Read;
   BOOST_TEST((*readSample(Read, {"--help"}, {}) == StartMode::ShowHelp));
   BOOST_TEST((*readSample(Read, {"--version"}, {}) == StartMode::ShowVersion));
-  BOOST_TEST((*readSample(Read, {"--check", "--name=a"}, {}) == StartMode::CheckOnly));
+  BOOST_TEST(
+      (*readSample(Read, {"--check", "--name=a"}, {}) == StartMode::CheckOnly));
 }
 
 struct DurationCase {
@@ -108,7 +122,8 @@
                                    {"", -1},
                                    {"99999999999999999h", -1}}) {
     const absl::StatusOr<Duration> Parsed = daemon::parseDuration(Case.m_Text);
-    BOOST_TEST((Parsed.ok() ? Parsed->count() : -1) == Case.m_Micros, Case.m_Text);
+    BOOST_TEST((Parsed.ok() ? Parsed->count() : -1) == Case.m_Micros,
+               Case.m_Text);
   }
 }
 
--- a/tests/entry/SessionHarness.h
+++ b/tests/entry/SessionHarness.h
@@ -21,27 +21,37 @@
   return Options;
 }
 
-/// Answers syncs with a fixed table and commands and queries from a script, and notes what it was asked.
+/// Answers syncs with a fixed table and commands and queries from a script, and
+/// notes what it was asked.
 class FakeControl {
 public:
-  FakeControl(boost::asio::io_context &Io, wire::EntrySyncReply Table, std::vector<std::string> &Notes)
+  FakeControl(boost::asio::io_context &Io, wire::EntrySyncReply Table,
+              std::vector<std::string> &Notes)
       : m_Table(std::move(Table)), m_Notes(Notes),
-        m_Server(std::move(*net::RpcServer::create(Io, {"127.0.0.1", 0}, fakeRpcOptions()))) {
-    m_Server->handle(wire::Method::ENTRY_SYNC, [this](const net::RpcCall &Call, const net::RpcResponder &Respond) {
-      const auto Request = *net::decodeAs<wire::EntrySyncRequest>(Call.m_Body);
-      wire::EntrySyncReply Reply = m_Table;
-      Reply.routesChanged = Request.routeVersion != Reply.routeVersion;
-      Reply.configChanged = Request.configVersion != Reply.configVersion;
-      Respond(net::encodeStruct(Reply));
-    });
-    m_Server->handle(wire::Method::SUBMIT_COMMAND, [this](const net::RpcCall &Call, const net::RpcResponder &Respond) {
-      note("command", *net::decodeAs<wire::Command>(Call.m_Body));
-      Respond(net::encodeStruct(next(m_Results)));
-    });
-    m_Server->handle(wire::Method::QUERY, [this](const net::RpcCall &Call, const net::RpcResponder &Respond) {
-      note("query", *net::decodeAs<wire::QueryRequest>(Call.m_Body));
-      Respond(net::encodeStruct(next(m_Replies)));
-    });
+        m_Server(std::move(
+            *net::RpcServer::create(Io, {"127.0.0.1", 0}, fakeRpcOptions()))) {
+    m_Server->handle(
+        wire::Method::ENTRY_SYNC,
+        [this](const net::RpcCall &Call, const net::RpcResponder &Respond) {
+          const auto Request =
+              *net::decodeAs<wire::EntrySyncRequest>(Call.m_Body);
+          wire::EntrySyncReply Reply = m_Table;
+          Reply.routesChanged = Request.routeVersion != Reply.routeVersion;
+          Reply.configChanged = Request.configVersion != Reply.configVersion;
+          Respond(net::encodeStruct(Reply));
+        });
+    m_Server->handle(
+        wire::Method::SUBMIT_COMMAND,
+        [this](const net::RpcCall &Call, const net::RpcResponder &Respond) {
+          note("command", *net::decodeAs<wire::Command>(Call.m_Body));
+          Respond(net::encodeStruct(next(m_Results)));
+        });
+    m_Server->handle(
+        wire::Method::QUERY,
+        [this](const net::RpcCall &Call, const net::RpcResponder &Respond) {
+          note("query", *net::decodeAs<wire::QueryRequest>(Call.m_Body));
+          Respond(net::encodeStruct(next(m_Replies)));
+        });
   }
 
   net::Endpoint endpoint() const { return m_Server->endpoint(); }
@@ -68,16 +78,20 @@
   std::unique_ptr<net::RpcServer> m_Server;
 };
 
-/// Answers each request with the next scripted reply; without one it completes the request. While m_Hold is set it
-/// keeps requests until release().
+/// Answers each request with the next scripted reply; without one it completes
+/// the request. While m_Hold is set it keeps requests until release().
 class FakeAgent {
 public:
   FakeAgent(boost::asio::io_context &Io, std::vector<std::string> &Notes)
-      : m_Notes(Notes), m_Server(std::move(*net::RpcServer::create(Io, {"127.0.0.1", 0}, fakeRpcOptions()))) {
-    m_Server->handle(wire::Method::EXECUTE, [this](const net::RpcCall &Call, net::RpcResponder Respond) {
+      : m_Notes(Notes), m_Server(std::move(*net::RpcServer::create(
+                            Io, {"127.0.0.1", 0}, fakeRpcOptions()))) {
+    m_Server->handle(wire::Method::EXECUTE, [this](const net::RpcCall &Call,
+                                                   net::RpcResponder Respond) {
       const auto Request = *net::decodeAs<wire::ExecuteRequest>(Call.m_Body);
-      m_Notes.push_back("  agent " + Request.httpMethod + " " + Request.path + " class=" + Request.className +
-                        " claim=" + Request.claimId + " token=" + std::to_string(Request.claimToken) +
+      m_Notes.push_back("  agent " + Request.httpMethod + " " + Request.path +
+                        " class=" + Request.className +
+                        " claim=" + Request.claimId +
+                        " token=" + std::to_string(Request.claimToken) +
                         " body=" + Request.body);
       if (m_Hold)
         return m_Held.push_back(std::move(Respond));
@@ -114,7 +128,8 @@
   std::unique_ptr<net::RpcServer> m_Server;
 };
 
-inline wire::ServiceClass sessionClass(const std::string &Name, bool Idempotent) {
+inline wire::ServiceClass sessionClass(const std::string &Name,
+                                       bool Idempotent) {
   wire::ServiceClass Class;
   Class.name = Name;
   Class.urgency = wire::Urgency::URGENT;
@@ -123,7 +138,8 @@
   return Class;
 }
 
-/// One entry between two fake control replicas and a fake agent that stands for two minions, on a thread of its own.
+/// One entry between two fake control replicas and a fake agent that stands for
+/// two minions, on a thread of its own.
 class SessionHarness : public anvil::testing::IoThread {
 public:
   explicit SessionHarness(Duration DrainNotice = Duration(0)) {
@@ -137,7 +153,9 @@
     Options.m_Controls = {m_Controls[0]->endpoint(), m_Controls[1]->endpoint()};
     Options.m_DrainNotice = DrainNotice;
     Options.m_SyncPeriod = std::chrono::milliseconds(50);
-    m_Entry = std::move(*Entry::create(m_Io, Options, {daemon::monotonicNow, [] { return 1; }, [] { return 0.25; }}));
+    m_Entry = std::move(*Entry::create(
+        m_Io, Options,
+        {daemon::monotonicNow, [] { return 1; }, [] { return 0.25; }}));
     m_Port = m_Entry->endpoint().m_Port;
     start();
   }
@@ -151,10 +169,13 @@
     stop();
   }
 
-  /// Sends one request on a connection of its own and returns the whole response.
-  std::string exchange(const std::string &Head, const std::string &Body = "") const {
+  /// Sends one request on a connection of its own and returns the whole
+  /// response.
+  std::string exchange(const std::string &Head,
+                       const std::string &Body = "") const {
     anvil::testing::Caller Client(m_Port);
-    Client.send(Head + "Connection: close\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body);
+    Client.send(Head + "Connection: close\r\nContent-Length: " +
+                std::to_string(Body.size()) + "\r\n\r\n" + Body);
     return Client.readAll();
   }
 
@@ -169,7 +190,8 @@
   }
 
   void awaitReady() const {
-    while (exchange("GET /readyz HTTP/1.1\r\n").find("200 OK") == std::string::npos)
+    while (exchange("GET /readyz HTTP/1.1\r\n").find("200 OK") ==
+           std::string::npos)
       std::this_thread::sleep_for(std::chrono::milliseconds(10));
   }
   void awaitHeld(size_t Count) {
@@ -184,7 +206,8 @@
     Reply.workspaces = {"malabar"};
     wire::ServiceConfig Service;
     Service.name = "sieve";
-    Service.classes = {sessionClass("quote", true), sessionClass("reorder", false)};
+    Service.classes = {sessionClass("quote", true),
+                       sessionClass("reorder", false)};
     Reply.services = {Service};
     for (const char *Vm : {"minion-1", "minion-2"}) {
       wire::RouteTarget Target;
@@ -200,7 +223,8 @@
     return Reply;
   }
 
-  std::vector<std::string> m_Notes; ///< What the fakes were asked; touched by the entry's thread only.
+  std::vector<std::string> m_Notes; ///< What the fakes were asked; touched by
+                                    ///< the entry's thread only.
   std::unique_ptr<FakeControl> m_Controls[2];
   std::unique_ptr<FakeAgent> m_Agent;
   std::unique_ptr<Entry> m_Entry;
--- a/tests/measure/StateMeasure.cpp
+++ b/tests/measure/StateMeasure.cpp
@@ -1,5 +1,6 @@
-// Prints the cost of each command and the size of the state at five sizes up to section 3 of the design page.
-// Usage: state_measure [PERCENT ...], by default 12 25 50 75 100.
+// Prints the cost of each command and the size of the state at five sizes up to
+// section 3 of the design page. Usage: state_measure [PERCENT ...], by default
+// 12 25 50 75 100.
 
 #include <malloc.h>
 
@@ -25,7 +26,8 @@
 constexpr int64_t MessagesPerTask = 2; // PREPARED and RUNNING
 
 double microsSince(Clock::time_point Start) {
-  return std::chrono::duration<double, std::micro>(Clock::now() - Start).count();
+  return std::chrono::duration<double, std::micro>(Clock::now() - Start)
+      .count();
 }
 
 // Applies commands and keeps the time of each by kind.
@@ -51,8 +53,10 @@
       for (const double Each : Micros)
         Sum += Each;
       const double Count = static_cast<double>(Micros.size());
-      std::printf("  %-10s count=%-7zu mean_us=%-8.2f p99_us=%-8.2f max_us=%.2f\n", Kind.c_str(), Micros.size(),
-                  Sum / Count, Micros[Micros.size() * 99 / 100], Micros.back());
+      std::printf(
+          "  %-10s count=%-7zu mean_us=%-8.2f p99_us=%-8.2f max_us=%.2f\n",
+          Kind.c_str(), Micros.size(), Sum / Count,
+          Micros[Micros.size() * 99 / 100], Micros.back());
     }
   }
 
@@ -62,17 +66,22 @@
   std::map<std::string, std::vector<double>> m_Micros;
 };
 
-std::string vmName(int64_t Number) { return "worker-" + std::to_string(Number); }
+std::string vmName(int64_t Number) {
+  return "worker-" + std::to_string(Number);
+}
 
 wire::Command configure() {
   wire::Command Command;
   Command.__isset.applyConfig = true;
   Command.applyConfig.version = 1;
   Command.applyConfig.environment = "full";
-  Command.applyConfig.document = "environment: full\nversion: 1\navailability_zones: []\nservices: []\nworkspaces:\n";
+  Command.applyConfig.document =
+      "environment: full\nversion: 1\navailability_zones: []\nservices: "
+      "[]\nworkspaces:\n";
   for (int I = 0; I < 200; ++I) {
     Command.applyConfig.document += "  - {name: team-" + std::to_string(I) +
-                                    ", quota: {accelerators: 15000, cores: 1000000, memory_gib: 9000000}}\n";
+                                    ", quota: {accelerators: 15000, cores: "
+                                    "1000000, memory_gib: 9000000}}\n";
   }
   return Command;
 }
@@ -95,7 +104,8 @@
   }
 }
 
-void reportAll(Meter &Apply, const wire::Command &Placed, int64_t Token, wire::TaskState::type State) {
+void reportAll(Meter &Apply, const wire::Command &Placed, int64_t Token,
+               wire::TaskState::type State) {
   wire::Command Command;
   Command.__isset.reportTasks = true;
   Command.reportTasks.incarnation = 1;
@@ -194,7 +204,8 @@
   const int64_t Targets = FullTargets * Percent / 100;
   const int64_t Jobs = FullTasks * Percent / 100 / GangSize;
   const int64_t Claims = FullClaims * Percent / 100;
-  std::printf("size=%ld%% targets=%ld tasks=%ld claims=%ld\n", Percent, Targets, Jobs * GangSize, Claims);
+  std::printf("size=%ld%% targets=%ld tasks=%ld claims=%ld\n", Percent, Targets,
+              Jobs * GangSize, Claims);
   const size_t Before = heapBytes();
   state::ClusterState State = *state::ClusterState::create();
   Meter Apply(State);
@@ -204,24 +215,30 @@
     addJob(Apply, I, Targets);
   addClaims(Apply, Claims);
   // The meter keeps one double per command.
-  const int64_t Commands = Targets + 2 + Jobs * (2 + GangSize * MessagesPerTask) + Claims * 2;
-  const size_t Heap = heapBytes() - Before - static_cast<size_t>(Commands) * sizeof(double);
+  const int64_t Commands =
+      Targets + 2 + Jobs * (2 + GangSize * MessagesPerTask) + Claims * 2;
+  const size_t Heap =
+      heapBytes() - Before - static_cast<size_t>(Commands) * sizeof(double);
 
   Clock::time_point Start = Clock::now();
   size_t Assignments = 0;
   for (int64_t I = 0; I < Targets; ++I)
     Assignments += State.assignmentsFor(VmId(vmName(I))).size();
-  const double AssignmentMicros = microsSince(Start) / static_cast<double>(Targets);
+  const double AssignmentMicros =
+      microsSince(Start) / static_cast<double>(Targets);
   Start = Clock::now();
   const std::string Bytes = State.snapshot();
   const double SnapshotMicros = microsSince(Start);
   Start = Clock::now();
   const bool Equal = state::ClusterState::restore(Bytes)->snapshot() == Bytes;
   const double RestoreMicros = microsSince(Start);
-  std::printf("  heap_mb=%.1f snapshot_mb=%.1f snapshot_ms=%.1f restore_and_snapshot_ms=%.1f equal=%d\n",
-              static_cast<double>(Heap) / 1e6, static_cast<double>(Bytes.size()) / 1e6, SnapshotMicros / 1e3,
+  std::printf("  heap_mb=%.1f snapshot_mb=%.1f snapshot_ms=%.1f "
+              "restore_and_snapshot_ms=%.1f equal=%d\n",
+              static_cast<double>(Heap) / 1e6,
+              static_cast<double>(Bytes.size()) / 1e6, SnapshotMicros / 1e3,
               RestoreMicros / 1e3, Equal ? 1 : 0);
-  std::printf("  assignments=%zu assignments_for_vm_us=%.2f\n", Assignments, AssignmentMicros);
+  std::printf("  assignments=%zu assignments_for_vm_us=%.2f\n", Assignments,
+              AssignmentMicros);
   withdrawZone(Apply);
   loseAndCancel(Apply, State, Targets);
   Apply.print();
--- a/tests/member/FailureDetectorTest.cpp
+++ b/tests/member/FailureDetectorTest.cpp
@@ -11,7 +11,8 @@
 TimePoint at(int64_t Ms) { return timePointFromMicros(Ms * 1000); }
 
 // Ticks every 500 ms from \p From to \p To and returns all losses.
-std::vector<VmId> ticks(FailureDetector &Detector, int64_t FromMs, int64_t ToMs) {
+std::vector<VmId> ticks(FailureDetector &Detector, int64_t FromMs,
+                        int64_t ToMs) {
   std::vector<VmId> Lost;
   for (int64_t Ms = FromMs; Ms <= ToMs; Ms += 500)
     for (const VmId &Vm : Detector.tick(at(Ms)))
@@ -30,7 +31,8 @@
   BOOST_TEST(ticks(Detector, 10000, 19500).empty());
 }
 
-// Guards against a silent target never being declared lost, or being declared lost twice.
+// Guards against a silent target never being declared lost, or being declared
+// lost twice.
 BOOST_AUTO_TEST_CASE(ReportsASilentTargetOnce) {
   FailureDetector Detector({});
   Detector.watch(A, at(0));
--- a/tests/net/HttpClientTest.cpp
+++ b/tests/net/HttpClientTest.cpp
@@ -17,18 +17,22 @@
 using net::HttpClientErrc;
 using net::HttpExchangeResult;
 
-/// What the peer does with the next request: sends these bytes, then perhaps closes.
+/// What the peer does with the next request: sends these bytes, then perhaps
+/// closes.
 struct Script {
   std::string m_Response;
   bool m_Close = false;
 };
 
-/// A client and a peer that answers from a list of scripts; without a script it stays silent.
+/// A client and a peer that answers from a list of scripts; without a script it
+/// stays silent.
 struct Bench : support::Loopback {
   explicit Bench(net::HttpClientOptions Options = {}) {
     m_Peer = std::move(*fakes::FakeHttpServer::create(
         m_Io, {"127.0.0.1", 0},
-        [this](const net::HttpRequest &, const fakes::FakeConnectionPtr &Link) { answer(Link); }));
+        [this](const net::HttpRequest &, const fakes::FakeConnectionPtr &Link) {
+          answer(Link);
+        }));
     m_Client = net::HttpClient::create(m_Io, m_Peer->endpoint(), Options);
   }
 
@@ -46,7 +50,9 @@
     std::optional<HttpExchangeResult> Result;
     net::HttpClientRequest Request;
     Request.m_Target = "/prices";
-    m_Client->send(Request, Deadline, [&Result](HttpExchangeResult Got) { Result = std::move(Got); });
+    m_Client->send(Request, Deadline, [&Result](HttpExchangeResult Got) {
+      Result = std::move(Got);
+    });
     BOOST_REQUIRE(runUntil([&] { return Result.has_value(); }));
     return *Result;
   }
@@ -58,7 +64,8 @@
   std::unique_ptr<net::HttpClient> m_Client;
 };
 
-const std::string Whole = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nprice";
+const std::string Whole = "HTTP/1.1 200 OK\r\nContent-Type: "
+                          "text/plain\r\nContent-Length: 5\r\n\r\nprice";
 
 struct BadResponse {
   const char *m_Name;
@@ -74,18 +81,28 @@
 BOOST_AUTO_TEST_CASE(IncompleteResponsesAreErrors) {
   const BadResponse Cases[] = {
       {"closed before the response", "", HttpClientErrc::Read},
-      {"cut in the header", "HTTP/1.1 200 OK\r\nContent-Le", HttpClientErrc::Read},
-      {"cut in the body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nprice", HttpClientErrc::Read},
-      {"cut in a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nprice", HttpClientErrc::Read},
-      {"cut before the last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nprice\r\n",
+      {"cut in the header", "HTTP/1.1 200 OK\r\nContent-Le",
        HttpClientErrc::Read},
-      {"end can't be recognised", "HTTP/1.1 200 OK\r\n\r\nprice", HttpClientErrc::Malformed},
+      {"cut in the body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nprice",
+       HttpClientErrc::Read},
+      {"cut in a chunk",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nprice",
+       HttpClientErrc::Read},
+      {"cut before the last chunk",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nprice\r\n",
+       HttpClientErrc::Read},
+      {"end can't be recognised", "HTTP/1.1 200 OK\r\n\r\nprice",
+       HttpClientErrc::Malformed},
       {"not HTTP", "price: 5\r\n\r\n", HttpClientErrc::Malformed},
-      {"length over the limit", "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n", HttpClientErrc::TooLarge},
+      {"length over the limit",
+       "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n",
+       HttpClientErrc::TooLarge},
       {"chunks over the limit",
-       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + std::string(101, 'x') + "\r\n0\r\n\r\n",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" +
+           std::string(101, 'x') + "\r\n0\r\n\r\n",
        HttpClientErrc::TooLarge},
-      {"interim response", "HTTP/1.1 100 Continue\r\n\r\n", HttpClientErrc::Malformed},
+      {"interim response", "HTTP/1.1 100 Continue\r\n\r\n",
+       HttpClientErrc::Malformed},
   };
   for (const BadResponse &Case : Cases) {
     BOOST_TEST_CONTEXT(Case.m_Name) {
@@ -95,17 +112,20 @@
       B.m_Scripts = {{Case.m_Bytes, true}};
       const HttpExchangeResult Result = B.get();
       BOOST_TEST(!Result.m_Status.ok());
-      BOOST_TEST((layerErrorOf<HttpClientErrc>(Result.m_Status) == Case.m_Code), Result.m_Status.ToString());
+      BOOST_TEST((layerErrorOf<HttpClientErrc>(Result.m_Status) == Case.m_Code),
+                 Result.m_Status.ToString());
       BOOST_TEST(Result.m_AnyByteSent);
       BOOST_TEST(Result.m_Body.empty());
     }
   }
 }
 
-// Guards against a new connection for each request, and against responses of one request given to another.
+// Guards against a new connection for each request, and against responses of
+// one request given to another.
 BOOST_AUTO_TEST_CASE(ReusesAnOpenConnection) {
   Bench B;
-  B.m_Scripts = {{Whole, false}, {"HTTP/1.1 404 No\r\nContent-Length: 2\r\n\r\nno", false}};
+  B.m_Scripts = {{Whole, false},
+                 {"HTTP/1.1 404 No\r\nContent-Length: 2\r\n\r\nno", false}};
   const HttpExchangeResult First = B.get();
   const HttpExchangeResult Second = B.get();
   BOOST_TEST(First.m_HttpStatus == 200);
@@ -116,7 +136,8 @@
   BOOST_TEST(B.m_Peer->acceptedConnections() == 1);
 }
 
-// Guards against a request that fails because the peer had closed the idle connection before it was written.
+// Guards against a request that fails because the peer had closed the idle
+// connection before it was written.
 BOOST_AUTO_TEST_CASE(ConnectionClosedWhileIdleIsNotUsed) {
   Bench B;
   B.m_Scripts = {{Whole, false}, {Whole, false}};
@@ -126,7 +147,8 @@
   BOOST_TEST(B.m_Peer->acceptedConnections() == 2);
 }
 
-// Guards against a request repeated on a new connection, or called not sent, after a reused connection took its bytes.
+// Guards against a request repeated on a new connection, or called not sent,
+// after a reused connection took its bytes.
 BOOST_AUTO_TEST_CASE(RequestOnAReusedConnectionIsNotRepeated) {
   Bench B;
   B.m_Scripts = {{Whole, false}, {"", true}};
@@ -137,10 +159,12 @@
   BOOST_TEST(B.m_Requests == 2);
 }
 
-// Guards against bytes that a peer sent without being asked and that would count as the next response.
+// Guards against bytes that a peer sent without being asked and that would
+// count as the next response.
 BOOST_AUTO_TEST_CASE(ConnectionWithSurplusBytesIsNotReused) {
   Bench B;
-  B.m_Scripts = {{Whole + Whole, false}, {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew", false}};
+  B.m_Scripts = {{Whole + Whole, false},
+                 {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew", false}};
   BOOST_TEST(B.get().m_Status.ok());
   BOOST_TEST(B.get().m_Body == "new");
   BOOST_TEST(B.m_Peer->acceptedConnections() == 2);
@@ -151,7 +175,8 @@
   Bench B;
   B.m_Peer.reset();
   const HttpExchangeResult Result = B.get();
-  BOOST_TEST((layerErrorOf<HttpClientErrc>(Result.m_Status) == HttpClientErrc::Connect));
+  BOOST_TEST((layerErrorOf<HttpClientErrc>(Result.m_Status) ==
+              HttpClientErrc::Connect));
   BOOST_TEST(!Result.m_AnyByteSent);
   std::optional<bool> Reachable;
   B.m_Client->probe([&Reachable](bool Value) { Reachable = Value; });
@@ -163,7 +188,8 @@
 BOOST_AUTO_TEST_CASE(DeadlineEndsASilentExchange) {
   Bench B;
   const HttpExchangeResult Result = B.get(std::chrono::milliseconds(50));
-  BOOST_TEST((layerErrorOf<HttpClientErrc>(Result.m_Status) == HttpClientErrc::Deadline));
+  BOOST_TEST((layerErrorOf<HttpClientErrc>(Result.m_Status) ==
+              HttpClientErrc::Deadline));
   BOOST_TEST(Result.m_AnyByteSent);
   BOOST_TEST(B.m_Client->connectionCount() == 0);
 }
@@ -175,9 +201,13 @@
   Bench B(Options);
   std::vector<HttpExchangeResult> Results;
   for (int Index = 0; Index < 3; ++Index)
-    B.m_Client->send({}, std::chrono::seconds(10), [&](const HttpExchangeResult &Got) { Results.push_back(Got); });
-  BOOST_REQUIRE(B.runUntil([&] { return !Results.empty() && B.m_Requests == 2; }));
-  BOOST_TEST((layerErrorOf<HttpClientErrc>(Results[0].m_Status) == HttpClientErrc::Overloaded));
+    B.m_Client->send(
+        {}, std::chrono::seconds(10),
+        [&](const HttpExchangeResult &Got) { Results.push_back(Got); });
+  BOOST_REQUIRE(
+      B.runUntil([&] { return !Results.empty() && B.m_Requests == 2; }));
+  BOOST_TEST((layerErrorOf<HttpClientErrc>(Results[0].m_Status) ==
+              HttpClientErrc::Overloaded));
   BOOST_TEST(!Results[0].m_AnyByteSent);
   BOOST_TEST(B.m_Client->connectionCount() == 2);
 }
@@ -185,11 +215,13 @@
 // Guards against a caller's text that adds headers or a second request.
 BOOST_AUTO_TEST_CASE(LineBreaksInARequestAreRefused) {
   Bench B;
-  for (const std::string &Bad : {std::string("/a\r\nX: y"), std::string("/a b"), std::string()}) {
+  for (const std::string &Bad :
+       {std::string("/a\r\nX: y"), std::string("/a b"), std::string()}) {
     net::HttpClientRequest Request;
     Request.m_Target = Bad;
     std::optional<HttpExchangeResult> Result;
-    B.m_Client->send(Request, std::chrono::seconds(10), [&](const HttpExchangeResult &Got) { Result = Got; });
+    B.m_Client->send(Request, std::chrono::seconds(10),
+                     [&](const HttpExchangeResult &Got) { Result = Got; });
     BOOST_REQUIRE(B.runUntil([&] { return Result.has_value(); }));
     BOOST_TEST(!Result->m_Status.ok());
     BOOST_TEST(!Result->m_AnyByteSent);
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -18,11 +18,13 @@
 public:
   explicit RunningServer(HttpServerOptions Options = {}) {
     Options.m_RefusalFields = {{"Anvil-Outcome", "not-run"}};
-    const auto Handle = [this](const HttpRequest &Request, HttpResponder Respond) {
+    const auto Handle = [this](const HttpRequest &Request,
+                               HttpResponder Respond) {
       if (Request.m_Path == "/hold")
         return m_Held.push_back(std::move(Respond));
       HttpResponse Response;
-      Response.m_Body = Request.m_Method + " " + Request.target() + " " + std::to_string(Request.m_Body.size());
+      Response.m_Body = Request.m_Method + " " + Request.target() + " " +
+                        std::to_string(Request.m_Body.size());
       Respond(Response);
       Respond(Response);
     };
@@ -55,7 +57,9 @@
   uint16_t m_Port = 0;
 };
 
-bool contains(const std::string &Text, std::string_view Part) { return Text.find(Part) != std::string::npos; }
+bool contains(const std::string &Text, std::string_view Part) {
+  return Text.find(Part) != std::string::npos;
+}
 
 /// Bytes of a bad request and how the server must answer.
 struct BadInput {
@@ -77,7 +81,8 @@
 
 BOOST_AUTO_TEST_SUITE(HttpServerTest)
 
-// Guards against a server that claims to listen on an address it could not bind.
+// Guards against a server that claims to listen on an address it could not
+// bind.
 BOOST_AUTO_TEST_CASE(RefusesAnAddressInUse) {
   boost::asio::io_context Io;
   const auto Ignore = [](const HttpRequest &, const HttpResponder &) {};
@@ -89,27 +94,41 @@
   BOOST_TEST((layerErrorOf<HttpErrc>(Second.status()) == HttpErrc::Listen));
 }
 
-// Guards against bad input that hangs or ends the process, or is answered without a reason.
+// Guards against bad input that hangs or ends the process, or is answered
+// without a reason.
 BOOST_AUTO_TEST_CASE(AnswersEachKindOfBadInputAndLivesOn) {
   const std::string Get = "GET / HTTP/1.1\r\nHost: a\r\n";
   const std::vector<BadInput> Cases = {
-      {"not HTTP", "\x16\x03\x01\x02\r\n\r\n", true, 400, HttpRefusal::Malformed},
-      {"unknown version", "GET / HTTP/9.9\r\n\r\n", true, 400, HttpRefusal::Malformed},
-      {"header without colon", "GET / HTTP/1.1\r\nHost\r\n\r\n", true, 400, HttpRefusal::Malformed},
-      {"length not a number", Get + "Content-Length: ten\r\n\r\n", true, 400, HttpRefusal::Malformed},
-      {"two kinds of length", Get + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true, 400,
+      {"not HTTP", "\x16\x03\x01\x02\r\n\r\n", true, 400,
+       HttpRefusal::Malformed},
+      {"unknown version", "GET / HTTP/9.9\r\n\r\n", true, 400,
+       HttpRefusal::Malformed},
+      {"header without colon", "GET / HTTP/1.1\r\nHost\r\n\r\n", true, 400,
+       HttpRefusal::Malformed},
+      {"length not a number", Get + "Content-Length: ten\r\n\r\n", true, 400,
        HttpRefusal::Malformed},
-      {"bad chunk", Get + "Transfer-Encoding: chunked\r\n\r\nxyz\r\n", true, 400, HttpRefusal::Malformed},
-      {"large header", Get + "X-Large: " + std::string(17 << 10, 'x') + "\r\n\r\n", false, 431,
+      {"two kinds of length",
+       Get + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       true, 400, HttpRefusal::Malformed},
+      {"bad chunk", Get + "Transfer-Encoding: chunked\r\n\r\nxyz\r\n", true,
+       400, HttpRefusal::Malformed},
+      {"large header",
+       Get + "X-Large: " + std::string(17 << 10, 'x') + "\r\n\r\n", false, 431,
        HttpRefusal::HeaderTooLarge},
-      {"large declared body", Get + "Content-Length: 1048577\r\n\r\n", false, 413, HttpRefusal::BodyTooLarge},
-      {"large chunked body", oversizedChunks(), false, 413, HttpRefusal::BodyTooLarge},
+      {"large declared body", Get + "Content-Length: 1048577\r\n\r\n", false,
+       413, HttpRefusal::BodyTooLarge},
+      {"large chunked body", oversizedChunks(), false, 413,
+       HttpRefusal::BodyTooLarge},
       {"cut in the header", "GET / HT", true, 400, HttpRefusal::Truncated},
-      {"cut in the body", Get + "Content-Length: 10\r\n\r\nabc", true, 400, HttpRefusal::Truncated},
+      {"cut in the body", Get + "Content-Length: 10\r\n\r\nabc", true, 400,
+       HttpRefusal::Truncated},
       {"slow header", "GET / HTTP/1.1\r\nHo", false, 408, HttpRefusal::TooSlow},
-      {"slow body", Get + "Content-Length: 10\r\n\r\nabc", false, 408, HttpRefusal::TooSlow},
-      {"CONNECT", "CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n", false, 405, HttpRefusal::UnsupportedMethod},
-      {"unknown method", "BREW /pot HTTP/1.1\r\n\r\n", false, 405, HttpRefusal::UnsupportedMethod},
+      {"slow body", Get + "Content-Length: 10\r\n\r\nabc", false, 408,
+       HttpRefusal::TooSlow},
+      {"CONNECT", "CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n", false, 405,
+       HttpRefusal::UnsupportedMethod},
+      {"unknown method", "BREW /pot HTTP/1.1\r\n\r\n", false, 405,
+       HttpRefusal::UnsupportedMethod},
   };
   HttpServerOptions Options;
   Options.m_ReceiveLimit = milliseconds(300);
@@ -123,28 +142,36 @@
       if (Case.m_Finish)
         Bad.finish();
       const std::string Answer = Bad.readAll();
-      BOOST_TEST(Answer.starts_with("HTTP/1.1 " + std::to_string(Case.m_Status)), Answer.substr(0, 200));
-      BOOST_TEST(contains(Answer, "{\"error\":{\"code\":\"" + std::string(httpRefusalName(Case.m_Reason)) + "\""));
+      BOOST_TEST(
+          Answer.starts_with("HTTP/1.1 " + std::to_string(Case.m_Status)),
+          Answer.substr(0, 200));
+      BOOST_TEST(contains(
+          Answer, "{\"error\":{\"code\":\"" +
+                      std::string(httpRefusalName(Case.m_Reason)) + "\""));
       BOOST_TEST(contains(Answer, "Anvil-Outcome: not-run"));
       BOOST_TEST(Server.counters().m_Refusals[Reason] == Before + 1);
       Caller Good(Server.m_Port);
-      BOOST_TEST(contains(Good.send(Get + "Connection: close\r\n\r\n").readAll(), "GET / 0"));
+      BOOST_TEST(contains(
+          Good.send(Get + "Connection: close\r\n\r\n").readAll(), "GET / 0"));
     }
   }
   BOOST_TEST(Server.counters().m_BufferedBytes == 0U);
   BOOST_TEST(Server.counters().m_RequestsInProgress == 0U);
 }
 
-// Guards against lost, merged or reordered requests on one connection, and against a body after HEAD.
+// Guards against lost, merged or reordered requests on one connection, and
+// against a body after HEAD.
 BOOST_AUTO_TEST_CASE(ServesSeveralRequestsOnOneConnection) {
   RunningServer Server;
   Caller Client(Server.m_Port);
-  Client.send("GET /a?x=1 HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc");
+  Client.send("GET /a?x=1 HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nContent-Length: "
+              "3\r\n\r\nabc");
   BOOST_TEST(contains(Client.readUntil("GET /a?x=1 0"), "200 OK"));
   BOOST_TEST(contains(Client.readUntil("POST /b 3"), "200 OK"));
   Client.send("HEAD /h HTTP/1.1\r\n\r\n");
   BOOST_TEST(contains(Client.readUntil("\r\n\r\n"), "Content-Length: 9"));
-  Client.send("POST /e HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  Client.send(
+      "POST /e HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
   BOOST_TEST(contains(Client.readUntil("\r\n\r\n"), "100 Continue"));
   Client.send("hi");
   BOOST_TEST(contains(Client.readUntil("POST /e 2"), "200 OK"));
@@ -162,12 +189,16 @@
   Server.awaitHeld(1);
 
   Caller Second(Server.m_Port);
-  BOOST_TEST(contains(Second.send("GET / HTTP/1.1\r\n\r\n").readAll(), "too-many-requests"));
+  BOOST_TEST(contains(Second.send("GET / HTTP/1.1\r\n\r\n").readAll(),
+                      "too-many-requests"));
   Caller Large(Server.m_Port);
-  BOOST_TEST(contains(Large.send("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n").readAll(), "too-many-bytes"));
+  BOOST_TEST(contains(
+      Large.send("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n").readAll(),
+      "too-many-bytes"));
   Caller Third(Server.m_Port);
   Caller Fourth(Server.m_Port);
-  Server.await([&Server] { return Server.m_Server->counters().m_OpenConnections == 3; });
+  Server.await(
+      [&Server] { return Server.m_Server->counters().m_OpenConnections == 3; });
   Caller Fifth(Server.m_Port);
   const std::string Refused = Fifth.readAll();
   BOOST_TEST(contains(Refused, "too-many-connections"), Refused);
@@ -177,7 +208,8 @@
   BOOST_TEST(contains(Held.readUntil("\r\n\r\n"), "200 OK"));
 }
 
-// Guards against a shutdown that cuts off a request, or that never ends because of idle connections.
+// Guards against a shutdown that cuts off a request, or that never ends because
+// of idle connections.
 BOOST_AUTO_TEST_CASE(ShutdownFinishesRequestsAndClosesIdleConnections) {
   RunningServer Server;
   Caller Idle(Server.m_Port);
@@ -187,10 +219,13 @@
   Server.awaitHeld(1);
   Caller Sending(Server.m_Port);
   Sending.send("POST /late HTTP/1.1\r\nContent-Length: 3\r\n\r\na");
-  Server.await([&Server] { return Server.m_Server->counters().m_BufferedBytes == 3; });
+  Server.await(
+      [&Server] { return Server.m_Server->counters().m_BufferedBytes == 3; });
   std::promise<void> Done;
 
-  Server.run([&Server, &Done] { Server.m_Server->shutdown([&Done] { Done.set_value(); }); });
+  Server.run([&Server, &Done] {
+    Server.m_Server->shutdown([&Done] { Done.set_value(); });
+  });
 
   BOOST_TEST(Idle.readAll().empty());
   BOOST_CHECK_THROW(Caller Refused(Server.m_Port), boost::system::system_error);
--- a/tests/net/RpcTest.cpp
+++ b/tests/net/RpcTest.cpp
@@ -24,7 +24,8 @@
 }
 
 // Runs the context until the condition holds, for at most ten seconds.
-template <typename Condition> bool runUntil(boost::asio::io_context &Io, Condition Done) {
+template <typename Condition>
+bool runUntil(boost::asio::io_context &Io, Condition Done) {
   const auto End = std::chrono::steady_clock::now() + std::chrono::seconds(10);
   while (!Done() && std::chrono::steady_clock::now() < End) {
     Io.restart();
@@ -35,32 +36,43 @@
 
 struct RpcFixture {
   boost::asio::io_context m_Io;
-  std::unique_ptr<RpcServer> m_Server = *RpcServer::create(m_Io, {"127.0.0.1", 0}, fastOptions());
-  std::unique_ptr<RpcClient> m_Client = RpcClient::create(m_Io, m_Server->endpoint(), fastOptions());
+  std::unique_ptr<RpcServer> m_Server =
+      *RpcServer::create(m_Io, {"127.0.0.1", 0}, fastOptions());
+  std::unique_ptr<RpcClient> m_Client =
+      RpcClient::create(m_Io, m_Server->endpoint(), fastOptions());
   std::vector<absl::StatusOr<std::string>> m_Results;
 
   void call(std::string Body, Duration Timeout = std::chrono::seconds(5)) {
     m_Client->call(wire::Method::QUERY, std::move(Body), Timeout, "trace",
-                   [this](absl::StatusOr<std::string> Result) { m_Results.push_back(std::move(Result)); });
+                   [this](absl::StatusOr<std::string> Result) {
+                     m_Results.push_back(std::move(Result));
+                   });
   }
 };
 
 BOOST_FIXTURE_TEST_SUITE(RpcTest, RpcFixture)
 
-// Guards against a response reaching another call when responses come back out of order.
+// Guards against a response reaching another call when responses come back out
+// of order.
 BOOST_AUTO_TEST_CASE(MatchesResponsesThatComeOutOfOrder) {
   std::vector<std::pair<std::string, RpcResponder>> Held;
-  m_Server->handle(wire::Method::QUERY, [&](const RpcCall &Call, RpcResponder Respond) {
-    Held.emplace_back(Call.m_Body, std::move(Respond));
-  });
+  m_Server->handle(wire::Method::QUERY,
+                   [&](const RpcCall &Call, RpcResponder Respond) {
+                     Held.emplace_back(Call.m_Body, std::move(Respond));
+                   });
   std::vector<std::string> Got(3);
   for (int I = 0; I < 3; ++I)
-    m_Client->call(wire::Method::QUERY, std::to_string(I), std::chrono::seconds(5), "",
-                   [&Got, I](const absl::StatusOr<std::string> &Result) { Got[I] = Result.value_or("failed"); });
+    m_Client->call(wire::Method::QUERY, std::to_string(I),
+                   std::chrono::seconds(5), "",
+                   [&Got, I](const absl::StatusOr<std::string> &Result) {
+                     Got[I] = Result.value_or("failed");
+                   });
   BOOST_REQUIRE(runUntil(m_Io, [&] { return Held.size() == 3; }));
   for (size_t I = Held.size(); I > 0; --I)
     Held[I - 1].second("answer " + Held[I - 1].first);
-  BOOST_REQUIRE(runUntil(m_Io, [&] { return !Got[0].empty() && !Got[1].empty() && !Got[2].empty(); }));
+  BOOST_REQUIRE(runUntil(m_Io, [&] {
+    return !Got[0].empty() && !Got[1].empty() && !Got[2].empty();
+  }));
   for (int I = 0; I < 3; ++I)
     BOOST_TEST(Got[I] == "answer " + std::to_string(I));
 }
@@ -68,54 +80,70 @@
 // Guards against a late response being delivered after its call has ended.
 BOOST_AUTO_TEST_CASE(DropsAResponseAfterTheDeadline) {
   RpcResponder Late;
-  m_Server->handle(wire::Method::QUERY, [&](const RpcCall &, RpcResponder Respond) { Late = std::move(Respond); });
+  m_Server->handle(wire::Method::QUERY,
+                   [&](const RpcCall &, RpcResponder Respond) {
+                     Late = std::move(Respond);
+                   });
   const int64_t Before = rpcCounters().m_LateResponsesDropped;
   call("x", std::chrono::milliseconds(60));
   BOOST_REQUIRE(runUntil(m_Io, [&] { return m_Results.size() == 1; }));
-  BOOST_TEST((layerErrorOf<RpcErrc>(m_Results[0].status()) == RpcErrc::NoAnswer));
+  BOOST_TEST(
+      (layerErrorOf<RpcErrc>(m_Results[0].status()) == RpcErrc::NoAnswer));
   BOOST_REQUIRE(static_cast<bool>(Late));
   Late(std::string("too late"));
-  BOOST_REQUIRE(runUntil(m_Io, [&] { return rpcCounters().m_LateResponsesDropped == Before + 1; }));
+  BOOST_REQUIRE(runUntil(m_Io, [&] {
+    return rpcCounters().m_LateResponsesDropped == Before + 1;
+  }));
   BOOST_TEST(m_Results.size() == 1u);
 }
 
-// Guards against "may have run" being reported for a request that never left the process.
+// Guards against "may have run" being reported for a request that never left
+// the process.
 BOOST_AUTO_TEST_CASE(ReportsNotSentWhenNobodyListens) {
   const Endpoint Gone = m_Server->endpoint();
   m_Server.reset();
   m_Client = RpcClient::create(m_Io, Gone, fastOptions());
   call("x");
   BOOST_REQUIRE(runUntil(m_Io, [&] { return m_Results.size() == 1; }));
-  BOOST_TEST((layerErrorOf<RpcErrc>(m_Results[0].status()) == RpcErrc::NotSent));
+  BOOST_TEST(
+      (layerErrorOf<RpcErrc>(m_Results[0].status()) == RpcErrc::NotSent));
 }
 
 // Guards against losing the kind of an error on its way through the connection.
 BOOST_AUTO_TEST_CASE(CarriesTheStatusOfTheHandler) {
   m_Server->handle(wire::Method::QUERY,
-                   [](const RpcCall &, const RpcResponder &Respond) { Respond(absl::NotFoundError("no such job")); });
+                   [](const RpcCall &, const RpcResponder &Respond) {
+                     Respond(absl::NotFoundError("no such job"));
+                   });
   call("x");
   BOOST_REQUIRE(runUntil(m_Io, [&] { return m_Results.size() == 1; }));
   BOOST_TEST((m_Results[0].status().code() == absl::StatusCode::kNotFound));
   BOOST_TEST((layerErrorOf<RpcErrc>(m_Results[0].status()) == RpcErrc::Remote));
 }
 
-// Guards against an open connection that went silent holding calls until their own deadline, and against not
-// replacing it: the peer accepts, never answers, and a later connection works.
+// Guards against an open connection that went silent holding calls until their
+// own deadline, and against not replacing it: the peer accepts, never answers,
+// and a later connection works.
 BOOST_AUTO_TEST_CASE(ReplacesAConnectionThatWentSilent) {
   const Endpoint Where = m_Server->endpoint();
   m_Server.reset();
-  tcp::acceptor Acceptor(m_Io, tcp::endpoint(boost::asio::ip::make_address(Where.m_Address), Where.m_Port));
+  tcp::acceptor Acceptor(
+      m_Io, tcp::endpoint(boost::asio::ip::make_address(Where.m_Address),
+                          Where.m_Port));
   tcp::socket Silent(m_Io);
   Acceptor.async_accept(Silent, [](boost::system::error_code) {});
   m_Client = RpcClient::create(m_Io, Where, fastOptions());
   call("lost", std::chrono::seconds(9));
   BOOST_REQUIRE(runUntil(m_Io, [&] { return m_Results.size() == 1; }));
-  BOOST_TEST((layerErrorOf<RpcErrc>(m_Results[0].status()) == RpcErrc::NoAnswer));
+  BOOST_TEST(
+      (layerErrorOf<RpcErrc>(m_Results[0].status()) == RpcErrc::NoAnswer));
 
   Acceptor.close();
   m_Server = *RpcServer::create(m_Io, Where, fastOptions());
   m_Server->handle(wire::Method::QUERY,
-                   [](const RpcCall &, const RpcResponder &Respond) { Respond(std::string("ok")); });
+                   [](const RpcCall &, const RpcResponder &Respond) {
+                     Respond(std::string("ok"));
+                   });
   call("again");
   BOOST_REQUIRE(runUntil(m_Io, [&] { return m_Results.size() == 2; }));
   BOOST_TEST(m_Results[1].value_or("failed") == "ok");
@@ -124,7 +152,9 @@
 // Guards against an idle but healthy connection being taken for a silent one.
 BOOST_AUTO_TEST_CASE(PingsKeepAnIdleConnectionOpen) {
   m_Server->handle(wire::Method::QUERY,
-                   [](const RpcCall &, const RpcResponder &Respond) { Respond(std::string("ok")); });
+                   [](const RpcCall &, const RpcResponder &Respond) {
+                     Respond(std::string("ok"));
+                   });
   call("x");
   BOOST_REQUIRE(runUntil(m_Io, [&] { return m_Results.size() == 1; }));
   const int64_t Closed = rpcCounters().m_SilentConnectionsClosed;
@@ -137,28 +167,35 @@
 // Guards against bytes that are not of this protocol harming the server.
 BOOST_AUTO_TEST_CASE(ClosesConnectionsThatSendOtherBytes) {
   const std::vector<std::string> Cases = {
-      "GET / HTTP/1.1\r\n\r\n",                 // another protocol: the length is over the limit
-      std::string("\0\0\0\0", 4),               // empty frame
-      std::string("\0\0\0\x05garbage", 11),     // not a struct
-      std::string("\0\0\0\x03\x15\xfe\x7f", 7), // other protocol version, truncated
+      "GET / HTTP/1.1\r\n\r\n",   // another protocol: the length is over the
+                                  // limit
+      std::string("\0\0\0\0", 4), // empty frame
+      std::string("\0\0\0\x05garbage", 11), // not a struct
+      std::string("\0\0\0\x03\x15\xfe\x7f",
+                  7), // other protocol version, truncated
   };
   m_Server->handle(wire::Method::QUERY,
-                   [](const RpcCall &, const RpcResponder &Respond) { Respond(std::string("ok")); });
+                   [](const RpcCall &, const RpcResponder &Respond) {
+                     Respond(std::string("ok"));
+                   });
   for (const std::string &Bytes : Cases) {
     tcp::socket Socket(m_Io);
     const Endpoint Where = m_Server->endpoint();
-    Socket.connect(tcp::endpoint(boost::asio::ip::make_address(Where.m_Address), Where.m_Port));
+    Socket.connect(tcp::endpoint(boost::asio::ip::make_address(Where.m_Address),
+                                 Where.m_Port));
     boost::asio::write(Socket, boost::asio::buffer(Bytes));
     bool Closed = false;
     std::array<char, 64> Buffer{};
-    std::function<void(boost::system::error_code, size_t)> OnRead = [&](boost::system::error_code Error, size_t) {
-      if (Error)
-        Closed = true;
-      else
-        Socket.async_read_some(boost::asio::buffer(Buffer), OnRead);
-    };
+    std::function<void(boost::system::error_code, size_t)> OnRead =
+        [&](boost::system::error_code Error, size_t) {
+          if (Error)
+            Closed = true;
+          else
+            Socket.async_read_some(boost::asio::buffer(Buffer), OnRead);
+        };
     Socket.async_read_some(boost::asio::buffer(Buffer), OnRead);
-    BOOST_TEST(runUntil(m_Io, [&] { return Closed; }), "connection stayed open after bad bytes");
+    BOOST_TEST(runUntil(m_Io, [&] { return Closed; }),
+               "connection stayed open after bad bytes");
   }
   call("still alive");
   BOOST_REQUIRE(runUntil(m_Io, [&] { return m_Results.size() == 1; }));
@@ -172,14 +209,18 @@
   bool m_Ok;
 };
 
-// Guards against host names or bad ports in settings being accepted and failing later.
+// Guards against host names or bad ports in settings being accepted and failing
+// later.
 BOOST_AUTO_TEST_CASE(ParsesEndpointsByIpNumberOnly) {
   const std::vector<EndpointCase> Cases = {
-      {"127.0.0.1:80", true},  {"[::1]:80", true},       {"localhost:80", false},
-      {"127.0.0.1", false},    {"127.0.0.1:", false},    {"127.0.0.1:65536", false},
-      {"127.0.0.1:-1", false}, {"127.0.0.1:80x", false}, {":80", false}};
+      {"127.0.0.1:80", true},  {"[::1]:80", true},
+      {"localhost:80", false}, {"127.0.0.1", false},
+      {"127.0.0.1:", false},   {"127.0.0.1:65536", false},
+      {"127.0.0.1:-1", false}, {"127.0.0.1:80x", false},
+      {":80", false}};
   for (const EndpointCase &Case : Cases)
-    BOOST_TEST(parseEndpoint(Case.m_Text).ok() == Case.m_Ok, Case.m_Text << " expected " << Case.m_Ok);
+    BOOST_TEST(parseEndpoint(Case.m_Text).ok() == Case.m_Ok,
+               Case.m_Text << " expected " << Case.m_Ok);
 }
 
 } // namespace
--- a/tests/raft/ExplorerTest.cpp
+++ b/tests/raft/ExplorerTest.cpp
@@ -6,7 +6,8 @@
 
 BOOST_AUTO_TEST_SUITE(RaftExplorerTest)
 
-// Guards against a fault combination that breaks a property of the log or of linearizable operations.
+// Guards against a fault combination that breaks a property of the log or of
+// linearizable operations.
 BOOST_AUTO_TEST_CASE(PropertiesHoldUnderSeededFaults) {
   uint64_t Operations = 0;
   uint64_t Promotions = 0;
@@ -18,7 +19,8 @@
     Options.m_Seed = Seed;
     Options.m_Voters = 3 + static_cast<int>(Seed % 3);
     const SimReport Report = Simulator(Options).run(20'000);
-    BOOST_TEST(!Report.m_Failure, "seed " << Seed << ": " << Report.m_Failure.value_or(""));
+    BOOST_TEST(!Report.m_Failure,
+               "seed " << Seed << ": " << Report.m_Failure.value_or(""));
     Operations += Report.m_Operations;
     Promotions += Report.m_Promotions;
     Installs += Report.m_Installs;
--- a/tests/raft/RaftMembershipTest.cpp
+++ b/tests/raft/RaftMembershipTest.cpp
@@ -31,7 +31,8 @@
 
 BOOST_AUTO_TEST_SUITE(RaftMembershipTest)
 
-// Guards against a change that can lose a quorum: two at a time, a lagging voter, a leader that knows too little.
+// Guards against a change that can lose a quorum: two at a time, a lagging
+// voter, a leader that knows too little.
 BOOST_AUTO_TEST_CASE(UnsafeChangesAreRefused) {
   struct Case {
     std::string m_Name;
@@ -54,11 +55,16 @@
          Replica.leadAndCommit();
          change(Replica, AddLearner, 4);
        },
-       AddLearner, 5, "raft: the membership change at index 3 is not committed yet"},
-      {"known member", Lead, AddLearner, 2, "raft: the replica is a member already"},
-      {"promotion of a stranger", Lead, PromoteLearner, 4, "raft: the replica is not a learner"},
-      {"promotion of a voter", Lead, PromoteLearner, 2, "raft: the replica is not a learner"},
-      {"removal of a stranger", Lead, RemoveReplica, 4, "raft: the replica is not a member"},
+       AddLearner, 5,
+       "raft: the membership change at index 3 is not committed yet"},
+      {"known member", Lead, AddLearner, 2,
+       "raft: the replica is a member already"},
+      {"promotion of a stranger", Lead, PromoteLearner, 4,
+       "raft: the replica is not a learner"},
+      {"promotion of a voter", Lead, PromoteLearner, 2,
+       "raft: the replica is not a learner"},
+      {"removal of a stranger", Lead, RemoveReplica, 4,
+       "raft: the replica is not a member"},
       {"lagging learner",
        [&](Harness &Replica) {
          LeadWithLearner(Replica);
@@ -67,7 +73,8 @@
          Replica.ack(4, 3);
        },
        PromoteLearner, 4, "raft: the learner is at index 3 of 73"},
-      {"learner that never answered", LeadWithLearner, PromoteLearner, 4, "raft: the learner was not heard recently"},
+      {"learner that never answered", LeadWithLearner, PromoteLearner, 4,
+       "raft: the learner was not heard recently"},
       {"silent learner",
        [&](Harness &Replica) {
          LeadWithLearner(Replica);
@@ -85,11 +92,13 @@
     const RaftOutput Output = change(Replica, Item.m_Kind, Item.m_Replica);
     BOOST_TEST(Output.m_Append.empty(), Item.m_Name);
     BOOST_TEST_REQUIRE(Output.m_Proposals.size() == 1U, Item.m_Name);
-    BOOST_TEST(Output.m_Proposals[0].m_Status.message() == Item.m_Error, Item.m_Name);
+    BOOST_TEST(Output.m_Proposals[0].m_Status.message() == Item.m_Error,
+               Item.m_Name);
   }
 }
 
-// Guards against a learner that counts for the quorum, and against a promoted voter that does not.
+// Guards against a learner that counts for the quorum, and against a promoted
+// voter that does not.
 BOOST_AUTO_TEST_CASE(LearnersCountOnlyAfterTheirPromotion) {
   Harness Replica(3);
   Replica.leadAndCommit();
@@ -103,7 +112,8 @@
   change(Replica, PromoteLearner, 4);
   Replica.sync();
   Replica.ack(2, 5);
-  BOOST_TEST(Replica.status().m_Commit == 4U, "three of four voters are needed");
+  BOOST_TEST(Replica.status().m_Commit == 4U,
+             "three of four voters are needed");
   Replica.ack(4, 5);
   BOOST_TEST(Replica.status().m_Commit == 5U);
   BOOST_TEST(Replica.status().m_Members.isVoter(ReplicaId(4)));
@@ -118,31 +128,37 @@
   Replica.sync();
   BOOST_TEST((Replica.status().m_Role == RaftRole::Leader));
   const RaftOutput Output = change(Replica, RemoveReplica, 1);
-  BOOST_TEST(Output.m_Proposals.at(0).m_Status.message() == "raft: the last voter cannot be removed");
+  BOOST_TEST(Output.m_Proposals.at(0).m_Status.message() ==
+             "raft: the last voter cannot be removed");
 }
 
-// Guards against a removed leader that goes on, or that stops before its removal is committed.
+// Guards against a removed leader that goes on, or that stops before its
+// removal is committed.
 BOOST_AUTO_TEST_CASE(RemovedLeaderStepsDownAfterTheCommit) {
   Harness Replica(3);
   Replica.leadAndCommit();
   change(Replica, RemoveReplica, 1);
   Replica.sync();
   Replica.ack(2, 3);
-  BOOST_TEST((Replica.status().m_Role == RaftRole::Leader), "the leader itself no longer counts");
+  BOOST_TEST((Replica.status().m_Role == RaftRole::Leader),
+             "the leader itself no longer counts");
   const RaftOutput Output = Replica.ack(3, 3);
   BOOST_TEST((Replica.status().m_Role == RaftRole::Follower));
   BOOST_TEST(Harness::sent<TimeoutNow>(Output).size() == 1U);
-  BOOST_TEST(Replica.tickAfter(std::chrono::seconds(5)).m_Messages.empty(), "it must not campaign");
+  BOOST_TEST(Replica.tickAfter(std::chrono::seconds(5)).m_Messages.empty(),
+             "it must not campaign");
 }
 
 // Guards against a membership that outlives its entry, or is lost in a restart.
 BOOST_AUTO_TEST_CASE(MembershipFollowsTheLogAndTheSnapshot) {
-  const Membership Changed{{ReplicaId(1), ReplicaId(2), ReplicaId(3)}, {ReplicaId(4)}};
+  const Membership Changed{{ReplicaId(1), ReplicaId(2), ReplicaId(3)},
+                           {ReplicaId(4)}};
   const LogEntry Entry{2, 2, EntryKind::Membership, "", Changed};
   Harness Follower(3);
   Follower.receive(2, 2, AppendRequest{1, 1, 0, {Entry}});
   BOOST_TEST((Follower.status().m_Members == Changed));
-  Follower.receive(3, 3, AppendRequest{1, 1, 0, {{2, 3, EntryKind::Noop, "", {}}}});
+  Follower.receive(3, 3,
+                   AppendRequest{1, 1, 0, {{2, 3, EntryKind::Noop, "", {}}}});
   BOOST_TEST((Follower.status().m_Members == Harness::voters(3)));
 
   RaftPersistentState FromLog = bootstrapState(Harness::voters(3));
@@ -152,7 +168,8 @@
 
   RaftPersistentState FromSnapshot;
   FromSnapshot.m_Hard.m_Term = 2;
-  FromSnapshot.m_Snapshot = {{5, 2, Changed}, std::make_shared<const std::string>("state")};
+  FromSnapshot.m_Snapshot = {{5, 2, Changed},
+                             std::make_shared<const std::string>("state")};
   BOOST_TEST((Harness(3, {}, FromSnapshot).status().m_Members == Changed));
 }
 
--- a/tests/raft/RaftSnapshotTest.cpp
+++ b/tests/raft/RaftSnapshotTest.cpp
@@ -14,16 +14,24 @@
 const std::string Content = "0123456789";
 
 SnapshotChunk chunk(uint64_t Offset, uint64_t Size) {
-  return {{50, 2, Harness::voters(3)}, Offset, Content.size(), Content.substr(Offset, Size)};
+  return {{50, 2, Harness::voters(3)},
+          Offset,
+          Content.size(),
+          Content.substr(Offset, Size)};
 }
 
-LogEntry command(LogIndex Index, TermNumber Term) { return {Index, Term, EntryKind::Command, "x", {}}; }
+LogEntry command(LogIndex Index, TermNumber Term) {
+  return {Index, Term, EntryKind::Command, "x", {}};
+}
 
 /// A group of one with a disk, which applies everything at once.
 struct LoneReplica {
   explicit LoneReplica(RaftPersistentState State, uint64_t Retained)
-      : m_Disk(State), m_Replica(
-                           1, [=](RaftOptions &Options) { Options.m_RetainedEntries = Retained; }, State) {
+      : m_Disk(State),
+        m_Replica(
+            1,
+            [=](RaftOptions &Options) { Options.m_RetainedEntries = Retained; },
+            State) {
     run(TickInput{});
     carryOut(m_Replica.tickAfter(std::chrono::seconds(1)));
   }
@@ -52,7 +60,8 @@
 
   void makeSnapshot() {
     const LogIndex Index = m_Replica.status().m_Applied;
-    const Snapshot Made{*m_Replica.raft().snapshotMeta(Index), std::make_shared<const std::string>(Content)};
+    const Snapshot Made{*m_Replica.raft().snapshotMeta(Index),
+                        std::make_shared<const std::string>(Content)};
     m_Disk.saveSnapshot(Made);
     run(SnapshotMadeInput{Made});
   }
@@ -66,7 +75,8 @@
 
 BOOST_AUTO_TEST_SUITE(RaftSnapshotTest)
 
-// Guards against a transfer that starts again from zero, mixes two snapshots, or acknowledges too early.
+// Guards against a transfer that starts again from zero, mixes two snapshots,
+// or acknowledges too early.
 BOOST_AUTO_TEST_CASE(FollowerResumesATransferAndAcknowledgesOnceDurable) {
   struct Case {
     std::string m_Name;
@@ -86,8 +96,10 @@
   };
   Harness Follower(3);
   for (const Case &Item : Cases) {
-    const RaftOutput Output = Follower.receive(Item.m_From, Item.m_Term, chunk(Item.m_Offset, 4));
-    const std::vector<SnapshotChunkResponse> Answers = Harness::sent<SnapshotChunkResponse>(Output);
+    const RaftOutput Output =
+        Follower.receive(Item.m_From, Item.m_Term, chunk(Item.m_Offset, 4));
+    const std::vector<SnapshotChunkResponse> Answers =
+        Harness::sent<SnapshotChunkResponse>(Output);
     BOOST_TEST_REQUIRE(Answers.size() == 1U, Item.m_Name);
     BOOST_TEST(Answers[0].m_NextOffset == Item.m_Next, Item.m_Name);
   }
@@ -97,24 +109,31 @@
   BOOST_TEST(!Last.m_Install->m_KeepSuffix);
   BOOST_TEST(Harness::sent<AppendResponse>(Last).empty());
   Follower.step(AppliedInput{50});
-  BOOST_TEST(!Follower.raft().snapshotMeta(50).ok(), "the installed snapshot is not durable");
-  const std::vector<AppendResponse> Answers = Harness::sent<AppendResponse>(Follower.sync());
+  BOOST_TEST(!Follower.raft().snapshotMeta(50).ok(),
+             "the installed snapshot is not durable");
+  const std::vector<AppendResponse> Answers =
+      Harness::sent<AppendResponse>(Follower.sync());
   BOOST_TEST(Follower.raft().snapshotMeta(50).ok());
   BOOST_TEST_REQUIRE(Answers.size() == 1U);
   BOOST_TEST(Answers[0].m_Match == 50U);
   BOOST_TEST(Follower.status().m_LastIndex == 50U);
 }
 
-// Guards against a leader that cannot help a follower whose next entry is compacted, also when chunks are lost.
+// Guards against a leader that cannot help a follower whose next entry is
+// compacted, also when chunks are lost.
 BOOST_AUTO_TEST_CASE(LeaderSendsChunksFromTheOffsetThatTheFollowerWants) {
   RaftPersistentState State;
   State.m_Hard.m_Term = 2;
-  State.m_Snapshot = {{50, 2, Harness::voters(3)}, std::make_shared<const std::string>(Content)};
+  State.m_Snapshot = {{50, 2, Harness::voters(3)},
+                      std::make_shared<const std::string>(Content)};
   Harness Leader(
       3, [](RaftOptions &Options) { Options.m_SnapshotChunkBytes = 4; }, State);
   Leader.lead();
-  RaftOutput Output =
-      Leader.receive(3, 3, AppendResponse{.m_Success = false, .m_RejectedPrev = 50, .m_HintIndex = 1, .m_HintTerm = 1});
+  RaftOutput Output = Leader.receive(3, 3,
+                                     AppendResponse{.m_Success = false,
+                                                    .m_RejectedPrev = 50,
+                                                    .m_HintIndex = 1,
+                                                    .m_HintTerm = 1});
   const std::vector<uint64_t> Wanted = {4, 8, 0, 4, 8};
   for (const uint64_t Next : Wanted) {
     BOOST_TEST_REQUIRE(Harness::sent<SnapshotChunk>(Output, 3).size() == 1U);
@@ -124,13 +143,15 @@
   }
   Leader.tickAfter(milliseconds(300));
   Output = Leader.receive(3, 3, HeartbeatResponse{1});
-  BOOST_TEST(Harness::sent<SnapshotChunk>(Output, 3).size() == 1U, "a lost chunk is sent again");
+  BOOST_TEST(Harness::sent<SnapshotChunk>(Output, 3).size() == 1U,
+             "a lost chunk is sent again");
   Output = Leader.ack(3, 50);
   BOOST_TEST_REQUIRE(Harness::sent<AppendRequest>(Output, 3).size() == 1U);
   BOOST_TEST(Harness::sent<AppendRequest>(Output, 3)[0].m_PrevIndex == 50U);
 }
 
-// Guards against a state on disk that is read in a wrong way after a crash between two writes.
+// Guards against a state on disk that is read in a wrong way after a crash
+// between two writes.
 BOOST_AUTO_TEST_CASE(RestartAcceptsOnlyConsistentStates) {
   struct Case {
     std::string m_Name;
@@ -143,33 +164,71 @@
   const Membership Members = Harness::voters(3);
   const std::vector<Case> Cases = {
       {"empty", {}, {}, 0, "", 0},
-      {"entries after the snapshot", {5, 2, Members}, {command(6, 2), command(7, 2)}, 2, "", 7},
-      {"covered entries", {5, 2, Members}, {command(4, 1), command(5, 2), command(6, 2)}, 2, "", 6},
-      {"log ends before the snapshot", {5, 2, Members}, {command(2, 1), command(3, 1)}, 2, "", 5},
-      {"log disagrees with the snapshot", {5, 2, Members}, {command(5, 1), command(6, 1)}, 2, "", 5},
+      {"entries after the snapshot",
+       {5, 2, Members},
+       {command(6, 2), command(7, 2)},
+       2,
+       "",
+       7},
+      {"covered entries",
+       {5, 2, Members},
+       {command(4, 1), command(5, 2), command(6, 2)},
+       2,
+       "",
+       6},
+      {"log ends before the snapshot",
+       {5, 2, Members},
+       {command(2, 1), command(3, 1)},
+       2,
+       "",
+       5},
+      {"log disagrees with the snapshot",
+       {5, 2, Members},
+       {command(5, 1), command(6, 1)},
+       2,
+       "",
+       5},
       {"gap after the snapshot",
        {5, 2, Members},
        {command(7, 2)},
        2,
        "raft: log starts at index 7 but the snapshot ends at 5",
        0},
-      {"gap in the log", {}, {command(1, 1), command(3, 1)}, 2, "raft: log continues with index 3 after 1", 0},
-      {"term decreases", {}, {command(1, 2), command(2, 1)}, 2, "raft: term decreases at index 2", 0},
-      {"term beyond the hard state", {}, {command(1, 3)}, 2, "raft: log has term 3 but the hard state has term 2", 0},
+      {"gap in the log",
+       {},
+       {command(1, 1), command(3, 1)},
+       2,
+       "raft: log continues with index 3 after 1",
+       0},
+      {"term decreases",
+       {},
+       {command(1, 2), command(2, 1)},
+       2,
+       "raft: term decreases at index 2",
+       0},
+      {"term beyond the hard state",
+       {},
+       {command(1, 3)},
+       2,
+       "raft: log has term 3 but the hard state has term 2",
+       0},
   };
   for (const Case &Item : Cases) {
     RaftOptions Options;
     Options.m_Self = ReplicaId(1);
     Options.m_Random = [](uint64_t) { return 0; };
     const Snapshot Base{Item.m_Meta, std::make_shared<const std::string>()};
-    const absl::StatusOr<Raft> Replica = Raft::create(Options, {{Item.m_Term, NoReplica}, Base, Item.m_Entries});
+    const absl::StatusOr<Raft> Replica =
+        Raft::create(Options, {{Item.m_Term, NoReplica}, Base, Item.m_Entries});
     BOOST_TEST(Replica.status().message() == Item.m_Error, Item.m_Name);
     if (Replica.ok())
-      BOOST_TEST(Replica->status().m_LastIndex == Item.m_LastIndex, Item.m_Name);
+      BOOST_TEST(Replica->status().m_LastIndex == Item.m_LastIndex,
+                 Item.m_Name);
   }
 }
 
-// Guards against a restart that loses entries, or that reads more than the entries since the last snapshot.
+// Guards against a restart that loses entries, or that reads more than the
+// entries since the last snapshot.
 BOOST_AUTO_TEST_CASE(RestartAfterManyEntriesLoadsWhatTheSnapshotLeaves) {
   constexpr uint64_t Batches = 100;
   constexpr uint64_t BatchSize = 3'000;
@@ -182,16 +241,20 @@
         First.makeSnapshot();
     }
     const LogIndex Last = First.m_Replica.status().m_LastIndex;
-    BOOST_TEST(Last == Batches * BatchSize + 2, "membership, leader's entry and all commands");
+    BOOST_TEST(Last == Batches * BatchSize + 2,
+               "membership, leader's entry and all commands");
     const RaftPersistentState OnDisk = First.m_Disk.durable();
     const LogIndex SnapshotIndex = OnDisk.m_Snapshot.m_Meta.m_Index;
     const uint64_t Expected = WithSnapshots ? 10 * BatchSize + Retained : Last;
     BOOST_TEST(OnDisk.m_Entries.size() == Expected);
 
     LoneReplica Second(OnDisk, Retained);
-    BOOST_TEST_MESSAGE("restart snapshots=" << WithSnapshots << " entries_on_disk=" << OnDisk.m_Entries.size()
-                                            << " entries_applied=" << Second.m_Delivered);
-    BOOST_TEST(Second.m_Delivered == Last - SnapshotIndex + 1, "the rest of the log and the new leader's entry");
+    BOOST_TEST_MESSAGE("restart snapshots="
+                       << WithSnapshots
+                       << " entries_on_disk=" << OnDisk.m_Entries.size()
+                       << " entries_applied=" << Second.m_Delivered);
+    BOOST_TEST(Second.m_Delivered == Last - SnapshotIndex + 1,
+               "the rest of the log and the new leader's entry");
     BOOST_TEST(Second.m_Replica.status().m_Applied == Last + 1);
   }
 }
--- a/tests/raft/explorer/ExplorerMain.cpp
+++ b/tests/raft/explorer/ExplorerMain.cpp
@@ -30,13 +30,19 @@
 
 } // namespace
 
-/// Runs the simulator over a range of seeds; prints each failing seed and the totals. Exits with 1 if a seed failed.
+/// Runs the simulator over a range of seeds; prints each failing seed and the
+/// totals. Exits with 1 if a seed failed.
 int main(int ArgCount, char **Args) {
-  cxxopts::Options Flags("raft_explorer", "Runs replicated logs under seeded faults and checks their properties");
+  cxxopts::Options Flags(
+      "raft_explorer",
+      "Runs replicated logs under seeded faults and checks their properties");
   cxxopts::OptionAdder Add = Flags.add_options();
-  Add("seeds", "number of seeds", cxxopts::value<uint64_t>()->default_value("100"));
-  Add("first-seed", "first seed", cxxopts::value<uint64_t>()->default_value("1"));
-  Add("steps", "events in each run", cxxopts::value<uint64_t>()->default_value("20000"));
+  Add("seeds", "number of seeds",
+      cxxopts::value<uint64_t>()->default_value("100"));
+  Add("first-seed", "first seed",
+      cxxopts::value<uint64_t>()->default_value("1"));
+  Add("steps", "events in each run",
+      cxxopts::value<uint64_t>()->default_value("20000"));
   Add("stop", "stop at the first failure");
   const cxxopts::ParseResult Parsed = Flags.parse(ArgCount, Args);
   const auto First = Parsed["first-seed"].as<uint64_t>();
@@ -49,13 +55,17 @@
     if (!Run.m_Failure)
       continue;
     ++Failures;
-    std::cout << "seed=" << Seed << " step=" << Run.m_Steps << " failure: " << *Run.m_Failure << "\n";
+    std::cout << "seed=" << Seed << " step=" << Run.m_Steps
+              << " failure: " << *Run.m_Failure << "\n";
     if (Parsed.count("stop") > 0)
       break;
   }
-  std::cout << "seeds=" << Seeds << " failures=" << Failures << " steps=" << Total.m_Steps
-            << " committed=" << Total.m_Committed << " operations=" << Total.m_Operations
-            << " elections=" << Total.m_Elections << " crashes=" << Total.m_Crashes << " losses=" << Total.m_Losses
-            << " promotions=" << Total.m_Promotions << " snapshot_installs=" << Total.m_Installs << "\n";
+  std::cout << "seeds=" << Seeds << " failures=" << Failures
+            << " steps=" << Total.m_Steps << " committed=" << Total.m_Committed
+            << " operations=" << Total.m_Operations
+            << " elections=" << Total.m_Elections
+            << " crashes=" << Total.m_Crashes << " losses=" << Total.m_Losses
+            << " promotions=" << Total.m_Promotions
+            << " snapshot_installs=" << Total.m_Installs << "\n";
   return Failures == 0 ? 0 : 1;
 }
--- a/tests/raft/support/Harness.h
+++ b/tests/raft/support/Harness.h
@@ -10,10 +10,12 @@
 
 namespace anvil::raft::sim {
 
-/// Drives one replica by hand: the test plays the other replicas, the disk and the clock.
+/// Drives one replica by hand: the test plays the other replicas, the disk and
+/// the clock.
 class Harness {
 public:
-  explicit Harness(int Voters = 3, const std::function<void(RaftOptions &)> &Configure = {},
+  explicit Harness(int Voters = 3,
+                   const std::function<void(RaftOptions &)> &Configure = {},
                    std::optional<RaftPersistentState> State = std::nullopt)
       : m_Raft(create(Voters, Configure, std::move(State))) {}
 
@@ -31,7 +33,8 @@
     return Output;
   }
   RaftOutput receive(int64_t From, TermNumber Term, RaftMessage::Body Body) {
-    return step(ReceiveInput{{ReplicaId(From), ReplicaId(1), Term, std::move(Body)}});
+    return step(
+        ReceiveInput{{ReplicaId(From), ReplicaId(1), Term, std::move(Body)}});
   }
   /// Reports everything so far as durable.
   RaftOutput sync() { return step(PersistedInput{m_LastSequence}); }
@@ -43,11 +46,12 @@
     return step(ProposeInput{{{Context, std::move(Data)}}});
   }
   RaftOutput ack(int64_t From, LogIndex Match) {
-    return receive(From, status().m_Term, AppendResponse{.m_Success = true, .m_Match = Match});
+    return receive(From, status().m_Term,
+                   AppendResponse{.m_Success = true, .m_Match = Match});
   }
 
-  /// Wins an election with the votes of the replicas 2 and 3; the entry of the new term is durable here but not
-  /// committed.
+  /// Wins an election with the votes of the replicas 2 and 3; the entry of the
+  /// new term is durable here but not committed.
   void lead() {
     step(TickInput{});
     tickAfter(std::chrono::seconds(1));
@@ -55,10 +59,12 @@
       receive(Voter, 0, VoteResponse{status().m_Term + 1, true, true});
     sync();
     for (const int64_t Voter : {2, 3})
-      receive(Voter, status().m_Term, VoteResponse{status().m_Term, false, true});
+      receive(Voter, status().m_Term,
+              VoteResponse{status().m_Term, false, true});
     sync();
   }
-  /// Like lead(), and the replicas 2 and 3 hold the whole log, which is committed and applied.
+  /// Like lead(), and the replicas 2 and 3 hold the whole log, which is
+  /// committed and applied.
   void leadAndCommit() {
     lead();
     ack(2, status().m_LastIndex);
@@ -71,23 +77,28 @@
   TimePoint now() const { return m_Now; }
 
   /// Returns the messages of type T to \p To, or to anyone if it is 0.
-  template <typename T> static std::vector<T> sent(const RaftOutput &Output, int64_t To = 0) {
+  template <typename T>
+  static std::vector<T> sent(const RaftOutput &Output, int64_t To = 0) {
     std::vector<T> Result;
     for (const RaftMessage &Message : Output.m_Messages)
-      if (const T *Body = std::get_if<T>(&Message.m_Body); Body != nullptr && (To == 0 || Message.m_To.value() == To))
+      if (const T *Body = std::get_if<T>(&Message.m_Body);
+          Body != nullptr && (To == 0 || Message.m_To.value() == To))
         Result.push_back(*Body);
     return Result;
   }
 
 private:
-  static Raft create(int Voters, const std::function<void(RaftOptions &)> &Configure,
+  static Raft create(int Voters,
+                     const std::function<void(RaftOptions &)> &Configure,
                      std::optional<RaftPersistentState> State) {
     RaftOptions Options;
     Options.m_Self = ReplicaId(1);
     Options.m_Random = [](uint64_t Bound) { return Bound / 2; };
     if (Configure)
       Configure(Options);
-    return *Raft::create(std::move(Options), State ? *std::move(State) : bootstrapState(voters(Voters)));
+    return *Raft::create(std::move(Options),
+                         State ? *std::move(State)
+                               : bootstrapState(voters(Voters)));
   }
 
   Raft m_Raft;
--- a/tests/raft/support/Nemesis.cpp
+++ b/tests/raft/support/Nemesis.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr int64_t PhaseMicros = 10'000'000;
-/// Each phase ends with a time without faults, in which the group has to recover.
+/// Each phase ends with a time without faults, in which the group has to
+/// recover.
 constexpr int64_t ChaosMicros = 7'500'000;
 
 } // namespace
@@ -18,12 +19,14 @@
     const double Values[] = {static_cast<double>(Choices)...};
     return Values[m_Random.below(sizeof...(Choices))];
   };
-  m_Profile.m_MaxMessageDelay = static_cast<int64_t>(Draw(10'000, 60'000, 250'000));
+  m_Profile.m_MaxMessageDelay =
+      static_cast<int64_t>(Draw(10'000, 60'000, 250'000));
   m_Profile.m_MaxSyncDelay = static_cast<int64_t>(Draw(8'000, 60'000, 300'000));
   m_Profile.m_LateRate = Draw(0, 0.01, 0.1);
   m_Profile.m_NewLeaderCrashRate = Draw(0, 0.2, 0.6);
   m_Profile.m_VoteCrashRate = Draw(0, 0.1, 0.3);
-  m_Profile.m_MaxRestartDelay = static_cast<int64_t>(Draw(20'000, 300'000, 1'500'000));
+  m_Profile.m_MaxRestartDelay =
+      static_cast<int64_t>(Draw(20'000, 300'000, 1'500'000));
   m_Profile.m_OperatorInterval = static_cast<int64_t>(Draw(40'000, 400'000));
   m_Profile.m_TransferRate = Draw(0.01, 0.3);
 }
@@ -49,7 +52,8 @@
     else
       read(*Target);
   }
-  schedule(m_Random.between(2'000, 40'000), [this, Client] { clientOperation(Client); });
+  schedule(m_Random.between(2'000, 40'000),
+           [this, Client] { clientOperation(Client); });
 }
 
 void Simulator::read(SimReplica &Replica) {
@@ -58,7 +62,8 @@
   step(Replica, ReadInput{Context});
 }
 
-/// Reads at every replica that takes itself for the leader, since an old leader must not answer.
+/// Reads at every replica that takes itself for the leader, since an old leader
+/// must not answer.
 void Simulator::readAtLeaders() {
   if (m_Repairing)
     return;
@@ -124,10 +129,12 @@
 
 void Simulator::crashAndRestart(SimReplica &Replica) {
   crash(Replica.m_Id);
-  schedule(m_Random.between(1'000, m_Profile.m_MaxRestartDelay), [this, &Replica] { restart(Replica.m_Id); });
+  schedule(m_Random.between(1'000, m_Profile.m_MaxRestartDelay),
+           [this, &Replica] { restart(Replica.m_Id); });
 }
 
-/// A disk may be lost for good only if no other member is down, so that a majority with its data remains.
+/// A disk may be lost for good only if no other member is down, so that a
+/// majority with its data remains.
 bool Simulator::mayLoseOne() {
   SimReplica *Leader = leader();
   if (Leader == nullptr)
@@ -135,27 +142,31 @@
   const Membership Members = Leader->m_Raft->status().m_Members;
   if (Members.m_Voters.size() < 3)
     return false;
-  return std::all_of(Members.m_Voters.begin(), Members.m_Voters.end(), [&](ReplicaId Voter) {
-    const SimReplica &Replica = *m_Replicas.at(Voter);
-    if (!Replica.m_Raft)
-      return false;
-    const RaftStatus Status = Replica.m_Raft->status();
-    return Status.m_Members == Members && Status.m_MembersCommitted;
-  });
+  return std::all_of(
+      Members.m_Voters.begin(), Members.m_Voters.end(), [&](ReplicaId Voter) {
+        const SimReplica &Replica = *m_Replicas.at(Voter);
+        if (!Replica.m_Raft)
+          return false;
+        const RaftStatus Status = Replica.m_Raft->status();
+        return Status.m_Members == Members && Status.m_MembersCommitted;
+      });
 }
 
 void Simulator::loseReplica() {
-  const ReplicaId Victim = m_Random.pick(leader()->m_Raft->status().m_Members.m_Voters);
+  const ReplicaId Victim =
+      m_Random.pick(leader()->m_Raft->status().m_Members.m_Voters);
   replica(Victim).m_Raft.reset();
   replica(Victim).m_Lost = true;
   ++m_Report.m_Losses;
 }
 
-/// Acts as an operator who replaces lost replicas and changes the number of voters.
+/// Acts as an operator who replaces lost replicas and changes the number of
+/// voters.
 void Simulator::operate() {
   if (m_Repairing)
     return;
-  schedule(m_Random.between(5'000, m_Profile.m_OperatorInterval), [this] { operate(); });
+  schedule(m_Random.between(5'000, m_Profile.m_OperatorInterval),
+           [this] { operate(); });
   stopRemoved();
   SimReplica *Leader = anyLeader();
   if (Leader == nullptr)
@@ -164,21 +175,25 @@
   if (removeDeadMember(*Leader, Members))
     return;
   if (m_Random.chance(m_Profile.m_TransferRate))
-    return step(*Leader, TransferLeadershipInput{m_Random.pick(Members.m_Voters)});
+    return step(*Leader,
+                TransferLeadershipInput{m_Random.pick(Members.m_Voters)});
   if (m_Random.chance(0.1))
     m_TargetVoters = 3 + m_Random.below(3);
   if (!Members.m_Learners.empty()) {
-    changeMembership(*Leader, MembershipChangeKind::PromoteLearner, Members.m_Learners.front());
+    changeMembership(*Leader, MembershipChangeKind::PromoteLearner,
+                     Members.m_Learners.front());
   } else if (Members.m_Voters.size() < m_TargetVoters) {
     addLearner(*Leader);
   } else if (Members.m_Voters.size() > m_TargetVoters) {
-    changeMembership(*Leader, MembershipChangeKind::RemoveReplica, m_Random.pick(Members.m_Voters));
+    changeMembership(*Leader, MembershipChangeKind::RemoveReplica,
+                     m_Random.pick(Members.m_Voters));
   } else if (m_Random.chance(0.1)) {
     step(*Leader, TransferLeadershipInput{m_Random.pick(Members.m_Voters)});
   }
 }
 
-bool Simulator::removeDeadMember(SimReplica &Leader, const Membership &Members) {
+bool Simulator::removeDeadMember(SimReplica &Leader,
+                                 const Membership &Members) {
   for (const auto &[Id, Replica] : m_Replicas) {
     if (!Replica->m_Lost || !Members.contains(Id))
       continue;
@@ -188,7 +203,8 @@
   return false;
 }
 
-void Simulator::changeMembership(SimReplica &Leader, MembershipChangeKind Kind, ReplicaId Id) {
+void Simulator::changeMembership(SimReplica &Leader, MembershipChangeKind Kind,
+                                 ReplicaId Id) {
   if (Kind == MembershipChangeKind::RemoveReplica)
     m_RemovalRequested.insert(Id);
   step(Leader, ChangeMembershipInput{0, Kind, Id});
@@ -225,7 +241,8 @@
     restart(Id);
 }
 
-/// Whether a write that started after the repair is applied by all members with a disk.
+/// Whether a write that started after the repair is applied by all members with
+/// a disk.
 bool Simulator::settled() {
   SimReplica *Leader = leader();
   if (Leader == nullptr)
@@ -236,10 +253,12 @@
     return false;
   }
   const Membership Members = Leader->m_Raft->status().m_Members;
-  return std::all_of(m_Replicas.begin(), m_Replicas.end(), [&](const auto &Item) {
-    const SimReplica &Replica = *Item.second;
-    return Replica.m_Lost || !Members.contains(Item.first) || Replica.m_State.m_Index >= m_SettleIndex;
-  });
+  return std::all_of(m_Replicas.begin(), m_Replicas.end(),
+                     [&](const auto &Item) {
+                       const SimReplica &Replica = *Item.second;
+                       return Replica.m_Lost || !Members.contains(Item.first) ||
+                              Replica.m_State.m_Index >= m_SettleIndex;
+                     });
 }
 
 } // namespace anvil::raft::sim
--- a/tests/raft/support/SafetyChecker.cpp
+++ b/tests/raft/support/SafetyChecker.cpp
@@ -17,7 +17,9 @@
   return Hash;
 }
 
-uint64_t hashEntry(const LogEntry &Entry, uint64_t Hash) { return hashBytes(encodeEntry(Entry), Hash); }
+uint64_t hashEntry(const LogEntry &Entry, uint64_t Hash) {
+  return hashBytes(encodeEntry(Entry), Hash);
+}
 
 } // namespace
 
@@ -34,38 +36,47 @@
     m_Failure = std::move(Text);
 }
 
-void SafetyChecker::onLeader(ReplicaId Id, TermNumber Term, const Raft &Replica) {
+void SafetyChecker::onLeader(ReplicaId Id, TermNumber Term,
+                             const Raft &Replica) {
   const auto [Known, IsNew] = m_Leaders.emplace(Term, Id);
   if (Known->second != Id)
-    fail(absl::StrCat("election safety: term ", Term, " has leaders ", Known->second.value(), " and ", Id.value()));
+    fail(absl::StrCat("election safety: term ", Term, " has leaders ",
+                      Known->second.value(), " and ", Id.value()));
   if (!IsNew)
     return;
   const RaftStatus Status = Replica.status();
-  for (LogIndex Index = Status.m_FirstIndex; Index <= m_Applied.size(); ++Index) {
+  for (LogIndex Index = Status.m_FirstIndex; Index <= m_Applied.size();
+       ++Index) {
     if (Replica.termAt(Index) != m_Applied[Index - 1].m_Term) {
-      fail(absl::StrCat("leader completeness: leader ", Id.value(), " of term ", Term, " lacks the committed entry ",
-                        Index));
+      fail(absl::StrCat("leader completeness: leader ", Id.value(), " of term ",
+                        Term, " lacks the committed entry ", Index));
     }
   }
 }
 
-void SafetyChecker::onAppend(ReplicaId Id, const LogEntry &Entry, TermNumber PrevTerm) {
+void SafetyChecker::onAppend(ReplicaId Id, const LogEntry &Entry,
+                             TermNumber PrevTerm) {
   const KnownEntry Present{PrevTerm, hashEntry(Entry, 0)};
-  const auto [Known, IsNew] = m_Known.emplace(std::pair(Entry.m_Index, Entry.m_Term), Present);
-  if (Known->second.m_PrevTerm != Present.m_PrevTerm || Known->second.m_Hash != Present.m_Hash) {
-    fail(absl::StrCat("log matching: replica ", Id.value(), " appends another entry at index ", Entry.m_Index, " term ",
-                      Entry.m_Term));
+  const auto [Known, IsNew] =
+      m_Known.emplace(std::pair(Entry.m_Index, Entry.m_Term), Present);
+  if (Known->second.m_PrevTerm != Present.m_PrevTerm ||
+      Known->second.m_Hash != Present.m_Hash) {
+    fail(absl::StrCat("log matching: replica ", Id.value(),
+                      " appends another entry at index ", Entry.m_Index,
+                      " term ", Entry.m_Term));
   }
 }
 
-void SafetyChecker::onApply(ReplicaId Id, const LogEntry &Entry, const RegisterState &After) {
+void SafetyChecker::onApply(ReplicaId Id, const LogEntry &Entry,
+                            const RegisterState &After) {
   if (Entry.m_Index > m_Applied.size() + 1)
-    return fail(absl::StrCat("state-machine safety: replica ", Id.value(), " skips to index ", Entry.m_Index));
+    return fail(absl::StrCat("state-machine safety: replica ", Id.value(),
+                             " skips to index ", Entry.m_Index));
   if (Entry.m_Index <= m_Applied.size()) {
     const AppliedEntry &Known = m_Applied[Entry.m_Index - 1];
     if (Known.m_Term != Entry.m_Term || Known.m_After != After) {
-      fail(absl::StrCat("state-machine safety: replica ", Id.value(), " applies another entry at index ",
-                        Entry.m_Index));
+      fail(absl::StrCat("state-machine safety: replica ", Id.value(),
+                        " applies another entry at index ", Entry.m_Index));
     }
     return;
   }
@@ -75,44 +86,57 @@
   const uint64_t Context = std::stoull(Entry.m_Data);
   m_WriteIndex[Context] = Entry.m_Index;
   if (m_Refused.contains(Context))
-    fail(absl::StrCat("write ", Context, " took effect after it was reported as refused"));
+    fail(absl::StrCat("write ", Context,
+                      " took effect after it was reported as refused"));
 }
 
 void SafetyChecker::onRestore(ReplicaId Id, const RegisterState &State) {
-  if (State.m_Index > m_Applied.size() || (State.m_Index > 0 && m_Applied[State.m_Index - 1].m_After != State))
-    fail(absl::StrCat("replica ", Id.value(), " restores a wrong state at index ", State.m_Index));
+  if (State.m_Index > m_Applied.size() ||
+      (State.m_Index > 0 && m_Applied[State.m_Index - 1].m_After != State))
+    fail(absl::StrCat("replica ", Id.value(),
+                      " restores a wrong state at index ", State.m_Index));
 }
 
-void SafetyChecker::onInvoke(uint64_t Context) { m_Floor[Context] = m_Observed; }
+void SafetyChecker::onInvoke(uint64_t Context) {
+  m_Floor[Context] = m_Observed;
+}
 
 void SafetyChecker::onWriteDone(uint64_t Context, LogIndex Index) {
   const auto Known = m_WriteIndex.find(Context);
   if (Known == m_WriteIndex.end() || Known->second != Index)
-    return fail(absl::StrCat("write ", Context, " was acknowledged at index ", Index, " but is not committed there"));
+    return fail(absl::StrCat("write ", Context, " was acknowledged at index ",
+                             Index, " but is not committed there"));
   finishOperation(Context, Index, /*IsWrite=*/true);
 }
 
 void SafetyChecker::onWriteRefused(uint64_t Context) {
   m_Refused.insert(Context);
   if (m_WriteIndex.contains(Context))
-    fail(absl::StrCat("write ", Context, " was reported as refused after it took effect"));
+    fail(absl::StrCat("write ", Context,
+                      " was reported as refused after it took effect"));
 }
 
 void SafetyChecker::onReadDone(uint64_t Context, const RegisterState &Seen) {
   const auto Write = m_WriteIndex.find(Seen.m_Value);
-  finishOperation(Context, Write == m_WriteIndex.end() ? 0 : Write->second, /*IsWrite=*/false);
+  finishOperation(Context, Write == m_WriteIndex.end() ? 0 : Write->second,
+                  /*IsWrite=*/false);
 }
 
-/// Checks real-time order. Values are unique and the log orders the writes, so the history is linearizable if no
-/// operation has a position before one that an earlier finished operation observed.
-void SafetyChecker::finishOperation(uint64_t Context, LogIndex Position, bool IsWrite) {
+/// Checks real-time order. Values are unique and the log orders the writes, so
+/// the history is linearizable if no operation has a position before one that
+/// an earlier finished operation observed.
+void SafetyChecker::finishOperation(uint64_t Context, LogIndex Position,
+                                    bool IsWrite) {
   const auto Floor = m_Floor.find(Context);
   if (Floor == m_Floor.end())
     return;
-  const bool TooOld = IsWrite ? Position <= Floor->second : Position < Floor->second;
+  const bool TooOld =
+      IsWrite ? Position <= Floor->second : Position < Floor->second;
   if (TooOld) {
-    fail(absl::StrCat("linearizability: ", IsWrite ? "write " : "read ", Context, " has position ", Position,
-                      " but started after position ", Floor->second, " was observed"));
+    fail(absl::StrCat("linearizability: ", IsWrite ? "write " : "read ",
+                      Context, " has position ", Position,
+                      " but started after position ", Floor->second,
+                      " was observed"));
   }
   m_Observed = std::max(m_Observed, Position);
   m_Floor.erase(Floor);
--- a/tests/raft/support/SafetyChecker.h
+++ b/tests/raft/support/SafetyChecker.h
@@ -27,7 +27,8 @@
 /// Returns \p State after \p Entry.
 RegisterState applyEntry(RegisterState State, const LogEntry &Entry);
 
-/// Checks the properties of the replicated log and the register over the events of all replicas.
+/// Checks the properties of the replicated log and the register over the events
+/// of all replicas.
 ///
 /// The first violation is kept; the caller stops when failure() is set.
 class SafetyChecker {
@@ -35,7 +36,8 @@
   const std::optional<std::string> &failure() const { return m_Failure; }
   void fail(std::string Text);
 
-  /// Election safety: at most one leader a term. Leader completeness: it holds all committed entries.
+  /// Election safety: at most one leader a term. Leader completeness: it holds
+  /// all committed entries.
   void onLeader(ReplicaId Id, TermNumber Term, const Raft &Replica);
   /// Log matching: an (index, term) stands for one content and one predecessor.
   void onAppend(ReplicaId Id, const LogEntry &Entry, TermNumber PrevTerm);
@@ -73,7 +75,8 @@
   /// Index of each applied write.
   std::unordered_map<uint64_t, LogIndex> m_WriteIndex;
   std::set<uint64_t> m_Refused;
-  /// For each operation in progress: largest position that was observed before it started.
+  /// For each operation in progress: largest position that was observed before
+  /// it started.
   std::unordered_map<uint64_t, LogIndex> m_Floor;
   LogIndex m_Observed = 0;
   uint64_t m_Completed = 0;
--- a/tests/raft/support/SimDisk.h
+++ b/tests/raft/support/SimDisk.h
@@ -30,7 +30,8 @@
   /// Returns what a restart reads.
   const RaftPersistentState &durable() const { return m_Image; }
   LogIndex durableLastIndex() const;
-  /// Whether the entry (\p Index, \p Term) is durable, in the log or in the snapshot.
+  /// Whether the entry (\p Index, \p Term) is durable, in the log or in the
+  /// snapshot.
   bool holds(LogIndex Index, TermNumber Term) const;
 
 private:
--- a/tests/raft/support/Simulator.cpp
+++ b/tests/raft/support/Simulator.cpp
@@ -21,7 +21,8 @@
 constexpr int64_t MaxTickMicros = 20'000;
 
 SnapshotData encodeState(const RegisterState &State) {
-  std::string Bytes = absl::StrCat(State.m_Index, " ", State.m_Value, " ", State.m_Hash, " ");
+  std::string Bytes =
+      absl::StrCat(State.m_Index, " ", State.m_Value, " ", State.m_Hash, " ");
   Bytes.append(50 + State.m_Index % 400, 'x');
   return std::make_shared<const std::string>(std::move(Bytes));
 }
@@ -35,7 +36,8 @@
 
 } // namespace
 
-Simulator::Simulator(SimOptions Options) : m_Options(std::move(Options)), m_Random(m_Options.m_Seed) {
+Simulator::Simulator(SimOptions Options)
+    : m_Options(std::move(Options)), m_Random(m_Options.m_Seed) {
   Membership Members;
   for (int64_t Id = 1; Id <= m_Options.m_Voters; ++Id)
     Members.m_Voters.emplace_back(Id);
@@ -47,7 +49,8 @@
     return;
   drawProfile();
   for (int Client = 0; Client < 3; ++Client)
-    schedule(m_Random.between(0, 100'000), [this, Client] { clientOperation(Client); });
+    schedule(m_Random.between(0, 100'000),
+             [this, Client] { clientOperation(Client); });
   schedule(0, [this] { readAtLeaders(); });
   schedule(500'000, [this] { nemesis(); });
   schedule(2'000'000, [this] { operate(); });
@@ -81,7 +84,8 @@
   m_Events.push({m_Now + Delay, m_NextOrder++, std::move(Action)});
 }
 
-void Simulator::scheduleFor(SimReplica &Replica, int64_t Delay, std::function<void()> Action) {
+void Simulator::scheduleFor(SimReplica &Replica, int64_t Delay,
+                            std::function<void()> Action) {
   schedule(Delay, [&Replica, Run = Replica.m_Run, Action = std::move(Action)] {
     if (Replica.m_Raft && Replica.m_Run == Run)
       Action();
@@ -104,7 +108,8 @@
   Replica->m_Id = Id;
   Replica->m_Disk = SimDisk(std::move(Initial));
   // The fastest and the slowest clock differ by 10%.
-  Replica->m_ClockRate = 0.955 + 0.001 * static_cast<double>(m_Random.below(96));
+  Replica->m_ClockRate =
+      0.955 + 0.001 * static_cast<double>(m_Random.below(96));
   Replica->m_ClockOffset = m_Random.between(0, 1'000'000'000);
   return *(m_Replicas[Id] = std::move(Replica));
 }
@@ -120,9 +125,11 @@
   Options.m_MaxInflightEntries = 32;
   if (m_Options.m_Configure)
     m_Options.m_Configure(Options);
-  absl::StatusOr<Raft> Started = Raft::create(std::move(Options), Replica.m_Disk.durable());
+  absl::StatusOr<Raft> Started =
+      Raft::create(std::move(Options), Replica.m_Disk.durable());
   if (!Started.ok())
-    return m_Checker.fail(absl::StrCat("restart of ", Replica.m_Id.value(), ": ", Started.status().ToString()));
+    return m_Checker.fail(absl::StrCat("restart of ", Replica.m_Id.value(),
+                                       ": ", Started.status().ToString()));
   ++Replica.m_Run;
   Replica.m_Raft.emplace(*std::move(Started));
   Replica.m_State = decodeState(Replica.m_Disk.durable().m_Snapshot.m_Data);
@@ -134,10 +141,11 @@
 }
 
 void Simulator::scheduleTick(SimReplica &Replica) {
-  scheduleFor(Replica, m_Random.between(MinTickMicros, MaxTickMicros), [this, &Replica] {
-    step(Replica, TickInput{});
-    scheduleTick(Replica);
-  });
+  scheduleFor(Replica, m_Random.between(MinTickMicros, MaxTickMicros),
+              [this, &Replica] {
+                step(Replica, TickInput{});
+                scheduleTick(Replica);
+              });
 }
 
 void Simulator::crash(ReplicaId Id) {
@@ -172,20 +180,25 @@
 SimReplica *Simulator::leader() {
   SimReplica *Found = nullptr;
   for (const auto &[Id, Replica] : m_Replicas) {
-    if (!Replica->m_Raft || Replica->m_Raft->status().m_Role != RaftRole::Leader)
+    if (!Replica->m_Raft ||
+        Replica->m_Raft->status().m_Role != RaftRole::Leader)
       continue;
-    if (Found == nullptr || Replica->m_Raft->status().m_Term > Found->m_Raft->status().m_Term)
+    if (Found == nullptr ||
+        Replica->m_Raft->status().m_Term > Found->m_Raft->status().m_Term)
       Found = Replica.get();
   }
   return Found;
 }
 
 void Simulator::step(SimReplica &Replica, const RaftInput &Input) {
-  const auto LocalMicros = static_cast<int64_t>(static_cast<double>(m_Now) * Replica.m_ClockRate);
+  const auto LocalMicros =
+      static_cast<int64_t>(static_cast<double>(m_Now) * Replica.m_ClockRate);
   const Membership Before = Replica.m_Raft->status().m_Members;
-  RaftOutput Output = Replica.m_Raft->step(Input, timePointFromMicros(Replica.m_ClockOffset + LocalMicros));
+  RaftOutput Output = Replica.m_Raft->step(
+      Input, timePointFromMicros(Replica.m_ClockOffset + LocalMicros));
   const auto *Change = std::get_if<ChangeMembershipInput>(&Input);
-  if (Change != nullptr && Replica.m_Raft->status().m_Members.isVoter(Change->m_Replica) &&
+  if (Change != nullptr &&
+      Replica.m_Raft->status().m_Members.isVoter(Change->m_Replica) &&
       !Before.isVoter(Change->m_Replica))
     checkPromotion(Replica, Change->m_Replica);
   carryOut(Replica, std::move(Output));
@@ -201,33 +214,40 @@
 void Simulator::carryOut(SimReplica &Replica, RaftOutput Output) {
   checkOutput(Replica, Output);
   persist(Replica, Output);
-  // The entry of a new term may reach the disk although no other replica hears of it.
-  const bool IsNewLeader = Output.m_Role && Output.m_Role->m_Role == RaftRole::Leader;
-  if (IsNewLeader && !m_Repairing && m_Random.chance(m_Profile.m_NewLeaderCrashRate / 2))
+  // The entry of a new term may reach the disk although no other replica hears
+  // of it.
+  const bool IsNewLeader =
+      Output.m_Role && Output.m_Role->m_Role == RaftRole::Leader;
+  if (IsNewLeader && !m_Repairing &&
+      m_Random.chance(m_Profile.m_NewLeaderCrashRate / 2))
     return crashAndRestart(Replica);
   if (Output.m_Install)
     install(Replica, Output.m_Install->m_Snapshot);
   for (const RaftMessage &Message : Output.m_Messages)
     transmit(Message);
   finishOperations(Replica, Output);
-  std::move(Output.m_Committed.begin(), Output.m_Committed.end(), std::back_inserter(Replica.m_ToApply));
+  std::move(Output.m_Committed.begin(), Output.m_Committed.end(),
+            std::back_inserter(Replica.m_ToApply));
   scheduleApply(Replica);
 }
 
 void Simulator::checkOutput(SimReplica &Replica, const RaftOutput &Output) {
   for (const LogEntry &Entry : Output.m_Append)
-    m_Checker.onAppend(Replica.m_Id, Entry, Replica.m_Raft->termAt(Entry.m_Index - 1).value_or(0));
+    m_Checker.onAppend(Replica.m_Id, Entry,
+                       Replica.m_Raft->termAt(Entry.m_Index - 1).value_or(0));
   if (Output.m_Role && Output.m_Role->m_Role == RaftRole::Leader) {
     ++m_Report.m_Elections;
     m_Checker.onLeader(Replica.m_Id, Output.m_Role->m_Term, *Replica.m_Raft);
     if (!m_Repairing && m_Random.chance(m_Profile.m_NewLeaderCrashRate))
       crashSoon(Replica);
   }
-  if (Output.m_Hard && !m_Repairing && m_Random.chance(m_Profile.m_VoteCrashRate))
+  if (Output.m_Hard && !m_Repairing &&
+      m_Random.chance(m_Profile.m_VoteCrashRate))
     crashSoon(Replica);
   for (const LogEntry &Entry : Output.m_Committed)
     if (!Replica.m_Disk.holds(Entry.m_Index, Entry.m_Term))
-      m_Checker.fail(absl::StrCat("durability: replica ", Replica.m_Id.value(), " delivers index ", Entry.m_Index,
+      m_Checker.fail(absl::StrCat("durability: replica ", Replica.m_Id.value(),
+                                  " delivers index ", Entry.m_Index,
                                   " before it is on its disk"));
   checkCommitDurable(Replica);
 }
@@ -243,8 +263,10 @@
   for (const ReplicaId Voter : Status.m_Members.m_Voters)
     Holders += replica(Voter).m_Disk.holds(Status.m_Commit, Term) ? 1 : 0;
   if (Holders < Status.m_Members.quorum()) {
-    m_Checker.fail(absl::StrCat("durability: leader ", Replica.m_Id.value(), " commits index ", Status.m_Commit,
-                                " that is on ", Holders, " disks of ", Status.m_Members.m_Voters.size(), " voters"));
+    m_Checker.fail(absl::StrCat("durability: leader ", Replica.m_Id.value(),
+                                " commits index ", Status.m_Commit,
+                                " that is on ", Holders, " disks of ",
+                                Status.m_Members.m_Voters.size(), " voters"));
   }
 }
 
@@ -253,7 +275,8 @@
   const LogIndex Last = Leader.m_Raft->status().m_LastIndex - 1;
   const LogIndex Held = replica(Promoted).m_Disk.durableLastIndex();
   if (Held + PromotionLag < Last)
-    m_Checker.fail(absl::StrCat("promotion: learner ", Promoted.value(), " holds index ", Held, " of ", Last));
+    m_Checker.fail(absl::StrCat("promotion: learner ", Promoted.value(),
+                                " holds index ", Held, " of ", Last));
 }
 
 void Simulator::persist(SimReplica &Replica, const RaftOutput &Output) {
@@ -262,11 +285,13 @@
     Replica.m_Disk.compactTo(*Output.m_CompactTo);
   if (Output.m_Sequence == 0)
     return;
-  // The Output may be reported late or in another order than written; a report covers all earlier outputs.
-  scheduleFor(Replica, m_Random.between(100, m_Profile.m_MaxSyncDelay), [this, &Replica, Sequence = Output.m_Sequence] {
-    Replica.m_Disk.sync(Sequence);
-    step(Replica, PersistedInput{Sequence});
-  });
+  // The Output may be reported late or in another order than written; a report
+  // covers all earlier outputs.
+  scheduleFor(Replica, m_Random.between(100, m_Profile.m_MaxSyncDelay),
+              [this, &Replica, Sequence = Output.m_Sequence] {
+                Replica.m_Disk.sync(Sequence);
+                step(Replica, PersistedInput{Sequence});
+              });
 }
 
 void Simulator::install(SimReplica &Replica, const Snapshot &Received) {
@@ -275,16 +300,22 @@
   Replica.m_ToApply.clear();
   Replica.m_Acknowledge.clear();
   m_Checker.onRestore(Replica.m_Id, Replica.m_State);
-  scheduleFor(Replica, 0, [this, &Replica] { step(Replica, AppliedInput{Replica.m_State.m_Index}); });
+  scheduleFor(Replica, 0, [this, &Replica] {
+    step(Replica, AppliedInput{Replica.m_State.m_Index});
+  });
 }
 
 void Simulator::transmit(const RaftMessage &Message) {
-  if (m_Blocked.contains({Message.m_From, Message.m_To}) || m_Random.chance(m_DropRate))
+  if (m_Blocked.contains({Message.m_From, Message.m_To}) ||
+      m_Random.chance(m_DropRate))
     return;
   const int Copies = m_Random.chance(m_DuplicateRate) ? 2 : 1;
   for (int Copy = 0; Copy < Copies; ++Copy) {
-    const int64_t MaxDelay = m_Random.chance(m_Profile.m_LateRate) ? MaxLateMicros : m_Profile.m_MaxMessageDelay;
-    schedule(m_Random.between(200, MaxDelay), [this, Bytes = encodeMessage(Message)] { deliver(Bytes); });
+    const int64_t MaxDelay = m_Random.chance(m_Profile.m_LateRate)
+                                 ? MaxLateMicros
+                                 : m_Profile.m_MaxMessageDelay;
+    schedule(m_Random.between(200, MaxDelay),
+             [this, Bytes = encodeMessage(Message)] { deliver(Bytes); });
   }
 }
 
@@ -301,17 +332,20 @@
   if (Replica.m_ToApply.empty() || Replica.m_ApplyScheduled)
     return;
   Replica.m_ApplyScheduled = true;
-  scheduleFor(Replica, m_Random.between(0, 3'000), [this, &Replica] { applyNext(Replica); });
+  scheduleFor(Replica, m_Random.between(0, 3'000),
+              [this, &Replica] { applyNext(Replica); });
 }
 
 void Simulator::applyNext(SimReplica &Replica) {
   Replica.m_ApplyScheduled = false;
-  for (uint64_t Count = 1 + m_Random.below(8); Count > 0 && !Replica.m_ToApply.empty(); --Count) {
+  for (uint64_t Count = 1 + m_Random.below(8);
+       Count > 0 && !Replica.m_ToApply.empty(); --Count) {
     const LogEntry Entry = Replica.m_ToApply.front();
     Replica.m_ToApply.pop_front();
     Replica.m_State = applyEntry(Replica.m_State, Entry);
     m_Checker.onApply(Replica.m_Id, Entry, Replica.m_State);
-    if (Entry.m_Kind == EntryKind::Membership && Entry.m_Index > m_LastMembership.m_Index)
+    if (Entry.m_Kind == EntryKind::Membership &&
+        Entry.m_Index > m_LastMembership.m_Index)
       m_LastMembership = Entry;
     const auto Written = Replica.m_Acknowledge.find(Entry.m_Index);
     if (Written == Replica.m_Acknowledge.end())
@@ -323,14 +357,16 @@
   step(Replica, AppliedInput{Replica.m_State.m_Index});
 }
 
-void Simulator::finishOperations(SimReplica &Replica, const RaftOutput &Output) {
+void Simulator::finishOperations(SimReplica &Replica,
+                                 const RaftOutput &Output) {
   for (const ProposalResult &Result : Output.m_Proposals) {
     // Context 0 marks a membership change.
     if (Result.m_Context == 0)
       continue;
     if (Result.m_Status.ok()) {
       Replica.m_Acknowledge[Result.m_Index] = Result.m_Context;
-    } else if (layerErrorOf<RaftErrc>(Result.m_Status) != RaftErrc::OutcomeUnknown) {
+    } else if (layerErrorOf<RaftErrc>(Result.m_Status) !=
+               RaftErrc::OutcomeUnknown) {
       m_Checker.onWriteRefused(Result.m_Context);
     }
   }
@@ -338,15 +374,17 @@
     if (!Result.m_Status.ok())
       continue;
     if (Replica.m_State.m_Index < Result.m_Index) {
-      m_Checker.fail(absl::StrCat("read at replica ", Replica.m_Id.value(), " needs index ", Result.m_Index,
-                                  " but the state has ", Replica.m_State.m_Index));
+      m_Checker.fail(absl::StrCat(
+          "read at replica ", Replica.m_Id.value(), " needs index ",
+          Result.m_Index, " but the state has ", Replica.m_State.m_Index));
     }
     m_Checker.onReadDone(Result.m_Context, Replica.m_State);
   }
 }
 
 void Simulator::makeSnapshot(SimReplica &Replica) {
-  const absl::StatusOr<SnapshotMeta> Meta = Replica.m_Raft->snapshotMeta(Replica.m_State.m_Index);
+  const absl::StatusOr<SnapshotMeta> Meta =
+      Replica.m_Raft->snapshotMeta(Replica.m_State.m_Index);
   if (!Meta.ok())
     return;
   const Snapshot Made{*Meta, encodeState(Replica.m_State)};
--- a/tests/raft/support/Simulator.h
+++ b/tests/raft/support/Simulator.h
@@ -28,7 +28,8 @@
   std::function<void(RaftOptions &)> m_Configure;
 };
 
-/// Timing and rates of faults, drawn for each run so that different runs stress different rules. Times in microseconds.
+/// Timing and rates of faults, drawn for each run so that different runs stress
+/// different rules. Times in microseconds.
 struct SimProfile {
   int64_t m_MaxMessageDelay = 10'000;
   int64_t m_MaxSyncDelay = 8'000;
@@ -41,7 +42,8 @@
   int64_t m_MaxRestartDelay = 1'000'000;
   /// Longest time between two actions of the operator.
   int64_t m_OperatorInterval = 400'000;
-  /// Chance that the operator moves the leadership instead of changing the membership.
+  /// Chance that the operator moves the leadership instead of changing the
+  /// membership.
   double m_TransferRate = 0;
 };
 
@@ -78,15 +80,18 @@
   std::map<LogIndex, uint64_t> m_Acknowledge;
 };
 
-/// Runs a group of replicas over a fake network and fake disks, with faults drawn from a seed.
+/// Runs a group of replicas over a fake network and fake disks, with faults
+/// drawn from a seed.
 class Simulator {
 public:
   explicit Simulator(SimOptions Options);
 
-  /// Handles \p Steps events, then repairs everything and requires that the group makes progress.
+  /// Handles \p Steps events, then repairs everything and requires that the
+  /// group makes progress.
   SimReport run(uint64_t Steps);
 
-  /// Handles events until \p Done or until \p Limit of simulated time passed; returns whether \p Done held.
+  /// Handles events until \p Done or until \p Limit of simulated time passed;
+  /// returns whether \p Done held.
   bool runUntil(const std::function<bool()> &Done, Duration Limit);
 
   /// Returns the up leader of the highest term, or null.
@@ -114,14 +119,17 @@
     uint64_t m_Order = 0;
     std::function<void()> m_Action;
     bool operator>(const Event &Other) const {
-      return std::pair(m_Time, m_Order) > std::pair(Other.m_Time, Other.m_Order);
+      return std::pair(m_Time, m_Order) >
+             std::pair(Other.m_Time, Other.m_Order);
     }
   };
 
   // Simulator.cpp: events, hosts.
   void schedule(int64_t Delay, std::function<void()> Action);
-  /// Schedules an action that is dropped if the replica has stopped in the meantime.
-  void scheduleFor(SimReplica &Replica, int64_t Delay, std::function<void()> Action);
+  /// Schedules an action that is dropped if the replica has stopped in the
+  /// meantime.
+  void scheduleFor(SimReplica &Replica, int64_t Delay,
+                   std::function<void()> Action);
   bool handleNext();
   SimReplica &addReplica(ReplicaId Id, RaftPersistentState Initial);
   void start(SimReplica &Replica);
@@ -155,7 +163,8 @@
   void loseReplica();
   void operate();
   bool removeDeadMember(SimReplica &Leader, const Membership &Members);
-  void changeMembership(SimReplica &Leader, MembershipChangeKind Kind, ReplicaId Id);
+  void changeMembership(SimReplica &Leader, MembershipChangeKind Kind,
+                        ReplicaId Id);
   void addLearner(SimReplica &Leader);
   void stopRemoved();
   void repairAll();
--- a/tests/route/ClaimFuzzTest.cpp
+++ b/tests/route/ClaimFuzzTest.cpp
@@ -11,7 +11,8 @@
 using namespace anvil::route;
 using namespace anvil::route::testing;
 
-/// Two entries, agents and the claims of control, with losses everywhere; every choice comes from one seed.
+/// Two entries, agents and the claims of control, with losses everywhere; every
+/// choice comes from one seed.
 class ClaimWorld {
 public:
   explicit ClaimWorld(uint64_t Seed) : m_Random(seededRandom(Seed)) {
@@ -19,7 +20,8 @@
       Each.m_ControlAlive = true;
   }
 
-  /// Sends each of \p Keys three times through either entry, and runs until nothing is left to do.
+  /// Sends each of \p Keys three times through either entry, and runs until
+  /// nothing is left to do.
   void run(int Keys) {
     for (int Index = 0; Index < 3 * Keys; ++Index) {
       const std::string Key = "k" + std::to_string(Index % Keys);
@@ -48,7 +50,8 @@
     bool m_Shared = false; ///< Another attempt was told the token.
   };
 
-  RouterHarness m_Entries[2] = {RouterHarness(100, 4, "e1"), RouterHarness(100, 4, "e2")};
+  RouterHarness m_Entries[2] = {RouterHarness(100, 4, "e1"),
+                                RouterHarness(100, 4, "e2")};
   std::map<std::string, Claim> m_Claims;
   std::map<std::string, int> m_RunsOfKey;
   std::set<std::pair<size_t, int64_t>> m_RunRequests; ///< Entry and request id.
@@ -57,7 +60,9 @@
   bool chance(double Share) { return m_Random() < Share; }
   int pick(int Count) { return static_cast<int>(m_Random() * Count); }
   Duration delay() { return Duration(1000 + pick(60000)); }
-  void later(Duration After, std::function<void()> What) { m_Events.emplace(m_Now + After, std::move(What)); }
+  void later(Duration After, std::function<void()> What) {
+    m_Events.emplace(m_Now + After, std::move(What));
+  }
 
   void with(size_t Entry, const std::function<void(RouterHarness &)> &What) {
     RouterHarness &Its = m_Entries[Entry];
@@ -68,16 +73,22 @@
     for (const DispatchAction &Each : std::exchange(Its.m_Dispatches, {}))
       execute(Entry, Each);
     for (const CloseClaimAction &Each : std::exchange(Its.m_Closes, {}))
-      later(delay(), [this, Each] { close(Each.m_Claim.outcome, Each.m_Claim.neverSent); });
+      later(delay(), [this, Each] {
+        close(Each.m_Claim.outcome, Each.m_Claim.neverSent);
+      });
   }
 
   void send(int Entry, const std::string &Key) {
-    with(static_cast<size_t>(Entry), [&Key](RouterHarness &Its) { Its.send("reorder", Key); });
+    with(static_cast<size_t>(Entry),
+         [&Key](RouterHarness &Its) { Its.send("reorder", Key); });
   }
 
-  void endClaimCall(size_t Entry, ClaimCallId Call, std::variant<wire::CommandResult, SendFailure> Result) {
+  void endClaimCall(size_t Entry, ClaimCallId Call,
+                    std::variant<wire::CommandResult, SendFailure> Result) {
     later(delay(), [this, Entry, Call, Result] {
-      with(Entry, [&](RouterHarness &Its) { Its.step(ClaimAnswered{Call, Result}); });
+      with(Entry, [&](RouterHarness &Its) {
+        Its.step(ClaimAnswered{Call, Result});
+      });
     });
   }
 
@@ -114,7 +125,8 @@
 
   void close(const wire::ClaimOutcome &Outcome, bool NeverSent) {
     const auto Found = m_Claims.find(Outcome.claimId);
-    if (Found == m_Claims.end() || Found->second.m_Token != Outcome.token || Found->second.m_Closed)
+    if (Found == m_Claims.end() || Found->second.m_Token != Outcome.token ||
+        Found->second.m_Closed)
       return;
     if (NeverSent && Found->second.m_Shared)
       return;
@@ -127,7 +139,8 @@
   }
 
   void execute(size_t Entry, const DispatchAction &Action) {
-    if (const auto Found = m_Claims.find(Action.m_Request.claimId); Found != m_Claims.end())
+    if (const auto Found = m_Claims.find(Action.m_Request.claimId);
+        Found != m_Claims.end())
       Found->second.m_Dispatched = true;
     if (chance(0.1))
       return endAttempt(Entry, Action, AttemptStep::NotSent);
@@ -137,14 +150,17 @@
   }
 
   // An agent decides once for each token and gives repeats the same outcome.
-  wire::Outcome::type outcomeAtAgent(size_t Entry, const DispatchAction &Action) {
-    const auto [Found, First] = m_OutcomeOfToken.try_emplace(Action.m_Request.claimToken, wire::Outcome::NOT_RUN);
+  wire::Outcome::type outcomeAtAgent(size_t Entry,
+                                     const DispatchAction &Action) {
+    const auto [Found, First] = m_OutcomeOfToken.try_emplace(
+        Action.m_Request.claimToken, wire::Outcome::NOT_RUN);
     if (!First)
       return Found->second;
     if (chance(0.7)) {
       ++m_RunsOfKey[Action.m_Request.claimId];
       m_RunRequests.emplace(Entry, Action.m_Id.value());
-      Found->second = chance(0.9) ? wire::Outcome::COMPLETED : wire::Outcome::UNKNOWN;
+      Found->second =
+          chance(0.9) ? wire::Outcome::COMPLETED : wire::Outcome::UNKNOWN;
     }
     return Found->second;
   }
@@ -157,14 +173,18 @@
     later(delay() * 10, [this, Report] { close(Report, false); });
     const bool AnswerLost = chance(0.2);
     endAttempt(Entry, Action,
-               AnswerLost                                   ? AttemptStep::NoAnswer
-               : Report.outcome == wire::Outcome::NOT_RUN   ? AttemptStep::Refuses
-               : Report.outcome == wire::Outcome::COMPLETED ? AttemptStep::Completes
-                                                            : AttemptStep::RepliesUnknown);
+               AnswerLost ? AttemptStep::NoAnswer
+               : Report.outcome == wire::Outcome::NOT_RUN ? AttemptStep::Refuses
+               : Report.outcome == wire::Outcome::COMPLETED
+                   ? AttemptStep::Completes
+                   : AttemptStep::RepliesUnknown);
   }
 
-  void endAttempt(size_t Entry, const DispatchAction &Action, AttemptStep What) {
-    later(delay(), [this, Entry, Action, What] { with(Entry, [&](RouterHarness &Its) { Its.finish(Action, What); }); });
+  void endAttempt(size_t Entry, const DispatchAction &Action,
+                  AttemptStep What) {
+    later(delay(), [this, Entry, Action, What] {
+      with(Entry, [&](RouterHarness &Its) { Its.finish(Action, What); });
+    });
   }
 
   std::map<int64_t, wire::Outcome::type> m_OutcomeOfToken;
@@ -178,8 +198,9 @@
 
 BOOST_AUTO_TEST_SUITE(ClaimFuzzTest)
 
-// Guards against a non-idempotent request that runs twice (H6), a request that ran and was refused as not run (H5), a
-// request without exactly one answer (H4), and a claim that stays open although its request was never sent.
+// Guards against a non-idempotent request that runs twice (H6), a request that
+// ran and was refused as not run (H5), a request without exactly one answer
+// (H4), and a claim that stays open although its request was never sent.
 BOOST_AUTO_TEST_CASE(NoFaultRunsARequestTwiceOrHidesARun) {
   int Completed = 0;
   int Unknown = 0;
@@ -192,7 +213,8 @@
       for (const auto &[Key, Runs] : World.m_RunsOfKey)
         BOOST_TEST(Runs <= 1, Key << " ran " << Runs << " times");
       for (const auto &[Id, Claim] : World.m_Claims)
-        BOOST_TEST((Claim.m_Closed || Claim.m_Dispatched), "open without a request: " << Id);
+        BOOST_TEST((Claim.m_Closed || Claim.m_Dispatched),
+                   "open without a request: " << Id);
       for (size_t Entry = 0; Entry < 2; ++Entry) {
         const RouterHarness &Its = World.m_Entries[Entry];
         BOOST_TEST(Its.m_DoubleAnswers == 0);
@@ -204,13 +226,15 @@
           const bool NotRun = Result.starts_with("refused:");
           Refused += NotRun ? 1 : 0;
           if (NotRun)
-            BOOST_TEST(!World.m_RunRequests.contains({Entry, Id}), "request " << Id << " ran: " << Result);
+            BOOST_TEST(!World.m_RunRequests.contains({Entry, Id}),
+                       "request " << Id << " ran: " << Result);
         }
       }
     }
   }
   BOOST_TEST(HoldersAsked > 0);
-  BOOST_TEST_MESSAGE("completed " << Completed << ", unknown " << Unknown << ", refused " << Refused);
+  BOOST_TEST_MESSAGE("completed " << Completed << ", unknown " << Unknown
+                                  << ", refused " << Refused);
   // Each outcome has to occur for the checks above to mean something.
   BOOST_TEST(Completed > 0);
   BOOST_TEST(Unknown > 0);
--- a/tests/route/RouterHarness.h
+++ b/tests/route/RouterHarness.h
@@ -14,7 +14,15 @@
 using std::chrono::milliseconds;
 
 /// What an agent does with an attempt.
-enum class AttemptStep { Completes, Busy, Refuses, RepliesUnknown, NotSent, NoAnswer, Silent };
+enum class AttemptStep {
+  Completes,
+  Busy,
+  Refuses,
+  RepliesUnknown,
+  NotSent,
+  NoAnswer,
+  Silent
+};
 
 /// What control does with a call to open a claim.
 enum class ClaimStep {
@@ -32,11 +40,14 @@
 
 inline std::function<double()> seededRandom(uint64_t Seed) {
   auto Generator = std::make_shared<std::mt19937_64>(Seed);
-  return [Generator] { return static_cast<double>((*Generator)() >> 11) * 0x1p-53; };
+  return [Generator] {
+    return static_cast<double>((*Generator)() >> 11) * 0x1p-53;
+  };
 }
 
-inline wire::ServiceClass makeClass(const std::string &Name, wire::Urgency::type Urgency, bool Idempotent,
-                                    int QueueLimit) {
+inline wire::ServiceClass makeClass(const std::string &Name,
+                                    wire::Urgency::type Urgency,
+                                    bool Idempotent, int QueueLimit) {
   wire::ServiceClass Class;
   Class.name = Name;
   Class.urgency = Urgency;
@@ -46,7 +57,8 @@
   return Class;
 }
 
-inline wire::RouteTarget makeTarget(const std::string &Vm, const std::string &Zone) {
+inline wire::RouteTarget makeTarget(const std::string &Vm,
+                                    const std::string &Zone) {
   wire::RouteTarget Target;
   Target.vm = Vm;
   Target.availabilityZone = Zone;
@@ -58,22 +70,26 @@
   return Target;
 }
 
-/// Drives one Router by hand: service "sieve" with classes "quote" (idempotent, urgent), "report" (idempotent,
-/// overnight) and "reorder" (not idempotent), and targets "m0" to "m3", of which "m0" and "m1" are in zone "kochi".
+/// Drives one Router by hand: service "sieve" with classes "quote" (idempotent,
+/// urgent), "report" (idempotent, overnight) and "reorder" (not idempotent),
+/// and targets "m0" to "m3", of which "m0" and "m1" are in zone "kochi".
 class RouterHarness {
 public:
-  explicit RouterHarness(int QueueLimit = 100, int Targets = 4, const std::string &Entry = "e1")
+  explicit RouterHarness(int QueueLimit = 100, int Targets = 4,
+                         const std::string &Entry = "e1")
       : m_Router(options(Entry)) {
     refresh();
     wire::ServiceConfig Service;
     Service.name = "sieve";
-    Service.classes = {makeClass("quote", wire::Urgency::URGENT, true, QueueLimit),
-                       makeClass("report", wire::Urgency::OVERNIGHT, true, QueueLimit),
-                       makeClass("reorder", wire::Urgency::WORKING_DAY, false, QueueLimit)};
+    Service.classes = {
+        makeClass("quote", wire::Urgency::URGENT, true, QueueLimit),
+        makeClass("report", wire::Urgency::OVERNIGHT, true, QueueLimit),
+        makeClass("reorder", wire::Urgency::WORKING_DAY, false, QueueLimit)};
     step(ConfigChanged{{Service}, {"w"}});
     RoutesChanged Routes;
     for (int Index = 0; Index < Targets; ++Index)
-      Routes.m_Routes.push_back(makeTarget("m" + std::to_string(Index), Index < 2 ? "kochi" : "kollam"));
+      Routes.m_Routes.push_back(makeTarget("m" + std::to_string(Index),
+                                           Index < 2 ? "kochi" : "kollam"));
     step(Routes);
   }
 
@@ -88,7 +104,9 @@
   /// Passes an event on and keeps the actions, sorted by kind.
   void step(RouterEvent Event) {
     for (RouterAction &Action : m_Router.step(std::move(Event), m_Now))
-      std::visit([this](auto &&Each) { keep(std::forward<decltype(Each)>(Each)); }, std::move(Action));
+      std::visit(
+          [this](auto &&Each) { keep(std::forward<decltype(Each)>(Each)); },
+          std::move(Action));
   }
 
   void refresh() { step(FreshRead{m_Now}); }
@@ -145,8 +163,9 @@
     if (What == ClaimStep::Silent)
       return;
     if (What == ClaimStep::NotSent || What == ClaimStep::NoAnswer)
-      return step(
-          ClaimAnswered{Open.m_Call, What == ClaimStep::NotSent ? SendFailure::NotSent : SendFailure::NoAnswer});
+      return step(ClaimAnswered{Open.m_Call, What == ClaimStep::NotSent
+                                                 ? SendFailure::NotSent
+                                                 : SendFailure::NoAnswer});
     wire::CommandResult Result;
     Result.status = What == ClaimStep::Conflict  ? wire::CommandStatus::INVALID
                     : What == ClaimStep::Limit   ? wire::CommandStatus::LIMIT
@@ -157,8 +176,9 @@
                         : What == ClaimStep::Held  ? wire::ClaimState::HELD
                                                    : wire::ClaimState::CLOSED;
     Result.claimToken = What == ClaimStep::Granted ? ++m_LastToken : 0;
-    Result.claimOutcome.outcome =
-        What == ClaimStep::ClosedCompleted ? wire::Outcome::COMPLETED : wire::Outcome::UNKNOWN;
+    Result.claimOutcome.outcome = What == ClaimStep::ClosedCompleted
+                                      ? wire::Outcome::COMPLETED
+                                      : wire::Outcome::UNKNOWN;
     Result.claimOutcome.httpStatus = 200;
     step(ClaimAnswered{Open.m_Call, Result});
   }
@@ -184,14 +204,18 @@
 private:
   void keep(OpenClaimAction Action) { m_Opens.push_back(std::move(Action)); }
   void keep(CloseClaimAction Action) { m_Closes.push_back(std::move(Action)); }
-  void keep(DispatchAction Action) { m_Dispatches.push_back(std::move(Action)); }
+  void keep(DispatchAction Action) {
+    m_Dispatches.push_back(std::move(Action));
+  }
   void keep(const AnswerAction &Action) {
     m_DoubleAnswers += m_Results.contains(Action.m_Id.value()) ? 1 : 0;
-    m_Results[Action.m_Id.value()] = Action.m_Outcome == wire::Outcome::COMPLETED ? "completed" : "unknown";
+    m_Results[Action.m_Id.value()] =
+        Action.m_Outcome == wire::Outcome::COMPLETED ? "completed" : "unknown";
   }
   void keep(const RefuseAction &Action) {
     m_DoubleAnswers += m_Results.contains(Action.m_Id.value()) ? 1 : 0;
-    m_Results[Action.m_Id.value()] = "refused:" + std::string(refusalText(Action.m_Reason).m_Code);
+    m_Results[Action.m_Id.value()] =
+        "refused:" + std::string(refusalText(Action.m_Reason).m_Code);
     m_Refusals.push_back(Action);
   }
 };
--- a/tests/route/RouterSimulationTest.cpp
+++ b/tests/route/RouterSimulationTest.cpp
@@ -36,17 +36,21 @@
   const auto Exponential = [&Random](double MeanUs) {
     return Duration(1 + std::llround(-MeanUs * std::log1p(-Random())));
   };
-  const double MeanGapUs = static_cast<double>(MeanService.count()) / (Agents * Slots * Load);
+  const double MeanGapUs =
+      static_cast<double>(MeanService.count()) / (Agents * Slots * Load);
   std::vector<Arrival> Arrivals;
   TimePoint At = timePointFromMicros(1000000);
-  for (const TimePoint End = At + Length; At < End; At += Exponential(MeanGapUs))
-    Arrivals.push_back({At, Exponential(static_cast<double>(MeanService.count()))});
+  for (const TimePoint End = At + Length; At < End;
+       At += Exponential(MeanGapUs))
+    Arrivals.push_back(
+        {At, Exponential(static_cast<double>(MeanService.count()))});
   return Arrivals;
 }
 
 /// What a run used and how long its requests waited for a slot.
 struct Outcome {
-  double m_BusyUs = 0; ///< Slot time used between the warm-up and the last arrival.
+  double m_BusyUs =
+      0; ///< Slot time used between the warm-up and the last arrival.
   double m_WaitUs = 0;
   int64_t m_Started = 0;
   int64_t m_Refused = 0;
@@ -57,7 +61,10 @@
   size_t m_MaxInProgress = 0; ///< Of one entry.
   size_t m_MaxBytes = 0;
 
-  double meanWaitMs() const { return m_WaitUs / 1000 / static_cast<double>(std::max<int64_t>(1, m_Started)); }
+  double meanWaitMs() const {
+    return m_WaitUs / 1000 /
+           static_cast<double>(std::max<int64_t>(1, m_Started));
+  }
 };
 
 /// Counts slot time within the measured part of a run.
@@ -74,14 +81,17 @@
     Into.m_WaitUs += static_cast<double>((Start - Request.m_At).count());
     ++Into.m_Started;
   }
-  double capacityUs() const { return static_cast<double>((m_To - m_From).count()) * Agents * Slots; }
+  double capacityUs() const {
+    return static_cast<double>((m_To - m_From).count()) * Agents * Slots;
+  }
 
 private:
   TimePoint m_From;
   TimePoint m_To;
 };
 
-/// All slots behind one queue in order of arrival, without delays, bounded like the queues of the entries together.
+/// All slots behind one queue in order of arrival, without delays, bounded like
+/// the queues of the entries together.
 Outcome runIdeal(const std::vector<Arrival> &Arrivals) {
   const Meter Measure(Arrivals);
   Outcome Result;
@@ -105,10 +115,12 @@
   return Result;
 }
 
-/// Three routers before ten agents that count their slots, with the delay of a network between them.
+/// Three routers before ten agents that count their slots, with the delay of a
+/// network between them.
 class Simulation {
 public:
-  Simulation(const std::vector<Arrival> &Arrivals, uint64_t Seed) : m_Arrivals(Arrivals), m_Measure(Arrivals) {
+  Simulation(const std::vector<Arrival> &Arrivals, uint64_t Seed)
+      : m_Arrivals(Arrivals), m_Measure(Arrivals) {
     for (int Entry = 0; Entry < Entries; ++Entry) {
       RouterOptions Options;
       Options.m_Entry = "e" + std::to_string(Entry);
@@ -143,7 +155,9 @@
     TimePoint m_At;
     int64_t m_Order;
     std::function<void()> m_What;
-    bool operator<(const Event &Other) const { return std::tie(m_At, m_Order) > std::tie(Other.m_At, Other.m_Order); }
+    bool operator<(const Event &Other) const {
+      return std::tie(m_At, m_Order) > std::tie(Other.m_At, Other.m_Order);
+    }
   };
   struct Waiting {
     size_t m_Entry;
@@ -154,19 +168,24 @@
     std::deque<Waiting> m_Queue;
   };
 
-  void at(TimePoint When, std::function<void()> What) { m_Events.push({When, m_NextOrder++, std::move(What)}); }
+  void at(TimePoint When, std::function<void()> What) {
+    m_Events.push({When, m_NextOrder++, std::move(What)});
+  }
 
   static Duration delay(size_t Entry, int Agent) {
-    return Agent % Entries == static_cast<int>(Entry) ? Duration(250) : Duration(1000);
+    return Agent % Entries == static_cast<int>(Entry) ? Duration(250)
+                                                      : Duration(1000);
   }
 
   void start(size_t Entry) {
     wire::ServiceConfig Service;
     Service.name = "sieve";
-    Service.classes = {makeClass("quote", wire::Urgency::URGENT, true, EntryQueueLimit)};
+    Service.classes = {
+        makeClass("quote", wire::Urgency::URGENT, true, EntryQueueLimit)};
     RoutesChanged Routes;
     for (int Index = 0; Index < Agents; ++Index)
-      Routes.m_Routes.push_back(makeTarget(std::to_string(Index), "z" + std::to_string(Index % Entries)));
+      Routes.m_Routes.push_back(makeTarget(
+          std::to_string(Index), "z" + std::to_string(Index % Entries)));
     step(Entry, ConfigChanged{{Service}, {"w"}});
     step(Entry, Routes);
     tick(Entry);
@@ -192,22 +211,28 @@
     for (RouterAction &Action : m_Routers[Entry].step(std::move(What), m_Now)) {
       if (auto *Dispatch = std::get_if<DispatchAction>(&Action)) {
         const int Target = std::stoi(Dispatch->m_AgentAddress);
-        at(m_Now + delay(Entry, Target), [this, Entry, Target, Sent = std::move(*Dispatch)] {
-          receive(Target, {Entry, Sent});
-        });
+        at(m_Now + delay(Entry, Target),
+           [this, Entry, Target, Sent = std::move(*Dispatch)] {
+             receive(Target, {Entry, Sent});
+           });
       } else if (const auto *Answer = std::get_if<AnswerAction>(&Action)) {
-        m_Result.m_Unknown += Answer->m_Outcome == wire::Outcome::UNKNOWN ? 1 : 0;
+        m_Result.m_Unknown +=
+            Answer->m_Outcome == wire::Outcome::UNKNOWN ? 1 : 0;
         noteAnswer(Answer->m_Id);
       } else if (const auto *Refusal = std::get_if<RefuseAction>(&Action)) {
         ++m_Result.m_Refused;
         noteAnswer(Refusal->m_Id);
       }
     }
-    m_Result.m_MaxInProgress = std::max(m_Result.m_MaxInProgress, m_Routers[Entry].counters().m_InProgress);
-    m_Result.m_MaxBytes = std::max(m_Result.m_MaxBytes, m_Routers[Entry].counters().m_Bytes);
+    m_Result.m_MaxInProgress = std::max(
+        m_Result.m_MaxInProgress, m_Routers[Entry].counters().m_InProgress);
+    m_Result.m_MaxBytes =
+        std::max(m_Result.m_MaxBytes, m_Routers[Entry].counters().m_Bytes);
   }
 
-  void noteAnswer(RequestId Id) { m_Result.m_DoubleAnswers += m_Answered.insert(Id.value()).second ? 0 : 1; }
+  void noteAnswer(RequestId Id) {
+    m_Result.m_DoubleAnswers += m_Answered.insert(Id.value()).second ? 0 : 1;
+  }
 
   void receive(int Target, const Waiting &Request) {
     Agent &Its = m_Agents[Target];
@@ -220,7 +245,8 @@
   }
 
   void serve(int Target, const Waiting &Request) {
-    const Arrival &Its = m_Arrivals[static_cast<size_t>(Request.m_Action.m_Id.value())];
+    const Arrival &Its =
+        m_Arrivals[static_cast<size_t>(Request.m_Action.m_Id.value())];
     ++m_Agents[Target].m_Busy;
     m_Measure.noteStart(m_Result, Its, m_Now);
     at(m_Now + Its.m_Service, [this, Target, Request] {
@@ -243,9 +269,10 @@
     Reply.load.queued = static_cast<int32_t>(m_Agents[Target].m_Queue.size());
     Reply.load.queueLimit = AgentQueueLimit;
     Reply.retryAfterMs = 5;
-    at(m_Now + delay(Request.m_Entry, Target), [this, Entry = Request.m_Entry, Id = Request.m_Action.m_Attempt, Reply] {
-      step(Entry, AttemptEnded{Id, Reply});
-    });
+    at(m_Now + delay(Request.m_Entry, Target),
+       [this, Entry = Request.m_Entry, Id = Request.m_Action.m_Attempt, Reply] {
+         step(Entry, AttemptEnded{Id, Reply});
+       });
   }
 
   const std::vector<Arrival> &m_Arrivals;
@@ -260,11 +287,15 @@
   Outcome m_Result;
 };
 
-void printRow(const char *Name, double Load, const Outcome &Run, double CapacityUs) {
+void printRow(const char *Name, double Load, const Outcome &Run,
+              double CapacityUs) {
   std::ostringstream Row;
-  Row << std::fixed << std::setprecision(3) << Name << " load=" << Load << " slot_use=" << Run.m_BusyUs / CapacityUs
-      << " mean_wait_ms=" << Run.meanWaitMs() << " started=" << Run.m_Started << " refused=" << Run.m_Refused
-      << " agent_refusals=" << Run.m_AgentRefusals << " retries=" << Run.m_Retries
+  Row << std::fixed << std::setprecision(3) << Name << " load=" << Load
+      << " slot_use=" << Run.m_BusyUs / CapacityUs
+      << " mean_wait_ms=" << Run.meanWaitMs() << " started=" << Run.m_Started
+      << " refused=" << Run.m_Refused
+      << " agent_refusals=" << Run.m_AgentRefusals
+      << " retries=" << Run.m_Retries
       << " max_in_progress=" << Run.m_MaxInProgress;
   BOOST_TEST_MESSAGE(Row.str());
 }
@@ -273,12 +304,13 @@
 
 BOOST_AUTO_TEST_SUITE(RouterSimulationTest)
 
-// Guards against entries that leave slots idle while requests wait, or that queue requests behind a busy agent while
-// another one has room.
+// Guards against entries that leave slots idle while requests wait, or that
+// queue requests behind a busy agent while another one has room.
 BOOST_AUTO_TEST_CASE(ComesCloseToOneCentralQueue) {
   for (const uint64_t Seed : {1, 2, 3}) {
     for (const double Load : {0.8, 1.5}) {
-      const std::vector<Arrival> Arrivals = makeArrivals(Load, seconds(10), Seed);
+      const std::vector<Arrival> Arrivals =
+          makeArrivals(Load, seconds(10), Seed);
       const double Capacity = Meter(Arrivals).capacityUs();
       const Outcome Ideal = runIdeal(Arrivals);
       Simulation Real(Arrivals, Seed);
@@ -297,7 +329,8 @@
   }
 }
 
-// Guards against memory and retries that grow with the load, and against slots that starve under refusals.
+// Guards against memory and retries that grow with the load, and against slots
+// that starve under refusals.
 BOOST_AUTO_TEST_CASE(StaysBoundedAtTenTimesTheCapacity) {
   const std::vector<Arrival> Arrivals = makeArrivals(10, seconds(3), 4);
   const Outcome Ideal = runIdeal(Arrivals);
@@ -308,10 +341,12 @@
 
   BOOST_TEST(Real.answered() == Arrivals.size());
   BOOST_TEST(Ours.m_DoubleAnswers == 0);
-  // One queue, and at most the slots and the allowance of 2 for each agent in flight.
+  // One queue, and at most the slots and the allowance of 2 for each agent in
+  // flight.
   BOOST_TEST(Ours.m_MaxInProgress <= EntryQueueLimit + Agents * (Slots + 2));
   BOOST_TEST(Ours.m_MaxBytes <= 100 * Ours.m_MaxInProgress);
-  BOOST_TEST(Ours.m_Retries <= static_cast<int64_t>(Arrivals.size() / 10) + int64_t{3} * Entries);
+  BOOST_TEST(Ours.m_Retries <=
+             static_cast<int64_t>(Arrivals.size() / 10) + int64_t{3} * Entries);
   BOOST_TEST(Ours.m_BusyUs >= 0.95 * Ideal.m_BusyUs);
 }
 
--- a/tests/route/RouterTest.cpp
+++ b/tests/route/RouterTest.cpp
@@ -15,7 +15,8 @@
 using A = AttemptStep;
 using C = ClaimStep;
 
-/// One request, what control and the agents do with it, and what its caller must be told.
+/// One request, what control and the agents do with it, and what its caller
+/// must be told.
 struct FaultCase {
   std::string m_Name;
   std::string m_Class;
@@ -26,7 +27,8 @@
   size_t m_Closes;
 };
 
-template <typename Step> Step takeStep(const std::vector<Step> &Steps, size_t &Next) {
+template <typename Step>
+Step takeStep(const std::vector<Step> &Steps, size_t &Next) {
   return Steps.at(std::min(Next++, Steps.size() - 1));
 }
 
@@ -39,7 +41,8 @@
   Observed Seen;
   size_t NextClaim = 0;
   size_t NextAttempt = 0;
-  const RequestId Id = Harness.send(Case.m_Class, Case.m_Class == "reorder" ? "key-1" : "");
+  const RequestId Id =
+      Harness.send(Case.m_Class, Case.m_Class == "reorder" ? "key-1" : "");
   for (int Step = 0; Step < 20000 && Harness.resultOf(Id).empty(); ++Step) {
     if (!Harness.m_Opens.empty()) {
       Seen.m_Opens.push_back(Harness.m_Opens.front());
@@ -48,7 +51,8 @@
     } else if (!Harness.m_Dispatches.empty()) {
       Seen.m_Dispatches.push_back(Harness.m_Dispatches.front());
       Harness.m_Dispatches.pop_front();
-      Harness.finish(Seen.m_Dispatches.back(), takeStep(Case.m_Attempts, NextAttempt));
+      Harness.finish(Seen.m_Dispatches.back(),
+                     takeStep(Case.m_Attempts, NextAttempt));
     } else {
       Harness.advance(milliseconds(10));
     }
@@ -60,26 +64,99 @@
 
 BOOST_AUTO_TEST_SUITE(RouterTest)
 
-// Guards against a wrong outcome after a fault: a request refused as not run that may have run, a non-idempotent
-// request that is dispatched twice without proof, and a claim that nobody closes.
+// Guards against a wrong outcome after a fault: a request refused as not run
+// that may have run, a non-idempotent request that is dispatched twice without
+// proof, and a claim that nobody closes.
 BOOST_AUTO_TEST_CASE(EveryFaultEndsWithItsExplicitOutcome) {
   const std::vector<FaultCase> Cases = {
       {"answered", "quote", {}, {A::Completes}, "completed", 1, 0},
       {"busy once", "quote", {}, {A::Busy, A::Completes}, "completed", 2, 0},
       {"busy always", "quote", {}, {A::Busy}, "refused:targets-busy", 3, 0},
-      {"unreachable once", "quote", {}, {A::NotSent, A::Completes}, "completed", 2, 0},
-      {"unreachable always", "quote", {}, {A::NotSent}, "refused:not-sent", 3, 0},
-      {"answer lost, idempotent", "quote", {}, {A::NoAnswer, A::Completes}, "completed", 2, 0},
-      {"answer lost, then busy", "quote", {}, {A::NoAnswer, A::Busy, A::Busy}, "unknown", 3, 0},
-      {"answer lost, then unreachable", "quote", {}, {A::NoAnswer, A::NotSent, A::NotSent}, "unknown", 3, 0},
+      {"unreachable once",
+       "quote",
+       {},
+       {A::NotSent, A::Completes},
+       "completed",
+       2,
+       0},
+      {"unreachable always",
+       "quote",
+       {},
+       {A::NotSent},
+       "refused:not-sent",
+       3,
+       0},
+      {"answer lost, idempotent",
+       "quote",
+       {},
+       {A::NoAnswer, A::Completes},
+       "completed",
+       2,
+       0},
+      {"answer lost, then busy",
+       "quote",
+       {},
+       {A::NoAnswer, A::Busy, A::Busy},
+       "unknown",
+       3,
+       0},
+      {"answer lost, then unreachable",
+       "quote",
+       {},
+       {A::NoAnswer, A::NotSent, A::NotSent},
+       "unknown",
+       3,
+       0},
       {"silent agent", "quote", {}, {A::Silent}, "unknown", 1, 0},
-      {"agent does not know", "quote", {}, {A::RepliesUnknown}, "unknown", 3, 0},
-      {"claim granted", "reorder", {C::Granted}, {A::Completes}, "completed", 1, 0},
-      {"claimed, unreachable once", "reorder", {C::Granted}, {A::NotSent, A::Completes}, "completed", 2, 1},
-      {"claimed, refused once", "reorder", {C::Granted}, {A::Refuses, A::Completes}, "completed", 2, 1},
-      {"claimed, refused always", "reorder", {C::Granted}, {A::Refuses}, "refused:targets-busy", 3, 3},
-      {"claimed, agent does not know", "reorder", {C::Granted}, {A::RepliesUnknown}, "unknown", 1, 0},
-      {"claimed, silent agent", "reorder", {C::Granted}, {A::Silent}, "unknown", 1, 0},
+      {"agent does not know",
+       "quote",
+       {},
+       {A::RepliesUnknown},
+       "unknown",
+       3,
+       0},
+      {"claim granted",
+       "reorder",
+       {C::Granted},
+       {A::Completes},
+       "completed",
+       1,
+       0},
+      {"claimed, unreachable once",
+       "reorder",
+       {C::Granted},
+       {A::NotSent, A::Completes},
+       "completed",
+       2,
+       1},
+      {"claimed, refused once",
+       "reorder",
+       {C::Granted},
+       {A::Refuses, A::Completes},
+       "completed",
+       2,
+       1},
+      {"claimed, refused always",
+       "reorder",
+       {C::Granted},
+       {A::Refuses},
+       "refused:targets-busy",
+       3,
+       3},
+      {"claimed, agent does not know",
+       "reorder",
+       {C::Granted},
+       {A::RepliesUnknown},
+       "unknown",
+       1,
+       0},
+      {"claimed, silent agent",
+       "reorder",
+       {C::Granted},
+       {A::Silent},
+       "unknown",
+       1,
+       0},
       {"claimed, answer lost, outcome stored",
        "reorder",
        {C::Granted, C::Held, C::ClosedCompleted},
@@ -87,7 +164,13 @@
        "completed",
        1,
        0},
-      {"claimed, answer lost for good", "reorder", {C::Granted, C::Held}, {A::NoAnswer}, "unknown", 1, 0},
+      {"claimed, answer lost for good",
+       "reorder",
+       {C::Granted, C::Held},
+       {A::NoAnswer},
+       "unknown",
+       1,
+       0},
       {"claimed, answer lost, proved not run",
        "reorder",
        {C::Granted, C::Held, C::Granted},
@@ -95,17 +178,71 @@
        "completed",
        2,
        0},
-      {"held, then freed", "reorder", {C::Held, C::Held, C::Granted}, {A::Completes}, "completed", 1, 0},
+      {"held, then freed",
+       "reorder",
+       {C::Held, C::Held, C::Granted},
+       {A::Completes},
+       "completed",
+       1,
+       0},
       {"held for good", "reorder", {C::Held}, {}, "unknown", 0, 0},
-      {"closed as completed", "reorder", {C::ClosedCompleted}, {}, "completed", 0, 0},
+      {"closed as completed",
+       "reorder",
+       {C::ClosedCompleted},
+       {},
+       "completed",
+       0,
+       0},
       {"closed as unknown", "reorder", {C::ClosedUnknown}, {}, "unknown", 0, 0},
-      {"key of another request", "reorder", {C::Conflict}, {}, "refused:key-conflict", 0, 0},
-      {"claims at their limit", "reorder", {C::Limit}, {}, "refused:claims-full", 0, 0},
-      {"target left before its claim", "reorder", {C::Refused, C::Granted}, {A::Completes}, "completed", 1, 0},
-      {"claim refused for good", "reorder", {C::Refused}, {}, "refused:claim-refused", 0, 0},
-      {"control unreachable", "reorder", {C::NotSent}, {}, "refused:control-silent", 0, 0},
-      {"claim answer lost once", "reorder", {C::NoAnswer, C::Granted}, {A::Completes}, "completed", 1, 0},
-      {"claim never answered", "reorder", {C::Silent}, {}, "refused:control-silent", 0, 0},
+      {"key of another request",
+       "reorder",
+       {C::Conflict},
+       {},
+       "refused:key-conflict",
+       0,
+       0},
+      {"claims at their limit",
+       "reorder",
+       {C::Limit},
+       {},
+       "refused:claims-full",
+       0,
+       0},
+      {"target left before its claim",
+       "reorder",
+       {C::Refused, C::Granted},
+       {A::Completes},
+       "completed",
+       1,
+       0},
+      {"claim refused for good",
+       "reorder",
+       {C::Refused},
+       {},
+       "refused:claim-refused",
+       0,
+       0},
+      {"control unreachable",
+       "reorder",
+       {C::NotSent},
+       {},
+       "refused:control-silent",
+       0,
+       0},
+      {"claim answer lost once",
+       "reorder",
+       {C::NoAnswer, C::Granted},
+       {A::Completes},
+       "completed",
+       1,
+       0},
+      {"claim never answered",
+       "reorder",
+       {C::Silent},
+       {},
+       "refused:control-silent",
+       0,
+       0},
   };
   for (const FaultCase &Case : Cases) {
     RouterHarness Harness;
@@ -121,30 +258,44 @@
       for (const DispatchAction &Each : Seen.m_Dispatches)
         Tokens.insert(Each.m_Request.claimToken);
       if (Case.m_Class == "reorder")
-        BOOST_TEST(Tokens.size() == Seen.m_Dispatches.size(), "a claim token was dispatched twice");
+        BOOST_TEST(Tokens.size() == Seen.m_Dispatches.size(),
+                   "a claim token was dispatched twice");
     }
   }
 }
 
-// Guards against two tags for one grant: a repeated call must find its own grant, and any other call must not.
+// Guards against two tags for one grant: a repeated call must find its own
+// grant, and any other call must not.
 BOOST_AUTO_TEST_CASE(OnlyALostClaimCallIsRepeatedUnchanged) {
   RouterHarness Lost;
-  const Observed Repeated = play(Lost, {"", "reorder", {C::NoAnswer, C::Granted}, {A::Completes}, "", 0, 0});
+  const Observed Repeated = play(
+      Lost,
+      {"", "reorder", {C::NoAnswer, C::Granted}, {A::Completes}, "", 0, 0});
   BOOST_REQUIRE(Repeated.m_Opens.size() == 2U);
   BOOST_TEST((Repeated.m_Opens[0].m_Claim == Repeated.m_Opens[1].m_Claim));
 
   RouterHarness Held;
-  const Observed Polled = play(Held, {"", "reorder", {C::Granted, C::Held, C::ClosedUnknown}, {A::NoAnswer}, "", 0, 0});
+  const Observed Polled = play(Held, {"",
+                                      "reorder",
+                                      {C::Granted, C::Held, C::ClosedUnknown},
+                                      {A::NoAnswer},
+                                      "",
+                                      0,
+                                      0});
   BOOST_REQUIRE(Polled.m_Opens.size() == 3U);
-  BOOST_TEST(Polled.m_Opens[0].m_Claim.attemptId != Polled.m_Opens[1].m_Claim.attemptId);
-  BOOST_TEST(Polled.m_Opens[0].m_Claim.requestDigest == Polled.m_Opens[1].m_Claim.requestDigest);
+  BOOST_TEST(Polled.m_Opens[0].m_Claim.attemptId !=
+             Polled.m_Opens[1].m_Claim.attemptId);
+  BOOST_TEST(Polled.m_Opens[0].m_Claim.requestDigest ==
+             Polled.m_Opens[1].m_Claim.requestDigest);
   BOOST_TEST(Polled.m_Opens[0].m_Claim.claimId == "w/sieve/key-1");
 }
 
-// Guards against a claim that stays open for ever because its grant came after the caller was answered.
+// Guards against a claim that stays open for ever because its grant came after
+// the caller was answered.
 BOOST_AUTO_TEST_CASE(ClosesAClaimThatIsGrantedTooLate) {
   RouterHarness Harness;
-  const Observed Seen = play(Harness, {"", "reorder", {C::Silent}, {}, "", 0, 0});
+  const Observed Seen =
+      play(Harness, {"", "reorder", {C::Silent}, {}, "", 0, 0});
   BOOST_TEST(Harness.resultOf(RequestId(1)) == "refused:control-silent");
 
   Harness.finish(Seen.m_Opens.at(0), C::NoAnswer);
@@ -155,11 +306,13 @@
 
   BOOST_REQUIRE(Harness.m_Closes.size() == 1U);
   BOOST_TEST(Harness.m_Closes[0].m_Claim.outcome.token == Harness.m_LastToken);
-  BOOST_TEST((Harness.m_Closes[0].m_Claim.outcome.outcome == wire::Outcome::NOT_RUN));
+  BOOST_TEST(
+      (Harness.m_Closes[0].m_Claim.outcome.outcome == wire::Outcome::NOT_RUN));
   BOOST_TEST(Harness.m_Dispatches.empty());
 }
 
-// Guards against a late answer that reaches a caller a second time, or that leaves its target occupied for ever.
+// Guards against a late answer that reaches a caller a second time, or that
+// leaves its target occupied for ever.
 BOOST_AUTO_TEST_CASE(DropsAndCountsLateAnswers) {
   RouterHarness Harness(100, 1);
   Harness.send("quote");
@@ -179,20 +332,25 @@
   BOOST_TEST(Harness.m_Dispatches.size() == 10U);
 }
 
-// Guards against an agent that went silent and keeps attracting requests because it looks idle.
+// Guards against an agent that went silent and keeps attracting requests
+// because it looks idle.
 BOOST_AUTO_TEST_CASE(AvoidsAFailedAgentUntilItsPenaltyHasDecayed) {
   RouterHarness Harness;
   Harness.send("quote");
   const std::string Failed = Harness.m_Dispatches.front().m_AgentAddress;
   Harness.finish(Harness.m_Dispatches.front(), A::NoAnswer);
   Harness.finish(Harness.m_Dispatches.at(1), A::Completes);
-  // The requests stay in flight, so the failed agent is the least loaded one by far.
+  // The requests stay in flight, so the failed agent is the least loaded one by
+  // far.
   const auto CountFailed = [&Harness, &Failed](int Requests) {
     Harness.m_Dispatches.clear();
     for (int Index = 0; Index < Requests; ++Index)
       Harness.send("quote");
-    return std::count_if(Harness.m_Dispatches.begin(), Harness.m_Dispatches.end(),
-                         [&Failed](const DispatchAction &Each) { return Each.m_AgentAddress == Failed; });
+    return std::count_if(Harness.m_Dispatches.begin(),
+                         Harness.m_Dispatches.end(),
+                         [&Failed](const DispatchAction &Each) {
+                           return Each.m_AgentAddress == Failed;
+                         });
   };
 
   // 8 slots and 2 waiting requests at each of the three others.
@@ -201,7 +359,8 @@
   BOOST_TEST(CountFailed(10) > 0);
 }
 
-// Guards against an entry that fills an agent which other entries already keep busy.
+// Guards against an entry that fills an agent which other entries already keep
+// busy.
 BOOST_AUTO_TEST_CASE(LeavesOutAnAgentThatReportedTheLoadOfOthers) {
   RouterHarness Harness(100, 2);
   Harness.send("quote");
@@ -221,10 +380,12 @@
   // An old report says nothing about the load of now.
   Harness.advance(std::chrono::seconds(1));
   Harness.send("quote");
-  BOOST_TEST(Harness.m_Dispatches.back().m_AgentAddress == First.m_AgentAddress);
+  BOOST_TEST(Harness.m_Dispatches.back().m_AgentAddress ==
+             First.m_AgentAddress);
 }
 
-// Guards against traffic between availability zones while the own zone has as much room.
+// Guards against traffic between availability zones while the own zone has as
+// much room.
 BOOST_AUTO_TEST_CASE(PrefersItsOwnZoneAtEqualLoad) {
   RouterHarness Harness;
   int Near = 0;
@@ -239,7 +400,8 @@
   BOOST_TEST(Near > 145);
 }
 
-// Guards against entries that multiply the load of a service that refuses everything.
+// Guards against entries that multiply the load of a service that refuses
+// everything.
 BOOST_AUTO_TEST_CASE(RetriesStayWithinTheBudgetWhenEveryAgentRefuses) {
   int64_t Requests = 0;
   int64_t Retries = 0;
@@ -259,17 +421,20 @@
     Retries += Harness.m_Router.counters().m_Retries;
   }
   BOOST_TEST_MESSAGE("requests " << Requests << ", retries " << Retries);
-  // 10% of the requests, and the constant of 3 for each entry and each window of 10 s in 50 s.
+  // 10% of the requests, and the constant of 3 for each entry and each window
+  // of 10 s in 50 s.
   constexpr int64_t Constants = int64_t{3} * 3 * 6;
   BOOST_TEST(Retries <= Requests / 10 + Constants);
 }
 
-// Guards against an urgent request behind a queue of reports, and against reports that wait for ever.
+// Guards against an urgent request behind a queue of reports, and against
+// reports that wait for ever.
 BOOST_AUTO_TEST_CASE(QueueGoesByUrgencyWithAgeing) {
   RouterHarness Harness(100, 1);
   for (int Index = 0; Index < 10; ++Index)
     Harness.send("quote");
-  const std::deque<DispatchAction> Running = std::exchange(Harness.m_Dispatches, {});
+  const std::deque<DispatchAction> Running =
+      std::exchange(Harness.m_Dispatches, {});
   const RequestId OldReport = Harness.send("report");
   Harness.advance(std::chrono::seconds(9));
   const RequestId FirstQuote = Harness.send("quote");
@@ -280,7 +445,8 @@
   for (int Index = 0; Index < 3; ++Index)
     Harness.finish(Running[static_cast<size_t>(Index)], A::Completes);
 
-  // The old report has waited 9 s, less than the 15 s by which overnight ranks behind urgent.
+  // The old report has waited 9 s, less than the 15 s by which overnight ranks
+  // behind urgent.
   BOOST_REQUIRE(Harness.m_Dispatches.size() == 3U);
   BOOST_TEST(Harness.m_Dispatches[0].m_Id == FirstQuote);
   BOOST_TEST(Harness.m_Dispatches[1].m_Id == SecondQuote);
@@ -300,14 +466,15 @@
 // Guards against bad input that is routed, or refused without the reason.
 BOOST_AUTO_TEST_CASE(RefusesBadInput) {
   const std::string LongKey(256, 'k');
-  for (const BadCall &Case : {BadCall{"nope", "w", "quote", "", "refused:unknown-service"},
-                              {"sieve", "x", "quote", "", "refused:unknown-workspace"},
-                              {"sieve", "", "quote", "", "refused:unknown-workspace"},
-                              {"sieve", "w", "nope", "", "refused:unknown-class"},
-                              {"sieve", "w", "", "", "refused:unknown-class"},
-                              {"sieve", "w", "reorder", "", "refused:key-required"},
-                              {"sieve", "w", "reorder", "a b", "refused:key-invalid"},
-                              {"sieve", "w", "reorder", LongKey, "refused:key-invalid"}}) {
+  for (const BadCall &Case :
+       {BadCall{"nope", "w", "quote", "", "refused:unknown-service"},
+        {"sieve", "x", "quote", "", "refused:unknown-workspace"},
+        {"sieve", "", "quote", "", "refused:unknown-workspace"},
+        {"sieve", "w", "nope", "", "refused:unknown-class"},
+        {"sieve", "w", "", "", "refused:unknown-class"},
+        {"sieve", "w", "reorder", "", "refused:key-required"},
+        {"sieve", "w", "reorder", "a b", "refused:key-invalid"},
+        {"sieve", "w", "reorder", LongKey, "refused:key-invalid"}}) {
     RouterHarness Harness;
     RequestArrived Call;
     Call.m_Id = RequestId(1);
@@ -321,7 +488,8 @@
   }
 }
 
-// Guards against requests that are routed without a fresh read, or that wait in silence when control is lost.
+// Guards against requests that are routed without a fresh read, or that wait in
+// silence when control is lost.
 BOOST_AUTO_TEST_CASE(RefusesEverythingWithoutControl) {
   RouterHarness Harness(100, 1);
   for (int Index = 0; Index < 12; ++Index)
@@ -334,7 +502,8 @@
   Harness.advance(milliseconds(200));
 
   BOOST_TEST(Harness.resultOf(RequestId(12)) == "refused:control-silent");
-  BOOST_TEST(Harness.resultOf(Harness.send("quote")) == "refused:control-silent");
+  BOOST_TEST(Harness.resultOf(Harness.send("quote")) ==
+             "refused:control-silent");
   BOOST_TEST(Harness.m_Refusals.back().m_RetryAfter.has_value());
   BOOST_TEST(!Harness.m_Router.ready(Harness.m_Now));
   // A request that an agent has still gets its answer.
@@ -350,7 +519,8 @@
 
   Harness.step(ShutdownStarted{});
 
-  BOOST_TEST(Harness.resultOf(Harness.send("quote")) == "refused:shutting-down");
+  BOOST_TEST(Harness.resultOf(Harness.send("quote")) ==
+             "refused:shutting-down");
   while (!Harness.m_Dispatches.empty()) {
     const DispatchAction Next = Harness.m_Dispatches.front();
     Harness.m_Dispatches.pop_front();
@@ -360,7 +530,8 @@
     BOOST_TEST(Harness.resultOf(RequestId(Id)) == "completed");
 }
 
-// Guards against a withdrawn target that keeps receiving requests, also after it was chosen for a claim.
+// Guards against a withdrawn target that keeps receiving requests, also after
+// it was chosen for a claim.
 BOOST_AUTO_TEST_CASE(SendsNothingToATargetThatLeft) {
   RouterHarness Harness(100, 1);
   Harness.send("reorder", "key-1");
--- a/tests/sched/FailureTest.cpp
+++ b/tests/sched/FailureTest.cpp
@@ -4,7 +4,8 @@
 
 BOOST_AUTO_TEST_SUITE(FailureTest)
 
-// Guards against a worker that fails every task going on to swallow jobs, and against one that is never tried again.
+// Guards against a worker that fails every task going on to swallow jobs, and
+// against one that is never tried again.
 BOOST_AUTO_TEST_CASE(QuarantinesAWorkerThatFailsDifferentJobsAndProbesIt) {
   FakeFleet Fleet;
   Fleet.feed(twoWorkspaces(0));
@@ -49,12 +50,14 @@
     Fleet.fail(Broken, Vm);
   }
   BOOST_TEST(Fleet.m_Jobs[Broken].m_Over);
-  BOOST_TEST(Fleet.m_Jobs[Broken].m_LastReason.find("failed 5 times") != std::string::npos);
+  BOOST_TEST(Fleet.m_Jobs[Broken].m_LastReason.find("failed 5 times") !=
+             std::string::npos);
   BOOST_TEST((Waited >= 15s), "the attempts did not slow down");
   BOOST_TEST(Fleet.m_Quarantined.empty());
 }
 
-// Guards against a wave of failures taking more than the permitted share of workers out of use.
+// Guards against a wave of failures taking more than the permitted share of
+// workers out of use.
 BOOST_AUTO_TEST_CASE(QuarantineIsBounded) {
   FakeFleet Fleet;
   Fleet.feed(twoWorkspaces(0));
@@ -67,7 +70,8 @@
   BOOST_TEST(Fleet.m_Quarantined.size() == 1);
 }
 
-// Guards against non-idempotent jobs that run twice, and idempotent or unstarted ones that are lost.
+// Guards against non-idempotent jobs that run twice, and idempotent or
+// unstarted ones that are lost.
 BOOST_AUTO_TEST_CASE(PlacesAgainOnlyWhatMayRunAgain) {
   struct Case {
     bool m_Idempotent;
@@ -76,12 +80,15 @@
     bool m_AtCheckpoint;
     bool m_Again;
   };
-  const Case Cases[] = {{true, false, true, false, true},   {false, false, true, false, false},
-                        {false, false, false, false, true}, {false, true, true, true, true},
-                        {false, true, true, false, false},  {true, true, true, false, true}};
+  const Case Cases[] = {
+      {true, false, true, false, true},   {false, false, true, false, false},
+      {false, false, false, false, true}, {false, true, true, true, true},
+      {false, true, true, false, false},  {true, true, true, false, true}};
   for (const Case &Each : Cases) {
-    BOOST_TEST_CONTEXT("idempotent " << Each.m_Idempotent << " checkpointable " << Each.m_Checkpointable << " started "
-                                     << Each.m_Started << " at checkpoint " << Each.m_AtCheckpoint) {
+    BOOST_TEST_CONTEXT("idempotent " << Each.m_Idempotent << " checkpointable "
+                                     << Each.m_Checkpointable << " started "
+                                     << Each.m_Started << " at checkpoint "
+                                     << Each.m_AtCheckpoint) {
       FakeFleet Fleet;
       Fleet.feed(twoWorkspaces(0));
       Fleet.addWorkers(2);
@@ -101,7 +108,8 @@
   }
 }
 
-// Guards against a placement that the replicated state refuses being repeated without a pause or forgotten.
+// Guards against a placement that the replicated state refuses being repeated
+// without a pause or forgotten.
 BOOST_AUTO_TEST_CASE(RefusedPlacementsAreRepeatedWithGrowingDelay) {
   FakeFleet Fleet;
   Fleet.feed(twoWorkspaces(0));
@@ -123,7 +131,8 @@
   }
 }
 
-// Guards against work left in a zone that leaves, work moved without room, and work moved back when the zone returns.
+// Guards against work left in a zone that leaves, work moved without room, and
+// work moved back when the zone returns.
 BOOST_AUTO_TEST_CASE(ZoneLeavesAndReturns) {
   FakeFleet Fleet;
   Fleet.feed(twoWorkspaces(0));
@@ -142,7 +151,8 @@
     if (Fleet.m_Jobs[Id].m_Reclaiming)
       Moving.push_back(Id);
   }
-  // Two of the four gangs in the zone have room elsewhere; the others work on until the notice ends.
+  // Two of the four gangs in the zone have room elsewhere; the others work on
+  // until the notice ends.
   BOOST_REQUIRE(Moving.size() == 2);
   for (const JobId Id : Moving)
     Fleet.release(Id, true);
--- a/tests/sched/FakeFleet.h
+++ b/tests/sched/FakeFleet.h
@@ -20,7 +20,8 @@
 /// Memory of a worker in MiB.
 inline constexpr int64_t WorkerMemory = int64_t{256} * 1024;
 
-/// Drives a Scheduler, obeys its actions, and checks after each step what must always hold.
+/// Drives a Scheduler, obeys its actions, and checks after each step what must
+/// always hold.
 class FakeFleet {
 public:
   struct JobRecord {
@@ -37,18 +38,22 @@
     std::vector<ReclaimMode> m_Modes;
   };
 
-  explicit FakeFleet(SchedulerOptions Options = {}) : m_Scheduler(*Scheduler::create(Options)) {}
+  explicit FakeFleet(SchedulerOptions Options = {})
+      : m_Scheduler(*Scheduler::create(Options)) {}
 
-  void addWorker(const std::string &Vm, const std::string &Zone, const std::string &Rack, Resources Capacity) {
+  void addWorker(const std::string &Vm, const std::string &Zone,
+                 const std::string &Rack, Resources Capacity) {
     m_Capacity[VmId(Vm)] = Capacity;
     m_ZoneOf[VmId(Vm)] = AvailabilityZoneId(Zone);
     feed(WorkerUp{VmId(Vm), AvailabilityZoneId(Zone), RackId(Rack), Capacity});
   }
 
-  /// Adds \p Count workers of 8 accelerators, 64 cores and 256 GiB, two to a rack, two racks to a zone.
+  /// Adds \p Count workers of 8 accelerators, 64 cores and 256 GiB, two to a
+  /// rack, two racks to a zone.
   void addWorkers(int Count) {
     for (int I = 0; I < Count; ++I)
-      addWorker(absl::StrCat("w", I), absl::StrCat("zone", I / 4), absl::StrCat("rack", I / 2), {8, 64, WorkerMemory});
+      addWorker(absl::StrCat("w", I), absl::StrCat("zone", I / 4),
+                absl::StrCat("rack", I / 2), {8, 64, WorkerMemory});
   }
 
   JobId submit(const JobSpec &Spec) {
@@ -128,7 +133,9 @@
     return Text.ok() ? *Text : std::string(Text.status().message());
   }
 
-  std::set<VmId> vmsOf(JobId Id) { return {m_Jobs[Id].m_Members.begin(), m_Jobs[Id].m_Members.end()}; }
+  std::set<VmId> vmsOf(JobId Id) {
+    return {m_Jobs[Id].m_Members.begin(), m_Jobs[Id].m_Members.end()};
+  }
 
   Scheduler m_Scheduler;
   TimePoint m_Now = timePointFromMicros(1'000'000);
@@ -170,14 +177,19 @@
 
   void obey(const PlaceGang &Action) {
     JobRecord &Job = m_Jobs[Action.m_Job];
-    BOOST_TEST(static_cast<int32_t>(Action.m_Members.size()) == Job.m_Spec.m_Tasks);
+    BOOST_TEST(static_cast<int32_t>(Action.m_Members.size()) ==
+               Job.m_Spec.m_Tasks);
     BOOST_TEST(!Job.m_Placed, "job " << Action.m_Job << " is placed twice");
-    BOOST_TEST(!Job.m_Over, "job " << Action.m_Job << " is placed after its end");
-    BOOST_TEST(!Job.m_MayNotRunAgain, "job " << Action.m_Job << " is placed again");
+    BOOST_TEST(!Job.m_Over,
+               "job " << Action.m_Job << " is placed after its end");
+    BOOST_TEST(!Job.m_MayNotRunAgain,
+               "job " << Action.m_Job << " is placed again");
     for (const MemberPlacement &Each : Action.m_Members) {
       const VmId &Vm = Each.m_Vm;
-      BOOST_TEST(!m_Withdrawn.contains(m_ZoneOf.at(Vm)), "placed in a withdrawn zone on " << Vm);
-      BOOST_TEST((!m_Out.contains(Vm) && !m_Quarantined.contains(Vm)), "placed on " << Vm << ", which is out of use");
+      BOOST_TEST(!m_Withdrawn.contains(m_ZoneOf.at(Vm)),
+                 "placed in a withdrawn zone on " << Vm);
+      BOOST_TEST((!m_Out.contains(Vm) && !m_Quarantined.contains(Vm)),
+                 "placed on " << Vm << ", which is out of use");
       change(Vm, Job.m_Spec.m_PerTask, 1);
       const Resources &Used = m_Used[Vm];
       const Resources &Capacity = m_Capacity[Vm];
@@ -186,7 +198,8 @@
       BOOST_TEST(Used.m_MemoryMib <= Capacity.m_MemoryMib);
       Job.m_Members.push_back(Vm);
     }
-    absl::StrAppend(&m_Log, "place ", Action.m_Job.value(), " on ", Action.m_Members[0].m_Vm.str(), "\n");
+    absl::StrAppend(&m_Log, "place ", Action.m_Job.value(), " on ",
+                    Action.m_Members[0].m_Vm.str(), "\n");
     Job.m_Placed = true;
     ++Job.m_Placements;
     Job.m_LastReason = Action.m_Reason;
@@ -201,13 +214,16 @@
     Job.m_LastReason = Action.m_Reason;
     Job.m_Modes.push_back(Action.m_Mode);
   }
-  void obey(const ParkJob &Action) { m_Jobs[Action.m_Job].m_LastReason = Action.m_Reason; }
+  void obey(const ParkJob &Action) {
+    m_Jobs[Action.m_Job].m_LastReason = Action.m_Reason;
+  }
   void obey(const GiveUpJob &Action) {
     m_Jobs[Action.m_Job].m_LastReason = Action.m_Reason;
     m_Jobs[Action.m_Job].m_Over = true;
   }
   void obey(const QuarantineWorker &Action) {
-    absl::StrAppend(&m_Log, "quarantine ", Action.m_Vm.str(), Action.m_Quarantined ? " on\n" : " off\n");
+    absl::StrAppend(&m_Log, "quarantine ", Action.m_Vm.str(),
+                    Action.m_Quarantined ? " on\n" : " off\n");
     if (Action.m_Quarantined)
       m_Quarantined.insert(Action.m_Vm);
     else
@@ -215,13 +231,15 @@
   }
   void obey(const ProbeWorker &Action) { m_Probed.insert(Action.m_Vm); }
   void obey(const WarnGuarantee &Action) {
-    m_Missing[absl::StrCat(Action.m_Workspace.str(), "/", Action.m_Shape)] = Action.m_Missing;
+    m_Missing[absl::StrCat(Action.m_Workspace.str(), "/", Action.m_Shape)] =
+        Action.m_Missing;
   }
 
   int64_t m_NextJob = 0;
 };
 
-/// Returns a configuration with the workspaces a and b; a has \p Count guaranteed pieces of one whole worker.
+/// Returns a configuration with the workspaces a and b; a has \p Count
+/// guaranteed pieces of one whole worker.
 inline ConfigurationChanged twoWorkspaces(int32_t Count) {
   WorkspaceConfig A{WorkspaceId("a"), {}, {}};
   if (Count > 0)
@@ -230,7 +248,8 @@
 }
 
 /// Returns an idempotent batch job.
-inline JobSpec job(const std::string &Workspace, int32_t Tasks, int64_t Accelerators) {
+inline JobSpec job(const std::string &Workspace, int32_t Tasks,
+                   int64_t Accelerators) {
   JobSpec Spec;
   Spec.m_Workspace = WorkspaceId(Workspace);
   Spec.m_Tasks = Tasks;
--- a/tests/sched/GuaranteeTest.cpp
+++ b/tests/sched/GuaranteeTest.cpp
@@ -4,8 +4,8 @@
 
 BOOST_AUTO_TEST_SUITE(GuaranteeTest)
 
-// Guards against an owner that cannot get its guarantee back from each kind of borrower, and against borrowers that
-// could only be stopped for good.
+// Guards against an owner that cannot get its guarantee back from each kind of
+// borrower, and against borrowers that could only be stopped for good.
 BOOST_AUTO_TEST_CASE(OwnerClaimsFromBorrowersThatMayBorrow) {
   struct Case {
     bool m_Idempotent;
@@ -18,7 +18,8 @@
                         {true, false, true, ReclaimMode::Stop},
                         {false, false, false, ReclaimMode::Stop}};
   for (const Case &Each : Cases) {
-    BOOST_TEST_CONTEXT("idempotent " << Each.m_Idempotent << " checkpointable " << Each.m_Checkpointable) {
+    BOOST_TEST_CONTEXT("idempotent " << Each.m_Idempotent << " checkpointable "
+                                     << Each.m_Checkpointable) {
       FakeFleet Fleet;
       Fleet.feed(twoWorkspaces(1));
       Fleet.addWorkers(1);
@@ -29,7 +30,8 @@
       Fleet.advance(1s);
       BOOST_TEST(Fleet.m_Jobs[Lent].m_Placed == Each.m_MayBorrow);
       if (!Each.m_MayBorrow) {
-        BOOST_TEST(Fleet.m_Jobs[Lent].m_LastReason.find("even when empty") != std::string::npos);
+        BOOST_TEST(Fleet.m_Jobs[Lent].m_LastReason.find("even when empty") !=
+                   std::string::npos);
         continue;
       }
       Fleet.start(Lent);
@@ -38,7 +40,8 @@
       Fleet.advance(100ms);
       BOOST_REQUIRE(!Fleet.m_Jobs[Lent].m_Modes.empty());
       BOOST_TEST((Fleet.m_Jobs[Lent].m_Modes[0] == Each.m_FirstStep));
-      BOOST_TEST(Fleet.m_Jobs[Lent].m_LastReason.find("workspace a claims") != std::string::npos);
+      BOOST_TEST(Fleet.m_Jobs[Lent].m_LastReason.find("workspace a claims") !=
+                 std::string::npos);
       Fleet.release(Lent, Each.m_Checkpointable);
       Fleet.advance(100ms);
       BOOST_TEST(Fleet.m_Jobs[Owner].m_Placed);
@@ -48,7 +51,8 @@
   }
 }
 
-// Guards against stopping more gangs than the owner needs, or dearer ones than necessary.
+// Guards against stopping more gangs than the owner needs, or dearer ones than
+// necessary.
 BOOST_AUTO_TEST_CASE(ReclaimTakesTheCheapestAndNoMoreThanNeeded) {
   FakeFleet Fleet;
   Fleet.feed(twoWorkspaces(1));
@@ -66,7 +70,8 @@
     BOOST_TEST(Fleet.m_Jobs[Lent[I]].m_Reclaiming == (I == 2), "gang " << I);
 }
 
-// Guards against one workspace losing its own guarantee to the claim of another.
+// Guards against one workspace losing its own guarantee to the claim of
+// another.
 BOOST_AUTO_TEST_CASE(GangsWithinTheirOwnGuaranteeAreNotReclaimed) {
   FakeFleet Fleet;
   ConfigurationChanged Config = twoWorkspaces(1);
@@ -81,10 +86,12 @@
   Fleet.submit(Urgent);
   Fleet.submit(Urgent);
   Fleet.advance(2s);
-  BOOST_TEST(Fleet.m_Jobs[Own].m_Reclaiming != Fleet.m_Jobs[Borrowed].m_Reclaiming);
+  BOOST_TEST(Fleet.m_Jobs[Own].m_Reclaiming !=
+             Fleet.m_Jobs[Borrowed].m_Reclaiming);
 }
 
-// Guards against a guarantee that silently cannot be kept, and against a warning that stays after it can.
+// Guards against a guarantee that silently cannot be kept, and against a
+// warning that stays after it can.
 BOOST_AUTO_TEST_CASE(WarnsWhenPiecesCannotBeKept) {
   FakeFleet Fleet;
   Fleet.feed(twoWorkspaces(2));
@@ -102,11 +109,13 @@
   BOOST_TEST(Fleet.m_Missing["a/node"] == 0);
 }
 
-// Guards against a rack-wide guarantee that gangs which cannot be reclaimed have cut into pieces.
+// Guards against a rack-wide guarantee that gangs which cannot be reclaimed
+// have cut into pieces.
 BOOST_AUTO_TEST_CASE(RackShapesStayClaimable) {
   FakeFleet Fleet;
   ConfigurationChanged Config = twoWorkspaces(0);
-  Config.m_Workspaces[0].m_Guarantees = {{"rack", {16, 64, 65536}, Adjacency::Rack, 1}};
+  Config.m_Workspaces[0].m_Guarantees = {
+      {"rack", {16, 64, 65536}, Adjacency::Rack, 1}};
   Fleet.feed(Config);
   Fleet.addWorkers(4);
   JobSpec Pinned = job("b", 1, 1);
--- a/tests/sched/RandomEventTest.cpp
+++ b/tests/sched/RandomEventTest.cpp
@@ -10,10 +10,15 @@
 class RandomRun {
 public:
   explicit RandomRun(uint64_t Seed) : m_Random(Seed) {
-    m_Config.m_Workspaces = {{WorkspaceId("a"), {}, {{"node", {8, 64, WorkerMemory}, Adjacency::Vm, 2}}},
-                             {WorkspaceId("b"), {40, 0, 0}, {{"half", {4, 32, 65536}, Adjacency::Vm, 2}}},
-                             {WorkspaceId("c"), {}, {{"rack", {8, 32, 32768}, Adjacency::Rack, 1}}},
-                             {WorkspaceId("d"), {}, {}}};
+    m_Config.m_Workspaces = {
+        {WorkspaceId("a"),
+         {},
+         {{"node", {8, 64, WorkerMemory}, Adjacency::Vm, 2}}},
+        {WorkspaceId("b"),
+         {40, 0, 0},
+         {{"half", {4, 32, 65536}, Adjacency::Vm, 2}}},
+        {WorkspaceId("c"), {}, {{"rack", {8, 32, 32768}, Adjacency::Rack, 1}}},
+        {WorkspaceId("d"), {}, {}}};
     m_Fleet.feed(m_Config);
     m_Fleet.addWorkers(12);
   }
@@ -30,7 +35,9 @@
   const std::string &log() const { return m_Fleet.m_Log; }
 
 private:
-  int draw(int Limit) { return static_cast<int>(m_Random() % static_cast<uint64_t>(Limit)); }
+  int draw(int Limit) {
+    return static_cast<int>(m_Random() % static_cast<uint64_t>(Limit));
+  }
 
   JobSpec randomJob() {
     const char *const Names[] = {"a", "b", "c", "d"};
@@ -42,7 +49,9 @@
     Spec.m_Urgency = static_cast<Urgency>(draw(UrgencyCount));
     Spec.m_Adjacency = static_cast<Adjacency>(draw(3));
     Spec.m_AdjacencyRequired = draw(4) == 0;
-    Spec.m_Deadline = draw(3) == 0 ? Duration(std::chrono::minutes(1 + draw(60))) : Duration{0};
+    Spec.m_Deadline = draw(3) == 0
+                          ? Duration(std::chrono::minutes(1 + draw(60)))
+                          : Duration{0};
     Spec.m_DeclaredRunTime = std::chrono::seconds(draw(3000));
     return Spec;
   }
@@ -61,8 +70,10 @@
     const AvailabilityZoneId Zone(absl::StrCat("zone", draw(3)));
     switch (draw(20)) {
     case 0:
-      return m_Fleet.m_Withdrawn.empty() ? m_Fleet.feed(ZoneWithdrawn{Zone, std::chrono::seconds(draw(60))})
-                                         : m_Fleet.feed(ZoneRestored{*m_Fleet.m_Withdrawn.begin()});
+      return m_Fleet.m_Withdrawn.empty()
+                 ? m_Fleet.feed(
+                       ZoneWithdrawn{Zone, std::chrono::seconds(draw(60))})
+                 : m_Fleet.feed(ZoneRestored{*m_Fleet.m_Withdrawn.begin()});
     case 1:
       return m_Fleet.feed(WorkerDrained{Vm, draw(2) == 0});
     case 2:
@@ -74,7 +85,8 @@
         cancel(randomJobId());
       return;
     case 5:
-      return m_Fleet.feed(UsageReported{Vm, {draw(8), draw(80), int64_t{1024} * draw(300)}, m_Fleet.m_Now});
+      return m_Fleet.feed(UsageReported{
+          Vm, {draw(8), draw(80), int64_t{1024} * draw(300)}, m_Fleet.m_Now});
     case 6: {
       ConfigurationChanged Changed = m_Config;
       Changed.m_Workspaces[draw(4)].m_Guarantees.clear();
@@ -101,7 +113,9 @@
 
   void up(const VmId &Vm) {
     const int Number = std::stoi(Vm.str().substr(1));
-    m_Fleet.feed(WorkerUp{Vm, m_Fleet.m_ZoneOf[Vm], RackId(absl::StrCat("rack", Number / 2)), m_Fleet.m_Capacity[Vm]});
+    m_Fleet.feed(WorkerUp{Vm, m_Fleet.m_ZoneOf[Vm],
+                          RackId(absl::StrCat("rack", Number / 2)),
+                          m_Fleet.m_Capacity[Vm]});
   }
 
   void cancel(JobId Id) {
@@ -137,7 +151,8 @@
         if (draw(3) > 0)
           continue;
         m_Doomed.erase(Id);
-        m_Fleet.release(Id, !Doomed && Job.m_Spec.m_Checkpointable && Job.m_Modes.back() == ReclaimMode::Checkpoint);
+        m_Fleet.release(Id, !Doomed && Job.m_Spec.m_Checkpointable &&
+                                Job.m_Modes.back() == ReclaimMode::Checkpoint);
       } else if (!Job.m_Running) {
         m_Fleet.start(Id);
       } else if (draw(8) == 0) {
@@ -146,7 +161,8 @@
     }
   }
 
-  /// Brings everything back and cancels all jobs of a; its whole guarantee must then start within the bound.
+  /// Brings everything back and cancels all jobs of a; its whole guarantee must
+  /// then start within the bound.
   void checkClaim() {
     m_Fleet.feed(m_Config);
     while (!m_Fleet.m_Withdrawn.empty())
@@ -181,7 +197,8 @@
       }
     }
     BOOST_TEST(m_Fleet.m_Jobs[First].m_Placements == 1, m_Fleet.explain(First));
-    BOOST_TEST(m_Fleet.m_Jobs[Second].m_Placements == 1, m_Fleet.explain(Second));
+    BOOST_TEST(m_Fleet.m_Jobs[Second].m_Placements == 1,
+               m_Fleet.explain(Second));
   }
 
   FakeFleet m_Fleet;
@@ -194,15 +211,17 @@
 
 BOOST_AUTO_TEST_SUITE(RandomEventTest)
 
-// Guards against combinations of events that break what must always hold: whole gangs, capacity, claimable guarantees,
-// no start on workers out of use, at most one run of jobs that are not idempotent.
+// Guards against combinations of events that break what must always hold: whole
+// gangs, capacity, claimable guarantees, no start on workers out of use, at
+// most one run of jobs that are not idempotent.
 BOOST_AUTO_TEST_CASE(KeepsItsInvariantsUnderRandomEvents) {
   for (uint64_t Seed = 1; Seed <= 60; ++Seed) {
     BOOST_TEST_CONTEXT("seed " << Seed) { RandomRun(Seed).run(400); }
   }
 }
 
-// Guards against decisions that depend on the order of a hash table, which differs between two leaders.
+// Guards against decisions that depend on the order of a hash table, which
+// differs between two leaders.
 BOOST_AUTO_TEST_CASE(SameEventsGiveSameActions) {
   for (uint64_t Seed = 101; Seed <= 105; ++Seed) {
     RandomRun First(Seed);
--- a/tests/sched/SchedulerTest.cpp
+++ b/tests/sched/SchedulerTest.cpp
@@ -9,19 +9,24 @@
 // Guards against settings that would stop reclaim or retries being accepted.
 BOOST_AUTO_TEST_CASE(RefusesInvalidOptions) {
   const std::vector<std::function<void(SchedulerOptions &)>> Cases = {
-      [](auto &Options) { Options.m_PassInterval = -1ms; },       [](auto &Options) { Options.m_StopTime = 0ms; },
-      [](auto &Options) { Options.m_MaxFailures = 0; },           [](auto &Options) { Options.m_MaxSearches = 0; },
-      [](auto &Options) { Options.m_MaxQuarantinedShare = 1.5; }, [](auto &Options) { Options.m_RetryDelay = 0s; }};
+      [](auto &Options) { Options.m_PassInterval = -1ms; },
+      [](auto &Options) { Options.m_StopTime = 0ms; },
+      [](auto &Options) { Options.m_MaxFailures = 0; },
+      [](auto &Options) { Options.m_MaxSearches = 0; },
+      [](auto &Options) { Options.m_MaxQuarantinedShare = 1.5; },
+      [](auto &Options) { Options.m_RetryDelay = 0s; }};
   for (const auto &Change : Cases) {
     SchedulerOptions Options;
     Change(Options);
     const auto Result = Scheduler::create(Options);
     BOOST_REQUIRE(!Result.ok());
-    BOOST_TEST((layerErrorOf<SchedErrc>(Result.status()) == SchedErrc::InvalidOption));
+    BOOST_TEST(
+        (layerErrorOf<SchedErrc>(Result.status()) == SchedErrc::InvalidOption));
   }
 }
 
-// Guards against gangs spread over more VMs, racks or zones than they need, and against breaking up empty workers.
+// Guards against gangs spread over more VMs, racks or zones than they need, and
+// against breaking up empty workers.
 BOOST_AUTO_TEST_CASE(PlacesGangsTightly) {
   struct Case {
     int32_t m_Tasks;
@@ -30,11 +35,14 @@
     /// Number of VMs used; zero if the job must not be placed.
     size_t m_Vms;
   };
-  const Case Cases[] = {{8, Adjacency::Any, false, 1},  {16, Adjacency::Rack, true, 2}, {32, Adjacency::Any, false, 4},
-                        {24, Adjacency::Rack, true, 0}, {9, Adjacency::Vm, true, 0},    {9, Adjacency::Vm, false, 2},
-                        {64, Adjacency::Any, false, 8}, {65, Adjacency::Any, false, 0}};
+  const Case Cases[] = {
+      {8, Adjacency::Any, false, 1},  {16, Adjacency::Rack, true, 2},
+      {32, Adjacency::Any, false, 4}, {24, Adjacency::Rack, true, 0},
+      {9, Adjacency::Vm, true, 0},    {9, Adjacency::Vm, false, 2},
+      {64, Adjacency::Any, false, 8}, {65, Adjacency::Any, false, 0}};
   for (const Case &Each : Cases) {
-    BOOST_TEST_CONTEXT("tasks " << Each.m_Tasks << " adjacency " << static_cast<int>(Each.m_Adjacency)) {
+    BOOST_TEST_CONTEXT("tasks " << Each.m_Tasks << " adjacency "
+                                << static_cast<int>(Each.m_Adjacency)) {
       FakeFleet Fleet;
       Fleet.feed(twoWorkspaces(0));
       Fleet.addWorkers(8);
@@ -54,7 +62,8 @@
   BOOST_TEST((Fleet.vmsOf(First) == Fleet.vmsOf(Second)));
 }
 
-// Guards against impossible jobs that wait silently, and parked jobs that are forgotten when things change.
+// Guards against impossible jobs that wait silently, and parked jobs that are
+// forgotten when things change.
 BOOST_AUTO_TEST_CASE(ParksOrRefusesWhatCannotRun) {
   FakeFleet Fleet;
   ConfigurationChanged Config = twoWorkspaces(0);
@@ -67,9 +76,12 @@
   const JobId Empty = Fleet.submit(job("a", 1, 0));
   const JobId Negative = Fleet.submit(job("a", -1, 1));
   Fleet.advance(5s);
-  BOOST_TEST(Fleet.m_Jobs[TooLarge].m_LastReason.find("even when empty") != std::string::npos);
-  BOOST_TEST(Fleet.m_Jobs[OverQuota].m_LastReason.find("quota of workspace b") != std::string::npos);
-  BOOST_TEST(Fleet.m_Jobs[Unknown].m_LastReason.find("not in the configuration") != std::string::npos);
+  BOOST_TEST(Fleet.m_Jobs[TooLarge].m_LastReason.find("even when empty") !=
+             std::string::npos);
+  BOOST_TEST(Fleet.m_Jobs[OverQuota].m_LastReason.find(
+                 "quota of workspace b") != std::string::npos);
+  BOOST_TEST(Fleet.m_Jobs[Unknown].m_LastReason.find(
+                 "not in the configuration") != std::string::npos);
   BOOST_TEST((Fleet.m_Jobs[Empty].m_Over && Fleet.m_Jobs[Negative].m_Over));
   BOOST_TEST(Fleet.m_Scheduler.counts().m_Parked == 3);
   BOOST_TEST(Fleet.explain(TooLarge).find("parked") != std::string::npos);
@@ -83,7 +95,8 @@
   Config.m_Workspaces.push_back({WorkspaceId("c"), {}, {}});
   Fleet.feed(Config);
   Fleet.advance(1s);
-  BOOST_TEST((Fleet.m_Jobs[OverQuota].m_Placed && Fleet.m_Jobs[Unknown].m_Placed));
+  BOOST_TEST(
+      (Fleet.m_Jobs[OverQuota].m_Placed && Fleet.m_Jobs[Unknown].m_Placed));
 }
 
 // Guards against a workspace going beyond its quota by many small jobs.
@@ -106,7 +119,8 @@
   BOOST_TEST(Fleet.m_Scheduler.counts().m_Placed == 4);
 }
 
-// Guards against urgent work waiting behind long batch work beyond its 5.5 s, also if checkpoints are not answered.
+// Guards against urgent work waiting behind long batch work beyond its 5.5 s,
+// also if checkpoints are not answered.
 BOOST_AUTO_TEST_CASE(UrgentWorkDisplacesBatchWithinItsBound) {
   for (const bool Answers : {true, false}) {
     FakeFleet Fleet;
@@ -123,7 +137,8 @@
     BOOST_REQUIRE(Fleet.m_Jobs[Batch].m_Reclaiming);
     if (!Answers) {
       Fleet.advance(3s);
-      const std::vector<ReclaimMode> Steps = {ReclaimMode::Checkpoint, ReclaimMode::Throttle, ReclaimMode::Stop};
+      const std::vector<ReclaimMode> Steps = {
+          ReclaimMode::Checkpoint, ReclaimMode::Throttle, ReclaimMode::Stop};
       BOOST_TEST((Fleet.m_Jobs[Batch].m_Modes == Steps));
     }
     Fleet.advance(900ms);
@@ -141,7 +156,9 @@
   std::vector<std::pair<TimePoint, JobId>> Running;
   JobSpec Large = job("a", 2, 8);
   JobId Waiting;
-  for (int Second = 0; Second < 3 * 3600 && !(Waiting.value() > 0 && Fleet.m_Jobs[Waiting].m_Placed); Second += 10) {
+  for (int Second = 0; Second < 3 * 3600 &&
+                       !(Waiting.value() > 0 && Fleet.m_Jobs[Waiting].m_Placed);
+       Second += 10) {
     Fleet.m_Now += 10s;
     if (Second == 300)
       Waiting = Fleet.submit(Large);
@@ -175,7 +192,8 @@
       const JobId Id(I + 1);
       Jobs.push_back(Id);
       Fleet.m_Jobs[Id].m_Spec = job("a", 1 + I % 40, 1);
-      Fleet.m_Scheduler.step(JobSubmitted{Id, Fleet.m_Jobs[Id].m_Spec}, Fleet.m_Now);
+      Fleet.m_Scheduler.step(JobSubmitted{Id, Fleet.m_Jobs[Id].m_Spec},
+                             Fleet.m_Now);
     }
     for (const JobId Id : Jobs)
       Fleet.m_Scheduler.step(JobCancelled{Id}, Fleet.m_Now);
@@ -185,8 +203,8 @@
   BOOST_TEST(Scanned[1] <= 4 * Scanned[0] + 400);
 }
 
-// Guards against lagging reports on gangs that have changed, and against a worker that hovers around its limit being
-// filled and emptied in turn.
+// Guards against lagging reports on gangs that have changed, and against a
+// worker that hovers around its limit being filled and emptied in turn.
 BOOST_AUTO_TEST_CASE(OveruseTakesRoomUntilItIsGoneForAMinute) {
   FakeFleet Fleet;
   Fleet.feed(twoWorkspaces(0));
@@ -218,18 +236,22 @@
   Pinned.m_Idempotent = false;
   const JobId Running = Fleet.submit(Pinned);
   Fleet.advance(100ms);
-  BOOST_TEST(Fleet.explain(Running).find("waits for all members") != std::string::npos);
+  BOOST_TEST(Fleet.explain(Running).find("waits for all members") !=
+             std::string::npos);
   Fleet.start(Running);
   BOOST_TEST(Fleet.explain(Running).find("has run for") != std::string::npos);
   const JobId Waiting = Fleet.submit(job("b", 1, 4));
   Fleet.advance(1s);
   BOOST_TEST(Fleet.explain(Waiting).find("more capacity") != std::string::npos);
   Fleet.feed(JobCancelled{Running});
-  BOOST_TEST(Fleet.explain(Running).find("does not run again") != std::string::npos);
-  BOOST_TEST(Fleet.explain(JobId(99)).find("sched: job 99") != std::string::npos);
+  BOOST_TEST(Fleet.explain(Running).find("does not run again") !=
+             std::string::npos);
+  BOOST_TEST(Fleet.explain(JobId(99)).find("sched: job 99") !=
+             std::string::npos);
 }
 
-// Guards against a new leader placing on workers that a running gang already uses, or running a job twice.
+// Guards against a new leader placing on workers that a running gang already
+// uses, or running a job twice.
 BOOST_AUTO_TEST_CASE(RebuildsFromRestoredJobs) {
   FakeFleet Fleet;
   Fleet.feed(twoWorkspaces(1));
@@ -237,9 +259,15 @@
   JobSpec Pinned = job("b", 1, 6);
   Pinned.m_Idempotent = false;
   Fleet.m_Jobs[JobId(70)].m_Spec = Pinned;
-  Fleet.feed(JobRestored{JobId(70), Pinned, RestoredPhase::Running, {{0, VmId("w0")}}, Fleet.m_Now, Fleet.m_Now});
+  Fleet.feed(JobRestored{JobId(70),
+                         Pinned,
+                         RestoredPhase::Running,
+                         {{0, VmId("w0")}},
+                         Fleet.m_Now,
+                         Fleet.m_Now});
   Fleet.m_Jobs[JobId(71)].m_Spec = job("a", 1, 8);
-  Fleet.feed(JobRestored{JobId(71), job("a", 1, 8), RestoredPhase::Queued, {}, Fleet.m_Now});
+  Fleet.feed(JobRestored{
+      JobId(71), job("a", 1, 8), RestoredPhase::Queued, {}, Fleet.m_Now});
   Fleet.advance(1s);
   BOOST_TEST((Fleet.vmsOf(JobId(71)) == std::set<VmId>{VmId("w1")}));
 }
