--- a/tests/state/ClaimTest.cpp
+++ b/tests/state/ClaimTest.cpp
@@ -25,31 +25,39 @@
   const CommandResult Resent = C.apply(openClaim("k", "m", "entry-1/1"));
   BOOST_TEST((Resent.claimState == ClaimState::GRANTED));
   BOOST_TEST(Resent.claimToken == First.claimToken);
-  // Another attempt of the same entry does not, and neither does one without an attempt id.
-  BOOST_TEST((C.apply(openClaim("k", "m", "entry-1/2")).claimState == ClaimState::HELD));
-  BOOST_TEST((C.apply(openClaim("k", "n", "entry-1/1")).claimState == ClaimState::HELD));
+  // Another attempt of the same entry does not, and neither does one without an
+  // attempt id.
+  BOOST_TEST((C.apply(openClaim("k", "m", "entry-1/2")).claimState ==
+              ClaimState::HELD));
+  BOOST_TEST((C.apply(openClaim("k", "n", "entry-1/1")).claimState ==
+              ClaimState::HELD));
   BOOST_TEST((C.apply(openClaim("k", "m")).claimState == ClaimState::HELD));
-  const CommandResult Reused = C.apply(openClaim("k", "m", "entry-1/1", "other"));
+  const CommandResult Reused =
+      C.apply(openClaim("k", "m", "entry-1/1", "other"));
   BOOST_TEST((Reused.status == CommandStatus::INVALID));
   BOOST_TEST(Reused.field == "requestDigest");
 }
 
-// Guards against a claim that an entry frees as never sent after another attempt was told its token and may have sent
-// it: the request would run twice (H6).
+// Guards against a claim that an entry frees as never sent after another
+// attempt was told its token and may have sent it: the request would run twice
+// (H6).
 BOOST_AUTO_TEST_CASE(ASharedTokenIsFreedByTheAgentOnly) {
   Cluster C;
   const CommandResult Granted = C.apply(openClaim("k", "m", "entry-1/1"));
-  anvil::wire::Command Close = closeClaim("k", Granted.claimToken, Outcome::NOT_RUN, "m");
+  anvil::wire::Command Close =
+      closeClaim("k", Granted.claimToken, Outcome::NOT_RUN, "m");
   const CommandResult Told = C.apply(openClaim("k", "n", "entry-2/1"));
   BOOST_TEST(Told.claimVm == "m");
   Close.closeClaim.neverSent = true;
   BOOST_TEST((C.apply(Close).status == CommandStatus::REFUSED));
   Close.closeClaim.neverSent = false;
   BOOST_TEST((C.apply(Close).status == CommandStatus::OK));
-  BOOST_TEST((C.apply(openClaim("k", "n", "entry-2/2")).claimState == ClaimState::GRANTED));
+  BOOST_TEST((C.apply(openClaim("k", "n", "entry-2/2")).claimState ==
+              ClaimState::GRANTED));
 }
 
-// Guards against outcomes that are lost, overwritten or accepted from whom they do not concern.
+// Guards against outcomes that are lost, overwritten or accepted from whom they
+// do not concern.
 BOOST_AUTO_TEST_CASE(OutcomesFollowTheRulesOfClaims) {
   struct Step {
     Outcome::type m_Outcome;
@@ -62,9 +70,13 @@
     Outcome::type m_Stored;
   };
   const std::vector<Case> Cases = {
-      {"completed", {{Outcome::COMPLETED, CommandStatus::OK}}, ClaimState::CLOSED, Outcome::COMPLETED},
+      {"completed",
+       {{Outcome::COMPLETED, CommandStatus::OK}},
+       ClaimState::CLOSED,
+       Outcome::COMPLETED},
       {"resent",
-       {{Outcome::COMPLETED, CommandStatus::OK}, {Outcome::COMPLETED, CommandStatus::OK}},
+       {{Outcome::COMPLETED, CommandStatus::OK},
+        {Outcome::COMPLETED, CommandStatus::OK}},
        ClaimState::CLOSED,
        Outcome::COMPLETED},
       {"completed never changes",
@@ -81,7 +93,8 @@
        ClaimState::CLOSED,
        Outcome::COMPLETED},
       {"not run frees the claim",
-       {{Outcome::NOT_RUN, CommandStatus::OK}, {Outcome::NOT_RUN, CommandStatus::NOT_FOUND}},
+       {{Outcome::NOT_RUN, CommandStatus::OK},
+        {Outcome::NOT_RUN, CommandStatus::NOT_FOUND}},
        ClaimState::GRANTED,
        Outcome::NOT_RUN},
       {"unknown to this version",
@@ -94,7 +107,8 @@
       Cluster C;
       const int64_t Token = C.apply(openClaim("k", "m")).claimToken;
       for (const Step &Next : Each.m_Steps)
-        BOOST_TEST((C.statusOf(closeClaim("k", Token, Next.m_Outcome, "m")) == Next.m_Expected));
+        BOOST_TEST((C.statusOf(closeClaim("k", Token, Next.m_Outcome, "m")) ==
+                    Next.m_Expected));
       const CommandResult Then = C.apply(openClaim("k", "n"));
       BOOST_TEST((Then.claimState == Each.m_Then));
       if (Each.m_Then == ClaimState::CLOSED)
@@ -110,25 +124,34 @@
   C.apply(closeClaim("k", Old, Outcome::NOT_RUN, "m"));
   const int64_t Token = C.apply(openClaim("k", "n")).claimToken;
   BOOST_TEST(Token > Old);
-  BOOST_TEST((C.statusOf(closeClaim("k", Old, Outcome::NOT_RUN, "m")) == CommandStatus::REFUSED));
-  BOOST_TEST((C.statusOf(closeClaim("k", Old, Outcome::NOT_RUN, "n")) == CommandStatus::REFUSED));
-  BOOST_TEST((C.statusOf(closeClaim("k", Token, Outcome::COMPLETED, "m")) == CommandStatus::REFUSED));
-  BOOST_TEST((C.statusOf(closeClaim("k", Token, Outcome::COMPLETED, "n", "ok", 2)) == CommandStatus::REFUSED));
+  BOOST_TEST((C.statusOf(closeClaim("k", Old, Outcome::NOT_RUN, "m")) ==
+              CommandStatus::REFUSED));
+  BOOST_TEST((C.statusOf(closeClaim("k", Old, Outcome::NOT_RUN, "n")) ==
+              CommandStatus::REFUSED));
+  BOOST_TEST((C.statusOf(closeClaim("k", Token, Outcome::COMPLETED, "m")) ==
+              CommandStatus::REFUSED));
+  BOOST_TEST((C.statusOf(closeClaim("k", Token, Outcome::COMPLETED, "n", "ok",
+                                    2)) == CommandStatus::REFUSED));
   BOOST_TEST((C.apply(openClaim("k", "m")).claimState == ClaimState::HELD));
 }
 
-// Guards against a retry that runs again because the agent was lost, and against losing the late result.
+// Guards against a retry that runs again because the agent was lost, and
+// against losing the late result.
 BOOST_AUTO_TEST_CASE(LossTurnsOpenClaimsIntoUnknown) {
-  const std::vector<anvil::wire::Command> Losses = {lose("m", 1), registerMinion("m", 2)};
+  const std::vector<anvil::wire::Command> Losses = {lose("m", 1),
+                                                    registerMinion("m", 2)};
   for (const anvil::wire::Command &Loss : Losses) {
     Cluster C;
     const int64_t Token = C.apply(openClaim("k", "m")).claimToken;
     const int64_t Done = C.apply(openClaim("done", "m")).claimToken;
     C.apply(closeClaim("done", Done, Outcome::COMPLETED, "m"));
     C.apply(Loss);
-    BOOST_TEST((C.apply(openClaim("k", "n")).claimOutcome.outcome == Outcome::UNKNOWN));
-    BOOST_TEST((C.apply(openClaim("done", "n")).claimOutcome.outcome == Outcome::COMPLETED));
-    BOOST_TEST((C.statusOf(closeClaim("k", Token, Outcome::COMPLETED, "m", "late")) == CommandStatus::OK));
+    BOOST_TEST((C.apply(openClaim("k", "n")).claimOutcome.outcome ==
+                Outcome::UNKNOWN));
+    BOOST_TEST((C.apply(openClaim("done", "n")).claimOutcome.outcome ==
+                Outcome::COMPLETED));
+    BOOST_TEST((C.statusOf(closeClaim("k", Token, Outcome::COMPLETED, "m",
+                                      "late")) == CommandStatus::OK));
     BOOST_TEST(C.apply(openClaim("k", "n")).claimOutcome.body == "late");
   }
 }
@@ -137,7 +160,8 @@
 BOOST_AUTO_TEST_CASE(ClaimsNeedAUsableTarget) {
   Cluster C;
   BOOST_TEST((C.statusOf(openClaim("k", "nowhere")) == CommandStatus::REFUSED));
-  BOOST_TEST((C.statusOf(openClaim("k", "m", "", "d", 2)) == CommandStatus::REFUSED));
+  BOOST_TEST(
+      (C.statusOf(openClaim("k", "m", "", "d", 2)) == CommandStatus::REFUSED));
   C.apply(drain("m", true));
   BOOST_TEST((C.statusOf(openClaim("k", "m")) == CommandStatus::REFUSED));
   C.apply(zoneService("kochi", false, "r"));
@@ -145,7 +169,8 @@
   BOOST_TEST(!C.m_State.claim("k").has_value());
 }
 
-// Guards against claims that grow without bound, and against an outcome that is lost at the bound.
+// Guards against claims that grow without bound, and against an outcome that is
+// lost at the bound.
 BOOST_AUTO_TEST_CASE(NumberAndBytesAreBounded) {
   Cluster C;
   C.apply(applyConfig(2, documentText(2, "{claims: 2}")));
@@ -153,7 +178,8 @@
   C.apply(openClaim("k2", "m"));
   BOOST_TEST((C.statusOf(openClaim("k3", "m")) == CommandStatus::LIMIT));
   BOOST_TEST((C.apply(openClaim("k1", "n")).claimState == ClaimState::HELD));
-  const CommandResult Large = C.apply(closeClaim("k1", Token, Outcome::COMPLETED, "m", std::string(65'537, 'x')));
+  const CommandResult Large = C.apply(closeClaim(
+      "k1", Token, Outcome::COMPLETED, "m", std::string(65'537, 'x')));
   BOOST_TEST((Large.status == CommandStatus::OK));
   BOOST_TEST(Large.claimOutcome.body.empty());
   BOOST_TEST((Large.claimOutcome.outcome == Outcome::COMPLETED));
@@ -167,9 +193,11 @@
     if (Open.status != CommandStatus::OK)
       continue;
     ++Granted;
-    Bytes.apply(closeClaim(Id, Open.claimToken, Outcome::COMPLETED, "m", std::string(65'536, 'x')));
+    Bytes.apply(closeClaim(Id, Open.claimToken, Outcome::COMPLETED, "m",
+                           std::string(65'536, 'x')));
   }
-  // 15 whole responses fit into 1 MiB with their fixed part; the 16th would not.
+  // 15 whole responses fit into 1 MiB with their fixed part; the 16th would
+  // not.
   BOOST_TEST(Granted >= 15);
   BOOST_TEST(Bytes.m_State.counters().m_ClaimBytes <= 1 << 20);
 }
--- a/tests/state/ClusterTest.cpp
+++ b/tests/state/ClusterTest.cpp
@@ -11,7 +11,8 @@
 using anvil::wire::CommandResult;
 using anvil::wire::CommandStatus;
 
-std::string explain(const Cluster &C, const std::string &Kind, const std::string &Name) {
+std::string explain(const Cluster &C, const std::string &Kind,
+                    const std::string &Name) {
   return answerQuery(C.m_State, "explain/" + Kind, Name).json;
 }
 
@@ -19,7 +20,8 @@
 
 BOOST_AUTO_TEST_SUITE(ClusterTest)
 
-// Guards against a late registration or loss of an old incarnation that replaces the current one.
+// Guards against a late registration or loss of an old incarnation that
+// replaces the current one.
 BOOST_AUTO_TEST_CASE(OldIncarnationsChangeNothing) {
   Cluster C;
   C.apply(registerWorker("a", 5));
@@ -31,12 +33,15 @@
   BOOST_TEST((C.statusOf(lose("a", 5)) == CommandStatus::OK));
   BOOST_TEST((C.statusOf(lose("a", 5)) == CommandStatus::OK));
   BOOST_TEST(!C.m_State.mayStartOn(anvil::VmId("a"), 5));
-  BOOST_TEST((C.statusOf(registerWorker("a", 5, "kochi", 4)) == CommandStatus::INVALID));
-  BOOST_TEST((C.statusOf(registerWorker("a", 6, "kochi", 4)) == CommandStatus::OK));
+  BOOST_TEST((C.statusOf(registerWorker("a", 5, "kochi", 4)) ==
+              CommandStatus::INVALID));
+  BOOST_TEST(
+      (C.statusOf(registerWorker("a", 6, "kochi", 4)) == CommandStatus::OK));
   BOOST_TEST(C.m_State.mayStartOn(anvil::VmId("a"), 6));
 }
 
-// Guards against entries that route to a target after it left, or miss its return.
+// Guards against entries that route to a target after it left, or miss its
+// return.
 BOOST_AUTO_TEST_CASE(RoutesAndTheirVersionFollowEveryChange) {
   Cluster C;
   const auto Usable = [&C] {
@@ -63,7 +68,8 @@
       {registerMinion("m", 1), "mn", true},
       {registerMinion("m", 1), "mn", false},
       {registerMinion("m", 2), "mn", true},
-      {drain("a", true), "mn", false}, // a worker would not need a new version, but gets none
+      {drain("a", true), "mn",
+       false}, // a worker would not need a new version, but gets none
   };
   for (const Case &Each : Cases) {
     const int64_t Before = C.m_State.routeVersion();
@@ -74,7 +80,8 @@
   BOOST_TEST(C.m_State.drainingTargets().size() == 1U);
 }
 
-// Guards against a resent withdrawal that undoes the restore that came after it.
+// Guards against a resent withdrawal that undoes the restore that came after
+// it.
 BOOST_AUTO_TEST_CASE(ZoneRequestsAreIdempotent) {
   Cluster C;
   const CommandResult First = C.apply(zoneService("kochi", false, "req-1"));
@@ -85,17 +92,22 @@
   BOOST_TEST(Resent.index == First.index);
   BOOST_TEST(Resent.message == First.message);
   BOOST_TEST(C.m_State.withdrawnZones().empty());
-  BOOST_TEST((C.statusOf(zoneService("kochi", true, "req-1")) == CommandStatus::INVALID));
-  BOOST_TEST((C.statusOf(zoneService("kochi", true, "")) == CommandStatus::INVALID));
-  BOOST_TEST((C.statusOf(zoneService("atlantis", false, "req-3")) == CommandStatus::NOT_FOUND));
+  BOOST_TEST((C.statusOf(zoneService("kochi", true, "req-1")) ==
+              CommandStatus::INVALID));
+  BOOST_TEST(
+      (C.statusOf(zoneService("kochi", true, "")) == CommandStatus::INVALID));
+  BOOST_TEST((C.statusOf(zoneService("atlantis", false, "req-3")) ==
+              CommandStatus::NOT_FOUND));
 }
 
-// Guards against a withdrawn zone that returns to service because the configuration dropped it for a while.
+// Guards against a withdrawn zone that returns to service because the
+// configuration dropped it for a while.
 BOOST_AUTO_TEST_CASE(WithdrawnZoneSurvivesConfigurationChanges) {
   Cluster C;
   const auto WithZone = [](int64_t Version) {
     std::string Text = documentText(Version);
-    return Text.insert(Text.find("  - {name: kollam"), "  - {name: alappuzha, region: kerala}\n");
+    return Text.insert(Text.find("  - {name: kollam"),
+                       "  - {name: alappuzha, region: kerala}\n");
   };
   C.apply(applyConfig(2, WithZone(2)));
   C.apply(zoneService("kollam", false, "r"));
@@ -105,26 +117,33 @@
   BOOST_TEST(C.m_State.withdrawnZones().size() == 2U);
   C.apply(zoneService("alappuzha", true, "r2"));
   C.apply(applyConfig(5, documentText(5)));
-  // In service and without targets, so the configuration was the last to name it.
-  BOOST_TEST((C.statusOf(zoneService("alappuzha", false, "r3")) == CommandStatus::NOT_FOUND));
+  // In service and without targets, so the configuration was the last to name
+  // it.
+  BOOST_TEST((C.statusOf(zoneService("alappuzha", false, "r3")) ==
+              CommandStatus::NOT_FOUND));
 }
 
-// Guards against a configuration that reverts, or two operators who both believe they won (H9).
+// Guards against a configuration that reverts, or two operators who both
+// believe they won (H9).
 BOOST_AUTO_TEST_CASE(ConfigurationRacesHaveOneWinner) {
   Cluster C;
   const std::string Base = documentText(5);
   const std::string Rival = documentText(5, "{claims: 7}");
   const CommandResult First = C.apply(applyConfig(5, Base, "asha"));
   BOOST_TEST((First.status == CommandStatus::OK));
-  const CommandResult Resent = C.apply(applyConfig(5, "# sent again\n" + Base, "asha"));
+  const CommandResult Resent =
+      C.apply(applyConfig(5, "# sent again\n" + Base, "asha"));
   BOOST_TEST((Resent.status == CommandStatus::OK));
   BOOST_TEST(Resent.index == First.index);
   const CommandResult Lost = C.apply(applyConfig(5, Rival, "binu"));
   BOOST_TEST((Lost.status == CommandStatus::CONFLICT));
   BOOST_TEST(Lost.winner == "asha");
-  BOOST_TEST((C.statusOf(applyConfig(4, documentText(4))) == CommandStatus::REFUSED));
-  BOOST_TEST((C.statusOf(applyConfig(6, documentText(6), "binu")) == CommandStatus::OK));
-  // A resend that arrives after a newer version still gets the first response and changes nothing.
+  BOOST_TEST(
+      (C.statusOf(applyConfig(4, documentText(4))) == CommandStatus::REFUSED));
+  BOOST_TEST((C.statusOf(applyConfig(6, documentText(6), "binu")) ==
+              CommandStatus::OK));
+  // A resend that arrives after a newer version still gets the first response
+  // and changes nothing.
   BOOST_TEST(C.apply(applyConfig(5, Base, "asha")).index == First.index);
   BOOST_TEST(C.m_State.configuration().m_Version == 6);
   BOOST_TEST(C.m_State.configuration().m_OperatorId == "binu");
@@ -133,9 +152,12 @@
 // Guards against a wrong or foreign document in force.
 BOOST_AUTO_TEST_CASE(WrongDocumentsAreRefused) {
   Cluster C;
-  const CommandResult Faulty = C.apply(applyConfig(2, "environment: production\nversion: two\n"));
+  const CommandResult Faulty =
+      C.apply(applyConfig(2, "environment: production\nversion: two\n"));
   BOOST_TEST((Faulty.status == CommandStatus::INVALID));
-  BOOST_TEST(Faulty.message.find("document:2: version: must be a whole number [wrong-type]") != std::string::npos);
+  BOOST_TEST(Faulty.message.find(
+                 "document:2: version: must be a whole number [wrong-type]") !=
+             std::string::npos);
   BOOST_TEST(C.apply(applyConfig(3, documentText(2))).field == "version");
   anvil::wire::Command Digest = applyConfig(2, documentText(2));
   Digest.applyConfig.digest = "00";
@@ -146,10 +168,12 @@
   anvil::wire::Command Promoted = applyConfig(2, Text);
   Promoted.applyConfig.promotedFrom = "trial";
   BOOST_TEST((C.statusOf(Promoted) == CommandStatus::OK));
-  BOOST_TEST(C.m_State.configuration().m_Digest == anvil::config::contentDigest(*C.m_State.document()));
+  BOOST_TEST(C.m_State.configuration().m_Digest ==
+             anvil::config::contentDigest(*C.m_State.document()));
 }
 
-// Guards against a scheduler that is not told what happened, or in the wrong order.
+// Guards against a scheduler that is not told what happened, or in the wrong
+// order.
 BOOST_AUTO_TEST_CASE(EventsFollowTheCommands) {
   Cluster C;
   std::vector<std::string> Seen;
@@ -170,12 +194,14 @@
   C.apply(cancel(Job));
   C.m_NowUs += 71 * Second;
   C.apply(expireLeases(Job, {0}));
-  const std::vector<std::string> Expected = {"reserved",  "starting", "running",  "lost",
-                                             "releasing", "freed",    "cancelled"};
+  const std::vector<std::string> Expected = {"reserved", "starting",  "running",
+                                             "lost",     "releasing", "freed",
+                                             "cancelled"};
   BOOST_TEST(Seen == Expected, boost::test_tools::per_element());
 }
 
-// Guards against a replayed entry, an empty or an ambiguous command that changes the state.
+// Guards against a replayed entry, an empty or an ambiguous command that
+// changes the state.
 BOOST_AUTO_TEST_CASE(MalformedCommandsAreInvalid) {
   Cluster C;
   BOOST_TEST((C.statusOf(anvil::wire::Command()) == CommandStatus::INVALID));
@@ -183,7 +209,8 @@
   Two.__set_cancelJob(anvil::wire::CancelJob());
   BOOST_TEST((C.statusOf(Two) == CommandStatus::INVALID));
   const std::string Before = C.m_State.snapshot();
-  BOOST_TEST((C.m_State.apply(drain("a", true), C.m_Index).status == CommandStatus::INVALID));
+  BOOST_TEST((C.m_State.apply(drain("a", true), C.m_Index).status ==
+              CommandStatus::INVALID));
   BOOST_TEST((C.m_State.snapshot() == Before));
 }
 
@@ -202,7 +229,8 @@
   const int64_t Job = C.apply(submit(1)).jobId;
   for (int I = 0; I < 20; ++I) {
     C.apply(place(Job, {"a"}));
-    C.apply(report("a", Job, 0, C.job(Job).m_StartToken, anvil::wire::TaskState::REFUSED));
+    C.apply(report("a", Job, 0, C.job(Job).m_StartToken,
+                   anvil::wire::TaskState::REFUSED));
   }
   BOOST_TEST(C.job(Job).m_History.size() == 24U);
   BOOST_TEST(C.job(Job).m_History.front().m_Reason == "submitted");
@@ -214,33 +242,55 @@
   const int64_t Job = C.running({"a", "c"}, submit(2));
   C.apply(lose("c", 1));
   const std::string Id = std::to_string(Job);
-  BOOST_TEST(explain(C, "job", Id).find("is releasing: VM c was lost: no heartbeat.") != std::string::npos);
-  BOOST_TEST(explain(C, "job", Id).find("Task 1 was lost with VM c") != std::string::npos);
-  BOOST_TEST(explain(C, "vm", "c").find("It takes no new work because it is lost.") != std::string::npos);
-  BOOST_TEST(explain(C, "zone", "kollam").find("0 of its 1 targets take new work.") != std::string::npos);
-  BOOST_TEST(explain(C, "workspace", "sieving").find("holds 8 accelerators") != std::string::npos);
-  BOOST_TEST(answerQuery(C.m_State, "config", "").json.find("\"operator\":\"asha\"") != std::string::npos);
-  BOOST_TEST(answerQuery(C.m_State, "status", "").json.find("\"lost\":1") != std::string::npos);
-  BOOST_TEST(answerQuery(C.m_State, "job", Id).json.find("\"phase\":\"releasing\"") != std::string::npos);
+  BOOST_TEST(explain(C, "job", Id)
+                 .find("is releasing: VM c was lost: no heartbeat.") !=
+             std::string::npos);
+  BOOST_TEST(explain(C, "job", Id).find("Task 1 was lost with VM c") !=
+             std::string::npos);
+  BOOST_TEST(
+      explain(C, "vm", "c").find("It takes no new work because it is lost.") !=
+      std::string::npos);
+  BOOST_TEST(
+      explain(C, "zone", "kollam").find("0 of its 1 targets take new work.") !=
+      std::string::npos);
+  BOOST_TEST(explain(C, "workspace", "sieving").find("holds 8 accelerators") !=
+             std::string::npos);
+  BOOST_TEST(
+      answerQuery(C.m_State, "config", "").json.find("\"operator\":\"asha\"") !=
+      std::string::npos);
+  BOOST_TEST(answerQuery(C.m_State, "status", "").json.find("\"lost\":1") !=
+             std::string::npos);
+  BOOST_TEST(
+      answerQuery(C.m_State, "job", Id).json.find("\"phase\":\"releasing\"") !=
+      std::string::npos);
   C.apply(submit(1));
   const std::string Page = answerQuery(C.m_State, "jobs", "limit=1").json;
   BOOST_TEST(Page.find("\"next\":" + Id) != std::string::npos);
-  BOOST_TEST(answerQuery(C.m_State, "jobs", "after=" + Id).json.find("\"phase\":\"queued\"") != std::string::npos);
+  BOOST_TEST(answerQuery(C.m_State, "jobs", "after=" + Id)
+                 .json.find("\"phase\":\"queued\"") != std::string::npos);
   struct Case {
     const char *m_Kind;
     const char *m_Argument;
     int32_t m_Expected;
   };
-  const std::vector<Case> Cases = {{"job", "x", 400},           {"job", "999", 404},        {"jobs", "limit=0", 400},
-                                   {"jobs", "colour=red", 400}, {"explain/vm", "z", 404},   {"explain/job", "999", 404},
-                                   {"explain/moon", "1", 400},  {"explain/zone", "z", 404}, {"nothing", "", 400}};
+  const std::vector<Case> Cases = {
+      {"job", "x", 400},          {"job", "999", 404},
+      {"jobs", "limit=0", 400},   {"jobs", "colour=red", 400},
+      {"explain/vm", "z", 404},   {"explain/job", "999", 404},
+      {"explain/moon", "1", 400}, {"explain/zone", "z", 404},
+      {"nothing", "", 400}};
   for (const Case &Each : Cases)
-    BOOST_TEST(answerQuery(C.m_State, Each.m_Kind, Each.m_Argument).httpStatus == Each.m_Expected);
-  BOOST_TEST(serviceConfigs(*C.m_State.document())[0].classes[0].queueLimit == 9);
-  BOOST_TEST((serviceConfigs(*C.m_State.document())[0].classes[0].urgency == anvil::wire::Urgency::URGENT));
+    BOOST_TEST(
+        answerQuery(C.m_State, Each.m_Kind, Each.m_Argument).httpStatus ==
+        Each.m_Expected);
+  BOOST_TEST(serviceConfigs(*C.m_State.document())[0].classes[0].queueLimit ==
+             9);
+  BOOST_TEST((serviceConfigs(*C.m_State.document())[0].classes[0].urgency ==
+              anvil::wire::Urgency::URGENT));
 }
 
-// Guards against a history that misses who applied or promoted a version, or that grows without bound.
+// Guards against a history that misses who applied or promoted a version, or
+// that grows without bound.
 BOOST_AUTO_TEST_CASE(ConfigHistoryListsTheNewestVersionsFirst) {
   Cluster C;
   Command Promoted = applyConfig(2, documentText(2), "bruce");
@@ -248,16 +298,23 @@
   const CommandResult Applied = C.apply(Promoted);
   const std::string History = answerQuery(C.m_State, "config-history", "").json;
   BOOST_TEST(History.starts_with("[{\"version\":2,\"digest\":\""), History);
-  BOOST_TEST((History.find("\"operator\":\"bruce\"") != std::string::npos), History);
-  BOOST_TEST((History.find("\"promotedFrom\":\"trial@abc\"") != std::string::npos), History);
-  BOOST_TEST((History.find("\"index\":" + std::to_string(Applied.index)) != std::string::npos), History);
+  BOOST_TEST((History.find("\"operator\":\"bruce\"") != std::string::npos),
+             History);
+  BOOST_TEST(
+      (History.find("\"promotedFrom\":\"trial@abc\"") != std::string::npos),
+      History);
+  BOOST_TEST((History.find("\"index\":" + std::to_string(Applied.index)) !=
+              std::string::npos),
+             History);
   for (int64_t Version = 3; Version <= 1030; ++Version)
     C.apply(applyConfig(Version, documentText(Version)));
   BOOST_TEST(C.m_State.configHistory(5000).size() == 1024U);
   BOOST_TEST(C.m_State.configHistory(7).size() == 7U);
   BOOST_TEST(C.m_State.configHistory(7).front().m_Version == 1030);
   for (const char *Wrong : {"0", "1025", "-1", "many"})
-    BOOST_TEST(answerQuery(C.m_State, "config-history", Wrong).httpStatus == 400, Wrong);
+    BOOST_TEST(answerQuery(C.m_State, "config-history", Wrong).httpStatus ==
+                   400,
+               Wrong);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/state/JobTest.cpp
+++ b/tests/state/JobTest.cpp
@@ -21,7 +21,8 @@
 
 BOOST_AUTO_TEST_SUITE(JobTest)
 
-// Guards against a gang of which one member starts before all are prepared, or that never starts.
+// Guards against a gang of which one member starts before all are prepared, or
+// that never starts.
 BOOST_AUTO_TEST_CASE(GangStartsOnlyWhenAllArePreparedAndCompletesAsAWhole) {
   Cluster C;
   const int64_t Job = C.placed({"a", "b"});
@@ -45,7 +46,8 @@
   BOOST_TEST(C.m_State.heldBy(anvil::WorkspaceId("sieving")).accelerators == 0);
 }
 
-// Guards against a task that ends before its RUNNING report was seen and blocks the gang.
+// Guards against a task that ends before its RUNNING report was seen and blocks
+// the gang.
 BOOST_AUTO_TEST_CASE(TaskThatSucceedsBeforeItsRunningReportCounts) {
   Cluster C;
   const int64_t Job = C.placed({"a", "b"});
@@ -54,8 +56,9 @@
   BOOST_TEST(C.phase(Job) == "completed");
 }
 
-// Guards against a gang that stays partly reserved or partly running after one member failed, and against a job that
-// is not idempotent being run twice (H2, H6).
+// Guards against a gang that stays partly reserved or partly running after one
+// member failed, and against a job that is not idempotent being run twice (H2,
+// H6).
 BOOST_AUTO_TEST_CASE(OneFailedMemberReleasesTheWholeGang) {
   struct Case {
     const char *m_What;
@@ -68,13 +71,43 @@
   const std::vector<Case> Cases = {
       {"refuses to prepare", false, {}, REFUSED, STOPPED, "queued"},
       {"fails to prepare", false, {}, FAILED, STOPPED, "queued"},
-      {"refuses to start, other refuses", false, {PREPARED}, REFUSED, REFUSED, "queued"},
-      {"refuses to start, other may have run", false, {PREPARED}, REFUSED, STOPPED, "outcome_unknown"},
-      {"refuses to start, idempotent", true, {PREPARED}, REFUSED, STOPPED, "queued"},
+      {"refuses to start, other refuses",
+       false,
+       {PREPARED},
+       REFUSED,
+       REFUSED,
+       "queued"},
+      {"refuses to start, other may have run",
+       false,
+       {PREPARED},
+       REFUSED,
+       STOPPED,
+       "outcome_unknown"},
+      {"refuses to start, idempotent",
+       true,
+       {PREPARED},
+       REFUSED,
+       STOPPED,
+       "queued"},
       {"fails at start", false, {PREPARED}, FAILED, REFUSED, "outcome_unknown"},
-      {"fails while running", true, {PREPARED, RUNNING}, FAILED, STOPPED, "queued"},
-      {"fails while running, not idempotent", false, {PREPARED, RUNNING}, FAILED, STOPPED, "outcome_unknown"},
-      {"a refusal after running proves nothing", false, {PREPARED, RUNNING}, STOPPED, REFUSED, "outcome_unknown"},
+      {"fails while running",
+       true,
+       {PREPARED, RUNNING},
+       FAILED,
+       STOPPED,
+       "queued"},
+      {"fails while running, not idempotent",
+       false,
+       {PREPARED, RUNNING},
+       FAILED,
+       STOPPED,
+       "outcome_unknown"},
+      {"a refusal after running proves nothing",
+       false,
+       {PREPARED, RUNNING},
+       STOPPED,
+       REFUSED,
+       "outcome_unknown"},
   };
   for (const Case &Each : Cases) {
     BOOST_TEST_CONTEXT(Each.m_What) {
@@ -95,7 +128,8 @@
   }
 }
 
-// Guards against late reports of an earlier attempt, another VM or an old incarnation that move the new attempt.
+// Guards against late reports of an earlier attempt, another VM or an old
+// incarnation that move the new attempt.
 BOOST_AUTO_TEST_CASE(LateReportsChangeNothing) {
   Cluster C;
   const int64_t Job = C.placed({"a", "b"});
@@ -107,7 +141,8 @@
   C.apply(report("a", Job, 0, OldToken, PREPARED));
   C.apply(report("a", Job, 1, Token, PREPARED)); // member 1 is on b
   C.apply(report("b", Job, 7, Token, PREPARED));
-  BOOST_TEST((C.statusOf(report("b", Job, 1, Token, PREPARED, 9)) == CommandStatus::REFUSED));
+  BOOST_TEST((C.statusOf(report("b", Job, 1, Token, PREPARED, 9)) ==
+              CommandStatus::REFUSED));
   BOOST_TEST(C.phase(Job) == "reserved");
   for (const MemberView &Member : C.job(Job).m_Members)
     BOOST_TEST(std::string(nameOf(Member.m_Phase)) == "reserved");
@@ -129,13 +164,15 @@
   BOOST_TEST((C.statusOf(place(Job, {"a", "b"})) == CommandStatus::REFUSED));
 }
 
-// Guards against a loss between prepare and start, or while running, that leaves members or restarts them too early.
+// Guards against a loss between prepare and start, or while running, that
+// leaves members or restarts them too early.
 BOOST_AUTO_TEST_CASE(LossReleasesTheGangAndWaitsForTheLease) {
   Cluster C;
   const int64_t Reserved = C.placed({"a", "b"});
   C.apply(report("a", Reserved, 0, C.job(Reserved).m_StartToken, PREPARED));
   C.apply(lose("b", 1));
-  BOOST_TEST(C.phase(Reserved) == "queued"); // nothing had started, so nothing is left to wait for
+  BOOST_TEST(C.phase(Reserved) ==
+             "queued"); // nothing had started, so nothing is left to wait for
 
   C.apply(registerWorker("b", 2));
   C.apply(cancel(Reserved));
@@ -147,7 +184,8 @@
   BOOST_TEST((C.statusOf(place(Job, {"a", "b"})) == CommandStatus::REFUSED));
   BOOST_TEST((C.statusOf(expireLeases(Job, {1})) == CommandStatus::REFUSED));
   BOOST_TEST(C.m_State.expiredLeases(C.m_NowUs).empty());
-  // The new incarnation does not free the resources that the old task may still use.
+  // The new incarnation does not free the resources that the old task may still
+  // use.
   C.apply(registerWorker("c", 2, "kollam"));
   BOOST_TEST(C.usedOn("c") == 4);
   BOOST_TEST(C.orders("c") == Orders{});
@@ -163,7 +201,8 @@
   BOOST_TEST((C.statusOf(Command) == CommandStatus::OK)); // a resend
 }
 
-// Guards against a lease bound that differs from the design page: 10% for clock rates and 5 s to stop.
+// Guards against a lease bound that differs from the design page: 10% for clock
+// rates and 5 s to stop.
 BOOST_AUTO_TEST_CASE(LeaseOfALostTaskIsTheDeclaredOneWithMargin) {
   Cluster C;
   const int64_t Job = C.running({"a"}, submit(1));
@@ -171,13 +210,15 @@
   BOOST_TEST(C.job(Job).m_Members[0].m_LeaseEndsUs == C.m_NowUs + 71 * Second);
 }
 
-// Guards against an incarnation that comes back after a partition and waits although it can prove the end of its task.
+// Guards against an incarnation that comes back after a partition and waits
+// although it can prove the end of its task.
 BOOST_AUTO_TEST_CASE(ReturningIncarnationReportsTheEndOfItsTask) {
   Cluster C;
   const int64_t Job = C.running({"a"}, submit(1));
   const int64_t Token = C.job(Job).m_StartToken;
   C.apply(lose("a", 1));
-  BOOST_TEST((C.statusOf(report("a", Job, 0, Token, STOPPED)) == CommandStatus::REFUSED));
+  BOOST_TEST((C.statusOf(report("a", Job, 0, Token, STOPPED)) ==
+              CommandStatus::REFUSED));
   C.apply(registerWorker("a", 1));
   BOOST_TEST(C.orders("a") == Orders{std::to_string(Job) + "/0 STOP"});
   C.apply(report("a", Job, 0, Token, STOPPED));
@@ -197,8 +238,22 @@
     bool m_Checkpointed;
   };
   const std::vector<Case> Cases = {
-      {"cancelled", false, true, {}, "STOP", {STOPPED, STOPPED}, "cancelled", false},
-      {"cancelled too late", false, true, {}, "STOP", {SUCCEEDED, SUCCEEDED}, "completed", false},
+      {"cancelled",
+       false,
+       true,
+       {},
+       "STOP",
+       {STOPPED, STOPPED},
+       "cancelled",
+       false},
+      {"cancelled too late",
+       false,
+       true,
+       {},
+       "STOP",
+       {SUCCEEDED, SUCCEEDED},
+       "completed",
+       false},
       {"checkpointed",
        false,
        false,
@@ -223,7 +278,14 @@
        {CHECKPOINTED, STOPPED},
        "queued",
        false},
-      {"stopped", true, false, ReclaimMode::STOP, "STOP", {STOPPED, STOPPED}, "queued", false},
+      {"stopped",
+       true,
+       false,
+       ReclaimMode::STOP,
+       "STOP",
+       {STOPPED, STOPPED},
+       "queued",
+       false},
       {"refusals after running prove nothing",
        false,
        false,
@@ -232,15 +294,24 @@
        {REFUSED, REFUSED},
        "outcome_unknown",
        false},
-      {"stopped too late", true, false, ReclaimMode::STOP, "STOP", {SUCCEEDED, SUCCEEDED}, "completed", false},
+      {"stopped too late",
+       true,
+       false,
+       ReclaimMode::STOP,
+       "STOP",
+       {SUCCEEDED, SUCCEEDED},
+       "completed",
+       false},
   };
   for (const Case &Each : Cases) {
     BOOST_TEST_CONTEXT(Each.m_What) {
       Cluster C;
-      const int64_t Job = C.running({"a", "b"}, checkpointable(2, Each.m_Idempotent));
+      const int64_t Job =
+          C.running({"a", "b"}, checkpointable(2, Each.m_Idempotent));
       const int64_t Token = C.job(Job).m_StartToken;
       C.apply(Each.m_Cancel ? cancel(Job) : reclaim(Job, Each.m_Mode));
-      BOOST_TEST(C.orders("a") == Orders{std::to_string(Job) + "/0 " + Each.m_Order});
+      BOOST_TEST(C.orders("a") ==
+                 Orders{std::to_string(Job) + "/0 " + Each.m_Order});
       C.apply(report("a", Job, 0, Token, Each.m_Answers[0]));
       C.apply(report("b", Job, 1, Token, Each.m_Answers[1]));
       BOOST_TEST(C.phase(Job) == Each.m_Expected);
@@ -250,25 +321,32 @@
   }
 }
 
-// Guards against reclaim orders that could only destroy work, and against wrong escalation.
+// Guards against reclaim orders that could only destroy work, and against wrong
+// escalation.
 BOOST_AUTO_TEST_CASE(ReclaimFollowsTheKindOfJob) {
   Cluster C;
   const int64_t Fixed = C.running({"a"}, submit(1, false, "fixed"));
-  for (const ReclaimMode::type Mode : {ReclaimMode::CHECKPOINT, ReclaimMode::THROTTLE, ReclaimMode::STOP})
+  for (const ReclaimMode::type Mode :
+       {ReclaimMode::CHECKPOINT, ReclaimMode::THROTTLE, ReclaimMode::STOP})
     BOOST_TEST((C.statusOf(reclaim(Fixed, Mode)) == CommandStatus::REFUSED));
   const int64_t Plain = C.running({"b"}, submit(1));
-  BOOST_TEST((C.statusOf(reclaim(Plain, ReclaimMode::CHECKPOINT)) == CommandStatus::REFUSED));
-  BOOST_TEST((C.statusOf(reclaim(Plain, ReclaimMode::THROTTLE)) == CommandStatus::OK));
+  BOOST_TEST((C.statusOf(reclaim(Plain, ReclaimMode::CHECKPOINT)) ==
+              CommandStatus::REFUSED));
+  BOOST_TEST(
+      (C.statusOf(reclaim(Plain, ReclaimMode::THROTTLE)) == CommandStatus::OK));
   BOOST_TEST(C.orders("b") == Orders{std::to_string(Plain) + "/0 THROTTLE"});
   const int64_t Saved = C.running({"c"}, checkpointable(1, false));
   C.apply(reclaim(Saved, ReclaimMode::CHECKPOINT));
   C.apply(reclaim(Saved, ReclaimMode::STOP));
   BOOST_TEST(C.orders("c") == Orders{std::to_string(Saved) + "/0 STOP"});
-  // A reserved gang has not started, so even a job that is not idempotent returns to the queue.
+  // A reserved gang has not started, so even a job that is not idempotent
+  // returns to the queue.
   const int64_t Reserved = C.placed({"a"}, false);
-  BOOST_TEST((C.statusOf(reclaim(Reserved, ReclaimMode::STOP)) == CommandStatus::OK));
+  BOOST_TEST(
+      (C.statusOf(reclaim(Reserved, ReclaimMode::STOP)) == CommandStatus::OK));
   BOOST_TEST(C.phase(Reserved) == "queued");
-  BOOST_TEST((C.statusOf(reclaim(Reserved, ReclaimMode::STOP)) == CommandStatus::REFUSED));
+  BOOST_TEST((C.statusOf(reclaim(Reserved, ReclaimMode::STOP)) ==
+              CommandStatus::REFUSED));
 }
 
 // Guards against a lost response that makes a client submit or cancel twice.
@@ -285,7 +363,8 @@
   BOOST_TEST(C.m_State.counters().m_JobsSubmitted == 1);
 }
 
-// Guards against a job that is accepted although it can never run or breaks a bound.
+// Guards against a job that is accepted although it can never run or breaks a
+// bound.
 BOOST_AUTO_TEST_CASE(SubmissionsAreValidated) {
   struct Case {
     std::function<void(wire::SubmitJob &)> m_Break;
@@ -304,9 +383,14 @@
       {[](auto &S) { S.spec.deadlineMs = -1; }, "spec.deadlineMs"},
       {[](auto &S) { S.spec.estimateMs = -1; }, "spec.estimateMs"},
       {[](auto &S) { S.spec.name = std::string(129, 'n'); }, "spec.name"},
-      {[](auto &S) { S.spec.payload = std::string(65'537, 'p'); }, "spec.payload"},
-      {[](auto &S) { S.spec.urgency = static_cast<wire::Urgency::type>(7); }, "spec.urgency"},
-      {[](auto &S) { S.spec.adjacency = static_cast<wire::Adjacency::type>(0); }, "spec.adjacency"},
+      {[](auto &S) { S.spec.payload = std::string(65'537, 'p'); },
+       "spec.payload"},
+      {[](auto &S) { S.spec.urgency = static_cast<wire::Urgency::type>(7); },
+       "spec.urgency"},
+      {[](auto &S) {
+         S.spec.adjacency = static_cast<wire::Adjacency::type>(0);
+       },
+       "spec.adjacency"},
       {[](auto &S) { S.spec.idempotent = false; }, "submission_id"},
   };
   Cluster C;
@@ -314,7 +398,8 @@
     wire::Command Command = submit(1);
     Each.m_Break(Command.submitJob);
     const wire::CommandResult Result = C.apply(Command);
-    BOOST_TEST((Result.status == CommandStatus::INVALID), Each.m_Field << ": " << Result.message);
+    BOOST_TEST((Result.status == CommandStatus::INVALID),
+               Each.m_Field << ": " << Result.message);
     BOOST_TEST(Result.field == Each.m_Field);
   }
   C.apply(applyConfig(2, documentText(2, "{live_jobs: 1}")));
@@ -322,7 +407,8 @@
   BOOST_TEST((C.statusOf(submit(1)) == CommandStatus::LIMIT));
 }
 
-// Guards against a placement on what is no longer there, and against a partial one.
+// Guards against a placement on what is no longer there, and against a partial
+// one.
 BOOST_AUTO_TEST_CASE(PlacementsAreCheckedAgain) {
   struct Case {
     const char *m_What;
@@ -331,30 +417,48 @@
   };
   const std::vector<Case> Cases = {
       {"nothing wrong", [](auto &, auto &) {}, CommandStatus::OK},
-      {"partial", [](auto &, auto &P) { P.members.pop_back(); }, CommandStatus::INVALID},
-      {"task twice", [](auto &, auto &P) { P.members[1].taskIndex = 0; }, CommandStatus::INVALID},
-      {"task out of range", [](auto &, auto &P) { P.members[1].taskIndex = 2; }, CommandStatus::INVALID},
-      {"unknown job", [](auto &, auto &P) { P.jobId = 99; }, CommandStatus::NOT_FOUND},
-      {"unknown VM", [](auto &, auto &P) { P.members[1].vm = "z"; }, CommandStatus::REFUSED},
-      {"a minion", [](auto &, auto &P) { P.members[1].vm = "m"; }, CommandStatus::REFUSED},
-      {"old incarnation", [](auto &C, auto &) { C.apply(registerWorker("b", 2)); }, CommandStatus::REFUSED},
-      {"lost", [](auto &C, auto &) { C.apply(lose("b", 1)); }, CommandStatus::REFUSED},
-      {"draining", [](auto &C, auto &) { C.apply(drain("b", true)); }, CommandStatus::REFUSED},
-      {"quarantined", [](auto &C, auto &) { C.apply(quarantine("b", true)); }, CommandStatus::REFUSED},
-      {"zone withdrawn", [](auto &C, auto &) { C.apply(zoneService("kochi", false, "r")); }, CommandStatus::REFUSED},
+      {"partial", [](auto &, auto &P) { P.members.pop_back(); },
+       CommandStatus::INVALID},
+      {"task twice", [](auto &, auto &P) { P.members[1].taskIndex = 0; },
+       CommandStatus::INVALID},
+      {"task out of range", [](auto &, auto &P) { P.members[1].taskIndex = 2; },
+       CommandStatus::INVALID},
+      {"unknown job", [](auto &, auto &P) { P.jobId = 99; },
+       CommandStatus::NOT_FOUND},
+      {"unknown VM", [](auto &, auto &P) { P.members[1].vm = "z"; },
+       CommandStatus::REFUSED},
+      {"a minion", [](auto &, auto &P) { P.members[1].vm = "m"; },
+       CommandStatus::REFUSED},
+      {"old incarnation",
+       [](auto &C, auto &) { C.apply(registerWorker("b", 2)); },
+       CommandStatus::REFUSED},
+      {"lost", [](auto &C, auto &) { C.apply(lose("b", 1)); },
+       CommandStatus::REFUSED},
+      {"draining", [](auto &C, auto &) { C.apply(drain("b", true)); },
+       CommandStatus::REFUSED},
+      {"quarantined", [](auto &C, auto &) { C.apply(quarantine("b", true)); },
+       CommandStatus::REFUSED},
+      {"zone withdrawn",
+       [](auto &C, auto &) { C.apply(zoneService("kochi", false, "r")); },
+       CommandStatus::REFUSED},
       {"taken by another",
        [](auto &C, auto &) {
          C.placed({"b", "b"});
        },
        CommandStatus::REFUSED},
-      {"both on one VM", [](auto &, auto &P) { P.members[0].vm = P.members[1].vm = "a"; }, CommandStatus::OK},
+      {"both on one VM",
+       [](auto &, auto &P) { P.members[0].vm = P.members[1].vm = "a"; },
+       CommandStatus::OK},
       {"too much for one VM",
        [](auto &C, auto &P) {
          C.apply(registerWorker("d", 1, "kochi", 7));
          P.members[0].vm = P.members[1].vm = "d";
        },
        CommandStatus::REFUSED},
-      {"quota lowered", [](auto &C, auto &) { C.apply(applyConfig(2, documentText(2, "{}", 7))); },
+      {"quota lowered",
+       [](auto &C, auto &) {
+         C.apply(applyConfig(2, documentText(2, "{}", 7)));
+       },
        CommandStatus::REFUSED},
   };
   for (const Case &Each : Cases) {
@@ -376,10 +480,12 @@
   BOOST_TEST((C.statusOf(place(SameVm, {"c", "c"})) == CommandStatus::OK));
 }
 
-// Guards against a start on a VM that leaves between the reservation and the start (H3, H7).
+// Guards against a start on a VM that leaves between the reservation and the
+// start (H3, H7).
 BOOST_AUTO_TEST_CASE(LeavingTargetsReleaseReservedGangsAndKeepRunningOnes) {
-  const std::vector<wire::Command> Leavings = {drain("a", true), quarantine("a", true),
-                                               zoneService("kochi", false, "r")};
+  const std::vector<wire::Command> Leavings = {
+      drain("a", true), quarantine("a", true),
+      zoneService("kochi", false, "r")};
   for (const wire::Command &Leaving : Leavings) {
     Cluster C;
     const int64_t Running = C.running({"a"}, submit(1));
--- a/tests/state/RandomTest.cpp
+++ b/tests/state/RandomTest.cpp
@@ -15,10 +15,12 @@
 const std::vector<std::string> Workers = {"w0", "w1", "w2", "w3", "w4", "w5"};
 const std::vector<std::string> Minions = {"m0", "m1"};
 
-// Draws commands that are mostly meaningful in the current state and sometimes late, repeated or wrong.
+// Draws commands that are mostly meaningful in the current state and sometimes
+// late, repeated or wrong.
 class CommandSource {
 public:
-  CommandSource(uint64_t Seed, const ClusterState &State) : m_Random(Seed), m_State(State) {}
+  CommandSource(uint64_t Seed, const ClusterState &State)
+      : m_Random(Seed), m_State(State) {}
 
   wire::Command next() {
     if (!m_Sent.empty() && chance(5))
@@ -71,14 +73,17 @@
 
   wire::Command drawReport() {
     const std::string &Vm = worker();
-    const std::vector<wire::Assignment> Wanted = m_State.assignmentsFor(VmId(Vm));
+    const std::vector<wire::Assignment> Wanted =
+        m_State.assignmentsFor(VmId(Vm));
     if (Wanted.empty())
-      return report(Vm, liveJob(), 0, 1, wire::TaskState::RUNNING, incarnation(Vm));
+      return report(Vm, liveJob(), 0, 1, wire::TaskState::RUNNING,
+                    incarnation(Vm));
     const wire::Assignment &Task = Wanted[pick(Wanted.size())];
     wire::TaskState::type State = answerTo(Task.order);
     if (chance(8))
       State = static_cast<wire::TaskState::type>(1 + pick(7));
-    return report(Vm, Task.jobId, Task.taskIndex, Task.startToken, State, incarnation(Vm));
+    return report(Vm, Task.jobId, Task.taskIndex, Task.startToken, State,
+                  incarnation(Vm));
   }
 
   wire::TaskState::type answerTo(wire::TaskOrder::type Order) {
@@ -94,7 +99,8 @@
   wire::Command drawPlacement() {
     const int64_t Id = liveJob();
     const auto View = m_State.job(anvil::JobId(Id));
-    std::vector<std::string> Vms(View ? static_cast<size_t>(View->m_Spec.tasks) : 1);
+    std::vector<std::string> Vms(View ? static_cast<size_t>(View->m_Spec.tasks)
+                                      : 1);
     wire::Command Command = place(Id, Vms);
     for (wire::MemberPlacement &Member : Command.placeJob.members) {
       Member.vm = worker();
@@ -111,7 +117,9 @@
     // A long queue would make almost every command meet a job that only waits.
     if (m_State.counters().m_QueuedJobs > 10)
       return drawPlacement();
-    wire::Command Command = submit(1 + static_cast<int32_t>(pick(4)), chance(50), "s" + std::to_string(m_Random()), 2);
+    wire::Command Command =
+        submit(1 + static_cast<int32_t>(pick(4)), chance(50),
+               "s" + std::to_string(m_Random()), 2);
     Command.submitJob.spec.checkpointable = chance(30);
     return Command;
   }
@@ -120,12 +128,14 @@
     const std::string Id = "k" + std::to_string(pick(8));
     const std::string &Vm = minion();
     if (chance(50))
-      return openClaim(Id, Vm, chance(70) ? "e" + std::to_string(pick(4)) : "", "d", incarnation(Vm));
+      return openClaim(Id, Vm, chance(70) ? "e" + std::to_string(pick(4)) : "",
+                       "d", incarnation(Vm));
     if (chance(10))
       return expireClaims(static_cast<int64_t>(pick(20'000)) * Second);
     const auto Known = m_State.claim(Id);
     const auto Outcome = static_cast<wire::Outcome::type>(1 + pick(3));
-    return closeClaim(Id, Known ? Known->claimToken : 1, Outcome, Vm, std::to_string(m_Random()), incarnation(Vm));
+    return closeClaim(Id, Known ? Known->claimToken : 1, Outcome, Vm,
+                      std::to_string(m_Random()), incarnation(Vm));
   }
 
   wire::Command drawTarget() {
@@ -133,7 +143,8 @@
     const std::string Zone = Vm.back() % 2 == 0 ? "kochi" : "kollam";
     const int64_t Incarnation = incarnation(Vm) + (chance(10) ? 1 : 0);
     if (chance(75))
-      return Vm[0] == 'w' ? registerWorker(Vm, Incarnation, Zone) : registerMinion(Vm, Incarnation, Zone);
+      return Vm[0] == 'w' ? registerWorker(Vm, Incarnation, Zone)
+                          : registerMinion(Vm, Incarnation, Zone);
     return chance(60) ? lose(Vm, Incarnation) : drain(Vm, chance(30));
   }
 
@@ -142,14 +153,18 @@
     case 0:
       return cancel(liveJob());
     case 1:
-      return reclaim(liveJob(), static_cast<wire::ReclaimMode::type>(1 + pick(3)));
+      return reclaim(liveJob(),
+                     static_cast<wire::ReclaimMode::type>(1 + pick(3)));
     case 2:
       return quarantine(worker(), chance(30));
     case 3:
       return zoneService(zone(), chance(80), "r" + std::to_string(pick(1'000)));
     case 4: {
-      const int64_t Version = m_State.configuration().m_Version + static_cast<int64_t>(pick(3)) - 1;
-      return applyConfig(Version, documentText(Version, chance(50) ? "{}" : "{claims: 6}"), chance(50) ? "x" : "y");
+      const int64_t Version =
+          m_State.configuration().m_Version + static_cast<int64_t>(pick(3)) - 1;
+      return applyConfig(
+          Version, documentText(Version, chance(50) ? "{}" : "{claims: 6}"),
+          chance(50) ? "x" : "y");
     }
     default:
       return expireLeases(liveJob(), {0, 1, 2, 3});
@@ -164,7 +179,8 @@
 // Checks after every command what must always hold.
 class Invariants {
 public:
-  void check(const ClusterState &State, const wire::Command &Command, const wire::CommandResult &Result) {
+  void check(const ClusterState &State, const wire::Command &Command,
+             const wire::CommandResult &Result) {
     checkGangs(State);
     checkCapacity(State);
     checkClaims(State, Command, Result);
@@ -179,36 +195,44 @@
     case JobPhase::Reserved:
       return Task == TaskPhase::Reserved || Task == TaskPhase::Prepared;
     case JobPhase::Starting:
-      return Task == TaskPhase::Starting || Task == TaskPhase::Running || Task == TaskPhase::Succeeded;
+      return Task == TaskPhase::Starting || Task == TaskPhase::Running ||
+             Task == TaskPhase::Succeeded;
     case JobPhase::Running:
       return Task == TaskPhase::Running || Task == TaskPhase::Succeeded;
     case JobPhase::Releasing:
-      return Task == TaskPhase::Stopping || Task == TaskPhase::Lost || Task == TaskPhase::Succeeded ||
-             Task == TaskPhase::Released;
+      return Task == TaskPhase::Stopping || Task == TaskPhase::Lost ||
+             Task == TaskPhase::Succeeded || Task == TaskPhase::Released;
     default:
       return false; // a job in any other phase has no members
     }
   }
 
-  // H2: a gang is placed as a whole, and START orders exist for all of its members or for none.
+  // H2: a gang is placed as a whole, and START orders exist for all of its
+  // members or for none.
   void checkGangs(const ClusterState &State) {
     m_Used.clear();
     for (const anvil::JobId Id : State.liveJobs()) {
       const JobView View = *State.job(Id);
       const bool Placed = View.m_Phase != JobPhase::Queued;
-      BOOST_REQUIRE_EQUAL(View.m_Members.size(), Placed ? static_cast<size_t>(View.m_Spec.tasks) : 0U);
+      BOOST_REQUIRE_EQUAL(View.m_Members.size(),
+                          Placed ? static_cast<size_t>(View.m_Spec.tasks) : 0U);
       for (const MemberView &Member : View.m_Members) {
         BOOST_REQUIRE_MESSAGE(allowed(View.m_Phase, Member.m_Phase),
-                              "job " << Id << " " << nameOf(View.m_Phase) << " has a task " << nameOf(Member.m_Phase));
+                              "job " << Id << " " << nameOf(View.m_Phase)
+                                     << " has a task "
+                                     << nameOf(Member.m_Phase));
         if (Member.m_Phase != TaskPhase::Released)
           m_Used[Member.m_Vm.str()] += View.m_Spec.perTask.accelerators;
       }
-      // H6: a job that ran and can neither be repeated nor resumed is never offered again.
+      // H6: a job that ran and can neither be repeated nor resumed is never
+      // offered again.
       const bool Once = !View.m_Spec.idempotent && !View.m_Spec.checkpointable;
       if (Once && View.m_Phase == JobPhase::Running)
         m_Ran.insert(Id.value());
-      const bool Offered = View.m_Phase == JobPhase::Queued || View.m_Phase == JobPhase::Reserved;
-      BOOST_REQUIRE_MESSAGE(!Offered || !m_Ran.contains(Id.value()), "job " << Id << " may run twice");
+      const bool Offered = View.m_Phase == JobPhase::Queued ||
+                           View.m_Phase == JobPhase::Reserved;
+      BOOST_REQUIRE_MESSAGE(!Offered || !m_Ran.contains(Id.value()),
+                            "job " << Id << " may run twice");
     }
   }
 
@@ -219,24 +243,31 @@
       if (!View)
         continue;
       BOOST_REQUIRE_EQUAL(View->m_Used.accelerators, m_Used[Vm]);
-      BOOST_REQUIRE_LE(View->m_Used.accelerators, View->m_Info.capacity.accelerators);
+      BOOST_REQUIRE_LE(View->m_Used.accelerators,
+                       View->m_Info.capacity.accelerators);
       Held += View->m_Used.accelerators;
     }
-    BOOST_REQUIRE_EQUAL(State.heldBy(anvil::WorkspaceId("sieving")).accelerators, Held);
+    BOOST_REQUIRE_EQUAL(
+        State.heldBy(anvil::WorkspaceId("sieving")).accelerators, Held);
     BOOST_REQUIRE_LE(Held, 64);
   }
 
-  // At most one open grant for each claim, and a completed outcome stays until it expires.
-  void checkClaims(const ClusterState &State, const wire::Command &Command, const wire::CommandResult &Result) {
+  // At most one open grant for each claim, and a completed outcome stays until
+  // it expires.
+  void checkClaims(const ClusterState &State, const wire::Command &Command,
+                   const wire::CommandResult &Result) {
     if (Command.__isset.openClaim && Result.status == CommandStatus::OK) {
       const std::string &Id = Command.openClaim.claimId;
       if (Result.claimState == wire::ClaimState::GRANTED && m_Open.contains(Id))
         BOOST_REQUIRE_EQUAL(m_Open[Id], Result.claimToken);
       if (Result.claimState == wire::ClaimState::GRANTED) {
-        BOOST_REQUIRE_MESSAGE(!m_Completed.contains(Id), "claim " << Id << " was granted after it completed");
+        BOOST_REQUIRE_MESSAGE(!m_Completed.contains(Id),
+                              "claim " << Id
+                                       << " was granted after it completed");
         m_Open[Id] = Result.claimToken;
       }
-      if (Result.claimState == wire::ClaimState::CLOSED && m_Completed.contains(Id))
+      if (Result.claimState == wire::ClaimState::CLOSED &&
+          m_Completed.contains(Id))
         BOOST_REQUIRE_EQUAL(Result.claimOutcome.body, m_Completed[Id]);
     }
     if (Command.__isset.closeClaim && Result.status == CommandStatus::OK) {
@@ -246,8 +277,11 @@
         m_Completed.emplace(Outcome.claimId, Outcome.body);
     }
     if (Command.__isset.expireClaims)
-      std::erase_if(m_Completed, [&](const auto &Each) { return !State.claim(Each.first).has_value(); });
-    checkOpenClaims(State, Command.__isset.loseTarget || Command.__isset.registerTarget);
+      std::erase_if(m_Completed, [&](const auto &Each) {
+        return !State.claim(Each.first).has_value();
+      });
+    checkOpenClaims(State, Command.__isset.loseTarget ||
+                               Command.__isset.registerTarget);
   }
 
   // Only its own closing or the loss of its target ends an open claim.
@@ -256,7 +290,8 @@
       const auto Stored = State.claim(Next->first);
       BOOST_REQUIRE(Stored.has_value());
       BOOST_REQUIRE_EQUAL(Stored->claimToken, Next->second);
-      const bool Lost = TargetMayBeLost && Stored->claimState == wire::ClaimState::CLOSED;
+      const bool Lost =
+          TargetMayBeLost && Stored->claimState == wire::ClaimState::CLOSED;
       if (Lost) {
         BOOST_REQUIRE((Stored->claimOutcome.outcome == wire::Outcome::UNKNOWN));
       } else {
@@ -283,8 +318,9 @@
 
 BOOST_AUTO_TEST_SUITE(RandomTest)
 
-// Guards against any sequence of commands that breaks an invariant, makes replicas differ, or gives a snapshot from
-// which a replica continues differently.
+// Guards against any sequence of commands that breaks an invariant, makes
+// replicas differ, or gives a snapshot from which a replica continues
+// differently.
 BOOST_AUTO_TEST_CASE(InvariantsHoldAndReplicasAgreeAfterEveryCommand) {
   constexpr int Commands = 15'000;
   constexpr int CommandsPerSnapshot = 250;
@@ -296,18 +332,24 @@
       Invariants Rules;
       int64_t NowUs = 0;
       for (int Index = 1; Index <= Commands; ++Index) {
-        wire::Command Command = Index == 1 ? applyConfig(1, documentText(1)) : Source.next();
+        wire::Command Command =
+            Index == 1 ? applyConfig(1, documentText(1)) : Source.next();
         NowUs += static_cast<int64_t>(1 + Source.pick(3)) * Second;
         Command.proposedAtUs = NowUs;
         const wire::CommandResult Result = Replica.apply(Command, Index);
-        BOOST_REQUIRE_MESSAGE(Other.apply(Command, Index) == Result, "replicas differ at command " << Index);
-        BOOST_TEST_CONTEXT("command " << Index) { Rules.check(Replica, Command, Result); }
+        BOOST_REQUIRE_MESSAGE(Other.apply(Command, Index) == Result,
+                              "replicas differ at command " << Index);
+        BOOST_TEST_CONTEXT("command " << Index) {
+          Rules.check(Replica, Command, Result);
+        }
         if (Index % CommandsPerSnapshot != 0)
           continue;
         const std::string Bytes = Replica.snapshot();
-        BOOST_REQUIRE_MESSAGE(Other.snapshot() == Bytes, "snapshots differ at command " << Index);
+        BOOST_REQUIRE_MESSAGE(Other.snapshot() == Bytes,
+                              "snapshots differ at command " << Index);
         Other = restored(Bytes);
-        BOOST_REQUIRE_MESSAGE(Other.snapshot() == Bytes, "the snapshot of a restored state differs");
+        BOOST_REQUIRE_MESSAGE(Other.snapshot() == Bytes,
+                              "the snapshot of a restored state differs");
       }
       // The sequence is worth its time only if it reaches every kind of end.
       const Counters Count = Replica.counters();
--- a/tests/state/StateFixture.h
+++ b/tests/state/StateFixture.h
@@ -14,14 +14,17 @@
 constexpr int64_t Second = 1'000'000;
 
 /// Returns the command with \p Body set.
-template <typename Payload> wire::Command wrap(void (wire::Command::*Set)(const Payload &), const Payload &Body) {
+template <typename Payload>
+wire::Command wrap(void (wire::Command::*Set)(const Payload &),
+                   const Payload &Body) {
   wire::Command Command;
   (Command.*Set)(Body);
   return Command;
 }
 
 /// Builders of commands with the fields that tests vary.
-inline wire::Command registerWorker(const std::string &Vm, int64_t Incarnation, const std::string &Zone = "kochi",
+inline wire::Command registerWorker(const std::string &Vm, int64_t Incarnation,
+                                    const std::string &Zone = "kochi",
                                     int32_t Accelerators = 8) {
   wire::RegisterTarget Body;
   Body.target.vm = Vm;
@@ -36,7 +39,8 @@
   return wrap(&wire::Command::__set_registerTarget, Body);
 }
 
-inline wire::Command registerMinion(const std::string &Vm, int64_t Incarnation, const std::string &Zone = "kochi") {
+inline wire::Command registerMinion(const std::string &Vm, int64_t Incarnation,
+                                    const std::string &Zone = "kochi") {
   wire::Command Command = registerWorker(Vm, Incarnation, Zone, 0);
   Command.registerTarget.target.kind = wire::TargetKind::MINION;
   Command.registerTarget.target.serviceName = "shellgrit";
@@ -67,7 +71,8 @@
   return wrap(&wire::Command::__set_setWorkerAside, Body);
 }
 
-inline wire::Command zoneService(const std::string &Zone, bool InService, const std::string &RequestId) {
+inline wire::Command zoneService(const std::string &Zone, bool InService,
+                                 const std::string &RequestId) {
   wire::SetZoneService Body;
   Body.availabilityZone = Zone;
   Body.inService = InService;
@@ -76,18 +81,24 @@
   return wrap(&wire::Command::__set_setZoneService, Body);
 }
 
-inline std::string documentText(int64_t Version, const std::string &Limits = "{}", int Quota = 64) {
+inline std::string documentText(int64_t Version,
+                                const std::string &Limits = "{}",
+                                int Quota = 64) {
   return "environment: production\nversion: " + std::to_string(Version) +
-         "\navailability_zones:\n  - {name: kochi, region: kerala}\n  - {name: kollam, region: kerala}\n"
+         "\navailability_zones:\n  - {name: kochi, region: kerala}\n  - {name: "
+         "kollam, region: kerala}\n"
          "workspaces:\n  - {name: sieving, quota: {accelerators: " +
          std::to_string(Quota) +
-         ", cores: 512, memory_gib: 2048}}\nservices:\n  - name: shellgrit\n    slots: 8\n    connections: 64\n"
-         "    classes:\n      - {name: quote, urgency: urgent, deadline_ms: 2000, idempotent: true, queue_limit: 9}\n"
+         ", cores: 512, memory_gib: 2048}}\nservices:\n  - name: shellgrit\n   "
+         " slots: 8\n    connections: 64\n"
+         "    classes:\n      - {name: quote, urgency: urgent, deadline_ms: "
+         "2000, idempotent: true, queue_limit: 9}\n"
          "limits: " +
          Limits + "\n";
 }
 
-inline wire::Command applyConfig(int64_t Version, const std::string &Text, const std::string &Operator = "asha") {
+inline wire::Command applyConfig(int64_t Version, const std::string &Text,
+                                 const std::string &Operator = "asha") {
   wire::ApplyConfig Body;
   Body.version = Version;
   Body.document = Text;
@@ -96,7 +107,8 @@
   return wrap(&wire::Command::__set_applyConfig, Body);
 }
 
-inline wire::Command submit(int32_t Tasks, bool Idempotent = true, const std::string &SubmissionId = "",
+inline wire::Command submit(int32_t Tasks, bool Idempotent = true,
+                            const std::string &SubmissionId = "",
                             int32_t Accelerators = 4) {
   wire::SubmitJob Body;
   Body.submissionId = SubmissionId;
@@ -118,7 +130,8 @@
 }
 
 /// Places task I on the I-th VM, each with incarnation 1 unless given.
-inline wire::Command place(int64_t Job, const std::vector<std::string> &Vms, int64_t Incarnation = 1) {
+inline wire::Command place(int64_t Job, const std::vector<std::string> &Vms,
+                           int64_t Incarnation = 1) {
   wire::PlaceJob Body;
   Body.jobId = Job;
   Body.reason = "fits";
@@ -139,8 +152,9 @@
   return wrap(&wire::Command::__set_reclaimJob, Body);
 }
 
-inline wire::Command report(const std::string &Vm, int64_t Job, int32_t Task, int64_t Token,
-                            wire::TaskState::type State, int64_t Incarnation = 1) {
+inline wire::Command report(const std::string &Vm, int64_t Job, int32_t Task,
+                            int64_t Token, wire::TaskState::type State,
+                            int64_t Incarnation = 1) {
   wire::ReportTasks Body;
   Body.vm = Vm;
   Body.incarnation = Incarnation;
@@ -159,8 +173,10 @@
   return wrap(&wire::Command::__set_expireLeases, Body);
 }
 
-inline wire::Command openClaim(const std::string &Id, const std::string &Vm, const std::string &Attempt = "",
-                               const std::string &Digest = "d1", int64_t Incarnation = 1) {
+inline wire::Command openClaim(const std::string &Id, const std::string &Vm,
+                               const std::string &Attempt = "",
+                               const std::string &Digest = "d1",
+                               int64_t Incarnation = 1) {
   wire::OpenClaim Body;
   Body.claimId = Id;
   Body.vm = Vm;
@@ -171,8 +187,11 @@
   return wrap(&wire::Command::__set_openClaim, Body);
 }
 
-inline wire::Command closeClaim(const std::string &Id, int64_t Token, wire::Outcome::type Outcome,
-                                const std::string &Vm, const std::string &Body = "ok", int64_t Incarnation = 1) {
+inline wire::Command closeClaim(const std::string &Id, int64_t Token,
+                                wire::Outcome::type Outcome,
+                                const std::string &Vm,
+                                const std::string &Body = "ok",
+                                int64_t Incarnation = 1) {
   wire::CloseClaim Close;
   Close.vm = Vm;
   Close.incarnation = Incarnation;
@@ -190,7 +209,8 @@
   return wrap(&wire::Command::__set_expireClaims, Body);
 }
 
-/// A state with a configuration and workers a, b (kochi) and c (kollam), incarnation 1; time moves 1 s a command.
+/// A state with a configuration and workers a, b (kochi) and c (kollam),
+/// incarnation 1; time moves 1 s a command.
 class Cluster {
 public:
   Cluster() : m_State(*ClusterState::create()) {
@@ -208,17 +228,22 @@
     return m_State.apply(Command, ++m_Index);
   }
 
-  wire::CommandStatus::type statusOf(wire::Command Command) { return apply(std::move(Command)).status; }
+  wire::CommandStatus::type statusOf(wire::Command Command) {
+    return apply(std::move(Command)).status;
+  }
 
   /// Submits a gang on the VMs and places it; returns its number.
   int64_t placed(const std::vector<std::string> &Vms, bool Idempotent = true) {
-    return placed(Vms, submit(static_cast<int32_t>(Vms.size()), Idempotent, "s" + std::to_string(m_Index)));
+    return placed(Vms, submit(static_cast<int32_t>(Vms.size()), Idempotent,
+                              "s" + std::to_string(m_Index)));
   }
 
-  int64_t placed(const std::vector<std::string> &Vms, const wire::Command &Submission) {
+  int64_t placed(const std::vector<std::string> &Vms,
+                 const wire::Command &Submission) {
     const int64_t Job = apply(Submission).jobId;
     const wire::CommandResult Result = apply(place(Job, Vms));
-    BOOST_REQUIRE_MESSAGE(Result.status == wire::CommandStatus::OK, Result.message);
+    BOOST_REQUIRE_MESSAGE(Result.status == wire::CommandStatus::OK,
+                          Result.message);
     return Job;
   }
 
@@ -229,7 +254,8 @@
       apply(report(Member.m_Vm.str(), Job, Member.m_TaskIndex, Token, State));
   }
 
-  int64_t running(const std::vector<std::string> &Vms, const wire::Command &Submission) {
+  int64_t running(const std::vector<std::string> &Vms,
+                  const wire::Command &Submission) {
     const int64_t Job = placed(Vms, Submission);
     reportAll(Job, wire::TaskState::PREPARED);
     reportAll(Job, wire::TaskState::RUNNING);
@@ -238,14 +264,19 @@
   }
 
   JobView job(int64_t Job) const { return *m_State.job(JobId(Job)); }
-  std::string phase(int64_t Job) const { return std::string(nameOf(job(Job).m_Phase)); }
-  int32_t usedOn(const std::string &Vm) const { return m_State.target(VmId(Vm))->m_Used.accelerators; }
+  std::string phase(int64_t Job) const {
+    return std::string(nameOf(job(Job).m_Phase));
+  }
+  int32_t usedOn(const std::string &Vm) const {
+    return m_State.target(VmId(Vm))->m_Used.accelerators;
+  }
 
   /// Returns the orders for a VM, such as "7/0 START".
   std::vector<std::string> orders(const std::string &Vm) const {
     std::vector<std::string> Text;
     for (const wire::Assignment &Each : m_State.assignmentsFor(VmId(Vm))) {
-      Text.push_back(std::to_string(Each.jobId) + "/" + std::to_string(Each.taskIndex) + " " +
+      Text.push_back(std::to_string(Each.jobId) + "/" +
+                     std::to_string(Each.taskIndex) + " " +
                      wire::_TaskOrder_VALUES_TO_NAMES.at(Each.order));
     }
     return Text;
--- a/tests/store/FakeFileSystem.cpp
+++ b/tests/store/FakeFileSystem.cpp
@@ -6,12 +6,14 @@
 
 class FakeAppendFile : public AppendFile {
 public:
-  FakeAppendFile(FakeFileSystem &Owner, std::shared_ptr<FakeFileSystem::FileData> Data)
+  FakeAppendFile(FakeFileSystem &Owner,
+                 std::shared_ptr<FakeFileSystem::FileData> Data)
       : m_Owner(Owner), m_Data(std::move(Data)) {}
 
   absl::Status append(std::string_view Bytes) override {
     absl::Status Status = m_Owner.change();
-    m_Data->m_Content.append(Bytes.substr(0, Status.ok() ? Bytes.size() : Bytes.size() / 2));
+    m_Data->m_Content.append(
+        Bytes.substr(0, Status.ok() ? Bytes.size() : Bytes.size() / 2));
     return Status;
   }
 
@@ -29,7 +31,10 @@
 
 class FakeLock : public DirectoryLock {
 public:
-  explicit FakeLock(std::shared_ptr<bool> Locked) : m_Locked(std::move(Locked)) { *m_Locked = true; }
+  explicit FakeLock(std::shared_ptr<bool> Locked)
+      : m_Locked(std::move(Locked)) {
+    *m_Locked = true;
+  }
   ~FakeLock() override { *m_Locked = false; }
 
 private:
@@ -38,9 +43,12 @@
 
 } // namespace
 
-absl::Status FakeFileSystem::change() { return ++m_Changes == m_FailAfter ? m_Failure : absl::OkStatus(); }
+absl::Status FakeFileSystem::change() {
+  return ++m_Changes == m_FailAfter ? m_Failure : absl::OkStatus();
+}
 
-absl::StatusOr<std::unique_ptr<AppendFile>> FakeFileSystem::openAppend(const std::string &Name) {
+absl::StatusOr<std::unique_ptr<AppendFile>>
+FakeFileSystem::openAppend(const std::string &Name) {
   if (absl::Status Status = change(); !Status.ok())
     return Status;
   auto &Data = m_Files[Name];
@@ -65,7 +73,8 @@
   return absl::OkStatus();
 }
 
-absl::Status FakeFileSystem::rename(const std::string &From, const std::string &To) {
+absl::Status FakeFileSystem::rename(const std::string &From,
+                                    const std::string &To) {
   if (absl::Status Status = change(); !Status.ok())
     return Status;
   m_Files[To] = m_Files.at(From);
@@ -76,7 +85,8 @@
 absl::Status FakeFileSystem::remove(const std::string &Name) {
   if (absl::Status Status = change(); !Status.ok())
     return Status;
-  return m_Files.erase(Name) == 1 ? absl::OkStatus() : absl::NotFoundError(Name);
+  return m_Files.erase(Name) == 1 ? absl::OkStatus()
+                                  : absl::NotFoundError(Name);
 }
 
 absl::StatusOr<std::vector<std::string>> FakeFileSystem::list() {
@@ -95,14 +105,17 @@
 
 absl::StatusOr<std::unique_ptr<DirectoryLock>> FakeFileSystem::lock() {
   if (*m_Locked)
-    return absl::FailedPreconditionError("data folder is in use by another process");
+    return absl::FailedPreconditionError(
+        "data folder is in use by another process");
   return std::make_unique<FakeLock>(m_Locked);
 }
 
 void FakeFileSystem::crash(const std::function<size_t(size_t)> &Keep) {
   m_Files = m_DurableNames;
   for (auto &[Name, Data] : m_Files) {
-    const size_t Unsynced = Data->m_Content.size() - std::min(Data->m_SyncedBytes, Data->m_Content.size());
+    const size_t Unsynced =
+        Data->m_Content.size() -
+        std::min(Data->m_SyncedBytes, Data->m_Content.size());
     Data->m_Content.resize(Data->m_Content.size() - Unsynced + Keep(Unsynced));
     Data->m_SyncedBytes = Data->m_Content.size();
   }
--- a/tests/store/LogStoreTest.cpp
+++ b/tests/store/LogStoreTest.cpp
@@ -16,7 +16,8 @@
   LogEntry Entry;
   Entry.m_Index = Index;
   Entry.m_Term = Term;
-  Entry.m_Data = "command " + std::to_string(Index) + " of term " + std::to_string(Term);
+  Entry.m_Data =
+      "command " + std::to_string(Index) + " of term " + std::to_string(Term);
   return Entry;
 }
 
@@ -33,20 +34,26 @@
   Snapshot.m_Meta.m_Index = Index;
   Snapshot.m_Meta.m_Term = Term;
   Snapshot.m_Meta.m_Members.m_Voters = {raft::ReplicaId(1)};
-  Snapshot.m_Data = std::make_shared<const std::string>("state at " + std::to_string(Index));
+  Snapshot.m_Data =
+      std::make_shared<const std::string>("state at " + std::to_string(Index));
   return Snapshot;
 }
 
-absl::Status commitOne(LogStore &Store, const StoreBatch &Batch) { return Store.commit(std::span(&Batch, 1)); }
+absl::Status commitOne(LogStore &Store, const StoreBatch &Batch) {
+  return Store.commit(std::span(&Batch, 1));
+}
 
-std::unique_ptr<LogStore> mustOpen(FileSystem &Files, uint64_t SegmentBytes = 16u << 20) {
-  absl::StatusOr<std::unique_ptr<LogStore>> Store = LogStore::open({SegmentBytes}, Files);
+std::unique_ptr<LogStore> mustOpen(FileSystem &Files,
+                                   uint64_t SegmentBytes = 16u << 20) {
+  absl::StatusOr<std::unique_ptr<LogStore>> Store =
+      LogStore::open({SegmentBytes}, Files);
   BOOST_REQUIRE_MESSAGE(Store.ok(), Store.status().ToString());
   return *std::move(Store);
 }
 
 LogIndex lastIndex(const raft::RaftPersistentState &State) {
-  return State.m_Entries.empty() ? State.m_Snapshot.m_Meta.m_Index : State.m_Entries.back().m_Index;
+  return State.m_Entries.empty() ? State.m_Snapshot.m_Meta.m_Index
+                                 : State.m_Entries.back().m_Index;
 }
 
 std::string onlySegment(const FakeFileSystem &Files) {
@@ -58,7 +65,8 @@
 
 BOOST_AUTO_TEST_SUITE(LogStoreTest)
 
-// Guards against entries, election state or truncation being lost over a restart.
+// Guards against entries, election state or truncation being lost over a
+// restart.
 BOOST_AUTO_TEST_CASE(ReadsBackWhatWasCommitted) {
   FakeFileSystem Files;
   {
@@ -85,8 +93,8 @@
   BOOST_TEST((layerErrorOf<StoreErrc>(Second.status()) == StoreErrc::Locked));
 }
 
-// Guards against an acknowledged entry being lost, or the store not opening, after a crash at any write, with any part
-// of the unsynced bytes surviving.
+// Guards against an acknowledged entry being lost, or the store not opening,
+// after a crash at any write, with any part of the unsynced bytes surviving.
 BOOST_AUTO_TEST_CASE(KeepsEveryAcknowledgedEntryOverACrashAtAnyCall) {
   std::mt19937 Random(7);
   int Crashes = 0;
@@ -102,38 +110,47 @@
         if (!commitOne(*Store, appendBatch(I, I, 1)).ok())
           break;
         Acknowledged = I;
-        if (I % 5 == 0 && (!Store->saveSnapshot(snapshotAt(I, 1)).ok() || !Store->compactTo(I).ok()))
+        if (I % 5 == 0 && (!Store->saveSnapshot(snapshotAt(I, 1)).ok() ||
+                           !Store->compactTo(I).ok()))
           break;
       }
     }
-    Files.crash([&](size_t Unsynced) { return Unsynced ? Random() % (Unsynced + 1) : 0; });
+    Files.crash([&](size_t Unsynced) {
+      return Unsynced ? Random() % (Unsynced + 1) : 0;
+    });
     ++Crashes;
     auto Store = mustOpen(Files, 400);
-    BOOST_TEST(lastIndex(Store->takeRecovered()) >= Acknowledged, "lost entries when call " << FailAt << " failed");
+    BOOST_TEST(lastIndex(Store->takeRecovered()) >= Acknowledged,
+               "lost entries when call " << FailAt << " failed");
   }
   BOOST_TEST(Crashes == 89);
 }
 
-// Guards against a write after a failed sync being acknowledged although the kernel may have dropped earlier data.
+// Guards against a write after a failed sync being acknowledged although the
+// kernel may have dropped earlier data.
 BOOST_AUTO_TEST_CASE(RefusesEverythingAfterAFailedWrite) {
   struct Case {
     absl::Status m_Failure;
     StoreErrc m_Expected;
   };
-  for (const Case &Each : {Case{absl::ResourceExhaustedError("no space"), StoreErrc::Full},
-                           Case{absl::InternalError("input/output error"), StoreErrc::Io}}) {
+  for (const Case &Each :
+       {Case{absl::ResourceExhaustedError("no space"), StoreErrc::Full},
+        Case{absl::InternalError("input/output error"), StoreErrc::Io}}) {
     for (int FailAt : {1, 2}) { // the append, the sync
       FakeFileSystem Files;
       auto Store = mustOpen(Files);
       Files.m_Failure = Each.m_Failure;
       Files.m_FailAfter = Files.m_Changes + FailAt;
-      BOOST_TEST((layerErrorOf<StoreErrc>(commitOne(*Store, appendBatch(1, 1, 1))) == Each.m_Expected));
-      BOOST_TEST((layerErrorOf<StoreErrc>(commitOne(*Store, appendBatch(2, 2, 1))) == StoreErrc::Failed));
+      BOOST_TEST((layerErrorOf<StoreErrc>(commitOne(
+                      *Store, appendBatch(1, 1, 1))) == Each.m_Expected));
+      BOOST_TEST((layerErrorOf<StoreErrc>(commitOne(
+                      *Store, appendBatch(2, 2, 1))) == StoreErrc::Failed));
     }
   }
 }
 
-// Guards against damaged entries that were synced being dropped as if they were a cut-short write.
+// Guards against damaged entries that were synced being dropped as if they were
+// a cut-short write.
 BOOST_AUTO_TEST_CASE(RefusesDamageBeforeTheLastBlock) {
   FakeFileSystem Files;
   {
@@ -142,10 +159,13 @@
       BOOST_REQUIRE(commitOne(*Store, appendBatch(I, I, 1)).ok());
   }
   const std::string Name = onlySegment(Files);
-  Files.m_Files.at(Name)->m_Content[Files.m_Files.at(Name)->m_Content.size() / 2] ^= 1;
+  Files.m_Files.at(Name)
+      ->m_Content[Files.m_Files.at(Name)->m_Content.size() / 2] ^= 1;
   const auto Store = LogStore::open({}, Files);
   BOOST_TEST((layerErrorOf<StoreErrc>(Store.status()) == StoreErrc::Corrupt));
-  BOOST_TEST(std::string(Store.status().message()).find(Name) != std::string::npos, Store.status().ToString());
+  BOOST_TEST(std::string(Store.status().message()).find(Name) !=
+                 std::string::npos,
+             Store.status().ToString());
 }
 
 // Guards against a newer format being misread.
@@ -157,7 +177,8 @@
   BOOST_TEST((layerErrorOf<StoreErrc>(Store.status()) == StoreErrc::Format));
 }
 
-// Guards against an installed snapshot and the old log being mixed after a restart.
+// Guards against an installed snapshot and the old log being mixed after a
+// restart.
 BOOST_AUTO_TEST_CASE(InstalledSnapshotReplacesTheLog) {
   FakeFileSystem Files;
   {
@@ -175,8 +196,8 @@
   BOOST_TEST((State.m_Entries[0] == entry(21, 3)));
 }
 
-// Guards against a snapshot on disk whose term is above the recorded one, after a crash while it is installed: the
-// replica could not start from it.
+// Guards against a snapshot on disk whose term is above the recorded one, after
+// a crash while it is installed: the replica could not start from it.
 BOOST_AUTO_TEST_CASE(InstalledSnapshotNeverPrecedesItsTerm) {
   for (int FailAt = 1; FailAt < 12; ++FailAt) {
     FakeFileSystem Files;
@@ -191,11 +212,13 @@
     }
     Files.crash([](size_t) { return 0; });
     const raft::RaftPersistentState State = mustOpen(Files)->takeRecovered();
-    BOOST_TEST(State.m_Hard.m_Term >= State.m_Snapshot.m_Meta.m_Term, "call " << FailAt << " failed");
+    BOOST_TEST(State.m_Hard.m_Term >= State.m_Snapshot.m_Meta.m_Term,
+               "call " << FailAt << " failed");
   }
 }
 
-// Guards against a restart reading the whole history instead of a snapshot and the entries after it.
+// Guards against a restart reading the whole history instead of a snapshot and
+// the entries after it.
 BOOST_AUTO_TEST_CASE(CompactionBoundsWhatARestartReads) {
   FakeFileSystem Files;
   {
@@ -208,7 +231,8 @@
   auto Store = mustOpen(Files);
   const raft::RaftPersistentState State = Store->takeRecovered();
   BOOST_TEST(State.m_Snapshot.m_Meta.m_Index == 19900u);
-  BOOST_TEST(State.m_Entries.size() <= 2000u, State.m_Entries.size() << " entries read");
+  BOOST_TEST(State.m_Entries.size() <= 2000u, State.m_Entries.size()
+                                                  << " entries read");
   BOOST_TEST(lastIndex(State) == 20000u);
 }
 
--- a/tests/support/IoThread.h
+++ b/tests/support/IoThread.h
@@ -17,7 +17,8 @@
 
 namespace anvil::testing {
 
-/// Runs an io_context on a thread of its own, so that a test can talk to its servers with blocking calls.
+/// Runs an io_context on a thread of its own, so that a test can talk to its
+/// servers with blocking calls.
 class IoThread {
 public:
   ~IoThread() { stop(); }
@@ -50,7 +51,8 @@
   boost::asio::io_context m_Io;
 
 private:
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_Work{m_Io.get_executor()};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      m_Work{m_Io.get_executor()};
   std::thread m_Thread;
 };
 
@@ -62,7 +64,8 @@
   }
   Caller &send(std::string_view Bytes) {
     boost::system::error_code Ignored;
-    boost::asio::write(m_Socket, boost::asio::buffer(Bytes.data(), Bytes.size()), Ignored);
+    boost::asio::write(
+        m_Socket, boost::asio::buffer(Bytes.data(), Bytes.size()), Ignored);
     return *this;
   }
   Caller &finish() {
@@ -78,7 +81,8 @@
   }
   /// Returns all bytes up to and including \p End.
   std::string readUntil(const std::string &End) {
-    const size_t Size = boost::asio::read_until(m_Socket, boost::asio::dynamic_buffer(m_Read), End);
+    const size_t Size = boost::asio::read_until(
+        m_Socket, boost::asio::dynamic_buffer(m_Read), End);
     std::string Text = m_Read.substr(0, Size);
     m_Read.erase(0, Size);
     return Text;
--- a/tests/timeline/TimelineTest.cpp
+++ b/tests/timeline/TimelineTest.cpp
@@ -14,7 +14,8 @@
 
 BOOST_FIXTURE_TEST_SUITE(TimelineTest, Clocked)
 
-// Guards against an effect being shown before its cause when the clock of the receiver is behind.
+// Guards against an effect being shown before its cause when the clock of the
+// receiver is behind.
 BOOST_AUTO_TEST_CASE(KeepsCauseBeforeEffectAcrossClocks) {
   Recorder Sender = make("entry");
   Sender.record("entry.dispatched", {}, "sent");
@@ -23,14 +24,16 @@
   Recorder Receiver = make("agent");
   Receiver.clock().observe(Stamp, m_WallUs);
   Receiver.record("agent.started", {}, "received");
-  const std::vector<std::vector<Event>> Sources = {Receiver.select({}), Sender.select({})};
+  const std::vector<std::vector<Event>> Sources = {Receiver.select({}),
+                                                   Sender.select({})};
   const std::vector<Event> Merged = merge(Sources, 10);
   BOOST_REQUIRE(Merged.size() == 2u);
   BOOST_TEST(Merged[0].m_Process == "entry");
   BOOST_TEST(Merged[1].m_Process == "agent");
 }
 
-// Guards against one process with a wrong clock moving the stamps of all others.
+// Guards against one process with a wrong clock moving the stamps of all
+// others.
 BOOST_AUTO_TEST_CASE(IgnoresAStampFarAhead) {
   Recorder Own = make("control");
   Own.clock().observe({m_WallUs + 2 * HybridClock::MaxAheadUs, 0}, m_WallUs);
@@ -50,7 +53,8 @@
   BOOST_TEST(Own.dropped() == 2);
 }
 
-// Guards against each replica's record of one committed change being shown again.
+// Guards against each replica's record of one committed change being shown
+// again.
 BOOST_AUTO_TEST_CASE(ShowsReplicatedChangesOnce) {
   std::vector<std::vector<Event>> Sources;
   for (const char *Name : {"control-1", "control-2", "control-3"}) {
@@ -62,7 +66,8 @@
   BOOST_TEST(merge(Sources, 100).size() == 4u);
 }
 
-// Guards against a filter that lets other subjects through or loses matching events.
+// Guards against a filter that lets other subjects through or loses matching
+// events.
 BOOST_AUTO_TEST_CASE(SelectsBySubjectTimeAndLimit) {
   Recorder Own = make("agent");
   Own.record("a", {"1", "", "vm-1"}, "first");
@@ -82,7 +87,8 @@
   BOOST_TEST(Own.select(Newest).front().m_Text == "second");
 }
 
-// Guards against events changing on their way between processes, and against bad text being taken for events.
+// Guards against events changing on their way between processes, and against
+// bad text being taken for events.
 BOOST_AUTO_TEST_CASE(JsonRoundTrip) {
   Recorder Own = make("agent");
   Own.record("agent.x", {"1", "r\"2", "vm", "ws", "kochi"}, "text", 9);
@@ -91,7 +97,8 @@
   BOOST_REQUIRE(Back.ok());
   BOOST_TEST(toJson(*Back) == toJson(Events));
   BOOST_TEST(toText(Events) ==
-             "00:00:01.000000 agent agent.x job=1 request=r\"2 vm=vm workspace=ws zone=kochi: text\n");
+             "00:00:01.000000 agent agent.x job=1 request=r\"2 vm=vm "
+             "workspace=ws zone=kochi: text\n");
   for (const char *Bad : {"", "{}", "[1]", "[{]"})
     BOOST_TEST(!fromJson(Bad).ok(), Bad);
 }
