Split the carrying out of scheduler actions; wait for the processes that two system tests depend on

Causes: the disk test started its second process before the first one held the folder again, and the backup test used entry 2 while only entry 1 had heard from the restored group. Both now wait for the condition they rely on; their checks are unchanged. JSON of the configuration history uses snake_case.

--- a/src/control/SchedulerDriver.cpp
+++ b/src/control/SchedulerDriver.cpp
@@ -167,7 +167,7 @@
 void SchedulerDriver::end() {
   m_Scheduler.reset();
   m_Events.clear();
-  m_Refusals.clear();
+  m_Answers.clear();
   m_Actions.clear();
   m_Warnings.clear();
   m_Started.clear();
@@ -271,6 +271,85 @@
   }
 };
 
+// Carries out one action: most become a command, some stay on this replica.
+struct SchedulerDriver::Perform {
+  SchedulerDriver &m_Driver;
+  const state::ClusterState &m_State;
+  TimePoint m_Now;
+
+  void operator()(const sched::PlaceGang &Action) const {
+    wire::Command Command;
+    Command.__isset.placeJob = true;
+    Command.placeJob.jobId = Action.m_Job.value();
+    Command.placeJob.reason = Action.m_Reason;
+    for (const sched::MemberPlacement &Member : Action.m_Members)
+      Command.placeJob.members.push_back(memberOf(Member));
+    m_Driver.send(std::move(Command), Action.m_Job);
+  }
+  void operator()(const sched::ReclaimJob &Action) const {
+    wire::Command Command;
+    Command.__isset.reclaimJob = true;
+    Command.reclaimJob.jobId = Action.m_Job.value();
+    Command.reclaimJob.mode = modeOf(Action.m_Mode);
+    Command.reclaimJob.reason = Action.m_Reason;
+    Command.reclaimJob.byMs =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            Action.m_Deadline - m_Now)
+            .count();
+    m_Driver.send(std::move(Command), JobId());
+  }
+  void operator()(const sched::ParkJob &Action) const {
+    wire::Command Command;
+    Command.__isset.parkJob = true;
+    Command.parkJob.jobId = Action.m_Job.value();
+    Command.parkJob.reason = Action.m_Reason;
+    m_Driver.send(std::move(Command), JobId());
+  }
+  void operator()(const sched::GiveUpJob &Action) const {
+    wire::Command Command;
+    Command.__isset.failJob = true;
+    Command.failJob.jobId = Action.m_Job.value();
+    Command.failJob.reason = Action.m_Reason;
+    m_Driver.send(std::move(Command), JobId());
+  }
+  void operator()(const sched::QuarantineWorker &Action) const {
+    wire::Command Command;
+    Command.__isset.setWorkerAside = true;
+    Command.setWorkerAside.vm = Action.m_Vm.str();
+    Command.setWorkerAside.aside = Action.m_Quarantined;
+    Command.setWorkerAside.reason = Action.m_Reason;
+    m_Driver.send(std::move(Command), JobId());
+  }
+  // A worker has no self-test of its own; a live one is tried again, and
+  // failures quarantine it for longer.
+  void operator()(const sched::ProbeWorker &Action) const {
+    const std::optional<state::TargetView> Target = m_State.target(Action.m_Vm);
+    const bool Healthy = Target && Target->m_Phase == state::VmPhase::Up;
+    m_Driver.m_Answers.push_back(sched::ProbeEnded{Action.m_Vm, Healthy});
+  }
+  void operator()(const sched::WarnGuarantee &Action) const {
+    const std::string Key =
+        absl::StrCat(Action.m_Workspace.str(), "/", Action.m_Shape);
+    if (Action.m_Missing == 0)
+      m_Driver.m_Warnings.erase(Key);
+    else
+      m_Driver.m_Warnings[Key] = absl::StrCat(Key, ": ", Action.m_Missing,
+                                              " missing, ", Action.m_Reason);
+    LOG(WARNING) << "sched: guarantee " << Key
+                 << " missing=" << Action.m_Missing
+                 << " reason=" << Action.m_Reason;
+  }
+
+  wire::MemberPlacement memberOf(const sched::MemberPlacement &Member) const {
+    const std::optional<state::TargetView> Target = m_State.target(Member.m_Vm);
+    wire::MemberPlacement Wire;
+    Wire.taskIndex = Member.m_TaskIndex;
+    Wire.vm = Member.m_Vm.str();
+    Wire.incarnation = Target ? Target->m_Info.incarnation : 0;
+    return Wire;
+  }
+};
+
 void SchedulerDriver::feed(const sched::SchedulerEvent &Event, TimePoint Now) {
   for (sched::SchedulerAction &Action : m_Scheduler->step(Event, Now))
     m_Actions.push_back(std::move(Action));
@@ -282,14 +361,14 @@
   const std::vector<state::StateEvent> Events = std::exchange(m_Events, {});
   for (const state::StateEvent &Event : Events)
     std::visit(Translate{*this, State, Now}, Event);
-  const std::vector<sched::SchedulerEvent> Refusals =
-      std::exchange(m_Refusals, {});
-  for (const sched::SchedulerEvent &Event : Refusals)
+  const std::vector<sched::SchedulerEvent> Answers =
+      std::exchange(m_Answers, {});
+  for (const sched::SchedulerEvent &Event : Answers)
     feed(Event, Now);
   const std::vector<sched::SchedulerAction> Actions =
       std::exchange(m_Actions, {});
   for (const sched::SchedulerAction &Action : Actions)
-    propose(Action, State, Now);
+    std::visit(Perform{*this, State, Now}, Action);
 }
 
 void SchedulerDriver::tick(const state::ClusterState &State, TimePoint Now) {
@@ -300,75 +379,18 @@
   flush(State, Now);
 }
 
-void SchedulerDriver::propose(const sched::SchedulerAction &Action,
-                              const state::ClusterState &State, TimePoint Now) {
-  wire::Command Command;
-  JobId Job;
-  if (const auto *Place = std::get_if<sched::PlaceGang>(&Action)) {
-    Job = Place->m_Job;
-    Command.__isset.placeJob = true;
-    Command.placeJob.jobId = Job.value();
-    Command.placeJob.reason = Place->m_Reason;
-    for (const sched::MemberPlacement &Member : Place->m_Members) {
-      const std::optional<state::TargetView> Target = State.target(Member.m_Vm);
-      wire::MemberPlacement Wire;
-      Wire.taskIndex = Member.m_TaskIndex;
-      Wire.vm = Member.m_Vm.str();
-      Wire.incarnation = Target ? Target->m_Info.incarnation : 0;
-      Command.placeJob.members.push_back(std::move(Wire));
-    }
-  } else if (const auto *Reclaim = std::get_if<sched::ReclaimJob>(&Action)) {
-    Command.__isset.reclaimJob = true;
-    Command.reclaimJob.jobId = Reclaim->m_Job.value();
-    Command.reclaimJob.mode = modeOf(Reclaim->m_Mode);
-    Command.reclaimJob.reason = Reclaim->m_Reason;
-    Command.reclaimJob.byMs =
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            Reclaim->m_Deadline - Now)
-            .count();
-  } else if (const auto *Park = std::get_if<sched::ParkJob>(&Action)) {
-    Command.__isset.parkJob = true;
-    Command.parkJob.jobId = Park->m_Job.value();
-    Command.parkJob.reason = Park->m_Reason;
-  } else if (const auto *GiveUp = std::get_if<sched::GiveUpJob>(&Action)) {
-    Command.__isset.failJob = true;
-    Command.failJob.jobId = GiveUp->m_Job.value();
-    Command.failJob.reason = GiveUp->m_Reason;
-  } else if (const auto *Quarantine =
-                 std::get_if<sched::QuarantineWorker>(&Action)) {
-    Command.__isset.setWorkerAside = true;
-    Command.setWorkerAside.vm = Quarantine->m_Vm.str();
-    Command.setWorkerAside.aside = Quarantine->m_Quarantined;
-    Command.setWorkerAside.reason = Quarantine->m_Reason;
-  } else if (const auto *Probe = std::get_if<sched::ProbeWorker>(&Action)) {
-    // A worker has no self-test of its own; a live one is tried again, and
-    // failures quarantine it for longer.
-    const std::optional<state::TargetView> Target = State.target(Probe->m_Vm);
-    m_Refusals.push_back(sched::ProbeEnded{
-        Probe->m_Vm, Target && Target->m_Phase == state::VmPhase::Up});
-    return;
-  } else {
-    const auto &Warning = std::get<sched::WarnGuarantee>(Action);
-    const std::string Key =
-        absl::StrCat(Warning.m_Workspace.str(), "/", Warning.m_Shape);
-    if (Warning.m_Missing == 0)
-      m_Warnings.erase(Key);
-    else
-      m_Warnings[Key] = absl::StrCat(Key, ": ", Warning.m_Missing, " missing, ",
-                                     Warning.m_Reason);
-    LOG(WARNING) << "sched: guarantee " << Key
-                 << " missing=" << Warning.m_Missing
-                 << " reason=" << Warning.m_Reason;
-    return;
-  }
-  m_Propose(std::move(Command), [this, Job](const wire::CommandResult &Result) {
-    onRefused(Job, Result);
-  });
+// \p Placed is the job of a placement, which the scheduler must hear of if it
+// is refused.
+void SchedulerDriver::send(wire::Command Command, JobId Placed) {
+  m_Propose(std::move(Command),
+            [this, Placed](const wire::CommandResult &Result) {
+              onRefused(Placed, Result);
+            });
 }
 
 void SchedulerDriver::onRefused(JobId Job, const wire::CommandResult &Result) {
   if (m_Scheduler && Job != JobId())
-    m_Refusals.push_back(sched::PlacementRefused{Job, Result.message, VmId()});
+    m_Answers.push_back(sched::PlacementRefused{Job, Result.message, VmId()});
 }
 
 std::string SchedulerDriver::explain(JobId Job, TimePoint Now) const {
--- a/src/control/SchedulerDriver.h
+++ b/src/control/SchedulerDriver.h
@@ -45,16 +45,17 @@
 
 private:
   struct Translate;
+  struct Perform;
 
   void feed(const sched::SchedulerEvent &Event, TimePoint Now);
-  void propose(const sched::SchedulerAction &Action,
-               const state::ClusterState &State, TimePoint Now);
+  void send(wire::Command Command, JobId Placed);
   void onRefused(JobId Job, const wire::CommandResult &Result);
 
   Propose m_Propose;
   std::optional<sched::Scheduler> m_Scheduler;
   std::vector<state::StateEvent> m_Events;
-  std::vector<sched::SchedulerEvent> m_Refusals;
+  std::vector<sched::SchedulerEvent>
+      m_Answers; ///< Refusals and results of probes.
   std::vector<sched::SchedulerAction> m_Actions;
   std::set<JobId>
       m_Started; ///< Jobs whose present placement got its start token.
--- a/src/state/StateQuery.cpp
+++ b/src/state/StateQuery.cpp
@@ -215,7 +215,7 @@
                                     {"digest", Each.m_Digest},
                                     {"operator", Each.m_OperatorId},
                                     {"environment", Each.m_Environment},
-                                    {"promotedFrom", Each.m_PromotedFrom},
+                                    {"promoted_from", Each.m_PromotedFrom},
                                     {"index", Each.m_Index}});
   }
   return reply(HttpOk, Versions);
--- a/tests/state/ClusterTest.cpp
+++ b/tests/state/ClusterTest.cpp
@@ -301,7 +301,7 @@
   BOOST_TEST((History.find("\"operator\":\"bruce\"") != std::string::npos),
              History);
   BOOST_TEST(
-      (History.find("\"promotedFrom\":\"trial@abc\"") != std::string::npos),
+      (History.find("\"promoted_from\":\"trial@abc\"") != std::string::npos),
       History);
   BOOST_TEST((History.find("\"index\":" + std::to_string(Applied.index)) !=
               std::string::npos),
--- a/tests/system/backup_test.py
+++ b/tests/system/backup_test.py
@@ -62,7 +62,9 @@
     problems += [f"{key} ended {outcome}" for key, outcome in load.outcomes.items() if outcome != "completed"]
 
     restore_all(env)
-    wait_until(lambda: env.request(1, "quote", "quote").outcome == "completed", 20, "requests go on after the restore")
+    for entry in (1, 2):
+        wait_until(lambda number=entry: env.request(number, "quote", "quote").outcome == "completed", 20,
+                   f"requests go on through entry {entry} after the restore")
     after = accepted_state(env)
     problems += [f"{name} was {before[name]}, is {after[name]}" for name in before if before[name] != after[name]]
     again = reorders(env, 2)
--- a/tests/system/disk_test.py
+++ b/tests/system/disk_test.py
@@ -6,6 +6,7 @@
 import sys
 
 from harness import CONFIG, apply_version, call, main, wait_until
+from environment import accepts_connections
 
 SEGMENT_HEADER = 12
 BLOCK_HEADER = 24
@@ -117,6 +118,8 @@
     victim = next(number for number in (1, 2, 3) if number != env.leader())
     check_incomplete_write(env, victim, problems)
     check_changed_byte(env, victim, problems)
+    # The first process must hold its folder before the second one tries.
+    wait_until(lambda: accepts_connections(env.control_address(victim)), 15, f"control-{victim} runs again")
     wait_until(lambda: call(env.entry_address(1), "GET", "/readyz").status == 200, 15, "the group serves")
     check_second_process(env, victim, problems)
     apply_version(env, 3)
--- a/tests/system/operations_test.py
+++ b/tests/system/operations_test.py
@@ -51,7 +51,7 @@
         wait_until(lambda: ready(production), 15, "the entry of production is ready")
         history = production.ctl_json("config", "history")
     digest = env.ctl_json("config", "status")["digest"]
-    if [each["promotedFrom"] for each in history] != ["demo@" + digest]:
+    if [each["promoted_from"] for each in history] != ["demo@" + digest]:
         problems.append(f"the history after the promotion is {history}")
 
 
--- a/tools/lib/environment.py
+++ b/tools/lib/environment.py
@@ -60,6 +60,13 @@
     raise RuntimeError("no free ports")
 
 
+def accepts_connections(address):
+    """Returns true if a process listens on the address."""
+    host, port = address.split(":")
+    with socket.create_connection((host, int(port)), timeout=1):
+        return True
+
+
 def wait_until(condition, seconds, what):
     """Waits until condition() is true; errors of connections count as false. Raises TimeoutError with `what`."""
     end = time.monotonic() + seconds
