--- a/daemons/ControlMain.cpp
+++ b/daemons/ControlMain.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 int serve(anvil::control::ControlOptions Options) {
+  LOG(INFO) << "control: open files limit="
+            << anvil::daemon::raiseOpenFileLimit();
   boost::asio::io_context Io;
   anvil::control::fillProcessHooks(Options);
   int ExitCode = 0;
--- a/daemons/EntryMain.cpp
+++ b/daemons/EntryMain.cpp
@@ -22,6 +22,8 @@
     return *Code;
 
   daemon::startLogging(Arguments[0]);
+  LOG(INFO) << "entry: open files limit="
+            << anvil::daemon::raiseOpenFileLimit();
   boost::asio::io_context Io(1);
   auto Started =
       entry::Entry::create(Io, Options,
--- a/include/anvil/daemon/Process.h
+++ b/include/anvil/daemon/Process.h
@@ -46,6 +46,12 @@
   std::shared_ptr<Impl> m_Impl;
 };
 
+/// Raises the soft limit of open files to the hard limit. A control replica
+/// holds a connection for each of its agents, at full size more than the usual
+/// soft limit of 1,024.
+/// \returns the limit that is in force.
+int64_t raiseOpenFileLimit();
+
 /// Resource use of this process, read from the kernel.
 struct Footprint {
   int64_t m_ResidentBytes = 0;
--- a/src/daemon/Process.cpp
+++ b/src/daemon/Process.cpp
@@ -75,6 +75,17 @@
   m_Impl->m_Signals.cancel();
 }
 
+int64_t raiseOpenFileLimit() {
+  rlimit Limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &Limit) != 0)
+    return 0;
+  const rlim_t Before = Limit.rlim_cur;
+  Limit.rlim_cur = Limit.rlim_max;
+  if (::setrlimit(RLIMIT_NOFILE, &Limit) != 0)
+    return static_cast<int64_t>(Before);
+  return static_cast<int64_t>(Limit.rlim_cur);
+}
+
 Footprint readFootprint() {
   Footprint Result;
   std::ifstream Statm("/proc/self/statm");
