tests: Use an unknown value that the enumeration can represent

Cause: the undefined-behaviour sanitizer reported the value 9 for an enumeration of 3. The check is the same.

--- a/tests/control/MemberChangeTest.cpp
+++ b/tests/control/MemberChangeTest.cpp
@@ -51,7 +51,8 @@
       {ReplicaChange::PROMOTE, 5, true, std::nullopt},
       {ReplicaChange::REMOVE, 5, false, CommandStatus::OK},
       {ReplicaChange::REMOVE, 3, false, std::nullopt},
-      {static_cast<ReplicaChange::type>(9), 3, true, CommandStatus::INVALID},
+      // An unknown value that the enumeration can represent.
+      {static_cast<ReplicaChange::type>(0), 3, true, CommandStatus::INVALID},
   };
   for (const Case &Each : Cases) {
     BOOST_TEST_CONTEXT("kind " << Each.m_Kind << " replica " << Each.m_Replica
