--- a/src/control/AgentSessions.cpp
+++ b/src/control/AgentSessions.cpp
@@ -61,6 +61,15 @@
 
 } // namespace
 
+const state::MemberView *findMember(const state::JobView &Job,
+                                    int32_t TaskIndex) {
+  const auto Found = std::find_if(Job.m_Members.begin(), Job.m_Members.end(),
+                                  [&](const state::MemberView &Each) {
+                                    return Each.m_TaskIndex == TaskIndex;
+                                  });
+  return Found == Job.m_Members.end() ? nullptr : &*Found;
+}
+
 void AgentSessions::noteFreshRead(TimePoint RequestedAt) {
   m_FreshRead = m_EverFresh ? std::max(m_FreshRead, RequestedAt) : RequestedAt;
   m_EverFresh = true;
@@ -156,12 +165,8 @@
     const std::optional<state::JobView> Job = State.job(JobId(Task.jobId));
     if (!Job || Job->m_StartToken != Task.startToken)
       continue;
-    const auto Member =
-        std::find_if(Job->m_Members.begin(), Job->m_Members.end(),
-                     [&](const state::MemberView &Each) {
-                       return Each.m_TaskIndex == Task.taskIndex;
-                     });
-    if (Member == Job->m_Members.end() || stateShows(*Member, Task.state))
+    const state::MemberView *Member = findMember(*Job, Task.taskIndex);
+    if (!Member || stateShows(*Member, Task.state))
       continue;
     Report.tasks.push_back(Task);
     absl::StrAppend(&Key, " ", Task.jobId, ".", Task.taskIndex, ".",
--- a/src/control/AgentSessions.h
+++ b/src/control/AgentSessions.h
@@ -79,6 +79,10 @@
   absl::flat_hash_map<std::string, Session> m_Sessions;
 };
 
+/// Returns the member of a placed job with that task index, or null.
+const state::MemberView *findMember(const state::JobView &Job,
+                                    int32_t TaskIndex);
+
 } // namespace anvil::control::internal
 
 #endif // ANVIL_SRC_CONTROL_AGENTSESSIONS_H
--- a/src/control/LeaderDuties.cpp
+++ b/src/control/LeaderDuties.cpp
@@ -122,14 +122,9 @@
     const bool Waited = std::all_of(
         Expired.taskIndexes.begin(), Expired.taskIndexes.end(),
         [&](int32_t Index) {
-          const auto Member =
-              std::find_if(Job->m_Members.begin(), Job->m_Members.end(),
-                           [&](const state::MemberView &Each) {
-                             return Each.m_TaskIndex == Index;
-                           });
-          const auto Since = Member == Job->m_Members.end()
-                                 ? m_LostSince.end()
-                                 : m_LostSince.find(Member->m_Vm);
+          const state::MemberView *Member = findMember(*Job, Index);
+          const auto Since =
+              Member ? m_LostSince.find(Member->m_Vm) : m_LostSince.end();
           return Now -
                      (Since == m_LostSince.end() ? m_BeganAt : Since->second) >=
                  Wait;
