--- /dev/null
+++ b/cmake/modules/log.cmake
@@ -0,0 +1,1 @@
+anvil_module(log LINK anvil_base Boost::json)
--- /dev/null
+++ b/cmake/modules/node.cmake
@@ -0,0 +1,2 @@
+anvil_module(node LINK anvil_base anvil_net anvil_log anvil_replica anvil_raft anvil_store anvil_workload
+             anvil_dispatch anvil_runner anvil_daemon absl::status absl::statusor)
--- /dev/null
+++ b/cmake/modules/runner.cmake
@@ -0,0 +1,1 @@
+anvil_module(runner LINK anvil_base anvil_wire absl::status absl::statusor)
--- /dev/null
+++ b/cmake/modules/workload.cmake
@@ -0,0 +1,1 @@
+anvil_module(workload LINK anvil_base anvil_net anvil_wire absl::status absl::statusor absl::strings)
--- a/gen/anvil_types.cpp
+++ b/gen/anvil_types.cpp
@@ -56,7 +56,12 @@
   Method::ENTRY_SYNC,
   Method::SUBMIT_COMMAND,
   Method::QUERY,
-  Method::EXECUTE
+  Method::EXECUTE,
+  Method::WORKER_SYNC,
+  Method::ENTRY_WATCH,
+  Method::WORKLOAD_CALL,
+  Method::LOCATE,
+  Method::FOUND_GROUP
 };
 const char* _kMethodNames[] = {
   "RAFT_MESSAGE",
@@ -66,9 +71,14 @@
   "ENTRY_SYNC",
   "SUBMIT_COMMAND",
   "QUERY",
-  "EXECUTE"
+  "EXECUTE",
+  "WORKER_SYNC",
+  "ENTRY_WATCH",
+  "WORKLOAD_CALL",
+  "LOCATE",
+  "FOUND_GROUP"
 };
-const std::map<int, const char*> _Method_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(8, _kMethodValues, _kMethodNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _Method_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(13, _kMethodValues, _kMethodNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const Method::type& val) {
   std::map<int, const char*>::const_iterator it = _Method_VALUES_TO_NAMES.find(val);
--- /dev/null
+++ b/include/anvil/dispatch/Dispatcher.h
@@ -0,0 +1,46 @@
+#ifndef ANVIL_DISPATCH_DISPATCHER_H
+#define ANVIL_DISPATCH_DISPATCHER_H
+
+#include <memory>
+#include <vector>
+
+#include "anvil/base/Time.h"
+#include "anvil/dispatch/WorkerSessions.h"
+#include "anvil/workload/WorkloadState.h"
+#include "workload_types.h"
+
+namespace anvil::dispatch {
+
+/// Settings of a Dispatcher.
+struct DispatchOptions {
+  /// How many times longer a task takes away from its data or spread over
+  /// racks.
+  double m_RemotePenalty = 1;
+};
+
+/// Decides which runs start and which are stopped.
+///
+/// Usage: reset() when leadership begins, plan() whenever the state or the
+/// sessions changed and no command of a former plan is under way. The commands
+/// are checked again when they are applied. It reads no clock and does no I/O.
+class Dispatcher {
+public:
+  explicit Dispatcher(DispatchOptions Options);
+  ~Dispatcher();
+
+  /// Forgets what was learned under a former leadership.
+  void reset();
+
+  /// Returns the commands that are to be proposed at \p Now, in order.
+  std::vector<wire::WorkloadCommand> plan(const workload::WorkloadState &State,
+                                          const WorkerSessions &Sessions,
+                                          TimePoint Now);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> m_Impl;
+};
+
+} // namespace anvil::dispatch
+
+#endif // ANVIL_DISPATCH_DISPATCHER_H
--- a/include/anvil/net/HttpClient.h
+++ b/include/anvil/net/HttpClient.h
@@ -68,6 +68,7 @@
   absl::Status m_Status;     ///< OK only if the whole response was received.
   bool m_AnyByteSent = true; ///< False only if it is certain that no byte of
                              ///< the request was written.
+  bool m_Refused = false;    ///< Nothing listens at the peer's address.
   int m_HttpStatus = 0;
   std::string m_ContentType;
   std::string m_Body;
--- /dev/null
+++ b/include/anvil/node/AgentVm.h
@@ -0,0 +1,64 @@
+#ifndef ANVIL_NODE_AGENTVM_H
+#define ANVIL_NODE_AGENTVM_H
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+
+#include "anvil/log/EventLog.h"
+#include "anvil/net/Rpc.h"
+#include "anvil/runner/Runner.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace anvil::node {
+
+/// Carries out calls to the worker; each answers once, within a timeout of its
+/// own, and never inside the call.
+struct WorkerCaller {
+  using Done = std::function<void(runner::CallAnswer)>;
+  std::function<void(const runner::HoldCall &, Done)> m_Hold;
+  std::function<void(const runner::StartCall &, Done)> m_Start;
+  std::function<void(const runner::StopCall &, Done)> m_Stop;
+};
+
+/// Settings of the process beside a worker.
+struct AgentVmOptions {
+  runner::RunnerOptions m_Runner;
+  /// Listeners of entry VMs, to find the leader.
+  std::vector<net::Endpoint> m_Seeds;
+  net::RpcOptions m_Rpc;
+  std::function<TimePoint()> m_Now;
+};
+
+/// The process beside a worker: reports it to the leader and carries out its
+/// orders.
+///
+/// Usage: create(), pass what the worker says of itself to announce() and
+/// left(), run the io_context. All run on its thread.
+class AgentVm {
+public:
+  static absl::StatusOr<std::unique_ptr<AgentVm>>
+  create(boost::asio::io_context &Io, AgentVmOptions Options,
+         WorkerCaller Caller, log::EventLog &Log);
+  ~AgentVm();
+
+  void announce(const runner::WorkerAnnounced &Announced);
+  void left(std::string_view WorkerId);
+  /// Replaces the addresses of entry VMs.
+  void setSeeds(std::vector<net::Endpoint> Seeds);
+
+private:
+  struct Impl;
+  explicit AgentVm(std::shared_ptr<Impl> State);
+  std::shared_ptr<Impl> m_Impl;
+};
+
+} // namespace anvil::node
+
+#endif // ANVIL_NODE_AGENTVM_H
--- /dev/null
+++ b/include/anvil/node/GroupKeeper.h
@@ -0,0 +1,77 @@
+#ifndef ANVIL_NODE_GROUPKEEPER_H
+#define ANVIL_NODE_GROUPKEEPER_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "anvil/base/Time.h"
+#include "anvil/raft/Raft.h"
+#include "workload_types.h"
+
+namespace anvil::node {
+
+/// Settings of a GroupKeeper.
+struct GroupKeeperOptions {
+  raft::ReplicaId m_Self;
+  /// A replica counts as present if it announced itself within this time.
+  Duration m_PresentFor = std::chrono::milliseconds(1500);
+  /// A voter that was silent for this long gives its place to a learner that
+  /// has caught up. Below the time that a new machine has to become useful.
+  Duration m_ReplaceAfter = std::chrono::milliseconds(2000);
+};
+
+/// One change that the leader is to make.
+struct GroupChange {
+  enum class Kind { AddLearner, Promote, Remove, Forget };
+  Kind m_Kind = Kind::AddLearner;
+  raft::ReplicaId m_Replica;
+  std::string m_Reason;
+};
+
+/// Decides how the members of the replicated group follow the machines that
+/// hold replicas.
+///
+/// A replica that announces itself becomes a learner and, once it has caught
+/// up, a voter. A replica that lost its disk comes back under a new id at the
+/// same address, so its former id is removed. A voter that stays silent is
+/// removed only if a learner takes its place, because a smaller group bears no
+/// more losses. Usage: reset() when leadership begins, heard() for each
+/// announcement, next() until it returns nothing. It reads no clock and does no
+/// I/O.
+class GroupKeeper {
+public:
+  explicit GroupKeeper(GroupKeeperOptions Options) : m_Options(Options) {}
+
+  /// Starts anew; all replicas count as heard of at \p Now.
+  void reset(TimePoint Now);
+  /// A replica announced itself.
+  void heard(raft::ReplicaId Replica, TimePoint Now);
+  /// A promotion was refused because the learner lags; it is tried again later.
+  void promotionRefused(raft::ReplicaId Replica, TimePoint Now);
+
+  /// Returns the next change, or nothing if the group is as it should be.
+  std::optional<GroupChange>
+  next(const raft::RaftStatus &Status,
+       const std::map<int64_t, wire::ReplicaAddress> &Registered,
+       TimePoint Now) const;
+
+private:
+  bool present(raft::ReplicaId Replica, TimePoint Now) const;
+  TimePoint lastHeard(raft::ReplicaId Replica) const;
+  std::optional<GroupChange> replacedReplica(
+      const raft::RaftStatus &Status,
+      const std::map<int64_t, wire::ReplicaAddress> &Registered) const;
+  std::optional<GroupChange> promotion(const raft::RaftStatus &Status,
+                                       TimePoint Now) const;
+
+  GroupKeeperOptions m_Options;
+  TimePoint m_LeadingSince;
+  std::map<raft::ReplicaId, TimePoint> m_Heard;
+  std::map<raft::ReplicaId, TimePoint> m_RetryPromotion;
+};
+
+} // namespace anvil::node
+
+#endif // ANVIL_NODE_GROUPKEEPER_H
--- /dev/null
+++ b/include/anvil/workload/Amounts.h
@@ -0,0 +1,47 @@
+#ifndef ANVIL_WORKLOAD_AMOUNTS_H
+#define ANVIL_WORKLOAD_AMOUNTS_H
+
+#include <cstdint>
+
+#include "workload_types.h"
+
+namespace anvil::workload {
+
+/// Adds \p More \p Count times.
+inline void add(wire::Amounts &Sum, const wire::Amounts &More,
+                int32_t Count = 1) {
+  Sum.milliCores += More.milliCores * Count;
+  Sum.memoryMib += More.memoryMib * Count;
+  Sum.accelerators += More.accelerators * Count;
+}
+
+/// Subtracts \p Less \p Count times.
+inline void subtract(wire::Amounts &Sum, const wire::Amounts &Less,
+                     int32_t Count = 1) {
+  add(Sum, Less, -Count);
+}
+
+/// Returns true if \p Count times \p Need is free in a worker of \p Capacity of
+/// which \p Used is taken.
+inline bool fits(const wire::Amounts &Capacity, const wire::Amounts &Used,
+                 const wire::Amounts &Need, int32_t Count = 1) {
+  const auto Free = [&](int32_t Has, int32_t Taken, int32_t Wants) {
+    return int64_t{Has} - Taken >= int64_t{Wants} * Count;
+  };
+  return Free(Capacity.milliCores, Used.milliCores, Need.milliCores) &&
+         Free(Capacity.memoryMib, Used.memoryMib, Need.memoryMib) &&
+         Free(Capacity.accelerators, Used.accelerators, Need.accelerators);
+}
+
+/// Returns what one task takes of a worker's capacity. A task that uses spare
+/// cores takes none of them.
+inline wire::Amounts countedAmounts(const wire::StepSpec &Step) {
+  wire::Amounts Result = Step.perTask;
+  if (Step.usesSpareCores)
+    Result.milliCores = 0;
+  return Result;
+}
+
+} // namespace anvil::workload
+
+#endif // ANVIL_WORKLOAD_AMOUNTS_H
--- /dev/null
+++ b/include/anvil/workload/WorkloadState.h
@@ -0,0 +1,258 @@
+#ifndef ANVIL_WORKLOAD_WORKLOADSTATE_H
+#define ANVIL_WORKLOAD_WORKLOADSTATE_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "absl/status/statusor.h"
+
+#include "workload_types.h"
+
+namespace anvil::workload {
+
+/// A job moved to another phase.
+struct JobChanged {
+  std::string m_Job;
+  wire::JobPhase::type m_Phase = wire::JobPhase::QUEUED;
+  std::string m_Reason;
+};
+
+/// A run was placed on a worker.
+struct RunPlaced {
+  wire::TaskRef m_Task;
+  int64_t m_Run = 0;
+  wire::WorkerLife m_Worker;
+  std::string m_Reason;
+};
+
+/// A run is to be stopped.
+struct RunStopping {
+  wire::TaskRef m_Task;
+  int64_t m_Run = 0;
+  wire::WorkerLife m_Worker;
+  std::string m_Reason;
+};
+
+/// A run is over and its resources are free.
+struct RunEnded {
+  wire::TaskRef m_Task;
+  int64_t m_Run = 0;
+  wire::WorkerLife m_Worker;
+  wire::RunEndKind::type m_Kind = wire::RunEndKind::DONE;
+  std::string m_Detail;
+};
+
+/// A worker registered or was lost.
+struct WorkerChanged {
+  wire::WorkerLife m_Life;
+  bool m_Registered = false;
+  std::string m_Reason;
+};
+
+/// A policy document came into force.
+struct PolicyChanged {
+  int64_t m_Version = 0;
+};
+
+/// Operators took an availability zone out of service or brought it back.
+struct ZoneWithdrawalChanged {
+  std::string m_Zone;
+  bool m_Withdrawn = false;
+};
+
+/// One change of the workload state.
+using WorkloadEvent =
+    std::variant<JobChanged, RunPlaced, RunStopping, RunEnded, WorkerChanged,
+                 PolicyChanged, ZoneWithdrawalChanged>;
+
+/// Receives each change during apply(), in order. It must not call apply().
+using WorkloadEventHook = std::function<void(const WorkloadEvent &)>;
+
+/// Runs that the state wants on one worker.
+struct WantedRun {
+  wire::TaskRef m_Task;
+  int64_t m_Run = 0;
+  bool m_Stop = false;
+};
+
+/// Limits of what the state keeps. They are the same on all replicas.
+struct WorkloadLimits {
+  /// Jobs that have not ended. Several times what 4,600 jobs a day, most of
+  /// them running for hours, add up to.
+  size_t m_MaxLiveJobs = 20'000;
+  /// Payloads of all jobs that have not ended, in bytes.
+  int64_t m_MaxPayloadBytes = 32LL << 20;
+  /// Ended jobs that can still be asked for: three days at 4,600 a day.
+  size_t m_MaxEndedJobs = 16'384;
+};
+
+/// Applies committed commands and holds the durable truth of jobs of several
+/// steps, the workers that run them and the policy that admits them.
+///
+/// Usage: create() one for each replica, apply() every committed command in log
+/// order, answer from the read access. Equal commands give equal results and
+/// equal snapshot bytes on every replica. It reads no clock and does no I/O.
+/// Not thread safe.
+class WorkloadState {
+public:
+  WorkloadState();
+  explicit WorkloadState(WorkloadLimits Limits);
+
+  /// Returns the state that snapshot() wrote.
+  ///
+  /// Errors: WorkloadErrc::BadSnapshot.
+  static absl::StatusOr<WorkloadState> restore(std::string_view Snapshot,
+                                               WorkloadLimits Limits);
+
+  /// Applies the command at log position \p Index, which must rise.
+  wire::WorkloadResult apply(const wire::WorkloadCommand &Command,
+                             int64_t Index);
+
+  /// Returns all state as bytes.
+  std::string snapshot() const;
+
+  /// Sets the receiver of changes; not part of a snapshot.
+  void setEventHook(WorkloadEventHook Hook) { m_Hook = std::move(Hook); }
+
+  int64_t appliedIndex() const { return m_AppliedIndex; }
+
+  /// Returns the policy in force; version 0 before the first.
+  const wire::PolicyDocument &policy() const { return m_Policy; }
+
+  const std::set<std::string> &withdrawnZones() const {
+    return m_WithdrawnZones;
+  }
+
+  /// Returns the replicas that registered, by id.
+  const std::map<int64_t, wire::ReplicaAddress> &replicas() const {
+    return m_Replicas;
+  }
+
+  /// Returns the job, also one that has ended, or null if it is not known.
+  const wire::JobRecord *job(std::string_view Id) const;
+
+  /// Returns the jobs that have not ended or still have runs, in the order of
+  /// their submission.
+  const std::map<int64_t, std::string> &liveJobs() const { return m_LiveJobs; }
+
+  /// Returns the registered workers by id.
+  const std::map<std::string, wire::WorkerRecord> &workers() const {
+    return m_Workers;
+  }
+
+  /// Returns the worker if \p Life is its registered life, or null.
+  const wire::WorkerRecord *worker(const wire::WorkerLife &Life) const;
+
+  /// Returns the runs that are placed on a worker, ordered by task.
+  std::vector<WantedRun> wantedRuns(const wire::WorkerLife &Life) const;
+
+  /// Returns the task, or null if its job, occurrence, step or index does not
+  /// exist or its occurrence is done.
+  const wire::TaskRecord *task(const wire::TaskRef &Ref) const;
+
+  /// Returns the number of jobs by queue of which no task was started yet.
+  const std::map<std::string, int64_t> &pendingByQueue() const {
+    return m_Pending;
+  }
+
+  /// Returns the upkeep waves by number.
+  const std::map<int64_t, wire::WaveRecord> &waves() const { return m_Waves; }
+
+  /// Returns what is wrong in the state, or an empty text; walks all of it.
+  /// Meant for tests.
+  std::string findViolation() const;
+
+private:
+  using TaskKey = std::tuple<std::string, int32_t, int32_t, int32_t>;
+
+  wire::WorkloadResult dispatch(const wire::WorkloadCommand &Command);
+  wire::WorkloadResult applyPutPolicy(const wire::PutPolicy &Command);
+  wire::WorkloadResult applySetZone(const wire::SetZone &Command);
+  wire::WorkloadResult applySubmit(const wire::SubmitWorkload &Command);
+  wire::WorkloadResult applyCancel(const wire::CancelWorkload &Command);
+  wire::WorkloadResult applyOpenOccurrence(const wire::OpenOccurrence &Command);
+  wire::WorkloadResult applyRegisterWorker(const wire::RegisterWorker &Command);
+  wire::WorkloadResult applyLoseWorker(const wire::LoseWorker &Command);
+  wire::WorkloadResult applyStartRuns(const wire::StartRuns &Command);
+  wire::WorkloadResult applyStopRuns(const wire::StopRuns &Command);
+  wire::WorkloadResult applyEndRuns(const wire::EndRuns &Command);
+  wire::WorkloadResult applyStartWave(const wire::StartWave &Command);
+  wire::WorkloadResult
+  applyNoteMachineDown(const wire::NoteMachineDown &Command);
+
+  absl::Status checkPlacements(const wire::JobRecord &Job,
+                               const wire::StartRuns &Command) const;
+  absl::Status checkRoom(const wire::StepSpec &Step,
+                         const wire::StartRuns &Command) const;
+  wire::JobRecord *findJob(std::string_view Id);
+  wire::TaskRecord *findTask(const wire::TaskRef &Ref);
+  void openOccurrence(wire::JobRecord &Job, int32_t Number);
+  void placeRun(wire::JobRecord &Job, const wire::TaskRef &Ref, int64_t Run,
+                const wire::WorkerLife &Life, const std::string &Reason);
+  void stopRun(const wire::TaskRef &Ref, const std::string &Reason);
+  void stopAllRuns(const wire::JobRecord &Job, const std::string &Reason);
+  void endRun(const wire::RunEnd &End, const wire::WorkerLife &Life);
+  void releaseRun(wire::JobRecord &Job, const wire::TaskRef &Ref,
+                  wire::TaskRecord &Task);
+  void finishTask(wire::JobRecord &Job, const wire::TaskRef &Ref);
+  void finishGang(wire::JobRecord &Job, const wire::TaskRef &Ref);
+  void breakGang(wire::JobRecord &Job, const wire::TaskRef &Ref,
+                 const wire::RunEnd &End);
+  void countFailure(wire::JobRecord &Job, const wire::RunEnd &End);
+  void finishOccurrenceIfDone(wire::JobRecord &Job, int32_t Occurrence);
+  void setPhase(wire::JobRecord &Job, wire::JobPhase::type Phase,
+                const std::string &Reason);
+  void retireIfOver(wire::JobRecord &Job);
+  void loseLife(const wire::WorkerLife &Life, const std::string &Reason,
+                const std::vector<wire::RunStatus> &LastKnown);
+  void indexJob(const wire::JobRecord &Job);
+  void emit(WorkloadEvent Event) const;
+
+  WorkloadLimits m_Limits;
+  WorkloadEventHook m_Hook;
+  int64_t m_AppliedIndex = 0;
+  wire::PolicyDocument m_Policy;
+  std::set<std::string> m_WithdrawnZones;
+  std::map<int64_t, wire::ReplicaAddress> m_Replicas;
+  std::map<std::string, wire::JobRecord, std::less<>> m_Jobs;
+  std::vector<std::string> m_EndedOrder;
+  std::map<std::string, wire::WorkerRecord> m_Workers;
+  std::map<int64_t, wire::WaveRecord> m_Waves;
+  // Derived from the members above.
+  std::map<int64_t, std::string> m_LiveJobs;
+  std::map<std::string, int64_t> m_Pending;
+  std::map<std::string, std::set<TaskKey>> m_RunsByWorker;
+  int64_t m_PayloadBytes = 0;
+};
+
+/// Returns true if the phase is final.
+bool hasEnded(wire::JobPhase::type Phase);
+
+/// Returns the name of the task for logs and workers: job, occurrence, step and
+/// index joined by dots.
+std::string nameOf(const wire::TaskRef &Ref);
+
+/// Returns the names of an enumerator as logs show it.
+std::string_view nameOf(wire::JobPhase::type Phase);
+std::string_view nameOf(wire::RunEndKind::type Kind);
+
+/// Returns true if a task still has a run that may be at work.
+inline bool isActive(const wire::TaskRecord &Task) {
+  return Task.phase == wire::TaskPhase::PLACED ||
+         Task.phase == wire::TaskPhase::STOPPING;
+}
+
+/// Returns true if all steps that \p Step depends on are done.
+bool isUnlocked(const wire::JobRecord &Job,
+                const wire::OccurrenceRecord &Occurrence, int32_t Step);
+
+} // namespace anvil::workload
+
+#endif // ANVIL_WORKLOAD_WORKLOADSTATE_H
--- a/proto/anvil.thrift
+++ b/proto/anvil.thrift
@@ -18,7 +18,12 @@
   ENTRY_SYNC = 5,
   SUBMIT_COMMAND = 6,
   QUERY = 7,
-  EXECUTE = 8
+  EXECUTE = 8,
+  WORKER_SYNC = 9,
+  ENTRY_WATCH = 10,
+  WORKLOAD_CALL = 11,
+  LOCATE = 12,
+  FOUND_GROUP = 13
 }
 
 struct Frame {
--- /dev/null
+++ b/src/dispatch/WorkerSessions.cpp
@@ -0,0 +1,342 @@
+#include "anvil/dispatch/WorkerSessions.h"
+
+#include <algorithm>
+#include <set>
+
+#include "absl/strings/str_cat.h"
+
+namespace anvil::dispatch {
+
+namespace {
+
+wire::WorkloadCommand loseCommand(const wire::WorkerLife &Life,
+                                  std::string_view Reason,
+                                  std::vector<wire::RunStatus> LastKnown) {
+  wire::LoseWorker Lose;
+  Lose.life = Life;
+  Lose.reason = std::string(Reason);
+  Lose.lastKnown = std::move(LastKnown);
+  wire::WorkloadCommand Command;
+  Command.__set_loseWorker(Lose);
+  return Command;
+}
+
+wire::RunName runName(const wire::TaskRef &Task, int64_t Run) {
+  wire::RunName Name;
+  Name.task = Task;
+  Name.run = Run;
+  return Name;
+}
+
+bool contains(const std::vector<wire::RunName> &Names,
+              const wire::TaskRef &Task, int64_t Run) {
+  return std::any_of(Names.begin(), Names.end(),
+                     [&](const wire::RunName &Each) {
+                       return Each.task == Task && Each.run == Run;
+                     });
+}
+
+} // namespace
+
+void WorkerSessions::reset(TimePoint Now) {
+  m_Sessions.clear();
+  m_Live.clear();
+  m_LastGrant.clear();
+  m_LossProposed.clear();
+  m_LeadingSince = Now;
+}
+
+std::vector<wire::WorkloadCommand>
+WorkerSessions::receive(const wire::WorkerSyncRequest &Request,
+                        const workload::WorkloadState &State, TimePoint Now) {
+  std::vector<wire::WorkloadCommand> Commands;
+  Session &Of = m_Sessions[Request.agent];
+  Of.m_Waiting[Request.sequence] = Now;
+  Of.m_HeardAt = Now;
+  if (Request.sequence < Of.m_HighestSequence)
+    return Commands;
+  Of.m_HighestSequence = Request.sequence;
+  Of.m_Latest = Request;
+  noteLive(Request, Now);
+  if (!Request.gone.id.empty() && State.worker(Request.gone) &&
+      !m_LossProposed[Request.gone.id]) {
+    m_LossProposed[Request.gone.id] = true;
+    const LiveWorker *Last = live(Request.gone);
+    Commands.push_back(
+        loseCommand(Request.gone, "its agent saw that it ended",
+                    Last ? Last->m_Runs : std::vector<wire::RunStatus>()));
+  }
+  if (!Request.facts.life.id.empty()) {
+    proposeRegistration(Of, State, Commands);
+    proposeEnds(Of, Commands);
+  }
+  return Commands;
+}
+
+void WorkerSessions::noteLive(const wire::WorkerSyncRequest &Request,
+                              TimePoint Now) {
+  if (Request.facts.life.id.empty())
+    return;
+  LiveWorker &Live = m_Live[keyOf(Request.facts.life)];
+  Live.m_Agent = Request.agent;
+  Live.m_HeardAt = Now;
+  Live.m_Draining = Request.draining;
+  Live.m_LeavesAt = Now + std::chrono::milliseconds(Request.remainingMs);
+  Live.m_Listed = Request.listed;
+  Live.m_AnsweredAt = Now - std::chrono::milliseconds(Request.silentMs);
+  if (Request.listed)
+    Live.m_Runs = Request.runs;
+}
+
+// A life that is not registered, or that another life of the agent registered,
+// gets a new fencing token.
+void WorkerSessions::proposeRegistration(
+    Session &Of, const workload::WorkloadState &State,
+    std::vector<wire::WorkloadCommand> &Commands) {
+  const wire::WorkerRecord *Known = State.worker(Of.m_Latest.facts.life);
+  const bool Registered = Known && Known->agent == Of.m_Latest.agent &&
+                          (Of.m_Latest.fencingToken == 0 ||
+                           Of.m_Latest.fencingToken == Known->fencingToken);
+  if (Registered || Of.m_RegistrationProposed)
+    return;
+  Of.m_RegistrationProposed = true;
+  wire::RegisterWorker Register;
+  Register.facts = Of.m_Latest.facts;
+  Register.agent = Of.m_Latest.agent;
+  wire::WorkloadCommand Command;
+  Command.__set_registerWorker(Register);
+  Commands.push_back(std::move(Command));
+}
+
+void WorkerSessions::proposeEnds(Session &Of,
+                                 std::vector<wire::WorkloadCommand> &Commands) {
+  wire::EndRuns Ends;
+  Ends.worker = Of.m_Latest.facts.life;
+  for (size_t I = 0; I < Of.m_Latest.ends.size(); ++I) {
+    const int64_t Number = Of.m_Latest.firstEnd + static_cast<int64_t>(I);
+    if (Number <= Of.m_ProposedEnd)
+      continue;
+    Of.m_ProposedEnd = Number;
+    Ends.ends.push_back(Of.m_Latest.ends[I]);
+  }
+  if (Ends.ends.empty())
+    return;
+  Ends.agent = Of.m_Latest.agent;
+  Ends.lastEnd = Of.m_ProposedEnd;
+  wire::WorkloadCommand Command;
+  Command.__set_endRuns(Ends);
+  Commands.push_back(std::move(Command));
+}
+
+void WorkerSessions::commandDone(const wire::WorkloadCommand &Command,
+                                 bool Committed) {
+  if (Command.__isset.loseWorker) {
+    m_LossProposed.erase(Command.loseWorker.life.id);
+    if (Committed)
+      m_Live.erase(keyOf(Command.loseWorker.life));
+    return;
+  }
+  if (Command.__isset.registerWorker) {
+    const auto It = m_Sessions.find(Command.registerWorker.agent);
+    if (It != m_Sessions.end())
+      It->second.m_RegistrationProposed = false;
+    return;
+  }
+  if (!Command.__isset.endRuns)
+    return;
+  const auto It = m_Sessions.find(Command.endRuns.agent);
+  if (It == m_Sessions.end())
+    return;
+  Session &Of = It->second;
+  if (Committed)
+    Of.m_DurableEnd = std::max(Of.m_DurableEnd, Command.endRuns.lastEnd);
+  else
+    Of.m_ProposedEnd = Of.m_DurableEnd;
+}
+
+wire::WorkerSyncReply
+WorkerSessions::makeReply(const Session &Of,
+                          const workload::WorkloadState &State) const {
+  wire::WorkerSyncReply Reply;
+  Reply.leads = true;
+  Reply.confirmedSequence = Of.m_ConfirmedSequence;
+  Reply.acknowledgedEnd = Of.m_DurableEnd;
+  const wire::WorkerSyncRequest &Request = Of.m_Latest;
+  const wire::WorkerRecord *Known = State.worker(Request.facts.life);
+  if (!Known || Known->agent != Request.agent)
+    return Reply;
+  Reply.registered = Known->facts.life;
+  Reply.fencingToken = Known->fencingToken;
+  if (!Request.listed || Request.fencingToken != Known->fencingToken)
+    return Reply;
+
+  addOrders(Request, State, Reply);
+  return Reply;
+}
+
+// Orders follow from the difference between what the state wants and what the
+// agent lists, so nothing has to be remembered about them.
+void WorkerSessions::addOrders(const wire::WorkerSyncRequest &Request,
+                               const workload::WorkloadState &State,
+                               wire::WorkerSyncReply &Reply) const {
+  const std::vector<workload::WantedRun> Wanted =
+      State.wantedRuns(Request.facts.life);
+  for (const workload::WantedRun &Each : Wanted) {
+    const auto Is = [&](const auto &Listed) {
+      return Listed.task == Each.m_Task && Listed.run == Each.m_Run;
+    };
+    const bool Listed =
+        std::any_of(Request.runs.begin(), Request.runs.end(), Is);
+    const bool Ended =
+        std::any_of(Request.ends.begin(), Request.ends.end(), Is);
+    if (Ended || (Listed && !Each.m_Stop))
+      continue;
+    if (Each.m_Stop)
+      Reply.stops.push_back(runName(Each.m_Task, Each.m_Run));
+    if (Listed)
+      continue;
+    // A run that is to be stopped before it was ordered is given back by the
+    // agent, which alone can tell that no order was sent.
+    wire::RunOrder Order;
+    Order.task = Each.m_Task;
+    Order.run = Each.m_Run;
+    Order.payload = State.job(Each.m_Task.jobId)->spec.payload;
+    Order.checkpoint = State.task(Each.m_Task)->checkpoint;
+    Reply.starts.push_back(std::move(Order));
+  }
+  for (const wire::RunStatus &Listed : Request.runs) {
+    const bool Expected = std::any_of(
+        Wanted.begin(), Wanted.end(), [&](const workload::WantedRun &Each) {
+          return Listed.task == Each.m_Task && Listed.run == Each.m_Run;
+        });
+    if (!Expected)
+      Reply.stops.push_back(runName(Listed.task, Listed.run));
+  }
+}
+
+bool WorkerSessions::hasNews(const Session &Of,
+                             const wire::WorkerSyncReply &Reply) {
+  if (Reply.acknowledgedEnd > Of.m_ToldEnd)
+    return true;
+  if (Reply.fencingToken != Of.m_Latest.fencingToken &&
+      !Of.m_RegistrationProposed)
+    return true;
+  for (const wire::RunOrder &Each : Reply.starts)
+    if (!contains(Of.m_ToldStarts, Each.task, Each.run))
+      return true;
+  for (const wire::RunName &Each : Reply.stops)
+    if (!contains(Of.m_ToldStops, Each.task, Each.run))
+      return true;
+  return false;
+}
+
+void WorkerSessions::noteTold(Session &Of, const wire::WorkerSyncReply &Reply) {
+  Of.m_ToldEnd = Reply.acknowledgedEnd;
+  Of.m_ToldStops = Reply.stops;
+  Of.m_ToldStarts.clear();
+  for (const wire::RunOrder &Each : Reply.starts)
+    Of.m_ToldStarts.push_back(runName(Each.task, Each.run));
+}
+
+std::vector<WorkerSessions::Answer>
+WorkerSessions::poll(const workload::WorkloadState &State, TimePoint Now) {
+  std::vector<Answer> Answers;
+  forgetSilent(Now);
+  for (auto &[Agent, Of] : m_Sessions) {
+    if (Of.m_Waiting.empty())
+      continue;
+    const wire::WorkerSyncReply Reply = makeReply(Of, State);
+    const bool News = hasNews(Of, Reply);
+    bool Told = false;
+    bool ToldOrders = false;
+    for (auto It = Of.m_Waiting.begin(); It != Of.m_Waiting.end();) {
+      const bool Replaced = It->first < Of.m_HighestSequence;
+      const bool Held = Now >= It->second + m_Options.m_AnswerHold;
+      if (!Replaced && !Held && !News) {
+        ++It;
+        continue;
+      }
+      Answers.push_back({Agent, It->first, Reply});
+      // Orders go with the answer to the latest sync only.
+      if (Replaced) {
+        Answers.back().m_Reply.starts.clear();
+        Answers.back().m_Reply.stops.clear();
+      }
+      Told = true;
+      ToldOrders = ToldOrders || !Replaced;
+      It = Of.m_Waiting.erase(It);
+    }
+    if (!Told)
+      continue;
+    if (ToldOrders)
+      noteTold(Of, Reply);
+    if (!Of.m_Latest.facts.life.id.empty())
+      m_LastGrant[Of.m_Latest.facts.life.id] = Now;
+  }
+  return Answers;
+}
+
+void WorkerSessions::forgetSilent(TimePoint Now) {
+  for (auto It = m_Sessions.begin(); It != m_Sessions.end();) {
+    const bool Silent = Now - It->second.m_HeardAt > m_Options.m_ForgetAfter;
+    It = Silent ? m_Sessions.erase(It) : std::next(It);
+  }
+}
+
+void WorkerSessions::beginConfirm() {
+  for (auto &[Agent, Of] : m_Sessions)
+    Of.m_ConfirmingSequence = Of.m_HighestSequence;
+}
+
+void WorkerSessions::confirm() {
+  for (auto &[Agent, Of] : m_Sessions)
+    Of.m_ConfirmedSequence =
+        std::max(Of.m_ConfirmedSequence, Of.m_ConfirmingSequence);
+}
+
+TimePoint WorkerSessions::leaseOver(const std::string &WorkerId) const {
+  const auto It = m_LastGrant.find(WorkerId);
+  const TimePoint Granted =
+      It == m_LastGrant.end() ? m_LeadingSince : It->second;
+  const auto Span = std::chrono::duration_cast<Duration>(
+      m_Options.m_LeaseSpan * (1 + m_Options.m_ClockError));
+  return Granted + Span + m_Options.m_LossSlack;
+}
+
+std::vector<wire::WorkloadCommand>
+WorkerSessions::losses(const workload::WorkloadState &State, TimePoint Now) {
+  std::vector<wire::WorkloadCommand> Commands;
+  for (const auto &[Id, Worker] : State.workers()) {
+    if (Now < leaseOver(Id) || m_LossProposed[Id])
+      continue;
+    m_LossProposed[Id] = true;
+    const LiveWorker *Last = live(Worker.facts.life);
+    Commands.push_back(
+        loseCommand(Worker.facts.life, "its last lease is over",
+                    Last ? Last->m_Runs : std::vector<wire::RunStatus>()));
+  }
+  return Commands;
+}
+
+const LiveWorker *WorkerSessions::live(const wire::WorkerLife &Life) const {
+  const auto It = m_Live.find(keyOf(Life));
+  return It == m_Live.end() ? nullptr : &It->second;
+}
+
+bool WorkerSessions::usable(const wire::WorkerRecord &Worker,
+                            TimePoint Now) const {
+  const LiveWorker *Live = live(Worker.facts.life);
+  return Live && Live->m_Agent == Worker.agent && Live->m_Listed &&
+         !Live->m_Draining && Now - Live->m_HeardAt < m_Options.m_FreshFor &&
+         Now - Live->m_AnsweredAt < 3 * m_Options.m_FreshFor;
+}
+
+TimePoint WorkerSessions::nextDeadline(TimePoint Now) const {
+  TimePoint Next = Now + std::chrono::milliseconds(500);
+  for (const auto &[Agent, Of] : m_Sessions)
+    for (const auto &[Sequence, At] : Of.m_Waiting)
+      Next = std::min(Next, At + m_Options.m_AnswerHold);
+  return Next;
+}
+
+} // namespace anvil::dispatch
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -91,6 +91,7 @@
   bool m_Head = false;
   bool m_Connected = false;
   bool m_AnyByteSent = false;
+  bool m_Refused = false;
   HttpExchangeDone m_Done;
   boost::asio::steady_timer m_Deadline;
   std::shared_ptr<Connection> m_Link;
@@ -215,6 +216,7 @@
         Limit->cancel();
         if (!Item->m_Done)
           return;
+        Item->m_Refused = Error == boost::asio::error::connection_refused;
         if (Error)
           return Self->fail(Item, unavailable(HttpClientErrc::Connect,
                                               "connect failed", Error));
@@ -313,6 +315,7 @@
   HttpExchangeResult Result;
   Result.m_Status = std::move(Status);
   Result.m_AnyByteSent = Item->m_AnyByteSent;
+  Result.m_Refused = Item->m_Refused;
   if (Item->m_Link) {
     ErrorCode Ignored;
     Item->m_Link->m_Socket.close(Ignored);
--- /dev/null
+++ b/src/node/AgentVm.cpp
@@ -0,0 +1,140 @@
+#include "anvil/node/AgentVm.h"
+
+#include <algorithm>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "anvil/net/WireCodec.h"
+#include "anvil/node/LeaderLink.h"
+
+namespace anvil::node {
+
+struct AgentVm::Impl : std::enable_shared_from_this<AgentVm::Impl> {
+  Impl(boost::asio::io_context &Io, AgentVmOptions Options, WorkerCaller Caller,
+       std::unique_ptr<runner::Runner> Runner, log::EventLog &Log)
+      : m_Options(std::move(Options)), m_Caller(std::move(Caller)),
+        m_Runner(std::move(Runner)), m_Log(Log), m_Timer(Io) {}
+
+  void step(const runner::Event &Event);
+  void carryOut(const runner::Action &Action);
+  void sendSync(const wire::WorkerSyncRequest &Request);
+  void logNote(const runner::Note &Note);
+  WorkerCaller::Done answerTo();
+  void armTimer();
+
+  AgentVmOptions m_Options;
+  WorkerCaller m_Caller;
+  std::unique_ptr<runner::Runner> m_Runner;
+  log::EventLog &m_Log;
+  boost::asio::steady_timer m_Timer;
+  std::shared_ptr<LeaderLink> m_Link;
+};
+
+void AgentVm::Impl::step(const runner::Event &Event) {
+  for (const runner::Action &Action : m_Runner->step(Event, m_Options.m_Now()))
+    carryOut(Action);
+  armTimer();
+}
+
+WorkerCaller::Done AgentVm::Impl::answerTo() {
+  return [Weak = weak_from_this()](const runner::CallAnswer &Answer) {
+    if (auto Self = Weak.lock())
+      Self->step(Answer);
+  };
+}
+
+void AgentVm::Impl::carryOut(const runner::Action &Action) {
+  if (const auto *Hold = std::get_if<runner::HoldCall>(&Action))
+    m_Caller.m_Hold(*Hold, answerTo());
+  else if (const auto *Start = std::get_if<runner::StartCall>(&Action))
+    m_Caller.m_Start(*Start, answerTo());
+  else if (const auto *Stop = std::get_if<runner::StopCall>(&Action))
+    m_Caller.m_Stop(*Stop, answerTo());
+  else if (const auto *Sync = std::get_if<runner::SendSync>(&Action))
+    sendSync(Sync->m_Request);
+  else if (const auto *Note = std::get_if<runner::Note>(&Action))
+    logNote(*Note);
+}
+
+void AgentVm::Impl::logNote(const runner::Note &Note) {
+  if (Note.m_Task.empty())
+    m_Log.write(Note.m_What, {{"detail", Note.m_Detail}});
+  else
+    m_Log.write(Note.m_What, {{"task", Note.m_Task},
+                              {"run", Note.m_Run},
+                              {"detail", Note.m_Detail}});
+}
+
+void AgentVm::Impl::sendSync(const wire::WorkerSyncRequest &Request) {
+  std::weak_ptr<Impl> Weak = weak_from_this();
+  m_Link->callOnce(
+      wire::Method::WORKER_SYNC, net::encodeStruct(Request),
+      m_Options.m_Runner.m_SyncTimeout,
+      [](std::string_view Body) -> absl::StatusOr<LeaderLink::ReplyHead> {
+        absl::StatusOr<wire::WorkerSyncReply> Reply =
+            net::decodeAs<wire::WorkerSyncReply>(Body);
+        if (!Reply.ok())
+          return Reply.status();
+        return LeaderLink::ReplyHead{Reply->leads, std::move(Reply->group)};
+      },
+      [Weak, Sequence = Request.sequence](const LeaderAnswer &Answer) {
+        auto Self = Weak.lock();
+        if (!Self)
+          return;
+        absl::StatusOr<wire::WorkerSyncReply> Reply =
+            Answer.m_Status.ok()
+                ? net::decodeAs<wire::WorkerSyncReply>(Answer.m_Body)
+                : Answer.m_Status;
+        if (Reply.ok())
+          Self->step(runner::SyncAnswered{Sequence, *std::move(Reply)});
+        else
+          Self->step(runner::SyncFailed{Sequence});
+      });
+}
+
+void AgentVm::Impl::armTimer() {
+  const TimePoint Now = m_Options.m_Now();
+  m_Timer.expires_after(m_Runner->nextDeadline(Now) - Now);
+  m_Timer.async_wait(
+      [Weak = weak_from_this()](boost::system::error_code Error) {
+        auto Self = Weak.lock();
+        if (!Error && Self)
+          Self->step(runner::Tick{});
+      });
+}
+
+absl::StatusOr<std::unique_ptr<AgentVm>>
+AgentVm::create(boost::asio::io_context &Io, AgentVmOptions Options,
+                WorkerCaller Caller, log::EventLog &Log) {
+  absl::StatusOr<std::unique_ptr<runner::Runner>> Runner =
+      runner::Runner::create(Options.m_Runner);
+  if (!Runner.ok())
+    return Runner.status();
+  LeaderLinkOptions LinkOptions;
+  LinkOptions.m_Seeds = Options.m_Seeds;
+  LinkOptions.m_Rpc = Options.m_Rpc;
+  LinkOptions.m_Now = Options.m_Now;
+  auto State = std::make_shared<Impl>(Io, std::move(Options), std::move(Caller),
+                                      *std::move(Runner), Log);
+  State->m_Link = LeaderLink::create(Io, std::move(LinkOptions));
+  State->armTimer();
+  return std::unique_ptr<AgentVm>(new AgentVm(std::move(State)));
+}
+
+AgentVm::AgentVm(std::shared_ptr<Impl> State) : m_Impl(std::move(State)) {}
+AgentVm::~AgentVm() = default;
+
+void AgentVm::announce(const runner::WorkerAnnounced &Announced) {
+  m_Impl->step(Announced);
+}
+
+void AgentVm::left(std::string_view WorkerId) {
+  m_Impl->step(runner::WorkerLeft{std::string(WorkerId)});
+}
+
+void AgentVm::setSeeds(std::vector<net::Endpoint> Seeds) {
+  m_Impl->m_Link->setSeeds(std::move(Seeds));
+}
+
+} // namespace anvil::node
--- /dev/null
+++ b/src/node/EntryVm.cpp
@@ -0,0 +1,396 @@
+#include "anvil/node/EntryVm.h"
+
+#include <map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Admission.h"
+#include "GroupFormation.h"
+#include "PolicyWatch.h"
+#include "Replica.h"
+#include "anvil/base/Port.h"
+#include "anvil/net/WireCodec.h"
+#include "anvil/node/LeaderLink.h"
+
+namespace anvil::node {
+
+using internal::GroupFormation;
+using internal::PolicyWatch;
+using internal::Replica;
+
+namespace {
+
+// Time between two announcements of a replica to the leader, several of which
+// fit into the time after which it counts as absent.
+constexpr Duration AnnounceInterval = std::chrono::milliseconds(400);
+
+absl::StatusOr<LeaderLink::ReplyHead> readCallHead(std::string_view Body) {
+  absl::StatusOr<wire::WorkloadReply> Reply =
+      net::decodeAs<wire::WorkloadReply>(Body);
+  if (!Reply.ok())
+    return Reply.status();
+  return LeaderLink::ReplyHead{Reply->leads, std::move(Reply->group)};
+}
+
+} // namespace
+
+struct EntryVm::Impl : std::enable_shared_from_this<EntryVm::Impl> {
+  Impl(boost::asio::io_context &Io, EntryVmOptions Options, log::EventLog &Log)
+      : m_Io(Io), m_Options(std::move(Options)), m_Log(Log), m_Timer(Io) {}
+
+  absl::Status start(std::function<void(const absl::Status &)> OnFatal);
+  absl::Status openReplica(std::function<void(const absl::Status &)> OnFatal);
+  void registerHandlers();
+  template <typename Request, typename Reply>
+  void handle(
+      wire::Method::type Method,
+      std::function<void(const Request &, std::function<void(Reply)>)> Handler);
+  wire::GroupView groupView() const;
+  void tick();
+  void formGroup();
+  void carryOut(const GroupFormation::Step &Step);
+  void announce();
+  wire::LocateRequest locateRequest() const;
+  void locate(const net::Endpoint &Peer);
+
+  boost::asio::io_context &m_Io;
+  const EntryVmOptions m_Options;
+  log::EventLog &m_Log;
+  boost::asio::steady_timer m_Timer;
+  std::shared_ptr<LeaderLink> m_Link;
+  std::unique_ptr<net::RpcServer> m_Server;
+  std::shared_ptr<Replica> m_Replica;
+  std::unique_ptr<GroupFormation> m_Formation;
+  std::unique_ptr<PolicyWatch> m_Watch;
+  TimePoint m_NextAnnounce;
+  bool m_AnnounceInFlight = false;
+  bool m_ShuttingDown = false;
+};
+
+absl::Status
+EntryVm::Impl::start(std::function<void(const absl::Status &)> OnFatal) {
+  LeaderLinkOptions LinkOptions;
+  LinkOptions.m_Seeds = m_Options.m_Seeds;
+  LinkOptions.m_Rpc = m_Options.m_Rpc;
+  LinkOptions.m_Now = m_Options.m_Now;
+  m_Link = LeaderLink::create(m_Io, std::move(LinkOptions));
+  if (!m_Options.m_DataFolder.empty())
+    if (absl::Status Status = openReplica(std::move(OnFatal)); !Status.ok())
+      return Status;
+  absl::StatusOr<std::unique_ptr<net::RpcServer>> Server =
+      net::RpcServer::create(m_Io, m_Options.m_Listen, m_Options.m_Rpc);
+  if (!Server.ok())
+    return Server.status();
+  m_Server = *std::move(Server);
+  registerHandlers();
+
+  internal::FormationOptions Formation;
+  Formation.m_Address = m_Options.m_Listen.str();
+  Formation.m_Seeds = m_Options.m_Seeds;
+  Formation.m_Replica = m_Replica ? m_Replica->id().value() : 0;
+  Formation.m_MayFound =
+      m_Options.m_FirstStart && m_Replica && !m_Replica->inGroup();
+  Formation.m_FirstStart = m_Options.m_FirstStart;
+  m_Formation =
+      std::make_unique<GroupFormation>(std::move(Formation), m_Options.m_Now());
+  internal::PolicyWatchOptions Watch;
+  Watch.m_Entry = m_Options.m_Name + "-" +
+                  std::to_string(static_cast<int64_t>(m_Options.m_Random() *
+                                                      1'000'000'000));
+  Watch.m_FreshFor = m_Options.m_PolicyFreshFor;
+  Watch.m_Now = m_Options.m_Now;
+  m_Watch =
+      std::make_unique<PolicyWatch>(m_Io, std::move(Watch), m_Link, m_Log);
+  m_Watch->start();
+  tick();
+  return absl::OkStatus();
+}
+
+absl::Status
+EntryVm::Impl::openReplica(std::function<void(const absl::Status &)> OnFatal) {
+  internal::ReplicaOptions Options;
+  Options.m_DataFolder = m_Options.m_DataFolder;
+  Options.m_Address = m_Options.m_Listen;
+  Options.m_AvailabilityZone = m_Options.m_AvailabilityZone;
+  Options.m_Now = m_Options.m_Now;
+  Options.m_WallClockMicros = m_Options.m_WallClockMicros;
+  Options.m_Random = m_Options.m_Random;
+  Options.m_Raft.m_Random = [Random = m_Options.m_Random](uint64_t Bound) {
+    return static_cast<uint64_t>(Random() * static_cast<double>(Bound));
+  };
+  // Small enough for the memory of an entry VM: a few hundred commands.
+  Options.m_Raft.m_RetainedEntries = 512;
+  Options.m_Leader.m_Sessions.m_LeaseSpan = m_Options.m_LeaseSpan;
+  Options.m_Leader.m_Dispatch.m_RemotePenalty = m_Options.m_RemotePenalty;
+  Options.m_Leader.m_Keeper.m_ReplaceAfter = m_Options.m_ReplaceVoterAfter;
+  absl::StatusOr<std::shared_ptr<Replica>> Opened = Replica::create(
+      m_Io, std::move(Options), m_Link, m_Log, std::move(OnFatal));
+  if (!Opened.ok())
+    return Opened.status();
+  m_Replica = *std::move(Opened);
+  return absl::OkStatus();
+}
+
+template <typename Request, typename Reply>
+void EntryVm::Impl::handle(
+    wire::Method::type Method,
+    std::function<void(const Request &, std::function<void(Reply)>)> Handler) {
+  m_Server->handle(
+      Method, [Handler = std::move(Handler)](const net::RpcCall &Call,
+                                             const net::RpcResponder &Respond) {
+        absl::StatusOr<Request> Decoded = net::decodeAs<Request>(Call.m_Body);
+        if (!Decoded.ok()) {
+          Respond(Decoded.status());
+          return;
+        }
+        Handler(*Decoded, [Respond](const Reply &Value) {
+          Respond(net::encodeStruct(Value));
+        });
+      });
+}
+
+void EntryVm::Impl::registerHandlers() {
+  using wire::Method;
+  handle<wire::WorkloadCall, wire::WorkloadReply>(
+      Method::WORKLOAD_CALL, [this](const auto &Call, auto Done) {
+        if (m_Replica && m_Replica->inGroup()) {
+          m_Replica->call(Call, std::move(Done));
+          return;
+        }
+        wire::WorkloadReply Reply;
+        Reply.group = groupView();
+        Done(std::move(Reply));
+      });
+  handle<wire::WorkerSyncRequest, wire::WorkerSyncReply>(
+      Method::WORKER_SYNC, [this](const auto &Request, auto Done) {
+        if (m_Replica && m_Replica->inGroup()) {
+          m_Replica->workerSync(Request, std::move(Done));
+          return;
+        }
+        wire::WorkerSyncReply Reply;
+        Reply.group = groupView();
+        Done(std::move(Reply));
+      });
+  handle<wire::EntryWatchRequest, wire::EntryWatchReply>(
+      Method::ENTRY_WATCH, [this](const auto &Request, auto Done) {
+        if (m_Replica && m_Replica->inGroup()) {
+          m_Replica->entryWatch(Request, std::move(Done));
+          return;
+        }
+        wire::EntryWatchReply Reply;
+        Reply.group = groupView();
+        Done(std::move(Reply));
+      });
+  handle<wire::LocateRequest, wire::LocateReply>(
+      Method::LOCATE, [this](const wire::LocateRequest &Request, auto Done) {
+        m_Link->learn(Request.group);
+        m_Formation->heard(Request);
+        const wire::LocateRequest Own = locateRequest();
+        wire::LocateReply Reply;
+        Reply.group = Own.group;
+        Reply.mayFound = Own.mayFound;
+        Reply.inGroup = Own.inGroup;
+        Reply.replicaId = Own.replicaId;
+        Done(std::move(Reply));
+      });
+  handle<wire::FoundGroupRequest, wire::LocateReply>(
+      Method::FOUND_GROUP,
+      [this](const wire::FoundGroupRequest &Request, auto Done) {
+        if (m_Formation->asked(Request.replicaId))
+          formGroup();
+        Done(wire::LocateReply());
+      });
+  m_Server->handle(Method::RAFT_MESSAGE,
+                   [this](const net::RpcCall &Call, const net::RpcResponder &) {
+                     absl::StatusOr<wire::GroupMessage> Message =
+                         net::decodeAs<wire::GroupMessage>(Call.m_Body);
+                     if (Message.ok() && m_Replica)
+                       m_Replica->receive(*Message);
+                   });
+}
+
+wire::GroupView EntryVm::Impl::groupView() const {
+  if (m_Replica && m_Replica->inGroup() &&
+      !m_Replica->groupView().replicas.empty())
+    return m_Replica->groupView();
+  return m_Link->view();
+}
+
+wire::LocateRequest EntryVm::Impl::locateRequest() const {
+  wire::LocateRequest Request;
+  Request.replicaId = m_Replica ? m_Replica->id().value() : 0;
+  Request.address = m_Options.m_Listen.str();
+  Request.availabilityZone = m_Options.m_AvailabilityZone;
+  Request.inGroup = m_Replica && m_Replica->inGroup();
+  Request.mayFound = m_Options.m_FirstStart && m_Replica && !Request.inGroup;
+  Request.group = groupView();
+  return Request;
+}
+
+void EntryVm::Impl::locate(const net::Endpoint &Peer) {
+  std::weak_ptr<Impl> Weak = weak_from_this();
+  m_Link->clientOf(Peer).call(wire::Method::LOCATE,
+                              net::encodeStruct(locateRequest()),
+                              std::chrono::milliseconds(500), "",
+                              [Weak](const absl::StatusOr<std::string> &Body) {
+                                auto Self = Weak.lock();
+                                if (!Self || !Body.ok())
+                                  return;
+                                absl::StatusOr<wire::LocateReply> Reply =
+                                    net::decodeAs<wire::LocateReply>(*Body);
+                                if (Reply.ok())
+                                  Self->m_Link->learn(Reply->group);
+                              });
+}
+
+void EntryVm::Impl::carryOut(const GroupFormation::Step &Step) {
+  for (const net::Endpoint &Peer : Step.m_Locate)
+    locate(Peer);
+  absl::Status Status;
+  if (Step.m_Found)
+    Status = m_Replica->found();
+  else if (Step.m_Join)
+    Status = m_Replica->join();
+  if (!Status.ok())
+    m_Log.write("replica-failed", {{"reason", fromAbsl(Status.message())}});
+  if (Step.m_AskToFound) {
+    wire::FoundGroupRequest Request;
+    Request.replicaId = Step.m_AskToFound->m_Replica;
+    m_Log.write("founder-chosen", {{"replica", Request.replicaId}});
+    m_Link->clientOf(Step.m_AskToFound->m_Address)
+        .call(wire::Method::FOUND_GROUP, net::encodeStruct(Request),
+              std::chrono::milliseconds(500), "",
+              [](const absl::StatusOr<std::string> &) {});
+  }
+}
+
+void EntryVm::Impl::formGroup() {
+  internal::FormationInput Input;
+  Input.m_InGroup = m_Replica && m_Replica->inGroup();
+  Input.m_GroupKnown = !groupView().replicas.empty();
+  Input.m_LeaderKnown = m_Link->knowsLeader();
+  carryOut(m_Formation->step(Input, m_Options.m_Now()));
+}
+
+// A replica tells the leader that it is there; the leader then takes care of
+// its membership.
+void EntryVm::Impl::announce() {
+  if (!m_Replica || !m_Replica->inGroup() || m_AnnounceInFlight ||
+      m_ShuttingDown || m_Options.m_Now() < m_NextAnnounce)
+    return;
+  m_NextAnnounce = m_Options.m_Now() + AnnounceInterval;
+  m_AnnounceInFlight = true;
+  wire::RegisterReplica Register;
+  Register.replica.id = m_Replica->id().value();
+  Register.replica.address = m_Options.m_Listen.str();
+  Register.replica.availabilityZone = m_Options.m_AvailabilityZone;
+  wire::WorkloadCall Call;
+  Call.__set_registerReplica(Register);
+  std::weak_ptr<Impl> Weak = weak_from_this();
+  m_Link->call(wire::Method::WORKLOAD_CALL, net::encodeStruct(Call),
+               std::chrono::milliseconds(1000), "", readCallHead,
+               [Weak](const LeaderAnswer &) {
+                 if (auto Self = Weak.lock())
+                   Self->m_AnnounceInFlight = false;
+               });
+}
+
+void EntryVm::Impl::tick() {
+  formGroup();
+  announce();
+  m_Timer.expires_after(std::chrono::milliseconds(100));
+  std::weak_ptr<Impl> Weak = weak_from_this();
+  m_Timer.async_wait([Weak](boost::system::error_code Error) {
+    auto Self = Weak.lock();
+    if (!Error && Self)
+      Self->tick();
+  });
+}
+
+absl::StatusOr<std::unique_ptr<EntryVm>>
+EntryVm::create(boost::asio::io_context &Io, EntryVmOptions Options,
+                log::EventLog &Log,
+                std::function<void(const absl::Status &)> OnFatal) {
+  if (Options.m_LeaseSpan <= Duration(0) || !Options.m_Now ||
+      !Options.m_Random || !Options.m_WallClockMicros)
+    return makeLayerError(absl::StatusCode::kInvalidArgument,
+                          NodeErrc::InvalidOption,
+                          "lease, clocks and random source are required");
+  auto State = std::make_shared<Impl>(Io, std::move(Options), Log);
+  if (absl::Status Status = State->start(std::move(OnFatal)); !Status.ok())
+    return Status;
+  return std::unique_ptr<EntryVm>(new EntryVm(std::move(State)));
+}
+
+EntryVm::EntryVm(std::shared_ptr<Impl> State) : m_Impl(std::move(State)) {}
+EntryVm::~EntryVm() = default;
+
+void EntryVm::call(wire::WorkloadCall Call, Duration Timeout, CallDone Done) {
+  const bool IsSubmit = Call.__isset.submit;
+  m_Impl->m_Link->call(
+      wire::Method::WORKLOAD_CALL, net::encodeStruct(Call), Timeout,
+      Call.requestId, readCallHead,
+      [IsSubmit, Done = std::move(Done)](const LeaderAnswer &Answer) {
+        CallResult Result;
+        if (!Answer.m_Status.ok()) {
+          Result.m_Status = Answer.m_MaybeDone
+                                ? wire::WorkloadStatus::UNKNOWN
+                                : wire::WorkloadStatus::NOT_READY;
+          Result.m_Message = std::string(fromAbsl(Answer.m_Status.message()));
+          Done(std::move(Result));
+          return;
+        }
+        const absl::StatusOr<wire::WorkloadReply> Reply =
+            net::decodeAs<wire::WorkloadReply>(Answer.m_Body);
+        Result.m_Status = Reply->result.status;
+        Result.m_Message = Reply->result.message;
+        Result.m_Phase = Reply->phase;
+        Result.m_Source = Reply->source;
+        Result.m_WaveCompleted = Reply->waveCompleted;
+        // An earlier attempt that got no answer may still be stored, so a
+        // refusal of a later one must not claim otherwise.
+        const bool Stored = Result.m_Status == wire::WorkloadStatus::OK ||
+                            Result.m_Status == wire::WorkloadStatus::UNCHANGED;
+        if (IsSubmit && Answer.m_MaybeDone && !Stored)
+          Result.m_Status = wire::WorkloadStatus::UNKNOWN;
+        Done(std::move(Result));
+      });
+}
+
+EntryVm::Pending EntryVm::pending(const wire::QueueAddress &Address) const {
+  Pending Result;
+  if (!m_Impl->m_Watch->fresh())
+    return Result;
+  const internal::Admission Admitted =
+      internal::admit(m_Impl->m_Watch->policy(), Address);
+  Result.m_Status = Admitted.m_Status;
+  Result.m_Count = m_Impl->m_Watch->pendingOf(Admitted.m_Queue);
+  return Result;
+}
+
+bool EntryVm::ready() const {
+  return !m_Impl->m_ShuttingDown && m_Impl->m_Watch->fresh() &&
+         m_Impl->m_Watch->policy().version > 0;
+}
+
+int64_t EntryVm::policyVersion() const {
+  return m_Impl->m_Watch->policy().version;
+}
+
+bool EntryVm::leads() const {
+  return m_Impl->m_Replica && m_Impl->m_Replica->leads();
+}
+
+void EntryVm::setSeeds(std::vector<net::Endpoint> Seeds) {
+  m_Impl->m_Link->setSeeds(Seeds);
+  m_Impl->m_Formation->setSeeds(std::move(Seeds));
+}
+
+void EntryVm::beginShutdown() {
+  m_Impl->m_ShuttingDown = true;
+  if (m_Impl->m_Replica)
+    m_Impl->m_Replica->yieldLeadership();
+}
+
+} // namespace anvil::node
--- /dev/null
+++ b/src/node/GroupKeeper.cpp
@@ -0,0 +1,101 @@
+#include "anvil/node/GroupKeeper.h"
+
+#include <algorithm>
+
+namespace anvil::node {
+
+namespace {
+
+// Pause after a promotion that was refused because the learner lagged.
+constexpr Duration PromotionPause = std::chrono::milliseconds(50);
+
+GroupChange changeOf(GroupChange::Kind Kind, raft::ReplicaId Replica,
+                     std::string_view Reason) {
+  return {Kind, Replica, std::string(Reason)};
+}
+
+} // namespace
+
+void GroupKeeper::reset(TimePoint Now) {
+  m_LeadingSince = Now;
+  m_Heard.clear();
+  m_RetryPromotion.clear();
+}
+
+void GroupKeeper::heard(raft::ReplicaId Replica, TimePoint Now) {
+  m_Heard[Replica] = Now;
+}
+
+void GroupKeeper::promotionRefused(raft::ReplicaId Replica, TimePoint Now) {
+  m_RetryPromotion[Replica] = Now + PromotionPause;
+}
+
+TimePoint GroupKeeper::lastHeard(raft::ReplicaId Replica) const {
+  const auto It = m_Heard.find(Replica);
+  return It == m_Heard.end() ? m_LeadingSince : It->second;
+}
+
+bool GroupKeeper::present(raft::ReplicaId Replica, TimePoint Now) const {
+  return Replica == m_Options.m_Self ||
+         (m_Heard.contains(Replica) &&
+          Now - lastHeard(Replica) < m_Options.m_PresentFor);
+}
+
+// Two ids at one address: only the one that announced itself last is alive.
+std::optional<GroupChange> GroupKeeper::replacedReplica(
+    const raft::RaftStatus &Status,
+    const std::map<int64_t, wire::ReplicaAddress> &Registered) const {
+  for (const auto &[Id, Replica] : Registered)
+    for (const auto &[OtherId, Other] : Registered) {
+      const raft::ReplicaId Old(Id);
+      const raft::ReplicaId New(OtherId);
+      if (Id == OtherId || Replica.address != Other.address ||
+          Old == m_Options.m_Self || !m_Heard.contains(New) ||
+          lastHeard(New) <= lastHeard(Old))
+        continue;
+      if (Status.m_Members.contains(Old))
+        return changeOf(GroupChange::Kind::Remove, Old,
+                        "another replica took its address");
+      return changeOf(GroupChange::Kind::Forget, Old,
+                      "another replica took its address");
+    }
+  return std::nullopt;
+}
+
+std::optional<GroupChange>
+GroupKeeper::promotion(const raft::RaftStatus &Status, TimePoint Now) const {
+  for (raft::ReplicaId Learner : Status.m_Members.m_Learners) {
+    const auto Retry = m_RetryPromotion.find(Learner);
+    if (!present(Learner, Now) ||
+        (Retry != m_RetryPromotion.end() && Now < Retry->second))
+      continue;
+    for (raft::ReplicaId Voter : Status.m_Members.m_Voters)
+      if (Voter != m_Options.m_Self &&
+          Now - lastHeard(Voter) > m_Options.m_ReplaceAfter &&
+          Status.m_Members.m_Voters.size() > 2)
+        return changeOf(GroupChange::Kind::Remove, Voter,
+                        "silent, and a learner takes its place");
+    return changeOf(GroupChange::Kind::Promote, Learner, "caught up");
+  }
+  return std::nullopt;
+}
+
+std::optional<GroupChange>
+GroupKeeper::next(const raft::RaftStatus &Status,
+                  const std::map<int64_t, wire::ReplicaAddress> &Registered,
+                  TimePoint Now) const {
+  if (!Status.m_MembersCommitted)
+    return std::nullopt;
+  if (std::optional<GroupChange> Change = replacedReplica(Status, Registered))
+    return Change;
+  if (std::optional<GroupChange> Change = promotion(Status, Now))
+    return Change;
+  for (const auto &[Id, Replica] : Registered) {
+    const raft::ReplicaId Each(Id);
+    if (!Status.m_Members.contains(Each) && present(Each, Now))
+      return changeOf(GroupChange::Kind::AddLearner, Each, "announced itself");
+  }
+  return std::nullopt;
+}
+
+} // namespace anvil::node
--- /dev/null
+++ b/src/node/LeaderDuties.cpp
@@ -0,0 +1,322 @@
+#include "LeaderDuties.h"
+
+#include <algorithm>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include "anvil/base/Port.h"
+
+namespace anvil::node::internal {
+
+namespace {
+
+// Entries that were silent for this long are forgotten.
+constexpr Duration ForgetWatcherAfter = std::chrono::seconds(60);
+
+// Least and longest time between two looks at what has to be done.
+constexpr Duration MinPause = std::chrono::milliseconds(2);
+constexpr Duration MaxPause = std::chrono::milliseconds(100);
+
+} // namespace
+
+LeaderDuties::LeaderDuties(boost::asio::io_context &Io, LeaderOptions Options,
+                           LeaderPorts Ports, log::EventLog &Log)
+    : m_Options(Options), m_Ports(std::move(Ports)), m_Log(Log), m_Io(Io),
+      m_Timer(Io), m_Sessions(Options.m_Sessions),
+      m_Dispatcher(Options.m_Dispatch), m_Keeper(Options.m_Keeper) {}
+
+void LeaderDuties::begin() {
+  ++m_Period;
+  m_Active = true;
+  m_PlanInFlight = 0;
+  m_ChangeInFlight = false;
+  m_ConfirmInFlight = false;
+  const TimePoint Now = m_Ports.m_Now();
+  m_Sessions.reset(Now);
+  m_Dispatcher.reset();
+  m_Keeper.reset(Now);
+  m_Watchers.clear();
+  m_Log.write("leadership-begun",
+              {{"term", m_Ports.m_Status().m_Term},
+               {"applied", m_Ports.m_State().appliedIndex()},
+               {"jobs", m_Ports.m_State().liveJobs().size()},
+               {"workers", m_Ports.m_State().workers().size()}});
+  wake();
+}
+
+void LeaderDuties::end() {
+  if (!std::exchange(m_Active, false))
+    return;
+  ++m_Period;
+  m_Timer.cancel();
+  m_Log.write("leadership-ended", {{"term", m_Ports.m_Status().m_Term}});
+  const auto Syncs = std::exchange(m_Syncs, {});
+  wire::WorkerSyncReply NotLeading;
+  NotLeading.group = m_Ports.m_GroupView();
+  for (const auto &[Key, Done] : Syncs)
+    Done(NotLeading);
+  const auto Watchers = std::exchange(m_Watchers, {});
+  wire::EntryWatchReply NotWatched;
+  NotWatched.group = NotLeading.group;
+  for (const auto &[Entry, Of] : Watchers)
+    for (const auto &[Sequence, Done] : Of.m_Waiting)
+      Done(NotWatched);
+}
+
+void LeaderDuties::workerSync(const wire::WorkerSyncRequest &Request,
+                              std::function<void(wire::WorkerSyncReply)> Done) {
+  m_Syncs[{Request.agent, Request.sequence}] = std::move(Done);
+  propose(m_Sessions.receive(Request, m_Ports.m_State(), m_Ports.m_Now()));
+  wake();
+}
+
+void LeaderDuties::entryWatch(const wire::EntryWatchRequest &Request,
+                              std::function<void(wire::EntryWatchReply)> Done) {
+  Watcher &Of = m_Watchers[Request.entry];
+  Of.m_Confirm.received(Request.sequence);
+  Of.m_HeardAt = m_Ports.m_Now();
+  Of.m_Waiting[Request.sequence] = std::move(Done);
+  if (Request.sequence >= Of.m_Confirm.highest())
+    Of.m_Latest = Request;
+  wake();
+}
+
+void LeaderDuties::heardReplica(raft::ReplicaId Replica) {
+  m_Keeper.heard(Replica, m_Ports.m_Now());
+  wake();
+}
+
+void LeaderDuties::wake() {
+  if (!m_Active || std::exchange(m_WakePosted, true))
+    return;
+  boost::asio::post(m_Io, [Weak = weak_from_this()] {
+    auto Self = Weak.lock();
+    if (!Self)
+      return;
+    Self->m_WakePosted = false;
+    if (Self->m_Active)
+      Self->run();
+  });
+}
+
+void LeaderDuties::run() {
+  propose(m_Sessions.losses(m_Ports.m_State(), m_Ports.m_Now()));
+  openOccurrences();
+  plan();
+  keepGroup();
+  confirmIfDue();
+  answerAgents();
+  answerWatchers();
+  armTimer();
+}
+
+void LeaderDuties::propose(std::vector<wire::WorkloadCommand> Commands) {
+  for (wire::WorkloadCommand &Command : Commands) {
+    wire::WorkloadCommand Sent = Command;
+    m_Ports.m_Propose(std::move(Sent),
+                      [Weak = weak_from_this(), Period = m_Period, Command](
+                          const absl::StatusOr<wire::WorkloadResult> &Result) {
+                        auto Self = Weak.lock();
+                        if (!Self || Self->m_Period != Period)
+                          return;
+                        Self->m_Sessions.commandDone(Command, Result.ok());
+                        Self->wake();
+                      });
+  }
+}
+
+void LeaderDuties::plan() {
+  if (m_PlanInFlight > 0)
+    return;
+  std::vector<wire::WorkloadCommand> Commands =
+      m_Dispatcher.plan(m_Ports.m_State(), m_Sessions, m_Ports.m_Now());
+  for (wire::WorkloadCommand &Command : Commands) {
+    ++m_PlanInFlight;
+    wire::WorkloadCommand Sent = Command;
+    m_Ports.m_Propose(std::move(Sent),
+                      [Weak = weak_from_this(), Period = m_Period, Command](
+                          const absl::StatusOr<wire::WorkloadResult> &Result) {
+                        auto Self = Weak.lock();
+                        if (!Self || Self->m_Period != Period)
+                          return;
+                        --Self->m_PlanInFlight;
+                        Self->logCommandFailure(Command, Result);
+                        Self->wake();
+                      });
+  }
+}
+
+void LeaderDuties::logCommandFailure(
+    const wire::WorkloadCommand &Command,
+    const absl::StatusOr<wire::WorkloadResult> &Result) {
+  const std::string Job =
+      Command.__isset.startRuns ? Command.startRuns.jobId : "";
+  if (!Result.ok())
+    m_Log.write(
+        "plan-not-committed",
+        {{"job", Job}, {"reason", fromAbsl(Result.status().message())}});
+  else if (Result->status != wire::WorkloadStatus::OK)
+    m_Log.write("plan-overtaken", {{"job", Job}, {"reason", Result->message}});
+}
+
+// A repeated job's next occurrence begins when the wall clock says so.
+void LeaderDuties::openOccurrences() {
+  const int64_t NowMs = m_Ports.m_WallClockMicros() / 1000;
+  const workload::WorkloadState &State = m_Ports.m_State();
+  for (const auto &[Index, Id] : State.liveJobs()) {
+    const wire::JobRecord &Job = *State.job(Id);
+    const int32_t Next = Job.occurrencesOpened;
+    if (workload::hasEnded(Job.phase) || Next >= Job.spec.repeats ||
+        NowMs < Job.spec.firstDueMs + Next * Job.spec.intervalMs)
+      continue;
+    wire::OpenOccurrence Open;
+    Open.jobId = Id;
+    Open.occurrence = Next;
+    wire::WorkloadCommand Command;
+    Command.__set_openOccurrence(Open);
+    propose({Command});
+  }
+}
+
+void LeaderDuties::keepGroup() {
+  if (m_ChangeInFlight)
+    return;
+  const std::optional<GroupChange> Change = m_Keeper.next(
+      m_Ports.m_Status(), m_Ports.m_State().replicas(), m_Ports.m_Now());
+  if (Change)
+    carryOut(*Change);
+}
+
+void LeaderDuties::carryOut(const GroupChange &Change) {
+  using Kind = GroupChange::Kind;
+  m_ChangeInFlight = true;
+  const char *Names[] = {"add-learner", "promote", "remove", "forget"};
+  m_Log.write("group-change",
+              {{"change", Names[static_cast<int>(Change.m_Kind)]},
+               {"replica", Change.m_Replica.value()},
+               {"reason", Change.m_Reason}});
+  const auto Done = [Weak = weak_from_this(), Period = m_Period,
+                     Change](const absl::Status &Status) {
+    auto Self = Weak.lock();
+    if (!Self || Self->m_Period != Period)
+      return;
+    Self->m_ChangeInFlight = false;
+    if (!Status.ok()) {
+      Self->m_Log.write("group-change-refused",
+                        {{"replica", Change.m_Replica.value()},
+                         {"reason", fromAbsl(Status.message())}});
+      Self->m_Keeper.promotionRefused(Change.m_Replica, Self->m_Ports.m_Now());
+    }
+    Self->wake();
+  };
+  if (Change.m_Kind == Kind::Forget) {
+    wire::ForgetReplica Forget;
+    Forget.id = Change.m_Replica.value();
+    wire::WorkloadCommand Command;
+    Command.__set_forgetReplica(Forget);
+    m_Ports.m_Propose(
+        Command, [Done](const absl::StatusOr<wire::WorkloadResult> &Result) {
+          Done(Result.status());
+        });
+    return;
+  }
+  const raft::MembershipChangeKind RaftKind =
+      Change.m_Kind == Kind::AddLearner
+          ? raft::MembershipChangeKind::AddLearner
+          : (Change.m_Kind == Kind::Promote
+                 ? raft::MembershipChangeKind::PromoteLearner
+                 : raft::MembershipChangeKind::RemoveReplica);
+  m_Ports.m_ChangeMembership(RaftKind, Change.m_Replica, Done);
+}
+
+// One read of the replicated log confirms everything that arrived before it.
+void LeaderDuties::confirmIfDue() {
+  const TimePoint Now = m_Ports.m_Now();
+  if (m_ConfirmInFlight || Now < m_NextConfirm ||
+      (m_Syncs.empty() && m_Watchers.empty()))
+    return;
+  m_ConfirmInFlight = true;
+  m_NextConfirm = Now + m_Options.m_ConfirmInterval;
+  m_Sessions.beginConfirm();
+  for (auto &[Entry, Of] : m_Watchers)
+    Of.m_Confirm.begin();
+  m_Ports.m_Read(
+      [Weak = weak_from_this(), Period = m_Period](const absl::Status &Status) {
+        auto Self = Weak.lock();
+        if (!Self || Self->m_Period != Period)
+          return;
+        Self->m_ConfirmInFlight = false;
+        if (!Status.ok())
+          return;
+        Self->m_Sessions.confirm();
+        for (auto &[Entry, Of] : Self->m_Watchers)
+          Of.m_Confirm.confirm();
+      });
+}
+
+void LeaderDuties::answerAgents() {
+  for (dispatch::WorkerSessions::Answer &Each :
+       m_Sessions.poll(m_Ports.m_State(), m_Ports.m_Now())) {
+    auto Node = m_Syncs.extract({Each.m_Agent, Each.m_Sequence});
+    if (Node.empty())
+      continue;
+    Each.m_Reply.group = m_Ports.m_GroupView();
+    Node.mapped()(std::move(Each.m_Reply));
+  }
+}
+
+wire::EntryWatchReply LeaderDuties::makeWatchReply(const Watcher &Of) const {
+  const workload::WorkloadState &State = m_Ports.m_State();
+  wire::EntryWatchReply Reply;
+  Reply.group = m_Ports.m_GroupView();
+  Reply.leads = true;
+  Reply.confirmedSequence = Of.m_Confirm.confirmed();
+  Reply.policyChanged = State.policy().version > Of.m_Latest.policyVersion;
+  if (Reply.policyChanged) {
+    Reply.policy = State.policy();
+    Reply.policy.source.clear();
+  }
+  for (const auto &[Queue, Count] : State.pendingByQueue()) {
+    wire::QueuePending Pending;
+    Pending.queue = Queue;
+    Pending.pending = Count;
+    Reply.pending.push_back(std::move(Pending));
+  }
+  return Reply;
+}
+
+void LeaderDuties::answerWatchers() {
+  const TimePoint Now = m_Ports.m_Now();
+  for (auto It = m_Watchers.begin(); It != m_Watchers.end();) {
+    Watcher &Of = It->second;
+    const bool Changed =
+        m_Ports.m_State().policy().version > Of.m_Latest.policyVersion;
+    const bool Held = Now >= Of.m_HeardAt + m_Options.m_WatchHold;
+    if (!Of.m_Waiting.empty() && (Changed || Held || Of.m_Waiting.size() > 1)) {
+      const wire::EntryWatchReply Reply = makeWatchReply(Of);
+      const auto Waiting = std::exchange(Of.m_Waiting, {});
+      for (const auto &[Sequence, Done] : Waiting)
+        Done(Reply);
+    }
+    const bool Silent = Now - Of.m_HeardAt > ForgetWatcherAfter;
+    It = Silent ? m_Watchers.erase(It) : std::next(It);
+  }
+}
+
+void LeaderDuties::armTimer() {
+  const TimePoint Now = m_Ports.m_Now();
+  TimePoint Next = std::min(m_Sessions.nextDeadline(Now), Now + MaxPause);
+  for (const auto &[Entry, Of] : m_Watchers)
+    if (!Of.m_Waiting.empty())
+      Next = std::min(Next, Of.m_HeardAt + m_Options.m_WatchHold);
+  m_Timer.expires_after(std::max<Duration>(Next - Now, MinPause));
+  m_Timer.async_wait(
+      [Weak = weak_from_this()](boost::system::error_code Error) {
+        auto Self = Weak.lock();
+        if (!Error && Self && Self->m_Active)
+          Self->run();
+      });
+}
+
+} // namespace anvil::node::internal
--- /dev/null
+++ b/src/node/LeaderDuties.h
@@ -0,0 +1,116 @@
+#ifndef ANVIL_SRC_NODE_LEADERDUTIES_H
+#define ANVIL_SRC_NODE_LEADERDUTIES_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "ConfirmTracker.h"
+#include "anvil/dispatch/Dispatcher.h"
+#include "anvil/dispatch/WorkerSessions.h"
+#include "anvil/log/EventLog.h"
+#include "anvil/node/GroupKeeper.h"
+#include "anvil/raft/Raft.h"
+#include "anvil/workload/WorkloadState.h"
+
+namespace anvil::node::internal {
+
+/// Receives the result of a command that was committed and applied, or an error
+/// of the replicated log.
+using CommandDone = std::function<void(absl::StatusOr<wire::WorkloadResult>)>;
+
+/// What the duties need of the replica that leads.
+struct LeaderPorts {
+  std::function<void(wire::WorkloadCommand, CommandDone)> m_Propose;
+  std::function<void(std::function<void(absl::Status)>)> m_Read;
+  std::function<void(raft::MembershipChangeKind, raft::ReplicaId,
+                     std::function<void(absl::Status)>)>
+      m_ChangeMembership;
+  std::function<const workload::WorkloadState &()> m_State;
+  std::function<raft::RaftStatus()> m_Status;
+  std::function<wire::GroupView()> m_GroupView;
+  std::function<TimePoint()> m_Now;
+  std::function<int64_t()> m_WallClockMicros;
+};
+
+/// Settings of LeaderDuties.
+struct LeaderOptions {
+  dispatch::SessionOptions m_Sessions;
+  dispatch::DispatchOptions m_Dispatch;
+  GroupKeeperOptions m_Keeper;
+  /// Time between two confirmations of the leadership while anybody asks.
+  Duration m_ConfirmInterval = std::chrono::milliseconds(100);
+  /// Longest time that an answer to a watch is held back.
+  Duration m_WatchHold = std::chrono::milliseconds(250);
+};
+
+/// What only the leader does: answers agents and entries, plans runs, declares
+/// losses and keeps the members of the group.
+///
+/// Usage: begin() once the state holds everything that was committed before the
+/// leadership, end() when it is lost; wake() after changes of the state.
+class LeaderDuties : public std::enable_shared_from_this<LeaderDuties> {
+public:
+  LeaderDuties(boost::asio::io_context &Io, LeaderOptions Options,
+               LeaderPorts Ports, log::EventLog &Log);
+
+  void begin();
+  void end();
+  bool active() const { return m_Active; }
+
+  void workerSync(const wire::WorkerSyncRequest &Request,
+                  std::function<void(wire::WorkerSyncReply)> Done);
+  void entryWatch(const wire::EntryWatchRequest &Request,
+                  std::function<void(wire::EntryWatchReply)> Done);
+  void heardReplica(raft::ReplicaId Replica);
+  /// Looks soon at what has to be done.
+  void wake();
+
+private:
+  using SyncKey = std::pair<std::string, int64_t>;
+  struct Watcher {
+    wire::EntryWatchRequest m_Latest;
+    ConfirmTracker m_Confirm;
+    TimePoint m_HeardAt;
+    std::map<int64_t, std::function<void(wire::EntryWatchReply)>> m_Waiting;
+  };
+
+  void run();
+  void propose(std::vector<wire::WorkloadCommand> Commands);
+  void answerAgents();
+  void answerWatchers();
+  wire::EntryWatchReply makeWatchReply(const Watcher &Of) const;
+  void plan();
+  void openOccurrences();
+  void keepGroup();
+  void carryOut(const GroupChange &Change);
+  void confirmIfDue();
+  void armTimer();
+  void logCommandFailure(const wire::WorkloadCommand &Command,
+                         const absl::StatusOr<wire::WorkloadResult> &Result);
+
+  LeaderOptions m_Options;
+  LeaderPorts m_Ports;
+  log::EventLog &m_Log;
+  boost::asio::io_context &m_Io;
+  boost::asio::steady_timer m_Timer;
+  dispatch::WorkerSessions m_Sessions;
+  dispatch::Dispatcher m_Dispatcher;
+  GroupKeeper m_Keeper;
+  std::map<SyncKey, std::function<void(wire::WorkerSyncReply)>> m_Syncs;
+  std::map<std::string, Watcher> m_Watchers;
+  bool m_Active = false;
+  uint64_t m_Period = 0; ///< Counts the leaderships of this process.
+  bool m_WakePosted = false;
+  int m_PlanInFlight = 0;
+  bool m_ChangeInFlight = false;
+  bool m_ConfirmInFlight = false;
+  TimePoint m_NextConfirm;
+};
+
+} // namespace anvil::node::internal
+
+#endif // ANVIL_SRC_NODE_LEADERDUTIES_H
--- /dev/null
+++ b/src/node/LeaderLink.cpp
@@ -0,0 +1,273 @@
+#include "anvil/node/LeaderLink.h"
+
+#include <algorithm>
+#include <map>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "anvil/base/Port.h"
+
+namespace anvil::node {
+
+namespace {
+
+// Links that are kept open. Groups have up to seven replicas; the rest are
+// seeds and addresses of replicas that moved.
+constexpr size_t MaxLinks = 24;
+
+} // namespace
+
+struct LeaderLink::Impl {
+  struct PendingCall {
+    wire::Method::type m_Method = wire::Method::WORKLOAD_CALL;
+    std::string m_Body;
+    std::string m_TraceId;
+    TimePoint m_Deadline;
+    HeadReader m_Reader;
+    Done m_OnDone;
+    bool m_MaybeDone = false;
+    boost::asio::steady_timer m_Pause;
+
+    explicit PendingCall(boost::asio::io_context &Io) : m_Pause(Io) {}
+  };
+
+  Impl(boost::asio::io_context &Io, LeaderLinkOptions Options)
+      : m_Io(Io), m_Options(std::move(Options)) {}
+
+  void attempt(const std::shared_ptr<PendingCall> &Call);
+  void onAttempt(const std::shared_ptr<PendingCall> &Call,
+                 const net::Endpoint &Peer, absl::StatusOr<std::string> Result);
+  void retryLater(const std::shared_ptr<PendingCall> &Call, Duration Pause,
+                  const absl::Status &LastError);
+  absl::StatusOr<ReplyHead> readHead(const HeadReader &Reader,
+                                     const std::string &Body,
+                                     const net::Endpoint &Peer);
+  std::vector<net::Endpoint> candidates() const;
+  net::Endpoint target();
+  void suspect(const net::Endpoint &Peer);
+  void dropOldLinks();
+
+  boost::asio::io_context &m_Io;
+  LeaderLinkOptions m_Options;
+  std::weak_ptr<LeaderLink> m_Self;
+  wire::GroupView m_View;
+  /// The leader of m_View did not answer or said that it does not lead.
+  bool m_LeaderSuspect = true;
+  size_t m_NextCandidate = 0;
+  std::map<std::string, std::unique_ptr<net::RpcClient>> m_Links;
+};
+
+std::vector<net::Endpoint> LeaderLink::Impl::candidates() const {
+  std::vector<net::Endpoint> Result;
+  for (const wire::ReplicaAddress &Replica : m_View.replicas)
+    if (absl::StatusOr<net::Endpoint> Peer =
+            net::parseEndpoint(Replica.address);
+        Peer.ok())
+      Result.push_back(*Peer);
+  for (const net::Endpoint &Seed : m_Options.m_Seeds)
+    if (std::find(Result.begin(), Result.end(), Seed) == Result.end())
+      Result.push_back(Seed);
+  return Result;
+}
+
+net::Endpoint LeaderLink::Impl::target() {
+  if (!m_LeaderSuspect)
+    for (const wire::ReplicaAddress &Replica : m_View.replicas)
+      if (Replica.id == m_View.leader)
+        if (absl::StatusOr<net::Endpoint> Peer =
+                net::parseEndpoint(Replica.address);
+            Peer.ok())
+          return *Peer;
+  const std::vector<net::Endpoint> All = candidates();
+  if (All.empty())
+    return {};
+  return All[m_NextCandidate++ % All.size()];
+}
+
+void LeaderLink::Impl::suspect(const net::Endpoint &Peer) {
+  for (const wire::ReplicaAddress &Replica : m_View.replicas)
+    if (Replica.id == m_View.leader && Replica.address == Peer.str())
+      m_LeaderSuspect = true;
+}
+
+void LeaderLink::Impl::attempt(const std::shared_ptr<PendingCall> &Call) {
+  const Duration Left = Call->m_Deadline - m_Options.m_Now();
+  const net::Endpoint Peer = target();
+  if (Left <= Duration(0) || Peer.m_Port == 0) {
+    retryLater(Call, m_Options.m_SearchPause,
+               absl::UnavailableError("no process of the group is known"));
+    return;
+  }
+  std::weak_ptr<LeaderLink> Weak = m_Self;
+  const auto Self = Weak.lock();
+  Self->clientOf(Peer).call(
+      Call->m_Method, Call->m_Body, std::min(Left, m_Options.m_AttemptTimeout),
+      Call->m_TraceId, [Weak, Call, Peer](absl::StatusOr<std::string> Result) {
+        if (auto Live = Weak.lock())
+          Live->m_Impl->onAttempt(Call, Peer, std::move(Result));
+      });
+}
+
+// A process that does not lead may know who does; its word counts more than an
+// earlier failure to reach that leader.
+absl::StatusOr<LeaderLink::ReplyHead>
+LeaderLink::Impl::readHead(const HeadReader &Reader, const std::string &Body,
+                           const net::Endpoint &Peer) {
+  absl::StatusOr<ReplyHead> Head = Reader(Body);
+  auto Live = m_Self.lock();
+  if (!Head.ok() || !Live)
+    return Head;
+  Live->learn(Head->m_Group);
+  if (Head->m_Leads ||
+      (m_View.leader != 0 && m_View.leader == Head->m_Group.leader))
+    m_LeaderSuspect = false;
+  if (!Head->m_Leads)
+    suspect(Peer);
+  return Head;
+}
+
+void LeaderLink::Impl::onAttempt(const std::shared_ptr<PendingCall> &Call,
+                                 const net::Endpoint &Peer,
+                                 absl::StatusOr<std::string> Result) {
+  if (!Result.ok()) {
+    const auto Code = layerErrorOf<net::RpcErrc>(Result.status());
+    Call->m_MaybeDone = Call->m_MaybeDone || Code != net::RpcErrc::NotSent;
+    suspect(Peer);
+    retryLater(Call, Duration(0), Result.status());
+    return;
+  }
+  const absl::StatusOr<ReplyHead> Head =
+      readHead(Call->m_Reader, *Result, Peer);
+  if (!Head.ok()) {
+    retryLater(Call, m_Options.m_SearchPause, Head.status());
+    return;
+  }
+  if (Head->m_Leads) {
+    Call->m_OnDone({absl::OkStatus(), *std::move(Result), Call->m_MaybeDone});
+    return;
+  }
+  const bool Elsewhere = !m_LeaderSuspect;
+  retryLater(Call, Elsewhere ? Duration(0) : m_Options.m_SearchPause,
+             absl::UnavailableError("no leader is known"));
+}
+
+void LeaderLink::Impl::retryLater(const std::shared_ptr<PendingCall> &Call,
+                                  Duration Pause,
+                                  const absl::Status &LastError) {
+  if (m_Options.m_Now() + Pause >= Call->m_Deadline) {
+    Call->m_OnDone({LastError, "", Call->m_MaybeDone});
+    return;
+  }
+  Call->m_Pause.expires_after(Pause);
+  std::weak_ptr<LeaderLink> Weak = m_Self;
+  Call->m_Pause.async_wait([Weak, Call](boost::system::error_code Error) {
+    auto Live = Weak.lock();
+    if (!Error && Live)
+      Live->m_Impl->attempt(Call);
+  });
+}
+
+void LeaderLink::Impl::dropOldLinks() {
+  if (m_Links.size() <= MaxLinks)
+    return;
+  const std::vector<net::Endpoint> Wanted = candidates();
+  for (auto It = m_Links.begin(); It != m_Links.end();) {
+    const bool Keep =
+        std::any_of(Wanted.begin(), Wanted.end(),
+                    [&](const auto &Each) { return Each.str() == It->first; });
+    It = Keep ? std::next(It) : m_Links.erase(It);
+  }
+}
+
+std::shared_ptr<LeaderLink> LeaderLink::create(boost::asio::io_context &Io,
+                                               LeaderLinkOptions Options) {
+  std::shared_ptr<LeaderLink> Link(
+      new LeaderLink(std::make_unique<Impl>(Io, std::move(Options))));
+  Link->m_Impl->m_Self = Link;
+  return Link;
+}
+
+LeaderLink::LeaderLink(std::unique_ptr<Impl> State)
+    : m_Impl(std::move(State)) {}
+LeaderLink::~LeaderLink() = default;
+
+void LeaderLink::call(wire::Method::type Method, std::string Body,
+                      Duration Timeout, std::string_view TraceId,
+                      HeadReader Reader, Done OnDone) {
+  auto Call = std::make_shared<Impl::PendingCall>(m_Impl->m_Io);
+  Call->m_Method = Method;
+  Call->m_Body = std::move(Body);
+  Call->m_TraceId = std::string(TraceId);
+  Call->m_Deadline = m_Impl->m_Options.m_Now() + Timeout;
+  Call->m_Reader = std::move(Reader);
+  Call->m_OnDone = std::move(OnDone);
+  m_Impl->attempt(Call);
+}
+
+void LeaderLink::callOnce(wire::Method::type Method, std::string Body,
+                          Duration Timeout, HeadReader Reader, Done OnDone) {
+  const net::Endpoint Peer = m_Impl->target();
+  std::weak_ptr<LeaderLink> Weak = weak_from_this();
+  if (Peer.m_Port == 0) {
+    auto Timer = std::make_shared<boost::asio::steady_timer>(
+        m_Impl->m_Io, m_Impl->m_Options.m_SearchPause);
+    Timer->async_wait([Timer, OnDone](boost::system::error_code) {
+      OnDone({absl::UnavailableError("no process of the group is known"), "",
+              false});
+    });
+    return;
+  }
+  clientOf(Peer).call(
+      Method, std::move(Body), Timeout, "",
+      [Weak, Peer, Reader = std::move(Reader),
+       OnDone = std::move(OnDone)](absl::StatusOr<std::string> Result) {
+        auto Live = Weak.lock();
+        if (!Live)
+          return;
+        if (!Result.ok()) {
+          Live->m_Impl->suspect(Peer);
+          OnDone({Result.status(), "", true});
+          return;
+        }
+        const absl::StatusOr<ReplyHead> Head =
+            Live->m_Impl->readHead(Reader, *Result, Peer);
+        OnDone({Head.status(), *std::move(Result), false});
+      });
+}
+
+void LeaderLink::learn(const wire::GroupView &View) {
+  if (View.replicas.empty() || View.term < m_Impl->m_View.term)
+    return;
+  const bool NewTerm = View.term > m_Impl->m_View.term;
+  const int64_t Leader =
+      View.leader != 0 || NewTerm ? View.leader : m_Impl->m_View.leader;
+  if (NewTerm || Leader != m_Impl->m_View.leader)
+    m_Impl->m_LeaderSuspect = Leader == 0;
+  m_Impl->m_View = View;
+  m_Impl->m_View.leader = Leader;
+  m_Impl->dropOldLinks();
+}
+
+void LeaderLink::setSeeds(std::vector<net::Endpoint> Seeds) {
+  m_Impl->m_Options.m_Seeds = std::move(Seeds);
+}
+
+const wire::GroupView &LeaderLink::view() const { return m_Impl->m_View; }
+
+bool LeaderLink::knowsLeader() const {
+  return !m_Impl->m_LeaderSuspect && m_Impl->m_View.leader != 0;
+}
+
+net::RpcClient &LeaderLink::clientOf(const net::Endpoint &Peer) {
+  std::unique_ptr<net::RpcClient> &Link = m_Impl->m_Links[Peer.str()];
+  if (!Link)
+    Link = net::RpcClient::create(m_Impl->m_Io, Peer, m_Impl->m_Options.m_Rpc);
+  return *Link;
+}
+
+const std::vector<net::Endpoint> &LeaderLink::seeds() const {
+  return m_Impl->m_Options.m_Seeds;
+}
+
+} // namespace anvil::node
--- /dev/null
+++ b/src/node/Replica.cpp
@@ -0,0 +1,354 @@
+#include "Replica.h"
+
+#include <charconv>
+
+#include <boost/asio/io_context.hpp>
+
+#include "anvil/base/Port.h"
+#include "anvil/net/WireCodec.h"
+
+namespace anvil::node::internal {
+
+namespace {
+
+// File that holds the id of the replica. An id is drawn when the folder is
+// empty, so a replica that lost its disk is a new one to the group.
+constexpr const char *IdFile = "replica-id";
+
+std::optional<int64_t> parseId(std::string_view Text) {
+  int64_t Id = 0;
+  const auto Result =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Id);
+  const bool Whole =
+      Result.ec == std::errc() && Result.ptr == Text.data() + Text.size();
+  return Whole && Id > 0 ? std::optional(Id) : std::nullopt;
+}
+
+// Reads the id of the replica, or draws one and makes it durable.
+absl::StatusOr<int64_t> ensureId(store::FileSystem &Files,
+                                 const std::function<double()> &Random) {
+  const absl::StatusOr<std::string> Text = Files.read(IdFile);
+  if (Text.ok())
+    if (const std::optional<int64_t> Id = parseId(*Text))
+      return *Id;
+  if (!Text.ok() && !absl::IsNotFound(Text.status()))
+    return Text.status();
+  // A file that a power loss cut short names no replica that ever voted.
+  if (Text.ok())
+    if (absl::Status Status = Files.remove(IdFile); !Status.ok())
+      return Status;
+  const int64_t Id =
+      1 + static_cast<int64_t>(Random() * 9'000'000'000'000'000.0);
+  absl::StatusOr<std::unique_ptr<store::AppendFile>> File =
+      Files.openAppend(IdFile);
+  if (!File.ok())
+    return File.status();
+  if (absl::Status Status = (*File)->append(std::to_string(Id)); !Status.ok())
+    return Status;
+  if (absl::Status Status = (*File)->sync(); !Status.ok())
+    return Status;
+  if (absl::Status Status = Files.syncDirectory(); !Status.ok())
+    return Status;
+  return Id;
+}
+
+} // namespace
+
+Replica::Replica(boost::asio::io_context &Io, ReplicaOptions Options,
+                 std::shared_ptr<LeaderLink> Link, log::EventLog &Log,
+                 std::function<void(const absl::Status &)> OnFatal)
+    : m_Io(Io), m_Options(std::move(Options)), m_Link(std::move(Link)),
+      m_Log(Log), m_OnFatal(std::move(OnFatal)), m_State(m_Options.m_Limits) {}
+
+Replica::~Replica() = default;
+
+absl::StatusOr<std::shared_ptr<Replica>>
+Replica::create(boost::asio::io_context &Io, ReplicaOptions Options,
+                std::shared_ptr<LeaderLink> Link, log::EventLog &Log,
+                std::function<void(const absl::Status &)> OnFatal) {
+  absl::StatusOr<std::unique_ptr<store::FileSystem>> Files =
+      store::openDataFolder(Options.m_DataFolder);
+  if (!Files.ok())
+    return Files.status();
+  absl::StatusOr<int64_t> Id = ensureId(**Files, Options.m_Random);
+  if (!Id.ok())
+    return Id.status();
+  Options.m_Raft.m_Self = raft::ReplicaId(*Id);
+  Options.m_Leader.m_Keeper.m_Self = Options.m_Raft.m_Self;
+  store::StoreOptions StoreOptions;
+  StoreOptions.m_SegmentBytes = Options.m_SegmentBytes;
+  absl::StatusOr<std::unique_ptr<store::LogStore>> Store =
+      store::LogStore::open(StoreOptions, **Files);
+  if (!Store.ok())
+    return Store.status();
+  std::shared_ptr<Replica> Result(new Replica(
+      Io, std::move(Options), std::move(Link), Log, std::move(OnFatal)));
+  Result->m_Files = *std::move(Files);
+  Result->m_Store = *std::move(Store);
+  const bool Empty = Result->m_Store->empty();
+  Log.write("replica-opened", {{"replica", *Id}, {"empty", Empty}});
+  if (!Empty)
+    if (absl::Status Status = Result->open(std::nullopt); !Status.ok())
+      return Status;
+  return Result;
+}
+
+absl::Status Replica::found() {
+  raft::Membership Members;
+  Members.m_Voters.push_back(id());
+  m_Log.write("group-founded", {{"replica", id().value()}});
+  return open(Members);
+}
+
+absl::Status Replica::join() {
+  m_Log.write("group-joining", {{"replica", id().value()}});
+  return open(std::nullopt);
+}
+
+absl::Status Replica::open(std::optional<raft::Membership> Bootstrap) {
+  replica::ReplicatedLogOptions LogOptions;
+  LogOptions.m_Raft = m_Options.m_Raft;
+  LogOptions.m_Bootstrap = std::move(Bootstrap);
+  LogOptions.m_SnapshotEvery = m_Options.m_SnapshotEvery;
+  LogOptions.m_Now = m_Options.m_Now;
+  absl::StatusOr<std::unique_ptr<replica::ReplicatedLog>> Opened =
+      replica::ReplicatedLog::create(m_Io, std::move(LogOptions),
+                                     std::move(m_Store));
+  if (!Opened.ok())
+    return Opened.status();
+  m_LogHandle = *std::move(Opened);
+  if (const raft::SnapshotData Data = m_LogHandle->snapshot())
+    if (absl::Status Status = restore(*Data); !Status.ok())
+      return Status;
+  m_Duties = std::make_shared<LeaderDuties>(m_Io, m_Options.m_Leader,
+                                            leaderPorts(), m_Log);
+  m_State.setEventHook(
+      [this](const workload::WorkloadEvent &Event) { logStateEvent(Event); });
+  m_LogHandle->start(hooks());
+  return absl::OkStatus();
+}
+
+replica::ReplicatedLogHooks Replica::hooks() {
+  replica::ReplicatedLogHooks Result;
+  Result.m_Apply = [this](std::string_view Bytes, raft::LogIndex Index) {
+    return apply(Bytes, Index);
+  };
+  Result.m_Snapshot = [this] { return m_State.snapshot(); };
+  Result.m_Restore = [this](std::string_view Snapshot) {
+    return restore(Snapshot);
+  };
+  Result.m_Send = [this](raft::ReplicaId To, std::string Message) {
+    send(To, std::move(Message));
+  };
+  Result.m_OnRole = [this](const raft::RoleChange &Change) { onRole(Change); };
+  Result.m_OnApplied = [this] {
+    m_Link->learn(groupView());
+    m_Duties->wake();
+  };
+  Result.m_OnAnswered = [this] { m_Results.clear(); };
+  Result.m_OnFatal = [this](const absl::Status &Status) {
+    m_Log.write("replica-failed", {{"reason", fromAbsl(Status.message())}});
+    m_Duties->end();
+    if (m_OnFatal)
+      m_OnFatal(Status);
+  };
+  return Result;
+}
+
+absl::Status Replica::apply(std::string_view Bytes, raft::LogIndex Index) {
+  wire::WorkloadCommand Command;
+  if (absl::Status Status = net::decodeStruct(Bytes, Command); !Status.ok())
+    return Status;
+  m_Results[Index] = m_State.apply(Command, static_cast<int64_t>(Index));
+  return absl::OkStatus();
+}
+
+absl::Status Replica::restore(std::string_view Snapshot) {
+  absl::StatusOr<workload::WorkloadState> Restored =
+      workload::WorkloadState::restore(Snapshot, m_Options.m_Limits);
+  if (!Restored.ok())
+    return Restored.status();
+  m_State = *std::move(Restored);
+  m_State.setEventHook(
+      [this](const workload::WorkloadEvent &Event) { logStateEvent(Event); });
+  m_Log.write("state-restored", {{"applied", m_State.appliedIndex()},
+                                 {"jobs", m_State.liveJobs().size()}});
+  return absl::OkStatus();
+}
+
+void Replica::send(raft::ReplicaId To, std::string Message) {
+  std::optional<net::Endpoint> Peer;
+  const auto Registered = m_State.replicas().find(To.value());
+  if (Registered != m_State.replicas().end()) {
+    absl::StatusOr<net::Endpoint> Parsed =
+        net::parseEndpoint(Registered->second.address);
+    if (Parsed.ok())
+      Peer = *Parsed;
+  } else if (const auto Sender = m_Senders.find(To.value());
+             Sender != m_Senders.end()) {
+    Peer = Sender->second;
+  }
+  if (!Peer)
+    return;
+  wire::GroupMessage Envelope;
+  Envelope.senderId = id().value();
+  Envelope.receiverId = To.value();
+  Envelope.senderAddress = m_Options.m_Address.str();
+  Envelope.body = std::move(Message);
+  m_Link->clientOf(*Peer).notify(wire::Method::RAFT_MESSAGE,
+                                 net::encodeStruct(Envelope));
+}
+
+void Replica::receive(const wire::GroupMessage &Message) {
+  // An address may have been taken over by another replica.
+  if (!m_LogHandle || Message.receiverId != id().value())
+    return;
+  absl::StatusOr<net::Endpoint> Sender =
+      net::parseEndpoint(Message.senderAddress);
+  if (Sender.ok())
+    m_Senders[Message.senderId] = *std::move(Sender);
+  m_LogHandle->receive(Message.body);
+}
+
+void Replica::onRole(const raft::RoleChange &Change) {
+  const char *Names[] = {"follower", "pre-candidate", "candidate", "leader"};
+  m_Log.write("role-changed", {{"role", Names[static_cast<int>(Change.m_Role)]},
+                               {"term", Change.m_Term},
+                               {"leader", Change.m_Leader.value()}});
+  m_Role = Change;
+  m_Link->learn(groupView());
+  if (Change.m_Role == raft::RaftRole::Leader)
+    takeUpDuties(Change.m_Term);
+  else
+    m_Duties->end();
+}
+
+// The state of a new leader lacks what its predecessor committed until a read
+// of its own term was confirmed.
+void Replica::takeUpDuties(raft::TermNumber Term) {
+  m_LogHandle->read([Weak = weak_from_this(), Term](absl::Status Status) {
+    auto Self = Weak.lock();
+    if (!Self || Self->m_Role.m_Role != raft::RaftRole::Leader ||
+        Self->m_Role.m_Term != Term || Self->m_Duties->active())
+      return;
+    if (!Status.ok()) {
+      Self->takeUpDuties(Term);
+      return;
+    }
+    Self->m_Duties->begin();
+    Self->registerSelf();
+  });
+}
+
+// The founder of a group is the first that others ask for its members.
+void Replica::registerSelf() {
+  wire::RegisterReplica Register;
+  Register.replica.id = id().value();
+  Register.replica.address = m_Options.m_Address.str();
+  Register.replica.availabilityZone = m_Options.m_AvailabilityZone;
+  const auto Known = m_State.replicas().find(Register.replica.id);
+  if (Known != m_State.replicas().end() && Known->second == Register.replica)
+    return;
+  wire::WorkloadCommand Command;
+  Command.__set_registerReplica(Register);
+  propose(std::move(Command),
+          [](const absl::StatusOr<wire::WorkloadResult> &) {});
+}
+
+void Replica::propose(wire::WorkloadCommand Command, CommandDone Done) {
+  Command.proposedAtMs = m_Options.m_WallClockMicros() / 1000;
+  m_LogHandle->propose(
+      net::encodeStruct(Command),
+      [this, Done = std::move(Done)](absl::StatusOr<raft::LogIndex> Index) {
+        if (!Index.ok()) {
+          Done(Index.status());
+          return;
+        }
+        const auto Result = m_Results.find(*Index);
+        if (Result == m_Results.end())
+          Done(absl::InternalError("a committed command has no result"));
+        else
+          Done(Result->second);
+      });
+}
+
+LeaderPorts Replica::leaderPorts() {
+  LeaderPorts Ports;
+  Ports.m_Propose = [this](wire::WorkloadCommand Command, CommandDone Done) {
+    propose(std::move(Command), std::move(Done));
+  };
+  Ports.m_Read = [this](std::function<void(absl::Status)> Done) {
+    m_LogHandle->read(std::move(Done));
+  };
+  Ports.m_ChangeMembership = [this](raft::MembershipChangeKind Kind,
+                                    raft::ReplicaId Target,
+                                    std::function<void(absl::Status)> Done) {
+    m_LogHandle->changeMembership(
+        Kind, Target,
+        [Done = std::move(Done)](const absl::StatusOr<raft::LogIndex> &Index) {
+          Done(Index.status());
+        });
+  };
+  Ports.m_State = [this]() -> const workload::WorkloadState & {
+    return m_State;
+  };
+  Ports.m_Status = [this] { return status(); };
+  Ports.m_GroupView = [this] { return groupView(); };
+  Ports.m_Now = m_Options.m_Now;
+  Ports.m_WallClockMicros = m_Options.m_WallClockMicros;
+  return Ports;
+}
+
+wire::GroupView Replica::groupView() const {
+  wire::GroupView View;
+  for (const auto &[Id, Replica] : m_State.replicas())
+    View.replicas.push_back(Replica);
+  View.leader = m_Role.m_Leader.value();
+  View.term = static_cast<int64_t>(m_Role.m_Term);
+  return View;
+}
+
+raft::RaftStatus Replica::status() const {
+  return m_LogHandle ? m_LogHandle->status() : raft::RaftStatus();
+}
+
+void Replica::yieldLeadership() {
+  if (!m_LogHandle || !m_LogHandle->leads())
+    return;
+  for (raft::ReplicaId Voter : status().m_Members.m_Voters) {
+    const auto Registered = m_State.replicas().find(Voter.value());
+    if (Voter == id() || Registered == m_State.replicas().end())
+      continue;
+    absl::StatusOr<net::Endpoint> Peer =
+        net::parseEndpoint(Registered->second.address);
+    if (!Peer.ok() || !m_Link->clientOf(*Peer).connected())
+      continue;
+    m_Log.write("leadership-handed-over", {{"to", Voter.value()}});
+    m_LogHandle->transferLeadership(Voter);
+    return;
+  }
+}
+
+void Replica::workerSync(const wire::WorkerSyncRequest &Request,
+                         std::function<void(wire::WorkerSyncReply)> Done) {
+  if (leads()) {
+    m_Duties->workerSync(Request, std::move(Done));
+    return;
+  }
+  wire::WorkerSyncReply Reply;
+  Reply.group = groupView();
+  Done(std::move(Reply));
+}
+
+void Replica::entryWatch(const wire::EntryWatchRequest &Request,
+                         std::function<void(wire::EntryWatchReply)> Done) {
+  if (leads()) {
+    m_Duties->entryWatch(Request, std::move(Done));
+    return;
+  }
+  wire::EntryWatchReply Reply;
+  Reply.group = groupView();
+  Done(std::move(Reply));
+}
+
+} // namespace anvil::node::internal
--- /dev/null
+++ b/src/node/Replica.h
@@ -0,0 +1,129 @@
+#ifndef ANVIL_SRC_NODE_REPLICA_H
+#define ANVIL_SRC_NODE_REPLICA_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "LeaderDuties.h"
+#include "anvil/node/LeaderLink.h"
+#include "anvil/replica/ReplicatedLog.h"
+#include "anvil/store/LogStore.h"
+#include "anvil/workload/WorkloadState.h"
+
+namespace anvil::node::internal {
+
+/// Settings of a Replica.
+struct ReplicaOptions {
+  std::string m_DataFolder;
+  /// Address under which other processes reach this one.
+  net::Endpoint m_Address;
+  std::string m_AvailabilityZone;
+  raft::RaftOptions m_Raft; ///< m_Self is read from the data folder.
+  uint64_t m_SnapshotEvery = 2000;
+  uint64_t m_SegmentBytes = 4u << 20;
+  LeaderOptions m_Leader;
+  workload::WorkloadLimits m_Limits;
+  std::function<TimePoint()> m_Now;
+  std::function<int64_t()> m_WallClockMicros;
+  /// Returns a number in [0, 1).
+  std::function<double()> m_Random;
+};
+
+/// One replica of the workload state on a VM with a disk.
+///
+/// Usage: create() opens the data folder. A folder with a log takes part at
+/// once; an empty one waits for found() or join(). After a failure of the
+/// storage it takes no part any more, and OnFatal ran.
+class Replica : public std::enable_shared_from_this<Replica> {
+public:
+  static absl::StatusOr<std::shared_ptr<Replica>>
+  create(boost::asio::io_context &Io, ReplicaOptions Options,
+         std::shared_ptr<LeaderLink> Link, log::EventLog &Log,
+         std::function<void(const absl::Status &)> OnFatal);
+  ~Replica();
+  Replica(const Replica &) = delete;
+  Replica &operator=(const Replica &) = delete;
+
+  raft::ReplicaId id() const { return m_Options.m_Raft.m_Self; }
+  /// Returns true once it has a log: it founded, joined or recovered.
+  bool inGroup() const { return m_LogHandle != nullptr; }
+  /// Founds a new group of this replica alone. Others join it.
+  absl::Status found();
+  /// Starts with an empty log, to be filled by the leader of a group.
+  absl::Status join();
+
+  void receive(const wire::GroupMessage &Message);
+  /// Answers a call of an entry or another replica.
+  void call(const wire::WorkloadCall &Call,
+            std::function<void(wire::WorkloadReply)> Done);
+  void workerSync(const wire::WorkerSyncRequest &Request,
+                  std::function<void(wire::WorkerSyncReply)> Done);
+  void entryWatch(const wire::EntryWatchRequest &Request,
+                  std::function<void(wire::EntryWatchReply)> Done);
+
+  /// Returns the replicas and the leader as this one knows them.
+  wire::GroupView groupView() const;
+  /// Returns true while it leads and has taken up the duties of the leader.
+  bool leads() const { return m_Duties && m_Duties->active(); }
+  raft::RaftStatus status() const;
+  const workload::WorkloadState &state() const { return m_State; }
+  /// Hands leadership to another voter, if this replica leads.
+  void yieldLeadership();
+
+private:
+  Replica(boost::asio::io_context &Io, ReplicaOptions Options,
+          std::shared_ptr<LeaderLink> Link, log::EventLog &Log,
+          std::function<void(const absl::Status &)> OnFatal);
+
+  absl::Status open(std::optional<raft::Membership> Bootstrap);
+  replica::ReplicatedLogHooks hooks();
+  absl::Status apply(std::string_view Bytes, raft::LogIndex Index);
+  absl::Status restore(std::string_view Snapshot);
+  void send(raft::ReplicaId To, std::string Message);
+  void onRole(const raft::RoleChange &Change);
+  void takeUpDuties(raft::TermNumber Term);
+  void registerSelf();
+  void propose(wire::WorkloadCommand Command, CommandDone Done);
+  LeaderPorts leaderPorts();
+  void logStateEvent(const workload::WorkloadEvent &Event);
+
+  // Calls; each answers Done once.
+  using CallDone = std::function<void(wire::WorkloadReply)>;
+  void submit(const wire::WorkloadCall &Call, const CallDone &Done);
+  void cancel(const wire::WorkloadCall &Call, const CallDone &Done);
+  void askStatus(const wire::WorkloadCall &Call, const CallDone &Done);
+  void getPolicy(const CallDone &Done);
+  void askWave(int64_t Wave, const CallDone &Done);
+  void registerReplica(const wire::RegisterReplica &Register,
+                       const CallDone &Done);
+  void commit(wire::WorkloadCommand Command, const CallDone &Done);
+  void answerFresh(const CallDone &Done,
+                   std::function<void(wire::WorkloadReply &)> Fill);
+  wire::WorkloadReply notLeading() const;
+  wire::WorkloadReply leading(wire::WorkloadStatus::type Status,
+                              std::string_view Message = "") const;
+
+  boost::asio::io_context &m_Io;
+  ReplicaOptions m_Options;
+  std::shared_ptr<LeaderLink> m_Link;
+  log::EventLog &m_Log;
+  std::function<void(const absl::Status &)> m_OnFatal;
+  std::unique_ptr<store::FileSystem> m_Files;
+  std::unique_ptr<store::LogStore> m_Store; ///< Until the log is started.
+  std::unique_ptr<replica::ReplicatedLog> m_LogHandle;
+  workload::WorkloadState m_State;
+  std::shared_ptr<LeaderDuties> m_Duties;
+  raft::RoleChange m_Role;
+  /// Results by log index, until the proposals are answered.
+  std::unordered_map<uint64_t, wire::WorkloadResult> m_Results;
+  /// Addresses of replicas that sent messages, for a replica whose state does
+  /// not hold them yet.
+  std::map<int64_t, net::Endpoint> m_Senders;
+};
+
+} // namespace anvil::node::internal
+
+#endif // ANVIL_SRC_NODE_REPLICA_H
--- /dev/null
+++ b/src/node/StateEventLog.cpp
@@ -0,0 +1,72 @@
+#include "Replica.h"
+
+namespace anvil::node::internal {
+
+namespace {
+
+/// Writes the log line of one change of the state.
+class EventWriter {
+public:
+  EventWriter(log::EventLog &Log, int64_t Index) : m_Log(Log), m_Index(Index) {}
+
+  void operator()(const workload::JobChanged &Event) const {
+    m_Log.write(
+        "job-" + std::string(workload::nameOf(Event.m_Phase)),
+        {{"job", Event.m_Job}, {"reason", Event.m_Reason}, {"index", m_Index}});
+  }
+  void operator()(const workload::RunPlaced &Event) const {
+    m_Log.write("run-placed", {{"task", workload::nameOf(Event.m_Task)},
+                               {"run", Event.m_Run},
+                               {"worker", Event.m_Worker.id},
+                               {"reason", Event.m_Reason},
+                               {"index", m_Index}});
+  }
+  void operator()(const workload::RunStopping &Event) const {
+    m_Log.write("run-stopping", {{"task", workload::nameOf(Event.m_Task)},
+                                 {"run", Event.m_Run},
+                                 {"worker", Event.m_Worker.id},
+                                 {"reason", Event.m_Reason},
+                                 {"index", m_Index}});
+  }
+  void operator()(const workload::RunEnded &Event) const {
+    m_Log.write("run-over", {{"task", workload::nameOf(Event.m_Task)},
+                             {"run", Event.m_Run},
+                             {"worker", Event.m_Worker.id},
+                             {"kind", workload::nameOf(Event.m_Kind)},
+                             {"reason", Event.m_Detail},
+                             {"index", m_Index}});
+  }
+  void operator()(const workload::WorkerChanged &Event) const {
+    m_Log.write(Event.m_Registered ? "worker-registered" : "worker-lost",
+                {{"worker", Event.m_Life.id},
+                 {"born_ms", Event.m_Life.bornMs},
+                 {"reason", Event.m_Reason},
+                 {"index", m_Index}});
+  }
+  void operator()(const workload::PolicyChanged &Event) const {
+    m_Log.write("policy-in-force",
+                {{"version", Event.m_Version}, {"index", m_Index}});
+  }
+  void operator()(const workload::ZoneWithdrawalChanged &Event) const {
+    m_Log.write(Event.m_Withdrawn ? "zone-withdrawn" : "zone-restored",
+                {{"zone", Event.m_Zone}, {"index", m_Index}});
+  }
+
+private:
+  log::EventLog &m_Log;
+  int64_t m_Index;
+};
+
+} // namespace
+
+// All replicas apply the same changes; the leader's lines are enough, but what
+// changes how callers are answered is noted by each.
+void Replica::logStateEvent(const workload::WorkloadEvent &Event) {
+  const bool ForAll =
+      std::holds_alternative<workload::PolicyChanged>(Event) ||
+      std::holds_alternative<workload::ZoneWithdrawalChanged>(Event);
+  if (ForAll || leads())
+    std::visit(EventWriter(m_Log, m_State.appliedIndex()), Event);
+}
+
+} // namespace anvil::node::internal
--- a/src/control/SyncWorker.cpp
+++ b/src/replica/SyncWorker.cpp
@@ -3,7 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
-namespace anvil::control::internal {
+namespace anvil::replica::internal {
 
 SyncWorker::SyncWorker(boost::asio::io_context &Io,
                        std::unique_ptr<store::LogStore> Store,
@@ -93,4 +93,4 @@
   return absl::OkStatus();
 }
 
-} // namespace anvil::control::internal
+} // namespace anvil::replica::internal
--- a/src/control/SyncWorker.h
+++ b/src/replica/SyncWorker.h
@@ -1,5 +1,5 @@
-#ifndef ANVIL_SRC_CONTROL_SYNCWORKER_H
-#define ANVIL_SRC_CONTROL_SYNCWORKER_H
+#ifndef ANVIL_SRC_REPLICA_SYNCWORKER_H
+#define ANVIL_SRC_REPLICA_SYNCWORKER_H
 
 #include <condition_variable>
 #include <functional>
@@ -15,7 +15,7 @@
 class io_context;
 }
 
-namespace anvil::control::internal {
+namespace anvil::replica::internal {
 
 /// Runs blocking writes of a LogStore on a thread of its own.
 ///
@@ -71,6 +71,6 @@
   std::thread m_Thread;
 };
 
-} // namespace anvil::control::internal
+} // namespace anvil::replica::internal
 
-#endif // ANVIL_SRC_CONTROL_SYNCWORKER_H
+#endif // ANVIL_SRC_REPLICA_SYNCWORKER_H
--- /dev/null
+++ b/src/runner/RunnerCalls.cpp
@@ -0,0 +1,387 @@
+#include <algorithm>
+#include <set>
+
+#include "RunnerImpl.h"
+
+namespace anvil::runner {
+
+namespace {
+
+// Ends that a worker lists at a time. A longer list may hide further ends, so
+// the absence of a run proves nothing then.
+constexpr size_t MaxListedEnds = 500;
+
+// Connections refused in a row after which the worker counts as gone, so that
+// a single reset is no loss.
+constexpr int32_t RefusalsOfGoneWorker = 2;
+
+// Remembered ends by task; only late answers refer to older ones.
+constexpr size_t MaxRememberedEnds = 4096;
+
+// Nothing is ordered with less than this left of the authority.
+constexpr Duration AuthorityMargin = std::chrono::milliseconds(50);
+
+} // namespace
+
+CallId Runner::Impl::open(OutstandingCall Call) {
+  Call.m_SentAt = m_Now;
+  const CallId Id = m_NextCall++;
+  m_Calls.emplace(Id, std::move(Call));
+  return Id;
+}
+
+bool Runner::Impl::mayOrder() const {
+  return m_Phase == Phase::Serving &&
+         m_Now + AuthorityMargin < m_AuthorityEnd && m_ClockAt != TimePoint();
+}
+
+// The worker's clock stood at m_ClockMs or later when the sample arrived, so
+// the result is never after the end of the authority but for the error of its
+// rate, which the leader allows for.
+int64_t Runner::Impl::leaseEndMs() const {
+  const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      m_AuthorityEnd - m_ClockAt);
+  return m_ClockMs + Left.count();
+}
+
+void Runner::Impl::onCallAnswered(const CallAnswer &Answer) {
+  auto Node = m_Calls.extract(Answer.m_Call);
+  if (Node.empty())
+    return;
+  const OutstandingCall &Call = Node.mapped();
+  if (Call.m_Kind == OutstandingCall::Kind::Probe) {
+    onProbeAnswered(Answer);
+    return;
+  }
+  if (Call.m_Kind == OutstandingCall::Kind::Hold)
+    m_HoldOutstanding = false;
+  if (m_Phase == Phase::NoWorker || !(Call.m_Life == m_Facts.life) ||
+      Call.m_Token != m_Token)
+    return;
+  if (Answer.m_Error != CallError::NoAnswer &&
+      Answer.m_Error != CallError::Unreachable) {
+    m_LastAnswer = m_Now;
+    m_Refusals = 0;
+  }
+  if (Answer.m_ClockMs) {
+    m_ClockMs = *Answer.m_ClockMs;
+    m_ClockAt = m_Now;
+  }
+  if (onCommonError(Answer, Call))
+    return;
+  if (Call.m_Kind == OutstandingCall::Kind::Fence) {
+    onFenceAnswered(Answer);
+    return;
+  }
+  if (Call.m_Kind == OutstandingCall::Kind::Hold ||
+      Call.m_Kind == OutstandingCall::Kind::Acknowledge) {
+    onHoldAnswered(Answer, Call);
+    return;
+  }
+  const auto Run = m_Runs.find(Call.m_Task);
+  if (Run == m_Runs.end() || Run->second.m_Order.run != Call.m_Run)
+    return;
+  Run->second.m_CallOutstanding = false;
+  if (Call.m_Kind == OutstandingCall::Kind::Start)
+    onStartAnswered(Answer, Run->second);
+  else
+    onStopAnswered(Answer, Run->second);
+}
+
+// Errors that tell something of the worker as a whole.
+bool Runner::Impl::onCommonError(const CallAnswer &Answer,
+                                 const OutstandingCall &Call) {
+  if (Answer.m_Error == CallError::OtherLife ||
+      (Answer.m_BornMs && *Answer.m_BornMs != m_Facts.life.bornMs)) {
+    loseWorker("another life of the worker answered");
+    return true;
+  }
+  if (Answer.m_Error == CallError::Fenced) {
+    if (m_Phase != Phase::Registering)
+      registerAgain("the worker has seen a higher token");
+    return true;
+  }
+  if (Answer.m_Error == CallError::Unreachable &&
+      Call.m_Kind != OutstandingCall::Kind::Acknowledge) {
+    if (++m_Refusals >= RefusalsOfGoneWorker) {
+      loseWorker("nothing listens at the worker's address");
+      return true;
+    }
+  }
+  return false;
+}
+
+// ---- holds ----
+
+void Runner::Impl::hold() {
+  if (m_Phase != Phase::Serving || m_HoldOutstanding || m_Now < m_NextHold)
+    return;
+  const bool Busy = !m_Runs.empty() || !m_Ends.empty();
+  sendHold(OutstandingCall::Kind::Hold,
+           Busy ? m_Options.m_BusyWait : m_Options.m_IdleWait);
+  m_HoldOutstanding = true;
+}
+
+// Tells the worker at once that ends are durable, beside the hold that waits.
+void Runner::Impl::acknowledge() {
+  if (m_Phase != Phase::Serving || m_DurableEnd <= m_ForgottenEnd)
+    return;
+  m_ForgottenEnd = m_DurableEnd;
+  sendHold(OutstandingCall::Kind::Acknowledge, Duration(0));
+}
+
+void Runner::Impl::sendHold(OutstandingCall::Kind Kind, Duration Wait) {
+  OutstandingCall Call;
+  Call.m_Kind = Kind;
+  Call.m_Life = m_Facts.life;
+  Call.m_Token = m_Token;
+  Call.m_AcknowledgedEnd = m_DurableEnd;
+  HoldCall Hold;
+  Hold.m_Call = open(Call);
+  Hold.m_Life = m_Facts.life;
+  Hold.m_FencingToken = m_Token;
+  Hold.m_AcknowledgedEnd = m_DurableEnd;
+  if (mayOrder())
+    Hold.m_LeaseEndMs = leaseEndMs();
+  Hold.m_Wait = Wait;
+  m_Actions.push_back(Hold);
+}
+
+void Runner::Impl::onHoldAnswered(const CallAnswer &Answer,
+                                  const OutstandingCall &Call) {
+  if (Call.m_Kind == OutstandingCall::Kind::Hold)
+    m_NextHold = m_Now;
+  if (Answer.m_Error != CallError::None) {
+    if (Call.m_Kind == OutstandingCall::Kind::Hold)
+      m_NextHold = m_Now + m_Options.m_RetryDelay;
+    else
+      m_ForgottenEnd = std::min(m_ForgottenEnd, Call.m_AcknowledgedEnd - 1);
+    return;
+  }
+  takeLists(Answer, Call.m_SentAt);
+}
+
+void Runner::Impl::takeLists(const CallAnswer &Answer, TimePoint SentAt) {
+  takeRuns(Answer.m_Runs);
+  takeEnds(Answer.m_Ends);
+  resolveUnlisted(Answer, SentAt);
+}
+
+void Runner::Impl::takeRuns(const std::vector<ListedRun> &Runs) {
+  for (const ListedRun &Listed : Runs) {
+    const TaskKey Key = keyOf(Listed.m_Task);
+    // The answer to a call that was sent earlier may list what has ended since.
+    const auto Ended = m_EndedRuns.find(Key);
+    if (Ended != m_EndedRuns.end() && Ended->second >= Listed.m_Run)
+      continue;
+    RunEntry &Run = m_Runs[Key];
+    if (Run.m_Order.run > Listed.m_Run)
+      continue;
+    if (!Run.m_Started) {
+      Run.m_Order.task = Listed.m_Task;
+      Run.m_Order.run = Listed.m_Run;
+      Run.m_Started = true;
+      Run.m_StartedAt = m_Now;
+    }
+    Run.m_Percent = Listed.m_Percent;
+    if (!Listed.m_Checkpoint.empty())
+      Run.m_Checkpoint = Listed.m_Checkpoint;
+  }
+}
+
+void Runner::Impl::takeEnds(const std::vector<ListedEnd> &Ends) {
+  for (const ListedEnd &Listed : Ends) {
+    if (Listed.m_Number <= m_SeenEnd)
+      continue;
+    m_SeenEnd = Listed.m_Number;
+    RunEntry Run;
+    Run.m_Order.task = Listed.m_Task;
+    Run.m_Order.run = Listed.m_Run;
+    const auto Known = m_Runs.find(keyOf(Listed.m_Task));
+    if (Known != m_Runs.end() && Known->second.m_Order.run == Listed.m_Run)
+      Run = Known->second;
+    if (!Listed.m_Checkpoint.empty())
+      Run.m_Checkpoint = Listed.m_Checkpoint;
+    finish(Run, Listed.m_Kind, "listed by the worker", Listed.m_Number);
+  }
+}
+
+// A run that is neither listed as running nor as ended, by an answer to a call
+// that was sent after it was certain to be there or never to be, is over.
+void Runner::Impl::resolveUnlisted(const CallAnswer &Answer, TimePoint SentAt) {
+  if (Answer.m_Ends.size() >= MaxListedEnds)
+    return;
+  std::set<TaskKey> Listed;
+  for (const ListedRun &Run : Answer.m_Runs)
+    Listed.insert(keyOf(Run.m_Task));
+  std::vector<RunEntry> Over;
+  for (const auto &[Key, Run] : m_Runs) {
+    const bool Certain = (Run.m_Started && Run.m_StartedAt < SentAt) ||
+                         (Run.m_Impossible && Run.m_ImpossibleAt < SentAt);
+    if (Certain && !Listed.contains(Key))
+      Over.push_back(Run);
+  }
+  for (const RunEntry &Run : Over) {
+    if (Run.m_Started)
+      finish(Run, wire::RunEndKind::LEASE_EXPIRED,
+             "the worker does not list it any more", 0);
+    else
+      finish(Run, wire::RunEndKind::NOT_STARTED,
+             Run.m_GiveBack.empty() ? "stopped before it began"
+                                    : Run.m_GiveBack,
+             0);
+  }
+}
+
+void Runner::Impl::finish(const RunEntry &Run, wire::RunEndKind::type Kind,
+                          std::string_view Detail, int64_t WorkerNumber) {
+  PendingEnd Pending;
+  Pending.m_End.task = Run.m_Order.task;
+  Pending.m_End.run = Run.m_Order.run;
+  Pending.m_End.kind = Kind;
+  Pending.m_End.checkpoint = Run.m_Checkpoint;
+  Pending.m_End.detail = std::string(Detail);
+  Pending.m_WorkerNumber = WorkerNumber;
+  note("run-ended", Detail, &Run.m_Order.task, Run.m_Order.run);
+  const TaskKey Key = keyOf(Run.m_Order.task);
+  int64_t &Ended = m_EndedRuns[Key];
+  Ended = std::max(Ended, Run.m_Order.run);
+  if (m_EndedRuns.size() > MaxRememberedEnds)
+    m_EndedRuns.erase(m_EndedRuns.begin());
+  const auto Known = m_Runs.find(Key);
+  if (Known != m_Runs.end() && Known->second.m_Order.run <= Pending.m_End.run)
+    m_Runs.erase(Known);
+  m_Ends.push_back(std::move(Pending));
+  m_News = true;
+}
+
+// ---- orders ----
+
+void Runner::Impl::advanceRuns() {
+  if (m_Phase != Phase::Serving)
+    return;
+  std::vector<TaskKey> Keys;
+  for (const auto &[Key, Run] : m_Runs)
+    if (!Run.m_CallOutstanding && Run.m_RetryAt <= m_Now)
+      Keys.push_back(Key);
+  for (const TaskKey &Key : Keys)
+    advance(m_Runs.at(Key));
+}
+
+void Runner::Impl::advance(RunEntry &Run) {
+  if (Run.m_Impossible)
+    return;
+  const bool NeverSent = !Run.m_Started && !Run.m_Unanswered;
+  if (Run.m_StopWanted || !Run.m_GiveBack.empty()) {
+    if (NeverSent)
+      finish(RunEntry(Run), wire::RunEndKind::NOT_STARTED,
+             Run.m_GiveBack.empty() ? "stopped before it was ordered"
+                                    : std::string(Run.m_GiveBack),
+             0);
+    else
+      sendStop(Run);
+    return;
+  }
+  if (Run.m_Started)
+    return;
+  if (m_Draining && NeverSent) {
+    finish(RunEntry(Run), wire::RunEndKind::NOT_STARTED,
+           "the worker is draining", 0);
+    return;
+  }
+  sendStart(Run);
+}
+
+void Runner::Impl::sendStart(RunEntry &Run) {
+  if (!mayOrder()) {
+    Run.m_RetryAt = m_Now + m_Options.m_RetryDelay;
+    return;
+  }
+  OutstandingCall Call;
+  Call.m_Kind = OutstandingCall::Kind::Start;
+  Call.m_Life = m_Facts.life;
+  Call.m_Token = m_Token;
+  Call.m_Task = keyOf(Run.m_Order.task);
+  Call.m_Run = Run.m_Order.run;
+  StartCall Start;
+  Start.m_Call = open(Call);
+  Start.m_Life = m_Facts.life;
+  Start.m_FencingToken = m_Token;
+  Start.m_Order = Run.m_Order;
+  Start.m_LeaseEndMs = leaseEndMs();
+  Run.m_CallOutstanding = true;
+  m_Actions.push_back(std::move(Start));
+}
+
+void Runner::Impl::sendStop(RunEntry &Run) {
+  OutstandingCall Call;
+  Call.m_Kind = OutstandingCall::Kind::Stop;
+  Call.m_Life = m_Facts.life;
+  Call.m_Token = m_Token;
+  Call.m_Task = keyOf(Run.m_Order.task);
+  Call.m_Run = Run.m_Order.run;
+  StopCall Stop;
+  Stop.m_Call = open(Call);
+  Stop.m_Life = m_Facts.life;
+  Stop.m_FencingToken = m_Token;
+  Stop.m_Task = Run.m_Order.task;
+  Stop.m_Run = Run.m_Order.run;
+  Run.m_CallOutstanding = true;
+  m_Actions.push_back(std::move(Stop));
+}
+
+void Runner::Impl::onStartAnswered(const CallAnswer &Answer, RunEntry &Run) {
+  Run.m_RetryAt = m_Now + m_Options.m_RetryDelay;
+  if (Answer.m_Error != CallError::None)
+    note("start-unsuccessful", Answer.m_Detail, &Run.m_Order.task,
+         Run.m_Order.run);
+  switch (Answer.m_Error) {
+  case CallError::None:
+    if (!Run.m_Started) {
+      Run.m_Started = true;
+      Run.m_StartedAt = m_Now;
+      // The next hold shows its progress.
+      m_News = true;
+    }
+    Run.m_RetryAt = m_Now;
+    return;
+  case CallError::NoAnswer:
+    Run.m_Unanswered = true;
+    return;
+  case CallError::Superseded:
+    // It or a later run ended here; the list of ends tells.
+    Run.m_Impossible = true;
+    Run.m_ImpossibleAt = m_Now;
+    Run.m_GiveBack = "the worker says that the run is over";
+    return;
+  case CallError::NoRoom:
+  case CallError::Rejected:
+    Run.m_GiveBack = Answer.m_Detail;
+    Run.m_RetryAt = m_Now;
+    return;
+  case CallError::Unhealthy:
+    if (++Run.m_UnhealthyRefusals >= m_Options.m_MaxUnhealthyRefusals) {
+      Run.m_GiveBack = Answer.m_Detail;
+      Run.m_RetryAt = m_Now;
+    }
+    return;
+  case CallError::TooLate:
+  case CallError::Unreachable:
+  case CallError::Fenced:
+  case CallError::OtherLife:
+    return;
+  }
+}
+
+void Runner::Impl::onStopAnswered(const CallAnswer &Answer, RunEntry &Run) {
+  Run.m_RetryAt = m_Now + m_Options.m_RetryDelay;
+  if (Answer.m_Error != CallError::None) {
+    note("stop-unsuccessful", Answer.m_Detail, &Run.m_Order.task,
+         Run.m_Order.run);
+    return;
+  }
+  Run.m_Impossible = true;
+  Run.m_ImpossibleAt = m_Now;
+}
+
+} // namespace anvil::runner
--- /dev/null
+++ b/src/runner/RunnerSync.cpp
@@ -0,0 +1,154 @@
+#include <algorithm>
+
+#include "RunnerImpl.h"
+
+namespace anvil::runner {
+
+namespace {
+
+// Syncs whose answers are awaited at a time: the one that the leader holds back
+// until it has orders, and one that brings news.
+constexpr size_t MaxOutstandingSyncs = 2;
+
+// Times of sent syncs that are remembered for a confirmation. A leader confirms
+// within a few rounds.
+constexpr size_t MaxRememberedSyncs = 64;
+
+} // namespace
+
+void Runner::Impl::syncIfDue() {
+  const bool Due = m_SyncsOutstanding.empty() || m_News;
+  if (!Due || m_Now < m_NextSync ||
+      m_SyncsOutstanding.size() >= MaxOutstandingSyncs)
+    return;
+  m_News = false;
+  m_NextSync = m_Now + m_Options.m_SyncPause;
+  m_Actions.push_back(SendSync{makeSync()});
+}
+
+wire::WorkerSyncRequest Runner::Impl::makeSync() {
+  wire::WorkerSyncRequest Request;
+  Request.agent = m_Options.m_Agent;
+  Request.availabilityZone = m_Options.m_AvailabilityZone;
+  Request.sequence = ++m_SyncSequence;
+  m_SyncSent[Request.sequence] = m_Now;
+  if (m_SyncSent.size() > MaxRememberedSyncs)
+    m_SyncSent.erase(m_SyncSent.begin());
+  m_SyncsOutstanding.insert(Request.sequence);
+  Request.gone = m_Gone;
+  Request.firstEnd = m_FirstEnd;
+  for (const PendingEnd &End : m_Ends)
+    Request.ends.push_back(End.m_End);
+  if (m_Phase == Phase::NoWorker)
+    return Request;
+  Request.facts = m_Facts;
+  Request.fencingToken = m_Token;
+  Request.listed = m_Phase == Phase::Serving;
+  Request.draining = m_Draining;
+  const auto Millis = [](Duration Value) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+  };
+  if (m_Draining)
+    Request.remainingMs = std::max<int64_t>(0, Millis(m_LeavesAt - m_Now));
+  Request.silentMs = Millis(m_Now - m_LastAnswer);
+  for (const auto &[Key, Run] : m_Runs) {
+    wire::RunStatus Status;
+    Status.task = Run.m_Order.task;
+    Status.run = Run.m_Order.run;
+    Status.running = Run.m_Started;
+    Status.percent = Run.m_Percent;
+    Status.checkpoint = Run.m_Checkpoint;
+    if (Run.m_Started)
+      Status.runningMs = Millis(m_Now - Run.m_StartedAt);
+    Request.runs.push_back(std::move(Status));
+  }
+  return Request;
+}
+
+void Runner::Impl::onSyncFailed(const SyncFailed &Event) {
+  m_SyncsOutstanding.erase(Event.m_Sequence);
+  m_News = true;
+}
+
+void Runner::Impl::onSyncAnswered(const SyncAnswered &Event) {
+  m_SyncsOutstanding.erase(Event.m_Sequence);
+  if (!Event.m_Reply.leads) {
+    m_News = true;
+    return;
+  }
+  takeAuthority(Event.m_Reply);
+  // An answer that was overtaken may hold orders that are over by now.
+  if (Event.m_Sequence < m_AnsweredSequence)
+    return;
+  m_AnsweredSequence = Event.m_Sequence;
+  takeAcknowledgement(Event.m_Reply.acknowledgedEnd);
+  takeRegistration(Event.m_Reply);
+  takeOrders(Event.m_Reply);
+}
+
+void Runner::Impl::takeAuthority(const wire::WorkerSyncReply &Reply) {
+  const auto Sent = m_SyncSent.find(Reply.confirmedSequence);
+  if (Sent == m_SyncSent.end())
+    return;
+  m_AuthorityEnd =
+      std::max(m_AuthorityEnd, Sent->second + m_Options.m_LeaseSpan);
+  m_SyncSent.erase(m_SyncSent.begin(), Sent);
+}
+
+void Runner::Impl::takeRegistration(const wire::WorkerSyncReply &Reply) {
+  if (!m_Gone.id.empty() && !(Reply.registered == m_Gone))
+    m_Gone = wire::WorkerLife();
+  if (m_Phase == Phase::NoWorker)
+    return;
+  const bool Registered =
+      Reply.fencingToken > 0 && Reply.registered == m_Facts.life;
+  if (!Registered) {
+    if (m_Phase != Phase::Registering)
+      registerAgain("the leader holds no registration of this life");
+    return;
+  }
+  if (m_Phase != Phase::Registering && Reply.fencingToken == m_Token)
+    return;
+  m_Token = Reply.fencingToken;
+  fence();
+}
+
+void Runner::Impl::takeAcknowledgement(int64_t Number) {
+  while (!m_Ends.empty() && m_FirstEnd <= Number) {
+    m_DurableEnd = std::max(m_DurableEnd, m_Ends.front().m_WorkerNumber);
+    m_Ends.pop_front();
+    ++m_FirstEnd;
+  }
+}
+
+void Runner::Impl::takeOrders(const wire::WorkerSyncReply &Reply) {
+  if (m_Phase != Phase::Serving || Reply.fencingToken != m_Token)
+    return;
+  // A run that was never ordered and is to be stopped comes in both lists.
+  for (const wire::RunOrder &Order : Reply.starts) {
+    const TaskKey Key = keyOf(Order.task);
+    const auto Ended = m_EndedRuns.find(Key);
+    const bool Over = Ended != m_EndedRuns.end() && Ended->second >= Order.run;
+    if (Over || m_Runs.contains(Key))
+      continue;
+    RunEntry &Run = m_Runs[Key];
+    Run.m_Order = Order;
+    Run.m_Checkpoint = Order.checkpoint;
+    Run.m_RetryAt = m_Now;
+    note("start-ordered",
+         Order.checkpoint.empty() ? "from the beginning" : "from a checkpoint",
+         &Order.task, Order.run);
+  }
+  for (const wire::RunName &Stop : Reply.stops) {
+    const auto Run = m_Runs.find(keyOf(Stop.task));
+    if (Run == m_Runs.end() || Run->second.m_Order.run != Stop.run ||
+        Run->second.m_StopWanted)
+      continue;
+    Run->second.m_StopWanted = true;
+    if (!Run->second.m_CallOutstanding)
+      Run->second.m_RetryAt = m_Now;
+    note("stop-ordered", "", &Stop.task, Stop.run);
+  }
+}
+
+} // namespace anvil::runner
--- /dev/null
+++ b/src/workload/WorkloadJobs.cpp
@@ -0,0 +1,154 @@
+#include "anvil/workload/WorkloadState.h"
+
+#include <algorithm>
+
+#include "Results.h"
+#include "anvil/base/Port.h"
+#include "anvil/workload/Policy.h"
+
+namespace anvil::workload {
+
+using internal::resultOf;
+
+wire::WorkloadResult
+WorkloadState::applySubmit(const wire::SubmitWorkload &Command) {
+  if (m_Jobs.contains(Command.jobId))
+    return resultOf(wire::WorkloadStatus::UNCHANGED);
+  if (const absl::Status Status = checkSpec(Command.spec); !Status.ok())
+    return resultOf(wire::WorkloadStatus::INVALID, fromAbsl(Status.message()));
+  const wire::QueuePolicy *Queue = queueNamed(m_Policy, Command.queue);
+  if (!Queue)
+    return resultOf(wire::WorkloadStatus::NO_QUEUE, "no such queue");
+  const auto PayloadBytes = static_cast<int64_t>(Command.spec.payload.size());
+  if (m_LiveJobs.size() >= m_Limits.m_MaxLiveJobs ||
+      m_PayloadBytes + PayloadBytes > m_Limits.m_MaxPayloadBytes)
+    return resultOf(wire::WorkloadStatus::OVERLOADED,
+                    "the limit of stored jobs is reached");
+
+  wire::JobRecord Job;
+  Job.id = Command.jobId;
+  Job.queue = Command.queue;
+  Job.workspace = Command.workspace;
+  Job.spec = Command.spec;
+  Job.submittedIndex = m_AppliedIndex;
+  Job.serviceName = Queue->serviceName;
+  Job.priority = Queue->priority;
+  Job.maxAttempts = Queue->maxAttempts;
+  Job.slackFactor = Queue->slackFactor;
+  Job.latencyAimMs = Queue->latencyAimMs;
+  if (Job.spec.repeats == 0)
+    openOccurrence(Job, 0);
+  wire::JobRecord &Stored = m_Jobs[Command.jobId] = std::move(Job);
+  indexJob(Stored);
+  emit(JobChanged{Stored.id, Stored.phase, "submitted"});
+  return resultOf(wire::WorkloadStatus::OK);
+}
+
+void WorkloadState::indexJob(const wire::JobRecord &Job) {
+  if (hasEnded(Job.phase) && Job.activeRuns == 0)
+    return;
+  m_LiveJobs[Job.submittedIndex] = Job.id;
+  m_PayloadBytes += static_cast<int64_t>(Job.spec.payload.size());
+  if (Job.phase == wire::JobPhase::QUEUED)
+    ++m_Pending[Job.queue];
+}
+
+void WorkloadState::openOccurrence(wire::JobRecord &Job, int32_t Number) {
+  wire::OccurrenceRecord Record;
+  Record.number = Number;
+  for (const wire::StepSpec &Spec : Job.spec.steps) {
+    wire::StepRecord Step;
+    Step.tasks.resize(static_cast<size_t>(Spec.tasks));
+    Record.steps.push_back(std::move(Step));
+  }
+  Job.occurrences[Number] = std::move(Record);
+  ++Job.occurrencesOpened;
+}
+
+wire::WorkloadResult
+WorkloadState::applyOpenOccurrence(const wire::OpenOccurrence &Command) {
+  wire::JobRecord *Job = findJob(Command.jobId);
+  if (!Job || hasEnded(Job->phase))
+    return resultOf(wire::WorkloadStatus::NO_JOB, "no such live job");
+  if (Command.occurrence != Job->occurrencesOpened ||
+      Command.occurrence >= Job->spec.repeats)
+    return resultOf(wire::WorkloadStatus::UNCHANGED);
+  openOccurrence(*Job, Command.occurrence);
+  return resultOf(wire::WorkloadStatus::OK);
+}
+
+wire::WorkloadResult
+WorkloadState::applyCancel(const wire::CancelWorkload &Command) {
+  wire::JobRecord *Job = findJob(Command.jobId);
+  if (!Job)
+    return resultOf(wire::WorkloadStatus::NO_JOB, "no such job");
+  if (hasEnded(Job->phase))
+    return resultOf(wire::WorkloadStatus::UNCHANGED);
+  setPhase(*Job, wire::JobPhase::CANCELLED, "cancelled by the caller");
+  stopAllRuns(*Job, "job cancelled");
+  retireIfOver(*Job);
+  return resultOf(wire::WorkloadStatus::OK);
+}
+
+void WorkloadState::setPhase(wire::JobRecord &Job, wire::JobPhase::type Phase,
+                             const std::string &Reason) {
+  if (Job.phase == Phase)
+    return;
+  if (Job.phase == wire::JobPhase::QUEUED)
+    --m_Pending[Job.queue];
+  Job.phase = Phase;
+  Job.reason = Reason;
+  emit(JobChanged{Job.id, Phase, Reason});
+}
+
+// An ended job without runs keeps only what a status request needs.
+void WorkloadState::retireIfOver(wire::JobRecord &Job) {
+  if (!hasEnded(Job.phase) || Job.activeRuns > 0)
+    return;
+  m_LiveJobs.erase(Job.submittedIndex);
+  m_PayloadBytes -= static_cast<int64_t>(Job.spec.payload.size());
+  Job.spec = wire::WorkloadSpec();
+  Job.occurrences.clear();
+  m_EndedOrder.push_back(Job.id);
+  if (m_EndedOrder.size() <= m_Limits.m_MaxEndedJobs)
+    return;
+  // Copied, since the job that goes may be the one that was passed in.
+  const std::string Oldest = m_EndedOrder.front();
+  m_EndedOrder.erase(m_EndedOrder.begin());
+  m_Jobs.erase(Oldest);
+}
+
+void WorkloadState::finishOccurrenceIfDone(wire::JobRecord &Job,
+                                           int32_t Occurrence) {
+  const auto It = Job.occurrences.find(Occurrence);
+  const auto Steps = static_cast<int32_t>(Job.spec.steps.size());
+  if (It == Job.occurrences.end() || It->second.stepsDone < Steps)
+    return;
+  Job.occurrences.erase(It);
+  ++Job.occurrencesDone;
+  if (Job.occurrencesDone >= std::max(Job.spec.repeats, 1))
+    setPhase(Job, wire::JobPhase::COMPLETED, "all tasks are done");
+}
+
+void WorkloadState::countFailure(wire::JobRecord &Job,
+                                 const wire::RunEnd &End) {
+  const auto Step = static_cast<size_t>(End.task.step);
+  if (Job.spec.steps[Step].longRunning || hasEnded(Job.phase))
+    return;
+  wire::StepRecord &Record = Job.occurrences[End.task.occurrence].steps[Step];
+  int32_t Failures = 0;
+  if (Job.spec.steps[Step].gang) {
+    if (Record.gangFailedRun == End.run)
+      return;
+    Record.gangFailedRun = End.run;
+    Failures = ++Record.gangFailures;
+  } else {
+    Failures = ++Record.tasks[static_cast<size_t>(End.task.index)].failures;
+  }
+  if (Failures < Job.maxAttempts)
+    return;
+  setPhase(Job, wire::JobPhase::FAILED, "the last attempt failed");
+  stopAllRuns(Job, "job failed");
+}
+
+} // namespace anvil::workload
--- /dev/null
+++ b/src/workload/WorkloadRuns.cpp
@@ -0,0 +1,290 @@
+#include "anvil/workload/WorkloadState.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+#include "Results.h"
+#include "anvil/base/Port.h"
+#include "anvil/workload/Amounts.h"
+
+namespace anvil::workload {
+
+using internal::resultOf;
+
+namespace {
+
+wire::TaskRef taskOf(const wire::StartRuns &Command, int32_t Index) {
+  wire::TaskRef Ref;
+  Ref.jobId = Command.jobId;
+  Ref.occurrence = Command.occurrence;
+  Ref.step = Command.step;
+  Ref.index = Index;
+  return Ref;
+}
+
+bool hasLabel(const wire::WorkerRecord &Worker, const std::string &Label) {
+  const std::vector<std::string> &Labels = Worker.facts.labels;
+  return Label.empty() ||
+         std::find(Labels.begin(), Labels.end(), Label) != Labels.end();
+}
+
+absl::Status refused(std::string_view Text) {
+  return absl::FailedPreconditionError(toAbsl(Text));
+}
+
+} // namespace
+
+// Checks what may have changed since the leader decided: the job, its tasks,
+// and the workers. The room is checked separately.
+absl::Status
+WorkloadState::checkPlacements(const wire::JobRecord &Job,
+                               const wire::StartRuns &Command) const {
+  const auto Occurrence = Job.occurrences.find(Command.occurrence);
+  const auto Step = static_cast<size_t>(Command.step);
+  if (hasEnded(Job.phase) || Occurrence == Job.occurrences.end() ||
+      Step >= Job.spec.steps.size())
+    return refused("no such live step");
+  if (!isUnlocked(Job, Occurrence->second, Command.step))
+    return refused("the step waits for others");
+  const wire::StepSpec &Spec = Job.spec.steps[Step];
+  const wire::StepRecord &Record = Occurrence->second.steps[Step];
+  if (Spec.gang &&
+      (Record.active > 0 ||
+       static_cast<int32_t>(Command.placements.size()) != Spec.tasks))
+    return refused("a gang starts whole and after its former run");
+  std::set<int32_t> Indexes;
+  for (const wire::RunPlacement &Each : Command.placements) {
+    const wire::TaskRecord *Task = task(taskOf(Command, Each.index));
+    if (!Task || Task->phase != wire::TaskPhase::WAITING ||
+        !Indexes.insert(Each.index).second)
+      return refused(absl::StrCat("task ", Each.index, " does not wait"));
+    const wire::WorkerRecord *Worker = worker(Each.worker);
+    if (!Worker || Worker->facts.serviceName != Job.serviceName)
+      return refused(absl::StrCat("worker ", Each.worker.id, " is not there"));
+    if (m_WithdrawnZones.contains(Worker->facts.availabilityZone))
+      return refused(
+          absl::StrCat("worker ", Each.worker.id, " is in a withdrawn zone"));
+    if (!hasLabel(*Worker, Spec.requiredLabel))
+      return refused(
+          absl::StrCat("worker ", Each.worker.id, " lacks the label"));
+  }
+  return absl::OkStatus();
+}
+
+absl::Status WorkloadState::checkRoom(const wire::StepSpec &Step,
+                                      const wire::StartRuns &Command) const {
+  const wire::Amounts Need = countedAmounts(Step);
+  std::map<std::string, int32_t> Added;
+  for (const wire::RunPlacement &Each : Command.placements)
+    ++Added[Each.worker.id];
+  for (const auto &[Id, Count] : Added) {
+    const wire::WorkerRecord &Worker = m_Workers.at(Id);
+    if (!fits(Worker.facts.capacity, Worker.used, Need, Count))
+      return refused(absl::StrCat("worker ", Id, " has no room"));
+    if (Step.maxTasksPerWorker == 0)
+      continue;
+    int32_t There = Count;
+    const auto Runs = m_RunsByWorker.find(Id);
+    if (Runs != m_RunsByWorker.end())
+      There += static_cast<int32_t>(std::count_if(
+          Runs->second.begin(), Runs->second.end(), [&](const TaskKey &Key) {
+            return std::get<0>(Key) == Command.jobId &&
+                   std::get<1>(Key) == Command.occurrence &&
+                   std::get<2>(Key) == Command.step;
+          }));
+    if (There > Step.maxTasksPerWorker)
+      return refused(absl::StrCat("worker ", Id, " runs enough of this step"));
+  }
+  return absl::OkStatus();
+}
+
+wire::WorkloadResult
+WorkloadState::applyStartRuns(const wire::StartRuns &Command) {
+  wire::JobRecord *Job = findJob(Command.jobId);
+  if (!Job)
+    return resultOf(wire::WorkloadStatus::NO_JOB, "no such job");
+  absl::Status Status = checkPlacements(*Job, Command);
+  if (Status.ok())
+    Status =
+        checkRoom(Job->spec.steps[static_cast<size_t>(Command.step)], Command);
+  if (!Status.ok())
+    return resultOf(wire::WorkloadStatus::INVALID, fromAbsl(Status.message()));
+
+  // The members of a gang share the number of their run, also after an attempt
+  // of which some members never got an order.
+  wire::StepRecord &Step = Job->occurrences[Command.occurrence]
+                               .steps[static_cast<size_t>(Command.step)];
+  int64_t GangRun = 0;
+  if (Job->spec.steps[static_cast<size_t>(Command.step)].gang)
+    for (const wire::TaskRecord &Task : Step.tasks)
+      GangRun = std::max(GangRun, Task.run + 1);
+  setPhase(*Job, wire::JobPhase::RUNNING, "first task placed");
+  for (const wire::RunPlacement &Each : Command.placements) {
+    const int64_t Run =
+        GangRun ? GangRun : Step.tasks[static_cast<size_t>(Each.index)].run + 1;
+    placeRun(*Job, taskOf(Command, Each.index), Run, Each.worker,
+             Command.reason);
+  }
+  return resultOf(wire::WorkloadStatus::OK);
+}
+
+void WorkloadState::placeRun(wire::JobRecord &Job, const wire::TaskRef &Ref,
+                             int64_t Run, const wire::WorkerLife &Life,
+                             const std::string &Reason) {
+  wire::StepRecord &Step =
+      Job.occurrences[Ref.occurrence].steps[static_cast<size_t>(Ref.step)];
+  wire::TaskRecord &Task = Step.tasks[static_cast<size_t>(Ref.index)];
+  Task.phase = wire::TaskPhase::PLACED;
+  Task.run = Run;
+  Task.worker = Life;
+  ++Step.active;
+  ++Job.activeRuns;
+  const wire::StepSpec &Spec = Job.spec.steps[static_cast<size_t>(Ref.step)];
+  add(m_Workers.at(Life.id).used, countedAmounts(Spec));
+  m_RunsByWorker[Life.id].emplace(Ref.jobId, Ref.occurrence, Ref.step,
+                                  Ref.index);
+  emit(RunPlaced{Ref, Run, Life, Reason});
+}
+
+wire::WorkloadResult
+WorkloadState::applyStopRuns(const wire::StopRuns &Command) {
+  for (const wire::RunName &Each : Command.runs) {
+    const wire::TaskRecord *Task = task(Each.task);
+    if (Task && Task->run == Each.run)
+      stopRun(Each.task, Command.reason);
+  }
+  return resultOf(wire::WorkloadStatus::OK);
+}
+
+void WorkloadState::stopRun(const wire::TaskRef &Ref,
+                            const std::string &Reason) {
+  wire::TaskRecord *Task = findTask(Ref);
+  if (!Task || Task->phase != wire::TaskPhase::PLACED)
+    return;
+  Task->phase = wire::TaskPhase::STOPPING;
+  emit(RunStopping{Ref, Task->run, Task->worker, Reason});
+}
+
+void WorkloadState::stopAllRuns(const wire::JobRecord &Job,
+                                const std::string &Reason) {
+  for (const auto &[Number, Occurrence] : Job.occurrences)
+    for (size_t Step = 0; Step < Occurrence.steps.size(); ++Step)
+      for (size_t I = 0; I < Occurrence.steps[Step].tasks.size(); ++I) {
+        wire::TaskRef Ref;
+        Ref.jobId = Job.id;
+        Ref.occurrence = Number;
+        Ref.step = static_cast<int32_t>(Step);
+        Ref.index = static_cast<int32_t>(I);
+        stopRun(Ref, Reason);
+      }
+}
+
+wire::WorkloadResult WorkloadState::applyEndRuns(const wire::EndRuns &Command) {
+  for (const wire::RunEnd &End : Command.ends)
+    endRun(End, Command.worker);
+  return resultOf(wire::WorkloadStatus::OK);
+}
+
+// An end of a run that is not the present one of its task, or that another
+// worker reports, is late and changes nothing.
+void WorkloadState::endRun(const wire::RunEnd &End,
+                           const wire::WorkerLife &Life) {
+  wire::JobRecord *Job = findJob(End.task.jobId);
+  wire::TaskRecord *Task = findTask(End.task);
+  if (!Job || !Task || !isActive(*Task) || Task->run != End.run ||
+      !(Task->worker == Life))
+    return;
+  const wire::StepSpec &Spec =
+      Job->spec.steps[static_cast<size_t>(End.task.step)];
+  if (!End.checkpoint.empty())
+    Task->checkpoint = End.checkpoint;
+  emit(RunEnded{End.task, End.run, Life, End.kind, End.detail});
+
+  const bool Done = End.kind == wire::RunEndKind::DONE && !Spec.longRunning;
+  if (Spec.gang && Done)
+    finishGang(*Job, End.task);
+  else if (Spec.gang)
+    breakGang(*Job, End.task, End);
+  else if (Done)
+    finishTask(*Job, End.task);
+  else
+    releaseRun(*Job, End.task, *Task);
+  if (End.kind == wire::RunEndKind::FAILED)
+    countFailure(*Job, End);
+  if (Done && !hasEnded(Job->phase))
+    finishOccurrenceIfDone(*Job, End.task.occurrence);
+  retireIfOver(*Job);
+}
+
+void WorkloadState::releaseRun(wire::JobRecord &Job, const wire::TaskRef &Ref,
+                               wire::TaskRecord &Task) {
+  const auto StepIndex = static_cast<size_t>(Ref.step);
+  const auto Worker = m_Workers.find(Task.worker.id);
+  if (Worker != m_Workers.end())
+    subtract(Worker->second.used, countedAmounts(Job.spec.steps[StepIndex]));
+  const auto Runs = m_RunsByWorker.find(Task.worker.id);
+  if (Runs != m_RunsByWorker.end()) {
+    Runs->second.erase({Ref.jobId, Ref.occurrence, Ref.step, Ref.index});
+    if (Runs->second.empty())
+      m_RunsByWorker.erase(Runs);
+  }
+  --Job.activeRuns;
+  --Job.occurrences[Ref.occurrence].steps[StepIndex].active;
+  Task.phase = wire::TaskPhase::WAITING;
+  Task.worker = wire::WorkerLife();
+}
+
+void WorkloadState::finishTask(wire::JobRecord &Job, const wire::TaskRef &Ref) {
+  wire::OccurrenceRecord &Occurrence = Job.occurrences[Ref.occurrence];
+  const auto StepIndex = static_cast<size_t>(Ref.step);
+  wire::StepRecord &Step = Occurrence.steps[StepIndex];
+  wire::TaskRecord &Task = Step.tasks[static_cast<size_t>(Ref.index)];
+  releaseRun(Job, Ref, Task);
+  Task.phase = wire::TaskPhase::DONE;
+  Task.checkpoint.clear();
+  ++Step.done;
+  if (Step.done == Job.spec.steps[StepIndex].tasks)
+    ++Occurrence.stepsDone;
+}
+
+// The members of a gang end together, so the report of one stands for all, also
+// for members whose worker can't report any more.
+void WorkloadState::finishGang(wire::JobRecord &Job, const wire::TaskRef &Ref) {
+  const size_t Count = Job.occurrences[Ref.occurrence]
+                           .steps[static_cast<size_t>(Ref.step)]
+                           .tasks.size();
+  for (size_t I = 0; I < Count; ++I) {
+    wire::TaskRef Member = Ref;
+    Member.index = static_cast<int32_t>(I);
+    const wire::TaskRecord *Task = task(Member);
+    if (isActive(*Task)) {
+      finishTask(Job, Member);
+      continue;
+    }
+    // A member that was reported as broken before the end of the others came.
+    wire::OccurrenceRecord &Occurrence = Job.occurrences[Ref.occurrence];
+    wire::StepRecord &Step = Occurrence.steps[static_cast<size_t>(Ref.step)];
+    Step.tasks[I].phase = wire::TaskPhase::DONE;
+    ++Step.done;
+    if (Step.done == static_cast<int32_t>(Count))
+      ++Occurrence.stepsDone;
+  }
+}
+
+void WorkloadState::breakGang(wire::JobRecord &Job, const wire::TaskRef &Ref,
+                              const wire::RunEnd &End) {
+  wire::StepRecord &Step =
+      Job.occurrences[Ref.occurrence].steps[static_cast<size_t>(Ref.step)];
+  releaseRun(Job, Ref, Step.tasks[static_cast<size_t>(Ref.index)]);
+  for (size_t I = 0; I < Step.tasks.size(); ++I) {
+    // All members continue from the same checkpoint.
+    if (!End.checkpoint.empty())
+      Step.tasks[I].checkpoint = End.checkpoint;
+    wire::TaskRef Member = Ref;
+    Member.index = static_cast<int32_t>(I);
+    stopRun(Member, "another member of the gang ended");
+  }
+}
+
+} // namespace anvil::workload
--- /dev/null
+++ b/src/workload/WorkloadSnapshot.cpp
@@ -0,0 +1,106 @@
+#include "anvil/workload/WorkloadState.h"
+
+#include "absl/strings/str_cat.h"
+
+#include "anvil/base/Port.h"
+#include "anvil/net/WireCodec.h"
+#include "anvil/workload/Amounts.h"
+#include "anvil/workload/Policy.h"
+
+namespace anvil::workload {
+
+std::string WorkloadState::snapshot() const {
+  wire::WorkloadSnapshot Out;
+  Out.appliedIndex = m_AppliedIndex;
+  Out.policy = m_Policy;
+  Out.withdrawnZones.assign(m_WithdrawnZones.begin(), m_WithdrawnZones.end());
+  for (const auto &[Id, Replica] : m_Replicas)
+    Out.replicas.push_back(Replica);
+  for (const auto &[Id, Job] : m_Jobs)
+    Out.jobs.push_back(Job);
+  Out.endedOrder = m_EndedOrder;
+  for (const auto &[Id, Worker] : m_Workers)
+    Out.workers.push_back(Worker);
+  for (const auto &[Number, Wave] : m_Waves)
+    Out.waves.push_back(Wave);
+  return net::encodeStruct(Out);
+}
+
+absl::StatusOr<WorkloadState> WorkloadState::restore(std::string_view Snapshot,
+                                                     WorkloadLimits Limits) {
+  absl::StatusOr<wire::WorkloadSnapshot> In =
+      net::decodeAs<wire::WorkloadSnapshot>(Snapshot);
+  if (!In.ok())
+    return makeLayerError(absl::StatusCode::kDataLoss,
+                          WorkloadErrc::BadSnapshot,
+                          fromAbsl(In.status().message()));
+  WorkloadState State(Limits);
+  State.m_AppliedIndex = In->appliedIndex;
+  State.m_Policy = std::move(In->policy);
+  State.m_WithdrawnZones.insert(In->withdrawnZones.begin(),
+                                In->withdrawnZones.end());
+  for (wire::ReplicaAddress &Replica : In->replicas)
+    State.m_Replicas[Replica.id] = std::move(Replica);
+  for (wire::WorkerRecord &Worker : In->workers)
+    State.m_Workers[Worker.facts.life.id] = std::move(Worker);
+  for (wire::WaveRecord &Wave : In->waves)
+    State.m_Waves[Wave.wave] = std::move(Wave);
+  State.m_EndedOrder = std::move(In->endedOrder);
+  for (wire::JobRecord &Job : In->jobs) {
+    const std::string Id = Job.id;
+    wire::JobRecord &Stored = State.m_Jobs[Id] = std::move(Job);
+    State.indexJob(Stored);
+  }
+  for (const auto &[Id, Job] : State.m_Jobs)
+    for (const auto &[Number, Occurrence] : Job.occurrences)
+      for (size_t Step = 0; Step < Occurrence.steps.size(); ++Step)
+        for (size_t I = 0; I < Occurrence.steps[Step].tasks.size(); ++I) {
+          const wire::TaskRecord &Task = Occurrence.steps[Step].tasks[I];
+          if (isActive(Task))
+            State.m_RunsByWorker[Task.worker.id].emplace(
+                Id, Number, static_cast<int32_t>(Step),
+                static_cast<int32_t>(I));
+        }
+  return State;
+}
+
+std::string WorkloadState::findViolation() const {
+  std::map<std::string, wire::Amounts> Used;
+  for (const auto &[Id, Job] : m_Jobs) {
+    int32_t Active = 0;
+    for (const auto &[Number, Occurrence] : Job.occurrences)
+      for (size_t Step = 0; Step < Occurrence.steps.size(); ++Step) {
+        const wire::StepRecord &Record = Occurrence.steps[Step];
+        int32_t Done = 0;
+        int32_t StepActive = 0;
+        for (const wire::TaskRecord &Task : Record.tasks) {
+          Done += Task.phase == wire::TaskPhase::DONE;
+          StepActive += isActive(Task);
+          if (!isActive(Task))
+            continue;
+          if (!worker(Task.worker))
+            return absl::StrCat("job ", Id, " runs on an unknown worker ",
+                                Task.worker.id);
+          add(Used[Task.worker.id], countedAmounts(Job.spec.steps[Step]));
+        }
+        Active += StepActive;
+        if (Done != Record.done || StepActive != Record.active)
+          return absl::StrCat("job ", Id, " step ", Step,
+                              " has wrong counts of tasks");
+        if (StepActive > 0 &&
+            !isUnlocked(Job, Occurrence, static_cast<int32_t>(Step)))
+          return absl::StrCat("job ", Id, " step ", Step, " runs too early");
+      }
+    if (Active != Job.activeRuns)
+      return absl::StrCat("job ", Id, " has a wrong count of runs");
+  }
+  for (const auto &[Id, Worker] : m_Workers) {
+    if (!(Used[Id] == Worker.used))
+      return absl::StrCat("worker ", Id, " has a wrong sum of resources");
+    if (!fits(Worker.facts.capacity, Worker.used, wire::Amounts()))
+      return absl::StrCat("worker ", Id, " is over its capacity");
+  }
+  return "";
+}
+
+} // namespace anvil::workload
