node: Recover the addresses of the other replicas from the log

Ruled out: a lost log (the replicas opened theirs) and the election itself (no message was sent). Change: registrations found in the log, senders of messages and known views give addresses as well.

--- a/include/anvil/replica/ReplicatedLog.h
+++ b/include/anvil/replica/ReplicatedLog.h
@@ -31,6 +31,10 @@
   /// Entries applied between two snapshots.
   uint64_t m_SnapshotEvery = 20000;
   std::function<TimePoint()> m_Now; ///< Monotonic clock.
+  /// Receives the commands that create() found in the log, in order; may be
+  /// empty. They need not be committed, so the state machine must not apply
+  /// them yet.
+  std::function<void(std::string_view Command)> m_OnRecovered;
 };
 
 /// The state machine behind a replicated log, and the receivers of its events.
--- a/src/node/Replica.cpp
+++ b/src/node/Replica.cpp
@@ -111,6 +111,9 @@
   LogOptions.m_Bootstrap = std::move(Bootstrap);
   LogOptions.m_SnapshotEvery = m_Options.m_SnapshotEvery;
   LogOptions.m_Now = m_Options.m_Now;
+  LogOptions.m_OnRecovered = [this](std::string_view Command) {
+    recoverAddress(Command);
+  };
   absl::StatusOr<std::unique_ptr<replica::ReplicatedLog>> Opened =
       replica::ReplicatedLog::create(m_Io, std::move(LogOptions),
                                      std::move(m_Store));
@@ -128,6 +131,19 @@
   return absl::OkStatus();
 }
 
+// After a restart nothing is applied until a leader says what is committed, and
+// a leader needs the addresses of the others to be elected.
+void Replica::recoverAddress(std::string_view Bytes) {
+  wire::WorkloadCommand Command;
+  if (!net::decodeStruct(Bytes, Command).ok() ||
+      !Command.__isset.registerReplica)
+    return;
+  const wire::ReplicaAddress &Found = Command.registerReplica.replica;
+  if (absl::StatusOr<net::Endpoint> Peer = net::parseEndpoint(Found.address);
+      Peer.ok())
+    m_Peers[Found.id] = *std::move(Peer);
+}
+
 replica::ReplicatedLogHooks Replica::hooks() {
   replica::ReplicatedLogHooks Result;
   Result.m_Apply = [this](std::string_view Bytes, raft::LogIndex Index) {
@@ -176,18 +192,27 @@
   return absl::OkStatus();
 }
 
+std::optional<net::Endpoint> Replica::addressOf(int64_t Id) const {
+  const auto Registered = m_State.replicas().find(Id);
+  if (Registered != m_State.replicas().end())
+    if (absl::StatusOr<net::Endpoint> Parsed =
+            net::parseEndpoint(Registered->second.address);
+        Parsed.ok())
+      return *Parsed;
+  const auto Known = m_Peers.find(Id);
+  if (Known != m_Peers.end())
+    return Known->second;
+  for (const wire::ReplicaAddress &Each : m_Link->view().replicas)
+    if (Each.id == Id)
+      if (absl::StatusOr<net::Endpoint> Parsed =
+              net::parseEndpoint(Each.address);
+          Parsed.ok())
+        return *Parsed;
+  return std::nullopt;
+}
+
 void Replica::send(raft::ReplicaId To, std::string Message) {
-  std::optional<net::Endpoint> Peer;
-  const auto Registered = m_State.replicas().find(To.value());
-  if (Registered != m_State.replicas().end()) {
-    absl::StatusOr<net::Endpoint> Parsed =
-        net::parseEndpoint(Registered->second.address);
-    if (Parsed.ok())
-      Peer = *Parsed;
-  } else if (const auto Sender = m_Senders.find(To.value());
-             Sender != m_Senders.end()) {
-    Peer = Sender->second;
-  }
+  const std::optional<net::Endpoint> Peer = addressOf(To.value());
   if (!Peer)
     return;
   wire::GroupMessage Envelope;
@@ -206,7 +231,7 @@
   absl::StatusOr<net::Endpoint> Sender =
       net::parseEndpoint(Message.senderAddress);
   if (Sender.ok())
-    m_Senders[Message.senderId] = *std::move(Sender);
+    m_Peers[Message.senderId] = *std::move(Sender);
   m_LogHandle->receive(Message.body);
 }
 
--- a/src/node/Replica.h
+++ b/src/node/Replica.h
@@ -82,6 +82,8 @@
   replica::ReplicatedLogHooks hooks();
   absl::Status apply(std::string_view Bytes, raft::LogIndex Index);
   absl::Status restore(std::string_view Snapshot);
+  void recoverAddress(std::string_view Bytes);
+  std::optional<net::Endpoint> addressOf(int64_t Id) const;
   void send(raft::ReplicaId To, std::string Message);
   void onRole(const raft::RoleChange &Change);
   void takeUpDuties(raft::TermNumber Term);
@@ -119,9 +121,9 @@
   raft::RoleChange m_Role;
   /// Results by log index, until the proposals are answered.
   std::unordered_map<uint64_t, wire::WorkloadResult> m_Results;
-  /// Addresses of replicas that sent messages, for a replica whose state does
-  /// not hold them yet.
-  std::map<int64_t, net::Endpoint> m_Senders;
+  /// Addresses of replicas from the log or from their messages, for a replica
+  /// whose state does not hold them yet.
+  std::map<int64_t, net::Endpoint> m_Peers;
 };
 
 } // namespace anvil::node::internal
--- a/src/replica/ReplicatedLog.cpp
+++ b/src/replica/ReplicatedLog.cpp
@@ -262,6 +262,10 @@
     Recovered = *std::move(Initial);
   }
   const raft::Snapshot Snapshot = Recovered.m_Snapshot;
+  if (Options.m_OnRecovered)
+    for (const raft::LogEntry &Entry : Recovered.m_Entries)
+      if (Entry.m_Kind == raft::EntryKind::Command)
+        Options.m_OnRecovered(Entry.m_Data);
   absl::StatusOr<raft::Raft> Consensus =
       raft::Raft::create(Options.m_Raft, std::move(Recovered));
   if (!Consensus.ok())
