raft: Search for a leader soon after a start

Cause: after a power loss of all, the first pre-vote came after 0.5 to 1 s, and a failed one waited as long again. Change: a replica that knows no leader asks again after 0.1 to 0.3 s; candidates keep the long timeout, since an election waits for disks.

--- a/src/node/StateEventLog.cpp
+++ b/src/node/StateEventLog.cpp
@@ -1,15 +1,38 @@
 #include "Replica.h"
 
+#include "absl/strings/str_cat.h"
+
 namespace anvil::node::internal {
 
 namespace {
 
+// Returns the steps in short: "3x8gpu gang rack" for each, joined by " > ".
+std::string shapeOf(const wire::WorkloadSpec &Spec) {
+  std::string Text;
+  for (const wire::StepSpec &Step : Spec.steps) {
+    if (!Text.empty())
+      Text += " > ";
+    Text += absl::StrCat(Step.tasks, "x", Step.perTask.accelerators, "gpu ",
+                         Step.estimateMs, "ms", Step.gang ? " gang" : "",
+                         Step.rackLocal ? " rack" : "",
+                         Step.checkpointing ? " checkpoints" : "",
+                         Step.requiredLabel.empty() ? "" : " label",
+                         Step.maxTasksPerWorker > 0 ? " spread" : "");
+  }
+  return Text;
+}
+
 /// Writes the log line of one change of the state.
 class EventWriter {
 public:
-  EventWriter(log::EventLog &Log, int64_t Index) : m_Log(Log), m_Index(Index) {}
+  EventWriter(log::EventLog &Log, const workload::WorkloadState &State)
+      : m_Log(Log), m_State(State), m_Index(State.appliedIndex()) {}
 
   void operator()(const workload::JobChanged &Event) const {
+    if (Event.m_Phase == wire::JobPhase::QUEUED) {
+      writeAccepted(Event);
+      return;
+    }
     m_Log.write(
         "job-" + std::string(workload::nameOf(Event.m_Phase)),
         {{"job", Event.m_Job}, {"reason", Event.m_Reason}, {"index", m_Index}});
@@ -53,7 +76,21 @@
   }
 
 private:
+  void writeAccepted(const workload::JobChanged &Event) const {
+    const wire::JobRecord *Job = m_State.job(Event.m_Job);
+    if (!Job)
+      return;
+    m_Log.write("job-accepted",
+                {{"job", Event.m_Job},
+                 {"queue", Job->queue},
+                 {"workspace", Job->workspace},
+                 {"priority", Job->priority},
+                 {"shape", shapeOf(Job->spec)},
+                 {"index", m_Index}});
+  }
+
   log::EventLog &m_Log;
+  const workload::WorkloadState &m_State;
   int64_t m_Index;
 };
 
@@ -66,7 +103,7 @@
       std::holds_alternative<workload::PolicyChanged>(Event) ||
       std::holds_alternative<workload::ZoneWithdrawalChanged>(Event);
   if (ForAll || leads())
-    std::visit(EventWriter(m_Log, m_State.appliedIndex()), Event);
+    std::visit(EventWriter(m_Log, m_State), Event);
 }
 
 } // namespace anvil::node::internal
--- a/src/raft/RaftElection.cpp
+++ b/src/raft/RaftElection.cpp
@@ -60,19 +60,25 @@
          m_Now - m_LastLeaderContact < m_Options.m_ElectionTimeoutMin;
 }
 
+// An election needs the disks of a quorum, so a candidate waits as long as a
+// follower that has lost its leader.
 void RaftCore::resetElectionDeadline() {
-  const Duration Spread =
-      m_Options.m_ElectionTimeoutMax - m_Options.m_ElectionTimeoutMin;
+  const bool Searches =
+      m_Leader == NoReplica && m_Role != RaftRole::Candidate;
+  const Duration Min = Searches ? m_Options.m_SearchTimeoutMin
+                                : m_Options.m_ElectionTimeoutMin;
+  const Duration Max = Searches ? m_Options.m_SearchTimeoutMax
+                                : m_Options.m_ElectionTimeoutMax;
   const auto Extra = static_cast<int64_t>(
-      m_Options.m_Random(static_cast<uint64_t>(Spread.count())));
-  m_ElectionDeadline = m_Now + m_Options.m_ElectionTimeoutMin + Duration(Extra);
+      m_Options.m_Random(static_cast<uint64_t>((Max - Min).count())));
+  m_ElectionDeadline = m_Now + Min + Duration(Extra);
 }
 
 void RaftCore::startPreVote() {
-  resetElectionDeadline();
   failUnconfirmedReads("the leader was lost");
   m_Leader = NoReplica;
   m_Role = isVoter() ? RaftRole::PreCandidate : RaftRole::Follower;
+  resetElectionDeadline();
   if (m_Role == RaftRole::Follower)
     return;
   m_Votes.clear();
@@ -82,9 +88,9 @@
 
 void RaftCore::startElection(bool Transfer) {
   failUnconfirmedReads("the leader was lost");
-  resetElectionDeadline();
   m_Role = RaftRole::Candidate;
   m_Leader = NoReplica;
+  resetElectionDeadline();
   m_Votes.clear();
   setHardState(m_Hard.m_Term + 1, m_Options.m_Self);
   m_OwnVoteSequence = m_Sequence + 1;
