--- a/include/anvil/node/EntryVm.h
+++ b/include/anvil/node/EntryVm.h
@@ -79,7 +79,7 @@
   ~EntryVm();
 
   /// Passes a call to the leader.
-  void call(wire::WorkloadCall Call, Duration Timeout, CallDone Done);
+  void call(const wire::WorkloadCall &Call, Duration Timeout, CallDone Done);
 
   /// Number of jobs of a queue that wait for their first task.
   struct Pending {
--- a/include/anvil/raft/RaftOptions.h
+++ b/include/anvil/raft/RaftOptions.h
@@ -27,8 +27,8 @@
   Duration m_ElectionTimeoutMax = std::chrono::milliseconds(1000);
   /// A replica that knows no leader, because it has just started or its last
   /// pre-vote failed, asks again after a random time in [m_SearchTimeoutMin,
-  /// m_SearchTimeoutMax). A pre-vote disturbs nobody, so this may be shorter than
-  /// an election.
+  /// m_SearchTimeoutMax). A pre-vote disturbs nobody, so this may be shorter
+  /// than an election.
   Duration m_SearchTimeoutMin = std::chrono::milliseconds(100);
   Duration m_SearchTimeoutMax = std::chrono::milliseconds(300);
   /// Time between two heartbeats of a leader; below half of
--- a/include/anvil/workload/WorkloadState.h
+++ b/include/anvil/workload/WorkloadState.h
@@ -213,7 +213,7 @@
   void loseLife(const wire::WorkerLife &Life, const std::string &Reason,
                 const std::vector<wire::RunStatus> &LastKnown);
   void indexJob(const wire::JobRecord &Job);
-  void emit(WorkloadEvent Event) const;
+  void emit(const WorkloadEvent &Event) const;
 
   WorkloadLimits m_Limits;
   WorkloadEventHook m_Hook;
--- a/src/node/EntryVm.cpp
+++ b/src/node/EntryVm.cpp
@@ -326,7 +326,8 @@
 EntryVm::EntryVm(std::shared_ptr<Impl> State) : m_Impl(std::move(State)) {}
 EntryVm::~EntryVm() = default;
 
-void EntryVm::call(wire::WorkloadCall Call, Duration Timeout, CallDone Done) {
+void EntryVm::call(const wire::WorkloadCall &Call, Duration Timeout,
+                   CallDone Done) {
   const bool IsSubmit = Call.__isset.submit;
   m_Impl->m_Link->call(
       wire::Method::WORKLOAD_CALL, net::encodeStruct(Call), Timeout,
--- a/src/node/LeaderDuties.cpp
+++ b/src/node/LeaderDuties.cpp
@@ -111,10 +111,9 @@
   armTimer();
 }
 
-void LeaderDuties::propose(std::vector<wire::WorkloadCommand> Commands) {
-  for (wire::WorkloadCommand &Command : Commands) {
-    wire::WorkloadCommand Sent = Command;
-    m_Ports.m_Propose(std::move(Sent),
+void LeaderDuties::propose(const std::vector<wire::WorkloadCommand> &Commands) {
+  for (const wire::WorkloadCommand &Command : Commands) {
+    m_Ports.m_Propose(Command,
                       [Weak = weak_from_this(), Period = m_Period, Command](
                           const absl::StatusOr<wire::WorkloadResult> &Result) {
                         auto Self = Weak.lock();
--- a/src/node/LeaderDuties.h
+++ b/src/node/LeaderDuties.h
@@ -79,7 +79,7 @@
   };
 
   void run();
-  void propose(std::vector<wire::WorkloadCommand> Commands);
+  void propose(const std::vector<wire::WorkloadCommand> &Commands);
   void answerAgents();
   void answerWatchers();
   wire::EntryWatchReply makeWatchReply(const Watcher &Of) const;
--- a/src/node/Replica.cpp
+++ b/src/node/Replica.cpp
@@ -251,18 +251,19 @@
 // The state of a new leader lacks what its predecessor committed until a read
 // of its own term was confirmed.
 void Replica::takeUpDuties(raft::TermNumber Term) {
-  m_LogHandle->read([Weak = weak_from_this(), Term](absl::Status Status) {
-    auto Self = Weak.lock();
-    if (!Self || Self->m_Role.m_Role != raft::RaftRole::Leader ||
-        Self->m_Role.m_Term != Term || Self->m_Duties->active())
-      return;
-    if (!Status.ok()) {
-      Self->takeUpDuties(Term);
-      return;
-    }
-    Self->m_Duties->begin();
-    Self->registerSelf();
-  });
+  m_LogHandle->read(
+      [Weak = weak_from_this(), Term](const absl::Status &Status) {
+        auto Self = Weak.lock();
+        if (!Self || Self->m_Role.m_Role != raft::RaftRole::Leader ||
+            Self->m_Role.m_Term != Term || Self->m_Duties->active())
+          return;
+        if (!Status.ok()) {
+          Self->takeUpDuties(Term);
+          return;
+        }
+        Self->m_Duties->begin();
+        Self->registerSelf();
+      });
 }
 
 // The founder of a group is the first that others ask for its members.
--- a/src/node/Replica.h
+++ b/src/node/Replica.h
@@ -58,7 +58,7 @@
   void receive(const wire::GroupMessage &Message);
   /// Answers a call of an entry or another replica.
   void call(const wire::WorkloadCall &Call,
-            std::function<void(wire::WorkloadReply)> Done);
+            const std::function<void(wire::WorkloadReply)> &Done);
   void workerSync(const wire::WorkerSyncRequest &Request,
                   std::function<void(wire::WorkerSyncReply)> Done);
   void entryWatch(const wire::EntryWatchRequest &Request,
@@ -103,7 +103,7 @@
                        const CallDone &Done);
   void commit(wire::WorkloadCommand Command, const CallDone &Done);
   void answerFresh(const CallDone &Done,
-                   std::function<void(wire::WorkloadReply &)> Fill);
+                   const std::function<void(wire::WorkloadReply &)> &Fill);
   wire::WorkloadReply notLeading() const;
   wire::WorkloadReply leading(wire::WorkloadStatus::type Status,
                               std::string_view Message = "") const;
--- a/src/node/ReplicaCalls.cpp
+++ b/src/node/ReplicaCalls.cpp
@@ -21,7 +21,7 @@
   return Reply;
 }
 
-void Replica::call(const wire::WorkloadCall &Call, CallDone Done) {
+void Replica::call(const wire::WorkloadCall &Call, const CallDone &Done) {
   if (!leads()) {
     Done(notLeading());
     return;
@@ -75,8 +75,9 @@
 }
 
 // Answers from a state that holds everything committed before the call.
-void Replica::answerFresh(const CallDone &Done,
-                          std::function<void(wire::WorkloadReply &)> Fill) {
+void Replica::answerFresh(
+    const CallDone &Done,
+    const std::function<void(wire::WorkloadReply &)> &Fill) {
   m_LogHandle->read([this, Done, Fill](const absl::Status &Status) {
     if (!Status.ok()) {
       Done(notLeading());
--- a/src/node/StateEventLog.cpp
+++ b/src/node/StateEventLog.cpp
@@ -80,13 +80,12 @@
     const wire::JobRecord *Job = m_State.job(Event.m_Job);
     if (!Job)
       return;
-    m_Log.write("job-accepted",
-                {{"job", Event.m_Job},
-                 {"queue", Job->queue},
-                 {"workspace", Job->workspace},
-                 {"priority", Job->priority},
-                 {"shape", shapeOf(Job->spec)},
-                 {"index", m_Index}});
+    m_Log.write("job-accepted", {{"job", Event.m_Job},
+                                 {"queue", Job->queue},
+                                 {"workspace", Job->workspace},
+                                 {"priority", Job->priority},
+                                 {"shape", shapeOf(Job->spec)},
+                                 {"index", m_Index}});
   }
 
   log::EventLog &m_Log;
--- a/src/raft/RaftElection.cpp
+++ b/src/raft/RaftElection.cpp
@@ -63,12 +63,11 @@
 // An election needs the disks of a quorum, so a candidate waits as long as a
 // follower that has lost its leader.
 void RaftCore::resetElectionDeadline() {
-  const bool Searches =
-      m_Leader == NoReplica && m_Role != RaftRole::Candidate;
-  const Duration Min = Searches ? m_Options.m_SearchTimeoutMin
-                                : m_Options.m_ElectionTimeoutMin;
-  const Duration Max = Searches ? m_Options.m_SearchTimeoutMax
-                                : m_Options.m_ElectionTimeoutMax;
+  const bool Searches = m_Leader == NoReplica && m_Role != RaftRole::Candidate;
+  const Duration Min =
+      Searches ? m_Options.m_SearchTimeoutMin : m_Options.m_ElectionTimeoutMin;
+  const Duration Max =
+      Searches ? m_Options.m_SearchTimeoutMax : m_Options.m_ElectionTimeoutMax;
   const auto Extra = static_cast<int64_t>(
       m_Options.m_Random(static_cast<uint64_t>((Max - Min).count())));
   m_ElectionDeadline = m_Now + Min + Duration(Extra);
--- a/src/workload/WorkloadState.cpp
+++ b/src/workload/WorkloadState.cpp
@@ -187,7 +187,7 @@
   return Result;
 }
 
-void WorkloadState::emit(WorkloadEvent Event) const {
+void WorkloadState::emit(const WorkloadEvent &Event) const {
   if (m_Hook)
     m_Hook(Event);
 }
