--- a/gen/workload_types.cpp
+++ b/gen/workload_types.cpp
@@ -1940,6 +1940,129 @@
 }
 
 
+RunName::~RunName() noexcept {
+}
+
+
+void RunName::__set_task(const TaskRef& val) {
+  this->task = val;
+}
+
+void RunName::__set_run(const int64_t val) {
+  this->run = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunName& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RunName::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->task.read(iprot);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RunName::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RunName");
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->task.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RunName &a, RunName &b) {
+  using ::std::swap;
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.__isset, b.__isset);
+}
+
+RunName::RunName(const RunName& other51) {
+  task = other51.task;
+  run = other51.run;
+  __isset = other51.__isset;
+}
+RunName::RunName(RunName&& other52) noexcept {
+  task = std::move(other52.task);
+  run = other52.run;
+  __isset = other52.__isset;
+}
+RunName& RunName::operator=(const RunName& other53) {
+  task = other53.task;
+  run = other53.run;
+  __isset = other53.__isset;
+  return *this;
+}
+RunName& RunName::operator=(RunName&& other54) noexcept {
+  task = std::move(other54.task);
+  run = other54.run;
+  __isset = other54.__isset;
+  return *this;
+}
+void RunName::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunName(";
+  out << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ")";
+}
+
+
 WorkerSyncRequest::~WorkerSyncRequest() noexcept {
 }
 
@@ -1995,6 +2118,10 @@
 void WorkerSyncRequest::__set_silentMs(const int64_t val) {
   this->silentMs = val;
 }
+
+void WorkerSyncRequest::__set_unanswered(const std::vector<RunName> & val) {
+  this->unanswered = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerSyncRequest& obj)
 {
   obj.printTo(out);
@@ -2059,14 +2186,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->runs.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size55;
+            ::apache::thrift::protocol::TType _etype58;
+            xfer += iprot->readListBegin(_etype58, _size55);
+            this->runs.resize(_size55);
+            uint32_t _i59;
+            for (_i59 = 0; _i59 < _size55; ++_i59)
             {
-              xfer += this->runs[_i55].read(iprot);
+              xfer += this->runs[_i59].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2079,14 +2206,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ends.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->ends.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->ends.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->ends[_i60].read(iprot);
+              xfer += this->ends[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2151,6 +2278,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->unanswered.clear();
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->unanswered.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
+            {
+              xfer += this->unanswered[_i69].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.unanswered = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2187,10 +2334,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<RunStatus> ::const_iterator _iter61;
-    for (_iter61 = this->runs.begin(); _iter61 != this->runs.end(); ++_iter61)
+    std::vector<RunStatus> ::const_iterator _iter70;
+    for (_iter70 = this->runs.begin(); _iter70 != this->runs.end(); ++_iter70)
     {
-      xfer += (*_iter61).write(oprot);
+      xfer += (*_iter70).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2199,10 +2346,10 @@
   xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ends.size()));
-    std::vector<RunEnd> ::const_iterator _iter62;
-    for (_iter62 = this->ends.begin(); _iter62 != this->ends.end(); ++_iter62)
+    std::vector<RunEnd> ::const_iterator _iter71;
+    for (_iter71 = this->ends.begin(); _iter71 != this->ends.end(); ++_iter71)
     {
-      xfer += (*_iter62).write(oprot);
+      xfer += (*_iter71).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2236,6 +2383,18 @@
   xfer += oprot->writeI64(this->silentMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("unanswered", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->unanswered.size()));
+    std::vector<RunName> ::const_iterator _iter72;
+    for (_iter72 = this->unanswered.begin(); _iter72 != this->unanswered.end(); ++_iter72)
+    {
+      xfer += (*_iter72).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2256,73 +2415,78 @@
   swap(a.availabilityZone, b.availabilityZone);
   swap(a.listed, b.listed);
   swap(a.silentMs, b.silentMs);
+  swap(a.unanswered, b.unanswered);
   swap(a.__isset, b.__isset);
 }
 
-WorkerSyncRequest::WorkerSyncRequest(const WorkerSyncRequest& other63) {
-  agent = other63.agent;
-  sequence = other63.sequence;
-  facts = other63.facts;
-  fencingToken = other63.fencingToken;
-  runs = other63.runs;
-  ends = other63.ends;
-  firstEnd = other63.firstEnd;
-  draining = other63.draining;
-  remainingMs = other63.remainingMs;
-  gone = other63.gone;
-  availabilityZone = other63.availabilityZone;
-  listed = other63.listed;
-  silentMs = other63.silentMs;
-  __isset = other63.__isset;
-}
-WorkerSyncRequest::WorkerSyncRequest(WorkerSyncRequest&& other64) noexcept {
-  agent = std::move(other64.agent);
-  sequence = other64.sequence;
-  facts = std::move(other64.facts);
-  fencingToken = other64.fencingToken;
-  runs = std::move(other64.runs);
-  ends = std::move(other64.ends);
-  firstEnd = other64.firstEnd;
-  draining = other64.draining;
-  remainingMs = other64.remainingMs;
-  gone = std::move(other64.gone);
-  availabilityZone = std::move(other64.availabilityZone);
-  listed = other64.listed;
-  silentMs = other64.silentMs;
-  __isset = other64.__isset;
-}
-WorkerSyncRequest& WorkerSyncRequest::operator=(const WorkerSyncRequest& other65) {
-  agent = other65.agent;
-  sequence = other65.sequence;
-  facts = other65.facts;
-  fencingToken = other65.fencingToken;
-  runs = other65.runs;
-  ends = other65.ends;
-  firstEnd = other65.firstEnd;
-  draining = other65.draining;
-  remainingMs = other65.remainingMs;
-  gone = other65.gone;
-  availabilityZone = other65.availabilityZone;
-  listed = other65.listed;
-  silentMs = other65.silentMs;
-  __isset = other65.__isset;
+WorkerSyncRequest::WorkerSyncRequest(const WorkerSyncRequest& other73) {
+  agent = other73.agent;
+  sequence = other73.sequence;
+  facts = other73.facts;
+  fencingToken = other73.fencingToken;
+  runs = other73.runs;
+  ends = other73.ends;
+  firstEnd = other73.firstEnd;
+  draining = other73.draining;
+  remainingMs = other73.remainingMs;
+  gone = other73.gone;
+  availabilityZone = other73.availabilityZone;
+  listed = other73.listed;
+  silentMs = other73.silentMs;
+  unanswered = other73.unanswered;
+  __isset = other73.__isset;
+}
+WorkerSyncRequest::WorkerSyncRequest(WorkerSyncRequest&& other74) noexcept {
+  agent = std::move(other74.agent);
+  sequence = other74.sequence;
+  facts = std::move(other74.facts);
+  fencingToken = other74.fencingToken;
+  runs = std::move(other74.runs);
+  ends = std::move(other74.ends);
+  firstEnd = other74.firstEnd;
+  draining = other74.draining;
+  remainingMs = other74.remainingMs;
+  gone = std::move(other74.gone);
+  availabilityZone = std::move(other74.availabilityZone);
+  listed = other74.listed;
+  silentMs = other74.silentMs;
+  unanswered = std::move(other74.unanswered);
+  __isset = other74.__isset;
+}
+WorkerSyncRequest& WorkerSyncRequest::operator=(const WorkerSyncRequest& other75) {
+  agent = other75.agent;
+  sequence = other75.sequence;
+  facts = other75.facts;
+  fencingToken = other75.fencingToken;
+  runs = other75.runs;
+  ends = other75.ends;
+  firstEnd = other75.firstEnd;
+  draining = other75.draining;
+  remainingMs = other75.remainingMs;
+  gone = other75.gone;
+  availabilityZone = other75.availabilityZone;
+  listed = other75.listed;
+  silentMs = other75.silentMs;
+  unanswered = other75.unanswered;
+  __isset = other75.__isset;
   return *this;
 }
-WorkerSyncRequest& WorkerSyncRequest::operator=(WorkerSyncRequest&& other66) noexcept {
-  agent = std::move(other66.agent);
-  sequence = other66.sequence;
-  facts = std::move(other66.facts);
-  fencingToken = other66.fencingToken;
-  runs = std::move(other66.runs);
-  ends = std::move(other66.ends);
-  firstEnd = other66.firstEnd;
-  draining = other66.draining;
-  remainingMs = other66.remainingMs;
-  gone = std::move(other66.gone);
-  availabilityZone = std::move(other66.availabilityZone);
-  listed = other66.listed;
-  silentMs = other66.silentMs;
-  __isset = other66.__isset;
+WorkerSyncRequest& WorkerSyncRequest::operator=(WorkerSyncRequest&& other76) noexcept {
+  agent = std::move(other76.agent);
+  sequence = other76.sequence;
+  facts = std::move(other76.facts);
+  fencingToken = other76.fencingToken;
+  runs = std::move(other76.runs);
+  ends = std::move(other76.ends);
+  firstEnd = other76.firstEnd;
+  draining = other76.draining;
+  remainingMs = other76.remainingMs;
+  gone = std::move(other76.gone);
+  availabilityZone = std::move(other76.availabilityZone);
+  listed = other76.listed;
+  silentMs = other76.silentMs;
+  unanswered = std::move(other76.unanswered);
+  __isset = other76.__isset;
   return *this;
 }
 void WorkerSyncRequest::printTo(std::ostream& out) const {
@@ -2341,6 +2505,7 @@
   out << ", " << "availabilityZone=" << to_string(availabilityZone);
   out << ", " << "listed=" << to_string(listed);
   out << ", " << "silentMs=" << to_string(silentMs);
+  out << ", " << "unanswered=" << to_string(unanswered);
   out << ")";
 }
 
@@ -2471,34 +2636,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RunOrder::RunOrder(const RunOrder& other67) {
-  task = other67.task;
-  run = other67.run;
-  payload = other67.payload;
-  checkpoint = other67.checkpoint;
-  __isset = other67.__isset;
-}
-RunOrder::RunOrder(RunOrder&& other68) noexcept {
-  task = std::move(other68.task);
-  run = other68.run;
-  payload = std::move(other68.payload);
-  checkpoint = std::move(other68.checkpoint);
-  __isset = other68.__isset;
-}
-RunOrder& RunOrder::operator=(const RunOrder& other69) {
-  task = other69.task;
-  run = other69.run;
-  payload = other69.payload;
-  checkpoint = other69.checkpoint;
-  __isset = other69.__isset;
+RunOrder::RunOrder(const RunOrder& other77) {
+  task = other77.task;
+  run = other77.run;
+  payload = other77.payload;
+  checkpoint = other77.checkpoint;
+  __isset = other77.__isset;
+}
+RunOrder::RunOrder(RunOrder&& other78) noexcept {
+  task = std::move(other78.task);
+  run = other78.run;
+  payload = std::move(other78.payload);
+  checkpoint = std::move(other78.checkpoint);
+  __isset = other78.__isset;
+}
+RunOrder& RunOrder::operator=(const RunOrder& other79) {
+  task = other79.task;
+  run = other79.run;
+  payload = other79.payload;
+  checkpoint = other79.checkpoint;
+  __isset = other79.__isset;
   return *this;
 }
-RunOrder& RunOrder::operator=(RunOrder&& other70) noexcept {
-  task = std::move(other70.task);
-  run = other70.run;
-  payload = std::move(other70.payload);
-  checkpoint = std::move(other70.checkpoint);
-  __isset = other70.__isset;
+RunOrder& RunOrder::operator=(RunOrder&& other80) noexcept {
+  task = std::move(other80.task);
+  run = other80.run;
+  payload = std::move(other80.payload);
+  checkpoint = std::move(other80.checkpoint);
+  __isset = other80.__isset;
   return *this;
 }
 void RunOrder::printTo(std::ostream& out) const {
@@ -2512,129 +2677,6 @@
 }
 
 
-RunName::~RunName() noexcept {
-}
-
-
-void RunName::__set_task(const TaskRef& val) {
-  this->task = val;
-}
-
-void RunName::__set_run(const int64_t val) {
-  this->run = val;
-}
-std::ostream& operator<<(std::ostream& out, const RunName& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t RunName::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->task.read(iprot);
-          this->__isset.task = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->run);
-          this->__isset.run = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t RunName::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("RunName");
-
-  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->task.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->run);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(RunName &a, RunName &b) {
-  using ::std::swap;
-  swap(a.task, b.task);
-  swap(a.run, b.run);
-  swap(a.__isset, b.__isset);
-}
-
-RunName::RunName(const RunName& other71) {
-  task = other71.task;
-  run = other71.run;
-  __isset = other71.__isset;
-}
-RunName::RunName(RunName&& other72) noexcept {
-  task = std::move(other72.task);
-  run = other72.run;
-  __isset = other72.__isset;
-}
-RunName& RunName::operator=(const RunName& other73) {
-  task = other73.task;
-  run = other73.run;
-  __isset = other73.__isset;
-  return *this;
-}
-RunName& RunName::operator=(RunName&& other74) noexcept {
-  task = std::move(other74.task);
-  run = other74.run;
-  __isset = other74.__isset;
-  return *this;
-}
-void RunName::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "RunName(";
-  out << "task=" << to_string(task);
-  out << ", " << "run=" << to_string(run);
-  out << ")";
-}
-
-
 ReplicaAddress::~ReplicaAddress() noexcept {
 }
 
@@ -2744,30 +2786,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplicaAddress::ReplicaAddress(const ReplicaAddress& other75) {
-  id = other75.id;
-  address = other75.address;
-  availabilityZone = other75.availabilityZone;
-  __isset = other75.__isset;
+ReplicaAddress::ReplicaAddress(const ReplicaAddress& other81) {
+  id = other81.id;
+  address = other81.address;
+  availabilityZone = other81.availabilityZone;
+  __isset = other81.__isset;
 }
-ReplicaAddress::ReplicaAddress(ReplicaAddress&& other76) noexcept {
-  id = other76.id;
-  address = std::move(other76.address);
-  availabilityZone = std::move(other76.availabilityZone);
-  __isset = other76.__isset;
+ReplicaAddress::ReplicaAddress(ReplicaAddress&& other82) noexcept {
+  id = other82.id;
+  address = std::move(other82.address);
+  availabilityZone = std::move(other82.availabilityZone);
+  __isset = other82.__isset;
 }
-ReplicaAddress& ReplicaAddress::operator=(const ReplicaAddress& other77) {
-  id = other77.id;
-  address = other77.address;
-  availabilityZone = other77.availabilityZone;
-  __isset = other77.__isset;
+ReplicaAddress& ReplicaAddress::operator=(const ReplicaAddress& other83) {
+  id = other83.id;
+  address = other83.address;
+  availabilityZone = other83.availabilityZone;
+  __isset = other83.__isset;
   return *this;
 }
-ReplicaAddress& ReplicaAddress::operator=(ReplicaAddress&& other78) noexcept {
-  id = other78.id;
-  address = std::move(other78.address);
-  availabilityZone = std::move(other78.availabilityZone);
-  __isset = other78.__isset;
+ReplicaAddress& ReplicaAddress::operator=(ReplicaAddress&& other84) noexcept {
+  id = other84.id;
+  address = std::move(other84.address);
+  availabilityZone = std::move(other84.availabilityZone);
+  __isset = other84.__isset;
   return *this;
 }
 void ReplicaAddress::printTo(std::ostream& out) const {
@@ -2827,14 +2869,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size79;
-            ::apache::thrift::protocol::TType _etype82;
-            xfer += iprot->readListBegin(_etype82, _size79);
-            this->replicas.resize(_size79);
-            uint32_t _i83;
-            for (_i83 = 0; _i83 < _size79; ++_i83)
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->replicas.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
             {
-              xfer += this->replicas[_i83].read(iprot);
+              xfer += this->replicas[_i89].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2879,10 +2921,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<ReplicaAddress> ::const_iterator _iter84;
-    for (_iter84 = this->replicas.begin(); _iter84 != this->replicas.end(); ++_iter84)
+    std::vector<ReplicaAddress> ::const_iterator _iter90;
+    for (_iter90 = this->replicas.begin(); _iter90 != this->replicas.end(); ++_iter90)
     {
-      xfer += (*_iter84).write(oprot);
+      xfer += (*_iter90).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2909,30 +2951,30 @@
   swap(a.__isset, b.__isset);
 }
 
-GroupView::GroupView(const GroupView& other85) {
-  replicas = other85.replicas;
-  leader = other85.leader;
-  term = other85.term;
-  __isset = other85.__isset;
+GroupView::GroupView(const GroupView& other91) {
+  replicas = other91.replicas;
+  leader = other91.leader;
+  term = other91.term;
+  __isset = other91.__isset;
 }
-GroupView::GroupView(GroupView&& other86) noexcept {
-  replicas = std::move(other86.replicas);
-  leader = other86.leader;
-  term = other86.term;
-  __isset = other86.__isset;
+GroupView::GroupView(GroupView&& other92) noexcept {
+  replicas = std::move(other92.replicas);
+  leader = other92.leader;
+  term = other92.term;
+  __isset = other92.__isset;
 }
-GroupView& GroupView::operator=(const GroupView& other87) {
-  replicas = other87.replicas;
-  leader = other87.leader;
-  term = other87.term;
-  __isset = other87.__isset;
+GroupView& GroupView::operator=(const GroupView& other93) {
+  replicas = other93.replicas;
+  leader = other93.leader;
+  term = other93.term;
+  __isset = other93.__isset;
   return *this;
 }
-GroupView& GroupView::operator=(GroupView&& other88) noexcept {
-  replicas = std::move(other88.replicas);
-  leader = other88.leader;
-  term = other88.term;
-  __isset = other88.__isset;
+GroupView& GroupView::operator=(GroupView&& other94) noexcept {
+  replicas = std::move(other94.replicas);
+  leader = other94.leader;
+  term = other94.term;
+  __isset = other94.__isset;
   return *this;
 }
 void GroupView::printTo(std::ostream& out) const {
@@ -3044,14 +3086,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size89;
-            ::apache::thrift::protocol::TType _etype92;
-            xfer += iprot->readListBegin(_etype92, _size89);
-            this->starts.resize(_size89);
-            uint32_t _i93;
-            for (_i93 = 0; _i93 < _size89; ++_i93)
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->starts.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
             {
-              xfer += this->starts[_i93].read(iprot);
+              xfer += this->starts[_i99].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3064,14 +3106,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->stops.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->stops.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->stops.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
             {
-              xfer += this->stops[_i98].read(iprot);
+              xfer += this->stops[_i104].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3132,10 +3174,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<RunOrder> ::const_iterator _iter99;
-    for (_iter99 = this->starts.begin(); _iter99 != this->starts.end(); ++_iter99)
+    std::vector<RunOrder> ::const_iterator _iter105;
+    for (_iter105 = this->starts.begin(); _iter105 != this->starts.end(); ++_iter105)
     {
-      xfer += (*_iter99).write(oprot);
+      xfer += (*_iter105).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3144,10 +3186,10 @@
   xfer += oprot->writeFieldBegin("stops", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->stops.size()));
-    std::vector<RunName> ::const_iterator _iter100;
-    for (_iter100 = this->stops.begin(); _iter100 != this->stops.end(); ++_iter100)
+    std::vector<RunName> ::const_iterator _iter106;
+    for (_iter106 = this->stops.begin(); _iter106 != this->stops.end(); ++_iter106)
     {
-      xfer += (*_iter100).write(oprot);
+      xfer += (*_iter106).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3179,50 +3221,50 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerSyncReply::WorkerSyncReply(const WorkerSyncReply& other101) {
-  group = other101.group;
-  leads = other101.leads;
-  fencingToken = other101.fencingToken;
-  registered = other101.registered;
-  starts = other101.starts;
-  stops = other101.stops;
-  confirmedSequence = other101.confirmedSequence;
-  acknowledgedEnd = other101.acknowledgedEnd;
-  __isset = other101.__isset;
-}
-WorkerSyncReply::WorkerSyncReply(WorkerSyncReply&& other102) noexcept {
-  group = std::move(other102.group);
-  leads = other102.leads;
-  fencingToken = other102.fencingToken;
-  registered = std::move(other102.registered);
-  starts = std::move(other102.starts);
-  stops = std::move(other102.stops);
-  confirmedSequence = other102.confirmedSequence;
-  acknowledgedEnd = other102.acknowledgedEnd;
-  __isset = other102.__isset;
-}
-WorkerSyncReply& WorkerSyncReply::operator=(const WorkerSyncReply& other103) {
-  group = other103.group;
-  leads = other103.leads;
-  fencingToken = other103.fencingToken;
-  registered = other103.registered;
-  starts = other103.starts;
-  stops = other103.stops;
-  confirmedSequence = other103.confirmedSequence;
-  acknowledgedEnd = other103.acknowledgedEnd;
-  __isset = other103.__isset;
+WorkerSyncReply::WorkerSyncReply(const WorkerSyncReply& other107) {
+  group = other107.group;
+  leads = other107.leads;
+  fencingToken = other107.fencingToken;
+  registered = other107.registered;
+  starts = other107.starts;
+  stops = other107.stops;
+  confirmedSequence = other107.confirmedSequence;
+  acknowledgedEnd = other107.acknowledgedEnd;
+  __isset = other107.__isset;
+}
+WorkerSyncReply::WorkerSyncReply(WorkerSyncReply&& other108) noexcept {
+  group = std::move(other108.group);
+  leads = other108.leads;
+  fencingToken = other108.fencingToken;
+  registered = std::move(other108.registered);
+  starts = std::move(other108.starts);
+  stops = std::move(other108.stops);
+  confirmedSequence = other108.confirmedSequence;
+  acknowledgedEnd = other108.acknowledgedEnd;
+  __isset = other108.__isset;
+}
+WorkerSyncReply& WorkerSyncReply::operator=(const WorkerSyncReply& other109) {
+  group = other109.group;
+  leads = other109.leads;
+  fencingToken = other109.fencingToken;
+  registered = other109.registered;
+  starts = other109.starts;
+  stops = other109.stops;
+  confirmedSequence = other109.confirmedSequence;
+  acknowledgedEnd = other109.acknowledgedEnd;
+  __isset = other109.__isset;
   return *this;
 }
-WorkerSyncReply& WorkerSyncReply::operator=(WorkerSyncReply&& other104) noexcept {
-  group = std::move(other104.group);
-  leads = other104.leads;
-  fencingToken = other104.fencingToken;
-  registered = std::move(other104.registered);
-  starts = std::move(other104.starts);
-  stops = std::move(other104.stops);
-  confirmedSequence = other104.confirmedSequence;
-  acknowledgedEnd = other104.acknowledgedEnd;
-  __isset = other104.__isset;
+WorkerSyncReply& WorkerSyncReply::operator=(WorkerSyncReply&& other110) noexcept {
+  group = std::move(other110.group);
+  leads = other110.leads;
+  fencingToken = other110.fencingToken;
+  registered = std::move(other110.registered);
+  starts = std::move(other110.starts);
+  stops = std::move(other110.stops);
+  confirmedSequence = other110.confirmedSequence;
+  acknowledgedEnd = other110.acknowledgedEnd;
+  __isset = other110.__isset;
   return *this;
 }
 void WorkerSyncReply::printTo(std::ostream& out) const {
@@ -3349,30 +3391,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AdviceLimits::AdviceLimits(const AdviceLimits& other105) noexcept {
-  decisionMs = other105.decisionMs;
-  perWorkerMs = other105.perWorkerMs;
-  validityMs = other105.validityMs;
-  __isset = other105.__isset;
+AdviceLimits::AdviceLimits(const AdviceLimits& other111) noexcept {
+  decisionMs = other111.decisionMs;
+  perWorkerMs = other111.perWorkerMs;
+  validityMs = other111.validityMs;
+  __isset = other111.__isset;
 }
-AdviceLimits::AdviceLimits(AdviceLimits&& other106) noexcept {
-  decisionMs = other106.decisionMs;
-  perWorkerMs = other106.perWorkerMs;
-  validityMs = other106.validityMs;
-  __isset = other106.__isset;
+AdviceLimits::AdviceLimits(AdviceLimits&& other112) noexcept {
+  decisionMs = other112.decisionMs;
+  perWorkerMs = other112.perWorkerMs;
+  validityMs = other112.validityMs;
+  __isset = other112.__isset;
 }
-AdviceLimits& AdviceLimits::operator=(const AdviceLimits& other107) noexcept {
-  decisionMs = other107.decisionMs;
-  perWorkerMs = other107.perWorkerMs;
-  validityMs = other107.validityMs;
-  __isset = other107.__isset;
+AdviceLimits& AdviceLimits::operator=(const AdviceLimits& other113) noexcept {
+  decisionMs = other113.decisionMs;
+  perWorkerMs = other113.perWorkerMs;
+  validityMs = other113.validityMs;
+  __isset = other113.__isset;
   return *this;
 }
-AdviceLimits& AdviceLimits::operator=(AdviceLimits&& other108) noexcept {
-  decisionMs = other108.decisionMs;
-  perWorkerMs = other108.perWorkerMs;
-  validityMs = other108.validityMs;
-  __isset = other108.__isset;
+AdviceLimits& AdviceLimits::operator=(AdviceLimits&& other114) noexcept {
+  decisionMs = other114.decisionMs;
+  perWorkerMs = other114.perWorkerMs;
+  validityMs = other114.validityMs;
+  __isset = other114.__isset;
   return *this;
 }
 void AdviceLimits::printTo(std::ostream& out) const {
@@ -3632,62 +3674,62 @@
   swap(a.__isset, b.__isset);
 }
 
-QueuePolicy::QueuePolicy(const QueuePolicy& other109) {
-  name = other109.name;
-  host = other109.host;
-  pathPrefix = other109.pathPrefix;
-  serviceName = other109.serviceName;
-  priority = other109.priority;
-  timeoutMs = other109.timeoutMs;
-  latencyAimMs = other109.latencyAimMs;
-  maxAttempts = other109.maxAttempts;
-  slackFactor = other109.slackFactor;
-  anonymous = other109.anonymous;
-  advice = other109.advice;
-  __isset = other109.__isset;
+QueuePolicy::QueuePolicy(const QueuePolicy& other115) {
+  name = other115.name;
+  host = other115.host;
+  pathPrefix = other115.pathPrefix;
+  serviceName = other115.serviceName;
+  priority = other115.priority;
+  timeoutMs = other115.timeoutMs;
+  latencyAimMs = other115.latencyAimMs;
+  maxAttempts = other115.maxAttempts;
+  slackFactor = other115.slackFactor;
+  anonymous = other115.anonymous;
+  advice = other115.advice;
+  __isset = other115.__isset;
 }
-QueuePolicy::QueuePolicy(QueuePolicy&& other110) noexcept {
-  name = std::move(other110.name);
-  host = std::move(other110.host);
-  pathPrefix = std::move(other110.pathPrefix);
-  serviceName = std::move(other110.serviceName);
-  priority = other110.priority;
-  timeoutMs = other110.timeoutMs;
-  latencyAimMs = other110.latencyAimMs;
-  maxAttempts = other110.maxAttempts;
-  slackFactor = other110.slackFactor;
-  anonymous = other110.anonymous;
-  advice = std::move(other110.advice);
-  __isset = other110.__isset;
+QueuePolicy::QueuePolicy(QueuePolicy&& other116) noexcept {
+  name = std::move(other116.name);
+  host = std::move(other116.host);
+  pathPrefix = std::move(other116.pathPrefix);
+  serviceName = std::move(other116.serviceName);
+  priority = other116.priority;
+  timeoutMs = other116.timeoutMs;
+  latencyAimMs = other116.latencyAimMs;
+  maxAttempts = other116.maxAttempts;
+  slackFactor = other116.slackFactor;
+  anonymous = other116.anonymous;
+  advice = std::move(other116.advice);
+  __isset = other116.__isset;
 }
-QueuePolicy& QueuePolicy::operator=(const QueuePolicy& other111) {
-  name = other111.name;
-  host = other111.host;
-  pathPrefix = other111.pathPrefix;
-  serviceName = other111.serviceName;
-  priority = other111.priority;
-  timeoutMs = other111.timeoutMs;
-  latencyAimMs = other111.latencyAimMs;
-  maxAttempts = other111.maxAttempts;
-  slackFactor = other111.slackFactor;
-  anonymous = other111.anonymous;
-  advice = other111.advice;
-  __isset = other111.__isset;
+QueuePolicy& QueuePolicy::operator=(const QueuePolicy& other117) {
+  name = other117.name;
+  host = other117.host;
+  pathPrefix = other117.pathPrefix;
+  serviceName = other117.serviceName;
+  priority = other117.priority;
+  timeoutMs = other117.timeoutMs;
+  latencyAimMs = other117.latencyAimMs;
+  maxAttempts = other117.maxAttempts;
+  slackFactor = other117.slackFactor;
+  anonymous = other117.anonymous;
+  advice = other117.advice;
+  __isset = other117.__isset;
   return *this;
 }
-QueuePolicy& QueuePolicy::operator=(QueuePolicy&& other112) noexcept {
-  name = std::move(other112.name);
-  host = std::move(other112.host);
-  pathPrefix = std::move(other112.pathPrefix);
-  serviceName = std::move(other112.serviceName);
-  priority = other112.priority;
-  timeoutMs = other112.timeoutMs;
-  latencyAimMs = other112.latencyAimMs;
-  maxAttempts = other112.maxAttempts;
-  slackFactor = other112.slackFactor;
-  anonymous = other112.anonymous;
-  advice = std::move(other112.advice);
-  __isset = other112.__isset;
+QueuePolicy& QueuePolicy::operator=(QueuePolicy&& other118) noexcept {
+  name = std::move(other118.name);
+  host = std::move(other118.host);
+  pathPrefix = std::move(other118.pathPrefix);
+  serviceName = std::move(other118.serviceName);
+  priority = other118.priority;
+  timeoutMs = other118.timeoutMs;
+  latencyAimMs = other118.latencyAimMs;
+  maxAttempts = other118.maxAttempts;
+  slackFactor = other118.slackFactor;
+  anonymous = other118.anonymous;
+  advice = std::move(other118.advice);
+  __isset = other118.__isset;
   return *this;
 }
 void QueuePolicy::printTo(std::ostream& out) const {
@@ -3834,34 +3876,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ServicePolicy::ServicePolicy(const ServicePolicy& other113) {
-  name = other113.name;
-  healthPath = other113.healthPath;
-  refusesOverload = other113.refusesOverload;
-  standby = other113.standby;
-  __isset = other113.__isset;
-}
-ServicePolicy::ServicePolicy(ServicePolicy&& other114) noexcept {
-  name = std::move(other114.name);
-  healthPath = std::move(other114.healthPath);
-  refusesOverload = other114.refusesOverload;
-  standby = other114.standby;
-  __isset = other114.__isset;
-}
-ServicePolicy& ServicePolicy::operator=(const ServicePolicy& other115) {
-  name = other115.name;
-  healthPath = other115.healthPath;
-  refusesOverload = other115.refusesOverload;
-  standby = other115.standby;
-  __isset = other115.__isset;
+ServicePolicy::ServicePolicy(const ServicePolicy& other119) {
+  name = other119.name;
+  healthPath = other119.healthPath;
+  refusesOverload = other119.refusesOverload;
+  standby = other119.standby;
+  __isset = other119.__isset;
+}
+ServicePolicy::ServicePolicy(ServicePolicy&& other120) noexcept {
+  name = std::move(other120.name);
+  healthPath = std::move(other120.healthPath);
+  refusesOverload = other120.refusesOverload;
+  standby = other120.standby;
+  __isset = other120.__isset;
+}
+ServicePolicy& ServicePolicy::operator=(const ServicePolicy& other121) {
+  name = other121.name;
+  healthPath = other121.healthPath;
+  refusesOverload = other121.refusesOverload;
+  standby = other121.standby;
+  __isset = other121.__isset;
   return *this;
 }
-ServicePolicy& ServicePolicy::operator=(ServicePolicy&& other116) noexcept {
-  name = std::move(other116.name);
-  healthPath = std::move(other116.healthPath);
-  refusesOverload = other116.refusesOverload;
-  standby = other116.standby;
-  __isset = other116.__isset;
+ServicePolicy& ServicePolicy::operator=(ServicePolicy&& other122) noexcept {
+  name = std::move(other122.name);
+  healthPath = std::move(other122.healthPath);
+  refusesOverload = other122.refusesOverload;
+  standby = other122.standby;
+  __isset = other122.__isset;
   return *this;
 }
 void ServicePolicy::printTo(std::ostream& out) const {
@@ -3934,14 +3976,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size117;
-            ::apache::thrift::protocol::TType _etype120;
-            xfer += iprot->readListBegin(_etype120, _size117);
-            this->keys.resize(_size117);
-            uint32_t _i121;
-            for (_i121 = 0; _i121 < _size117; ++_i121)
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->keys.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
             {
-              xfer += iprot->readString(this->keys[_i121]);
+              xfer += iprot->readString(this->keys[_i127]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3990,10 +4032,10 @@
   xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->keys.size()));
-    std::vector<std::string> ::const_iterator _iter122;
-    for (_iter122 = this->keys.begin(); _iter122 != this->keys.end(); ++_iter122)
+    std::vector<std::string> ::const_iterator _iter128;
+    for (_iter128 = this->keys.begin(); _iter128 != this->keys.end(); ++_iter128)
     {
-      xfer += oprot->writeString((*_iter122));
+      xfer += oprot->writeString((*_iter128));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4021,34 +4063,34 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkspacePolicy::WorkspacePolicy(const WorkspacePolicy& other123) {
-  name = other123.name;
-  keys = other123.keys;
-  priority = other123.priority;
-  guaranteed = other123.guaranteed;
-  __isset = other123.__isset;
-}
-WorkspacePolicy::WorkspacePolicy(WorkspacePolicy&& other124) noexcept {
-  name = std::move(other124.name);
-  keys = std::move(other124.keys);
-  priority = other124.priority;
-  guaranteed = std::move(other124.guaranteed);
-  __isset = other124.__isset;
-}
-WorkspacePolicy& WorkspacePolicy::operator=(const WorkspacePolicy& other125) {
-  name = other125.name;
-  keys = other125.keys;
-  priority = other125.priority;
-  guaranteed = other125.guaranteed;
-  __isset = other125.__isset;
+WorkspacePolicy::WorkspacePolicy(const WorkspacePolicy& other129) {
+  name = other129.name;
+  keys = other129.keys;
+  priority = other129.priority;
+  guaranteed = other129.guaranteed;
+  __isset = other129.__isset;
+}
+WorkspacePolicy::WorkspacePolicy(WorkspacePolicy&& other130) noexcept {
+  name = std::move(other130.name);
+  keys = std::move(other130.keys);
+  priority = other130.priority;
+  guaranteed = std::move(other130.guaranteed);
+  __isset = other130.__isset;
+}
+WorkspacePolicy& WorkspacePolicy::operator=(const WorkspacePolicy& other131) {
+  name = other131.name;
+  keys = other131.keys;
+  priority = other131.priority;
+  guaranteed = other131.guaranteed;
+  __isset = other131.__isset;
   return *this;
 }
-WorkspacePolicy& WorkspacePolicy::operator=(WorkspacePolicy&& other126) noexcept {
-  name = std::move(other126.name);
-  keys = std::move(other126.keys);
-  priority = other126.priority;
-  guaranteed = std::move(other126.guaranteed);
-  __isset = other126.__isset;
+WorkspacePolicy& WorkspacePolicy::operator=(WorkspacePolicy&& other132) noexcept {
+  name = std::move(other132.name);
+  keys = std::move(other132.keys);
+  priority = other132.priority;
+  guaranteed = std::move(other132.guaranteed);
+  __isset = other132.__isset;
   return *this;
 }
 void WorkspacePolicy::printTo(std::ostream& out) const {
@@ -4125,14 +4167,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->queues.clear();
-            uint32_t _size127;
-            ::apache::thrift::protocol::TType _etype130;
-            xfer += iprot->readListBegin(_etype130, _size127);
-            this->queues.resize(_size127);
-            uint32_t _i131;
-            for (_i131 = 0; _i131 < _size127; ++_i131)
+            uint32_t _size133;
+            ::apache::thrift::protocol::TType _etype136;
+            xfer += iprot->readListBegin(_etype136, _size133);
+            this->queues.resize(_size133);
+            uint32_t _i137;
+            for (_i137 = 0; _i137 < _size133; ++_i137)
             {
-              xfer += this->queues[_i131].read(iprot);
+              xfer += this->queues[_i137].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4145,14 +4187,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _etype135;
-            xfer += iprot->readListBegin(_etype135, _size132);
-            this->services.resize(_size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->services.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
             {
-              xfer += this->services[_i136].read(iprot);
+              xfer += this->services[_i142].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4165,14 +4207,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workspaces.clear();
-            uint32_t _size137;
-            ::apache::thrift::protocol::TType _etype140;
-            xfer += iprot->readListBegin(_etype140, _size137);
-            this->workspaces.resize(_size137);
-            uint32_t _i141;
-            for (_i141 = 0; _i141 < _size137; ++_i141)
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->workspaces.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
             {
-              xfer += this->workspaces[_i141].read(iprot);
+              xfer += this->workspaces[_i147].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4213,10 +4255,10 @@
   xfer += oprot->writeFieldBegin("queues", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->queues.size()));
-    std::vector<QueuePolicy> ::const_iterator _iter142;
-    for (_iter142 = this->queues.begin(); _iter142 != this->queues.end(); ++_iter142)
+    std::vector<QueuePolicy> ::const_iterator _iter148;
+    for (_iter148 = this->queues.begin(); _iter148 != this->queues.end(); ++_iter148)
     {
-      xfer += (*_iter142).write(oprot);
+      xfer += (*_iter148).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4225,10 +4267,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->services.size()));
-    std::vector<ServicePolicy> ::const_iterator _iter143;
-    for (_iter143 = this->services.begin(); _iter143 != this->services.end(); ++_iter143)
+    std::vector<ServicePolicy> ::const_iterator _iter149;
+    for (_iter149 = this->services.begin(); _iter149 != this->services.end(); ++_iter149)
     {
-      xfer += (*_iter143).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4237,10 +4279,10 @@
   xfer += oprot->writeFieldBegin("workspaces", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workspaces.size()));
-    std::vector<WorkspacePolicy> ::const_iterator _iter144;
-    for (_iter144 = this->workspaces.begin(); _iter144 != this->workspaces.end(); ++_iter144)
+    std::vector<WorkspacePolicy> ::const_iterator _iter150;
+    for (_iter150 = this->workspaces.begin(); _iter150 != this->workspaces.end(); ++_iter150)
     {
-      xfer += (*_iter144).write(oprot);
+      xfer += (*_iter150).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4265,38 +4307,38 @@
   swap(a.__isset, b.__isset);
 }
 
-PolicyDocument::PolicyDocument(const PolicyDocument& other145) {
-  version = other145.version;
-  queues = other145.queues;
-  services = other145.services;
-  workspaces = other145.workspaces;
-  source = other145.source;
-  __isset = other145.__isset;
-}
-PolicyDocument::PolicyDocument(PolicyDocument&& other146) noexcept {
-  version = other146.version;
-  queues = std::move(other146.queues);
-  services = std::move(other146.services);
-  workspaces = std::move(other146.workspaces);
-  source = std::move(other146.source);
-  __isset = other146.__isset;
-}
-PolicyDocument& PolicyDocument::operator=(const PolicyDocument& other147) {
-  version = other147.version;
-  queues = other147.queues;
-  services = other147.services;
-  workspaces = other147.workspaces;
-  source = other147.source;
-  __isset = other147.__isset;
+PolicyDocument::PolicyDocument(const PolicyDocument& other151) {
+  version = other151.version;
+  queues = other151.queues;
+  services = other151.services;
+  workspaces = other151.workspaces;
+  source = other151.source;
+  __isset = other151.__isset;
+}
+PolicyDocument::PolicyDocument(PolicyDocument&& other152) noexcept {
+  version = other152.version;
+  queues = std::move(other152.queues);
+  services = std::move(other152.services);
+  workspaces = std::move(other152.workspaces);
+  source = std::move(other152.source);
+  __isset = other152.__isset;
+}
+PolicyDocument& PolicyDocument::operator=(const PolicyDocument& other153) {
+  version = other153.version;
+  queues = other153.queues;
+  services = other153.services;
+  workspaces = other153.workspaces;
+  source = other153.source;
+  __isset = other153.__isset;
   return *this;
 }
-PolicyDocument& PolicyDocument::operator=(PolicyDocument&& other148) noexcept {
-  version = other148.version;
-  queues = std::move(other148.queues);
-  services = std::move(other148.services);
-  workspaces = std::move(other148.workspaces);
-  source = std::move(other148.source);
-  __isset = other148.__isset;
+PolicyDocument& PolicyDocument::operator=(PolicyDocument&& other154) noexcept {
+  version = other154.version;
+  queues = std::move(other154.queues);
+  services = std::move(other154.services);
+  workspaces = std::move(other154.workspaces);
+  source = std::move(other154.source);
+  __isset = other154.__isset;
   return *this;
 }
 void PolicyDocument::printTo(std::ostream& out) const {
@@ -4364,9 +4406,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast149;
-          xfer += iprot->readI32(ecast149);
-          this->phase = static_cast<TaskPhase::type>(ecast149);
+          int32_t ecast155;
+          xfer += iprot->readI32(ecast155);
+          this->phase = static_cast<TaskPhase::type>(ecast155);
           this->__isset.phase = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4456,38 +4498,38 @@
   swap(a.__isset, b.__isset);
 }
 
-TaskRecord::TaskRecord(const TaskRecord& other150) {
-  phase = other150.phase;
-  run = other150.run;
-  failures = other150.failures;
-  worker = other150.worker;
-  checkpoint = other150.checkpoint;
-  __isset = other150.__isset;
-}
-TaskRecord::TaskRecord(TaskRecord&& other151) noexcept {
-  phase = other151.phase;
-  run = other151.run;
-  failures = other151.failures;
-  worker = std::move(other151.worker);
-  checkpoint = std::move(other151.checkpoint);
-  __isset = other151.__isset;
-}
-TaskRecord& TaskRecord::operator=(const TaskRecord& other152) {
-  phase = other152.phase;
-  run = other152.run;
-  failures = other152.failures;
-  worker = other152.worker;
-  checkpoint = other152.checkpoint;
-  __isset = other152.__isset;
+TaskRecord::TaskRecord(const TaskRecord& other156) {
+  phase = other156.phase;
+  run = other156.run;
+  failures = other156.failures;
+  worker = other156.worker;
+  checkpoint = other156.checkpoint;
+  __isset = other156.__isset;
+}
+TaskRecord::TaskRecord(TaskRecord&& other157) noexcept {
+  phase = other157.phase;
+  run = other157.run;
+  failures = other157.failures;
+  worker = std::move(other157.worker);
+  checkpoint = std::move(other157.checkpoint);
+  __isset = other157.__isset;
+}
+TaskRecord& TaskRecord::operator=(const TaskRecord& other158) {
+  phase = other158.phase;
+  run = other158.run;
+  failures = other158.failures;
+  worker = other158.worker;
+  checkpoint = other158.checkpoint;
+  __isset = other158.__isset;
   return *this;
 }
-TaskRecord& TaskRecord::operator=(TaskRecord&& other153) noexcept {
-  phase = other153.phase;
-  run = other153.run;
-  failures = other153.failures;
-  worker = std::move(other153.worker);
-  checkpoint = std::move(other153.checkpoint);
-  __isset = other153.__isset;
+TaskRecord& TaskRecord::operator=(TaskRecord&& other159) noexcept {
+  phase = other159.phase;
+  run = other159.run;
+  failures = other159.failures;
+  worker = std::move(other159.worker);
+  checkpoint = std::move(other159.checkpoint);
+  __isset = other159.__isset;
   return *this;
 }
 void TaskRecord::printTo(std::ostream& out) const {
@@ -4557,14 +4599,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tasks.clear();
-            uint32_t _size154;
-            ::apache::thrift::protocol::TType _etype157;
-            xfer += iprot->readListBegin(_etype157, _size154);
-            this->tasks.resize(_size154);
-            uint32_t _i158;
-            for (_i158 = 0; _i158 < _size154; ++_i158)
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            this->tasks.resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
             {
-              xfer += this->tasks[_i158].read(iprot);
+              xfer += this->tasks[_i164].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4625,10 +4667,10 @@
   xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
-    std::vector<TaskRecord> ::const_iterator _iter159;
-    for (_iter159 = this->tasks.begin(); _iter159 != this->tasks.end(); ++_iter159)
+    std::vector<TaskRecord> ::const_iterator _iter165;
+    for (_iter165 = this->tasks.begin(); _iter165 != this->tasks.end(); ++_iter165)
     {
-      xfer += (*_iter159).write(oprot);
+      xfer += (*_iter165).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4665,38 +4707,38 @@
   swap(a.__isset, b.__isset);
 }
 
-StepRecord::StepRecord(const StepRecord& other160) {
-  tasks = other160.tasks;
-  done = other160.done;
-  active = other160.active;
-  gangFailures = other160.gangFailures;
-  gangFailedRun = other160.gangFailedRun;
-  __isset = other160.__isset;
-}
-StepRecord::StepRecord(StepRecord&& other161) noexcept {
-  tasks = std::move(other161.tasks);
-  done = other161.done;
-  active = other161.active;
-  gangFailures = other161.gangFailures;
-  gangFailedRun = other161.gangFailedRun;
-  __isset = other161.__isset;
-}
-StepRecord& StepRecord::operator=(const StepRecord& other162) {
-  tasks = other162.tasks;
-  done = other162.done;
-  active = other162.active;
-  gangFailures = other162.gangFailures;
-  gangFailedRun = other162.gangFailedRun;
-  __isset = other162.__isset;
+StepRecord::StepRecord(const StepRecord& other166) {
+  tasks = other166.tasks;
+  done = other166.done;
+  active = other166.active;
+  gangFailures = other166.gangFailures;
+  gangFailedRun = other166.gangFailedRun;
+  __isset = other166.__isset;
+}
+StepRecord::StepRecord(StepRecord&& other167) noexcept {
+  tasks = std::move(other167.tasks);
+  done = other167.done;
+  active = other167.active;
+  gangFailures = other167.gangFailures;
+  gangFailedRun = other167.gangFailedRun;
+  __isset = other167.__isset;
+}
+StepRecord& StepRecord::operator=(const StepRecord& other168) {
+  tasks = other168.tasks;
+  done = other168.done;
+  active = other168.active;
+  gangFailures = other168.gangFailures;
+  gangFailedRun = other168.gangFailedRun;
+  __isset = other168.__isset;
   return *this;
 }
-StepRecord& StepRecord::operator=(StepRecord&& other163) noexcept {
-  tasks = std::move(other163.tasks);
-  done = other163.done;
-  active = other163.active;
-  gangFailures = other163.gangFailures;
-  gangFailedRun = other163.gangFailedRun;
-  __isset = other163.__isset;
+StepRecord& StepRecord::operator=(StepRecord&& other169) noexcept {
+  tasks = std::move(other169.tasks);
+  done = other169.done;
+  active = other169.active;
+  gangFailures = other169.gangFailures;
+  gangFailedRun = other169.gangFailedRun;
+  __isset = other169.__isset;
   return *this;
 }
 void StepRecord::printTo(std::ostream& out) const {
@@ -4766,14 +4808,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->steps.clear();
-            uint32_t _size164;
-            ::apache::thrift::protocol::TType _etype167;
-            xfer += iprot->readListBegin(_etype167, _size164);
-            this->steps.resize(_size164);
-            uint32_t _i168;
-            for (_i168 = 0; _i168 < _size164; ++_i168)
+            uint32_t _size170;
+            ::apache::thrift::protocol::TType _etype173;
+            xfer += iprot->readListBegin(_etype173, _size170);
+            this->steps.resize(_size170);
+            uint32_t _i174;
+            for (_i174 = 0; _i174 < _size170; ++_i174)
             {
-              xfer += this->steps[_i168].read(iprot);
+              xfer += this->steps[_i174].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4814,10 +4856,10 @@
   xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
-    std::vector<StepRecord> ::const_iterator _iter169;
-    for (_iter169 = this->steps.begin(); _iter169 != this->steps.end(); ++_iter169)
+    std::vector<StepRecord> ::const_iterator _iter175;
+    for (_iter175 = this->steps.begin(); _iter175 != this->steps.end(); ++_iter175)
     {
-      xfer += (*_iter169).write(oprot);
+      xfer += (*_iter175).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4840,30 +4882,30 @@
   swap(a.__isset, b.__isset);
 }
 
-OccurrenceRecord::OccurrenceRecord(const OccurrenceRecord& other170) {
-  number = other170.number;
-  steps = other170.steps;
-  stepsDone = other170.stepsDone;
-  __isset = other170.__isset;
+OccurrenceRecord::OccurrenceRecord(const OccurrenceRecord& other176) {
+  number = other176.number;
+  steps = other176.steps;
+  stepsDone = other176.stepsDone;
+  __isset = other176.__isset;
 }
-OccurrenceRecord::OccurrenceRecord(OccurrenceRecord&& other171) noexcept {
-  number = other171.number;
-  steps = std::move(other171.steps);
-  stepsDone = other171.stepsDone;
-  __isset = other171.__isset;
+OccurrenceRecord::OccurrenceRecord(OccurrenceRecord&& other177) noexcept {
+  number = other177.number;
+  steps = std::move(other177.steps);
+  stepsDone = other177.stepsDone;
+  __isset = other177.__isset;
 }
-OccurrenceRecord& OccurrenceRecord::operator=(const OccurrenceRecord& other172) {
-  number = other172.number;
-  steps = other172.steps;
-  stepsDone = other172.stepsDone;
-  __isset = other172.__isset;
+OccurrenceRecord& OccurrenceRecord::operator=(const OccurrenceRecord& other178) {
+  number = other178.number;
+  steps = other178.steps;
+  stepsDone = other178.stepsDone;
+  __isset = other178.__isset;
   return *this;
 }
-OccurrenceRecord& OccurrenceRecord::operator=(OccurrenceRecord&& other173) noexcept {
-  number = other173.number;
-  steps = std::move(other173.steps);
-  stepsDone = other173.stepsDone;
-  __isset = other173.__isset;
+OccurrenceRecord& OccurrenceRecord::operator=(OccurrenceRecord&& other179) noexcept {
+  number = other179.number;
+  steps = std::move(other179.steps);
+  stepsDone = other179.stepsDone;
+  __isset = other179.__isset;
   return *this;
 }
 void OccurrenceRecord::printTo(std::ostream& out) const {
@@ -5005,9 +5047,9 @@
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast174;
-          xfer += iprot->readI32(ecast174);
-          this->phase = static_cast<JobPhase::type>(ecast174);
+          int32_t ecast180;
+          xfer += iprot->readI32(ecast180);
+          this->phase = static_cast<JobPhase::type>(ecast180);
           this->__isset.phase = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5017,17 +5059,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->occurrences.clear();
-            uint32_t _size175;
-            ::apache::thrift::protocol::TType _ktype176;
-            ::apache::thrift::protocol::TType _vtype177;
-            xfer += iprot->readMapBegin(_ktype176, _vtype177, _size175);
-            uint32_t _i179;
-            for (_i179 = 0; _i179 < _size175; ++_i179)
+            uint32_t _size181;
+            ::apache::thrift::protocol::TType _ktype182;
+            ::apache::thrift::protocol::TType _vtype183;
+            xfer += iprot->readMapBegin(_ktype182, _vtype183, _size181);
+            uint32_t _i185;
+            for (_i185 = 0; _i185 < _size181; ++_i185)
             {
-              int32_t _key180;
-              xfer += iprot->readI32(_key180);
-              OccurrenceRecord& _val181 = this->occurrences[_key180];
-              xfer += _val181.read(iprot);
+              int32_t _key186;
+              xfer += iprot->readI32(_key186);
+              OccurrenceRecord& _val187 = this->occurrences[_key186];
+              xfer += _val187.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -5156,11 +5198,11 @@
   xfer += oprot->writeFieldBegin("occurrences", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->occurrences.size()));
-    std::map<int32_t, OccurrenceRecord> ::const_iterator _iter182;
-    for (_iter182 = this->occurrences.begin(); _iter182 != this->occurrences.end(); ++_iter182)
+    std::map<int32_t, OccurrenceRecord> ::const_iterator _iter188;
+    for (_iter188 = this->occurrences.begin(); _iter188 != this->occurrences.end(); ++_iter188)
     {
-      xfer += oprot->writeI32(_iter182->first);
-      xfer += _iter182->second.write(oprot);
+      xfer += oprot->writeI32(_iter188->first);
+      xfer += _iter188->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -5232,82 +5274,82 @@
   swap(a.__isset, b.__isset);
 }
 
-JobRecord::JobRecord(const JobRecord& other183) {
-  id = other183.id;
-  queue = other183.queue;
-  workspace = other183.workspace;
-  spec = other183.spec;
-  phase = other183.phase;
-  occurrences = other183.occurrences;
-  occurrencesDone = other183.occurrencesDone;
-  submittedIndex = other183.submittedIndex;
-  serviceName = other183.serviceName;
-  priority = other183.priority;
-  maxAttempts = other183.maxAttempts;
-  slackFactor = other183.slackFactor;
-  latencyAimMs = other183.latencyAimMs;
-  activeRuns = other183.activeRuns;
-  reason = other183.reason;
-  occurrencesOpened = other183.occurrencesOpened;
-  __isset = other183.__isset;
-}
-JobRecord::JobRecord(JobRecord&& other184) noexcept {
-  id = std::move(other184.id);
-  queue = std::move(other184.queue);
-  workspace = std::move(other184.workspace);
-  spec = std::move(other184.spec);
-  phase = other184.phase;
-  occurrences = std::move(other184.occurrences);
-  occurrencesDone = other184.occurrencesDone;
-  submittedIndex = other184.submittedIndex;
-  serviceName = std::move(other184.serviceName);
-  priority = other184.priority;
-  maxAttempts = other184.maxAttempts;
-  slackFactor = other184.slackFactor;
-  latencyAimMs = other184.latencyAimMs;
-  activeRuns = other184.activeRuns;
-  reason = std::move(other184.reason);
-  occurrencesOpened = other184.occurrencesOpened;
-  __isset = other184.__isset;
-}
-JobRecord& JobRecord::operator=(const JobRecord& other185) {
-  id = other185.id;
-  queue = other185.queue;
-  workspace = other185.workspace;
-  spec = other185.spec;
-  phase = other185.phase;
-  occurrences = other185.occurrences;
-  occurrencesDone = other185.occurrencesDone;
-  submittedIndex = other185.submittedIndex;
-  serviceName = other185.serviceName;
-  priority = other185.priority;
-  maxAttempts = other185.maxAttempts;
-  slackFactor = other185.slackFactor;
-  latencyAimMs = other185.latencyAimMs;
-  activeRuns = other185.activeRuns;
-  reason = other185.reason;
-  occurrencesOpened = other185.occurrencesOpened;
-  __isset = other185.__isset;
+JobRecord::JobRecord(const JobRecord& other189) {
+  id = other189.id;
+  queue = other189.queue;
+  workspace = other189.workspace;
+  spec = other189.spec;
+  phase = other189.phase;
+  occurrences = other189.occurrences;
+  occurrencesDone = other189.occurrencesDone;
+  submittedIndex = other189.submittedIndex;
+  serviceName = other189.serviceName;
+  priority = other189.priority;
+  maxAttempts = other189.maxAttempts;
+  slackFactor = other189.slackFactor;
+  latencyAimMs = other189.latencyAimMs;
+  activeRuns = other189.activeRuns;
+  reason = other189.reason;
+  occurrencesOpened = other189.occurrencesOpened;
+  __isset = other189.__isset;
+}
+JobRecord::JobRecord(JobRecord&& other190) noexcept {
+  id = std::move(other190.id);
+  queue = std::move(other190.queue);
+  workspace = std::move(other190.workspace);
+  spec = std::move(other190.spec);
+  phase = other190.phase;
+  occurrences = std::move(other190.occurrences);
+  occurrencesDone = other190.occurrencesDone;
+  submittedIndex = other190.submittedIndex;
+  serviceName = std::move(other190.serviceName);
+  priority = other190.priority;
+  maxAttempts = other190.maxAttempts;
+  slackFactor = other190.slackFactor;
+  latencyAimMs = other190.latencyAimMs;
+  activeRuns = other190.activeRuns;
+  reason = std::move(other190.reason);
+  occurrencesOpened = other190.occurrencesOpened;
+  __isset = other190.__isset;
+}
+JobRecord& JobRecord::operator=(const JobRecord& other191) {
+  id = other191.id;
+  queue = other191.queue;
+  workspace = other191.workspace;
+  spec = other191.spec;
+  phase = other191.phase;
+  occurrences = other191.occurrences;
+  occurrencesDone = other191.occurrencesDone;
+  submittedIndex = other191.submittedIndex;
+  serviceName = other191.serviceName;
+  priority = other191.priority;
+  maxAttempts = other191.maxAttempts;
+  slackFactor = other191.slackFactor;
+  latencyAimMs = other191.latencyAimMs;
+  activeRuns = other191.activeRuns;
+  reason = other191.reason;
+  occurrencesOpened = other191.occurrencesOpened;
+  __isset = other191.__isset;
   return *this;
 }
-JobRecord& JobRecord::operator=(JobRecord&& other186) noexcept {
-  id = std::move(other186.id);
-  queue = std::move(other186.queue);
-  workspace = std::move(other186.workspace);
-  spec = std::move(other186.spec);
-  phase = other186.phase;
-  occurrences = std::move(other186.occurrences);
-  occurrencesDone = other186.occurrencesDone;
-  submittedIndex = other186.submittedIndex;
-  serviceName = std::move(other186.serviceName);
-  priority = other186.priority;
-  maxAttempts = other186.maxAttempts;
-  slackFactor = other186.slackFactor;
-  latencyAimMs = other186.latencyAimMs;
-  activeRuns = other186.activeRuns;
-  reason = std::move(other186.reason);
-  occurrencesOpened = other186.occurrencesOpened;
-  __isset = other186.__isset;
+JobRecord& JobRecord::operator=(JobRecord&& other192) noexcept {
+  id = std::move(other192.id);
+  queue = std::move(other192.queue);
+  workspace = std::move(other192.workspace);
+  spec = std::move(other192.spec);
+  phase = other192.phase;
+  occurrences = std::move(other192.occurrences);
+  occurrencesDone = other192.occurrencesDone;
+  submittedIndex = other192.submittedIndex;
+  serviceName = std::move(other192.serviceName);
+  priority = other192.priority;
+  maxAttempts = other192.maxAttempts;
+  slackFactor = other192.slackFactor;
+  latencyAimMs = other192.latencyAimMs;
+  activeRuns = other192.activeRuns;
+  reason = std::move(other192.reason);
+  occurrencesOpened = other192.occurrencesOpened;
+  __isset = other192.__isset;
   return *this;
 }
 void JobRecord::printTo(std::ostream& out) const {
@@ -5352,6 +5394,10 @@
 void WorkerRecord::__set_used(const Amounts& val) {
   this->used = val;
 }
+
+void WorkerRecord::__set_successor(const WorkerLife& val) {
+  this->successor = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkerRecord& obj)
 {
   obj.printTo(out);
@@ -5412,6 +5458,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->successor.read(iprot);
+          this->__isset.successor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5445,6 +5499,10 @@
   xfer += this->used.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("successor", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->successor.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5456,37 +5514,42 @@
   swap(a.agent, b.agent);
   swap(a.fencingToken, b.fencingToken);
   swap(a.used, b.used);
+  swap(a.successor, b.successor);
   swap(a.__isset, b.__isset);
 }
 
-WorkerRecord::WorkerRecord(const WorkerRecord& other187) {
-  facts = other187.facts;
-  agent = other187.agent;
-  fencingToken = other187.fencingToken;
-  used = other187.used;
-  __isset = other187.__isset;
-}
-WorkerRecord::WorkerRecord(WorkerRecord&& other188) noexcept {
-  facts = std::move(other188.facts);
-  agent = std::move(other188.agent);
-  fencingToken = other188.fencingToken;
-  used = std::move(other188.used);
-  __isset = other188.__isset;
-}
-WorkerRecord& WorkerRecord::operator=(const WorkerRecord& other189) {
-  facts = other189.facts;
-  agent = other189.agent;
-  fencingToken = other189.fencingToken;
-  used = other189.used;
-  __isset = other189.__isset;
+WorkerRecord::WorkerRecord(const WorkerRecord& other193) {
+  facts = other193.facts;
+  agent = other193.agent;
+  fencingToken = other193.fencingToken;
+  used = other193.used;
+  successor = other193.successor;
+  __isset = other193.__isset;
+}
+WorkerRecord::WorkerRecord(WorkerRecord&& other194) noexcept {
+  facts = std::move(other194.facts);
+  agent = std::move(other194.agent);
+  fencingToken = other194.fencingToken;
+  used = std::move(other194.used);
+  successor = std::move(other194.successor);
+  __isset = other194.__isset;
+}
+WorkerRecord& WorkerRecord::operator=(const WorkerRecord& other195) {
+  facts = other195.facts;
+  agent = other195.agent;
+  fencingToken = other195.fencingToken;
+  used = other195.used;
+  successor = other195.successor;
+  __isset = other195.__isset;
   return *this;
 }
-WorkerRecord& WorkerRecord::operator=(WorkerRecord&& other190) noexcept {
-  facts = std::move(other190.facts);
-  agent = std::move(other190.agent);
-  fencingToken = other190.fencingToken;
-  used = std::move(other190.used);
-  __isset = other190.__isset;
+WorkerRecord& WorkerRecord::operator=(WorkerRecord&& other196) noexcept {
+  facts = std::move(other196.facts);
+  agent = std::move(other196.agent);
+  fencingToken = other196.fencingToken;
+  used = std::move(other196.used);
+  successor = std::move(other196.successor);
+  __isset = other196.__isset;
   return *this;
 }
 void WorkerRecord::printTo(std::ostream& out) const {
@@ -5496,6 +5559,7 @@
   out << ", " << "agent=" << to_string(agent);
   out << ", " << "fencingToken=" << to_string(fencingToken);
   out << ", " << "used=" << to_string(used);
+  out << ", " << "successor=" << to_string(successor);
   out << ")";
 }
 
@@ -5563,14 +5627,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->machines.clear();
-            uint32_t _size191;
-            ::apache::thrift::protocol::TType _etype194;
-            xfer += iprot->readListBegin(_etype194, _size191);
-            this->machines.resize(_size191);
-            uint32_t _i195;
-            for (_i195 = 0; _i195 < _size191; ++_i195)
+            uint32_t _size197;
+            ::apache::thrift::protocol::TType _etype200;
+            xfer += iprot->readListBegin(_etype200, _size197);
+            this->machines.resize(_size197);
+            uint32_t _i201;
+            for (_i201 = 0; _i201 < _size197; ++_i201)
             {
-              xfer += iprot->readString(this->machines[_i195]);
+              xfer += iprot->readString(this->machines[_i201]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5599,14 +5663,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->begun.clear();
-            uint32_t _size196;
-            ::apache::thrift::protocol::TType _etype199;
-            xfer += iprot->readListBegin(_etype199, _size196);
-            this->begun.resize(_size196);
-            uint32_t _i200;
-            for (_i200 = 0; _i200 < _size196; ++_i200)
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->begun.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
             {
-              xfer += iprot->readString(this->begun[_i200]);
+              xfer += iprot->readString(this->begun[_i206]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5639,10 +5703,10 @@
   xfer += oprot->writeFieldBegin("machines", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->machines.size()));
-    std::vector<std::string> ::const_iterator _iter201;
-    for (_iter201 = this->machines.begin(); _iter201 != this->machines.end(); ++_iter201)
+    std::vector<std::string> ::const_iterator _iter207;
+    for (_iter207 = this->machines.begin(); _iter207 != this->machines.end(); ++_iter207)
     {
-      xfer += oprot->writeString((*_iter201));
+      xfer += oprot->writeString((*_iter207));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5659,10 +5723,10 @@
   xfer += oprot->writeFieldBegin("begun", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->begun.size()));
-    std::vector<std::string> ::const_iterator _iter202;
-    for (_iter202 = this->begun.begin(); _iter202 != this->begun.end(); ++_iter202)
+    std::vector<std::string> ::const_iterator _iter208;
+    for (_iter208 = this->begun.begin(); _iter208 != this->begun.end(); ++_iter208)
     {
-      xfer += oprot->writeString((*_iter202));
+      xfer += oprot->writeString((*_iter208));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5683,38 +5747,38 @@
   swap(a.__isset, b.__isset);
 }
 
-WaveRecord::WaveRecord(const WaveRecord& other203) {
-  wave = other203.wave;
-  machines = other203.machines;
-  durationMs = other203.durationMs;
-  maxDown = other203.maxDown;
-  begun = other203.begun;
-  __isset = other203.__isset;
-}
-WaveRecord::WaveRecord(WaveRecord&& other204) noexcept {
-  wave = other204.wave;
-  machines = std::move(other204.machines);
-  durationMs = other204.durationMs;
-  maxDown = other204.maxDown;
-  begun = std::move(other204.begun);
-  __isset = other204.__isset;
-}
-WaveRecord& WaveRecord::operator=(const WaveRecord& other205) {
-  wave = other205.wave;
-  machines = other205.machines;
-  durationMs = other205.durationMs;
-  maxDown = other205.maxDown;
-  begun = other205.begun;
-  __isset = other205.__isset;
+WaveRecord::WaveRecord(const WaveRecord& other209) {
+  wave = other209.wave;
+  machines = other209.machines;
+  durationMs = other209.durationMs;
+  maxDown = other209.maxDown;
+  begun = other209.begun;
+  __isset = other209.__isset;
+}
+WaveRecord::WaveRecord(WaveRecord&& other210) noexcept {
+  wave = other210.wave;
+  machines = std::move(other210.machines);
+  durationMs = other210.durationMs;
+  maxDown = other210.maxDown;
+  begun = std::move(other210.begun);
+  __isset = other210.__isset;
+}
+WaveRecord& WaveRecord::operator=(const WaveRecord& other211) {
+  wave = other211.wave;
+  machines = other211.machines;
+  durationMs = other211.durationMs;
+  maxDown = other211.maxDown;
+  begun = other211.begun;
+  __isset = other211.__isset;
   return *this;
 }
-WaveRecord& WaveRecord::operator=(WaveRecord&& other206) noexcept {
-  wave = other206.wave;
-  machines = std::move(other206.machines);
-  durationMs = other206.durationMs;
-  maxDown = other206.maxDown;
-  begun = std::move(other206.begun);
-  __isset = other206.__isset;
+WaveRecord& WaveRecord::operator=(WaveRecord&& other212) noexcept {
+  wave = other212.wave;
+  machines = std::move(other212.machines);
+  durationMs = other212.durationMs;
+  maxDown = other212.maxDown;
+  begun = std::move(other212.begun);
+  __isset = other212.__isset;
   return *this;
 }
 void WaveRecord::printTo(std::ostream& out) const {
@@ -5764,6 +5828,10 @@
 void WorkloadSnapshot::__set_waves(const std::vector<WaveRecord> & val) {
   this->waves = val;
 }
+
+void WorkloadSnapshot::__set_formerWorkers(const std::vector<WorkerRecord> & val) {
+  this->formerWorkers = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkloadSnapshot& obj)
 {
   obj.printTo(out);
@@ -5812,14 +5880,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->withdrawnZones.clear();
-            uint32_t _size207;
-            ::apache::thrift::protocol::TType _etype210;
-            xfer += iprot->readListBegin(_etype210, _size207);
-            this->withdrawnZones.resize(_size207);
-            uint32_t _i211;
-            for (_i211 = 0; _i211 < _size207; ++_i211)
+            uint32_t _size213;
+            ::apache::thrift::protocol::TType _etype216;
+            xfer += iprot->readListBegin(_etype216, _size213);
+            this->withdrawnZones.resize(_size213);
+            uint32_t _i217;
+            for (_i217 = 0; _i217 < _size213; ++_i217)
             {
-              xfer += iprot->readString(this->withdrawnZones[_i211]);
+              xfer += iprot->readString(this->withdrawnZones[_i217]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5832,14 +5900,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size212;
-            ::apache::thrift::protocol::TType _etype215;
-            xfer += iprot->readListBegin(_etype215, _size212);
-            this->replicas.resize(_size212);
-            uint32_t _i216;
-            for (_i216 = 0; _i216 < _size212; ++_i216)
+            uint32_t _size218;
+            ::apache::thrift::protocol::TType _etype221;
+            xfer += iprot->readListBegin(_etype221, _size218);
+            this->replicas.resize(_size218);
+            uint32_t _i222;
+            for (_i222 = 0; _i222 < _size218; ++_i222)
             {
-              xfer += this->replicas[_i216].read(iprot);
+              xfer += this->replicas[_i222].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5852,14 +5920,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->jobs.clear();
-            uint32_t _size217;
-            ::apache::thrift::protocol::TType _etype220;
-            xfer += iprot->readListBegin(_etype220, _size217);
-            this->jobs.resize(_size217);
-            uint32_t _i221;
-            for (_i221 = 0; _i221 < _size217; ++_i221)
+            uint32_t _size223;
+            ::apache::thrift::protocol::TType _etype226;
+            xfer += iprot->readListBegin(_etype226, _size223);
+            this->jobs.resize(_size223);
+            uint32_t _i227;
+            for (_i227 = 0; _i227 < _size223; ++_i227)
             {
-              xfer += this->jobs[_i221].read(iprot);
+              xfer += this->jobs[_i227].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5872,14 +5940,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endedOrder.clear();
-            uint32_t _size222;
-            ::apache::thrift::protocol::TType _etype225;
-            xfer += iprot->readListBegin(_etype225, _size222);
-            this->endedOrder.resize(_size222);
-            uint32_t _i226;
-            for (_i226 = 0; _i226 < _size222; ++_i226)
+            uint32_t _size228;
+            ::apache::thrift::protocol::TType _etype231;
+            xfer += iprot->readListBegin(_etype231, _size228);
+            this->endedOrder.resize(_size228);
+            uint32_t _i232;
+            for (_i232 = 0; _i232 < _size228; ++_i232)
             {
-              xfer += iprot->readString(this->endedOrder[_i226]);
+              xfer += iprot->readString(this->endedOrder[_i232]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5892,14 +5960,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size227;
-            ::apache::thrift::protocol::TType _etype230;
-            xfer += iprot->readListBegin(_etype230, _size227);
-            this->workers.resize(_size227);
-            uint32_t _i231;
-            for (_i231 = 0; _i231 < _size227; ++_i231)
+            uint32_t _size233;
+            ::apache::thrift::protocol::TType _etype236;
+            xfer += iprot->readListBegin(_etype236, _size233);
+            this->workers.resize(_size233);
+            uint32_t _i237;
+            for (_i237 = 0; _i237 < _size233; ++_i237)
             {
-              xfer += this->workers[_i231].read(iprot);
+              xfer += this->workers[_i237].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5912,14 +5980,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waves.clear();
-            uint32_t _size232;
-            ::apache::thrift::protocol::TType _etype235;
-            xfer += iprot->readListBegin(_etype235, _size232);
-            this->waves.resize(_size232);
-            uint32_t _i236;
-            for (_i236 = 0; _i236 < _size232; ++_i236)
+            uint32_t _size238;
+            ::apache::thrift::protocol::TType _etype241;
+            xfer += iprot->readListBegin(_etype241, _size238);
+            this->waves.resize(_size238);
+            uint32_t _i242;
+            for (_i242 = 0; _i242 < _size238; ++_i242)
             {
-              xfer += this->waves[_i236].read(iprot);
+              xfer += this->waves[_i242].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5928,6 +5996,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->formerWorkers.clear();
+            uint32_t _size243;
+            ::apache::thrift::protocol::TType _etype246;
+            xfer += iprot->readListBegin(_etype246, _size243);
+            this->formerWorkers.resize(_size243);
+            uint32_t _i247;
+            for (_i247 = 0; _i247 < _size243; ++_i247)
+            {
+              xfer += this->formerWorkers[_i247].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.formerWorkers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5956,10 +6044,10 @@
   xfer += oprot->writeFieldBegin("withdrawnZones", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->withdrawnZones.size()));
-    std::vector<std::string> ::const_iterator _iter237;
-    for (_iter237 = this->withdrawnZones.begin(); _iter237 != this->withdrawnZones.end(); ++_iter237)
+    std::vector<std::string> ::const_iterator _iter248;
+    for (_iter248 = this->withdrawnZones.begin(); _iter248 != this->withdrawnZones.end(); ++_iter248)
     {
-      xfer += oprot->writeString((*_iter237));
+      xfer += oprot->writeString((*_iter248));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5968,10 +6056,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<ReplicaAddress> ::const_iterator _iter238;
-    for (_iter238 = this->replicas.begin(); _iter238 != this->replicas.end(); ++_iter238)
+    std::vector<ReplicaAddress> ::const_iterator _iter249;
+    for (_iter249 = this->replicas.begin(); _iter249 != this->replicas.end(); ++_iter249)
     {
-      xfer += (*_iter238).write(oprot);
+      xfer += (*_iter249).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5980,10 +6068,10 @@
   xfer += oprot->writeFieldBegin("jobs", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->jobs.size()));
-    std::vector<JobRecord> ::const_iterator _iter239;
-    for (_iter239 = this->jobs.begin(); _iter239 != this->jobs.end(); ++_iter239)
+    std::vector<JobRecord> ::const_iterator _iter250;
+    for (_iter250 = this->jobs.begin(); _iter250 != this->jobs.end(); ++_iter250)
     {
-      xfer += (*_iter239).write(oprot);
+      xfer += (*_iter250).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5992,10 +6080,10 @@
   xfer += oprot->writeFieldBegin("endedOrder", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->endedOrder.size()));
-    std::vector<std::string> ::const_iterator _iter240;
-    for (_iter240 = this->endedOrder.begin(); _iter240 != this->endedOrder.end(); ++_iter240)
+    std::vector<std::string> ::const_iterator _iter251;
+    for (_iter251 = this->endedOrder.begin(); _iter251 != this->endedOrder.end(); ++_iter251)
     {
-      xfer += oprot->writeString((*_iter240));
+      xfer += oprot->writeString((*_iter251));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6004,10 +6092,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workers.size()));
-    std::vector<WorkerRecord> ::const_iterator _iter241;
-    for (_iter241 = this->workers.begin(); _iter241 != this->workers.end(); ++_iter241)
+    std::vector<WorkerRecord> ::const_iterator _iter252;
+    for (_iter252 = this->workers.begin(); _iter252 != this->workers.end(); ++_iter252)
     {
-      xfer += (*_iter241).write(oprot);
+      xfer += (*_iter252).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6016,10 +6104,22 @@
   xfer += oprot->writeFieldBegin("waves", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waves.size()));
-    std::vector<WaveRecord> ::const_iterator _iter242;
-    for (_iter242 = this->waves.begin(); _iter242 != this->waves.end(); ++_iter242)
+    std::vector<WaveRecord> ::const_iterator _iter253;
+    for (_iter253 = this->waves.begin(); _iter253 != this->waves.end(); ++_iter253)
+    {
+      xfer += (*_iter253).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("formerWorkers", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->formerWorkers.size()));
+    std::vector<WorkerRecord> ::const_iterator _iter254;
+    for (_iter254 = this->formerWorkers.begin(); _iter254 != this->formerWorkers.end(); ++_iter254)
     {
-      xfer += (*_iter242).write(oprot);
+      xfer += (*_iter254).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6040,53 +6140,58 @@
   swap(a.endedOrder, b.endedOrder);
   swap(a.workers, b.workers);
   swap(a.waves, b.waves);
+  swap(a.formerWorkers, b.formerWorkers);
   swap(a.__isset, b.__isset);
 }
 
-WorkloadSnapshot::WorkloadSnapshot(const WorkloadSnapshot& other243) {
-  appliedIndex = other243.appliedIndex;
-  policy = other243.policy;
-  withdrawnZones = other243.withdrawnZones;
-  replicas = other243.replicas;
-  jobs = other243.jobs;
-  endedOrder = other243.endedOrder;
-  workers = other243.workers;
-  waves = other243.waves;
-  __isset = other243.__isset;
-}
-WorkloadSnapshot::WorkloadSnapshot(WorkloadSnapshot&& other244) noexcept {
-  appliedIndex = other244.appliedIndex;
-  policy = std::move(other244.policy);
-  withdrawnZones = std::move(other244.withdrawnZones);
-  replicas = std::move(other244.replicas);
-  jobs = std::move(other244.jobs);
-  endedOrder = std::move(other244.endedOrder);
-  workers = std::move(other244.workers);
-  waves = std::move(other244.waves);
-  __isset = other244.__isset;
-}
-WorkloadSnapshot& WorkloadSnapshot::operator=(const WorkloadSnapshot& other245) {
-  appliedIndex = other245.appliedIndex;
-  policy = other245.policy;
-  withdrawnZones = other245.withdrawnZones;
-  replicas = other245.replicas;
-  jobs = other245.jobs;
-  endedOrder = other245.endedOrder;
-  workers = other245.workers;
-  waves = other245.waves;
-  __isset = other245.__isset;
+WorkloadSnapshot::WorkloadSnapshot(const WorkloadSnapshot& other255) {
+  appliedIndex = other255.appliedIndex;
+  policy = other255.policy;
+  withdrawnZones = other255.withdrawnZones;
+  replicas = other255.replicas;
+  jobs = other255.jobs;
+  endedOrder = other255.endedOrder;
+  workers = other255.workers;
+  waves = other255.waves;
+  formerWorkers = other255.formerWorkers;
+  __isset = other255.__isset;
+}
+WorkloadSnapshot::WorkloadSnapshot(WorkloadSnapshot&& other256) noexcept {
+  appliedIndex = other256.appliedIndex;
+  policy = std::move(other256.policy);
+  withdrawnZones = std::move(other256.withdrawnZones);
+  replicas = std::move(other256.replicas);
+  jobs = std::move(other256.jobs);
+  endedOrder = std::move(other256.endedOrder);
+  workers = std::move(other256.workers);
+  waves = std::move(other256.waves);
+  formerWorkers = std::move(other256.formerWorkers);
+  __isset = other256.__isset;
+}
+WorkloadSnapshot& WorkloadSnapshot::operator=(const WorkloadSnapshot& other257) {
+  appliedIndex = other257.appliedIndex;
+  policy = other257.policy;
+  withdrawnZones = other257.withdrawnZones;
+  replicas = other257.replicas;
+  jobs = other257.jobs;
+  endedOrder = other257.endedOrder;
+  workers = other257.workers;
+  waves = other257.waves;
+  formerWorkers = other257.formerWorkers;
+  __isset = other257.__isset;
   return *this;
 }
-WorkloadSnapshot& WorkloadSnapshot::operator=(WorkloadSnapshot&& other246) noexcept {
-  appliedIndex = other246.appliedIndex;
-  policy = std::move(other246.policy);
-  withdrawnZones = std::move(other246.withdrawnZones);
-  replicas = std::move(other246.replicas);
-  jobs = std::move(other246.jobs);
-  endedOrder = std::move(other246.endedOrder);
-  workers = std::move(other246.workers);
-  waves = std::move(other246.waves);
-  __isset = other246.__isset;
+WorkloadSnapshot& WorkloadSnapshot::operator=(WorkloadSnapshot&& other258) noexcept {
+  appliedIndex = other258.appliedIndex;
+  policy = std::move(other258.policy);
+  withdrawnZones = std::move(other258.withdrawnZones);
+  replicas = std::move(other258.replicas);
+  jobs = std::move(other258.jobs);
+  endedOrder = std::move(other258.endedOrder);
+  workers = std::move(other258.workers);
+  waves = std::move(other258.waves);
+  formerWorkers = std::move(other258.formerWorkers);
+  __isset = other258.__isset;
   return *this;
 }
 void WorkloadSnapshot::printTo(std::ostream& out) const {
@@ -6100,6 +6205,7 @@
   out << ", " << "endedOrder=" << to_string(endedOrder);
   out << ", " << "workers=" << to_string(workers);
   out << ", " << "waves=" << to_string(waves);
+  out << ", " << "formerWorkers=" << to_string(formerWorkers);
   out << ")";
 }
 
@@ -6179,22 +6285,22 @@
   swap(a.__isset, b.__isset);
 }
 
-PutPolicy::PutPolicy(const PutPolicy& other247) {
-  document = other247.document;
-  __isset = other247.__isset;
+PutPolicy::PutPolicy(const PutPolicy& other259) {
+  document = other259.document;
+  __isset = other259.__isset;
 }
-PutPolicy::PutPolicy(PutPolicy&& other248) noexcept {
-  document = std::move(other248.document);
-  __isset = other248.__isset;
+PutPolicy::PutPolicy(PutPolicy&& other260) noexcept {
+  document = std::move(other260.document);
+  __isset = other260.__isset;
 }
-PutPolicy& PutPolicy::operator=(const PutPolicy& other249) {
-  document = other249.document;
-  __isset = other249.__isset;
+PutPolicy& PutPolicy::operator=(const PutPolicy& other261) {
+  document = other261.document;
+  __isset = other261.__isset;
   return *this;
 }
-PutPolicy& PutPolicy::operator=(PutPolicy&& other250) noexcept {
-  document = std::move(other250.document);
-  __isset = other250.__isset;
+PutPolicy& PutPolicy::operator=(PutPolicy&& other262) noexcept {
+  document = std::move(other262.document);
+  __isset = other262.__isset;
   return *this;
 }
 void PutPolicy::printTo(std::ostream& out) const {
@@ -6297,26 +6403,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SetZone::SetZone(const SetZone& other251) {
-  availabilityZone = other251.availabilityZone;
-  withdrawn = other251.withdrawn;
-  __isset = other251.__isset;
+SetZone::SetZone(const SetZone& other263) {
+  availabilityZone = other263.availabilityZone;
+  withdrawn = other263.withdrawn;
+  __isset = other263.__isset;
 }
-SetZone::SetZone(SetZone&& other252) noexcept {
-  availabilityZone = std::move(other252.availabilityZone);
-  withdrawn = other252.withdrawn;
-  __isset = other252.__isset;
+SetZone::SetZone(SetZone&& other264) noexcept {
+  availabilityZone = std::move(other264.availabilityZone);
+  withdrawn = other264.withdrawn;
+  __isset = other264.__isset;
 }
-SetZone& SetZone::operator=(const SetZone& other253) {
-  availabilityZone = other253.availabilityZone;
-  withdrawn = other253.withdrawn;
-  __isset = other253.__isset;
+SetZone& SetZone::operator=(const SetZone& other265) {
+  availabilityZone = other265.availabilityZone;
+  withdrawn = other265.withdrawn;
+  __isset = other265.__isset;
   return *this;
 }
-SetZone& SetZone::operator=(SetZone&& other254) noexcept {
-  availabilityZone = std::move(other254.availabilityZone);
-  withdrawn = other254.withdrawn;
-  __isset = other254.__isset;
+SetZone& SetZone::operator=(SetZone&& other266) noexcept {
+  availabilityZone = std::move(other266.availabilityZone);
+  withdrawn = other266.withdrawn;
+  __isset = other266.__isset;
   return *this;
 }
 void SetZone::printTo(std::ostream& out) const {
@@ -6403,22 +6509,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RegisterReplica::RegisterReplica(const RegisterReplica& other255) {
-  replica = other255.replica;
-  __isset = other255.__isset;
+RegisterReplica::RegisterReplica(const RegisterReplica& other267) {
+  replica = other267.replica;
+  __isset = other267.__isset;
 }
-RegisterReplica::RegisterReplica(RegisterReplica&& other256) noexcept {
-  replica = std::move(other256.replica);
-  __isset = other256.__isset;
+RegisterReplica::RegisterReplica(RegisterReplica&& other268) noexcept {
+  replica = std::move(other268.replica);
+  __isset = other268.__isset;
 }
-RegisterReplica& RegisterReplica::operator=(const RegisterReplica& other257) {
-  replica = other257.replica;
-  __isset = other257.__isset;
+RegisterReplica& RegisterReplica::operator=(const RegisterReplica& other269) {
+  replica = other269.replica;
+  __isset = other269.__isset;
   return *this;
 }
-RegisterReplica& RegisterReplica::operator=(RegisterReplica&& other258) noexcept {
-  replica = std::move(other258.replica);
-  __isset = other258.__isset;
+RegisterReplica& RegisterReplica::operator=(RegisterReplica&& other270) noexcept {
+  replica = std::move(other270.replica);
+  __isset = other270.__isset;
   return *this;
 }
 void RegisterReplica::printTo(std::ostream& out) const {
@@ -6504,22 +6610,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ForgetReplica::ForgetReplica(const ForgetReplica& other259) noexcept {
-  id = other259.id;
-  __isset = other259.__isset;
+ForgetReplica::ForgetReplica(const ForgetReplica& other271) noexcept {
+  id = other271.id;
+  __isset = other271.__isset;
 }
-ForgetReplica::ForgetReplica(ForgetReplica&& other260) noexcept {
-  id = other260.id;
-  __isset = other260.__isset;
+ForgetReplica::ForgetReplica(ForgetReplica&& other272) noexcept {
+  id = other272.id;
+  __isset = other272.__isset;
 }
-ForgetReplica& ForgetReplica::operator=(const ForgetReplica& other261) noexcept {
-  id = other261.id;
-  __isset = other261.__isset;
+ForgetReplica& ForgetReplica::operator=(const ForgetReplica& other273) noexcept {
+  id = other273.id;
+  __isset = other273.__isset;
   return *this;
 }
-ForgetReplica& ForgetReplica::operator=(ForgetReplica&& other262) noexcept {
-  id = other262.id;
-  __isset = other262.__isset;
+ForgetReplica& ForgetReplica::operator=(ForgetReplica&& other274) noexcept {
+  id = other274.id;
+  __isset = other274.__isset;
   return *this;
 }
 void ForgetReplica::printTo(std::ostream& out) const {
@@ -6656,34 +6762,34 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitWorkload::SubmitWorkload(const SubmitWorkload& other263) {
-  jobId = other263.jobId;
-  queue = other263.queue;
-  workspace = other263.workspace;
-  spec = other263.spec;
-  __isset = other263.__isset;
-}
-SubmitWorkload::SubmitWorkload(SubmitWorkload&& other264) noexcept {
-  jobId = std::move(other264.jobId);
-  queue = std::move(other264.queue);
-  workspace = std::move(other264.workspace);
-  spec = std::move(other264.spec);
-  __isset = other264.__isset;
-}
-SubmitWorkload& SubmitWorkload::operator=(const SubmitWorkload& other265) {
-  jobId = other265.jobId;
-  queue = other265.queue;
-  workspace = other265.workspace;
-  spec = other265.spec;
-  __isset = other265.__isset;
+SubmitWorkload::SubmitWorkload(const SubmitWorkload& other275) {
+  jobId = other275.jobId;
+  queue = other275.queue;
+  workspace = other275.workspace;
+  spec = other275.spec;
+  __isset = other275.__isset;
+}
+SubmitWorkload::SubmitWorkload(SubmitWorkload&& other276) noexcept {
+  jobId = std::move(other276.jobId);
+  queue = std::move(other276.queue);
+  workspace = std::move(other276.workspace);
+  spec = std::move(other276.spec);
+  __isset = other276.__isset;
+}
+SubmitWorkload& SubmitWorkload::operator=(const SubmitWorkload& other277) {
+  jobId = other277.jobId;
+  queue = other277.queue;
+  workspace = other277.workspace;
+  spec = other277.spec;
+  __isset = other277.__isset;
   return *this;
 }
-SubmitWorkload& SubmitWorkload::operator=(SubmitWorkload&& other266) noexcept {
-  jobId = std::move(other266.jobId);
-  queue = std::move(other266.queue);
-  workspace = std::move(other266.workspace);
-  spec = std::move(other266.spec);
-  __isset = other266.__isset;
+SubmitWorkload& SubmitWorkload::operator=(SubmitWorkload&& other278) noexcept {
+  jobId = std::move(other278.jobId);
+  queue = std::move(other278.queue);
+  workspace = std::move(other278.workspace);
+  spec = std::move(other278.spec);
+  __isset = other278.__isset;
   return *this;
 }
 void SubmitWorkload::printTo(std::ostream& out) const {
@@ -6772,22 +6878,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelWorkload::CancelWorkload(const CancelWorkload& other267) {
-  jobId = other267.jobId;
-  __isset = other267.__isset;
+CancelWorkload::CancelWorkload(const CancelWorkload& other279) {
+  jobId = other279.jobId;
+  __isset = other279.__isset;
 }
-CancelWorkload::CancelWorkload(CancelWorkload&& other268) noexcept {
-  jobId = std::move(other268.jobId);
-  __isset = other268.__isset;
+CancelWorkload::CancelWorkload(CancelWorkload&& other280) noexcept {
+  jobId = std::move(other280.jobId);
+  __isset = other280.__isset;
 }
-CancelWorkload& CancelWorkload::operator=(const CancelWorkload& other269) {
-  jobId = other269.jobId;
-  __isset = other269.__isset;
+CancelWorkload& CancelWorkload::operator=(const CancelWorkload& other281) {
+  jobId = other281.jobId;
+  __isset = other281.__isset;
   return *this;
 }
-CancelWorkload& CancelWorkload::operator=(CancelWorkload&& other270) noexcept {
-  jobId = std::move(other270.jobId);
-  __isset = other270.__isset;
+CancelWorkload& CancelWorkload::operator=(CancelWorkload&& other282) noexcept {
+  jobId = std::move(other282.jobId);
+  __isset = other282.__isset;
   return *this;
 }
 void CancelWorkload::printTo(std::ostream& out) const {
@@ -6890,26 +6996,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RegisterWorker::RegisterWorker(const RegisterWorker& other271) {
-  facts = other271.facts;
-  agent = other271.agent;
-  __isset = other271.__isset;
+RegisterWorker::RegisterWorker(const RegisterWorker& other283) {
+  facts = other283.facts;
+  agent = other283.agent;
+  __isset = other283.__isset;
 }
-RegisterWorker::RegisterWorker(RegisterWorker&& other272) noexcept {
-  facts = std::move(other272.facts);
-  agent = std::move(other272.agent);
-  __isset = other272.__isset;
+RegisterWorker::RegisterWorker(RegisterWorker&& other284) noexcept {
+  facts = std::move(other284.facts);
+  agent = std::move(other284.agent);
+  __isset = other284.__isset;
 }
-RegisterWorker& RegisterWorker::operator=(const RegisterWorker& other273) {
-  facts = other273.facts;
-  agent = other273.agent;
-  __isset = other273.__isset;
+RegisterWorker& RegisterWorker::operator=(const RegisterWorker& other285) {
+  facts = other285.facts;
+  agent = other285.agent;
+  __isset = other285.__isset;
   return *this;
 }
-RegisterWorker& RegisterWorker::operator=(RegisterWorker&& other274) noexcept {
-  facts = std::move(other274.facts);
-  agent = std::move(other274.agent);
-  __isset = other274.__isset;
+RegisterWorker& RegisterWorker::operator=(RegisterWorker&& other286) noexcept {
+  facts = std::move(other286.facts);
+  agent = std::move(other286.agent);
+  __isset = other286.__isset;
   return *this;
 }
 void RegisterWorker::printTo(std::ostream& out) const {
@@ -6936,6 +7042,10 @@
 void LoseWorker::__set_lastKnown(const std::vector<RunStatus> & val) {
   this->lastKnown = val;
 }
+
+void LoseWorker::__set_keep(const std::vector<RunName> & val) {
+  this->keep = val;
+}
 std::ostream& operator<<(std::ostream& out, const LoseWorker& obj)
 {
   obj.printTo(out);
@@ -6984,14 +7094,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lastKnown.clear();
-            uint32_t _size275;
-            ::apache::thrift::protocol::TType _etype278;
-            xfer += iprot->readListBegin(_etype278, _size275);
-            this->lastKnown.resize(_size275);
-            uint32_t _i279;
-            for (_i279 = 0; _i279 < _size275; ++_i279)
+            uint32_t _size287;
+            ::apache::thrift::protocol::TType _etype290;
+            xfer += iprot->readListBegin(_etype290, _size287);
+            this->lastKnown.resize(_size287);
+            uint32_t _i291;
+            for (_i291 = 0; _i291 < _size287; ++_i291)
             {
-              xfer += this->lastKnown[_i279].read(iprot);
+              xfer += this->lastKnown[_i291].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7000,6 +7110,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->keep.clear();
+            uint32_t _size292;
+            ::apache::thrift::protocol::TType _etype295;
+            xfer += iprot->readListBegin(_etype295, _size292);
+            this->keep.resize(_size292);
+            uint32_t _i296;
+            for (_i296 = 0; _i296 < _size292; ++_i296)
+            {
+              xfer += this->keep[_i296].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.keep = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7028,10 +7158,22 @@
   xfer += oprot->writeFieldBegin("lastKnown", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lastKnown.size()));
-    std::vector<RunStatus> ::const_iterator _iter280;
-    for (_iter280 = this->lastKnown.begin(); _iter280 != this->lastKnown.end(); ++_iter280)
+    std::vector<RunStatus> ::const_iterator _iter297;
+    for (_iter297 = this->lastKnown.begin(); _iter297 != this->lastKnown.end(); ++_iter297)
+    {
+      xfer += (*_iter297).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("keep", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keep.size()));
+    std::vector<RunName> ::const_iterator _iter298;
+    for (_iter298 = this->keep.begin(); _iter298 != this->keep.end(); ++_iter298)
     {
-      xfer += (*_iter280).write(oprot);
+      xfer += (*_iter298).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7047,33 +7189,38 @@
   swap(a.life, b.life);
   swap(a.reason, b.reason);
   swap(a.lastKnown, b.lastKnown);
+  swap(a.keep, b.keep);
   swap(a.__isset, b.__isset);
 }
 
-LoseWorker::LoseWorker(const LoseWorker& other281) {
-  life = other281.life;
-  reason = other281.reason;
-  lastKnown = other281.lastKnown;
-  __isset = other281.__isset;
-}
-LoseWorker::LoseWorker(LoseWorker&& other282) noexcept {
-  life = std::move(other282.life);
-  reason = std::move(other282.reason);
-  lastKnown = std::move(other282.lastKnown);
-  __isset = other282.__isset;
-}
-LoseWorker& LoseWorker::operator=(const LoseWorker& other283) {
-  life = other283.life;
-  reason = other283.reason;
-  lastKnown = other283.lastKnown;
-  __isset = other283.__isset;
+LoseWorker::LoseWorker(const LoseWorker& other299) {
+  life = other299.life;
+  reason = other299.reason;
+  lastKnown = other299.lastKnown;
+  keep = other299.keep;
+  __isset = other299.__isset;
+}
+LoseWorker::LoseWorker(LoseWorker&& other300) noexcept {
+  life = std::move(other300.life);
+  reason = std::move(other300.reason);
+  lastKnown = std::move(other300.lastKnown);
+  keep = std::move(other300.keep);
+  __isset = other300.__isset;
+}
+LoseWorker& LoseWorker::operator=(const LoseWorker& other301) {
+  life = other301.life;
+  reason = other301.reason;
+  lastKnown = other301.lastKnown;
+  keep = other301.keep;
+  __isset = other301.__isset;
   return *this;
 }
-LoseWorker& LoseWorker::operator=(LoseWorker&& other284) noexcept {
-  life = std::move(other284.life);
-  reason = std::move(other284.reason);
-  lastKnown = std::move(other284.lastKnown);
-  __isset = other284.__isset;
+LoseWorker& LoseWorker::operator=(LoseWorker&& other302) noexcept {
+  life = std::move(other302.life);
+  reason = std::move(other302.reason);
+  lastKnown = std::move(other302.lastKnown);
+  keep = std::move(other302.keep);
+  __isset = other302.__isset;
   return *this;
 }
 void LoseWorker::printTo(std::ostream& out) const {
@@ -7082,6 +7229,7 @@
   out << "life=" << to_string(life);
   out << ", " << "reason=" << to_string(reason);
   out << ", " << "lastKnown=" << to_string(lastKnown);
+  out << ", " << "keep=" << to_string(keep);
   out << ")";
 }
 
@@ -7178,26 +7326,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RunPlacement::RunPlacement(const RunPlacement& other285) {
-  index = other285.index;
-  worker = other285.worker;
-  __isset = other285.__isset;
+RunPlacement::RunPlacement(const RunPlacement& other303) {
+  index = other303.index;
+  worker = other303.worker;
+  __isset = other303.__isset;
 }
-RunPlacement::RunPlacement(RunPlacement&& other286) noexcept {
-  index = other286.index;
-  worker = std::move(other286.worker);
-  __isset = other286.__isset;
+RunPlacement::RunPlacement(RunPlacement&& other304) noexcept {
+  index = other304.index;
+  worker = std::move(other304.worker);
+  __isset = other304.__isset;
 }
-RunPlacement& RunPlacement::operator=(const RunPlacement& other287) {
-  index = other287.index;
-  worker = other287.worker;
-  __isset = other287.__isset;
+RunPlacement& RunPlacement::operator=(const RunPlacement& other305) {
+  index = other305.index;
+  worker = other305.worker;
+  __isset = other305.__isset;
   return *this;
 }
-RunPlacement& RunPlacement::operator=(RunPlacement&& other288) noexcept {
-  index = other288.index;
-  worker = std::move(other288.worker);
-  __isset = other288.__isset;
+RunPlacement& RunPlacement::operator=(RunPlacement&& other306) noexcept {
+  index = other306.index;
+  worker = std::move(other306.worker);
+  __isset = other306.__isset;
   return *this;
 }
 void RunPlacement::printTo(std::ostream& out) const {
@@ -7288,14 +7436,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->placements.clear();
-            uint32_t _size289;
-            ::apache::thrift::protocol::TType _etype292;
-            xfer += iprot->readListBegin(_etype292, _size289);
-            this->placements.resize(_size289);
-            uint32_t _i293;
-            for (_i293 = 0; _i293 < _size289; ++_i293)
+            uint32_t _size307;
+            ::apache::thrift::protocol::TType _etype310;
+            xfer += iprot->readListBegin(_etype310, _size307);
+            this->placements.resize(_size307);
+            uint32_t _i311;
+            for (_i311 = 0; _i311 < _size307; ++_i311)
             {
-              xfer += this->placements[_i293].read(iprot);
+              xfer += this->placements[_i311].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7344,10 +7492,10 @@
   xfer += oprot->writeFieldBegin("placements", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->placements.size()));
-    std::vector<RunPlacement> ::const_iterator _iter294;
-    for (_iter294 = this->placements.begin(); _iter294 != this->placements.end(); ++_iter294)
+    std::vector<RunPlacement> ::const_iterator _iter312;
+    for (_iter312 = this->placements.begin(); _iter312 != this->placements.end(); ++_iter312)
     {
-      xfer += (*_iter294).write(oprot);
+      xfer += (*_iter312).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7372,38 +7520,38 @@
   swap(a.__isset, b.__isset);
 }
 
-StartRuns::StartRuns(const StartRuns& other295) {
-  jobId = other295.jobId;
-  occurrence = other295.occurrence;
-  step = other295.step;
-  placements = other295.placements;
-  reason = other295.reason;
-  __isset = other295.__isset;
-}
-StartRuns::StartRuns(StartRuns&& other296) noexcept {
-  jobId = std::move(other296.jobId);
-  occurrence = other296.occurrence;
-  step = other296.step;
-  placements = std::move(other296.placements);
-  reason = std::move(other296.reason);
-  __isset = other296.__isset;
-}
-StartRuns& StartRuns::operator=(const StartRuns& other297) {
-  jobId = other297.jobId;
-  occurrence = other297.occurrence;
-  step = other297.step;
-  placements = other297.placements;
-  reason = other297.reason;
-  __isset = other297.__isset;
+StartRuns::StartRuns(const StartRuns& other313) {
+  jobId = other313.jobId;
+  occurrence = other313.occurrence;
+  step = other313.step;
+  placements = other313.placements;
+  reason = other313.reason;
+  __isset = other313.__isset;
+}
+StartRuns::StartRuns(StartRuns&& other314) noexcept {
+  jobId = std::move(other314.jobId);
+  occurrence = other314.occurrence;
+  step = other314.step;
+  placements = std::move(other314.placements);
+  reason = std::move(other314.reason);
+  __isset = other314.__isset;
+}
+StartRuns& StartRuns::operator=(const StartRuns& other315) {
+  jobId = other315.jobId;
+  occurrence = other315.occurrence;
+  step = other315.step;
+  placements = other315.placements;
+  reason = other315.reason;
+  __isset = other315.__isset;
   return *this;
 }
-StartRuns& StartRuns::operator=(StartRuns&& other298) noexcept {
-  jobId = std::move(other298.jobId);
-  occurrence = other298.occurrence;
-  step = other298.step;
-  placements = std::move(other298.placements);
-  reason = std::move(other298.reason);
-  __isset = other298.__isset;
+StartRuns& StartRuns::operator=(StartRuns&& other316) noexcept {
+  jobId = std::move(other316.jobId);
+  occurrence = other316.occurrence;
+  step = other316.step;
+  placements = std::move(other316.placements);
+  reason = std::move(other316.reason);
+  __isset = other316.__isset;
   return *this;
 }
 void StartRuns::printTo(std::ostream& out) const {
@@ -7461,14 +7609,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size299;
-            ::apache::thrift::protocol::TType _etype302;
-            xfer += iprot->readListBegin(_etype302, _size299);
-            this->runs.resize(_size299);
-            uint32_t _i303;
-            for (_i303 = 0; _i303 < _size299; ++_i303)
+            uint32_t _size317;
+            ::apache::thrift::protocol::TType _etype320;
+            xfer += iprot->readListBegin(_etype320, _size317);
+            this->runs.resize(_size317);
+            uint32_t _i321;
+            for (_i321 = 0; _i321 < _size317; ++_i321)
             {
-              xfer += this->runs[_i303].read(iprot);
+              xfer += this->runs[_i321].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7505,10 +7653,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<RunName> ::const_iterator _iter304;
-    for (_iter304 = this->runs.begin(); _iter304 != this->runs.end(); ++_iter304)
+    std::vector<RunName> ::const_iterator _iter322;
+    for (_iter322 = this->runs.begin(); _iter322 != this->runs.end(); ++_iter322)
     {
-      xfer += (*_iter304).write(oprot);
+      xfer += (*_iter322).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7530,26 +7678,26 @@
   swap(a.__isset, b.__isset);
 }
 
-StopRuns::StopRuns(const StopRuns& other305) {
-  runs = other305.runs;
-  reason = other305.reason;
-  __isset = other305.__isset;
+StopRuns::StopRuns(const StopRuns& other323) {
+  runs = other323.runs;
+  reason = other323.reason;
+  __isset = other323.__isset;
 }
-StopRuns::StopRuns(StopRuns&& other306) noexcept {
-  runs = std::move(other306.runs);
-  reason = std::move(other306.reason);
-  __isset = other306.__isset;
+StopRuns::StopRuns(StopRuns&& other324) noexcept {
+  runs = std::move(other324.runs);
+  reason = std::move(other324.reason);
+  __isset = other324.__isset;
 }
-StopRuns& StopRuns::operator=(const StopRuns& other307) {
-  runs = other307.runs;
-  reason = other307.reason;
-  __isset = other307.__isset;
+StopRuns& StopRuns::operator=(const StopRuns& other325) {
+  runs = other325.runs;
+  reason = other325.reason;
+  __isset = other325.__isset;
   return *this;
 }
-StopRuns& StopRuns::operator=(StopRuns&& other308) noexcept {
-  runs = std::move(other308.runs);
-  reason = std::move(other308.reason);
-  __isset = other308.__isset;
+StopRuns& StopRuns::operator=(StopRuns&& other326) noexcept {
+  runs = std::move(other326.runs);
+  reason = std::move(other326.reason);
+  __isset = other326.__isset;
   return *this;
 }
 void StopRuns::printTo(std::ostream& out) const {
@@ -7620,14 +7768,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ends.clear();
-            uint32_t _size309;
-            ::apache::thrift::protocol::TType _etype312;
-            xfer += iprot->readListBegin(_etype312, _size309);
-            this->ends.resize(_size309);
-            uint32_t _i313;
-            for (_i313 = 0; _i313 < _size309; ++_i313)
+            uint32_t _size327;
+            ::apache::thrift::protocol::TType _etype330;
+            xfer += iprot->readListBegin(_etype330, _size327);
+            this->ends.resize(_size327);
+            uint32_t _i331;
+            for (_i331 = 0; _i331 < _size327; ++_i331)
             {
-              xfer += this->ends[_i313].read(iprot);
+              xfer += this->ends[_i331].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7676,10 +7824,10 @@
   xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ends.size()));
-    std::vector<RunEnd> ::const_iterator _iter314;
-    for (_iter314 = this->ends.begin(); _iter314 != this->ends.end(); ++_iter314)
+    std::vector<RunEnd> ::const_iterator _iter332;
+    for (_iter332 = this->ends.begin(); _iter332 != this->ends.end(); ++_iter332)
     {
-      xfer += (*_iter314).write(oprot);
+      xfer += (*_iter332).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7707,34 +7855,34 @@
   swap(a.__isset, b.__isset);
 }
 
-EndRuns::EndRuns(const EndRuns& other315) {
-  worker = other315.worker;
-  ends = other315.ends;
-  agent = other315.agent;
-  lastEnd = other315.lastEnd;
-  __isset = other315.__isset;
+EndRuns::EndRuns(const EndRuns& other333) {
+  worker = other333.worker;
+  ends = other333.ends;
+  agent = other333.agent;
+  lastEnd = other333.lastEnd;
+  __isset = other333.__isset;
 }
-EndRuns::EndRuns(EndRuns&& other316) noexcept {
-  worker = std::move(other316.worker);
-  ends = std::move(other316.ends);
-  agent = std::move(other316.agent);
-  lastEnd = other316.lastEnd;
-  __isset = other316.__isset;
+EndRuns::EndRuns(EndRuns&& other334) noexcept {
+  worker = std::move(other334.worker);
+  ends = std::move(other334.ends);
+  agent = std::move(other334.agent);
+  lastEnd = other334.lastEnd;
+  __isset = other334.__isset;
 }
-EndRuns& EndRuns::operator=(const EndRuns& other317) {
-  worker = other317.worker;
-  ends = other317.ends;
-  agent = other317.agent;
-  lastEnd = other317.lastEnd;
-  __isset = other317.__isset;
+EndRuns& EndRuns::operator=(const EndRuns& other335) {
+  worker = other335.worker;
+  ends = other335.ends;
+  agent = other335.agent;
+  lastEnd = other335.lastEnd;
+  __isset = other335.__isset;
   return *this;
 }
-EndRuns& EndRuns::operator=(EndRuns&& other318) noexcept {
-  worker = std::move(other318.worker);
-  ends = std::move(other318.ends);
-  agent = std::move(other318.agent);
-  lastEnd = other318.lastEnd;
-  __isset = other318.__isset;
+EndRuns& EndRuns::operator=(EndRuns&& other336) noexcept {
+  worker = std::move(other336.worker);
+  ends = std::move(other336.ends);
+  agent = std::move(other336.agent);
+  lastEnd = other336.lastEnd;
+  __isset = other336.__isset;
   return *this;
 }
 void EndRuns::printTo(std::ostream& out) const {
@@ -7840,26 +7988,26 @@
   swap(a.__isset, b.__isset);
 }
 
-OpenOccurrence::OpenOccurrence(const OpenOccurrence& other319) {
-  jobId = other319.jobId;
-  occurrence = other319.occurrence;
-  __isset = other319.__isset;
+OpenOccurrence::OpenOccurrence(const OpenOccurrence& other337) {
+  jobId = other337.jobId;
+  occurrence = other337.occurrence;
+  __isset = other337.__isset;
 }
-OpenOccurrence::OpenOccurrence(OpenOccurrence&& other320) noexcept {
-  jobId = std::move(other320.jobId);
-  occurrence = other320.occurrence;
-  __isset = other320.__isset;
+OpenOccurrence::OpenOccurrence(OpenOccurrence&& other338) noexcept {
+  jobId = std::move(other338.jobId);
+  occurrence = other338.occurrence;
+  __isset = other338.__isset;
 }
-OpenOccurrence& OpenOccurrence::operator=(const OpenOccurrence& other321) {
-  jobId = other321.jobId;
-  occurrence = other321.occurrence;
-  __isset = other321.__isset;
+OpenOccurrence& OpenOccurrence::operator=(const OpenOccurrence& other339) {
+  jobId = other339.jobId;
+  occurrence = other339.occurrence;
+  __isset = other339.__isset;
   return *this;
 }
-OpenOccurrence& OpenOccurrence::operator=(OpenOccurrence&& other322) noexcept {
-  jobId = std::move(other322.jobId);
-  occurrence = other322.occurrence;
-  __isset = other322.__isset;
+OpenOccurrence& OpenOccurrence::operator=(OpenOccurrence&& other340) noexcept {
+  jobId = std::move(other340.jobId);
+  occurrence = other340.occurrence;
+  __isset = other340.__isset;
   return *this;
 }
 void OpenOccurrence::printTo(std::ostream& out) const {
@@ -7930,14 +8078,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->machines.clear();
-            uint32_t _size323;
-            ::apache::thrift::protocol::TType _etype326;
-            xfer += iprot->readListBegin(_etype326, _size323);
-            this->machines.resize(_size323);
-            uint32_t _i327;
-            for (_i327 = 0; _i327 < _size323; ++_i327)
+            uint32_t _size341;
+            ::apache::thrift::protocol::TType _etype344;
+            xfer += iprot->readListBegin(_etype344, _size341);
+            this->machines.resize(_size341);
+            uint32_t _i345;
+            for (_i345 = 0; _i345 < _size341; ++_i345)
             {
-              xfer += iprot->readString(this->machines[_i327]);
+              xfer += iprot->readString(this->machines[_i345]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7986,10 +8134,10 @@
   xfer += oprot->writeFieldBegin("machines", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->machines.size()));
-    std::vector<std::string> ::const_iterator _iter328;
-    for (_iter328 = this->machines.begin(); _iter328 != this->machines.end(); ++_iter328)
+    std::vector<std::string> ::const_iterator _iter346;
+    for (_iter346 = this->machines.begin(); _iter346 != this->machines.end(); ++_iter346)
     {
-      xfer += oprot->writeString((*_iter328));
+      xfer += oprot->writeString((*_iter346));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8017,34 +8165,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StartWave::StartWave(const StartWave& other329) {
-  wave = other329.wave;
-  machines = other329.machines;
-  durationMs = other329.durationMs;
-  maxDown = other329.maxDown;
-  __isset = other329.__isset;
-}
-StartWave::StartWave(StartWave&& other330) noexcept {
-  wave = other330.wave;
-  machines = std::move(other330.machines);
-  durationMs = other330.durationMs;
-  maxDown = other330.maxDown;
-  __isset = other330.__isset;
-}
-StartWave& StartWave::operator=(const StartWave& other331) {
-  wave = other331.wave;
-  machines = other331.machines;
-  durationMs = other331.durationMs;
-  maxDown = other331.maxDown;
-  __isset = other331.__isset;
+StartWave::StartWave(const StartWave& other347) {
+  wave = other347.wave;
+  machines = other347.machines;
+  durationMs = other347.durationMs;
+  maxDown = other347.maxDown;
+  __isset = other347.__isset;
+}
+StartWave::StartWave(StartWave&& other348) noexcept {
+  wave = other348.wave;
+  machines = std::move(other348.machines);
+  durationMs = other348.durationMs;
+  maxDown = other348.maxDown;
+  __isset = other348.__isset;
+}
+StartWave& StartWave::operator=(const StartWave& other349) {
+  wave = other349.wave;
+  machines = other349.machines;
+  durationMs = other349.durationMs;
+  maxDown = other349.maxDown;
+  __isset = other349.__isset;
   return *this;
 }
-StartWave& StartWave::operator=(StartWave&& other332) noexcept {
-  wave = other332.wave;
-  machines = std::move(other332.machines);
-  durationMs = other332.durationMs;
-  maxDown = other332.maxDown;
-  __isset = other332.__isset;
+StartWave& StartWave::operator=(StartWave&& other350) noexcept {
+  wave = other350.wave;
+  machines = std::move(other350.machines);
+  durationMs = other350.durationMs;
+  maxDown = other350.maxDown;
+  __isset = other350.__isset;
   return *this;
 }
 void StartWave::printTo(std::ostream& out) const {
@@ -8150,26 +8298,26 @@
   swap(a.__isset, b.__isset);
 }
 
-NoteMachineDown::NoteMachineDown(const NoteMachineDown& other333) {
-  wave = other333.wave;
-  machine = other333.machine;
-  __isset = other333.__isset;
+NoteMachineDown::NoteMachineDown(const NoteMachineDown& other351) {
+  wave = other351.wave;
+  machine = other351.machine;
+  __isset = other351.__isset;
 }
-NoteMachineDown::NoteMachineDown(NoteMachineDown&& other334) noexcept {
-  wave = other334.wave;
-  machine = std::move(other334.machine);
-  __isset = other334.__isset;
+NoteMachineDown::NoteMachineDown(NoteMachineDown&& other352) noexcept {
+  wave = other352.wave;
+  machine = std::move(other352.machine);
+  __isset = other352.__isset;
 }
-NoteMachineDown& NoteMachineDown::operator=(const NoteMachineDown& other335) {
-  wave = other335.wave;
-  machine = other335.machine;
-  __isset = other335.__isset;
+NoteMachineDown& NoteMachineDown::operator=(const NoteMachineDown& other353) {
+  wave = other353.wave;
+  machine = other353.machine;
+  __isset = other353.__isset;
   return *this;
 }
-NoteMachineDown& NoteMachineDown::operator=(NoteMachineDown&& other336) noexcept {
-  wave = other336.wave;
-  machine = std::move(other336.machine);
-  __isset = other336.__isset;
+NoteMachineDown& NoteMachineDown::operator=(NoteMachineDown&& other354) noexcept {
+  wave = other354.wave;
+  machine = std::move(other354.machine);
+  __isset = other354.__isset;
   return *this;
 }
 void NoteMachineDown::printTo(std::ostream& out) const {
@@ -8522,78 +8670,78 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkloadCommand::WorkloadCommand(const WorkloadCommand& other337) {
-  proposedAtMs = other337.proposedAtMs;
-  putPolicy = other337.putPolicy;
-  setZone = other337.setZone;
-  registerReplica = other337.registerReplica;
-  forgetReplica = other337.forgetReplica;
-  submit = other337.submit;
-  cancel = other337.cancel;
-  registerWorker = other337.registerWorker;
-  loseWorker = other337.loseWorker;
-  startRuns = other337.startRuns;
-  stopRuns = other337.stopRuns;
-  endRuns = other337.endRuns;
-  openOccurrence = other337.openOccurrence;
-  startWave = other337.startWave;
-  noteMachineDown = other337.noteMachineDown;
-  __isset = other337.__isset;
+WorkloadCommand::WorkloadCommand(const WorkloadCommand& other355) {
+  proposedAtMs = other355.proposedAtMs;
+  putPolicy = other355.putPolicy;
+  setZone = other355.setZone;
+  registerReplica = other355.registerReplica;
+  forgetReplica = other355.forgetReplica;
+  submit = other355.submit;
+  cancel = other355.cancel;
+  registerWorker = other355.registerWorker;
+  loseWorker = other355.loseWorker;
+  startRuns = other355.startRuns;
+  stopRuns = other355.stopRuns;
+  endRuns = other355.endRuns;
+  openOccurrence = other355.openOccurrence;
+  startWave = other355.startWave;
+  noteMachineDown = other355.noteMachineDown;
+  __isset = other355.__isset;
 }
-WorkloadCommand::WorkloadCommand(WorkloadCommand&& other338) noexcept {
-  proposedAtMs = other338.proposedAtMs;
-  putPolicy = std::move(other338.putPolicy);
-  setZone = std::move(other338.setZone);
-  registerReplica = std::move(other338.registerReplica);
-  forgetReplica = std::move(other338.forgetReplica);
-  submit = std::move(other338.submit);
-  cancel = std::move(other338.cancel);
-  registerWorker = std::move(other338.registerWorker);
-  loseWorker = std::move(other338.loseWorker);
-  startRuns = std::move(other338.startRuns);
-  stopRuns = std::move(other338.stopRuns);
-  endRuns = std::move(other338.endRuns);
-  openOccurrence = std::move(other338.openOccurrence);
-  startWave = std::move(other338.startWave);
-  noteMachineDown = std::move(other338.noteMachineDown);
-  __isset = other338.__isset;
+WorkloadCommand::WorkloadCommand(WorkloadCommand&& other356) noexcept {
+  proposedAtMs = other356.proposedAtMs;
+  putPolicy = std::move(other356.putPolicy);
+  setZone = std::move(other356.setZone);
+  registerReplica = std::move(other356.registerReplica);
+  forgetReplica = std::move(other356.forgetReplica);
+  submit = std::move(other356.submit);
+  cancel = std::move(other356.cancel);
+  registerWorker = std::move(other356.registerWorker);
+  loseWorker = std::move(other356.loseWorker);
+  startRuns = std::move(other356.startRuns);
+  stopRuns = std::move(other356.stopRuns);
+  endRuns = std::move(other356.endRuns);
+  openOccurrence = std::move(other356.openOccurrence);
+  startWave = std::move(other356.startWave);
+  noteMachineDown = std::move(other356.noteMachineDown);
+  __isset = other356.__isset;
 }
-WorkloadCommand& WorkloadCommand::operator=(const WorkloadCommand& other339) {
-  proposedAtMs = other339.proposedAtMs;
-  putPolicy = other339.putPolicy;
-  setZone = other339.setZone;
-  registerReplica = other339.registerReplica;
-  forgetReplica = other339.forgetReplica;
-  submit = other339.submit;
-  cancel = other339.cancel;
-  registerWorker = other339.registerWorker;
-  loseWorker = other339.loseWorker;
-  startRuns = other339.startRuns;
-  stopRuns = other339.stopRuns;
-  endRuns = other339.endRuns;
-  openOccurrence = other339.openOccurrence;
-  startWave = other339.startWave;
-  noteMachineDown = other339.noteMachineDown;
-  __isset = other339.__isset;
+WorkloadCommand& WorkloadCommand::operator=(const WorkloadCommand& other357) {
+  proposedAtMs = other357.proposedAtMs;
+  putPolicy = other357.putPolicy;
+  setZone = other357.setZone;
+  registerReplica = other357.registerReplica;
+  forgetReplica = other357.forgetReplica;
+  submit = other357.submit;
+  cancel = other357.cancel;
+  registerWorker = other357.registerWorker;
+  loseWorker = other357.loseWorker;
+  startRuns = other357.startRuns;
+  stopRuns = other357.stopRuns;
+  endRuns = other357.endRuns;
+  openOccurrence = other357.openOccurrence;
+  startWave = other357.startWave;
+  noteMachineDown = other357.noteMachineDown;
+  __isset = other357.__isset;
   return *this;
 }
-WorkloadCommand& WorkloadCommand::operator=(WorkloadCommand&& other340) noexcept {
-  proposedAtMs = other340.proposedAtMs;
-  putPolicy = std::move(other340.putPolicy);
-  setZone = std::move(other340.setZone);
-  registerReplica = std::move(other340.registerReplica);
-  forgetReplica = std::move(other340.forgetReplica);
-  submit = std::move(other340.submit);
-  cancel = std::move(other340.cancel);
-  registerWorker = std::move(other340.registerWorker);
-  loseWorker = std::move(other340.loseWorker);
-  startRuns = std::move(other340.startRuns);
-  stopRuns = std::move(other340.stopRuns);
-  endRuns = std::move(other340.endRuns);
-  openOccurrence = std::move(other340.openOccurrence);
-  startWave = std::move(other340.startWave);
-  noteMachineDown = std::move(other340.noteMachineDown);
-  __isset = other340.__isset;
+WorkloadCommand& WorkloadCommand::operator=(WorkloadCommand&& other358) noexcept {
+  proposedAtMs = other358.proposedAtMs;
+  putPolicy = std::move(other358.putPolicy);
+  setZone = std::move(other358.setZone);
+  registerReplica = std::move(other358.registerReplica);
+  forgetReplica = std::move(other358.forgetReplica);
+  submit = std::move(other358.submit);
+  cancel = std::move(other358.cancel);
+  registerWorker = std::move(other358.registerWorker);
+  loseWorker = std::move(other358.loseWorker);
+  startRuns = std::move(other358.startRuns);
+  stopRuns = std::move(other358.stopRuns);
+  endRuns = std::move(other358.endRuns);
+  openOccurrence = std::move(other358.openOccurrence);
+  startWave = std::move(other358.startWave);
+  noteMachineDown = std::move(other358.noteMachineDown);
+  __isset = other358.__isset;
   return *this;
 }
 void WorkloadCommand::printTo(std::ostream& out) const {
@@ -8667,9 +8815,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast341;
-          xfer += iprot->readI32(ecast341);
-          this->status = static_cast<WorkloadStatus::type>(ecast341);
+          int32_t ecast359;
+          xfer += iprot->readI32(ecast359);
+          this->status = static_cast<WorkloadStatus::type>(ecast359);
           this->__isset.status = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -8746,34 +8894,34 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkloadResult::WorkloadResult(const WorkloadResult& other342) {
-  status = other342.status;
-  message = other342.message;
-  value = other342.value;
-  retryAfterMs = other342.retryAfterMs;
-  __isset = other342.__isset;
-}
-WorkloadResult::WorkloadResult(WorkloadResult&& other343) noexcept {
-  status = other343.status;
-  message = std::move(other343.message);
-  value = other343.value;
-  retryAfterMs = other343.retryAfterMs;
-  __isset = other343.__isset;
-}
-WorkloadResult& WorkloadResult::operator=(const WorkloadResult& other344) {
-  status = other344.status;
-  message = other344.message;
-  value = other344.value;
-  retryAfterMs = other344.retryAfterMs;
-  __isset = other344.__isset;
+WorkloadResult::WorkloadResult(const WorkloadResult& other360) {
+  status = other360.status;
+  message = other360.message;
+  value = other360.value;
+  retryAfterMs = other360.retryAfterMs;
+  __isset = other360.__isset;
+}
+WorkloadResult::WorkloadResult(WorkloadResult&& other361) noexcept {
+  status = other361.status;
+  message = std::move(other361.message);
+  value = other361.value;
+  retryAfterMs = other361.retryAfterMs;
+  __isset = other361.__isset;
+}
+WorkloadResult& WorkloadResult::operator=(const WorkloadResult& other362) {
+  status = other362.status;
+  message = other362.message;
+  value = other362.value;
+  retryAfterMs = other362.retryAfterMs;
+  __isset = other362.__isset;
   return *this;
 }
-WorkloadResult& WorkloadResult::operator=(WorkloadResult&& other345) noexcept {
-  status = other345.status;
-  message = std::move(other345.message);
-  value = other345.value;
-  retryAfterMs = other345.retryAfterMs;
-  __isset = other345.__isset;
+WorkloadResult& WorkloadResult::operator=(WorkloadResult&& other363) noexcept {
+  status = other363.status;
+  message = std::move(other363.message);
+  value = other363.value;
+  retryAfterMs = other363.retryAfterMs;
+  __isset = other363.__isset;
   return *this;
 }
 void WorkloadResult::printTo(std::ostream& out) const {
@@ -8896,30 +9044,30 @@
   swap(a.__isset, b.__isset);
 }
 
-QueueAddress::QueueAddress(const QueueAddress& other346) {
-  host = other346.host;
-  path = other346.path;
-  key = other346.key;
-  __isset = other346.__isset;
+QueueAddress::QueueAddress(const QueueAddress& other364) {
+  host = other364.host;
+  path = other364.path;
+  key = other364.key;
+  __isset = other364.__isset;
 }
-QueueAddress::QueueAddress(QueueAddress&& other347) noexcept {
-  host = std::move(other347.host);
-  path = std::move(other347.path);
-  key = std::move(other347.key);
-  __isset = other347.__isset;
+QueueAddress::QueueAddress(QueueAddress&& other365) noexcept {
+  host = std::move(other365.host);
+  path = std::move(other365.path);
+  key = std::move(other365.key);
+  __isset = other365.__isset;
 }
-QueueAddress& QueueAddress::operator=(const QueueAddress& other348) {
-  host = other348.host;
-  path = other348.path;
-  key = other348.key;
-  __isset = other348.__isset;
+QueueAddress& QueueAddress::operator=(const QueueAddress& other366) {
+  host = other366.host;
+  path = other366.path;
+  key = other366.key;
+  __isset = other366.__isset;
   return *this;
 }
-QueueAddress& QueueAddress::operator=(QueueAddress&& other349) noexcept {
-  host = std::move(other349.host);
-  path = std::move(other349.path);
-  key = std::move(other349.key);
-  __isset = other349.__isset;
+QueueAddress& QueueAddress::operator=(QueueAddress&& other367) noexcept {
+  host = std::move(other367.host);
+  path = std::move(other367.path);
+  key = std::move(other367.key);
+  __isset = other367.__isset;
   return *this;
 }
 void QueueAddress::printTo(std::ostream& out) const {
@@ -9212,66 +9360,66 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkloadCall::WorkloadCall(const WorkloadCall& other350) {
-  address = other350.address;
-  jobId = other350.jobId;
-  requestId = other350.requestId;
-  submit = other350.submit;
-  cancel = other350.cancel;
-  status = other350.status;
-  putPolicy = other350.putPolicy;
-  getPolicy = other350.getPolicy;
-  setZone = other350.setZone;
-  registerReplica = other350.registerReplica;
-  startWave = other350.startWave;
-  waveState = other350.waveState;
-  __isset = other350.__isset;
-}
-WorkloadCall::WorkloadCall(WorkloadCall&& other351) noexcept {
-  address = std::move(other351.address);
-  jobId = std::move(other351.jobId);
-  requestId = std::move(other351.requestId);
-  submit = std::move(other351.submit);
-  cancel = other351.cancel;
-  status = other351.status;
-  putPolicy = std::move(other351.putPolicy);
-  getPolicy = other351.getPolicy;
-  setZone = std::move(other351.setZone);
-  registerReplica = std::move(other351.registerReplica);
-  startWave = std::move(other351.startWave);
-  waveState = other351.waveState;
-  __isset = other351.__isset;
-}
-WorkloadCall& WorkloadCall::operator=(const WorkloadCall& other352) {
-  address = other352.address;
-  jobId = other352.jobId;
-  requestId = other352.requestId;
-  submit = other352.submit;
-  cancel = other352.cancel;
-  status = other352.status;
-  putPolicy = other352.putPolicy;
-  getPolicy = other352.getPolicy;
-  setZone = other352.setZone;
-  registerReplica = other352.registerReplica;
-  startWave = other352.startWave;
-  waveState = other352.waveState;
-  __isset = other352.__isset;
+WorkloadCall::WorkloadCall(const WorkloadCall& other368) {
+  address = other368.address;
+  jobId = other368.jobId;
+  requestId = other368.requestId;
+  submit = other368.submit;
+  cancel = other368.cancel;
+  status = other368.status;
+  putPolicy = other368.putPolicy;
+  getPolicy = other368.getPolicy;
+  setZone = other368.setZone;
+  registerReplica = other368.registerReplica;
+  startWave = other368.startWave;
+  waveState = other368.waveState;
+  __isset = other368.__isset;
+}
+WorkloadCall::WorkloadCall(WorkloadCall&& other369) noexcept {
+  address = std::move(other369.address);
+  jobId = std::move(other369.jobId);
+  requestId = std::move(other369.requestId);
+  submit = std::move(other369.submit);
+  cancel = other369.cancel;
+  status = other369.status;
+  putPolicy = std::move(other369.putPolicy);
+  getPolicy = other369.getPolicy;
+  setZone = std::move(other369.setZone);
+  registerReplica = std::move(other369.registerReplica);
+  startWave = std::move(other369.startWave);
+  waveState = other369.waveState;
+  __isset = other369.__isset;
+}
+WorkloadCall& WorkloadCall::operator=(const WorkloadCall& other370) {
+  address = other370.address;
+  jobId = other370.jobId;
+  requestId = other370.requestId;
+  submit = other370.submit;
+  cancel = other370.cancel;
+  status = other370.status;
+  putPolicy = other370.putPolicy;
+  getPolicy = other370.getPolicy;
+  setZone = other370.setZone;
+  registerReplica = other370.registerReplica;
+  startWave = other370.startWave;
+  waveState = other370.waveState;
+  __isset = other370.__isset;
   return *this;
 }
-WorkloadCall& WorkloadCall::operator=(WorkloadCall&& other353) noexcept {
-  address = std::move(other353.address);
-  jobId = std::move(other353.jobId);
-  requestId = std::move(other353.requestId);
-  submit = std::move(other353.submit);
-  cancel = other353.cancel;
-  status = other353.status;
-  putPolicy = std::move(other353.putPolicy);
-  getPolicy = other353.getPolicy;
-  setZone = std::move(other353.setZone);
-  registerReplica = std::move(other353.registerReplica);
-  startWave = std::move(other353.startWave);
-  waveState = other353.waveState;
-  __isset = other353.__isset;
+WorkloadCall& WorkloadCall::operator=(WorkloadCall&& other371) noexcept {
+  address = std::move(other371.address);
+  jobId = std::move(other371.jobId);
+  requestId = std::move(other371.requestId);
+  submit = std::move(other371.submit);
+  cancel = other371.cancel;
+  status = other371.status;
+  putPolicy = std::move(other371.putPolicy);
+  getPolicy = other371.getPolicy;
+  setZone = std::move(other371.setZone);
+  registerReplica = std::move(other371.registerReplica);
+  startWave = std::move(other371.startWave);
+  waveState = other371.waveState;
+  __isset = other371.__isset;
   return *this;
 }
 void WorkloadCall::printTo(std::ostream& out) const {
@@ -9374,9 +9522,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast354;
-          xfer += iprot->readI32(ecast354);
-          this->phase = static_cast<JobPhase::type>(ecast354);
+          int32_t ecast372;
+          xfer += iprot->readI32(ecast372);
+          this->phase = static_cast<JobPhase::type>(ecast372);
           this->__isset.phase = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9455,42 +9603,42 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkloadReply::WorkloadReply(const WorkloadReply& other355) {
-  leads = other355.leads;
-  group = other355.group;
-  result = other355.result;
-  phase = other355.phase;
-  source = other355.source;
-  waveCompleted = other355.waveCompleted;
-  __isset = other355.__isset;
+WorkloadReply::WorkloadReply(const WorkloadReply& other373) {
+  leads = other373.leads;
+  group = other373.group;
+  result = other373.result;
+  phase = other373.phase;
+  source = other373.source;
+  waveCompleted = other373.waveCompleted;
+  __isset = other373.__isset;
 }
-WorkloadReply::WorkloadReply(WorkloadReply&& other356) noexcept {
-  leads = other356.leads;
-  group = std::move(other356.group);
-  result = std::move(other356.result);
-  phase = other356.phase;
-  source = std::move(other356.source);
-  waveCompleted = other356.waveCompleted;
-  __isset = other356.__isset;
+WorkloadReply::WorkloadReply(WorkloadReply&& other374) noexcept {
+  leads = other374.leads;
+  group = std::move(other374.group);
+  result = std::move(other374.result);
+  phase = other374.phase;
+  source = std::move(other374.source);
+  waveCompleted = other374.waveCompleted;
+  __isset = other374.__isset;
 }
-WorkloadReply& WorkloadReply::operator=(const WorkloadReply& other357) {
-  leads = other357.leads;
-  group = other357.group;
-  result = other357.result;
-  phase = other357.phase;
-  source = other357.source;
-  waveCompleted = other357.waveCompleted;
-  __isset = other357.__isset;
+WorkloadReply& WorkloadReply::operator=(const WorkloadReply& other375) {
+  leads = other375.leads;
+  group = other375.group;
+  result = other375.result;
+  phase = other375.phase;
+  source = other375.source;
+  waveCompleted = other375.waveCompleted;
+  __isset = other375.__isset;
   return *this;
 }
-WorkloadReply& WorkloadReply::operator=(WorkloadReply&& other358) noexcept {
-  leads = other358.leads;
-  group = std::move(other358.group);
-  result = std::move(other358.result);
-  phase = other358.phase;
-  source = std::move(other358.source);
-  waveCompleted = other358.waveCompleted;
-  __isset = other358.__isset;
+WorkloadReply& WorkloadReply::operator=(WorkloadReply&& other376) noexcept {
+  leads = other376.leads;
+  group = std::move(other376.group);
+  result = std::move(other376.result);
+  phase = other376.phase;
+  source = std::move(other376.source);
+  waveCompleted = other376.waveCompleted;
+  __isset = other376.__isset;
   return *this;
 }
 void WorkloadReply::printTo(std::ostream& out) const {
@@ -9598,26 +9746,26 @@
   swap(a.__isset, b.__isset);
 }
 
-QueuePending::QueuePending(const QueuePending& other359) {
-  queue = other359.queue;
-  pending = other359.pending;
-  __isset = other359.__isset;
+QueuePending::QueuePending(const QueuePending& other377) {
+  queue = other377.queue;
+  pending = other377.pending;
+  __isset = other377.__isset;
 }
-QueuePending::QueuePending(QueuePending&& other360) noexcept {
-  queue = std::move(other360.queue);
-  pending = other360.pending;
-  __isset = other360.__isset;
+QueuePending::QueuePending(QueuePending&& other378) noexcept {
+  queue = std::move(other378.queue);
+  pending = other378.pending;
+  __isset = other378.__isset;
 }
-QueuePending& QueuePending::operator=(const QueuePending& other361) {
-  queue = other361.queue;
-  pending = other361.pending;
-  __isset = other361.__isset;
+QueuePending& QueuePending::operator=(const QueuePending& other379) {
+  queue = other379.queue;
+  pending = other379.pending;
+  __isset = other379.__isset;
   return *this;
 }
-QueuePending& QueuePending::operator=(QueuePending&& other362) noexcept {
-  queue = std::move(other362.queue);
-  pending = other362.pending;
-  __isset = other362.__isset;
+QueuePending& QueuePending::operator=(QueuePending&& other380) noexcept {
+  queue = std::move(other380.queue);
+  pending = other380.pending;
+  __isset = other380.__isset;
   return *this;
 }
 void QueuePending::printTo(std::ostream& out) const {
@@ -9738,30 +9886,30 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryWatchRequest::EntryWatchRequest(const EntryWatchRequest& other363) {
-  entry = other363.entry;
-  sequence = other363.sequence;
-  policyVersion = other363.policyVersion;
-  __isset = other363.__isset;
+EntryWatchRequest::EntryWatchRequest(const EntryWatchRequest& other381) {
+  entry = other381.entry;
+  sequence = other381.sequence;
+  policyVersion = other381.policyVersion;
+  __isset = other381.__isset;
 }
-EntryWatchRequest::EntryWatchRequest(EntryWatchRequest&& other364) noexcept {
-  entry = std::move(other364.entry);
-  sequence = other364.sequence;
-  policyVersion = other364.policyVersion;
-  __isset = other364.__isset;
+EntryWatchRequest::EntryWatchRequest(EntryWatchRequest&& other382) noexcept {
+  entry = std::move(other382.entry);
+  sequence = other382.sequence;
+  policyVersion = other382.policyVersion;
+  __isset = other382.__isset;
 }
-EntryWatchRequest& EntryWatchRequest::operator=(const EntryWatchRequest& other365) {
-  entry = other365.entry;
-  sequence = other365.sequence;
-  policyVersion = other365.policyVersion;
-  __isset = other365.__isset;
+EntryWatchRequest& EntryWatchRequest::operator=(const EntryWatchRequest& other383) {
+  entry = other383.entry;
+  sequence = other383.sequence;
+  policyVersion = other383.policyVersion;
+  __isset = other383.__isset;
   return *this;
 }
-EntryWatchRequest& EntryWatchRequest::operator=(EntryWatchRequest&& other366) noexcept {
-  entry = std::move(other366.entry);
-  sequence = other366.sequence;
-  policyVersion = other366.policyVersion;
-  __isset = other366.__isset;
+EntryWatchRequest& EntryWatchRequest::operator=(EntryWatchRequest&& other384) noexcept {
+  entry = std::move(other384.entry);
+  sequence = other384.sequence;
+  policyVersion = other384.policyVersion;
+  __isset = other384.__isset;
   return *this;
 }
 void EntryWatchRequest::printTo(std::ostream& out) const {
@@ -9873,14 +10021,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pending.clear();
-            uint32_t _size367;
-            ::apache::thrift::protocol::TType _etype370;
-            xfer += iprot->readListBegin(_etype370, _size367);
-            this->pending.resize(_size367);
-            uint32_t _i371;
-            for (_i371 = 0; _i371 < _size367; ++_i371)
+            uint32_t _size385;
+            ::apache::thrift::protocol::TType _etype388;
+            xfer += iprot->readListBegin(_etype388, _size385);
+            this->pending.resize(_size385);
+            uint32_t _i389;
+            for (_i389 = 0; _i389 < _size385; ++_i389)
             {
-              xfer += this->pending[_i371].read(iprot);
+              xfer += this->pending[_i389].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9929,10 +10077,10 @@
   xfer += oprot->writeFieldBegin("pending", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pending.size()));
-    std::vector<QueuePending> ::const_iterator _iter372;
-    for (_iter372 = this->pending.begin(); _iter372 != this->pending.end(); ++_iter372)
+    std::vector<QueuePending> ::const_iterator _iter390;
+    for (_iter390 = this->pending.begin(); _iter390 != this->pending.end(); ++_iter390)
     {
-      xfer += (*_iter372).write(oprot);
+      xfer += (*_iter390).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9954,42 +10102,42 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryWatchReply::EntryWatchReply(const EntryWatchReply& other373) {
-  group = other373.group;
-  leads = other373.leads;
-  confirmedSequence = other373.confirmedSequence;
-  policyChanged = other373.policyChanged;
-  policy = other373.policy;
-  pending = other373.pending;
-  __isset = other373.__isset;
+EntryWatchReply::EntryWatchReply(const EntryWatchReply& other391) {
+  group = other391.group;
+  leads = other391.leads;
+  confirmedSequence = other391.confirmedSequence;
+  policyChanged = other391.policyChanged;
+  policy = other391.policy;
+  pending = other391.pending;
+  __isset = other391.__isset;
 }
-EntryWatchReply::EntryWatchReply(EntryWatchReply&& other374) noexcept {
-  group = std::move(other374.group);
-  leads = other374.leads;
-  confirmedSequence = other374.confirmedSequence;
-  policyChanged = other374.policyChanged;
-  policy = std::move(other374.policy);
-  pending = std::move(other374.pending);
-  __isset = other374.__isset;
+EntryWatchReply::EntryWatchReply(EntryWatchReply&& other392) noexcept {
+  group = std::move(other392.group);
+  leads = other392.leads;
+  confirmedSequence = other392.confirmedSequence;
+  policyChanged = other392.policyChanged;
+  policy = std::move(other392.policy);
+  pending = std::move(other392.pending);
+  __isset = other392.__isset;
 }
-EntryWatchReply& EntryWatchReply::operator=(const EntryWatchReply& other375) {
-  group = other375.group;
-  leads = other375.leads;
-  confirmedSequence = other375.confirmedSequence;
-  policyChanged = other375.policyChanged;
-  policy = other375.policy;
-  pending = other375.pending;
-  __isset = other375.__isset;
+EntryWatchReply& EntryWatchReply::operator=(const EntryWatchReply& other393) {
+  group = other393.group;
+  leads = other393.leads;
+  confirmedSequence = other393.confirmedSequence;
+  policyChanged = other393.policyChanged;
+  policy = other393.policy;
+  pending = other393.pending;
+  __isset = other393.__isset;
   return *this;
 }
-EntryWatchReply& EntryWatchReply::operator=(EntryWatchReply&& other376) noexcept {
-  group = std::move(other376.group);
-  leads = other376.leads;
-  confirmedSequence = other376.confirmedSequence;
-  policyChanged = other376.policyChanged;
-  policy = std::move(other376.policy);
-  pending = std::move(other376.pending);
-  __isset = other376.__isset;
+EntryWatchReply& EntryWatchReply::operator=(EntryWatchReply&& other394) noexcept {
+  group = std::move(other394.group);
+  leads = other394.leads;
+  confirmedSequence = other394.confirmedSequence;
+  policyChanged = other394.policyChanged;
+  policy = std::move(other394.policy);
+  pending = std::move(other394.pending);
+  __isset = other394.__isset;
   return *this;
 }
 void EntryWatchReply::printTo(std::ostream& out) const {
@@ -10165,42 +10313,42 @@
   swap(a.__isset, b.__isset);
 }
 
-LocateRequest::LocateRequest(const LocateRequest& other377) {
-  replicaId = other377.replicaId;
-  address = other377.address;
-  availabilityZone = other377.availabilityZone;
-  mayFound = other377.mayFound;
-  inGroup = other377.inGroup;
-  group = other377.group;
-  __isset = other377.__isset;
-}
-LocateRequest::LocateRequest(LocateRequest&& other378) noexcept {
-  replicaId = other378.replicaId;
-  address = std::move(other378.address);
-  availabilityZone = std::move(other378.availabilityZone);
-  mayFound = other378.mayFound;
-  inGroup = other378.inGroup;
-  group = std::move(other378.group);
-  __isset = other378.__isset;
-}
-LocateRequest& LocateRequest::operator=(const LocateRequest& other379) {
-  replicaId = other379.replicaId;
-  address = other379.address;
-  availabilityZone = other379.availabilityZone;
-  mayFound = other379.mayFound;
-  inGroup = other379.inGroup;
-  group = other379.group;
-  __isset = other379.__isset;
+LocateRequest::LocateRequest(const LocateRequest& other395) {
+  replicaId = other395.replicaId;
+  address = other395.address;
+  availabilityZone = other395.availabilityZone;
+  mayFound = other395.mayFound;
+  inGroup = other395.inGroup;
+  group = other395.group;
+  __isset = other395.__isset;
+}
+LocateRequest::LocateRequest(LocateRequest&& other396) noexcept {
+  replicaId = other396.replicaId;
+  address = std::move(other396.address);
+  availabilityZone = std::move(other396.availabilityZone);
+  mayFound = other396.mayFound;
+  inGroup = other396.inGroup;
+  group = std::move(other396.group);
+  __isset = other396.__isset;
+}
+LocateRequest& LocateRequest::operator=(const LocateRequest& other397) {
+  replicaId = other397.replicaId;
+  address = other397.address;
+  availabilityZone = other397.availabilityZone;
+  mayFound = other397.mayFound;
+  inGroup = other397.inGroup;
+  group = other397.group;
+  __isset = other397.__isset;
   return *this;
 }
-LocateRequest& LocateRequest::operator=(LocateRequest&& other380) noexcept {
-  replicaId = other380.replicaId;
-  address = std::move(other380.address);
-  availabilityZone = std::move(other380.availabilityZone);
-  mayFound = other380.mayFound;
-  inGroup = other380.inGroup;
-  group = std::move(other380.group);
-  __isset = other380.__isset;
+LocateRequest& LocateRequest::operator=(LocateRequest&& other398) noexcept {
+  replicaId = other398.replicaId;
+  address = std::move(other398.address);
+  availabilityZone = std::move(other398.availabilityZone);
+  mayFound = other398.mayFound;
+  inGroup = other398.inGroup;
+  group = std::move(other398.group);
+  __isset = other398.__isset;
   return *this;
 }
 void LocateRequest::printTo(std::ostream& out) const {
@@ -10342,34 +10490,34 @@
   swap(a.__isset, b.__isset);
 }
 
-LocateReply::LocateReply(const LocateReply& other381) {
-  group = other381.group;
-  mayFound = other381.mayFound;
-  inGroup = other381.inGroup;
-  replicaId = other381.replicaId;
-  __isset = other381.__isset;
-}
-LocateReply::LocateReply(LocateReply&& other382) noexcept {
-  group = std::move(other382.group);
-  mayFound = other382.mayFound;
-  inGroup = other382.inGroup;
-  replicaId = other382.replicaId;
-  __isset = other382.__isset;
-}
-LocateReply& LocateReply::operator=(const LocateReply& other383) {
-  group = other383.group;
-  mayFound = other383.mayFound;
-  inGroup = other383.inGroup;
-  replicaId = other383.replicaId;
-  __isset = other383.__isset;
+LocateReply::LocateReply(const LocateReply& other399) {
+  group = other399.group;
+  mayFound = other399.mayFound;
+  inGroup = other399.inGroup;
+  replicaId = other399.replicaId;
+  __isset = other399.__isset;
+}
+LocateReply::LocateReply(LocateReply&& other400) noexcept {
+  group = std::move(other400.group);
+  mayFound = other400.mayFound;
+  inGroup = other400.inGroup;
+  replicaId = other400.replicaId;
+  __isset = other400.__isset;
+}
+LocateReply& LocateReply::operator=(const LocateReply& other401) {
+  group = other401.group;
+  mayFound = other401.mayFound;
+  inGroup = other401.inGroup;
+  replicaId = other401.replicaId;
+  __isset = other401.__isset;
   return *this;
 }
-LocateReply& LocateReply::operator=(LocateReply&& other384) noexcept {
-  group = std::move(other384.group);
-  mayFound = other384.mayFound;
-  inGroup = other384.inGroup;
-  replicaId = other384.replicaId;
-  __isset = other384.__isset;
+LocateReply& LocateReply::operator=(LocateReply&& other402) noexcept {
+  group = std::move(other402.group);
+  mayFound = other402.mayFound;
+  inGroup = other402.inGroup;
+  replicaId = other402.replicaId;
+  __isset = other402.__isset;
   return *this;
 }
 void LocateReply::printTo(std::ostream& out) const {
@@ -10458,22 +10606,22 @@
   swap(a.__isset, b.__isset);
 }
 
-FoundGroupRequest::FoundGroupRequest(const FoundGroupRequest& other385) noexcept {
-  replicaId = other385.replicaId;
-  __isset = other385.__isset;
+FoundGroupRequest::FoundGroupRequest(const FoundGroupRequest& other403) noexcept {
+  replicaId = other403.replicaId;
+  __isset = other403.__isset;
 }
-FoundGroupRequest::FoundGroupRequest(FoundGroupRequest&& other386) noexcept {
-  replicaId = other386.replicaId;
-  __isset = other386.__isset;
+FoundGroupRequest::FoundGroupRequest(FoundGroupRequest&& other404) noexcept {
+  replicaId = other404.replicaId;
+  __isset = other404.__isset;
 }
-FoundGroupRequest& FoundGroupRequest::operator=(const FoundGroupRequest& other387) noexcept {
-  replicaId = other387.replicaId;
-  __isset = other387.__isset;
+FoundGroupRequest& FoundGroupRequest::operator=(const FoundGroupRequest& other405) noexcept {
+  replicaId = other405.replicaId;
+  __isset = other405.__isset;
   return *this;
 }
-FoundGroupRequest& FoundGroupRequest::operator=(FoundGroupRequest&& other388) noexcept {
-  replicaId = other388.replicaId;
-  __isset = other388.__isset;
+FoundGroupRequest& FoundGroupRequest::operator=(FoundGroupRequest&& other406) noexcept {
+  replicaId = other406.replicaId;
+  __isset = other406.__isset;
   return *this;
 }
 void FoundGroupRequest::printTo(std::ostream& out) const {
@@ -10610,34 +10758,34 @@
   swap(a.__isset, b.__isset);
 }
 
-GroupMessage::GroupMessage(const GroupMessage& other389) {
-  senderId = other389.senderId;
-  receiverId = other389.receiverId;
-  senderAddress = other389.senderAddress;
-  body = other389.body;
-  __isset = other389.__isset;
-}
-GroupMessage::GroupMessage(GroupMessage&& other390) noexcept {
-  senderId = other390.senderId;
-  receiverId = other390.receiverId;
-  senderAddress = std::move(other390.senderAddress);
-  body = std::move(other390.body);
-  __isset = other390.__isset;
-}
-GroupMessage& GroupMessage::operator=(const GroupMessage& other391) {
-  senderId = other391.senderId;
-  receiverId = other391.receiverId;
-  senderAddress = other391.senderAddress;
-  body = other391.body;
-  __isset = other391.__isset;
+GroupMessage::GroupMessage(const GroupMessage& other407) {
+  senderId = other407.senderId;
+  receiverId = other407.receiverId;
+  senderAddress = other407.senderAddress;
+  body = other407.body;
+  __isset = other407.__isset;
+}
+GroupMessage::GroupMessage(GroupMessage&& other408) noexcept {
+  senderId = other408.senderId;
+  receiverId = other408.receiverId;
+  senderAddress = std::move(other408.senderAddress);
+  body = std::move(other408.body);
+  __isset = other408.__isset;
+}
+GroupMessage& GroupMessage::operator=(const GroupMessage& other409) {
+  senderId = other409.senderId;
+  receiverId = other409.receiverId;
+  senderAddress = other409.senderAddress;
+  body = other409.body;
+  __isset = other409.__isset;
   return *this;
 }
-GroupMessage& GroupMessage::operator=(GroupMessage&& other392) noexcept {
-  senderId = other392.senderId;
-  receiverId = other392.receiverId;
-  senderAddress = std::move(other392.senderAddress);
-  body = std::move(other392.body);
-  __isset = other392.__isset;
+GroupMessage& GroupMessage::operator=(GroupMessage&& other410) noexcept {
+  senderId = other410.senderId;
+  receiverId = other410.receiverId;
+  senderAddress = std::move(other410.senderAddress);
+  body = std::move(other410.body);
+  __isset = other410.__isset;
   return *this;
 }
 void GroupMessage::printTo(std::ostream& out) const {
--- a/gen/workload_types.h
+++ b/gen/workload_types.h
@@ -108,12 +108,12 @@
 
 class RunStatus;
 
+class RunName;
+
 class WorkerSyncRequest;
 
 class RunOrder;
 
-class RunName;
-
 class ReplicaAddress;
 
 class GroupView;
@@ -841,8 +841,59 @@
 
 std::ostream& operator<<(std::ostream& out, const RunStatus& obj);
 
+typedef struct _RunName__isset {
+  _RunName__isset() : task(false), run(false) {}
+  bool task :1;
+  bool run :1;
+} _RunName__isset;
+
+class RunName : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunName(const RunName&);
+  RunName(RunName&&) noexcept;
+  RunName& operator=(const RunName&);
+  RunName& operator=(RunName&&) noexcept;
+  RunName() noexcept
+          : run(0) {
+  }
+
+  virtual ~RunName() noexcept;
+  TaskRef task;
+  int64_t run;
+
+  _RunName__isset __isset;
+
+  void __set_task(const TaskRef& val);
+
+  void __set_run(const int64_t val);
+
+  bool operator == (const RunName & rhs) const
+  {
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    return true;
+  }
+  bool operator != (const RunName &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunName & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunName &a, RunName &b);
+
+std::ostream& operator<<(std::ostream& out, const RunName& obj);
+
 typedef struct _WorkerSyncRequest__isset {
-  _WorkerSyncRequest__isset() : agent(false), sequence(false), facts(false), fencingToken(false), runs(false), ends(false), firstEnd(false), draining(false), remainingMs(false), gone(false), availabilityZone(false), listed(false), silentMs(false) {}
+  _WorkerSyncRequest__isset() : agent(false), sequence(false), facts(false), fencingToken(false), runs(false), ends(false), firstEnd(false), draining(false), remainingMs(false), gone(false), availabilityZone(false), listed(false), silentMs(false), unanswered(false) {}
   bool agent :1;
   bool sequence :1;
   bool facts :1;
@@ -856,6 +907,7 @@
   bool availabilityZone :1;
   bool listed :1;
   bool silentMs :1;
+  bool unanswered :1;
 } _WorkerSyncRequest__isset;
 
 class WorkerSyncRequest : public virtual ::apache::thrift::TBase {
@@ -891,6 +943,7 @@
   std::string availabilityZone;
   bool listed;
   int64_t silentMs;
+  std::vector<RunName>  unanswered;
 
   _WorkerSyncRequest__isset __isset;
 
@@ -920,6 +973,8 @@
 
   void __set_silentMs(const int64_t val);
 
+  void __set_unanswered(const std::vector<RunName> & val);
+
   bool operator == (const WorkerSyncRequest & rhs) const
   {
     if (!(agent == rhs.agent))
@@ -948,6 +1003,8 @@
       return false;
     if (!(silentMs == rhs.silentMs))
       return false;
+    if (!(unanswered == rhs.unanswered))
+      return false;
     return true;
   }
   bool operator != (const WorkerSyncRequest &rhs) const {
@@ -1031,57 +1088,6 @@
 
 std::ostream& operator<<(std::ostream& out, const RunOrder& obj);
 
-typedef struct _RunName__isset {
-  _RunName__isset() : task(false), run(false) {}
-  bool task :1;
-  bool run :1;
-} _RunName__isset;
-
-class RunName : public virtual ::apache::thrift::TBase {
- public:
-
-  RunName(const RunName&);
-  RunName(RunName&&) noexcept;
-  RunName& operator=(const RunName&);
-  RunName& operator=(RunName&&) noexcept;
-  RunName() noexcept
-          : run(0) {
-  }
-
-  virtual ~RunName() noexcept;
-  TaskRef task;
-  int64_t run;
-
-  _RunName__isset __isset;
-
-  void __set_task(const TaskRef& val);
-
-  void __set_run(const int64_t val);
-
-  bool operator == (const RunName & rhs) const
-  {
-    if (!(task == rhs.task))
-      return false;
-    if (!(run == rhs.run))
-      return false;
-    return true;
-  }
-  bool operator != (const RunName &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const RunName & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(RunName &a, RunName &b);
-
-std::ostream& operator<<(std::ostream& out, const RunName& obj);
-
 typedef struct _ReplicaAddress__isset {
   _ReplicaAddress__isset() : id(false), address(false), availabilityZone(false) {}
   bool id :1;
@@ -2023,11 +2029,12 @@
 std::ostream& operator<<(std::ostream& out, const JobRecord& obj);
 
 typedef struct _WorkerRecord__isset {
-  _WorkerRecord__isset() : facts(false), agent(false), fencingToken(false), used(false) {}
+  _WorkerRecord__isset() : facts(false), agent(false), fencingToken(false), used(false), successor(false) {}
   bool facts :1;
   bool agent :1;
   bool fencingToken :1;
   bool used :1;
+  bool successor :1;
 } _WorkerRecord__isset;
 
 class WorkerRecord : public virtual ::apache::thrift::TBase {
@@ -2047,6 +2054,7 @@
   std::string agent;
   int64_t fencingToken;
   Amounts used;
+  WorkerLife successor;
 
   _WorkerRecord__isset __isset;
 
@@ -2058,6 +2066,8 @@
 
   void __set_used(const Amounts& val);
 
+  void __set_successor(const WorkerLife& val);
+
   bool operator == (const WorkerRecord & rhs) const
   {
     if (!(facts == rhs.facts))
@@ -2068,6 +2078,8 @@
       return false;
     if (!(used == rhs.used))
       return false;
+    if (!(successor == rhs.successor))
+      return false;
     return true;
   }
   bool operator != (const WorkerRecord &rhs) const {
@@ -2158,7 +2170,7 @@
 std::ostream& operator<<(std::ostream& out, const WaveRecord& obj);
 
 typedef struct _WorkloadSnapshot__isset {
-  _WorkloadSnapshot__isset() : appliedIndex(false), policy(false), withdrawnZones(false), replicas(false), jobs(false), endedOrder(false), workers(false), waves(false) {}
+  _WorkloadSnapshot__isset() : appliedIndex(false), policy(false), withdrawnZones(false), replicas(false), jobs(false), endedOrder(false), workers(false), waves(false), formerWorkers(false) {}
   bool appliedIndex :1;
   bool policy :1;
   bool withdrawnZones :1;
@@ -2167,6 +2179,7 @@
   bool endedOrder :1;
   bool workers :1;
   bool waves :1;
+  bool formerWorkers :1;
 } _WorkloadSnapshot__isset;
 
 class WorkloadSnapshot : public virtual ::apache::thrift::TBase {
@@ -2189,6 +2202,7 @@
   std::vector<std::string>  endedOrder;
   std::vector<WorkerRecord>  workers;
   std::vector<WaveRecord>  waves;
+  std::vector<WorkerRecord>  formerWorkers;
 
   _WorkloadSnapshot__isset __isset;
 
@@ -2208,6 +2222,8 @@
 
   void __set_waves(const std::vector<WaveRecord> & val);
 
+  void __set_formerWorkers(const std::vector<WorkerRecord> & val);
+
   bool operator == (const WorkloadSnapshot & rhs) const
   {
     if (!(appliedIndex == rhs.appliedIndex))
@@ -2226,6 +2242,8 @@
       return false;
     if (!(waves == rhs.waves))
       return false;
+    if (!(formerWorkers == rhs.formerWorkers))
+      return false;
     return true;
   }
   bool operator != (const WorkloadSnapshot &rhs) const {
@@ -2591,10 +2609,11 @@
 std::ostream& operator<<(std::ostream& out, const RegisterWorker& obj);
 
 typedef struct _LoseWorker__isset {
-  _LoseWorker__isset() : life(false), reason(false), lastKnown(false) {}
+  _LoseWorker__isset() : life(false), reason(false), lastKnown(false), keep(false) {}
   bool life :1;
   bool reason :1;
   bool lastKnown :1;
+  bool keep :1;
 } _LoseWorker__isset;
 
 class LoseWorker : public virtual ::apache::thrift::TBase {
@@ -2612,6 +2631,7 @@
   WorkerLife life;
   std::string reason;
   std::vector<RunStatus>  lastKnown;
+  std::vector<RunName>  keep;
 
   _LoseWorker__isset __isset;
 
@@ -2621,6 +2641,8 @@
 
   void __set_lastKnown(const std::vector<RunStatus> & val);
 
+  void __set_keep(const std::vector<RunName> & val);
+
   bool operator == (const LoseWorker & rhs) const
   {
     if (!(life == rhs.life))
@@ -2629,6 +2651,8 @@
       return false;
     if (!(lastKnown == rhs.lastKnown))
       return false;
+    if (!(keep == rhs.keep))
+      return false;
     return true;
   }
   bool operator != (const LoseWorker &rhs) const {
--- a/include/anvil/dispatch/WorkerSessions.h
+++ b/include/anvil/dispatch/WorkerSessions.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -117,13 +118,19 @@
     TimePoint m_HeardAt;
   };
 
-  using LifeKey = std::pair<std::string, int64_t>;
+  using LifeKey = workload::WorkloadState::LifeKey;
   static LifeKey keyOf(const wire::WorkerLife &Life) {
     return {Life.id, Life.bornMs};
   }
 
   void proposeRegistration(Session &Of, const workload::WorkloadState &State,
                            std::vector<wire::WorkloadCommand> &Commands);
+  void proposeLoss(const wire::WorkerLife &Life, std::string_view Reason,
+                   const std::vector<wire::RunName> &Keep,
+                   std::vector<wire::WorkloadCommand> &Commands);
+  void proposeFormerLosses(const Session &Of,
+                           const workload::WorkloadState &State,
+                           std::vector<wire::WorkloadCommand> &Commands);
   void proposeEnds(Session &Of, std::vector<wire::WorkloadCommand> &Commands);
   wire::WorkerSyncReply makeReply(const Session &Of,
                                   const workload::WorkloadState &State) const;
@@ -134,13 +141,17 @@
                  const workload::WorkloadState &State,
                  wire::WorkerSyncReply &Reply) const;
   void forgetSilent(TimePoint Now);
+  /// Longest time for which a lease that was granted may last.
+  Duration leaseSpan() const;
   TimePoint leaseOver(const std::string &WorkerId) const;
 
   SessionOptions m_Options;
   std::map<std::string, Session> m_Sessions; ///< By agent.
   std::map<LifeKey, LiveWorker> m_Live;
   std::map<std::string, TimePoint> m_LastGrant; ///< By worker id.
-  std::map<std::string, bool> m_LossProposed;   ///< By worker id.
+  std::set<LifeKey> m_LossProposed;
+  /// Since when a former life is known under this leadership.
+  std::map<LifeKey, TimePoint> m_FormerSince;
   TimePoint m_LeadingSince;
 };
 
--- a/include/anvil/workload/WorkloadState.h
+++ b/include/anvil/workload/WorkloadState.h
@@ -102,6 +102,9 @@
 /// Not thread safe.
 class WorkloadState {
 public:
+  /// Orders lives by id and birth.
+  using LifeKey = std::pair<std::string, int64_t>;
+
   WorkloadState();
   explicit WorkloadState(WorkloadLimits Limits);
 
@@ -147,6 +150,12 @@
     return m_Workers;
   }
 
+  /// Returns the former lives of workers whose runs are not known to be over:
+  /// a late order may start one of them in the life that took their place.
+  const std::map<LifeKey, wire::WorkerRecord> &formerWorkers() const {
+    return m_FormerWorkers;
+  }
+
   /// Returns the worker if \p Life is its registered life, or null.
   const wire::WorkerRecord *worker(const wire::WorkerLife &Life) const;
 
@@ -210,8 +219,14 @@
   void setPhase(wire::JobRecord &Job, wire::JobPhase::type Phase,
                 const std::string &Reason);
   void retireIfOver(wire::JobRecord &Job);
-  void loseLife(const wire::WorkerLife &Life, const std::string &Reason,
-                const std::vector<wire::RunStatus> &LastKnown);
+  void endRunsOf(const wire::WorkerLife &Life, const wire::LoseWorker &Command);
+  void retireLife(const wire::WorkerLife &Life,
+                  const wire::WorkerLife &Successor, const std::string &Reason);
+  bool speaksFor(const wire::WorkerLife &Life,
+                 const wire::WorkerLife &Former) const;
+  static LifeKey keyOf(const wire::WorkerLife &Life) {
+    return {Life.id, Life.bornMs};
+  }
   void indexJob(const wire::JobRecord &Job);
   void emit(const WorkloadEvent &Event) const;
 
@@ -224,11 +239,12 @@
   std::map<std::string, wire::JobRecord, std::less<>> m_Jobs;
   std::vector<std::string> m_EndedOrder;
   std::map<std::string, wire::WorkerRecord> m_Workers;
+  std::map<LifeKey, wire::WorkerRecord> m_FormerWorkers;
   std::map<int64_t, wire::WaveRecord> m_Waves;
   // Derived from the members above.
   std::map<int64_t, std::string> m_LiveJobs;
   std::map<std::string, int64_t> m_Pending;
-  std::map<std::string, std::set<TaskKey>> m_RunsByWorker;
+  std::map<LifeKey, std::set<TaskKey>> m_RunsByLife;
   int64_t m_PayloadBytes = 0;
 };
 
--- a/proto/workload.thrift
+++ b/proto/workload.thrift
@@ -81,6 +81,8 @@
   6: i64 runningMs              // since the worker first listed it
 }
 
+struct RunName { 1: TaskRef task, 2: i64 run }
+
 struct WorkerSyncRequest {
   1: string agent,              // random, one for each life of the agent
   2: i64 sequence,
@@ -94,7 +96,8 @@
   10: WorkerLife gone,          // life that is known to be over
   11: string availabilityZone,  // of the agent
   12: bool listed,              // runs was read from the worker under fencingToken
-  13: i64 silentMs              // since the worker last answered a call
+  13: i64 silentMs,             // since the worker last answered a call
+  14: list<RunName> unanswered  // orders to the life that is gone which got no answer
 }
 
 struct RunOrder {
@@ -104,8 +107,6 @@
   4: string checkpoint
 }
 
-struct RunName { 1: TaskRef task, 2: i64 run }
-
 struct ReplicaAddress { 1: i64 id, 2: string address, 3: string availabilityZone }
 
 struct GroupView { 1: list<ReplicaAddress> replicas, 2: i64 leader, 3: i64 term }
@@ -185,7 +186,8 @@
   1: WorkerFacts facts,
   2: string agent,
   3: i64 fencingToken,
-  4: Amounts used
+  4: Amounts used,
+  5: WorkerLife successor       // of a former life: the life that took its place; empty if there is none so far
 }
 
 struct WaveRecord {
@@ -200,7 +202,8 @@
   5: list<JobRecord> jobs,
   6: list<string> endedOrder,   // ids of finished jobs, oldest first
   7: list<WorkerRecord> workers,
-  8: list<WaveRecord> waves
+  8: list<WaveRecord> waves,
+  9: list<WorkerRecord> formerWorkers
 }
 
 // ---- commands of the replicated workload state ----
@@ -212,7 +215,8 @@
 struct SubmitWorkload { 1: string jobId, 2: string queue, 3: string workspace, 4: WorkloadSpec spec }
 struct CancelWorkload { 1: string jobId }
 struct RegisterWorker { 1: WorkerFacts facts, 2: string agent }
-struct LoseWorker { 1: WorkerLife life, 2: string reason, 3: list<RunStatus> lastKnown }
+// Runs in keep stay with the life, since a late order may still start them in a later life of the worker.
+struct LoseWorker { 1: WorkerLife life, 2: string reason, 3: list<RunStatus> lastKnown, 4: list<RunName> keep }
 struct RunPlacement { 1: i32 index, 2: WorkerLife worker }
 // Starts one run of a whole gang, or runs of independent tasks of one step.
 struct StartRuns {
--- a/src/dispatch/WorkerSessions.cpp
+++ b/src/dispatch/WorkerSessions.cpp
@@ -9,18 +9,6 @@
 
 namespace {
 
-wire::WorkloadCommand loseCommand(const wire::WorkerLife &Life,
-                                  std::string_view Reason,
-                                  std::vector<wire::RunStatus> LastKnown) {
-  wire::LoseWorker Lose;
-  Lose.life = Life;
-  Lose.reason = std::string(Reason);
-  Lose.lastKnown = std::move(LastKnown);
-  wire::WorkloadCommand Command;
-  Command.__set_loseWorker(Lose);
-  return Command;
-}
-
 wire::RunName runName(const wire::TaskRef &Task, int64_t Run) {
   wire::RunName Name;
   Name.task = Task;
@@ -43,6 +31,7 @@
   m_Live.clear();
   m_LastGrant.clear();
   m_LossProposed.clear();
+  m_FormerSince.clear();
   m_LeadingSince = Now;
 }
 
@@ -58,18 +47,15 @@
   Of.m_HighestSequence = Request.sequence;
   Of.m_Latest = Request;
   noteLive(Request, Now);
-  if (!Request.gone.id.empty() && State.worker(Request.gone) &&
-      !m_LossProposed[Request.gone.id]) {
-    m_LossProposed[Request.gone.id] = true;
-    const LiveWorker *Last = live(Request.gone);
-    Commands.push_back(
-        loseCommand(Request.gone, "its agent saw that it ended",
-                    Last ? Last->m_Runs : std::vector<wire::RunStatus>()));
-  }
-  if (!Request.facts.life.id.empty()) {
-    proposeRegistration(Of, State, Commands);
-    proposeEnds(Of, Commands);
+  if (Request.facts.life.id.empty()) {
+    if (!Request.gone.id.empty() && State.worker(Request.gone))
+      proposeLoss(Request.gone, "its agent saw that it ended",
+                  Request.unanswered, Commands);
+    return Commands;
   }
+  proposeRegistration(Of, State, Commands);
+  proposeEnds(Of, Commands);
+  proposeFormerLosses(Of, State, Commands);
   return Commands;
 }
 
@@ -88,6 +74,53 @@
     Live.m_Runs = Request.runs;
 }
 
+void WorkerSessions::proposeLoss(const wire::WorkerLife &Life,
+                                 std::string_view Reason,
+                                 const std::vector<wire::RunName> &Keep,
+                                 std::vector<wire::WorkloadCommand> &Commands) {
+  if (!m_LossProposed.insert(keyOf(Life)).second)
+    return;
+  const LiveWorker *Last = live(Life);
+  wire::LoseWorker Lose;
+  Lose.life = Life;
+  Lose.reason = std::string(Reason);
+  Lose.keep = Keep;
+  if (Last)
+    Lose.lastKnown = Last->m_Runs;
+  wire::WorkloadCommand Command;
+  Command.__set_loseWorker(Lose);
+  Commands.push_back(std::move(Command));
+}
+
+// A run of a former life is over once its successor was fenced and does not
+// list it: no order of the former life has an effect there any more.
+void WorkerSessions::proposeFormerLosses(
+    const Session &Of, const workload::WorkloadState &State,
+    std::vector<wire::WorkloadCommand> &Commands) {
+  const wire::WorkerSyncRequest &Request = Of.m_Latest;
+  const wire::WorkerRecord *Known = State.worker(Request.facts.life);
+  if (!Request.listed || !Known || Known->fencingToken != Request.fencingToken)
+    return;
+  for (const auto &[Key, Former] : State.formerWorkers()) {
+    if (!(Former.successor == Request.facts.life))
+      continue;
+    const std::vector<workload::WantedRun> Wanted =
+        State.wantedRuns(Former.facts.life);
+    std::vector<wire::RunName> Keep;
+    for (const workload::WantedRun &Each : Wanted) {
+      const auto Is = [&](const auto &Named) {
+        return Named.task == Each.m_Task && Named.run == Each.m_Run;
+      };
+      if (std::any_of(Request.runs.begin(), Request.runs.end(), Is) ||
+          std::any_of(Request.ends.begin(), Request.ends.end(), Is))
+        Keep.push_back(runName(Each.m_Task, Each.m_Run));
+    }
+    if (Keep.size() < Wanted.size())
+      proposeLoss(Former.facts.life, "its successor does not run it", Keep,
+                  Commands);
+  }
+}
+
 // A life that is not registered, or that another life of the agent registered,
 // gets a new fencing token.
 void WorkerSessions::proposeRegistration(
@@ -131,8 +164,8 @@
 void WorkerSessions::commandDone(const wire::WorkloadCommand &Command,
                                  bool Committed) {
   if (Command.__isset.loseWorker) {
-    m_LossProposed.erase(Command.loseWorker.life.id);
-    if (Committed)
+    m_LossProposed.erase(keyOf(Command.loseWorker.life));
+    if (Committed && Command.loseWorker.keep.empty())
       m_Live.erase(keyOf(Command.loseWorker.life));
     return;
   }
@@ -298,23 +331,31 @@
   const auto It = m_LastGrant.find(WorkerId);
   const TimePoint Granted =
       It == m_LastGrant.end() ? m_LeadingSince : It->second;
-  const auto Span = std::chrono::duration_cast<Duration>(
-      m_Options.m_LeaseSpan * (1 + m_Options.m_ClockError));
-  return Granted + Span + m_Options.m_LossSlack;
+  return Granted + leaseSpan();
+}
+
+Duration WorkerSessions::leaseSpan() const {
+  return std::chrono::duration_cast<Duration>(m_Options.m_LeaseSpan *
+                                              (1 + m_Options.m_ClockError)) +
+         m_Options.m_LossSlack;
 }
 
 std::vector<wire::WorkloadCommand>
 WorkerSessions::losses(const workload::WorkloadState &State, TimePoint Now) {
   std::vector<wire::WorkloadCommand> Commands;
-  for (const auto &[Id, Worker] : State.workers()) {
-    if (Now < leaseOver(Id) || m_LossProposed[Id])
-      continue;
-    m_LossProposed[Id] = true;
-    const LiveWorker *Last = live(Worker.facts.life);
-    Commands.push_back(
-        loseCommand(Worker.facts.life, "its last lease is over",
-                    Last ? Last->m_Runs : std::vector<wire::RunStatus>()));
+  for (const auto &[Id, Worker] : State.workers())
+    if (Now >= leaseOver(Id))
+      proposeLoss(Worker.facts.life, "its last lease is over", {}, Commands);
+  // The successor of a former life may never come, so its runs are given up
+  // after the same time.
+  for (const auto &[Key, Former] : State.formerWorkers()) {
+    const TimePoint Since = m_FormerSince.emplace(Key, Now).first->second;
+    if (Now >= Since + leaseSpan())
+      proposeLoss(Former.facts.life, "no successor spoke for it", {}, Commands);
   }
+  for (auto It = m_FormerSince.begin(); It != m_FormerSince.end();)
+    It = State.formerWorkers().contains(It->first) ? std::next(It)
+                                                   : m_FormerSince.erase(It);
   return Commands;
 }
 
--- a/src/runner/RunnerImpl.h
+++ b/src/runner/RunnerImpl.h
@@ -124,9 +124,13 @@
   wire::WorkerFacts m_Facts;
   std::optional<wire::WorkerFacts> m_Candidate; ///< Being probed.
   wire::WorkerLife m_Gone; ///< Life that is over, until the leader knows.
+  /// Orders to it that got no answer.
+  std::vector<wire::RunName> m_GoneUnanswered;
   bool m_Draining = false;
   TimePoint m_LeavesAt;
   int64_t m_Token = 0;
+  /// Highest token that any call carried in this life of the agent.
+  int64_t m_HighestToken = 0;
 
   int64_t m_ClockMs = 0; ///< Clock of the worker at m_ClockAt.
   TimePoint m_ClockAt;
--- a/src/runner/RunnerSync.cpp
+++ b/src/runner/RunnerSync.cpp
@@ -36,6 +36,8 @@
     m_SyncSent.erase(m_SyncSent.begin());
   m_SyncsOutstanding.insert(Request.sequence);
   Request.gone = m_Gone;
+  if (!m_Gone.id.empty())
+    Request.unanswered = m_GoneUnanswered;
   Request.firstEnd = m_FirstEnd;
   for (const PendingEnd &End : m_Ends)
     Request.ends.push_back(End.m_End);
@@ -110,6 +112,7 @@
   if (m_Phase != Phase::Registering && Reply.fencingToken == m_Token)
     return;
   m_Token = Reply.fencingToken;
+  m_HighestToken = std::max(m_HighestToken, m_Token);
   fence();
 }
 
--- a/src/runner/RunnerWorker.cpp
+++ b/src/runner/RunnerWorker.cpp
@@ -43,6 +43,10 @@
   HoldCall Hold;
   Hold.m_Call = open(Call);
   Hold.m_Life = Facts.life;
+  // A token above those of all orders to the former life, so that a late one
+  // has no effect in this life.
+  if (m_HighestToken > 0)
+    Hold.m_FencingToken = ++m_HighestToken;
   m_Actions.push_back(Hold);
 }
 
@@ -90,6 +94,14 @@
 void Runner::Impl::loseWorker(std::string_view Why) {
   note("worker-gone", Why);
   m_Gone = m_Facts.life;
+  m_GoneUnanswered.clear();
+  for (const auto &[Key, Run] : m_Runs)
+    if (Run.m_Unanswered || Run.m_CallOutstanding) {
+      wire::RunName Name;
+      Name.task = Run.m_Order.task;
+      Name.run = Run.m_Order.run;
+      m_GoneUnanswered.push_back(std::move(Name));
+    }
   m_Phase = Phase::NoWorker;
   m_Token = 0;
   m_Draining = false;
--- a/src/workload/WorkloadRuns.cpp
+++ b/src/workload/WorkloadRuns.cpp
@@ -85,8 +85,8 @@
     if (Step.maxTasksPerWorker == 0)
       continue;
     int32_t There = Count;
-    const auto Runs = m_RunsByWorker.find(Id);
-    if (Runs != m_RunsByWorker.end())
+    const auto Runs = m_RunsByLife.find(keyOf(Worker.facts.life));
+    if (Runs != m_RunsByLife.end())
       There += static_cast<int32_t>(std::count_if(
           Runs->second.begin(), Runs->second.end(), [&](const TaskKey &Key) {
             return std::get<0>(Key) == Command.jobId &&
@@ -142,8 +142,8 @@
   ++Job.activeRuns;
   const wire::StepSpec &Spec = Job.spec.steps[static_cast<size_t>(Ref.step)];
   add(m_Workers.at(Life.id).used, countedAmounts(Spec));
-  m_RunsByWorker[Life.id].emplace(Ref.jobId, Ref.occurrence, Ref.step,
-                                  Ref.index);
+  m_RunsByLife[keyOf(Life)].emplace(Ref.jobId, Ref.occurrence, Ref.step,
+                                    Ref.index);
   emit(RunPlaced{Ref, Run, Life, Reason});
 }
 
@@ -186,6 +186,14 @@
   return resultOf(wire::WorkloadStatus::OK);
 }
 
+// A late order may start a run in the life that took the place of the one it
+// was meant for, so that life may report its end.
+bool WorkloadState::speaksFor(const wire::WorkerLife &Life,
+                              const wire::WorkerLife &Former) const {
+  const auto It = m_FormerWorkers.find(keyOf(Former));
+  return It != m_FormerWorkers.end() && It->second.successor == Life;
+}
+
 // An end of a run that is not the present one of its task, or that another
 // worker reports, is late and changes nothing.
 void WorkloadState::endRun(const wire::RunEnd &End,
@@ -193,7 +201,7 @@
   wire::JobRecord *Job = findJob(End.task.jobId);
   wire::TaskRecord *Task = findTask(End.task);
   if (!Job || !Task || !isActive(*Task) || Task->run != End.run ||
-      !(Task->worker == Life))
+      (!(Task->worker == Life) && !speaksFor(Life, Task->worker)))
     return;
   const wire::StepSpec &Spec =
       Job->spec.steps[static_cast<size_t>(End.task.step)];
@@ -220,14 +228,15 @@
 void WorkloadState::releaseRun(wire::JobRecord &Job, const wire::TaskRef &Ref,
                                wire::TaskRecord &Task) {
   const auto StepIndex = static_cast<size_t>(Ref.step);
-  const auto Worker = m_Workers.find(Task.worker.id);
-  if (Worker != m_Workers.end())
-    subtract(Worker->second.used, countedAmounts(Job.spec.steps[StepIndex]));
-  const auto Runs = m_RunsByWorker.find(Task.worker.id);
-  if (Runs != m_RunsByWorker.end()) {
-    Runs->second.erase({Ref.jobId, Ref.occurrence, Ref.step, Ref.index});
-    if (Runs->second.empty())
-      m_RunsByWorker.erase(Runs);
+  const LifeKey Life = keyOf(Task.worker);
+  if (worker(Task.worker))
+    subtract(m_Workers.at(Life.first).used,
+             countedAmounts(Job.spec.steps[StepIndex]));
+  std::set<TaskKey> &Runs = m_RunsByLife[Life];
+  Runs.erase({Ref.jobId, Ref.occurrence, Ref.step, Ref.index});
+  if (Runs.empty()) {
+    m_RunsByLife.erase(Life);
+    m_FormerWorkers.erase(Life);
   }
   --Job.activeRuns;
   --Job.occurrences[Ref.occurrence].steps[StepIndex].active;
--- a/src/workload/WorkloadSnapshot.cpp
+++ b/src/workload/WorkloadSnapshot.cpp
@@ -21,6 +21,8 @@
   Out.endedOrder = m_EndedOrder;
   for (const auto &[Id, Worker] : m_Workers)
     Out.workers.push_back(Worker);
+  for (const auto &[Key, Worker] : m_FormerWorkers)
+    Out.formerWorkers.push_back(Worker);
   for (const auto &[Number, Wave] : m_Waves)
     Out.waves.push_back(Wave);
   return net::encodeStruct(Out);
@@ -43,6 +45,10 @@
     State.m_Replicas[Replica.id] = std::move(Replica);
   for (wire::WorkerRecord &Worker : In->workers)
     State.m_Workers[Worker.facts.life.id] = std::move(Worker);
+  for (wire::WorkerRecord &Worker : In->formerWorkers) {
+    const LifeKey Key = keyOf(Worker.facts.life);
+    State.m_FormerWorkers[Key] = std::move(Worker);
+  }
   for (wire::WaveRecord &Wave : In->waves)
     State.m_Waves[Wave.wave] = std::move(Wave);
   State.m_EndedOrder = std::move(In->endedOrder);
@@ -57,7 +63,7 @@
         for (size_t I = 0; I < Occurrence.steps[Step].tasks.size(); ++I) {
           const wire::TaskRecord &Task = Occurrence.steps[Step].tasks[I];
           if (isActive(Task))
-            State.m_RunsByWorker[Task.worker.id].emplace(
+            State.m_RunsByLife[keyOf(Task.worker)].emplace(
                 Id, Number, static_cast<int32_t>(Step),
                 static_cast<int32_t>(I));
         }
@@ -78,10 +84,12 @@
           StepActive += isActive(Task);
           if (!isActive(Task))
             continue;
-          if (!worker(Task.worker))
+          const bool Former = m_FormerWorkers.contains(keyOf(Task.worker));
+          if (!Former && !worker(Task.worker))
             return absl::StrCat("job ", Id, " runs on an unknown worker ",
                                 Task.worker.id);
-          add(Used[Task.worker.id], countedAmounts(Job.spec.steps[Step]));
+          if (!Former)
+            add(Used[Task.worker.id], countedAmounts(Job.spec.steps[Step]));
         }
         Active += StepActive;
         if (Done != Record.done || StepActive != Record.active)
--- a/src/workload/WorkloadState.cpp
+++ b/src/workload/WorkloadState.cpp
@@ -170,8 +170,8 @@
 std::vector<WantedRun>
 WorkloadState::wantedRuns(const wire::WorkerLife &Life) const {
   std::vector<WantedRun> Result;
-  const auto It = m_RunsByWorker.find(Life.id);
-  if (It == m_RunsByWorker.end() || !worker(Life))
+  const auto It = m_RunsByLife.find(keyOf(Life));
+  if (It == m_RunsByLife.end())
     return Result;
   for (const auto &[JobId, Occurrence, Step, Index] : It->second) {
     WantedRun Wanted;
--- a/src/workload/WorkloadWorkers.cpp
+++ b/src/workload/WorkloadWorkers.cpp
@@ -1,5 +1,7 @@
 #include "anvil/workload/WorkloadState.h"
 
+#include <algorithm>
+
 #include "absl/strings/str_cat.h"
 
 #include "Results.h"
@@ -8,22 +10,30 @@
 
 using internal::resultOf;
 
-// Beside an agent lives one worker at a time, so another life at the same
-// agent, or another life of the same worker, ends the former one.
+namespace {
+
+// Beside an agent lives one worker at a time, and an id names one worker.
+bool samePlace(const wire::WorkerFacts &Left, const wire::WorkerFacts &Right) {
+  return Left.agentAddress == Right.agentAddress ||
+         Left.life.id == Right.life.id;
+}
+
+} // namespace
+
 wire::WorkloadResult
 WorkloadState::applyRegisterWorker(const wire::RegisterWorker &Command) {
   const wire::WorkerFacts &Facts = Command.facts;
   if (Facts.life.id.empty())
     return resultOf(wire::WorkloadStatus::INVALID, "a worker needs an id");
   std::vector<wire::WorkerLife> Replaced;
-  for (const auto &[Id, Record] : m_Workers) {
-    const bool SameLife = Record.facts.life == Facts.life;
-    const bool SamePlace = Record.facts.agentAddress == Facts.agentAddress;
-    if (!SameLife && (Id == Facts.life.id || SamePlace))
+  for (const auto &[Id, Record] : m_Workers)
+    if (!(Record.facts.life == Facts.life) && samePlace(Record.facts, Facts))
       Replaced.push_back(Record.facts.life);
-  }
   for (const wire::WorkerLife &Life : Replaced)
-    loseLife(Life, "another life of the worker registered", {});
+    retireLife(Life, Facts.life, "another life of the worker registered");
+  for (auto &[Key, Former] : m_FormerWorkers)
+    if (samePlace(Former.facts, Facts))
+      Former.successor = Facts.life;
 
   wire::WorkerRecord &Record = m_Workers[Facts.life.id];
   Record.facts = Facts;
@@ -38,27 +48,46 @@
 
 wire::WorkloadResult
 WorkloadState::applyLoseWorker(const wire::LoseWorker &Command) {
-  if (!worker(Command.life))
+  const bool Registered = worker(Command.life) != nullptr;
+  if (!Registered && !m_FormerWorkers.contains(keyOf(Command.life)))
     return resultOf(wire::WorkloadStatus::UNCHANGED);
-  loseLife(Command.life, Command.reason, Command.lastKnown);
+  endRunsOf(Command.life, Command);
+  if (Registered)
+    retireLife(Command.life, wire::WorkerLife(), Command.reason);
   return resultOf(wire::WorkloadStatus::OK);
 }
 
-void WorkloadState::loseLife(const wire::WorkerLife &Life,
-                             const std::string &Reason,
-                             const std::vector<wire::RunStatus> &LastKnown) {
+void WorkloadState::endRunsOf(const wire::WorkerLife &Life,
+                              const wire::LoseWorker &Command) {
   for (const WantedRun &Each : wantedRuns(Life)) {
+    const auto Is = [&](const auto &Named) {
+      return Named.task == Each.m_Task && Named.run == Each.m_Run;
+    };
+    if (std::any_of(Command.keep.begin(), Command.keep.end(), Is))
+      continue;
     wire::RunEnd End;
     End.task = Each.m_Task;
     End.run = Each.m_Run;
     End.kind = wire::RunEndKind::WORKER_LOST;
-    End.detail = Reason;
-    for (const wire::RunStatus &Status : LastKnown)
-      if (Status.task == End.task && Status.run == End.run)
-        End.checkpoint = Status.checkpoint;
+    End.detail = Command.reason;
+    const auto Known =
+        std::find_if(Command.lastKnown.begin(), Command.lastKnown.end(), Is);
+    if (Known != Command.lastKnown.end())
+      End.checkpoint = Known->checkpoint;
     endRun(End, Life);
   }
-  m_Workers.erase(Life.id);
+}
+
+// A life that still has runs is remembered until it is certain that none of
+// them can start any more.
+void WorkloadState::retireLife(const wire::WorkerLife &Life,
+                               const wire::WorkerLife &Successor,
+                               const std::string &Reason) {
+  auto Node = m_Workers.extract(Life.id);
+  if (m_RunsByLife.contains(keyOf(Life))) {
+    Node.mapped().successor = Successor;
+    m_FormerWorkers[keyOf(Life)] = std::move(Node.mapped());
+  }
   emit(WorkerChanged{Life, false, Reason});
 }
 
