--- /dev/null
+++ b/tests/dispatch/sim/World.cpp
@@ -0,0 +1,578 @@
+#include "World.h"
+
+#include <algorithm>
+
+#include "anvil/workload/Policy.h"
+
+namespace anvil::sim {
+
+using runner::CallAnswer;
+using runner::CallError;
+
+struct World::Agent {
+  std::unique_ptr<runner::Runner> m_Runner;
+  uint64_t m_Life = 0; ///< Counts restarts; callbacks of former lives are void.
+  bool m_Up = true;
+  bool m_Cut = false;
+  std::weak_ptr<Leader> m_StaleLeader;
+  uint64_t m_Timer = 0;
+  bool m_Draining = false;
+  TimePoint m_LeavesAt;
+  int64_t m_Announcements = 0;
+};
+
+struct World::Leader {
+  Leader(const WorldOptions &Options, uint64_t Term)
+      : m_Term(Term), m_Sessions(sessionOptions(Options)),
+        m_Dispatcher(dispatchOptions(Options)) {}
+
+  static dispatch::SessionOptions sessionOptions(const WorldOptions &Options) {
+    dispatch::SessionOptions Result;
+    Result.m_LeaseSpan = Options.m_LeaseSpan;
+    return Result;
+  }
+  static dispatch::DispatchOptions
+  dispatchOptions(const WorldOptions &Options) {
+    dispatch::DispatchOptions Result;
+    Result.m_RemotePenalty = Options.m_Rules.m_RemotePenalty;
+    return Result;
+  }
+
+  uint64_t m_Term;
+  bool m_Gone = false;
+  workload::WorkloadState m_State;
+  dispatch::WorkerSessions m_Sessions;
+  dispatch::Dispatcher m_Dispatcher;
+  int m_PlanInFlight = 0;
+  TimePoint m_NextConfirm;
+  std::map<std::pair<std::string, int64_t>,
+           std::function<void(wire::WorkerSyncReply)>>
+      m_Syncs;
+};
+
+double JobResult::earned(double SlackFactor, Duration Aim) const {
+  if (m_Phase != wire::JobPhase::COMPLETED &&
+      !(m_Plan->m_Hopeless && m_Phase == wire::JobPhase::FAILED))
+    return 0;
+  // Longest chain of work through the steps.
+  std::vector<Duration> Ends;
+  Duration Longest{0};
+  for (size_t Step = 0; Step < m_Plan->m_Spec.steps.size(); ++Step) {
+    Duration Begin{0};
+    for (const int32_t Earlier : m_Plan->m_Spec.steps[Step].dependsOn)
+      Begin = std::max(Begin, Ends[static_cast<size_t>(Earlier)]);
+    const auto &Work = m_Plan->m_Work[Step];
+    Ends.push_back(Begin + *std::max_element(Work.begin(), Work.end()));
+    Longest = std::max(Longest, Ends.back());
+  }
+  const auto Objective =
+      std::chrono::duration_cast<Duration>(Longest * SlackFactor) + Aim;
+  const Duration Took = m_EndedAt - m_SentAt;
+  if (Took <= Objective)
+    return 1;
+  return Took <= 3 * Objective ? m_Plan->m_LateWeight : 0;
+}
+
+World::World(WorldOptions Options, wire::PolicyDocument Policy,
+             std::vector<wire::WorkerFacts> Workers)
+    : m_Options(Options), m_Random(Options.m_Seed),
+      m_Workers(m_Queue, m_Random, Options.m_Rules, m_Truth),
+      m_Policy(std::move(Policy)) {
+  wire::PutPolicy Put;
+  Put.document = m_Policy;
+  wire::WorkloadCommand Command;
+  Command.__set_putPolicy(Put);
+  m_Log.push_back(Command);
+  for (wire::WorkerFacts &Facts : Workers) {
+    const size_t Index = m_Workers.size();
+    Facts.agentAddress = "agent-" + std::to_string(Index);
+    m_Workers.add(Facts, m_Random.between(0.98, 1.0));
+    m_Agents.push_back(std::make_unique<Agent>());
+    startAgent(Index);
+    announce(Index, true);
+  }
+  m_Leader = makeLeader();
+}
+
+World::~World() = default;
+
+// ---- leaders ----
+
+std::shared_ptr<World::Leader> World::makeLeader() {
+  auto Self = std::make_shared<Leader>(m_Options, ++m_Term);
+  for (size_t I = 0; I < m_Log.size(); ++I)
+    Self->m_State.apply(m_Log[I], static_cast<int64_t>(I + 1));
+  Self->m_State.setEventHook(
+      [this, Term = m_Term](const workload::WorkloadEvent &Event) {
+        traceEvent(Event, Term);
+      });
+  trace("leader of term " + std::to_string(m_Term));
+  Self->m_Sessions.reset(m_Queue.now());
+  m_Queue.after(Duration(0), [this, Self] { leaderTick(Self); });
+  return Self;
+}
+
+void World::traceEvent(const workload::WorkloadEvent &Event,
+                       uint64_t Term) const {
+  if (!m_Options.m_Trace)
+    return;
+  const std::string Who = "term " + std::to_string(Term) + " ";
+  const auto Run = [](const auto &Each) {
+    return workload::nameOf(Each.m_Task) + " run " +
+           std::to_string(Each.m_Run) + " on " + Each.m_Worker.id + " ";
+  };
+  if (const auto *Placed = std::get_if<workload::RunPlaced>(&Event))
+    trace(Who + "placed " + Run(*Placed));
+  else if (const auto *Stopping = std::get_if<workload::RunStopping>(&Event))
+    trace(Who + "stopping " + Run(*Stopping) + Stopping->m_Reason);
+  else if (const auto *Ended = std::get_if<workload::RunEnded>(&Event))
+    trace(Who + "ended " + Run(*Ended) +
+          std::string(workload::nameOf(Ended->m_Kind)) + " " + Ended->m_Detail);
+  else if (const auto *Worker = std::get_if<workload::WorkerChanged>(&Event))
+    trace(Who + (Worker->m_Registered ? "registered " : "lost ") +
+          Worker->m_Life.id + " born " + std::to_string(Worker->m_Life.bornMs) +
+          " " + Worker->m_Reason);
+  else if (const auto *Job = std::get_if<workload::JobChanged>(&Event))
+    trace(Who + "job " + Job->m_Job + " " +
+          std::string(workload::nameOf(Job->m_Phase)) + " " + Job->m_Reason);
+}
+
+void World::leaderTick(const std::shared_ptr<Leader> &Self) {
+  if (Self->m_Gone)
+    return;
+  for (const wire::WorkloadCommand &Command :
+       Self->m_Sessions.losses(Self->m_State, m_Queue.now()))
+    propose(Self, Command,
+            [Self, Command](bool Committed, const wire::WorkloadResult &) {
+              Self->m_Sessions.commandDone(Command, Committed);
+            });
+  planIfIdle(Self);
+  confirm(Self);
+  for (dispatch::WorkerSessions::Answer &Each :
+       Self->m_Sessions.poll(Self->m_State, m_Queue.now())) {
+    auto Node = Self->m_Syncs.extract({Each.m_Agent, Each.m_Sequence});
+    if (!Node.empty())
+      Node.mapped()(Each.m_Reply);
+  }
+  if (Self->m_Term == m_Term)
+    watchJobs(*Self);
+  if (m_StateViolation.empty())
+    m_StateViolation = Self->m_State.findViolation();
+  m_Queue.after(std::chrono::milliseconds(10),
+                [this, Self] { leaderTick(Self); });
+}
+
+void World::propose(
+    const std::shared_ptr<Leader> &Self, const wire::WorkloadCommand &Command,
+    std::function<void(bool, const wire::WorkloadResult &)> Done) {
+  m_Queue.after(m_Options.m_CommitDelay, [this, Self, Command, Done] {
+    if (Self->m_Gone)
+      return;
+    if (Self->m_Term != m_Term) {
+      Done(false, {});
+      return;
+    }
+    m_Log.push_back(Command);
+    Done(true,
+         Self->m_State.apply(Command, static_cast<int64_t>(m_Log.size())));
+  });
+}
+
+void World::planIfIdle(const std::shared_ptr<Leader> &Self) {
+  if (Self->m_PlanInFlight > 0)
+    return;
+  for (const wire::WorkloadCommand &Command : Self->m_Dispatcher.plan(
+           Self->m_State, Self->m_Sessions, m_Queue.now())) {
+    ++Self->m_PlanInFlight;
+    propose(Self, Command, [Self](bool, const wire::WorkloadResult &) {
+      --Self->m_PlanInFlight;
+    });
+  }
+}
+
+void World::confirm(const std::shared_ptr<Leader> &Self) {
+  if (m_Queue.now() < Self->m_NextConfirm)
+    return;
+  Self->m_NextConfirm = m_Queue.now() + std::chrono::milliseconds(100);
+  Self->m_Sessions.beginConfirm();
+  m_Queue.after(std::chrono::milliseconds(4), [this, Self] {
+    if (!Self->m_Gone && Self->m_Term == m_Term)
+      Self->m_Sessions.confirm();
+  });
+}
+
+void World::loseLeader(Duration Gap, bool Stale, Duration StaleFor) {
+  const std::shared_ptr<Leader> Old = std::exchange(m_Leader, nullptr);
+  if (!Old)
+    return;
+  trace(Stale ? "leader deposed, still answers" : "leader lost");
+  ++m_Term;
+  if (Stale) {
+    for (auto &Each : m_Agents)
+      if (m_Random.chance(0.5))
+        Each->m_StaleLeader = Old;
+    m_Queue.after(StaleFor, [Old] { Old->m_Gone = true; });
+  } else {
+    Old->m_Gone = true;
+  }
+  m_Queue.after(Gap, [this, Old] {
+    if (!m_Leader)
+      m_Leader = makeLeader();
+  });
+}
+
+std::shared_ptr<World::Leader> World::leaderOf(size_t Index) {
+  if (m_Agents[Index]->m_Cut)
+    return nullptr;
+  if (std::shared_ptr<Leader> Stale = m_Agents[Index]->m_StaleLeader.lock();
+      Stale && !Stale->m_Gone)
+    return Stale;
+  return m_Leader;
+}
+
+// ---- agents ----
+
+void World::startAgent(size_t Index) {
+  Agent &Of = *m_Agents[Index];
+  runner::RunnerOptions Options;
+  Options.m_Agent =
+      "agent-" + std::to_string(Index) + "-" + std::to_string(++Of.m_Life);
+  Options.m_Address = "agent-" + std::to_string(Index);
+  Options.m_LeaseSpan = m_Options.m_LeaseSpan;
+  Options.m_MaxWorkerLease = m_Options.m_Rules.m_MaxLease;
+  Options.m_StopTime = m_Options.m_Rules.m_StopTime;
+  Of.m_Runner = *runner::Runner::create(std::move(Options));
+  Of.m_Up = true;
+  armAgent(Index);
+}
+
+void World::stepAgent(size_t Index, const runner::Event &Event) {
+  Agent &Of = *m_Agents[Index];
+  if (!Of.m_Up)
+    return;
+  for (const runner::Action &Action : Of.m_Runner->step(Event, m_Queue.now()))
+    carryOut(Index, Action);
+  armAgent(Index);
+}
+
+void World::armAgent(size_t Index) {
+  Agent &Of = *m_Agents[Index];
+  const uint64_t Timer = ++Of.m_Timer;
+  m_Queue.at(Of.m_Runner->nextDeadline(m_Queue.now()), [this, Index, Timer] {
+    if (m_Agents[Index]->m_Timer == Timer)
+      stepAgent(Index, runner::Tick{});
+  });
+}
+
+void World::carryOut(size_t Index, const runner::Action &Action) {
+  if (const auto *Hold = std::get_if<runner::HoldCall>(&Action))
+    holdWorker(Index, *Hold);
+  else if (const auto *Start = std::get_if<runner::StartCall>(&Action))
+    callWorker(Index, *Start,
+               [Call = *Start](SimWorker &At) { return At.start(Call); });
+  else if (const auto *Stop = std::get_if<runner::StopCall>(&Action))
+    callWorker(Index, *Stop,
+               [Call = *Stop](SimWorker &At) { return At.stop(Call); });
+  else if (const auto *Sync = std::get_if<runner::SendSync>(&Action))
+    sendSync(Index, Sync->m_Request);
+  else if (const auto *Note = std::get_if<runner::Note>(&Action))
+    trace("agent " + std::to_string(Index) + " " + Note->m_What + " " +
+          Note->m_Task + " run " + std::to_string(Note->m_Run) + " " +
+          Note->m_Detail);
+}
+
+void World::deliver(size_t Index, uint64_t Life, CallAnswer Answer) {
+  if (m_Agents[Index]->m_Life == Life)
+    stepAgent(Index, Answer);
+}
+
+void World::holdWorker(size_t Index, const runner::HoldCall &Call) {
+  const uint64_t Life = m_Agents[Index]->m_Life;
+  const auto Answered = std::make_shared<bool>(false);
+  const auto Reply = [this, Index, Life, Answered](CallAnswer Answer) {
+    if (std::exchange(*Answered, true))
+      return;
+    m_Queue.after(m_Options.m_CallDelay, [this, Index, Life, Answer] {
+      deliver(Index, Life, Answer);
+    });
+  };
+  const bool Lost = m_Random.chance(m_Options.m_AnswerLossShare);
+  m_Queue.after(m_Options.m_CallDelay, [this, Index, Call, Reply, Lost] {
+    SimWorker &At = m_Workers.at(Index);
+    if (!At.up()) {
+      CallAnswer Answer;
+      Answer.m_Call = Call.m_Call;
+      Answer.m_Error = CallError::Unreachable;
+      Reply(Answer);
+      return;
+    }
+    At.hold(Call, [Reply, Lost](const CallAnswer &Answer) {
+      if (!Lost)
+        Reply(Answer);
+    });
+  });
+  m_Queue.after(Call.m_Wait + m_Options.m_CallTimeout, [Reply, Call] {
+    CallAnswer Answer;
+    Answer.m_Call = Call.m_Call;
+    Answer.m_Error = CallError::NoAnswer;
+    Reply(Answer);
+  });
+}
+
+template <typename Call>
+void World::callWorker(size_t Index, const Call &Request,
+                       std::function<CallAnswer(SimWorker &)> Execute) {
+  const uint64_t Life = m_Agents[Index]->m_Life;
+  CallAnswer None;
+  None.m_Call = Request.m_Call;
+  None.m_Error = CallError::NoAnswer;
+  if (m_Random.chance(m_Options.m_LateShare)) {
+    const Duration Late = m_Random.between(std::chrono::milliseconds(2000),
+                                           std::chrono::milliseconds(12000));
+    const int64_t Born = m_Workers.at(Index).facts().life.bornMs;
+    m_Queue.after(Late, [this, Index, Life, Born, Execute] {
+      SimWorker &At = m_Workers.at(Index);
+      // An order of a former agent to a former life, which nobody was there to
+      // fence, is outside of what the system can prevent.
+      const bool Unfenceable =
+          At.facts().life.bornMs != Born && m_Agents[Index]->m_Life != Life;
+      if (At.up() && !Unfenceable)
+        Execute(At);
+    });
+    m_Queue.after(m_Options.m_CallTimeout,
+                  [this, Index, Life, None] { deliver(Index, Life, None); });
+    return;
+  }
+  const bool Lost = m_Random.chance(m_Options.m_AnswerLossShare);
+  m_Queue.after(m_Options.m_CallDelay, [=, this] {
+    SimWorker &At = m_Workers.at(Index);
+    CallAnswer Answer = None;
+    Answer.m_Error = CallError::Unreachable;
+    if (At.up())
+      Answer = Execute(At);
+    if (Lost)
+      Answer = None;
+    m_Queue.after(
+        Lost ? m_Options.m_CallTimeout : m_Options.m_CallDelay,
+        [this, Index, Life, Answer] { deliver(Index, Life, Answer); });
+  });
+}
+
+void World::sendSync(size_t Index, const wire::WorkerSyncRequest &Request) {
+  const uint64_t Life = m_Agents[Index]->m_Life;
+  const auto Answered = std::make_shared<bool>(false);
+  const int64_t Sequence = Request.sequence;
+  const auto Fail = [this, Index, Life, Sequence, Answered] {
+    if (!std::exchange(*Answered, true) && m_Agents[Index]->m_Life == Life)
+      stepAgent(Index, runner::SyncFailed{Sequence});
+  };
+  m_Queue.after(std::chrono::milliseconds(1200), Fail);
+  if (m_Random.chance(m_Options.m_LossShare))
+    return;
+  m_Queue.after(m_Options.m_NetDelay, [=, this] {
+    const std::shared_ptr<Leader> To = leaderOf(Index);
+    if (!To) {
+      // No process that answers names a leader.
+      m_Queue.after(std::chrono::milliseconds(50), Fail);
+      return;
+    }
+    To->m_Syncs[{Request.agent, Sequence}] =
+        [=, this](const wire::WorkerSyncReply &Reply) {
+          if (m_Random.chance(m_Options.m_LossShare))
+            return;
+          m_Queue.after(m_Options.m_NetDelay, [=, this] {
+            if (m_Agents[Index]->m_Cut || m_Agents[Index]->m_Life != Life ||
+                std::exchange(*Answered, true))
+              return;
+            stepAgent(Index, runner::SyncAnswered{Sequence, Reply});
+          });
+        };
+    for (const wire::WorkloadCommand &Command :
+         To->m_Sessions.receive(Request, To->m_State, m_Queue.now()))
+      propose(To, Command,
+              [To, Command](bool Committed, const wire::WorkloadResult &) {
+                To->m_Sessions.commandDone(Command, Committed);
+              });
+  });
+}
+
+void World::announce(size_t Index, bool Repeat) {
+  SimWorker &At = m_Workers.at(Index);
+  Agent &Of = *m_Agents[Index];
+  if (At.up()) {
+    runner::WorkerAnnounced Announced;
+    Announced.m_Facts = At.facts();
+    Announced.m_Draining = Of.m_Draining;
+    Announced.m_Remaining =
+        std::max<Duration>(Duration(0), Of.m_LeavesAt - m_Queue.now());
+    Announced.m_Sequence = ++Of.m_Announcements;
+    stepAgent(Index, Announced);
+  }
+  if (Repeat)
+    m_Queue.after(m_Options.m_AnnounceInterval,
+                  [this, Index] { announce(Index, true); });
+}
+
+// ---- faults ----
+
+void World::crashWorker(size_t Index, Duration Down, bool SameId) {
+  SimWorker &At = m_Workers.at(Index);
+  if (!At.up())
+    return;
+  trace("worker " + std::to_string(Index) + " crashes");
+  At.crash();
+  m_Queue.after(Down, [this, Index, SameId] {
+    std::optional<std::string> NewId;
+    if (!SameId)
+      NewId = "w" + std::to_string(m_Random.below(1'000'000'000));
+    m_Agents[Index]->m_Draining = false;
+    m_Workers.at(Index).revive(NewId);
+    trace("worker " + std::to_string(Index) + " lives as " +
+          m_Workers.at(Index).facts().life.id);
+    announce(Index, false);
+  });
+}
+
+void World::killAgent(size_t Index, Duration Down) {
+  if (!std::exchange(m_Agents[Index]->m_Up, false))
+    return;
+  trace("agent " + std::to_string(Index) + " killed");
+  ++m_Agents[Index]->m_Life;
+  m_Queue.after(Down, [this, Index] { startAgent(Index); });
+}
+
+void World::cutAgent(size_t Index, Duration Span) {
+  trace("agent " + std::to_string(Index) + " cut off");
+  m_Agents[Index]->m_Cut = true;
+  m_Queue.after(Span, [this, Index] { m_Agents[Index]->m_Cut = false; });
+}
+
+void World::drainWorker(size_t Index, Duration Remaining) {
+  m_Agents[Index]->m_Draining = true;
+  m_Agents[Index]->m_LeavesAt = m_Queue.now() + Remaining;
+  announce(Index, false);
+  m_Queue.after(Remaining, [this, Index] {
+    crashWorker(Index, std::chrono::seconds(4), false);
+  });
+}
+
+void World::withdrawZone(const std::string &Zone, bool Withdrawn) {
+  if (!m_Leader)
+    return;
+  wire::SetZone Set;
+  Set.availabilityZone = Zone;
+  Set.withdrawn = Withdrawn;
+  wire::WorkloadCommand Command;
+  Command.__set_setZone(Set);
+  propose(m_Leader, Command, [](bool, const wire::WorkloadResult &) {});
+}
+
+// ---- callers ----
+
+void World::add(JobPlan Plan) {
+  m_Plans.push_back(std::move(Plan));
+  const JobPlan &Stored = m_Plans.back();
+  m_Workers.know(Stored);
+  JobResult Result;
+  Result.m_Plan = &Stored;
+  Result.m_SentAt = m_Queue.now() + Stored.m_At;
+  m_Results.push_back(Result);
+  JobResult &Kept = m_Results.back();
+  m_ByJob[Stored.m_Id] = &Kept;
+  m_Queue.after(Stored.m_At, [this, &Kept] { submit(Kept); });
+  if (Stored.m_CancelAfter > Duration(0))
+    m_Queue.after(Stored.m_At + Stored.m_CancelAfter,
+                  [this, &Stored] { cancel(Stored); });
+}
+
+void World::submit(JobResult &Result) {
+  const auto Again = [this, &Result] {
+    m_Queue.after(std::chrono::milliseconds(300),
+                  [this, &Result] { submit(Result); });
+  };
+  if (!m_Leader) {
+    Again();
+    return;
+  }
+  m_Truth.submitted(*Result.m_Plan);
+  wire::SubmitWorkload Submit;
+  Submit.jobId = Result.m_Plan->m_Id;
+  Submit.queue = Result.m_Plan->m_Queue;
+  Submit.workspace = Result.m_Plan->m_Workspace;
+  Submit.spec = Result.m_Plan->m_Spec;
+  wire::WorkloadCommand Command;
+  Command.__set_submit(Submit);
+  propose(m_Leader, Command,
+          [this, &Result, Again](bool Committed, const wire::WorkloadResult &) {
+            if (Committed)
+              Result.m_AcceptedAt = m_Queue.now();
+            else
+              Again();
+          });
+}
+
+void World::cancel(const JobPlan &Plan) {
+  const auto Again = [this, &Plan] {
+    m_Queue.after(std::chrono::milliseconds(300),
+                  [this, &Plan] { cancel(Plan); });
+  };
+  if (!m_Leader) {
+    Again();
+    return;
+  }
+  wire::CancelWorkload Cancel;
+  Cancel.jobId = Plan.m_Id;
+  wire::WorkloadCommand Command;
+  Command.__set_cancel(Cancel);
+  propose(
+      m_Leader, Command,
+      [this, &Plan, Again](bool Committed, const wire::WorkloadResult &Result) {
+        if (!Committed || Result.status == wire::WorkloadStatus::NO_JOB)
+          Again();
+        else if (Result.status == wire::WorkloadStatus::OK)
+          m_Truth.cancelAcknowledged(Plan.m_Id, m_Queue.now());
+      });
+}
+
+void World::watchJobs(const Leader &Of) {
+  for (JobResult &Result : m_Results) {
+    if (workload::hasEnded(Result.m_Phase))
+      continue;
+    const wire::JobRecord *Job = Of.m_State.job(Result.m_Plan->m_Id);
+    if (!Job)
+      continue;
+    if (Result.m_Phase == wire::JobPhase::QUEUED &&
+        Job->phase != wire::JobPhase::QUEUED)
+      Result.m_FirstStartAt = m_Queue.now();
+    Result.m_Phase = Job->phase;
+    if (!workload::hasEnded(Job->phase))
+      continue;
+    Result.m_EndedAt = m_Queue.now();
+    if (Job->phase == wire::JobPhase::COMPLETED)
+      m_Truth.completed(Job->id);
+  }
+}
+
+void World::run(Duration Span) { m_Queue.runUntil(m_Queue.now() + Span); }
+
+std::string World::violation() const {
+  return m_Truth.violation().empty() ? m_StateViolation : m_Truth.violation();
+}
+
+double World::worth() const {
+  double Earned = 0;
+  double Owed = 0;
+  for (const JobResult &Result : m_Results) {
+    if (Result.m_Plan->m_CancelAfter > Duration(0))
+      continue;
+    const wire::QueuePolicy *Queue =
+        workload::queueNamed(m_Policy, Result.m_Plan->m_Queue);
+    Owed += Result.m_Plan->m_Weight;
+    Earned += Result.m_Plan->m_Weight *
+              Result.earned(Queue->slackFactor,
+                            std::chrono::milliseconds(Queue->latencyAimMs));
+  }
+  return Owed > 0 ? Earned / Owed : 1;
+}
+
+} // namespace anvil::sim
--- /dev/null
+++ b/tests/dispatch/sim/World.h
@@ -0,0 +1,144 @@
+#ifndef ANVIL_TESTS_DISPATCH_SIM_WORLD_H
+#define ANVIL_TESTS_DISPATCH_SIM_WORLD_H
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "EventQueue.h"
+#include "SimWorkers.h"
+#include "Truth.h"
+#include "anvil/dispatch/Dispatcher.h"
+#include "anvil/dispatch/WorkerSessions.h"
+#include "anvil/runner/Runner.h"
+#include "anvil/workload/WorkloadState.h"
+
+namespace anvil::sim {
+
+/// Settings of a simulated deployment.
+struct WorldOptions {
+  uint64_t m_Seed = 1;
+  WorkerRules m_Rules;
+  Duration m_LeaseSpan = std::chrono::milliseconds(12000);
+  Duration m_CommitDelay = std::chrono::milliseconds(10);
+  Duration m_NetDelay = std::chrono::milliseconds(2);
+  Duration m_CallDelay = std::chrono::milliseconds(1);
+  Duration m_CallTimeout = std::chrono::milliseconds(800);
+  Duration m_AnnounceInterval = std::chrono::milliseconds(1500);
+  /// Share of the messages between agents and the leader that are lost.
+  double m_LossShare = 0;
+  /// Share of the orders that get no answer and are carried out 2 to 12 s
+  /// later.
+  double m_LateShare = 0;
+  /// Share of the orders whose answer is lost.
+  double m_AnswerLossShare = 0;
+  /// Receives what happens, for people; may be empty.
+  std::function<void(TimePoint, const std::string &)> m_Trace;
+};
+
+/// How one job went.
+struct JobResult {
+  const JobPlan *m_Plan = nullptr;
+  TimePoint m_SentAt;
+  TimePoint m_AcceptedAt;
+  TimePoint m_FirstStartAt;
+  TimePoint m_EndedAt;
+  wire::JobPhase::type m_Phase = wire::JobPhase::QUEUED;
+
+  /// Share of the weight that the caller got, between 0 and 1.
+  double earned(double SlackFactor, Duration Aim) const;
+};
+
+/// A deployment in virtual time: workers, the agents beside them, a leader with
+/// its replicated state, and callers.
+///
+/// Replication is reduced to its promises: a command of the present leader is
+/// committed after a delay and survives every change of the leader; a deposed
+/// leader that does not know it yet answers agents, but commits and confirms
+/// nothing.
+class World {
+public:
+  World(WorldOptions Options, wire::PolicyDocument Policy,
+        std::vector<wire::WorkerFacts> Workers);
+  ~World();
+
+  /// Adds a job; call before run().
+  void add(JobPlan Plan);
+  void run(Duration Span);
+
+  // ---- faults, to be scheduled with queue().at() ----
+  /// The worker's process ends and starts again after \p Down.
+  void crashWorker(size_t Index, Duration Down, bool SameId);
+  void killAgent(size_t Index, Duration Down);
+  /// The agent reaches no leader for a while.
+  void cutAgent(size_t Index, Duration Span);
+  /// The leader is lost; another takes over after \p Gap. With \p Stale it
+  /// still answers some agents for \p StaleFor.
+  void loseLeader(Duration Gap, bool Stale, Duration StaleFor);
+  void drainWorker(size_t Index, Duration Remaining);
+  void withdrawZone(const std::string &Zone, bool Withdrawn);
+
+  EventQueue &queue() { return m_Queue; }
+  Random &random() { return m_Random; }
+  SimWorkers &workers() { return m_Workers; }
+  const Truth &truth() const { return m_Truth; }
+  const std::deque<JobResult> &results() const { return m_Results; }
+  /// Returns the first broken promise, also of the state itself.
+  std::string violation() const;
+  /// Returns the weighted share of all jobs that callers got.
+  double worth() const;
+
+private:
+  struct Agent;
+  struct Leader;
+
+  std::shared_ptr<Leader> makeLeader();
+  void leaderTick(const std::shared_ptr<Leader> &Self);
+  void propose(const std::shared_ptr<Leader> &Self,
+               const wire::WorkloadCommand &Command,
+               std::function<void(bool, const wire::WorkloadResult &)> Done);
+  void planIfIdle(const std::shared_ptr<Leader> &Self);
+  void confirm(const std::shared_ptr<Leader> &Self);
+  void startAgent(size_t Index);
+  void stepAgent(size_t Index, const runner::Event &Event);
+  void armAgent(size_t Index);
+  void carryOut(size_t Index, const runner::Action &Action);
+  void sendSync(size_t Index, const wire::WorkerSyncRequest &Request);
+  void announce(size_t Index, bool Repeat);
+  template <typename Call>
+  void callWorker(size_t Index, const Call &Request,
+                  std::function<runner::CallAnswer(SimWorker &)> Execute);
+  void holdWorker(size_t Index, const runner::HoldCall &Call);
+  void deliver(size_t Index, uint64_t Life, runner::CallAnswer Answer);
+  std::shared_ptr<Leader> leaderOf(size_t Index);
+  void trace(const std::string &Text) const {
+    if (m_Options.m_Trace)
+      m_Options.m_Trace(m_Queue.now(), Text);
+  }
+  void traceEvent(const workload::WorkloadEvent &Event, uint64_t Term) const;
+  void submit(JobResult &Result);
+  void cancel(const JobPlan &Plan);
+  void watchJobs(const Leader &Of);
+
+  WorldOptions m_Options;
+  EventQueue m_Queue;
+  Random m_Random;
+  Truth m_Truth;
+  SimWorkers m_Workers;
+  wire::PolicyDocument m_Policy;
+  std::vector<wire::WorkloadCommand> m_Log;
+  uint64_t m_Term = 0;
+  std::shared_ptr<Leader> m_Leader;
+  std::vector<std::unique_ptr<Agent>> m_Agents;
+  std::deque<JobPlan> m_Plans;
+  std::deque<JobResult> m_Results;
+  std::map<std::string, JobResult *> m_ByJob;
+  std::string m_StateViolation;
+};
+
+} // namespace anvil::sim
+
+#endif // ANVIL_TESTS_DISPATCH_SIM_WORLD_H
