--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -1,193 +1,407 @@
 #include "anvil/dispatch/Dispatcher.h"
 
 #include <algorithm>
-#include <map>
-#include <optional>
+#include <set>
 
-#include "anvil/workload/Amounts.h"
+#include "Fleet.h"
+#include "Guarantees.h"
+#include "JobRank.h"
+#include "Placer.h"
+#include "Preemption.h"
+#include "RunMover.h"
+#include "RunTimes.h"
+#include "RunTracker.h"
+#include "WorkerHealth.h"
 
 namespace anvil::dispatch {
 
+using internal::Booking;
+using internal::Choice;
+using internal::Eviction;
+using internal::Fleet;
+using internal::Guarantees;
+using internal::JobRank;
+using internal::JobUrgency;
+using internal::Placer;
+using internal::Preemption;
+using internal::RunMover;
+using internal::RunTimes;
+using internal::RunTracker;
+using internal::WaitingStep;
+using internal::WorkerHealth;
+using internal::WorkerView;
 using workload::WorkloadState;
 
+namespace {
+
+// Waiting gangs for which room is kept free, in the order of their ranks. Each
+// keeps smaller work from starting on its workers.
+constexpr int MaxBookings = 3;
+
+// A job that is not covered by a guarantee may throw away work of this many
+// times its own.
+constexpr double MaxLostShare = 0.5;
+
+double secondsOf(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+} // namespace
+
 struct Dispatcher::Impl {
-  DispatchOptions m_Options;
-};
+  explicit Impl(DispatchOptions Options)
+      : m_Options(Options), m_Tracker(m_Times, m_Health), m_Rank(m_Times),
+        m_Mover({Options.m_StopTime, Options.m_RestoreTime}) {}
 
-namespace {
+  std::vector<WaitingStep> waitingSteps(const WorkloadState &State,
+                                        TimePoint Now);
+  void addSteps(const wire::JobRecord &Job, TimePoint Now,
+                std::vector<WaitingStep> &Steps);
+  WaitingStep makeStep(const wire::JobRecord &Job, int32_t Occurrence,
+                       int32_t Step, const wire::StepRecord &Record) const;
 
-/// A worker that may get runs, with what is free in this plan.
-struct Room {
-  const wire::WorkerRecord *m_Worker = nullptr;
-  wire::Amounts m_Used;
+  const DispatchOptions m_Options;
+  RunTimes m_Times;
+  WorkerHealth m_Health;
+  RunTracker m_Tracker;
+  JobRank m_Rank;
+  RunMover m_Mover;
+  /// Since when a step could have started, by job and step.
+  std::map<std::tuple<std::string, int32_t, int32_t>, TimePoint> m_WaitingSince;
 };
 
-/// Placements of one plan.
+namespace {
+
+/// Makes one plan.
 class Planner {
 public:
-  Planner(const WorkloadState &State, const WorkerSessions &Sessions,
-          TimePoint Now)
-      : m_State(State) {
-    for (const auto &[Id, Worker] : State.workers())
-      if (Sessions.usable(Worker, Now) &&
-          !State.withdrawnZones().contains(Worker.facts.availabilityZone))
-        m_Rooms.push_back({&Worker, Worker.used});
-  }
+  Planner(const WorkloadState &State, Fleet &Of, const DispatchOptions &Options,
+          const RunTracker &Tracker, const JobRank &Rank, TimePoint Now)
+      : m_Fleet(Of), m_Options(Options), m_Tracker(Tracker), m_Rank(Rank),
+        m_Now(Now), m_Guarantees(State), m_Placer(Of, Options.m_RemotePenalty),
+        m_Preemption(Of, m_Placer) {}
 
-  std::vector<wire::WorkloadCommand> run();
+  void move(const RunMover &Mover);
+  void placeAll(std::vector<WaitingStep> Steps);
+  std::vector<wire::WorkloadCommand> takeCommands() {
+    return std::move(m_Commands);
+  }
 
 private:
-  void planJob(const wire::JobRecord &Job);
-  void planStep(const wire::JobRecord &Job, int32_t Occurrence, int32_t Step,
-                const wire::StepRecord &Record);
-  bool suits(const Room &Where, const wire::JobRecord &Job,
-             const wire::StepSpec &Spec) const;
-  Room *bestRoom(const wire::JobRecord &Job, const wire::StepSpec &Spec,
-                 const std::string &Rack,
-                 std::map<std::string, int32_t> &There);
-  bool placeAll(const wire::JobRecord &Job, const wire::StepSpec &Spec,
-                const std::vector<int32_t> &Indexes, const std::string &Rack,
-                bool All, wire::StartRuns &Start);
-
-  const WorkloadState &m_State;
-  std::vector<Room> m_Rooms;
+  void place(WaitingStep Step);
+  void startChosen(const WaitingStep &Step, const Choice &Chosen,
+                   std::string_view Reason);
+  void makeRoom(const WaitingStep &Step, int32_t Count);
+  bool isFreeNow(const WaitingStep &Step, const Eviction &Found) const;
+  bool mayEvict(const WaitingStep &Step, const Eviction &Found) const;
+  void book(const WaitingStep &Step);
+  std::optional<TimePoint>
+  bookIn(const WaitingStep &Step, const std::string &Rack,
+         std::vector<std::pair<size_t, int32_t>> &Where) const;
+  bool fitsAt(const WaitingStep &Step, const std::string &Rack, TimePoint When,
+              std::vector<std::pair<size_t, int32_t>> &Where) const;
+  void stop(const std::vector<wire::RunName> &Runs, std::string_view Reason);
+
+  Fleet &m_Fleet;
+  const DispatchOptions &m_Options;
+  const RunTracker &m_Tracker;
+  const JobRank &m_Rank;
+  TimePoint m_Now;
+  Guarantees m_Guarantees;
+  Placer m_Placer;
+  Preemption m_Preemption;
+  int m_Bookings = 0;
   std::vector<wire::WorkloadCommand> m_Commands;
 };
 
-std::vector<wire::WorkloadCommand> Planner::run() {
-  std::vector<const wire::JobRecord *> Jobs;
-  for (const auto &[Index, Id] : m_State.liveJobs())
-    if (const wire::JobRecord *Job = m_State.job(Id);
-        !workload::hasEnded(Job->phase))
-      Jobs.push_back(Job);
-  std::stable_sort(Jobs.begin(), Jobs.end(),
-                   [](const wire::JobRecord *L, const wire::JobRecord *R) {
-                     return L->priority < R->priority;
-                   });
-  for (const wire::JobRecord *Job : Jobs)
-    planJob(*Job);
-  return std::move(m_Commands);
+void Planner::stop(const std::vector<wire::RunName> &Runs,
+                   std::string_view Reason) {
+  if (Runs.empty())
+    return;
+  wire::StopRuns Stop;
+  Stop.runs = Runs;
+  Stop.reason = std::string(Reason);
+  wire::WorkloadCommand Command;
+  Command.__set_stopRuns(Stop);
+  m_Commands.push_back(std::move(Command));
 }
 
-void Planner::planJob(const wire::JobRecord &Job) {
-  for (const auto &[Number, Occurrence] : Job.occurrences)
-    for (size_t Step = 0; Step < Occurrence.steps.size(); ++Step)
-      if (workload::isUnlocked(Job, Occurrence, static_cast<int32_t>(Step)))
-        planStep(Job, Number, static_cast<int32_t>(Step),
-                 Occurrence.steps[Step]);
+void Planner::move(const RunMover &Mover) {
+  for (const internal::Move &Each : Mover.find(m_Fleet))
+    stop({Each.m_Run}, Each.m_Reason);
 }
 
-void Planner::planStep(const wire::JobRecord &Job, int32_t Occurrence,
-                       int32_t Step, const wire::StepRecord &Record) {
-  const wire::StepSpec &Spec = Job.spec.steps[static_cast<size_t>(Step)];
-  if (Spec.gang && Record.active > 0)
-    return;
-  std::vector<int32_t> Waiting;
-  for (size_t I = 0; I < Record.tasks.size(); ++I)
-    if (Record.tasks[I].phase == wire::TaskPhase::WAITING)
-      Waiting.push_back(static_cast<int32_t>(I));
-  if (Waiting.empty())
+void Planner::placeAll(std::vector<WaitingStep> Steps) {
+  std::map<const wire::JobRecord *, JobUrgency> Urgency;
+  for (const WaitingStep &Step : Steps)
+    if (!Urgency.contains(Step.m_Job))
+      Urgency[Step.m_Job] = m_Rank.urgencyOf(*Step.m_Job, m_Tracker, m_Now);
+  std::stable_sort(Steps.begin(), Steps.end(),
+                   [&](const WaitingStep &Left, const WaitingStep &Right) {
+                     if (Left.m_Job->priority != Right.m_Job->priority)
+                       return Left.m_Job->priority < Right.m_Job->priority;
+                     return Urgency[Left.m_Job].m_Rank >
+                            Urgency[Right.m_Job].m_Rank;
+                   });
+  for (WaitingStep &Step : Steps)
+    place(std::move(Step));
+}
+
+void Planner::place(WaitingStep Step) {
+  if (Step.m_Spec->gang) {
+    Step.m_OneRack = Step.m_Spec->rackLocal && m_Placer.fitsSomeRack(Step);
+    if (const std::optional<Choice> Chosen = m_Placer.placeGang(Step)) {
+      startChosen(Step, *Chosen, "the gang fits");
+      return;
+    }
+    makeRoom(Step, Step.m_Spec->tasks);
     return;
-  wire::StartRuns Start;
-  Start.jobId = Job.id;
-  Start.occurrence = Occurrence;
-  Start.step = Step;
-  bool Placed = false;
-  if (Spec.gang && Spec.rackLocal) {
-    std::set<std::string> Racks;
-    for (const Room &Each : m_Rooms)
-      Racks.insert(Each.m_Worker->facts.rack);
-    for (const std::string &Rack : Racks)
-      if (!Placed)
-        Placed = placeAll(Job, Spec, Waiting, Rack, true, Start);
   }
-  if (!Placed)
-    Placed = placeAll(Job, Spec, Waiting, "", Spec.gang, Start);
-  if (!Placed)
-    return;
-  Start.reason = "room was free";
+  const Choice Chosen = m_Placer.placeTasks(Step);
+  int32_t Placed = 0;
+  for (const internal::Share &Each : Chosen.m_Shares)
+    Placed += Each.m_Tasks;
+  if (Placed > 0)
+    startChosen(Step, Chosen, "room is free");
+  const auto Left = static_cast<int32_t>(Step.m_Indexes.size()) - Placed;
+  if (Left > 0)
+    makeRoom(Step, Left);
+}
+
+void Planner::startChosen(const WaitingStep &Step, const Choice &Chosen,
+                          std::string_view Reason) {
+  m_Placer.take(Step, Chosen);
+  wire::StartRuns Start;
+  Start.jobId = Step.m_Job->id;
+  Start.occurrence = Step.m_Occurrence;
+  Start.step = Step.m_Step;
+  Start.reason = std::string(Reason);
+  size_t Next = 0;
+  for (const internal::Share &Each : Chosen.m_Shares)
+    for (int32_t I = 0; I < Each.m_Tasks; ++I) {
+      wire::RunPlacement Placement;
+      Placement.index = Step.m_Indexes[Next++];
+      Placement.worker = m_Fleet.workers()[Each.m_Worker].facts().life;
+      Start.placements.push_back(std::move(Placement));
+    }
   wire::WorkloadCommand Command;
   Command.__set_startRuns(Start);
   m_Commands.push_back(std::move(Command));
 }
 
-bool Planner::suits(const Room &Where, const wire::JobRecord &Job,
-                    const wire::StepSpec &Spec) const {
-  const wire::WorkerFacts &Facts = Where.m_Worker->facts;
-  if (Facts.serviceName != Job.serviceName)
-    return false;
-  return Spec.requiredLabel.empty() ||
-         std::find(Facts.labels.begin(), Facts.labels.end(),
-                   Spec.requiredLabel) != Facts.labels.end();
-}
-
-Room *Planner::bestRoom(const wire::JobRecord &Job, const wire::StepSpec &Spec,
-                        const std::string &Rack,
-                        std::map<std::string, int32_t> &There) {
-  const wire::Amounts Need = workload::countedAmounts(Spec);
-  Room *Best = nullptr;
-  int32_t BestLeft = 0;
-  for (Room &Each : m_Rooms) {
-    const wire::WorkerFacts &Facts = Each.m_Worker->facts;
-    if (!suits(Each, Job, Spec) || (!Rack.empty() && Facts.rack != Rack) ||
-        !workload::fits(Facts.capacity, Each.m_Used, Need))
-      continue;
-    if (Spec.maxTasksPerWorker > 0 &&
-        There[Facts.life.id] >= Spec.maxTasksPerWorker)
+bool Planner::mayEvict(const WaitingStep &Step, const Eviction &Found) const {
+  if (m_Guarantees.covers(*Step.m_Job))
+    return true;
+  const double Own = internal::coresOf(Step.m_Spec->perTask) *
+                     static_cast<double>(Step.m_Indexes.size()) *
+                     secondsOf(Step.m_Expected);
+  return Step.m_Job->priority == 0 &&
+         Found.m_LostCoreSeconds <= MaxLostShare * Own;
+}
+
+// Only a gang that could not be spread is found to fit here after it was not
+// placed.
+bool Planner::isFreeNow(const WaitingStep &Step, const Eviction &Found) const {
+  const wire::Amounts Need = workload::countedAmounts(*Step.m_Spec);
+  return Step.m_OneRack &&
+         std::all_of(
+             Found.m_Choice.m_Shares.begin(), Found.m_Choice.m_Shares.end(),
+             [&](const internal::Share &Each) {
+               const WorkerView &Worker = m_Fleet.workers()[Each.m_Worker];
+               return m_Fleet.countThatFit(Worker, Need, Duration(0),
+                                           Each.m_Tasks) == Each.m_Tasks;
+             });
+}
+
+// Room comes from runs that are being stopped, from less urgent ones that are
+// stopped now, or from those that will end.
+void Planner::makeRoom(const WaitingStep &Step, int32_t Count) {
+  if (const std::optional<Eviction> Found = m_Preemption.find(Step, Count)) {
+    if (Found->m_Victims.empty() && isFreeNow(Step, *Found)) {
+      startChosen(Step, Found->m_Choice, "no rack has room");
+      return;
+    }
+    if (Found->m_Victims.empty() || mayEvict(Step, *Found)) {
+      m_Preemption.reserve(Step, *Found);
+      stop(Found->m_Victims, "room for more urgent work");
+      return;
+    }
+  }
+  if (Step.m_Spec->gang && m_Bookings < MaxBookings)
+    book(Step);
+}
+
+bool Planner::fitsAt(const WaitingStep &Step, const std::string &Rack,
+                     TimePoint When,
+                     std::vector<std::pair<size_t, int32_t>> &Where) const {
+  const wire::Amounts Need = workload::countedAmounts(*Step.m_Spec);
+  int32_t Left = Step.m_Spec->tasks;
+  Where.clear();
+  for (size_t I = 0; I < m_Fleet.workers().size() && Left > 0; ++I) {
+    const WorkerView &Worker = m_Fleet.workers()[I];
+    if ((!Rack.empty() && Worker.facts().rack != Rack) ||
+        !m_Placer.allowed(Worker, Step))
       continue;
-    const int32_t Left = Facts.capacity.accelerators -
-                         Each.m_Used.accelerators - Need.accelerators;
-    if (Best && Left >= BestLeft)
+    wire::Amounts Free = Worker.freeAt(When);
+    for (const Booking &Other : Worker.m_Bookings)
+      workload::subtract(Free, Other.m_Amounts);
+    int32_t Here = 0;
+    const int32_t Most = std::min(Left, Placer::roomByLimit(Worker, Step, 0));
+    while (Here < Most && workload::fits(Free, wire::Amounts(), Need, Here + 1))
+      ++Here;
+    if (Here == 0)
       continue;
-    Best = &Each;
-    BestLeft = Left;
+    Where.emplace_back(I, Here);
+    Left -= Here;
   }
-  return Best;
-}
-
-bool Planner::placeAll(const wire::JobRecord &Job, const wire::StepSpec &Spec,
-                       const std::vector<int32_t> &Indexes,
-                       const std::string &Rack, bool All,
-                       wire::StartRuns &Start) {
-  const std::vector<Room> Before = m_Rooms;
-  std::map<std::string, int32_t> There;
-  const auto &Steps = Job.occurrences.at(Start.occurrence).steps;
-  for (const wire::TaskRecord &Task :
-       Steps[static_cast<size_t>(Start.step)].tasks)
-    if (workload::isActive(Task))
-      ++There[Task.worker.id];
-  Start.placements.clear();
-  for (const int32_t Index : Indexes) {
-    Room *Where = bestRoom(Job, Spec, Rack, There);
-    if (!Where) {
-      if (All) {
-        m_Rooms = Before;
-        return false;
+  return Left == 0;
+}
+
+std::optional<TimePoint>
+Planner::bookIn(const WaitingStep &Step, const std::string &Rack,
+                std::vector<std::pair<size_t, int32_t>> &Where) const {
+  std::set<TimePoint> Ends;
+  for (const WorkerView &Worker : m_Fleet.workers())
+    if (Rack.empty() || Worker.facts().rack == Rack)
+      for (const internal::RunView &Run : Worker.m_Runs)
+        Ends.insert(Run.m_Forecast.m_EndsAt);
+  for (const TimePoint When : Ends)
+    if (fitsAt(Step, Rack, When, Where))
+      return When;
+  return std::nullopt;
+}
+
+// Keeps the workers on which a gang can start first from being filled with work
+// that would still run then.
+void Planner::book(const WaitingStep &Step) {
+  std::optional<TimePoint> Best;
+  std::vector<std::pair<size_t, int32_t>> BestWhere;
+  for (const std::string &Rack : m_Placer.racksFor(Step)) {
+    std::vector<std::pair<size_t, int32_t>> Where;
+    const std::optional<TimePoint> When = bookIn(Step, Rack, Where);
+    if (When && (!Best || *When < *Best)) {
+      Best = When;
+      BestWhere = std::move(Where);
+    }
+  }
+  // Spread over racks it is slow, but that may still be sooner.
+  if (Step.m_OneRack) {
+    const auto Extra = std::chrono::duration_cast<Duration>(
+        Step.m_Expected * (m_Options.m_RemotePenalty - 1));
+    if (!Best || *Best > m_Now + Extra) {
+      WaitingStep Anywhere = Step;
+      Anywhere.m_OneRack = false;
+      if (const std::optional<Choice> Chosen = m_Placer.placeGang(Anywhere)) {
+        startChosen(Step, *Chosen, "no rack has room in time");
+        return;
       }
-      break;
     }
-    workload::add(Where->m_Used, workload::countedAmounts(Spec));
-    ++There[Where->m_Worker->facts.life.id];
-    wire::RunPlacement Placement;
-    Placement.index = Index;
-    Placement.worker = Where->m_Worker->facts.life;
-    Start.placements.push_back(std::move(Placement));
   }
-  return !Start.placements.empty();
+  if (!Best)
+    return;
+  ++m_Bookings;
+  const wire::Amounts Need = workload::countedAmounts(*Step.m_Spec);
+  for (const auto &[Index, Tasks] : BestWhere) {
+    Booking New;
+    New.m_From = *Best;
+    workload::add(New.m_Amounts, Need, Tasks);
+    m_Fleet.workers()[Index].m_Bookings.push_back(New);
+  }
 }
 
 } // namespace
 
+WaitingStep Dispatcher::Impl::makeStep(const wire::JobRecord &Job,
+                                       int32_t Occurrence, int32_t Step,
+                                       const wire::StepRecord &Record) const {
+  WaitingStep Result;
+  Result.m_Job = &Job;
+  Result.m_Occurrence = Occurrence;
+  Result.m_Step = Step;
+  Result.m_Spec = &Job.spec.steps[static_cast<size_t>(Step)];
+  Result.m_Record = &Record;
+  Result.m_Expected =
+      m_Times.predict(Job.queue, Result.m_Spec->estimateMs).m_Expected;
+  int32_t MostFailures = Record.gangFailures;
+  for (size_t I = 0; I < Record.tasks.size(); ++I) {
+    const wire::TaskRecord &Task = Record.tasks[I];
+    if (workload::isActive(Task))
+      ++Result.m_Running[Task.worker.id];
+    if (Task.phase != wire::TaskPhase::WAITING)
+      continue;
+    Result.m_Indexes.push_back(static_cast<int32_t>(I));
+    MostFailures = std::max(MostFailures, Task.failures);
+  }
+  Result.m_LastAttempt =
+      MostFailures > 0 && MostFailures + 1 >= Job.maxAttempts;
+  return Result;
+}
+
+void Dispatcher::Impl::addSteps(const wire::JobRecord &Job, TimePoint Now,
+                                std::vector<WaitingStep> &Steps) {
+  for (const auto &[Number, Occurrence] : Job.occurrences)
+    for (size_t Step = 0; Step < Occurrence.steps.size(); ++Step) {
+      const auto Index = static_cast<int32_t>(Step);
+      const wire::StepRecord &Record = Occurrence.steps[Step];
+      const wire::StepSpec &Spec = Job.spec.steps[Step];
+      if (!workload::isUnlocked(Job, Occurrence, Index) ||
+          (Spec.gang && Record.active > 0))
+        continue;
+      WaitingStep Waiting = makeStep(Job, Number, Index, Record);
+      if (Waiting.m_Indexes.empty())
+        continue;
+      const TimePoint Since =
+          m_WaitingSince.emplace(std::tuple(Job.id, Number, Index), Now)
+              .first->second;
+      Waiting.m_Waited = Now - Since;
+      Steps.push_back(std::move(Waiting));
+    }
+}
+
+std::vector<WaitingStep>
+Dispatcher::Impl::waitingSteps(const WorkloadState &State, TimePoint Now) {
+  std::vector<WaitingStep> Steps;
+  for (const auto &[Index, Id] : State.liveJobs())
+    if (const wire::JobRecord &Job = *State.job(Id);
+        !workload::hasEnded(Job.phase))
+      addSteps(Job, Now, Steps);
+  // Steps that do not wait any more are forgotten.
+  std::set<std::tuple<std::string, int32_t, int32_t>> Present;
+  for (const WaitingStep &Step : Steps)
+    Present.emplace(Step.m_Job->id, Step.m_Occurrence, Step.m_Step);
+  for (auto It = m_WaitingSince.begin(); It != m_WaitingSince.end();)
+    It = Present.contains(It->first) ? std::next(It) : m_WaitingSince.erase(It);
+  return Steps;
+}
+
 Dispatcher::Dispatcher(DispatchOptions Options)
-    : m_Impl(std::make_unique<Impl>(Impl{Options})) {}
+    : m_Impl(std::make_unique<Impl>(Options)) {}
 Dispatcher::~Dispatcher() = default;
 
-void Dispatcher::reset() {}
+void Dispatcher::reset(TimePoint) {
+  m_Impl->m_Times.clear();
+  m_Impl->m_Health.clear();
+  m_Impl->m_Tracker.clear();
+  m_Impl->m_Rank.clear();
+  m_Impl->m_WaitingSince.clear();
+}
+
+void Dispatcher::observe(const workload::WorkloadEvent &Event,
+                         const WorkloadState &State, TimePoint Now) {
+  m_Impl->m_Tracker.observe(Event, State, Now);
+}
 
 std::vector<wire::WorkloadCommand>
 Dispatcher::plan(const WorkloadState &State, const WorkerSessions &Sessions,
                  TimePoint Now) {
-  return Planner(State, Sessions, Now).run();
+  m_Impl->m_Rank.update(State, Now);
+  m_Impl->m_Tracker.update(State, Sessions, Now);
+  Fleet Of(State, Sessions, m_Impl->m_Tracker, m_Impl->m_Health, Now);
+  Planner Plan(State, Of, m_Impl->m_Options, m_Impl->m_Tracker, m_Impl->m_Rank,
+               Now);
+  Plan.move(m_Impl->m_Mover);
+  Plan.placeAll(m_Impl->waitingSteps(State, Now));
+  return Plan.takeCommands();
 }
 
 } // namespace anvil::dispatch
--- /dev/null
+++ b/src/dispatch/Fleet.cpp
@@ -0,0 +1,109 @@
+#include "Fleet.h"
+
+#include <algorithm>
+
+namespace anvil::dispatch::internal {
+
+using workload::add;
+using workload::subtract;
+
+namespace {
+
+bool isNotNegative(const wire::Amounts &Value) {
+  return Value.milliCores >= 0 && Value.memoryMib >= 0 &&
+         Value.accelerators >= 0;
+}
+
+RunView viewOf(const workload::WantedRun &Wanted,
+               const workload::WorkloadState &State, const RunTracker &Tracker,
+               TimePoint Now) {
+  RunView View;
+  View.m_Task = Wanted.m_Task;
+  View.m_Run = Wanted.m_Run;
+  View.m_Stopping = Wanted.m_Stop;
+  View.m_Job = State.job(Wanted.m_Task.jobId);
+  View.m_Spec =
+      &View.m_Job->spec.steps[static_cast<size_t>(Wanted.m_Task.step)];
+  View.m_Amounts = workload::countedAmounts(*View.m_Spec);
+  View.m_Forecast = Tracker.forecast(*View.m_Job, Wanted.m_Task,
+                                     *State.task(Wanted.m_Task), Now);
+  return View;
+}
+
+} // namespace
+
+wire::Amounts WorkerView::freeAt(TimePoint When) const {
+  wire::Amounts Result = m_Free;
+  for (const RunView &Run : m_Runs)
+    if (Run.m_Stopping || Run.m_Forecast.m_EndsAt <= When)
+      add(Result, Run.m_Amounts);
+  subtract(Result, m_Promised);
+  return Result;
+}
+
+Fleet::Fleet(const workload::WorkloadState &State,
+             const WorkerSessions &Sessions, const RunTracker &Tracker,
+             const WorkerHealth &Health, TimePoint Now)
+    : m_Now(Now) {
+  for (const auto &[Id, Record] : State.workers()) {
+    WorkerView View;
+    View.m_Record = &Record;
+    const wire::WorkerLife &Life = Record.facts.life;
+    View.m_Usable =
+        Sessions.usable(Record, Now) &&
+        !State.withdrawnZones().contains(Record.facts.availabilityZone);
+    if (const LiveWorker *Live = Sessions.live(Life)) {
+      View.m_Draining = Live->m_Draining;
+      View.m_LeavesAt = Live->m_LeavesAt;
+    }
+    View.m_Slowdown = Health.slowdown(Life, Now);
+    View.m_Suspicion = Health.suspicion(Life, Now);
+    View.m_Free = Record.facts.capacity;
+    subtract(View.m_Free, Record.used);
+    for (const workload::WantedRun &Wanted : State.wantedRuns(Life)) {
+      View.m_Runs.push_back(viewOf(Wanted, State, Tracker, Now));
+      if (Wanted.m_Stop)
+        add(View.m_Releasing, View.m_Runs.back().m_Amounts);
+    }
+    m_Workers.push_back(std::move(View));
+  }
+}
+
+int32_t Fleet::countThatFit(const WorkerView &Worker, const wire::Amounts &Need,
+                            Duration Span, int32_t Most) const {
+  int32_t Count = 0;
+  while (Count < Most) {
+    wire::Amounts Free = Worker.m_Free;
+    subtract(Free, Need, Count + 1);
+    if (!isNotNegative(Free))
+      break;
+    const bool KeepsBookings =
+        std::all_of(Worker.m_Bookings.begin(), Worker.m_Bookings.end(),
+                    [&](const Booking &Each) {
+                      if (Each.m_From >= m_Now + Span)
+                        return true;
+                      wire::Amounts Then = Worker.freeAt(Each.m_From);
+                      subtract(Then, Need, Count + 1);
+                      for (const Booking &Other : Worker.m_Bookings)
+                        if (Other.m_From <= Each.m_From)
+                          subtract(Then, Other.m_Amounts);
+                      return isNotNegative(Then);
+                    });
+    if (!KeepsBookings)
+      break;
+    ++Count;
+  }
+  return Count;
+}
+
+bool suits(const WorkerView &Worker, const wire::JobRecord &Job,
+           const wire::StepSpec &Spec) {
+  const wire::WorkerFacts &Facts = Worker.facts();
+  if (Facts.serviceName != Job.serviceName)
+    return false;
+  return Spec.requiredLabel.empty() ||
+         std::find(Facts.labels.begin(), Facts.labels.end(),
+                   Spec.requiredLabel) != Facts.labels.end();
+}
+
+} // namespace anvil::dispatch::internal
--- /dev/null
+++ b/src/dispatch/Guarantees.cpp
@@ -0,0 +1,42 @@
+#include "Guarantees.h"
+
+#include <algorithm>
+
+namespace anvil::dispatch::internal {
+
+namespace {
+
+// Jobs of this priority are covered by guarantees.
+constexpr int32_t GuaranteedPriority = 0;
+
+// Accelerators that a job holds at most at a time, if its steps follow each
+// other.
+int64_t acceleratorsOf(const wire::JobRecord &Job) {
+  int64_t Most = 0;
+  for (const wire::StepSpec &Step : Job.spec.steps)
+    Most = std::max(Most, int64_t{Step.tasks} * Step.perTask.accelerators);
+  return Most;
+}
+
+} // namespace
+
+Guarantees::Guarantees(const workload::WorkloadState &State) {
+  for (const wire::WorkspacePolicy &Each : State.policy().workspaces)
+    m_Guaranteed[Each.name] = Each.guaranteed.accelerators;
+  for (const auto &[Index, Id] : State.liveJobs()) {
+    const wire::JobRecord &Job = *State.job(Id);
+    if (Job.priority == GuaranteedPriority && !workload::hasEnded(Job.phase))
+      m_Needed[Job.workspace] += acceleratorsOf(Job);
+  }
+}
+
+bool Guarantees::covers(const wire::JobRecord &Job) const {
+  if (Job.priority != GuaranteedPriority)
+    return false;
+  const auto Guaranteed = m_Guaranteed.find(Job.workspace);
+  const auto Needed = m_Needed.find(Job.workspace);
+  return Guaranteed != m_Guaranteed.end() && Needed != m_Needed.end() &&
+         Guaranteed->second > 0 && Needed->second <= Guaranteed->second;
+}
+
+} // namespace anvil::dispatch::internal
--- /dev/null
+++ b/src/dispatch/JobRank.cpp
@@ -0,0 +1,152 @@
+#include "JobRank.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace anvil::dispatch::internal {
+
+namespace {
+
+// Cores that an accelerator counts as, when different resources are compared.
+constexpr double CoresPerAccelerator = 8;
+
+// Up to this many times its objective a job still earns a part of its value,
+// assumed to be this share.
+constexpr double LateObjectives = 3;
+constexpr double LateShare = 0.4;
+
+// The value of a job grows less than its work: this share does not depend on
+// it.
+constexpr double FixedShare = 0.3;
+
+// Slack in units of the job's own length over which its urgency rises.
+constexpr double LookAhead = 2;
+
+// Rank of a job that can earn nothing any more, so that it is served when
+// nobody else wants the room; older ones first.
+constexpr double HopelessRank = 1e-9;
+
+double secondsOf(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+Duration scaled(Duration Value, double Factor) {
+  return std::chrono::duration_cast<Duration>(Value * Factor);
+}
+
+// Returns how much of its value a part has at present: all of it while there is
+// no slack left, less the more there is, none if it is too late.
+double pressure(double SlackSeconds, double LengthSeconds) {
+  if (SlackSeconds < 0)
+    return 0;
+  return std::exp(-SlackSeconds / (LookAhead * std::max(0.1, LengthSeconds)));
+}
+
+} // namespace
+
+double coresOf(const wire::Amounts &Amounts) {
+  return Amounts.milliCores / 1000.0 +
+         CoresPerAccelerator * Amounts.accelerators;
+}
+
+void JobRank::update(const workload::WorkloadState &State, TimePoint Now) {
+  std::map<std::string, TimePoint> Known;
+  for (const auto &[Index, Id] : State.liveJobs()) {
+    const auto It = m_FirstSeen.find(Id);
+    Known[Id] = It == m_FirstSeen.end() ? Now : It->second;
+    if (It != m_FirstSeen.end())
+      continue;
+    const wire::JobRecord &Job = *State.job(Id);
+    Mean &Of = m_MeanWork[Job.queue];
+    ++Of.m_Count;
+    Of.m_Value += (wholeWork(Job) - Of.m_Value) / Of.m_Count;
+  }
+  m_FirstSeen = std::move(Known);
+}
+
+double JobRank::wholeWork(const wire::JobRecord &Job) const {
+  double Sum = 0;
+  for (const wire::StepSpec &Step : Job.spec.steps)
+    Sum += coresOf(Step.perTask) * Step.tasks *
+           secondsOf(m_Times.predict(Job.queue, Step.estimateMs).m_Expected);
+  return Sum;
+}
+
+TimePoint JobRank::firstSeen(const std::string &Job, TimePoint Now) const {
+  const auto It = m_FirstSeen.find(Job);
+  return It == m_FirstSeen.end() ? Now : It->second;
+}
+
+JobRank::Work JobRank::workOf(const wire::JobRecord &Job,
+                              const RunTracker &Tracker, TimePoint Now) const {
+  Work Result;
+  if (Job.occurrences.empty())
+    return Result;
+  const auto &[Number, Occurrence] = *Job.occurrences.begin();
+  std::vector<Duration> WholeEnds;
+  std::vector<Duration> LeftEnds;
+  for (size_t Step = 0; Step < Job.spec.steps.size(); ++Step) {
+    const wire::StepSpec &Spec = Job.spec.steps[Step];
+    const wire::StepRecord &Record = Occurrence.steps[Step];
+    const Duration Each =
+        m_Times.predict(Job.queue, Spec.estimateMs).m_Expected;
+    Duration WholeBegin{0};
+    Duration LeftBegin{0};
+    for (const int32_t Earlier : Spec.dependsOn) {
+      WholeBegin =
+          std::max(WholeBegin, WholeEnds[static_cast<size_t>(Earlier)]);
+      LeftBegin = std::max(LeftBegin, LeftEnds[static_cast<size_t>(Earlier)]);
+    }
+    Duration Left{0};
+    for (size_t I = 0; I < Record.tasks.size(); ++I) {
+      const wire::TaskRecord &Task = Record.tasks[I];
+      if (Task.phase == wire::TaskPhase::DONE)
+        continue;
+      Duration TaskLeft = Each;
+      if (workload::isActive(Task)) {
+        wire::TaskRef Ref;
+        Ref.jobId = Job.id;
+        Ref.occurrence = Number;
+        Ref.step = static_cast<int32_t>(Step);
+        Ref.index = static_cast<int32_t>(I);
+        TaskLeft = Tracker.forecast(Job, Ref, Task, Now).m_EndsAt - Now;
+      }
+      Left = std::max(Left, TaskLeft);
+      Result.m_CoreSecondsLeft += coresOf(Spec.perTask) * secondsOf(TaskLeft);
+    }
+    WholeEnds.push_back(WholeBegin + Each);
+    LeftEnds.push_back(LeftBegin + Left);
+    Result.m_Chain = std::max(Result.m_Chain, WholeEnds.back());
+    Result.m_ChainLeft = std::max(Result.m_ChainLeft, LeftEnds.back());
+  }
+  return Result;
+}
+
+JobUrgency JobRank::urgencyOf(const wire::JobRecord &Job,
+                              const RunTracker &Tracker, TimePoint Now) const {
+  const Work Of = workOf(Job, Tracker, Now);
+  const TimePoint Since = firstSeen(Job.id, Now);
+  const Duration Objective =
+      scaled(Of.m_Chain, std::max(1.0, Job.slackFactor)) +
+      std::chrono::milliseconds(Job.latencyAimMs);
+  JobUrgency Result;
+  Result.m_ChainLeft = Of.m_ChainLeft;
+  Result.m_Slack = Since + Objective - Now - Of.m_ChainLeft;
+  const Duration LateSlack =
+      Since + scaled(Objective, LateObjectives) - Now - Of.m_ChainLeft;
+  const double Length = secondsOf(Of.m_Chain);
+  const double Value =
+      (1 - LateShare) * pressure(secondsOf(Result.m_Slack), Length) +
+      LateShare * pressure(secondsOf(LateSlack), Length);
+  // Small jobs are worth more for their work than large ones.
+  const double Work = std::max(1.0, Of.m_CoreSecondsLeft);
+  const auto Mean = m_MeanWork.find(Job.queue);
+  const double MeanWork =
+      Mean == m_MeanWork.end() ? Work : Mean->second.m_Value;
+  const double PerWork = (FixedShare * MeanWork / Work + (1 - FixedShare));
+  const double Age = secondsOf(Now - Since);
+  Result.m_Rank = Value * PerWork + HopelessRank * (1 + Age);
+  return Result;
+}
+
+} // namespace anvil::dispatch::internal
--- /dev/null
+++ b/src/dispatch/Placer.cpp
@@ -0,0 +1,186 @@
+#include "Placer.h"
+
+#include <algorithm>
+#include <set>
+
+namespace anvil::dispatch::internal {
+
+namespace {
+
+// Evidence from which on a worker gets no tasks, as long as a step does not
+// wait long for lack of others.
+constexpr double MaxSuspicion = 1.4;
+// A task with one attempt left goes only where nothing failed lately.
+constexpr double MaxSuspicionLastAttempt = 0.5;
+// A worker that is slower than this gets no tasks, with the same exception.
+constexpr double MaxSlowdown = 2.2;
+// A step that could not start for this long takes any worker.
+constexpr Duration TakesAnyAfter = std::chrono::milliseconds(1800);
+
+// What a suspected worker costs, in seconds of run time for each unit.
+constexpr double SuspicionCostS = 4;
+// What fragments cost, in seconds of run time for a whole worker.
+constexpr double FragmentCostS = 0.6;
+
+double secondsOf(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+double shareOf(int32_t Part, int32_t Whole) {
+  return Whole > 0 ? static_cast<double>(Part) / Whole : 0;
+}
+
+} // namespace
+
+double fragmentsLeft(const wire::Amounts &Capacity, const wire::Amounts &Free,
+                     const wire::Amounts &Need) {
+  return shareOf(Free.accelerators - Need.accelerators, Capacity.accelerators) +
+         0.3 * shareOf(Free.memoryMib - Need.memoryMib, Capacity.memoryMib);
+}
+
+double Placer::slowdownOn(const WorkerView &Worker,
+                          const WaitingStep &Step) const {
+  const bool Remote = !Step.m_Spec->dataRack.empty() &&
+                      Step.m_Spec->dataRack != Worker.facts().rack;
+  return std::max(1.0, Worker.m_Slowdown) * (Remote ? m_RemotePenalty : 1);
+}
+
+bool Placer::allowed(const WorkerView &Worker, const WaitingStep &Step) const {
+  if (!Worker.m_Usable || !suits(Worker, *Step.m_Job, *Step.m_Spec))
+    return false;
+  if (Step.m_Waited >= TakesAnyAfter)
+    return true;
+  const double Limit =
+      Step.m_LastAttempt ? MaxSuspicionLastAttempt : MaxSuspicion;
+  return Worker.m_Suspicion <= Limit && Worker.m_Slowdown <= MaxSlowdown;
+}
+
+int32_t Placer::roomByLimit(const WorkerView &Worker, const WaitingStep &Step,
+                            int32_t Planned) {
+  if (Step.m_Spec->maxTasksPerWorker == 0)
+    return INT32_MAX;
+  const auto It = Step.m_Running.find(Worker.facts().life.id);
+  const int32_t There = It == Step.m_Running.end() ? 0 : It->second;
+  return std::max(0, Step.m_Spec->maxTasksPerWorker - There - Planned);
+}
+
+double Placer::costOn(const WorkerView &Worker, const WaitingStep &Step) const {
+  const wire::Amounts Need = workload::countedAmounts(*Step.m_Spec);
+  return secondsOf(Step.m_Expected) * (slowdownOn(Worker, Step) - 1) +
+         SuspicionCostS * Worker.m_Suspicion +
+         FragmentCostS *
+             fragmentsLeft(Worker.facts().capacity, Worker.m_Free, Need);
+}
+
+bool Placer::fitsSomeRack(const WaitingStep &Step) const {
+  const wire::Amounts Need = workload::countedAmounts(*Step.m_Spec);
+  std::map<std::string, int32_t> Room;
+  for (const WorkerView &Worker : m_Fleet.workers()) {
+    if (!Worker.m_Usable || !suits(Worker, *Step.m_Job, *Step.m_Spec))
+      continue;
+    const int32_t Most =
+        std::min(Step.m_Spec->tasks, roomByLimit(Worker, Step, 0));
+    int32_t Here = 0;
+    while (Here < Most && workload::fits(Worker.facts().capacity,
+                                         wire::Amounts(), Need, Here + 1))
+      ++Here;
+    Room[Worker.facts().rack] += Here;
+  }
+  return std::any_of(Room.begin(), Room.end(), [&](const auto &Each) {
+    return Each.second >= Step.m_Spec->tasks;
+  });
+}
+
+std::vector<std::string> Placer::racksFor(const WaitingStep &Step) const {
+  if (!Step.m_OneRack)
+    return {""};
+  std::set<std::string> Racks;
+  for (const WorkerView &Worker : m_Fleet.workers())
+    if (suits(Worker, *Step.m_Job, *Step.m_Spec))
+      Racks.insert(Worker.facts().rack);
+  return {Racks.begin(), Racks.end()};
+}
+
+std::optional<Choice> Placer::fill(const WaitingStep &Step,
+                                   const std::string &Rack, int32_t Count,
+                                   bool Whole) {
+  const wire::Amounts Need = workload::countedAmounts(*Step.m_Spec);
+  std::vector<WorkerView> &Workers = m_Fleet.workers();
+  Choice Result;
+  std::map<size_t, int32_t> Planned;
+  double Slowdown = 1;
+  for (int32_t Placed = 0; Placed < Count; ++Placed) {
+    std::optional<size_t> Best;
+    double BestCost = 0;
+    for (size_t I = 0; I < Workers.size(); ++I) {
+      const WorkerView &Worker = Workers[I];
+      if ((!Rack.empty() && Worker.facts().rack != Rack) ||
+          !allowed(Worker, Step) || roomByLimit(Worker, Step, Planned[I]) == 0)
+        continue;
+      const auto Span = std::chrono::duration_cast<Duration>(
+          Step.m_Expected * slowdownOn(Worker, Step));
+      if (m_Fleet.countThatFit(Worker, Need, Span, 1) == 0)
+        continue;
+      const double Cost = costOn(Worker, Step);
+      if (Best && Cost >= BestCost)
+        continue;
+      Best = I;
+      BestCost = Cost;
+    }
+    if (!Best)
+      break;
+    workload::subtract(Workers[*Best].m_Free, Need);
+    ++Planned[*Best];
+    Slowdown = std::max(Slowdown, slowdownOn(Workers[*Best], Step));
+  }
+  int32_t Sum = 0;
+  for (const auto &[Worker, Tasks] : Planned) {
+    workload::add(Workers[Worker].m_Free, Need, Tasks);
+    if (Tasks > 0)
+      Result.m_Shares.push_back({Worker, Tasks});
+    Sum += Tasks;
+  }
+  Result.m_Slowdown = Slowdown;
+  if (Whole && Sum < Count)
+    return std::nullopt;
+  return Result;
+}
+
+std::optional<Choice> Placer::placeGang(const WaitingStep &Step) {
+  const int32_t Count = Step.m_Spec->tasks;
+  std::optional<Choice> Best;
+  double BestCost = 0;
+  for (const std::string &Rack : racksFor(Step)) {
+    std::optional<Choice> Found = fill(Step, Rack, Count, true);
+    if (!Found)
+      continue;
+    double Cost = secondsOf(Step.m_Expected) * (Found->m_Slowdown - 1);
+    const wire::Amounts Need = workload::countedAmounts(*Step.m_Spec);
+    for (const Share &Each : Found->m_Shares) {
+      const WorkerView &Worker = m_Fleet.workers()[Each.m_Worker];
+      wire::Amounts All;
+      workload::add(All, Need, Each.m_Tasks);
+      Cost += SuspicionCostS * Worker.m_Suspicion +
+              FragmentCostS *
+                  fragmentsLeft(Worker.facts().capacity, Worker.m_Free, All);
+    }
+    if (Best && Cost >= BestCost)
+      continue;
+    Best = std::move(Found);
+    BestCost = Cost;
+  }
+  return Best;
+}
+
+Choice Placer::placeTasks(const WaitingStep &Step) {
+  return *fill(Step, "", static_cast<int32_t>(Step.m_Indexes.size()), false);
+}
+
+void Placer::take(const WaitingStep &Step, const Choice &Chosen) {
+  const wire::Amounts Need = workload::countedAmounts(*Step.m_Spec);
+  for (const Share &Each : Chosen.m_Shares)
+    workload::subtract(m_Fleet.workers()[Each.m_Worker].m_Free, Need,
+                       Each.m_Tasks);
+}
+
+} // namespace anvil::dispatch::internal
--- /dev/null
+++ b/src/dispatch/Preemption.cpp
@@ -0,0 +1,194 @@
+#include "Preemption.h"
+
+#include <algorithm>
+
+#include "JobRank.h"
+
+namespace anvil::dispatch::internal {
+
+using workload::add;
+using workload::subtract;
+
+namespace {
+
+// Cost of any stop beside the work that it throws away, in core seconds: the
+// run waits and starts again.
+constexpr double StopCost = 4;
+
+bool covers(const wire::Amounts &Has, const wire::Amounts &Wants) {
+  return Has.milliCores >= Wants.milliCores &&
+         Has.memoryMib >= Wants.memoryMib &&
+         Has.accelerators >= Wants.accelerators;
+}
+
+// Returns how much of what is missing a run would free, between 0 and 1 for
+// each resource.
+double usefulness(const wire::Amounts &Frees, const wire::Amounts &Missing) {
+  const auto Part = [](int32_t Gives, int32_t Wants) {
+    return Wants <= 0 ? 0.0 : std::min(1.0, static_cast<double>(Gives) / Wants);
+  };
+  return Part(Frees.accelerators, Missing.accelerators) +
+         Part(Frees.memoryMib, Missing.memoryMib) +
+         Part(Frees.milliCores, Missing.milliCores);
+}
+
+wire::Amounts missingOf(const wire::Amounts &Wants, const wire::Amounts &Has) {
+  wire::Amounts Result = Wants;
+  subtract(Result, Has);
+  return Result;
+}
+
+} // namespace
+
+double Preemption::costOf(const RunView &Run) const {
+  const bool Gang = Run.m_Spec->gang && Run.m_Spec->tasks > 1;
+  const double Members = Gang ? Run.m_Spec->tasks : 1;
+  return Members *
+         (StopCost + coresOf(Run.m_Amounts) * Run.m_Forecast.m_UnsavedSeconds);
+}
+
+// Adds the run that frees the most of what is missing for its cost until all is
+// there, then drops those that turned out to be superfluous.
+std::optional<Preemption::Victims>
+Preemption::victimsOn(const WorkerView &Worker, const WaitingStep &Step,
+                      int32_t Tasks) const {
+  wire::Amounts Wants;
+  add(Wants, workload::countedAmounts(*Step.m_Spec), Tasks);
+  wire::Amounts Has = Worker.m_Free;
+  add(Has, Worker.m_Releasing);
+  // What a more urgent step waits for is not available.
+  for (const Booking &Each : Worker.m_Bookings)
+    subtract(Has, Each.m_Amounts);
+  Victims Result;
+  std::set<size_t> Taken;
+  while (!covers(Has, Wants)) {
+    std::optional<size_t> Best;
+    double BestValue = 0;
+    for (size_t I = 0; I < Worker.m_Runs.size(); ++I) {
+      const RunView &Run = Worker.m_Runs[I];
+      if (Run.m_Stopping || Taken.contains(I) ||
+          Run.m_Job->priority <= Step.m_Job->priority ||
+          Run.m_Spec->longRunning)
+        continue;
+      const double Value =
+          usefulness(Run.m_Amounts, missingOf(Wants, Has)) / costOf(Run);
+      if (Value <= BestValue)
+        continue;
+      Best = I;
+      BestValue = Value;
+    }
+    if (!Best)
+      return std::nullopt;
+    Taken.insert(*Best);
+    add(Has, Worker.m_Runs[*Best].m_Amounts);
+  }
+  for (auto It = Taken.begin(); It != Taken.end();) {
+    wire::Amounts Without = Has;
+    subtract(Without, Worker.m_Runs[*It].m_Amounts);
+    if (!covers(Without, Wants)) {
+      ++It;
+      continue;
+    }
+    Has = Without;
+    It = Taken.erase(It);
+  }
+  for (const size_t I : Taken) {
+    Result.m_Runs.push_back(I);
+    Result.m_Cost += costOf(Worker.m_Runs[I]);
+  }
+  return Result;
+}
+
+std::optional<Eviction> Preemption::findIn(const WaitingStep &Step,
+                                           const std::string &Rack,
+                                           int32_t Count) const {
+  const std::vector<WorkerView> &Workers = m_Fleet.workers();
+  std::map<size_t, int32_t> Planned;
+  std::map<size_t, Victims> Chosen;
+  for (int32_t Placed = 0; Placed < Count; ++Placed) {
+    std::optional<size_t> Best;
+    double BestCost = 0;
+    Victims BestVictims;
+    for (size_t I = 0; I < Workers.size(); ++I) {
+      if ((!Rack.empty() && Workers[I].facts().rack != Rack) ||
+          !m_Rules.allowed(Workers[I], Step) ||
+          Placer::roomByLimit(Workers[I], Step, Planned[I]) == 0)
+        continue;
+      const std::optional<Victims> Found =
+          victimsOn(Workers[I], Step, Planned[I] + 1);
+      if (!Found)
+        continue;
+      const double Cost = Found->m_Cost - Chosen[I].m_Cost +
+                          Workers[I].m_Suspicion +
+                          m_Rules.slowdownOn(Workers[I], Step);
+      if (Best && Cost >= BestCost)
+        continue;
+      Best = I;
+      BestCost = Cost;
+      BestVictims = *Found;
+    }
+    if (!Best)
+      return std::nullopt;
+    ++Planned[*Best];
+    Chosen[*Best] = std::move(BestVictims);
+  }
+  Eviction Result;
+  for (const auto &[Worker, Tasks] : Planned) {
+    if (Tasks == 0)
+      continue;
+    Result.m_Choice.m_Shares.push_back({Worker, Tasks});
+    for (const size_t I : Chosen[Worker].m_Runs) {
+      const RunView &Run = Workers[Worker].m_Runs[I];
+      wire::RunName Name;
+      Name.task = Run.m_Task;
+      Name.run = Run.m_Run;
+      Result.m_Victims.push_back(std::move(Name));
+      Result.m_LostCoreSeconds += costOf(Run);
+    }
+  }
+  return Result;
+}
+
+std::optional<Eviction> Preemption::find(const WaitingStep &Step,
+                                         int32_t Count) const {
+  std::optional<Eviction> Best;
+  for (const std::string &Rack : m_Rules.racksFor(Step)) {
+    std::optional<Eviction> Found = findIn(Step, Rack, Count);
+    if (Found && (!Best || Found->m_LostCoreSeconds < Best->m_LostCoreSeconds))
+      Best = std::move(Found);
+  }
+  // Spread over racks the gang is slow, but it has its guarantee.
+  if (!Best && Step.m_OneRack)
+    Best = findIn(Step, "", Count);
+  return Best;
+}
+
+void Preemption::reserve(const WaitingStep &Step, const Eviction &Of) {
+  std::vector<WorkerView> &Workers = m_Fleet.workers();
+  for (const Share &Each : Of.m_Choice.m_Shares) {
+    WorkerView &Worker = Workers[Each.m_Worker];
+    for (RunView &Run : Worker.m_Runs)
+      for (const wire::RunName &Victim : Of.m_Victims)
+        if (Run.m_Task == Victim.task && !Run.m_Stopping) {
+          Run.m_Stopping = true;
+          add(Worker.m_Releasing, Run.m_Amounts);
+        }
+    wire::Amounts Need;
+    add(Need, workload::countedAmounts(*Step.m_Spec), Each.m_Tasks);
+    // First of what is being released, so that the rest stays usable.
+    const auto Part = [](int32_t Wants, int32_t Has) {
+      return std::clamp(Wants, 0, std::max(0, Has));
+    };
+    wire::Amounts Promised;
+    Promised.milliCores = Part(Need.milliCores, Worker.m_Releasing.milliCores);
+    Promised.memoryMib = Part(Need.memoryMib, Worker.m_Releasing.memoryMib);
+    Promised.accelerators =
+        Part(Need.accelerators, Worker.m_Releasing.accelerators);
+    subtract(Worker.m_Releasing, Promised);
+    add(Worker.m_Promised, Promised);
+    subtract(Need, Promised);
+    subtract(Worker.m_Free, Need);
+  }
+}
+
+} // namespace anvil::dispatch::internal
--- /dev/null
+++ b/src/dispatch/RunTimes.h
@@ -0,0 +1,53 @@
+#ifndef ANVIL_SRC_DISPATCH_RUNTIMES_H
+#define ANVIL_SRC_DISPATCH_RUNTIMES_H
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "anvil/base/Time.h"
+
+namespace anvil::dispatch::internal {
+
+/// Expected run time, and how sure it is.
+struct RunTime {
+  Duration m_Expected{0};
+  /// Variance of the logarithm of the real time around the expected one.
+  double m_LogVariance = 0;
+};
+
+/// Predicts how long a task runs from its declared time and from how long the
+/// tasks of its queue took.
+///
+/// Declared times are far off in some queues and close in others, so both
+/// sources are weighed by how well they predicted so far.
+class RunTimes {
+public:
+  /// A task of \p Queue that declared \p EstimateMs ran from its beginning to
+  /// its end.
+  void learn(const std::string &Queue, int64_t EstimateMs, Duration Took);
+  /// Returns the expected run time on a sound worker.
+  RunTime predict(const std::string &Queue, int64_t EstimateMs) const;
+  void clear() { m_Queues.clear(); }
+
+private:
+  /// Mean and variance of a series of logarithms.
+  struct Series {
+    double m_Count = 0;
+    double m_Mean = 0;
+    double m_SquareSum = 0;
+
+    void add(double Value);
+    double variance() const;
+  };
+  struct QueueStats {
+    Series m_Took;  ///< Logarithms of the times in seconds.
+    Series m_Ratio; ///< Logarithms of time by declared time.
+  };
+
+  std::map<std::string, QueueStats> m_Queues;
+};
+
+} // namespace anvil::dispatch::internal
+
+#endif // ANVIL_SRC_DISPATCH_RUNTIMES_H
--- /dev/null
+++ b/src/dispatch/RunTracker.cpp
@@ -0,0 +1,271 @@
+#include "RunTracker.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace anvil::dispatch::internal {
+
+namespace {
+
+// Progress that must have been seen before its rate is used.
+constexpr int32_t MinPercentForRate = 4;
+
+// A working task shows another percent in a hundredth of its time; reports come
+// a few times a second. This many hundredths, and at least this long, without
+// another percent is a standstill.
+constexpr double StallHundredths = 8;
+constexpr Duration MinStall = std::chrono::milliseconds(2500);
+
+// Least remaining time in a forecast: a run that is overdue may end any moment.
+constexpr Duration MinRemaining = std::chrono::milliseconds(50);
+
+// Time over which the speed of a run is measured.
+constexpr Duration SpeedWindow = std::chrono::milliseconds(1200);
+
+// Variance of the logarithm of the times of the tasks of one step, and of the
+// speed of one run over time.
+constexpr double TaskVariance = 0.1;
+constexpr double OwnVariance = 0.08;
+
+double secondsOf(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+Duration scaled(Duration Value, double Factor) {
+  return std::chrono::duration_cast<Duration>(Value * Factor);
+}
+
+} // namespace
+
+Duration RunTracker::expected(const wire::JobRecord &Job, int32_t Step) const {
+  const wire::StepSpec &Spec = Job.spec.steps[static_cast<size_t>(Step)];
+  return m_Times.predict(Job.queue, Spec.estimateMs).m_Expected;
+}
+
+void RunTracker::observe(const workload::WorkloadEvent &Event,
+                         const workload::WorkloadState &State, TimePoint Now) {
+  if (const auto *Placed = std::get_if<workload::RunPlaced>(&Event))
+    placed(*Placed, State, Now);
+  else if (const auto *Ended = std::get_if<workload::RunEnded>(&Event))
+    ended(*Ended, State, Now);
+}
+
+void RunTracker::placed(const workload::RunPlaced &Event,
+                        const workload::WorkloadState &State, TimePoint Now) {
+  Track New;
+  New.m_Run = Event.m_Run;
+  New.m_Worker = Event.m_Worker;
+  New.m_PlacedAt = Now;
+  const wire::TaskRecord *Task = State.task(Event.m_Task);
+  New.m_FromStart = Task && Task->checkpoint.empty();
+  m_Runs[keyOf(Event.m_Task)] = New;
+}
+
+void RunTracker::ended(const workload::RunEnded &Event,
+                       const workload::WorkloadState &State, TimePoint Now) {
+  auto Node = m_Runs.extract(keyOf(Event.m_Task));
+  const wire::JobRecord *Job = State.job(Event.m_Task.jobId);
+  if (!Job || Node.empty() || Node.mapped().m_Run != Event.m_Run)
+    return;
+  const Track &Of = Node.mapped();
+  const auto Step = static_cast<size_t>(Event.m_Task.step);
+  if (Step >= Job->spec.steps.size())
+    return;
+  const wire::StepSpec &Spec = Job->spec.steps[Step];
+  if (Event.m_Kind == wire::RunEndKind::FAILED) {
+    const wire::TaskRecord *Task = State.task(Event.m_Task);
+    const auto Occurrence = Job->occurrences.find(Event.m_Task.occurrence);
+    const int32_t GangFailures =
+        Occurrence == Job->occurrences.end()
+            ? 0
+            : Occurrence->second.steps[Step].gangFailures;
+    const int32_t Before =
+        Spec.gang ? GangFailures : (Task ? Task->failures : 0);
+    m_Health.failed(Event.m_Worker, Before > 0, Now);
+    return;
+  }
+  if (Event.m_Kind == wire::RunEndKind::NOT_STARTED) {
+    m_Health.failed(Event.m_Worker, false, Now);
+    return;
+  }
+  if (Event.m_Kind != wire::RunEndKind::DONE || !Of.m_FromStart)
+    return;
+  const Duration Took = Now - (Of.m_Started ? Of.m_StartedAt : Of.m_PlacedAt);
+  m_Health.succeeded(Event.m_Worker, Now);
+  // The time of a run on a slow worker says nothing of its task.
+  if (m_Health.slowdown(Event.m_Worker, Now) > 1)
+    return;
+  m_Times.learn(Job->queue, Spec.estimateMs, Took);
+}
+
+void RunTracker::report(const wire::RunStatus &Status, TimePoint HeardAt) {
+  const auto It = m_Runs.find(keyOf(Status.task));
+  if (It == m_Runs.end() || It->second.m_Run != Status.run || !Status.running)
+    return;
+  Track &Of = It->second;
+  Of.m_SeenAt = HeardAt;
+  if (!Of.m_Started) {
+    Of.m_Started = true;
+    Of.m_StartedAt = HeardAt - std::chrono::milliseconds(Status.runningMs);
+    Of.m_FirstPercent = Status.percent;
+    Of.m_FirstAt = HeardAt;
+    Of.m_Percent = Status.percent;
+    Of.m_PercentAt = HeardAt;
+    return;
+  }
+  Of.m_Samples.push_back({HeardAt, Status.percent});
+  sampleSpeed(Of);
+  if (Status.percent == Of.m_Percent)
+    return;
+  // A gang stands at zero until all of its members are there.
+  if (Of.m_Percent == 0) {
+    Of.m_FirstPercent = Status.percent;
+    Of.m_FirstAt = HeardAt;
+  }
+  Of.m_Percent = Status.percent;
+  Of.m_PercentAt = HeardAt;
+  Of.m_StallNoted = false;
+}
+
+void RunTracker::update(const workload::WorkloadState &State,
+                        const WorkerSessions &Sessions, TimePoint Now) {
+  for (const auto &[Id, Worker] : State.workers()) {
+    const LiveWorker *Live = Sessions.live(Worker.facts.life);
+    if (!Live)
+      continue;
+    for (const wire::RunStatus &Status : Live->m_Runs)
+      report(Status, Live->m_HeardAt);
+  }
+  for (auto &[Key, Of] : m_Runs) {
+    const wire::JobRecord *Job = State.job(std::get<0>(Key));
+    if (!Job || static_cast<size_t>(std::get<2>(Key)) >= Job->spec.steps.size())
+      continue;
+    wire::TaskRef Ref;
+    Ref.jobId = std::get<0>(Key);
+    Ref.occurrence = std::get<1>(Key);
+    Ref.step = std::get<2>(Key);
+    Ref.index = std::get<3>(Key);
+    judgeProgress(*Job, Ref, Of, Now);
+  }
+}
+
+Duration RunTracker::stallLimit(const wire::JobRecord &Job, int32_t Step,
+                                const wire::WorkerLife &Worker,
+                                TimePoint Now) const {
+  const Duration Hundredth =
+      scaled(expected(Job, Step),
+             0.01 * std::max(1.0, m_Health.slowdown(Worker, Now)));
+  return std::max<Duration>(MinStall, scaled(Hundredth, StallHundredths));
+}
+
+// Keeps a window of samples and compares its speed to the highest so far.
+void RunTracker::sampleSpeed(Track &Of) {
+  while (Of.m_Samples.size() > 2 &&
+         Of.m_Samples.back().m_At - Of.m_Samples[1].m_At >= SpeedWindow)
+    Of.m_Samples.pop_front();
+  const Duration Span = Of.m_Samples.back().m_At - Of.m_Samples.front().m_At;
+  if (Span < SpeedWindow || Of.m_Samples.front().m_Percent == 0)
+    return;
+  Of.m_RecentSpeed =
+      (Of.m_Samples.back().m_Percent - Of.m_Samples.front().m_Percent) /
+      secondsOf(Span);
+  Of.m_PeakSpeed = std::max(Of.m_PeakSpeed, Of.m_RecentSpeed);
+}
+
+void RunTracker::judgeProgress(const wire::JobRecord &Job,
+                               const wire::TaskRef &Ref, Track &Of,
+                               TimePoint Now) {
+  const wire::StepSpec &Spec = Job.spec.steps[static_cast<size_t>(Ref.step)];
+  if (!Of.m_Started || Spec.longRunning)
+    return;
+  judgeStall(Job, Ref, Of, Now);
+  // The speed of a gang is that of its slowest member.
+  if (!Spec.gang || Spec.tasks == 1)
+    judgeSpeed(Job, Ref, Of, Now);
+}
+
+void RunTracker::judgeStall(const wire::JobRecord &Job,
+                            const wire::TaskRef &Ref, Track &Of,
+                            TimePoint Now) {
+  const wire::StepSpec &Spec = Job.spec.steps[static_cast<size_t>(Ref.step)];
+  // Nothing is said of a worker whose reports do not come.
+  if (Of.m_StallNoted || Of.m_SeenAt - Of.m_PercentAt <=
+                             stallLimit(Job, Ref.step, Of.m_Worker, Now))
+    return;
+  Of.m_StallNoted = true;
+  if (!Spec.gang || Spec.tasks == 1)
+    m_Health.stalled(Of.m_Worker, Now);
+}
+
+// Compares a run to what was expected of it and, once it has changed its speed,
+// to itself, which says much more.
+void RunTracker::judgeSpeed(const wire::JobRecord &Job,
+                            const wire::TaskRef &Ref, const Track &Of,
+                            TimePoint Now) {
+  const int32_t Made = Of.m_Percent - Of.m_FirstPercent;
+  if (Made < MinPercentForRate)
+    return;
+  const wire::StepSpec &Spec = Job.spec.steps[static_cast<size_t>(Ref.step)];
+  const RunTime Time = m_Times.predict(Job.queue, Spec.estimateMs);
+  const double Speed = Of.m_RecentSpeed > 0
+                           ? Of.m_RecentSpeed
+                           : Made / secondsOf(Of.m_PercentAt - Of.m_FirstAt);
+  SpeedEvidence Evidence;
+  Evidence.m_LogRatio =
+      std::log(100 / Speed / std::max(0.001, secondsOf(Time.m_Expected)));
+  Evidence.m_Variance = Time.m_LogVariance + TaskVariance;
+  if (Of.m_RecentSpeed > 0 && Of.m_PeakSpeed > 2 * Of.m_RecentSpeed) {
+    Evidence.m_LogRatio = std::log(Of.m_PeakSpeed / Of.m_RecentSpeed);
+    Evidence.m_Variance = OwnVariance;
+  }
+  m_Health.observedSpeed(Of.m_Worker, workload::nameOf(Ref), Evidence, Now);
+}
+
+RunForecast RunTracker::forecast(const wire::JobRecord &Job,
+                                 const wire::TaskRef &Ref,
+                                 const wire::TaskRecord &Task,
+                                 TimePoint Now) const {
+  RunForecast Result;
+  const wire::StepSpec &Spec = Job.spec.steps[static_cast<size_t>(Ref.step)];
+  const Duration Whole = expected(Job, Ref.step);
+  const double Slowdown = m_Health.slowdown(Task.worker, Now);
+  const auto It = m_Runs.find(keyOf(Ref));
+  const bool Known = It != m_Runs.end() && It->second.m_Run == Task.run;
+  if (!Known || !It->second.m_Started) {
+    const TimePoint Since = Known ? It->second.m_PlacedAt : Now;
+    Result.m_EndsAt =
+        std::max(Now + MinRemaining, Since + scaled(Whole, Slowdown));
+    Result.m_WorkLeftSeconds = secondsOf(Whole);
+    return Result;
+  }
+  const Track &Of = It->second;
+  Result.m_Started = true;
+  const int32_t Made = Of.m_Percent - Of.m_FirstPercent;
+  const double LeftShare = (100 - std::min(Of.m_Percent, 100)) / 100.0;
+  Duration Remaining = scaled(Whole, LeftShare * Slowdown);
+  double SoundSeconds = secondsOf(Whole);
+  if (Of.m_RecentSpeed > 0) {
+    Remaining =
+        Duration(std::llround(LeftShare * 100 / Of.m_RecentSpeed * 1'000'000));
+    // On a sound worker it would be as fast as it was at its best, or by as
+    // much faster as this worker is slow.
+    SoundSeconds = 100 / std::max(Of.m_PeakSpeed, Of.m_RecentSpeed * Slowdown);
+  } else if (Made >= MinPercentForRate) {
+    const double PerPercent = secondsOf(Of.m_PercentAt - Of.m_FirstAt) / Made;
+    Remaining =
+        Duration(std::llround(LeftShare * 100 * PerPercent * 1'000'000));
+    SoundSeconds = 100 * PerPercent / Slowdown;
+  }
+  Result.m_EndsAt = std::max(Now + MinRemaining, Of.m_PercentAt + Remaining);
+  Result.m_Stalled = Of.m_StallNoted;
+  // A stop saves the progress of a task that writes checkpoints.
+  Result.m_UnsavedSeconds = Spec.checkpointing
+                                ? 0
+                                : std::max(SoundSeconds * (1 - LeftShare),
+                                           secondsOf(Now - Of.m_StartedAt));
+  Result.m_WorkLeftSeconds =
+      Spec.checkpointing ? SoundSeconds * LeftShare : SoundSeconds;
+  return Result;
+}
+
+} // namespace anvil::dispatch::internal
--- /dev/null
+++ b/src/dispatch/RunTracker.h
@@ -0,0 +1,99 @@
+#ifndef ANVIL_SRC_DISPATCH_RUNTRACKER_H
+#define ANVIL_SRC_DISPATCH_RUNTRACKER_H
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <tuple>
+
+#include "RunTimes.h"
+#include "WorkerHealth.h"
+#include "anvil/dispatch/WorkerSessions.h"
+#include "anvil/workload/WorkloadState.h"
+
+namespace anvil::dispatch::internal {
+
+/// What is expected of a run that is placed.
+struct RunForecast {
+  TimePoint m_EndsAt;
+  /// Seconds of work that a stop would throw away.
+  double m_UnsavedSeconds = 0;
+  /// Seconds of work left on a sound worker, if it went on from what is saved.
+  double m_WorkLeftSeconds = 0;
+  /// Its progress has stood still for longer than a working task's does.
+  bool m_Stalled = false;
+  bool m_Started = false;
+};
+
+/// Follows the progress of all runs, learns how long tasks take and how workers
+/// do, and forecasts when runs end.
+class RunTracker {
+public:
+  RunTracker(RunTimes &Times, WorkerHealth &Health)
+      : m_Times(Times), m_Health(Health) {}
+
+  void clear() { m_Runs.clear(); }
+  /// Learns from a change of the state.
+  void observe(const workload::WorkloadEvent &Event,
+               const workload::WorkloadState &State, TimePoint Now);
+  /// Takes in what the agents reported last.
+  void update(const workload::WorkloadState &State,
+              const WorkerSessions &Sessions, TimePoint Now);
+  /// Forecasts a run that is placed.
+  RunForecast forecast(const wire::JobRecord &Job, const wire::TaskRef &Ref,
+                       const wire::TaskRecord &Task, TimePoint Now) const;
+
+private:
+  using TaskKey = std::tuple<std::string, int32_t, int32_t, int32_t>;
+  struct Track {
+    int64_t m_Run = 0;
+    wire::WorkerLife m_Worker;
+    TimePoint m_PlacedAt;
+    bool m_FromStart = true; ///< It did not continue from a checkpoint.
+    bool m_Started = false;
+    TimePoint m_StartedAt;
+    int32_t m_FirstPercent = 0;
+    TimePoint m_FirstAt; ///< When m_FirstPercent was seen.
+    int32_t m_Percent = 0;
+    TimePoint m_PercentAt; ///< When the percent changed last.
+    TimePoint m_SeenAt;    ///< Last report that listed it.
+    bool m_StallNoted = false;
+    /// Lately seen progress, oldest first, to tell a change of the speed.
+    struct Sample {
+      TimePoint m_At;
+      int32_t m_Percent = 0;
+    };
+    std::deque<Sample> m_Samples;
+    /// Highest speed that was seen, in percent a second.
+    double m_PeakSpeed = 0;
+    double m_RecentSpeed = 0;
+  };
+
+  static TaskKey keyOf(const wire::TaskRef &Ref) {
+    return {Ref.jobId, Ref.occurrence, Ref.step, Ref.index};
+  }
+  void placed(const workload::RunPlaced &Event,
+              const workload::WorkloadState &State, TimePoint Now);
+  void ended(const workload::RunEnded &Event,
+             const workload::WorkloadState &State, TimePoint Now);
+  void report(const wire::RunStatus &Status, TimePoint HeardAt);
+  static void sampleSpeed(Track &Of);
+  void judgeStall(const wire::JobRecord &Job, const wire::TaskRef &Ref,
+                  Track &Of, TimePoint Now);
+  void judgeSpeed(const wire::JobRecord &Job, const wire::TaskRef &Ref,
+                  const Track &Of, TimePoint Now);
+  void judgeProgress(const wire::JobRecord &Job, const wire::TaskRef &Ref,
+                     Track &Of, TimePoint Now);
+  Duration expected(const wire::JobRecord &Job, int32_t Step) const;
+  Duration stallLimit(const wire::JobRecord &Job, int32_t Step,
+                      const wire::WorkerLife &Worker, TimePoint Now) const;
+
+  RunTimes &m_Times;
+  WorkerHealth &m_Health;
+  std::map<TaskKey, Track> m_Runs;
+};
+
+} // namespace anvil::dispatch::internal
+
+#endif // ANVIL_SRC_DISPATCH_RUNTRACKER_H
--- a/src/node/LeaderDuties.cpp
+++ b/src/node/LeaderDuties.cpp
@@ -34,7 +34,7 @@
   m_ConfirmInFlight = false;
   const TimePoint Now = m_Ports.m_Now();
   m_Sessions.reset(Now);
-  m_Dispatcher.reset();
+  m_Dispatcher.reset(Now);
   m_Keeper.reset(Now);
   m_Watchers.clear();
   m_Log.write("leadership-begun",
@@ -82,6 +82,11 @@
   wake();
 }
 
+void LeaderDuties::observe(const workload::WorkloadEvent &Event) {
+  if (m_Active)
+    m_Dispatcher.observe(Event, m_Ports.m_State(), m_Ports.m_Now());
+}
+
 void LeaderDuties::heardReplica(raft::ReplicaId Replica) {
   m_Keeper.heard(Replica, m_Ports.m_Now());
   wake();
--- a/src/node/LeaderDuties.h
+++ b/src/node/LeaderDuties.h
@@ -66,6 +66,8 @@
   void entryWatch(const wire::EntryWatchRequest &Request,
                   std::function<void(wire::EntryWatchReply)> Done);
   void heardReplica(raft::ReplicaId Replica);
+  /// The state changed.
+  void observe(const workload::WorkloadEvent &Event);
   /// Looks soon at what has to be done.
   void wake();
 
--- a/src/node/Replica.cpp
+++ b/src/node/Replica.cpp
@@ -126,7 +126,7 @@
   m_Duties = std::make_shared<LeaderDuties>(m_Io, m_Options.m_Leader,
                                             leaderPorts(), m_Log);
   m_State.setEventHook(
-      [this](const workload::WorkloadEvent &Event) { logStateEvent(Event); });
+      [this](const workload::WorkloadEvent &Event) { onStateEvent(Event); });
   m_LogHandle->start(hooks());
   return absl::OkStatus();
 }
@@ -186,7 +186,7 @@
     return Restored.status();
   m_State = *std::move(Restored);
   m_State.setEventHook(
-      [this](const workload::WorkloadEvent &Event) { logStateEvent(Event); });
+      [this](const workload::WorkloadEvent &Event) { onStateEvent(Event); });
   m_Log.write("state-restored", {{"applied", m_State.appliedIndex()},
                                  {"jobs", m_State.liveJobs().size()}});
   return absl::OkStatus();
--- a/src/node/Replica.h
+++ b/src/node/Replica.h
@@ -90,7 +90,7 @@
   void registerSelf();
   void propose(wire::WorkloadCommand Command, CommandDone Done);
   LeaderPorts leaderPorts();
-  void logStateEvent(const workload::WorkloadEvent &Event);
+  void onStateEvent(const workload::WorkloadEvent &Event);
 
   // Calls; each answers Done once.
   using CallDone = std::function<void(wire::WorkloadReply)>;
--- a/src/node/StateEventLog.cpp
+++ b/src/node/StateEventLog.cpp
@@ -97,7 +97,8 @@
 
 // All replicas apply the same changes; the leader's lines are enough, but what
 // changes how callers are answered is noted by each.
-void Replica::logStateEvent(const workload::WorkloadEvent &Event) {
+void Replica::onStateEvent(const workload::WorkloadEvent &Event) {
+  m_Duties->observe(Event);
   const bool ForAll =
       std::holds_alternative<workload::PolicyChanged>(Event) ||
       std::holds_alternative<workload::ZoneWithdrawalChanged>(Event);
--- a/tests/dispatch/sim/World.cpp
+++ b/tests/dispatch/sim/World.cpp
@@ -102,10 +102,11 @@
   auto Self = std::make_shared<Leader>(m_Options, ++m_Term);
   for (size_t I = 0; I < m_Log.size(); ++I)
     Self->m_State.apply(m_Log[I], static_cast<int64_t>(I + 1));
-  Self->m_State.setEventHook(
-      [this, Term = m_Term](const workload::WorkloadEvent &Event) {
-        traceEvent(Event, Term);
-      });
+  Self->m_State.setEventHook([this, Term = m_Term, Raw = Self.get()](
+                                 const workload::WorkloadEvent &Event) {
+    Raw->m_Dispatcher.observe(Event, Raw->m_State, m_Queue.now());
+    traceEvent(Event, Term);
+  });
   trace("leader of term " + std::to_string(m_Term));
   Self->m_Sessions.reset(m_Queue.now());
   m_Queue.after(Duration(0), [this, Self] { leaderTick(Self); });
