--- a/src/dispatch/RunTracker.cpp
+++ b/src/dispatch/RunTracker.cpp
@@ -136,6 +136,7 @@
     for (const wire::RunStatus &Status : Live->m_Runs)
       report(Status, Live->m_HeardAt);
   }
+  std::map<StepKey, StepSpeeds> Steps;
   for (auto &[Key, Of] : m_Runs) {
     const wire::JobRecord *Job = State.job(std::get<0>(Key));
     if (!Job || static_cast<size_t>(std::get<2>(Key)) >= Job->spec.steps.size())
@@ -146,7 +147,20 @@
     Ref.step = std::get<2>(Key);
     Ref.index = std::get<3>(Key);
     judgeProgress(*Job, Ref, Of, Now);
+    const wire::StepSpec &Spec = Job->spec.steps[static_cast<size_t>(Ref.step)];
+    const double Speed = speedOf(Of);
+    // The speed of a gang is that of its slowest member.
+    if (Speed <= 0 || Spec.longRunning || (Spec.gang && Spec.tasks > 1))
+      continue;
+    StepSpeed &Sum = Steps[{Ref.jobId, Ref.occurrence, Ref.step}]
+                          [{Of.m_Worker.id, Of.m_Worker.bornMs}];
+    ++Sum.m_Runs;
+    Sum.m_LogTotal += std::log(100 / Speed);
+    Sum.m_Worker = Of.m_Worker;
+    Sum.m_Job = Job;
+    Sum.m_Step = Ref.step;
   }
+  judgeSteps(Steps, Now);
 }
 
 Duration RunTracker::stallLimit(const wire::JobRecord &Job, int32_t Step,
@@ -179,9 +193,8 @@
   if (!Of.m_Started || Spec.longRunning)
     return;
   judgeStall(Job, Ref, Of, Now);
-  // The speed of a gang is that of its slowest member.
   if (!Spec.gang || Spec.tasks == 1)
-    judgeSpeed(Job, Ref, Of, Now);
+    judgeOwnSpeed(Ref, Of, Now);
 }
 
 void RunTracker::judgeStall(const wire::JobRecord &Job,
@@ -197,30 +210,63 @@
     m_Health.stalled(Of.m_Worker, Now);
 }
 
-// Compares a run to what was expected of it and, once it has changed its speed,
-// to itself, which says much more.
-void RunTracker::judgeSpeed(const wire::JobRecord &Job,
-                            const wire::TaskRef &Ref, const Track &Of,
-                            TimePoint Now) {
+double RunTracker::speedOf(const Track &Of) {
+  if (Of.m_RecentSpeed > 0)
+    return Of.m_RecentSpeed;
   const int32_t Made = Of.m_Percent - Of.m_FirstPercent;
-  if (Made < MinPercentForRate)
+  const double Seconds = secondsOf(Of.m_PercentAt - Of.m_FirstAt);
+  return Made >= MinPercentForRate && Seconds > 0 ? Made / Seconds : 0;
+}
+
+// A run that has become slower than it was says much of its worker.
+void RunTracker::judgeOwnSpeed(const wire::TaskRef &Ref, const Track &Of,
+                               TimePoint Now) {
+  if (Of.m_RecentSpeed <= 0 || Of.m_PeakSpeed <= 2 * Of.m_RecentSpeed)
     return;
-  const wire::StepSpec &Spec = Job.spec.steps[static_cast<size_t>(Ref.step)];
-  const RunTime Time = m_Times.predict(Job.queue, Spec.estimateMs);
-  const double Speed = Of.m_RecentSpeed > 0
-                           ? Of.m_RecentSpeed
-                           : Made / secondsOf(Of.m_PercentAt - Of.m_FirstAt);
   SpeedEvidence Evidence;
-  Evidence.m_LogRatio =
-      std::log(100 / Speed / std::max(0.001, secondsOf(Time.m_Expected)));
-  Evidence.m_Variance = Time.m_LogVariance + TaskVariance;
-  if (Of.m_RecentSpeed > 0 && Of.m_PeakSpeed > 2 * Of.m_RecentSpeed) {
-    Evidence.m_LogRatio = std::log(Of.m_PeakSpeed / Of.m_RecentSpeed);
-    Evidence.m_Variance = OwnVariance;
-  }
+  Evidence.m_LogRatio = std::log(Of.m_PeakSpeed / Of.m_RecentSpeed);
+  Evidence.m_Variance = OwnVariance;
   m_Health.observedSpeed(Of.m_Worker, workload::nameOf(Ref), Evidence, Now);
 }
 
+// The tasks of one step resemble each other, so together they say as much as a
+// single one of how far the step is from what was expected of it.
+void RunTracker::judgeSteps(const std::map<StepKey, StepSpeeds> &Steps,
+                            TimePoint Now) {
+  for (const auto &[Key, All] : Steps)
+    for (const auto &[Worker, Of] : All)
+      m_Health.observedSpeed(Of.m_Worker,
+                             std::get<0>(Key) + "/" +
+                                 std::to_string(std::get<1>(Key)) + "/" +
+                                 std::to_string(std::get<2>(Key)),
+                             evidenceOf(All, Of), Now);
+}
+
+// Compares a worker to the middle one of the others that run the same step, or
+// to the expectation if there is none.
+SpeedEvidence RunTracker::evidenceOf(const StepSpeeds &All,
+                                     const StepSpeed &Of) const {
+  std::vector<double> Others;
+  for (const auto &[Worker, Other] : All)
+    if (!(Other.m_Worker == Of.m_Worker))
+      Others.push_back(Other.mean());
+  SpeedEvidence Evidence;
+  if (!Others.empty()) {
+    std::sort(Others.begin(), Others.end());
+    Evidence.m_LogRatio = Of.mean() - Others[Others.size() / 2];
+    Evidence.m_Variance = TaskVariance / Of.m_Runs +
+                          TaskVariance / static_cast<double>(Others.size());
+    return Evidence;
+  }
+  const wire::StepSpec &Spec =
+      Of.m_Job->spec.steps[static_cast<size_t>(Of.m_Step)];
+  const RunTime Time = m_Times.predict(Of.m_Job->queue, Spec.estimateMs);
+  Evidence.m_LogRatio =
+      Of.mean() - std::log(std::max(0.001, secondsOf(Time.m_Expected)));
+  Evidence.m_Variance = Time.m_LogVariance + TaskVariance / Of.m_Runs;
+  return Evidence;
+}
+
 RunForecast RunTracker::forecast(const wire::JobRecord &Job,
                                  const wire::TaskRef &Ref,
                                  const wire::TaskRecord &Task,
--- a/src/dispatch/RunTracker.h
+++ b/src/dispatch/RunTracker.h
@@ -81,8 +81,23 @@
   static void sampleSpeed(Track &Of);
   void judgeStall(const wire::JobRecord &Job, const wire::TaskRef &Ref,
                   Track &Of, TimePoint Now);
-  void judgeSpeed(const wire::JobRecord &Job, const wire::TaskRef &Ref,
-                  const Track &Of, TimePoint Now);
+  /// Means over the runs of one step on one worker.
+  struct StepSpeed {
+    double m_Runs = 0;
+    double m_LogTotal = 0; ///< Sum of the logarithms of the whole times.
+    wire::WorkerLife m_Worker;
+    const wire::JobRecord *m_Job = nullptr;
+    int32_t m_Step = 0;
+
+    double mean() const { return m_LogTotal / m_Runs; }
+  };
+  using StepKey = std::tuple<std::string, int32_t, int32_t>;
+  using StepSpeeds = std::map<std::pair<std::string, int64_t>, StepSpeed>;
+
+  void judgeOwnSpeed(const wire::TaskRef &Ref, const Track &Of, TimePoint Now);
+  void judgeSteps(const std::map<StepKey, StepSpeeds> &Steps, TimePoint Now);
+  SpeedEvidence evidenceOf(const StepSpeeds &All, const StepSpeed &Of) const;
+  static double speedOf(const Track &Of);
   void judgeProgress(const wire::JobRecord &Job, const wire::TaskRef &Ref,
                      Track &Of, TimePoint Now);
   Duration expected(const wire::JobRecord &Job, int32_t Step) const;
