node: Keep the number of voters odd

Change: one more voter than an odd number stays a learner and takes the place of a voter that falls silent. Conclusion: kept; one half of an odd group has a majority, and commits wait for one disk less.

--- a/include/anvil/node/GroupKeeper.h
+++ b/include/anvil/node/GroupKeeper.h
@@ -34,10 +34,13 @@
 /// hold replicas.
 ///
 /// A replica that announces itself becomes a learner and, once it has caught
-/// up, a voter. A replica that lost its disk comes back under a new id at the
-/// same address, so its former id is removed. A voter that stays silent is
-/// removed only if a learner takes its place, because a smaller group bears no
-/// more losses. Usage: reset() when leadership begins, heard() for each
+/// up, a voter, as long as the number of voters stays odd: one more would bear
+/// no more losses, and if the replicas are cut into halves, one half of an odd
+/// group still has a majority. The learner that is left over takes the place of
+/// a voter that is lost. A replica that lost its disk comes back under a new id
+/// at the same address, so its former id is removed. A voter that stays silent
+/// is removed only if a learner takes its place, because a smaller group bears
+/// no more losses. Usage: reset() when leadership begins, heard() for each
 /// announcement, next() until it returns nothing. It reads no clock and does no
 /// I/O.
 class GroupKeeper {
@@ -65,6 +68,8 @@
       const std::map<int64_t, wire::ReplicaAddress> &Registered) const;
   std::optional<GroupChange> promotion(const raft::RaftStatus &Status,
                                        TimePoint Now) const;
+  std::optional<raft::ReplicaId> silentVoter(const raft::RaftStatus &Status,
+                                             TimePoint Now) const;
 
   GroupKeeperOptions m_Options;
   TimePoint m_LeadingSince;
--- a/src/node/GroupKeeper.cpp
+++ b/src/node/GroupKeeper.cpp
@@ -1,6 +1,7 @@
 #include "anvil/node/GroupKeeper.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace anvil::node {
 
@@ -62,19 +63,33 @@
   return std::nullopt;
 }
 
+std::optional<raft::ReplicaId>
+GroupKeeper::silentVoter(const raft::RaftStatus &Status, TimePoint Now) const {
+  for (raft::ReplicaId Voter : Status.m_Members.m_Voters)
+    if (Voter != m_Options.m_Self &&
+        Now - lastHeard(Voter) > m_Options.m_ReplaceAfter)
+      return Voter;
+  return std::nullopt;
+}
+
 std::optional<GroupChange>
 GroupKeeper::promotion(const raft::RaftStatus &Status, TimePoint Now) const {
-  for (raft::ReplicaId Learner : Status.m_Members.m_Learners) {
+  std::vector<raft::ReplicaId> Present;
+  for (raft::ReplicaId Learner : Status.m_Members.m_Learners)
+    if (present(Learner, Now))
+      Present.push_back(Learner);
+  const size_t Voters = Status.m_Members.m_Voters.size();
+  const std::optional<raft::ReplicaId> Silent = silentVoter(Status, Now);
+  const bool Odd = Voters % 2 == 1;
+  if (Present.empty() || (Odd && !Silent && Present.size() < 2))
+    return std::nullopt;
+  for (raft::ReplicaId Learner : Present) {
     const auto Retry = m_RetryPromotion.find(Learner);
-    if (!present(Learner, Now) ||
-        (Retry != m_RetryPromotion.end() && Now < Retry->second))
+    if (Retry != m_RetryPromotion.end() && Now < Retry->second)
       continue;
-    for (raft::ReplicaId Voter : Status.m_Members.m_Voters)
-      if (Voter != m_Options.m_Self &&
-          Now - lastHeard(Voter) > m_Options.m_ReplaceAfter &&
-          Status.m_Members.m_Voters.size() > 2)
-        return changeOf(GroupChange::Kind::Remove, Voter,
-                        "silent, and a learner takes its place");
+    if (Silent && Odd && Voters > 2)
+      return changeOf(GroupChange::Kind::Remove, *Silent,
+                      "silent, and a learner takes its place");
     return changeOf(GroupChange::Kind::Promote, Learner, "caught up");
   }
   return std::nullopt;
