--- a/tests/dispatch/sim/SimWorkers.cpp
+++ b/tests/dispatch/sim/SimWorkers.cpp
@@ -355,7 +355,7 @@
   m_Gangs[Gang][Run.m_Task.index] = &Worker;
   startGangIfWhole(Gang, Step);
   const int64_t Number = Run.m_Run;
-  m_Queue.after(m_Rules.m_GangTimeout, [this, &Worker, Key, Number] {
+  m_Queue.after(m_Rules.m_GangTimeout, [&Worker, Key, Number] {
     const auto It = Worker.m_Runs.find(Key);
     if (It != Worker.m_Runs.end() && It->second.m_Run == Number &&
         It->second.m_Rate == 0)
@@ -416,7 +416,7 @@
   const double Left = std::max(0.0, Until - Run.m_Progress) / Run.m_Rate;
   const uint64_t Generation = ++Run.m_Generation;
   const int64_t Number = Run.m_Run;
-  m_Queue.after(durationOf(Left), [this, &Worker, Key, Generation, Number] {
+  m_Queue.after(durationOf(Left), [&Worker, Key, Generation, Number] {
     const auto It = Worker.m_Runs.find(Key);
     if (It == Worker.m_Runs.end() || It->second.m_Run != Number ||
         It->second.m_Generation != Generation)
--- a/tests/dispatch/sim/World.cpp
+++ b/tests/dispatch/sim/World.cpp
@@ -73,7 +73,7 @@
   return Took <= 3 * Objective ? m_Plan->m_LateWeight : 0;
 }
 
-World::World(WorldOptions Options, wire::PolicyDocument Policy,
+World::World(const WorldOptions &Options, wire::PolicyDocument Policy,
              std::vector<wire::WorkerFacts> Workers)
     : m_Options(Options), m_Random(Options.m_Seed),
       m_Workers(m_Queue, m_Random, Options.m_Rules, m_Truth),
@@ -165,7 +165,7 @@
 
 void World::propose(
     const std::shared_ptr<Leader> &Self, const wire::WorkloadCommand &Command,
-    std::function<void(bool, const wire::WorkloadResult &)> Done) {
+    const std::function<void(bool, const wire::WorkloadResult &)> &Done) {
   m_Queue.after(m_Options.m_CommitDelay, [this, Self, Command, Done] {
     if (Self->m_Gone)
       return;
@@ -282,7 +282,7 @@
           Note->m_Detail);
 }
 
-void World::deliver(size_t Index, uint64_t Life, CallAnswer Answer) {
+void World::deliver(size_t Index, uint64_t Life, const CallAnswer &Answer) {
   if (m_Agents[Index]->m_Life == Life)
     stepAgent(Index, Answer);
 }
@@ -290,7 +290,7 @@
 void World::holdWorker(size_t Index, const runner::HoldCall &Call) {
   const uint64_t Life = m_Agents[Index]->m_Life;
   const auto Answered = std::make_shared<bool>(false);
-  const auto Reply = [this, Index, Life, Answered](CallAnswer Answer) {
+  const auto Reply = [this, Index, Life, Answered](const CallAnswer &Answer) {
     if (std::exchange(*Answered, true))
       return;
     m_Queue.after(m_Options.m_CallDelay, [this, Index, Life, Answer] {
@@ -322,7 +322,7 @@
 
 template <typename Call>
 void World::callWorker(size_t Index, const Call &Request,
-                       std::function<CallAnswer(SimWorker &)> Execute) {
+                       const std::function<CallAnswer(SimWorker &)> &Execute) {
   const uint64_t Life = m_Agents[Index]->m_Life;
   CallAnswer None;
   None.m_Call = Request.m_Call;
--- a/tests/dispatch/sim/World.h
+++ b/tests/dispatch/sim/World.h
@@ -61,7 +61,7 @@
 /// nothing.
 class World {
 public:
-  World(WorldOptions Options, wire::PolicyDocument Policy,
+  World(const WorldOptions &Options, wire::PolicyDocument Policy,
         std::vector<wire::WorkerFacts> Workers);
   ~World();
 
@@ -97,9 +97,10 @@
 
   std::shared_ptr<Leader> makeLeader();
   void leaderTick(const std::shared_ptr<Leader> &Self);
-  void propose(const std::shared_ptr<Leader> &Self,
-               const wire::WorkloadCommand &Command,
-               std::function<void(bool, const wire::WorkloadResult &)> Done);
+  void
+  propose(const std::shared_ptr<Leader> &Self,
+          const wire::WorkloadCommand &Command,
+          const std::function<void(bool, const wire::WorkloadResult &)> &Done);
   void planIfIdle(const std::shared_ptr<Leader> &Self);
   void confirm(const std::shared_ptr<Leader> &Self);
   void startAgent(size_t Index);
@@ -109,10 +110,11 @@
   void sendSync(size_t Index, const wire::WorkerSyncRequest &Request);
   void announce(size_t Index, bool Repeat);
   template <typename Call>
-  void callWorker(size_t Index, const Call &Request,
-                  std::function<runner::CallAnswer(SimWorker &)> Execute);
+  void
+  callWorker(size_t Index, const Call &Request,
+             const std::function<runner::CallAnswer(SimWorker &)> &Execute);
   void holdWorker(size_t Index, const runner::HoldCall &Call);
-  void deliver(size_t Index, uint64_t Life, runner::CallAnswer Answer);
+  void deliver(size_t Index, uint64_t Life, const runner::CallAnswer &Answer);
   std::shared_ptr<Leader> leaderOf(size_t Index);
   void trace(const std::string &Text) const {
     if (m_Options.m_Trace)
