control: Answer a successful membership change without aborting

Cause: since the host of the log moved to its own module, a successful change went through a StatusOr that was built from an OK status, which ends the process. system_replace_control and system_operations failed with it. Change: the status is converted only for a failure.

--- a/cmake/modules/control.cmake
+++ b/cmake/modules/control.cmake
@@ -4,6 +4,7 @@
 target_link_libraries(anvil-control PRIVATE anvil_control)
 
 anvil_test(control LINK anvil_control)
+target_sources(control_tests PRIVATE ${CMAKE_SOURCE_DIR}/tests/store/FakeFileSystem.cpp)
 
 # Prints the cost of the log and of a restart. Reads a clock, so it is not a test.
 add_executable(control_measure tests/measure/ControlMeasure.cpp)
--- a/src/control/ReplicaHost.cpp
+++ b/src/control/ReplicaHost.cpp
@@ -97,12 +97,12 @@
             << " operator=" << Change.operatorId;
   m_Log->changeMembership(
       internal::raftKindOf(Change.kind), Replica,
-      [this, Change,
-       Done = std::move(Done)](absl::StatusOr<raft::LogIndex> Index) {
-        absl::StatusOr<wire::CommandResult> Result = Index.status();
+      [this, Change, Done = std::move(Done)](
+          const absl::StatusOr<raft::LogIndex> &Index) {
         if (Index.ok())
-          Result = resultAt(*Index);
-        Done(internal::changeResult(Change, std::move(Result)));
+          Done(internal::changeResult(Change, resultAt(*Index)));
+        else
+          Done(internal::changeResult(Change, Index.status()));
       });
 }
 
