--- a/include/anvil/log/EventLog.h
+++ b/include/anvil/log/EventLog.h
@@ -72,9 +72,15 @@
 
   void write(std::string_view Kind, std::initializer_list<Field> Fields);
   const EventLogCounters &counters() const { return m_Counters; }
+  /// Calls \p Visit for each kind of event with the number of its lines,
+  /// written or not.
+  void countsByKind(
+      const std::function<void(std::string_view Kind, int64_t Count)> &Visit)
+      const;
 
 private:
   struct Rate {
+    int64_t m_Count = 0;
     double m_Tokens = 0;
     TimePoint m_At;
     int64_t m_Suppressed = 0;
--- a/include/anvil/metrics/Metrics.h
+++ b/include/anvil/metrics/Metrics.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -61,6 +62,14 @@
   void gauge(std::string_view Name, std::string_view Help) {
     head(Name, Help, "gauge");
   }
+  /// Starts a metric of type histogram, to be filled by buckets().
+  void histogram(std::string_view Name, std::string_view Help) {
+    head(Name, Help, "histogram");
+  }
+  /// Adds one series of the histogram that was started last. \p Counts has one
+  /// more entry than \p Bounds, for values above all of them.
+  void buckets(std::span<const double> Bounds, std::span<const int64_t> Counts,
+               double Sum, const std::vector<Label> &Labels);
   /// Adds a value of the metric that was started last.
   void sample(double Value, const std::vector<Label> &Labels = {});
   /// Writes a whole metric of type summary without labels.
--- a/include/anvil/node/AgentVm.h
+++ b/include/anvil/node/AgentVm.h
@@ -9,6 +9,7 @@
 #include "absl/status/statusor.h"
 
 #include "anvil/log/EventLog.h"
+#include "anvil/metrics/Registry.h"
 #include "anvil/net/Rpc.h"
 #include "anvil/runner/Runner.h"
 
@@ -34,6 +35,8 @@
   std::vector<net::Endpoint> m_Seeds;
   net::RpcOptions m_Rpc;
   std::function<TimePoint()> m_Now;
+  /// Receives counters and times; outlives the process object.
+  metrics::Registry *m_Metrics = nullptr;
 };
 
 /// The process beside a worker: reports it to the leader and carries out its
@@ -52,6 +55,8 @@
   void left(std::string_view WorkerId);
   /// Replaces the addresses of entry VMs.
   void setSeeds(std::vector<net::Endpoint> Seeds);
+  /// Writes whether a worker is served and how much of its lease is left.
+  void writeMetrics(metrics::PrometheusText &To) const;
 
 private:
   struct Impl;
--- a/include/anvil/node/EntryVm.h
+++ b/include/anvil/node/EntryVm.h
@@ -10,10 +10,11 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 
-#include "anvil/base/LayerError.h"
 #include "anvil/base/Time.h"
 #include "anvil/log/EventLog.h"
+#include "anvil/metrics/Registry.h"
 #include "anvil/net/Rpc.h"
+#include "anvil/node/NodeError.h"
 #include "workload_types.h"
 
 namespace boost::asio {
@@ -22,9 +23,6 @@
 
 namespace anvil::node {
 
-/// Error codes of this layer.
-enum class NodeErrc { InvalidOption = 1 };
-
 /// Settings of the process on an entry VM.
 struct EntryVmOptions {
   std::string m_Name;
@@ -49,6 +47,8 @@
   std::function<TimePoint()> m_Now;
   std::function<int64_t()> m_WallClockMicros;
   std::function<double()> m_Random; ///< Returns a number in [0, 1).
+  /// Receives counters and times; outlives the process object.
+  metrics::Registry *m_Metrics = nullptr;
 };
 
 /// Result of a call of a consumer or an operator.
@@ -97,6 +97,9 @@
   int64_t policyVersion() const;
   /// Returns whether this process leads the group.
   bool leads() const;
+  /// Writes what this process holds at the moment: its part in the group, the
+  /// version and age of its policy, and the jobs and workers that it knows.
+  void writeMetrics(metrics::PrometheusText &To) const;
 
   /// Replaces the addresses of other entry VMs.
   void setSeeds(std::vector<net::Endpoint> Seeds);
@@ -111,8 +114,4 @@
 
 } // namespace anvil::node
 
-template <> struct anvil::LayerErrorTraits<anvil::node::NodeErrc> {
-  static constexpr std::string_view Layer = "node";
-};
-
 #endif // ANVIL_NODE_ENTRYVM_H
--- a/src/control/ReplicaHost.cpp
+++ b/src/control/ReplicaHost.cpp
@@ -97,8 +97,8 @@
             << " operator=" << Change.operatorId;
   m_Log->changeMembership(
       internal::raftKindOf(Change.kind), Replica,
-      [this, Change, Done = std::move(Done)](
-          const absl::StatusOr<raft::LogIndex> &Index) {
+      [this, Change,
+       Done = std::move(Done)](const absl::StatusOr<raft::LogIndex> &Index) {
         if (Index.ok())
           Done(internal::changeResult(Change, resultAt(*Index)));
         else
--- a/src/log/EventLog.cpp
+++ b/src/log/EventLog.cpp
@@ -62,6 +62,7 @@
   if (It == m_Rates.end())
     It = m_Rates.emplace(std::string(Kind), Rate()).first;
   Rate &Of = It->second;
+  ++Of.m_Count;
   if (!admit(Of))
     return;
   boost::json::object Line;
@@ -91,6 +92,12 @@
   }
 }
 
+void EventLog::countsByKind(
+    const std::function<void(std::string_view, int64_t)> &Visit) const {
+  for (const auto &[Kind, Of] : m_Rates)
+    Visit(Kind, Of.m_Count);
+}
+
 std::function<bool(std::string_view)> standardOutput() {
   const int Flags = ::fcntl(STDOUT_FILENO, F_GETFL);
   if (Flags >= 0)
--- a/src/metrics/Metrics.cpp
+++ b/src/metrics/Metrics.cpp
@@ -118,6 +118,22 @@
   line(m_Name, Value, Labels);
 }
 
+void PrometheusText::buckets(std::span<const double> Bounds,
+                             std::span<const int64_t> Counts, double Sum,
+                             const std::vector<Label> &Labels) {
+  int64_t Total = 0;
+  for (size_t I = 0; I < Counts.size(); ++I) {
+    Total += Counts[I];
+    const std::string Bound =
+        I < Bounds.size() ? formatNumber(Bounds[I]) : "+Inf";
+    std::vector<Label> WithBound = Labels;
+    WithBound.push_back({"le", Bound});
+    line(m_Name + "_bucket", static_cast<double>(Total), WithBound);
+  }
+  line(m_Name + "_sum", Sum, Labels);
+  line(m_Name + "_count", static_cast<double>(Total), Labels);
+}
+
 void PrometheusText::summary(std::string_view Name, std::string_view Help,
                              const TimeSummary &Times) {
   head(Name, Help, "summary");
--- a/src/node/AgentVm.cpp
+++ b/src/node/AgentVm.cpp
@@ -7,9 +7,22 @@
 
 #include "anvil/net/WireCodec.h"
 #include "anvil/node/LeaderLink.h"
+#include "anvil/node/NodeError.h"
 
 namespace anvil::node {
 
+namespace {
+
+constexpr metrics::Metric SyncTime{
+    "anvil_sync_seconds",
+    "Time from a report to the leader until its answer, which the leader may "
+    "hold back while it has no news."};
+constexpr metrics::Metric WorkerCalls{
+    "anvil_worker_calls_total",
+    "Calls to the worker, by kind and whether they were answered."};
+
+} // namespace
+
 struct AgentVm::Impl : std::enable_shared_from_this<AgentVm::Impl> {
   Impl(boost::asio::io_context &Io, AgentVmOptions Options, WorkerCaller Caller,
        std::unique_ptr<runner::Runner> Runner, log::EventLog &Log)
@@ -20,7 +33,7 @@
   void carryOut(const runner::Action &Action);
   void sendSync(const wire::WorkerSyncRequest &Request);
   void logNote(const runner::Note &Note);
-  WorkerCaller::Done answerTo();
+  WorkerCaller::Done answerTo(std::string_view Kind);
   void armTimer();
 
   AgentVmOptions m_Options;
@@ -37,20 +50,26 @@
   armTimer();
 }
 
-WorkerCaller::Done AgentVm::Impl::answerTo() {
-  return [Weak = weak_from_this()](const runner::CallAnswer &Answer) {
-    if (auto Self = Weak.lock())
-      Self->step(Answer);
+WorkerCaller::Done AgentVm::Impl::answerTo(std::string_view Kind) {
+  return [Weak = weak_from_this(), Kind](const runner::CallAnswer &Answer) {
+    auto Self = Weak.lock();
+    if (!Self)
+      return;
+    const bool Silent = Answer.m_Error == runner::CallError::NoAnswer;
+    Self->m_Options.m_Metrics->count(
+        WorkerCalls,
+        {{"call", Kind}, {"outcome", Silent ? "no-answer" : "answered"}});
+    Self->step(Answer);
   };
 }
 
 void AgentVm::Impl::carryOut(const runner::Action &Action) {
   if (const auto *Hold = std::get_if<runner::HoldCall>(&Action))
-    m_Caller.m_Hold(*Hold, answerTo());
+    m_Caller.m_Hold(*Hold, answerTo("hold"));
   else if (const auto *Start = std::get_if<runner::StartCall>(&Action))
-    m_Caller.m_Start(*Start, answerTo());
+    m_Caller.m_Start(*Start, answerTo("start"));
   else if (const auto *Stop = std::get_if<runner::StopCall>(&Action))
-    m_Caller.m_Stop(*Stop, answerTo());
+    m_Caller.m_Stop(*Stop, answerTo("stop"));
   else if (const auto *Sync = std::get_if<runner::SendSync>(&Action))
     sendSync(Sync->m_Request);
   else if (const auto *Note = std::get_if<runner::Note>(&Action))
@@ -78,10 +97,14 @@
           return Reply.status();
         return LeaderLink::ReplyHead{Reply->leads, std::move(Reply->group)};
       },
-      [Weak, Sequence = Request.sequence](const LeaderAnswer &Answer) {
+      [Weak, Sequence = Request.sequence,
+       SentAt = m_Options.m_Now()](const LeaderAnswer &Answer) {
         auto Self = Weak.lock();
         if (!Self)
           return;
+        Self->m_Options.m_Metrics->observe(
+            SyncTime, {{"outcome", Answer.m_Status.ok() ? "ok" : "failed"}},
+            Self->m_Options.m_Now() - SentAt);
         absl::StatusOr<wire::WorkerSyncReply> Reply =
             Answer.m_Status.ok()
                 ? net::decodeAs<wire::WorkerSyncReply>(Answer.m_Body)
@@ -107,6 +130,10 @@
 absl::StatusOr<std::unique_ptr<AgentVm>>
 AgentVm::create(boost::asio::io_context &Io, AgentVmOptions Options,
                 WorkerCaller Caller, log::EventLog &Log) {
+  if (!Options.m_Now || !Options.m_Metrics)
+    return makeLayerError(absl::StatusCode::kInvalidArgument,
+                          NodeErrc::InvalidOption,
+                          "a clock and metrics are required");
   absl::StatusOr<std::unique_ptr<runner::Runner>> Runner =
       runner::Runner::create(Options.m_Runner);
   if (!Runner.ok())
@@ -137,4 +164,15 @@
   m_Impl->m_Link->setSeeds(std::move(Seeds));
 }
 
+void AgentVm::writeMetrics(metrics::PrometheusText &To) const {
+  const runner::Runner &Runner = *m_Impl->m_Runner;
+  To.gauge("anvil_serving", "1 if a registered worker is served.");
+  To.sample(Runner.serving() ? 1 : 0);
+  const Duration Left = Runner.authorityEnd() - m_Impl->m_Options.m_Now();
+  To.gauge("anvil_lease_left_seconds",
+           "Time for which runs may go on without a leader; not above 0 when "
+           "nothing may run.");
+  To.sample(std::chrono::duration<double>(Left).count());
+}
+
 } // namespace anvil::node
--- a/src/node/EntryVm.cpp
+++ b/src/node/EntryVm.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "Admission.h"
+#include "EntryMetrics.h"
 #include "GroupFormation.h"
 #include "PolicyWatch.h"
 #include "Replica.h"
@@ -59,6 +60,7 @@
   void announce();
   wire::LocateRequest locateRequest() const;
   void locate(const net::Endpoint &Peer);
+  CallDone timed(std::string_view Name, CallDone Done) const;
 
   boost::asio::io_context &m_Io;
   const EntryVmOptions m_Options;
@@ -154,6 +156,7 @@
   };
   // Small enough for the memory of an entry VM: a few hundred commands.
   Options.m_Raft.m_RetainedEntries = 512;
+  Options.m_Metrics = m_Options.m_Metrics;
   Options.m_Leader.m_Sessions.m_LeaseSpan = m_Options.m_LeaseSpan;
   Options.m_Leader.m_Dispatch.m_RemotePenalty = m_Options.m_RemotePenalty;
   Options.m_Leader.m_Keeper.m_ReplaceAfter = m_Options.m_ReplaceVoterAfter;
@@ -343,14 +346,28 @@
   });
 }
 
+// Measures how long a call takes until its answer.
+EntryVm::CallDone EntryVm::Impl::timed(std::string_view Name,
+                                       CallDone Done) const {
+  return [Metrics = m_Options.m_Metrics, Now = m_Options.m_Now,
+          Begin = m_Options.m_Now(), Name,
+          Done = std::move(Done)](CallResult Result) {
+    Metrics->observe(
+        internal::CallTime,
+        {{"call", Name}, {"outcome", internal::nameOf(Result.m_Status)}},
+        Now() - Begin);
+    Done(std::move(Result));
+  };
+}
+
 absl::StatusOr<std::unique_ptr<EntryVm>>
 EntryVm::create(boost::asio::io_context &Io, EntryVmOptions Options,
                 log::EventLog &Log) {
   if (Options.m_LeaseSpan <= Duration(0) || !Options.m_Now ||
-      !Options.m_Random || !Options.m_WallClockMicros)
-    return makeLayerError(absl::StatusCode::kInvalidArgument,
-                          NodeErrc::InvalidOption,
-                          "lease, clocks and random source are required");
+      !Options.m_Random || !Options.m_WallClockMicros || !Options.m_Metrics)
+    return makeLayerError(
+        absl::StatusCode::kInvalidArgument, NodeErrc::InvalidOption,
+        "lease, clocks, random source and metrics are required");
   auto State = std::make_shared<Impl>(Io, std::move(Options), Log);
   if (absl::Status Status = State->start(); !Status.ok())
     return Status;
@@ -363,6 +380,7 @@
 void EntryVm::call(const wire::WorkloadCall &Call, Duration Timeout,
                    CallDone Done) {
   const bool IsSubmit = Call.__isset.submit;
+  Done = m_Impl->timed(internal::nameOf(Call), std::move(Done));
   m_Impl->m_Link->call(
       wire::Method::WORKLOAD_CALL, net::encodeStruct(Call), Timeout,
       Call.requestId, readCallHead,
@@ -417,6 +435,12 @@
   return m_Impl->m_Replica && m_Impl->m_Replica->leads();
 }
 
+void EntryVm::writeMetrics(metrics::PrometheusText &To) const {
+  internal::writePolicyMetrics(*m_Impl->m_Watch, m_Impl->m_Options.m_Now(), To);
+  if (m_Impl->m_Replica && m_Impl->m_Replica->inGroup())
+    internal::writeReplicaMetrics(*m_Impl->m_Replica, To);
+}
+
 void EntryVm::setSeeds(std::vector<net::Endpoint> Seeds) {
   m_Impl->m_Link->setSeeds(Seeds);
   m_Impl->m_Formation->setSeeds(std::move(Seeds));
--- a/src/node/PolicyWatch.cpp
+++ b/src/node/PolicyWatch.cpp
@@ -112,6 +112,8 @@
 
 bool PolicyWatch::fresh() const { return m_Impl->fresh(); }
 
+TimePoint PolicyWatch::confirmedAt() const { return m_Impl->m_ConfirmedAt; }
+
 const wire::PolicyDocument &PolicyWatch::policy() const {
   return m_Impl->m_Policy;
 }
--- a/src/node/PolicyWatch.h
+++ b/src/node/PolicyWatch.h
@@ -38,6 +38,8 @@
   void start();
   /// Returns whether a confirmed leader knew no newer policy lately.
   bool fresh() const;
+  /// Returns when the newest confirmed request was sent; zero before the first.
+  TimePoint confirmedAt() const;
   const wire::PolicyDocument &policy() const;
   int64_t pendingOf(const std::string &Queue) const;
 
--- a/src/node/Replica.cpp
+++ b/src/node/Replica.cpp
@@ -15,6 +15,10 @@
 // empty, so a replica that lost its disk is a new one to the group.
 constexpr const char *IdFile = "replica-id";
 
+constexpr metrics::Metric CommitTime{
+    "anvil_commit_seconds",
+    "Time from a proposal until it was committed and applied, or failed."};
+
 std::optional<int64_t> parseId(std::string_view Text) {
   int64_t Id = 0;
   const auto Result =
@@ -73,7 +77,8 @@
                  std::shared_ptr<LeaderLink> Link, log::EventLog &Log,
                  std::function<void(const absl::Status &)> OnFatal)
     : m_Io(Io), m_Options(std::move(Options)), m_Link(std::move(Link)),
-      m_Log(Log), m_OnFatal(std::move(OnFatal)), m_State(m_Options.m_Limits) {}
+      m_Log(Log), m_OnFatal(std::move(OnFatal)), m_State(m_Options.m_Limits),
+      m_StateMetrics(*m_Options.m_Metrics) {}
 
 Replica::~Replica() = default;
 
@@ -275,6 +280,7 @@
           Self->takeUpDuties(Term);
           return;
         }
+        Self->m_StateMetrics.reset();
         Self->m_Duties->begin();
         Self->registerSelf();
       });
@@ -299,7 +305,11 @@
   Command.proposedAtMs = m_Options.m_WallClockMicros() / 1000;
   m_LogHandle->propose(
       net::encodeStruct(Command),
-      [this, Done = std::move(Done)](absl::StatusOr<raft::LogIndex> Index) {
+      [this, ProposedAt = m_Options.m_Now(),
+       Done = std::move(Done)](absl::StatusOr<raft::LogIndex> Index) {
+        m_Options.m_Metrics->observe(
+            CommitTime, {{"outcome", Index.ok() ? "committed" : "failed"}},
+            m_Options.m_Now() - ProposedAt);
         if (!Index.ok()) {
           Done(Index.status());
           return;
--- a/src/node/Replica.h
+++ b/src/node/Replica.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "LeaderDuties.h"
+#include "StateMetrics.h"
 #include "anvil/node/LeaderLink.h"
 #include "anvil/replica/ReplicatedLog.h"
 #include "anvil/store/LogStore.h"
@@ -30,6 +31,7 @@
   std::function<int64_t()> m_WallClockMicros;
   /// Returns a number in [0, 1).
   std::function<double()> m_Random;
+  metrics::Registry *m_Metrics = nullptr; ///< Outlives the replica.
 };
 
 /// One replica of the workload state on a VM with a disk.
@@ -118,6 +120,7 @@
   std::unique_ptr<replica::ReplicatedLog> m_LogHandle;
   workload::WorkloadState m_State;
   std::shared_ptr<LeaderDuties> m_Duties;
+  StateMetrics m_StateMetrics;
   raft::RoleChange m_Role;
   /// Results by log index, until the proposals are answered.
   std::unordered_map<uint64_t, wire::WorkloadResult> m_Results;
--- a/src/node/StateEventLog.cpp
+++ b/src/node/StateEventLog.cpp
@@ -99,6 +99,8 @@
 // changes how callers are answered is noted by each.
 void Replica::onStateEvent(const workload::WorkloadEvent &Event) {
   m_Duties->observe(Event);
+  if (leads())
+    m_StateMetrics.observe(Event, m_Options.m_Now());
   const bool ForAll =
       std::holds_alternative<workload::PolicyChanged>(Event) ||
       std::holds_alternative<workload::ZoneWithdrawalChanged>(Event);
--- /dev/null
+++ b/tests/runner/RunnerTest.cpp
@@ -0,0 +1,280 @@
+#include "anvil/runner/Runner.h"
+
+#include <deque>
+#include <optional>
+
+#include <boost/test/unit_test.hpp>
+
+namespace anvil::runner {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int64_t Token = 7;
+constexpr int64_t WorkerClockMs = 100'000;
+constexpr Duration LeaseSpan = seconds(12);
+
+wire::TaskRef taskNumber(int32_t Index) {
+  wire::TaskRef Ref;
+  Ref.jobId = "00000000000000aa";
+  Ref.index = Index;
+  return Ref;
+}
+
+/// A runner beside a worker, whose calls and syncs the test answers.
+struct Bench {
+  Bench() {
+    RunnerOptions Options;
+    Options.m_Agent = "agent-1";
+    Options.m_Address = "10.0.0.9:7000";
+    Options.m_LeaseSpan = LeaseSpan;
+    Options.m_MaxWorkerLease = seconds(6);
+    Options.m_StopTime = milliseconds(400);
+    m_Runner = *Runner::create(Options);
+    m_Life.id = "w-1";
+    m_Life.bornMs = 1000;
+  }
+
+  void step(const Event &Incoming) {
+    for (Action &Each : m_Runner->step(Incoming, m_Now))
+      if (const auto *Sync = std::get_if<SendSync>(&Each))
+        m_Syncs.push_back(Sync->m_Request);
+      else
+        m_Actions.push_back(std::move(Each));
+  }
+  /// Returns the newest report; older ones fail, so that it is not held back.
+  wire::WorkerSyncRequest report() {
+    while (m_Syncs.size() > 1) {
+      const int64_t Oldest = m_Syncs.front().sequence;
+      m_Syncs.pop_front();
+      step(SyncFailed{Oldest});
+    }
+    BOOST_REQUIRE(!m_Syncs.empty());
+    return m_Syncs.front();
+  }
+  /// Answers the newest report.
+  void replyWith(const wire::WorkerSyncReply &Reply) {
+    const int64_t Sequence = report().sequence;
+    m_Syncs.clear();
+    step(SyncAnswered{Sequence, Reply});
+  }
+  void pass(Duration Span) {
+    m_Now += Span;
+    step(Tick{});
+  }
+  /// Takes all actions of a type and returns the newest.
+  template <typename Type> std::optional<Type> take() {
+    std::optional<Type> Found;
+    std::erase_if(m_Actions, [&](const Action &Each) {
+      const auto *Match = std::get_if<Type>(&Each);
+      if (Match)
+        Found = *Match;
+      return Match != nullptr;
+    });
+    return Found;
+  }
+  CallAnswer answer(CallId Call, CallError Error = CallError::None) const {
+    CallAnswer Result;
+    Result.m_Call = Call;
+    Result.m_Error = Error;
+    if (Error != CallError::NoAnswer) {
+      Result.m_ClockMs = WorkerClockMs;
+      Result.m_BornMs = m_Life.bornMs;
+    }
+    return Result;
+  }
+  wire::WorkerSyncReply reply(int64_t Confirmed) const {
+    wire::WorkerSyncReply Reply;
+    Reply.leads = true;
+    Reply.fencingToken = Token;
+    Reply.registered = m_Life;
+    Reply.confirmedSequence = Confirmed;
+    return Reply;
+  }
+  wire::RunOrder order(int32_t Index, int64_t Run) const {
+    wire::RunOrder Order;
+    Order.task = taskNumber(Index);
+    Order.run = Run;
+    Order.payload = "payload";
+    return Order;
+  }
+
+  /// Brings the runner to the point at which it carries out orders.
+  void serve() {
+    WorkerAnnounced Announced;
+    Announced.m_Facts.life = m_Life;
+    step(Announced);
+    step(answer(take<HoldCall>()->m_Call));
+    pass(milliseconds(25));
+    replyWith(reply(report().sequence));
+    step(answer(take<HoldCall>()->m_Call));
+    BOOST_REQUIRE(m_Runner->serving());
+    m_ClockReadAt = m_Now;
+    m_OpenHold = take<HoldCall>()->m_Call;
+    pass(milliseconds(25));
+  }
+  /// The leader orders starts with the answer to the open sync.
+  void order(std::vector<wire::RunOrder> Starts) {
+    wire::WorkerSyncReply Reply = reply(report().sequence);
+    Reply.starts = std::move(Starts);
+    replyWith(Reply);
+    pass(milliseconds(25));
+  }
+
+  TimePoint m_Now = TimePoint() + seconds(1);
+  wire::WorkerLife m_Life;
+  std::unique_ptr<Runner> m_Runner;
+  std::vector<Action> m_Actions;
+  std::deque<wire::WorkerSyncRequest> m_Syncs; ///< Not answered.
+  TimePoint m_ClockReadAt; ///< When the worker told its clock last.
+  CallId m_OpenHold = 0;   ///< Hold that waits at the worker.
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RunnerTest)
+
+// Guards against options under which nothing could ever be ordered.
+BOOST_AUTO_TEST_CASE(RefusesOptionsWithoutALease) {
+  RunnerOptions Options;
+  Options.m_Agent = "agent-1";
+  BOOST_TEST(!Runner::create(Options).ok());
+}
+
+// Guards against a late announcement of a former life being registered: the
+// worker itself says who it is.
+BOOST_FIXTURE_TEST_CASE(DropsAnAnnouncementThatTheWorkerDoesNotConfirm, Bench) {
+  WorkerAnnounced Late;
+  Late.m_Facts.life = m_Life;
+  step(Late);
+  CallAnswer Other = answer(take<HoldCall>()->m_Call);
+  Other.m_BornMs = m_Life.bornMs + 1;
+  step(Other);
+  pass(milliseconds(50));
+  for (const wire::WorkerSyncRequest &Sync : m_Syncs)
+    BOOST_TEST(Sync.facts.life.id.empty());
+  BOOST_TEST(!m_Runner->serving());
+}
+
+// Guards against an order that outlives the authority of the leader: its lease
+// ends the lease span after the confirmed sync was sent, on the worker's clock.
+BOOST_FIXTURE_TEST_CASE(StartsWithALeaseThatEndsWithTheAuthority, Bench) {
+  serve();
+  order({order(0, 1)});
+  const auto Start = take<StartCall>();
+  BOOST_REQUIRE(Start);
+  BOOST_TEST(Start->m_FencingToken == Token);
+  const auto Left = std::chrono::duration_cast<milliseconds>(
+      m_Runner->authorityEnd() - m_ClockReadAt);
+  BOOST_TEST(Start->m_LeaseEndMs <= WorkerClockMs + Left.count());
+  BOOST_TEST((m_Runner->authorityEnd() <= m_Now + LeaseSpan));
+}
+
+// Guards against a start while the leader may have placed the run elsewhere.
+BOOST_FIXTURE_TEST_CASE(OrdersNothingWithoutAConfirmedLeader, Bench) {
+  serve();
+  m_Now += LeaseSpan + seconds(1);
+  wire::WorkerSyncReply Stale = reply(0);
+  Stale.starts = {order(0, 1)};
+  replyWith(Stale);
+  BOOST_TEST(!take<StartCall>());
+  pass(seconds(1));
+  BOOST_TEST(!take<StartCall>());
+}
+
+// Guards against a run that is given back while an order for it is in flight:
+// it would run twice when the order is carried out late.
+BOOST_FIXTURE_TEST_CASE(GivesBackAnUnansweredRunOnlyAfterAnAnsweredStop,
+                        Bench) {
+  serve();
+  order({order(0, 1)});
+  step(answer(take<StartCall>()->m_Call, CallError::NoAnswer));
+  wire::WorkerSyncReply Reply = reply(report().sequence);
+  wire::RunName Name;
+  Name.task = taskNumber(0);
+  Name.run = 1;
+  Reply.stops = {Name};
+  replyWith(Reply);
+  const auto Stop = take<StopCall>();
+  BOOST_REQUIRE(Stop);
+  pass(milliseconds(25));
+  BOOST_TEST(report().ends.empty());
+
+  // The worker confirms the stop, and a list from after it lacks the run.
+  step(answer(Stop->m_Call));
+  pass(milliseconds(25));
+  step(answer(m_OpenHold));
+  const auto Hold = take<HoldCall>();
+  BOOST_REQUIRE(Hold);
+  pass(milliseconds(50));
+  step(answer(Hold->m_Call));
+  pass(milliseconds(50));
+  const wire::WorkerSyncRequest Report = report();
+  BOOST_REQUIRE(Report.ends.size() == 1);
+  BOOST_TEST((Report.ends[0].kind == wire::RunEndKind::NOT_STARTED));
+}
+
+// Guards against an end that is acknowledged to the worker before the leader
+// has it durably: it would be lost with the leader.
+BOOST_FIXTURE_TEST_CASE(AcknowledgesAnEndOnlyOnceItIsDurable, Bench) {
+  serve();
+  order({order(0, 1)});
+  step(answer(take<StartCall>()->m_Call));
+  // The hold that serve() left open lists the end.
+  CallAnswer Ended = answer(m_OpenHold);
+  ListedEnd End;
+  End.m_Number = 1;
+  End.m_Task = taskNumber(0);
+  End.m_Run = 1;
+  Ended.m_Ends = {End};
+  step(Ended);
+  for (const Action &Each : m_Actions)
+    if (const auto *Again = std::get_if<HoldCall>(&Each))
+      BOOST_TEST(Again->m_AcknowledgedEnd == 0);
+  pass(milliseconds(25));
+  const wire::WorkerSyncRequest Report = report();
+  BOOST_REQUIRE(Report.ends.size() == 1);
+
+  m_Actions.clear();
+  wire::WorkerSyncReply Durable = reply(Report.sequence);
+  Durable.acknowledgedEnd = Report.firstEnd;
+  replyWith(Durable);
+  const auto Acknowledged = take<HoldCall>();
+  BOOST_REQUIRE(Acknowledged);
+  BOOST_TEST(Acknowledged->m_AcknowledgedEnd == 1);
+}
+
+// Guards against a new life that obeys late orders for the former one: the
+// first call to it carries a higher token than any of them.
+BOOST_FIXTURE_TEST_CASE(FencesTheNextLifeAboveAllFormerOrders, Bench) {
+  serve();
+  WorkerAnnounced Reborn;
+  Reborn.m_Facts.life = m_Life;
+  Reborn.m_Facts.life.bornMs = 2000;
+  step(Reborn);
+  const auto Probe = take<HoldCall>();
+  BOOST_REQUIRE(Probe);
+  BOOST_TEST(Probe->m_Life.bornMs == 2000);
+  BOOST_TEST(Probe->m_FencingToken > Token);
+}
+
+// Guards against new work on a worker that is about to leave.
+BOOST_FIXTURE_TEST_CASE(GivesBackOrdersWhileTheWorkerDrains, Bench) {
+  serve();
+  WorkerAnnounced Draining;
+  Draining.m_Facts.life = m_Life;
+  Draining.m_Draining = true;
+  Draining.m_Remaining = seconds(2);
+  step(Draining);
+  m_Actions.clear();
+  order({order(0, 1)});
+  BOOST_TEST(!take<StartCall>());
+  const wire::WorkerSyncRequest Report = report();
+  BOOST_REQUIRE(Report.ends.size() == 1);
+  BOOST_TEST((Report.ends[0].kind == wire::RunEndKind::NOT_STARTED));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace anvil::runner
