--- a/include/anvil/log/EventLog.h
+++ b/include/anvil/log/EventLog.h
@@ -74,9 +74,8 @@
   const EventLogCounters &counters() const { return m_Counters; }
   /// Calls \p Visit for each kind of event with the number of its lines,
   /// written or not.
-  void countsByKind(
-      const std::function<void(std::string_view Kind, int64_t Count)> &Visit)
-      const;
+  void countsByKind(const std::function<void(std::string_view Kind,
+                                             int64_t Count)> &Visit) const;
 
 private:
   struct Rate {
--- a/include/anvil/node/EntryVm.h
+++ b/include/anvil/node/EntryVm.h
@@ -29,6 +29,8 @@
   std::string m_AvailabilityZone;
   /// Listener for the system's own processes.
   net::Endpoint m_Listen;
+  /// Address at which they reach it, also through a translation of addresses.
+  net::Endpoint m_Address;
   /// The same listener of other entry VMs.
   std::vector<net::Endpoint> m_Seeds;
   /// Folder for a replica of the state; empty on a VM without a disk.
--- a/src/node/EntryVm.cpp
+++ b/src/node/EntryVm.cpp
@@ -92,7 +92,7 @@
   registerHandlers();
 
   internal::FormationOptions Formation;
-  Formation.m_Address = m_Options.m_Listen.str();
+  Formation.m_Address = m_Options.m_Address.str();
   Formation.m_Seeds = m_Options.m_Seeds;
 
   Formation.m_FirstStart = m_Options.m_FirstStart;
@@ -146,7 +146,7 @@
 absl::StatusOr<std::shared_ptr<Replica>> EntryVm::Impl::makeReplica() {
   internal::ReplicaOptions Options;
   Options.m_DataFolder = m_Options.m_DataFolder;
-  Options.m_Address = m_Options.m_Listen;
+  Options.m_Address = m_Options.m_Address;
   Options.m_AvailabilityZone = m_Options.m_AvailabilityZone;
   Options.m_Now = m_Options.m_Now;
   Options.m_WallClockMicros = m_Options.m_WallClockMicros;
@@ -256,7 +256,7 @@
 wire::LocateRequest EntryVm::Impl::locateRequest() const {
   wire::LocateRequest Request;
   Request.replicaId = m_Replica ? m_Replica->id().value() : 0;
-  Request.address = m_Options.m_Listen.str();
+  Request.address = m_Options.m_Address.str();
   Request.availabilityZone = m_Options.m_AvailabilityZone;
   Request.inGroup = m_Replica && m_Replica->inGroup();
   Request.mayFound = m_Options.m_FirstStart && m_Replica && !Request.inGroup;
@@ -319,7 +319,7 @@
   m_AnnounceInFlight = true;
   wire::RegisterReplica Register;
   Register.replica.id = m_Replica->id().value();
-  Register.replica.address = m_Options.m_Listen.str();
+  Register.replica.address = m_Options.m_Address.str();
   Register.replica.availabilityZone = m_Options.m_AvailabilityZone;
   wire::WorkloadCall Call;
   Call.__set_registerReplica(Register);
