node: Acknowledge nothing until the tolerated losses are survived

Cause: the founder of the group is its only voter until the others have joined. Ruled out: the faults of the proxy (the other replicas had joined as learners only after the acknowledgement) and the store (the disk was wiped). Change: until a majority is more than the tolerated losses of the settings, commands of callers are answered as not run; after the catch-up time a deployment with fewer disks serves all the same.

--- a/include/anvil/node/EntryVm.h
+++ b/include/anvil/node/EntryVm.h
@@ -45,6 +45,10 @@
   Duration m_PolicyFreshFor = std::chrono::seconds(2);
   /// A voter that was silent for this long gives its place to a new replica.
   Duration m_ReplaceVoterAfter = std::chrono::seconds(2);
+  /// Replicas that may lose their disks at a time without loss of state.
+  int32_t m_ToleratedLosses = 0;
+  /// Time for the replicas of a new group to join it.
+  Duration m_SettleTime{0};
   net::RpcOptions m_Rpc;
   std::function<TimePoint()> m_Now;
   std::function<int64_t()> m_WallClockMicros;
--- a/include/anvil/node/GroupKeeper.h
+++ b/include/anvil/node/GroupKeeper.h
@@ -20,6 +20,11 @@
   /// A voter that was silent for this long gives its place to a learner that
   /// has caught up. Below the time that a new machine has to become useful.
   Duration m_ReplaceAfter = std::chrono::milliseconds(2000);
+  /// Replicas that may lose their disks at a time.
+  int32_t m_ToleratedLosses = 0;
+  /// Time for the replicas of a new group to join it. A deployment with fewer
+  /// disks than the tolerated losses call for serves after it all the same.
+  Duration m_SettleTime{0};
 };
 
 /// One change that the leader is to make.
@@ -60,6 +65,11 @@
        const std::map<int64_t, wire::ReplicaAddress> &Registered,
        TimePoint Now) const;
 
+  /// Returns whether what is committed now would survive the tolerated losses:
+  /// a majority of the voters is more than may be lost at a time. Before that
+  /// nothing may be acknowledged, since the founder begins as the only voter.
+  bool mayAcknowledge(const raft::RaftStatus &Status, TimePoint Now) const;
+
 private:
   bool present(raft::ReplicaId Replica, TimePoint Now) const;
   TimePoint lastHeard(raft::ReplicaId Replica) const;
--- a/src/node/EntryVm.cpp
+++ b/src/node/EntryVm.cpp
@@ -160,6 +160,8 @@
   Options.m_Leader.m_Sessions.m_LeaseSpan = m_Options.m_LeaseSpan;
   Options.m_Leader.m_Dispatch.m_RemotePenalty = m_Options.m_RemotePenalty;
   Options.m_Leader.m_Keeper.m_ReplaceAfter = m_Options.m_ReplaceVoterAfter;
+  Options.m_Leader.m_Keeper.m_ToleratedLosses = m_Options.m_ToleratedLosses;
+  Options.m_Leader.m_Keeper.m_SettleTime = m_Options.m_SettleTime;
   std::weak_ptr<Impl> Weak = weak_from_this();
   return Replica::create(m_Io, std::move(Options), m_Link, m_Log,
                          [Weak](const absl::Status &Reason) {
--- a/src/node/GroupKeeper.cpp
+++ b/src/node/GroupKeeper.cpp
@@ -95,6 +95,14 @@
   return std::nullopt;
 }
 
+bool GroupKeeper::mayAcknowledge(const raft::RaftStatus &Status,
+                                 TimePoint Now) const {
+  const auto Majority =
+      static_cast<int32_t>(Status.m_Members.m_Voters.size() / 2 + 1);
+  return Majority > m_Options.m_ToleratedLosses ||
+         Now - m_LeadingSince >= m_Options.m_SettleTime;
+}
+
 std::optional<GroupChange>
 GroupKeeper::next(const raft::RaftStatus &Status,
                   const std::map<int64_t, wire::ReplicaAddress> &Registered,
--- a/src/node/LeaderDuties.h
+++ b/src/node/LeaderDuties.h
@@ -65,6 +65,10 @@
                   std::function<void(wire::WorkerSyncReply)> Done);
   void entryWatch(const wire::EntryWatchRequest &Request,
                   std::function<void(wire::EntryWatchReply)> Done);
+  /// Returns whether commands of callers may be acknowledged.
+  bool mayAcknowledge() const {
+    return m_Keeper.mayAcknowledge(m_Ports.m_Status(), m_Ports.m_Now());
+  }
   void heardReplica(raft::ReplicaId Replica);
   /// The state changed.
   void observe(const workload::WorkloadEvent &Event);
--- a/src/node/ReplicaCalls.cpp
+++ b/src/node/ReplicaCalls.cpp
@@ -27,6 +27,13 @@
     return;
   }
   const wire::_WorkloadCall__isset &Set = Call.__isset;
+  const bool Stores =
+      Set.submit || Set.cancel || Set.putPolicy || Set.setZone || Set.startWave;
+  if (Stores && !m_Duties->mayAcknowledge()) {
+    Done(leading(wire::WorkloadStatus::NOT_READY,
+                 "the group has too few replicas so far"));
+    return;
+  }
   wire::WorkloadCommand Command;
   if (Set.submit)
     submit(Call, Done);
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -5,6 +5,7 @@
 import os
 import shutil
 import signal
+import subprocess
 
 from proxy import Proxy
 from worker import Worker
@@ -24,18 +25,18 @@
         self.paused = False
         self.killed = False   # by the soak
 
-    async def start(self):
+    def start(self):
         with open(self.path, "w", encoding="utf-8") as file:
             json.dump(self.settings, file)
         self.settings["Bootstrap"] = False
         self.wanted = True
         self.killed = False
         with open(os.path.join(self.work_dir, self.name + ".log"), "ab") as log:
-            self.handle = await asyncio.create_subprocess_exec(
-                *self.command, stdout=log, stderr=log, env={"ANVILWHEEL_BOOT": self.path, "PATH": os.environ["PATH"]})
+            self.handle = subprocess.Popen(self.command, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+                                           env={"ANVILWHEEL_BOOT": self.path, "PATH": os.environ["PATH"]})
 
     def running(self):
-        return self.handle is not None and self.handle.returncode is None
+        return self.handle is not None and self.handle.poll() is None
 
     def send(self, number):
         if self.running():
@@ -45,8 +46,8 @@
     async def kill(self):
         self.wanted = False
         self.send(signal.SIGKILL)
-        if self.handle:
-            await self.handle.wait()
+        while self.running():
+            await asyncio.sleep(0.01)
 
     async def pause(self, seconds):
         self.paused = True
@@ -73,7 +74,7 @@
 
     def _settings(self, name, zone, ip, seeds):
         return {"NodeName": name, "Zone": zone, "Ip": ip, "InternalPortRange": [7000, 7015], "Seeds": seeds,
-                "Bootstrap": True, "Bounds": {"MaxHoldMs": int(BOUNDS["hold"] * 1000), "StopTimeoutMs": 400,
+                "Bootstrap": True, "FaultTolerance": {"Machines": 1}, "Bounds": {"MaxHoldMs": int(BOUNDS["hold"] * 1000), "StopTimeoutMs": 400,
                                               "ConfigApplyMs": 2000, "RevokeMs": 5000, "CatchUpS": 4,
                                               "GracePeriodS": 6, "RemotePenalty": 3}}
 
@@ -105,7 +106,7 @@
         for worker in self.workers:
             await worker.start()
         for process in self.entries + self.agents:
-            await process.start()
+            process.start()
 
     def consumer_address(self, number):
         return self._ip(1, number), 7080
@@ -120,7 +121,7 @@
         shutil.rmtree(process.settings["DataDir"])
         os.makedirs(process.settings["DataDir"])
         await asyncio.sleep(down)
-        await process.start()
+        process.start()
 
     async def supervise(self):
         """Starts processes again that ended by themselves or were asked to end, as the platform does."""
@@ -129,7 +130,7 @@
                 if process.wanted and not process.running():
                     if process.handle.returncode != 0 and not process.killed:
                         self.truth.fail(f"{process.name} ended by itself with {process.handle.returncode}")
-                    await process.start()
+                    process.start()
             await asyncio.sleep(0.3)
 
     async def stop(self):
