tests: End the soak by the life of its workers; keep the seeds that failed

Cause: soak seeds 120 and 135 did not end, and a missing program made system_explain and system_soak wait for their timeout: a cancellation that arrives as a wait completes is lost in asyncio.wait_for of Python 3.11, so a worker's loop went on. Ruled out: a process that had not ended (none was left). Change: loops end when the life ends; the deployment is stopped after a failed start too.

--- a/cmake/modules/zz_system.cmake
+++ b/cmake/modules/zz_system.cmake
@@ -8,5 +8,6 @@
 # A short run of the fault soak; docs/PROOFS.md tells of the long ones.
 add_test(NAME system_soak
          COMMAND python3 -B ${CMAKE_SOURCE_DIR}/tests/soak/soak.py $<TARGET_FILE:anvilwheel>
-                 ${CMAKE_BINARY_DIR}/system/soak --seed 1 --seeds 3 --jobs 3)
+                 ${CMAKE_BINARY_DIR}/system/soak --seed 1 --seeds 3 --jobs 3
+                 --seed-file ${CMAKE_SOURCE_DIR}/tests/soak/regressions.txt)
 set_tests_properties(system_soak PROPERTIES TIMEOUT 240 LABELS system)
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -134,6 +134,8 @@
             await asyncio.sleep(0.3)
 
     async def stop(self):
+        for worker in self.workers:
+            worker.stop()
         for process in self.entries + self.agents:
             process.send(signal.SIGCONT)
             await process.kill()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,6 +1,6 @@
 """Runs the real programs as processes on loopback, injects faults from a seed, and checks what callers and workers see.
 
-Usage: python3 -B tests/soak/soak.py PROGRAM WORK_DIR [--seed N] [--seeds N] [--jobs N] [--seconds S]
+Usage: python3 -B tests/soak/soak.py PROGRAM WORK_DIR [--seed N] [--seeds N] [--seed-file F] [--jobs N] [--seconds S]
 
 Each seed plays a span of faults (connections delayed, reset, silenced or cut one way by a proxy; processes killed,
 paused, terminated and wiped; workers that crash or carry orders out late) and a calm span, after which every accepted
@@ -235,9 +235,9 @@
     async def run(self):
         # Processes that were started must not outlive the soak.
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
-        await self.cluster.start()
         supervisor = asyncio.create_task(self.cluster.supervise())
         try:
+            await self.cluster.start()
             if not await self.put_config(START_SECONDS):
                 self.truth.fail("no configuration was accepted at the start")
                 return
@@ -268,10 +268,18 @@
     return soak.truth.broken
 
 
+def read_seeds(path):
+    """Returns the first number of each line that is no comment."""
+    if not path:
+        return []
+    with open(path, encoding="utf-8") as file:
+        return [int(line.split()[0]) for line in file if line.strip() and not line.startswith("#")]
+
+
 def play_many(options):
-    """Plays each seed in a process of its own; returns the number of failed seeds."""
-    seeds = list(range(options.seed, options.seed + options.seeds))
-    running, failed = {}, 0
+    """Plays each seed in a process of its own; returns the numbers of all and of failed seeds."""
+    seeds = list(range(options.seed, options.seed + options.seeds)) + read_seeds(options.seed_file)
+    total, running, failed = len(seeds), {}, 0
     while seeds or running:
         while seeds and len(running) < options.jobs:
             seed = seeds.pop(0)
@@ -281,7 +289,7 @@
         for seed in [each for each, process in running.items() if process.poll() is not None]:
             failed += running.pop(seed).returncode != 0
         time.sleep(0.2)
-    return failed
+    return total, failed
 
 
 def main():
@@ -290,12 +298,13 @@
     parser.add_argument("work_dir")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seed-file", help="further seeds, the first number of each line")
     parser.add_argument("--jobs", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=12, help="span of the faults")
     options = parser.parse_args()
     if options.seeds > 1:
-        failed = play_many(options)
-        print(f"{options.seeds - failed} passed, {failed} failed")
+        total, failed = play_many(options)
+        print(f"{total - failed} passed, {failed} failed")
         return 1 if failed else 0
     broken = play(os.path.abspath(options.program), os.path.join(os.path.abspath(options.work_dir),
                                                                  f"seed-{options.seed}"), options.seed,
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -90,6 +90,13 @@
         asyncio.create_task(self._beat(self.life))
         asyncio.create_task(self._watch(self.life))
 
+    def stop(self):
+        """Ends the loops of this life by its number: a cancellation may be lost in asyncio.wait_for()."""
+        self.up = False
+        self.life += 1
+        if self.server:
+            self.server.abort()
+
     async def crash(self, down, keep_id):
         self.up = False
         self.server.abort()
--- a/tests/system/explain_test.py
+++ b/tests/system/explain_test.py
@@ -61,8 +61,8 @@
             self.truth.fail(f"no line with {words} in:\n{text}")
 
     async def play(self):
-        await self.cluster.start()
         try:
+            await self.cluster.start()
             if not await self.put_config(START_SECONDS):
                 self.truth.fail("no configuration was accepted")
                 return
