dispatch: Keep waiting steps off workers that fail everything

Cause: a step that had waited 1.8 s for room took any worker. Ruled out: faulty jobs (the same jobs ran elsewhere), a late report (the failures were committed within 20 ms). Change: evidence against a worker is overlooked only if no sounder ones could hold the step at all; a worker that failed lately is tried with one task at a time; several failures of one step count little more than one; evidence has an upper bound.

--- a/cmake/modules/dispatch.cmake
+++ b/cmake/modules/dispatch.cmake
@@ -11,3 +11,7 @@
 # Plays many seeds by hand; see docs/PROOFS.md.
 add_executable(dispatch_explorer ${CMAKE_SOURCE_DIR}/tests/dispatch/explorer/ExplorerMain.cpp)
 target_link_libraries(dispatch_explorer PRIVATE dispatch_sim cxxopts::cxxopts)
+
+# Prints what callers get under typical loads; see docs/scheduling.md.
+add_executable(dispatch_replay ${CMAKE_SOURCE_DIR}/tests/dispatch/explorer/ReplayMain.cpp)
+target_link_libraries(dispatch_replay PRIVATE dispatch_sim cxxopts::cxxopts)
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -148,6 +148,7 @@
 }
 
 void Planner::place(WaitingStep Step) {
+  Step.m_MaxSuspicion = m_Placer.suspicionLimit(Step);
   if (Step.m_Spec->gang) {
     Step.m_OneRack = Step.m_Spec->rackLocal && m_Placer.fitsSomeRack(Step);
     if (const std::optional<Choice> Chosen = m_Placer.placeGang(Step)) {
--- a/src/dispatch/Fleet.h
+++ b/src/dispatch/Fleet.h
@@ -44,6 +44,8 @@
   /// Resources of such runs that the plan has promised to a step.
   wire::Amounts m_Promised;
   std::vector<RunView> m_Runs;
+  /// Tasks that the plan has placed on it.
+  int32_t m_Placed = 0;
   std::vector<Booking> m_Bookings;
 
   const wire::WorkerFacts &facts() const { return m_Record->facts; }
--- a/src/dispatch/Placer.cpp
+++ b/src/dispatch/Placer.cpp
@@ -1,21 +1,27 @@
 #include "Placer.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <set>
 
 namespace anvil::dispatch::internal {
 
 namespace {
 
-// Evidence from which on a worker gets no tasks, as long as a step does not
-// wait long for lack of others.
+// Evidence from which on a worker gets no tasks, as long as others can hold the
+// step. A failing worker has always room, so waiting is no reason to use it.
 constexpr double MaxSuspicion = 1.4;
-// A task with one attempt left goes only where nothing failed lately.
+// A task with one attempt left goes only where nothing failed lately, if it
+// does not wait long for that.
 constexpr double MaxSuspicionLastAttempt = 0.5;
-// A worker that is slower than this gets no tasks, with the same exception.
+// A worker with more evidence against it gets one task at a time, so that it
+// costs few attempts to learn that it still fails.
+constexpr double MaxSuspicionShared = 0.7;
+// A worker that is slower than this gets no tasks, unless a step waits long.
 constexpr double MaxSlowdown = 2.2;
-// A step that could not start for this long takes any worker.
-constexpr Duration TakesAnyAfter = std::chrono::milliseconds(1800);
+// How long a step waits for a better worker.
+constexpr Duration PatienceSpan = std::chrono::milliseconds(1800);
 
 // What a suspected worker costs, in seconds of run time for each unit.
 constexpr double SuspicionCostS = 4;
@@ -48,11 +54,55 @@
 bool Placer::allowed(const WorkerView &Worker, const WaitingStep &Step) const {
   if (!Worker.m_Usable || !suits(Worker, *Step.m_Job, *Step.m_Spec))
     return false;
-  if (Step.m_Waited >= TakesAnyAfter)
-    return true;
-  const double Limit =
-      Step.m_LastAttempt ? MaxSuspicionLastAttempt : MaxSuspicion;
-  return Worker.m_Suspicion <= Limit && Worker.m_Slowdown <= MaxSlowdown;
+  return Worker.m_Suspicion <= Step.m_MaxSuspicion &&
+         (Worker.m_Slowdown <= MaxSlowdown || Step.m_Waited >= PatienceSpan);
+}
+
+// Returns how many tasks of the step the worker could hold without its runs, at
+// most \p Most.
+int32_t Placer::roomWhenEmpty(const WorkerView &Worker, const WaitingStep &Step,
+                              int32_t Most) {
+  const wire::Amounts Need = workload::countedAmounts(*Step.m_Spec);
+  const int32_t Limit = std::min(Most, roomByLimit(Worker, Step, 0));
+  int32_t Room = 0;
+  while (Room < Limit && workload::fits(Worker.facts().capacity,
+                                        wire::Amounts(), Need, Room + 1))
+    ++Room;
+  return Room;
+}
+
+// A gang needs room for all of its tasks, other steps for one.
+bool Placer::holds(const WaitingStep &Step, double MaxSuspicion) const {
+  const int32_t Wanted = Step.m_Spec->gang ? Step.m_Spec->tasks : 1;
+  int32_t Room = 0;
+  for (const WorkerView &Worker : m_Fleet.workers()) {
+    if (!Worker.m_Usable || Worker.m_Suspicion > MaxSuspicion ||
+        !suits(Worker, *Step.m_Job, *Step.m_Spec))
+      continue;
+    Room += roomWhenEmpty(Worker, Step, Wanted - Room);
+    if (Room >= Wanted)
+      return true;
+  }
+  return false;
+}
+
+double Placer::suspicionLimit(const WaitingStep &Step) const {
+  if (Step.m_LastAttempt && Step.m_Waited < PatienceSpan &&
+      holds(Step, MaxSuspicionLastAttempt))
+    return MaxSuspicionLastAttempt;
+  return holds(Step, MaxSuspicion) ? MaxSuspicion
+                                   : std::numeric_limits<double>::infinity();
+}
+
+int32_t Placer::roomNow(const WorkerView &Worker, const WaitingStep &Step,
+                        int32_t Planned) {
+  const int32_t Room = roomByLimit(Worker, Step, Planned);
+  const bool Tried = Worker.m_Suspicion > MaxSuspicionShared &&
+                     std::isfinite(Step.m_MaxSuspicion);
+  if (!Tried)
+    return Room;
+  const auto Running = static_cast<int32_t>(Worker.m_Runs.size());
+  return std::min(Room, std::max(0, 1 - Running - Worker.m_Placed - Planned));
 }
 
 int32_t Placer::roomByLimit(const WorkerView &Worker, const WaitingStep &Step,
@@ -73,18 +123,12 @@
 }
 
 bool Placer::fitsSomeRack(const WaitingStep &Step) const {
-  const wire::Amounts Need = workload::countedAmounts(*Step.m_Spec);
   std::map<std::string, int32_t> Room;
   for (const WorkerView &Worker : m_Fleet.workers()) {
     if (!Worker.m_Usable || !suits(Worker, *Step.m_Job, *Step.m_Spec))
       continue;
-    const int32_t Most =
-        std::min(Step.m_Spec->tasks, roomByLimit(Worker, Step, 0));
-    int32_t Here = 0;
-    while (Here < Most && workload::fits(Worker.facts().capacity,
-                                         wire::Amounts(), Need, Here + 1))
-      ++Here;
-    Room[Worker.facts().rack] += Here;
+    Room[Worker.facts().rack] +=
+        roomWhenEmpty(Worker, Step, Step.m_Spec->tasks);
   }
   return std::any_of(Room.begin(), Room.end(), [&](const auto &Each) {
     return Each.second >= Step.m_Spec->tasks;
@@ -115,7 +159,7 @@
     for (size_t I = 0; I < Workers.size(); ++I) {
       const WorkerView &Worker = Workers[I];
       if ((!Rack.empty() && Worker.facts().rack != Rack) ||
-          !allowed(Worker, Step) || roomByLimit(Worker, Step, Planned[I]) == 0)
+          !allowed(Worker, Step) || roomNow(Worker, Step, Planned[I]) == 0)
         continue;
       const auto Span = std::chrono::duration_cast<Duration>(
           Step.m_Expected * slowdownOn(Worker, Step));
@@ -178,9 +222,11 @@
 
 void Placer::take(const WaitingStep &Step, const Choice &Chosen) {
   const wire::Amounts Need = workload::countedAmounts(*Step.m_Spec);
-  for (const Share &Each : Chosen.m_Shares)
-    workload::subtract(m_Fleet.workers()[Each.m_Worker].m_Free, Need,
-                       Each.m_Tasks);
+  for (const Share &Each : Chosen.m_Shares) {
+    WorkerView &Worker = m_Fleet.workers()[Each.m_Worker];
+    workload::subtract(Worker.m_Free, Need, Each.m_Tasks);
+    Worker.m_Placed += Each.m_Tasks;
+  }
 }
 
 } // namespace anvil::dispatch::internal
--- a/src/dispatch/Placer.h
+++ b/src/dispatch/Placer.h
@@ -29,6 +29,8 @@
   bool m_OneRack = false;
   /// Some task has only one attempt left.
   bool m_LastAttempt = false;
+  /// Workers with more evidence against them get no tasks of the step.
+  double m_MaxSuspicion = 0;
   /// How long the step could have started by now.
   Duration m_Waited{0};
 };
@@ -67,16 +69,26 @@
   /// stands for all workers.
   std::vector<std::string> racksFor(const WaitingStep &Step) const;
 
+  /// Returns how much evidence against a worker is tolerated: more than usual
+  /// only if no sounder workers could hold the step.
+  double suspicionLimit(const WaitingStep &Step) const;
   /// Returns whether the worker may get tasks of the step.
   bool allowed(const WorkerView &Worker, const WaitingStep &Step) const;
   /// Returns how many more tasks of the step the worker may hold by the step's
   /// limit.
   static int32_t roomByLimit(const WorkerView &Worker, const WaitingStep &Step,
                              int32_t Planned);
+  /// Returns how many more tasks of the step the worker may get now, beside
+  /// those planned: one that failed lately is tried with a single task.
+  static int32_t roomNow(const WorkerView &Worker, const WaitingStep &Step,
+                         int32_t Planned);
   /// Returns how many times longer a task takes on the worker.
   double slowdownOn(const WorkerView &Worker, const WaitingStep &Step) const;
 
 private:
+  static int32_t roomWhenEmpty(const WorkerView &Worker,
+                               const WaitingStep &Step, int32_t Most);
+  bool holds(const WaitingStep &Step, double MaxSuspicion) const;
   std::optional<Choice> fill(const WaitingStep &Step, const std::string &Rack,
                              int32_t Count, bool Whole);
   double costOn(const WorkerView &Worker, const WaitingStep &Step) const;
--- a/src/dispatch/Preemption.cpp
+++ b/src/dispatch/Preemption.cpp
@@ -112,7 +112,7 @@
     for (size_t I = 0; I < Workers.size(); ++I) {
       if ((!Rack.empty() && Workers[I].facts().rack != Rack) ||
           !m_Rules.allowed(Workers[I], Step) ||
-          Placer::roomByLimit(Workers[I], Step, Planned[I]) == 0)
+          Placer::roomNow(Workers[I], Step, Planned[I]) == 0)
         continue;
       const std::optional<Victims> Found =
           victimsOn(Workers[I], Step, Planned[I] + 1);
--- a/src/dispatch/RunTracker.cpp
+++ b/src/dispatch/RunTracker.cpp
@@ -42,9 +42,8 @@
 
 Duration RunTracker::expected(const wire::JobRecord &Job,
                               const wire::TaskRef &Ref) const {
-  const auto Known = m_StepTimes.find({Ref.jobId, Ref.occurrence, Ref.step});
-  if (Known != m_StepTimes.end())
-    return Duration(std::llround(std::exp(Known->second.mean()) * 1e6));
+  if (const StepHistory *Known = timedHistory(stepOf(Ref)))
+    return Duration(std::llround(std::exp(Known->mean()) * 1e6));
   const wire::StepSpec &Spec = Job.spec.steps[static_cast<size_t>(Ref.step)];
   return m_Times.predict(Job.queue, Spec.estimateMs).m_Expected;
 }
@@ -53,16 +52,32 @@
 // that is longer than declared would otherwise be taken for a slow worker, and
 // be moved from one sound worker to the next.
 void RunTracker::learnStep(const wire::TaskRef &Ref, double Seconds) {
-  StepTime &Of = m_StepTimes[{Ref.jobId, Ref.occurrence, Ref.step}];
+  StepHistory &Of = m_Steps[stepOf(Ref)];
   ++Of.m_Runs;
   Of.m_LogTotal += std::log(std::max(MinSeconds, Seconds));
 }
 
-void RunTracker::forgetEndedJobs(const workload::WorkloadState &State) {
-  std::erase_if(m_StepTimes, [&](const auto &Each) {
-    const wire::JobRecord *Job = State.job(std::get<0>(Each.first));
-    return !Job || workload::hasEnded(Job->phase);
-  });
+const RunTracker::StepHistory *
+RunTracker::timedHistory(const StepKey &Step) const {
+  const auto It = m_Steps.find(Step);
+  return It == m_Steps.end() || It->second.m_Runs == 0 ? nullptr : &It->second;
+}
+
+FailureContext RunTracker::noteFailure(const workload::RunEnded &Event) {
+  std::set<WorkerKey> &FailedOn = m_Steps[stepOf(Event.m_Task)].m_FailedOn;
+  const WorkerKey Here = keyOf(Event.m_Worker);
+  const bool Before = !FailedOn.empty();
+  const bool Elsewhere = FailedOn.size() > (FailedOn.contains(Here) ? 1U : 0U);
+  FailedOn.insert(Here);
+  if (Elsewhere)
+    return FailureContext::OtherWorkers;
+  return Before ? FailureContext::SameWorker : FailureContext::FirstOfStep;
+}
+
+void RunTracker::forgetSteps(const std::string &Job) {
+  auto It = m_Steps.lower_bound({Job, INT32_MIN, INT32_MIN});
+  while (It != m_Steps.end() && std::get<0>(It->first) == Job)
+    It = m_Steps.erase(It);
 }
 
 void RunTracker::observe(const workload::WorkloadEvent &Event,
@@ -71,6 +86,9 @@
     placed(*Placed, State, Now);
   else if (const auto *Ended = std::get_if<workload::RunEnded>(&Event))
     ended(*Ended, State, Now);
+  else if (const auto *Job = std::get_if<workload::JobChanged>(&Event);
+           Job && workload::hasEnded(Job->m_Phase))
+    forgetSteps(Job->m_Job);
 }
 
 void RunTracker::placed(const workload::RunPlaced &Event,
@@ -88,7 +106,8 @@
                        const workload::WorkloadState &State, TimePoint Now) {
   auto Node = m_Runs.extract(keyOf(Event.m_Task));
   const wire::JobRecord *Job = State.job(Event.m_Task.jobId);
-  if (!Job || Node.empty() || Node.mapped().m_Run != Event.m_Run)
+  if (!Job || workload::hasEnded(Job->phase) || Node.empty() ||
+      Node.mapped().m_Run != Event.m_Run)
     return;
   const Track &Of = Node.mapped();
   const auto Step = static_cast<size_t>(Event.m_Task.step);
@@ -96,19 +115,11 @@
     return;
   const wire::StepSpec &Spec = Job->spec.steps[Step];
   if (Event.m_Kind == wire::RunEndKind::FAILED) {
-    const wire::TaskRecord *Task = State.task(Event.m_Task);
-    const auto Occurrence = Job->occurrences.find(Event.m_Task.occurrence);
-    const int32_t GangFailures =
-        Occurrence == Job->occurrences.end()
-            ? 0
-            : Occurrence->second.steps[Step].gangFailures;
-    const int32_t Before =
-        Spec.gang ? GangFailures : (Task ? Task->failures : 0);
-    m_Health.failed(Event.m_Worker, Before > 0, Now);
+    m_Health.failed(Event.m_Worker, noteFailure(Event), Now);
     return;
   }
   if (Event.m_Kind == wire::RunEndKind::NOT_STARTED) {
-    m_Health.failed(Event.m_Worker, false, Now);
+    m_Health.failed(Event.m_Worker, FailureContext::FirstOfStep, Now);
     return;
   }
   const bool Alone = !Spec.gang || Spec.tasks == 1;
@@ -164,7 +175,6 @@
     for (const wire::RunStatus &Status : Live->m_Runs)
       report(Status, Live->m_HeardAt);
   }
-  forgetEndedJobs(State);
   std::map<StepKey, StepSpeeds> Steps;
   for (auto &[Key, Of] : m_Runs) {
     const wire::JobRecord *Job = State.job(std::get<0>(Key));
@@ -181,13 +191,12 @@
     // The speed of a gang is that of its slowest member.
     if (Speed <= 0 || Spec.longRunning || (Spec.gang && Spec.tasks > 1))
       continue;
-    StepSpeed &Sum = Steps[{Ref.jobId, Ref.occurrence, Ref.step}]
-                          [{Of.m_Worker.id, Of.m_Worker.bornMs}];
+    StepSpeed &Sum = Steps[stepOf(Ref)][keyOf(Of.m_Worker)];
     ++Sum.m_Runs;
     Sum.m_LogTotal += std::log(100 / Speed);
     Sum.m_Worker = Of.m_Worker;
     Sum.m_Job = Job;
-    Sum.m_Key = {Ref.jobId, Ref.occurrence, Ref.step};
+    Sum.m_Key = stepOf(Ref);
   }
   judgeSteps(Steps, Now);
 }
@@ -287,11 +296,10 @@
                           TaskVariance / static_cast<double>(Others.size());
     return Evidence;
   }
-  const auto Earlier = m_StepTimes.find(Of.m_Key);
-  if (Earlier != m_StepTimes.end()) {
-    Evidence.m_LogRatio = Of.mean() - Earlier->second.mean();
+  if (const StepHistory *Earlier = timedHistory(Of.m_Key)) {
+    Evidence.m_LogRatio = Of.mean() - Earlier->mean();
     Evidence.m_Variance =
-        TaskVariance / Of.m_Runs + TaskVariance / Earlier->second.m_Runs;
+        TaskVariance / Of.m_Runs + TaskVariance / Earlier->m_Runs;
     return Evidence;
   }
   const wire::StepSpec &Spec =
--- a/src/dispatch/RunTracker.h
+++ b/src/dispatch/RunTracker.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 
@@ -35,7 +36,7 @@
 
   void clear() {
     m_Runs.clear();
-    m_StepTimes.clear();
+    m_Steps.clear();
   }
   /// Learns from a change of the state.
   void observe(const workload::WorkloadEvent &Event,
@@ -48,7 +49,9 @@
                        const wire::TaskRecord &Task, TimePoint Now) const;
 
 private:
+  using WorkerKey = std::pair<std::string, int64_t>;
   using TaskKey = std::tuple<std::string, int32_t, int32_t, int32_t>;
+  using StepKey = std::tuple<std::string, int32_t, int32_t>;
   struct Track {
     int64_t m_Run = 0;
     wire::WorkerLife m_Worker;
@@ -76,6 +79,12 @@
   static TaskKey keyOf(const wire::TaskRef &Ref) {
     return {Ref.jobId, Ref.occurrence, Ref.step, Ref.index};
   }
+  static StepKey stepOf(const wire::TaskRef &Ref) {
+    return {Ref.jobId, Ref.occurrence, Ref.step};
+  }
+  static WorkerKey keyOf(const wire::WorkerLife &Worker) {
+    return {Worker.id, Worker.bornMs};
+  }
   void placed(const workload::RunPlaced &Event,
               const workload::WorkloadState &State, TimePoint Now);
   void ended(const workload::RunEnded &Event,
@@ -84,11 +93,11 @@
   static void sampleSpeed(Track &Of);
   void judgeStall(const wire::JobRecord &Job, const wire::TaskRef &Ref,
                   Track &Of, TimePoint Now);
-  using StepKey = std::tuple<std::string, int32_t, int32_t>;
-  /// Whole times of the earlier runs of a step.
-  struct StepTime {
-    int32_t m_Runs = 0;
-    double m_LogTotal = 0;
+  /// How the earlier runs of a step went.
+  struct StepHistory {
+    int32_t m_Runs = 0;    ///< Runs whose whole time is known.
+    double m_LogTotal = 0; ///< Sum of the logarithms of those times.
+    std::set<WorkerKey> m_FailedOn;
 
     double mean() const { return m_LogTotal / m_Runs; }
   };
@@ -102,7 +111,7 @@
 
     double mean() const { return m_LogTotal / m_Runs; }
   };
-  using StepSpeeds = std::map<std::pair<std::string, int64_t>, StepSpeed>;
+  using StepSpeeds = std::map<WorkerKey, StepSpeed>;
 
   void judgeOwnSpeed(const wire::TaskRef &Ref, const Track &Of, TimePoint Now);
   void judgeSteps(const std::map<StepKey, StepSpeeds> &Steps, TimePoint Now);
@@ -111,15 +120,17 @@
   void judgeProgress(const wire::JobRecord &Job, const wire::TaskRef &Ref,
                      Track &Of, TimePoint Now);
   Duration expected(const wire::JobRecord &Job, const wire::TaskRef &Ref) const;
+  const StepHistory *timedHistory(const StepKey &Step) const;
   void learnStep(const wire::TaskRef &Ref, double Seconds);
-  void forgetEndedJobs(const workload::WorkloadState &State);
+  FailureContext noteFailure(const workload::RunEnded &Event);
+  void forgetSteps(const std::string &Job);
   Duration stallLimit(const wire::JobRecord &Job, const wire::TaskRef &Ref,
                       const wire::WorkerLife &Worker, TimePoint Now) const;
 
   RunTimes &m_Times;
   WorkerHealth &m_Health;
   std::map<TaskKey, Track> m_Runs;
-  std::map<StepKey, StepTime> m_StepTimes; ///< Of jobs that have not ended.
+  std::map<StepKey, StepHistory> m_Steps; ///< Of jobs that have not ended.
 };
 
 } // namespace anvil::dispatch::internal
--- a/src/dispatch/WorkerHealth.cpp
+++ b/src/dispatch/WorkerHealth.cpp
@@ -10,11 +10,18 @@
 // Evidence halves in this time, so a worker that failed twice is tried again
 // after about ten seconds.
 constexpr double SuspicionHalfLifeS = 6;
+// No more evidence than this is kept: it takes two half-lives to fade to one
+// failure, so that a worker which failed dozens of runs is tried again too.
+constexpr double MaxSuspicionKept = 4;
 // Weight of an observation of the speed halves in this time.
 constexpr double SpeedHalfLifeS = 4;
 
-// Weight of a failure of a task that failed elsewhere too.
+// Weight of a failure of a step that failed elsewhere too: it may be the fault
+// of the step.
 constexpr double SharedFailure = 0.3;
+// Weight of a failure of a step that failed on this worker before: several
+// tasks of one faulty step say little more than one.
+constexpr double RepeatedFailure = 0.3;
 // A standstill of several seconds is rarely the fault of the task.
 constexpr double StallWeight = 1.6;
 
@@ -46,13 +53,23 @@
 void WorkerHealth::suspect(const wire::WorkerLife &Worker, double Amount,
                            TimePoint Now) {
   Record &Of = m_Records[keyOf(Worker)];
-  Of.m_Suspicion = suspicion(Worker, Now) + Amount;
+  Of.m_Suspicion = std::min(MaxSuspicionKept, suspicion(Worker, Now) + Amount);
   Of.m_SuspicionAt = Now;
 }
 
-void WorkerHealth::failed(const wire::WorkerLife &Worker, bool FailedElsewhere,
-                          TimePoint Now) {
-  suspect(Worker, FailedElsewhere ? SharedFailure : 1, Now);
+void WorkerHealth::failed(const wire::WorkerLife &Worker,
+                          FailureContext Context, TimePoint Now) {
+  switch (Context) {
+  case FailureContext::FirstOfStep:
+    suspect(Worker, 1, Now);
+    return;
+  case FailureContext::SameWorker:
+    suspect(Worker, RepeatedFailure, Now);
+    return;
+  case FailureContext::OtherWorkers:
+    suspect(Worker, SharedFailure, Now);
+    return;
+  }
 }
 
 void WorkerHealth::stalled(const wire::WorkerLife &Worker, TimePoint Now) {
--- a/src/dispatch/WorkerHealth.h
+++ b/src/dispatch/WorkerHealth.h
@@ -17,16 +17,23 @@
   double m_Variance = 1;
 };
 
+/// What else is known of the step of which a run failed.
+enum class FailureContext {
+  FirstOfStep,  ///< No run of the step has failed before.
+  SameWorker,   ///< Runs of the step failed before, on this worker only.
+  OtherWorkers, ///< Runs of the step failed on other workers as well.
+};
+
 /// Judges workers by how runs went there: failures, standstill and speed.
 ///
-/// Evidence fades, so that a worker is tried again. A failure counts less if
-/// the task failed elsewhere as well. A worker counts as slow once the speed of
-/// its runs is much more likely under that assumption, since single tasks often
-/// take longer than expected.
+/// Evidence fades and has a bound, so that a worker is tried again. A failure
+/// counts less if the step failed elsewhere as well, or here before. A worker
+/// counts as slow once the speed of its runs is much more likely under that
+/// assumption, since single tasks often take longer than expected.
 class WorkerHealth {
 public:
   /// A run failed, or the worker refused to start it.
-  void failed(const wire::WorkerLife &Worker, bool FailedElsewhere,
+  void failed(const wire::WorkerLife &Worker, FailureContext Context,
               TimePoint Now);
   /// A run ended with success.
   void succeeded(const wire::WorkerLife &Worker, TimePoint Now);
--- /dev/null
+++ b/tests/dispatch/explorer/ReplayMain.cpp
@@ -0,0 +1,87 @@
+#include <cstdio>
+#include <iostream>
+
+#include <cxxopts.hpp>
+
+#include "dispatch/sim/LoadReplay.h"
+
+namespace {
+
+void printFigures(std::string_view Name, const anvil::sim::ReplayFigures &Of) {
+  std::printf("%-18s %.3f ", std::string(Name).c_str(), Of.m_Worth);
+  for (const double Each : Of.m_WorthByKind)
+    std::printf(" %.3f", Each);
+  std::printf("  %.3f  %6.0f  %5.0f\n", Of.m_WorstSpans, Of.m_LostCoreSeconds,
+              Of.m_Starts);
+}
+
+double secondsOf(anvil::Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+void printLate(uint64_t Seed, const anvil::sim::JobResult &Late,
+               anvil::Duration Objective) {
+  const anvil::sim::JobPlan &Plan = *Late.m_Plan;
+  std::printf("  seed %llu %s %s sent %.2f wait %.2f took %.2f objective %.2f:",
+              static_cast<unsigned long long>(Seed), Plan.m_Id.c_str(),
+              Plan.m_Queue.c_str(), secondsOf(Plan.m_At),
+              secondsOf(Late.m_FirstStartAt - Late.m_SentAt),
+              secondsOf(Late.m_EndedAt - Late.m_SentAt), secondsOf(Objective));
+  for (const anvil::wire::StepSpec &Step : Plan.m_Spec.steps)
+    std::printf(" %dx%dgpu %.1fs%s%s%s", Step.tasks, Step.perTask.accelerators,
+                static_cast<double>(Step.estimateMs) / 1000,
+                Step.gang ? " gang" : "", Step.rackLocal ? " rack" : "",
+                Step.checkpointing ? " checkpoints" : "");
+  std::printf("\n");
+}
+
+void playSheet(std::string_view Name, const anvil::sim::Sheet &Of,
+               const cxxopts::ParseResult &Parsed) {
+  const std::string Sheet = Parsed["sheet"].as<std::string>();
+  if (!Sheet.empty() && Sheet != Name)
+    return;
+  std::printf(
+      "%s\n%-18s worth  by kind            worst  lost core s  starts\n",
+      std::string(Name).c_str(), "pattern");
+  const std::string Wanted = Parsed["pattern"].as<std::string>();
+  anvil::sim::ReplayHooks Hooks;
+  if (Parsed["late"].as<bool>())
+    Hooks.m_OnLate = printLate;
+  const std::string Text = Parsed["trace"].as<std::string>();
+  if (!Text.empty())
+    Hooks.m_Trace = [&](anvil::TimePoint At, const std::string &Line) {
+      if (Line.find(Text) != std::string::npos)
+        std::printf("%9.4f %s\n",
+                    static_cast<double>(anvil::microsOf(At)) / 1e6,
+                    Line.c_str());
+    };
+  for (const anvil::sim::LoadPattern &Each : anvil::sim::loadPatterns())
+    if (Wanted.empty() || Wanted == Each.m_Name)
+      printFigures(Each.m_Name, anvil::sim::replayLoad(
+                                    Of, Each, Parsed["first"].as<uint64_t>(),
+                                    Parsed["count"].as<uint64_t>(), Hooks));
+}
+
+} // namespace
+
+// Replays the loads by which placement is judged and prints what callers got.
+int main(int Count, char **Arguments) {
+  cxxopts::Options Flags("dispatch_replay",
+                         "Prints what callers get under typical loads.");
+  Flags.add_options()("first", "first seed",
+                      cxxopts::value<uint64_t>()->default_value("1"))(
+      "count", "number of seeds",
+      cxxopts::value<uint64_t>()->default_value("50"))(
+      "late", "print each job that missed its objective",
+      cxxopts::value<bool>()->default_value("false"))(
+      "trace", "print events that contain this text",
+      cxxopts::value<std::string>()->default_value(""))(
+      "sheet", "play only the sheet of this name",
+      cxxopts::value<std::string>()->default_value(""))(
+      "pattern", "play only the pattern of this name",
+      cxxopts::value<std::string>()->default_value(""));
+  const cxxopts::ParseResult Parsed = Flags.parse(Count, Arguments);
+  playSheet("sizing", anvil::sim::sizingSheet(), Parsed);
+  playSheet("reorder", anvil::sim::reorderSheet(), Parsed);
+  return 0;
+}
--- a/tests/dispatch/sim/SimWorkers.h
+++ b/tests/dispatch/sim/SimWorkers.h
@@ -66,6 +66,7 @@
     uint64_t m_Generation = 0;
     bool m_Stopping = false;
     bool m_Fails = false;
+    double m_FailsAfter = 0; ///< Seconds of work.
     TimePoint m_StartedAt;
   };
 
