dispatch: Move runs only to room that nothing else is to get

Cause: a run on a slow worker was stopped when any room was free elsewhere, before waiting steps got that room, without regard to bookings and without taking it, so that all runs of a worker were stopped for the room of one. A run on a leaving worker was never moved early, because another worker had to be twice as fast. Ruled out: wrong judgement of the workers; both were slow. Change: RunMover takes the room for each move from the plan; leaving workers come before waiting steps, slow ones after them; runs go to sound workers only. A waiting step takes a slow worker once it has waited for as long as it would lose there.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -81,13 +81,15 @@
         m_Now(Now), m_Guarantees(State), m_Placer(Of, Options.m_RemotePenalty),
         m_Preemption(Of, m_Placer) {}
 
-  void move(const RunMover &Mover);
+  void moveLeaving(const RunMover &Mover) { move(Mover.findLeaving(m_Fleet)); }
+  void moveStuck(const RunMover &Mover) { move(Mover.findStuck(m_Fleet)); }
   void placeAll(std::vector<WaitingStep> Steps);
   std::vector<wire::WorkloadCommand> takeCommands() {
     return std::move(m_Commands);
   }
 
 private:
+  void move(const std::vector<internal::Move> &Moves);
   void place(WaitingStep Step);
   void startChosen(const WaitingStep &Step, const Choice &Chosen,
                    std::string_view Reason);
@@ -126,8 +128,8 @@
   m_Commands.push_back(std::move(Command));
 }
 
-void Planner::move(const RunMover &Mover) {
-  for (const internal::Move &Each : Mover.find(m_Fleet))
+void Planner::move(const std::vector<internal::Move> &Moves) {
+  for (const internal::Move &Each : Moves)
     stop({Each.m_Run}, Each.m_Reason);
 }
 
@@ -400,8 +402,9 @@
   Fleet Of(State, Sessions, m_Impl->m_Tracker, m_Impl->m_Health, Now);
   Planner Plan(State, Of, m_Impl->m_Options, m_Impl->m_Tracker, m_Impl->m_Rank,
                Now);
-  Plan.move(m_Impl->m_Mover);
+  Plan.moveLeaving(m_Impl->m_Mover);
   Plan.placeAll(m_Impl->waitingSteps(State, Now));
+  Plan.moveStuck(m_Impl->m_Mover);
   return Plan.takeCommands();
 }
 
--- a/src/dispatch/Fleet.h
+++ b/src/dispatch/Fleet.h
@@ -59,6 +59,10 @@
   Fleet(const workload::WorkloadState &State, const WorkerSessions &Sessions,
         const RunTracker &Tracker, const WorkerHealth &Health, TimePoint Now);
 
+  /// For tests of what decides on a fleet.
+  Fleet(std::vector<WorkerView> Workers, TimePoint Now)
+      : m_Now(Now), m_Workers(std::move(Workers)) {}
+
   std::vector<WorkerView> &workers() { return m_Workers; }
   const std::vector<WorkerView> &workers() const { return m_Workers; }
   TimePoint now() const { return m_Now; }
--- a/src/dispatch/Placer.cpp
+++ b/src/dispatch/Placer.cpp
@@ -18,9 +18,10 @@
 // A worker with more evidence against it gets one task at a time, so that it
 // costs few attempts to learn that it still fails.
 constexpr double MaxSuspicionShared = 0.7;
-// A worker that is slower than this gets no tasks, unless a step waits long.
+// A worker that is slower than this gets no tasks, unless a step has waited for
+// as long as it would lose there.
 constexpr double MaxSlowdown = 2.2;
-// How long a step waits for a better worker.
+// How long a step waits for a better worker at least.
 constexpr Duration PatienceSpan = std::chrono::milliseconds(1800);
 
 // What a suspected worker costs, in seconds of run time for each unit.
@@ -54,8 +55,12 @@
 bool Placer::allowed(const WorkerView &Worker, const WaitingStep &Step) const {
   if (!Worker.m_Usable || !suits(Worker, *Step.m_Job, *Step.m_Spec))
     return false;
-  return Worker.m_Suspicion <= Step.m_MaxSuspicion &&
-         (Worker.m_Slowdown <= MaxSlowdown || Step.m_Waited >= PatienceSpan);
+  if (Worker.m_Suspicion > Step.m_MaxSuspicion)
+    return false;
+  const auto Loss = std::chrono::duration_cast<Duration>(
+      Step.m_Expected * (Worker.m_Slowdown - 1));
+  return Worker.m_Slowdown <= MaxSlowdown ||
+         Step.m_Waited >= std::max(PatienceSpan, Loss);
 }
 
 // Returns how many tasks of the step the worker could hold without its runs, at
--- a/src/dispatch/RunMover.cpp
+++ b/src/dispatch/RunMover.cpp
@@ -1,6 +1,6 @@
 #include "RunMover.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace anvil::dispatch::internal {
 
@@ -17,41 +17,76 @@
 // committed and to reach the worker.
 constexpr Duration LeaveMargin = std::chrono::milliseconds(600);
 
+// A run is moved only to workers that are not slower than this and have no more
+// evidence against them.
+constexpr double MaxSlowdown = 1.5;
+constexpr double MaxSuspicion = 0.7;
+
 double secondsOf(Duration Value) {
   return std::chrono::duration<double>(Value).count();
 }
 
-} // namespace
+// Returns whether a run may go on there: on a sound worker that stays.
+bool takesRuns(const WorkerView &Worker, const RunView &Run) {
+  return Worker.m_Usable && Worker.m_Slowdown <= MaxSlowdown &&
+         Worker.m_Suspicion <= MaxSuspicion &&
+         suits(Worker, *Run.m_Job, *Run.m_Spec);
+}
 
-bool RunMover::hasRoomElsewhere(const Fleet &Of, const WorkerView &Worker,
-                                const RunView &Run) {
+// Takes room for the run on other workers, for all members if it is one of a
+// gang. Returns false and takes none if there is not enough.
+bool takeRoomElsewhere(Fleet &Of, const WorkerView &Worker,
+                       const RunView &Run) {
   const bool Gang = Run.m_Spec->gang && Run.m_Spec->tasks > 1;
-  int32_t Room = 0;
-  for (const WorkerView &Other : Of.workers()) {
-    if (&Other == &Worker || !Other.m_Usable ||
-        !suits(Other, *Run.m_Job, *Run.m_Spec) ||
-        Other.m_Slowdown > Worker.m_Slowdown / 2)
+  const auto Span = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Run.m_Forecast.m_WorkLeftSeconds));
+  int32_t Missing = Gang ? Run.m_Spec->tasks : 1;
+  std::vector<std::pair<WorkerView *, int32_t>> Found;
+  for (WorkerView &Other : Of.workers()) {
+    if (Missing == 0)
+      break;
+    if (&Other == &Worker || !takesRuns(Other, Run))
+      continue;
+    const int32_t Here = Of.countThatFit(Other, Run.m_Amounts, Span, Missing);
+    if (Here == 0)
       continue;
-    Room +=
-        Of.countThatFit(Other, Run.m_Amounts, Duration(0), Run.m_Spec->tasks);
+    Found.emplace_back(&Other, Here);
+    Missing -= Here;
   }
-  return Room >= (Gang ? Run.m_Spec->tasks : 1);
+  if (Missing > 0)
+    return false;
+  for (const auto &[Other, Tasks] : Found)
+    workload::subtract(Other->m_Free, Run.m_Amounts, Tasks);
+  return true;
+}
+
+Move makeMove(const RunView &Run, std::string_view Reason) {
+  Move Result;
+  Result.m_Run.task = Run.m_Task;
+  Result.m_Run.run = Run.m_Run;
+  Result.m_Reason = std::string(Reason);
+  return Result;
 }
 
+bool mayMove(const RunView &Run) {
+  return !Run.m_Stopping && !Run.m_Spec->longRunning;
+}
+
+} // namespace
+
 // A run that saves its progress can stay until shortly before the worker
 // leaves, if there is no room for it yet; one that does not is lost anyway and
 // starts anew at once.
-bool RunMover::losesToLeaving(const Fleet &Of, const WorkerView &Worker,
+bool RunMover::losesToLeaving(Fleet &Of, const WorkerView &Worker,
                               const RunView &Run) const {
   if (!Worker.m_Draining || Run.m_Forecast.m_EndsAt <= Worker.m_LeavesAt)
     return false;
   const TimePoint LastStop =
       Worker.m_LeavesAt - m_Options.m_StopTime - LeaveMargin;
-  return Of.now() >= LastStop || hasRoomElsewhere(Of, Worker, Run);
+  return Of.now() >= LastStop || takeRoomElsewhere(Of, Worker, Run);
 }
 
-bool RunMover::isFasterElsewhere(const Fleet &Of, const WorkerView &Worker,
-                                 const RunView &Run) const {
+bool RunMover::isFasterElsewhere(const Fleet &Of, const RunView &Run) const {
   if (!Run.m_Forecast.m_Started || (Run.m_Spec->gang && Run.m_Spec->tasks > 1))
     return false;
   const double Here = secondsOf(Run.m_Forecast.m_EndsAt - Of.now());
@@ -59,35 +94,30 @@
                            secondsOf(m_Options.m_RestoreTime) +
                            Run.m_Forecast.m_WorkLeftSeconds;
   const double Gain = Here - Elsewhere;
-  return Gain > MinGainS && Gain > MinGainShare * Here &&
-         hasRoomElsewhere(Of, Worker, Run);
+  return Gain > MinGainS && Gain > MinGainShare * Here;
 }
 
-std::string RunMover::reasonToMove(const Fleet &Of, const WorkerView &Worker,
-                                   const RunView &Run) const {
-  if (Run.m_Stopping || Run.m_Spec->longRunning)
-    return "";
-  if (losesToLeaving(Of, Worker, Run))
-    return "its worker leaves before it ends";
-  if (Run.m_Forecast.m_Stalled && hasRoomElsewhere(Of, Worker, Run))
-    return "it makes no progress";
-  if (isFasterElsewhere(Of, Worker, Run))
-    return "its worker is slow";
-  return "";
+std::vector<Move> RunMover::findLeaving(Fleet &Of) const {
+  std::vector<Move> Moves;
+  for (const WorkerView &Worker : Of.workers())
+    for (const RunView &Run : Worker.m_Runs)
+      if (Moves.size() < MaxMoves && mayMove(Run) &&
+          losesToLeaving(Of, Worker, Run))
+        Moves.push_back(makeMove(Run, "its worker leaves before it ends"));
+  return Moves;
 }
 
-std::vector<Move> RunMover::find(const Fleet &Of) const {
+std::vector<Move> RunMover::findStuck(Fleet &Of) const {
   std::vector<Move> Moves;
   for (const WorkerView &Worker : Of.workers())
     for (const RunView &Run : Worker.m_Runs) {
-      const std::string Reason = reasonToMove(Of, Worker, Run);
-      if (Reason.empty() || Moves.size() >= MaxMoves)
+      const bool Stalled = Run.m_Forecast.m_Stalled;
+      if (Moves.size() >= MaxMoves || !mayMove(Run) ||
+          (!Stalled && !isFasterElsewhere(Of, Run)) ||
+          !takeRoomElsewhere(Of, Worker, Run))
         continue;
-      Move Found;
-      Found.m_Run.task = Run.m_Task;
-      Found.m_Run.run = Run.m_Run;
-      Found.m_Reason = Reason;
-      Moves.push_back(std::move(Found));
+      Moves.push_back(makeMove(Run, Stalled ? "it makes no progress"
+                                            : "its worker is slow"));
     }
   return Moves;
 }
