dispatch: Keep room free for any waiting step, not for gangs only

Ruled out: eviction for more kinds of jobs. Change: whatever can't be placed gets one of the three bookings in the order of the ranks; a step of single tasks books for its next task. The replay has an overloaded pattern.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -34,7 +34,7 @@
 
 namespace {
 
-// Waiting gangs for which room is kept free, in the order of their ranks. Each
+// Waiting steps for which room is kept free, in the order of their ranks. Each
 // keeps smaller work from starting on its workers.
 constexpr int MaxBookings = 3;
 
@@ -230,7 +230,7 @@
       return;
     }
   }
-  if (Step.m_Spec->gang && m_Bookings < MaxBookings)
+  if (m_Bookings < MaxBookings)
     book(Step);
 }
 
@@ -238,7 +238,8 @@
                      TimePoint When,
                      std::vector<std::pair<size_t, int32_t>> &Where) const {
   const wire::Amounts Need = workload::countedAmounts(*Step.m_Spec);
-  int32_t Left = Step.m_Spec->tasks;
+  // The other tasks of a step follow when the first has its room.
+  int32_t Left = Step.m_Spec->gang ? Step.m_Spec->tasks : 1;
   Where.clear();
   for (size_t I = 0; I < m_Fleet.workers().size() && Left > 0; ++I) {
     const WorkerView &Worker = m_Fleet.workers()[I];
@@ -274,8 +275,8 @@
   return std::nullopt;
 }
 
-// Keeps the workers on which a gang can start first from being filled with work
-// that would still run then.
+// Keeps the workers on which a gang, or one more task of another step, can start
+// first from being filled with work that would still run then.
 void Planner::book(const WaitingStep &Step) {
   std::optional<TimePoint> Best;
   std::vector<std::pair<size_t, int32_t>> BestWhere;
--- a/tests/dispatch/sim/LoadReplay.cpp
+++ b/tests/dispatch/sim/LoadReplay.cpp
@@ -109,6 +109,7 @@
   return {
       {"calm", 1, {}, {}},
       {"busy", 1.3, {}, {}},
+      {"overload", 2, {}, {}},
       {"burst-batch", 1, {BurstOf(0, 5)}, {}},
       {"burst-urgent", 1, {BurstOf(1, 5)}, {}},
       {"burst-all", 1, All, {}},
