--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -275,8 +275,8 @@
   return std::nullopt;
 }
 
-// Keeps the workers on which a gang, or one more task of another step, can start
-// first from being filled with work that would still run then.
+// Keeps the workers on which a gang, or one more task of another step, can
+// start first from being filled with work that would still run then.
 void Planner::book(const WaitingStep &Step) {
   std::optional<TimePoint> Best;
   std::vector<std::pair<size_t, int32_t>> BestWhere;
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import resource
 import shutil
 import signal
 import subprocess
@@ -24,6 +25,7 @@
         self.wanted = False
         self.paused = False
         self.killed = False   # by the soak
+        self.down = asyncio.Lock()   # held while it is stopped on purpose
 
     def start(self):
         with open(self.path, "w", encoding="utf-8") as file:
@@ -49,6 +51,12 @@
         while self.running():
             await asyncio.sleep(0.01)
 
+    def limit_files(self, size):
+        """Lets files grow to \p size bytes at most, as a full disk does; None lifts the limit."""
+        if self.running():
+            limit = resource.RLIM_INFINITY if size is None else size
+            resource.prlimit(self.handle.pid, resource.RLIMIT_FSIZE, (limit, resource.RLIM_INFINITY))
+
     async def pause(self, seconds):
         self.paused = True
         self.send(signal.SIGSTOP)
@@ -61,7 +69,9 @@
     """Three entries with a data folder, one without, and workers with an agent each."""
 
     def __init__(self, program, work_dir, net, truth, seed, worker_count=6):
-        self.program, self.work_dir, self.net, self.truth = program, work_dir, net, truth
+        # A copy, since a build may replace the program while the soak starts it again and again.
+        self.program = shutil.copy2(program, work_dir)
+        self.work_dir, self.net, self.truth = work_dir, net, truth
         self.entries, self.proxies, self.agents, self.workers = [], [], [], []
         seeds = [f"{self._ip(2, number)}:7100" for number in range(3)]
         for number in range(4):
@@ -117,11 +127,25 @@
     async def wipe(self, number, down):
         """The machine loses its disk and comes back empty."""
         process = self.entries[number]
-        await process.kill()
-        shutil.rmtree(process.settings["DataDir"])
-        os.makedirs(process.settings["DataDir"])
-        await asyncio.sleep(down)
-        process.start()
+        async with process.down:
+            await process.kill()
+            shutil.rmtree(process.settings["DataDir"])
+            os.makedirs(process.settings["DataDir"])
+            await asyncio.sleep(down)
+            process.start()
+
+    async def tear(self, number, tail, down):
+        """The machine loses power while it appends: bytes that were never synced follow what was."""
+        process = self.entries[number]
+        async with process.down:
+            await process.kill()
+            folder = process.settings["DataDir"]
+            segments = sorted(name for name in os.listdir(folder) if name.startswith("log-"))
+            if segments:
+                with open(os.path.join(folder, segments[-1]), "ab") as file:
+                    file.write(tail)
+            await asyncio.sleep(down)
+            process.start()
 
     async def supervise(self):
         """Starts processes again that ended by themselves or were asked to end, as the platform does."""
--- a/tests/soak/http11.py
+++ b/tests/soak/http11.py
@@ -56,22 +56,45 @@
             writer.close()
 
 
-async def request(address, method, path, value=None, headers=None, timeout=3.0, raw=None):
+class Pool:
+    """Open connections that wait for their next request, by address."""
+
+    def __init__(self):
+        self.idle = {}
+
+    async def take(self, address):
+        while self.idle.get(address):
+            reader, writer = self.idle[address].pop()
+            if not reader.at_eof() and not writer.is_closing():
+                return reader, writer
+            writer.close()
+        return await asyncio.open_connection(*address)
+
+    def give_back(self, address, connection):
+        self.idle.setdefault(address, []).append(connection)
+
+
+async def request(address, method, path, value=None, headers=None, timeout=3.0, raw=None, pool=None):
     """Returns (status, headers, body bytes), or None without a whole answer in time."""
     body = raw if raw is not None else (json.dumps(value).encode() if value is not None else b"")
 
     async def exchange():
         host, port = address
-        reader, writer = await asyncio.open_connection(host, port)
+        reader, writer = await (pool.take(address) if pool else asyncio.open_connection(host, port))
+        reusable = False
         try:
             lines = [f"{method} {path} HTTP/1.1", f"Content-Length: {len(body)}", "Content-Type: application/json"]
             given = {"Host": host, **(headers or {})}
             lines += [f"{name}: {text}" for name, text in given.items()]
             writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
             first, fields, answer = await read_message(reader)
+            reusable = pool is not None and fields.get("connection", "").lower() != "close"
             return int(first.split(" ")[1]), fields, answer
         finally:
-            writer.close()
+            if reusable:
+                pool.give_back(address, (reader, writer))
+            else:
+                writer.close()
 
     try:
         return await asyncio.wait_for(exchange(), timeout)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -3,8 +3,8 @@
 Usage: python3 -B tests/soak/soak.py PROGRAM WORK_DIR [--seed N] [--seeds N] [--seed-file F] [--jobs N] [--seconds S]
 
 Each seed plays a span of faults (connections delayed, reset, silenced or cut one way by a proxy; processes killed,
-paused, terminated and wiped; workers that crash or carry orders out late) and a calm span, after which every accepted
-job must have ended. The last line is "N passed, N failed"; the folder of a failed seed is kept.
+paused, terminated and wiped; disks that are full or end in a torn write; workers that crash or carry orders out late)
+and a calm span, after which every accepted job must have ended. The last line is "N passed, N failed"; the folder of a failed seed is kept.
 """
 
 import argparse
@@ -66,6 +66,7 @@
         self.version = 0
         self.acknowledged = 0   # newest configuration that was acknowledged
         self.faults = []
+        self.connections = http11.Pool()   # consumers use them until the process is gone
         self.began = time.monotonic()
 
     def note(self, text):
@@ -114,15 +115,18 @@
 
     # ---- consumers ----
 
+    async def _send(self, entry, method, job, raw):
+        return await http11.request(self.cluster.consumer_address(entry), method, "/q/" + job.id, raw=raw,
+                                    headers={"Host": HOST, "Api-Key": KEY, "X-Deadline-Ms": "1500"}, timeout=1.5,
+                                    pool=self.connections)
+
     async def ask(self, method, job, seconds, good=(200,)):
         """Repeats a call at other entries until it is answered; returns the status, or None."""
         end, unclear = time.monotonic() + seconds, False
         raw = json.dumps({"Spec": job.spec, "Steps": job.steps}).encode() if method == "POST" else b""
         while time.monotonic() < end:
             entry = self.draw.randrange(len(self.cluster.entries))
-            answer = await http11.request(self.cluster.consumer_address(entry), method, "/q/" + job.id,
-                                          raw=raw, headers={"Host": HOST, "Api-Key": KEY, "X-Deadline-Ms": "1500"},
-                                          timeout=1.5)
+            answer = await self._send(entry, method, job, raw)
             if answer and answer[0] in good:
                 return answer[0], answer[2]
             if answer and answer[0] not in (429, 500, 502, 503, 504):
@@ -169,7 +173,7 @@
         agent, worker = draw.choice(cluster.agents), draw.choice(cluster.workers)
         span = draw.uniform(0.2, 3)
         kind = draw.choice(["delay", "reset", "silence", "cut-in", "cut-out", "kill", "pause", "term", "herd", "wipe",
-                            "agent-kill", "agent-pause", "worker-crash", "late-orders"])
+                            "disk-full", "torn-write", "agent-kill", "agent-pause", "worker-crash", "late-orders"])
         self.note(f"{kind} entry {number} {agent.name} {worker.name} {span:.1f} s")
         if kind == "delay":
             proxy.delay = draw.uniform(0.01, 0.3)
@@ -192,6 +196,10 @@
             async with disk:
                 await cluster.wipe(draw.randrange(3), span)
                 await asyncio.sleep(8)   # the group takes in the new replica before another disk may go
+        elif kind == "disk-full":
+            entry.limit_files(draw.randrange(0, 4096))
+        elif kind == "torn-write":
+            await cluster.tear(draw.randrange(3), draw.randbytes(draw.randint(1, 300)), span)
         elif kind == "agent-kill":
             agent.send(signal.SIGKILL)
         elif kind == "agent-pause" and not agent.paused:
@@ -201,6 +209,7 @@
         elif kind == "late-orders":
             worker.late_share = 0.3
         await asyncio.sleep(span)
+        entry.limit_files(None)
         proxy.heal()
         worker.late_share = 0.0
 
@@ -232,10 +241,15 @@
             await asyncio.sleep(0.3)
         self.truth.fail("the configuration can't be read back")
 
+    def _on_supervisor_end(self, task):
+        if not task.cancelled():
+            self.truth.fail(f"the soak can't start processes any more: {task.exception()!r}")
+
     async def run(self):
         # Processes that were started must not outlive the soak.
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         supervisor = asyncio.create_task(self.cluster.supervise())
+        supervisor.add_done_callback(self._on_supervisor_end)
         try:
             await self.cluster.start()
             if not await self.put_config(START_SECONDS):
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -15,7 +15,7 @@
     def __init__(self):
         self.jobs = {}          # id -> Job of the load, for spec, steps and outcome
         self.live = {}          # task -> set of (worker, run) at work
-        self.acknowledged = set()  # tasks whose end "done" was acknowledged
+        self.acknowledged = set()  # tasks whose end "done" was acknowledged while its lease held
         self.broken = []
         self.workers = {}       # by name
 
@@ -78,6 +78,7 @@
         self.barred = {}   # task -> highest run that was stopped or ended
         self.ends = []     # [number, task, run, how, checkpoint]
         self.next_end = 1
+        self.lapsed_end = 0  # ends up to this number were listed when a lease ran out
         self.changed = asyncio.Event()
 
     def clock(self):
@@ -204,7 +205,13 @@
     def _told(self, **fields):
         return {"ClockMs": self.clock(), "born": self.born, **fields}
 
+    def _note_lapse(self):
+        """An end does not count as noted if the lease ran out before: its run may have been placed elsewhere."""
+        if self.clock() > self.lease:
+            self.lapsed_end = self.next_end - 1
+
     def _extend(self, deadline):
+        self._note_lapse()
         if deadline is not None:
             self.lease = max(self.lease, min(deadline, self.clock() + int(self.bounds["hold"] * 1000)))
 
@@ -212,7 +219,7 @@
         self._extend(call.get("DeadlineMs"))
         cursor = call.get("AckCursor", 0)
         for number, task, _, how, _ in self.ends:
-            if number <= cursor and how == "done":
+            if self.lapsed_end < number <= cursor and how == "done":
                 self.truth.acknowledged.add(task)
         self.ends = [end for end in self.ends if end[0] > cursor]
         if call.get("WaitMs") and not self.ends:
