--- a/include/anvil/node/EntryVm.h
+++ b/include/anvil/node/EntryVm.h
@@ -64,6 +64,12 @@
   wire::JobPhase::type m_Phase = wire::JobPhase::QUEUED;
   std::string m_Source; ///< Of the policy.
   bool m_WaveCompleted = false;
+
+  /// Returns true if the call took effect, now or when it came before.
+  bool succeeded() const {
+    return m_Status == wire::WorkloadStatus::OK ||
+           m_Status == wire::WorkloadStatus::UNCHANGED;
+  }
 };
 
 /// The process on an entry VM: takes calls for the replicated workload state,
--- a/src/node/EntryVm.cpp
+++ b/src/node/EntryVm.cpp
@@ -404,9 +404,7 @@
         Result.m_WaveCompleted = Reply->waveCompleted;
         // An earlier attempt that got no answer may still be stored, so a
         // refusal of a later one must not claim otherwise.
-        const bool Stored = Result.m_Status == wire::WorkloadStatus::OK ||
-                            Result.m_Status == wire::WorkloadStatus::UNCHANGED;
-        if (IsSubmit && Answer.m_MaybeDone && !Stored)
+        if (IsSubmit && Answer.m_MaybeDone && !Result.succeeded())
           Result.m_Status = wire::WorkloadStatus::UNKNOWN;
         Done(std::move(Result));
       });
