--- a/src/dispatch/Placer.cpp
+++ b/src/dispatch/Placer.cpp
@@ -33,6 +33,12 @@
   return std::chrono::duration<double>(Value).count();
 }
 
+// A task that lasts has no bound on its attempts and is owed to its users all
+// the time, so it does not wait for a better worker.
+bool mustRestart(const WaitingStep &Step) {
+  return Step.m_Spec->longRunning && Step.m_Waited >= PatienceSpan;
+}
+
 double shareOf(int32_t Part, int32_t Whole) {
   return Whole > 0 ? static_cast<double>(Part) / Whole : 0;
 }
@@ -59,7 +65,7 @@
     return false;
   const auto Loss = std::chrono::duration_cast<Duration>(
       Step.m_Expected * (Worker.m_Slowdown - 1));
-  return Worker.m_Slowdown <= MaxSlowdown ||
+  return Worker.m_Slowdown <= MaxSlowdown || mustRestart(Step) ||
          Step.m_Waited >= std::max(PatienceSpan, Loss);
 }
 
@@ -92,6 +98,8 @@
 }
 
 double Placer::suspicionLimit(const WaitingStep &Step) const {
+  if (mustRestart(Step))
+    return std::numeric_limits<double>::infinity();
   if (Step.m_LastAttempt && Step.m_Waited < PatienceSpan &&
       holds(Step, MaxSuspicionLastAttempt))
     return MaxSuspicionLastAttempt;
--- /dev/null
+++ b/tests/dispatch/PlacerTest.cpp
@@ -0,0 +1,101 @@
+#include <array>
+#include <optional>
+
+#include <boost/test/unit_test.hpp>
+
+#include "dispatch/Placer.h"
+
+namespace anvil::dispatch::internal {
+namespace {
+
+const TimePoint Now = timePointFromMicros(100'000'000);
+
+/// Three equal workers and a step of one task.
+class PlacerFixture {
+public:
+  PlacerFixture() {
+    m_Job.serviceName = "desk";
+    m_Spec.tasks = 1;
+    m_Spec.perTask.accelerators = 1;
+    m_Views.resize(m_Records.size());
+    for (size_t I = 0; I < m_Records.size(); ++I) {
+      m_Records[I].facts.serviceName = "desk";
+      m_Records[I].facts.life.id = "worker-" + std::to_string(I);
+      m_Records[I].facts.capacity.accelerators = 8;
+      m_Views[I].m_Record = &m_Records[I];
+      m_Views[I].m_Usable = true;
+      m_Views[I].m_Free = m_Records[I].facts.capacity;
+    }
+    m_Step.m_Job = &m_Job;
+    m_Step.m_Spec = &m_Spec;
+    m_Step.m_Indexes = {0};
+    m_Step.m_Expected = std::chrono::seconds(2);
+  }
+
+  /// Returns the number of the worker that the task goes to, or nothing.
+  std::optional<size_t> place() {
+    Fleet Of(m_Views, Now);
+    Placer Places(Of, 3);
+    m_Step.m_MaxSuspicion = Places.suspicionLimit(m_Step);
+    const Choice Chosen = Places.placeTasks(m_Step);
+    if (Chosen.m_Shares.empty())
+      return std::nullopt;
+    return Chosen.m_Shares.front().m_Worker;
+  }
+
+protected:
+  wire::JobRecord m_Job;
+  wire::StepSpec m_Spec;
+  std::array<wire::WorkerRecord, 3> m_Records;
+  std::vector<WorkerView> m_Views;
+  WaitingStep m_Step;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(PlacerTest, PlacerFixture)
+
+// Guards against a worker that failed lately being given a whole step at once.
+BOOST_AUTO_TEST_CASE(TriesAWorkerThatFailedWithOneTask) {
+  m_Spec.tasks = 5;
+  m_Step.m_Indexes = {0, 1, 2, 3, 4};
+  m_Views.resize(2);
+  m_Views[0].m_Suspicion = 1;
+  m_Views[1].m_Free.accelerators = 1;
+  Fleet Of(m_Views, Now);
+  Placer Places(Of, 3);
+  m_Step.m_MaxSuspicion = Places.suspicionLimit(m_Step);
+  const Choice Chosen = Places.placeTasks(m_Step);
+  BOOST_REQUIRE(Chosen.m_Shares.size() == 2U);
+  BOOST_TEST(Chosen.m_Shares[0].m_Tasks == 1);
+  BOOST_TEST(Chosen.m_Shares[1].m_Tasks == 1);
+}
+
+// Guards against steps that wait although only suspected workers could ever
+// hold them.
+BOOST_AUTO_TEST_CASE(UsesSuspectedWorkersIfNoOthersCanHoldTheStep) {
+  for (WorkerView &Each : m_Views)
+    Each.m_Suspicion = 3;
+  BOOST_TEST(place().has_value());
+  m_Views[1].m_Suspicion = 0;
+  m_Views[1].m_Free.accelerators = 0;
+  BOOST_TEST(!place().has_value());
+}
+
+// Guards against a task that lasts and is not restarted for seconds, because
+// the only room is on a worker that is slow or failed.
+BOOST_AUTO_TEST_CASE(RestartsATaskThatLastsOnAnyWorkerInTime) {
+  for (WorkerView &Each : m_Views)
+    Each.m_Free.accelerators = 0;
+  m_Views[1].m_Free.accelerators = 8;
+  m_Views[1].m_Slowdown = 10;
+  m_Views[1].m_Suspicion = 3;
+  m_Step.m_Waited = std::chrono::seconds(2);
+  BOOST_TEST(!place().has_value());
+  m_Spec.longRunning = true;
+  BOOST_TEST(place().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace anvil::dispatch::internal
--- a/tests/dispatch/RunMoverTest.cpp
+++ b/tests/dispatch/RunMoverTest.cpp
@@ -1,3 +1,5 @@
+#include <array>
+
 #include <boost/test/unit_test.hpp>
 
 #include "dispatch/RunMover.h"
