node, dispatch: Plan after changes, answer agents only with news

Ruled out: the number of messages (1,038 wake-ups a second before, 1,177 after) and memory. Change: PlanPacer lets the leader plan at once after a change of the state and otherwise every 50 ms; WorkerSessions makes an answer only if something changed for the agent, the answer was held long enough, or a later request replaced it.

--- a/include/anvil/dispatch/WorkerSessions.h
+++ b/include/anvil/dispatch/WorkerSessions.h
@@ -69,6 +69,9 @@
   /// A command that receive() or losses() returned was committed, or failed.
   void commandDone(const wire::WorkloadCommand &Command, bool Committed);
 
+  /// Takes note of a change of the state, which may be news for an agent.
+  void observe(const workload::WorkloadEvent &Event);
+
   /// An answer that is due.
   struct Answer {
     std::string m_Agent;
@@ -111,6 +114,8 @@
     int64_t m_DurableEnd = 0;
     int64_t m_ToldEnd = 0;
     bool m_RegistrationProposed = false;
+    /// Something changed since an answer was last weighed.
+    bool m_MayHaveNews = true;
     /// Orders of the last answer; repeated only with answers that are due
     /// anyway.
     std::vector<wire::RunName> m_ToldStarts;
@@ -134,6 +139,8 @@
   void proposeEnds(Session &Of, std::vector<wire::WorkloadCommand> &Commands);
   wire::WorkerSyncReply makeReply(const Session &Of,
                                   const workload::WorkloadState &State) const;
+  bool mayAnswer(const Session &Of, TimePoint Now) const;
+  void noteNewsFor(const wire::WorkerLife &Life);
   static bool hasNews(const Session &Of, const wire::WorkerSyncReply &Reply);
   static void noteTold(Session &Of, const wire::WorkerSyncReply &Reply);
   void noteLive(const wire::WorkerSyncRequest &Request, TimePoint Now);
--- a/src/dispatch/WorkerSessions.cpp
+++ b/src/dispatch/WorkerSessions.cpp
@@ -41,6 +41,7 @@
   std::vector<wire::WorkloadCommand> Commands;
   Session &Of = m_Sessions[Request.agent];
   Of.m_Waiting[Request.sequence] = Now;
+  Of.m_MayHaveNews = true;
   Of.m_HeardAt = Now;
   if (Request.sequence < Of.m_HighestSequence)
     return Commands;
@@ -171,8 +172,10 @@
   }
   if (Command.__isset.registerWorker) {
     const auto It = m_Sessions.find(Command.registerWorker.agent);
-    if (It != m_Sessions.end())
+    if (It != m_Sessions.end()) {
       It->second.m_RegistrationProposed = false;
+      It->second.m_MayHaveNews = true;
+    }
     return;
   }
   if (!Command.__isset.endRuns)
@@ -181,6 +184,7 @@
   if (It == m_Sessions.end())
     return;
   Session &Of = It->second;
+  Of.m_MayHaveNews = true;
   if (Committed)
     Of.m_DurableEnd = std::max(Of.m_DurableEnd, Command.endRuns.lastEnd);
   else
@@ -276,8 +280,9 @@
   std::vector<Answer> Answers;
   forgetSilent(Now);
   for (auto &[Agent, Of] : m_Sessions) {
-    if (Of.m_Waiting.empty())
+    if (Of.m_Waiting.empty() || !mayAnswer(Of, Now))
       continue;
+    Of.m_MayHaveNews = false;
     const wire::WorkerSyncReply Reply = makeReply(Of, State);
     const bool News = hasNews(Of, Reply);
     bool Told = false;
@@ -309,6 +314,34 @@
   return Answers;
 }
 
+// Making an answer takes all runs of the worker, so it is made only if there
+// may be a reason to send it.
+bool WorkerSessions::mayAnswer(const Session &Of, TimePoint Now) const {
+  const auto &[Oldest, Since] = *Of.m_Waiting.begin();
+  return Of.m_MayHaveNews || Oldest < Of.m_HighestSequence ||
+         Now >= Since + m_Options.m_AnswerHold;
+}
+
+void WorkerSessions::observe(const workload::WorkloadEvent &Event) {
+  if (const auto *Placed = std::get_if<workload::RunPlaced>(&Event))
+    noteNewsFor(Placed->m_Worker);
+  else if (const auto *Stopping = std::get_if<workload::RunStopping>(&Event))
+    noteNewsFor(Stopping->m_Worker);
+  else if (const auto *Ended = std::get_if<workload::RunEnded>(&Event))
+    noteNewsFor(Ended->m_Worker);
+  else if (const auto *Worker = std::get_if<workload::WorkerChanged>(&Event))
+    noteNewsFor(Worker->m_Life);
+}
+
+void WorkerSessions::noteNewsFor(const wire::WorkerLife &Life) {
+  const auto Live = m_Live.find(keyOf(Life));
+  if (Live == m_Live.end())
+    return;
+  const auto It = m_Sessions.find(Live->second.m_Agent);
+  if (It != m_Sessions.end())
+    It->second.m_MayHaveNews = true;
+}
+
 void WorkerSessions::forgetSilent(TimePoint Now) {
   for (auto It = m_Sessions.begin(); It != m_Sessions.end();) {
     const bool Silent = Now - It->second.m_HeardAt > m_Options.m_ForgetAfter;
--- a/src/node/LeaderDuties.cpp
+++ b/src/node/LeaderDuties.cpp
@@ -30,6 +30,7 @@
   ++m_Period;
   m_Active = true;
   m_PlanInFlight = 0;
+  m_Pacer.reset();
   m_ChangeInFlight = false;
   m_ConfirmInFlight = false;
   const TimePoint Now = m_Ports.m_Now();
@@ -83,8 +84,11 @@
 }
 
 void LeaderDuties::observe(const workload::WorkloadEvent &Event) {
-  if (m_Active)
-    m_Dispatcher.observe(Event, m_Ports.m_State(), m_Ports.m_Now());
+  if (!m_Active)
+    return;
+  m_Dispatcher.observe(Event, m_Ports.m_State(), m_Ports.m_Now());
+  m_Sessions.observe(Event);
+  m_Pacer.noteChange();
 }
 
 void LeaderDuties::heardReplica(raft::ReplicaId Replica) {
@@ -131,10 +135,12 @@
 }
 
 void LeaderDuties::plan() {
-  if (m_PlanInFlight > 0)
+  const TimePoint Now = m_Ports.m_Now();
+  if (m_PlanInFlight > 0 || !m_Pacer.due(Now))
     return;
+  m_Pacer.made(Now);
   std::vector<wire::WorkloadCommand> Commands =
-      m_Dispatcher.plan(m_Ports.m_State(), m_Sessions, m_Ports.m_Now());
+      m_Dispatcher.plan(m_Ports.m_State(), m_Sessions, Now);
   for (wire::WorkloadCommand &Command : Commands) {
     ++m_PlanInFlight;
     wire::WorkloadCommand Sent = Command;
@@ -311,6 +317,8 @@
 void LeaderDuties::armTimer() {
   const TimePoint Now = m_Ports.m_Now();
   TimePoint Next = std::min(m_Sessions.nextDeadline(Now), Now + MaxPause);
+  if (m_PlanInFlight == 0)
+    Next = std::min(Next, m_Pacer.next());
   for (const auto &[Entry, Of] : m_Watchers)
     if (!Of.m_Waiting.empty())
       Next = std::min(Next, Of.m_HeardAt + m_Options.m_WatchHold);
--- a/src/node/LeaderDuties.h
+++ b/src/node/LeaderDuties.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "ConfirmTracker.h"
+#include "PlanPacer.h"
 #include "anvil/dispatch/Dispatcher.h"
 #include "anvil/dispatch/WorkerSessions.h"
 #include "anvil/log/EventLog.h"
@@ -114,6 +115,7 @@
   uint64_t m_Period = 0; ///< Counts the leaderships of this process.
   bool m_WakePosted = false;
   int m_PlanInFlight = 0;
+  PlanPacer m_Pacer;
   bool m_ChangeInFlight = false;
   bool m_ConfirmInFlight = false;
   TimePoint m_NextConfirm;
--- a/tests/dispatch/sim/World.cpp
+++ b/tests/dispatch/sim/World.cpp
@@ -134,6 +134,7 @@
   Self->m_State.setEventHook([this, Term = m_Term, Raw = Self.get()](
                                  const workload::WorkloadEvent &Event) {
     Raw->m_Dispatcher.observe(Event, Raw->m_State, m_Queue.now());
+    Raw->m_Sessions.observe(Event);
     traceEvent(Event, Term);
   });
   trace("leader of term " + std::to_string(m_Term));
