workload: Accept the late success of a run that was given up as lost

The leader had given the run up and started the task again; the report of the first run came 1.7 s later and was ignored, so the next step waited for the second run, with most of the workers idle. Change: the state remembers the newest run of a task that was given up as lost. If that run turns out to be done, the task is done; a successor that is at work is stopped first and holds its resources until its end, however it ends. A gang is done by the report of one member. Tests: AcceptsALateSuccessOfALostRun, StopsTheSecondRunAfterALateSuccess, AcceptsALateSuccessOfAGang fail without it; IgnoresALateSuccessOfACancelledJob and IgnoresLateReports hold.

--- a/gen/workload_types.cpp
+++ b/gen/workload_types.cpp
@@ -4376,6 +4376,14 @@
 void TaskRecord::__set_checkpoint(const std::string& val) {
   this->checkpoint = val;
 }
+
+void TaskRecord::__set_lostRun(const int64_t val) {
+  this->lostRun = val;
+}
+
+void TaskRecord::__set_doneBefore(const bool val) {
+  this->doneBefore = val;
+}
 std::ostream& operator<<(std::ostream& out, const TaskRecord& obj)
 {
   obj.printTo(out);
@@ -4446,6 +4454,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lostRun);
+          this->__isset.lostRun = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->doneBefore);
+          this->__isset.doneBefore = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4483,6 +4507,14 @@
   xfer += oprot->writeString(this->checkpoint);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("lostRun", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->lostRun);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("doneBefore", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->doneBefore);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4495,6 +4527,8 @@
   swap(a.failures, b.failures);
   swap(a.worker, b.worker);
   swap(a.checkpoint, b.checkpoint);
+  swap(a.lostRun, b.lostRun);
+  swap(a.doneBefore, b.doneBefore);
   swap(a.__isset, b.__isset);
 }
 
@@ -4504,6 +4538,8 @@
   failures = other156.failures;
   worker = other156.worker;
   checkpoint = other156.checkpoint;
+  lostRun = other156.lostRun;
+  doneBefore = other156.doneBefore;
   __isset = other156.__isset;
 }
 TaskRecord::TaskRecord(TaskRecord&& other157) noexcept {
@@ -4512,6 +4548,8 @@
   failures = other157.failures;
   worker = std::move(other157.worker);
   checkpoint = std::move(other157.checkpoint);
+  lostRun = other157.lostRun;
+  doneBefore = other157.doneBefore;
   __isset = other157.__isset;
 }
 TaskRecord& TaskRecord::operator=(const TaskRecord& other158) {
@@ -4520,6 +4558,8 @@
   failures = other158.failures;
   worker = other158.worker;
   checkpoint = other158.checkpoint;
+  lostRun = other158.lostRun;
+  doneBefore = other158.doneBefore;
   __isset = other158.__isset;
   return *this;
 }
@@ -4529,6 +4569,8 @@
   failures = other159.failures;
   worker = std::move(other159.worker);
   checkpoint = std::move(other159.checkpoint);
+  lostRun = other159.lostRun;
+  doneBefore = other159.doneBefore;
   __isset = other159.__isset;
   return *this;
 }
@@ -4540,6 +4582,8 @@
   out << ", " << "failures=" << to_string(failures);
   out << ", " << "worker=" << to_string(worker);
   out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ", " << "lostRun=" << to_string(lostRun);
+  out << ", " << "doneBefore=" << to_string(doneBefore);
   out << ")";
 }
 
--- a/gen/workload_types.h
+++ b/gen/workload_types.h
@@ -1671,12 +1671,14 @@
 std::ostream& operator<<(std::ostream& out, const PolicyDocument& obj);
 
 typedef struct _TaskRecord__isset {
-  _TaskRecord__isset() : phase(true), run(false), failures(false), worker(false), checkpoint(false) {}
+  _TaskRecord__isset() : phase(true), run(false), failures(false), worker(false), checkpoint(false), lostRun(false), doneBefore(false) {}
   bool phase :1;
   bool run :1;
   bool failures :1;
   bool worker :1;
   bool checkpoint :1;
+  bool lostRun :1;
+  bool doneBefore :1;
 } _TaskRecord__isset;
 
 class TaskRecord : public virtual ::apache::thrift::TBase {
@@ -1690,7 +1692,9 @@
              : phase(static_cast<TaskPhase::type>(1)),
                run(0),
                failures(0),
-               checkpoint() {
+               checkpoint(),
+               lostRun(0),
+               doneBefore(0) {
   }
 
   virtual ~TaskRecord() noexcept;
@@ -1703,6 +1707,8 @@
   int32_t failures;
   WorkerLife worker;
   std::string checkpoint;
+  int64_t lostRun;
+  bool doneBefore;
 
   _TaskRecord__isset __isset;
 
@@ -1716,6 +1722,10 @@
 
   void __set_checkpoint(const std::string& val);
 
+  void __set_lostRun(const int64_t val);
+
+  void __set_doneBefore(const bool val);
+
   bool operator == (const TaskRecord & rhs) const
   {
     if (!(phase == rhs.phase))
@@ -1728,6 +1738,10 @@
       return false;
     if (!(checkpoint == rhs.checkpoint))
       return false;
+    if (!(lostRun == rhs.lostRun))
+      return false;
+    if (!(doneBefore == rhs.doneBefore))
+      return false;
     return true;
   }
   bool operator != (const TaskRecord &rhs) const {
--- a/include/anvil/workload/WorkloadState.h
+++ b/include/anvil/workload/WorkloadState.h
@@ -211,6 +211,9 @@
   void releaseRun(wire::JobRecord &Job, const wire::TaskRef &Ref,
                   wire::TaskRecord &Task);
   void finishTask(wire::JobRecord &Job, const wire::TaskRef &Ref);
+  static void markDone(wire::JobRecord &Job, const wire::TaskRef &Ref);
+  void acceptLateSuccess(wire::JobRecord &Job, const wire::TaskRef &Ref);
+  void acceptLateSuccessOf(wire::JobRecord &Job, const wire::TaskRef &Ref);
   void finishGang(wire::JobRecord &Job, const wire::TaskRef &Ref);
   void breakGang(wire::JobRecord &Job, const wire::TaskRef &Ref,
                  const wire::RunEnd &End);
--- a/proto/workload.thrift
+++ b/proto/workload.thrift
@@ -150,7 +150,10 @@
   2: i64 run,                   // number of the newest run; 0: never placed
   3: i32 failures,              // runs that ended FAILED
   4: WorkerLife worker,         // while PLACED or STOPPING
-  5: string checkpoint          // empty: starts from the beginning
+  5: string checkpoint,         // empty: starts from the beginning
+  6: i64 lostRun,               // newest run that was given up as lost; 0: none
+  7: bool doneBefore            // the lost run turned out to be DONE: the
+                                // present one is stopped, and its end is DONE
 }
 
 struct StepRecord {
--- a/src/workload/WorkloadRuns.cpp
+++ b/src/workload/WorkloadRuns.cpp
@@ -33,6 +33,17 @@
   return absl::FailedPreconditionError(toAbsl(Text));
 }
 
+// Returns whether a run that was given up as lost has ended with success after
+// all: it ended under its lease, and only its report came late.
+bool isLateSuccess(const wire::JobRecord &Job, const wire::TaskRecord &Task,
+                   const wire::RunEnd &End) {
+  const wire::StepSpec &Spec =
+      Job.spec.steps[static_cast<size_t>(End.task.step)];
+  return End.kind == wire::RunEndKind::DONE && End.run > 0 &&
+         End.run == Task.lostRun && Task.phase != wire::TaskPhase::DONE &&
+         !Spec.longRunning && !hasEnded(Job.phase);
+}
+
 } // namespace
 
 // Checks what may have changed since the leader decided: the job, its tasks,
@@ -194,23 +205,69 @@
   return It != m_FormerWorkers.end() && It->second.successor == Life;
 }
 
-// An end of a run that is not the present one of its task, or that another
+// A successor that is at work is stopped, and holds its resources until then.
+void WorkloadState::acceptLateSuccessOf(wire::JobRecord &Job,
+                                        const wire::TaskRef &Ref) {
+  wire::TaskRecord &Task = *findTask(Ref);
+  if (Task.phase == wire::TaskPhase::WAITING) {
+    markDone(Job, Ref);
+    return;
+  }
+  if (Task.phase == wire::TaskPhase::DONE)
+    return;
+  Task.doneBefore = true;
+  stopRun(Ref, "an earlier run of it was done");
+}
+
+void WorkloadState::acceptLateSuccess(wire::JobRecord &Job,
+                                      const wire::TaskRef &Ref) {
+  const wire::StepSpec &Spec = Job.spec.steps[static_cast<size_t>(Ref.step)];
+  if (!Spec.gang) {
+    acceptLateSuccessOf(Job, Ref);
+    return;
+  }
+  // The end of one member stands for all.
+  for (int32_t I = 0; I < Spec.tasks; ++I) {
+    wire::TaskRef Member = Ref;
+    Member.index = I;
+    acceptLateSuccessOf(Job, Member);
+  }
+}
+
+// Another end of a run that is not the present one of its task, or that another
 // worker reports, is late and changes nothing.
 void WorkloadState::endRun(const wire::RunEnd &End,
                            const wire::WorkerLife &Life) {
   wire::JobRecord *Job = findJob(End.task.jobId);
   wire::TaskRecord *Task = findTask(End.task);
-  if (!Job || !Task || !isActive(*Task) || Task->run != End.run ||
+  if (!Job || !Task)
+    return;
+  if (isLateSuccess(*Job, *Task, End)) {
+    if (Task->phase == wire::TaskPhase::WAITING)
+      emit(RunEnded{End.task, End.run, Life, End.kind,
+                    "reported after it was given up"});
+    acceptLateSuccess(*Job, End.task);
+    finishOccurrenceIfDone(*Job, End.task.occurrence);
+    retireIfOver(*Job);
+    return;
+  }
+  if (!isActive(*Task) || Task->run != End.run ||
       (!(Task->worker == Life) && !speaksFor(Life, Task->worker)))
     return;
   const wire::StepSpec &Spec =
       Job->spec.steps[static_cast<size_t>(End.task.step)];
   if (!End.checkpoint.empty())
     Task->checkpoint = End.checkpoint;
+  if (End.kind == wire::RunEndKind::WORKER_LOST)
+    Task->lostRun = End.run;
   emit(RunEnded{End.task, End.run, Life, End.kind, End.detail});
 
-  const bool Done = End.kind == wire::RunEndKind::DONE && !Spec.longRunning;
-  if (Spec.gang && Done)
+  const bool DoneBefore = Task->doneBefore;
+  const bool Done =
+      DoneBefore || (End.kind == wire::RunEndKind::DONE && !Spec.longRunning);
+  if (DoneBefore)
+    finishTask(*Job, End.task);
+  else if (Spec.gang && Done)
     finishGang(*Job, End.task);
   else if (Spec.gang)
     breakGang(*Job, End.task, End);
@@ -218,7 +275,7 @@
     finishTask(*Job, End.task);
   else
     releaseRun(*Job, End.task, *Task);
-  if (End.kind == wire::RunEndKind::FAILED)
+  if (End.kind == wire::RunEndKind::FAILED && !DoneBefore)
     countFailure(*Job, End);
   if (Done && !hasEnded(Job->phase))
     finishOccurrenceIfDone(*Job, End.task.occurrence);
@@ -245,13 +302,18 @@
 }
 
 void WorkloadState::finishTask(wire::JobRecord &Job, const wire::TaskRef &Ref) {
+  releaseRun(Job, Ref, *findTask(Ref));
+  markDone(Job, Ref);
+}
+
+void WorkloadState::markDone(wire::JobRecord &Job, const wire::TaskRef &Ref) {
   wire::OccurrenceRecord &Occurrence = Job.occurrences[Ref.occurrence];
   const auto StepIndex = static_cast<size_t>(Ref.step);
   wire::StepRecord &Step = Occurrence.steps[StepIndex];
   wire::TaskRecord &Task = Step.tasks[static_cast<size_t>(Ref.index)];
-  releaseRun(Job, Ref, Task);
   Task.phase = wire::TaskPhase::DONE;
   Task.checkpoint.clear();
+  Task.doneBefore = false;
   ++Step.done;
   if (Step.done == Job.spec.steps[StepIndex].tasks)
     ++Occurrence.stepsDone;
@@ -272,12 +334,7 @@
       continue;
     }
     // A member that was reported as broken before the end of the others came.
-    wire::OccurrenceRecord &Occurrence = Job.occurrences[Ref.occurrence];
-    wire::StepRecord &Step = Occurrence.steps[static_cast<size_t>(Ref.step)];
-    Step.tasks[I].phase = wire::TaskPhase::DONE;
-    ++Step.done;
-    if (Step.done == static_cast<int32_t>(Count))
-      ++Occurrence.stepsDone;
+    markDone(Job, Member);
   }
 }
 
--- a/tests/workload/WorkloadStateTest.cpp
+++ b/tests/workload/WorkloadStateTest.cpp
@@ -243,6 +243,81 @@
   BOOST_TEST(phase("j") == JobPhase::RUNNING);
 }
 
+// Guards against work that is done again, and a step that waits for it, when
+// the report of a lost run comes late. On a hunted day a task had ended behind
+// a partition that was longer than its lease, and the next step did not start
+// while the task ran a second time.
+BOOST_AUTO_TEST_CASE(AcceptsALateSuccessOfALostRun) {
+  addWorker("w");
+  submit("j", makeSpec({makeStep(1)}));
+  start("j", 0, {{0, life("w")}});
+  lose(life("w"));
+  addWorker("w", 1);
+  end(life("w"), taskRef("j", 0, 0), 1, RunEndKind::DONE);
+  BOOST_TEST(phase("j") == JobPhase::COMPLETED);
+  BOOST_TEST(m_State.findViolation() == "");
+}
+
+// Guards against two runs at a time: the second run ends before the next step
+// may start, and however it ends, the task is done.
+BOOST_AUTO_TEST_CASE(StopsTheSecondRunAfterALateSuccess) {
+  for (const RunEndKind::type Kind :
+       {RunEndKind::STOPPED, RunEndKind::FAILED, RunEndKind::DONE}) {
+    WorkloadFixture Of;
+    Of.addWorker("w");
+    Of.addWorker("v");
+    wire::StepSpec Second = makeStep(1);
+    Second.dependsOn = {0};
+    Of.submit("j", makeSpec({makeStep(1), Second}));
+    Of.start("j", 0, {{0, life("w")}});
+    Of.lose(life("w"));
+    Of.start("j", 0, {{0, life("v")}});
+    Of.end(life("w"), taskRef("j", 0, 0), 1, RunEndKind::DONE);
+    BOOST_TEST(Of.task("j", 0, 0).phase == TaskPhase::STOPPING);
+    BOOST_TEST(Of.m_State.workers().at("v").used.accelerators == 1);
+    BOOST_TEST(Of.start("j", 1, {{0, life("v")}}).status ==
+               WorkloadStatus::INVALID);
+    Of.end(life("v"), taskRef("j", 0, 0), 2, Kind);
+    BOOST_TEST(Of.task("j", 0, 0).phase == TaskPhase::DONE);
+    BOOST_TEST(Of.task("j", 0, 0).failures == 0);
+    BOOST_TEST(Of.start("j", 1, {{0, life("v")}}).status == WorkloadStatus::OK);
+    BOOST_TEST(Of.m_State.findViolation() == "");
+  }
+}
+
+// Guards against a gang that is repeated although it had ended: the late report
+// of one member stands for all.
+BOOST_AUTO_TEST_CASE(AcceptsALateSuccessOfAGang) {
+  addWorker("w");
+  addWorker("v");
+  wire::StepSpec Gang = makeStep(2);
+  Gang.gang = true;
+  submit("j", makeSpec({Gang}));
+  start("j", 0, {{0, life("w")}, {1, life("v")}});
+  lose(life("w"));
+  end(life("v"), taskRef("j", 0, 1), 1, RunEndKind::STOPPED);
+  start("j", 0, {{0, life("v")}, {1, life("v")}});
+  end(life("w"), taskRef("j", 0, 0), 1, RunEndKind::DONE);
+  BOOST_TEST(task("j", 0, 0).phase == TaskPhase::STOPPING);
+  BOOST_TEST(task("j", 0, 1).phase == TaskPhase::STOPPING);
+  end(life("v"), taskRef("j", 0, 0), 2, RunEndKind::STOPPED);
+  BOOST_TEST(phase("j") == JobPhase::RUNNING);
+  end(life("v"), taskRef("j", 0, 1), 2, RunEndKind::STOPPED);
+  BOOST_TEST(phase("j") == JobPhase::COMPLETED);
+  BOOST_TEST(m_State.findViolation() == "");
+}
+
+// Guards against a late success that revives a cancelled job.
+BOOST_AUTO_TEST_CASE(IgnoresALateSuccessOfACancelledJob) {
+  addWorker("w");
+  submit("j", makeSpec({makeStep(1)}));
+  start("j", 0, {{0, life("w")}});
+  lose(life("w"));
+  cancel("j");
+  end(life("w"), taskRef("j", 0, 0), 1, RunEndKind::DONE);
+  BOOST_TEST(phase("j") == JobPhase::CANCELLED);
+}
+
 // Guards against a worker that gets more than it has, or what it must not get.
 BOOST_AUTO_TEST_CASE(ChecksPlacementsAgain) {
   addWorker("w");
