dispatch: Tidy the tests' job plans and a shadowed name

One builder of plain jobs serves three tests; the limit of suspicion that Placer::holds() takes no longer has the name of a constant. No change of behaviour.

--- a/src/dispatch/Placer.cpp
+++ b/src/dispatch/Placer.cpp
@@ -83,11 +83,11 @@
 }
 
 // A gang needs room for all of its tasks, other steps for one.
-bool Placer::holds(const WaitingStep &Step, double MaxSuspicion) const {
+bool Placer::holds(const WaitingStep &Step, double Limit) const {
   const int32_t Wanted = Step.m_Spec->gang ? Step.m_Spec->tasks : 1;
   int32_t Room = 0;
   for (const WorkerView &Worker : m_Fleet.workers()) {
-    if (!Worker.m_Usable || Worker.m_Suspicion > MaxSuspicion ||
+    if (!Worker.m_Usable || Worker.m_Suspicion > Limit ||
         !suits(Worker, *Step.m_Job, *Step.m_Spec))
       continue;
     Room += roomWhenEmpty(Worker, Step, Wanted - Room);
--- a/src/dispatch/Placer.h
+++ b/src/dispatch/Placer.h
@@ -88,7 +88,9 @@
 private:
   static int32_t roomWhenEmpty(const WorkerView &Worker,
                                const WaitingStep &Step, int32_t Most);
-  bool holds(const WaitingStep &Step, double MaxSuspicion) const;
+  /// Returns whether workers with no more evidence against them than \p Limit
+  /// could hold the step without their runs.
+  bool holds(const WaitingStep &Step, double Limit) const;
   std::optional<Choice> fill(const WaitingStep &Step, const std::string &Rack,
                              int32_t Count, bool Whole);
   double costOn(const WorkerView &Worker, const WaitingStep &Step) const;
--- a/tests/dispatch/FailingWorkerTest.cpp
+++ b/tests/dispatch/FailingWorkerTest.cpp
@@ -12,19 +12,8 @@
 constexpr int TasksPerJob = 8;
 
 JobPlan jobOf(int Number, Duration At) {
-  JobPlan Plan;
-  Plan.m_Id = "recon-" + std::to_string(Number);
-  Plan.m_Queue = "recon";
-  Plan.m_Workspace = "w0";
-  Plan.m_At = At;
-  wire::StepSpec Step;
-  Step.tasks = TasksPerJob;
-  Step.perTask.accelerators = 1;
-  Step.perTask.milliCores = 1000;
-  Step.estimateMs = 5000;
-  Plan.m_Spec.steps = {Step};
-  Plan.m_Work = {std::vector<Duration>(TasksPerJob, seconds(5))};
-  return Plan;
+  return plainJob("recon-" + std::to_string(Number), "recon", At,
+                  plainStep(TasksPerJob, 1), seconds(5));
 }
 
 void setFailing(World &Of, size_t Index, Duration From, Duration For) {
--- a/tests/dispatch/SlowWorkerTest.cpp
+++ b/tests/dispatch/SlowWorkerTest.cpp
@@ -10,18 +10,9 @@
 using std::chrono::seconds;
 
 JobPlan quoteOf(int Number, Duration At, int64_t EstimateMs, Duration Work) {
-  JobPlan Plan;
-  Plan.m_Id = "quote-" + std::to_string(Number);
-  Plan.m_Queue = "quote";
-  Plan.m_Workspace = "w0";
-  Plan.m_At = At;
-  wire::StepSpec Step;
-  Step.tasks = 1;
-  Step.perTask.accelerators = 8;
-  Step.perTask.milliCores = 1000;
-  Step.estimateMs = EstimateMs;
-  Plan.m_Spec.steps = {Step};
-  Plan.m_Work = {{Work}};
+  JobPlan Plan = plainJob("quote-" + std::to_string(Number), "quote", At,
+                          plainStep(1, 8), Work);
+  Plan.m_Spec.steps[0].estimateMs = EstimateMs;
   return Plan;
 }
 
--- a/tests/dispatch/WaitingStepTest.cpp
+++ b/tests/dispatch/WaitingStepTest.cpp
@@ -11,19 +11,7 @@
 
 JobPlan jobOf(const std::string &Id, const std::string &Queue, Duration At,
               int32_t Accelerators, Duration Work) {
-  JobPlan Plan;
-  Plan.m_Id = Id;
-  Plan.m_Queue = Queue;
-  Plan.m_Workspace = "w0";
-  Plan.m_At = At;
-  wire::StepSpec Step;
-  Step.tasks = 1;
-  Step.perTask.accelerators = Accelerators;
-  Step.perTask.milliCores = 1000;
-  Step.estimateMs = std::chrono::duration_cast<milliseconds>(Work).count();
-  Plan.m_Spec.steps = {Step};
-  Plan.m_Work = {{Work}};
-  return Plan;
+  return plainJob(Id, Queue, At, plainStep(1, Accelerators), Work);
 }
 
 } // namespace
--- a/tests/dispatch/sim/Sheets.cpp
+++ b/tests/dispatch/sim/Sheets.cpp
@@ -228,6 +228,27 @@
     }
 }
 
+JobPlan plainJob(const std::string &Id, const std::string &Queue, Duration At,
+                 const wire::StepSpec &Step, Duration Work) {
+  JobPlan Plan;
+  Plan.m_Id = Id;
+  Plan.m_Queue = Queue;
+  Plan.m_Workspace = "w0";
+  Plan.m_At = At;
+  Plan.m_Spec.steps = {Step};
+  Plan.m_Spec.steps[0].estimateMs =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Work).count();
+  Plan.m_Work = {std::vector<Duration>(static_cast<size_t>(Step.tasks), Work)};
+  return Plan;
+}
+
+wire::StepSpec plainStep(int32_t Tasks, int32_t Accelerators) {
+  wire::StepSpec Step;
+  Step.tasks = Tasks;
+  Step.perTask = amounts(1000, 0, Accelerators);
+  return Step;
+}
+
 wire::PolicyDocument smallPolicy() { return policyOf(sizingSheet()); }
 
 std::vector<wire::WorkerFacts> smallFleet() {
--- a/tests/dispatch/sim/Sheets.h
+++ b/tests/dispatch/sim/Sheets.h
@@ -69,6 +69,14 @@
 void addArrivals(World &To, const Sheet &Of, Duration Span, double Load,
                  const std::vector<Burst> &Bursts);
 
+/// A job of one step of independent tasks, each with the given work, which it
+/// declares as its estimate.
+JobPlan plainJob(const std::string &Id, const std::string &Queue, Duration At,
+                 const wire::StepSpec &Step, Duration Work);
+
+/// A step of independent tasks that take little but accelerators.
+wire::StepSpec plainStep(int32_t Tasks, int32_t Accelerators);
+
 /// A deployment of six workers, for tests of promises rather than of worth.
 wire::PolicyDocument smallPolicy();
 std::vector<wire::WorkerFacts> smallFleet();
