--- a/src/workload/WorkloadRuns.cpp
+++ b/src/workload/WorkloadRuns.cpp
@@ -265,14 +265,12 @@
   const bool DoneBefore = Task->doneBefore;
   const bool Done =
       DoneBefore || (End.kind == wire::RunEndKind::DONE && !Spec.longRunning);
-  if (DoneBefore)
-    finishTask(*Job, End.task);
-  else if (Spec.gang && Done)
+  if (Spec.gang && Done && !DoneBefore)
     finishGang(*Job, End.task);
-  else if (Spec.gang)
-    breakGang(*Job, End.task, End);
   else if (Done)
     finishTask(*Job, End.task);
+  else if (Spec.gang)
+    breakGang(*Job, End.task, End);
   else
     releaseRun(*Job, End.task, *Task);
   if (End.kind == wire::RunEndKind::FAILED && !DoneBefore)
