node: Let the number of voters follow from live machines; refuse at once without a leader

Cause 1: a group of five voters took two successors of a machine whose loss was not noticed yet as growth, so it had seven voters, two of them gone for good, and nothing ever removed a silent voter that no learner replaced. Ruled out: removing each silent voter at once. An odd group tolerates as many losses with one silent voter as without it, and that voter may return. A submission is refused at once while no leader can be reached and the policy is stale.

--- a/gen/workload_types.cpp
+++ b/gen/workload_types.cpp
@@ -9184,6 +9184,11 @@
   this->waveState = val;
 __isset.waveState = true;
 }
+
+void WorkloadCall::__set_leavingReplica(const int64_t val) {
+  this->leavingReplica = val;
+__isset.leavingReplica = true;
+}
 std::ostream& operator<<(std::ostream& out, const WorkloadCall& obj)
 {
   obj.printTo(out);
@@ -9308,6 +9313,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leavingReplica);
+          this->__isset.leavingReplica = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9382,6 +9395,11 @@
     xfer += oprot->writeI64(this->waveState);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.leavingReplica) {
+    xfer += oprot->writeFieldBegin("leavingReplica", ::apache::thrift::protocol::T_I64, 19);
+    xfer += oprot->writeI64(this->leavingReplica);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9401,6 +9419,7 @@
   swap(a.registerReplica, b.registerReplica);
   swap(a.startWave, b.startWave);
   swap(a.waveState, b.waveState);
+  swap(a.leavingReplica, b.leavingReplica);
   swap(a.__isset, b.__isset);
 }
 
@@ -9417,6 +9436,7 @@
   registerReplica = other368.registerReplica;
   startWave = other368.startWave;
   waveState = other368.waveState;
+  leavingReplica = other368.leavingReplica;
   __isset = other368.__isset;
 }
 WorkloadCall::WorkloadCall(WorkloadCall&& other369) noexcept {
@@ -9432,6 +9452,7 @@
   registerReplica = std::move(other369.registerReplica);
   startWave = std::move(other369.startWave);
   waveState = other369.waveState;
+  leavingReplica = other369.leavingReplica;
   __isset = other369.__isset;
 }
 WorkloadCall& WorkloadCall::operator=(const WorkloadCall& other370) {
@@ -9447,6 +9468,7 @@
   registerReplica = other370.registerReplica;
   startWave = other370.startWave;
   waveState = other370.waveState;
+  leavingReplica = other370.leavingReplica;
   __isset = other370.__isset;
   return *this;
 }
@@ -9463,6 +9485,7 @@
   registerReplica = std::move(other371.registerReplica);
   startWave = std::move(other371.startWave);
   waveState = other371.waveState;
+  leavingReplica = other371.leavingReplica;
   __isset = other371.__isset;
   return *this;
 }
@@ -9481,6 +9504,7 @@
   out << ", " << "registerReplica="; (__isset.registerReplica ? (out << to_string(registerReplica)) : (out << "<null>"));
   out << ", " << "startWave="; (__isset.startWave ? (out << to_string(startWave)) : (out << "<null>"));
   out << ", " << "waveState="; (__isset.waveState ? (out << to_string(waveState)) : (out << "<null>"));
+  out << ", " << "leavingReplica="; (__isset.leavingReplica ? (out << to_string(leavingReplica)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/workload_types.h
+++ b/gen/workload_types.h
@@ -3379,7 +3379,7 @@
 std::ostream& operator<<(std::ostream& out, const QueueAddress& obj);
 
 typedef struct _WorkloadCall__isset {
-  _WorkloadCall__isset() : address(false), jobId(false), requestId(false), submit(false), cancel(false), status(false), putPolicy(false), getPolicy(false), setZone(false), registerReplica(false), startWave(false), waveState(false) {}
+  _WorkloadCall__isset() : address(false), jobId(false), requestId(false), submit(false), cancel(false), status(false), putPolicy(false), getPolicy(false), setZone(false), registerReplica(false), startWave(false), waveState(false), leavingReplica(false) {}
   bool address :1;
   bool jobId :1;
   bool requestId :1;
@@ -3392,6 +3392,7 @@
   bool registerReplica :1;
   bool startWave :1;
   bool waveState :1;
+  bool leavingReplica :1;
 } _WorkloadCall__isset;
 
 class WorkloadCall : public virtual ::apache::thrift::TBase {
@@ -3407,7 +3408,8 @@
                  cancel(0),
                  status(0),
                  getPolicy(0),
-                 waveState(0) {
+                 waveState(0),
+                 leavingReplica(0) {
   }
 
   virtual ~WorkloadCall() noexcept;
@@ -3423,6 +3425,7 @@
   RegisterReplica registerReplica;
   StartWave startWave;
   int64_t waveState;
+  int64_t leavingReplica;
 
   _WorkloadCall__isset __isset;
 
@@ -3450,6 +3453,8 @@
 
   void __set_waveState(const int64_t val);
 
+  void __set_leavingReplica(const int64_t val);
+
   bool operator == (const WorkloadCall & rhs) const
   {
     if (!(address == rhs.address))
@@ -3494,6 +3499,10 @@
       return false;
     else if (__isset.waveState && !(waveState == rhs.waveState))
       return false;
+    if (__isset.leavingReplica != rhs.__isset.leavingReplica)
+      return false;
+    else if (__isset.leavingReplica && !(leavingReplica == rhs.leavingReplica))
+      return false;
     return true;
   }
   bool operator != (const WorkloadCall &rhs) const {
--- a/include/anvil/node/EntryProcess.h
+++ b/include/anvil/node/EntryProcess.h
@@ -46,6 +46,10 @@
   /// Factor by which a task takes longer if it is away from its data, or if the
   /// tasks of its step are spread over racks.
   double m_RemotePenalty = 1;
+  /// Longest time that a worker takes to stop a run.
+  Duration m_StopTime = std::chrono::milliseconds(400);
+  /// Time that a run loses when it continues from a checkpoint.
+  Duration m_RestoreTime = std::chrono::milliseconds(600);
   /// A policy that no leader confirmed for this long is not used; calls that
   /// depend on it are refused.
   Duration m_MaxPolicyAge = std::chrono::seconds(2);
@@ -105,9 +109,11 @@
          log::EventLog &Log);
   ~EntryProcess();
 
-  /// Sends \p Call to the leader and retries until \p Timeout has passed. \p
-  /// Done runs exactly once. The status NOT_READY means that the call has no
-  /// effect; UNKNOWN means that it may have taken effect or may still do so.
+  /// Sends \p Call to the leader and retries until \p Timeout has passed. A
+  /// submission is refused at once while no leader can be reached and none was
+  /// for EntryProcessOptions::m_MaxPolicyAge. \p Done runs exactly once. The
+  /// status NOT_READY means that the call has no effect; UNKNOWN means that it
+  /// may have taken effect or may still do so.
   void call(const wire::WorkloadCall &Call, Duration Timeout, CallDone Done);
 
   /// Answer to pendingJobs().
--- a/include/anvil/node/LeaderClient.h
+++ b/include/anvil/node/LeaderClient.h
@@ -41,11 +41,19 @@
   bool m_MaybeExecuted = false;
 };
 
+/// When a call that retries ends without an answer.
+struct CallLimits {
+  Duration m_Timeout{0};
+  /// Ends the call before its next attempt if it returns true and no earlier
+  /// attempt may have been executed; may be empty.
+  std::function<bool()> m_GivesUp;
+};
+
 /// Finds the process that leads the replicated state, and sends calls to it.
 ///
 /// Usage: create() one for each process and pass every view of the group that
-/// arrives to updateView(). call() retries until the leader answers or the
-/// timeout passes, so the call must be idempotent; callOnce() makes a single
+/// arrives to updateView(). call() retries until the leader answers or a limit
+/// is reached, so the call must be idempotent; callOnce() makes a single
 /// attempt at the process that most likely leads. All functions run on the
 /// thread of the io_context.
 class LeaderClient : public std::enable_shared_from_this<LeaderClient> {
@@ -66,9 +74,9 @@
   LeaderClient(const LeaderClient &) = delete;
   LeaderClient &operator=(const LeaderClient &) = delete;
 
-  /// Retries until the leader answers or \p Timeout has passed. \p OnDone runs
+  /// Retries until the leader answers or a limit is reached. \p OnDone runs
   /// once, unless the client is destroyed before.
-  void call(wire::Method::type Method, std::string Body, Duration Timeout,
+  void call(wire::Method::type Method, std::string Body, CallLimits Limits,
             std::string_view TraceId, HeaderReader Reader, Done OnDone);
   /// Makes a single attempt at the process that most likely leads. The answer
   /// may come from a process that does not lead, which then names the leader
--- a/include/anvil/raft/Raft.h
+++ b/include/anvil/raft/Raft.h
@@ -177,6 +177,9 @@
   Membership m_Members;
   /// Whether m_Members is committed.
   bool m_MembersCommitted = false;
+  /// On the leader: learners that it would accept as voters now, since they
+  /// have caught up and were heard recently.
+  std::vector<ReplicaId> m_PromotableLearners;
 };
 
 namespace internal {
--- a/proto/workload.thrift
+++ b/proto/workload.thrift
@@ -290,7 +290,8 @@
   15: optional SetZone setZone,
   16: optional RegisterReplica registerReplica,
   17: optional StartWave startWave,
-  18: optional i64 waveState
+  18: optional i64 waveState,
+  19: optional i64 leavingReplica   // id of a replica whose process ends soon
 }
 
 struct WorkloadReply {
--- a/src/node/EntryProcess.cpp
+++ b/src/node/EntryProcess.cpp
@@ -59,6 +59,7 @@
   void tick();
   void formGroup();
   void carryOut(const GroupFormation::Actions &Actions);
+  wire::WorkloadCall announcement() const;
   void announce();
   wire::LocateRequest locateRequest() const;
   void locate(const net::Endpoint &Peer);
@@ -161,6 +162,8 @@
   Options.m_Metrics = m_Options.m_Metrics;
   Options.m_Leader.m_Sessions.m_LeaseSpan = m_Options.m_LeaseSpan;
   Options.m_Leader.m_Dispatch.m_RemotePenalty = m_Options.m_RemotePenalty;
+  Options.m_Leader.m_Dispatch.m_StopTime = m_Options.m_StopTime;
+  Options.m_Leader.m_Dispatch.m_RestoreTime = m_Options.m_RestoreTime;
   Options.m_Leader.m_Membership.m_ReplaceAfter = m_Options.m_ReplaceVoterAfter;
   Options.m_Leader.m_Membership.m_ToleratedLosses = m_Options.m_ToleratedLosses;
   Options.m_Leader.m_Membership.m_SettleTime = m_Options.m_SettleTime;
@@ -314,22 +317,35 @@
   carryOut(m_Formation->step(Input, m_Options.m_Now()));
 }
 
-// Announces the replica to the leader, which then manages its membership.
-void EntryProcess::Impl::announce() {
-  if (!m_Replica || !m_Replica->inGroup() || m_AnnounceInFlight ||
-      m_ShuttingDown || m_Options.m_Now() < m_NextAnnounce)
-    return;
-  m_NextAnnounce = m_Options.m_Now() + AnnounceInterval;
-  m_AnnounceInFlight = true;
+wire::WorkloadCall EntryProcess::Impl::announcement() const {
+  wire::WorkloadCall Call;
+  if (m_ShuttingDown) {
+    Call.__set_leavingReplica(m_Replica->id().value());
+    return Call;
+  }
   wire::RegisterReplica Register;
   Register.replica.id = m_Replica->id().value();
   Register.replica.address = m_Options.m_Address.str();
   Register.replica.availabilityZone = m_Options.m_AvailabilityZone;
-  wire::WorkloadCall Call;
   Call.__set_registerReplica(Register);
+  return Call;
+}
+
+// Announces the replica to the leader, which then manages its membership. While
+// the process shuts down it announces that it leaves, so that the leader can
+// replace the replica before it falls silent.
+void EntryProcess::Impl::announce() {
+  if (!m_Replica || !m_Replica->inGroup() || m_AnnounceInFlight ||
+      m_Options.m_Now() < m_NextAnnounce)
+    return;
+  m_NextAnnounce = m_Options.m_Now() + AnnounceInterval;
+  m_AnnounceInFlight = true;
+  const wire::WorkloadCall Call = announcement();
   std::weak_ptr<Impl> Weak = weak_from_this();
+  CallLimits Limits;
+  Limits.m_Timeout = std::chrono::milliseconds(1000);
   m_LeaderClient->call(wire::Method::WORKLOAD_CALL, net::encodeStruct(Call),
-                       std::chrono::milliseconds(1000), "", readReplyHeader,
+                       std::move(Limits), "", readReplyHeader,
                        [Weak](const LeaderCallResult &) {
                          if (auto Self = Weak.lock())
                            Self->m_AnnounceInFlight = false;
@@ -387,8 +403,19 @@
                         CallDone Done) {
   const bool IsSubmit = Call.__isset.submit;
   Done = m_Impl->timed(internal::nameOf(Call), std::move(Done));
+  CallLimits Limits;
+  Limits.m_Timeout = Timeout;
+  // An election takes less than the time for which a policy is fresh. After a
+  // longer silence the caller is told at once, and may find an entry that
+  // reaches a leader.
+  if (IsSubmit)
+    Limits.m_GivesUp = [Weak = std::weak_ptr(m_Impl)] {
+      const auto Self = Weak.lock();
+      return Self && !Self->m_Watch->fresh() &&
+             !Self->m_LeaderClient->knowsLeader();
+    };
   m_Impl->m_LeaderClient->call(
-      wire::Method::WORKLOAD_CALL, net::encodeStruct(Call), Timeout,
+      wire::Method::WORKLOAD_CALL, net::encodeStruct(Call), std::move(Limits),
       Call.requestId, readReplyHeader,
       [IsSubmit, Done = std::move(Done)](const LeaderCallResult &Answer) {
         CallResult Result;
@@ -454,6 +481,7 @@
 
 void EntryProcess::beginShutdown() {
   m_Impl->m_ShuttingDown = true;
+  m_Impl->m_NextAnnounce = TimePoint();
   if (m_Impl->m_Replica)
     m_Impl->m_Replica->yieldLeadership();
 }
--- a/src/node/LeaderClient.cpp
+++ b/src/node/LeaderClient.cpp
@@ -25,6 +25,7 @@
     std::string m_Body;
     std::string m_TraceId;
     TimePoint m_Deadline;
+    std::function<bool()> m_GivesUp;
     HeaderReader m_Reader;
     Done m_OnDone;
     bool m_MaybeExecuted = false;
@@ -93,6 +94,11 @@
 }
 
 void LeaderClient::Impl::attempt(const std::shared_ptr<PendingCall> &Call) {
+  if (!Call->m_MaybeExecuted && Call->m_GivesUp && Call->m_GivesUp()) {
+    Call->m_OnDone({absl::UnavailableError("no leader can be reached"), "",
+                    Call->m_MaybeExecuted});
+    return;
+  }
   const Duration Left = Call->m_Deadline - m_Options.m_Now();
   const net::Endpoint Peer = likelyLeader();
   if (Left <= Duration(0) || Peer.m_Port == 0) {
@@ -198,13 +204,14 @@
 LeaderClient::~LeaderClient() = default;
 
 void LeaderClient::call(wire::Method::type Method, std::string Body,
-                        Duration Timeout, std::string_view TraceId,
+                        CallLimits Limits, std::string_view TraceId,
                         HeaderReader Reader, Done OnDone) {
   auto Call = std::make_shared<Impl::PendingCall>(m_Impl->m_Io);
   Call->m_Method = Method;
   Call->m_Body = std::move(Body);
   Call->m_TraceId = std::string(TraceId);
-  Call->m_Deadline = m_Impl->m_Options.m_Now() + Timeout;
+  Call->m_Deadline = m_Impl->m_Options.m_Now() + Limits.m_Timeout;
+  Call->m_GivesUp = std::move(Limits.m_GivesUp);
   Call->m_Reader = std::move(Reader);
   Call->m_OnDone = std::move(OnDone);
   m_Impl->attempt(Call);
--- a/src/node/LeaderDuties.cpp
+++ b/src/node/LeaderDuties.cpp
@@ -96,6 +96,12 @@
   wake();
 }
 
+void LeaderDuties::onReplicaLeaving(raft::ReplicaId Replica) {
+  m_Log.write("replica-leaving", {{"replica", Replica.value()}});
+  m_Membership.recordLeaving(Replica, m_Ports.m_Now());
+  wake();
+}
+
 void LeaderDuties::wake() {
   if (!m_Active || std::exchange(m_WakePosted, true))
     return;
--- a/src/node/LeaderDuties.h
+++ b/src/node/LeaderDuties.h
@@ -78,6 +78,8 @@
            m_Membership.isComplete(m_Ports.m_Status(), m_Ports.m_Now());
   }
   void onReplicaAnnounced(raft::ReplicaId Replica);
+  /// Records that the process of a replica ends soon.
+  void onReplicaLeaving(raft::ReplicaId Replica);
   /// Handles a change of the state; does nothing while not active.
   void observe(const workload::WorkloadEvent &Event);
   /// Schedules tick() on the io_context, once for several calls.
--- a/src/node/ReplicaCalls.cpp
+++ b/src/node/ReplicaCalls.cpp
@@ -47,7 +47,10 @@
     getWave(Call.waveState, Done);
   else if (Set.registerReplica)
     registerReplica(Call.registerReplica, Done);
-  else if (Set.putPolicy) {
+  else if (Set.leavingReplica) {
+    m_Duties->onReplicaLeaving(raft::ReplicaId(Call.leavingReplica));
+    Done(leaderReply(wire::WorkloadStatus::OK));
+  } else if (Set.putPolicy) {
     Command.__set_putPolicy(Call.putPolicy);
     commit(std::move(Command), Done);
   } else if (Set.setZone) {
--- a/src/raft/RaftCore.cpp
+++ b/src/raft/RaftCore.cpp
@@ -252,6 +252,10 @@
   Status.m_LastIndex = m_Log.lastIndex();
   Status.m_Members = m_Log.membership();
   Status.m_MembersCommitted = m_Log.membershipIndex() <= m_Commit;
+  if (m_Role == RaftRole::Leader)
+    for (const ReplicaId Learner : Status.m_Members.m_Learners)
+      if (hasCaughtUp(Learner) && wasHeardRecently(Learner))
+        Status.m_PromotableLearners.push_back(Learner);
   return Status;
 }
 
--- a/src/raft/RaftCore.h
+++ b/src/raft/RaftCore.h
@@ -171,6 +171,8 @@
   // RaftMembership.cpp: membership change, leadership transfer.
   absl::Status checkChange(const ChangeMembershipInput &Change) const;
   absl::Status checkPromotion(ReplicaId Learner) const;
+  bool hasCaughtUp(ReplicaId Learner) const;
+  bool wasHeardRecently(ReplicaId Learner) const;
   absl::Status checkRemoval(ReplicaId Replica) const;
   Membership changedMembership(const ChangeMembershipInput &Change) const;
   void continueTransfer();
--- a/src/raft/RaftMembership.cpp
+++ b/src/raft/RaftMembership.cpp
@@ -69,16 +69,26 @@
 absl::Status RaftCore::checkPromotion(ReplicaId Learner) const {
   if (!m_Log.membership().isLearner(Learner))
     return changeRefused("the replica is not a learner");
-  const Progress &Peer = m_Peers.at(Learner);
-  if (Peer.m_Match + m_Options.m_MaxPromotionLag < m_Log.lastIndex())
-    return changeRefused(absl::StrCat("the learner is at index ", Peer.m_Match,
-                                      " of ", m_Log.lastIndex()));
-  if (Peer.m_Match == 0 ||
-      m_Now - Peer.m_LastContact >= m_Options.m_ElectionTimeoutMin)
+  if (!hasCaughtUp(Learner))
+    return changeRefused(absl::StrCat("the learner is at index ",
+                                      m_Peers.at(Learner).m_Match, " of ",
+                                      m_Log.lastIndex()));
+  if (!wasHeardRecently(Learner))
     return changeRefused("the learner was not heard recently");
   return absl::OkStatus();
 }
 
+bool RaftCore::hasCaughtUp(ReplicaId Learner) const {
+  return m_Peers.at(Learner).m_Match + m_Options.m_MaxPromotionLag >=
+         m_Log.lastIndex();
+}
+
+bool RaftCore::wasHeardRecently(ReplicaId Learner) const {
+  const Progress &Peer = m_Peers.at(Learner);
+  return Peer.m_Match > 0 &&
+         m_Now - Peer.m_LastContact < m_Options.m_ElectionTimeoutMin;
+}
+
 absl::Status RaftCore::checkRemoval(ReplicaId Replica) const {
   const Membership &Members = m_Log.membership();
   if (!Members.contains(Replica))
