--- a/src/node/Replica.cpp
+++ b/src/node/Replica.cpp
@@ -282,6 +282,8 @@
         if (!Self || Self->m_Role.m_Role != raft::RaftRole::Leader ||
             Self->m_Role.m_Term != Term || Self->m_Duties->active())
           return;
+        if (Self->m_ReplicatedLog->failed())
+          return;
         if (!Status.ok()) {
           Self->beginLeadership(Term);
           return;
--- a/src/replica/ReplicatedLog.cpp
+++ b/src/replica/ReplicatedLog.cpp
@@ -15,6 +15,15 @@
 
 using internal::SyncWorker;
 
+namespace {
+
+absl::Status stoppedError(raft::RaftErrc Code) {
+  return makeLayerError(absl::StatusCode::kUnavailable, Code,
+                        "replica has stopped");
+}
+
+} // namespace
+
 struct ReplicatedLog::Impl : std::enable_shared_from_this<ReplicatedLog::Impl> {
   using ReadDone = std::function<void(absl::Status)>;
 
@@ -34,9 +43,10 @@
   void send(const std::vector<raft::RaftMessage> &Messages);
   void armTimer();
   void flushProposals();
-  void snapshotIfDue(raft::LogIndex Applied);
+  void snapshotIfDue();
   void onSnapshotSaved(const raft::Snapshot &Snapshot);
   void fail(const absl::Status &Status);
+  void abandonPending();
 
   boost::asio::io_context &m_Io;
   const ReplicatedLogOptions m_Options;
@@ -50,6 +60,7 @@
   uint64_t m_NextContext = 1;
   raft::SnapshotData m_RecoveredSnapshot;
   raft::LogIndex m_SnapshotIndex = 0;
+  raft::LogIndex m_AppliedIndex = 0; ///< Last index in the state machine.
   bool m_SnapshotRunning = false;
   bool m_Failed = false;
   bool m_IsStepping = false;
@@ -91,6 +102,7 @@
   }
   m_DeferredInputs.clear();
   m_IsStepping = false;
+  snapshotIfDue();
   armTimer();
 }
 
@@ -132,6 +144,7 @@
     return;
   }
   m_SnapshotIndex = Snapshot.m_Meta.m_Index;
+  m_AppliedIndex = Snapshot.m_Meta.m_Index;
   LOG(INFO) << "replica: installed snapshot index=" << m_SnapshotIndex;
   step(raft::AppliedInput{Snapshot.m_Meta.m_Index});
 }
@@ -146,11 +159,10 @@
       return;
     }
   }
-  const raft::LogIndex Applied = Entries.back().m_Index;
-  step(raft::AppliedInput{Applied});
+  m_AppliedIndex = Entries.back().m_Index;
+  step(raft::AppliedInput{m_AppliedIndex});
   if (m_Hooks.m_OnApplied)
     m_Hooks.m_OnApplied();
-  snapshotIfDue(Applied);
 }
 
 void ReplicatedLog::Impl::finishProposals(
@@ -202,11 +214,14 @@
   step(Input);
 }
 
-void ReplicatedLog::Impl::snapshotIfDue(raft::LogIndex Applied) {
-  if (m_SnapshotRunning ||
-      Applied < m_SnapshotIndex + m_Options.m_SnapshotEvery)
+// Runs after all deferred inputs, because the consensus module accepts the
+// metadata of an index only once it knows that the index is applied.
+void ReplicatedLog::Impl::snapshotIfDue() {
+  if (m_Failed || m_SnapshotRunning ||
+      m_AppliedIndex < m_SnapshotIndex + m_Options.m_SnapshotEvery)
     return;
-  absl::StatusOr<raft::SnapshotMeta> Meta = m_Raft.snapshotMeta(Applied);
+  // The index may not be durable on this replica yet; a later step tries again.
+  absl::StatusOr<raft::SnapshotMeta> Meta = m_Raft.snapshotMeta(m_AppliedIndex);
   if (!Meta.ok())
     return;
   raft::Snapshot Snapshot;
@@ -232,6 +247,15 @@
   m_Timer.cancel();
   if (m_Hooks.m_OnFatal)
     m_Hooks.m_OnFatal(Status);
+  abandonPending();
+}
+
+// The proposals may have been sent to other replicas and still be committed.
+void ReplicatedLog::Impl::abandonPending() {
+  for (auto &[Context, Done] : std::exchange(m_PendingProposals, {}))
+    Done(stoppedError(raft::RaftErrc::OutcomeUnknown));
+  for (auto &[Context, Done] : std::exchange(m_PendingReads, {}))
+    Done(stoppedError(raft::RaftErrc::ReadNotConfirmed));
 }
 
 namespace {
@@ -274,6 +298,7 @@
   auto Shared =
       std::make_shared<Impl>(Io, std::move(Options), *std::move(Consensus));
   Shared->m_SnapshotIndex = Snapshot.m_Meta.m_Index;
+  Shared->m_AppliedIndex = Snapshot.m_Meta.m_Index;
   Shared->m_RecoveredSnapshot =
       Snapshot.m_Meta.m_Index ? Snapshot.m_Data : nullptr;
   Shared->startWorker(std::move(Store));
@@ -311,8 +336,7 @@
 
 void ReplicatedLog::propose(std::string Command, ProposalDone Done) {
   if (m_Impl->m_Failed) {
-    Done(makeLayerError(absl::StatusCode::kUnavailable,
-                        raft::RaftErrc::NotLeader, "replica has stopped"));
+    Done(stoppedError(raft::RaftErrc::NotLeader));
     return;
   }
   const uint64_t Context = m_Impl->m_NextContext++;
@@ -329,9 +353,7 @@
 
 void ReplicatedLog::read(std::function<void(absl::Status)> Done) {
   if (m_Impl->m_Failed) {
-    Done(makeLayerError(absl::StatusCode::kUnavailable,
-                        raft::RaftErrc::ReadNotConfirmed,
-                        "replica has stopped"));
+    Done(stoppedError(raft::RaftErrc::ReadNotConfirmed));
     return;
   }
   const uint64_t Context = m_Impl->m_NextContext++;
@@ -342,6 +364,10 @@
 void ReplicatedLog::changeMembership(raft::MembershipChangeKind Kind,
                                      raft::ReplicaId Replica,
                                      ProposalDone Done) {
+  if (m_Impl->m_Failed) {
+    Done(stoppedError(raft::RaftErrc::NotLeader));
+    return;
+  }
   const uint64_t Context = m_Impl->m_NextContext++;
   m_Impl->m_PendingProposals.emplace(Context, std::move(Done));
   m_Impl->step(raft::ChangeMembershipInput{Context, Kind, Replica});
