dispatch: Let a new leader know the runs and workers before it stops anything

Cause: after a change of the leader the tracker knew none of the runs that were placed before, so each looked as if it had just started and its stop as if it cost nothing; and urgent work evicted runs on the first workers that reported while others were free. Change: the tracker adopts runs that agents list; a leader stops nothing to make room until all workers are known, at most for a second, and keeps room that urgent work waits for from less urgent steps.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -42,6 +42,10 @@
 // own.
 constexpr double MaxLostShare = 0.5;
 
+// A new leader knows the runs and the free room of a worker once its agent has
+// synced. It stops no run until all agents did, or for at most this long.
+constexpr Duration MaxSettleTime = std::chrono::milliseconds(1000);
+
 double secondsOf(Duration Value) {
   return std::chrono::duration<double>(Value).count();
 }
@@ -59,6 +63,8 @@
                 std::vector<WaitingStep> &Steps);
   WaitingStep makeStep(const wire::JobRecord &Job, int32_t Occurrence,
                        int32_t Step, const wire::StepRecord &Record) const;
+  bool hasSettled(const WorkloadState &State, const WorkerSessions &Sessions,
+                  TimePoint Now);
 
   const DispatchOptions m_Options;
   RunTimes m_Times;
@@ -68,6 +74,9 @@
   RunMover m_Mover;
   /// When each waiting step became able to start, by job, occurrence and step.
   std::map<std::tuple<std::string, int32_t, int32_t>, TimePoint> m_WaitingSince;
+  /// When the leadership began, until all workers are known or the time to get
+  /// to know them is over.
+  std::optional<TimePoint> m_UnsettledSince;
 };
 
 namespace {
@@ -77,9 +86,9 @@
 public:
   Planner(const WorkloadState &State, Fleet &PlanFleet,
           const DispatchOptions &Options, const RunTracker &Tracker,
-          const JobRank &Rank, TimePoint Now)
+          const JobRank &Rank, bool Settled, TimePoint Now)
       : m_Fleet(PlanFleet), m_Options(Options), m_Tracker(Tracker),
-        m_Rank(Rank), m_Now(Now), m_Guarantees(State),
+        m_Rank(Rank), m_Settled(Settled), m_Now(Now), m_Guarantees(State),
         m_Placer(PlanFleet, Options.m_RemotePenalty),
         m_Preemption(PlanFleet, m_Placer) {}
 
@@ -114,11 +123,16 @@
   const DispatchOptions &m_Options;
   const RunTracker &m_Tracker;
   const JobRank &m_Rank;
+  /// All workers are known; without that nothing is stopped to make room.
+  const bool m_Settled;
   TimePoint m_Now;
   Guarantees m_Guarantees;
   Placer m_Placer;
   Preemption m_Preemption;
   int m_Reservations = 0;
+  /// While not settled: the priority of the first step that found no room. Less
+  /// urgent steps must not take what more workers will offer.
+  std::optional<int32_t> m_WaitingPriority;
   std::vector<wire::WorkloadCommand> m_Commands;
 };
 
@@ -151,8 +165,11 @@
                      return Urgency[Left.m_Job].m_Rank >
                             Urgency[Right.m_Job].m_Rank;
                    });
-  for (WaitingStep &Step : Steps)
+  for (WaitingStep &Step : Steps) {
+    if (m_WaitingPriority && Step.m_Job->priority > *m_WaitingPriority)
+      return;
     place(std::move(Step));
+  }
 }
 
 void Planner::place(WaitingStep Step) {
@@ -226,6 +243,10 @@
 // Makes room by waiting for runs that are being stopped, by stopping less
 // urgent ones, or by a reservation for when running ones end.
 void Planner::makeRoom(const WaitingStep &Step, int32_t Count) {
+  if (!m_Settled) {
+    m_WaitingPriority = Step.m_Job->priority;
+    return;
+  }
   if (const std::optional<Eviction> Found = m_Preemption.find(Step, Count)) {
     if (Found->m_Victims.empty() && isFreeNow(Step, *Found)) {
       startChosen(Step, Found->m_Placement, "no rack has room");
@@ -394,7 +415,25 @@
     : m_Impl(std::make_unique<Impl>(Options)) {}
 Dispatcher::~Dispatcher() = default;
 
-void Dispatcher::reset(TimePoint) {
+bool Dispatcher::Impl::hasSettled(const WorkloadState &State,
+                                  const WorkerSessions &Sessions,
+                                  TimePoint Now) {
+  if (!m_UnsettledSince)
+    return true;
+  const bool AllKnown = std::all_of(
+      State.workers().begin(), State.workers().end(), [&](const auto &Each) {
+        const LiveWorker *Live =
+            Sessions.findLive(Each.second.info.incarnation);
+        return Live && Live->m_HasRunList;
+      });
+  if (!AllKnown && Now - *m_UnsettledSince < MaxSettleTime)
+    return false;
+  m_UnsettledSince.reset();
+  return true;
+}
+
+void Dispatcher::reset(TimePoint Now) {
+  m_Impl->m_UnsettledSince = Now;
   m_Impl->m_Times.clear();
   m_Impl->m_Health.clear();
   m_Impl->m_Tracker.clear();
@@ -414,7 +453,7 @@
   m_Impl->m_Tracker.update(State, Sessions, Now);
   Fleet PlanFleet(State, Sessions, m_Impl->m_Tracker, m_Impl->m_Health, Now);
   Planner Plan(State, PlanFleet, m_Impl->m_Options, m_Impl->m_Tracker,
-               m_Impl->m_Rank, Now);
+               m_Impl->m_Rank, m_Impl->hasSettled(State, Sessions, Now), Now);
   Plan.moveOffDrainingWorkers(m_Impl->m_Mover);
   Plan.placeAll(m_Impl->waitingSteps(State, Now));
   Plan.moveStalledOrSlow(m_Impl->m_Mover);
--- a/src/dispatch/RunTracker.cpp
+++ b/src/dispatch/RunTracker.cpp
@@ -139,6 +139,27 @@
   m_Times.learn(Job->queue, Spec.estimateMs, Took);
 }
 
+// A leader did not see how runs were placed that are older than its leadership.
+// Without their progress they would look as if they had just started, and their
+// stop as if it cost nothing.
+void RunTracker::adopt(const wire::RunStatus &Status,
+                       const workload::WorkloadState &State,
+                       TimePoint ReceivedAt) {
+  const wire::TaskRecord *Task = State.task(Status.task);
+  if (!Task || Task->run != Status.run || !workload::isActive(*Task) ||
+      !Status.running)
+    return;
+  const auto It = m_Runs.find(keyOf(Status.task));
+  if (It != m_Runs.end() && It->second.m_Run == Status.run)
+    return;
+  TrackedRun Adopted;
+  Adopted.m_Run = Status.run;
+  Adopted.m_Worker = Task->worker;
+  Adopted.m_PlacedAt = ReceivedAt - std::chrono::milliseconds(Status.runningMs);
+  Adopted.m_FromStart = Task->checkpoint.empty();
+  m_Runs[keyOf(Status.task)] = Adopted;
+}
+
 void RunTracker::recordStatus(const wire::RunStatus &Status,
                               TimePoint ReceivedAt) {
   const auto It = m_Runs.find(keyOf(Status.task));
@@ -176,8 +197,10 @@
     const LiveWorker *Live = Sessions.findLive(Worker.info.incarnation);
     if (!Live)
       continue;
-    for (const wire::RunStatus &Status : Live->m_Runs)
+    for (const wire::RunStatus &Status : Live->m_Runs) {
+      adopt(Status, State, Live->m_LastSyncAt);
       recordStatus(Status, Live->m_LastSyncAt);
+    }
   }
   std::map<StepKey, StepSpeeds> Steps;
   for (auto &[Key, Tracked] : m_Runs) {
--- a/src/dispatch/RunTracker.h
+++ b/src/dispatch/RunTracker.h
@@ -90,6 +90,8 @@
                 const workload::WorkloadState &State, TimePoint Now);
   void onEnded(const workload::RunEnded &Event,
                const workload::WorkloadState &State, TimePoint Now);
+  void adopt(const wire::RunStatus &Status,
+             const workload::WorkloadState &State, TimePoint ReceivedAt);
   void recordStatus(const wire::RunStatus &Status, TimePoint ReceivedAt);
   static void updateSpeed(TrackedRun &Tracked);
   void checkStall(const wire::JobRecord &Job, const wire::TaskRef &Ref,
--- a/tests/dispatch/sim/SimCluster.cpp
+++ b/tests/dispatch/sim/SimCluster.cpp
@@ -148,6 +148,7 @@
   });
   trace("leader of term " + std::to_string(m_Term));
   NewLeader->m_Sessions.reset(m_Queue.now());
+  NewLeader->m_Dispatcher.reset(m_Queue.now());
   m_Queue.after(Duration(0), [this, NewLeader] { leaderTick(NewLeader); });
   return NewLeader;
 }
