dispatch: Let gangs wait for a rack, and search once a task instead of once a worker

Cause 1: a rack-local gang of lower urgency took workers of several racks, three times as slow, whenever no less urgent run could be stopped in any rack, though a rack was about to become free; the comparison with that time was skipped. Cause 2: the search for room repeated the work of all workers for each task of a step, and the search for victims also for steps that may stop nothing. Change: only a step that may stop runs spans racks at once; others reserve. The cost and the victims on a worker are computed anew only when it gets a task; the time of a reservation is found by bisection; workers are indexed by rack. The replay has a profile of the large deployment with 160 workers.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -16,6 +16,7 @@
 namespace anvil::dispatch {
 
 using internal::Eviction;
+using internal::EvictionScope;
 using internal::Fleet;
 using internal::Guarantees;
 using internal::JobRank;
@@ -247,7 +248,12 @@
     m_WaitingPriority = Step.m_Job->priority;
     return;
   }
-  if (const std::optional<Eviction> Found = m_Preemption.find(Step, Count)) {
+  const EvictionScope Scope =
+      Step.m_Job->priority == 0 || m_Guarantees.covers(*Step.m_Job)
+          ? EvictionScope::LessUrgentRuns
+          : EvictionScope::StoppingRuns;
+  if (const std::optional<Eviction> Found =
+          m_Preemption.find(Step, Count, Scope)) {
     if (Found->m_Victims.empty() && isFreeNow(Step, *Found)) {
       startChosen(Step, Found->m_Placement, "no rack has room");
       return;
@@ -270,10 +276,11 @@
   // resources become free.
   int32_t Left = Step.m_Spec->gang ? Step.m_Spec->tasks : 1;
   TaskCounts.clear();
-  for (size_t I = 0; I < m_Fleet.workers().size() && Left > 0; ++I) {
+  for (const size_t I : m_Fleet.inRack(Rack)) {
     const WorkerView &Worker = m_Fleet.workers()[I];
-    if ((!Rack.empty() && Worker.info().rack != Rack) ||
-        !m_Placer.allowed(Worker, Step))
+    if (Left == 0)
+      break;
+    if (!m_Placer.allowed(Worker, Step))
       continue;
     wire::ResourceAmounts Free = Worker.freeAt(When);
     for (const Reservation &Other : Worker.m_Reservations)
@@ -294,15 +301,20 @@
 std::optional<TimePoint> Planner::findReservation(
     const WaitingStep &Step, const std::string &Rack,
     std::vector<std::pair<size_t, int32_t>> &TaskCounts) const {
-  std::set<TimePoint> Ends;
-  for (const WorkerView &Worker : m_Fleet.workers())
-    if (Rack.empty() || Worker.info().rack == Rack)
-      for (const internal::RunView &Run : Worker.m_Runs)
-        Ends.insert(Run.m_Forecast.m_EndsAt);
-  for (const TimePoint When : Ends)
-    if (fitsAt(Step, Rack, When, TaskCounts))
-      return When;
-  return std::nullopt;
+  std::vector<TimePoint> Ends;
+  for (const size_t I : m_Fleet.inRack(Rack))
+    for (const internal::RunView &Run : m_Fleet.workers()[I].m_Runs)
+      Ends.push_back(Run.m_Forecast.m_EndsAt);
+  std::sort(Ends.begin(), Ends.end());
+  // Room only grows with the time.
+  const auto First =
+      std::partition_point(Ends.begin(), Ends.end(), [&](TimePoint When) {
+        return !fitsAt(Step, Rack, When, TaskCounts);
+      });
+  if (First == Ends.end())
+    return std::nullopt;
+  fitsAt(Step, Rack, *First, TaskCounts);
+  return *First;
 }
 
 // Reserves resources on the workers on which a gang, or one more task of
--- a/src/dispatch/Fleet.cpp
+++ b/src/dispatch/Fleet.cpp
@@ -67,6 +67,29 @@
     }
     m_Workers.push_back(std::move(View));
   }
+  indexRacks();
+}
+
+Fleet::Fleet(std::vector<WorkerView> Workers, TimePoint Now)
+    : m_Now(Now), m_Workers(std::move(Workers)) {
+  indexRacks();
+}
+
+void Fleet::indexRacks() {
+  std::vector<size_t> All;
+  for (size_t I = 0; I < m_Workers.size(); ++I) {
+    All.push_back(I);
+    if (const std::string &Rack = m_Workers[I].info().rack; !Rack.empty())
+      m_ByRack[Rack].push_back(I);
+  }
+  m_ByRack[""] = std::move(All);
+}
+
+std::span<const size_t> Fleet::inRack(const std::string &Rack) const {
+  const auto It = m_ByRack.find(Rack);
+  if (It == m_ByRack.end())
+    return {};
+  return It->second;
 }
 
 int32_t Fleet::countThatFit(const WorkerView &Worker,
--- a/src/dispatch/Fleet.h
+++ b/src/dispatch/Fleet.h
@@ -1,6 +1,8 @@
 #ifndef ANVIL_SRC_DISPATCH_FLEET_H
 #define ANVIL_SRC_DISPATCH_FLEET_H
 
+#include <map>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -64,12 +66,14 @@
         const RunTracker &Tracker, const WorkerHealth &Health, TimePoint Now);
 
   /// For tests of classes that decide on a fleet.
-  Fleet(std::vector<WorkerView> Workers, TimePoint Now)
-      : m_Now(Now), m_Workers(std::move(Workers)) {}
+  Fleet(std::vector<WorkerView> Workers, TimePoint Now);
 
   std::vector<WorkerView> &workers() { return m_Workers; }
   const std::vector<WorkerView> &workers() const { return m_Workers; }
   TimePoint now() const { return m_Now; }
+  /// Returns the indexes of the workers of a rack in ascending order, or of all
+  /// workers if \p Rack is empty.
+  std::span<const size_t> inRack(const std::string &Rack) const;
 
   /// Returns how many tasks of \p Need, at most \p Most, can start on the
   /// worker now and run for \p Span without using reserved resources.
@@ -78,8 +82,12 @@
                        int32_t Most) const;
 
 private:
+  void indexRacks();
+
   TimePoint m_Now;
   std::vector<WorkerView> m_Workers;
+  /// Indexes by rack; the empty name stands for all workers.
+  std::map<std::string, std::vector<size_t>> m_ByRack;
 };
 
 /// Returns whether the worker belongs to the job's service and has the label
--- a/src/dispatch/Placer.cpp
+++ b/src/dispatch/Placer.cpp
@@ -164,48 +164,59 @@
   return {Racks.begin(), Racks.end()};
 }
 
+// Returns the cost of one more task on the worker, or nothing if it can't start
+// there now.
+std::optional<double> Placer::costOfNext(const WorkerView &Worker,
+                                         const WaitingStep &Step,
+                                         int32_t Planned) const {
+  if (roomNow(Worker, Step, Planned) == 0)
+    return std::nullopt;
+  const auto Span = std::chrono::duration_cast<Duration>(
+      Step.m_Expected * slowdownOn(Worker, Step));
+  const wire::ResourceAmounts Need = workload::countedAmounts(*Step.m_Spec);
+  if (m_Fleet.countThatFit(Worker, Need, Span, 1) == 0)
+    return std::nullopt;
+  return costOn(Worker, Step);
+}
+
+// The cost on a worker changes only when it gets a task, so each task needs one
+// new cost and not one for each worker.
 std::optional<StepPlacement> Placer::chooseWorkers(const WaitingStep &Step,
                                                    const std::string &Rack,
                                                    int32_t Count,
                                                    bool AllOrNothing) {
+  struct Candidate {
+    size_t m_Worker = 0;
+    int32_t m_Planned = 0;
+    std::optional<double> m_NextCost;
+  };
   const wire::ResourceAmounts Need = workload::countedAmounts(*Step.m_Spec);
   std::vector<WorkerView> &Workers = m_Fleet.workers();
+  std::vector<Candidate> Candidates;
+  for (const size_t I : m_Fleet.inRack(Rack))
+    if (allowed(Workers[I], Step))
+      Candidates.push_back({I, 0, costOfNext(Workers[I], Step, 0)});
   StepPlacement Result;
-  std::map<size_t, int32_t> Planned;
-  double Slowdown = 1;
-  for (int32_t Placed = 0; Placed < Count; ++Placed) {
-    std::optional<size_t> Best;
-    double BestCost = 0;
-    for (size_t I = 0; I < Workers.size(); ++I) {
-      const WorkerView &Worker = Workers[I];
-      if ((!Rack.empty() && Worker.info().rack != Rack) ||
-          !allowed(Worker, Step) || roomNow(Worker, Step, Planned[I]) == 0)
-        continue;
-      const auto Span = std::chrono::duration_cast<Duration>(
-          Step.m_Expected * slowdownOn(Worker, Step));
-      if (m_Fleet.countThatFit(Worker, Need, Span, 1) == 0)
-        continue;
-      const double Cost = costOn(Worker, Step);
-      if (Best && Cost >= BestCost)
-        continue;
-      Best = I;
-      BestCost = Cost;
-    }
+  int32_t Placed = 0;
+  for (; Placed < Count; ++Placed) {
+    Candidate *Best = nullptr;
+    for (Candidate &Each : Candidates)
+      if (Each.m_NextCost && (!Best || *Each.m_NextCost < *Best->m_NextCost))
+        Best = &Each;
     if (!Best)
       break;
-    workload::subtract(Workers[*Best].m_Free, Need);
-    ++Planned[*Best];
-    Slowdown = std::max(Slowdown, slowdownOn(Workers[*Best], Step));
+    WorkerView &Worker = Workers[Best->m_Worker];
+    workload::subtract(Worker.m_Free, Need);
+    ++Best->m_Planned;
+    Best->m_NextCost = costOfNext(Worker, Step, Best->m_Planned);
+    Result.m_Slowdown = std::max(Result.m_Slowdown, slowdownOn(Worker, Step));
   }
-  int32_t Sum = 0;
-  for (const auto &[Worker, Tasks] : Planned) {
-    workload::add(Workers[Worker].m_Free, Need, Tasks);
-    if (Tasks > 0)
-      Result.m_Shares.push_back({Worker, Tasks});
-    Sum += Tasks;
+  for (const Candidate &Each : Candidates) {
+    workload::add(Workers[Each.m_Worker].m_Free, Need, Each.m_Planned);
+    if (Each.m_Planned > 0)
+      Result.m_Shares.push_back({Each.m_Worker, Each.m_Planned});
   }
-  Result.m_Slowdown = Slowdown;
-  if (AllOrNothing && Sum < Count)
+  if (AllOrNothing && Placed < Count)
     return std::nullopt;
   return Result;
 }
--- a/src/dispatch/Preemption.cpp
+++ b/src/dispatch/Preemption.cpp
@@ -54,7 +54,7 @@
 // is enough, then drops the runs that turn out not to be needed.
 std::optional<Preemption::Victims>
 Preemption::victimsOn(const WorkerView &Worker, const WaitingStep &Step,
-                      int32_t Tasks) const {
+                      int32_t Tasks, EvictionScope Scope) const {
   wire::ResourceAmounts Wants;
   add(Wants, workload::countedAmounts(*Step.m_Spec), Tasks);
   wire::ResourceAmounts Has = Worker.m_Free;
@@ -63,6 +63,8 @@
   for (const Reservation &Each : Worker.m_Reservations)
     subtract(Has, Each.m_Amounts);
   Victims Result;
+  if (Scope == EvictionScope::StoppingRuns && !covers(Has, Wants))
+    return std::nullopt;
   std::set<size_t> Taken;
   while (!covers(Has, Wants)) {
     std::optional<size_t> Best;
@@ -102,46 +104,51 @@
   return Result;
 }
 
+// The victims on a worker change only when it gets a task, so each task needs
+// one new search and not one for each worker.
 std::optional<Eviction> Preemption::findIn(const WaitingStep &Step,
                                            const std::string &Rack,
-                                           int32_t Count) const {
+                                           int32_t Count,
+                                           EvictionScope Scope) const {
+  struct Candidate {
+    size_t m_Worker = 0;
+    int32_t m_Planned = 0;
+    Victims m_Chosen;
+    std::optional<Victims> m_Next; ///< With one more task.
+    double m_NextCost = 0;
+  };
   const std::vector<WorkerView> &Workers = m_Fleet.workers();
-  std::map<size_t, int32_t> Planned;
-  std::map<size_t, Victims> Chosen;
+  const auto SearchNext = [&](Candidate &Each) {
+    const WorkerView &Worker = Workers[Each.m_Worker];
+    Each.m_Next.reset();
+    if (Placer::roomNow(Worker, Step, Each.m_Planned) > 0)
+      Each.m_Next = victimsOn(Worker, Step, Each.m_Planned + 1, Scope);
+    if (Each.m_Next)
+      Each.m_NextCost = Each.m_Next->m_Cost - Each.m_Chosen.m_Cost +
+                        Worker.m_Suspicion + m_Placer.slowdownOn(Worker, Step);
+  };
+  std::vector<Candidate> Candidates;
+  for (const size_t I : m_Fleet.inRack(Rack))
+    if (m_Placer.allowed(Workers[I], Step))
+      SearchNext(Candidates.emplace_back(Candidate{I, 0, {}, {}, 0}));
   for (int32_t Placed = 0; Placed < Count; ++Placed) {
-    std::optional<size_t> Best;
-    double BestCost = 0;
-    Victims BestVictims;
-    for (size_t I = 0; I < Workers.size(); ++I) {
-      if ((!Rack.empty() && Workers[I].info().rack != Rack) ||
-          !m_Placer.allowed(Workers[I], Step) ||
-          Placer::roomNow(Workers[I], Step, Planned[I]) == 0)
-        continue;
-      const std::optional<Victims> Found =
-          victimsOn(Workers[I], Step, Planned[I] + 1);
-      if (!Found)
-        continue;
-      const double Cost = Found->m_Cost - Chosen[I].m_Cost +
-                          Workers[I].m_Suspicion +
-                          m_Placer.slowdownOn(Workers[I], Step);
-      if (Best && Cost >= BestCost)
-        continue;
-      Best = I;
-      BestCost = Cost;
-      BestVictims = *Found;
-    }
+    Candidate *Best = nullptr;
+    for (Candidate &Each : Candidates)
+      if (Each.m_Next && (!Best || Each.m_NextCost < Best->m_NextCost))
+        Best = &Each;
     if (!Best)
       return std::nullopt;
-    ++Planned[*Best];
-    Chosen[*Best] = std::move(BestVictims);
+    ++Best->m_Planned;
+    Best->m_Chosen = *std::move(Best->m_Next);
+    SearchNext(*Best);
   }
   Eviction Result;
-  for (const auto &[Worker, Tasks] : Planned) {
-    if (Tasks == 0)
+  for (const Candidate &Each : Candidates) {
+    if (Each.m_Planned == 0)
       continue;
-    Result.m_Placement.m_Shares.push_back({Worker, Tasks});
-    for (const size_t I : Chosen[Worker].m_Runs) {
-      const RunView &Run = Workers[Worker].m_Runs[I];
+    Result.m_Placement.m_Shares.push_back({Each.m_Worker, Each.m_Planned});
+    for (const size_t I : Each.m_Chosen.m_Runs) {
+      const RunView &Run = Workers[Each.m_Worker].m_Runs[I];
       wire::RunRef Ref;
       Ref.task = Run.m_Task;
       Ref.run = Run.m_Run;
@@ -152,17 +159,18 @@
   return Result;
 }
 
-std::optional<Eviction> Preemption::find(const WaitingStep &Step,
-                                         int32_t Count) const {
+std::optional<Eviction> Preemption::find(const WaitingStep &Step, int32_t Count,
+                                         EvictionScope Scope) const {
   std::optional<Eviction> Best;
   for (const std::string &Rack : m_Placer.racksFor(Step)) {
-    std::optional<Eviction> Found = findIn(Step, Rack, Count);
+    std::optional<Eviction> Found = findIn(Step, Rack, Count, Scope);
     if (Found && (!Best || Found->m_LostCoreSeconds < Best->m_LostCoreSeconds))
       Best = std::move(Found);
   }
-  // A gang that spans racks is slow, but that is better than not starting.
-  if (!Best && Step.m_OneRack)
-    Best = findIn(Step, "", Count);
+  // A gang that spans racks is slow, but that is better than not starting. One
+  // that stops nothing may wait for a rack instead.
+  if (!Best && Step.m_OneRack && Scope == EvictionScope::LessUrgentRuns)
+    Best = findIn(Step, "", Count, Scope);
   return Best;
 }
 
--- a/src/dispatch/Preemption.h
+++ b/src/dispatch/Preemption.h
@@ -20,6 +20,12 @@
   double m_LostCoreSeconds = 0;
 };
 
+/// Where room may come from.
+enum class EvictionScope {
+  StoppingRuns,   ///< Only from runs that are being stopped already.
+  LessUrgentRuns, ///< Also from runs of less urgent jobs.
+};
+
 /// Finds a cheap set of less urgent runs whose resources make room for a step.
 ///
 /// Runs that have just started, or that save their progress, cost little.
@@ -31,8 +37,9 @@
 
   /// Returns how \p Count tasks of the step can get room, in one rack if
   /// WaitingStep::m_OneRack is set and that is possible. Returns nothing if
-  /// stopping all less urgent runs would not make enough room.
-  std::optional<Eviction> find(const WaitingStep &Step, int32_t Count) const;
+  /// all runs in scope together would not make enough room.
+  std::optional<Eviction> find(const WaitingStep &Step, int32_t Count,
+                               EvictionScope Scope) const;
   /// Takes free and released resources on the chosen workers, so that nothing
   /// else is placed there.
   void reserve(const WaitingStep &Step, const Eviction &Chosen);
@@ -43,10 +50,11 @@
     double m_Cost = 0;
   };
   std::optional<Victims> victimsOn(const WorkerView &Worker,
-                                   const WaitingStep &Step,
-                                   int32_t Tasks) const;
+                                   const WaitingStep &Step, int32_t Tasks,
+                                   EvictionScope Scope) const;
   std::optional<Eviction> findIn(const WaitingStep &Step,
-                                 const std::string &Rack, int32_t Count) const;
+                                 const std::string &Rack, int32_t Count,
+                                 EvictionScope Scope) const;
   double costOf(const RunView &Run) const;
 
   Fleet &m_Fleet;
--- a/src/dispatch/RunTracker.cpp
+++ b/src/dispatch/RunTracker.cpp
@@ -145,13 +145,14 @@
 void RunTracker::adopt(const wire::RunStatus &Status,
                        const workload::WorkloadState &State,
                        TimePoint ReceivedAt) {
-  const wire::TaskRecord *Task = State.task(Status.task);
-  if (!Task || Task->run != Status.run || !workload::isActive(*Task) ||
-      !Status.running)
+  if (!Status.running)
     return;
   const auto It = m_Runs.find(keyOf(Status.task));
   if (It != m_Runs.end() && It->second.m_Run == Status.run)
     return;
+  const wire::TaskRecord *Task = State.task(Status.task);
+  if (!Task || Task->run != Status.run || !workload::isActive(*Task))
+    return;
   TrackedRun Adopted;
   Adopted.m_Run = Status.run;
   Adopted.m_Worker = Task->worker;
--- a/tests/dispatch/WaitingStepTest.cpp
+++ b/tests/dispatch/WaitingStepTest.cpp
@@ -43,6 +43,29 @@
   }
 }
 
+// Guards against a gang that starts over several racks, where it takes three
+// times as long, although a rack is about to become free. It happened whenever
+// no less urgent run could be stopped.
+BOOST_AUTO_TEST_CASE(AGangWaitsForARackThatIsFreeSoon) {
+  constexpr Duration ShortWork = seconds(3);
+  constexpr Duration GangWork = seconds(8);
+  SimCluster Cluster(SimClusterOptions(), smallPolicy(), smallFleet());
+  // One of the two workers of each rack is taken.
+  for (int I = 0; I < 3; ++I)
+    Cluster.add(jobOf("short-" + std::to_string(I), "batch", milliseconds(500),
+                      8, ShortWork));
+  wire::StepSpec Gang = plainStep(2, 8);
+  Gang.gang = true;
+  Gang.rackLocal = true;
+  Cluster.add(plainJob("gang", "batch", seconds(1), Gang, GangWork));
+  Cluster.run(seconds(40));
+  const JobResult &Result = Cluster.results().back();
+  BOOST_REQUIRE((Result.m_Phase == wire::JobPhase::COMPLETED));
+  const Duration Took = Result.m_EndedAt - Result.m_SentAt;
+  BOOST_TEST((Took <= ShortWork + GangWork + seconds(1)),
+             "took " << Took.count() / 1000 << " ms");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace anvil::sim
--- a/tests/dispatch/explorer/ReplayMain.cpp
+++ b/tests/dispatch/explorer/ReplayMain.cpp
@@ -87,5 +87,6 @@
   const cxxopts::ParseResult Parsed = Flags.parse(Count, Arguments);
   replayProfile("sizing", anvil::sim::sizingProfile(), Parsed);
   replayProfile("reorder", anvil::sim::reorderProfile(), Parsed);
+  replayProfile("large", anvil::sim::largeSizingProfile(), Parsed);
   return 0;
 }
--- a/tests/dispatch/sim/DeploymentProfile.cpp
+++ b/tests/dispatch/sim/DeploymentProfile.cpp
@@ -164,6 +164,44 @@
   return Result;
 }
 
+DeploymentProfile largeSizingProfile() {
+  DeploymentProfile Result = sizingProfile();
+  Result.m_Workers = 160;
+  Result.m_Zones = 5;
+  Result.m_WorkersPerRack = 8;
+  Result.m_Workspaces.clear();
+  for (int I = 0; I < 24; ++I)
+    Result.m_Workspaces.push_back("w" + std::to_string(I));
+  Result.m_Guaranteed.assign(Result.m_Workspaces.size(), 32);
+  JobKind &Batch = Result.m_Kinds[0];
+  Batch.m_PerSecond = 1.08;
+  Batch.m_MeanTasks = 13;
+  Batch.m_MaxTasks = 76;
+  Batch.m_PerTask = amounts(26000, 75000, 0);
+  Batch.m_MeanWorkSeconds = 6.8;
+  Batch.m_TaskWorkSpread = 0.15;
+  Batch.m_EstimateSpread = 0.9;
+  Batch.m_GangShare = 1;
+  Batch.m_MaxAttempts = 3;
+  JobKind &Quote = Result.m_Kinds[1];
+  Quote.m_PerSecond = 2.75;
+  Quote.m_MeanTasks = 5.3;
+  Quote.m_MaxTasks = 32;
+  Quote.m_PerTask = amounts(7500, 31000, 0);
+  Quote.m_EstimateSpread = 0.9;
+  Quote.m_GangShare = 1;
+  Quote.m_FailShare = 0.05;
+  JobKind &Recon = Result.m_Kinds[2];
+  Recon.m_PerSecond = 1.05;
+  Recon.m_MeanTasks = 38;
+  Recon.m_MaxTasks = 230;
+  Recon.m_MeanWorkSeconds = 6.1;
+  Recon.m_EstimateSpread = 0.2;
+  Recon.m_FailShare = 0.02;
+  Recon.m_MaxAttempts = 3;
+  return Result;
+}
+
 wire::PolicyDocument policyOf(const DeploymentProfile &Profile) {
   wire::PolicyDocument Policy;
   Policy.version = 1;
--- a/tests/dispatch/sim/DeploymentProfile.h
+++ b/tests/dispatch/sim/DeploymentProfile.h
@@ -52,6 +52,8 @@
 /// The profiles of two users' deployments.
 DeploymentProfile sizingProfile();
 DeploymentProfile reorderProfile();
+/// The sizing deployment with 160 workers, wider steps and more workspaces.
+DeploymentProfile largeSizingProfile();
 
 wire::PolicyDocument policyOf(const DeploymentProfile &Profile);
 std::vector<wire::WorkerInfo> fleetOf(const DeploymentProfile &Profile);
