--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 
+#include "Durations.h"
 #include "Fleet.h"
 #include "Guarantees.h"
 #include "JobRank.h"
@@ -27,6 +28,7 @@
 using internal::RunMover;
 using internal::RunTimes;
 using internal::RunTracker;
+using internal::secondsOf;
 using internal::StepPlacement;
 using internal::WaitingStep;
 using internal::WorkerHealth;
@@ -47,10 +49,6 @@
 // synced. It stops no run until all agents did, or for at most this long.
 constexpr Duration MaxSettleTime = std::chrono::milliseconds(1000);
 
-double secondsOf(Duration Value) {
-  return std::chrono::duration<double>(Value).count();
-}
-
 } // namespace
 
 struct Dispatcher::Impl {
--- a/src/dispatch/JobRank.cpp
+++ b/src/dispatch/JobRank.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "Durations.h"
+
 namespace anvil::dispatch::internal {
 
 namespace {
@@ -27,14 +29,6 @@
 // job wants the resources; older jobs go first.
 constexpr double NoValueRank = 1e-9;
 
-double secondsOf(Duration Value) {
-  return std::chrono::duration<double>(Value).count();
-}
-
-Duration scaled(Duration Value, double Factor) {
-  return std::chrono::duration_cast<Duration>(Value * Factor);
-}
-
 // Returns the factor by which slack discounts a value: 1 without slack, less
 // the more slack there is, 0 if it is too late.
 double urgencyFactor(double SlackSeconds, double LengthSeconds) {
--- a/src/dispatch/Placer.cpp
+++ b/src/dispatch/Placer.cpp
@@ -5,6 +5,8 @@
 #include <limits>
 #include <set>
 
+#include "Durations.h"
+
 namespace anvil::dispatch::internal {
 
 namespace {
@@ -32,10 +34,6 @@
 // Cost of fragments, in seconds of run time for a whole worker.
 constexpr double FragmentCostS = 0.6;
 
-double secondsOf(Duration Value) {
-  return std::chrono::duration<double>(Value).count();
-}
-
 // A long-running task has no limit on its attempts and must be up all the time,
 // so after the minimum wait it starts on any worker.
 bool mustStartAnywhere(const WaitingStep &Step) {
--- a/src/dispatch/RunMover.cpp
+++ b/src/dispatch/RunMover.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "Durations.h"
+
 namespace anvil::dispatch::internal {
 
 namespace {
@@ -23,10 +25,6 @@
 constexpr double MaxSlowdown = 1.5;
 constexpr double MaxSuspicion = 0.7;
 
-double secondsOf(Duration Value) {
-  return std::chrono::duration<double>(Value).count();
-}
-
 // Returns whether the run may continue on the worker.
 bool canTakeRun(const WorkerView &Worker, const RunView &Run) {
   return Worker.m_Usable && Worker.m_Slowdown <= MaxSlowdown &&
--- a/src/dispatch/RunTracker.cpp
+++ b/src/dispatch/RunTracker.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "Durations.h"
+
 namespace anvil::dispatch::internal {
 
 namespace {
@@ -30,14 +32,6 @@
 // Shorter times are rounded up to this, since their logarithm is used.
 constexpr double MinSeconds = 0.001;
 
-double secondsOf(Duration Value) {
-  return std::chrono::duration<double>(Value).count();
-}
-
-Duration scaled(Duration Value, double Factor) {
-  return std::chrono::duration_cast<Duration>(Value * Factor);
-}
-
 } // namespace
 
 Duration RunTracker::expectedTime(const wire::JobRecord &Job,
@@ -99,12 +93,12 @@
   New.m_PlacedAt = Now;
   const wire::TaskRecord *Task = State.task(Event.m_Task);
   New.m_FromStart = Task && Task->checkpoint.empty();
-  m_Runs[keyOf(Event.m_Task)] = New;
+  m_Runs[taskOf(Event.m_Task)] = New;
 }
 
 void RunTracker::onEnded(const workload::RunEnded &Event,
                          const workload::WorkloadState &State, TimePoint Now) {
-  auto Node = m_Runs.extract(keyOf(Event.m_Task));
+  auto Node = m_Runs.extract(taskOf(Event.m_Task));
   const wire::JobRecord *Job = State.job(Event.m_Task.jobId);
   if (!Job || workload::hasEnded(Job->phase) || Node.empty() ||
       Node.mapped().m_Run != Event.m_Run)
@@ -147,7 +141,7 @@
                        TimePoint ReceivedAt) {
   if (!Status.running)
     return;
-  const auto It = m_Runs.find(keyOf(Status.task));
+  const auto It = m_Runs.find(taskOf(Status.task));
   if (It != m_Runs.end() && It->second.m_Run == Status.run)
     return;
   const wire::TaskRecord *Task = State.task(Status.task);
@@ -158,12 +152,12 @@
   Adopted.m_Worker = Task->worker;
   Adopted.m_PlacedAt = ReceivedAt - std::chrono::milliseconds(Status.runningMs);
   Adopted.m_FromStart = Task->checkpoint.empty();
-  m_Runs[keyOf(Status.task)] = Adopted;
+  m_Runs[taskOf(Status.task)] = Adopted;
 }
 
 void RunTracker::recordStatus(const wire::RunStatus &Status,
                               TimePoint ReceivedAt) {
-  const auto It = m_Runs.find(keyOf(Status.task));
+  const auto It = m_Runs.find(taskOf(Status.task));
   if (It == m_Runs.end() || It->second.m_Run != Status.run || !Status.running)
     return;
   TrackedRun &Tracked = It->second;
@@ -355,7 +349,7 @@
   const wire::StepSpec &Spec = Job.spec.steps[static_cast<size_t>(Ref.step)];
   const Duration Whole = expectedTime(Job, Ref);
   const double Slowdown = m_Health.slowdown(Task.worker, Now);
-  const auto It = m_Runs.find(keyOf(Ref));
+  const auto It = m_Runs.find(taskOf(Ref));
   const bool Known = It != m_Runs.end() && It->second.m_Run == Task.run;
   if (!Known || !It->second.m_Started) {
     const TimePoint Since = Known ? It->second.m_PlacedAt : Now;
--- a/src/dispatch/RunTracker.h
+++ b/src/dispatch/RunTracker.h
@@ -10,6 +10,7 @@
 
 #include "RunTimes.h"
 #include "WorkerHealth.h"
+#include "WorkerKey.h"
 #include "anvil/dispatch/WorkerSessions.h"
 #include "anvil/workload/WorkloadState.h"
 
@@ -50,7 +51,6 @@
                        const wire::TaskRecord &Task, TimePoint Now) const;
 
 private:
-  using WorkerKey = std::pair<std::string, int64_t>;
   using TaskKey = std::tuple<std::string, int32_t, int32_t, int32_t>;
   using StepKey = std::tuple<std::string, int32_t, int32_t>;
   struct TrackedRun {
@@ -77,15 +77,12 @@
     double m_RecentSpeed = 0;
   };
 
-  static TaskKey keyOf(const wire::TaskRef &Ref) {
+  static TaskKey taskOf(const wire::TaskRef &Ref) {
     return {Ref.jobId, Ref.occurrence, Ref.step, Ref.index};
   }
   static StepKey stepOf(const wire::TaskRef &Ref) {
     return {Ref.jobId, Ref.occurrence, Ref.step};
   }
-  static WorkerKey keyOf(const wire::WorkerIncarnation &Worker) {
-    return {Worker.id, Worker.startedAtMs};
-  }
   void onPlaced(const workload::RunPlaced &Event,
                 const workload::WorkloadState &State, TimePoint Now);
   void onEnded(const workload::RunEnded &Event,
--- a/src/dispatch/WorkerHealth.h
+++ b/src/dispatch/WorkerHealth.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 
+#include "WorkerKey.h"
 #include "anvil/base/Time.h"
 #include "workload_types.h"
 
@@ -63,14 +64,10 @@
     TimePoint m_SuspicionAt;
     std::map<std::string, Observation> m_Speeds; ///< By run.
   };
-  using Key = std::pair<std::string, int64_t>;
-  static Key keyOf(const wire::WorkerIncarnation &Worker) {
-    return {Worker.id, Worker.startedAtMs};
-  }
   void addSuspicion(const wire::WorkerIncarnation &Worker, double Amount,
                     TimePoint Now);
 
-  std::map<Key, Record> m_Records;
+  std::map<WorkerKey, Record> m_Records;
 };
 
 } // namespace anvil::dispatch::internal
