--- a/include/anvil/dispatch/Dispatcher.h
+++ b/include/anvil/dispatch/Dispatcher.h
@@ -1,7 +1,9 @@
 #ifndef ANVIL_DISPATCH_DISPATCHER_H
 #define ANVIL_DISPATCH_DISPATCHER_H
 
+#include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "anvil/base/Time.h"
@@ -11,6 +13,17 @@
 
 namespace anvil::dispatch {
 
+/// Work of a run that ended without a result and was not saved.
+struct LostWork {
+  wire::TaskRef m_Task;
+  int64_t m_Run = 0;
+  /// Reason of the order to stop, or how the run ended without one.
+  std::string m_Cause;
+  /// Cores of the task, with each accelerator counted as eight, times the
+  /// seconds that it ran.
+  double m_CoreSeconds = 0;
+};
+
 /// Settings of a Dispatcher.
 struct DispatchOptions {
   /// Factor by which a task takes longer if it runs away from the rack of its
@@ -21,6 +34,8 @@
   /// Time that a run restored from a checkpoint loses: work that it repeats and
   /// the restore itself.
   Duration m_RestoreTime = std::chrono::milliseconds(600);
+  /// Receives the work that observe() finds lost; may be empty.
+  std::function<void(const LostWork &)> m_OnLostWork;
 };
 
 /// Decides which runs start and which are stopped.
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -53,8 +53,9 @@
 
 struct Dispatcher::Impl {
   explicit Impl(DispatchOptions Options)
-      : m_Options(Options), m_Tracker(m_Times, m_Health), m_Rank(m_Times),
-        m_Mover({Options.m_StopTime, Options.m_RestoreTime}) {}
+      : m_Options(std::move(Options)),
+        m_Tracker(m_Times, m_Health, m_Options.m_OnLostWork), m_Rank(m_Times),
+        m_Mover({m_Options.m_StopTime, m_Options.m_RestoreTime}) {}
 
   std::vector<WaitingStep> waitingSteps(const WorkloadState &State,
                                         TimePoint Now);
@@ -422,7 +423,7 @@
 }
 
 Dispatcher::Dispatcher(DispatchOptions Options)
-    : m_Impl(std::make_unique<Impl>(Options)) {}
+    : m_Impl(std::make_unique<Impl>(std::move(Options))) {}
 Dispatcher::~Dispatcher() = default;
 
 bool Dispatcher::Impl::hasSettled(const WorkloadState &State,
--- a/src/dispatch/RunTracker.cpp
+++ b/src/dispatch/RunTracker.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "Durations.h"
+#include "JobRank.h"
 
 namespace anvil::dispatch::internal {
 
@@ -78,6 +79,8 @@
                          const workload::WorkloadState &State, TimePoint Now) {
   if (const auto *Placed = std::get_if<workload::RunPlaced>(&Event))
     onPlaced(*Placed, State, Now);
+  else if (const auto *Stopping = std::get_if<workload::RunStopping>(&Event))
+    onStopping(*Stopping);
   else if (const auto *Ended = std::get_if<workload::RunEnded>(&Event))
     onEnded(*Ended, State, Now);
   else if (const auto *Job = std::get_if<workload::JobChanged>(&Event);
@@ -96,18 +99,44 @@
   m_Runs[taskOf(Event.m_Task)] = New;
 }
 
+void RunTracker::onStopping(const workload::RunStopping &Event) {
+  const auto It = m_Runs.find(taskOf(Event.m_Task));
+  if (It != m_Runs.end() && It->second.m_Run == Event.m_Run)
+    It->second.m_StopReason = Event.m_Reason;
+}
+
+// A task that writes checkpoints loses little, and how much is not known.
+void RunTracker::reportLoss(const workload::RunEnded &Event,
+                            const TrackedRun &Tracked,
+                            const wire::StepSpec &Spec, TimePoint Now) const {
+  if (!m_OnLostWork || Event.m_Kind == wire::RunEndKind::DONE ||
+      !Tracked.m_Started || Spec.checkpointing || Spec.longRunning)
+    return;
+  LostWork Lost;
+  Lost.m_Task = Event.m_Task;
+  Lost.m_Run = Event.m_Run;
+  const bool Ordered = Event.m_Kind == wire::RunEndKind::STOPPED;
+  Lost.m_Cause =
+      Ordered ? Tracked.m_StopReason : workload::nameOf(Event.m_Kind);
+  Lost.m_CoreSeconds =
+      coresOf(Spec.perTask) * secondsOf(Now - Tracked.m_StartedAt);
+  m_OnLostWork(Lost);
+}
+
 void RunTracker::onEnded(const workload::RunEnded &Event,
                          const workload::WorkloadState &State, TimePoint Now) {
   auto Node = m_Runs.extract(taskOf(Event.m_Task));
   const wire::JobRecord *Job = State.job(Event.m_Task.jobId);
-  if (!Job || workload::hasEnded(Job->phase) || Node.empty() ||
-      Node.mapped().m_Run != Event.m_Run)
+  if (!Job || Node.empty() || Node.mapped().m_Run != Event.m_Run)
     return;
   const TrackedRun &Tracked = Node.mapped();
   const auto Step = static_cast<size_t>(Event.m_Task.step);
   if (Step >= Job->spec.steps.size())
     return;
   const wire::StepSpec &Spec = Job->spec.steps[Step];
+  reportLoss(Event, Tracked, Spec, Now);
+  if (workload::hasEnded(Job->phase))
+    return;
   if (Event.m_Kind == wire::RunEndKind::FAILED) {
     m_Health.recordFailure(Event.m_Worker, classifyFailure(Event), Now);
     return;
--- a/src/dispatch/RunTracker.h
+++ b/src/dispatch/RunTracker.h
@@ -11,6 +11,7 @@
 #include "RunTimes.h"
 #include "WorkerHealth.h"
 #include "WorkerKey.h"
+#include "anvil/dispatch/Dispatcher.h"
 #include "anvil/dispatch/WorkerSessions.h"
 #include "anvil/workload/WorkloadState.h"
 
@@ -33,8 +34,12 @@
 /// workers perform, and forecasts when runs end.
 class RunTracker {
 public:
-  RunTracker(RunTimes &Times, WorkerHealth &Health)
-      : m_Times(Times), m_Health(Health) {}
+  using LossHook = std::function<void(const LostWork &)>;
+
+  /// \p OnLostWork receives the work of runs that ended without a result; it
+  /// may be empty.
+  RunTracker(RunTimes &Times, WorkerHealth &Health, LossHook OnLostWork = {})
+      : m_Times(Times), m_Health(Health), m_OnLostWork(std::move(OnLostWork)) {}
 
   void clear() {
     m_Runs.clear();
@@ -60,6 +65,7 @@
     bool m_FromStart = true; ///< It did not continue from a checkpoint.
     bool m_Started = false;
     TimePoint m_StartedAt;
+    std::string m_StopReason; ///< Empty until it is ordered to stop.
     int32_t m_FirstPercent = 0;
     TimePoint m_FirstAt; ///< When m_FirstPercent was seen.
     int32_t m_Percent = 0;
@@ -86,6 +92,9 @@
   }
   void onPlaced(const workload::RunPlaced &Event,
                 const workload::WorkloadState &State, TimePoint Now);
+  void onStopping(const workload::RunStopping &Event);
+  void reportLoss(const workload::RunEnded &Event, const TrackedRun &Tracked,
+                  const wire::StepSpec &Spec, TimePoint Now) const;
   void onEnded(const workload::RunEnded &Event,
                const workload::WorkloadState &State, TimePoint Now);
   void adopt(const wire::RunStatus &Status,
@@ -134,6 +143,7 @@
 
   RunTimes &m_Times;
   WorkerHealth &m_Health;
+  LossHook m_OnLostWork;
   std::map<TaskKey, TrackedRun> m_Runs;
   std::map<StepKey, StepHistory> m_Steps; ///< Of jobs that have not ended.
 };
--- a/src/node/LeaderDuties.cpp
+++ b/src/node/LeaderDuties.cpp
@@ -22,9 +22,10 @@
 
 LeaderDuties::LeaderDuties(boost::asio::io_context &Io, LeaderOptions Options,
                            LeaderPorts Ports, log::EventLog &Log)
-    : m_Options(Options), m_Ports(std::move(Ports)), m_Log(Log), m_Io(Io),
-      m_Timer(Io), m_Sessions(Options.m_Sessions),
-      m_Dispatcher(Options.m_Dispatch), m_Membership(Options.m_Membership) {}
+    : m_Options(std::move(Options)), m_Ports(std::move(Ports)), m_Log(Log),
+      m_Io(Io), m_Timer(Io), m_Sessions(m_Options.m_Sessions),
+      m_Dispatcher(m_Options.m_Dispatch), m_Membership(m_Options.m_Membership) {
+}
 
 void LeaderDuties::begin() {
   ++m_Epoch;
--- a/src/node/Replica.cpp
+++ b/src/node/Replica.cpp
@@ -1,6 +1,7 @@
 #include "Replica.h"
 
 #include <charconv>
+#include <cmath>
 
 #include <boost/asio/io_context.hpp>
 
@@ -19,6 +20,10 @@
     "anvil_commit_seconds",
     "Time from a proposal until it was committed and applied, or failed."};
 
+constexpr metrics::Metric LostCoreSeconds{
+    "anvil_lost_core_seconds_total",
+    "Work of runs that ended without a result and was not saved, by cause."};
+
 std::optional<int64_t> parseId(std::string_view Text) {
   int64_t Id = 0;
   const auto Result =
@@ -145,7 +150,11 @@
   if (const raft::SnapshotData Data = m_ReplicatedLog->snapshot())
     if (absl::Status Status = restore(*Data); !Status.ok())
       return Status;
-  m_Duties = std::make_shared<LeaderDuties>(m_Io, m_Options.m_Leader,
+  LeaderOptions Leader = m_Options.m_Leader;
+  Leader.m_Dispatch.m_OnLostWork = [this](const dispatch::LostWork &Lost) {
+    onLostWork(Lost);
+  };
+  m_Duties = std::make_shared<LeaderDuties>(m_Io, std::move(Leader),
                                             leaderPorts(), m_Log);
   m_State.setEventHook(
       [this](const workload::WorkloadEvent &Event) { onStateEvent(Event); });
@@ -358,6 +367,17 @@
   return Ports;
 }
 
+void Replica::onLostWork(const dispatch::LostWork &Lost) {
+  const auto CoreMillis =
+      static_cast<int64_t>(std::llround(Lost.m_CoreSeconds * 1000));
+  m_Options.m_Metrics->count(LostCoreSeconds, {{"cause", Lost.m_Cause}},
+                             std::llround(Lost.m_CoreSeconds));
+  m_Log.write("work-lost", {{"task", workload::nameOf(Lost.m_Task)},
+                            {"run", Lost.m_Run},
+                            {"core_ms", CoreMillis},
+                            {"cause", Lost.m_Cause}});
+}
+
 wire::GroupView Replica::groupView() const {
   wire::GroupView View;
   for (const auto &[Id, Replica] : m_State.replicas())
--- a/src/node/Replica.h
+++ b/src/node/Replica.h
@@ -94,6 +94,7 @@
   void registerSelf();
   void propose(wire::WorkloadCommand Command, CommandDone Done);
   LeaderPorts leaderPorts();
+  void onLostWork(const dispatch::LostWork &Lost);
   void onStateEvent(const workload::WorkloadEvent &Event);
 
   // Handlers of calls; each invokes Done once.
--- a/tests/dispatch/sim/SimCluster.cpp
+++ b/tests/dispatch/sim/SimCluster.cpp
@@ -66,6 +66,7 @@
   dispatchOptions(const SimClusterOptions &Options) {
     dispatch::DispatchOptions Result;
     Result.m_RemotePenalty = Options.m_WorkerOptions.m_RemotePenalty;
+    Result.m_OnLostWork = Options.m_OnLostWork;
     return Result;
   }
 
--- a/tests/dispatch/sim/SimCluster.h
+++ b/tests/dispatch/sim/SimCluster.h
@@ -37,6 +37,8 @@
   /// Checks the whole state for consistency at each tick, which takes most of
   /// the run time.
   bool m_ChecksState = true;
+  /// Receives the work that a leader finds lost; may be empty.
+  std::function<void(const dispatch::LostWork &)> m_OnLostWork;
   /// Receives a line for each event, for people; may be empty.
   std::function<void(TimePoint, const std::string &)> m_Trace;
 };
