--- a/src/dispatch/RunTracker.cpp
+++ b/src/dispatch/RunTracker.cpp
@@ -115,7 +115,9 @@
   LostWork Lost;
   Lost.m_Task = Event.m_Task;
   Lost.m_Run = Event.m_Run;
-  const bool Ordered = Event.m_Kind == wire::RunEndKind::STOPPED;
+  // The reason is not known if an earlier leader ordered the stop.
+  const bool Ordered = Event.m_Kind == wire::RunEndKind::STOPPED &&
+                       !Tracked.m_StopReason.empty();
   Lost.m_Cause =
       Ordered ? Tracked.m_StopReason : workload::nameOf(Event.m_Kind);
   Lost.m_CoreSeconds =
