dispatch: Do not take a gang member that is done for one that hangs

Cause: the members of a gang end together. One that has done its work waits at 100 percent for the slowest, looked stalled after 2.5 s, and its whole gang was stopped shortly before its end as soon as there was room elsewhere. Ruled out: silent agents (the members reported), hanging workers (none at that time), and members that were not present (the gang had started). Change: a member at 99 percent or more is not judged; one that hangs below that still is.

--- a/src/dispatch/RunTracker.cpp
+++ b/src/dispatch/RunTracker.cpp
@@ -19,6 +19,10 @@
 constexpr double StallHundredths = 8;
 constexpr Duration MinStall = std::chrono::milliseconds(2500);
 
+// Percent from which a member of a gang has done its work; percents are rounded
+// down.
+constexpr int32_t GangMemberDonePercent = 99;
+
 // Shortest remaining time of a forecast: an overdue run may end at any time.
 constexpr Duration MinRemaining = std::chrono::milliseconds(50);
 
@@ -300,13 +304,17 @@
                             const wire::TaskRef &Ref, TrackedRun &Tracked,
                             TimePoint Now) {
   const wire::StepSpec &Spec = Job.spec.steps[static_cast<size_t>(Ref.step)];
+  const bool Gang = Spec.gang && Spec.tasks > 1;
+  // A member that is done waits for the slowest one of its gang.
+  if (Gang && Tracked.m_Percent >= GangMemberDonePercent)
+    return;
   // A worker whose reports do not arrive is not judged.
   if (Tracked.m_StallReported ||
       Tracked.m_LastReportAt - Tracked.m_PercentAt <=
           stallLimit(Job, Ref, Tracked.m_Worker, Now))
     return;
   Tracked.m_StallReported = true;
-  if (!Spec.gang || Spec.tasks == 1)
+  if (!Gang)
     m_Health.recordStall(Tracked.m_Worker, Now);
 }
 
