platform: Refuse a negative number of tolerated losses

Cause: read of the diff; the number of voters follows from the setting now, and a negative one would ask for as many as memory holds. Change: FaultTolerance is checked like the other settings, with a test that also reads the times to stop and to restore. Two comments say more exactly what they describe.

--- a/include/anvil/node/MembershipPlanner.h
+++ b/include/anvil/node/MembershipPlanner.h
@@ -21,8 +21,9 @@
   /// A replica counts as present if it announced itself within this time.
   Duration m_PresenceTimeout = std::chrono::milliseconds(1500);
   /// A voter that was silent for this long is lost: a learner that has caught
-  /// up replaces it, or the group shrinks to m_ToleratedLosses. A learner must
-  /// be known for as long before the group grows beyond that.
+  /// up replaces it, or the group shrinks to the voters that m_ToleratedLosses
+  /// needs. A learner must be known for as long before the group grows beyond
+  /// that number.
   Duration m_ReplaceAfter = std::chrono::milliseconds(2000);
   /// A replica without a vote that was silent for this long leaves the group.
   Duration m_ForgetAfter = std::chrono::seconds(10);
--- a/src/dispatch/RunTracker.cpp
+++ b/src/dispatch/RunTracker.cpp
@@ -209,9 +209,9 @@
   }
   if (Status.percent == Tracked.m_Percent)
     return;
-  // The agent hears from the worker about once a second and reports to the
-  // leader more often. Measured between reports that repeat a percent, the
-  // speed of a steady run would vary by a factor of two.
+  // Agents report to the leader more often than they hear from the worker.
+  // Measured between reports that repeat a percent, the speed of a steady run
+  // would vary by a factor of two.
   Tracked.m_Samples.push_back({ReceivedAt, Status.percent});
   updateSpeed(Tracked);
   // A gang stays at zero percent until all of its members have started.
--- a/tests/platform/DecoderTest.cpp
+++ b/tests/platform/DecoderTest.cpp
@@ -235,13 +235,18 @@
   const std::string Settings =
       R"({"NodeName":"n1","Zone":"north","Ip":"10.0.0.1",)"
       R"("InternalPortRange":[7000,7015],"Seeds":["10.0.0.2:8526"],)"
-      R"("Bounds":{"MaxHoldMs":6000,"CatchUpS":4.5},"Later":{}})";
+      R"("FaultTolerance":{"Machines":2},)"
+      R"("Bounds":{"MaxHoldMs":6000,"StopTimeoutMs":900,"RestoreMs":100,)"
+      R"("CatchUpS":4.5},"Later":{}})";
   const auto Read = parseSettings(Settings);
   BOOST_REQUIRE_MESSAGE(Read.ok(), Read.status());
   BOOST_TEST(Read->m_InternalAddress.str() == "10.0.0.1:7000");
   // The RPC listener of a seed has the internal port, not the listed one.
   BOOST_TEST(Read->m_Seeds.at(0).str() == "10.0.0.2:7000");
   BOOST_TEST((Read->m_CatchUpTime == std::chrono::milliseconds(4500)));
+  BOOST_TEST((Read->m_StopTime == std::chrono::milliseconds(900)));
+  BOOST_TEST((Read->m_RestoreTime == std::chrono::milliseconds(100)));
+  BOOST_TEST(Read->m_ToleratedLosses == 2);
 
   const struct {
     std::string m_Body;
@@ -250,6 +255,8 @@
       {replaced(Settings, R"("Zone":"north",)", ""), "Zone"},
       {replaced(Settings, "6000", R"("long")"), "MaxHoldMs"},
       {replaced(Settings, "[7000,7015]", "[]"), "InternalPortRange"},
+      {replaced(Settings, R"("Machines":2)", R"("Machines":-1)"),
+       "FaultTolerance"},
       {"{", "JSON"},
   };
   for (const auto &Case : Cases) {
