--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -256,6 +256,8 @@
     record(f"trouble {'on' if trouble else 'off'}")
 
     async def run():
+        # A SIGTERM ends the case, so that the started processes do not outlive it.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         deployment = Deployment(record, **options)
         try:
             await deployment.start()
@@ -265,7 +267,8 @@
 
     try:
         broken = asyncio.run(run())
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
+        # Only a broken rule may end with 1.
         record(f"can't run: {error!r}")
         print(f"can't run: {error!r}")
         sys.exit(2)
