dispatch: Do not reserve room for after a run that has no known end

Cause: RunTracker::forecast() took the percent of a run for its progress. A task that lasts shows 100 percent while it is at work, so each plan expected it to end within 50 ms, and the gang reserved all workers from then on. A run that stands still was forecast by its last speed, and one whose order stays unanswered by the time of its placement; both were then "about to end" in every plan, too.

Ruled out: room (the job starts at once without the gang), preemption (no run was stopped), worker health (no failure and no stall), and src/sched, which bounds its reservations and expects a job that outruns its estimate to run half as long again.

Change: such a run has NoKnownEnd. Nothing is reserved for after it, it does not count as ending before its worker leaves, and the rank of its job counts the work that is left. A task that lasts, in turn, is no longer placed in reserved room by its estimate, until it must start anywhere.

Tests: the two new cases of WaitingStepTest and the new one of PlacerTest fail without the change. The simulated workers now run tasks that last.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -22,6 +22,7 @@
 using internal::Guarantees;
 using internal::JobRank;
 using internal::JobUrgency;
+using internal::NoKnownEnd;
 using internal::Placer;
 using internal::Preemption;
 using internal::Reservation;
@@ -235,8 +236,8 @@
              Found.m_Placement.m_Shares.end(),
              [&](const internal::Share &Each) {
                const WorkerView &Worker = m_Fleet.workers()[Each.m_Worker];
-               return m_Fleet.countThatFit(Worker, Need, Duration(0),
-                                           Each.m_Tasks) == Each.m_Tasks;
+               return m_Fleet.countThatFit(Worker, Need, m_Now, Each.m_Tasks) ==
+                      Each.m_Tasks;
              });
 }
 
@@ -303,7 +304,8 @@
   std::vector<TimePoint> Ends;
   for (const size_t I : m_Fleet.inRack(Rack))
     for (const internal::RunView &Run : m_Fleet.workers()[I].m_Runs)
-      Ends.push_back(Run.m_Forecast.m_EndsAt);
+      if (Run.m_Forecast.m_EndsAt != NoKnownEnd)
+        Ends.push_back(Run.m_Forecast.m_EndsAt);
   std::sort(Ends.begin(), Ends.end());
   // Room only grows with the time.
   const auto First =
--- a/src/dispatch/Fleet.cpp
+++ b/src/dispatch/Fleet.cpp
@@ -93,7 +93,7 @@
 }
 
 int32_t Fleet::countThatFit(const WorkerView &Worker,
-                            const wire::ResourceAmounts &Need, Duration Span,
+                            const wire::ResourceAmounts &Need, TimePoint EndsAt,
                             int32_t Most) const {
   int32_t Count = 0;
   while (Count < Most) {
@@ -104,7 +104,7 @@
     const bool KeepsReservations =
         std::all_of(Worker.m_Reservations.begin(), Worker.m_Reservations.end(),
                     [&](const Reservation &Each) {
-                      if (Each.m_From >= m_Now + Span)
+                      if (Each.m_From >= EndsAt)
                         return true;
                       wire::ResourceAmounts FreeThen =
                           Worker.freeAt(Each.m_From);
--- a/src/dispatch/Fleet.h
+++ b/src/dispatch/Fleet.h
@@ -76,9 +76,10 @@
   std::span<const size_t> inRack(const std::string &Rack) const;
 
   /// Returns how many tasks of \p Need, at most \p Most, can start on the
-  /// worker now and run for \p Span without using reserved resources.
+  /// worker now and run until \p EndsAt, which may be NoKnownEnd, without using
+  /// reserved resources.
   int32_t countThatFit(const WorkerView &Worker,
-                       const wire::ResourceAmounts &Need, Duration Span,
+                       const wire::ResourceAmounts &Need, TimePoint EndsAt,
                        int32_t Most) const;
 
 private:
--- a/src/dispatch/JobRank.cpp
+++ b/src/dispatch/JobRank.cpp
@@ -37,6 +37,18 @@
   return std::exp(-SlackSeconds / (LookAhead * std::max(0.1, LengthSeconds)));
 }
 
+// Returns how long a run still needs. Nothing waits for the end of one that
+// lasts; one that stands still needs the time of its work elsewhere.
+Duration timeLeft(const wire::StepSpec &Spec, const RunForecast &Forecast,
+                  TimePoint Now) {
+  if (Spec.longRunning)
+    return Duration(0);
+  if (Forecast.m_EndsAt != NoKnownEnd)
+    return Forecast.m_EndsAt - Now;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Forecast.m_WorkLeftSeconds));
+}
+
 } // namespace
 
 double coresOf(const wire::ResourceAmounts &Amounts) {
@@ -105,7 +117,7 @@
         Ref.occurrence = Number;
         Ref.step = static_cast<int32_t>(Step);
         Ref.index = static_cast<int32_t>(I);
-        TaskLeft = Tracker.forecast(Job, Ref, Task, Now).m_EndsAt - Now;
+        TaskLeft = timeLeft(Spec, Tracker.forecast(Job, Ref, Task, Now), Now);
       }
       Left = std::max(Left, TaskLeft);
       Result.m_CoreSecondsLeft += coresOf(Spec.perTask) * secondsOf(TaskLeft);
--- a/src/dispatch/Placer.cpp
+++ b/src/dispatch/Placer.cpp
@@ -162,6 +162,17 @@
   return {Racks.begin(), Racks.end()};
 }
 
+// Reservations bind a task until this time. One that must start anywhere does
+// not wait for them; any other one that lasts would be in the way of all.
+TimePoint Placer::endOn(const WorkerView &Worker,
+                        const WaitingStep &Step) const {
+  if (mustStartAnywhere(Step))
+    return m_Fleet.now();
+  if (Step.m_Spec->longRunning)
+    return NoKnownEnd;
+  return m_Fleet.now() + scaled(Step.m_Expected, slowdownOn(Worker, Step));
+}
+
 // Returns the cost of one more task on the worker, or nothing if it can't start
 // there now.
 std::optional<double> Placer::costOfNext(const WorkerView &Worker,
@@ -169,10 +180,8 @@
                                          int32_t Planned) const {
   if (roomNow(Worker, Step, Planned) == 0)
     return std::nullopt;
-  const auto Span = std::chrono::duration_cast<Duration>(
-      Step.m_Expected * slowdownOn(Worker, Step));
   const wire::ResourceAmounts Need = workload::countedAmounts(*Step.m_Spec);
-  if (m_Fleet.countThatFit(Worker, Need, Span, 1) == 0)
+  if (m_Fleet.countThatFit(Worker, Need, endOn(Worker, Step), 1) == 0)
     return std::nullopt;
   return costOn(Worker, Step);
 }
--- a/src/dispatch/Placer.h
+++ b/src/dispatch/Placer.h
@@ -105,6 +105,7 @@
                                              const std::string &Rack,
                                              int32_t Count, bool AllOrNothing);
   double costOn(const WorkerView &Worker, const WaitingStep &Step) const;
+  TimePoint endOn(const WorkerView &Worker, const WaitingStep &Step) const;
   std::optional<double> costOfNext(const WorkerView &Worker,
                                    const WaitingStep &Step,
                                    int32_t Planned) const;
--- a/src/dispatch/RunMover.cpp
+++ b/src/dispatch/RunMover.cpp
@@ -37,8 +37,10 @@
 bool reserveRoomElsewhere(Fleet &PlanFleet, const WorkerView &Worker,
                           const RunView &Run) {
   const bool Gang = Run.m_Spec->gang && Run.m_Spec->tasks > 1;
-  const auto Span = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Run.m_Forecast.m_WorkLeftSeconds));
+  const TimePoint EndsAt =
+      PlanFleet.now() +
+      std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double>(Run.m_Forecast.m_WorkLeftSeconds));
   int32_t Missing = Gang ? Run.m_Spec->tasks : 1;
   std::vector<std::pair<WorkerView *, int32_t>> Found;
   for (WorkerView &Other : PlanFleet.workers()) {
@@ -47,7 +49,7 @@
     if (&Other == &Worker || !canTakeRun(Other, Run))
       continue;
     const int32_t Here =
-        PlanFleet.countThatFit(Other, Run.m_Amounts, Span, Missing);
+        PlanFleet.countThatFit(Other, Run.m_Amounts, EndsAt, Missing);
     if (Here == 0)
       continue;
     Found.emplace_back(&Other, Here);
--- a/src/dispatch/RunTracker.cpp
+++ b/src/dispatch/RunTracker.cpp
@@ -385,24 +385,22 @@
   return Evidence;
 }
 
-RunForecast RunTracker::forecast(const wire::JobRecord &Job,
-                                 const wire::TaskRef &Ref,
-                                 const wire::TaskRecord &Task,
-                                 TimePoint Now) const {
+// A run whose order is still unanswered after the time that it should have
+// taken may start at any time or never.
+RunForecast RunTracker::forecastUnstarted(Duration Expected, TimePoint PlacedAt,
+                                          TimePoint Now) {
+  RunForecast Result;
+  Result.m_EndsAt = PlacedAt + Expected;
+  if (Result.m_EndsAt <= Now)
+    Result.m_EndsAt = NoKnownEnd;
+  return Result;
+}
+
+RunForecast RunTracker::forecastStarted(const wire::StepSpec &Spec,
+                                        const TrackedRun &Tracked,
+                                        Duration Whole, double Slowdown,
+                                        TimePoint Now) {
   RunForecast Result;
-  const wire::StepSpec &Spec = Job.spec.steps[static_cast<size_t>(Ref.step)];
-  const Duration Whole = expectedTime(Job, Ref);
-  const double Slowdown = m_Health.slowdown(Task.worker, Now);
-  const auto It = m_Runs.find(taskOf(Ref));
-  const bool Known = It != m_Runs.end() && It->second.m_Run == Task.run;
-  if (!Known || !It->second.m_Started) {
-    const TimePoint Since = Known ? It->second.m_PlacedAt : Now;
-    Result.m_EndsAt =
-        std::max(Now + MinRemaining, Since + scaled(Whole, Slowdown));
-    Result.m_WorkLeftSeconds = secondsOf(Whole);
-    return Result;
-  }
-  const TrackedRun &Tracked = It->second;
   Result.m_Started = true;
   const int32_t PercentGained = Tracked.m_Percent - Tracked.m_FirstPercent;
   const double LeftShare = (100 - std::min(Tracked.m_Percent, 100)) / 100.0;
@@ -422,9 +420,11 @@
         Duration(std::llround(LeftShare * 100 * PerPercent * 1'000'000));
     HealthySeconds = 100 * PerPercent / Slowdown;
   }
-  Result.m_EndsAt =
-      std::max(Now + MinRemaining, Tracked.m_PercentAt + Remaining);
   Result.m_Stalled = Tracked.m_StallReported;
+  Result.m_EndsAt =
+      Result.m_Stalled
+          ? NoKnownEnd
+          : std::max(Now + MinRemaining, Tracked.m_PercentAt + Remaining);
   // A stop saves the progress of a task that writes checkpoints.
   Result.m_UnsavedSeconds =
       Spec.checkpointing ? 0
@@ -435,4 +435,27 @@
   return Result;
 }
 
+RunForecast RunTracker::forecast(const wire::JobRecord &Job,
+                                 const wire::TaskRef &Ref,
+                                 const wire::TaskRecord &Task,
+                                 TimePoint Now) const {
+  const wire::StepSpec &Spec = Job.spec.steps[static_cast<size_t>(Ref.step)];
+  const Duration Whole = expectedTime(Job, Ref);
+  const double Slowdown = m_Health.slowdown(Task.worker, Now);
+  const auto It = m_Runs.find(taskOf(Ref));
+  const bool Known = It != m_Runs.end() && It->second.m_Run == Task.run;
+  RunForecast Result;
+  if (Known && It->second.m_Started) {
+    Result = forecastStarted(Spec, It->second, Whole, Slowdown, Now);
+  } else {
+    const TimePoint PlacedAt = Known ? It->second.m_PlacedAt : Now;
+    Result = forecastUnstarted(scaled(Whole, Slowdown), PlacedAt, Now);
+    Result.m_WorkLeftSeconds = secondsOf(Whole);
+  }
+  // The percent of a task that lasts is 100 while it is at work.
+  if (Spec.longRunning)
+    Result.m_EndsAt = NoKnownEnd;
+  return Result;
+}
+
 } // namespace anvil::dispatch::internal
--- a/src/dispatch/RunTracker.h
+++ b/src/dispatch/RunTracker.h
@@ -17,9 +17,13 @@
 
 namespace anvil::dispatch::internal {
 
+/// End of a run of which nothing tells when it ends: it lasts until it is
+/// stopped, or it makes no progress. Nothing can be planned for after it.
+inline constexpr TimePoint NoKnownEnd = TimePoint::max();
+
 /// Forecast of a run that is placed on a worker.
 struct RunForecast {
-  TimePoint m_EndsAt;
+  TimePoint m_EndsAt; ///< May be NoKnownEnd.
   /// Seconds of work that a stop would lose.
   double m_UnsavedSeconds = 0;
   /// Seconds of work left on a healthy worker if it continued from what is
@@ -128,6 +132,11 @@
   void recordStepSpeeds(const std::map<StepKey, StepSpeeds> &Steps,
                         TimePoint Now);
   SpeedEvidence evidenceOf(const StepSpeeds &All, const StepSpeed &Speed) const;
+  static RunForecast forecastUnstarted(Duration Expected, TimePoint PlacedAt,
+                                       TimePoint Now);
+  static RunForecast forecastStarted(const wire::StepSpec &Spec,
+                                     const TrackedRun &Tracked, Duration Whole,
+                                     double Slowdown, TimePoint Now);
   static double speedOf(const TrackedRun &Tracked);
   void checkProgress(const wire::JobRecord &Job, const wire::TaskRef &Ref,
                      TrackedRun &Tracked, TimePoint Now);
--- a/tests/dispatch/PlacerTest.cpp
+++ b/tests/dispatch/PlacerTest.cpp
@@ -96,6 +96,22 @@
   BOOST_TEST(place().has_value());
 }
 
+// Guards against a task that lasts taking room that a gang will need: placed by
+// its estimate, it seemed to be over before the gang starts. It is not kept
+// waiting for the gang either, since it must be up all the time.
+BOOST_AUTO_TEST_CASE(KeepsALongRunningTaskOffReservedRoomForAShortTime) {
+  Reservation Whole;
+  Whole.m_From = Now + 2 * m_Step.m_Expected;
+  Whole.m_Amounts.accelerators = 8;
+  for (WorkerView &Each : m_Views)
+    Each.m_Reservations = {Whole};
+  BOOST_TEST(place().has_value());
+  m_Spec.longRunning = true;
+  BOOST_TEST(!place().has_value());
+  m_Step.m_Waited = std::chrono::seconds(2);
+  BOOST_TEST(place().has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace anvil::dispatch::internal
--- a/tests/dispatch/WaitingStepTest.cpp
+++ b/tests/dispatch/WaitingStepTest.cpp
@@ -9,6 +9,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// Work of a task that gains no percent within a test.
+constexpr Duration NoVisibleProgress = std::chrono::hours(100);
+
 JobPlan jobOf(const std::string &Id, const std::string &Queue,
               Duration SubmitAfter, int32_t Accelerators, Duration Work) {
   return plainJob(Id, Queue, SubmitAfter, plainStep(1, Accelerators), Work);
@@ -66,6 +69,51 @@
              "took " << Took.count() / 1000 << " ms");
 }
 
+// Guards against small jobs that never start, although most of the service is
+// free, because a gang waits for workers on which tasks last: those were
+// expected to end at any moment, so the gang reserved their workers for good.
+BOOST_AUTO_TEST_CASE(StartsSmallJobsBesideAGangThatWaitsForTasksThatLast) {
+  SimCluster Cluster(SimClusterOptions(), smallPolicy(), smallFleet());
+  wire::StepSpec Lasting = plainStep(6, 2);
+  Lasting.longRunning = true;
+  Lasting.maxTasksPerWorker = 1;
+  Cluster.add(
+      plainJob("lasting", "recon", milliseconds(500), Lasting, seconds(1)));
+  wire::StepSpec Gang = plainStep(6, 8);
+  Gang.gang = true;
+  Cluster.add(plainJob("gang", "batch", seconds(4), Gang, seconds(8)));
+  Cluster.add(
+      plainJob("small", "recon", seconds(5), plainStep(2, 1), seconds(3)));
+  Cluster.run(seconds(20));
+  const JobResult &Small = Cluster.results().back();
+  BOOST_REQUIRE((Small.m_Phase == wire::JobPhase::COMPLETED));
+  const Duration Wait = Small.m_FirstStartAt - Small.m_SentAt;
+  BOOST_TEST((Wait <= seconds(1)), "waited " << Wait.count() / 1000 << " ms");
+}
+
+// Guards against free workers that nobody may use for as long as a run stands
+// still elsewhere: it was expected to end at any moment, so a gang that needs
+// its worker too reserved all of them.
+BOOST_AUTO_TEST_CASE(StartsSmallJobsBesideAGangThatWaitsForAStalledOne) {
+  SimCluster Cluster(SimClusterOptions(), smallPolicy(), smallFleet());
+  wire::StepSpec Stalled = plainStep(4, 8);
+  Stalled.gang = true;
+  JobPlan StalledJob =
+      plainJob("stalled", "batch", milliseconds(500), Stalled, seconds(6));
+  StalledJob.m_Work = {std::vector<Duration>(4, NoVisibleProgress)};
+  Cluster.add(StalledJob);
+  wire::StepSpec Gang = plainStep(6, 8);
+  Gang.gang = true;
+  Cluster.add(plainJob("gang", "batch", seconds(12), Gang, seconds(8)));
+  Cluster.add(
+      plainJob("small", "recon", seconds(13), plainStep(1, 1), seconds(3)));
+  Cluster.run(seconds(20));
+  const JobResult &Small = Cluster.results().back();
+  BOOST_REQUIRE((Small.m_Phase == wire::JobPhase::COMPLETED));
+  const Duration Wait = Small.m_FirstStartAt - Small.m_SentAt;
+  BOOST_TEST((Wait <= seconds(1)), "waited " << Wait.count() / 1000 << " ms");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace anvil::sim
--- a/tests/dispatch/sim/SimWorkers.cpp
+++ b/tests/dispatch/sim/SimWorkers.cpp
@@ -105,8 +105,8 @@
     Listed.m_Task = Run.m_Task;
     Listed.m_Run = Run.m_Run;
     Listed.m_Checkpoint = checkpointOf(Run);
-    Listed.m_Percent = static_cast<int32_t>(100 * progressOf(Run) /
-                                            std::max(Run.m_Work, 1e-3));
+    Listed.m_Percent = static_cast<int32_t>(
+        std::min(100.0, 100 * progressOf(Run) / std::max(Run.m_Work, 1e-3)));
     Answer.m_Runs.push_back(Listed);
   }
   Answer.m_Ends = m_Ends;
@@ -424,7 +424,11 @@
 
 void SimWorkers::scheduleFinish(SimWorker &Worker, const TaskKey &Key) {
   SimWorker::Run &Run = Worker.m_Runs.at(Key);
-  if (Run.m_Rate <= 0)
+  const wire::StepSpec &Step =
+      planOf(Run.m_Task.jobId)
+          ->m_Spec.steps[static_cast<size_t>(Run.m_Task.step)];
+  // A task that lasts runs until it is stopped.
+  if (Run.m_Rate <= 0 || (Step.longRunning && !Run.m_Fails))
     return;
   const double Until =
       Run.m_Fails ? std::min(Run.m_FailsAfter, Run.m_Work) : Run.m_Work;
