dispatch: Lend reserved room to a job that is held back for long

Callers could wait for the length of a long run in a service that is mostly free: a run of 60 s on one worker, a gang that needs all six, and no task of 90 s started for 55 s with one of 48 accelerators in use.

Cause: a reservation keeps every less urgent task off its workers that would still run when it begins, however far away that is and however much is idle.

Change: a less urgent job of which nothing runs yields to reservations for at most 2 s while less than half of each resource of its service is in use. Then one task, or its gang, starts on reserved room. The reservation goes on to count that room as its own, and the waiting step stops such runs as soon as that lets it start. Without the latter, a stream of small jobs kept a gang from ever starting in the test below.

Ruled out: counting cores and accelerators together as use. A service without free accelerators then counted as mostly free, and a whole-worker task never started among small ones (existing test).

Open: jobs of the same priority as the step with the reservation still wait.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -46,6 +46,11 @@
 // own.
 constexpr double MaxLostShare = 0.5;
 
+// A job of which nothing runs yields to reservations for at most this long
+// while less than this share of its service is in use.
+constexpr Duration MaxHeldBack = std::chrono::seconds(2);
+constexpr double MostlyFreeShare = 0.5;
+
 // A new leader knows the runs and the free room of a worker once its agent has
 // synced. It stops no run until all agents did, or for at most this long.
 constexpr Duration MaxSettleTime = std::chrono::milliseconds(1000);
@@ -107,6 +112,10 @@
 private:
   void move(const std::vector<internal::Move> &Moves);
   void place(WaitingStep Step);
+  void placeGang(const WaitingStep &Step);
+  void placeTasks(const WaitingStep &Step);
+  bool isHeldBackTooLong(const WaitingStep &Step) const;
+  bool isMostlyFree(const std::string &Service) const;
   void startChosen(const WaitingStep &Step, const StepPlacement &Chosen,
                    std::string_view Reason);
   void makeRoom(const WaitingStep &Step, int32_t Count);
@@ -131,6 +140,8 @@
   Placer m_Placer;
   Preemption m_Preemption;
   int m_Reservations = 0;
+  /// Lowest priority (highest number) of a step that has a reservation.
+  int32_t m_LeastUrgentReserving = 0;
   /// While not settled: the priority of the first step that found no room. Less
   /// urgent steps must not take what more workers will offer.
   std::optional<int32_t> m_WaitingPriority;
@@ -177,24 +188,89 @@
   Step.m_MaxSuspicion = m_Placer.suspicionLimit(Step);
   if (Step.m_Spec->gang) {
     Step.m_OneRack = Step.m_Spec->rackLocal && m_Placer.fitsSomeRack(Step);
-    if (const std::optional<StepPlacement> Chosen = m_Placer.placeGang(Step)) {
-      startChosen(Step, *Chosen, "the gang fits");
-      return;
-    }
+    placeGang(Step);
+  } else {
+    placeTasks(Step);
+  }
+}
+
+void Planner::placeGang(const WaitingStep &Step) {
+  std::optional<StepPlacement> Chosen = m_Placer.placeGang(Step);
+  std::string_view Reason = "the gang fits";
+  if (!Chosen && isHeldBackTooLong(Step)) {
+    WaitingStep HeldBack = Step;
+    HeldBack.m_MayTakeReserved = true;
+    Chosen = m_Placer.placeGang(HeldBack);
+    Reason = internal::LentRoomReason;
+  }
+  if (Chosen)
+    startChosen(Step, *Chosen, Reason);
+  else
     makeRoom(Step, Step.m_Spec->tasks);
-    return;
+}
+
+void Planner::placeTasks(const WaitingStep &Step) {
+  StepPlacement Chosen = m_Placer.placeTasks(Step);
+  std::string_view Reason = "room is free";
+  if (Chosen.m_Shares.empty() && isHeldBackTooLong(Step)) {
+    WaitingStep HeldBack = Step;
+    HeldBack.m_MayTakeReserved = true;
+    // One task keeps the job going; the others still yield to reservations.
+    HeldBack.m_Indexes.resize(1);
+    Chosen = m_Placer.placeTasks(HeldBack);
+    Reason = internal::LentRoomReason;
   }
-  const StepPlacement Chosen = m_Placer.placeTasks(Step);
   int32_t Placed = 0;
   for (const internal::Share &Each : Chosen.m_Shares)
     Placed += Each.m_Tasks;
   if (Placed > 0)
-    startChosen(Step, Chosen, "room is free");
+    startChosen(Step, Chosen, Reason);
   const auto Left = static_cast<int32_t>(Step.m_Indexes.size()) - Placed;
   if (Left > 0)
     makeRoom(Step, Left);
 }
 
+// A reservation can hold room free for as long as the longest run that it waits
+// for, and forecasts of runs may be wrong. So it must not stop a whole job for
+// long while most of the service is idle. The room is lent only to less urgent
+// jobs, whose runs the reserving step stops once that lets it start.
+bool Planner::isHeldBackTooLong(const WaitingStep &Step) const {
+  return m_Reservations > 0 && Step.m_Job->priority > m_LeastUrgentReserving &&
+         Step.m_Waited >= MaxHeldBack && Step.m_Job->activeRuns == 0 &&
+         isMostlyFree(Step.m_Job->serviceName);
+}
+
+// The resource of which the largest share is taken counts: a service without
+// free accelerators is in full use, however many cores it has left.
+bool Planner::isMostlyFree(const std::string &Service) const {
+  struct Sums {
+    int64_t m_Capacity = 0;
+    int64_t m_Free = 0;
+
+    void add(int32_t Capacity, int32_t Free) {
+      m_Capacity += Capacity;
+      m_Free += Free;
+    }
+    bool mostlyFree() const {
+      return m_Capacity == 0 ||
+             static_cast<double>(m_Free) >
+                 (1 - MostlyFreeShare) * static_cast<double>(m_Capacity);
+    }
+  };
+  Sums Cores;
+  Sums Memory;
+  Sums Accelerators;
+  for (const WorkerView &Worker : m_Fleet.workers()) {
+    if (!Worker.m_Usable || Worker.info().serviceName != Service)
+      continue;
+    const wire::ResourceAmounts &Capacity = Worker.info().capacity;
+    Cores.add(Capacity.milliCores, Worker.m_Free.milliCores);
+    Memory.add(Capacity.memoryMib, Worker.m_Free.memoryMib);
+    Accelerators.add(Capacity.accelerators, Worker.m_Free.accelerators);
+  }
+  return Cores.mostlyFree() && Memory.mostlyFree() && Accelerators.mostlyFree();
+}
+
 void Planner::startChosen(const WaitingStep &Step, const StepPlacement &Chosen,
                           std::string_view Reason) {
   m_Placer.take(Step, Chosen);
@@ -251,14 +327,15 @@
   const EvictionScope Scope =
       Step.m_Job->priority == 0 || m_Guarantees.covers(*Step.m_Job)
           ? EvictionScope::LessUrgentRuns
-          : EvictionScope::StoppingRuns;
+          : EvictionScope::LentRoom;
   if (const std::optional<Eviction> Found =
           m_Preemption.find(Step, Count, Scope)) {
     if (Found->m_Victims.empty() && isFreeNow(Step, *Found)) {
       startChosen(Step, Found->m_Placement, "no rack has room");
       return;
     }
-    if (Found->m_Victims.empty() || mayEvict(Step, *Found)) {
+    if (Found->m_Victims.empty() || Scope == EvictionScope::LentRoom ||
+        mayEvict(Step, *Found)) {
       m_Preemption.reserve(Step, *Found);
       stop(Found->m_Victims, "room for more urgent work");
       return;
@@ -304,7 +381,7 @@
   std::vector<TimePoint> Ends;
   for (const size_t I : m_Fleet.inRack(Rack))
     for (const internal::RunView &Run : m_Fleet.workers()[I].m_Runs)
-      if (Run.m_Forecast.m_EndsAt != NoKnownEnd)
+      if (Run.m_Forecast.m_EndsAt != NoKnownEnd && !Run.m_Forecast.m_OnLentRoom)
         Ends.push_back(Run.m_Forecast.m_EndsAt);
   std::sort(Ends.begin(), Ends.end());
   // Room only grows with the time.
@@ -350,6 +427,8 @@
   if (!Best)
     return;
   ++m_Reservations;
+  m_LeastUrgentReserving =
+      std::max(m_LeastUrgentReserving, Step.m_Job->priority);
   const wire::ResourceAmounts Need = workload::countedAmounts(*Step.m_Spec);
   for (const auto &[Index, Tasks] : BestTaskCounts) {
     Reservation New;
--- a/src/dispatch/Fleet.cpp
+++ b/src/dispatch/Fleet.cpp
@@ -35,7 +35,8 @@
 wire::ResourceAmounts WorkerView::freeAt(TimePoint When) const {
   wire::ResourceAmounts Result = m_Free;
   for (const RunView &Run : m_Runs)
-    if (Run.m_Stopping || Run.m_Forecast.m_EndsAt <= When)
+    if (Run.m_Stopping || Run.m_Forecast.m_OnLentRoom ||
+        Run.m_Forecast.m_EndsAt <= When)
       add(Result, Run.m_Amounts);
   subtract(Result, m_Promised);
   return Result;
--- a/src/dispatch/Fleet.h
+++ b/src/dispatch/Fleet.h
@@ -55,7 +55,8 @@
   std::vector<Reservation> m_Reservations;
 
   const wire::WorkerInfo &info() const { return m_Record->info; }
-  /// Returns what is free at \p When if nothing else starts until then.
+  /// Returns what a reservation can count on at \p When: what is free then if
+  /// nothing else starts, and lent room.
   wire::ResourceAmounts freeAt(TimePoint When) const;
 };
 
--- a/src/dispatch/Placer.cpp
+++ b/src/dispatch/Placer.cpp
@@ -162,11 +162,10 @@
   return {Racks.begin(), Racks.end()};
 }
 
-// Reservations bind a task until this time. One that must start anywhere does
-// not wait for them; any other one that lasts would be in the way of all.
+// Returns until when a task started now would be in the way of reservations.
 TimePoint Placer::endOn(const WorkerView &Worker,
                         const WaitingStep &Step) const {
-  if (mustStartAnywhere(Step))
+  if (Step.m_MayTakeReserved || mustStartAnywhere(Step))
     return m_Fleet.now();
   if (Step.m_Spec->longRunning)
     return NoKnownEnd;
--- a/src/dispatch/Placer.h
+++ b/src/dispatch/Placer.h
@@ -33,6 +33,8 @@
   double m_MaxSuspicion = 0;
   /// Time since a plan first saw the step ready to start.
   Duration m_Waited{0};
+  /// Its tasks may take resources that are reserved for other steps.
+  bool m_MayTakeReserved = false;
 };
 
 /// How many tasks go to a worker; m_Worker is an index of Fleet::workers().
--- a/src/dispatch/Preemption.cpp
+++ b/src/dispatch/Preemption.cpp
@@ -50,6 +50,14 @@
          (StopCost + coresOf(Run.m_Amounts) * Run.m_Forecast.m_UnsavedSeconds);
 }
 
+bool Preemption::mayStop(const RunView &Run, const WaitingStep &Step,
+                         EvictionScope Scope) {
+  return !Run.m_Stopping && !Run.m_Spec->longRunning &&
+         Run.m_Job->priority > Step.m_Job->priority &&
+         (Scope == EvictionScope::LessUrgentRuns ||
+          Run.m_Forecast.m_OnLentRoom);
+}
+
 // Adds the run that frees the most missing resources for its cost until there
 // is enough, then drops the runs that turn out not to be needed.
 std::optional<Preemption::Victims>
@@ -63,17 +71,13 @@
   for (const Reservation &Each : Worker.m_Reservations)
     subtract(Has, Each.m_Amounts);
   Victims Result;
-  if (Scope == EvictionScope::StoppingRuns && !covers(Has, Wants))
-    return std::nullopt;
   std::set<size_t> Taken;
   while (!covers(Has, Wants)) {
     std::optional<size_t> Best;
     double BestValue = 0;
     for (size_t I = 0; I < Worker.m_Runs.size(); ++I) {
       const RunView &Run = Worker.m_Runs[I];
-      if (Run.m_Stopping || Taken.contains(I) ||
-          Run.m_Job->priority <= Step.m_Job->priority ||
-          Run.m_Spec->longRunning)
+      if (Taken.contains(I) || !mayStop(Run, Step, Scope))
         continue;
       const double Value =
           usefulness(Run.m_Amounts, missingOf(Wants, Has)) / costOf(Run);
--- a/src/dispatch/Preemption.h
+++ b/src/dispatch/Preemption.h
@@ -22,8 +22,9 @@
 
 /// Where room may come from.
 enum class EvictionScope {
-  StoppingRuns,   ///< Only from runs that are being stopped already.
-  LessUrgentRuns, ///< Also from runs of less urgent jobs.
+  LentRoom,       ///< Only from runs that are being stopped already, and from
+                  ///< less urgent ones on lent room.
+  LessUrgentRuns, ///< Also from all other less urgent runs.
 };
 
 /// Finds a cheap set of less urgent runs whose resources make room for a step.
@@ -55,6 +56,8 @@
   std::optional<Eviction> findIn(const WaitingStep &Step,
                                  const std::string &Rack, int32_t Count,
                                  EvictionScope Scope) const;
+  static bool mayStop(const RunView &Run, const WaitingStep &Step,
+                      EvictionScope Scope);
   double costOf(const RunView &Run) const;
 
   Fleet &m_Fleet;
--- a/src/dispatch/RunTracker.cpp
+++ b/src/dispatch/RunTracker.cpp
@@ -98,6 +98,7 @@
   New.m_Run = Event.m_Run;
   New.m_Worker = Event.m_Worker;
   New.m_PlacedAt = Now;
+  New.m_OnLentRoom = Event.m_Reason == LentRoomReason;
   const wire::TaskRecord *Task = State.task(Event.m_Task);
   New.m_FromStart = Task && Task->checkpoint.empty();
   m_Runs[taskOf(Event.m_Task)] = New;
@@ -452,6 +453,7 @@
     Result = forecastUnstarted(scaled(Whole, Slowdown), PlacedAt, Now);
     Result.m_WorkLeftSeconds = secondsOf(Whole);
   }
+  Result.m_OnLentRoom = Known && It->second.m_OnLentRoom;
   // The percent of a task that lasts is 100 while it is at work.
   if (Spec.longRunning)
     Result.m_EndsAt = NoKnownEnd;
--- a/src/dispatch/RunTracker.h
+++ b/src/dispatch/RunTracker.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 
 #include "RunTimes.h"
@@ -32,8 +33,14 @@
   /// Its progress has not changed for longer than that of a working task does.
   bool m_Stalled = false;
   bool m_Started = false;
+  /// It was placed on room that is reserved for a more urgent step, which may
+  /// have it back; see LentRoomReason.
+  bool m_OnLentRoom = false;
 };
 
+/// Reason with which a run is placed on reserved room that is lent to it.
+inline constexpr std::string_view LentRoomReason = "held back too long";
+
 /// Follows the progress of all runs, records how long tasks take and how
 /// workers perform, and forecasts when runs end.
 class RunTracker {
@@ -66,6 +73,7 @@
     int64_t m_Run = 0;
     wire::WorkerIncarnation m_Worker;
     TimePoint m_PlacedAt;
+    bool m_OnLentRoom = false;
     bool m_FromStart = true; ///< It did not continue from a checkpoint.
     bool m_Started = false;
     TimePoint m_StartedAt;
--- a/tests/dispatch/WaitingStepTest.cpp
+++ b/tests/dispatch/WaitingStepTest.cpp
@@ -114,6 +114,50 @@
   BOOST_TEST((Wait <= seconds(1)), "waited " << Wait.count() / 1000 << " ms");
 }
 
+// Guards against jobs that wait for the length of a long run while most of the
+// service is idle: a gang waits for one worker, reserves all of them from the
+// end of the run there, and longer tasks may not start before.
+BOOST_AUTO_TEST_CASE(HoldsBackNoWholeJobForLongInAServiceThatIsMostlyFree) {
+  SimCluster Cluster(SimClusterOptions(), smallPolicy(), smallFleet());
+  Cluster.add(plainJob("long", "recon", milliseconds(500), plainStep(1, 1),
+                       seconds(60)));
+  wire::StepSpec Gang = plainStep(6, 8);
+  Gang.gang = true;
+  Cluster.add(plainJob("gang", "batch", seconds(4), Gang, seconds(8)));
+  Cluster.add(
+      plainJob("longer", "recon", seconds(5), plainStep(9, 1), seconds(90)));
+  wire::StepSpec Pair = plainStep(2, 2);
+  Pair.gang = true;
+  Cluster.add(plainJob("pair", "recon", seconds(6), Pair, seconds(90)));
+  Cluster.run(seconds(20));
+  for (size_t I = 2; I < Cluster.results().size(); ++I) {
+    const JobResult &Result = Cluster.results()[I];
+    const Duration Wait = Result.m_FirstStartAt - Result.m_SentAt;
+    BOOST_TEST((Result.m_FirstStartAt > Result.m_SentAt && Wait < seconds(3)),
+               Result.m_Plan->m_Id << " waited " << Wait.count() / 1000
+                                   << " ms");
+  }
+}
+
+// Guards against a gang that never starts in a service that is mostly free,
+// because each job of a stream of small ones gets a part of the room that is
+// reserved for it.
+BOOST_AUTO_TEST_CASE(AGangGetsLentRoomBackFromAStreamOfSmallJobs) {
+  SimCluster Cluster(SimClusterOptions(), smallPolicy(), smallFleet());
+  for (int I = 0; I < 60; ++I)
+    Cluster.add(jobOf("small-" + std::to_string(I), "recon",
+                      milliseconds(500 * (I + 1)), 1, seconds(10)));
+  wire::StepSpec Gang = plainStep(6, 8);
+  Gang.gang = true;
+  Cluster.add(plainJob("gang", "batch", seconds(8), Gang, seconds(2)));
+  Cluster.run(seconds(32));
+  const JobResult &Result = Cluster.results().back();
+  BOOST_REQUIRE((Result.m_Phase == wire::JobPhase::COMPLETED));
+  const Duration Wait = Result.m_FirstStartAt - Result.m_SentAt;
+  // The runs that it found end within their own time.
+  BOOST_TEST((Wait <= seconds(12)), "waited " << Wait.count() / 1000 << " ms");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace anvil::sim
