--- a/gen/workload_types.cpp
+++ b/gen/workload_types.cpp
@@ -132,7 +132,8 @@
   WorkloadStatus::NO_JOB,
   WorkloadStatus::OVERLOADED,
   WorkloadStatus::NOT_READY,
-  WorkloadStatus::UNKNOWN
+  WorkloadStatus::UNKNOWN,
+  WorkloadStatus::OUTDATED
 };
 const char* _kWorkloadStatusNames[] = {
   "OK",
@@ -144,9 +145,10 @@
   "NO_JOB",
   "OVERLOADED",
   "NOT_READY",
-  "UNKNOWN"
+  "UNKNOWN",
+  "OUTDATED"
 };
-const std::map<int, const char*> _WorkloadStatus_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(10, _kWorkloadStatusValues, _kWorkloadStatusNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _WorkloadStatus_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(11, _kWorkloadStatusValues, _kWorkloadStatusNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const WorkloadStatus::type& val) {
   std::map<int, const char*>::const_iterator it = _WorkloadStatus_VALUES_TO_NAMES.find(val);
@@ -5876,6 +5878,10 @@
 void WorkloadSnapshot::__set_formerWorkers(const std::vector<WorkerRecord> & val) {
   this->formerWorkers = val;
 }
+
+void WorkloadSnapshot::__set_zoneRevision(const int64_t val) {
+  this->zoneRevision = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkloadSnapshot& obj)
 {
   obj.printTo(out);
@@ -6060,6 +6066,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->zoneRevision);
+          this->__isset.zoneRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6169,6 +6183,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("zoneRevision", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->zoneRevision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6185,6 +6203,7 @@
   swap(a.workers, b.workers);
   swap(a.waves, b.waves);
   swap(a.formerWorkers, b.formerWorkers);
+  swap(a.zoneRevision, b.zoneRevision);
   swap(a.__isset, b.__isset);
 }
 
@@ -6198,6 +6217,7 @@
   workers = other255.workers;
   waves = other255.waves;
   formerWorkers = other255.formerWorkers;
+  zoneRevision = other255.zoneRevision;
   __isset = other255.__isset;
 }
 WorkloadSnapshot::WorkloadSnapshot(WorkloadSnapshot&& other256) noexcept {
@@ -6210,6 +6230,7 @@
   workers = std::move(other256.workers);
   waves = std::move(other256.waves);
   formerWorkers = std::move(other256.formerWorkers);
+  zoneRevision = other256.zoneRevision;
   __isset = other256.__isset;
 }
 WorkloadSnapshot& WorkloadSnapshot::operator=(const WorkloadSnapshot& other257) {
@@ -6222,6 +6243,7 @@
   workers = other257.workers;
   waves = other257.waves;
   formerWorkers = other257.formerWorkers;
+  zoneRevision = other257.zoneRevision;
   __isset = other257.__isset;
   return *this;
 }
@@ -6235,6 +6257,7 @@
   workers = std::move(other258.workers);
   waves = std::move(other258.waves);
   formerWorkers = std::move(other258.formerWorkers);
+  zoneRevision = other258.zoneRevision;
   __isset = other258.__isset;
   return *this;
 }
@@ -6250,6 +6273,7 @@
   out << ", " << "workers=" << to_string(workers);
   out << ", " << "waves=" << to_string(waves);
   out << ", " << "formerWorkers=" << to_string(formerWorkers);
+  out << ", " << "zoneRevision=" << to_string(zoneRevision);
   out << ")";
 }
 
@@ -6366,6 +6390,11 @@
 void SetZone::__set_withdrawn(const bool val) {
   this->withdrawn = val;
 }
+
+void SetZone::__set_basedOnRevision(const int64_t val) {
+  this->basedOnRevision = val;
+__isset.basedOnRevision = true;
+}
 std::ostream& operator<<(std::ostream& out, const SetZone& obj)
 {
   obj.printTo(out);
@@ -6410,6 +6439,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->basedOnRevision);
+          this->__isset.basedOnRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6435,6 +6472,11 @@
   xfer += oprot->writeBool(this->withdrawn);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.basedOnRevision) {
+    xfer += oprot->writeFieldBegin("basedOnRevision", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->basedOnRevision);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6444,28 +6486,33 @@
   using ::std::swap;
   swap(a.availabilityZone, b.availabilityZone);
   swap(a.withdrawn, b.withdrawn);
+  swap(a.basedOnRevision, b.basedOnRevision);
   swap(a.__isset, b.__isset);
 }
 
 SetZone::SetZone(const SetZone& other263) {
   availabilityZone = other263.availabilityZone;
   withdrawn = other263.withdrawn;
+  basedOnRevision = other263.basedOnRevision;
   __isset = other263.__isset;
 }
 SetZone::SetZone(SetZone&& other264) noexcept {
   availabilityZone = std::move(other264.availabilityZone);
   withdrawn = other264.withdrawn;
+  basedOnRevision = other264.basedOnRevision;
   __isset = other264.__isset;
 }
 SetZone& SetZone::operator=(const SetZone& other265) {
   availabilityZone = other265.availabilityZone;
   withdrawn = other265.withdrawn;
+  basedOnRevision = other265.basedOnRevision;
   __isset = other265.__isset;
   return *this;
 }
 SetZone& SetZone::operator=(SetZone&& other266) noexcept {
   availabilityZone = std::move(other266.availabilityZone);
   withdrawn = other266.withdrawn;
+  basedOnRevision = other266.basedOnRevision;
   __isset = other266.__isset;
   return *this;
 }
@@ -6474,6 +6521,7 @@
   out << "SetZone(";
   out << "availabilityZone=" << to_string(availabilityZone);
   out << ", " << "withdrawn=" << to_string(withdrawn);
+  out << ", " << "basedOnRevision="; (__isset.basedOnRevision ? (out << to_string(basedOnRevision)) : (out << "<null>"));
   out << ")";
 }
 
@@ -9189,6 +9237,11 @@
   this->leavingReplica = val;
 __isset.leavingReplica = true;
 }
+
+void WorkloadCall::__set_getZoneRevision(const bool val) {
+  this->getZoneRevision = val;
+__isset.getZoneRevision = true;
+}
 std::ostream& operator<<(std::ostream& out, const WorkloadCall& obj)
 {
   obj.printTo(out);
@@ -9321,6 +9374,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->getZoneRevision);
+          this->__isset.getZoneRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9400,6 +9461,11 @@
     xfer += oprot->writeI64(this->leavingReplica);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.getZoneRevision) {
+    xfer += oprot->writeFieldBegin("getZoneRevision", ::apache::thrift::protocol::T_BOOL, 20);
+    xfer += oprot->writeBool(this->getZoneRevision);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9420,6 +9486,7 @@
   swap(a.startWave, b.startWave);
   swap(a.waveState, b.waveState);
   swap(a.leavingReplica, b.leavingReplica);
+  swap(a.getZoneRevision, b.getZoneRevision);
   swap(a.__isset, b.__isset);
 }
 
@@ -9437,6 +9504,7 @@
   startWave = other368.startWave;
   waveState = other368.waveState;
   leavingReplica = other368.leavingReplica;
+  getZoneRevision = other368.getZoneRevision;
   __isset = other368.__isset;
 }
 WorkloadCall::WorkloadCall(WorkloadCall&& other369) noexcept {
@@ -9453,6 +9521,7 @@
   startWave = std::move(other369.startWave);
   waveState = other369.waveState;
   leavingReplica = other369.leavingReplica;
+  getZoneRevision = other369.getZoneRevision;
   __isset = other369.__isset;
 }
 WorkloadCall& WorkloadCall::operator=(const WorkloadCall& other370) {
@@ -9469,6 +9538,7 @@
   startWave = other370.startWave;
   waveState = other370.waveState;
   leavingReplica = other370.leavingReplica;
+  getZoneRevision = other370.getZoneRevision;
   __isset = other370.__isset;
   return *this;
 }
@@ -9486,6 +9556,7 @@
   startWave = std::move(other371.startWave);
   waveState = other371.waveState;
   leavingReplica = other371.leavingReplica;
+  getZoneRevision = other371.getZoneRevision;
   __isset = other371.__isset;
   return *this;
 }
@@ -9505,6 +9576,7 @@
   out << ", " << "startWave="; (__isset.startWave ? (out << to_string(startWave)) : (out << "<null>"));
   out << ", " << "waveState="; (__isset.waveState ? (out << to_string(waveState)) : (out << "<null>"));
   out << ", " << "leavingReplica="; (__isset.leavingReplica ? (out << to_string(leavingReplica)) : (out << "<null>"));
+  out << ", " << "getZoneRevision="; (__isset.getZoneRevision ? (out << to_string(getZoneRevision)) : (out << "<null>"));
   out << ")";
 }
 
@@ -9536,6 +9608,10 @@
 void WorkloadReply::__set_waveCompleted(const bool val) {
   this->waveCompleted = val;
 }
+
+void WorkloadReply::__set_zoneRevision(const int64_t val) {
+  this->zoneRevision = val;
+}
 std::ostream& operator<<(std::ostream& out, const WorkloadReply& obj)
 {
   obj.printTo(out);
@@ -9614,6 +9690,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->zoneRevision);
+          this->__isset.zoneRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9655,6 +9739,10 @@
   xfer += oprot->writeBool(this->waveCompleted);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("zoneRevision", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->zoneRevision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9668,6 +9756,7 @@
   swap(a.phase, b.phase);
   swap(a.source, b.source);
   swap(a.waveCompleted, b.waveCompleted);
+  swap(a.zoneRevision, b.zoneRevision);
   swap(a.__isset, b.__isset);
 }
 
@@ -9678,6 +9767,7 @@
   phase = other373.phase;
   source = other373.source;
   waveCompleted = other373.waveCompleted;
+  zoneRevision = other373.zoneRevision;
   __isset = other373.__isset;
 }
 WorkloadReply::WorkloadReply(WorkloadReply&& other374) noexcept {
@@ -9687,6 +9777,7 @@
   phase = other374.phase;
   source = std::move(other374.source);
   waveCompleted = other374.waveCompleted;
+  zoneRevision = other374.zoneRevision;
   __isset = other374.__isset;
 }
 WorkloadReply& WorkloadReply::operator=(const WorkloadReply& other375) {
@@ -9696,6 +9787,7 @@
   phase = other375.phase;
   source = other375.source;
   waveCompleted = other375.waveCompleted;
+  zoneRevision = other375.zoneRevision;
   __isset = other375.__isset;
   return *this;
 }
@@ -9706,6 +9798,7 @@
   phase = other376.phase;
   source = std::move(other376.source);
   waveCompleted = other376.waveCompleted;
+  zoneRevision = other376.zoneRevision;
   __isset = other376.__isset;
   return *this;
 }
@@ -9718,6 +9811,7 @@
   out << ", " << "phase=" << to_string(phase);
   out << ", " << "source=" << to_string(source);
   out << ", " << "waveCompleted=" << to_string(waveCompleted);
+  out << ", " << "zoneRevision=" << to_string(zoneRevision);
   out << ")";
 }
 
--- a/gen/workload_types.h
+++ b/gen/workload_types.h
@@ -82,7 +82,8 @@
     NO_JOB = 7,
     OVERLOADED = 8,
     NOT_READY = 9,
-    UNKNOWN = 10
+    UNKNOWN = 10,
+    OUTDATED = 11
   };
 };
 
@@ -2184,7 +2185,7 @@
 std::ostream& operator<<(std::ostream& out, const WaveRecord& obj);
 
 typedef struct _WorkloadSnapshot__isset {
-  _WorkloadSnapshot__isset() : appliedIndex(false), policy(false), withdrawnZones(false), replicas(false), jobs(false), endedJobIds(false), workers(false), waves(false), formerWorkers(false) {}
+  _WorkloadSnapshot__isset() : appliedIndex(false), policy(false), withdrawnZones(false), replicas(false), jobs(false), endedJobIds(false), workers(false), waves(false), formerWorkers(false), zoneRevision(false) {}
   bool appliedIndex :1;
   bool policy :1;
   bool withdrawnZones :1;
@@ -2194,6 +2195,7 @@
   bool workers :1;
   bool waves :1;
   bool formerWorkers :1;
+  bool zoneRevision :1;
 } _WorkloadSnapshot__isset;
 
 class WorkloadSnapshot : public virtual ::apache::thrift::TBase {
@@ -2204,7 +2206,8 @@
   WorkloadSnapshot& operator=(const WorkloadSnapshot&);
   WorkloadSnapshot& operator=(WorkloadSnapshot&&) noexcept;
   WorkloadSnapshot() noexcept
-                   : appliedIndex(0) {
+                   : appliedIndex(0),
+                     zoneRevision(0) {
   }
 
   virtual ~WorkloadSnapshot() noexcept;
@@ -2217,6 +2220,7 @@
   std::vector<WorkerRecord>  workers;
   std::vector<WaveRecord>  waves;
   std::vector<WorkerRecord>  formerWorkers;
+  int64_t zoneRevision;
 
   _WorkloadSnapshot__isset __isset;
 
@@ -2238,6 +2242,8 @@
 
   void __set_formerWorkers(const std::vector<WorkerRecord> & val);
 
+  void __set_zoneRevision(const int64_t val);
+
   bool operator == (const WorkloadSnapshot & rhs) const
   {
     if (!(appliedIndex == rhs.appliedIndex))
@@ -2258,6 +2264,8 @@
       return false;
     if (!(formerWorkers == rhs.formerWorkers))
       return false;
+    if (!(zoneRevision == rhs.zoneRevision))
+      return false;
     return true;
   }
   bool operator != (const WorkloadSnapshot &rhs) const {
@@ -2321,9 +2329,10 @@
 std::ostream& operator<<(std::ostream& out, const PutPolicy& obj);
 
 typedef struct _SetZone__isset {
-  _SetZone__isset() : availabilityZone(false), withdrawn(false) {}
+  _SetZone__isset() : availabilityZone(false), withdrawn(false), basedOnRevision(false) {}
   bool availabilityZone :1;
   bool withdrawn :1;
+  bool basedOnRevision :1;
 } _SetZone__isset;
 
 class SetZone : public virtual ::apache::thrift::TBase {
@@ -2335,12 +2344,14 @@
   SetZone& operator=(SetZone&&) noexcept;
   SetZone() noexcept
           : availabilityZone(),
-            withdrawn(0) {
+            withdrawn(0),
+            basedOnRevision(0) {
   }
 
   virtual ~SetZone() noexcept;
   std::string availabilityZone;
   bool withdrawn;
+  int64_t basedOnRevision;
 
   _SetZone__isset __isset;
 
@@ -2348,12 +2359,18 @@
 
   void __set_withdrawn(const bool val);
 
+  void __set_basedOnRevision(const int64_t val);
+
   bool operator == (const SetZone & rhs) const
   {
     if (!(availabilityZone == rhs.availabilityZone))
       return false;
     if (!(withdrawn == rhs.withdrawn))
       return false;
+    if (__isset.basedOnRevision != rhs.__isset.basedOnRevision)
+      return false;
+    else if (__isset.basedOnRevision && !(basedOnRevision == rhs.basedOnRevision))
+      return false;
     return true;
   }
   bool operator != (const SetZone &rhs) const {
@@ -3379,7 +3396,7 @@
 std::ostream& operator<<(std::ostream& out, const QueueAddress& obj);
 
 typedef struct _WorkloadCall__isset {
-  _WorkloadCall__isset() : address(false), jobId(false), requestId(false), submit(false), cancel(false), status(false), putPolicy(false), getPolicy(false), setZone(false), registerReplica(false), startWave(false), waveState(false), leavingReplica(false) {}
+  _WorkloadCall__isset() : address(false), jobId(false), requestId(false), submit(false), cancel(false), status(false), putPolicy(false), getPolicy(false), setZone(false), registerReplica(false), startWave(false), waveState(false), leavingReplica(false), getZoneRevision(false) {}
   bool address :1;
   bool jobId :1;
   bool requestId :1;
@@ -3393,6 +3410,7 @@
   bool startWave :1;
   bool waveState :1;
   bool leavingReplica :1;
+  bool getZoneRevision :1;
 } _WorkloadCall__isset;
 
 class WorkloadCall : public virtual ::apache::thrift::TBase {
@@ -3409,7 +3427,8 @@
                  status(0),
                  getPolicy(0),
                  waveState(0),
-                 leavingReplica(0) {
+                 leavingReplica(0),
+                 getZoneRevision(0) {
   }
 
   virtual ~WorkloadCall() noexcept;
@@ -3426,6 +3445,7 @@
   StartWave startWave;
   int64_t waveState;
   int64_t leavingReplica;
+  bool getZoneRevision;
 
   _WorkloadCall__isset __isset;
 
@@ -3455,6 +3475,8 @@
 
   void __set_leavingReplica(const int64_t val);
 
+  void __set_getZoneRevision(const bool val);
+
   bool operator == (const WorkloadCall & rhs) const
   {
     if (!(address == rhs.address))
@@ -3503,6 +3525,10 @@
       return false;
     else if (__isset.leavingReplica && !(leavingReplica == rhs.leavingReplica))
       return false;
+    if (__isset.getZoneRevision != rhs.__isset.getZoneRevision)
+      return false;
+    else if (__isset.getZoneRevision && !(getZoneRevision == rhs.getZoneRevision))
+      return false;
     return true;
   }
   bool operator != (const WorkloadCall &rhs) const {
@@ -3522,13 +3548,14 @@
 std::ostream& operator<<(std::ostream& out, const WorkloadCall& obj);
 
 typedef struct _WorkloadReply__isset {
-  _WorkloadReply__isset() : isLeader(false), group(false), result(false), phase(false), source(false), waveCompleted(false) {}
+  _WorkloadReply__isset() : isLeader(false), group(false), result(false), phase(false), source(false), waveCompleted(false), zoneRevision(false) {}
   bool isLeader :1;
   bool group :1;
   bool result :1;
   bool phase :1;
   bool source :1;
   bool waveCompleted :1;
+  bool zoneRevision :1;
 } _WorkloadReply__isset;
 
 class WorkloadReply : public virtual ::apache::thrift::TBase {
@@ -3542,7 +3569,8 @@
                 : isLeader(0),
                   phase(static_cast<JobPhase::type>(0)),
                   source(),
-                  waveCompleted(0) {
+                  waveCompleted(0),
+                  zoneRevision(0) {
   }
 
   virtual ~WorkloadReply() noexcept;
@@ -3556,6 +3584,7 @@
   JobPhase::type phase;
   std::string source;
   bool waveCompleted;
+  int64_t zoneRevision;
 
   _WorkloadReply__isset __isset;
 
@@ -3571,6 +3600,8 @@
 
   void __set_waveCompleted(const bool val);
 
+  void __set_zoneRevision(const int64_t val);
+
   bool operator == (const WorkloadReply & rhs) const
   {
     if (!(isLeader == rhs.isLeader))
@@ -3585,6 +3616,8 @@
       return false;
     if (!(waveCompleted == rhs.waveCompleted))
       return false;
+    if (!(zoneRevision == rhs.zoneRevision))
+      return false;
     return true;
   }
   bool operator != (const WorkloadReply &rhs) const {
--- a/include/anvil/net/Http.h
+++ b/include/anvil/net/Http.h
@@ -1,6 +1,7 @@
 #ifndef ANVIL_NET_HTTP_H
 #define ANVIL_NET_HTTP_H
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -22,12 +23,18 @@
   std::vector<HttpField> m_Fields;
   std::string m_Body;
   std::string m_Peer; ///< ip:port of the caller.
+  /// Returns false once the caller has closed the connection, or its side of
+  /// it. Empty if that can't be told.
+  std::function<bool()> m_CallerWaits;
 
   /// Returns the value of the first header named \p Name, ignoring case, or
   /// nothing.
   std::optional<std::string_view> field(std::string_view Name) const;
   /// Returns the number of headers named \p Name, ignoring case.
   size_t fieldCount(std::string_view Name) const;
+  /// Returns whether the caller may still wait for the response. A request can
+  /// wait in the socket of a frozen process for longer than its caller does.
+  bool callerWaits() const { return !m_CallerWaits || m_CallerWaits(); }
   /// Returns the path with its query, as the caller sent it.
   std::string target() const;
 };
--- a/include/anvil/node/EntryProcess.h
+++ b/include/anvil/node/EntryProcess.h
@@ -80,6 +80,8 @@
   wire::JobPhase::type m_Phase = wire::JobPhase::QUEUED;
   /// Text of the policy as it was uploaded; only for a call that reads it.
   std::string m_PolicySource;
+  /// Revision of the zones; only for a call that asks for it.
+  int64_t m_ZoneRevision = 0;
   /// Whether all machines of the maintenance wave were taken down; only for a
   /// call that asks for its state.
   bool m_WaveCompleted = false;
@@ -116,6 +118,14 @@
   /// may have taken effect or may still do so.
   void call(const wire::WorkloadCall &Call, Duration Timeout, CallDone Done);
 
+  /// Withdraws an availability zone or takes it back, with the answers of
+  /// call(). The order takes effect only if \p CallerWaits returned true after
+  /// the leader was asked for the state that the order changes, and only if no
+  /// other order took effect since then. So an order that waited in a frozen
+  /// process or on the network can't undo a newer one.
+  void setZone(const wire::SetZone &Change, std::function<bool()> CallerWaits,
+               Duration Timeout, CallDone Done);
+
   /// Answer to pendingJobs().
   struct PendingJobs {
     wire::WorkloadStatus::type m_Status = wire::WorkloadStatus::NOT_READY;
--- a/include/anvil/workload/WorkloadState.h
+++ b/include/anvil/workload/WorkloadState.h
@@ -132,6 +132,10 @@
   /// Returns the policy in force; its version is 0 until one is put.
   const wire::PolicyDocument &policy() const { return m_Policy; }
 
+  /// Returns the index of the last change of an availability zone; 0 before
+  /// the first.
+  int64_t zoneRevision() const { return m_ZoneRevision; }
+  /// Returns the availability zones that are out of service.
   const std::set<std::string> &withdrawnZones() const {
     return m_WithdrawnZones;
   }
@@ -248,6 +252,7 @@
   int64_t m_AppliedIndex = 0;
   wire::PolicyDocument m_Policy;
   std::set<std::string> m_WithdrawnZones;
+  int64_t m_ZoneRevision = 0;
   std::map<int64_t, wire::ReplicaAddress> m_Replicas;
   std::map<std::string, wire::JobRecord, std::less<>> m_Jobs;
   std::vector<std::string> m_EndedJobIds;
--- a/proto/workload.thrift
+++ b/proto/workload.thrift
@@ -207,13 +207,16 @@
   6: list<string> endedJobIds,  // oldest first
   7: list<WorkerRecord> workers,
   8: list<WaveRecord> waves,
-  9: list<WorkerRecord> formerWorkers
+  9: list<WorkerRecord> formerWorkers,
+  10: i64 zoneRevision          // index of the last change of a zone
 }
 
 // ---- commands of the replicated workload state ----
 
 struct PutPolicy { 1: PolicyDocument document }
-struct SetZone { 1: string availabilityZone, 2: bool withdrawn }
+// Refused as OUTDATED unless the zone revision is basedOnRevision. Logs of earlier versions have entries without it, which
+// apply in any case.
+struct SetZone { 1: string availabilityZone, 2: bool withdrawn, 3: optional i64 basedOnRevision }
 struct RegisterReplica { 1: ReplicaAddress replica }
 struct ForgetReplica { 1: i64 id }
 struct SubmitWorkload { 1: string jobId, 2: string queue, 3: string workspace, 4: WorkloadSpec spec }
@@ -267,7 +270,8 @@
   NO_JOB = 7,
   OVERLOADED = 8,               // never stored, never runs
   NOT_READY = 9,                // no policy yet, or no confirmed leader; nothing was done
-  UNKNOWN = 10                  // may or may not take effect
+  UNKNOWN = 10,                 // may or may not take effect
+  OUTDATED = 11                 // the state changed since the revision that the command is based on; nothing was done
 }
 
 struct WorkloadResult { 1: WorkloadStatus status, 2: string message, 3: i64 value, 4: i64 retryAfterMs }
@@ -291,7 +295,8 @@
   16: optional RegisterReplica registerReplica,
   17: optional StartWave startWave,
   18: optional i64 waveState,
-  19: optional i64 leavingReplica   // id of a replica whose process ends soon
+  19: optional i64 leavingReplica,  // id of a replica whose process ends soon
+  20: optional bool getZoneRevision
 }
 
 struct WorkloadReply {
@@ -300,7 +305,8 @@
   3: WorkloadResult result,
   4: JobPhase phase,
   5: string source,             // of the policy
-  6: bool waveCompleted
+  6: bool waveCompleted,
+  7: i64 zoneRevision           // answers getZoneRevision
 }
 
 struct QueuePending { 1: string queue, 2: i64 pending }
--- a/src/net/HttpSession.cpp
+++ b/src/net/HttpSession.cpp
@@ -92,6 +92,7 @@
   void onReadError(const ErrorCode &Error);
   void handle();
   HttpRequest takeRequest();
+  bool callerWaits();
   void refuse(HttpRefusal Reason);
   void respond(HttpResponse Response, bool KeepAlive);
   void onSent(const ErrorCode &Error, bool KeepAlive);
@@ -253,9 +254,27 @@
         {std::string(Field.name_string()), std::string(Field.value())});
   Request.m_Body = std::move(Message.body());
   Request.m_Peer = m_Peer;
+  Request.m_CallerWaits = [Weak = weak_from_this()] {
+    const auto Self = Weak.lock();
+    return Self && Self->callerWaits();
+  };
   return Request;
 }
 
+// Bytes of a next request hide a close behind them; that caller counts as
+// waiting.
+bool Session::callerWaits() {
+  if (m_Phase != Phase::Handling)
+    return false;
+  char Next = 0;
+  ErrorCode Error;
+  m_Socket.non_blocking(true, Error);
+  if (!Error)
+    m_Socket.receive(asio::buffer(&Next, 1), asio::socket_base::message_peek,
+                     Error);
+  return !Error || Error == asio::error::would_block;
+}
+
 void Session::handle() {
   if (m_Shared->m_Counters.m_RequestsInProgress >=
       m_Shared->m_Options.m_MaxRequests)
--- a/src/node/EntryMetrics.cpp
+++ b/src/node/EntryMetrics.cpp
@@ -26,6 +26,8 @@
     return "get-policy";
   if (Set.setZone)
     return "set-zone";
+  if (Set.getZoneRevision)
+    return "get-zone-revision";
   return Set.startWave || Set.waveState ? "wave" : "other";
 }
 
@@ -52,6 +54,8 @@
     return "not-ready";
   case Code::UNKNOWN:
     return "unknown";
+  case Code::OUTDATED:
+    return "outdated";
   }
   return "unknown";
 }
--- a/src/node/EntryProcess.cpp
+++ b/src/node/EntryProcess.cpp
@@ -11,6 +11,7 @@
 #include "GroupFormation.h"
 #include "PolicyWatch.h"
 #include "Replica.h"
+#include "ZoneOrder.h"
 #include "anvil/base/Port.h"
 #include "anvil/net/WireCodec.h"
 #include "anvil/node/LeaderClient.h"
@@ -434,6 +435,7 @@
         Result.m_Phase = Reply->phase;
         Result.m_PolicySource = Reply->source;
         Result.m_WaveCompleted = Reply->waveCompleted;
+        Result.m_ZoneRevision = Reply->zoneRevision;
         // An earlier attempt that got no answer may still be committed, so the
         // refusal of a later attempt does not prove that the job was refused.
         if (IsSubmit && Answer.m_MaybeExecuted && !Result.succeeded())
@@ -442,6 +444,21 @@
       });
 }
 
+void EntryProcess::setZone(const wire::SetZone &Change,
+                           std::function<bool()> CallerWaits, Duration Timeout,
+                           CallDone Done) {
+  internal::ZoneOrderPorts Ports;
+  Ports.m_Call = [this](const wire::WorkloadCall &Call, Duration Limit,
+                        CallDone OnAnswer) {
+    call(Call, Limit, std::move(OnAnswer));
+  };
+  Ports.m_CallerWaits = std::move(CallerWaits);
+  Ports.m_Now = m_Impl->m_Options.m_Now;
+  internal::ZoneOrder::start(std::move(Ports), Change,
+                             m_Impl->m_Options.m_Now() + Timeout,
+                             std::move(Done));
+}
+
 EntryProcess::PendingJobs
 EntryProcess::pendingJobs(const wire::QueueAddress &Address) const {
   PendingJobs Result;
--- a/src/node/Replica.h
+++ b/src/node/Replica.h
@@ -103,6 +103,7 @@
   void cancel(const wire::WorkloadCall &Call, const CallDone &Done);
   void getStatus(const wire::WorkloadCall &Call, const CallDone &Done);
   void getPolicy(const CallDone &Done);
+  void getZoneRevision(const CallDone &Done);
   void getWave(int64_t Wave, const CallDone &Done);
   void registerReplica(const wire::RegisterReplica &Register,
                        const CallDone &Done);
--- a/src/node/ReplicaCalls.cpp
+++ b/src/node/ReplicaCalls.cpp
@@ -45,6 +45,8 @@
     getPolicy(Done);
   else if (Set.waveState)
     getWave(Call.waveState, Done);
+  else if (Set.getZoneRevision)
+    getZoneRevision(Done);
   else if (Set.registerReplica)
     registerReplica(Call.registerReplica, Done);
   else if (Set.leavingReplica) {
@@ -193,6 +195,14 @@
   });
 }
 
+// A change that is based on an old revision is refused when it is applied, so
+// the read need not be linearizable.
+void Replica::getZoneRevision(const CallDone &Done) {
+  wire::WorkloadReply Reply = leaderReply(wire::WorkloadStatus::OK);
+  Reply.zoneRevision = m_State.zoneRevision();
+  Done(std::move(Reply));
+}
+
 void Replica::registerReplica(const wire::RegisterReplica &Register,
                               const CallDone &Done) {
   m_Duties->onReplicaAnnounced(raft::ReplicaId(Register.replica.id));
--- a/src/workload/WorkloadSnapshot.cpp
+++ b/src/workload/WorkloadSnapshot.cpp
@@ -15,6 +15,7 @@
   Contents.policy = m_Policy;
   Contents.withdrawnZones.assign(m_WithdrawnZones.begin(),
                                  m_WithdrawnZones.end());
+  Contents.zoneRevision = m_ZoneRevision;
   for (const auto &[Id, Replica] : m_Replicas)
     Contents.replicas.push_back(Replica);
   for (const auto &[Id, Job] : m_Jobs)
@@ -42,6 +43,7 @@
   State.m_Policy = std::move(Decoded->policy);
   State.m_WithdrawnZones.insert(Decoded->withdrawnZones.begin(),
                                 Decoded->withdrawnZones.end());
+  State.m_ZoneRevision = Decoded->zoneRevision;
   for (wire::ReplicaAddress &Replica : Decoded->replicas)
     State.m_Replicas[Replica.id] = std::move(Replica);
   for (wire::WorkerRecord &Worker : Decoded->workers)
--- a/src/workload/WorkloadState.cpp
+++ b/src/workload/WorkloadState.cpp
@@ -92,7 +92,14 @@
   return resultOf(wire::WorkloadStatus::OK);
 }
 
+// Each order counts as a change, also one that finds the zone as requested: an
+// older order that comes after its acknowledgement must not undo it.
 wire::WorkloadResult WorkloadState::applySetZone(const wire::SetZone &Command) {
+  if (Command.__isset.basedOnRevision &&
+      Command.basedOnRevision != m_ZoneRevision)
+    return resultOf(wire::WorkloadStatus::OUTDATED,
+                    "another order on a zone came first");
+  m_ZoneRevision = m_AppliedIndex;
   const bool Changed =
       Command.withdrawn
           ? m_WithdrawnZones.insert(Command.availabilityZone).second
--- a/tests/net/HttpServerTest.cpp
+++ b/tests/net/HttpServerTest.cpp
@@ -20,6 +20,8 @@
     Options.m_RefusalFields = {{"Anvil-Outcome", "not-run"}};
     const auto Handle = [this](const HttpRequest &Request,
                                HttpResponder Respond) {
+      if (Request.m_Path == "/hold")
+        m_HeldRequests.push_back(Request);
       if (Request.m_Path == "/hold")
         return m_HeldResponders.push_back(std::move(Respond));
       HttpResponse Response;
@@ -53,6 +55,7 @@
   }
 
   std::unique_ptr<HttpServer> m_Server;
+  std::deque<HttpRequest> m_HeldRequests;
   std::deque<HttpResponder> m_HeldResponders;
   uint16_t m_Port = 0;
 };
@@ -209,6 +212,31 @@
   BOOST_TEST(contains(Held.readUntil("\r\n\r\n"), "200 OK"));
 }
 
+// Guards against carrying out requests whose callers gave them up while the
+// process could not read them. A next request on the connection does not look
+// like a close.
+BOOST_AUTO_TEST_CASE(TellsWhetherACallerStillWaits) {
+  RunningServer Server;
+  const auto Waits = [&Server] {
+    bool Result = false;
+    Server.run([&] { Result = Server.m_HeldRequests.back().callerWaits(); });
+    return Result;
+  };
+  auto Gone = std::make_unique<Caller>(Server.m_Port);
+  Gone->send("GET /hold HTTP/1.1\r\n\r\n");
+  Server.awaitHeld(1);
+  BOOST_TEST(Waits());
+  Gone.reset();
+  Server.await([&] { return !Server.m_HeldRequests.back().m_CallerWaits(); });
+  Caller Pipelining(Server.m_Port);
+  Pipelining.send("GET /hold HTTP/1.1\r\n\r\nGET /next HTTP/1.1\r\n\r\n");
+  Server.awaitHeld(2);
+  BOOST_TEST(Waits());
+  Server.release();
+  BOOST_TEST(contains(Pipelining.readUntil("GET /next 0"), "200 OK"));
+  BOOST_TEST(!Waits());
+}
+
 // Guards against a shutdown that aborts a request in progress, or that never
 // ends because of idle connections.
 BOOST_AUTO_TEST_CASE(ShutdownFinishesRequestsAndClosesIdleConnections) {
--- a/tests/workload/WorkloadFixture.h
+++ b/tests/workload/WorkloadFixture.h
@@ -166,10 +166,13 @@
     Command.__set_loseWorker(Lose);
     return apply(Command);
   }
-  wire::WorkloadResult setZone(const std::string &Zone, bool Withdrawn) {
+  wire::WorkloadResult setZone(const std::string &Zone, bool Withdrawn,
+                               std::optional<int64_t> BasedOnRevision = {}) {
     wire::SetZone Set;
     Set.availabilityZone = Zone;
     Set.withdrawn = Withdrawn;
+    if (BasedOnRevision)
+      Set.__set_basedOnRevision(*BasedOnRevision);
     wire::WorkloadCommand Command;
     Command.__set_setZone(Set);
     return apply(Command);
--- a/tests/workload/WorkloadStateTest.cpp
+++ b/tests/workload/WorkloadStateTest.cpp
@@ -495,6 +495,33 @@
   BOOST_TEST(!WorkloadState::restore("damaged", WorkloadLimits()).ok());
 }
 
+// Guards against an order on a zone that was held up, and undoes the newer one
+// that its operator has sent since. Also an order that finds the zone as it
+// asks for is newer: it was acknowledged.
+BOOST_AUTO_TEST_CASE(RefusesAZoneOrderThatIsBasedOnAnOldRevision) {
+  setZone("north", true, m_State.zoneRevision());
+  const int64_t BeforeHeldUp = m_State.zoneRevision();
+  BOOST_TEST(setZone("north", true, BeforeHeldUp).status ==
+             WorkloadStatus::UNCHANGED);
+  BOOST_TEST(setZone("north", false, BeforeHeldUp).status ==
+             WorkloadStatus::OUTDATED);
+  BOOST_TEST(m_State.withdrawnZones().contains("north"));
+  const absl::StatusOr<WorkloadState> Restored =
+      WorkloadState::restore(m_State.snapshot(), WorkloadLimits());
+  BOOST_REQUIRE(Restored.ok());
+  BOOST_TEST(Restored->zoneRevision() == m_State.zoneRevision());
+  BOOST_TEST(setZone("north", false, m_State.zoneRevision()).status ==
+             WorkloadStatus::OK);
+}
+
+// Guards against refusing an order from a log of an earlier version, which
+// states no revision.
+BOOST_AUTO_TEST_CASE(AppliesAZoneOrderWithoutARevision) {
+  setZone("north", true, m_State.zoneRevision());
+  BOOST_TEST(setZone("north", false).status == WorkloadStatus::OK);
+  BOOST_TEST(m_State.withdrawnZones().empty());
+}
+
 // Guards against applying a command twice after a restart.
 BOOST_AUTO_TEST_CASE(AppliesEachIndexOnce) {
   wire::SetZone Set;
