--- a/src/dispatch/Preemption.cpp
+++ b/src/dispatch/Preemption.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "JobRank.h"
+#include "Steps.h"
 
 namespace anvil::dispatch::internal {
 
@@ -44,7 +45,7 @@
 } // namespace
 
 double Preemption::costOf(const RunView &Run) const {
-  const bool Gang = Run.m_Spec->gang && Run.m_Spec->tasks > 1;
+  const bool Gang = runsTogether(*Run.m_Spec);
   const double Members = Gang ? Run.m_Spec->tasks : 1;
   return Members *
          (StopCost + coresOf(Run.m_Amounts) * Run.m_Forecast.m_UnsavedSeconds);
--- a/src/dispatch/RunMover.cpp
+++ b/src/dispatch/RunMover.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "Durations.h"
+#include "Steps.h"
 
 namespace anvil::dispatch::internal {
 
@@ -36,7 +37,7 @@
 // gang. Returns false and takes nothing if there is not enough.
 bool reserveRoomElsewhere(Fleet &PlanFleet, const WorkerView &Worker,
                           const RunView &Run) {
-  const bool Gang = Run.m_Spec->gang && Run.m_Spec->tasks > 1;
+  const bool Gang = runsTogether(*Run.m_Spec);
   const TimePoint EndsAt =
       PlanFleet.now() +
       std::chrono::duration_cast<Duration>(
@@ -92,7 +93,7 @@
 
 bool RunMover::isFasterElsewhere(const Fleet &PlanFleet,
                                  const RunView &Run) const {
-  if (!Run.m_Forecast.m_Started || (Run.m_Spec->gang && Run.m_Spec->tasks > 1))
+  if (!Run.m_Forecast.m_Started || runsTogether(*Run.m_Spec))
     return false;
   const double Here = secondsOf(Run.m_Forecast.m_EndsAt - PlanFleet.now());
   const double Elsewhere = secondsOf(m_Options.m_StopTime) +
--- a/src/dispatch/RunTracker.cpp
+++ b/src/dispatch/RunTracker.cpp
@@ -5,6 +5,7 @@
 
 #include "Durations.h"
 #include "JobRank.h"
+#include "Steps.h"
 
 namespace anvil::dispatch::internal {
 
@@ -152,7 +153,7 @@
     m_Health.recordFailure(Event.m_Worker, FailureContext::FirstOfStep, Now);
     return;
   }
-  const bool Independent = !Spec.gang || Spec.tasks == 1;
+  const bool Independent = !runsTogether(Spec);
   if (Event.m_Kind == wire::RunEndKind::STOPPED && Independent &&
       speedOf(Tracked) > 0)
     learnStep(Event.m_Task, 100 / speedOf(Tracked));
@@ -250,7 +251,7 @@
     const wire::StepSpec &Spec = Job->spec.steps[static_cast<size_t>(Ref.step)];
     const double Speed = speedOf(Tracked);
     // A gang runs at the speed of its slowest member.
-    if (Speed <= 0 || Spec.longRunning || (Spec.gang && Spec.tasks > 1))
+    if (Speed <= 0 || Spec.longRunning || runsTogether(Spec))
       continue;
     StepSpeed &Sum = Steps[stepOf(Ref)][keyOf(Tracked.m_Worker)];
     ++Sum.m_Runs;
@@ -297,7 +298,7 @@
   if (!Tracked.m_Started || Spec.longRunning)
     return;
   checkStall(Job, Ref, Tracked, Now);
-  if (!Spec.gang || Spec.tasks == 1)
+  if (!runsTogether(Spec))
     recordOwnSlowdown(Ref, Tracked, Now);
 }
 
@@ -305,7 +306,7 @@
                             const wire::TaskRef &Ref, TrackedRun &Tracked,
                             TimePoint Now) {
   const wire::StepSpec &Spec = Job.spec.steps[static_cast<size_t>(Ref.step)];
-  const bool Gang = Spec.gang && Spec.tasks > 1;
+  const bool Gang = runsTogether(Spec);
   // A member that is done waits for the slowest one of its gang.
   if (Gang && Tracked.m_Percent >= GangMemberDonePercent)
     return;
