--- a/src/entry/OperatorApi.cpp
+++ b/src/entry/OperatorApi.cpp
@@ -131,7 +131,18 @@
                    std::string(Context.m_Parts[2]));
 }
 
+// An order that waited in a frozen process could undo a newer one, which its
+// operator has sent through another entry since.
+net::HttpResponse callerHasGone() {
+  net::HttpResponse Response = net::makeHttpError(
+      503, "caller-gone", "the caller closed the connection");
+  setOutcome(Response, wire::Outcome::NOT_RUN);
+  return Response;
+}
+
 OperatorCall setZoneService(const RequestContext &Context) {
+  if (!Context.m_Request.callerWaits())
+    return callerHasGone();
   wire::SetZoneService Change;
   if (!isName(Context.m_Parts[1]))
     return invalidField("name", "must be the name of an availability zone");
