node: Propose a job that the read before its refusal admits

Cause: the leader confirms the refusal of a job by a linearizable read and made the answer anew from the policy after it. If the version that adds the route was applied in between, that answer was OK, which the entry passes on as accepted, and no command had been proposed.

Ruled out: a lost command (the log has none for these jobs) and the entry (it passes on the answer of the leader).

Change: a job that the read admits is proposed. Only a refusal is answered without a proposal, and "submit-refused" is logged for refusals only.

Test: node SubmissionTest, a group of three replicas whose policy gains a queue 58 times while twelve callers hand in jobs.

--- a/src/node/Replica.h
+++ b/src/node/Replica.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "Admission.h"
 #include "LeaderDuties.h"
 #include "StateMetrics.h"
 #include "anvil/node/LeaderClient.h"
@@ -100,6 +101,8 @@
   // Handlers of calls; each invokes Done once.
   using CallDone = std::function<void(wire::WorkloadReply)>;
   void submit(const wire::WorkloadCall &Call, const CallDone &Done);
+  void proposeJob(const wire::WorkloadCall &Call, const Admission &Admitted,
+                  const CallDone &Done);
   void cancel(const wire::WorkloadCall &Call, const CallDone &Done);
   void getStatus(const wire::WorkloadCall &Call, const CallDone &Done);
   void getPolicy(const CallDone &Done);
--- a/src/node/ReplicaCalls.cpp
+++ b/src/node/ReplicaCalls.cpp
@@ -1,4 +1,3 @@
-#include "Admission.h"
 #include "Replica.h"
 #include "anvil/base/Port.h"
 #include "anvil/raft/RaftError.h"
@@ -103,18 +102,36 @@
   });
 }
 
+// A job is refused only by a linearizable read, since a policy that admits it
+// may have been acknowledged and not applied here yet. If that read admits it,
+// it is proposed: an answer without a proposal would be an acknowledgement of
+// nothing.
 void Replica::submit(const wire::WorkloadCall &Call, const CallDone &Done) {
   const Admission Admitted = admit(m_State.policy(), Call.address);
-  if (Admitted.m_Status != wire::WorkloadStatus::OK) {
+  if (Admitted.m_Status == wire::WorkloadStatus::OK) {
+    proposeJob(Call, Admitted, Done);
+    return;
+  }
+  m_ReplicatedLog->read([this, Call, Done](const absl::Status &Status) {
+    if (!Status.ok()) {
+      Done(notLeaderReply());
+      return;
+    }
+    const Admission Confirmed = admit(m_State.policy(), Call.address);
+    if (Confirmed.m_Status == wire::WorkloadStatus::OK) {
+      proposeJob(Call, Confirmed, Done);
+      return;
+    }
     m_Log.write("submit-refused", {{"request", Call.requestId},
                                    {"job", Call.jobId},
-                                   {"reason", Admitted.m_Reason},
+                                   {"reason", Confirmed.m_Reason},
                                    {"policy", m_State.policy().version}});
-    answerLinearizable(Done, [this, Call](wire::WorkloadReply &Reply) {
-      Reply.result = admissionResult(admit(m_State.policy(), Call.address));
-    });
-    return;
-  }
+    Done(leaderReply(Confirmed.m_Status, Confirmed.m_Reason));
+  });
+}
+
+void Replica::proposeJob(const wire::WorkloadCall &Call,
+                         const Admission &Admitted, const CallDone &Done) {
   wire::SubmitWorkload Submit;
   Submit.jobId = Call.jobId;
   Submit.queue = Admitted.m_Queue;
