runner: Keep runs that the next life of a worker may have started

Cause: until the hold that follows the end is answered, the agent goes on sending starts, and the new incarnation, which has seen no fencing token, carries them out. The answer to a start does not name the incarnation that gave it. The agent reported such runs as lost with the former incarnation, and the leader placed them again at once. Only starts without any answer were kept until the successor had listed its runs.

Ruled out: late orders (each of these starts was answered) and the state, which frees no run that the agent reports as open.

Change: a run belongs to the lost incarnation only if a list of that incarnation contained it. A run that only the answer to its start confirmed is kept like one without an answer, unless the port of the worker refused a connection after that answer. "worker-gone" tells how many runs are kept.

Tests: runner KeepsARunThatTheNextLifeMayHaveStarted fails without the change; two more cases see to it that no other run waits. The simulated workers named their incarnation in all answers, which hid the fault; they do so in lists only now, as the workers of the platform.

--- a/gen/workload_types.cpp
+++ b/gen/workload_types.cpp
@@ -2121,8 +2121,8 @@
   this->silentMs = val;
 }
 
-void WorkerSyncRequest::__set_unansweredOrders(const std::vector<RunRef> & val) {
-  this->unansweredOrders = val;
+void WorkerSyncRequest::__set_unaccountedRuns(const std::vector<RunRef> & val) {
+  this->unaccountedRuns = val;
 }
 std::ostream& operator<<(std::ostream& out, const WorkerSyncRequest& obj)
 {
@@ -2283,19 +2283,19 @@
       case 14:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->unansweredOrders.clear();
+            this->unaccountedRuns.clear();
             uint32_t _size65;
             ::apache::thrift::protocol::TType _etype68;
             xfer += iprot->readListBegin(_etype68, _size65);
-            this->unansweredOrders.resize(_size65);
+            this->unaccountedRuns.resize(_size65);
             uint32_t _i69;
             for (_i69 = 0; _i69 < _size65; ++_i69)
             {
-              xfer += this->unansweredOrders[_i69].read(iprot);
+              xfer += this->unaccountedRuns[_i69].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.unansweredOrders = true;
+          this->__isset.unaccountedRuns = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2385,11 +2385,11 @@
   xfer += oprot->writeI64(this->silentMs);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("unansweredOrders", ::apache::thrift::protocol::T_LIST, 14);
+  xfer += oprot->writeFieldBegin("unaccountedRuns", ::apache::thrift::protocol::T_LIST, 14);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->unansweredOrders.size()));
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->unaccountedRuns.size()));
     std::vector<RunRef> ::const_iterator _iter72;
-    for (_iter72 = this->unansweredOrders.begin(); _iter72 != this->unansweredOrders.end(); ++_iter72)
+    for (_iter72 = this->unaccountedRuns.begin(); _iter72 != this->unaccountedRuns.end(); ++_iter72)
     {
       xfer += (*_iter72).write(oprot);
     }
@@ -2417,7 +2417,7 @@
   swap(a.availabilityZone, b.availabilityZone);
   swap(a.runsListed, b.runsListed);
   swap(a.silentMs, b.silentMs);
-  swap(a.unansweredOrders, b.unansweredOrders);
+  swap(a.unaccountedRuns, b.unaccountedRuns);
   swap(a.__isset, b.__isset);
 }
 
@@ -2435,7 +2435,7 @@
   availabilityZone = other73.availabilityZone;
   runsListed = other73.runsListed;
   silentMs = other73.silentMs;
-  unansweredOrders = other73.unansweredOrders;
+  unaccountedRuns = other73.unaccountedRuns;
   __isset = other73.__isset;
 }
 WorkerSyncRequest::WorkerSyncRequest(WorkerSyncRequest&& other74) noexcept {
@@ -2452,7 +2452,7 @@
   availabilityZone = std::move(other74.availabilityZone);
   runsListed = other74.runsListed;
   silentMs = other74.silentMs;
-  unansweredOrders = std::move(other74.unansweredOrders);
+  unaccountedRuns = std::move(other74.unaccountedRuns);
   __isset = other74.__isset;
 }
 WorkerSyncRequest& WorkerSyncRequest::operator=(const WorkerSyncRequest& other75) {
@@ -2469,7 +2469,7 @@
   availabilityZone = other75.availabilityZone;
   runsListed = other75.runsListed;
   silentMs = other75.silentMs;
-  unansweredOrders = other75.unansweredOrders;
+  unaccountedRuns = other75.unaccountedRuns;
   __isset = other75.__isset;
   return *this;
 }
@@ -2487,7 +2487,7 @@
   availabilityZone = std::move(other76.availabilityZone);
   runsListed = other76.runsListed;
   silentMs = other76.silentMs;
-  unansweredOrders = std::move(other76.unansweredOrders);
+  unaccountedRuns = std::move(other76.unaccountedRuns);
   __isset = other76.__isset;
   return *this;
 }
@@ -2507,7 +2507,7 @@
   out << ", " << "availabilityZone=" << to_string(availabilityZone);
   out << ", " << "runsListed=" << to_string(runsListed);
   out << ", " << "silentMs=" << to_string(silentMs);
-  out << ", " << "unansweredOrders=" << to_string(unansweredOrders);
+  out << ", " << "unaccountedRuns=" << to_string(unaccountedRuns);
   out << ")";
 }
 
--- a/gen/workload_types.h
+++ b/gen/workload_types.h
@@ -894,7 +894,7 @@
 std::ostream& operator<<(std::ostream& out, const RunRef& obj);
 
 typedef struct _WorkerSyncRequest__isset {
-  _WorkerSyncRequest__isset() : agentIncarnation(false), sequence(false), info(false), fencingToken(false), runs(false), ends(false), firstEndNumber(false), draining(false), remainingMs(false), endedIncarnation(false), availabilityZone(false), runsListed(false), silentMs(false), unansweredOrders(false) {}
+  _WorkerSyncRequest__isset() : agentIncarnation(false), sequence(false), info(false), fencingToken(false), runs(false), ends(false), firstEndNumber(false), draining(false), remainingMs(false), endedIncarnation(false), availabilityZone(false), runsListed(false), silentMs(false), unaccountedRuns(false) {}
   bool agentIncarnation :1;
   bool sequence :1;
   bool info :1;
@@ -908,7 +908,7 @@
   bool availabilityZone :1;
   bool runsListed :1;
   bool silentMs :1;
-  bool unansweredOrders :1;
+  bool unaccountedRuns :1;
 } _WorkerSyncRequest__isset;
 
 class WorkerSyncRequest : public virtual ::apache::thrift::TBase {
@@ -944,7 +944,7 @@
   std::string availabilityZone;
   bool runsListed;
   int64_t silentMs;
-  std::vector<RunRef>  unansweredOrders;
+  std::vector<RunRef>  unaccountedRuns;
 
   _WorkerSyncRequest__isset __isset;
 
@@ -974,7 +974,7 @@
 
   void __set_silentMs(const int64_t val);
 
-  void __set_unansweredOrders(const std::vector<RunRef> & val);
+  void __set_unaccountedRuns(const std::vector<RunRef> & val);
 
   bool operator == (const WorkerSyncRequest & rhs) const
   {
@@ -1004,7 +1004,7 @@
       return false;
     if (!(silentMs == rhs.silentMs))
       return false;
-    if (!(unansweredOrders == rhs.unansweredOrders))
+    if (!(unaccountedRuns == rhs.unaccountedRuns))
       return false;
     return true;
   }
--- a/proto/workload.thrift
+++ b/proto/workload.thrift
@@ -98,7 +98,7 @@
   11: string availabilityZone,  // of the agent
   12: bool runsListed,          // runs was read from the worker under fencingToken
   13: i64 silentMs,             // since the worker last answered a call
-  14: list<RunRef> unansweredOrders // sent to endedIncarnation without an answer
+  14: list<RunRef> unaccountedRuns // of endedIncarnation: its successor may start or be running them
 }
 
 struct RunOrder {
--- a/src/dispatch/WorkerSessions.cpp
+++ b/src/dispatch/WorkerSessions.cpp
@@ -51,7 +51,7 @@
     if (!Request.endedIncarnation.id.empty() &&
         State.worker(Request.endedIncarnation))
       proposeLoss(Request.endedIncarnation, "its agent saw that it ended",
-                  Request.unansweredOrders, Commands);
+                  Request.unaccountedRuns, Commands);
     return Commands;
   }
   proposeRegistration(AgentSession, State, Commands);
--- a/src/runner/RunnerCalls.cpp
+++ b/src/runner/RunnerCalls.cpp
@@ -108,7 +108,7 @@
   if (Answer.m_Error == CallError::Unreachable &&
       Call.m_Kind != OutstandingCall::Kind::Acknowledge) {
     if (++m_RefusedConnections >= RefusalsUntilLost) {
-      loseWorker("the worker's address refuses connections");
+      loseWorker("the worker's address refuses connections", Call.m_SentAt);
       return true;
     }
   }
@@ -167,13 +167,13 @@
 }
 
 void Runner::Impl::applyLists(const CallAnswer &Answer, TimePoint SentAt) {
-  applyRuns(Answer.m_Runs);
+  applyRuns(Answer);
   applyEnds(Answer.m_Ends);
   endUnlistedRuns(Answer, SentAt);
 }
 
-void Runner::Impl::applyRuns(const std::vector<ListedRun> &Runs) {
-  for (const ListedRun &Listed : Runs) {
+void Runner::Impl::applyRuns(const CallAnswer &Answer) {
+  for (const ListedRun &Listed : Answer.m_Runs) {
     const TaskKey Key = keyOf(Listed.m_Task);
     // A late answer may list a run that has ended since.
     const auto Ended = m_EndedRuns.find(Key);
@@ -188,6 +188,9 @@
       Run.m_Started = true;
       Run.m_StartedAt = m_Now;
     }
+    // onCommonError() has compared the incarnation if the answer names it.
+    Run.m_Listed = Run.m_Listed ||
+                   (Answer.m_StartedAtMs && Run.m_Order.run == Listed.m_Run);
     Run.m_Percent = Listed.m_Percent;
     if (!Listed.m_Checkpoint.empty())
       Run.m_Checkpoint = Listed.m_Checkpoint;
--- a/src/runner/RunnerImpl.h
+++ b/src/runner/RunnerImpl.h
@@ -33,6 +33,9 @@
   /// The worker confirmed the start or listed the run.
   bool m_Started = false;
   TimePoint m_StartedAt;
+  /// The worker's incarnation listed the run. The answer to a start order does
+  /// not tell which incarnation gave it.
+  bool m_Listed = false;
   bool m_StopWanted = false;
   /// A start order got no answer, so it may still take effect.
   bool m_Unanswered = false;
@@ -77,7 +80,8 @@
   void onProbeAnswered(const CallAnswer &Answer);
   void adoptWorker(const wire::WorkerInfo &Info);
   void reregister(std::string_view Reason);
-  void loseWorker(std::string_view Reason);
+  void loseWorker(std::string_view Reason, TimePoint ClosedAt = TimePoint());
+  std::vector<wire::RunRef> unaccountedRuns(TimePoint ClosedAt) const;
   void fence();
   void onFenceAnswered(const CallAnswer &Answer);
 
@@ -88,7 +92,7 @@
   void onStartAnswered(const CallAnswer &Answer, RunEntry &Run);
   void onStopAnswered(const CallAnswer &Answer, RunEntry &Run);
   void applyLists(const CallAnswer &Answer, TimePoint SentAt);
-  void applyRuns(const std::vector<ListedRun> &Runs);
+  void applyRuns(const CallAnswer &Answer);
   void applyEnds(const std::vector<ListedEnd> &Ends);
   void endUnlistedRuns(const CallAnswer &Answer, TimePoint SentAt);
   void advanceRuns();
@@ -126,8 +130,8 @@
   std::optional<wire::WorkerInfo> m_Candidate; ///< Probed, not confirmed yet.
   /// Incarnation that was lost, until the leader knows.
   wire::WorkerIncarnation m_LostIncarnation;
-  /// Orders to m_LostIncarnation that got no answer.
-  std::vector<wire::RunRef> m_UnansweredOrders;
+  /// Runs of m_LostIncarnation that its successor may start or be running.
+  std::vector<wire::RunRef> m_UnaccountedRuns;
   bool m_Draining = false;
   TimePoint m_LeavesAt;
   int64_t m_Token = 0;
--- a/src/runner/RunnerSync.cpp
+++ b/src/runner/RunnerSync.cpp
@@ -37,7 +37,7 @@
   m_SyncsOutstanding.insert(Request.sequence);
   Request.endedIncarnation = m_LostIncarnation;
   if (!m_LostIncarnation.id.empty())
-    Request.unansweredOrders = m_UnansweredOrders;
+    Request.unaccountedRuns = m_UnaccountedRuns;
   Request.firstEndNumber = m_FirstEndNumber;
   for (const PendingEnd &End : m_Ends)
     Request.ends.push_back(End.m_End);
--- a/src/runner/RunnerWorker.cpp
+++ b/src/runner/RunnerWorker.cpp
@@ -94,17 +94,35 @@
   m_SyncNeeded = true;
 }
 
-void Runner::Impl::loseWorker(std::string_view Reason) {
-  addNote("worker-gone", Reason);
+// Returns the runs of the lost incarnation that its successor may start or be
+// running: those with an order that is in flight, and those that only the
+// answer to a start order confirmed, since the successor may have given that
+// answer. A run that was confirmed before \p ClosedAt is over, because nothing
+// listened at the worker's address then.
+std::vector<wire::RunRef>
+Runner::Impl::unaccountedRuns(TimePoint ClosedAt) const {
+  std::vector<wire::RunRef> Result;
+  for (const auto &[Key, Run] : m_Runs) {
+    const bool InFlight = Run.m_Unanswered || Run.m_CallOutstanding;
+    const bool MayBeSuccessors =
+        Run.m_Started && !Run.m_Listed && Run.m_StartedAt >= ClosedAt;
+    if (!InFlight && !MayBeSuccessors)
+      continue;
+    wire::RunRef Ref;
+    Ref.task = Run.m_Order.task;
+    Ref.run = Run.m_Order.run;
+    Result.push_back(std::move(Ref));
+  }
+  return Result;
+}
+
+void Runner::Impl::loseWorker(std::string_view Reason, TimePoint ClosedAt) {
   m_LostIncarnation = m_Info.incarnation;
-  m_UnansweredOrders.clear();
-  for (const auto &[Key, Run] : m_Runs)
-    if (Run.m_Unanswered || Run.m_CallOutstanding) {
-      wire::RunRef Ref;
-      Ref.task = Run.m_Order.task;
-      Ref.run = Run.m_Order.run;
-      m_UnansweredOrders.push_back(std::move(Ref));
-    }
+  m_UnaccountedRuns = unaccountedRuns(ClosedAt);
+  addNote("worker-gone", std::string(Reason) + ", " +
+                             std::to_string(m_Runs.size()) + " runs, " +
+                             std::to_string(m_UnaccountedRuns.size()) +
+                             " of them unaccounted for");
   m_Phase = Phase::NoWorker;
   m_Token = 0;
   m_Draining = false;
@@ -139,7 +157,7 @@
   m_Phase = Phase::Serving;
   m_NextHold = m_Now;
   m_Runs.clear();
-  applyRuns(Answer.m_Runs);
+  applyRuns(Answer);
   applyEnds(Answer.m_Ends);
   m_SyncNeeded = true;
   addNote("serving", "fencing token " + std::to_string(m_Token) + ", " +
--- a/tests/dispatch/FaultSimulationTest.cpp
+++ b/tests/dispatch/FaultSimulationTest.cpp
@@ -7,6 +7,7 @@
 namespace anvil::sim {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 // Guards against a task that runs twice at a time or after its end was
@@ -20,6 +21,29 @@
   }
 }
 
+// Guards against a second run of a task whose start was answered by the next
+// life of its worker, which is back at once under the same id.
+BOOST_AUTO_TEST_CASE(RunsNoTaskTwiceWhileWorkersAreBackAtOnce) {
+  for (uint64_t Seed = 201; Seed <= 220; ++Seed) {
+    SimClusterOptions Options;
+    Options.m_Seed = Seed;
+    SimCluster Cluster(Options, smallPolicy(), smallFleet());
+    addMixedJobs(Cluster, seconds(30), 1.0);
+    for (int I = 0; I < 20; ++I) {
+      const auto Index = static_cast<size_t>(Cluster.random().below(
+          static_cast<int64_t>(Cluster.workers().size())));
+      Cluster.queue().at(
+          Cluster.queue().now() + seconds(2) + I * milliseconds(1300),
+          [&Cluster, Index] {
+            Cluster.crashWorker(Index, milliseconds(100), /*SameId=*/true);
+          });
+    }
+    Cluster.run(seconds(90));
+    BOOST_TEST(Cluster.violation() == "",
+               "seed " << Seed << ": " << Cluster.violation());
+  }
+}
+
 // Guards against work that is lost for good: all jobs end after the faults.
 BOOST_AUTO_TEST_CASE(EndsAllJobsAfterTheFaults) {
   for (uint64_t Seed = 101; Seed <= 110; ++Seed) {
--- a/tests/dispatch/sim/SimCluster.cpp
+++ b/tests/dispatch/sim/SimCluster.cpp
@@ -494,7 +494,8 @@
     m_Workers.at(Index).restart(NewId);
     trace("worker " + std::to_string(Index) + " restarts as " +
           m_Workers.at(Index).info().incarnation.id);
-    announce(Index, false);
+    m_Queue.after(m_Random.between(Duration(0), m_Options.m_AnnounceInterval),
+                  [this, Index] { announce(Index, false); });
   });
 }
 
--- a/tests/dispatch/sim/SimWorkers.cpp
+++ b/tests/dispatch/sim/SimWorkers.cpp
@@ -43,7 +43,6 @@
   Answer.m_Call = Call;
   Answer.m_Error = Error;
   Answer.m_ClockMs = clockMs();
-  Answer.m_StartedAtMs = m_Info.incarnation.startedAtMs;
   return Answer;
 }
 
@@ -99,7 +98,10 @@
   });
 }
 
+// Only lists name the incarnation that made them; answers to starts and stops
+// do not.
 void SimWorker::appendLists(CallAnswer &Answer) const {
+  Answer.m_StartedAtMs = m_Info.incarnation.startedAtMs;
   for (const auto &[Key, Run] : m_Runs) {
     runner::ListedRun Listed;
     Listed.m_Task = Run.m_Task;
--- a/tests/runner/RunnerTest.cpp
+++ b/tests/runner/RunnerTest.cpp
@@ -85,6 +85,19 @@
     }
     return Result;
   }
+  /// Answers the newest start order, without the incarnation as workers do.
+  CallAnswer answerToStart() {
+    CallAnswer Result = answer(take<StartCall>()->m_Call);
+    Result.m_StartedAtMs.reset();
+    return Result;
+  }
+  /// Answers a hold as the worker's next life under the same id does.
+  void answerAsNextLife(CallId Call) {
+    CallAnswer Result = answer(Call);
+    Result.m_StartedAtMs = m_Incarnation.startedAtMs + 1000;
+    step(Result);
+    pass(milliseconds(50));
+  }
   wire::WorkerSyncReply reply(int64_t Confirmed) const {
     wire::WorkerSyncReply Reply;
     Reply.isLeader = true;
@@ -263,6 +276,54 @@
   BOOST_TEST(Probe->m_FencingToken > Token);
 }
 
+// Guards against placing a task a second time while the next life of its worker
+// runs it: the answer to a start order does not tell which life carried it out.
+BOOST_FIXTURE_TEST_CASE(KeepsARunThatTheNextLifeMayHaveStarted, Bench) {
+  serve();
+  order({order(0, 1)});
+  step(answerToStart());
+  step(answer(m_OpenHold, CallError::NoAnswer));
+  pass(milliseconds(250));
+  answerAsNextLife(take<HoldCall>()->m_Call);
+  const wire::WorkerSyncRequest Report = report();
+  BOOST_TEST((Report.endedIncarnation == m_Incarnation));
+  BOOST_REQUIRE(Report.unaccountedRuns.size() == 1);
+  BOOST_TEST((Report.unaccountedRuns[0].task == taskNumber(0)));
+}
+
+// Guards against waiting for the next life of a worker before the runs that the
+// former one listed are placed again.
+BOOST_FIXTURE_TEST_CASE(GivesUpTheRunsThatTheFormerLifeListed, Bench) {
+  serve();
+  order({order(0, 1)});
+  step(answerToStart());
+  CallAnswer List = answer(m_OpenHold);
+  ListedRun Listed;
+  Listed.m_Task = taskNumber(0);
+  Listed.m_Run = 1;
+  List.m_Runs = {Listed};
+  step(List);
+  answerAsNextLife(take<HoldCall>()->m_Call);
+  BOOST_TEST((report().endedIncarnation == m_Incarnation));
+  BOOST_TEST(report().unaccountedRuns.empty());
+}
+
+// Guards against waiting for the end of a lease although the worker's closed
+// port shows that a run which it had confirmed is over.
+BOOST_FIXTURE_TEST_CASE(GivesUpRunsThatWereConfirmedBeforeThePortClosed,
+                        Bench) {
+  serve();
+  order({order(0, 1)});
+  step(answerToStart());
+  step(answer(m_OpenHold, CallError::NoAnswer));
+  for (int I = 0; I < 2; ++I) {
+    pass(milliseconds(250));
+    step(answer(take<HoldCall>()->m_Call, CallError::Unreachable));
+  }
+  BOOST_TEST((report().endedIncarnation == m_Incarnation));
+  BOOST_TEST(report().unaccountedRuns.empty());
+}
+
 // Guards against starting runs on a worker that is about to leave.
 BOOST_FIXTURE_TEST_CASE(ReportsRunsAsNotStartedWhileTheWorkerDrains, Bench) {
   serve();
