workload, node: Refuse a job that was cancelled before it was handed in

Cause: an entry that knew no leader held the job and handed it in later, without another look at its consumer, who had left and cancelled the job at another entry. A cancellation of a job that is not known was answered 410 and left nothing behind.

Ruled out: a lost cancellation (none was committed), a second submission, and the state, which starts nothing of a cancelled job.

Change: the cancellation of an unknown job is committed before it is answered 410. The state keeps a mark for the id, the queue and the workspace, shows it to nobody and refuses the job from then on. Marks share the bound of ended jobs. The entry also drops a job before each attempt if its consumer has gone. Entries of earlier logs have no queue and leave no mark.

Tests: three cases of WorkloadStateTest and two of SubmissionTest; RefusesAJobThatWasCancelledBeforeItWasHandedIn and RefusesAJobThatWasCancelledOnItsWay fail without the change: the job is accepted.

--- a/gen/workload_types.cpp
+++ b/gen/workload_types.cpp
@@ -5031,6 +5031,10 @@
 void JobRecord::__set_occurrencesOpened(const int32_t val) {
   this->occurrencesOpened = val;
 }
+
+void JobRecord::__set_cancelledFirst(const bool val) {
+  this->cancelledFirst = val;
+}
 std::ostream& operator<<(std::ostream& out, const JobRecord& obj)
 {
   obj.printTo(out);
@@ -5204,6 +5208,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->cancelledFirst);
+          this->__isset.cancelledFirst = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5294,6 +5306,10 @@
   xfer += oprot->writeI32(this->occurrencesOpened);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("cancelledFirst", ::apache::thrift::protocol::T_BOOL, 17);
+  xfer += oprot->writeBool(this->cancelledFirst);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5317,6 +5333,7 @@
   swap(a.activeRuns, b.activeRuns);
   swap(a.reason, b.reason);
   swap(a.occurrencesOpened, b.occurrencesOpened);
+  swap(a.cancelledFirst, b.cancelledFirst);
   swap(a.__isset, b.__isset);
 }
 
@@ -5337,6 +5354,7 @@
   activeRuns = other189.activeRuns;
   reason = other189.reason;
   occurrencesOpened = other189.occurrencesOpened;
+  cancelledFirst = other189.cancelledFirst;
   __isset = other189.__isset;
 }
 JobRecord::JobRecord(JobRecord&& other190) noexcept {
@@ -5356,6 +5374,7 @@
   activeRuns = other190.activeRuns;
   reason = std::move(other190.reason);
   occurrencesOpened = other190.occurrencesOpened;
+  cancelledFirst = other190.cancelledFirst;
   __isset = other190.__isset;
 }
 JobRecord& JobRecord::operator=(const JobRecord& other191) {
@@ -5375,6 +5394,7 @@
   activeRuns = other191.activeRuns;
   reason = other191.reason;
   occurrencesOpened = other191.occurrencesOpened;
+  cancelledFirst = other191.cancelledFirst;
   __isset = other191.__isset;
   return *this;
 }
@@ -5395,6 +5415,7 @@
   activeRuns = other192.activeRuns;
   reason = std::move(other192.reason);
   occurrencesOpened = other192.occurrencesOpened;
+  cancelledFirst = other192.cancelledFirst;
   __isset = other192.__isset;
   return *this;
 }
@@ -5417,6 +5438,7 @@
   out << ", " << "activeRuns=" << to_string(activeRuns);
   out << ", " << "reason=" << to_string(reason);
   out << ", " << "occurrencesOpened=" << to_string(occurrencesOpened);
+  out << ", " << "cancelledFirst=" << to_string(cancelledFirst);
   out << ")";
 }
 
@@ -6902,6 +6924,16 @@
 void CancelWorkload::__set_jobId(const std::string& val) {
   this->jobId = val;
 }
+
+void CancelWorkload::__set_queue(const std::string& val) {
+  this->queue = val;
+__isset.queue = true;
+}
+
+void CancelWorkload::__set_workspace(const std::string& val) {
+  this->workspace = val;
+__isset.workspace = true;
+}
 std::ostream& operator<<(std::ostream& out, const CancelWorkload& obj)
 {
   obj.printTo(out);
@@ -6938,6 +6970,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->queue);
+          this->__isset.queue = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6959,6 +7007,16 @@
   xfer += oprot->writeString(this->jobId);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.queue) {
+    xfer += oprot->writeFieldBegin("queue", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeString(this->queue);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.workspace) {
+    xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 3);
+    xfer += oprot->writeString(this->workspace);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6967,24 +7025,34 @@
 void swap(CancelWorkload &a, CancelWorkload &b) {
   using ::std::swap;
   swap(a.jobId, b.jobId);
+  swap(a.queue, b.queue);
+  swap(a.workspace, b.workspace);
   swap(a.__isset, b.__isset);
 }
 
 CancelWorkload::CancelWorkload(const CancelWorkload& other279) {
   jobId = other279.jobId;
+  queue = other279.queue;
+  workspace = other279.workspace;
   __isset = other279.__isset;
 }
 CancelWorkload::CancelWorkload(CancelWorkload&& other280) noexcept {
   jobId = std::move(other280.jobId);
+  queue = std::move(other280.queue);
+  workspace = std::move(other280.workspace);
   __isset = other280.__isset;
 }
 CancelWorkload& CancelWorkload::operator=(const CancelWorkload& other281) {
   jobId = other281.jobId;
+  queue = other281.queue;
+  workspace = other281.workspace;
   __isset = other281.__isset;
   return *this;
 }
 CancelWorkload& CancelWorkload::operator=(CancelWorkload&& other282) noexcept {
   jobId = std::move(other282.jobId);
+  queue = std::move(other282.queue);
+  workspace = std::move(other282.workspace);
   __isset = other282.__isset;
   return *this;
 }
@@ -6992,6 +7060,8 @@
   using ::apache::thrift::to_string;
   out << "CancelWorkload(";
   out << "jobId=" << to_string(jobId);
+  out << ", " << "queue="; (__isset.queue ? (out << to_string(queue)) : (out << "<null>"));
+  out << ", " << "workspace="; (__isset.workspace ? (out << to_string(workspace)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/workload_types.h
+++ b/gen/workload_types.h
@@ -1892,7 +1892,7 @@
 std::ostream& operator<<(std::ostream& out, const OccurrenceRecord& obj);
 
 typedef struct _JobRecord__isset {
-  _JobRecord__isset() : id(false), queue(false), workspace(false), spec(false), phase(true), occurrences(false), occurrencesDone(false), submittedIndex(false), serviceName(false), priority(false), maxAttempts(false), slackFactor(false), latencyTargetMs(false), activeRuns(false), reason(false), occurrencesOpened(false) {}
+  _JobRecord__isset() : id(false), queue(false), workspace(false), spec(false), phase(true), occurrences(false), occurrencesDone(false), submittedIndex(false), serviceName(false), priority(false), maxAttempts(false), slackFactor(false), latencyTargetMs(false), activeRuns(false), reason(false), occurrencesOpened(false), cancelledFirst(false) {}
   bool id :1;
   bool queue :1;
   bool workspace :1;
@@ -1909,6 +1909,7 @@
   bool activeRuns :1;
   bool reason :1;
   bool occurrencesOpened :1;
+  bool cancelledFirst :1;
 } _JobRecord__isset;
 
 class JobRecord : public virtual ::apache::thrift::TBase {
@@ -1932,7 +1933,8 @@
               latencyTargetMs(0),
               activeRuns(0),
               reason(),
-              occurrencesOpened(0) {
+              occurrencesOpened(0),
+              cancelledFirst(0) {
   }
 
   virtual ~JobRecord() noexcept;
@@ -1956,6 +1958,7 @@
   int32_t activeRuns;
   std::string reason;
   int32_t occurrencesOpened;
+  bool cancelledFirst;
 
   _JobRecord__isset __isset;
 
@@ -1991,6 +1994,8 @@
 
   void __set_occurrencesOpened(const int32_t val);
 
+  void __set_cancelledFirst(const bool val);
+
   bool operator == (const JobRecord & rhs) const
   {
     if (!(id == rhs.id))
@@ -2025,6 +2030,8 @@
       return false;
     if (!(occurrencesOpened == rhs.occurrencesOpened))
       return false;
+    if (!(cancelledFirst == rhs.cancelledFirst))
+      return false;
     return true;
   }
   bool operator != (const JobRecord &rhs) const {
@@ -2544,8 +2551,10 @@
 std::ostream& operator<<(std::ostream& out, const SubmitWorkload& obj);
 
 typedef struct _CancelWorkload__isset {
-  _CancelWorkload__isset() : jobId(false) {}
+  _CancelWorkload__isset() : jobId(false), queue(false), workspace(false) {}
   bool jobId :1;
+  bool queue :1;
+  bool workspace :1;
 } _CancelWorkload__isset;
 
 class CancelWorkload : public virtual ::apache::thrift::TBase {
@@ -2556,20 +2565,36 @@
   CancelWorkload& operator=(const CancelWorkload&);
   CancelWorkload& operator=(CancelWorkload&&) noexcept;
   CancelWorkload() noexcept
-                 : jobId() {
+                 : jobId(),
+                   queue(),
+                   workspace() {
   }
 
   virtual ~CancelWorkload() noexcept;
   std::string jobId;
+  std::string queue;
+  std::string workspace;
 
   _CancelWorkload__isset __isset;
 
   void __set_jobId(const std::string& val);
 
+  void __set_queue(const std::string& val);
+
+  void __set_workspace(const std::string& val);
+
   bool operator == (const CancelWorkload & rhs) const
   {
     if (!(jobId == rhs.jobId))
       return false;
+    if (__isset.queue != rhs.__isset.queue)
+      return false;
+    else if (__isset.queue && !(queue == rhs.queue))
+      return false;
+    if (__isset.workspace != rhs.__isset.workspace)
+      return false;
+    else if (__isset.workspace && !(workspace == rhs.workspace))
+      return false;
     return true;
   }
   bool operator != (const CancelWorkload &rhs) const {
--- a/include/anvil/node/EntryProcess.h
+++ b/include/anvil/node/EntryProcess.h
@@ -113,10 +113,12 @@
 
   /// Sends \p Call to the leader and retries until \p Timeout has passed. A
   /// submission is refused at once while no leader can be reached and none was
-  /// for EntryProcessOptions::m_MaxPolicyAge. \p Done runs exactly once. The
-  /// status NOT_READY means that the call has no effect; UNKNOWN means that it
-  /// may have taken effect or may still do so.
-  void call(const wire::WorkloadCall &Call, Duration Timeout, CallDone Done);
+  /// for EntryProcessOptions::m_MaxPolicyAge, and is dropped before its next
+  /// attempt once \p CallerWaits, if it is set, returns false. \p Done runs
+  /// exactly once. The status NOT_READY means that the call has no effect;
+  /// UNKNOWN means that it may have taken effect or may still do so.
+  void call(const wire::WorkloadCall &Call, Duration Timeout, CallDone Done,
+            std::function<bool()> CallerWaits = nullptr);
 
   /// Withdraws an availability zone or takes it back, with the answers of
   /// call(). The order takes effect only if \p CallerWaits returned true after
--- a/include/anvil/workload/WorkloadState.h
+++ b/include/anvil/workload/WorkloadState.h
@@ -145,7 +145,8 @@
     return m_Replicas;
   }
 
-  /// Returns the job, which may have ended, or null if it is not known.
+  /// Returns the job, which may have ended, or null if it is not known or was
+  /// cancelled before it was handed in.
   const wire::JobRecord *job(std::string_view Id) const;
 
   /// Returns the ids of the jobs that have not ended or still have runs, by log
@@ -234,6 +235,9 @@
   void setPhase(wire::JobRecord &Job, wire::JobPhase::type Phase,
                 const std::string &Reason);
   void retireIfOver(wire::JobRecord &Job);
+  void markCancelledFirst(const wire::CancelWorkload &Command);
+  void rememberEndedJob(const std::string &Id);
+  void forgetEndedJob(const std::string &Id);
   void endRunsOf(const wire::WorkerIncarnation &Incarnation,
                  const wire::LoseWorker &Command);
   void retireIncarnation(const wire::WorkerIncarnation &Incarnation,
--- a/proto/workload.thrift
+++ b/proto/workload.thrift
@@ -182,7 +182,8 @@
   13: i64 latencyTargetMs,
   14: i32 activeRuns,
   15: string reason,
-  16: i32 occurrencesOpened
+  16: i32 occurrencesOpened,
+  17: bool cancelledFirst       // only a mark: cancelled before it was handed in, so it is refused from then on
 }
 
 struct WorkerRecord {
@@ -220,7 +221,9 @@
 struct RegisterReplica { 1: ReplicaAddress replica }
 struct ForgetReplica { 1: i64 id }
 struct SubmitWorkload { 1: string jobId, 2: string queue, 3: string workspace, 4: WorkloadSpec spec }
-struct CancelWorkload { 1: string jobId }
+// With a queue and a workspace, a job that is not known yet is refused when it is handed in there later. Logs of earlier
+// versions have entries without them.
+struct CancelWorkload { 1: string jobId, 2: optional string queue, 3: optional string workspace }
 struct RegisterWorker { 1: WorkerInfo info, 2: string agentIncarnation }
 // Runs in retainedRuns stay assigned to the incarnation: a delayed order may still start them in a later incarnation of
 // the worker.
--- a/src/node/EntryProcess.cpp
+++ b/src/node/EntryProcess.cpp
@@ -401,7 +401,7 @@
 EntryProcess::~EntryProcess() = default;
 
 void EntryProcess::call(const wire::WorkloadCall &Call, Duration Timeout,
-                        CallDone Done) {
+                        CallDone Done, std::function<bool()> CallerWaits) {
   const bool IsSubmit = Call.__isset.submit;
   Done = m_Impl->timed(internal::nameOf(Call), std::move(Done));
   CallLimits Limits;
@@ -410,10 +410,12 @@
   // longer silence the caller is told at once, and may find an entry that
   // reaches a leader.
   if (IsSubmit)
-    Limits.m_GivesUp = [Weak = std::weak_ptr(m_Impl)] {
+    Limits.m_GivesUp = [Weak = std::weak_ptr(m_Impl),
+                        CallerWaits = std::move(CallerWaits)] {
       const auto Self = Weak.lock();
-      return Self && !Self->m_Watch->fresh() &&
-             !Self->m_LeaderClient->knowsLeader();
+      const bool CallerHasGone = CallerWaits && !CallerWaits();
+      return CallerHasGone || (Self && !Self->m_Watch->fresh() &&
+                               !Self->m_LeaderClient->knowsLeader());
     };
   m_Impl->m_LeaderClient->call(
       wire::Method::WORKLOAD_CALL, net::encodeStruct(Call), std::move(Limits),
--- a/src/node/LeaderClient.cpp
+++ b/src/node/LeaderClient.cpp
@@ -95,8 +95,9 @@
 
 void LeaderClient::Impl::attempt(const std::shared_ptr<PendingCall> &Call) {
   if (!Call->m_MaybeExecuted && Call->m_GivesUp && Call->m_GivesUp()) {
-    Call->m_OnDone({absl::UnavailableError("no leader can be reached"), "",
-                    Call->m_MaybeExecuted});
+    Call->m_OnDone({absl::UnavailableError("no leader can be reached, or the "
+                                           "caller does not wait any more"),
+                    "", Call->m_MaybeExecuted});
     return;
   }
   const Duration Left = Call->m_Deadline - m_Options.m_Now();
--- a/src/node/ReplicaCalls.cpp
+++ b/src/node/ReplicaCalls.cpp
@@ -151,8 +151,9 @@
   });
 }
 
-// Looks the job up in a linearizable read before it commits the cancellation,
-// so that an unknown job is reported as such.
+// Checks by a linearizable read that the caller may cancel the job. The
+// cancellation of an unknown job is committed as well: the job may have been
+// handed in and be held up on its way here.
 void Replica::cancel(const wire::WorkloadCall &Call, const CallDone &Done) {
   m_ReplicatedLog->read([this, Call, Done](const absl::Status &Status) {
     if (!Status.ok()) {
@@ -168,13 +169,15 @@
                  {"job", Call.jobId},
                  {"status", static_cast<int64_t>(Result.status)},
                  {"policy", m_State.policy().version}});
-    if (Result.status != wire::WorkloadStatus::OK) {
-      wire::WorkloadReply Reply = leaderReply(Result.status, Result.message);
-      Done(std::move(Reply));
+    if (Result.status != wire::WorkloadStatus::OK &&
+        Result.status != wire::WorkloadStatus::NO_JOB) {
+      Done(leaderReply(Result.status, Result.message));
       return;
     }
     wire::CancelWorkload Cancel;
     Cancel.jobId = Call.jobId;
+    Cancel.__set_queue(Admitted.m_Queue);
+    Cancel.__set_workspace(Admitted.m_Workspace);
     wire::WorkloadCommand Command;
     Command.__set_cancel(Cancel);
     commit(std::move(Command), Done);
--- a/src/workload/WorkloadJobs.cpp
+++ b/src/workload/WorkloadJobs.cpp
@@ -10,10 +10,37 @@
 
 using internal::resultOf;
 
+namespace {
+
+// Returns whether the cancellation is for a job of this queue and workspace.
+// Any caller of an anonymous queue may cancel its jobs.
+bool concerns(const wire::CancelWorkload &Command, const std::string &Queue,
+              const std::string &Workspace) {
+  return !Command.__isset.queue ||
+         (Command.queue == Queue &&
+          (Workspace.empty() || Command.workspace == Workspace));
+}
+
+// Returns whether \p Mark, of a job that was cancelled first, is for this one.
+bool refuses(const wire::JobRecord &Mark, const wire::SubmitWorkload &Submit) {
+  wire::CancelWorkload Cancelled;
+  Cancelled.__set_queue(Mark.queue);
+  Cancelled.__set_workspace(Mark.workspace);
+  return concerns(Cancelled, Submit.queue, Submit.workspace);
+}
+
+} // namespace
+
 wire::WorkloadResult
 WorkloadState::applySubmit(const wire::SubmitWorkload &Command) {
-  if (m_Jobs.contains(Command.jobId))
-    return resultOf(wire::WorkloadStatus::UNCHANGED);
+  if (const wire::JobRecord *Known = findJob(Command.jobId)) {
+    if (!Known->cancelledFirst)
+      return resultOf(wire::WorkloadStatus::UNCHANGED);
+    if (refuses(*Known, Command))
+      return resultOf(wire::WorkloadStatus::NO_JOB,
+                      "the job was cancelled before it was handed in");
+    forgetEndedJob(Command.jobId);
+  }
   if (const absl::Status Status = checkSpec(Command.spec); !Status.ok())
     return resultOf(wire::WorkloadStatus::INVALID, fromAbsl(Status.message()));
   const wire::QueuePolicy *Queue = queueNamed(m_Policy, Command.queue);
@@ -80,7 +107,10 @@
 wire::WorkloadResult
 WorkloadState::applyCancel(const wire::CancelWorkload &Command) {
   wire::JobRecord *Job = findJob(Command.jobId);
-  if (!Job)
+  if (!Job && Command.__isset.queue)
+    markCancelledFirst(Command);
+  if (!Job || Job->cancelledFirst ||
+      !concerns(Command, Job->queue, Job->workspace))
     return resultOf(wire::WorkloadStatus::NO_JOB, "no such job");
   if (hasEnded(Job->phase))
     return resultOf(wire::WorkloadStatus::UNCHANGED);
@@ -90,6 +120,19 @@
   return resultOf(wire::WorkloadStatus::OK);
 }
 
+// The caller is told that there is no such job, so a submission of it that is
+// still on its way must not take effect.
+void WorkloadState::markCancelledFirst(const wire::CancelWorkload &Command) {
+  wire::JobRecord &Mark = m_Jobs[Command.jobId];
+  Mark.id = Command.jobId;
+  Mark.queue = Command.queue;
+  Mark.workspace = Command.workspace;
+  Mark.phase = wire::JobPhase::CANCELLED;
+  Mark.submittedIndex = m_AppliedIndex;
+  Mark.cancelledFirst = true;
+  rememberEndedJob(Command.jobId);
+}
+
 void WorkloadState::setPhase(wire::JobRecord &Job, wire::JobPhase::type Phase,
                              const std::string &Reason) {
   if (Job.phase == Phase)
@@ -109,13 +152,20 @@
   m_PayloadBytes -= static_cast<int64_t>(Job.spec.payload.size());
   Job.spec = wire::WorkloadSpec();
   Job.occurrences.clear();
-  m_EndedJobIds.push_back(Job.id);
-  if (m_EndedJobIds.size() <= m_Limits.m_MaxEndedJobs)
-    return;
-  // Copied, since erasing may destroy the job that was passed in.
-  const std::string Oldest = m_EndedJobIds.front();
-  m_EndedJobIds.erase(m_EndedJobIds.begin());
-  m_Jobs.erase(Oldest);
+  // Copied, since the job may be the oldest one, which is then removed.
+  rememberEndedJob(std::string(Job.id));
+}
+
+void WorkloadState::rememberEndedJob(const std::string &Id) {
+  m_EndedJobIds.push_back(Id);
+  if (m_EndedJobIds.size() > m_Limits.m_MaxEndedJobs)
+    forgetEndedJob(std::string(m_EndedJobIds.front()));
+}
+
+void WorkloadState::forgetEndedJob(const std::string &Id) {
+  m_EndedJobIds.erase(
+      std::find(m_EndedJobIds.begin(), m_EndedJobIds.end(), Id));
+  m_Jobs.erase(Id);
 }
 
 void WorkloadState::finishOccurrenceIfDone(wire::JobRecord &Job,
--- a/src/workload/WorkloadState.cpp
+++ b/src/workload/WorkloadState.cpp
@@ -140,7 +140,8 @@
 
 const wire::JobRecord *WorkloadState::job(std::string_view Id) const {
   const auto It = m_Jobs.find(Id);
-  return It == m_Jobs.end() ? nullptr : &It->second;
+  const bool Known = It != m_Jobs.end() && !It->second.cancelledFirst;
+  return Known ? &It->second : nullptr;
 }
 
 wire::JobRecord *WorkloadState::findJob(std::string_view Id) {
--- a/tests/node/SubmissionTest.cpp
+++ b/tests/node/SubmissionTest.cpp
@@ -152,6 +152,39 @@
   BOOST_TEST(Lost == 0);
 }
 
+// Guards against a job that runs although its caller was told, by another
+// process, that there is no such job to cancel.
+BOOST_FIXTURE_TEST_CASE(RefusesAJobThatWasCancelledOnItsWay, Group) {
+  const std::string Job = jobNumber(1);
+  wire::WorkloadCall Cancel = callFor(Job, "/q/");
+  Cancel.__set_cancel(true);
+  BOOST_TEST(callAndWait(m_Loop, m_Entries[0], Cancel).m_Status ==
+             wire::WorkloadStatus::NO_JOB);
+  wire::WorkloadCall Submit = callFor(Job, "/q/");
+  Submit.__set_submit(workload::makeSpec({workload::makeStep(1)}));
+  BOOST_TEST(callAndWait(m_Loop, m_Entries[1], Submit).m_Status ==
+             wire::WorkloadStatus::NO_JOB);
+}
+
+// Guards against handing in a job whose caller gave it up while the entry
+// looked for a leader.
+BOOST_FIXTURE_TEST_CASE(HandsInNoJobWhoseCallerHasGone, Group) {
+  const std::string Job = jobNumber(2);
+  wire::WorkloadCall Submit = callFor(Job, "/q/");
+  Submit.__set_submit(workload::makeSpec({workload::makeStep(1)}));
+  std::optional<CallResult> Result;
+  m_Entries[0].process().call(
+      Submit, CallTimeout,
+      [&Result](CallResult Answer) { Result = std::move(Answer); },
+      [] { return false; });
+  BOOST_REQUIRE(m_Loop.runUntil([&Result] { return Result.has_value(); }));
+  BOOST_TEST(Result->m_Status == wire::WorkloadStatus::NOT_READY);
+  wire::WorkloadCall Status = callFor(Job, "/q/");
+  Status.__set_status(true);
+  BOOST_TEST(callAndWait(m_Loop, m_Entries[0], Status).m_Status ==
+             wire::WorkloadStatus::NO_JOB);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace anvil::node
--- a/tests/workload/WorkloadFixture.h
+++ b/tests/workload/WorkloadFixture.h
@@ -108,6 +108,18 @@
     Command.__set_cancel(Cancel);
     return apply(Command);
   }
+  /// Cancels a job as a caller of its queue does.
+  wire::WorkloadResult cancelIn(const std::string &Queue,
+                                const std::string &Workspace,
+                                const std::string &Id) {
+    wire::CancelWorkload Cancel;
+    Cancel.jobId = Id;
+    Cancel.__set_queue(Queue);
+    Cancel.__set_workspace(Workspace);
+    wire::WorkloadCommand Command;
+    Command.__set_cancel(Cancel);
+    return apply(Command);
+  }
   wire::WorkloadResult addWorker(const std::string &Id, int64_t StartedAtMs = 1,
                                  const std::string &Zone = "north",
                                  const std::string &Agent = "") {
--- a/tests/workload/WorkloadStateTest.cpp
+++ b/tests/workload/WorkloadStateTest.cpp
@@ -110,6 +110,53 @@
   BOOST_TEST(task("j", 0, 0).failures == 0);
 }
 
+// Guards against running a job whose cancelling was acknowledged while its
+// submission was held up on the way here.
+BOOST_AUTO_TEST_CASE(RefusesAJobThatWasCancelledBeforeItWasHandedIn) {
+  BOOST_TEST(cancelIn("quotes", "team", "j").status == WorkloadStatus::NO_JOB);
+  BOOST_TEST(!m_State.job("j"));
+  BOOST_TEST(submit("j", makeSpec({makeStep(1)})).status ==
+             WorkloadStatus::NO_JOB);
+  BOOST_TEST(m_State.liveJobs().empty());
+  BOOST_TEST(!m_State.job("j"));
+
+  // The mark is part of the state that a restart reads.
+  auto Restored = WorkloadState::restore(m_State.snapshot(), WorkloadLimits());
+  BOOST_REQUIRE(Restored.ok());
+  m_State = *std::move(Restored);
+  BOOST_TEST(submit("j", makeSpec({makeStep(1)})).status ==
+             WorkloadStatus::NO_JOB);
+}
+
+// Guards against a caller that keeps others from handing in their jobs.
+BOOST_AUTO_TEST_CASE(RefusesNoJobThatAnotherWorkspaceCancelledFirst) {
+  cancelIn("quotes", "others", "j");
+  cancelIn("batch", "team", "k");
+  for (const char *Job : {"j", "k"}) {
+    BOOST_TEST(submit(Job, makeSpec({makeStep(1)})).status ==
+               WorkloadStatus::OK);
+    BOOST_TEST(phase(Job) == JobPhase::QUEUED);
+  }
+  BOOST_TEST(cancelIn("quotes", "others", "j").status ==
+             WorkloadStatus::NO_JOB);
+  BOOST_TEST(phase("j") == JobPhase::QUEUED);
+  BOOST_TEST(m_State.findViolation() == "");
+}
+
+// Guards against a state that grows with each cancellation of an unknown job.
+BOOST_AUTO_TEST_CASE(ForgetsTheOldestOfManyCancellations) {
+  WorkloadLimits Limits;
+  Limits.m_MaxEndedJobs = 3;
+  m_State = WorkloadState(Limits);
+  m_Index = 0;
+  putPolicy(makePolicy(1));
+  for (const char *Job : {"a", "b", "c", "d"})
+    cancelIn("quotes", "team", Job);
+  BOOST_TEST(submit("a", makeSpec({makeStep(1)})).status == WorkloadStatus::OK);
+  BOOST_TEST(submit("b", makeSpec({makeStep(1)})).status ==
+             WorkloadStatus::NO_JOB);
+}
+
 // Guards against a cancelled job that starts again or is shown in another
 // phase.
 BOOST_AUTO_TEST_CASE(StopsACancelledJob) {
