--- a/gen/workload_types.cpp
+++ b/gen/workload_types.cpp
@@ -4355,6 +4355,129 @@
 }
 
 
+JobAddress::~JobAddress() noexcept {
+}
+
+
+void JobAddress::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void JobAddress::__set_path(const std::string& val) {
+  this->path = val;
+}
+std::ostream& operator<<(std::ostream& out, const JobAddress& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobAddress::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->path);
+          this->__isset.path = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JobAddress::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobAddress");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("path", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->path);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobAddress &a, JobAddress &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.path, b.path);
+  swap(a.__isset, b.__isset);
+}
+
+JobAddress::JobAddress(const JobAddress& other155) {
+  host = other155.host;
+  path = other155.path;
+  __isset = other155.__isset;
+}
+JobAddress::JobAddress(JobAddress&& other156) noexcept {
+  host = std::move(other156.host);
+  path = std::move(other156.path);
+  __isset = other156.__isset;
+}
+JobAddress& JobAddress::operator=(const JobAddress& other157) {
+  host = other157.host;
+  path = other157.path;
+  __isset = other157.__isset;
+  return *this;
+}
+JobAddress& JobAddress::operator=(JobAddress&& other158) noexcept {
+  host = std::move(other158.host);
+  path = std::move(other158.path);
+  __isset = other158.__isset;
+  return *this;
+}
+void JobAddress::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobAddress(";
+  out << "host=" << to_string(host);
+  out << ", " << "path=" << to_string(path);
+  out << ")";
+}
+
+
 TaskRecord::~TaskRecord() noexcept {
 }
 
@@ -4416,9 +4539,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast155;
-          xfer += iprot->readI32(ecast155);
-          this->phase = static_cast<TaskPhase::type>(ecast155);
+          int32_t ecast159;
+          xfer += iprot->readI32(ecast159);
+          this->phase = static_cast<TaskPhase::type>(ecast159);
           this->__isset.phase = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4534,46 +4657,46 @@
   swap(a.__isset, b.__isset);
 }
 
-TaskRecord::TaskRecord(const TaskRecord& other156) {
-  phase = other156.phase;
-  run = other156.run;
-  failures = other156.failures;
-  worker = other156.worker;
-  checkpoint = other156.checkpoint;
-  lostRun = other156.lostRun;
-  lostRunDone = other156.lostRunDone;
-  __isset = other156.__isset;
-}
-TaskRecord::TaskRecord(TaskRecord&& other157) noexcept {
-  phase = other157.phase;
-  run = other157.run;
-  failures = other157.failures;
-  worker = std::move(other157.worker);
-  checkpoint = std::move(other157.checkpoint);
-  lostRun = other157.lostRun;
-  lostRunDone = other157.lostRunDone;
-  __isset = other157.__isset;
-}
-TaskRecord& TaskRecord::operator=(const TaskRecord& other158) {
-  phase = other158.phase;
-  run = other158.run;
-  failures = other158.failures;
-  worker = other158.worker;
-  checkpoint = other158.checkpoint;
-  lostRun = other158.lostRun;
-  lostRunDone = other158.lostRunDone;
-  __isset = other158.__isset;
+TaskRecord::TaskRecord(const TaskRecord& other160) {
+  phase = other160.phase;
+  run = other160.run;
+  failures = other160.failures;
+  worker = other160.worker;
+  checkpoint = other160.checkpoint;
+  lostRun = other160.lostRun;
+  lostRunDone = other160.lostRunDone;
+  __isset = other160.__isset;
+}
+TaskRecord::TaskRecord(TaskRecord&& other161) noexcept {
+  phase = other161.phase;
+  run = other161.run;
+  failures = other161.failures;
+  worker = std::move(other161.worker);
+  checkpoint = std::move(other161.checkpoint);
+  lostRun = other161.lostRun;
+  lostRunDone = other161.lostRunDone;
+  __isset = other161.__isset;
+}
+TaskRecord& TaskRecord::operator=(const TaskRecord& other162) {
+  phase = other162.phase;
+  run = other162.run;
+  failures = other162.failures;
+  worker = other162.worker;
+  checkpoint = other162.checkpoint;
+  lostRun = other162.lostRun;
+  lostRunDone = other162.lostRunDone;
+  __isset = other162.__isset;
   return *this;
 }
-TaskRecord& TaskRecord::operator=(TaskRecord&& other159) noexcept {
-  phase = other159.phase;
-  run = other159.run;
-  failures = other159.failures;
-  worker = std::move(other159.worker);
-  checkpoint = std::move(other159.checkpoint);
-  lostRun = other159.lostRun;
-  lostRunDone = other159.lostRunDone;
-  __isset = other159.__isset;
+TaskRecord& TaskRecord::operator=(TaskRecord&& other163) noexcept {
+  phase = other163.phase;
+  run = other163.run;
+  failures = other163.failures;
+  worker = std::move(other163.worker);
+  checkpoint = std::move(other163.checkpoint);
+  lostRun = other163.lostRun;
+  lostRunDone = other163.lostRunDone;
+  __isset = other163.__isset;
   return *this;
 }
 void TaskRecord::printTo(std::ostream& out) const {
@@ -4645,14 +4768,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tasks.clear();
-            uint32_t _size160;
-            ::apache::thrift::protocol::TType _etype163;
-            xfer += iprot->readListBegin(_etype163, _size160);
-            this->tasks.resize(_size160);
-            uint32_t _i164;
-            for (_i164 = 0; _i164 < _size160; ++_i164)
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            this->tasks.resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
             {
-              xfer += this->tasks[_i164].read(iprot);
+              xfer += this->tasks[_i168].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4713,10 +4836,10 @@
   xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
-    std::vector<TaskRecord> ::const_iterator _iter165;
-    for (_iter165 = this->tasks.begin(); _iter165 != this->tasks.end(); ++_iter165)
+    std::vector<TaskRecord> ::const_iterator _iter169;
+    for (_iter169 = this->tasks.begin(); _iter169 != this->tasks.end(); ++_iter169)
     {
-      xfer += (*_iter165).write(oprot);
+      xfer += (*_iter169).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4753,38 +4876,38 @@
   swap(a.__isset, b.__isset);
 }
 
-StepRecord::StepRecord(const StepRecord& other166) {
-  tasks = other166.tasks;
-  done = other166.done;
-  active = other166.active;
-  gangFailures = other166.gangFailures;
-  gangFailedRun = other166.gangFailedRun;
-  __isset = other166.__isset;
-}
-StepRecord::StepRecord(StepRecord&& other167) noexcept {
-  tasks = std::move(other167.tasks);
-  done = other167.done;
-  active = other167.active;
-  gangFailures = other167.gangFailures;
-  gangFailedRun = other167.gangFailedRun;
-  __isset = other167.__isset;
-}
-StepRecord& StepRecord::operator=(const StepRecord& other168) {
-  tasks = other168.tasks;
-  done = other168.done;
-  active = other168.active;
-  gangFailures = other168.gangFailures;
-  gangFailedRun = other168.gangFailedRun;
-  __isset = other168.__isset;
+StepRecord::StepRecord(const StepRecord& other170) {
+  tasks = other170.tasks;
+  done = other170.done;
+  active = other170.active;
+  gangFailures = other170.gangFailures;
+  gangFailedRun = other170.gangFailedRun;
+  __isset = other170.__isset;
+}
+StepRecord::StepRecord(StepRecord&& other171) noexcept {
+  tasks = std::move(other171.tasks);
+  done = other171.done;
+  active = other171.active;
+  gangFailures = other171.gangFailures;
+  gangFailedRun = other171.gangFailedRun;
+  __isset = other171.__isset;
+}
+StepRecord& StepRecord::operator=(const StepRecord& other172) {
+  tasks = other172.tasks;
+  done = other172.done;
+  active = other172.active;
+  gangFailures = other172.gangFailures;
+  gangFailedRun = other172.gangFailedRun;
+  __isset = other172.__isset;
   return *this;
 }
-StepRecord& StepRecord::operator=(StepRecord&& other169) noexcept {
-  tasks = std::move(other169.tasks);
-  done = other169.done;
-  active = other169.active;
-  gangFailures = other169.gangFailures;
-  gangFailedRun = other169.gangFailedRun;
-  __isset = other169.__isset;
+StepRecord& StepRecord::operator=(StepRecord&& other173) noexcept {
+  tasks = std::move(other173.tasks);
+  done = other173.done;
+  active = other173.active;
+  gangFailures = other173.gangFailures;
+  gangFailedRun = other173.gangFailedRun;
+  __isset = other173.__isset;
   return *this;
 }
 void StepRecord::printTo(std::ostream& out) const {
@@ -4854,14 +4977,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->steps.clear();
-            uint32_t _size170;
-            ::apache::thrift::protocol::TType _etype173;
-            xfer += iprot->readListBegin(_etype173, _size170);
-            this->steps.resize(_size170);
-            uint32_t _i174;
-            for (_i174 = 0; _i174 < _size170; ++_i174)
+            uint32_t _size174;
+            ::apache::thrift::protocol::TType _etype177;
+            xfer += iprot->readListBegin(_etype177, _size174);
+            this->steps.resize(_size174);
+            uint32_t _i178;
+            for (_i178 = 0; _i178 < _size174; ++_i178)
             {
-              xfer += this->steps[_i174].read(iprot);
+              xfer += this->steps[_i178].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4902,10 +5025,10 @@
   xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
-    std::vector<StepRecord> ::const_iterator _iter175;
-    for (_iter175 = this->steps.begin(); _iter175 != this->steps.end(); ++_iter175)
+    std::vector<StepRecord> ::const_iterator _iter179;
+    for (_iter179 = this->steps.begin(); _iter179 != this->steps.end(); ++_iter179)
     {
-      xfer += (*_iter175).write(oprot);
+      xfer += (*_iter179).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4928,30 +5051,30 @@
   swap(a.__isset, b.__isset);
 }
 
-OccurrenceRecord::OccurrenceRecord(const OccurrenceRecord& other176) {
-  number = other176.number;
-  steps = other176.steps;
-  stepsDone = other176.stepsDone;
-  __isset = other176.__isset;
+OccurrenceRecord::OccurrenceRecord(const OccurrenceRecord& other180) {
+  number = other180.number;
+  steps = other180.steps;
+  stepsDone = other180.stepsDone;
+  __isset = other180.__isset;
 }
-OccurrenceRecord::OccurrenceRecord(OccurrenceRecord&& other177) noexcept {
-  number = other177.number;
-  steps = std::move(other177.steps);
-  stepsDone = other177.stepsDone;
-  __isset = other177.__isset;
+OccurrenceRecord::OccurrenceRecord(OccurrenceRecord&& other181) noexcept {
+  number = other181.number;
+  steps = std::move(other181.steps);
+  stepsDone = other181.stepsDone;
+  __isset = other181.__isset;
 }
-OccurrenceRecord& OccurrenceRecord::operator=(const OccurrenceRecord& other178) {
-  number = other178.number;
-  steps = other178.steps;
-  stepsDone = other178.stepsDone;
-  __isset = other178.__isset;
+OccurrenceRecord& OccurrenceRecord::operator=(const OccurrenceRecord& other182) {
+  number = other182.number;
+  steps = other182.steps;
+  stepsDone = other182.stepsDone;
+  __isset = other182.__isset;
   return *this;
 }
-OccurrenceRecord& OccurrenceRecord::operator=(OccurrenceRecord&& other179) noexcept {
-  number = other179.number;
-  steps = std::move(other179.steps);
-  stepsDone = other179.stepsDone;
-  __isset = other179.__isset;
+OccurrenceRecord& OccurrenceRecord::operator=(OccurrenceRecord&& other183) noexcept {
+  number = other183.number;
+  steps = std::move(other183.steps);
+  stepsDone = other183.stepsDone;
+  __isset = other183.__isset;
   return *this;
 }
 void OccurrenceRecord::printTo(std::ostream& out) const {
@@ -5035,6 +5158,10 @@
 void JobRecord::__set_cancelledFirst(const bool val) {
   this->cancelledFirst = val;
 }
+
+void JobRecord::__set_address(const JobAddress& val) {
+  this->address = val;
+}
 std::ostream& operator<<(std::ostream& out, const JobRecord& obj)
 {
   obj.printTo(out);
@@ -5097,9 +5224,9 @@
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast180;
-          xfer += iprot->readI32(ecast180);
-          this->phase = static_cast<JobPhase::type>(ecast180);
+          int32_t ecast184;
+          xfer += iprot->readI32(ecast184);
+          this->phase = static_cast<JobPhase::type>(ecast184);
           this->__isset.phase = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5109,17 +5236,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->occurrences.clear();
-            uint32_t _size181;
-            ::apache::thrift::protocol::TType _ktype182;
-            ::apache::thrift::protocol::TType _vtype183;
-            xfer += iprot->readMapBegin(_ktype182, _vtype183, _size181);
-            uint32_t _i185;
-            for (_i185 = 0; _i185 < _size181; ++_i185)
+            uint32_t _size185;
+            ::apache::thrift::protocol::TType _ktype186;
+            ::apache::thrift::protocol::TType _vtype187;
+            xfer += iprot->readMapBegin(_ktype186, _vtype187, _size185);
+            uint32_t _i189;
+            for (_i189 = 0; _i189 < _size185; ++_i189)
             {
-              int32_t _key186;
-              xfer += iprot->readI32(_key186);
-              OccurrenceRecord& _val187 = this->occurrences[_key186];
-              xfer += _val187.read(iprot);
+              int32_t _key190;
+              xfer += iprot->readI32(_key190);
+              OccurrenceRecord& _val191 = this->occurrences[_key190];
+              xfer += _val191.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -5216,6 +5343,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->address.read(iprot);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5256,11 +5391,11 @@
   xfer += oprot->writeFieldBegin("occurrences", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_I32, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->occurrences.size()));
-    std::map<int32_t, OccurrenceRecord> ::const_iterator _iter188;
-    for (_iter188 = this->occurrences.begin(); _iter188 != this->occurrences.end(); ++_iter188)
+    std::map<int32_t, OccurrenceRecord> ::const_iterator _iter192;
+    for (_iter192 = this->occurrences.begin(); _iter192 != this->occurrences.end(); ++_iter192)
     {
-      xfer += oprot->writeI32(_iter188->first);
-      xfer += _iter188->second.write(oprot);
+      xfer += oprot->writeI32(_iter192->first);
+      xfer += _iter192->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -5310,6 +5445,10 @@
   xfer += oprot->writeBool(this->cancelledFirst);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRUCT, 18);
+  xfer += this->address.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5334,89 +5473,94 @@
   swap(a.reason, b.reason);
   swap(a.occurrencesOpened, b.occurrencesOpened);
   swap(a.cancelledFirst, b.cancelledFirst);
+  swap(a.address, b.address);
   swap(a.__isset, b.__isset);
 }
 
-JobRecord::JobRecord(const JobRecord& other189) {
-  id = other189.id;
-  queue = other189.queue;
-  workspace = other189.workspace;
-  spec = other189.spec;
-  phase = other189.phase;
-  occurrences = other189.occurrences;
-  occurrencesDone = other189.occurrencesDone;
-  submittedIndex = other189.submittedIndex;
-  serviceName = other189.serviceName;
-  priority = other189.priority;
-  maxAttempts = other189.maxAttempts;
-  slackFactor = other189.slackFactor;
-  latencyTargetMs = other189.latencyTargetMs;
-  activeRuns = other189.activeRuns;
-  reason = other189.reason;
-  occurrencesOpened = other189.occurrencesOpened;
-  cancelledFirst = other189.cancelledFirst;
-  __isset = other189.__isset;
-}
-JobRecord::JobRecord(JobRecord&& other190) noexcept {
-  id = std::move(other190.id);
-  queue = std::move(other190.queue);
-  workspace = std::move(other190.workspace);
-  spec = std::move(other190.spec);
-  phase = other190.phase;
-  occurrences = std::move(other190.occurrences);
-  occurrencesDone = other190.occurrencesDone;
-  submittedIndex = other190.submittedIndex;
-  serviceName = std::move(other190.serviceName);
-  priority = other190.priority;
-  maxAttempts = other190.maxAttempts;
-  slackFactor = other190.slackFactor;
-  latencyTargetMs = other190.latencyTargetMs;
-  activeRuns = other190.activeRuns;
-  reason = std::move(other190.reason);
-  occurrencesOpened = other190.occurrencesOpened;
-  cancelledFirst = other190.cancelledFirst;
-  __isset = other190.__isset;
-}
-JobRecord& JobRecord::operator=(const JobRecord& other191) {
-  id = other191.id;
-  queue = other191.queue;
-  workspace = other191.workspace;
-  spec = other191.spec;
-  phase = other191.phase;
-  occurrences = other191.occurrences;
-  occurrencesDone = other191.occurrencesDone;
-  submittedIndex = other191.submittedIndex;
-  serviceName = other191.serviceName;
-  priority = other191.priority;
-  maxAttempts = other191.maxAttempts;
-  slackFactor = other191.slackFactor;
-  latencyTargetMs = other191.latencyTargetMs;
-  activeRuns = other191.activeRuns;
-  reason = other191.reason;
-  occurrencesOpened = other191.occurrencesOpened;
-  cancelledFirst = other191.cancelledFirst;
-  __isset = other191.__isset;
+JobRecord::JobRecord(const JobRecord& other193) {
+  id = other193.id;
+  queue = other193.queue;
+  workspace = other193.workspace;
+  spec = other193.spec;
+  phase = other193.phase;
+  occurrences = other193.occurrences;
+  occurrencesDone = other193.occurrencesDone;
+  submittedIndex = other193.submittedIndex;
+  serviceName = other193.serviceName;
+  priority = other193.priority;
+  maxAttempts = other193.maxAttempts;
+  slackFactor = other193.slackFactor;
+  latencyTargetMs = other193.latencyTargetMs;
+  activeRuns = other193.activeRuns;
+  reason = other193.reason;
+  occurrencesOpened = other193.occurrencesOpened;
+  cancelledFirst = other193.cancelledFirst;
+  address = other193.address;
+  __isset = other193.__isset;
+}
+JobRecord::JobRecord(JobRecord&& other194) noexcept {
+  id = std::move(other194.id);
+  queue = std::move(other194.queue);
+  workspace = std::move(other194.workspace);
+  spec = std::move(other194.spec);
+  phase = other194.phase;
+  occurrences = std::move(other194.occurrences);
+  occurrencesDone = other194.occurrencesDone;
+  submittedIndex = other194.submittedIndex;
+  serviceName = std::move(other194.serviceName);
+  priority = other194.priority;
+  maxAttempts = other194.maxAttempts;
+  slackFactor = other194.slackFactor;
+  latencyTargetMs = other194.latencyTargetMs;
+  activeRuns = other194.activeRuns;
+  reason = std::move(other194.reason);
+  occurrencesOpened = other194.occurrencesOpened;
+  cancelledFirst = other194.cancelledFirst;
+  address = std::move(other194.address);
+  __isset = other194.__isset;
+}
+JobRecord& JobRecord::operator=(const JobRecord& other195) {
+  id = other195.id;
+  queue = other195.queue;
+  workspace = other195.workspace;
+  spec = other195.spec;
+  phase = other195.phase;
+  occurrences = other195.occurrences;
+  occurrencesDone = other195.occurrencesDone;
+  submittedIndex = other195.submittedIndex;
+  serviceName = other195.serviceName;
+  priority = other195.priority;
+  maxAttempts = other195.maxAttempts;
+  slackFactor = other195.slackFactor;
+  latencyTargetMs = other195.latencyTargetMs;
+  activeRuns = other195.activeRuns;
+  reason = other195.reason;
+  occurrencesOpened = other195.occurrencesOpened;
+  cancelledFirst = other195.cancelledFirst;
+  address = other195.address;
+  __isset = other195.__isset;
   return *this;
 }
-JobRecord& JobRecord::operator=(JobRecord&& other192) noexcept {
-  id = std::move(other192.id);
-  queue = std::move(other192.queue);
-  workspace = std::move(other192.workspace);
-  spec = std::move(other192.spec);
-  phase = other192.phase;
-  occurrences = std::move(other192.occurrences);
-  occurrencesDone = other192.occurrencesDone;
-  submittedIndex = other192.submittedIndex;
-  serviceName = std::move(other192.serviceName);
-  priority = other192.priority;
-  maxAttempts = other192.maxAttempts;
-  slackFactor = other192.slackFactor;
-  latencyTargetMs = other192.latencyTargetMs;
-  activeRuns = other192.activeRuns;
-  reason = std::move(other192.reason);
-  occurrencesOpened = other192.occurrencesOpened;
-  cancelledFirst = other192.cancelledFirst;
-  __isset = other192.__isset;
+JobRecord& JobRecord::operator=(JobRecord&& other196) noexcept {
+  id = std::move(other196.id);
+  queue = std::move(other196.queue);
+  workspace = std::move(other196.workspace);
+  spec = std::move(other196.spec);
+  phase = other196.phase;
+  occurrences = std::move(other196.occurrences);
+  occurrencesDone = other196.occurrencesDone;
+  submittedIndex = other196.submittedIndex;
+  serviceName = std::move(other196.serviceName);
+  priority = other196.priority;
+  maxAttempts = other196.maxAttempts;
+  slackFactor = other196.slackFactor;
+  latencyTargetMs = other196.latencyTargetMs;
+  activeRuns = other196.activeRuns;
+  reason = std::move(other196.reason);
+  occurrencesOpened = other196.occurrencesOpened;
+  cancelledFirst = other196.cancelledFirst;
+  address = std::move(other196.address);
+  __isset = other196.__isset;
   return *this;
 }
 void JobRecord::printTo(std::ostream& out) const {
@@ -5439,6 +5583,7 @@
   out << ", " << "reason=" << to_string(reason);
   out << ", " << "occurrencesOpened=" << to_string(occurrencesOpened);
   out << ", " << "cancelledFirst=" << to_string(cancelledFirst);
+  out << ", " << "address=" << to_string(address);
   out << ")";
 }
 
@@ -5586,38 +5731,38 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkerRecord::WorkerRecord(const WorkerRecord& other193) {
-  info = other193.info;
-  agentIncarnation = other193.agentIncarnation;
-  fencingToken = other193.fencingToken;
-  used = other193.used;
-  successor = other193.successor;
-  __isset = other193.__isset;
-}
-WorkerRecord::WorkerRecord(WorkerRecord&& other194) noexcept {
-  info = std::move(other194.info);
-  agentIncarnation = std::move(other194.agentIncarnation);
-  fencingToken = other194.fencingToken;
-  used = std::move(other194.used);
-  successor = std::move(other194.successor);
-  __isset = other194.__isset;
-}
-WorkerRecord& WorkerRecord::operator=(const WorkerRecord& other195) {
-  info = other195.info;
-  agentIncarnation = other195.agentIncarnation;
-  fencingToken = other195.fencingToken;
-  used = other195.used;
-  successor = other195.successor;
-  __isset = other195.__isset;
+WorkerRecord::WorkerRecord(const WorkerRecord& other197) {
+  info = other197.info;
+  agentIncarnation = other197.agentIncarnation;
+  fencingToken = other197.fencingToken;
+  used = other197.used;
+  successor = other197.successor;
+  __isset = other197.__isset;
+}
+WorkerRecord::WorkerRecord(WorkerRecord&& other198) noexcept {
+  info = std::move(other198.info);
+  agentIncarnation = std::move(other198.agentIncarnation);
+  fencingToken = other198.fencingToken;
+  used = std::move(other198.used);
+  successor = std::move(other198.successor);
+  __isset = other198.__isset;
+}
+WorkerRecord& WorkerRecord::operator=(const WorkerRecord& other199) {
+  info = other199.info;
+  agentIncarnation = other199.agentIncarnation;
+  fencingToken = other199.fencingToken;
+  used = other199.used;
+  successor = other199.successor;
+  __isset = other199.__isset;
   return *this;
 }
-WorkerRecord& WorkerRecord::operator=(WorkerRecord&& other196) noexcept {
-  info = std::move(other196.info);
-  agentIncarnation = std::move(other196.agentIncarnation);
-  fencingToken = other196.fencingToken;
-  used = std::move(other196.used);
-  successor = std::move(other196.successor);
-  __isset = other196.__isset;
+WorkerRecord& WorkerRecord::operator=(WorkerRecord&& other200) noexcept {
+  info = std::move(other200.info);
+  agentIncarnation = std::move(other200.agentIncarnation);
+  fencingToken = other200.fencingToken;
+  used = std::move(other200.used);
+  successor = std::move(other200.successor);
+  __isset = other200.__isset;
   return *this;
 }
 void WorkerRecord::printTo(std::ostream& out) const {
@@ -5695,14 +5840,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->machines.clear();
-            uint32_t _size197;
-            ::apache::thrift::protocol::TType _etype200;
-            xfer += iprot->readListBegin(_etype200, _size197);
-            this->machines.resize(_size197);
-            uint32_t _i201;
-            for (_i201 = 0; _i201 < _size197; ++_i201)
+            uint32_t _size201;
+            ::apache::thrift::protocol::TType _etype204;
+            xfer += iprot->readListBegin(_etype204, _size201);
+            this->machines.resize(_size201);
+            uint32_t _i205;
+            for (_i205 = 0; _i205 < _size201; ++_i205)
             {
-              xfer += iprot->readString(this->machines[_i201]);
+              xfer += iprot->readString(this->machines[_i205]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5731,14 +5876,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->machinesTakenDown.clear();
-            uint32_t _size202;
-            ::apache::thrift::protocol::TType _etype205;
-            xfer += iprot->readListBegin(_etype205, _size202);
-            this->machinesTakenDown.resize(_size202);
-            uint32_t _i206;
-            for (_i206 = 0; _i206 < _size202; ++_i206)
+            uint32_t _size206;
+            ::apache::thrift::protocol::TType _etype209;
+            xfer += iprot->readListBegin(_etype209, _size206);
+            this->machinesTakenDown.resize(_size206);
+            uint32_t _i210;
+            for (_i210 = 0; _i210 < _size206; ++_i210)
             {
-              xfer += iprot->readString(this->machinesTakenDown[_i206]);
+              xfer += iprot->readString(this->machinesTakenDown[_i210]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5771,10 +5916,10 @@
   xfer += oprot->writeFieldBegin("machines", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->machines.size()));
-    std::vector<std::string> ::const_iterator _iter207;
-    for (_iter207 = this->machines.begin(); _iter207 != this->machines.end(); ++_iter207)
+    std::vector<std::string> ::const_iterator _iter211;
+    for (_iter211 = this->machines.begin(); _iter211 != this->machines.end(); ++_iter211)
     {
-      xfer += oprot->writeString((*_iter207));
+      xfer += oprot->writeString((*_iter211));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5791,10 +5936,10 @@
   xfer += oprot->writeFieldBegin("machinesTakenDown", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->machinesTakenDown.size()));
-    std::vector<std::string> ::const_iterator _iter208;
-    for (_iter208 = this->machinesTakenDown.begin(); _iter208 != this->machinesTakenDown.end(); ++_iter208)
+    std::vector<std::string> ::const_iterator _iter212;
+    for (_iter212 = this->machinesTakenDown.begin(); _iter212 != this->machinesTakenDown.end(); ++_iter212)
     {
-      xfer += oprot->writeString((*_iter208));
+      xfer += oprot->writeString((*_iter212));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5815,38 +5960,38 @@
   swap(a.__isset, b.__isset);
 }
 
-WaveRecord::WaveRecord(const WaveRecord& other209) {
-  wave = other209.wave;
-  machines = other209.machines;
-  durationMs = other209.durationMs;
-  maxDown = other209.maxDown;
-  machinesTakenDown = other209.machinesTakenDown;
-  __isset = other209.__isset;
-}
-WaveRecord::WaveRecord(WaveRecord&& other210) noexcept {
-  wave = other210.wave;
-  machines = std::move(other210.machines);
-  durationMs = other210.durationMs;
-  maxDown = other210.maxDown;
-  machinesTakenDown = std::move(other210.machinesTakenDown);
-  __isset = other210.__isset;
-}
-WaveRecord& WaveRecord::operator=(const WaveRecord& other211) {
-  wave = other211.wave;
-  machines = other211.machines;
-  durationMs = other211.durationMs;
-  maxDown = other211.maxDown;
-  machinesTakenDown = other211.machinesTakenDown;
-  __isset = other211.__isset;
+WaveRecord::WaveRecord(const WaveRecord& other213) {
+  wave = other213.wave;
+  machines = other213.machines;
+  durationMs = other213.durationMs;
+  maxDown = other213.maxDown;
+  machinesTakenDown = other213.machinesTakenDown;
+  __isset = other213.__isset;
+}
+WaveRecord::WaveRecord(WaveRecord&& other214) noexcept {
+  wave = other214.wave;
+  machines = std::move(other214.machines);
+  durationMs = other214.durationMs;
+  maxDown = other214.maxDown;
+  machinesTakenDown = std::move(other214.machinesTakenDown);
+  __isset = other214.__isset;
+}
+WaveRecord& WaveRecord::operator=(const WaveRecord& other215) {
+  wave = other215.wave;
+  machines = other215.machines;
+  durationMs = other215.durationMs;
+  maxDown = other215.maxDown;
+  machinesTakenDown = other215.machinesTakenDown;
+  __isset = other215.__isset;
   return *this;
 }
-WaveRecord& WaveRecord::operator=(WaveRecord&& other212) noexcept {
-  wave = other212.wave;
-  machines = std::move(other212.machines);
-  durationMs = other212.durationMs;
-  maxDown = other212.maxDown;
-  machinesTakenDown = std::move(other212.machinesTakenDown);
-  __isset = other212.__isset;
+WaveRecord& WaveRecord::operator=(WaveRecord&& other216) noexcept {
+  wave = other216.wave;
+  machines = std::move(other216.machines);
+  durationMs = other216.durationMs;
+  maxDown = other216.maxDown;
+  machinesTakenDown = std::move(other216.machinesTakenDown);
+  __isset = other216.__isset;
   return *this;
 }
 void WaveRecord::printTo(std::ostream& out) const {
@@ -5952,14 +6097,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->withdrawnZones.clear();
-            uint32_t _size213;
-            ::apache::thrift::protocol::TType _etype216;
-            xfer += iprot->readListBegin(_etype216, _size213);
-            this->withdrawnZones.resize(_size213);
-            uint32_t _i217;
-            for (_i217 = 0; _i217 < _size213; ++_i217)
+            uint32_t _size217;
+            ::apache::thrift::protocol::TType _etype220;
+            xfer += iprot->readListBegin(_etype220, _size217);
+            this->withdrawnZones.resize(_size217);
+            uint32_t _i221;
+            for (_i221 = 0; _i221 < _size217; ++_i221)
             {
-              xfer += iprot->readString(this->withdrawnZones[_i217]);
+              xfer += iprot->readString(this->withdrawnZones[_i221]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5972,14 +6117,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replicas.clear();
-            uint32_t _size218;
-            ::apache::thrift::protocol::TType _etype221;
-            xfer += iprot->readListBegin(_etype221, _size218);
-            this->replicas.resize(_size218);
-            uint32_t _i222;
-            for (_i222 = 0; _i222 < _size218; ++_i222)
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->replicas.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
             {
-              xfer += this->replicas[_i222].read(iprot);
+              xfer += this->replicas[_i226].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5992,14 +6137,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->jobs.clear();
-            uint32_t _size223;
-            ::apache::thrift::protocol::TType _etype226;
-            xfer += iprot->readListBegin(_etype226, _size223);
-            this->jobs.resize(_size223);
-            uint32_t _i227;
-            for (_i227 = 0; _i227 < _size223; ++_i227)
+            uint32_t _size227;
+            ::apache::thrift::protocol::TType _etype230;
+            xfer += iprot->readListBegin(_etype230, _size227);
+            this->jobs.resize(_size227);
+            uint32_t _i231;
+            for (_i231 = 0; _i231 < _size227; ++_i231)
             {
-              xfer += this->jobs[_i227].read(iprot);
+              xfer += this->jobs[_i231].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6012,14 +6157,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endedJobIds.clear();
-            uint32_t _size228;
-            ::apache::thrift::protocol::TType _etype231;
-            xfer += iprot->readListBegin(_etype231, _size228);
-            this->endedJobIds.resize(_size228);
-            uint32_t _i232;
-            for (_i232 = 0; _i232 < _size228; ++_i232)
+            uint32_t _size232;
+            ::apache::thrift::protocol::TType _etype235;
+            xfer += iprot->readListBegin(_etype235, _size232);
+            this->endedJobIds.resize(_size232);
+            uint32_t _i236;
+            for (_i236 = 0; _i236 < _size232; ++_i236)
             {
-              xfer += iprot->readString(this->endedJobIds[_i232]);
+              xfer += iprot->readString(this->endedJobIds[_i236]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6032,14 +6177,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->workers.clear();
-            uint32_t _size233;
-            ::apache::thrift::protocol::TType _etype236;
-            xfer += iprot->readListBegin(_etype236, _size233);
-            this->workers.resize(_size233);
-            uint32_t _i237;
-            for (_i237 = 0; _i237 < _size233; ++_i237)
+            uint32_t _size237;
+            ::apache::thrift::protocol::TType _etype240;
+            xfer += iprot->readListBegin(_etype240, _size237);
+            this->workers.resize(_size237);
+            uint32_t _i241;
+            for (_i241 = 0; _i241 < _size237; ++_i241)
             {
-              xfer += this->workers[_i237].read(iprot);
+              xfer += this->workers[_i241].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6052,14 +6197,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->waves.clear();
-            uint32_t _size238;
-            ::apache::thrift::protocol::TType _etype241;
-            xfer += iprot->readListBegin(_etype241, _size238);
-            this->waves.resize(_size238);
-            uint32_t _i242;
-            for (_i242 = 0; _i242 < _size238; ++_i242)
+            uint32_t _size242;
+            ::apache::thrift::protocol::TType _etype245;
+            xfer += iprot->readListBegin(_etype245, _size242);
+            this->waves.resize(_size242);
+            uint32_t _i246;
+            for (_i246 = 0; _i246 < _size242; ++_i246)
             {
-              xfer += this->waves[_i242].read(iprot);
+              xfer += this->waves[_i246].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6072,14 +6217,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->formerWorkers.clear();
-            uint32_t _size243;
-            ::apache::thrift::protocol::TType _etype246;
-            xfer += iprot->readListBegin(_etype246, _size243);
-            this->formerWorkers.resize(_size243);
-            uint32_t _i247;
-            for (_i247 = 0; _i247 < _size243; ++_i247)
+            uint32_t _size247;
+            ::apache::thrift::protocol::TType _etype250;
+            xfer += iprot->readListBegin(_etype250, _size247);
+            this->formerWorkers.resize(_size247);
+            uint32_t _i251;
+            for (_i251 = 0; _i251 < _size247; ++_i251)
             {
-              xfer += this->formerWorkers[_i247].read(iprot);
+              xfer += this->formerWorkers[_i251].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6124,10 +6269,10 @@
   xfer += oprot->writeFieldBegin("withdrawnZones", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->withdrawnZones.size()));
-    std::vector<std::string> ::const_iterator _iter248;
-    for (_iter248 = this->withdrawnZones.begin(); _iter248 != this->withdrawnZones.end(); ++_iter248)
+    std::vector<std::string> ::const_iterator _iter252;
+    for (_iter252 = this->withdrawnZones.begin(); _iter252 != this->withdrawnZones.end(); ++_iter252)
     {
-      xfer += oprot->writeString((*_iter248));
+      xfer += oprot->writeString((*_iter252));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6136,10 +6281,10 @@
   xfer += oprot->writeFieldBegin("replicas", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replicas.size()));
-    std::vector<ReplicaAddress> ::const_iterator _iter249;
-    for (_iter249 = this->replicas.begin(); _iter249 != this->replicas.end(); ++_iter249)
+    std::vector<ReplicaAddress> ::const_iterator _iter253;
+    for (_iter253 = this->replicas.begin(); _iter253 != this->replicas.end(); ++_iter253)
     {
-      xfer += (*_iter249).write(oprot);
+      xfer += (*_iter253).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6148,10 +6293,10 @@
   xfer += oprot->writeFieldBegin("jobs", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->jobs.size()));
-    std::vector<JobRecord> ::const_iterator _iter250;
-    for (_iter250 = this->jobs.begin(); _iter250 != this->jobs.end(); ++_iter250)
+    std::vector<JobRecord> ::const_iterator _iter254;
+    for (_iter254 = this->jobs.begin(); _iter254 != this->jobs.end(); ++_iter254)
     {
-      xfer += (*_iter250).write(oprot);
+      xfer += (*_iter254).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6160,10 +6305,10 @@
   xfer += oprot->writeFieldBegin("endedJobIds", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->endedJobIds.size()));
-    std::vector<std::string> ::const_iterator _iter251;
-    for (_iter251 = this->endedJobIds.begin(); _iter251 != this->endedJobIds.end(); ++_iter251)
+    std::vector<std::string> ::const_iterator _iter255;
+    for (_iter255 = this->endedJobIds.begin(); _iter255 != this->endedJobIds.end(); ++_iter255)
     {
-      xfer += oprot->writeString((*_iter251));
+      xfer += oprot->writeString((*_iter255));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6172,10 +6317,10 @@
   xfer += oprot->writeFieldBegin("workers", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->workers.size()));
-    std::vector<WorkerRecord> ::const_iterator _iter252;
-    for (_iter252 = this->workers.begin(); _iter252 != this->workers.end(); ++_iter252)
+    std::vector<WorkerRecord> ::const_iterator _iter256;
+    for (_iter256 = this->workers.begin(); _iter256 != this->workers.end(); ++_iter256)
     {
-      xfer += (*_iter252).write(oprot);
+      xfer += (*_iter256).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6184,10 +6329,10 @@
   xfer += oprot->writeFieldBegin("waves", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->waves.size()));
-    std::vector<WaveRecord> ::const_iterator _iter253;
-    for (_iter253 = this->waves.begin(); _iter253 != this->waves.end(); ++_iter253)
+    std::vector<WaveRecord> ::const_iterator _iter257;
+    for (_iter257 = this->waves.begin(); _iter257 != this->waves.end(); ++_iter257)
     {
-      xfer += (*_iter253).write(oprot);
+      xfer += (*_iter257).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6196,10 +6341,10 @@
   xfer += oprot->writeFieldBegin("formerWorkers", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->formerWorkers.size()));
-    std::vector<WorkerRecord> ::const_iterator _iter254;
-    for (_iter254 = this->formerWorkers.begin(); _iter254 != this->formerWorkers.end(); ++_iter254)
+    std::vector<WorkerRecord> ::const_iterator _iter258;
+    for (_iter258 = this->formerWorkers.begin(); _iter258 != this->formerWorkers.end(); ++_iter258)
     {
-      xfer += (*_iter254).write(oprot);
+      xfer += (*_iter258).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6229,58 +6374,58 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkloadSnapshot::WorkloadSnapshot(const WorkloadSnapshot& other255) {
-  appliedIndex = other255.appliedIndex;
-  policy = other255.policy;
-  withdrawnZones = other255.withdrawnZones;
-  replicas = other255.replicas;
-  jobs = other255.jobs;
-  endedJobIds = other255.endedJobIds;
-  workers = other255.workers;
-  waves = other255.waves;
-  formerWorkers = other255.formerWorkers;
-  zoneRevision = other255.zoneRevision;
-  __isset = other255.__isset;
-}
-WorkloadSnapshot::WorkloadSnapshot(WorkloadSnapshot&& other256) noexcept {
-  appliedIndex = other256.appliedIndex;
-  policy = std::move(other256.policy);
-  withdrawnZones = std::move(other256.withdrawnZones);
-  replicas = std::move(other256.replicas);
-  jobs = std::move(other256.jobs);
-  endedJobIds = std::move(other256.endedJobIds);
-  workers = std::move(other256.workers);
-  waves = std::move(other256.waves);
-  formerWorkers = std::move(other256.formerWorkers);
-  zoneRevision = other256.zoneRevision;
-  __isset = other256.__isset;
-}
-WorkloadSnapshot& WorkloadSnapshot::operator=(const WorkloadSnapshot& other257) {
-  appliedIndex = other257.appliedIndex;
-  policy = other257.policy;
-  withdrawnZones = other257.withdrawnZones;
-  replicas = other257.replicas;
-  jobs = other257.jobs;
-  endedJobIds = other257.endedJobIds;
-  workers = other257.workers;
-  waves = other257.waves;
-  formerWorkers = other257.formerWorkers;
-  zoneRevision = other257.zoneRevision;
-  __isset = other257.__isset;
+WorkloadSnapshot::WorkloadSnapshot(const WorkloadSnapshot& other259) {
+  appliedIndex = other259.appliedIndex;
+  policy = other259.policy;
+  withdrawnZones = other259.withdrawnZones;
+  replicas = other259.replicas;
+  jobs = other259.jobs;
+  endedJobIds = other259.endedJobIds;
+  workers = other259.workers;
+  waves = other259.waves;
+  formerWorkers = other259.formerWorkers;
+  zoneRevision = other259.zoneRevision;
+  __isset = other259.__isset;
+}
+WorkloadSnapshot::WorkloadSnapshot(WorkloadSnapshot&& other260) noexcept {
+  appliedIndex = other260.appliedIndex;
+  policy = std::move(other260.policy);
+  withdrawnZones = std::move(other260.withdrawnZones);
+  replicas = std::move(other260.replicas);
+  jobs = std::move(other260.jobs);
+  endedJobIds = std::move(other260.endedJobIds);
+  workers = std::move(other260.workers);
+  waves = std::move(other260.waves);
+  formerWorkers = std::move(other260.formerWorkers);
+  zoneRevision = other260.zoneRevision;
+  __isset = other260.__isset;
+}
+WorkloadSnapshot& WorkloadSnapshot::operator=(const WorkloadSnapshot& other261) {
+  appliedIndex = other261.appliedIndex;
+  policy = other261.policy;
+  withdrawnZones = other261.withdrawnZones;
+  replicas = other261.replicas;
+  jobs = other261.jobs;
+  endedJobIds = other261.endedJobIds;
+  workers = other261.workers;
+  waves = other261.waves;
+  formerWorkers = other261.formerWorkers;
+  zoneRevision = other261.zoneRevision;
+  __isset = other261.__isset;
   return *this;
 }
-WorkloadSnapshot& WorkloadSnapshot::operator=(WorkloadSnapshot&& other258) noexcept {
-  appliedIndex = other258.appliedIndex;
-  policy = std::move(other258.policy);
-  withdrawnZones = std::move(other258.withdrawnZones);
-  replicas = std::move(other258.replicas);
-  jobs = std::move(other258.jobs);
-  endedJobIds = std::move(other258.endedJobIds);
-  workers = std::move(other258.workers);
-  waves = std::move(other258.waves);
-  formerWorkers = std::move(other258.formerWorkers);
-  zoneRevision = other258.zoneRevision;
-  __isset = other258.__isset;
+WorkloadSnapshot& WorkloadSnapshot::operator=(WorkloadSnapshot&& other262) noexcept {
+  appliedIndex = other262.appliedIndex;
+  policy = std::move(other262.policy);
+  withdrawnZones = std::move(other262.withdrawnZones);
+  replicas = std::move(other262.replicas);
+  jobs = std::move(other262.jobs);
+  endedJobIds = std::move(other262.endedJobIds);
+  workers = std::move(other262.workers);
+  waves = std::move(other262.waves);
+  formerWorkers = std::move(other262.formerWorkers);
+  zoneRevision = other262.zoneRevision;
+  __isset = other262.__isset;
   return *this;
 }
 void WorkloadSnapshot::printTo(std::ostream& out) const {
@@ -6375,22 +6520,22 @@
   swap(a.__isset, b.__isset);
 }
 
-PutPolicy::PutPolicy(const PutPolicy& other259) {
-  document = other259.document;
-  __isset = other259.__isset;
+PutPolicy::PutPolicy(const PutPolicy& other263) {
+  document = other263.document;
+  __isset = other263.__isset;
 }
-PutPolicy::PutPolicy(PutPolicy&& other260) noexcept {
-  document = std::move(other260.document);
-  __isset = other260.__isset;
+PutPolicy::PutPolicy(PutPolicy&& other264) noexcept {
+  document = std::move(other264.document);
+  __isset = other264.__isset;
 }
-PutPolicy& PutPolicy::operator=(const PutPolicy& other261) {
-  document = other261.document;
-  __isset = other261.__isset;
+PutPolicy& PutPolicy::operator=(const PutPolicy& other265) {
+  document = other265.document;
+  __isset = other265.__isset;
   return *this;
 }
-PutPolicy& PutPolicy::operator=(PutPolicy&& other262) noexcept {
-  document = std::move(other262.document);
-  __isset = other262.__isset;
+PutPolicy& PutPolicy::operator=(PutPolicy&& other266) noexcept {
+  document = std::move(other266.document);
+  __isset = other266.__isset;
   return *this;
 }
 void PutPolicy::printTo(std::ostream& out) const {
@@ -6512,30 +6657,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SetZone::SetZone(const SetZone& other263) {
-  availabilityZone = other263.availabilityZone;
-  withdrawn = other263.withdrawn;
-  basedOnRevision = other263.basedOnRevision;
-  __isset = other263.__isset;
+SetZone::SetZone(const SetZone& other267) {
+  availabilityZone = other267.availabilityZone;
+  withdrawn = other267.withdrawn;
+  basedOnRevision = other267.basedOnRevision;
+  __isset = other267.__isset;
 }
-SetZone::SetZone(SetZone&& other264) noexcept {
-  availabilityZone = std::move(other264.availabilityZone);
-  withdrawn = other264.withdrawn;
-  basedOnRevision = other264.basedOnRevision;
-  __isset = other264.__isset;
+SetZone::SetZone(SetZone&& other268) noexcept {
+  availabilityZone = std::move(other268.availabilityZone);
+  withdrawn = other268.withdrawn;
+  basedOnRevision = other268.basedOnRevision;
+  __isset = other268.__isset;
 }
-SetZone& SetZone::operator=(const SetZone& other265) {
-  availabilityZone = other265.availabilityZone;
-  withdrawn = other265.withdrawn;
-  basedOnRevision = other265.basedOnRevision;
-  __isset = other265.__isset;
+SetZone& SetZone::operator=(const SetZone& other269) {
+  availabilityZone = other269.availabilityZone;
+  withdrawn = other269.withdrawn;
+  basedOnRevision = other269.basedOnRevision;
+  __isset = other269.__isset;
   return *this;
 }
-SetZone& SetZone::operator=(SetZone&& other266) noexcept {
-  availabilityZone = std::move(other266.availabilityZone);
-  withdrawn = other266.withdrawn;
-  basedOnRevision = other266.basedOnRevision;
-  __isset = other266.__isset;
+SetZone& SetZone::operator=(SetZone&& other270) noexcept {
+  availabilityZone = std::move(other270.availabilityZone);
+  withdrawn = other270.withdrawn;
+  basedOnRevision = other270.basedOnRevision;
+  __isset = other270.__isset;
   return *this;
 }
 void SetZone::printTo(std::ostream& out) const {
@@ -6623,22 +6768,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RegisterReplica::RegisterReplica(const RegisterReplica& other267) {
-  replica = other267.replica;
-  __isset = other267.__isset;
+RegisterReplica::RegisterReplica(const RegisterReplica& other271) {
+  replica = other271.replica;
+  __isset = other271.__isset;
 }
-RegisterReplica::RegisterReplica(RegisterReplica&& other268) noexcept {
-  replica = std::move(other268.replica);
-  __isset = other268.__isset;
+RegisterReplica::RegisterReplica(RegisterReplica&& other272) noexcept {
+  replica = std::move(other272.replica);
+  __isset = other272.__isset;
 }
-RegisterReplica& RegisterReplica::operator=(const RegisterReplica& other269) {
-  replica = other269.replica;
-  __isset = other269.__isset;
+RegisterReplica& RegisterReplica::operator=(const RegisterReplica& other273) {
+  replica = other273.replica;
+  __isset = other273.__isset;
   return *this;
 }
-RegisterReplica& RegisterReplica::operator=(RegisterReplica&& other270) noexcept {
-  replica = std::move(other270.replica);
-  __isset = other270.__isset;
+RegisterReplica& RegisterReplica::operator=(RegisterReplica&& other274) noexcept {
+  replica = std::move(other274.replica);
+  __isset = other274.__isset;
   return *this;
 }
 void RegisterReplica::printTo(std::ostream& out) const {
@@ -6724,22 +6869,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ForgetReplica::ForgetReplica(const ForgetReplica& other271) noexcept {
-  id = other271.id;
-  __isset = other271.__isset;
+ForgetReplica::ForgetReplica(const ForgetReplica& other275) noexcept {
+  id = other275.id;
+  __isset = other275.__isset;
 }
-ForgetReplica::ForgetReplica(ForgetReplica&& other272) noexcept {
-  id = other272.id;
-  __isset = other272.__isset;
+ForgetReplica::ForgetReplica(ForgetReplica&& other276) noexcept {
+  id = other276.id;
+  __isset = other276.__isset;
 }
-ForgetReplica& ForgetReplica::operator=(const ForgetReplica& other273) noexcept {
-  id = other273.id;
-  __isset = other273.__isset;
+ForgetReplica& ForgetReplica::operator=(const ForgetReplica& other277) noexcept {
+  id = other277.id;
+  __isset = other277.__isset;
   return *this;
 }
-ForgetReplica& ForgetReplica::operator=(ForgetReplica&& other274) noexcept {
-  id = other274.id;
-  __isset = other274.__isset;
+ForgetReplica& ForgetReplica::operator=(ForgetReplica&& other278) noexcept {
+  id = other278.id;
+  __isset = other278.__isset;
   return *this;
 }
 void ForgetReplica::printTo(std::ostream& out) const {
@@ -6769,6 +6914,11 @@
 void SubmitWorkload::__set_spec(const WorkloadSpec& val) {
   this->spec = val;
 }
+
+void SubmitWorkload::__set_address(const JobAddress& val) {
+  this->address = val;
+__isset.address = true;
+}
 std::ostream& operator<<(std::ostream& out, const SubmitWorkload& obj)
 {
   obj.printTo(out);
@@ -6829,6 +6979,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->address.read(iprot);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6862,6 +7020,11 @@
   xfer += this->spec.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.address) {
+    xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->address.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6873,37 +7036,42 @@
   swap(a.queue, b.queue);
   swap(a.workspace, b.workspace);
   swap(a.spec, b.spec);
+  swap(a.address, b.address);
   swap(a.__isset, b.__isset);
 }
 
-SubmitWorkload::SubmitWorkload(const SubmitWorkload& other275) {
-  jobId = other275.jobId;
-  queue = other275.queue;
-  workspace = other275.workspace;
-  spec = other275.spec;
-  __isset = other275.__isset;
+SubmitWorkload::SubmitWorkload(const SubmitWorkload& other279) {
+  jobId = other279.jobId;
+  queue = other279.queue;
+  workspace = other279.workspace;
+  spec = other279.spec;
+  address = other279.address;
+  __isset = other279.__isset;
 }
-SubmitWorkload::SubmitWorkload(SubmitWorkload&& other276) noexcept {
-  jobId = std::move(other276.jobId);
-  queue = std::move(other276.queue);
-  workspace = std::move(other276.workspace);
-  spec = std::move(other276.spec);
-  __isset = other276.__isset;
+SubmitWorkload::SubmitWorkload(SubmitWorkload&& other280) noexcept {
+  jobId = std::move(other280.jobId);
+  queue = std::move(other280.queue);
+  workspace = std::move(other280.workspace);
+  spec = std::move(other280.spec);
+  address = std::move(other280.address);
+  __isset = other280.__isset;
 }
-SubmitWorkload& SubmitWorkload::operator=(const SubmitWorkload& other277) {
-  jobId = other277.jobId;
-  queue = other277.queue;
-  workspace = other277.workspace;
-  spec = other277.spec;
-  __isset = other277.__isset;
+SubmitWorkload& SubmitWorkload::operator=(const SubmitWorkload& other281) {
+  jobId = other281.jobId;
+  queue = other281.queue;
+  workspace = other281.workspace;
+  spec = other281.spec;
+  address = other281.address;
+  __isset = other281.__isset;
   return *this;
 }
-SubmitWorkload& SubmitWorkload::operator=(SubmitWorkload&& other278) noexcept {
-  jobId = std::move(other278.jobId);
-  queue = std::move(other278.queue);
-  workspace = std::move(other278.workspace);
-  spec = std::move(other278.spec);
-  __isset = other278.__isset;
+SubmitWorkload& SubmitWorkload::operator=(SubmitWorkload&& other282) noexcept {
+  jobId = std::move(other282.jobId);
+  queue = std::move(other282.queue);
+  workspace = std::move(other282.workspace);
+  spec = std::move(other282.spec);
+  address = std::move(other282.address);
+  __isset = other282.__isset;
   return *this;
 }
 void SubmitWorkload::printTo(std::ostream& out) const {
@@ -6913,6 +7081,7 @@
   out << ", " << "queue=" << to_string(queue);
   out << ", " << "workspace=" << to_string(workspace);
   out << ", " << "spec=" << to_string(spec);
+  out << ", " << "address="; (__isset.address ? (out << to_string(address)) : (out << "<null>"));
   out << ")";
 }
 
@@ -6925,15 +7094,15 @@
   this->jobId = val;
 }
 
-void CancelWorkload::__set_queue(const std::string& val) {
-  this->queue = val;
-__isset.queue = true;
-}
-
 void CancelWorkload::__set_workspace(const std::string& val) {
   this->workspace = val;
 __isset.workspace = true;
 }
+
+void CancelWorkload::__set_address(const JobAddress& val) {
+  this->address = val;
+__isset.address = true;
+}
 std::ostream& operator<<(std::ostream& out, const CancelWorkload& obj)
 {
   obj.printTo(out);
@@ -6970,18 +7139,18 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->queue);
-          this->__isset.queue = true;
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->workspace);
-          this->__isset.workspace = true;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->address.read(iprot);
+          this->__isset.address = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -7007,16 +7176,16 @@
   xfer += oprot->writeString(this->jobId);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.queue) {
-    xfer += oprot->writeFieldBegin("queue", ::apache::thrift::protocol::T_STRING, 2);
-    xfer += oprot->writeString(this->queue);
-    xfer += oprot->writeFieldEnd();
-  }
   if (this->__isset.workspace) {
     xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 3);
     xfer += oprot->writeString(this->workspace);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.address) {
+    xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->address.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7025,43 +7194,43 @@
 void swap(CancelWorkload &a, CancelWorkload &b) {
   using ::std::swap;
   swap(a.jobId, b.jobId);
-  swap(a.queue, b.queue);
   swap(a.workspace, b.workspace);
+  swap(a.address, b.address);
   swap(a.__isset, b.__isset);
 }
 
-CancelWorkload::CancelWorkload(const CancelWorkload& other279) {
-  jobId = other279.jobId;
-  queue = other279.queue;
-  workspace = other279.workspace;
-  __isset = other279.__isset;
+CancelWorkload::CancelWorkload(const CancelWorkload& other283) {
+  jobId = other283.jobId;
+  workspace = other283.workspace;
+  address = other283.address;
+  __isset = other283.__isset;
 }
-CancelWorkload::CancelWorkload(CancelWorkload&& other280) noexcept {
-  jobId = std::move(other280.jobId);
-  queue = std::move(other280.queue);
-  workspace = std::move(other280.workspace);
-  __isset = other280.__isset;
+CancelWorkload::CancelWorkload(CancelWorkload&& other284) noexcept {
+  jobId = std::move(other284.jobId);
+  workspace = std::move(other284.workspace);
+  address = std::move(other284.address);
+  __isset = other284.__isset;
 }
-CancelWorkload& CancelWorkload::operator=(const CancelWorkload& other281) {
-  jobId = other281.jobId;
-  queue = other281.queue;
-  workspace = other281.workspace;
-  __isset = other281.__isset;
+CancelWorkload& CancelWorkload::operator=(const CancelWorkload& other285) {
+  jobId = other285.jobId;
+  workspace = other285.workspace;
+  address = other285.address;
+  __isset = other285.__isset;
   return *this;
 }
-CancelWorkload& CancelWorkload::operator=(CancelWorkload&& other282) noexcept {
-  jobId = std::move(other282.jobId);
-  queue = std::move(other282.queue);
-  workspace = std::move(other282.workspace);
-  __isset = other282.__isset;
+CancelWorkload& CancelWorkload::operator=(CancelWorkload&& other286) noexcept {
+  jobId = std::move(other286.jobId);
+  workspace = std::move(other286.workspace);
+  address = std::move(other286.address);
+  __isset = other286.__isset;
   return *this;
 }
 void CancelWorkload::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "CancelWorkload(";
   out << "jobId=" << to_string(jobId);
-  out << ", " << "queue="; (__isset.queue ? (out << to_string(queue)) : (out << "<null>"));
   out << ", " << "workspace="; (__isset.workspace ? (out << to_string(workspace)) : (out << "<null>"));
+  out << ", " << "address="; (__isset.address ? (out << to_string(address)) : (out << "<null>"));
   out << ")";
 }
 
@@ -7158,26 +7327,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RegisterWorker::RegisterWorker(const RegisterWorker& other283) {
-  info = other283.info;
-  agentIncarnation = other283.agentIncarnation;
-  __isset = other283.__isset;
+RegisterWorker::RegisterWorker(const RegisterWorker& other287) {
+  info = other287.info;
+  agentIncarnation = other287.agentIncarnation;
+  __isset = other287.__isset;
 }
-RegisterWorker::RegisterWorker(RegisterWorker&& other284) noexcept {
-  info = std::move(other284.info);
-  agentIncarnation = std::move(other284.agentIncarnation);
-  __isset = other284.__isset;
+RegisterWorker::RegisterWorker(RegisterWorker&& other288) noexcept {
+  info = std::move(other288.info);
+  agentIncarnation = std::move(other288.agentIncarnation);
+  __isset = other288.__isset;
 }
-RegisterWorker& RegisterWorker::operator=(const RegisterWorker& other285) {
-  info = other285.info;
-  agentIncarnation = other285.agentIncarnation;
-  __isset = other285.__isset;
+RegisterWorker& RegisterWorker::operator=(const RegisterWorker& other289) {
+  info = other289.info;
+  agentIncarnation = other289.agentIncarnation;
+  __isset = other289.__isset;
   return *this;
 }
-RegisterWorker& RegisterWorker::operator=(RegisterWorker&& other286) noexcept {
-  info = std::move(other286.info);
-  agentIncarnation = std::move(other286.agentIncarnation);
-  __isset = other286.__isset;
+RegisterWorker& RegisterWorker::operator=(RegisterWorker&& other290) noexcept {
+  info = std::move(other290.info);
+  agentIncarnation = std::move(other290.agentIncarnation);
+  __isset = other290.__isset;
   return *this;
 }
 void RegisterWorker::printTo(std::ostream& out) const {
@@ -7256,14 +7425,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lastKnownRuns.clear();
-            uint32_t _size287;
-            ::apache::thrift::protocol::TType _etype290;
-            xfer += iprot->readListBegin(_etype290, _size287);
-            this->lastKnownRuns.resize(_size287);
-            uint32_t _i291;
-            for (_i291 = 0; _i291 < _size287; ++_i291)
+            uint32_t _size291;
+            ::apache::thrift::protocol::TType _etype294;
+            xfer += iprot->readListBegin(_etype294, _size291);
+            this->lastKnownRuns.resize(_size291);
+            uint32_t _i295;
+            for (_i295 = 0; _i295 < _size291; ++_i295)
             {
-              xfer += this->lastKnownRuns[_i291].read(iprot);
+              xfer += this->lastKnownRuns[_i295].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7276,14 +7445,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->retainedRuns.clear();
-            uint32_t _size292;
-            ::apache::thrift::protocol::TType _etype295;
-            xfer += iprot->readListBegin(_etype295, _size292);
-            this->retainedRuns.resize(_size292);
-            uint32_t _i296;
-            for (_i296 = 0; _i296 < _size292; ++_i296)
+            uint32_t _size296;
+            ::apache::thrift::protocol::TType _etype299;
+            xfer += iprot->readListBegin(_etype299, _size296);
+            this->retainedRuns.resize(_size296);
+            uint32_t _i300;
+            for (_i300 = 0; _i300 < _size296; ++_i300)
             {
-              xfer += this->retainedRuns[_i296].read(iprot);
+              xfer += this->retainedRuns[_i300].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7320,10 +7489,10 @@
   xfer += oprot->writeFieldBegin("lastKnownRuns", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lastKnownRuns.size()));
-    std::vector<RunStatus> ::const_iterator _iter297;
-    for (_iter297 = this->lastKnownRuns.begin(); _iter297 != this->lastKnownRuns.end(); ++_iter297)
+    std::vector<RunStatus> ::const_iterator _iter301;
+    for (_iter301 = this->lastKnownRuns.begin(); _iter301 != this->lastKnownRuns.end(); ++_iter301)
     {
-      xfer += (*_iter297).write(oprot);
+      xfer += (*_iter301).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7332,10 +7501,10 @@
   xfer += oprot->writeFieldBegin("retainedRuns", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->retainedRuns.size()));
-    std::vector<RunRef> ::const_iterator _iter298;
-    for (_iter298 = this->retainedRuns.begin(); _iter298 != this->retainedRuns.end(); ++_iter298)
+    std::vector<RunRef> ::const_iterator _iter302;
+    for (_iter302 = this->retainedRuns.begin(); _iter302 != this->retainedRuns.end(); ++_iter302)
     {
-      xfer += (*_iter298).write(oprot);
+      xfer += (*_iter302).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7355,34 +7524,34 @@
   swap(a.__isset, b.__isset);
 }
 
-LoseWorker::LoseWorker(const LoseWorker& other299) {
-  incarnation = other299.incarnation;
-  reason = other299.reason;
-  lastKnownRuns = other299.lastKnownRuns;
-  retainedRuns = other299.retainedRuns;
-  __isset = other299.__isset;
-}
-LoseWorker::LoseWorker(LoseWorker&& other300) noexcept {
-  incarnation = std::move(other300.incarnation);
-  reason = std::move(other300.reason);
-  lastKnownRuns = std::move(other300.lastKnownRuns);
-  retainedRuns = std::move(other300.retainedRuns);
-  __isset = other300.__isset;
-}
-LoseWorker& LoseWorker::operator=(const LoseWorker& other301) {
-  incarnation = other301.incarnation;
-  reason = other301.reason;
-  lastKnownRuns = other301.lastKnownRuns;
-  retainedRuns = other301.retainedRuns;
-  __isset = other301.__isset;
+LoseWorker::LoseWorker(const LoseWorker& other303) {
+  incarnation = other303.incarnation;
+  reason = other303.reason;
+  lastKnownRuns = other303.lastKnownRuns;
+  retainedRuns = other303.retainedRuns;
+  __isset = other303.__isset;
+}
+LoseWorker::LoseWorker(LoseWorker&& other304) noexcept {
+  incarnation = std::move(other304.incarnation);
+  reason = std::move(other304.reason);
+  lastKnownRuns = std::move(other304.lastKnownRuns);
+  retainedRuns = std::move(other304.retainedRuns);
+  __isset = other304.__isset;
+}
+LoseWorker& LoseWorker::operator=(const LoseWorker& other305) {
+  incarnation = other305.incarnation;
+  reason = other305.reason;
+  lastKnownRuns = other305.lastKnownRuns;
+  retainedRuns = other305.retainedRuns;
+  __isset = other305.__isset;
   return *this;
 }
-LoseWorker& LoseWorker::operator=(LoseWorker&& other302) noexcept {
-  incarnation = std::move(other302.incarnation);
-  reason = std::move(other302.reason);
-  lastKnownRuns = std::move(other302.lastKnownRuns);
-  retainedRuns = std::move(other302.retainedRuns);
-  __isset = other302.__isset;
+LoseWorker& LoseWorker::operator=(LoseWorker&& other306) noexcept {
+  incarnation = std::move(other306.incarnation);
+  reason = std::move(other306.reason);
+  lastKnownRuns = std::move(other306.lastKnownRuns);
+  retainedRuns = std::move(other306.retainedRuns);
+  __isset = other306.__isset;
   return *this;
 }
 void LoseWorker::printTo(std::ostream& out) const {
@@ -7488,26 +7657,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RunPlacement::RunPlacement(const RunPlacement& other303) {
-  index = other303.index;
-  worker = other303.worker;
-  __isset = other303.__isset;
+RunPlacement::RunPlacement(const RunPlacement& other307) {
+  index = other307.index;
+  worker = other307.worker;
+  __isset = other307.__isset;
 }
-RunPlacement::RunPlacement(RunPlacement&& other304) noexcept {
-  index = other304.index;
-  worker = std::move(other304.worker);
-  __isset = other304.__isset;
+RunPlacement::RunPlacement(RunPlacement&& other308) noexcept {
+  index = other308.index;
+  worker = std::move(other308.worker);
+  __isset = other308.__isset;
 }
-RunPlacement& RunPlacement::operator=(const RunPlacement& other305) {
-  index = other305.index;
-  worker = other305.worker;
-  __isset = other305.__isset;
+RunPlacement& RunPlacement::operator=(const RunPlacement& other309) {
+  index = other309.index;
+  worker = other309.worker;
+  __isset = other309.__isset;
   return *this;
 }
-RunPlacement& RunPlacement::operator=(RunPlacement&& other306) noexcept {
-  index = other306.index;
-  worker = std::move(other306.worker);
-  __isset = other306.__isset;
+RunPlacement& RunPlacement::operator=(RunPlacement&& other310) noexcept {
+  index = other310.index;
+  worker = std::move(other310.worker);
+  __isset = other310.__isset;
   return *this;
 }
 void RunPlacement::printTo(std::ostream& out) const {
@@ -7598,14 +7767,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->placements.clear();
-            uint32_t _size307;
-            ::apache::thrift::protocol::TType _etype310;
-            xfer += iprot->readListBegin(_etype310, _size307);
-            this->placements.resize(_size307);
-            uint32_t _i311;
-            for (_i311 = 0; _i311 < _size307; ++_i311)
+            uint32_t _size311;
+            ::apache::thrift::protocol::TType _etype314;
+            xfer += iprot->readListBegin(_etype314, _size311);
+            this->placements.resize(_size311);
+            uint32_t _i315;
+            for (_i315 = 0; _i315 < _size311; ++_i315)
             {
-              xfer += this->placements[_i311].read(iprot);
+              xfer += this->placements[_i315].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7654,10 +7823,10 @@
   xfer += oprot->writeFieldBegin("placements", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->placements.size()));
-    std::vector<RunPlacement> ::const_iterator _iter312;
-    for (_iter312 = this->placements.begin(); _iter312 != this->placements.end(); ++_iter312)
+    std::vector<RunPlacement> ::const_iterator _iter316;
+    for (_iter316 = this->placements.begin(); _iter316 != this->placements.end(); ++_iter316)
     {
-      xfer += (*_iter312).write(oprot);
+      xfer += (*_iter316).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7682,38 +7851,38 @@
   swap(a.__isset, b.__isset);
 }
 
-StartRuns::StartRuns(const StartRuns& other313) {
-  jobId = other313.jobId;
-  occurrence = other313.occurrence;
-  step = other313.step;
-  placements = other313.placements;
-  reason = other313.reason;
-  __isset = other313.__isset;
-}
-StartRuns::StartRuns(StartRuns&& other314) noexcept {
-  jobId = std::move(other314.jobId);
-  occurrence = other314.occurrence;
-  step = other314.step;
-  placements = std::move(other314.placements);
-  reason = std::move(other314.reason);
-  __isset = other314.__isset;
-}
-StartRuns& StartRuns::operator=(const StartRuns& other315) {
-  jobId = other315.jobId;
-  occurrence = other315.occurrence;
-  step = other315.step;
-  placements = other315.placements;
-  reason = other315.reason;
-  __isset = other315.__isset;
+StartRuns::StartRuns(const StartRuns& other317) {
+  jobId = other317.jobId;
+  occurrence = other317.occurrence;
+  step = other317.step;
+  placements = other317.placements;
+  reason = other317.reason;
+  __isset = other317.__isset;
+}
+StartRuns::StartRuns(StartRuns&& other318) noexcept {
+  jobId = std::move(other318.jobId);
+  occurrence = other318.occurrence;
+  step = other318.step;
+  placements = std::move(other318.placements);
+  reason = std::move(other318.reason);
+  __isset = other318.__isset;
+}
+StartRuns& StartRuns::operator=(const StartRuns& other319) {
+  jobId = other319.jobId;
+  occurrence = other319.occurrence;
+  step = other319.step;
+  placements = other319.placements;
+  reason = other319.reason;
+  __isset = other319.__isset;
   return *this;
 }
-StartRuns& StartRuns::operator=(StartRuns&& other316) noexcept {
-  jobId = std::move(other316.jobId);
-  occurrence = other316.occurrence;
-  step = other316.step;
-  placements = std::move(other316.placements);
-  reason = std::move(other316.reason);
-  __isset = other316.__isset;
+StartRuns& StartRuns::operator=(StartRuns&& other320) noexcept {
+  jobId = std::move(other320.jobId);
+  occurrence = other320.occurrence;
+  step = other320.step;
+  placements = std::move(other320.placements);
+  reason = std::move(other320.reason);
+  __isset = other320.__isset;
   return *this;
 }
 void StartRuns::printTo(std::ostream& out) const {
@@ -7771,14 +7940,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size317;
-            ::apache::thrift::protocol::TType _etype320;
-            xfer += iprot->readListBegin(_etype320, _size317);
-            this->runs.resize(_size317);
-            uint32_t _i321;
-            for (_i321 = 0; _i321 < _size317; ++_i321)
+            uint32_t _size321;
+            ::apache::thrift::protocol::TType _etype324;
+            xfer += iprot->readListBegin(_etype324, _size321);
+            this->runs.resize(_size321);
+            uint32_t _i325;
+            for (_i325 = 0; _i325 < _size321; ++_i325)
             {
-              xfer += this->runs[_i321].read(iprot);
+              xfer += this->runs[_i325].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7815,10 +7984,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<RunRef> ::const_iterator _iter322;
-    for (_iter322 = this->runs.begin(); _iter322 != this->runs.end(); ++_iter322)
+    std::vector<RunRef> ::const_iterator _iter326;
+    for (_iter326 = this->runs.begin(); _iter326 != this->runs.end(); ++_iter326)
     {
-      xfer += (*_iter322).write(oprot);
+      xfer += (*_iter326).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7840,26 +8009,26 @@
   swap(a.__isset, b.__isset);
 }
 
-StopRuns::StopRuns(const StopRuns& other323) {
-  runs = other323.runs;
-  reason = other323.reason;
-  __isset = other323.__isset;
+StopRuns::StopRuns(const StopRuns& other327) {
+  runs = other327.runs;
+  reason = other327.reason;
+  __isset = other327.__isset;
 }
-StopRuns::StopRuns(StopRuns&& other324) noexcept {
-  runs = std::move(other324.runs);
-  reason = std::move(other324.reason);
-  __isset = other324.__isset;
+StopRuns::StopRuns(StopRuns&& other328) noexcept {
+  runs = std::move(other328.runs);
+  reason = std::move(other328.reason);
+  __isset = other328.__isset;
 }
-StopRuns& StopRuns::operator=(const StopRuns& other325) {
-  runs = other325.runs;
-  reason = other325.reason;
-  __isset = other325.__isset;
+StopRuns& StopRuns::operator=(const StopRuns& other329) {
+  runs = other329.runs;
+  reason = other329.reason;
+  __isset = other329.__isset;
   return *this;
 }
-StopRuns& StopRuns::operator=(StopRuns&& other326) noexcept {
-  runs = std::move(other326.runs);
-  reason = std::move(other326.reason);
-  __isset = other326.__isset;
+StopRuns& StopRuns::operator=(StopRuns&& other330) noexcept {
+  runs = std::move(other330.runs);
+  reason = std::move(other330.reason);
+  __isset = other330.__isset;
   return *this;
 }
 void StopRuns::printTo(std::ostream& out) const {
@@ -7930,14 +8099,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ends.clear();
-            uint32_t _size327;
-            ::apache::thrift::protocol::TType _etype330;
-            xfer += iprot->readListBegin(_etype330, _size327);
-            this->ends.resize(_size327);
-            uint32_t _i331;
-            for (_i331 = 0; _i331 < _size327; ++_i331)
+            uint32_t _size331;
+            ::apache::thrift::protocol::TType _etype334;
+            xfer += iprot->readListBegin(_etype334, _size331);
+            this->ends.resize(_size331);
+            uint32_t _i335;
+            for (_i335 = 0; _i335 < _size331; ++_i335)
             {
-              xfer += this->ends[_i331].read(iprot);
+              xfer += this->ends[_i335].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7986,10 +8155,10 @@
   xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ends.size()));
-    std::vector<RunEnd> ::const_iterator _iter332;
-    for (_iter332 = this->ends.begin(); _iter332 != this->ends.end(); ++_iter332)
+    std::vector<RunEnd> ::const_iterator _iter336;
+    for (_iter336 = this->ends.begin(); _iter336 != this->ends.end(); ++_iter336)
     {
-      xfer += (*_iter332).write(oprot);
+      xfer += (*_iter336).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8017,34 +8186,34 @@
   swap(a.__isset, b.__isset);
 }
 
-EndRuns::EndRuns(const EndRuns& other333) {
-  worker = other333.worker;
-  ends = other333.ends;
-  agentIncarnation = other333.agentIncarnation;
-  lastEndNumber = other333.lastEndNumber;
-  __isset = other333.__isset;
-}
-EndRuns::EndRuns(EndRuns&& other334) noexcept {
-  worker = std::move(other334.worker);
-  ends = std::move(other334.ends);
-  agentIncarnation = std::move(other334.agentIncarnation);
-  lastEndNumber = other334.lastEndNumber;
-  __isset = other334.__isset;
-}
-EndRuns& EndRuns::operator=(const EndRuns& other335) {
-  worker = other335.worker;
-  ends = other335.ends;
-  agentIncarnation = other335.agentIncarnation;
-  lastEndNumber = other335.lastEndNumber;
-  __isset = other335.__isset;
+EndRuns::EndRuns(const EndRuns& other337) {
+  worker = other337.worker;
+  ends = other337.ends;
+  agentIncarnation = other337.agentIncarnation;
+  lastEndNumber = other337.lastEndNumber;
+  __isset = other337.__isset;
+}
+EndRuns::EndRuns(EndRuns&& other338) noexcept {
+  worker = std::move(other338.worker);
+  ends = std::move(other338.ends);
+  agentIncarnation = std::move(other338.agentIncarnation);
+  lastEndNumber = other338.lastEndNumber;
+  __isset = other338.__isset;
+}
+EndRuns& EndRuns::operator=(const EndRuns& other339) {
+  worker = other339.worker;
+  ends = other339.ends;
+  agentIncarnation = other339.agentIncarnation;
+  lastEndNumber = other339.lastEndNumber;
+  __isset = other339.__isset;
   return *this;
 }
-EndRuns& EndRuns::operator=(EndRuns&& other336) noexcept {
-  worker = std::move(other336.worker);
-  ends = std::move(other336.ends);
-  agentIncarnation = std::move(other336.agentIncarnation);
-  lastEndNumber = other336.lastEndNumber;
-  __isset = other336.__isset;
+EndRuns& EndRuns::operator=(EndRuns&& other340) noexcept {
+  worker = std::move(other340.worker);
+  ends = std::move(other340.ends);
+  agentIncarnation = std::move(other340.agentIncarnation);
+  lastEndNumber = other340.lastEndNumber;
+  __isset = other340.__isset;
   return *this;
 }
 void EndRuns::printTo(std::ostream& out) const {
@@ -8150,26 +8319,26 @@
   swap(a.__isset, b.__isset);
 }
 
-OpenOccurrence::OpenOccurrence(const OpenOccurrence& other337) {
-  jobId = other337.jobId;
-  occurrence = other337.occurrence;
-  __isset = other337.__isset;
+OpenOccurrence::OpenOccurrence(const OpenOccurrence& other341) {
+  jobId = other341.jobId;
+  occurrence = other341.occurrence;
+  __isset = other341.__isset;
 }
-OpenOccurrence::OpenOccurrence(OpenOccurrence&& other338) noexcept {
-  jobId = std::move(other338.jobId);
-  occurrence = other338.occurrence;
-  __isset = other338.__isset;
+OpenOccurrence::OpenOccurrence(OpenOccurrence&& other342) noexcept {
+  jobId = std::move(other342.jobId);
+  occurrence = other342.occurrence;
+  __isset = other342.__isset;
 }
-OpenOccurrence& OpenOccurrence::operator=(const OpenOccurrence& other339) {
-  jobId = other339.jobId;
-  occurrence = other339.occurrence;
-  __isset = other339.__isset;
+OpenOccurrence& OpenOccurrence::operator=(const OpenOccurrence& other343) {
+  jobId = other343.jobId;
+  occurrence = other343.occurrence;
+  __isset = other343.__isset;
   return *this;
 }
-OpenOccurrence& OpenOccurrence::operator=(OpenOccurrence&& other340) noexcept {
-  jobId = std::move(other340.jobId);
-  occurrence = other340.occurrence;
-  __isset = other340.__isset;
+OpenOccurrence& OpenOccurrence::operator=(OpenOccurrence&& other344) noexcept {
+  jobId = std::move(other344.jobId);
+  occurrence = other344.occurrence;
+  __isset = other344.__isset;
   return *this;
 }
 void OpenOccurrence::printTo(std::ostream& out) const {
@@ -8240,14 +8409,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->machines.clear();
-            uint32_t _size341;
-            ::apache::thrift::protocol::TType _etype344;
-            xfer += iprot->readListBegin(_etype344, _size341);
-            this->machines.resize(_size341);
-            uint32_t _i345;
-            for (_i345 = 0; _i345 < _size341; ++_i345)
+            uint32_t _size345;
+            ::apache::thrift::protocol::TType _etype348;
+            xfer += iprot->readListBegin(_etype348, _size345);
+            this->machines.resize(_size345);
+            uint32_t _i349;
+            for (_i349 = 0; _i349 < _size345; ++_i349)
             {
-              xfer += iprot->readString(this->machines[_i345]);
+              xfer += iprot->readString(this->machines[_i349]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8296,10 +8465,10 @@
   xfer += oprot->writeFieldBegin("machines", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->machines.size()));
-    std::vector<std::string> ::const_iterator _iter346;
-    for (_iter346 = this->machines.begin(); _iter346 != this->machines.end(); ++_iter346)
+    std::vector<std::string> ::const_iterator _iter350;
+    for (_iter350 = this->machines.begin(); _iter350 != this->machines.end(); ++_iter350)
     {
-      xfer += oprot->writeString((*_iter346));
+      xfer += oprot->writeString((*_iter350));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8327,34 +8496,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StartWave::StartWave(const StartWave& other347) {
-  wave = other347.wave;
-  machines = other347.machines;
-  durationMs = other347.durationMs;
-  maxDown = other347.maxDown;
-  __isset = other347.__isset;
-}
-StartWave::StartWave(StartWave&& other348) noexcept {
-  wave = other348.wave;
-  machines = std::move(other348.machines);
-  durationMs = other348.durationMs;
-  maxDown = other348.maxDown;
-  __isset = other348.__isset;
-}
-StartWave& StartWave::operator=(const StartWave& other349) {
-  wave = other349.wave;
-  machines = other349.machines;
-  durationMs = other349.durationMs;
-  maxDown = other349.maxDown;
-  __isset = other349.__isset;
+StartWave::StartWave(const StartWave& other351) {
+  wave = other351.wave;
+  machines = other351.machines;
+  durationMs = other351.durationMs;
+  maxDown = other351.maxDown;
+  __isset = other351.__isset;
+}
+StartWave::StartWave(StartWave&& other352) noexcept {
+  wave = other352.wave;
+  machines = std::move(other352.machines);
+  durationMs = other352.durationMs;
+  maxDown = other352.maxDown;
+  __isset = other352.__isset;
+}
+StartWave& StartWave::operator=(const StartWave& other353) {
+  wave = other353.wave;
+  machines = other353.machines;
+  durationMs = other353.durationMs;
+  maxDown = other353.maxDown;
+  __isset = other353.__isset;
   return *this;
 }
-StartWave& StartWave::operator=(StartWave&& other350) noexcept {
-  wave = other350.wave;
-  machines = std::move(other350.machines);
-  durationMs = other350.durationMs;
-  maxDown = other350.maxDown;
-  __isset = other350.__isset;
+StartWave& StartWave::operator=(StartWave&& other354) noexcept {
+  wave = other354.wave;
+  machines = std::move(other354.machines);
+  durationMs = other354.durationMs;
+  maxDown = other354.maxDown;
+  __isset = other354.__isset;
   return *this;
 }
 void StartWave::printTo(std::ostream& out) const {
@@ -8460,26 +8629,26 @@
   swap(a.__isset, b.__isset);
 }
 
-NoteMachineDown::NoteMachineDown(const NoteMachineDown& other351) {
-  wave = other351.wave;
-  machine = other351.machine;
-  __isset = other351.__isset;
+NoteMachineDown::NoteMachineDown(const NoteMachineDown& other355) {
+  wave = other355.wave;
+  machine = other355.machine;
+  __isset = other355.__isset;
 }
-NoteMachineDown::NoteMachineDown(NoteMachineDown&& other352) noexcept {
-  wave = other352.wave;
-  machine = std::move(other352.machine);
-  __isset = other352.__isset;
+NoteMachineDown::NoteMachineDown(NoteMachineDown&& other356) noexcept {
+  wave = other356.wave;
+  machine = std::move(other356.machine);
+  __isset = other356.__isset;
 }
-NoteMachineDown& NoteMachineDown::operator=(const NoteMachineDown& other353) {
-  wave = other353.wave;
-  machine = other353.machine;
-  __isset = other353.__isset;
+NoteMachineDown& NoteMachineDown::operator=(const NoteMachineDown& other357) {
+  wave = other357.wave;
+  machine = other357.machine;
+  __isset = other357.__isset;
   return *this;
 }
-NoteMachineDown& NoteMachineDown::operator=(NoteMachineDown&& other354) noexcept {
-  wave = other354.wave;
-  machine = std::move(other354.machine);
-  __isset = other354.__isset;
+NoteMachineDown& NoteMachineDown::operator=(NoteMachineDown&& other358) noexcept {
+  wave = other358.wave;
+  machine = std::move(other358.machine);
+  __isset = other358.__isset;
   return *this;
 }
 void NoteMachineDown::printTo(std::ostream& out) const {
@@ -8832,78 +9001,78 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkloadCommand::WorkloadCommand(const WorkloadCommand& other355) {
-  proposedAtMs = other355.proposedAtMs;
-  putPolicy = other355.putPolicy;
-  setZone = other355.setZone;
-  registerReplica = other355.registerReplica;
-  forgetReplica = other355.forgetReplica;
-  submit = other355.submit;
-  cancel = other355.cancel;
-  registerWorker = other355.registerWorker;
-  loseWorker = other355.loseWorker;
-  startRuns = other355.startRuns;
-  stopRuns = other355.stopRuns;
-  endRuns = other355.endRuns;
-  openOccurrence = other355.openOccurrence;
-  startWave = other355.startWave;
-  noteMachineDown = other355.noteMachineDown;
-  __isset = other355.__isset;
-}
-WorkloadCommand::WorkloadCommand(WorkloadCommand&& other356) noexcept {
-  proposedAtMs = other356.proposedAtMs;
-  putPolicy = std::move(other356.putPolicy);
-  setZone = std::move(other356.setZone);
-  registerReplica = std::move(other356.registerReplica);
-  forgetReplica = std::move(other356.forgetReplica);
-  submit = std::move(other356.submit);
-  cancel = std::move(other356.cancel);
-  registerWorker = std::move(other356.registerWorker);
-  loseWorker = std::move(other356.loseWorker);
-  startRuns = std::move(other356.startRuns);
-  stopRuns = std::move(other356.stopRuns);
-  endRuns = std::move(other356.endRuns);
-  openOccurrence = std::move(other356.openOccurrence);
-  startWave = std::move(other356.startWave);
-  noteMachineDown = std::move(other356.noteMachineDown);
-  __isset = other356.__isset;
+WorkloadCommand::WorkloadCommand(const WorkloadCommand& other359) {
+  proposedAtMs = other359.proposedAtMs;
+  putPolicy = other359.putPolicy;
+  setZone = other359.setZone;
+  registerReplica = other359.registerReplica;
+  forgetReplica = other359.forgetReplica;
+  submit = other359.submit;
+  cancel = other359.cancel;
+  registerWorker = other359.registerWorker;
+  loseWorker = other359.loseWorker;
+  startRuns = other359.startRuns;
+  stopRuns = other359.stopRuns;
+  endRuns = other359.endRuns;
+  openOccurrence = other359.openOccurrence;
+  startWave = other359.startWave;
+  noteMachineDown = other359.noteMachineDown;
+  __isset = other359.__isset;
+}
+WorkloadCommand::WorkloadCommand(WorkloadCommand&& other360) noexcept {
+  proposedAtMs = other360.proposedAtMs;
+  putPolicy = std::move(other360.putPolicy);
+  setZone = std::move(other360.setZone);
+  registerReplica = std::move(other360.registerReplica);
+  forgetReplica = std::move(other360.forgetReplica);
+  submit = std::move(other360.submit);
+  cancel = std::move(other360.cancel);
+  registerWorker = std::move(other360.registerWorker);
+  loseWorker = std::move(other360.loseWorker);
+  startRuns = std::move(other360.startRuns);
+  stopRuns = std::move(other360.stopRuns);
+  endRuns = std::move(other360.endRuns);
+  openOccurrence = std::move(other360.openOccurrence);
+  startWave = std::move(other360.startWave);
+  noteMachineDown = std::move(other360.noteMachineDown);
+  __isset = other360.__isset;
 }
-WorkloadCommand& WorkloadCommand::operator=(const WorkloadCommand& other357) {
-  proposedAtMs = other357.proposedAtMs;
-  putPolicy = other357.putPolicy;
-  setZone = other357.setZone;
-  registerReplica = other357.registerReplica;
-  forgetReplica = other357.forgetReplica;
-  submit = other357.submit;
-  cancel = other357.cancel;
-  registerWorker = other357.registerWorker;
-  loseWorker = other357.loseWorker;
-  startRuns = other357.startRuns;
-  stopRuns = other357.stopRuns;
-  endRuns = other357.endRuns;
-  openOccurrence = other357.openOccurrence;
-  startWave = other357.startWave;
-  noteMachineDown = other357.noteMachineDown;
-  __isset = other357.__isset;
+WorkloadCommand& WorkloadCommand::operator=(const WorkloadCommand& other361) {
+  proposedAtMs = other361.proposedAtMs;
+  putPolicy = other361.putPolicy;
+  setZone = other361.setZone;
+  registerReplica = other361.registerReplica;
+  forgetReplica = other361.forgetReplica;
+  submit = other361.submit;
+  cancel = other361.cancel;
+  registerWorker = other361.registerWorker;
+  loseWorker = other361.loseWorker;
+  startRuns = other361.startRuns;
+  stopRuns = other361.stopRuns;
+  endRuns = other361.endRuns;
+  openOccurrence = other361.openOccurrence;
+  startWave = other361.startWave;
+  noteMachineDown = other361.noteMachineDown;
+  __isset = other361.__isset;
   return *this;
 }
-WorkloadCommand& WorkloadCommand::operator=(WorkloadCommand&& other358) noexcept {
-  proposedAtMs = other358.proposedAtMs;
-  putPolicy = std::move(other358.putPolicy);
-  setZone = std::move(other358.setZone);
-  registerReplica = std::move(other358.registerReplica);
-  forgetReplica = std::move(other358.forgetReplica);
-  submit = std::move(other358.submit);
-  cancel = std::move(other358.cancel);
-  registerWorker = std::move(other358.registerWorker);
-  loseWorker = std::move(other358.loseWorker);
-  startRuns = std::move(other358.startRuns);
-  stopRuns = std::move(other358.stopRuns);
-  endRuns = std::move(other358.endRuns);
-  openOccurrence = std::move(other358.openOccurrence);
-  startWave = std::move(other358.startWave);
-  noteMachineDown = std::move(other358.noteMachineDown);
-  __isset = other358.__isset;
+WorkloadCommand& WorkloadCommand::operator=(WorkloadCommand&& other362) noexcept {
+  proposedAtMs = other362.proposedAtMs;
+  putPolicy = std::move(other362.putPolicy);
+  setZone = std::move(other362.setZone);
+  registerReplica = std::move(other362.registerReplica);
+  forgetReplica = std::move(other362.forgetReplica);
+  submit = std::move(other362.submit);
+  cancel = std::move(other362.cancel);
+  registerWorker = std::move(other362.registerWorker);
+  loseWorker = std::move(other362.loseWorker);
+  startRuns = std::move(other362.startRuns);
+  stopRuns = std::move(other362.stopRuns);
+  endRuns = std::move(other362.endRuns);
+  openOccurrence = std::move(other362.openOccurrence);
+  startWave = std::move(other362.startWave);
+  noteMachineDown = std::move(other362.noteMachineDown);
+  __isset = other362.__isset;
   return *this;
 }
 void WorkloadCommand::printTo(std::ostream& out) const {
@@ -8977,9 +9146,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast359;
-          xfer += iprot->readI32(ecast359);
-          this->status = static_cast<WorkloadStatus::type>(ecast359);
+          int32_t ecast363;
+          xfer += iprot->readI32(ecast363);
+          this->status = static_cast<WorkloadStatus::type>(ecast363);
           this->__isset.status = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9056,34 +9225,34 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkloadResult::WorkloadResult(const WorkloadResult& other360) {
-  status = other360.status;
-  message = other360.message;
-  value = other360.value;
-  retryAfterMs = other360.retryAfterMs;
-  __isset = other360.__isset;
+WorkloadResult::WorkloadResult(const WorkloadResult& other364) {
+  status = other364.status;
+  message = other364.message;
+  value = other364.value;
+  retryAfterMs = other364.retryAfterMs;
+  __isset = other364.__isset;
 }
-WorkloadResult::WorkloadResult(WorkloadResult&& other361) noexcept {
-  status = other361.status;
-  message = std::move(other361.message);
-  value = other361.value;
-  retryAfterMs = other361.retryAfterMs;
-  __isset = other361.__isset;
+WorkloadResult::WorkloadResult(WorkloadResult&& other365) noexcept {
+  status = other365.status;
+  message = std::move(other365.message);
+  value = other365.value;
+  retryAfterMs = other365.retryAfterMs;
+  __isset = other365.__isset;
 }
-WorkloadResult& WorkloadResult::operator=(const WorkloadResult& other362) {
-  status = other362.status;
-  message = other362.message;
-  value = other362.value;
-  retryAfterMs = other362.retryAfterMs;
-  __isset = other362.__isset;
+WorkloadResult& WorkloadResult::operator=(const WorkloadResult& other366) {
+  status = other366.status;
+  message = other366.message;
+  value = other366.value;
+  retryAfterMs = other366.retryAfterMs;
+  __isset = other366.__isset;
   return *this;
 }
-WorkloadResult& WorkloadResult::operator=(WorkloadResult&& other363) noexcept {
-  status = other363.status;
-  message = std::move(other363.message);
-  value = other363.value;
-  retryAfterMs = other363.retryAfterMs;
-  __isset = other363.__isset;
+WorkloadResult& WorkloadResult::operator=(WorkloadResult&& other367) noexcept {
+  status = other367.status;
+  message = std::move(other367.message);
+  value = other367.value;
+  retryAfterMs = other367.retryAfterMs;
+  __isset = other367.__isset;
   return *this;
 }
 void WorkloadResult::printTo(std::ostream& out) const {
@@ -9206,30 +9375,30 @@
   swap(a.__isset, b.__isset);
 }
 
-QueueAddress::QueueAddress(const QueueAddress& other364) {
-  host = other364.host;
-  path = other364.path;
-  key = other364.key;
-  __isset = other364.__isset;
+QueueAddress::QueueAddress(const QueueAddress& other368) {
+  host = other368.host;
+  path = other368.path;
+  key = other368.key;
+  __isset = other368.__isset;
 }
-QueueAddress::QueueAddress(QueueAddress&& other365) noexcept {
-  host = std::move(other365.host);
-  path = std::move(other365.path);
-  key = std::move(other365.key);
-  __isset = other365.__isset;
+QueueAddress::QueueAddress(QueueAddress&& other369) noexcept {
+  host = std::move(other369.host);
+  path = std::move(other369.path);
+  key = std::move(other369.key);
+  __isset = other369.__isset;
 }
-QueueAddress& QueueAddress::operator=(const QueueAddress& other366) {
-  host = other366.host;
-  path = other366.path;
-  key = other366.key;
-  __isset = other366.__isset;
+QueueAddress& QueueAddress::operator=(const QueueAddress& other370) {
+  host = other370.host;
+  path = other370.path;
+  key = other370.key;
+  __isset = other370.__isset;
   return *this;
 }
-QueueAddress& QueueAddress::operator=(QueueAddress&& other367) noexcept {
-  host = std::move(other367.host);
-  path = std::move(other367.path);
-  key = std::move(other367.key);
-  __isset = other367.__isset;
+QueueAddress& QueueAddress::operator=(QueueAddress&& other371) noexcept {
+  host = std::move(other371.host);
+  path = std::move(other371.path);
+  key = std::move(other371.key);
+  __isset = other371.__isset;
   return *this;
 }
 void QueueAddress::printTo(std::ostream& out) const {
@@ -9560,74 +9729,74 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkloadCall::WorkloadCall(const WorkloadCall& other368) {
-  address = other368.address;
-  jobId = other368.jobId;
-  requestId = other368.requestId;
-  submit = other368.submit;
-  cancel = other368.cancel;
-  status = other368.status;
-  putPolicy = other368.putPolicy;
-  getPolicy = other368.getPolicy;
-  setZone = other368.setZone;
-  registerReplica = other368.registerReplica;
-  startWave = other368.startWave;
-  waveState = other368.waveState;
-  leavingReplica = other368.leavingReplica;
-  getZoneRevision = other368.getZoneRevision;
-  __isset = other368.__isset;
-}
-WorkloadCall::WorkloadCall(WorkloadCall&& other369) noexcept {
-  address = std::move(other369.address);
-  jobId = std::move(other369.jobId);
-  requestId = std::move(other369.requestId);
-  submit = std::move(other369.submit);
-  cancel = other369.cancel;
-  status = other369.status;
-  putPolicy = std::move(other369.putPolicy);
-  getPolicy = other369.getPolicy;
-  setZone = std::move(other369.setZone);
-  registerReplica = std::move(other369.registerReplica);
-  startWave = std::move(other369.startWave);
-  waveState = other369.waveState;
-  leavingReplica = other369.leavingReplica;
-  getZoneRevision = other369.getZoneRevision;
-  __isset = other369.__isset;
+WorkloadCall::WorkloadCall(const WorkloadCall& other372) {
+  address = other372.address;
+  jobId = other372.jobId;
+  requestId = other372.requestId;
+  submit = other372.submit;
+  cancel = other372.cancel;
+  status = other372.status;
+  putPolicy = other372.putPolicy;
+  getPolicy = other372.getPolicy;
+  setZone = other372.setZone;
+  registerReplica = other372.registerReplica;
+  startWave = other372.startWave;
+  waveState = other372.waveState;
+  leavingReplica = other372.leavingReplica;
+  getZoneRevision = other372.getZoneRevision;
+  __isset = other372.__isset;
+}
+WorkloadCall::WorkloadCall(WorkloadCall&& other373) noexcept {
+  address = std::move(other373.address);
+  jobId = std::move(other373.jobId);
+  requestId = std::move(other373.requestId);
+  submit = std::move(other373.submit);
+  cancel = other373.cancel;
+  status = other373.status;
+  putPolicy = std::move(other373.putPolicy);
+  getPolicy = other373.getPolicy;
+  setZone = std::move(other373.setZone);
+  registerReplica = std::move(other373.registerReplica);
+  startWave = std::move(other373.startWave);
+  waveState = other373.waveState;
+  leavingReplica = other373.leavingReplica;
+  getZoneRevision = other373.getZoneRevision;
+  __isset = other373.__isset;
 }
-WorkloadCall& WorkloadCall::operator=(const WorkloadCall& other370) {
-  address = other370.address;
-  jobId = other370.jobId;
-  requestId = other370.requestId;
-  submit = other370.submit;
-  cancel = other370.cancel;
-  status = other370.status;
-  putPolicy = other370.putPolicy;
-  getPolicy = other370.getPolicy;
-  setZone = other370.setZone;
-  registerReplica = other370.registerReplica;
-  startWave = other370.startWave;
-  waveState = other370.waveState;
-  leavingReplica = other370.leavingReplica;
-  getZoneRevision = other370.getZoneRevision;
-  __isset = other370.__isset;
+WorkloadCall& WorkloadCall::operator=(const WorkloadCall& other374) {
+  address = other374.address;
+  jobId = other374.jobId;
+  requestId = other374.requestId;
+  submit = other374.submit;
+  cancel = other374.cancel;
+  status = other374.status;
+  putPolicy = other374.putPolicy;
+  getPolicy = other374.getPolicy;
+  setZone = other374.setZone;
+  registerReplica = other374.registerReplica;
+  startWave = other374.startWave;
+  waveState = other374.waveState;
+  leavingReplica = other374.leavingReplica;
+  getZoneRevision = other374.getZoneRevision;
+  __isset = other374.__isset;
   return *this;
 }
-WorkloadCall& WorkloadCall::operator=(WorkloadCall&& other371) noexcept {
-  address = std::move(other371.address);
-  jobId = std::move(other371.jobId);
-  requestId = std::move(other371.requestId);
-  submit = std::move(other371.submit);
-  cancel = other371.cancel;
-  status = other371.status;
-  putPolicy = std::move(other371.putPolicy);
-  getPolicy = other371.getPolicy;
-  setZone = std::move(other371.setZone);
-  registerReplica = std::move(other371.registerReplica);
-  startWave = std::move(other371.startWave);
-  waveState = other371.waveState;
-  leavingReplica = other371.leavingReplica;
-  getZoneRevision = other371.getZoneRevision;
-  __isset = other371.__isset;
+WorkloadCall& WorkloadCall::operator=(WorkloadCall&& other375) noexcept {
+  address = std::move(other375.address);
+  jobId = std::move(other375.jobId);
+  requestId = std::move(other375.requestId);
+  submit = std::move(other375.submit);
+  cancel = other375.cancel;
+  status = other375.status;
+  putPolicy = std::move(other375.putPolicy);
+  getPolicy = other375.getPolicy;
+  setZone = std::move(other375.setZone);
+  registerReplica = std::move(other375.registerReplica);
+  startWave = std::move(other375.startWave);
+  waveState = other375.waveState;
+  leavingReplica = other375.leavingReplica;
+  getZoneRevision = other375.getZoneRevision;
+  __isset = other375.__isset;
   return *this;
 }
 void WorkloadCall::printTo(std::ostream& out) const {
@@ -9736,9 +9905,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast372;
-          xfer += iprot->readI32(ecast372);
-          this->phase = static_cast<JobPhase::type>(ecast372);
+          int32_t ecast376;
+          xfer += iprot->readI32(ecast376);
+          this->phase = static_cast<JobPhase::type>(ecast376);
           this->__isset.phase = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9830,46 +9999,46 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkloadReply::WorkloadReply(const WorkloadReply& other373) {
-  isLeader = other373.isLeader;
-  group = other373.group;
-  result = other373.result;
-  phase = other373.phase;
-  source = other373.source;
-  waveCompleted = other373.waveCompleted;
-  zoneRevision = other373.zoneRevision;
-  __isset = other373.__isset;
+WorkloadReply::WorkloadReply(const WorkloadReply& other377) {
+  isLeader = other377.isLeader;
+  group = other377.group;
+  result = other377.result;
+  phase = other377.phase;
+  source = other377.source;
+  waveCompleted = other377.waveCompleted;
+  zoneRevision = other377.zoneRevision;
+  __isset = other377.__isset;
 }
-WorkloadReply::WorkloadReply(WorkloadReply&& other374) noexcept {
-  isLeader = other374.isLeader;
-  group = std::move(other374.group);
-  result = std::move(other374.result);
-  phase = other374.phase;
-  source = std::move(other374.source);
-  waveCompleted = other374.waveCompleted;
-  zoneRevision = other374.zoneRevision;
-  __isset = other374.__isset;
+WorkloadReply::WorkloadReply(WorkloadReply&& other378) noexcept {
+  isLeader = other378.isLeader;
+  group = std::move(other378.group);
+  result = std::move(other378.result);
+  phase = other378.phase;
+  source = std::move(other378.source);
+  waveCompleted = other378.waveCompleted;
+  zoneRevision = other378.zoneRevision;
+  __isset = other378.__isset;
 }
-WorkloadReply& WorkloadReply::operator=(const WorkloadReply& other375) {
-  isLeader = other375.isLeader;
-  group = other375.group;
-  result = other375.result;
-  phase = other375.phase;
-  source = other375.source;
-  waveCompleted = other375.waveCompleted;
-  zoneRevision = other375.zoneRevision;
-  __isset = other375.__isset;
+WorkloadReply& WorkloadReply::operator=(const WorkloadReply& other379) {
+  isLeader = other379.isLeader;
+  group = other379.group;
+  result = other379.result;
+  phase = other379.phase;
+  source = other379.source;
+  waveCompleted = other379.waveCompleted;
+  zoneRevision = other379.zoneRevision;
+  __isset = other379.__isset;
   return *this;
 }
-WorkloadReply& WorkloadReply::operator=(WorkloadReply&& other376) noexcept {
-  isLeader = other376.isLeader;
-  group = std::move(other376.group);
-  result = std::move(other376.result);
-  phase = other376.phase;
-  source = std::move(other376.source);
-  waveCompleted = other376.waveCompleted;
-  zoneRevision = other376.zoneRevision;
-  __isset = other376.__isset;
+WorkloadReply& WorkloadReply::operator=(WorkloadReply&& other380) noexcept {
+  isLeader = other380.isLeader;
+  group = std::move(other380.group);
+  result = std::move(other380.result);
+  phase = other380.phase;
+  source = std::move(other380.source);
+  waveCompleted = other380.waveCompleted;
+  zoneRevision = other380.zoneRevision;
+  __isset = other380.__isset;
   return *this;
 }
 void WorkloadReply::printTo(std::ostream& out) const {
@@ -9978,26 +10147,26 @@
   swap(a.__isset, b.__isset);
 }
 
-QueuePending::QueuePending(const QueuePending& other377) {
-  queue = other377.queue;
-  pending = other377.pending;
-  __isset = other377.__isset;
+QueuePending::QueuePending(const QueuePending& other381) {
+  queue = other381.queue;
+  pending = other381.pending;
+  __isset = other381.__isset;
 }
-QueuePending::QueuePending(QueuePending&& other378) noexcept {
-  queue = std::move(other378.queue);
-  pending = other378.pending;
-  __isset = other378.__isset;
+QueuePending::QueuePending(QueuePending&& other382) noexcept {
+  queue = std::move(other382.queue);
+  pending = other382.pending;
+  __isset = other382.__isset;
 }
-QueuePending& QueuePending::operator=(const QueuePending& other379) {
-  queue = other379.queue;
-  pending = other379.pending;
-  __isset = other379.__isset;
+QueuePending& QueuePending::operator=(const QueuePending& other383) {
+  queue = other383.queue;
+  pending = other383.pending;
+  __isset = other383.__isset;
   return *this;
 }
-QueuePending& QueuePending::operator=(QueuePending&& other380) noexcept {
-  queue = std::move(other380.queue);
-  pending = other380.pending;
-  __isset = other380.__isset;
+QueuePending& QueuePending::operator=(QueuePending&& other384) noexcept {
+  queue = std::move(other384.queue);
+  pending = other384.pending;
+  __isset = other384.__isset;
   return *this;
 }
 void QueuePending::printTo(std::ostream& out) const {
@@ -10118,30 +10287,30 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryWatchRequest::EntryWatchRequest(const EntryWatchRequest& other381) {
-  entry = other381.entry;
-  sequence = other381.sequence;
-  policyVersion = other381.policyVersion;
-  __isset = other381.__isset;
+EntryWatchRequest::EntryWatchRequest(const EntryWatchRequest& other385) {
+  entry = other385.entry;
+  sequence = other385.sequence;
+  policyVersion = other385.policyVersion;
+  __isset = other385.__isset;
 }
-EntryWatchRequest::EntryWatchRequest(EntryWatchRequest&& other382) noexcept {
-  entry = std::move(other382.entry);
-  sequence = other382.sequence;
-  policyVersion = other382.policyVersion;
-  __isset = other382.__isset;
+EntryWatchRequest::EntryWatchRequest(EntryWatchRequest&& other386) noexcept {
+  entry = std::move(other386.entry);
+  sequence = other386.sequence;
+  policyVersion = other386.policyVersion;
+  __isset = other386.__isset;
 }
-EntryWatchRequest& EntryWatchRequest::operator=(const EntryWatchRequest& other383) {
-  entry = other383.entry;
-  sequence = other383.sequence;
-  policyVersion = other383.policyVersion;
-  __isset = other383.__isset;
+EntryWatchRequest& EntryWatchRequest::operator=(const EntryWatchRequest& other387) {
+  entry = other387.entry;
+  sequence = other387.sequence;
+  policyVersion = other387.policyVersion;
+  __isset = other387.__isset;
   return *this;
 }
-EntryWatchRequest& EntryWatchRequest::operator=(EntryWatchRequest&& other384) noexcept {
-  entry = std::move(other384.entry);
-  sequence = other384.sequence;
-  policyVersion = other384.policyVersion;
-  __isset = other384.__isset;
+EntryWatchRequest& EntryWatchRequest::operator=(EntryWatchRequest&& other388) noexcept {
+  entry = std::move(other388.entry);
+  sequence = other388.sequence;
+  policyVersion = other388.policyVersion;
+  __isset = other388.__isset;
   return *this;
 }
 void EntryWatchRequest::printTo(std::ostream& out) const {
@@ -10253,14 +10422,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pending.clear();
-            uint32_t _size385;
-            ::apache::thrift::protocol::TType _etype388;
-            xfer += iprot->readListBegin(_etype388, _size385);
-            this->pending.resize(_size385);
-            uint32_t _i389;
-            for (_i389 = 0; _i389 < _size385; ++_i389)
+            uint32_t _size389;
+            ::apache::thrift::protocol::TType _etype392;
+            xfer += iprot->readListBegin(_etype392, _size389);
+            this->pending.resize(_size389);
+            uint32_t _i393;
+            for (_i393 = 0; _i393 < _size389; ++_i393)
             {
-              xfer += this->pending[_i389].read(iprot);
+              xfer += this->pending[_i393].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10309,10 +10478,10 @@
   xfer += oprot->writeFieldBegin("pending", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pending.size()));
-    std::vector<QueuePending> ::const_iterator _iter390;
-    for (_iter390 = this->pending.begin(); _iter390 != this->pending.end(); ++_iter390)
+    std::vector<QueuePending> ::const_iterator _iter394;
+    for (_iter394 = this->pending.begin(); _iter394 != this->pending.end(); ++_iter394)
     {
-      xfer += (*_iter390).write(oprot);
+      xfer += (*_iter394).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10334,42 +10503,42 @@
   swap(a.__isset, b.__isset);
 }
 
-EntryWatchReply::EntryWatchReply(const EntryWatchReply& other391) {
-  group = other391.group;
-  isLeader = other391.isLeader;
-  confirmedSequence = other391.confirmedSequence;
-  policyChanged = other391.policyChanged;
-  policy = other391.policy;
-  pending = other391.pending;
-  __isset = other391.__isset;
-}
-EntryWatchReply::EntryWatchReply(EntryWatchReply&& other392) noexcept {
-  group = std::move(other392.group);
-  isLeader = other392.isLeader;
-  confirmedSequence = other392.confirmedSequence;
-  policyChanged = other392.policyChanged;
-  policy = std::move(other392.policy);
-  pending = std::move(other392.pending);
-  __isset = other392.__isset;
-}
-EntryWatchReply& EntryWatchReply::operator=(const EntryWatchReply& other393) {
-  group = other393.group;
-  isLeader = other393.isLeader;
-  confirmedSequence = other393.confirmedSequence;
-  policyChanged = other393.policyChanged;
-  policy = other393.policy;
-  pending = other393.pending;
-  __isset = other393.__isset;
+EntryWatchReply::EntryWatchReply(const EntryWatchReply& other395) {
+  group = other395.group;
+  isLeader = other395.isLeader;
+  confirmedSequence = other395.confirmedSequence;
+  policyChanged = other395.policyChanged;
+  policy = other395.policy;
+  pending = other395.pending;
+  __isset = other395.__isset;
+}
+EntryWatchReply::EntryWatchReply(EntryWatchReply&& other396) noexcept {
+  group = std::move(other396.group);
+  isLeader = other396.isLeader;
+  confirmedSequence = other396.confirmedSequence;
+  policyChanged = other396.policyChanged;
+  policy = std::move(other396.policy);
+  pending = std::move(other396.pending);
+  __isset = other396.__isset;
+}
+EntryWatchReply& EntryWatchReply::operator=(const EntryWatchReply& other397) {
+  group = other397.group;
+  isLeader = other397.isLeader;
+  confirmedSequence = other397.confirmedSequence;
+  policyChanged = other397.policyChanged;
+  policy = other397.policy;
+  pending = other397.pending;
+  __isset = other397.__isset;
   return *this;
 }
-EntryWatchReply& EntryWatchReply::operator=(EntryWatchReply&& other394) noexcept {
-  group = std::move(other394.group);
-  isLeader = other394.isLeader;
-  confirmedSequence = other394.confirmedSequence;
-  policyChanged = other394.policyChanged;
-  policy = std::move(other394.policy);
-  pending = std::move(other394.pending);
-  __isset = other394.__isset;
+EntryWatchReply& EntryWatchReply::operator=(EntryWatchReply&& other398) noexcept {
+  group = std::move(other398.group);
+  isLeader = other398.isLeader;
+  confirmedSequence = other398.confirmedSequence;
+  policyChanged = other398.policyChanged;
+  policy = std::move(other398.policy);
+  pending = std::move(other398.pending);
+  __isset = other398.__isset;
   return *this;
 }
 void EntryWatchReply::printTo(std::ostream& out) const {
@@ -10545,42 +10714,42 @@
   swap(a.__isset, b.__isset);
 }
 
-LocateRequest::LocateRequest(const LocateRequest& other395) {
-  replicaId = other395.replicaId;
-  address = other395.address;
-  availabilityZone = other395.availabilityZone;
-  canFoundGroup = other395.canFoundGroup;
-  inGroup = other395.inGroup;
-  group = other395.group;
-  __isset = other395.__isset;
+LocateRequest::LocateRequest(const LocateRequest& other399) {
+  replicaId = other399.replicaId;
+  address = other399.address;
+  availabilityZone = other399.availabilityZone;
+  canFoundGroup = other399.canFoundGroup;
+  inGroup = other399.inGroup;
+  group = other399.group;
+  __isset = other399.__isset;
 }
-LocateRequest::LocateRequest(LocateRequest&& other396) noexcept {
-  replicaId = other396.replicaId;
-  address = std::move(other396.address);
-  availabilityZone = std::move(other396.availabilityZone);
-  canFoundGroup = other396.canFoundGroup;
-  inGroup = other396.inGroup;
-  group = std::move(other396.group);
-  __isset = other396.__isset;
+LocateRequest::LocateRequest(LocateRequest&& other400) noexcept {
+  replicaId = other400.replicaId;
+  address = std::move(other400.address);
+  availabilityZone = std::move(other400.availabilityZone);
+  canFoundGroup = other400.canFoundGroup;
+  inGroup = other400.inGroup;
+  group = std::move(other400.group);
+  __isset = other400.__isset;
 }
-LocateRequest& LocateRequest::operator=(const LocateRequest& other397) {
-  replicaId = other397.replicaId;
-  address = other397.address;
-  availabilityZone = other397.availabilityZone;
-  canFoundGroup = other397.canFoundGroup;
-  inGroup = other397.inGroup;
-  group = other397.group;
-  __isset = other397.__isset;
+LocateRequest& LocateRequest::operator=(const LocateRequest& other401) {
+  replicaId = other401.replicaId;
+  address = other401.address;
+  availabilityZone = other401.availabilityZone;
+  canFoundGroup = other401.canFoundGroup;
+  inGroup = other401.inGroup;
+  group = other401.group;
+  __isset = other401.__isset;
   return *this;
 }
-LocateRequest& LocateRequest::operator=(LocateRequest&& other398) noexcept {
-  replicaId = other398.replicaId;
-  address = std::move(other398.address);
-  availabilityZone = std::move(other398.availabilityZone);
-  canFoundGroup = other398.canFoundGroup;
-  inGroup = other398.inGroup;
-  group = std::move(other398.group);
-  __isset = other398.__isset;
+LocateRequest& LocateRequest::operator=(LocateRequest&& other402) noexcept {
+  replicaId = other402.replicaId;
+  address = std::move(other402.address);
+  availabilityZone = std::move(other402.availabilityZone);
+  canFoundGroup = other402.canFoundGroup;
+  inGroup = other402.inGroup;
+  group = std::move(other402.group);
+  __isset = other402.__isset;
   return *this;
 }
 void LocateRequest::printTo(std::ostream& out) const {
@@ -10722,34 +10891,34 @@
   swap(a.__isset, b.__isset);
 }
 
-LocateReply::LocateReply(const LocateReply& other399) {
-  group = other399.group;
-  canFoundGroup = other399.canFoundGroup;
-  inGroup = other399.inGroup;
-  replicaId = other399.replicaId;
-  __isset = other399.__isset;
+LocateReply::LocateReply(const LocateReply& other403) {
+  group = other403.group;
+  canFoundGroup = other403.canFoundGroup;
+  inGroup = other403.inGroup;
+  replicaId = other403.replicaId;
+  __isset = other403.__isset;
 }
-LocateReply::LocateReply(LocateReply&& other400) noexcept {
-  group = std::move(other400.group);
-  canFoundGroup = other400.canFoundGroup;
-  inGroup = other400.inGroup;
-  replicaId = other400.replicaId;
-  __isset = other400.__isset;
+LocateReply::LocateReply(LocateReply&& other404) noexcept {
+  group = std::move(other404.group);
+  canFoundGroup = other404.canFoundGroup;
+  inGroup = other404.inGroup;
+  replicaId = other404.replicaId;
+  __isset = other404.__isset;
 }
-LocateReply& LocateReply::operator=(const LocateReply& other401) {
-  group = other401.group;
-  canFoundGroup = other401.canFoundGroup;
-  inGroup = other401.inGroup;
-  replicaId = other401.replicaId;
-  __isset = other401.__isset;
+LocateReply& LocateReply::operator=(const LocateReply& other405) {
+  group = other405.group;
+  canFoundGroup = other405.canFoundGroup;
+  inGroup = other405.inGroup;
+  replicaId = other405.replicaId;
+  __isset = other405.__isset;
   return *this;
 }
-LocateReply& LocateReply::operator=(LocateReply&& other402) noexcept {
-  group = std::move(other402.group);
-  canFoundGroup = other402.canFoundGroup;
-  inGroup = other402.inGroup;
-  replicaId = other402.replicaId;
-  __isset = other402.__isset;
+LocateReply& LocateReply::operator=(LocateReply&& other406) noexcept {
+  group = std::move(other406.group);
+  canFoundGroup = other406.canFoundGroup;
+  inGroup = other406.inGroup;
+  replicaId = other406.replicaId;
+  __isset = other406.__isset;
   return *this;
 }
 void LocateReply::printTo(std::ostream& out) const {
@@ -10838,22 +11007,22 @@
   swap(a.__isset, b.__isset);
 }
 
-FoundGroupRequest::FoundGroupRequest(const FoundGroupRequest& other403) noexcept {
-  replicaId = other403.replicaId;
-  __isset = other403.__isset;
+FoundGroupRequest::FoundGroupRequest(const FoundGroupRequest& other407) noexcept {
+  replicaId = other407.replicaId;
+  __isset = other407.__isset;
 }
-FoundGroupRequest::FoundGroupRequest(FoundGroupRequest&& other404) noexcept {
-  replicaId = other404.replicaId;
-  __isset = other404.__isset;
+FoundGroupRequest::FoundGroupRequest(FoundGroupRequest&& other408) noexcept {
+  replicaId = other408.replicaId;
+  __isset = other408.__isset;
 }
-FoundGroupRequest& FoundGroupRequest::operator=(const FoundGroupRequest& other405) noexcept {
-  replicaId = other405.replicaId;
-  __isset = other405.__isset;
+FoundGroupRequest& FoundGroupRequest::operator=(const FoundGroupRequest& other409) noexcept {
+  replicaId = other409.replicaId;
+  __isset = other409.__isset;
   return *this;
 }
-FoundGroupRequest& FoundGroupRequest::operator=(FoundGroupRequest&& other406) noexcept {
-  replicaId = other406.replicaId;
-  __isset = other406.__isset;
+FoundGroupRequest& FoundGroupRequest::operator=(FoundGroupRequest&& other410) noexcept {
+  replicaId = other410.replicaId;
+  __isset = other410.__isset;
   return *this;
 }
 void FoundGroupRequest::printTo(std::ostream& out) const {
@@ -10990,34 +11159,34 @@
   swap(a.__isset, b.__isset);
 }
 
-GroupMessage::GroupMessage(const GroupMessage& other407) {
-  senderId = other407.senderId;
-  receiverId = other407.receiverId;
-  senderAddress = other407.senderAddress;
-  body = other407.body;
-  __isset = other407.__isset;
-}
-GroupMessage::GroupMessage(GroupMessage&& other408) noexcept {
-  senderId = other408.senderId;
-  receiverId = other408.receiverId;
-  senderAddress = std::move(other408.senderAddress);
-  body = std::move(other408.body);
-  __isset = other408.__isset;
-}
-GroupMessage& GroupMessage::operator=(const GroupMessage& other409) {
-  senderId = other409.senderId;
-  receiverId = other409.receiverId;
-  senderAddress = other409.senderAddress;
-  body = other409.body;
-  __isset = other409.__isset;
+GroupMessage::GroupMessage(const GroupMessage& other411) {
+  senderId = other411.senderId;
+  receiverId = other411.receiverId;
+  senderAddress = other411.senderAddress;
+  body = other411.body;
+  __isset = other411.__isset;
+}
+GroupMessage::GroupMessage(GroupMessage&& other412) noexcept {
+  senderId = other412.senderId;
+  receiverId = other412.receiverId;
+  senderAddress = std::move(other412.senderAddress);
+  body = std::move(other412.body);
+  __isset = other412.__isset;
+}
+GroupMessage& GroupMessage::operator=(const GroupMessage& other413) {
+  senderId = other413.senderId;
+  receiverId = other413.receiverId;
+  senderAddress = other413.senderAddress;
+  body = other413.body;
+  __isset = other413.__isset;
   return *this;
 }
-GroupMessage& GroupMessage::operator=(GroupMessage&& other410) noexcept {
-  senderId = other410.senderId;
-  receiverId = other410.receiverId;
-  senderAddress = std::move(other410.senderAddress);
-  body = std::move(other410.body);
-  __isset = other410.__isset;
+GroupMessage& GroupMessage::operator=(GroupMessage&& other414) noexcept {
+  senderId = other414.senderId;
+  receiverId = other414.receiverId;
+  senderAddress = std::move(other414.senderAddress);
+  body = std::move(other414.body);
+  __isset = other414.__isset;
   return *this;
 }
 void GroupMessage::printTo(std::ostream& out) const {
--- a/gen/workload_types.h
+++ b/gen/workload_types.h
@@ -131,6 +131,8 @@
 
 class PolicyDocument;
 
+class JobAddress;
+
 class TaskRecord;
 
 class StepRecord;
@@ -1671,6 +1673,58 @@
 
 std::ostream& operator<<(std::ostream& out, const PolicyDocument& obj);
 
+typedef struct _JobAddress__isset {
+  _JobAddress__isset() : host(false), path(false) {}
+  bool host :1;
+  bool path :1;
+} _JobAddress__isset;
+
+class JobAddress : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobAddress(const JobAddress&);
+  JobAddress(JobAddress&&) noexcept;
+  JobAddress& operator=(const JobAddress&);
+  JobAddress& operator=(JobAddress&&) noexcept;
+  JobAddress() noexcept
+             : host(),
+               path() {
+  }
+
+  virtual ~JobAddress() noexcept;
+  std::string host;
+  std::string path;
+
+  _JobAddress__isset __isset;
+
+  void __set_host(const std::string& val);
+
+  void __set_path(const std::string& val);
+
+  bool operator == (const JobAddress & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(path == rhs.path))
+      return false;
+    return true;
+  }
+  bool operator != (const JobAddress &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobAddress & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobAddress &a, JobAddress &b);
+
+std::ostream& operator<<(std::ostream& out, const JobAddress& obj);
+
 typedef struct _TaskRecord__isset {
   _TaskRecord__isset() : phase(true), run(false), failures(false), worker(false), checkpoint(false), lostRun(false), lostRunDone(false) {}
   bool phase :1;
@@ -1892,7 +1946,7 @@
 std::ostream& operator<<(std::ostream& out, const OccurrenceRecord& obj);
 
 typedef struct _JobRecord__isset {
-  _JobRecord__isset() : id(false), queue(false), workspace(false), spec(false), phase(true), occurrences(false), occurrencesDone(false), submittedIndex(false), serviceName(false), priority(false), maxAttempts(false), slackFactor(false), latencyTargetMs(false), activeRuns(false), reason(false), occurrencesOpened(false), cancelledFirst(false) {}
+  _JobRecord__isset() : id(false), queue(false), workspace(false), spec(false), phase(true), occurrences(false), occurrencesDone(false), submittedIndex(false), serviceName(false), priority(false), maxAttempts(false), slackFactor(false), latencyTargetMs(false), activeRuns(false), reason(false), occurrencesOpened(false), cancelledFirst(false), address(false) {}
   bool id :1;
   bool queue :1;
   bool workspace :1;
@@ -1910,6 +1964,7 @@
   bool reason :1;
   bool occurrencesOpened :1;
   bool cancelledFirst :1;
+  bool address :1;
 } _JobRecord__isset;
 
 class JobRecord : public virtual ::apache::thrift::TBase {
@@ -1959,6 +2014,7 @@
   std::string reason;
   int32_t occurrencesOpened;
   bool cancelledFirst;
+  JobAddress address;
 
   _JobRecord__isset __isset;
 
@@ -1996,6 +2052,8 @@
 
   void __set_cancelledFirst(const bool val);
 
+  void __set_address(const JobAddress& val);
+
   bool operator == (const JobRecord & rhs) const
   {
     if (!(id == rhs.id))
@@ -2032,6 +2090,8 @@
       return false;
     if (!(cancelledFirst == rhs.cancelledFirst))
       return false;
+    if (!(address == rhs.address))
+      return false;
     return true;
   }
   bool operator != (const JobRecord &rhs) const {
@@ -2486,11 +2546,12 @@
 std::ostream& operator<<(std::ostream& out, const ForgetReplica& obj);
 
 typedef struct _SubmitWorkload__isset {
-  _SubmitWorkload__isset() : jobId(false), queue(false), workspace(false), spec(false) {}
+  _SubmitWorkload__isset() : jobId(false), queue(false), workspace(false), spec(false), address(false) {}
   bool jobId :1;
   bool queue :1;
   bool workspace :1;
   bool spec :1;
+  bool address :1;
 } _SubmitWorkload__isset;
 
 class SubmitWorkload : public virtual ::apache::thrift::TBase {
@@ -2511,6 +2572,7 @@
   std::string queue;
   std::string workspace;
   WorkloadSpec spec;
+  JobAddress address;
 
   _SubmitWorkload__isset __isset;
 
@@ -2522,6 +2584,8 @@
 
   void __set_spec(const WorkloadSpec& val);
 
+  void __set_address(const JobAddress& val);
+
   bool operator == (const SubmitWorkload & rhs) const
   {
     if (!(jobId == rhs.jobId))
@@ -2532,6 +2596,10 @@
       return false;
     if (!(spec == rhs.spec))
       return false;
+    if (__isset.address != rhs.__isset.address)
+      return false;
+    else if (__isset.address && !(address == rhs.address))
+      return false;
     return true;
   }
   bool operator != (const SubmitWorkload &rhs) const {
@@ -2551,10 +2619,10 @@
 std::ostream& operator<<(std::ostream& out, const SubmitWorkload& obj);
 
 typedef struct _CancelWorkload__isset {
-  _CancelWorkload__isset() : jobId(false), queue(false), workspace(false) {}
+  _CancelWorkload__isset() : jobId(false), workspace(false), address(false) {}
   bool jobId :1;
-  bool queue :1;
   bool workspace :1;
+  bool address :1;
 } _CancelWorkload__isset;
 
 class CancelWorkload : public virtual ::apache::thrift::TBase {
@@ -2566,35 +2634,34 @@
   CancelWorkload& operator=(CancelWorkload&&) noexcept;
   CancelWorkload() noexcept
                  : jobId(),
-                   queue(),
                    workspace() {
   }
 
   virtual ~CancelWorkload() noexcept;
   std::string jobId;
-  std::string queue;
   std::string workspace;
+  JobAddress address;
 
   _CancelWorkload__isset __isset;
 
   void __set_jobId(const std::string& val);
 
-  void __set_queue(const std::string& val);
-
   void __set_workspace(const std::string& val);
 
+  void __set_address(const JobAddress& val);
+
   bool operator == (const CancelWorkload & rhs) const
   {
     if (!(jobId == rhs.jobId))
       return false;
-    if (__isset.queue != rhs.__isset.queue)
-      return false;
-    else if (__isset.queue && !(queue == rhs.queue))
-      return false;
     if (__isset.workspace != rhs.__isset.workspace)
       return false;
     else if (__isset.workspace && !(workspace == rhs.workspace))
       return false;
+    if (__isset.address != rhs.__isset.address)
+      return false;
+    else if (__isset.address && !(address == rhs.address))
+      return false;
     return true;
   }
   bool operator != (const CancelWorkload &rhs) const {
--- a/include/anvil/workload/Policy.h
+++ b/include/anvil/workload/Policy.h
@@ -32,6 +32,10 @@
                                    std::string_view Host,
                                    std::string_view Path);
 
+/// Returns where callers find the jobs that are handed in at \p Path, which may
+/// end with the id of a job.
+wire::JobAddress jobAddressOf(std::string_view Host, std::string_view Path);
+
 /// Returns the queue named \p Name, or null.
 const wire::QueuePolicy *queueNamed(const wire::PolicyDocument &Policy,
                                     std::string_view Name);
--- a/include/anvil/workload/WorkloadState.h
+++ b/include/anvil/workload/WorkloadState.h
@@ -177,10 +177,9 @@
   /// exist or its occurrence is done.
   const wire::TaskRecord *task(const wire::TaskRef &Ref) const;
 
-  /// Returns the number of jobs of which no task was started yet, by queue.
-  const std::map<std::string, int64_t> &pendingByQueue() const {
-    return m_PendingByQueue;
-  }
+  /// Returns the number of jobs of which no task was started yet, by the queue
+  /// that their address selects now. Queues without such jobs are left out.
+  std::map<std::string, int64_t> pendingByQueue() const;
 
   /// Returns the maintenance waves by number.
   const std::map<int64_t, wire::WaveRecord> &waves() const { return m_Waves; }
@@ -249,6 +248,7 @@
     return {Incarnation.id, Incarnation.startedAtMs};
   }
   void indexJob(const wire::JobRecord &Job);
+  const wire::QueuePolicy *queueOf(const wire::SubmitWorkload &Command) const;
   void emit(const WorkloadEvent &Event) const;
 
   WorkloadLimits m_Limits;
@@ -265,7 +265,7 @@
   std::map<int64_t, wire::WaveRecord> m_Waves;
   // Derived from the members above, so not part of a snapshot.
   std::map<int64_t, std::string> m_LiveJobs;
-  std::map<std::string, int64_t> m_PendingByQueue;
+  std::map<wire::JobAddress, int64_t> m_PendingByAddress; ///< Above 0.
   std::map<IncarnationKey, std::set<TaskKey>> m_RunsByIncarnation;
   int64_t m_PayloadBytes = 0;
 };
--- a/proto/workload.thrift
+++ b/proto/workload.thrift
@@ -144,6 +144,13 @@
 
 // ---- records of the replicated workload state ----
 
+// Where callers find a job: its URL without the id. Versions of the policy may remove the queue of that address, add it
+// again under another name, or let a new one take the address over.
+struct JobAddress {
+  1: string host,               // in lower case
+  2: string path                // ends with a slash
+}
+
 enum TaskPhase { WAITING = 1, PLACED = 2, STOPPING = 3, DONE = 4 }
 
 struct TaskRecord {
@@ -168,7 +175,7 @@
 
 struct JobRecord {
   1: string id,
-  2: string queue,
+  2: string queue,              // its name when the job was submitted
   3: string workspace,
   4: WorkloadSpec spec,
   5: JobPhase phase = JobPhase.QUEUED,
@@ -183,7 +190,8 @@
   14: i32 activeRuns,
   15: string reason,
   16: i32 occurrencesOpened,
-  17: bool cancelledFirst       // only a mark: cancelled before it was handed in, so it is refused from then on
+  17: bool cancelledFirst,      // only a mark: cancelled before it was handed in, so it is refused from then on
+  18: JobAddress address
 }
 
 struct WorkerRecord {
@@ -220,10 +228,13 @@
 struct SetZone { 1: string availabilityZone, 2: bool withdrawn, 3: optional i64 basedOnRevision }
 struct RegisterReplica { 1: ReplicaAddress replica }
 struct ForgetReplica { 1: i64 id }
-struct SubmitWorkload { 1: string jobId, 2: string queue, 3: string workspace, 4: WorkloadSpec spec }
-// With a queue and a workspace, a job that is not known yet is refused when it is handed in there later. Logs of earlier
+// Goes to the queue that its address selects. Logs of earlier versions have entries that only name the queue.
+struct SubmitWorkload {
+  1: string jobId, 2: string queue, 3: string workspace, 4: WorkloadSpec spec, 5: optional JobAddress address
+}
+// With an address and a workspace, a job that is not known yet is refused when it is handed in there later. Logs of earlier
 // versions have entries without them.
-struct CancelWorkload { 1: string jobId, 2: optional string queue, 3: optional string workspace }
+struct CancelWorkload { 1: string jobId, 3: optional string workspace, 4: optional JobAddress address }
 struct RegisterWorker { 1: WorkerInfo info, 2: string agentIncarnation }
 // Runs in retainedRuns stay assigned to the incarnation: a delayed order may still start them in a later incarnation of
 // the worker.
--- a/src/node/Admission.cpp
+++ b/src/node/Admission.cpp
@@ -23,6 +23,7 @@
     return refused(wire::WorkloadStatus::NO_QUEUE, "no such queue");
   Admission Result;
   Result.m_Queue = Queue->name;
+  Result.m_Address = workload::jobAddressOf(Address.host, Address.path);
   const wire::WorkspacePolicy *Workspace =
       workload::workspaceOf(Policy, Address.key);
   if (Workspace)
@@ -43,9 +44,9 @@
                                  const Admission &Admitted) {
   wire::WorkloadResult Result;
   Result.status = wire::WorkloadStatus::OK;
-  if (!Job || Job->queue != Admitted.m_Queue) {
+  if (!Job || !(Job->address == Admitted.m_Address)) {
     Result.status = wire::WorkloadStatus::NO_JOB;
-    Result.message = "no such job in this queue";
+    Result.message = "no such job at this address";
   } else if (!Job->workspace.empty() &&
              Job->workspace != Admitted.m_Workspace) {
     Result.status = wire::WorkloadStatus::FORBIDDEN;
--- a/src/node/Admission.h
+++ b/src/node/Admission.h
@@ -12,6 +12,8 @@
 struct Admission {
   wire::WorkloadStatus::type m_Status = wire::WorkloadStatus::OK;
   std::string m_Queue;
+  /// Where the jobs of the request are found.
+  wire::JobAddress m_Address;
   /// Empty for a request to an anonymous queue.
   std::string m_Workspace;
   std::string m_Reason; ///< Empty if the request was admitted.
--- a/src/node/ReplicaCalls.cpp
+++ b/src/node/ReplicaCalls.cpp
@@ -137,6 +137,7 @@
   Submit.queue = Admitted.m_Queue;
   Submit.workspace = Admitted.m_Workspace;
   Submit.spec = Call.submit;
+  Submit.__set_address(Admitted.m_Address);
   wire::WorkloadCommand Command;
   Command.__set_submit(Submit);
   commit(std::move(Command), [this, Call, Done](wire::WorkloadReply Reply) {
@@ -176,7 +177,7 @@
     }
     wire::CancelWorkload Cancel;
     Cancel.jobId = Call.jobId;
-    Cancel.__set_queue(Admitted.m_Queue);
+    Cancel.__set_address(Admitted.m_Address);
     Cancel.__set_workspace(Admitted.m_Workspace);
     wire::WorkloadCommand Command;
     Command.__set_cancel(Cancel);
--- a/src/workload/Policy.cpp
+++ b/src/workload/Policy.cpp
@@ -3,11 +3,18 @@
 #include <algorithm>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 
+// Declared by the generated code for the use as a key.
+bool anvil::wire::JobAddress::operator<(const JobAddress &Other) const {
+  return std::tie(host, path) < std::tie(Other.host, Other.path);
+}
+
 namespace anvil::workload {
 
 namespace {
@@ -114,6 +121,13 @@
   return Best;
 }
 
+wire::JobAddress jobAddressOf(std::string_view Host, std::string_view Path) {
+  wire::JobAddress Result;
+  Result.host = absl::AsciiStrToLower(toAbsl(Host));
+  Result.path = std::string(Path.substr(0, Path.rfind('/') + 1));
+  return Result;
+}
+
 const wire::QueuePolicy *queueNamed(const wire::PolicyDocument &Policy,
                                     std::string_view Name) {
   const auto It = std::find_if(
--- a/src/workload/WorkloadJobs.cpp
+++ b/src/workload/WorkloadJobs.cpp
@@ -12,21 +12,21 @@
 
 namespace {
 
-// Returns whether the cancellation is for a job of this queue and workspace.
+// Returns whether the cancellation is for a job of this address and workspace.
 // Any caller of an anonymous queue may cancel its jobs.
-bool concerns(const wire::CancelWorkload &Command, const std::string &Queue,
-              const std::string &Workspace) {
-  return !Command.__isset.queue ||
-         (Command.queue == Queue &&
+bool concerns(const wire::CancelWorkload &Command,
+              const wire::JobAddress &Address, const std::string &Workspace) {
+  return !Command.__isset.address ||
+         (Command.address == Address &&
           (Workspace.empty() || Command.workspace == Workspace));
 }
 
 // Returns whether \p Mark, of a job that was cancelled first, is for this one.
 bool refuses(const wire::JobRecord &Mark, const wire::SubmitWorkload &Submit) {
   wire::CancelWorkload Cancelled;
-  Cancelled.__set_queue(Mark.queue);
+  Cancelled.__set_address(Mark.address);
   Cancelled.__set_workspace(Mark.workspace);
-  return concerns(Cancelled, Submit.queue, Submit.workspace);
+  return concerns(Cancelled, Submit.address, Submit.workspace);
 }
 
 } // namespace
@@ -43,9 +43,11 @@
   }
   if (const absl::Status Status = checkSpec(Command.spec); !Status.ok())
     return resultOf(wire::WorkloadStatus::INVALID, fromAbsl(Status.message()));
-  const wire::QueuePolicy *Queue = queueNamed(m_Policy, Command.queue);
+  const wire::QueuePolicy *Queue = queueOf(Command);
   if (!Queue)
     return resultOf(wire::WorkloadStatus::NO_QUEUE, "no such queue");
+  if (Command.__isset.address && Command.workspace.empty() && !Queue->anonymous)
+    return resultOf(wire::WorkloadStatus::UNAUTHORIZED, "unknown key");
   const auto PayloadBytes = static_cast<int64_t>(Command.spec.payload.size());
   if (m_LiveJobs.size() >= m_Limits.m_MaxLiveJobs ||
       m_PayloadBytes + PayloadBytes > m_Limits.m_MaxPayloadBytes)
@@ -54,7 +56,10 @@
 
   wire::JobRecord Job;
   Job.id = Command.jobId;
-  Job.queue = Command.queue;
+  Job.queue = Queue->name;
+  Job.address = Command.__isset.address
+                    ? Command.address
+                    : jobAddressOf(Queue->host, Queue->pathPrefix);
   Job.workspace = Command.workspace;
   Job.spec = Command.spec;
   Job.submittedIndex = m_AppliedIndex;
@@ -71,13 +76,31 @@
   return resultOf(wire::WorkloadStatus::OK);
 }
 
+// The policy may have changed since the leader admitted the job, so the address
+// selects the queue anew.
+const wire::QueuePolicy *
+WorkloadState::queueOf(const wire::SubmitWorkload &Command) const {
+  return Command.__isset.address
+             ? findQueue(m_Policy, Command.address.host, Command.address.path)
+             : queueNamed(m_Policy, Command.queue);
+}
+
 void WorkloadState::indexJob(const wire::JobRecord &Job) {
   if (hasEnded(Job.phase) && Job.activeRuns == 0)
     return;
   m_LiveJobs[Job.submittedIndex] = Job.id;
   m_PayloadBytes += static_cast<int64_t>(Job.spec.payload.size());
   if (Job.phase == wire::JobPhase::QUEUED)
-    ++m_PendingByQueue[Job.queue];
+    ++m_PendingByAddress[Job.address];
+}
+
+std::map<std::string, int64_t> WorkloadState::pendingByQueue() const {
+  std::map<std::string, int64_t> Result;
+  for (const auto &[Address, Count] : m_PendingByAddress)
+    if (const wire::QueuePolicy *Queue =
+            findQueue(m_Policy, Address.host, Address.path))
+      Result[Queue->name] += Count;
+  return Result;
 }
 
 void WorkloadState::openOccurrence(wire::JobRecord &Job, int32_t Number) {
@@ -107,10 +130,10 @@
 wire::WorkloadResult
 WorkloadState::applyCancel(const wire::CancelWorkload &Command) {
   wire::JobRecord *Job = findJob(Command.jobId);
-  if (!Job && Command.__isset.queue)
+  if (!Job && Command.__isset.address)
     markCancelledFirst(Command);
   if (!Job || Job->cancelledFirst ||
-      !concerns(Command, Job->queue, Job->workspace))
+      !concerns(Command, Job->address, Job->workspace))
     return resultOf(wire::WorkloadStatus::NO_JOB, "no such job");
   if (hasEnded(Job->phase))
     return resultOf(wire::WorkloadStatus::UNCHANGED);
@@ -125,7 +148,7 @@
 void WorkloadState::markCancelledFirst(const wire::CancelWorkload &Command) {
   wire::JobRecord &Mark = m_Jobs[Command.jobId];
   Mark.id = Command.jobId;
-  Mark.queue = Command.queue;
+  Mark.address = Command.address;
   Mark.workspace = Command.workspace;
   Mark.phase = wire::JobPhase::CANCELLED;
   Mark.submittedIndex = m_AppliedIndex;
@@ -137,8 +160,9 @@
                              const std::string &Reason) {
   if (Job.phase == Phase)
     return;
-  if (Job.phase == wire::JobPhase::QUEUED)
-    --m_PendingByQueue[Job.queue];
+  if (Job.phase == wire::JobPhase::QUEUED &&
+      --m_PendingByAddress[Job.address] == 0)
+    m_PendingByAddress.erase(Job.address);
   Job.phase = Phase;
   Job.reason = Reason;
   emit(JobChanged{Job.id, Phase, Reason});
--- a/src/workload/WorkloadSnapshot.cpp
+++ b/src/workload/WorkloadSnapshot.cpp
@@ -58,6 +58,11 @@
   for (wire::JobRecord &Job : Decoded->jobs) {
     const std::string Id = Job.id;
     wire::JobRecord &Stored = State.m_Jobs[Id] = std::move(Job);
+    // Snapshots of earlier versions only name the queue.
+    if (const wire::QueuePolicy *Queue =
+            queueNamed(State.m_Policy, Stored.queue);
+        Queue && Stored.address.path.empty())
+      Stored.address = jobAddressOf(Queue->host, Queue->pathPrefix);
     State.indexJob(Stored);
   }
   for (const auto &[Id, Job] : State.m_Jobs)
--- a/tests/node/SubmissionTest.cpp
+++ b/tests/node/SubmissionTest.cpp
@@ -185,6 +185,30 @@
              wire::WorkloadStatus::NO_JOB);
 }
 
+// Guards against answering that there is no such job, and ignoring its
+// cancelling, because its queue was removed and added again under a new name.
+BOOST_FIXTURE_TEST_CASE(FindsAJobAfterItsQueueWasAddedAgain, Group) {
+  const std::string Job = jobNumber(3);
+  wire::WorkloadCall Submit = callFor(Job, "/q/");
+  Submit.__set_submit(workload::makeSpec({workload::makeStep(1)}));
+  BOOST_TEST(callAndWait(m_Loop, m_Entries[0], Submit).succeeded());
+  wire::PolicyDocument Policy = workload::makePolicy(2);
+  Policy.queues.clear();
+  putPolicy(Policy);
+  Policy = workload::makePolicy(3);
+  Policy.queues.front().name = "offers";
+  putPolicy(Policy);
+
+  wire::WorkloadCall Status = callFor(Job, "/q/");
+  Status.__set_status(true);
+  BOOST_TEST(callAndWait(m_Loop, m_Entries[0], Status).succeeded());
+  wire::WorkloadCall Cancel = callFor(Job, "/q/");
+  Cancel.__set_cancel(true);
+  BOOST_TEST(callAndWait(m_Loop, m_Entries[0], Cancel).succeeded());
+  BOOST_TEST(callAndWait(m_Loop, m_Entries[0], Status).m_Phase ==
+             wire::JobPhase::CANCELLED);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace anvil::node
--- a/tests/workload/WorkloadFixture.h
+++ b/tests/workload/WorkloadFixture.h
@@ -108,13 +108,25 @@
     Command.__set_cancel(Cancel);
     return apply(Command);
   }
-  /// Cancels a job as a caller of its queue does.
-  wire::WorkloadResult cancelIn(const std::string &Queue,
+  /// Hands a job in at a path, as callers do.
+  wire::WorkloadResult submitAt(std::string_view Path, const std::string &Id,
+                                const wire::WorkloadSpec &Spec) {
+    wire::SubmitWorkload Submit;
+    Submit.jobId = Id;
+    Submit.__set_address(jobAddressOf("quotes.example", Path));
+    Submit.workspace = "team";
+    Submit.spec = Spec;
+    wire::WorkloadCommand Command;
+    Command.__set_submit(Submit);
+    return apply(Command);
+  }
+  /// Cancels a job at a path, as a caller of a workspace does.
+  wire::WorkloadResult cancelAt(std::string_view Path,
                                 const std::string &Workspace,
                                 const std::string &Id) {
     wire::CancelWorkload Cancel;
     Cancel.jobId = Id;
-    Cancel.__set_queue(Queue);
+    Cancel.__set_address(jobAddressOf("quotes.example", Path));
     Cancel.__set_workspace(Workspace);
     wire::WorkloadCommand Command;
     Command.__set_cancel(Cancel);
--- a/tests/workload/WorkloadStateTest.cpp
+++ b/tests/workload/WorkloadStateTest.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "WorkloadFixture.h"
+#include "anvil/net/WireCodec.h"
 
 namespace anvil::workload {
 namespace {
@@ -113,9 +114,9 @@
 // Guards against running a job whose cancelling was acknowledged while its
 // submission was held up on the way here.
 BOOST_AUTO_TEST_CASE(RefusesAJobThatWasCancelledBeforeItWasHandedIn) {
-  BOOST_TEST(cancelIn("quotes", "team", "j").status == WorkloadStatus::NO_JOB);
+  BOOST_TEST(cancelAt("/q/", "team", "j").status == WorkloadStatus::NO_JOB);
   BOOST_TEST(!m_State.job("j"));
-  BOOST_TEST(submit("j", makeSpec({makeStep(1)})).status ==
+  BOOST_TEST(submitAt("/q/", "j", makeSpec({makeStep(1)})).status ==
              WorkloadStatus::NO_JOB);
   BOOST_TEST(m_State.liveJobs().empty());
   BOOST_TEST(!m_State.job("j"));
@@ -124,21 +125,20 @@
   auto Restored = WorkloadState::restore(m_State.snapshot(), WorkloadLimits());
   BOOST_REQUIRE(Restored.ok());
   m_State = *std::move(Restored);
-  BOOST_TEST(submit("j", makeSpec({makeStep(1)})).status ==
+  BOOST_TEST(submitAt("/q/", "j", makeSpec({makeStep(1)})).status ==
              WorkloadStatus::NO_JOB);
 }
 
 // Guards against a caller that keeps others from handing in their jobs.
 BOOST_AUTO_TEST_CASE(RefusesNoJobThatAnotherWorkspaceCancelledFirst) {
-  cancelIn("quotes", "others", "j");
-  cancelIn("batch", "team", "k");
+  cancelAt("/q/", "others", "j");
+  cancelAt("/batch/", "team", "k");
   for (const char *Job : {"j", "k"}) {
-    BOOST_TEST(submit(Job, makeSpec({makeStep(1)})).status ==
+    BOOST_TEST(submitAt("/q/", Job, makeSpec({makeStep(1)})).status ==
                WorkloadStatus::OK);
     BOOST_TEST(phase(Job) == JobPhase::QUEUED);
   }
-  BOOST_TEST(cancelIn("quotes", "others", "j").status ==
-             WorkloadStatus::NO_JOB);
+  BOOST_TEST(cancelAt("/q/", "others", "j").status == WorkloadStatus::NO_JOB);
   BOOST_TEST(phase("j") == JobPhase::QUEUED);
   BOOST_TEST(m_State.findViolation() == "");
 }
@@ -151,12 +151,64 @@
   m_Index = 0;
   putPolicy(makePolicy(1));
   for (const char *Job : {"a", "b", "c", "d"})
-    cancelIn("quotes", "team", Job);
-  BOOST_TEST(submit("a", makeSpec({makeStep(1)})).status == WorkloadStatus::OK);
-  BOOST_TEST(submit("b", makeSpec({makeStep(1)})).status ==
+    cancelAt("/q/", "team", Job);
+  BOOST_TEST(submitAt("/q/", "a", makeSpec({makeStep(1)})).status ==
+             WorkloadStatus::OK);
+  BOOST_TEST(submitAt("/q/", "b", makeSpec({makeStep(1)})).status ==
              WorkloadStatus::NO_JOB);
 }
 
+// Guards against losing sight of accepted jobs after a version removed their
+// queue and another one added it again under a new name.
+BOOST_AUTO_TEST_CASE(KeepsJobsAtTheirAddressWhenTheQueueIsAddedAgain) {
+  submitAt("/q/", "j", makeSpec({makeStep(1)}));
+  wire::PolicyDocument Policy = makePolicy(2);
+  Policy.queues.clear();
+  putPolicy(Policy);
+  BOOST_TEST(m_State.pendingByQueue().empty());
+  Policy = makePolicy(3);
+  Policy.queues.front().name = "offers";
+  putPolicy(Policy);
+  BOOST_TEST(m_State.pendingByQueue().at("offers") == 1);
+  BOOST_TEST(cancelAt("/q/", "team", "j").status == WorkloadStatus::OK);
+  BOOST_TEST(phase("j") == JobPhase::CANCELLED);
+}
+
+// Guards against refusing a job because its queue got another name between its
+// admission and its entry in the log, and against taking one without a key.
+BOOST_AUTO_TEST_CASE(SelectsTheQueueByTheAddressOfTheJob) {
+  wire::PolicyDocument Policy = makePolicy(2);
+  Policy.queues.front().name = "offers";
+  putPolicy(Policy);
+  BOOST_TEST(submitAt("/q/", "j", makeSpec({makeStep(1)})).status ==
+             WorkloadStatus::OK);
+  BOOST_TEST(m_State.job("j")->queue == "offers");
+  BOOST_TEST(submitAt("/x/", "k", makeSpec({makeStep(1)})).status ==
+             WorkloadStatus::NO_QUEUE);
+  wire::SubmitWorkload Submit;
+  Submit.jobId = "l";
+  Submit.__set_address(jobAddressOf("quotes.example", "/q/"));
+  Submit.spec = makeSpec({makeStep(1)});
+  wire::WorkloadCommand Command;
+  Command.__set_submit(Submit);
+  BOOST_TEST(apply(Command).status == WorkloadStatus::UNAUTHORIZED);
+}
+
+// Guards against a job in a snapshot of an earlier version, which only names
+// the queue, that nobody finds after the upgrade.
+BOOST_AUTO_TEST_CASE(FindsTheAddressOfAJobThatOnlyNamesItsQueue) {
+  submit("j", makeSpec({makeStep(1)}));
+  const auto Stored = net::decodeAs<wire::WorkloadSnapshot>(m_State.snapshot());
+  BOOST_REQUIRE(Stored.ok());
+  wire::WorkloadSnapshot Earlier = *Stored;
+  Earlier.jobs.front().address = wire::JobAddress();
+  auto Restored =
+      WorkloadState::restore(net::encodeStruct(Earlier), WorkloadLimits());
+  BOOST_REQUIRE(Restored.ok());
+  BOOST_TEST((Restored->job("j")->address == m_State.job("j")->address));
+  BOOST_TEST(Restored->pendingByQueue().at("quotes") == 1);
+}
+
 // Guards against a cancelled job that starts again or is shown in another
 // phase.
 BOOST_AUTO_TEST_CASE(StopsACancelledJob) {
