--- a/src/runner/Runner.cpp
+++ b/src/runner/Runner.cpp
@@ -38,6 +38,7 @@
     Self.onSyncFailed(*Failed);
   Self.advanceRuns();
   Self.sendHoldIfDue();
+  Self.fenceNextIncarnation();
   Self.acknowledgeEnds();
   Self.syncIfDue();
   return std::exchange(Self.m_Actions, {});
@@ -48,6 +49,8 @@
   TimePoint Next = Now + std::chrono::seconds(1);
   if (Self.m_Phase == Phase::Serving && !Self.m_HoldOutstanding)
     Next = std::min(Next, Self.m_NextHold);
+  if (Self.fencesNextIncarnation() && !Self.m_FenceNextOutstanding)
+    Next = std::min(Next, Self.m_NextFenceNext);
   if (Self.m_SyncsOutstanding.empty() || Self.m_SyncNeeded)
     Next = std::min(Next, Self.m_NextSync);
   for (const auto &[Key, Run] : Self.m_Runs)
--- a/src/runner/RunnerImpl.h
+++ b/src/runner/RunnerImpl.h
@@ -60,7 +60,7 @@
 
 /// A call to the worker that has no answer yet.
 struct OutstandingCall {
-  enum class Kind { Probe, Fence, Hold, Acknowledge, Start, Stop };
+  enum class Kind { Probe, FenceNext, Fence, Hold, Acknowledge, Start, Stop };
   Kind m_Kind = Kind::Hold;
   TimePoint m_SentAt;
   wire::WorkerIncarnation m_Incarnation;
@@ -82,6 +82,9 @@
   void reregister(std::string_view Reason);
   void loseWorker(std::string_view Reason, TimePoint ClosedAt = TimePoint());
   std::vector<wire::RunRef> unaccountedRuns(TimePoint ClosedAt) const;
+  bool fencesNextIncarnation() const;
+  void fenceNextIncarnation();
+  int64_t nextIncarnationToken() const { return m_HighestOrderToken + 1; }
   void fence();
   void onFenceAnswered(const CallAnswer &Answer);
 
@@ -135,8 +138,13 @@
   bool m_Draining = false;
   TimePoint m_LeavesAt;
   int64_t m_Token = 0;
-  /// Highest token in any call of this incarnation of the agent.
-  int64_t m_HighestToken = 0;
+  /// Highest token of the orders that this incarnation of the agent may have
+  /// sent; 0 if it has not sent any.
+  int64_t m_HighestOrderToken = 0;
+  // While no worker is known, its next incarnation is fenced.
+  bool m_FenceNextOutstanding = false;
+  TimePoint m_NextFenceNext;
+  TimePoint m_FenceNextUntil; ///< Orders in flight are void by then.
 
   int64_t m_ClockMs = 0; ///< Worker's clock at m_ClockReadAt.
   TimePoint m_ClockReadAt;
--- a/src/runner/RunnerSync.cpp
+++ b/src/runner/RunnerSync.cpp
@@ -112,7 +112,7 @@
   if (m_Phase != Phase::Registering && Reply.fencingToken == m_Token)
     return;
   m_Token = Reply.fencingToken;
-  m_HighestToken = std::max(m_HighestToken, m_Token);
+  m_HighestOrderToken = std::max(m_HighestOrderToken, m_Token);
   fence();
 }
 
--- a/src/runner/RunnerWorker.cpp
+++ b/src/runner/RunnerWorker.cpp
@@ -2,6 +2,13 @@
 
 namespace anvil::runner {
 
+namespace {
+
+// Time after which an order that got no answer is not carried out any more.
+constexpr Duration MaxOrderDelay = std::chrono::seconds(30);
+
+} // namespace
+
 void Runner::Impl::onAnnounced(const WorkerAnnounced &Event) {
   if (Event.m_Info.incarnation.id.empty())
     return;
@@ -44,10 +51,32 @@
   HoldCall Hold;
   Hold.m_Call = addCall(Call);
   Hold.m_Incarnation = Info.incarnation;
-  // The token is higher than those of all orders to earlier incarnations, so
-  // that this incarnation refuses late ones.
-  if (m_HighestToken > 0)
-    Hold.m_FencingToken = ++m_HighestToken;
+  // This incarnation then refuses late orders to earlier ones.
+  if (m_HighestOrderToken > 0)
+    Hold.m_FencingToken = nextIncarnationToken();
+  m_Actions.push_back(Hold);
+}
+
+bool Runner::Impl::fencesNextIncarnation() const {
+  return m_Phase == Phase::NoWorker && m_HighestOrderToken > 0 &&
+         m_Now < m_FenceNextUntil;
+}
+
+// An incarnation that has just begun has seen no token, so it would carry out
+// late orders to the former one under the same id. Its first announcement may
+// take seconds, so the worker's address is called until someone answers there.
+void Runner::Impl::fenceNextIncarnation() {
+  if (!fencesNextIncarnation() || m_FenceNextOutstanding ||
+      m_Now < m_NextFenceNext)
+    return;
+  OutstandingCall Call;
+  Call.m_Kind = OutstandingCall::Kind::FenceNext;
+  Call.m_Incarnation = m_Info.incarnation;
+  HoldCall Hold;
+  Hold.m_Call = addCall(Call);
+  Hold.m_Incarnation = m_Info.incarnation;
+  Hold.m_FencingToken = nextIncarnationToken();
+  m_FenceNextOutstanding = true;
   m_Actions.push_back(Hold);
 }
 
@@ -132,6 +161,8 @@
   m_Ends.clear();
   m_HoldOutstanding = false;
   m_SyncNeeded = true;
+  m_NextFenceNext = m_Now;
+  m_FenceNextUntil = m_Now + MaxOrderDelay;
 }
 
 void Runner::Impl::fence() {
--- a/tests/runner/RunnerTest.cpp
+++ b/tests/runner/RunnerTest.cpp
@@ -324,6 +324,45 @@
   BOOST_TEST(report().unaccountedRuns.empty());
 }
 
+// Guards against a restarted worker that carries out late orders for its
+// earlier incarnation before it has announced itself.
+BOOST_FIXTURE_TEST_CASE(FencesTheNextLifeBeforeItAnnouncesItself, Bench) {
+  serve();
+  m_Actions.clear();
+  answerAsNextLife(m_OpenHold);
+  for (int I = 0; I < 3; ++I) {
+    const auto Fence = take<HoldCall>();
+    BOOST_REQUIRE(Fence);
+    BOOST_TEST(Fence->m_Incarnation.id == m_Incarnation.id);
+    BOOST_TEST(Fence->m_FencingToken > Token);
+    BOOST_TEST(!Fence->m_LeaseEndMs);
+    step(answer(Fence->m_Call, CallError::Unreachable));
+    pass(milliseconds(100));
+  }
+  pass(seconds(60));
+  take<HoldCall>();
+  pass(seconds(60));
+  BOOST_TEST(!take<HoldCall>());
+}
+
+// Guards against tokens that rise with each late announcement, until the worker
+// refuses the orders of its own agent.
+BOOST_FIXTURE_TEST_CASE(ProbesWithTheSameTokenUntilANewRegistration, Bench) {
+  serve();
+  WorkerAnnounced Restarted;
+  Restarted.m_Info.incarnation = m_Incarnation;
+  Restarted.m_Info.incarnation.startedAtMs = 2000;
+  step(Restarted);
+  const auto First = take<HoldCall>();
+  BOOST_REQUIRE(First);
+  step(answer(First->m_Call, CallError::NoAnswer));
+  step(Restarted);
+  const auto Second = take<HoldCall>();
+  BOOST_REQUIRE(Second);
+  BOOST_TEST(First->m_FencingToken > Token);
+  BOOST_TEST(Second->m_FencingToken == First->m_FencingToken);
+}
+
 // Guards against starting runs on a worker that is about to leave.
 BOOST_FIXTURE_TEST_CASE(ReportsRunsAsNotStartedWhileTheWorkerDrains, Bench) {
   serve();
