daemon: Measure time by a clock that counts suspensions

Users' requests for the number of waiting jobs were answered with success at several entries of a zone, longer than RevokeMs after their key was revoked.

Cause: the age of the policy was measured by the steady clock, which stands still while a VM is suspended. A suspended entry took its copy of before for a fresh one until the next answer of a leader.

Evidence: the logs of the users' entries have no "leader-lost", and their leader did not step down for want of a quorum although another one led for 6.6 s. That the users' VMs were suspended is inferred, not shown.

Change: monotonicNow() reads CLOCK_BOOTTIME. The authority over runs, leases and elections follow the same clock.

--- a/include/anvil/daemon/Process.h
+++ b/include/anvil/daemon/Process.h
@@ -18,7 +18,9 @@
 /// line.
 void startLogging(const char *Program);
 
-/// Returns the time of the monotonic clock; comparable within one VM only.
+/// Returns the time of the monotonic clock; comparable within one VM only. The
+/// clock goes on while the VM is suspended, so that nothing which was granted
+/// for a time outlasts a suspension.
 TimePoint monotonicNow();
 
 /// Returns the wall clock time in microseconds since the Unix epoch.
--- a/src/daemon/Process.cpp
+++ b/src/daemon/Process.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <ctime>
 #include <filesystem>
 #include <fstream>
 #include <random>
@@ -20,8 +21,12 @@
 }
 
 TimePoint monotonicNow() {
-  const auto SinceEpoch = std::chrono::steady_clock::now().time_since_epoch();
-  return TimePoint(std::chrono::duration_cast<Duration>(SinceEpoch));
+  // steady_clock stands still while the VM is suspended.
+  timespec Time{};
+  PCHECK(::clock_gettime(CLOCK_BOOTTIME, &Time) == 0);
+  return TimePoint(std::chrono::seconds(Time.tv_sec) +
+                   std::chrono::duration_cast<Duration>(
+                       std::chrono::nanoseconds(Time.tv_nsec)));
 }
 
 int64_t wallClockMicros() {
