--- a/src/runner/RunnerImpl.h
+++ b/src/runner/RunnerImpl.h
@@ -85,6 +85,8 @@
   bool fencesNextIncarnation() const;
   void fenceNextIncarnation();
   int64_t nextIncarnationToken() const { return m_HighestOrderToken + 1; }
+  void sendFence(OutstandingCall::Kind Kind,
+                 const wire::WorkerIncarnation &Incarnation, int64_t Token);
   void fence();
   void onFenceAnswered(const CallAnswer &Answer);
 
--- a/src/runner/RunnerWorker.cpp
+++ b/src/runner/RunnerWorker.cpp
@@ -45,15 +45,23 @@
   if (m_Candidate)
     return;
   m_Candidate = Info;
+  // This incarnation then refuses late orders to earlier ones.
+  sendFence(OutstandingCall::Kind::Probe, Info.incarnation,
+            m_HighestOrderToken > 0 ? nextIncarnationToken() : 0);
+}
+
+// Sends a hold that only raises the fencing token and asks for the lists.
+void Runner::Impl::sendFence(OutstandingCall::Kind Kind,
+                             const wire::WorkerIncarnation &Incarnation,
+                             int64_t Token) {
   OutstandingCall Call;
-  Call.m_Kind = OutstandingCall::Kind::Probe;
-  Call.m_Incarnation = Info.incarnation;
+  Call.m_Kind = Kind;
+  Call.m_Incarnation = Incarnation;
+  Call.m_Token = Token;
   HoldCall Hold;
   Hold.m_Call = addCall(Call);
-  Hold.m_Incarnation = Info.incarnation;
-  // This incarnation then refuses late orders to earlier ones.
-  if (m_HighestOrderToken > 0)
-    Hold.m_FencingToken = nextIncarnationToken();
+  Hold.m_Incarnation = Incarnation;
+  Hold.m_FencingToken = Token;
   m_Actions.push_back(Hold);
 }
 
@@ -64,20 +72,15 @@
 
 // An incarnation that has just begun has seen no token, so it would carry out
 // late orders to the former one under the same id. Its first announcement may
-// take seconds, so the worker's address is called until someone answers there.
+// take seconds, so the worker's address is called until a worker announces
+// itself.
 void Runner::Impl::fenceNextIncarnation() {
   if (!fencesNextIncarnation() || m_FenceNextOutstanding ||
       m_Now < m_NextFenceNext)
     return;
-  OutstandingCall Call;
-  Call.m_Kind = OutstandingCall::Kind::FenceNext;
-  Call.m_Incarnation = m_Info.incarnation;
-  HoldCall Hold;
-  Hold.m_Call = addCall(Call);
-  Hold.m_Incarnation = m_Info.incarnation;
-  Hold.m_FencingToken = nextIncarnationToken();
   m_FenceNextOutstanding = true;
-  m_Actions.push_back(Hold);
+  sendFence(OutstandingCall::Kind::FenceNext, m_Info.incarnation,
+            nextIncarnationToken());
 }
 
 void Runner::Impl::onProbeAnswered(const CallAnswer &Answer) {
@@ -167,15 +170,7 @@
 
 void Runner::Impl::fence() {
   m_Phase = Phase::Fencing;
-  OutstandingCall Call;
-  Call.m_Kind = OutstandingCall::Kind::Fence;
-  Call.m_Incarnation = m_Info.incarnation;
-  Call.m_Token = m_Token;
-  HoldCall Hold;
-  Hold.m_Call = addCall(Call);
-  Hold.m_Incarnation = m_Info.incarnation;
-  Hold.m_FencingToken = m_Token;
-  m_Actions.push_back(Hold);
+  sendFence(OutstandingCall::Kind::Fence, m_Info.incarnation, m_Token);
 }
 
 void Runner::Impl::onFenceAnswered(const CallAnswer &Answer) {
--- a/tests/node/EntryProcessTest.cpp
+++ b/tests/node/EntryProcessTest.cpp
@@ -2,8 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "anvil/daemon/Process.h"
-#include "support/Loopback.h"
+#include "support/TestEntry.h"
 
 namespace anvil::node {
 namespace {
@@ -13,48 +12,22 @@
 /// An entry without a replica whose only seed is a closed port.
 struct LonelyEntry {
   LonelyEntry() {
-    EntryProcessOptions Options;
-    Options.m_Name = "entry";
-    Options.m_Listen = {"127.0.0.1", 0};
-    Options.m_Address = Options.m_Listen;
+    support::TestEntryOptions Options;
     Options.m_Seeds = {{"127.0.0.1", 9}};
-    Options.m_LeaseSpan = seconds(12);
-    Options.m_Now = daemon::monotonicNow;
-    Options.m_WallClockMicros = daemon::wallClockMicros;
-    Options.m_Random = [] { return 0.5; };
-    Options.m_Rpc.m_Random = Options.m_Random;
-    Options.m_Metrics = &m_Metrics;
-    auto Created = EntryProcess::create(m_Loop.m_Io, std::move(Options), m_Log);
-    BOOST_REQUIRE_MESSAGE(Created.ok(), Created.status());
-    m_Entry = *std::move(Created);
+    m_Entry.emplace(m_Loop, Options);
   }
 
   /// Makes a call with a timeout of three seconds. Returns its result and sets
   /// \p Took to the time until it came.
   CallResult call(const wire::WorkloadCall &Call, Duration &Took) {
     const TimePoint Start = daemon::monotonicNow();
-    std::optional<CallResult> Result;
-    m_Entry->call(Call, seconds(3), [&](CallResult Answer) {
-      Took = daemon::monotonicNow() - Start;
-      Result = std::move(Answer);
-    });
-    BOOST_REQUIRE(m_Loop.runUntil([&] { return Result.has_value(); }));
-    return *Result;
-  }
-
-  static log::EventLogOptions logOptions() {
-    log::EventLogOptions Options;
-    Options.m_Process = "entry";
-    Options.m_Now = daemon::monotonicNow;
-    Options.m_WallClockMicros = daemon::wallClockMicros;
-    Options.m_Write = [](std::string_view) { return true; };
-    return Options;
+    CallResult Result = callAndWait(m_Loop, *m_Entry, Call, seconds(3));
+    Took = daemon::monotonicNow() - Start;
+    return Result;
   }
 
   support::Loopback m_Loop;
-  metrics::Registry m_Metrics;
-  log::EventLog m_Log{logOptions()};
-  std::unique_ptr<EntryProcess> m_Entry;
+  std::optional<support::TestEntry> m_Entry;
 };
 
 } // namespace
--- a/tests/node/SubmissionTest.cpp
+++ b/tests/node/SubmissionTest.cpp
@@ -24,6 +24,24 @@
   return Call;
 }
 
+wire::WorkloadCall submitCall(const std::string &Job, std::string_view Prefix) {
+  wire::WorkloadCall Call = callFor(Job, Prefix);
+  Call.__set_submit(workload::makeSpec({workload::makeStep(1)}));
+  return Call;
+}
+
+wire::WorkloadCall statusCall(const std::string &Job, std::string_view Prefix) {
+  wire::WorkloadCall Call = callFor(Job, Prefix);
+  Call.__set_status(true);
+  return Call;
+}
+
+wire::WorkloadCall cancelCall(const std::string &Job, std::string_view Prefix) {
+  wire::WorkloadCall Call = callFor(Job, Prefix);
+  Call.__set_cancel(true);
+  return Call;
+}
+
 std::string jobNumber(int64_t Number) {
   return std::to_string(1'000'000'000'000'000 + Number);
 }
@@ -80,9 +98,7 @@
   Consumer(support::Loopback &Loop, TestEntry &Entry, const std::string &Job,
            std::string_view Prefix, Duration RetryPause)
       : m_Entry(Entry), m_RetryPause(RetryPause), m_Timer(Loop.m_Io),
-        m_Submit(callFor(Job, Prefix)) {
-    m_Submit.__set_submit(workload::makeSpec({workload::makeStep(1)}));
-  }
+        m_Submit(submitCall(Job, Prefix)) {}
 
   void submit() {
     m_Entry.process().call(m_Submit, CallTimeout,
@@ -107,7 +123,7 @@
   TestEntry &m_Entry;
   const Duration m_RetryPause;
   boost::asio::steady_timer m_Timer;
-  wire::WorkloadCall m_Submit;
+  const wire::WorkloadCall m_Submit;
   bool m_Accepted = false;
 };
 
@@ -144,8 +160,8 @@
                          [](const Consumer &Each) { return Each.accepted(); });
     }));
     for (const Consumer &Each : Waiting) {
-      wire::WorkloadCall Status = callFor(Each.call().jobId, Added.pathPrefix);
-      Status.__set_status(true);
+      const wire::WorkloadCall Status =
+          statusCall(Each.call().jobId, Added.pathPrefix);
       Lost += !callAndWait(m_Loop, m_Entries[0], Status).succeeded();
     }
   }
@@ -156,12 +172,10 @@
 // process, that there is no such job to cancel.
 BOOST_FIXTURE_TEST_CASE(RefusesAJobThatWasCancelledOnItsWay, Group) {
   const std::string Job = jobNumber(1);
-  wire::WorkloadCall Cancel = callFor(Job, "/q/");
-  Cancel.__set_cancel(true);
+  const wire::WorkloadCall Cancel = cancelCall(Job, "/q/");
   BOOST_TEST(callAndWait(m_Loop, m_Entries[0], Cancel).m_Status ==
              wire::WorkloadStatus::NO_JOB);
-  wire::WorkloadCall Submit = callFor(Job, "/q/");
-  Submit.__set_submit(workload::makeSpec({workload::makeStep(1)}));
+  const wire::WorkloadCall Submit = submitCall(Job, "/q/");
   BOOST_TEST(callAndWait(m_Loop, m_Entries[1], Submit).m_Status ==
              wire::WorkloadStatus::NO_JOB);
 }
@@ -170,8 +184,7 @@
 // looked for a leader.
 BOOST_FIXTURE_TEST_CASE(HandsInNoJobWhoseCallerHasGone, Group) {
   const std::string Job = jobNumber(2);
-  wire::WorkloadCall Submit = callFor(Job, "/q/");
-  Submit.__set_submit(workload::makeSpec({workload::makeStep(1)}));
+  const wire::WorkloadCall Submit = submitCall(Job, "/q/");
   std::optional<CallResult> Result;
   m_Entries[0].process().call(
       Submit, CallTimeout,
@@ -179,8 +192,7 @@
       [] { return false; });
   BOOST_REQUIRE(m_Loop.runUntil([&Result] { return Result.has_value(); }));
   BOOST_TEST(Result->m_Status == wire::WorkloadStatus::NOT_READY);
-  wire::WorkloadCall Status = callFor(Job, "/q/");
-  Status.__set_status(true);
+  const wire::WorkloadCall Status = statusCall(Job, "/q/");
   BOOST_TEST(callAndWait(m_Loop, m_Entries[0], Status).m_Status ==
              wire::WorkloadStatus::NO_JOB);
 }
@@ -189,8 +201,7 @@
 // cancelling, because its queue was removed and added again under a new name.
 BOOST_FIXTURE_TEST_CASE(FindsAJobAfterItsQueueWasAddedAgain, Group) {
   const std::string Job = jobNumber(3);
-  wire::WorkloadCall Submit = callFor(Job, "/q/");
-  Submit.__set_submit(workload::makeSpec({workload::makeStep(1)}));
+  const wire::WorkloadCall Submit = submitCall(Job, "/q/");
   BOOST_TEST(callAndWait(m_Loop, m_Entries[0], Submit).succeeded());
   wire::PolicyDocument Policy = workload::makePolicy(2);
   Policy.queues.clear();
@@ -199,11 +210,9 @@
   Policy.queues.front().name = "offers";
   putPolicy(Policy);
 
-  wire::WorkloadCall Status = callFor(Job, "/q/");
-  Status.__set_status(true);
+  const wire::WorkloadCall Status = statusCall(Job, "/q/");
   BOOST_TEST(callAndWait(m_Loop, m_Entries[0], Status).succeeded());
-  wire::WorkloadCall Cancel = callFor(Job, "/q/");
-  Cancel.__set_cancel(true);
+  const wire::WorkloadCall Cancel = cancelCall(Job, "/q/");
   BOOST_TEST(callAndWait(m_Loop, m_Entries[0], Cancel).succeeded());
   BOOST_TEST(callAndWait(m_Loop, m_Entries[0], Status).m_Phase ==
              wire::JobPhase::CANCELLED);
--- a/tests/platform/LateRequestTest.cpp
+++ b/tests/platform/LateRequestTest.cpp
@@ -1,13 +1,9 @@
-#include <algorithm>
-#include <filesystem>
-
 #include <boost/test/unit_test.hpp>
 
 #include "CallerApi.h"
 #include "OperatorApi.h"
-#include "anvil/daemon/Process.h"
 #include "support/IoThread.h"
-#include "support/Loopback.h"
+#include "support/TestEntry.h"
 
 namespace anvil::platform {
 namespace {
@@ -28,37 +24,18 @@
          std::to_string(Body.size()) + "\r\n\r\n" + std::string(Body);
 }
 
-uint16_t findFreePort() {
-  boost::asio::io_context Io;
-  const boost::asio::ip::tcp::acceptor Probe(
-      Io, {boost::asio::ip::make_address("127.0.0.1"), 0});
-  return Probe.local_endpoint().port();
-}
-
 /// An entry that is the whole group. It runs only while the test lets it, like
 /// a process that freezes and wakes.
 class FreezableEntry {
 public:
   FreezableEntry() {
-    std::filesystem::remove_all(m_Folder);
-    node::EntryProcessOptions Options;
-    Options.m_Name = "entry";
-    Options.m_Listen = {"127.0.0.1", findFreePort()};
-    Options.m_Address = Options.m_Listen;
-    Options.m_Seeds = {Options.m_Address};
-    Options.m_DataFolder = m_Folder.string();
-    Options.m_FirstStart = true;
-    Options.m_LeaseSpan = std::chrono::seconds(12);
-    Options.m_Now = daemon::monotonicNow;
-    Options.m_WallClockMicros = daemon::wallClockMicros;
-    Options.m_Random = [] { return 0.5; };
-    Options.m_Rpc.m_Random = Options.m_Random;
-    Options.m_Metrics = &m_Metrics;
-    auto Created = node::EntryProcess::create(m_Loop.m_Io, Options, m_Log);
-    BOOST_REQUIRE_MESSAGE(Created.ok(), Created.status());
-    m_Entry = *std::move(Created);
-    m_Callers.emplace(*m_Entry, m_Log);
-    m_Operators.emplace(*m_Entry, m_Log);
+    support::TestEntryOptions Options;
+    Options.m_Listen = {"127.0.0.1", support::findFreePort()};
+    Options.m_Seeds = {Options.m_Listen};
+    Options.m_HasDisk = true;
+    m_Entry.emplace(m_Loop, Options);
+    m_Callers.emplace(m_Entry->process(), m_Entry->log());
+    m_Operators.emplace(m_Entry->process(), m_Entry->log());
     m_Server = *net::HttpServer::create(
         m_Loop.m_Io, {"127.0.0.1", 0}, net::HttpServerOptions(),
         [this](const net::HttpRequest &Request,
@@ -68,9 +45,8 @@
           else
             m_Operators->handle(Request, Respond);
         });
-    BOOST_REQUIRE(m_Loop.runUntil([&] { return m_Entry->leads(); }));
+    BOOST_REQUIRE(m_Loop.runUntil([&] { return m_Entry->process().leads(); }));
   }
-  ~FreezableEntry() { std::filesystem::remove_all(m_Folder); }
 
   /// Sends a request and waits for its answer.
   void ask(const std::string &Request) {
@@ -94,33 +70,12 @@
 
   uint16_t port() const { return m_Server->endpoint().m_Port; }
   int64_t logged(std::string_view Event) const {
-    return std::count_if(m_Lines.begin(), m_Lines.end(),
-                         [&](const std::string &Line) {
-                           return Line.find(Event) != std::string::npos;
-                         });
+    return m_Entry->logged(Event);
   }
 
 private:
-  log::EventLogOptions logOptions() {
-    log::EventLogOptions Options;
-    Options.m_Process = "entry";
-    Options.m_Now = daemon::monotonicNow;
-    Options.m_WallClockMicros = daemon::wallClockMicros;
-    Options.m_Write = [this](std::string_view Line) {
-      m_Lines.emplace_back(Line);
-      return true;
-    };
-    return Options;
-  }
-
-  const std::filesystem::path m_Folder =
-      std::filesystem::temp_directory_path() /
-      ("late-request-" + std::to_string(daemon::wallClockMicros()));
   support::Loopback m_Loop;
-  metrics::Registry m_Metrics;
-  std::vector<std::string> m_Lines;
-  log::EventLog m_Log{logOptions()};
-  std::unique_ptr<node::EntryProcess> m_Entry;
+  std::optional<support::TestEntry> m_Entry;
   std::optional<CallerApi> m_Callers;
   std::optional<OperatorApi> m_Operators;
   std::unique_ptr<net::HttpServer> m_Server;
