soak: Workers that are back at once under their ids, and cut workers

The soak's workers named their incarnation in every answer and announced themselves at once, unlike those of the platform, which hid runs of a next life. Now only reports and lists name it, a first report comes within a beat, and two faults are new: a worker that is back within 0.2 s under its id, and one that is cut off from its agent, whose calls are carried out after the cut, maybe by the next life.

--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -60,6 +60,7 @@
         checker.workers[name] = self
         self.random = random.Random(seed)
         self.delayed_share = 0.0
+        self.cut = False      # nothing arrives from the agent, and no report reaches it
         self.incarnation = 0
         self.id_suffix = 0    # part of the id; an incarnation may keep the id of the previous one
         self.up = False
@@ -84,11 +85,11 @@
     def clock_ms(self):
         return int((time.monotonic() - self.started_at) * 1000 * 0.985) + 1000  # runs 1.5% slow
 
-    async def start(self):
+    async def start(self, first_heartbeat=0.0):
         self.up = True
         self.server = http11.Server(self.handle)
         await self.server.start(*self.address)
-        asyncio.create_task(self._send_heartbeats(self.incarnation))
+        asyncio.create_task(self._send_heartbeats(self.incarnation, first_heartbeat))
         asyncio.create_task(self._advance_runs(self.incarnation))
 
     def stop(self):
@@ -109,7 +110,7 @@
         await asyncio.sleep(down_seconds)
         self.id_suffix += 0 if keep_id else 1
         self._begin_incarnation()
-        await self.start()
+        await self.start(self.random.uniform(0, self.bounds["beat"]))
 
     def report(self):
         return {"Service": "desk", "Address": "%s:%d" % self.address, "Zone": self.zone, "Version": "v1", "Slots": 8,
@@ -117,11 +118,13 @@
                 "Machine": self.name, "ClockMs": self.clock_ms(), "Sequence": self.sequence,
                 "born": self.incarnation_id}
 
-    async def _send_heartbeats(self, incarnation):
+    async def _send_heartbeats(self, incarnation, first_heartbeat):
+        await asyncio.sleep(first_heartbeat)
         while self.incarnation == incarnation:
             self.sequence += 1
-            await http11.request(self.agent_address, "POST", f"/Instances.Heartbeat/{self.id}", self.report(),
-                                 timeout=1)
+            if not self.cut:
+                await http11.request(self.agent_address, "POST", f"/Instances.Heartbeat/{self.id}", self.report(),
+                                     timeout=1)
             await asyncio.sleep(self.bounds["beat"])
 
     async def _advance_runs(self, incarnation):
@@ -174,19 +177,28 @@
     async def handle(self, method, path, headers, body):
         expected = headers.get("x-expected-instance", self.id)
         incarnation = self.incarnation
+        if self.cut:
+            asyncio.create_task(self._execute_after_cut(path, expected, body))
+            return None
         if path != "/hold" and self.random.random() < self.delayed_share:
-            asyncio.create_task(self._execute_late(path, expected, body, incarnation))
+            asyncio.create_task(self._execute_late(path, expected, body))
             return None
         if expected != self.id:
             return 421, None
         answer = await self._execute(path, body) if self.up else None
         return answer if self.incarnation == incarnation else None
 
-    async def _execute_late(self, path, expected, body, incarnation):
+    async def _execute_late(self, path, expected, body):
+        """Executes a call seconds later, maybe in the next incarnation under the same id."""
         await asyncio.sleep(self.random.uniform(1, 4))
         if self.up and expected == self.id:
             await self._execute(path, body)
 
+    async def _execute_after_cut(self, path, expected, body):
+        while self.cut:
+            await asyncio.sleep(0.05)
+        await self._execute_late(path, expected, body)
+
     async def _execute(self, path, body):
         call = http11.json.loads(body)
         token = call.get("FencingToken", 0)
@@ -206,7 +218,7 @@
         return 404, None
 
     def _response_body(self, **fields):
-        return {"ClockMs": self.clock_ms(), "born": self.incarnation_id, **fields}
+        return {"ClockMs": self.clock_ms(), **fields}
 
     def _record_lapse(self):
         """Excludes ends from the acknowledged ones after the lease expired: the run may have been placed elsewhere."""
@@ -232,7 +244,9 @@
             except asyncio.TimeoutError:
                 pass
         running = [[task, run["run"], "", 50, 0] for task, run in self.runs.items()]
-        return 200, self._response_body(Running=running, Finished=self.unacknowledged_ends[:500])
+        # Only lists name the incarnation; answers to orders do not.
+        return 200, self._response_body(Running=running, Finished=self.unacknowledged_ends[:500],
+                                        born=self.incarnation_id)
 
     def _start_run(self, call):
         task, number = call["Task"], call["RunId"]
