--- a/src/dispatch/JobRank.cpp
+++ b/src/dispatch/JobRank.cpp
@@ -45,8 +45,7 @@
     return Duration(0);
   if (Forecast.m_EndsAt != NoKnownEnd)
     return Forecast.m_EndsAt - Now;
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Forecast.m_WorkLeftSeconds));
+  return durationOf(Forecast.m_WorkLeftSeconds);
 }
 
 } // namespace
--- a/src/dispatch/Placer.cpp
+++ b/src/dispatch/Placer.cpp
@@ -65,8 +65,7 @@
     return false;
   if (Worker.m_Suspicion > Step.m_MaxSuspicion)
     return false;
-  const auto Loss = std::chrono::duration_cast<Duration>(
-      Step.m_Expected * (Worker.m_Slowdown - 1));
+  const Duration Loss = scaled(Step.m_Expected, Worker.m_Slowdown - 1);
   return Worker.m_Slowdown <= MaxSlowdown || mustStartAnywhere(Step) ||
          Step.m_Waited >= std::max(MinWaitForBetterWorker, Loss);
 }
--- a/src/dispatch/Planner.cpp
+++ b/src/dispatch/Planner.cpp
@@ -287,8 +287,8 @@
   }
   // A gang that spans racks is slow, but may still end sooner.
   if (Step.m_OneRack) {
-    const auto Extra = std::chrono::duration_cast<Duration>(
-        Step.m_Expected * (m_Options.m_RemotePenalty - 1));
+    const Duration Extra =
+        scaled(Step.m_Expected, m_Options.m_RemotePenalty - 1);
     if (!Best || *Best > m_Now + Extra) {
       WaitingStep Anywhere = Step;
       Anywhere.m_OneRack = false;
--- a/src/dispatch/RunMover.cpp
+++ b/src/dispatch/RunMover.cpp
@@ -39,9 +39,7 @@
                           const RunView &Run) {
   const bool Gang = runsTogether(*Run.m_Spec);
   const TimePoint EndsAt =
-      PlanFleet.now() +
-      std::chrono::duration_cast<Duration>(
-          std::chrono::duration<double>(Run.m_Forecast.m_WorkLeftSeconds));
+      PlanFleet.now() + durationOf(Run.m_Forecast.m_WorkLeftSeconds);
   int32_t Missing = Gang ? Run.m_Spec->tasks : 1;
   std::vector<std::pair<WorkerView *, int32_t>> Found;
   for (WorkerView &Other : PlanFleet.workers()) {
--- a/src/dispatch/RunTimes.cpp
+++ b/src/dispatch/RunTimes.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "Durations.h"
+
 namespace anvil::dispatch::internal {
 
 namespace {
@@ -32,8 +34,7 @@
 
 void RunTimes::learn(const std::string &Queue, int64_t EstimateMs,
                      Duration Elapsed) {
-  const double Seconds =
-      std::max(MinSeconds, std::chrono::duration<double>(Elapsed).count());
+  const double Seconds = std::max(MinSeconds, secondsOf(Elapsed));
   QueueStats &Stats = m_Queues[Queue];
   Stats.m_LogSeconds.add(std::log(Seconds));
   if (EstimateMs > 0)
--- a/src/dispatch/WorkerHealth.cpp
+++ b/src/dispatch/WorkerHealth.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "Durations.h"
+
 namespace anvil::dispatch::internal {
 
 namespace {
@@ -40,8 +42,7 @@
 constexpr size_t MaxObservations = 64;
 
 double decay(double HalfLifeS, TimePoint Since, TimePoint Now) {
-  const double Seconds = std::chrono::duration<double>(Now - Since).count();
-  return std::exp2(-std::max(0.0, Seconds) / HalfLifeS);
+  return std::exp2(-std::max(0.0, secondsOf(Now - Since)) / HalfLifeS);
 }
 
 // Returns the logarithm of the density of a normal distribution around zero, up
--- a/src/dispatch/WorkerSessions.cpp
+++ b/src/dispatch/WorkerSessions.cpp
@@ -5,6 +5,8 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "Durations.h"
+
 namespace anvil::dispatch {
 
 namespace {
@@ -384,8 +386,7 @@
 }
 
 Duration WorkerSessions::maxLeaseSpan() const {
-  return std::chrono::duration_cast<Duration>(m_Options.m_LeaseSpan *
-                                              (1 + m_Options.m_ClockError)) +
+  return internal::scaled(m_Options.m_LeaseSpan, 1 + m_Options.m_ClockError) +
          m_Options.m_TimerSlack;
 }
 
