runner, docs: Keep the fencing of the next incarnation together

No change of behaviour: the constants and the handler of the calls that fence the next incarnation stand in one file; Runner.h and platform.md say how a worker that is back under its id is treated.

--- a/include/anvil/runner/Runner.h
+++ b/include/anvil/runner/Runner.h
@@ -59,6 +59,10 @@
 /// - Orders and leases expire with the authority of the leader, which ends
 ///   m_LeaseSpan after the latest sync that the leader confirmed was sent.
 ///   After that the leader may place the runs on another worker.
+/// - When a worker is lost, the runs that its successor may start or be running
+///   are reported with the loss. The leader keeps them until the successor has
+///   listed its runs. Until the successor announces itself, its address is
+///   called with a higher token, so that it refuses orders in flight.
 /// - A run is reported as not started only when no order for it can take effect
 ///   any more, because either every order or a stop was answered.
 class Runner {
--- a/proto/workload.thrift
+++ b/proto/workload.thrift
@@ -236,8 +236,8 @@
 // versions have entries without them.
 struct CancelWorkload { 1: string jobId, 3: optional string workspace, 4: optional JobAddress address }
 struct RegisterWorker { 1: WorkerInfo info, 2: string agentIncarnation }
-// Runs in retainedRuns stay assigned to the incarnation: a delayed order may still start them in a later incarnation of
-// the worker.
+// Runs in retainedRuns stay assigned to the incarnation: a later incarnation of the worker may be running them, or a
+// delayed order may still start them there.
 struct LoseWorker {
   1: WorkerIncarnation incarnation, 2: string reason, 3: list<RunStatus> lastKnownRuns, 4: list<RunRef> retainedRuns
 }
--- a/src/runner/RunnerCalls.cpp
+++ b/src/runner/RunnerCalls.cpp
@@ -19,9 +19,6 @@
 // refer to older ones.
 constexpr size_t MaxRememberedEnds = 4096;
 
-// Time between two calls that fence the next incarnation of a worker.
-constexpr Duration FenceNextInterval = std::chrono::milliseconds(50);
-
 // Minimum time left of the leader's authority to send a start order.
 constexpr Duration AuthorityMargin = std::chrono::milliseconds(50);
 
@@ -59,8 +56,7 @@
     return;
   }
   if (Call.m_Kind == OutstandingCall::Kind::FenceNext) {
-    m_FenceNextOutstanding = false;
-    m_NextFenceNext = m_Now + FenceNextInterval;
+    onFenceNextAnswered();
     return;
   }
   if (Call.m_Kind == OutstandingCall::Kind::Hold)
--- a/src/runner/RunnerImpl.h
+++ b/src/runner/RunnerImpl.h
@@ -84,6 +84,7 @@
   std::vector<wire::RunRef> unaccountedRuns(TimePoint ClosedAt) const;
   bool fencesNextIncarnation() const;
   void fenceNextIncarnation();
+  void onFenceNextAnswered();
   int64_t nextIncarnationToken() const { return m_HighestOrderToken + 1; }
   void sendFence(OutstandingCall::Kind Kind,
                  const wire::WorkerIncarnation &Incarnation, int64_t Token);
--- a/src/runner/RunnerWorker.cpp
+++ b/src/runner/RunnerWorker.cpp
@@ -7,6 +7,9 @@
 // Time after which an order that got no answer is not carried out any more.
 constexpr Duration MaxOrderDelay = std::chrono::seconds(30);
 
+// Time between two calls that fence the next incarnation of a worker.
+constexpr Duration FenceNextInterval = std::chrono::milliseconds(50);
+
 } // namespace
 
 void Runner::Impl::onAnnounced(const WorkerAnnounced &Event) {
@@ -83,6 +86,13 @@
             nextIncarnationToken());
 }
 
+// The calls go on after an answer: the incarnation that gave it may end before
+// it announces itself.
+void Runner::Impl::onFenceNextAnswered() {
+  m_FenceNextOutstanding = false;
+  m_NextFenceNext = m_Now + FenceNextInterval;
+}
+
 void Runner::Impl::onProbeAnswered(const CallAnswer &Answer) {
   const wire::WorkerInfo Info = *std::exchange(m_Candidate, std::nullopt);
   const bool Answered = Answer.m_Error == CallError::None ||
