--- a/tests/node/SubmissionTest.cpp
+++ b/tests/node/SubmissionTest.cpp
@@ -70,22 +70,14 @@
     }));
   }
 
-  /// Starts to put \p Policy; \p OnDone runs when it was acknowledged.
-  void startPutPolicy(const wire::PolicyDocument &Policy,
-                      const std::function<void()> &OnDone) {
-    wire::WorkloadCall Call;
-    Call.putPolicy.document = Policy;
-    Call.__isset.putPolicy = true;
-    m_Entries[0].process().call(Call, 5 * CallTimeout,
-                                [OnDone](const CallResult &Result) {
-                                  BOOST_TEST(Result.succeeded());
-                                  OnDone();
-                                });
-  }
+  /// Puts \p Policy and waits until it is acknowledged.
   void putPolicy(const wire::PolicyDocument &Policy) {
-    bool Done = false;
-    startPutPolicy(Policy, [&Done] { Done = true; });
-    BOOST_REQUIRE(m_Loop.runUntil([&Done] { return Done; }));
+    wire::PutPolicy Put;
+    Put.document = Policy;
+    wire::WorkloadCall Call;
+    Call.__set_putPolicy(Put);
+    BOOST_TEST(
+        callAndWait(m_Loop, m_Entries[0], Call, 5 * CallTimeout).succeeded());
   }
 
   support::Loopback m_Loop;
