soak: A schedule of its own for workers that are back at once

The two kinds of fault that were added to the list of kinds changed what each seed injects, also the seeds that once failed and are kept. They have a source of numbers of their own now, and the list is as it was.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,8 +5,8 @@
 Each seed has a phase with faults and a phase without, after which every accepted job must have ended. Faults are
 connections that a proxy delays, resets, or drops data from in one direction; processes that are killed, paused or
 terminated, or lose their data; disks that are full or end in a torn write; workers that crash, are back at once under
-their ids, are cut off or execute calls late; and reports of other writers that can't be read. The last line is "N passed,
-N failed". The directory of a failed seed is kept.
+their ids, are cut off or execute calls late; and reports of other writers that can't be read. The last line is
+"N passed, N failed". The directory of a failed seed is kept.
 """
 
 import argparse
@@ -190,8 +190,7 @@
         agent, worker = rng.choice(cluster.agents), rng.choice(cluster.workers)
         span = rng.uniform(0.2, 3)
         kind = rng.choice(["delay", "reset", "silence", "cut-in", "cut-out", "kill", "pause", "term", "herd", "wipe",
-                            "disk-full", "torn-write", "agent-kill", "agent-pause", "worker-crash", "worker-back",
-                            "worker-cut", "late-orders"])
+                            "disk-full", "torn-write", "agent-kill", "agent-pause", "worker-crash", "late-orders"])
         self.record_fault(f"{kind} entry {number} {agent.name} {worker.name} {span:.1f} s")
         if kind == "delay":
             proxy.delay = rng.uniform(0.01, 0.3)
@@ -224,18 +223,28 @@
             await agent.pause(span * 2)
         elif kind == "worker-crash" and worker.up:
             await worker.crash(span, rng.random() < 0.5)
-        elif kind == "worker-back" and worker.up:
-            await worker.crash(span / 15, keep_id=True)
-        elif kind == "worker-cut":
-            worker.cut = True
-            await asyncio.sleep(span * 2)
         elif kind == "late-orders":
             worker.delayed_share = 0.3
         await asyncio.sleep(span)
         entry.limit_files(None)
         proxy.clear_faults()
         worker.delayed_share = 0.0
-        worker.cut = False
+
+    async def replace_lives(self, fault_deadline, rng):
+        """Lets workers be back at once under their ids, and cuts some of them off soon after.
+
+        It has a source of numbers of its own, so that a seed injects the same other faults as before.
+        """
+        while time.monotonic() < fault_deadline:
+            await asyncio.sleep(rng.uniform(0.5, 4))
+            worker, down, cut = rng.choice(self.cluster.workers), rng.uniform(0.01, 0.2), rng.uniform(0, 6)
+            self.record_fault(f"back at once {worker.name}, cut for {cut:.1f} s")
+            if worker.up:
+                await worker.crash(down, keep_id=True)
+            await asyncio.sleep(rng.uniform(0, 2))
+            worker.cut = cut > 3
+            await asyncio.sleep(cut if worker.cut else 0)
+            worker.cut = False
 
     async def send_odd_reports(self, fault_deadline, rng):
         """Sends reports of other writers to the agents, under the ids of their workers."""
@@ -291,7 +300,8 @@
             fault_deadline = time.monotonic() + self.seconds
             await asyncio.gather(self.update_configs(fault_deadline), self.submit_jobs(fault_deadline),
                                  self.inject_faults(fault_deadline),
-                                 self.send_odd_reports(fault_deadline, random.Random(self.seed)))
+                                 self.send_odd_reports(fault_deadline, random.Random(self.seed)),
+                                 self.replace_lives(fault_deadline, random.Random(self.seed)))
             await self.check_outcomes()
         finally:
             supervisor.cancel()
--- a/tests/soak/worker.py
+++ b/tests/soak/worker.py
@@ -100,6 +100,7 @@
             self.server.abort()
 
     async def crash(self, down_seconds, keep_id):
+        """Ends the incarnation; the next one announces itself within a heartbeat."""
         self.up = False
         self.server.abort()
         for task, run in list(self.runs.items()):
@@ -110,7 +111,8 @@
         await asyncio.sleep(down_seconds)
         self.id_suffix += 0 if keep_id else 1
         self._begin_incarnation()
-        await self.start(self.random.uniform(0, self.bounds["beat"]))
+        first = random.Random(f"{self.name} {self.incarnation}").uniform(0, self.bounds["beat"])
+        await self.start(first)
 
     def report(self):
         return {"Service": "desk", "Address": "%s:%d" % self.address, "Zone": self.zone, "Version": "v1", "Slots": 8,
