--- a/tests/runner/RunnerTest.cpp
+++ b/tests/runner/RunnerTest.cpp
@@ -13,6 +13,7 @@
 
 constexpr int64_t Token = 7;
 constexpr int64_t WorkerClockMs = 100'000;
+constexpr int64_t NextLifeStartedAtMs = 2000;
 constexpr Duration LeaseSpan = seconds(12);
 
 wire::TaskRef taskNumber(int32_t Index) {
@@ -91,10 +92,17 @@
     Result.m_StartedAtMs.reset();
     return Result;
   }
+  /// Returns the announcement of the worker's next life under the same id.
+  WorkerAnnounced nextLifeAnnounced() const {
+    WorkerAnnounced Result;
+    Result.m_Info.incarnation = m_Incarnation;
+    Result.m_Info.incarnation.startedAtMs = NextLifeStartedAtMs;
+    return Result;
+  }
   /// Answers a hold as the worker's next life under the same id does.
   void answerAsNextLife(CallId Call) {
     CallAnswer Result = answer(Call);
-    Result.m_StartedAtMs = m_Incarnation.startedAtMs + 1000;
+    Result.m_StartedAtMs = NextLifeStartedAtMs;
     step(Result);
     pass(milliseconds(50));
   }
@@ -266,13 +274,10 @@
 // orders.
 BOOST_FIXTURE_TEST_CASE(FencesTheNextLifeAboveAllFormerOrders, Bench) {
   serve();
-  WorkerAnnounced Restarted;
-  Restarted.m_Info.incarnation = m_Incarnation;
-  Restarted.m_Info.incarnation.startedAtMs = 2000;
-  step(Restarted);
+  step(nextLifeAnnounced());
   const auto Probe = take<HoldCall>();
   BOOST_REQUIRE(Probe);
-  BOOST_TEST(Probe->m_Incarnation.startedAtMs == 2000);
+  BOOST_TEST(Probe->m_Incarnation.startedAtMs == NextLifeStartedAtMs);
   BOOST_TEST(Probe->m_FencingToken > Token);
 }
 
@@ -349,14 +354,11 @@
 // refuses the orders of its own agent.
 BOOST_FIXTURE_TEST_CASE(ProbesWithTheSameTokenUntilANewRegistration, Bench) {
   serve();
-  WorkerAnnounced Restarted;
-  Restarted.m_Info.incarnation = m_Incarnation;
-  Restarted.m_Info.incarnation.startedAtMs = 2000;
-  step(Restarted);
+  step(nextLifeAnnounced());
   const auto First = take<HoldCall>();
   BOOST_REQUIRE(First);
   step(answer(First->m_Call, CallError::NoAnswer));
-  step(Restarted);
+  step(nextLifeAnnounced());
   const auto Second = take<HoldCall>();
   BOOST_REQUIRE(Second);
   BOOST_TEST(First->m_FencingToken > Token);
