runner: Acknowledge an end once no start order can repeat its run

Callers saw a task run twice: a fault-injection run listed run 1 of a task as done, the end was committed and acknowledged, and a start order that had got no answer was carried out after that.

Cause: the agent acknowledged each durable end at once, also while a start order of the same run had no answer. Ruled out: a second placement by the leader (the run number was the same), and repeats after the run was listed (advanceRun() sends none).

The end of a run whose start order has no answer is now held back until a stop of that run was answered; the worker then refuses the run. A new fencing token settles it as well.

RunnerTest/AcknowledgesAnEndOnlyOnceItsStartIsRuledOut failed before.

--- a/src/runner/Runner.cpp
+++ b/src/runner/Runner.cpp
@@ -37,6 +37,7 @@
   else if (const auto *Failed = std::get_if<SyncFailed>(&Incoming))
     Self.onSyncFailed(*Failed);
   Self.advanceRuns();
+  Self.ruleOutUnsettledStarts();
   Self.sendHoldIfDue();
   Self.fenceNextIncarnation();
   Self.acknowledgeEnds();
@@ -57,6 +58,10 @@
     if (!Run.m_CallOutstanding && (!Run.m_Started || Run.m_StopWanted) &&
         !Run.m_StartRuledOut)
       Next = std::min(Next, Run.m_RetryAt);
+  if (Self.m_Phase == Phase::Serving)
+    for (const auto &[Key, Start] : Self.m_UnsettledStarts)
+      if (!Start.m_StopOutstanding)
+        Next = std::min(Next, Start.m_RetryAt);
   return std::max(Next, Now + std::chrono::milliseconds(1));
 }
 
--- a/src/runner/RunnerCalls.cpp
+++ b/src/runner/RunnerCalls.cpp
@@ -79,6 +79,10 @@
     onFenceAnswered(Answer);
     return;
   }
+  if (Call.m_Kind == OutstandingCall::Kind::RuleOutStart) {
+    onStartRuledOut(Answer, Call);
+    return;
+  }
   if (Call.m_Kind == OutstandingCall::Kind::Hold ||
       Call.m_Kind == OutstandingCall::Kind::Acknowledge) {
     onHoldAnswered(Answer, Call);
@@ -133,23 +137,33 @@
 // Acknowledges durable ends at once, in parallel with the hold that the worker
 // delays.
 void Runner::Impl::acknowledgeEnds() {
-  if (m_Phase != Phase::Serving || m_LastDurableEnd <= m_LastAckSent)
+  const int64_t End = acknowledgeableEnd();
+  if (m_Phase != Phase::Serving || End <= m_LastAckSent)
     return;
-  m_LastAckSent = m_LastDurableEnd;
+  m_LastAckSent = End;
   sendHold(OutstandingCall::Kind::Acknowledge, Duration(0));
 }
 
+// Returns the highest end that may be acknowledged: it and all lower ones are
+// durable, and no start order can repeat their runs.
+int64_t Runner::Impl::acknowledgeableEnd() const {
+  int64_t End = m_LastDurableEnd;
+  for (const auto &[Key, Start] : m_UnsettledStarts)
+    End = std::min(End, Start.m_WorkerNumber - 1);
+  return End;
+}
+
 void Runner::Impl::sendHold(OutstandingCall::Kind Kind, Duration Wait) {
   OutstandingCall Call;
   Call.m_Kind = Kind;
   Call.m_Incarnation = m_Info.incarnation;
   Call.m_Token = m_Token;
-  Call.m_AcknowledgedEnd = m_LastDurableEnd;
+  Call.m_AcknowledgedEnd = acknowledgeableEnd();
   HoldCall Hold;
   Hold.m_Call = addCall(Call);
   Hold.m_Incarnation = m_Info.incarnation;
   Hold.m_FencingToken = m_Token;
-  Hold.m_AcknowledgedEnd = m_LastDurableEnd;
+  Hold.m_AcknowledgedEnd = Call.m_AcknowledgedEnd;
   if (mayStartRuns())
     Hold.m_LeaseEndMs = leaseEndMs();
   Hold.m_Wait = Wait;
@@ -258,6 +272,12 @@
   Pending.m_WorkerNumber = WorkerNumber;
   addNote("run-ended", Detail, &Run.m_Order.task, Run.m_Order.run);
   const TaskKey Key = keyOf(Run.m_Order.task);
+  const bool StartMayRepeat =
+      !Run.m_StartRuledOut &&
+      (Run.m_Unanswered || hasOutstandingStart(Key, Run.m_Order.run));
+  if (WorkerNumber > 0 && StartMayRepeat)
+    m_UnsettledStarts[Key] = {Run.m_Order.task, Run.m_Order.run, WorkerNumber,
+                              false, m_Now};
   int64_t &Ended = m_EndedRuns[Key];
   Ended = std::max(Ended, Run.m_Order.run);
   if (m_EndedRuns.size() > MaxRememberedEnds)
@@ -329,20 +349,61 @@
 }
 
 void Runner::Impl::sendStop(RunEntry &Run) {
+  Run.m_CallOutstanding = true;
+  sendStopCall(OutstandingCall::Kind::Stop, Run.m_Order.task, Run.m_Order.run);
+}
+
+CallId Runner::Impl::sendStopCall(OutstandingCall::Kind Kind,
+                                  const wire::TaskRef &Task, int64_t Run) {
   OutstandingCall Call;
-  Call.m_Kind = OutstandingCall::Kind::Stop;
+  Call.m_Kind = Kind;
   Call.m_Incarnation = m_Info.incarnation;
   Call.m_Token = m_Token;
-  Call.m_Task = keyOf(Run.m_Order.task);
-  Call.m_Run = Run.m_Order.run;
+  Call.m_Task = keyOf(Task);
+  Call.m_Run = Run;
   StopCall Stop;
   Stop.m_Call = addCall(Call);
   Stop.m_Incarnation = m_Info.incarnation;
   Stop.m_FencingToken = m_Token;
-  Stop.m_Task = Run.m_Order.task;
-  Stop.m_Run = Run.m_Order.run;
-  Run.m_CallOutstanding = true;
-  m_Actions.push_back(std::move(Stop));
+  Stop.m_Task = Task;
+  Stop.m_Run = Run;
+  m_Actions.push_back(Stop);
+  return Stop.m_Call;
+}
+
+bool Runner::Impl::hasOutstandingStart(const TaskKey &Key, int64_t Run) const {
+  return std::any_of(m_Calls.begin(), m_Calls.end(), [&](const auto &Each) {
+    const OutstandingCall &Call = Each.second;
+    return Call.m_Kind == OutstandingCall::Kind::Start && Call.m_Task == Key &&
+           Call.m_Run == Run;
+  });
+}
+
+// Stops runs that have ended already, so that the worker refuses late start
+// orders for them also after it has forgotten their ends.
+void Runner::Impl::ruleOutUnsettledStarts() {
+  if (m_Phase != Phase::Serving)
+    return;
+  for (auto &[Key, Start] : m_UnsettledStarts) {
+    if (Start.m_StopOutstanding || Start.m_RetryAt > m_Now)
+      continue;
+    Start.m_StopOutstanding = true;
+    sendStopCall(OutstandingCall::Kind::RuleOutStart, Start.m_Task,
+                 Start.m_Run);
+  }
+}
+
+void Runner::Impl::onStartRuledOut(const CallAnswer &Answer,
+                                   const OutstandingCall &Call) {
+  const auto It = m_UnsettledStarts.find(Call.m_Task);
+  if (It == m_UnsettledStarts.end() || It->second.m_Run != Call.m_Run)
+    return;
+  if (Answer.m_Error == CallError::None) {
+    m_UnsettledStarts.erase(It);
+    return;
+  }
+  It->second.m_StopOutstanding = false;
+  It->second.m_RetryAt = m_Now + m_Options.m_RetryDelay;
 }
 
 void Runner::Impl::onStartAnswered(const CallAnswer &Answer, RunEntry &Run) {
--- a/src/runner/RunnerImpl.h
+++ b/src/runner/RunnerImpl.h
@@ -58,9 +58,28 @@
   int64_t m_WorkerNumber = 0; ///< 0 if the worker did not list the end.
 };
 
+/// A run whose end the worker listed while a start order of it had no answer.
+/// The order could start the run anew once the worker has forgotten the end.
+struct UnsettledStart {
+  wire::TaskRef m_Task;
+  int64_t m_Run = 0;
+  int64_t m_WorkerNumber = 0; ///< Number of the end in the worker's list.
+  bool m_StopOutstanding = false;
+  TimePoint m_RetryAt;
+};
+
 /// A call to the worker that has no answer yet.
 struct OutstandingCall {
-  enum class Kind { Probe, FenceNext, Fence, Hold, Acknowledge, Start, Stop };
+  enum class Kind {
+    Probe,
+    FenceNext,
+    Fence,
+    Hold,
+    Acknowledge,
+    Start,
+    Stop,
+    RuleOutStart ///< Stop of a run that has ended; see UnsettledStart.
+  };
   Kind m_Kind = Kind::Hold;
   TimePoint m_SentAt;
   wire::WorkerIncarnation m_Incarnation;
@@ -105,6 +124,12 @@
   void advanceRun(RunEntry &Run);
   void sendStart(RunEntry &Run);
   void sendStop(RunEntry &Run);
+  CallId sendStopCall(OutstandingCall::Kind Kind, const wire::TaskRef &Task,
+                      int64_t Run);
+  bool hasOutstandingStart(const TaskKey &Key, int64_t Run) const;
+  void ruleOutUnsettledStarts();
+  void onStartRuledOut(const CallAnswer &Answer, const OutstandingCall &Call);
+  int64_t acknowledgeableEnd() const;
   void sendHoldIfDue();
   void acknowledgeEnds();
   void sendHold(OutstandingCall::Kind Kind, Duration Wait);
@@ -162,6 +187,8 @@
   int64_t m_LastListedEnd = 0;  ///< Highest end that the worker listed.
   int64_t m_LastDurableEnd = 0; ///< Highest worker's end that the leader has.
   int64_t m_LastAckSent = 0;    ///< Highest end acknowledged to the worker.
+  /// By task. Their ends are not acknowledged to the worker.
+  std::map<TaskKey, UnsettledStart> m_UnsettledStarts;
 
   CallId m_NextCall = 1;
   std::map<CallId, OutstandingCall> m_Calls;
--- a/src/runner/RunnerWorker.cpp
+++ b/src/runner/RunnerWorker.cpp
@@ -169,6 +169,7 @@
   m_Token = 0;
   m_Draining = false;
   m_Runs.clear();
+  m_UnsettledStarts.clear();
   // The loss that is reported to the leader covers all runs of the worker.
   m_FirstEndNumber += static_cast<int64_t>(m_Ends.size());
   m_Ends.clear();
@@ -193,6 +194,8 @@
   m_Phase = Phase::Serving;
   m_NextHold = m_Now;
   m_Runs.clear();
+  // The worker refuses orders with the previous token.
+  m_UnsettledStarts.clear();
   applyRuns(Answer);
   applyEnds(Answer.m_Ends);
   m_SyncNeeded = true;
--- a/tests/runner/RunnerTest.cpp
+++ b/tests/runner/RunnerTest.cpp
@@ -381,6 +381,60 @@
   BOOST_TEST((Report.ends[0].kind == wire::RunEndKind::NOT_STARTED));
 }
 
+/// Returns a listed end of run 1 of a task.
+ListedEnd listedEnd(int32_t Index, int64_t Number) {
+  ListedEnd End;
+  End.m_Number = Number;
+  End.m_Task = taskNumber(Index);
+  End.m_Run = 1;
+  return End;
+}
+
+// Guards against a second start of a run whose end was acknowledged: a start
+// order without an answer arrives once the worker has forgotten the end.
+BOOST_FIXTURE_TEST_CASE(AcknowledgesAnEndOnlyOnceItsStartIsRuledOut, Bench) {
+  serve();
+  order({order(0, 1), order(1, 1)});
+  std::vector<CallId> Starts;
+  for (const Action &Each : m_Actions)
+    if (const auto *Start = std::get_if<StartCall>(&Each))
+      Starts.push_back(Start->m_Call);
+  BOOST_REQUIRE(Starts.size() == 2);
+  m_Actions.clear();
+  step(answer(Starts[0]));
+  step(answer(Starts[1], CallError::NoAnswer));
+  CallAnswer Ended = answer(m_OpenHold);
+  Ended.m_Ends = {listedEnd(0, 1), listedEnd(1, 2)};
+  step(Ended);
+  const auto Stop = take<StopCall>();
+  BOOST_REQUIRE(Stop);
+  BOOST_TEST((Stop->m_Task == taskNumber(1)));
+  BOOST_TEST(Stop->m_Run == 1);
+
+  pass(milliseconds(25));
+  const wire::WorkerSyncRequest Report = report();
+  BOOST_REQUIRE(Report.ends.size() == 2);
+  wire::WorkerSyncReply Durable = reply(Report.sequence);
+  Durable.acknowledgedEndNumber = Report.firstEndNumber + 1;
+  m_Actions.clear();
+  replyWith(Durable);
+  // The end of the answered start is acknowledged, the other one is not.
+  const auto First = take<HoldCall>();
+  BOOST_REQUIRE(First);
+  BOOST_TEST(First->m_AcknowledgedEnd == 1);
+
+  // A stop without an answer proves nothing and is repeated.
+  step(answer(Stop->m_Call, CallError::NoAnswer));
+  BOOST_TEST(!take<HoldCall>());
+  pass(milliseconds(250));
+  const auto Again = take<StopCall>();
+  BOOST_REQUIRE(Again);
+  step(answer(Again->m_Call));
+  const auto Second = take<HoldCall>();
+  BOOST_REQUIRE(Second);
+  BOOST_TEST(Second->m_AcknowledgedEnd == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace anvil::runner
