runner: Give up runs of a lost worker that no start order can bring back

Callers of a gang waited for 21 s beside a mostly free service after one member's worker had drained and left.

Cause: the agent named each run with any call in flight as one that the worker's next life may be running, also a run whose stop had no answer, and the leader kept it for that life until a lease was over. Only a start order can bring a run into being. Ruled out: late ends, since the worker had listed the run and its VM was gone for good.

unaccountedRuns() now looks at start orders alone: those in flight, and those that got no answer within the time in which a worker carries out a late order.

RunnerTest/GivesUpAListedRunWhoseStopIsInFlight failed before.

--- a/src/runner/RunnerCalls.cpp
+++ b/src/runner/RunnerCalls.cpp
@@ -424,6 +424,7 @@
     return;
   case CallError::NoAnswer:
     Run.m_Unanswered = true;
+    Run.m_UnansweredAt = m_Now;
     return;
   case CallError::Superseded:
     // This run or a later one has ended; the list of ends shows which.
--- a/src/runner/RunnerImpl.h
+++ b/src/runner/RunnerImpl.h
@@ -39,6 +39,8 @@
   bool m_StopWanted = false;
   /// A start order got no answer, so it may still take effect.
   bool m_Unanswered = false;
+  /// When the last start order without an answer was given up.
+  TimePoint m_UnansweredAt;
   /// No start order can take effect any more, because the worker confirmed a
   /// stop or reported that the run is over.
   bool m_StartRuledOut = false;
@@ -101,6 +103,7 @@
   void reregister(std::string_view Reason);
   void loseWorker(std::string_view Reason, TimePoint ClosedAt = TimePoint());
   std::vector<wire::RunRef> unaccountedRuns(TimePoint ClosedAt) const;
+  bool mayStillStart(const RunEntry &Run) const;
   bool fencesNextIncarnation() const;
   void fenceNextIncarnation();
   void onFenceNextAnswered();
--- a/src/runner/RunnerWorker.cpp
+++ b/src/runner/RunnerWorker.cpp
@@ -136,8 +136,17 @@
   m_SyncNeeded = true;
 }
 
+// Returns whether a start order of the run may still be in flight. No other
+// call can bring a run into being.
+bool Runner::Impl::mayStillStart(const RunEntry &Run) const {
+  const bool UnansweredInFlight =
+      Run.m_Unanswered && m_Now < Run.m_UnansweredAt + MaxOrderDelay;
+  return UnansweredInFlight ||
+         hasOutstandingStart(keyOf(Run.m_Order.task), Run.m_Order.run);
+}
+
 // Returns the runs of the lost incarnation that its successor may start or be
-// running: those with an order that is in flight, and those that only the
+// running: those with a start order that is in flight, and those that only the
 // answer to a start order confirmed, since the successor may have given that
 // answer. A run that was confirmed before \p ClosedAt is over, because nothing
 // listened at the worker's address then.
@@ -145,10 +154,9 @@
 Runner::Impl::unaccountedRuns(TimePoint ClosedAt) const {
   std::vector<wire::RunRef> Result;
   for (const auto &[Key, Run] : m_Runs) {
-    const bool InFlight = Run.m_Unanswered || Run.m_CallOutstanding;
     const bool MayBeSuccessors =
         Run.m_Started && !Run.m_Listed && Run.m_StartedAt >= ClosedAt;
-    if (!InFlight && !MayBeSuccessors)
+    if (!mayStillStart(Run) && !MayBeSuccessors)
       continue;
     wire::RunRef Ref;
     Ref.task = Run.m_Order.task;
--- a/tests/runner/RunnerTest.cpp
+++ b/tests/runner/RunnerTest.cpp
@@ -435,6 +435,35 @@
   BOOST_TEST(Second->m_AcknowledgedEnd == 2);
 }
 
+// Guards against keeping a run for the next life of a worker because a stop is
+// in flight. The task would wait for the end of a lease if no such life comes.
+BOOST_FIXTURE_TEST_CASE(GivesUpAListedRunWhoseStopIsInFlight, Bench) {
+  serve();
+  order({order(0, 1)});
+  step(answerToStart());
+  CallAnswer List = answer(m_OpenHold);
+  ListedRun Listed;
+  Listed.m_Task = taskNumber(0);
+  Listed.m_Run = 1;
+  List.m_Runs = {Listed};
+  step(List);
+  const CallId Hold = take<HoldCall>()->m_Call;
+  pass(milliseconds(25));
+  wire::WorkerSyncReply Reply = reply(report().sequence);
+  wire::RunRef Ref;
+  Ref.task = taskNumber(0);
+  Ref.run = 1;
+  Reply.stops = {Ref};
+  replyWith(Reply);
+  BOOST_REQUIRE(take<StopCall>());
+  step(answer(Hold, CallError::Unreachable));
+  pass(milliseconds(250));
+  step(answer(take<HoldCall>()->m_Call, CallError::Unreachable));
+  pass(milliseconds(25));
+  BOOST_TEST((report().endedIncarnation == m_Incarnation));
+  BOOST_TEST(report().unaccountedRuns.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace anvil::runner
