runner, dispatch: Do not repeat starts into withdrawn zones or to drains

Operators saw tasks start in a zone 6 s after its withdrawal was acknowledged: a worker had not answered, and its agent repeated the start orders until it did. The same holds for a worker that drains.

Cause: the leader kept wanting the runs, since a run was stopped only if it could not end in time. Ruled out: orders that the worker carried out late; each start was a new call.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -166,6 +166,7 @@
   Fleet PlanFleet(State, Sessions, m_Impl->m_Tracker, m_Impl->m_Health, Now);
   Planner Plan(State, PlanFleet, m_Impl->m_Options, m_Impl->m_Tracker,
                m_Impl->m_Rank, m_Impl->hasSettled(State, Sessions, Now), Now);
+  Plan.stopUnstartedInWithdrawnZones();
   Plan.moveOffDrainingWorkers(m_Impl->m_Mover);
   Plan.placeAll(m_Impl->waitingSteps(State, Now));
   Plan.moveStalledOrSlow(m_Impl->m_Mover);
--- a/src/dispatch/Fleet.cpp
+++ b/src/dispatch/Fleet.cpp
@@ -50,10 +50,11 @@
     WorkerView View;
     View.m_Record = &Record;
     const wire::WorkerIncarnation &Incarnation = Record.info.incarnation;
-    View.m_Usable =
-        Sessions.usable(Record, Now) &&
-        !State.withdrawnZones().contains(Record.info.availabilityZone);
+    View.m_ZoneWithdrawn =
+        State.withdrawnZones().contains(Record.info.availabilityZone);
+    View.m_Usable = Sessions.usable(Record, Now) && !View.m_ZoneWithdrawn;
     if (const LiveWorker *Live = Sessions.findLive(Incarnation)) {
+      View.m_RunsKnown = Live->m_HasRunList;
       View.m_Draining = Live->m_Draining;
       View.m_LeavesAt = Live->m_LeavesAt;
     }
--- a/src/dispatch/Fleet.h
+++ b/src/dispatch/Fleet.h
@@ -37,6 +37,10 @@
   /// New runs may be placed on it: WorkerSessions::usable() holds and its zone
   /// is in service.
   bool m_Usable = false;
+  /// Operators took its availability zone out of service.
+  bool m_ZoneWithdrawn = false;
+  /// Its agent has listed the runs of the worker to this leader.
+  bool m_RunsKnown = false;
   bool m_Draining = false;
   TimePoint m_LeavesAt;
   double m_Slowdown = 1;
--- a/src/dispatch/Planner.cpp
+++ b/src/dispatch/Planner.cpp
@@ -41,6 +41,25 @@
     stop({Each.m_Run}, Each.m_Reason);
 }
 
+void Planner::stopUnstartedInWithdrawnZones() {
+  std::vector<wire::RunRef> Runs;
+  for (WorkerView &Worker : m_Fleet.workers()) {
+    if (!Worker.m_ZoneWithdrawn || !Worker.m_RunsKnown)
+      continue;
+    for (RunView &Run : Worker.m_Runs) {
+      if (Run.m_Stopping || Run.m_Forecast.m_Started)
+        continue;
+      Run.m_Stopping = true;
+      workload::add(Worker.m_Releasing, Run.m_Amounts);
+      wire::RunRef Ref;
+      Ref.task = Run.m_Task;
+      Ref.run = Run.m_Run;
+      Runs.push_back(std::move(Ref));
+    }
+  }
+  stop(Runs, "its zone is out of service");
+}
+
 void Planner::placeAll(std::vector<WaitingStep> Steps) {
   std::map<const wire::JobRecord *, JobUrgency> Urgency;
   for (const WaitingStep &Step : Steps)
--- a/src/dispatch/Planner.h
+++ b/src/dispatch/Planner.h
@@ -21,7 +21,7 @@
 /// Makes one plan: which waiting steps start where, and which runs stop to make
 /// room or to continue elsewhere.
 ///
-/// Usage: create it with the fleet of this moment, call the three functions in
+/// Usage: create it with the fleet of this moment, call the functions in
 /// the order of their declarations, and take the commands. It changes the fleet
 /// as it decides.
 class Planner {
@@ -34,6 +34,9 @@
         m_Placer(PlanFleet, Options.m_RemotePenalty),
         m_Preemption(PlanFleet, m_Placer) {}
 
+  /// Stops runs that have not started on workers of withdrawn zones. Their
+  /// start orders would otherwise be repeated until the worker answers.
+  void stopUnstartedInWithdrawnZones();
   /// Stops runs on workers that leave before they end.
   void moveOffDrainingWorkers(const RunMover &Mover) {
     move(Mover.findOnDrainingWorkers(m_Fleet));
--- a/src/runner/RunnerCalls.cpp
+++ b/src/runner/RunnerCalls.cpp
@@ -319,9 +319,11 @@
   }
   if (Run.m_Started)
     return;
-  if (m_Draining && NeverSent) {
-    recordEnd(RunEntry(Run), wire::RunEndKind::NOT_STARTED,
-              "the worker is draining", 0);
+  if (m_Draining) {
+    // A start without an answer is not repeated: a stop rules it out, and the
+    // leader places the task elsewhere.
+    Run.m_NotStartedReason = "the worker is draining";
+    advanceRun(Run);
     return;
   }
   sendStart(Run);
--- a/tests/runner/RunnerTest.cpp
+++ b/tests/runner/RunnerTest.cpp
@@ -464,6 +464,35 @@
   BOOST_TEST(report().unaccountedRuns.empty());
 }
 
+// Guards against starting a run on a worker that drains by a repeated order:
+// the start may arrive seconds after the worker should get no new runs.
+BOOST_FIXTURE_TEST_CASE(RulesOutAnUnansweredStartWhileTheWorkerDrains, Bench) {
+  serve();
+  order({order(0, 1)});
+  const CallId Start = take<StartCall>()->m_Call;
+  step(answer(Start, CallError::NoAnswer));
+  WorkerAnnounced Draining;
+  Draining.m_Info.incarnation = m_Incarnation;
+  Draining.m_Draining = true;
+  Draining.m_Remaining = seconds(2);
+  step(Draining);
+  pass(milliseconds(250));
+  BOOST_TEST(!take<StartCall>());
+  const auto Stop = take<StopCall>();
+  BOOST_REQUIRE(Stop);
+  step(answer(Stop->m_Call));
+  pass(milliseconds(25));
+  step(answer(m_OpenHold));
+  const auto Hold = take<HoldCall>();
+  BOOST_REQUIRE(Hold);
+  pass(milliseconds(50));
+  step(answer(Hold->m_Call));
+  pass(milliseconds(50));
+  const wire::WorkerSyncRequest Report = report();
+  BOOST_REQUIRE(Report.ends.size() == 1);
+  BOOST_TEST((Report.ends[0].kind == wire::RunEndKind::NOT_STARTED));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace anvil::runner
