--- a/src/runner/RunnerImpl.h
+++ b/src/runner/RunnerImpl.h
@@ -39,6 +39,8 @@
   bool m_StopWanted = false;
   /// A start order got no answer, so it may still take effect.
   bool m_Unanswered = false;
+  /// When the last start order without an answer was given up.
+  TimePoint m_UnansweredAt;
   /// No start order can take effect any more, because the worker confirmed a
   /// stop or reported that the run is over.
   bool m_StartRuledOut = false;
@@ -58,9 +60,28 @@
   int64_t m_WorkerNumber = 0; ///< 0 if the worker did not list the end.
 };
 
+/// A run whose end the worker listed while a start order of it had no answer.
+/// The order could start the run anew once the worker has forgotten the end.
+struct UnsettledStart {
+  wire::TaskRef m_Task;
+  int64_t m_Run = 0;
+  int64_t m_WorkerNumber = 0; ///< Number of the end in the worker's list.
+  bool m_StopOutstanding = false;
+  TimePoint m_RetryAt;
+};
+
 /// A call to the worker that has no answer yet.
 struct OutstandingCall {
-  enum class Kind { Probe, FenceNext, Fence, Hold, Acknowledge, Start, Stop };
+  enum class Kind {
+    Probe,
+    FenceNext,
+    Fence,
+    Hold,
+    Acknowledge,
+    Start,
+    Stop,
+    RuleOutStart ///< Stop of a run that has ended; see UnsettledStart.
+  };
   Kind m_Kind = Kind::Hold;
   TimePoint m_SentAt;
   wire::WorkerIncarnation m_Incarnation;
@@ -82,6 +103,7 @@
   void reregister(std::string_view Reason);
   void loseWorker(std::string_view Reason, TimePoint ClosedAt = TimePoint());
   std::vector<wire::RunRef> unaccountedRuns(TimePoint ClosedAt) const;
+  bool mayStillStart(const RunEntry &Run) const;
   bool fencesNextIncarnation() const;
   void fenceNextIncarnation();
   void onFenceNextAnswered();
@@ -105,6 +127,12 @@
   void advanceRun(RunEntry &Run);
   void sendStart(RunEntry &Run);
   void sendStop(RunEntry &Run);
+  CallId sendStopCall(OutstandingCall::Kind Kind, const wire::TaskRef &Task,
+                      int64_t Run);
+  bool hasOutstandingStart(const TaskKey &Key, int64_t Run) const;
+  void ruleOutUnsettledStarts();
+  void onStartRuledOut(const CallAnswer &Answer, const OutstandingCall &Call);
+  int64_t acknowledgeableEnd() const;
   void sendHoldIfDue();
   void acknowledgeEnds();
   void sendHold(OutstandingCall::Kind Kind, Duration Wait);
@@ -162,6 +190,8 @@
   int64_t m_LastListedEnd = 0;  ///< Highest end that the worker listed.
   int64_t m_LastDurableEnd = 0; ///< Highest worker's end that the leader has.
   int64_t m_LastAckSent = 0;    ///< Highest end acknowledged to the worker.
+  /// By task. Their ends are not acknowledged to the worker.
+  std::map<TaskKey, UnsettledStart> m_UnsettledStarts;
 
   CallId m_NextCall = 1;
   std::map<CallId, OutstandingCall> m_Calls;
--- a/tests/runner/RunnerTest.cpp
+++ b/tests/runner/RunnerTest.cpp
@@ -381,6 +381,118 @@
   BOOST_TEST((Report.ends[0].kind == wire::RunEndKind::NOT_STARTED));
 }
 
+/// Returns a listed end of run 1 of a task.
+ListedEnd listedEnd(int32_t Index, int64_t Number) {
+  ListedEnd End;
+  End.m_Number = Number;
+  End.m_Task = taskNumber(Index);
+  End.m_Run = 1;
+  return End;
+}
+
+// Guards against a second start of a run whose end was acknowledged: a start
+// order without an answer arrives once the worker has forgotten the end.
+BOOST_FIXTURE_TEST_CASE(AcknowledgesAnEndOnlyOnceItsStartIsRuledOut, Bench) {
+  serve();
+  order({order(0, 1), order(1, 1)});
+  std::vector<CallId> Starts;
+  for (const Action &Each : m_Actions)
+    if (const auto *Start = std::get_if<StartCall>(&Each))
+      Starts.push_back(Start->m_Call);
+  BOOST_REQUIRE(Starts.size() == 2);
+  m_Actions.clear();
+  step(answer(Starts[0]));
+  step(answer(Starts[1], CallError::NoAnswer));
+  CallAnswer Ended = answer(m_OpenHold);
+  Ended.m_Ends = {listedEnd(0, 1), listedEnd(1, 2)};
+  step(Ended);
+  const auto Stop = take<StopCall>();
+  BOOST_REQUIRE(Stop);
+  BOOST_TEST((Stop->m_Task == taskNumber(1)));
+  BOOST_TEST(Stop->m_Run == 1);
+
+  pass(milliseconds(25));
+  const wire::WorkerSyncRequest Report = report();
+  BOOST_REQUIRE(Report.ends.size() == 2);
+  wire::WorkerSyncReply Durable = reply(Report.sequence);
+  Durable.acknowledgedEndNumber = Report.firstEndNumber + 1;
+  m_Actions.clear();
+  replyWith(Durable);
+  // The end of the answered start is acknowledged, the other one is not.
+  const auto First = take<HoldCall>();
+  BOOST_REQUIRE(First);
+  BOOST_TEST(First->m_AcknowledgedEnd == 1);
+
+  // A stop without an answer proves nothing and is repeated.
+  step(answer(Stop->m_Call, CallError::NoAnswer));
+  BOOST_TEST(!take<HoldCall>());
+  pass(milliseconds(250));
+  const auto Again = take<StopCall>();
+  BOOST_REQUIRE(Again);
+  step(answer(Again->m_Call));
+  const auto Second = take<HoldCall>();
+  BOOST_REQUIRE(Second);
+  BOOST_TEST(Second->m_AcknowledgedEnd == 2);
+}
+
+// Guards against keeping a run for the next life of a worker because a stop is
+// in flight. The task would wait for the end of a lease if no such life comes.
+BOOST_FIXTURE_TEST_CASE(GivesUpAListedRunWhoseStopIsInFlight, Bench) {
+  serve();
+  order({order(0, 1)});
+  step(answerToStart());
+  CallAnswer List = answer(m_OpenHold);
+  ListedRun Listed;
+  Listed.m_Task = taskNumber(0);
+  Listed.m_Run = 1;
+  List.m_Runs = {Listed};
+  step(List);
+  const CallId Hold = take<HoldCall>()->m_Call;
+  pass(milliseconds(25));
+  wire::WorkerSyncReply Reply = reply(report().sequence);
+  wire::RunRef Ref;
+  Ref.task = taskNumber(0);
+  Ref.run = 1;
+  Reply.stops = {Ref};
+  replyWith(Reply);
+  BOOST_REQUIRE(take<StopCall>());
+  step(answer(Hold, CallError::Unreachable));
+  pass(milliseconds(250));
+  step(answer(take<HoldCall>()->m_Call, CallError::Unreachable));
+  pass(milliseconds(25));
+  BOOST_TEST((report().endedIncarnation == m_Incarnation));
+  BOOST_TEST(report().unaccountedRuns.empty());
+}
+
+// Guards against starting a run on a worker that drains by a repeated order:
+// the start may arrive seconds after the worker should get no new runs.
+BOOST_FIXTURE_TEST_CASE(RulesOutAnUnansweredStartWhileTheWorkerDrains, Bench) {
+  serve();
+  order({order(0, 1)});
+  const CallId Start = take<StartCall>()->m_Call;
+  step(answer(Start, CallError::NoAnswer));
+  WorkerAnnounced Draining;
+  Draining.m_Info.incarnation = m_Incarnation;
+  Draining.m_Draining = true;
+  Draining.m_Remaining = seconds(2);
+  step(Draining);
+  pass(milliseconds(250));
+  BOOST_TEST(!take<StartCall>());
+  const auto Stop = take<StopCall>();
+  BOOST_REQUIRE(Stop);
+  step(answer(Stop->m_Call));
+  pass(milliseconds(25));
+  step(answer(m_OpenHold));
+  const auto Hold = take<HoldCall>();
+  BOOST_REQUIRE(Hold);
+  pass(milliseconds(50));
+  step(answer(Hold->m_Call));
+  pass(milliseconds(50));
+  const wire::WorkerSyncRequest Report = report();
+  BOOST_REQUIRE(Report.ends.size() == 1);
+  BOOST_TEST((Report.ends[0].kind == wire::RunEndKind::NOT_STARTED));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace anvil::runner
