dispatch: Preempt for urgent work by what the delays cost callers

Callers of large urgent gangs waited 7 to 11 s beside less urgent work that had time, and their jobs were late; small urgent jobs with time to spare stopped runs that were about to end.

Cause: an urgent job outside its guarantee could stop at most half as much work as its own, whatever the deadlines. Ruled out: reservations, which waited for the longest run of the chosen workers, and placement, since no room was free.

DelayCost compares the value that the urgent job loses by waiting for runs to end with what the stopped jobs lose by starting again. A guarantee is reclaimed as before.

--- a/src/dispatch/JobRank.cpp
+++ b/src/dispatch/JobRank.cpp
@@ -25,6 +25,14 @@
 // urgency rises, in lengths of the job's critical path.
 constexpr double LookAhead = 2;
 
+// Each level of priority counts this many times the next one when delays of
+// jobs of different priority are compared.
+constexpr double PriorityRatio = 2;
+
+// Forecast ends are off by about this share of the length of the job, so the
+// chance to meet an objective falls gradually around it.
+constexpr double ForecastError = 0.2;
+
 // Rank of a job that can earn nothing any more. It is served only if no other
 // job wants the resources; older jobs go first.
 constexpr double NoValueRank = 1e-9;
@@ -37,6 +45,12 @@
   return std::exp(-SlackSeconds / (LookAhead * std::max(0.1, LengthSeconds)));
 }
 
+// Returns the chance that a job of this length still ends in time.
+double chanceInTime(double SlackSeconds, double LengthSeconds) {
+  const double Scale = ForecastError * std::max(0.1, LengthSeconds);
+  return 1 / (1 + std::exp(-SlackSeconds / Scale));
+}
+
 // Returns how long a run still needs. Nothing waits for the end of one that
 // lasts; one that stands still needs the time of its work elsewhere.
 Duration timeLeft(const wire::StepSpec &Spec, const RunForecast &Forecast,
@@ -55,6 +69,14 @@
          CoresPerAccelerator * Amounts.accelerators;
 }
 
+double JobUrgency::valueAfter(Duration Delay) const {
+  const double Length = secondsOf(m_CriticalPath);
+  return m_Weight * ((1 - LateValueShare) *
+                         chanceInTime(secondsOf(m_Slack - Delay), Length) +
+                     LateValueShare *
+                         chanceInTime(secondsOf(m_LateSlack - Delay), Length));
+}
+
 void JobRank::update(const workload::WorkloadState &State, TimePoint Now) {
   std::map<std::string, TimePoint> Known;
   for (const auto &[Index, Id] : State.liveJobs()) {
@@ -121,6 +143,8 @@
       Left = std::max(Left, TaskLeft);
       Result.m_CoreSecondsLeft += coresOf(Spec.perTask) * secondsOf(TaskLeft);
     }
+    Result.m_CoreSeconds +=
+        coresOf(Spec.perTask) * Spec.tasks * secondsOf(Each);
     WholeEnds.push_back(WholeBegin + Each);
     LeftEnds.push_back(LeftBegin + Left);
     Result.m_CriticalPath = std::max(Result.m_CriticalPath, WholeEnds.back());
@@ -138,14 +162,16 @@
       scaled(JobWork.m_CriticalPath, std::max(1.0, Job.slackFactor)) +
       std::chrono::milliseconds(Job.latencyTargetMs);
   JobUrgency Result;
+  Result.m_CriticalPath = JobWork.m_CriticalPath;
   Result.m_CriticalPathLeft = JobWork.m_CriticalPathLeft;
   Result.m_Slack = Since + Objective - Now - JobWork.m_CriticalPathLeft;
-  const Duration LateSlack = Since + scaled(Objective, LateObjectives) - Now -
-                             JobWork.m_CriticalPathLeft;
+  Result.m_LateSlack = Since + scaled(Objective, LateObjectives) - Now -
+                       JobWork.m_CriticalPathLeft;
+  Result.m_WholeWork = JobWork.m_CoreSeconds;
   const double Length = secondsOf(JobWork.m_CriticalPath);
   const double Value =
       (1 - LateValueShare) * urgencyFactor(secondsOf(Result.m_Slack), Length) +
-      LateValueShare * urgencyFactor(secondsOf(LateSlack), Length);
+      LateValueShare * urgencyFactor(secondsOf(Result.m_LateSlack), Length);
   // Small jobs are worth more in relation to their work than large ones.
   const double Work = std::max(1.0, JobWork.m_CoreSecondsLeft);
   const auto Mean = m_MeanWork.find(Job.queue);
@@ -155,6 +181,10 @@
       (FixedValueShare * MeanWork / Work + (1 - FixedValueShare));
   const double Age = secondsOf(Now - Since);
   Result.m_Rank = Value * PerWork + NoValueRank * (1 + Age);
+  Result.m_Weight =
+      std::pow(PriorityRatio, -Job.priority) *
+      (FixedValueShare +
+       (1 - FixedValueShare) * JobWork.m_CoreSeconds / std::max(1.0, MeanWork));
   return Result;
 }
 
--- a/src/dispatch/JobRank.h
+++ b/src/dispatch/JobRank.h
@@ -13,13 +13,27 @@
 
 /// How urgent a job is at the time of a plan.
 struct JobUrgency {
+  /// Shortest time in which the whole job can complete.
+  Duration m_CriticalPath{0};
   /// Shortest time in which the rest of the job can complete.
   Duration m_CriticalPathLeft{0};
   /// How long its start can be delayed without missing its objective; negative
   /// if it misses the objective in any case.
   Duration m_Slack{0};
+  /// The same for the last time at which its result is of any use.
+  Duration m_LateSlack{0};
+  /// Work of the whole job, in core seconds.
+  double m_WholeWork = 0;
+  /// What the job is worth to its caller, in relation to other jobs: grows with
+  /// its work and doubles with each level of priority.
+  double m_Weight = 0;
   /// Order among jobs of equal priority; the highest rank goes first.
   double m_Rank = 0;
+
+  /// Returns the value that the caller can expect if the job is delayed by \p
+  /// Delay from now: the weight if it then meets its objective for sure, less
+  /// if it may miss it, a part if it is late, and 0 if it is of no use.
+  double valueAfter(Duration Delay) const;
 };
 
 /// Ranks jobs of equal priority by the value that callers lose if the jobs
@@ -48,6 +62,7 @@
   struct Work {
     Duration m_CriticalPath{0};     ///< Time that the whole job takes at least.
     Duration m_CriticalPathLeft{0}; ///< The same for what is not done.
+    double m_CoreSeconds = 0;       ///< Work of the whole job.
     double m_CoreSecondsLeft = 0;
   };
   struct Mean {
--- a/src/dispatch/Planner.cpp
+++ b/src/dispatch/Planner.cpp
@@ -13,10 +13,6 @@
 // ranks. Each reservation keeps smaller tasks from starting on its workers.
 constexpr int MaxReservations = 3;
 
-// A job that no guarantee covers may preempt work of at most this share of its
-// own.
-constexpr double MaxLostShare = 0.5;
-
 // A job of which nothing runs yields to reservations for at most this long
 // while less than this share of its service is in use.
 constexpr Duration MaxHeldBack = std::chrono::seconds(2);
@@ -187,14 +183,20 @@
   m_Commands.push_back(std::move(Command));
 }
 
-bool Planner::mayEvict(const WaitingStep &Step, const Eviction &Found) const {
+// A job that no guarantee covers makes room only if its callers would lose more
+// by its wait than those of the stopped runs by theirs.
+bool Planner::mayEvict(const WaitingStep &Step, const Eviction &Found) {
   if (m_Guarantees.covers(*Step.m_Job))
     return true;
-  const double Own = coresOf(Step.m_Spec->perTask) *
-                     static_cast<double>(Step.m_Indexes.size()) *
-                     secondsOf(Step.m_Expected);
-  return Step.m_Job->priority == 0 &&
-         Found.m_LostCoreSeconds <= MaxLostShare * Own;
+  if (Step.m_Job->priority != 0)
+    return false;
+  const std::optional<PlannedStart> Start = findPlannedStart(Step);
+  std::optional<Duration> Wait;
+  if (Start)
+    Wait = Start->m_At - m_Now;
+  const Duration HeldFor = m_Options.m_StopTime + Step.m_Expected;
+  return m_DelayCost.ofWaiting(*Step.m_Job, m_Options.m_StopTime, Wait) >
+         m_DelayCost.ofEviction(m_Fleet, Found, HeldFor);
 }
 
 // Only a gang that had to stay in one rack can turn out to fit here after it
@@ -289,26 +291,29 @@
   return *First;
 }
 
-// Reserves resources on the workers on which a gang, or one more task of
-// another step, can start first, so that no work is placed there that would
-// still run then.
-void Planner::reserve(const WaitingStep &Step) {
-  std::optional<TimePoint> Best;
-  std::vector<std::pair<size_t, int32_t>> BestTaskCounts;
+std::optional<Planner::PlannedStart>
+Planner::findPlannedStart(const WaitingStep &Step) const {
+  std::optional<PlannedStart> Best;
   for (const std::string &Rack : m_Placer.racksFor(Step)) {
     std::vector<std::pair<size_t, int32_t>> TaskCounts;
     const std::optional<TimePoint> When =
         findReservation(Step, Rack, TaskCounts);
-    if (When && (!Best || *When < *Best)) {
-      Best = When;
-      BestTaskCounts = std::move(TaskCounts);
-    }
+    if (When && (!Best || *When < Best->m_At))
+      Best = PlannedStart{*When, std::move(TaskCounts)};
   }
+  return Best;
+}
+
+// Reserves resources on the workers on which a gang, or one more task of
+// another step, can start first, so that no work is placed there that would
+// still run then.
+void Planner::reserve(const WaitingStep &Step) {
+  const std::optional<PlannedStart> Best = findPlannedStart(Step);
   // A gang that spans racks is slow, but may still end sooner.
   if (Step.m_OneRack) {
     const Duration Extra =
         scaled(Step.m_Expected, m_Options.m_RemotePenalty - 1);
-    if (!Best || *Best > m_Now + Extra) {
+    if (!Best || Best->m_At > m_Now + Extra) {
       WaitingStep Anywhere = Step;
       Anywhere.m_OneRack = false;
       if (const std::optional<StepPlacement> Chosen =
@@ -324,9 +329,9 @@
   m_LeastUrgentReserving =
       std::max(m_LeastUrgentReserving, Step.m_Job->priority);
   const wire::ResourceAmounts Need = workload::countedAmounts(*Step.m_Spec);
-  for (const auto &[Index, Tasks] : BestTaskCounts) {
+  for (const auto &[Index, Tasks] : Best->m_TaskCounts) {
     Reservation New;
-    New.m_From = *Best;
+    New.m_From = Best->m_At;
     workload::add(New.m_Amounts, Need, Tasks);
     m_Fleet.workers()[Index].m_Reservations.push_back(New);
   }
--- a/src/dispatch/Planner.h
+++ b/src/dispatch/Planner.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "DelayCost.h"
 #include "Fleet.h"
 #include "Guarantees.h"
 #include "JobRank.h"
@@ -32,7 +33,7 @@
       : m_Fleet(PlanFleet), m_Options(Options), m_Tracker(Tracker),
         m_Rank(Rank), m_Settled(Settled), m_Now(Now), m_Guarantees(State),
         m_Placer(PlanFleet, Options.m_RemotePenalty),
-        m_Preemption(PlanFleet, m_Placer) {}
+        m_Preemption(PlanFleet, m_Placer), m_DelayCost(Rank, Tracker, Now) {}
 
   /// Stops runs that have not started on workers of withdrawn zones. Their
   /// start orders would otherwise be repeated until the worker answers.
@@ -64,8 +65,16 @@
                    std::string_view Reason);
   void makeRoom(const WaitingStep &Step, int32_t Count);
   bool isFreeNow(const WaitingStep &Step, const Eviction &Found) const;
-  bool mayEvict(const WaitingStep &Step, const Eviction &Found) const;
+  bool mayEvict(const WaitingStep &Step, const Eviction &Found);
   void reserve(const WaitingStep &Step);
+  /// When and where a gang, or one more task of another step, can start if only
+  /// runs that are about to end make room.
+  struct PlannedStart {
+    TimePoint m_At;
+    /// Index of the worker and number of tasks there.
+    std::vector<std::pair<size_t, int32_t>> m_TaskCounts;
+  };
+  std::optional<PlannedStart> findPlannedStart(const WaitingStep &Step) const;
   std::optional<TimePoint>
   findReservation(const WaitingStep &Step, const std::string &Rack,
                   std::vector<std::pair<size_t, int32_t>> &TaskCounts) const;
@@ -83,6 +92,7 @@
   Guarantees m_Guarantees;
   Placer m_Placer;
   Preemption m_Preemption;
+  DelayCost m_DelayCost;
   int m_Reservations = 0;
   /// Lowest priority (highest number) of a step that has a reservation.
   int32_t m_LeastUrgentReserving = 0;
