dispatch: Judge progress by what the worker listed, not by its agent

Callers of urgent gangs lost 3 s of work: all members were stopped with "it makes no progress" on a worker that did not answer for some seconds.

Cause: the progress of a run was dated by the sync of the agent, which repeats the last list that it has read. After 2.5 s without an answer of the worker each run there looked stalled. Ruled out: stragglers, whose progress changes more often than that.

Reports are dated by the worker's last answer, which the sync contains.

--- a/src/dispatch/RunTracker.cpp
+++ b/src/dispatch/RunTracker.cpp
@@ -193,20 +193,20 @@
 }
 
 void RunTracker::recordStatus(const wire::RunStatus &Status,
-                              TimePoint ReceivedAt) {
+                              TimePoint ReceivedAt, TimePoint ListedAt) {
   const auto It = m_Runs.find(taskOf(Status.task));
   if (It == m_Runs.end() || It->second.m_Run != Status.run || !Status.running)
     return;
   TrackedRun &Tracked = It->second;
-  Tracked.m_LastReportAt = ReceivedAt;
+  Tracked.m_LastReportAt = ListedAt;
   if (!Tracked.m_Started) {
     Tracked.m_Started = true;
     Tracked.m_StartedAt =
         ReceivedAt - std::chrono::milliseconds(Status.runningMs);
     Tracked.m_FirstPercent = Status.percent;
-    Tracked.m_FirstAt = ReceivedAt;
+    Tracked.m_FirstAt = ListedAt;
     Tracked.m_Percent = Status.percent;
-    Tracked.m_PercentAt = ReceivedAt;
+    Tracked.m_PercentAt = ListedAt;
     return;
   }
   if (Status.percent == Tracked.m_Percent)
@@ -214,15 +214,15 @@
   // Agents report to the leader more often than they hear from the worker.
   // Measured between reports that repeat a percent, the speed of a steady run
   // would vary by a factor of two.
-  Tracked.m_Samples.push_back({ReceivedAt, Status.percent});
+  Tracked.m_Samples.push_back({ListedAt, Status.percent});
   updateSpeed(Tracked);
   // A gang stays at zero percent until all of its members have started.
   if (Tracked.m_Percent == 0) {
     Tracked.m_FirstPercent = Status.percent;
-    Tracked.m_FirstAt = ReceivedAt;
+    Tracked.m_FirstAt = ListedAt;
   }
   Tracked.m_Percent = Status.percent;
-  Tracked.m_PercentAt = ReceivedAt;
+  Tracked.m_PercentAt = ListedAt;
   Tracked.m_StallReported = false;
 }
 
@@ -234,7 +234,9 @@
       continue;
     for (const wire::RunStatus &Status : Live->m_Runs) {
       adopt(Status, State, Live->m_LastSyncAt);
-      recordStatus(Status, Live->m_LastSyncAt);
+      // An agent repeats what its worker listed last, also if the worker has
+      // not answered since.
+      recordStatus(Status, Live->m_LastSyncAt, Live->m_LastReplyAt);
     }
   }
   std::map<StepKey, StepSpeeds> Steps;
--- a/src/dispatch/RunTracker.h
+++ b/src/dispatch/RunTracker.h
@@ -82,7 +82,7 @@
     TimePoint m_FirstAt; ///< When m_FirstPercent was seen.
     int32_t m_Percent = 0;
     TimePoint m_PercentAt;    ///< When the percent changed last.
-    TimePoint m_LastReportAt; ///< Last report that listed the run.
+    TimePoint m_LastReportAt; ///< When the worker last listed the run.
     bool m_StallReported = false;
     /// Recent changes of the percent, oldest first, to detect a change of
     /// speed.
@@ -111,7 +111,8 @@
                const workload::WorkloadState &State, TimePoint Now);
   void adopt(const wire::RunStatus &Status,
              const workload::WorkloadState &State, TimePoint ReceivedAt);
-  void recordStatus(const wire::RunStatus &Status, TimePoint ReceivedAt);
+  void recordStatus(const wire::RunStatus &Status, TimePoint ReceivedAt,
+                    TimePoint ListedAt);
   static void updateSpeed(TrackedRun &Tracked);
   void checkStall(const wire::JobRecord &Job, const wire::TaskRef &Ref,
                   TrackedRun &Tracked, TimePoint Now);
