soak: Close idle connections before the event loop ends

Each run of the fault soak ended with dozens of "Event loop is closed" traces, which hid what matters. Cause: the pool of idle connections was never closed, so their writers were destroyed after the loop.

--- a/tests/soak/http11.py
+++ b/tests/soak/http11.py
@@ -76,6 +76,12 @@
     def release(self, address, connection):
         self.idle.setdefault(address, []).append(connection)
 
+    def close(self):
+        for connections in self.idle.values():
+            for _, writer in connections:
+                writer.close()
+        self.idle.clear()
+
 
 async def request(address, method, path, value=None, headers=None, timeout=3.0, raw=None, pool=None):
     """Returns (status, headers, body bytes), or None if no complete response arrives in time."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -306,6 +306,16 @@
         finally:
             supervisor.cancel()
             await self.cluster.stop()
+            await self._close_connections()
+
+    async def _close_connections(self):
+        """Closes the connections that are left while the event loop runs; later it can't close them."""
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.connections.close()
+        await asyncio.sleep(0)
 
 
 def run_seed(program, work_dir, seed, seconds):
