--- a/src/dispatch/DelayCost.h
+++ b/src/dispatch/DelayCost.h
@@ -24,6 +24,10 @@
   DelayCost(const JobRank &Rank, const RunTracker &Tracker, TimePoint Now)
       : m_Rank(Rank), m_Tracker(Tracker), m_Now(Now) {}
 
+  /// Returns how long the job can wait without missing its objective.
+  Duration slackOf(const wire::JobRecord &Job) {
+    return urgencyOf(Job).m_Slack;
+  }
   /// Returns the value that the callers of a job lose if it starts after \p
   /// Later instead of after \p Sooner. An absent \p Later stands for a start
   /// that can't be foreseen.
