dispatch: Do not let urgent work wait for runs that are about to end

Cause: an overdue run is forecast to end within 50 ms in each plan, so the wait is renewed until the slack is used up. Ruled out: the limit of a quarter of the slack, which only shortens it.

Urgent work may again stop up to half of its own work at once; beyond that the costs of the delays decide.

--- a/src/dispatch/DelayCost.h
+++ b/src/dispatch/DelayCost.h
@@ -13,10 +13,9 @@
 /// Compares what callers lose if an urgent job waits with what they lose if
 /// less urgent runs are stopped for it.
 ///
-/// Answers a load in which urgent steps need more room than is free: stopping
-/// anything that is less urgent throws away more work than the short wait for
-/// runs that are about to end, and stopping only little lets large urgent gangs
-/// wait until they are worthless beside work that has time.
+/// Answers a load in which large urgent gangs need more room than is free: if
+/// only little work may be stopped for them, they wait until they are worthless
+/// beside work that has time.
 ///
 /// Usage: create one for each plan.
 class DelayCost {
@@ -24,10 +23,6 @@
   DelayCost(const JobRank &Rank, const RunTracker &Tracker, TimePoint Now)
       : m_Rank(Rank), m_Tracker(Tracker), m_Now(Now) {}
 
-  /// Returns how long the job can wait without missing its objective.
-  Duration slackOf(const wire::JobRecord &Job) {
-    return urgencyOf(Job).m_Slack;
-  }
   /// Returns the value that the callers of a job lose if it starts after \p
   /// Later instead of after \p Sooner. An absent \p Later stands for a start
   /// that can't be foreseen.
--- a/src/dispatch/Planner.cpp
+++ b/src/dispatch/Planner.cpp
@@ -18,10 +18,6 @@
 constexpr Duration MaxHeldBack = std::chrono::seconds(2);
 constexpr double MostlyFreeShare = 0.5;
 
-// An urgent job counts on forecasts of ends only if it had time for this many
-// such waits: runs may take several times as long as expected.
-constexpr double MinWaitsInSlack = 4;
-
 // An urgent job may stop work of at most this share of its own whatever the
 // deadlines are.
 constexpr double MaxLostShare = 0.5;
@@ -191,26 +187,23 @@
   m_Commands.push_back(std::move(Command));
 }
 
-// A job that no guarantee covers waits if runs end in good time for it, and
-// else makes room if that costs little work, or if its callers would lose more
-// by its wait than those of the stopped runs by theirs.
+// A job that no guarantee covers makes room if that costs little work, or if
+// its callers would lose more by its wait than those of the stopped runs by
+// theirs.
 bool Planner::mayEvict(const WaitingStep &Step, const Eviction &Found) {
   if (m_Guarantees.covers(*Step.m_Job))
     return true;
   if (Step.m_Job->priority != 0)
     return false;
-  const std::optional<PlannedStart> Start = findPlannedStart(Step);
-  std::optional<Duration> Wait;
-  if (Start)
-    Wait = Start->m_At - m_Now;
-  if (Wait && m_DelayCost.slackOf(*Step.m_Job) >=
-                  m_Options.m_StopTime + scaled(*Wait, MinWaitsInSlack))
-    return false;
   const double Own = coresOf(Step.m_Spec->perTask) *
                      static_cast<double>(Step.m_Indexes.size()) *
                      secondsOf(Step.m_Expected);
   if (Found.m_LostCoreSeconds <= MaxLostShare * Own)
     return true;
+  const std::optional<PlannedStart> Start = findPlannedStart(Step);
+  std::optional<Duration> Wait;
+  if (Start)
+    Wait = Start->m_At - m_Now;
   const Duration HeldFor = m_Options.m_StopTime + Step.m_Expected;
   return m_DelayCost.ofWaiting(*Step.m_Job, m_Options.m_StopTime, Wait) >
          m_DelayCost.ofEviction(m_Fleet, Found, HeldFor);
