tests: Replay unequal workers and stragglers

Nothing replayed a deployment whose workers differ in speed for good, so the scheduler's decisions there could not be compared. The pattern unequal-workers has a quarter of the workers at 0.55 of the normal speed, the others at 1.2, and 3% of the tasks take 7 times as long. The objective of a job counts the work of its stragglers. Without stragglers no random number is drawn, so the jobs of the other patterns stay the same.

--- a/tests/dispatch/sim/DeploymentProfile.cpp
+++ b/tests/dispatch/sim/DeploymentProfile.cpp
@@ -61,9 +61,13 @@
     std::vector<Duration> Tasks;
     const double GangWork = draw(Rng, Mean, Kind.m_TaskWorkSpread, 3 * Mean);
     for (int32_t I = 0; I < Spec.tasks; ++I) {
-      const double Each =
-          Spec.gang ? GangWork
-                    : draw(Rng, Mean, Kind.m_TaskWorkSpread, 3 * Mean);
+      double Each = Spec.gang
+                        ? GangWork
+                        : draw(Rng, Mean, Kind.m_TaskWorkSpread, 3 * Mean);
+      // Without stragglers nothing is drawn, so that the jobs of a seed stay
+      // the same.
+      if (Kind.m_StragglerShare > 0 && Rng.chance(Kind.m_StragglerShare))
+        Each *= Kind.m_StragglerFactor;
       Tasks.push_back(durationOf(Each));
       Work += Each * (Spec.perTask.milliCores / 1000.0 +
                       8.0 * Spec.perTask.accelerators);
--- a/tests/dispatch/sim/DeploymentProfile.h
+++ b/tests/dispatch/sim/DeploymentProfile.h
@@ -30,6 +30,9 @@
   double m_CheckpointShare = 0;
   double m_CancelShare = 0;
   double m_FailShare = 0.005;
+  /// Share of the tasks that need m_StragglerFactor times their usual work.
+  double m_StragglerShare = 0;
+  double m_StragglerFactor = 7;
   double m_Value = 3;
   double m_LateValueShare = 0.5; ///< Of the value, for a late end.
   double m_SlackFactor = 3;
--- a/tests/dispatch/sim/LoadReplay.cpp
+++ b/tests/dispatch/sim/LoadReplay.cpp
@@ -23,6 +23,13 @@
 constexpr double FastSpeed = 1.3;
 constexpr size_t FastEvery = 3;
 
+// Deployment B: a quarter of the workers is slow for good, the others are fast,
+// and few tasks take far longer than the others of their step.
+constexpr double UnequalSlowSpeed = 0.55;
+constexpr double UnequalFastSpeed = 1.2;
+constexpr size_t UnequalSlowEvery = 4;
+constexpr double UnequalStragglerShare = 0.03;
+
 size_t anyWorker(SimCluster &Cluster) {
   return static_cast<size_t>(
       Cluster.random().below(static_cast<int64_t>(Cluster.workers().size())));
@@ -108,6 +115,17 @@
   scheduleLeaderLosses(Cluster, Span);
 }
 
+void setUsualSpeeds(SimCluster &Cluster) {
+  for (size_t I = 0; I < Cluster.workers().size(); I += FastEvery)
+    Cluster.workers().at(I).setSpeed(FastSpeed);
+}
+
+void setUnequalSpeeds(SimCluster &Cluster) {
+  for (size_t I = 0; I < Cluster.workers().size(); ++I)
+    Cluster.workers().at(I).setSpeed(
+        I % UnequalSlowEvery == 0 ? UnequalSlowSpeed : UnequalFastSpeed);
+}
+
 std::vector<LoadPattern> makePatterns() {
   const auto BurstOf = [](size_t Kind, double Factor) {
     return Burst{Kind, Factor, seconds(14), seconds(6)};
@@ -129,6 +147,7 @@
       {"zone-leaves", 1, {}, scheduleZoneWithdrawal},
       {"leader-losses", 1, {}, scheduleLeaderLosses},
       {"burst-and-faults", 1, All, scheduleMixed},
+      {"unequal-workers", 1, {}, {}, setUnequalSpeeds, UnequalStragglerShare},
   };
 }
 
@@ -231,6 +250,9 @@
 ReplayMetrics replayLoad(const DeploymentProfile &Profile,
                          const LoadPattern &Pattern, uint64_t First,
                          uint64_t Count, const ReplayHooks &Hooks) {
+  DeploymentProfile Loaded = Profile;
+  for (JobKind &Kind : Loaded.m_Kinds)
+    Kind.m_StragglerShare = Pattern.m_StragglerShare;
   Collector Metrics(Profile);
   for (uint64_t Seed = First; Seed < First + Count; ++Seed) {
     SimClusterOptions Options;
@@ -238,10 +260,11 @@
     Options.m_ChecksState = false;
     Options.m_Trace = Hooks.m_Trace;
     SimCluster Cluster(Options, policyOf(Profile), fleetOf(Profile));
-    for (size_t I = 0; I < Cluster.workers().size(); I += FastEvery)
-      Cluster.workers().at(I).setSpeed(FastSpeed);
-    addArrivals(Cluster, Profile, ArrivalSpan, Pattern.m_Load,
-                Pattern.m_Bursts);
+    if (Pattern.m_Speeds)
+      Pattern.m_Speeds(Cluster);
+    else
+      setUsualSpeeds(Cluster);
+    addArrivals(Cluster, Loaded, ArrivalSpan, Pattern.m_Load, Pattern.m_Bursts);
     if (Pattern.m_Faults)
       Pattern.m_Faults(Cluster, ArrivalSpan);
     Cluster.run(ArrivalSpan + FinishSpan);
--- a/tests/dispatch/sim/LoadReplay.h
+++ b/tests/dispatch/sim/LoadReplay.h
@@ -18,6 +18,10 @@
   std::vector<Burst> m_Bursts;
   /// Schedules faults within the given span; may be empty.
   std::function<void(SimCluster &, Duration)> m_Faults;
+  /// Sets the speeds that the workers keep; the usual ones if empty.
+  std::function<void(SimCluster &)> m_Speeds = nullptr;
+  /// Share of the tasks of all kinds that are stragglers.
+  double m_StragglerShare = 0;
 };
 
 /// Returns the patterns by which placement is judged; the one without bursts
