dispatch: Learn a lasting speed of each machine

A worker at half speed for good counted as faulty again and again, forecasts of its runs were wrong until they had shown progress, and the times of its tasks distorted what was learned about their queue. A run that was steadily slow could be stopped because 'it makes no progress', and a run without progress that had exceeded its estimate was expected to end at once.

WorkerHealth explains slowness by faults that last seconds and forgets it as fast. Longer memory there was considered; one estimate can't do both.

WorkerSpeed keeps a robust running mean of logarithms for each VM, with a prior at speed 1, and speed 1 is in use until there is clear evidence of another. RunTracker learns it from the progress and the times of independent runs, compares runs for WorkerHealth at that speed, keeps times at normal speed, and forecasts with it. The stall limit follows the pace of the run. Without measured progress the remaining time is the mean residual of a log-normal distribution. m_LearnSpeeds switches it off, m_OnWorkerSpeed reports changes.

--- a/include/anvil/dispatch/Dispatcher.h
+++ b/include/anvil/dispatch/Dispatcher.h
@@ -1,6 +1,7 @@
 #ifndef ANVIL_DISPATCH_DISPATCHER_H
 #define ANVIL_DISPATCH_DISPATCHER_H
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -24,6 +25,14 @@
   double m_CoreSeconds = 0;
 };
 
+/// A new estimate of the lasting speed of a machine.
+struct WorkerSpeedChange {
+  std::string m_Worker;  ///< Id of the worker that runs there.
+  std::string m_Machine; ///< Its VM, or the worker id if that is not known.
+  double m_Speed = 1;    ///< 1 is normal; tasks take their time divided by it.
+  int64_t m_Observations = 0; ///< Runs from which the speed was learned.
+};
+
 /// Settings of a Dispatcher.
 struct DispatchOptions {
   /// Factor by which a task takes longer if it runs away from the rack of its
@@ -36,6 +45,12 @@
   Duration m_RestoreTime = std::chrono::milliseconds(600);
   /// Receives the work that observe() finds lost; may be empty.
   std::function<void(const LostWork &)> m_OnLostWork;
+  /// Learns a lasting speed of each worker from its runs and uses it in
+  /// forecasts, placement and moves; without it all speeds are 1.
+  bool m_LearnSpeeds = true;
+  /// Receives each speed that changed by more than a fifth since it was last
+  /// reported, at first since 1; may be empty.
+  std::function<void(const WorkerSpeedChange &)> m_OnWorkerSpeed;
 };
 
 /// Decides which runs start and which are stopped.
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -11,6 +11,7 @@
 #include "RunTimes.h"
 #include "RunTracker.h"
 #include "WorkerHealth.h"
+#include "WorkerSpeed.h"
 
 namespace anvil::dispatch {
 
@@ -22,6 +23,7 @@
 using internal::RunTracker;
 using internal::WaitingStep;
 using internal::WorkerHealth;
+using internal::WorkerSpeed;
 using workload::WorkloadState;
 
 namespace {
@@ -35,7 +37,11 @@
 struct Dispatcher::Impl {
   explicit Impl(DispatchOptions Options)
       : m_Options(std::move(Options)),
-        m_Tracker(m_Times, m_Health, m_Options.m_OnLostWork), m_Rank(m_Times),
+        m_Tracker(m_Times, m_Health, m_Options.m_OnLostWork,
+                  m_Options.m_LearnSpeeds
+                      ? WorkerSpeed(m_Options.m_OnWorkerSpeed)
+                      : WorkerSpeed::disabled()),
+        m_Rank(m_Times),
         m_Mover({m_Options.m_StopTime, m_Options.m_RestoreTime}) {}
 
   std::vector<WaitingStep> waitingSteps(const WorkloadState &State,
--- a/src/dispatch/Fleet.cpp
+++ b/src/dispatch/Fleet.cpp
@@ -59,6 +59,7 @@
       View.m_LeavesAt = Live->m_LeavesAt;
     }
     View.m_Slowdown = Health.slowdown(Incarnation, Now);
+    View.m_Speed = Tracker.speeds().speedOf(Incarnation);
     View.m_Suspicion = Health.suspicion(Incarnation, Now);
     View.m_Free = Record.info.capacity;
     subtract(View.m_Free, Record.used);
--- a/src/dispatch/Fleet.h
+++ b/src/dispatch/Fleet.h
@@ -43,7 +43,10 @@
   bool m_RunsKnown = false;
   bool m_Draining = false;
   TimePoint m_LeavesAt;
+  /// Factor by which tasks take longer because of a fault that lasts seconds.
   double m_Slowdown = 1;
+  /// Lasting speed: 1 is normal, and tasks take their time divided by it.
+  double m_Speed = 1;
   /// Evidence against the worker: about the number of its recent failures of
   /// different steps. It decays with time and with each success; WorkerHealth
   /// defines the weights, the half-life and the bound.
--- a/src/dispatch/RunTimes.cpp
+++ b/src/dispatch/RunTimes.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 
 #include "Durations.h"
 
@@ -74,4 +75,25 @@
   return Result;
 }
 
+Duration remainingTime(const RunTime &Whole, Duration Elapsed) {
+  const double Expected = std::max(MinSeconds, secondsOf(Whole.m_Expected));
+  const double Ran = secondsOf(Elapsed);
+  if (Ran <= 0 || Whole.m_LogVariance <= 0)
+    return std::max(Duration(0), Whole.m_Expected - Elapsed);
+  const double Sigma = std::sqrt(Whole.m_LogVariance);
+  // Standard score of the time that it has run.
+  const double Score =
+      (std::log(Ran / Expected) + Whole.m_LogVariance / 2) / Sigma;
+  const auto Tail = [](double Value) {
+    return std::erfc(Value / std::numbers::sqrt2) / 2;
+  };
+  // Beyond this score the tails are too small to divide, and the mean residual
+  // is close to its asymptote.
+  constexpr double MaxScore = 6;
+  const double Left = Score < MaxScore
+                          ? Expected * Tail(Score - Sigma) / Tail(Score) - Ran
+                          : Ran * Sigma / Score;
+  return durationOf(std::max(0.0, Left));
+}
+
 } // namespace anvil::dispatch::internal
--- a/src/dispatch/RunTimes.h
+++ b/src/dispatch/RunTimes.h
@@ -24,9 +24,10 @@
 class RunTimes {
 public:
   /// Records that a task of \p Queue, which declared \p EstimateMs (0 for
-  /// none), ran for \p Elapsed from its beginning to its end.
+  /// none), ran for \p Elapsed from its beginning to its end, at the normal
+  /// speed of a worker.
   void learn(const std::string &Queue, int64_t EstimateMs, Duration Elapsed);
-  /// Returns the expected run time on a healthy worker.
+  /// Returns the expected run time on a healthy worker of normal speed.
   RunTime predict(const std::string &Queue, int64_t EstimateMs) const;
   void clear() { m_Queues.clear(); }
 
@@ -48,6 +49,13 @@
   std::map<std::string, QueueStats> m_Queues;
 };
 
+/// Returns how much longer a task is expected to run that has run for \p
+/// Elapsed: the mean residual of a log-normal distribution with the mean and
+/// the logarithmic variance of \p Whole. At the beginning it is the expected
+/// time; a task that has exceeded that is expected to run longer, and the more
+/// so the longer it has run.
+Duration remainingTime(const RunTime &Whole, Duration Elapsed);
+
 } // namespace anvil::dispatch::internal
 
 #endif // ANVIL_SRC_DISPATCH_RUNTIMES_H
--- a/src/dispatch/RunTracker.cpp
+++ b/src/dispatch/RunTracker.cpp
@@ -20,19 +20,18 @@
 constexpr double StallHundredths = 8;
 constexpr Duration MinStall = std::chrono::milliseconds(2500);
 
+// A run that was slow from the beginning counts as stalled if it gains no
+// percent for this many times as long as its earlier ones took.
+constexpr double StallPercents = 8;
+
 // Percent from which a member of a gang has done its work; percents are rounded
 // down.
 constexpr int32_t GangMemberDonePercent = 99;
 
-// Shortest remaining time of a forecast: an overdue run may end at any time.
-constexpr Duration MinRemaining = std::chrono::milliseconds(50);
-
 // Time over which the speed of a run is measured.
 constexpr Duration SpeedWindow = std::chrono::milliseconds(1200);
 
-// Variances of the logarithms of the run times of one step's tasks, and of the
-// speed of one run over time.
-constexpr double TaskVariance = 0.1;
+// Variance of the logarithm of the speed of one run over time.
 constexpr double RunVariance = 0.08;
 
 // Shorter times are rounded up to this, since their logarithm is used.
@@ -40,12 +39,13 @@
 
 } // namespace
 
-Duration RunTracker::expectedTime(const wire::JobRecord &Job,
-                                  const wire::TaskRef &Ref) const {
+RunTime RunTracker::expectedTime(const wire::JobRecord &Job,
+                                 const wire::TaskRef &Ref) const {
   if (const StepHistory *Known = timedHistory(stepOf(Ref)))
-    return Duration(std::llround(std::exp(Known->mean()) * 1e6));
+    return {Duration(std::llround(std::exp(Known->mean()) * 1e6)),
+            TaskVariance + TaskVariance / Known->m_Runs};
   const wire::StepSpec &Spec = Job.spec.steps[static_cast<size_t>(Ref.step)];
-  return m_Times.predict(Job.queue, Spec.estimateMs).m_Expected;
+  return m_Times.predict(Job.queue, Spec.estimateMs);
 }
 
 // Earlier runs of a step predict its time better than its estimate. Without
@@ -78,6 +78,9 @@
   auto It = m_Steps.lower_bound({Job, INT32_MIN, INT32_MIN});
   while (It != m_Steps.end() && std::get<0>(It->first) == Job)
     It = m_Steps.erase(It);
+  auto Moved = m_Moved.lower_bound({Job, INT32_MIN, INT32_MIN, INT32_MIN});
+  while (Moved != m_Moved.end() && std::get<0>(Moved->first) == Job)
+    Moved = m_Moved.erase(Moved);
 }
 
 void RunTracker::observe(const workload::WorkloadEvent &Event,
@@ -85,7 +88,7 @@
   if (const auto *Placed = std::get_if<workload::RunPlaced>(&Event))
     onPlaced(*Placed, State, Now);
   else if (const auto *Stopping = std::get_if<workload::RunStopping>(&Event))
-    onStopping(*Stopping);
+    onStopping(*Stopping, State);
   else if (const auto *Ended = std::get_if<workload::RunEnded>(&Event))
     onEnded(*Ended, State, Now);
   else if (const auto *Job = std::get_if<workload::JobChanged>(&Event);
@@ -105,7 +108,23 @@
   m_Runs[taskOf(Event.m_Task)] = New;
 }
 
-void RunTracker::onStopping(const workload::RunStopping &Event) {
+RunTracker::TaskKey RunTracker::moveKeyOf(const wire::StepSpec &Spec,
+                                          const wire::TaskRef &Ref) {
+  TaskKey Key = taskOf(Ref);
+  if (runsTogether(Spec))
+    std::get<3>(Key) = -1;
+  return Key;
+}
+
+void RunTracker::onStopping(const workload::RunStopping &Event,
+                            const workload::WorkloadState &State) {
+  const wire::JobRecord *Job = State.job(Event.m_Task.jobId);
+  if (Job &&
+      (Event.m_Reason == StalledReason || Event.m_Reason == SlowWorkerReason)) {
+    const auto Step = static_cast<size_t>(Event.m_Task.step);
+    m_Moved[moveKeyOf(Job->spec.steps[Step], Event.m_Task)].insert(
+        Event.m_Reason);
+  }
   const auto It = m_Runs.find(taskOf(Event.m_Task));
   if (It != m_Runs.end() && It->second.m_Run == Event.m_Run)
     It->second.m_StopReason = Event.m_Reason;
@@ -137,7 +156,7 @@
   const wire::JobRecord *Job = State.job(Event.m_Task.jobId);
   if (!Job || Node.empty() || Node.mapped().m_Run != Event.m_Run)
     return;
-  const TrackedRun &Tracked = Node.mapped();
+  TrackedRun &Tracked = Node.mapped();
   const auto Step = static_cast<size_t>(Event.m_Task.step);
   if (Step >= Job->spec.steps.size())
     return;
@@ -156,18 +175,22 @@
   const bool Independent = !runsTogether(Spec);
   if (Event.m_Kind == wire::RunEndKind::STOPPED && Independent &&
       speedOf(Tracked) > 0)
-    learnStep(Event.m_Task, 100 / speedOf(Tracked));
+    learnStep(Event.m_Task, 100 / speedOf(Tracked) * Tracked.m_WorkerSpeed);
   if (Event.m_Kind != wire::RunEndKind::DONE || !Tracked.m_FromStart)
     return;
   const Duration Took =
       Now - (Tracked.m_Started ? Tracked.m_StartedAt : Tracked.m_PlacedAt);
-  if (Independent)
-    learnStep(Event.m_Task, secondsOf(Took));
+  if (Independent) {
+    learnWorkerSpeed(*Job, stepOf(Event.m_Task), secondsOf(Took), {}, Tracked,
+                     Now);
+    learnStep(Event.m_Task, secondsOf(Took) * Tracked.m_WorkerSpeed);
+  }
   m_Health.recordSuccess(Event.m_Worker, Now);
   // The time of a run on a slow worker says nothing about its task.
   if (m_Health.slowdown(Event.m_Worker, Now) > 1)
     return;
-  m_Times.learn(Job->queue, Spec.estimateMs, Took);
+  m_Times.learn(Job->queue, Spec.estimateMs,
+                scaled(Took, Tracked.m_WorkerSpeed));
 }
 
 // A leader did not see how runs were placed that are older than its leadership.
@@ -237,6 +260,8 @@
       recordStatus(Status, Live->m_LastSyncAt);
     }
   }
+  m_Speeds.updateWorkers(State, Now);
+  updateWorkerSpeeds(State);
   std::map<StepKey, StepSpeeds> Steps;
   for (auto &[Key, Tracked] : m_Runs) {
     const wire::JobRecord *Job = State.job(std::get<0>(Key));
@@ -255,22 +280,29 @@
       continue;
     StepSpeed &Sum = Steps[stepOf(Ref)][keyOf(Tracked.m_Worker)];
     ++Sum.m_Runs;
-    Sum.m_LogTotal += std::log(100 / Speed);
+    Sum.m_LogTotal += std::log(100 / Speed * Tracked.m_WorkerSpeed);
     Sum.m_Worker = Tracked.m_Worker;
     Sum.m_Job = Job;
     Sum.m_Key = stepOf(Ref);
   }
   recordStepSpeeds(Steps, Now);
+  learnWorkerSpeeds(Steps, Now);
 }
 
 Duration RunTracker::stallLimit(const wire::JobRecord &Job,
                                 const wire::TaskRef &Ref,
-                                const wire::WorkerIncarnation &Worker,
+                                const TrackedRun &Tracked,
                                 TimePoint Now) const {
   const Duration Hundredth =
-      scaled(expectedTime(Job, Ref),
-             0.01 * std::max(1.0, m_Health.slowdown(Worker, Now)));
-  return std::max<Duration>(MinStall, scaled(Hundredth, StallHundredths));
+      scaled(expectedTime(Job, Ref).m_Expected,
+             0.01 * std::max(1.0, m_Health.slowdown(Tracked.m_Worker, Now)) /
+                 Tracked.m_WorkerSpeed);
+  Duration Result =
+      std::max<Duration>(MinStall, scaled(Hundredth, StallHundredths));
+  if (Tracked.percentGained() > 0)
+    Result = std::max(Result, scaled(Tracked.gainTime(),
+                                     StallPercents / Tracked.percentGained()));
+  return Result;
 }
 
 // Keeps a window of samples and updates the recent and the highest speed.
@@ -311,9 +343,8 @@
   if (Gang && Tracked.m_Percent >= GangMemberDonePercent)
     return;
   // A worker whose reports do not arrive is not judged.
-  if (Tracked.m_StallReported ||
-      Tracked.m_LastReportAt - Tracked.m_PercentAt <=
-          stallLimit(Job, Ref, Tracked.m_Worker, Now))
+  if (Tracked.m_StallReported || Tracked.m_LastReportAt - Tracked.m_PercentAt <=
+                                     stallLimit(Job, Ref, Tracked, Now))
     return;
   Tracked.m_StallReported = true;
   if (!Gang)
@@ -342,123 +373,4 @@
   m_Health.recordSpeed(Tracked.m_Worker, workload::nameOf(Ref), Evidence, Now);
 }
 
-// The tasks of one step resemble each other, so together they are no more
-// evidence than a single one of how far the step deviates from its expected
-// time.
-void RunTracker::recordStepSpeeds(const std::map<StepKey, StepSpeeds> &Steps,
-                                  TimePoint Now) {
-  for (const auto &[Key, All] : Steps)
-    for (const auto &[Worker, Speed] : All)
-      m_Health.recordSpeed(Speed.m_Worker,
-                           std::get<0>(Key) + "/" +
-                               std::to_string(std::get<1>(Key)) + "/" +
-                               std::to_string(std::get<2>(Key)),
-                           evidenceOf(All, Speed), Now);
-}
-
-// Compares a worker with the median of the other workers that run the same
-// step, or else with earlier runs of the step, or else with the prediction.
-SpeedEvidence RunTracker::evidenceOf(const StepSpeeds &All,
-                                     const StepSpeed &Speed) const {
-  std::vector<double> Others;
-  for (const auto &[Worker, Other] : All)
-    if (!(Other.m_Worker == Speed.m_Worker))
-      Others.push_back(Other.mean());
-  SpeedEvidence Evidence;
-  if (!Others.empty()) {
-    std::sort(Others.begin(), Others.end());
-    Evidence.m_LogRatio = Speed.mean() - Others[Others.size() / 2];
-    Evidence.m_Variance = TaskVariance / Speed.m_Runs +
-                          TaskVariance / static_cast<double>(Others.size());
-    return Evidence;
-  }
-  if (const StepHistory *Earlier = timedHistory(Speed.m_Key)) {
-    Evidence.m_LogRatio = Speed.mean() - Earlier->mean();
-    Evidence.m_Variance =
-        TaskVariance / Speed.m_Runs + TaskVariance / Earlier->m_Runs;
-    return Evidence;
-  }
-  const wire::StepSpec &Spec =
-      Speed.m_Job->spec.steps[static_cast<size_t>(std::get<2>(Speed.m_Key))];
-  const RunTime Time = m_Times.predict(Speed.m_Job->queue, Spec.estimateMs);
-  Evidence.m_LogRatio =
-      Speed.mean() - std::log(std::max(0.001, secondsOf(Time.m_Expected)));
-  Evidence.m_Variance = Time.m_LogVariance + TaskVariance / Speed.m_Runs;
-  return Evidence;
-}
-
-// A run whose order is still unanswered after the time that it should have
-// taken may start at any time or never.
-RunForecast RunTracker::forecastUnstarted(Duration Expected, TimePoint PlacedAt,
-                                          TimePoint Now) {
-  RunForecast Result;
-  Result.m_EndsAt = PlacedAt + Expected;
-  if (Result.m_EndsAt <= Now)
-    Result.m_EndsAt = NoKnownEnd;
-  return Result;
-}
-
-RunForecast RunTracker::forecastStarted(const wire::StepSpec &Spec,
-                                        const TrackedRun &Tracked,
-                                        Duration Whole, double Slowdown,
-                                        TimePoint Now) {
-  RunForecast Result;
-  Result.m_Started = true;
-  const int32_t PercentGained = Tracked.m_Percent - Tracked.m_FirstPercent;
-  const double LeftShare = (100 - std::min(Tracked.m_Percent, 100)) / 100.0;
-  Duration Remaining = scaled(Whole, LeftShare * Slowdown);
-  double HealthySeconds = secondsOf(Whole);
-  if (Tracked.m_RecentSpeed > 0) {
-    Remaining = Duration(
-        std::llround(LeftShare * 100 / Tracked.m_RecentSpeed * 1'000'000));
-    // On a healthy worker the run would be as fast as at its best, or faster
-    // than now by the slowdown of this worker, whichever is more.
-    HealthySeconds =
-        100 / std::max(Tracked.m_PeakSpeed, Tracked.m_RecentSpeed * Slowdown);
-  } else if (PercentGained >= MinPercentForRate) {
-    const double PerPercent =
-        secondsOf(Tracked.m_PercentAt - Tracked.m_FirstAt) / PercentGained;
-    Remaining =
-        Duration(std::llround(LeftShare * 100 * PerPercent * 1'000'000));
-    HealthySeconds = 100 * PerPercent / Slowdown;
-  }
-  Result.m_Stalled = Tracked.m_StallReported;
-  Result.m_EndsAt =
-      Result.m_Stalled
-          ? NoKnownEnd
-          : std::max(Now + MinRemaining, Tracked.m_PercentAt + Remaining);
-  // A stop saves the progress of a task that writes checkpoints.
-  Result.m_UnsavedSeconds =
-      Spec.checkpointing ? 0
-                         : std::max(HealthySeconds * (1 - LeftShare),
-                                    secondsOf(Now - Tracked.m_StartedAt));
-  Result.m_WorkLeftSeconds =
-      Spec.checkpointing ? HealthySeconds * LeftShare : HealthySeconds;
-  return Result;
-}
-
-RunForecast RunTracker::forecast(const wire::JobRecord &Job,
-                                 const wire::TaskRef &Ref,
-                                 const wire::TaskRecord &Task,
-                                 TimePoint Now) const {
-  const wire::StepSpec &Spec = Job.spec.steps[static_cast<size_t>(Ref.step)];
-  const Duration Whole = expectedTime(Job, Ref);
-  const double Slowdown = m_Health.slowdown(Task.worker, Now);
-  const auto It = m_Runs.find(taskOf(Ref));
-  const bool Known = It != m_Runs.end() && It->second.m_Run == Task.run;
-  RunForecast Result;
-  if (Known && It->second.m_Started) {
-    Result = forecastStarted(Spec, It->second, Whole, Slowdown, Now);
-  } else {
-    const TimePoint PlacedAt = Known ? It->second.m_PlacedAt : Now;
-    Result = forecastUnstarted(scaled(Whole, Slowdown), PlacedAt, Now);
-    Result.m_WorkLeftSeconds = secondsOf(Whole);
-  }
-  Result.m_OnLentRoom = Known && It->second.m_OnLentRoom;
-  // The percent of a task that lasts is 100 while it is at work.
-  if (Spec.longRunning)
-    Result.m_EndsAt = NoKnownEnd;
-  return Result;
-}
-
 } // namespace anvil::dispatch::internal
--- a/src/dispatch/RunTracker.h
+++ b/src/dispatch/RunTracker.h
@@ -12,6 +12,7 @@
 #include "RunTimes.h"
 #include "WorkerHealth.h"
 #include "WorkerKey.h"
+#include "WorkerSpeed.h"
 #include "anvil/dispatch/Dispatcher.h"
 #include "anvil/dispatch/WorkerSessions.h"
 #include "anvil/workload/WorkloadState.h"
@@ -27,8 +28,8 @@
   TimePoint m_EndsAt; ///< May be NoKnownEnd.
   /// Seconds of work that a stop would lose.
   double m_UnsavedSeconds = 0;
-  /// Seconds of work left on a healthy worker if it continued from what is
-  /// saved.
+  /// Seconds of work left on a healthy worker of normal speed if it continued
+  /// from what is saved.
   double m_WorkLeftSeconds = 0;
   /// Its progress has not changed for longer than that of a working task does.
   bool m_Stalled = false;
@@ -36,8 +37,19 @@
   /// It was placed on room that is reserved for a more urgent step, which may
   /// have it back; see LentRoomReason.
   bool m_OnLentRoom = false;
+  /// Its task was stopped before with StalledReason or SlowWorkerReason. No
+  /// task moves twice for the same reason.
+  bool m_MovedAsStalled = false;
+  bool m_MovedAsSlow = false;
 };
 
+/// Variance of the logarithms of the run times of one step's tasks.
+inline constexpr double TaskVariance = 0.1;
+
+/// Reasons with which a run is stopped in order to continue elsewhere.
+inline constexpr std::string_view StalledReason = "it makes no progress";
+inline constexpr std::string_view SlowWorkerReason = "its worker is slow";
+
 /// Reason with which a run is placed on reserved room that is lent to it.
 inline constexpr std::string_view LentRoomReason = "held back too long";
 
@@ -49,12 +61,19 @@
 
   /// \p OnLostWork receives the work of runs that ended without a result; it
   /// may be empty.
-  RunTracker(RunTimes &Times, WorkerHealth &Health, LossHook OnLostWork = {})
-      : m_Times(Times), m_Health(Health), m_OnLostWork(std::move(OnLostWork)) {}
+  RunTracker(RunTimes &Times, WorkerHealth &Health, LossHook OnLostWork = {},
+             WorkerSpeed Speeds = WorkerSpeed())
+      : m_Times(Times), m_Health(Health), m_OnLostWork(std::move(OnLostWork)),
+        m_Speeds(std::move(Speeds)) {}
+
+  /// Returns the lasting speeds of the workers.
+  const WorkerSpeed &speeds() const { return m_Speeds; }
 
   void clear() {
     m_Runs.clear();
     m_Steps.clear();
+    m_Moved.clear();
+    m_Speeds.clear();
   }
   /// Updates the runs and the statistics from a change of the state.
   void observe(const workload::WorkloadEvent &Event,
@@ -94,17 +113,27 @@
     /// Highest speed that the run surely had, in percent per second.
     double m_PeakSpeed = 0;
     double m_RecentSpeed = 0;
+    /// Lasting speed of its worker, or of the slowest member of its gang.
+    double m_WorkerSpeed = 1;
+    bool m_SpeedLearned = false; ///< Its speed is part of its worker's speed.
+
+    int32_t percentGained() const { return m_Percent - m_FirstPercent; }
+    Duration gainTime() const { return m_PercentAt - m_FirstAt; }
   };
 
   static TaskKey taskOf(const wire::TaskRef &Ref) {
     return {Ref.jobId, Ref.occurrence, Ref.step, Ref.index};
   }
+  /// Returns the key of the task, or of its whole gang.
+  static TaskKey moveKeyOf(const wire::StepSpec &Spec,
+                           const wire::TaskRef &Ref);
   static StepKey stepOf(const wire::TaskRef &Ref) {
     return {Ref.jobId, Ref.occurrence, Ref.step};
   }
   void onPlaced(const workload::RunPlaced &Event,
                 const workload::WorkloadState &State, TimePoint Now);
-  void onStopping(const workload::RunStopping &Event);
+  void onStopping(const workload::RunStopping &Event,
+                  const workload::WorkloadState &State);
   void reportLoss(const workload::RunEnded &Event, const TrackedRun &Tracked,
                   const wire::StepSpec &Spec, TimePoint Now) const;
   void onEnded(const workload::RunEnded &Event,
@@ -115,7 +144,7 @@
   static void updateSpeed(TrackedRun &Tracked);
   void checkStall(const wire::JobRecord &Job, const wire::TaskRef &Ref,
                   TrackedRun &Tracked, TimePoint Now);
-  /// Results of the earlier runs of a step.
+  /// Results of the earlier runs of a step. Times are those at normal speed.
   struct StepHistory {
     int32_t m_Runs = 0;    ///< Runs whose total time is known.
     double m_LogTotal = 0; ///< Sum of the logarithms of these times.
@@ -123,7 +152,7 @@
 
     double mean() const { return m_LogTotal / m_Runs; }
   };
-  /// Mean run time of the runs of one step on one worker.
+  /// Mean run time of the runs of one step on one worker, at normal speed.
   struct StepSpeed {
     double m_Runs = 0;
     double m_LogTotal = 0; ///< Sum of the logarithms of the total times.
@@ -140,29 +169,40 @@
   void recordStepSpeeds(const std::map<StepKey, StepSpeeds> &Steps,
                         TimePoint Now);
   SpeedEvidence evidenceOf(const StepSpeeds &All, const StepSpeed &Speed) const;
+  void updateWorkerSpeeds(const workload::WorkloadState &State);
+  void learnWorkerSpeeds(const std::map<StepKey, StepSpeeds> &Steps,
+                         TimePoint Now);
+  void learnWorkerSpeed(const wire::JobRecord &Job, const StepKey &Step,
+                        double Seconds, const StepSpeeds &All,
+                        TrackedRun &Tracked, TimePoint Now);
   static RunForecast forecastUnstarted(Duration Expected, TimePoint PlacedAt,
                                        TimePoint Now);
   static RunForecast forecastStarted(const wire::StepSpec &Spec,
-                                     const TrackedRun &Tracked, Duration Whole,
-                                     double Slowdown, TimePoint Now);
+                                     const TrackedRun &Tracked,
+                                     const RunTime &Whole, double Slowdown,
+                                     TimePoint Now);
   static double speedOf(const TrackedRun &Tracked);
   void checkProgress(const wire::JobRecord &Job, const wire::TaskRef &Ref,
                      TrackedRun &Tracked, TimePoint Now);
-  Duration expectedTime(const wire::JobRecord &Job,
-                        const wire::TaskRef &Ref) const;
+  /// Returns the expected time of the task on a worker of normal speed.
+  RunTime expectedTime(const wire::JobRecord &Job,
+                       const wire::TaskRef &Ref) const;
   const StepHistory *timedHistory(const StepKey &Step) const;
   void learnStep(const wire::TaskRef &Ref, double Seconds);
   FailureContext classifyFailure(const workload::RunEnded &Event);
   void forgetSteps(const std::string &Job);
   Duration stallLimit(const wire::JobRecord &Job, const wire::TaskRef &Ref,
-                      const wire::WorkerIncarnation &Worker,
-                      TimePoint Now) const;
+                      const TrackedRun &Tracked, TimePoint Now) const;
 
   RunTimes &m_Times;
   WorkerHealth &m_Health;
   LossHook m_OnLostWork;
+  WorkerSpeed m_Speeds;
   std::map<TaskKey, TrackedRun> m_Runs;
   std::map<StepKey, StepHistory> m_Steps; ///< Of jobs that have not ended.
+  /// Reasons for which tasks of jobs that have not ended were moved. The
+  /// members of a gang move together and have one entry.
+  std::map<TaskKey, std::set<std::string, std::less<>>> m_Moved;
 };
 
 } // namespace anvil::dispatch::internal
--- a/tests/dispatch/sim/SimCluster.cpp
+++ b/tests/dispatch/sim/SimCluster.cpp
@@ -67,6 +67,8 @@
     dispatch::DispatchOptions Result;
     Result.m_RemotePenalty = Options.m_WorkerOptions.m_RemotePenalty;
     Result.m_OnLostWork = Options.m_OnLostWork;
+    Result.m_LearnSpeeds = Options.m_LearnSpeeds;
+    Result.m_OnWorkerSpeed = Options.m_OnWorkerSpeed;
     return Result;
   }
 
--- a/tests/dispatch/sim/SimCluster.h
+++ b/tests/dispatch/sim/SimCluster.h
@@ -39,6 +39,9 @@
   bool m_ChecksState = true;
   /// Receives the work that a leader finds lost; may be empty.
   std::function<void(const dispatch::LostWork &)> m_OnLostWork;
+  bool m_LearnSpeeds = true;
+  /// Receives the speeds that a leader reports; may be empty.
+  std::function<void(const dispatch::WorkerSpeedChange &)> m_OnWorkerSpeed;
   /// Receives a line for each event, for people; may be empty.
   std::function<void(TimePoint, const std::string &)> m_Trace;
 };
