dispatch: Place work by the lasting speed of the workers

Urgent and long tasks went to slow workers while fast ones were free, and a gang held fast workers while its slowest member decided how long it ran: placement looked at the fit only.

The cost of a worker includes the additional run time at its speed, which counts less the more slack the job has. A gang whose first choice mixes speeds is chosen again at the speed of its slowest member, with a cost for faster workers; trying each speed was considered, but learned speeds all differ. A reservation goes to the rack where the step ends first. Between equal victims, preemption prefers the faster worker.

Tests: PlacerTest.

--- a/src/dispatch/Placer.cpp
+++ b/src/dispatch/Placer.cpp
@@ -34,12 +34,38 @@
 // Cost of fragments, in seconds of run time for a whole worker.
 constexpr double FragmentCostS = 0.6;
 
+// Weight of the additional run time on a slow worker for a job that has at
+// least this many times the length of a task as slack.
+constexpr double LeastSpeedWeight = 0.2;
+constexpr double SlackForLeastWeight = 2;
+constexpr double MinExpectedS = 0.1;
+
+// Speeds of the members of a gang that differ by less than this factor count as
+// equal.
+constexpr double EqualSpeeds = 1.15;
+// Cost of a fast worker for a gang that is slower, as a share of the time that
+// the gang takes for each unit by which the worker is faster.
+constexpr double WastedSpeedCost = 0.2;
+
 // A long-running task has no limit on its attempts and must be up all the time,
 // so after the minimum wait it starts on any worker.
 bool mustStartAnywhere(const WaitingStep &Step) {
   return Step.m_Spec->longRunning && Step.m_Waited >= MinWaitForBetterWorker;
 }
 
+// Returns the cost in seconds of the additional run time at a lasting speed,
+// besides a slowdown; negative above the normal speed.
+double costOfSpeed(const WaitingStep &Step, double Slowdown, double Speed) {
+  const double Expected = secondsOf(Step.m_Expected);
+  const double SlackLengths =
+      secondsOf(Step.m_Slack) / std::max(MinExpectedS, Expected);
+  const double Weight = Step.m_Job->priority == 0
+                            ? 1
+                            : std::clamp(1 - SlackLengths / SlackForLeastWeight,
+                                         LeastSpeedWeight, 1.0);
+  return Weight * Expected * Slowdown * (1 / Speed - 1);
+}
+
 double shareOf(int32_t Part, int32_t Whole) {
   return Whole > 0 ? static_cast<double>(Part) / Whole : 0;
 }
@@ -131,10 +157,17 @@
   return std::max(0, Step.m_Spec->maxTasksPerWorker - There - Planned);
 }
 
-double Placer::costOn(const WorkerView &Worker, const WaitingStep &Step) const {
+double Placer::costOn(const WorkerView &Worker, const WaitingStep &Step,
+                      double GangSpeed) const {
+  double SpeedCost = costOfSpeed(
+      Step, slowdownOn(Worker, Step),
+      GangSpeed > 0 ? std::min(GangSpeed, Worker.m_Speed) : Worker.m_Speed);
+  if (GangSpeed > 0 && Worker.m_Speed > GangSpeed)
+    SpeedCost += WastedSpeedCost * secondsOf(Step.m_Expected) *
+                 (Worker.m_Speed / GangSpeed - 1);
   const wire::ResourceAmounts Need = workload::countedAmounts(*Step.m_Spec);
   return secondsOf(Step.m_Expected) * (slowdownOn(Worker, Step) - 1) +
-         SuspicionCostS * Worker.m_Suspicion +
+         SpeedCost + SuspicionCostS * Worker.m_Suspicion +
          FragmentCostS *
              fragmentsLeft(Worker.info().capacity, Worker.m_Free, Need);
 }
@@ -162,34 +195,38 @@
 }
 
 // Returns until when a task started now would be in the way of reservations.
-TimePoint Placer::endOn(const WorkerView &Worker,
-                        const WaitingStep &Step) const {
+TimePoint Placer::endOn(const WorkerView &Worker, const WaitingStep &Step,
+                        double GangSpeed) const {
   if (Step.m_MayTakeReserved || mustStartAnywhere(Step))
     return m_Fleet.now();
   if (Step.m_Spec->longRunning)
     return NoKnownEnd;
-  return m_Fleet.now() + scaled(Step.m_Expected, slowdownOn(Worker, Step));
+  const double Speed =
+      GangSpeed > 0 ? std::min(GangSpeed, Worker.m_Speed) : Worker.m_Speed;
+  return m_Fleet.now() +
+         scaled(Step.m_Expected, slowdownOn(Worker, Step) / Speed);
 }
 
 // Returns the cost of one more task on the worker, or nothing if it can't start
 // there now.
 std::optional<double> Placer::costOfNext(const WorkerView &Worker,
                                          const WaitingStep &Step,
-                                         int32_t Planned) const {
+                                         int32_t Planned,
+                                         double GangSpeed) const {
   if (roomNow(Worker, Step, Planned) == 0)
     return std::nullopt;
   const wire::ResourceAmounts Need = workload::countedAmounts(*Step.m_Spec);
-  if (m_Fleet.countThatFit(Worker, Need, endOn(Worker, Step), 1) == 0)
+  if (m_Fleet.countThatFit(Worker, Need, endOn(Worker, Step, GangSpeed), 1) ==
+      0)
     return std::nullopt;
-  return costOn(Worker, Step);
+  return costOn(Worker, Step, GangSpeed);
 }
 
 // The cost on a worker changes only when it gets a task, so each task needs one
 // new cost and not one for each worker.
-std::optional<StepPlacement> Placer::chooseWorkers(const WaitingStep &Step,
-                                                   const std::string &Rack,
-                                                   int32_t Count,
-                                                   bool AllOrNothing) {
+std::optional<StepPlacement>
+Placer::chooseWorkers(const WaitingStep &Step, const std::string &Rack,
+                      int32_t Count, bool AllOrNothing, double GangSpeed) {
   struct Candidate {
     size_t m_Worker = 0;
     int32_t m_Planned = 0;
@@ -199,8 +236,9 @@
   std::vector<WorkerView> &Workers = m_Fleet.workers();
   std::vector<Candidate> Candidates;
   for (const size_t I : m_Fleet.inRack(Rack))
-    if (allowed(Workers[I], Step))
-      Candidates.push_back({I, 0, costOfNext(Workers[I], Step, 0)});
+    if (allowed(Workers[I], Step) &&
+        Workers[I].m_Speed * EqualSpeeds >= GangSpeed)
+      Candidates.push_back({I, 0, costOfNext(Workers[I], Step, 0, GangSpeed)});
   StepPlacement Result;
   int32_t Placed = 0;
   for (; Placed < Count; ++Placed) {
@@ -213,8 +251,10 @@
     WorkerView &Worker = Workers[Best->m_Worker];
     workload::subtract(Worker.m_Free, Need);
     ++Best->m_Planned;
-    Best->m_NextCost = costOfNext(Worker, Step, Best->m_Planned);
+    Best->m_NextCost = costOfNext(Worker, Step, Best->m_Planned, GangSpeed);
     Result.m_Slowdown = std::max(Result.m_Slowdown, slowdownOn(Worker, Step));
+    Result.m_LowestSpeed = std::min(Result.m_LowestSpeed, Worker.m_Speed);
+    Result.m_HighestSpeed = std::max(Result.m_HighestSpeed, Worker.m_Speed);
   }
   for (const Candidate &Each : Candidates) {
     workload::add(Workers[Each.m_Worker].m_Free, Need, Each.m_Planned);
@@ -226,15 +266,26 @@
   return Result;
 }
 
-std::optional<StepPlacement> Placer::placeGang(const WaitingStep &Step) {
+// The first choice shows which speed the gang can have. If that mixes speeds,
+// the second one leaves faster workers to others where it can.
+std::optional<StepPlacement> Placer::chooseForGang(const WaitingStep &Step,
+                                                   const std::string &Rack) {
   const int32_t Count = Step.m_Spec->tasks;
+  std::optional<StepPlacement> Found = chooseWorkers(Step, Rack, Count, true);
+  if (!Found || Found->m_HighestSpeed <= EqualSpeeds * Found->m_LowestSpeed)
+    return Found;
+  return chooseWorkers(Step, Rack, Count, true, Found->m_LowestSpeed);
+}
+
+std::optional<StepPlacement> Placer::placeGang(const WaitingStep &Step) {
   std::optional<StepPlacement> Best;
   double BestCost = 0;
   for (const std::string &Rack : racksFor(Step)) {
-    std::optional<StepPlacement> Found = chooseWorkers(Step, Rack, Count, true);
+    std::optional<StepPlacement> Found = chooseForGang(Step, Rack);
     if (!Found)
       continue;
-    double Cost = secondsOf(Step.m_Expected) * (Found->m_Slowdown - 1);
+    double Cost = secondsOf(Step.m_Expected) * (Found->m_Slowdown - 1) +
+                  costOfSpeed(Step, Found->m_Slowdown, Found->m_LowestSpeed);
     const wire::ResourceAmounts Need = workload::countedAmounts(*Step.m_Spec);
     for (const Share &Each : Found->m_Shares) {
       const WorkerView &Worker = m_Fleet.workers()[Each.m_Worker];
--- a/src/dispatch/Placer.h
+++ b/src/dispatch/Placer.h
@@ -2,6 +2,7 @@
 #define ANVIL_SRC_DISPATCH_PLACER_H
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -20,7 +21,7 @@
   const wire::StepSpec *m_Spec = nullptr;
   const wire::StepRecord *m_Record = nullptr;
   std::vector<int32_t> m_Indexes;
-  /// Expected run time of a task on a healthy worker.
+  /// Expected run time of a task on a healthy worker of normal speed.
   Duration m_Expected{0};
   /// Number of running tasks of the step, by worker id.
   std::map<std::string, int32_t> m_Running;
@@ -35,6 +36,8 @@
   Duration m_Waited{0};
   /// Its tasks may take resources that are reserved for other steps.
   bool m_MayTakeReserved = false;
+  /// Time by which the job may end later and still meet its objective.
+  Duration m_Slack{0};
 };
 
 /// How many tasks go to a worker; m_Worker is an index of Fleet::workers().
@@ -43,19 +46,26 @@
   int32_t m_Tasks = 0;
 };
 
-/// The workers chosen for a step, and the largest factor by which tasks take
-/// longer there.
+/// The workers chosen for a step.
 struct StepPlacement {
   std::vector<Share> m_Shares;
+  /// Largest factor by which tasks take longer there, apart from the speeds.
   double m_Slowdown = 1;
+  /// Lowest and highest lasting speed of these workers.
+  double m_LowestSpeed = std::numeric_limits<double>::infinity();
+  double m_HighestSpeed = 0;
 };
 
 /// Chooses workers for steps.
 ///
 /// Each task goes to the allowed worker with the least cost. The cost is the
 /// sum, in seconds, of the additional run time on that worker, a cost for its
-/// suspicion and a cost for the fragments that the task leaves. A gang that
-/// asks for one rack gets one, unless the caller allows it to span racks.
+/// suspicion and a cost for the fragments that the task leaves. A worker above
+/// the normal speed has a negative additional time, which counts less the more
+/// slack a job has, so that fast workers remain for urgent and long tasks. A
+/// gang runs at the speed of its slowest member, so it gets no faster workers
+/// than that if there are others. One that asks for one rack gets one, unless
+/// the caller allows it to span racks.
 class Placer {
 public:
   Placer(Fleet &PlanFleet, double RemotePenalty)
@@ -105,12 +115,18 @@
   bool couldHold(const WaitingStep &Step, double SuspicionLimit) const;
   std::optional<StepPlacement> chooseWorkers(const WaitingStep &Step,
                                              const std::string &Rack,
-                                             int32_t Count, bool AllOrNothing);
-  double costOn(const WorkerView &Worker, const WaitingStep &Step) const;
-  TimePoint endOn(const WorkerView &Worker, const WaitingStep &Step) const;
+                                             int32_t Count, bool AllOrNothing,
+                                             double GangSpeed = 0);
+  std::optional<StepPlacement> chooseForGang(const WaitingStep &Step,
+                                             const std::string &Rack);
+  // A gang speed of 0 stands for the speed of each worker.
+  double costOn(const WorkerView &Worker, const WaitingStep &Step,
+                double GangSpeed) const;
+  TimePoint endOn(const WorkerView &Worker, const WaitingStep &Step,
+                  double GangSpeed) const;
   std::optional<double> costOfNext(const WorkerView &Worker,
-                                   const WaitingStep &Step,
-                                   int32_t Planned) const;
+                                   const WaitingStep &Step, int32_t Planned,
+                                   double GangSpeed) const;
 
   Fleet &m_Fleet;
   double m_RemotePenalty;
--- a/src/dispatch/Planner.cpp
+++ b/src/dispatch/Planner.cpp
@@ -1,6 +1,7 @@
 #include "Planner.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 
 #include "Durations.h"
@@ -75,6 +76,7 @@
   for (WaitingStep &Step : Steps) {
     if (m_WaitingPriority && Step.m_Job->priority > *m_WaitingPriority)
       return;
+    Step.m_Slack = Urgency[Step.m_Job].m_Slack;
     place(std::move(Step));
   }
 }
@@ -294,13 +296,22 @@
 // still run then.
 void Planner::reserve(const WaitingStep &Step) {
   std::optional<TimePoint> Best;
+  TimePoint BestEnd;
   std::vector<std::pair<size_t, int32_t>> BestTaskCounts;
   for (const std::string &Rack : m_Placer.racksFor(Step)) {
     std::vector<std::pair<size_t, int32_t>> TaskCounts;
     const std::optional<TimePoint> When =
         findReservation(Step, Rack, TaskCounts);
-    if (When && (!Best || *When < *Best)) {
+    if (!When)
+      continue;
+    double Slowest = std::numeric_limits<double>::infinity();
+    for (const auto &[Index, Tasks] : TaskCounts)
+      Slowest = std::min(Slowest, m_Fleet.workers()[Index].m_Speed);
+    // The rack in which the step starts first may be slower than another.
+    const TimePoint End = *When + scaled(Step.m_Expected, 1 / Slowest);
+    if (!Best || End < BestEnd) {
       Best = When;
+      BestEnd = End;
       BestTaskCounts = std::move(TaskCounts);
     }
   }
--- a/src/dispatch/Preemption.cpp
+++ b/src/dispatch/Preemption.cpp
@@ -130,7 +130,8 @@
       Each.m_Next = victimsOn(Worker, Step, Each.m_Planned + 1, Scope);
     if (Each.m_Next)
       Each.m_NextCost = Each.m_Next->m_Cost - Each.m_Chosen.m_Cost +
-                        Worker.m_Suspicion + m_Placer.slowdownOn(Worker, Step);
+                        Worker.m_Suspicion +
+                        m_Placer.slowdownOn(Worker, Step) / Worker.m_Speed;
   };
   std::vector<Candidate> Candidates;
   for (const size_t I : m_Fleet.inRack(Rack))
--- a/tests/dispatch/PlacerTest.cpp
+++ b/tests/dispatch/PlacerTest.cpp
@@ -112,6 +112,84 @@
   BOOST_TEST(place().has_value());
 }
 
+// Guards against urgent work on a slow worker while a fast one is free, and
+// against other decisions than before if all workers are equal.
+BOOST_AUTO_TEST_CASE(PlacesUrgentWorkOnTheFastestFreeWorker) {
+  BOOST_TEST((place() == 0U));
+  m_Views[0].m_Speed = 0.55;
+  m_Views[1].m_Speed = 1.2;
+  BOOST_TEST((place() == 1U));
+  for (WorkerView &Each : m_Views)
+    Each.m_Speed = 1.2;
+  BOOST_TEST((place() == 0U));
+}
+
+// Guards against work with slack that takes the fast workers: a little less
+// fragmentation on a slow worker is worth its longer run time.
+BOOST_AUTO_TEST_CASE(PlacesWorkWithSlackOnASlowWorkerThatFitsBetter) {
+  m_Views[0].m_Speed = 0.55;
+  m_Views[0].m_Free.accelerators = 1;
+  m_Views[1].m_Speed = 1.2;
+  m_Views[2].m_Speed = 1.2;
+  m_Job.priority = 2;
+  BOOST_TEST((place() == 1U));
+  m_Step.m_Slack = std::chrono::seconds(20);
+  BOOST_TEST((place() == 0U));
+  m_Job.priority = 0;
+  BOOST_TEST((place() == 1U));
+}
+
+// Guards against short tasks that keep long ones off the fast worker.
+BOOST_AUTO_TEST_CASE(TheSpeedCountsMoreForLongWork) {
+  m_Views[0].m_Speed = 0.8;
+  m_Views[0].m_Free.accelerators = 1;
+  m_Step.m_Expected = std::chrono::milliseconds(200);
+  BOOST_TEST((place() == 0U));
+  m_Step.m_Expected = std::chrono::seconds(20);
+  BOOST_TEST((place() == 1U));
+}
+
+// Guards against a gang that holds a fast worker and still runs at the speed of
+// a slow one.
+BOOST_AUTO_TEST_CASE(AGangThatNeedsSlowWorkersLeavesTheFastOneFree) {
+  m_Spec.gang = true;
+  m_Spec.tasks = 2;
+  m_Spec.perTask.accelerators = 8;
+  m_Step.m_Indexes = {0, 1};
+  m_Views[0].m_Speed = 0.55;
+  m_Views[1].m_Speed = 1.2;
+  m_Views[2].m_Speed = 0.55;
+  const auto Workers = [&] {
+    Fleet PlanFleet(m_Views, Now);
+    Placer GangPlacer(PlanFleet, 3);
+    m_Step.m_MaxSuspicion = GangPlacer.suspicionLimit(m_Step);
+    std::vector<size_t> Result;
+    if (const std::optional<StepPlacement> Chosen =
+            GangPlacer.placeGang(m_Step))
+      for (const Share &Each : Chosen->m_Shares)
+        Result.push_back(Each.m_Worker);
+    return Result;
+  };
+  BOOST_TEST((Workers() == std::vector<size_t>{0, 2}));
+  m_Views[2].m_Speed = 1.2;
+  BOOST_TEST((Workers() == std::vector<size_t>{1, 2}));
+}
+
+// Guards against a slow worker that takes a task past the begin of a
+// reservation there.
+BOOST_AUTO_TEST_CASE(ASlowWorkerKeepsItsReservation) {
+  Reservation Whole;
+  Whole.m_From = Now + 2 * m_Step.m_Expected;
+  Whole.m_Amounts.accelerators = 8;
+  for (WorkerView &Each : m_Views) {
+    Each.m_Reservations = {Whole};
+    Each.m_Speed = 0.4;
+  }
+  BOOST_TEST(!place().has_value());
+  m_Views[1].m_Speed = 0.6;
+  BOOST_TEST((place() == 1U));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace anvil::dispatch::internal
