dispatch: Move runs only against lasting speeds, once for a reason

A run was moved from a slow worker as if the next one had the normal speed, and a task of unusual length could go from worker to worker, since each looked slow or stalled.

The gain is that at the speed of the fastest worker with room, and room is taken there first.

Tests: RunMoverTest.

--- a/src/dispatch/RunMover.cpp
+++ b/src/dispatch/RunMover.cpp
@@ -1,5 +1,6 @@
 #include "RunMover.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Durations.h"
@@ -33,25 +34,48 @@
          isEligible(Worker, *Run.m_Job, *Run.m_Spec);
 }
 
-// Takes room for the run on other workers, for all members if it belongs to a
-// gang. Returns false and takes nothing if there is not enough.
+// Returns when the run would end on the worker if it continued there now.
+TimePoint endOn(const WorkerView &Worker, const RunView &Run, TimePoint Now) {
+  return Now + durationOf(Run.m_Forecast.m_WorkLeftSeconds / Worker.m_Speed);
+}
+
+// Returns the highest speed of another worker that has room for the run, or 0
+// if none has.
+double bestSpeedElsewhere(const Fleet &PlanFleet, const WorkerView &Worker,
+                          const RunView &Run) {
+  double Best = 0;
+  for (const WorkerView &Other : PlanFleet.workers())
+    if (Other.m_Speed > Best && &Other != &Worker && canTakeRun(Other, Run) &&
+        PlanFleet.countThatFit(Other, Run.m_Amounts,
+                               endOn(Other, Run, PlanFleet.now()), 1) > 0)
+      Best = Other.m_Speed;
+  return Best;
+}
+
+// Takes room for the run on other workers, the fastest ones first, for all
+// members if it belongs to a gang. Returns false and takes nothing if there is
+// not enough.
 bool reserveRoomElsewhere(Fleet &PlanFleet, const WorkerView &Worker,
                           const RunView &Run) {
   const bool Gang = runsTogether(*Run.m_Spec);
-  const TimePoint EndsAt =
-      PlanFleet.now() + durationOf(Run.m_Forecast.m_WorkLeftSeconds);
   int32_t Missing = Gang ? Run.m_Spec->tasks : 1;
   std::vector<std::pair<WorkerView *, int32_t>> Found;
-  for (WorkerView &Other : PlanFleet.workers()) {
+  std::vector<WorkerView *> Others;
+  for (WorkerView &Other : PlanFleet.workers())
+    if (&Other != &Worker && canTakeRun(Other, Run))
+      Others.push_back(&Other);
+  std::stable_sort(Others.begin(), Others.end(),
+                   [](const WorkerView *Left, const WorkerView *Right) {
+                     return Left->m_Speed > Right->m_Speed;
+                   });
+  for (WorkerView *Other : Others) {
     if (Missing == 0)
       break;
-    if (&Other == &Worker || !canTakeRun(Other, Run))
-      continue;
-    const int32_t Here =
-        PlanFleet.countThatFit(Other, Run.m_Amounts, EndsAt, Missing);
+    const int32_t Here = PlanFleet.countThatFit(
+        *Other, Run.m_Amounts, endOn(*Other, Run, PlanFleet.now()), Missing);
     if (Here == 0)
       continue;
-    Found.emplace_back(&Other, Here);
+    Found.emplace_back(Other, Here);
     Missing -= Here;
   }
   if (Missing > 0)
@@ -89,14 +113,27 @@
          reserveRoomElsewhere(PlanFleet, Worker, Run);
 }
 
+// Whether a worker is slow is judged by its runs. A move is worth it only if
+// the run ends sooner at the lasting speed of a worker that has room for it.
 bool RunMover::isFasterElsewhere(const Fleet &PlanFleet,
-                                 const RunView &Run) const {
-  if (!Run.m_Forecast.m_Started || runsTogether(*Run.m_Spec))
+                                 const WorkerView &Worker, const RunView &Run,
+                                 double HighestSpeed) const {
+  if (!Run.m_Forecast.m_Started || Run.m_Forecast.m_Stalled ||
+      Run.m_Forecast.m_MovedAsSlow || runsTogether(*Run.m_Spec))
+    return false;
+  // Few runs gain at the highest speed, so few need the search for room.
+  return gainsAt(PlanFleet, Run, HighestSpeed) &&
+         gainsAt(PlanFleet, Run, bestSpeedElsewhere(PlanFleet, Worker, Run));
+}
+
+bool RunMover::gainsAt(const Fleet &PlanFleet, const RunView &Run,
+                       double Speed) const {
+  if (Speed <= 0)
     return false;
   const double Here = secondsOf(Run.m_Forecast.m_EndsAt - PlanFleet.now());
   const double Elsewhere = secondsOf(m_Options.m_StopTime) +
                            secondsOf(m_Options.m_RestoreTime) +
-                           Run.m_Forecast.m_WorkLeftSeconds;
+                           Run.m_Forecast.m_WorkLeftSeconds / Speed;
   const double Gain = Here - Elsewhere;
   return Gain > MinGainS && Gain > MinGainShare * Here;
 }
@@ -113,15 +150,21 @@
 
 std::vector<Move> RunMover::findStalledOrSlow(Fleet &PlanFleet) const {
   std::vector<Move> Moves;
+  double HighestSpeed = 0;
+  for (const WorkerView &Worker : PlanFleet.workers())
+    if (Worker.m_Usable)
+      HighestSpeed = std::max(HighestSpeed, Worker.m_Speed);
   for (const WorkerView &Worker : PlanFleet.workers())
     for (const RunView &Run : Worker.m_Runs) {
-      const bool Stalled = Run.m_Forecast.m_Stalled;
+      const bool Stalled =
+          Run.m_Forecast.m_Stalled && !Run.m_Forecast.m_MovedAsStalled;
       if (Moves.size() >= MaxMoves || !mayMove(Run) ||
-          (!Stalled && !isFasterElsewhere(PlanFleet, Run)) ||
+          (!Stalled &&
+           !isFasterElsewhere(PlanFleet, Worker, Run, HighestSpeed)) ||
           !reserveRoomElsewhere(PlanFleet, Worker, Run))
         continue;
-      Moves.push_back(makeMove(Run, Stalled ? "it makes no progress"
-                                            : "its worker is slow"));
+      Moves.push_back(
+          makeMove(Run, Stalled ? StalledReason : SlowWorkerReason));
     }
   return Moves;
 }
--- a/src/dispatch/RunMover.h
+++ b/src/dispatch/RunMover.h
@@ -23,7 +23,8 @@
 
 /// Decides which runs are stopped in order to continue elsewhere: runs that
 /// will not end before their draining worker leaves, runs that have stalled,
-/// and runs on a worker that became so slow that moving them is faster.
+/// and runs on a worker that is so slow that moving them is faster. No task
+/// moves twice because it has stalled, or twice because its worker is slow.
 ///
 /// A run moves only to room that nothing else is to get, and the plan gives up
 /// that room, so that no two runs move to the same place. Call
@@ -42,7 +43,10 @@
 private:
   bool mustLeaveDrainingWorker(Fleet &PlanFleet, const WorkerView &Worker,
                                const RunView &Run) const;
-  bool isFasterElsewhere(const Fleet &PlanFleet, const RunView &Run) const;
+  bool isFasterElsewhere(const Fleet &PlanFleet, const WorkerView &Worker,
+                         const RunView &Run, double HighestSpeed) const;
+  /// Returns whether the run would end clearly sooner on a worker of \p Speed.
+  bool gainsAt(const Fleet &PlanFleet, const RunView &Run, double Speed) const;
 
   MoveOptions m_Options;
 };
--- a/tests/dispatch/RunMoverTest.cpp
+++ b/tests/dispatch/RunMoverTest.cpp
@@ -146,6 +146,44 @@
   BOOST_TEST(countOnDrainingWorkers() == 2U);
 }
 
+// Guards against moves from a slow worker to one that is slow for good, where
+// the run ends no sooner.
+BOOST_AUTO_TEST_CASE(ComparesWithTheLastingSpeedOfTheOtherWorker) {
+  addRuns(1, seconds(10), 5);
+  BOOST_TEST(countStalledOrSlow() == 1U);
+  elsewhere().m_Speed = 0.55;
+  BOOST_TEST(countStalledOrSlow() == 0U);
+  elsewhere().m_Speed = 1.2;
+  BOOST_TEST(countStalledOrSlow() == 1U);
+}
+
+// Guards against a move that is worth it only at the speed of a worker without
+// room.
+BOOST_AUTO_TEST_CASE(CountsOnTheSpeedOfAWorkerWithRoom) {
+  addRuns(1, seconds(6), 5);
+  here().m_Speed = 4;
+  BOOST_TEST(countStalledOrSlow() == 0U);
+  elsewhere().m_Speed = 2;
+  BOOST_TEST(countStalledOrSlow() == 1U);
+  elsewhere().m_Free = accelerators(0);
+  BOOST_TEST(countStalledOrSlow() == 0U);
+}
+
+// Guards against a task that goes from worker to worker: each looks slow or
+// stalled because of the task.
+BOOST_AUTO_TEST_CASE(MovesNoTaskTwiceForTheSameReason) {
+  addRuns(1, seconds(40), 5);
+  RunForecast &Forecast = here().m_Runs[0].m_Forecast;
+  Forecast.m_MovedAsSlow = true;
+  BOOST_TEST(countStalledOrSlow() == 0U);
+  Forecast.m_Stalled = true;
+  Forecast.m_EndsAt = NoKnownEnd;
+  BOOST_TEST(countStalledOrSlow() == 1U);
+  Forecast.m_MovedAsSlow = false;
+  Forecast.m_MovedAsStalled = true;
+  BOOST_TEST(countStalledOrSlow() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace anvil::dispatch::internal
