node: Log changes of a worker's speed

The leader writes worker-speed with the worker, its machine, the speed and the number of observations when a speed changed by more than a fifth since it was last reported, so that a placement can be traced to it.

--- a/src/node/Replica.cpp
+++ b/src/node/Replica.cpp
@@ -154,6 +154,13 @@
   Leader.m_Dispatch.m_OnLostWork = [this](const dispatch::LostWork &Lost) {
     onLostWork(Lost);
   };
+  Leader.m_Dispatch.m_OnWorkerSpeed =
+      [this](const dispatch::WorkerSpeedChange &Change) {
+        m_Log.write("worker-speed", {{"worker", Change.m_Worker},
+                                     {"machine", Change.m_Machine},
+                                     {"speed", Change.m_Speed},
+                                     {"observations", Change.m_Observations}});
+      };
   m_Duties = std::make_shared<LeaderDuties>(m_Io, std::move(Leader),
                                             leaderPorts(), m_Log);
   m_State.setEventHook(
