dispatch: Count the lost work of a gang under what broke the gang

Callers and operators saw most lost work under "another member of the gang ended" or "gang-broken", which does not tell why. Each member's loss was counted by its own end, and all members but one end because of that one.

GangLosses attributes the losses of all members to the reason of the first order to stop one of them, or else to the way in which the first member ended by itself. Workers may report the other members before that one; their losses are kept until the cause is known or no member is left, so a "work-lost" line may appear up to a worker loss later than before. Marking the other runs in RunTracker was considered, but it mixes this with the forecasts. The entries are in the leader's memory and exist only while a broken gang has members.

--- a/src/dispatch/RunTracker.cpp
+++ b/src/dispatch/RunTracker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 #include "Durations.h"
 #include "JobRank.h"
@@ -85,7 +86,7 @@
   if (const auto *Placed = std::get_if<workload::RunPlaced>(&Event))
     onPlaced(*Placed, State, Now);
   else if (const auto *Stopping = std::get_if<workload::RunStopping>(&Event))
-    onStopping(*Stopping);
+    onStopping(*Stopping, State);
   else if (const auto *Ended = std::get_if<workload::RunEnded>(&Event))
     onEnded(*Ended, State, Now);
   else if (const auto *Job = std::get_if<workload::JobChanged>(&Event);
@@ -103,38 +104,66 @@
   const wire::TaskRecord *Task = State.task(Event.m_Task);
   New.m_FromStart = Task && Task->checkpoint.empty();
   m_Runs[taskOf(Event.m_Task)] = New;
+  m_GangLosses.forget(Event.m_Task);
 }
 
-void RunTracker::onStopping(const workload::RunStopping &Event) {
+void RunTracker::onStopping(const workload::RunStopping &Event,
+                            const workload::WorkloadState &State) {
   const auto It = m_Runs.find(taskOf(Event.m_Task));
-  if (It != m_Runs.end() && It->second.m_Run == Event.m_Run)
-    It->second.m_StopReason = Event.m_Reason;
+  if (It == m_Runs.end() || It->second.m_Run != Event.m_Run)
+    return;
+  It->second.m_StopReason = Event.m_Reason;
+  const wire::JobRecord *Job = State.job(Event.m_Task.jobId);
+  const auto Step = static_cast<size_t>(Event.m_Task.step);
+  if (m_OnLostWork && Job && Step < Job->spec.steps.size() &&
+      runsTogether(Job->spec.steps[Step]))
+    m_GangLosses.recordStop(Event.m_Task, Event.m_Reason);
+}
+
+bool RunTracker::tracksStep(const wire::TaskRef &Ref) const {
+  const auto It =
+      m_Runs.lower_bound({Ref.jobId, Ref.occurrence, Ref.step, INT32_MIN});
+  return It != m_Runs.end() && std::get<0>(It->first) == Ref.jobId &&
+         std::get<1>(It->first) == Ref.occurrence &&
+         std::get<2>(It->first) == Ref.step;
 }
 
 // A task that writes checkpoints loses little, and how much is not known.
 void RunTracker::reportLoss(const workload::RunEnded &Event,
                             const TrackedRun &Tracked,
-                            const wire::StepSpec &Spec, TimePoint Now) const {
-  if (!m_OnLostWork || Event.m_Kind == wire::RunEndKind::DONE ||
-      !Tracked.m_Started || Spec.checkpointing || Spec.longRunning)
+                            const wire::StepSpec &Spec, TimePoint Now) {
+  if (!m_OnLostWork)
     return;
-  LostWork Lost;
-  Lost.m_Task = Event.m_Task;
-  Lost.m_Run = Event.m_Run;
-  // The reason is not known if an earlier leader ordered the stop.
-  const bool Ordered = Event.m_Kind == wire::RunEndKind::STOPPED &&
-                       !Tracked.m_StopReason.empty();
-  Lost.m_Cause =
-      Ordered ? Tracked.m_StopReason : workload::nameOf(Event.m_Kind);
-  Lost.m_CoreSeconds =
-      coresOf(Spec.perTask) * secondsOf(Now - Tracked.m_StartedAt);
-  m_OnLostWork(Lost);
+  std::optional<LostWork> Lost;
+  if (Event.m_Kind != wire::RunEndKind::DONE && Tracked.m_Started &&
+      !Spec.checkpointing && !Spec.longRunning) {
+    Lost.emplace();
+    Lost->m_Task = Event.m_Task;
+    Lost->m_Run = Event.m_Run;
+    // The reason is not known if an earlier leader ordered the stop.
+    const bool Ordered = Event.m_Kind == wire::RunEndKind::STOPPED &&
+                         !Tracked.m_StopReason.empty();
+    Lost->m_Cause =
+        Ordered ? Tracked.m_StopReason : workload::nameOf(Event.m_Kind);
+    Lost->m_CoreSeconds =
+        coresOf(Spec.perTask) * secondsOf(Now - Tracked.m_StartedAt);
+  }
+  if (runsTogether(Spec)) {
+    const MemberEnd End{Event.m_Task, Event.m_Kind, tracksStep(Event.m_Task),
+                        Lost};
+    for (const LostWork &Each : m_GangLosses.recordEnd(End))
+      m_OnLostWork(Each);
+  } else if (Lost) {
+    m_OnLostWork(*Lost);
+  }
 }
 
 void RunTracker::onEnded(const workload::RunEnded &Event,
                          const workload::WorkloadState &State, TimePoint Now) {
   auto Node = m_Runs.extract(taskOf(Event.m_Task));
   const wire::JobRecord *Job = State.job(Event.m_Task.jobId);
+  if (!Job)
+    m_GangLosses.forget(Event.m_Task);
   if (!Job || Node.empty() || Node.mapped().m_Run != Event.m_Run)
     return;
   const TrackedRun &Tracked = Node.mapped();
--- a/src/dispatch/RunTracker.h
+++ b/src/dispatch/RunTracker.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <tuple>
 
+#include "GangLosses.h"
 #include "RunTimes.h"
 #include "WorkerHealth.h"
 #include "WorkerKey.h"
@@ -55,6 +56,7 @@
   void clear() {
     m_Runs.clear();
     m_Steps.clear();
+    m_GangLosses.clear();
   }
   /// Updates the runs and the statistics from a change of the state.
   void observe(const workload::WorkloadEvent &Event,
@@ -104,9 +106,11 @@
   }
   void onPlaced(const workload::RunPlaced &Event,
                 const workload::WorkloadState &State, TimePoint Now);
-  void onStopping(const workload::RunStopping &Event);
+  void onStopping(const workload::RunStopping &Event,
+                  const workload::WorkloadState &State);
   void reportLoss(const workload::RunEnded &Event, const TrackedRun &Tracked,
-                  const wire::StepSpec &Spec, TimePoint Now) const;
+                  const wire::StepSpec &Spec, TimePoint Now);
+  bool tracksStep(const wire::TaskRef &Ref) const;
   void onEnded(const workload::RunEnded &Event,
                const workload::WorkloadState &State, TimePoint Now);
   void adopt(const wire::RunStatus &Status,
@@ -161,6 +165,7 @@
   RunTimes &m_Times;
   WorkerHealth &m_Health;
   LossHook m_OnLostWork;
+  GangLosses m_GangLosses;
   std::map<TaskKey, TrackedRun> m_Runs;
   std::map<StepKey, StepHistory> m_Steps; ///< Of jobs that have not ended.
 };
--- a/tests/dispatch/LostWorkTest.cpp
+++ b/tests/dispatch/LostWorkTest.cpp
@@ -19,6 +19,13 @@
   return plainJob(Id, Queue, SubmitAfter, plainStep(1, 8), Work);
 }
 
+// Two members, each of which takes a whole worker.
+JobPlan wholeWorkerGang(const std::string &Id, Duration Work) {
+  wire::StepSpec Step = plainStep(2, 8);
+  Step.gang = true;
+  return plainJob(Id, "batch", milliseconds(500), Step, Work);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(LostWorkTest)
@@ -50,6 +57,44 @@
   BOOST_TEST(std::abs(Lost["job cancelled"] - 20 * CoresOfAWorker) < Tolerance);
 }
 
+// Guards against the loss of a gang that is counted under the end of another
+// member, which says nothing about why the gang was stopped.
+BOOST_AUTO_TEST_CASE(CountsAStoppedGangUnderTheReasonOfTheStop) {
+  std::map<std::string, double> Lost;
+  SimClusterOptions Options;
+  Options.m_OnLostWork = [&](const dispatch::LostWork &Each) {
+    Lost[Each.m_Cause] += Each.m_CoreSeconds;
+  };
+  SimCluster Cluster(Options, smallPolicy(), smallFleet());
+  for (int I = 0; I < 3; ++I)
+    Cluster.add(wholeWorkerGang("gang-" + std::to_string(I), seconds(10)));
+  Cluster.add(
+      wholeWorkerJob("urgent", "quote", milliseconds(4500), seconds(1)));
+  Cluster.run(seconds(30));
+  constexpr double Tolerance = 1.5 * CoresOfAWorker;
+  BOOST_TEST(Lost.size() == 1U);
+  BOOST_TEST(std::abs(Lost["room for more urgent work"] -
+                      2 * 4 * CoresOfAWorker) < Tolerance);
+}
+
+// Guards against the loss of a gang on a worker that crashes being counted
+// under the members that its crash ended, which are reported first.
+BOOST_AUTO_TEST_CASE(CountsAGangOnALostWorkerUnderThatLoss) {
+  std::map<std::string, double> Lost;
+  SimClusterOptions Options;
+  Options.m_OnLostWork = [&](const dispatch::LostWork &Each) {
+    Lost[Each.m_Cause] += Each.m_CoreSeconds;
+  };
+  SimCluster Cluster(Options, smallPolicy(), smallFleet());
+  for (int I = 0; I < 3; ++I)
+    Cluster.add(wholeWorkerGang("gang-" + std::to_string(I), seconds(10)));
+  Cluster.queue().at(Cluster.queue().now() + seconds(5),
+                     [&Cluster] { Cluster.crashWorker(0, seconds(3), true); });
+  Cluster.run(seconds(40));
+  BOOST_TEST(Lost.size() == 1U);
+  BOOST_TEST(Lost["worker-lost"] >= 2 * 4 * CoresOfAWorker);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace anvil::sim
