dispatch: Decide about the runs of a leaving worker at its notice

On a full service, callers' runs that save no progress worked on until 600 ms before their worker left, although all of that work was lost, and a gang waited for the worker of its member. A run was stopped before that only if there was room elsewhere.

A run now goes on only if its chance to end in time is at least 0.6 and large enough for what is at stake: the time until the worker leaves against the work that a stop loses. Otherwise it stops at once if it saves no progress. One that writes checkpoints moves if there is room, and else stops at the last moment that still saves its progress, as before. A gang is decided by its last member and by the worker that leaves first. A new leader stops none of them until it knows all workers, since the forecast of a gang needs the progress of all members.

A margin of a fixed time was considered; it is too long for short runs and too short for long ones.

Tests: RunMoverTest. Its two cases of draining workers, which expected runs without checkpoints to stay, now use runs that write them, with the same expectations; new cases cover the runs without.

--- a/src/dispatch/Planner.h
+++ b/src/dispatch/Planner.h
@@ -37,9 +37,11 @@
   /// Stops runs that have not started on workers of withdrawn zones. Their
   /// start orders would otherwise be repeated until the worker answers.
   void stopUnstartedInWithdrawnZones();
-  /// Stops runs on workers that leave before they end.
+  /// Stops runs on workers that leave before they end, once all workers are
+  /// known: the forecast of a gang needs the progress of all of its members.
   void moveOffDrainingWorkers(const RunMover &Mover) {
-    move(Mover.findOnDrainingWorkers(m_Fleet));
+    if (m_Settled)
+      move(Mover.findOnDrainingWorkers(m_Fleet));
   }
   /// Starts the steps for which there is room, the most urgent ones first, and
   /// makes room for others or reserves it.
--- a/src/dispatch/RunMover.cpp
+++ b/src/dispatch/RunMover.cpp
@@ -1,5 +1,11 @@
 #include "RunMover.h"
 
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <map>
+#include <numbers>
+#include <tuple>
 #include <utility>
 
 #include "Durations.h"
@@ -22,6 +28,18 @@
 // committed and to reach the worker, besides the time of the stop itself.
 constexpr Duration DrainMargin = std::chrono::milliseconds(600);
 
+// Standard deviation of the logarithm of the time that a run still takes around
+// its forecast.
+constexpr double RemainingLogSpread = 0.3;
+
+// Shorter remaining times are rounded up to this, since their logarithm is
+// used.
+constexpr double MinRemainingS = 0.001;
+
+// A run goes on only with this chance to end before its worker leaves. The
+// notice is the shortest time, and workers often stay longer.
+constexpr double MinChanceToEnd = 0.6;
+
 // Runs move only to workers whose slowdown and suspicion are at most these.
 constexpr double MaxSlowdown = 1.5;
 constexpr double MaxSuspicion = 0.7;
@@ -75,18 +93,78 @@
 
 } // namespace
 
-// Until shortly before the worker leaves, a run is stopped only if there is
-// room for it elsewhere. A run that saves its progress can continue until then;
-// one that does not is lost in any case and starts anew.
-bool RunMover::mustLeaveDrainingWorker(Fleet &PlanFleet,
-                                       const WorkerView &Worker,
-                                       const RunView &Run) const {
-  if (!Worker.m_Draining || Run.m_Forecast.m_EndsAt <= Worker.m_LeavesAt)
+// Collects the runs on draining workers. The members of their gangs on other
+// workers count too, since a gang ends when its last member does. The progress
+// of runs that an agent has not listed to a new leader is not known.
+std::vector<RunMover::Leaving> RunMover::findLeaving(const Fleet &PlanFleet) {
+  using GangKey = std::tuple<std::string_view, int32_t, int32_t>;
+  const auto GangOf = [](const RunView &Run) -> GangKey {
+    return {Run.m_Task.jobId, Run.m_Task.occurrence, Run.m_Task.step};
+  };
+  std::vector<Leaving> Result;
+  std::map<GangKey, size_t> Gangs;
+  for (const WorkerView &Worker : PlanFleet.workers())
+    for (const RunView &Run : Worker.m_Runs) {
+      if (!Worker.m_Draining || !Worker.m_RunsKnown || Run.m_Spec->longRunning)
+        continue;
+      size_t Index = Result.size();
+      if (runsTogether(*Run.m_Spec))
+        Index = Gangs.try_emplace(GangOf(Run), Index).first->second;
+      if (Index == Result.size())
+        Result.emplace_back();
+      Leaving &Runs = Result[Index];
+      Runs.m_OnDrainingWorkers.push_back(&Run);
+      if (!Runs.m_Worker || Worker.m_LeavesAt < Runs.m_Worker->m_LeavesAt) {
+        Runs.m_Worker = &Worker;
+        Runs.m_Run = &Run;
+      }
+      addForecast(Runs, Run);
+    }
+  if (Gangs.empty())
+    return Result;
+  for (const WorkerView &Worker : PlanFleet.workers())
+    for (const RunView &Run : Worker.m_Runs)
+      if (!Worker.m_Draining && Worker.m_RunsKnown && runsTogether(*Run.m_Spec))
+        if (const auto It = Gangs.find(GangOf(Run)); It != Gangs.end())
+          addForecast(Result[It->second], Run);
+  return Result;
+}
+
+void RunMover::addForecast(Leaving &Runs, const RunView &Run) {
+  Runs.m_EndsAt = std::max(Runs.m_EndsAt, Run.m_Forecast.m_EndsAt);
+  Runs.m_UnsavedSeconds =
+      std::max(Runs.m_UnsavedSeconds, Run.m_Forecast.m_UnsavedSeconds);
+  Runs.m_Stopping = Runs.m_Stopping || Run.m_Stopping;
+}
+
+// A stop now loses the work so far and a new start. Going on loses that and the
+// work until the worker leaves, but only if the run does not end in time.
+bool RunMover::isWorthGoingOn(TimePoint Now, const Leaving &Runs) const {
+  const double Left = secondsOf(Runs.m_Worker->m_LeavesAt - Now);
+  if (Runs.m_EndsAt == NoKnownEnd || Left <= 0)
+    return false;
+  const double Remaining =
+      std::max(MinRemainingS, secondsOf(Runs.m_EndsAt - Now));
+  const double Chance =
+      0.5 * std::erfc(std::log(Remaining / Left) /
+                      (RemainingLogSpread * std::numbers::sqrt2));
+  const double LostByStop = Runs.m_UnsavedSeconds +
+                            secondsOf(m_Options.m_StopTime) +
+                            secondsOf(m_Options.m_RestoreTime);
+  return Chance >= std::max(MinChanceToEnd, Left / (Left + LostByStop));
+}
+
+// A run that saves its progress can continue until shortly before its worker
+// leaves, unless there is room for it elsewhere.
+bool RunMover::mustStop(Fleet &PlanFleet, const Leaving &Runs) const {
+  if (Runs.m_Stopping || isWorthGoingOn(PlanFleet.now(), Runs))
     return false;
+  if (!Runs.m_Run->m_Spec->checkpointing)
+    return true;
   const TimePoint LastStop =
-      Worker.m_LeavesAt - m_Options.m_StopTime - DrainMargin;
+      Runs.m_Worker->m_LeavesAt - m_Options.m_StopTime - DrainMargin;
   return PlanFleet.now() >= LastStop ||
-         reserveRoomElsewhere(PlanFleet, Worker, Run);
+         reserveRoomElsewhere(PlanFleet, *Runs.m_Worker, *Runs.m_Run);
 }
 
 bool RunMover::isFasterElsewhere(const Fleet &PlanFleet,
@@ -103,11 +181,14 @@
 
 std::vector<Move> RunMover::findOnDrainingWorkers(Fleet &PlanFleet) const {
   std::vector<Move> Moves;
-  for (const WorkerView &Worker : PlanFleet.workers())
-    for (const RunView &Run : Worker.m_Runs)
-      if (Moves.size() < MaxMoves && mayMove(Run) &&
-          mustLeaveDrainingWorker(PlanFleet, Worker, Run))
-        Moves.push_back(makeMove(Run, "its worker leaves before it ends"));
+  for (const Leaving &Runs : findLeaving(PlanFleet)) {
+    if (Moves.size() >= MaxMoves)
+      break;
+    if (!mustStop(PlanFleet, Runs))
+      continue;
+    for (const RunView *Run : Runs.m_OnDrainingWorkers)
+      Moves.push_back(makeMove(*Run, "its worker leaves before it ends"));
+  }
   return Moves;
 }
 
--- a/src/dispatch/RunMover.h
+++ b/src/dispatch/RunMover.h
@@ -25,9 +25,16 @@
 /// will not end before their draining worker leaves, runs that have stalled,
 /// and runs on a worker that became so slow that moving them is faster.
 ///
-/// A run moves only to room that nothing else is to get, and the plan gives up
-/// that room, so that no two runs move to the same place. Call
-/// findOnDrainingWorkers() before the plan places waiting steps, since the
+/// When a worker gives notice, a run without checkpoints either goes on, since
+/// it is likely to end in time, or stops at once, since all further work would
+/// be lost. A run that writes checkpoints goes on until the last stop that
+/// still saves its progress. A gang is decided as a whole, by the worker of a
+/// member that leaves first. The load that this addresses are short notices on
+/// busy workers, where most runs have no room elsewhere.
+///
+/// Apart from that, a run moves only to room that nothing else is to get, and
+/// the plan gives up that room, so that no two runs move to the same place.
+/// Call findOnDrainingWorkers() before the plan places waiting steps, since the
 /// worker leaves regardless, and findStalledOrSlow() after that, since waiting
 /// steps come first.
 class RunMover {
@@ -40,8 +47,23 @@
   std::vector<Move> findStalledOrSlow(Fleet &PlanFleet) const;
 
 private:
-  bool mustLeaveDrainingWorker(Fleet &PlanFleet, const WorkerView &Worker,
-                               const RunView &Run) const;
+  /// Runs that stop together, on workers of which at least one is draining: a
+  /// single run, or all members of a gang.
+  struct Leaving {
+    std::vector<const RunView *> m_OnDrainingWorkers;
+    /// Worker that leaves first, and the run on it.
+    const WorkerView *m_Worker = nullptr;
+    const RunView *m_Run = nullptr;
+    TimePoint m_EndsAt; ///< Of the last member; may be NoKnownEnd.
+    /// Of the member that has run longest.
+    double m_UnsavedSeconds = 0;
+    bool m_Stopping = false;
+  };
+
+  static std::vector<Leaving> findLeaving(const Fleet &PlanFleet);
+  static void addForecast(Leaving &Runs, const RunView &Run);
+  bool mustStop(Fleet &PlanFleet, const Leaving &Runs) const;
+  bool isWorthGoingOn(TimePoint Now, const Leaving &Runs) const;
   bool isFasterElsewhere(const Fleet &PlanFleet, const RunView &Run) const;
 
   MoveOptions m_Options;
--- a/tests/dispatch/RunMoverTest.cpp
+++ b/tests/dispatch/RunMoverTest.cpp
@@ -35,6 +35,7 @@
     for (size_t I = 0; I < m_Views.size(); ++I) {
       m_Views[I].m_Record = &m_Records[I];
       m_Views[I].m_Usable = true;
+      m_Views[I].m_RunsKnown = true;
       m_Views[I].m_Free = accelerators(8);
     }
   }
@@ -43,19 +44,28 @@
   /// WorkSeconds on a healthy worker.
   void addRuns(int32_t Count, Duration EndsIn, double WorkSeconds) {
     for (int32_t I = 0; I < Count; ++I) {
-      RunView Run;
-      Run.m_Task.jobId = "job";
-      Run.m_Task.index = I;
-      Run.m_Run = 1;
-      Run.m_Job = &m_Job;
-      Run.m_Spec = &m_Spec;
-      Run.m_Amounts = accelerators(1);
-      Run.m_Forecast.m_Started = true;
-      Run.m_Forecast.m_EndsAt = Now + EndsIn;
-      Run.m_Forecast.m_WorkLeftSeconds = WorkSeconds;
-      here().m_Runs.push_back(Run);
+      addMember(here(), I, EndsIn);
+      here().m_Runs.back().m_Forecast.m_WorkLeftSeconds = WorkSeconds;
     }
-    workload::subtract(here().m_Free, accelerators(Count));
+  }
+  /// Adds a run of the task with this index to the worker.
+  void addMember(WorkerView &Worker, int32_t Index, Duration EndsIn) {
+    RunView Run;
+    Run.m_Task.jobId = "job";
+    Run.m_Task.index = Index;
+    Run.m_Run = 1;
+    Run.m_Job = &m_Job;
+    Run.m_Spec = &m_Spec;
+    Run.m_Amounts = accelerators(1);
+    Run.m_Forecast.m_Started = true;
+    Run.m_Forecast.m_EndsAt = Now + EndsIn;
+    Worker.m_Runs.push_back(Run);
+    workload::subtract(Worker.m_Free, accelerators(1));
+  }
+  static void drain(WorkerView &Worker, Duration Remaining) {
+    Worker.m_Usable = false;
+    Worker.m_Draining = true;
+    Worker.m_LeavesAt = Now + Remaining;
   }
 
   WorkerView &here() { return m_Views[0]; }
@@ -70,9 +80,11 @@
     return m_Mover.findOnDrainingWorkers(PlanFleet).size();
   }
 
+protected:
+  wire::StepSpec m_Spec;
+
 private:
   wire::JobRecord m_Job;
-  wire::StepSpec m_Spec;
   std::array<wire::WorkerRecord, 2> m_Records;
   std::vector<WorkerView> m_Views;
   RunMover m_Mover{MoveOptions{milliseconds(400), milliseconds(600)}};
@@ -125,27 +137,102 @@
 // Guards against runs that stay on a draining worker until it leaves although
 // they could continue elsewhere at once.
 BOOST_AUTO_TEST_CASE(MovesRunsOffADrainingWorkerWhileThereIsRoom) {
+  m_Spec.checkpointing = true;
   addRuns(2, seconds(10), 10);
-  here().m_Usable = false;
-  here().m_Draining = true;
-  here().m_LeavesAt = Now + seconds(4);
+  drain(here(), seconds(4));
   BOOST_TEST(countOnDrainingWorkers() == 2U);
   elsewhere().m_Free = accelerators(1);
   BOOST_TEST(countOnDrainingWorkers() == 1U);
 }
 
-// Guards against a stop that comes too late to save the progress of the run.
+// Guards against a stop that comes too late to save the progress of the run,
+// and against one that comes so early that the run waits instead of working.
 BOOST_AUTO_TEST_CASE(StopsRunsBeforeADrainingWorkerLeavesWithoutRoomElsewhere) {
+  m_Spec.checkpointing = true;
   addRuns(2, seconds(10), 10);
-  here().m_Usable = false;
-  here().m_Draining = true;
   elsewhere().m_Free = accelerators(0);
-  here().m_LeavesAt = Now + seconds(4);
+  drain(here(), seconds(4));
   BOOST_TEST(countOnDrainingWorkers() == 0U);
-  here().m_LeavesAt = Now + seconds(1);
+  drain(here(), seconds(1));
   BOOST_TEST(countOnDrainingWorkers() == 2U);
 }
 
+// Guards against runs that work until their worker leaves although all of that
+// work will be lost, because no other worker has room for them.
+BOOST_AUTO_TEST_CASE(StopsRunsThatSaveNothingAtTheNotice) {
+  addRuns(2, seconds(10), 10);
+  elsewhere().m_Free = accelerators(0);
+  drain(here(), milliseconds(2500));
+  BOOST_TEST(countOnDrainingWorkers() == 2U);
+}
+
+// Guards against losing runs that would have ended before their worker leaves.
+BOOST_AUTO_TEST_CASE(LetsRunsGoOnThatWillEndInTime) {
+  addRuns(2, milliseconds(1200), 10);
+  drain(here(), milliseconds(2500));
+  BOOST_TEST(countOnDrainingWorkers() == 0U);
+}
+
+// Guards against a notice at which all runs stop whose forecast is close to the
+// time that is left, and against one at which all of them go on.
+BOOST_AUTO_TEST_CASE(WeighsTheWorkSoFarAgainstTheWorkUntilTheWorkerLeaves) {
+  addRuns(1, milliseconds(2300), 10);
+  drain(here(), milliseconds(2500));
+  here().m_Runs[0].m_Forecast.m_UnsavedSeconds = 8;
+  BOOST_TEST(countOnDrainingWorkers() == 0U);
+  here().m_Runs[0].m_Forecast.m_UnsavedSeconds = 0.2;
+  BOOST_TEST(countOnDrainingWorkers() == 1U);
+  here().m_Runs[0].m_Forecast.m_UnsavedSeconds = 8;
+  here().m_Runs[0].m_Forecast.m_EndsAt = Now + milliseconds(2600);
+  BOOST_TEST(countOnDrainingWorkers() == 1U);
+}
+
+// Guards against a gang that goes on because its member on the leaving worker
+// is nearly done, although the gang ends only with its last member.
+BOOST_AUTO_TEST_CASE(DecidesAGangByItsLastMember) {
+  m_Spec.gang = true;
+  m_Spec.tasks = 2;
+  addRuns(1, milliseconds(800), 10);
+  addMember(elsewhere(), 1, milliseconds(900));
+  drain(here(), milliseconds(2500));
+  BOOST_TEST(countOnDrainingWorkers() == 0U);
+  elsewhere().m_Runs[0].m_Forecast.m_EndsAt = Now + seconds(6);
+  BOOST_TEST(countOnDrainingWorkers() == 1U);
+}
+
+// Guards against a gang that waits for the later of two leaving workers.
+BOOST_AUTO_TEST_CASE(DecidesAGangByTheWorkerThatLeavesFirst) {
+  m_Spec.gang = true;
+  m_Spec.tasks = 2;
+  addRuns(1, seconds(4), 10);
+  addMember(elsewhere(), 1, seconds(4));
+  drain(here(), seconds(12));
+  drain(elsewhere(), seconds(12));
+  BOOST_TEST(countOnDrainingWorkers() == 0U);
+  drain(elsewhere(), milliseconds(2500));
+  BOOST_TEST(countOnDrainingWorkers() == 2U);
+}
+
+// Guards against a second order to stop a gang that is ending already.
+BOOST_AUTO_TEST_CASE(LeavesAGangAloneOfWhichAMemberStops) {
+  m_Spec.gang = true;
+  m_Spec.tasks = 2;
+  addRuns(1, seconds(10), 10);
+  addMember(elsewhere(), 1, seconds(10));
+  elsewhere().m_Runs[0].m_Stopping = true;
+  drain(here(), milliseconds(2500));
+  BOOST_TEST(countOnDrainingWorkers() == 0U);
+}
+
+// Guards against a new leader that stops runs whose progress it does not know:
+// they look as if they had just started.
+BOOST_AUTO_TEST_CASE(StopsNothingOnAWorkerThatHasNotListedItsRuns) {
+  addRuns(2, seconds(10), 10);
+  drain(here(), milliseconds(2500));
+  here().m_RunsKnown = false;
+  BOOST_TEST(countOnDrainingWorkers() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace anvil::dispatch::internal
