dispatch: Test that tasks are packed and gangs avoid suspected workers

Single tasks of wide steps must leave whole free workers to the steps that need them, and a gang is lost with any of its workers. The cost of fragments and of suspicion in Placer already gives both, but no test held it.

Tests: PlacerTest.

--- a/tests/dispatch/PlacerTest.cpp
+++ b/tests/dispatch/PlacerTest.cpp
@@ -32,6 +32,16 @@
     m_Step.m_Expected = std::chrono::seconds(2);
   }
 
+  /// Makes the step a gang, and returns the shares that the workers get.
+  std::vector<Share> placeGang(int32_t Tasks) {
+    m_Spec.tasks = Tasks;
+    m_Spec.gang = true;
+    Fleet PlanFleet(m_Views, Now);
+    Placer GangPlacer(PlanFleet, 3);
+    m_Step.m_MaxSuspicion = GangPlacer.suspicionLimit(m_Step);
+    return GangPlacer.placeGang(m_Step).value_or(StepPlacement()).m_Shares;
+  }
+
   /// Returns the index of the worker that the task goes to, or nothing.
   std::optional<size_t> place() {
     Fleet PlanFleet(m_Views, Now);
@@ -112,6 +122,34 @@
   BOOST_TEST(place().has_value());
 }
 
+// Guards against a gang that goes to a suspected worker although others have
+// room.
+BOOST_AUTO_TEST_CASE(PlacesAGangOnWorkersWithoutSuspicion) {
+  m_Views[0].m_Suspicion = 0.6;
+  m_Views[1].m_Free.accelerators = 2;
+  m_Views[2].m_Free.accelerators = 2;
+  const std::vector<Share> Chosen = placeGang(4);
+  BOOST_REQUIRE(Chosen.size() == 2U);
+  BOOST_TEST(Chosen[0].m_Worker == 1U);
+  BOOST_TEST(Chosen[1].m_Worker == 2U);
+}
+
+// Guards against single tasks that break up a free worker although a worker on
+// which something runs has room.
+BOOST_AUTO_TEST_CASE(PacksSingleTasksOntoPartlyUsedWorkers) {
+  m_Spec.tasks = 5;
+  m_Step.m_Indexes = {0, 1, 2, 3, 4};
+  m_Views[1].m_Free.accelerators = 3;
+  Fleet PlanFleet(m_Views, Now);
+  Placer TaskPlacer(PlanFleet, 3);
+  m_Step.m_MaxSuspicion = TaskPlacer.suspicionLimit(m_Step);
+  const StepPlacement Chosen = TaskPlacer.placeTasks(m_Step);
+  BOOST_REQUIRE(Chosen.m_Shares.size() == 2U);
+  BOOST_TEST(Chosen.m_Shares[0].m_Tasks == 2);
+  BOOST_TEST(Chosen.m_Shares[1].m_Worker == 1U);
+  BOOST_TEST(Chosen.m_Shares[1].m_Tasks == 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace anvil::dispatch::internal
