--- a/src/dispatch/RunTracker.cpp
+++ b/src/dispatch/RunTracker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 #include "Durations.h"
 #include "JobRank.h"
@@ -106,6 +107,7 @@
   const wire::TaskRecord *Task = State.task(Event.m_Task);
   New.m_FromStart = Task && Task->checkpoint.empty();
   m_Runs[taskOf(Event.m_Task)] = New;
+  m_GangLosses.forget(Event.m_Task);
 }
 
 RunTracker::TaskKey RunTracker::moveKeyOf(const wire::StepSpec &Spec,
@@ -119,41 +121,64 @@
 void RunTracker::onStopping(const workload::RunStopping &Event,
                             const workload::WorkloadState &State) {
   const wire::JobRecord *Job = State.job(Event.m_Task.jobId);
-  if (Job &&
-      (Event.m_Reason == StalledReason || Event.m_Reason == SlowWorkerReason)) {
-    const auto Step = static_cast<size_t>(Event.m_Task.step);
-    m_Moved[moveKeyOf(Job->spec.steps[Step], Event.m_Task)].insert(
-        Event.m_Reason);
-  }
+  const auto Step = static_cast<size_t>(Event.m_Task.step);
+  const wire::StepSpec *Spec =
+      Job && Step < Job->spec.steps.size() ? &Job->spec.steps[Step] : nullptr;
+  if (Spec &&
+      (Event.m_Reason == StalledReason || Event.m_Reason == SlowWorkerReason))
+    m_Moved[moveKeyOf(*Spec, Event.m_Task)].insert(Event.m_Reason);
   const auto It = m_Runs.find(taskOf(Event.m_Task));
-  if (It != m_Runs.end() && It->second.m_Run == Event.m_Run)
-    It->second.m_StopReason = Event.m_Reason;
+  if (It == m_Runs.end() || It->second.m_Run != Event.m_Run)
+    return;
+  It->second.m_StopReason = Event.m_Reason;
+  if (m_OnLostWork && Spec && runsTogether(*Spec))
+    m_GangLosses.recordStop(Event.m_Task, Event.m_Reason);
+}
+
+bool RunTracker::tracksStep(const wire::TaskRef &Ref) const {
+  const auto It =
+      m_Runs.lower_bound({Ref.jobId, Ref.occurrence, Ref.step, INT32_MIN});
+  return It != m_Runs.end() && std::get<0>(It->first) == Ref.jobId &&
+         std::get<1>(It->first) == Ref.occurrence &&
+         std::get<2>(It->first) == Ref.step;
 }
 
 // A task that writes checkpoints loses little, and how much is not known.
 void RunTracker::reportLoss(const workload::RunEnded &Event,
                             const TrackedRun &Tracked,
-                            const wire::StepSpec &Spec, TimePoint Now) const {
-  if (!m_OnLostWork || Event.m_Kind == wire::RunEndKind::DONE ||
-      !Tracked.m_Started || Spec.checkpointing || Spec.longRunning)
+                            const wire::StepSpec &Spec, TimePoint Now) {
+  if (!m_OnLostWork)
     return;
-  LostWork Lost;
-  Lost.m_Task = Event.m_Task;
-  Lost.m_Run = Event.m_Run;
-  // The reason is not known if an earlier leader ordered the stop.
-  const bool Ordered = Event.m_Kind == wire::RunEndKind::STOPPED &&
-                       !Tracked.m_StopReason.empty();
-  Lost.m_Cause =
-      Ordered ? Tracked.m_StopReason : workload::nameOf(Event.m_Kind);
-  Lost.m_CoreSeconds =
-      coresOf(Spec.perTask) * secondsOf(Now - Tracked.m_StartedAt);
-  m_OnLostWork(Lost);
+  std::optional<LostWork> Lost;
+  if (Event.m_Kind != wire::RunEndKind::DONE && Tracked.m_Started &&
+      !Spec.checkpointing && !Spec.longRunning) {
+    Lost.emplace();
+    Lost->m_Task = Event.m_Task;
+    Lost->m_Run = Event.m_Run;
+    // The reason is not known if an earlier leader ordered the stop.
+    const bool Ordered = Event.m_Kind == wire::RunEndKind::STOPPED &&
+                         !Tracked.m_StopReason.empty();
+    Lost->m_Cause =
+        Ordered ? Tracked.m_StopReason : workload::nameOf(Event.m_Kind);
+    Lost->m_CoreSeconds =
+        coresOf(Spec.perTask) * secondsOf(Now - Tracked.m_StartedAt);
+  }
+  if (runsTogether(Spec)) {
+    const MemberEnd End{Event.m_Task, Event.m_Kind, tracksStep(Event.m_Task),
+                        Lost};
+    for (const LostWork &Each : m_GangLosses.recordEnd(End))
+      m_OnLostWork(Each);
+  } else if (Lost) {
+    m_OnLostWork(*Lost);
+  }
 }
 
 void RunTracker::onEnded(const workload::RunEnded &Event,
                          const workload::WorkloadState &State, TimePoint Now) {
   auto Node = m_Runs.extract(taskOf(Event.m_Task));
   const wire::JobRecord *Job = State.job(Event.m_Task.jobId);
+  if (!Job)
+    m_GangLosses.forget(Event.m_Task);
   if (!Job || Node.empty() || Node.mapped().m_Run != Event.m_Run)
     return;
   TrackedRun &Tracked = Node.mapped();
--- a/src/dispatch/RunTracker.h
+++ b/src/dispatch/RunTracker.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <tuple>
 
+#include "GangLosses.h"
 #include "RunTimes.h"
 #include "WorkerHealth.h"
 #include "WorkerKey.h"
@@ -74,6 +75,7 @@
     m_Steps.clear();
     m_Moved.clear();
     m_Speeds.clear();
+    m_GangLosses.clear();
   }
   /// Updates the runs and the statistics from a change of the state.
   void observe(const workload::WorkloadEvent &Event,
@@ -135,7 +137,8 @@
   void onStopping(const workload::RunStopping &Event,
                   const workload::WorkloadState &State);
   void reportLoss(const workload::RunEnded &Event, const TrackedRun &Tracked,
-                  const wire::StepSpec &Spec, TimePoint Now) const;
+                  const wire::StepSpec &Spec, TimePoint Now);
+  bool tracksStep(const wire::TaskRef &Ref) const;
   void onEnded(const workload::RunEnded &Event,
                const workload::WorkloadState &State, TimePoint Now);
   void adopt(const wire::RunStatus &Status,
@@ -199,6 +202,7 @@
   WorkerHealth &m_Health;
   LossHook m_OnLostWork;
   WorkerSpeed m_Speeds;
+  GangLosses m_GangLosses;
   std::map<TaskKey, TrackedRun> m_Runs;
   std::map<StepKey, StepHistory> m_Steps; ///< Of jobs that have not ended.
   /// Reasons for which tasks of jobs that have not ended were moved. The
