daemon: Let a switch be on by default

The settings reader declared every switch as off, so a program could not offer one that operators switch off. addSwitch() takes the default; the existing switches keep "false". Considered: a switch with the opposite meaning, which would need a negated name.

SettingsTest/ReadsASwitchThatIsOnByDefault covers the default, both values and a wrong word.

--- a/include/anvil/daemon/Settings.h
+++ b/include/anvil/daemon/Settings.h
@@ -93,7 +93,8 @@
   void addNumber(std::string_view Name, double Default, double Min, double Max,
                  std::string_view Help, double &Value);
   /// Declares "true" or "false"; a flag without a value means true.
-  void addSwitch(std::string_view Name, std::string_view Help, bool &Value);
+  void addSwitch(std::string_view Name, std::string_view Help, bool &Value,
+                 bool Default = false);
   /// Declares a duration with a unit: "250us", "250ms", "10s", "5m" or
   /// "2h".
   void addDuration(std::string_view Name, std::string_view Default,
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -118,14 +118,14 @@
 }
 
 void Settings::addSwitch(std::string_view Name, std::string_view Help,
-                         bool &Value) {
+                         bool &Value, bool Default) {
   auto Parse = [&Value](std::string_view Text) {
     if (Text != "true" && Text != "false")
       return invalid("must be true or false");
     Value = Text == "true";
     return absl::OkStatus();
   };
-  add(Name, "false", Help, Parse);
+  add(Name, Default ? "true" : "false", Help, Parse);
   m_Settings.back().m_Switch = true;
 }
 
--- a/tests/daemon/SettingsTest.cpp
+++ b/tests/daemon/SettingsTest.cpp
@@ -15,6 +15,7 @@
   int64_t m_Limit = 0;
   Duration m_Drain{0};
   bool m_Verbose = false;
+  bool m_Colors = false;
 };
 
 absl::StatusOr<StartMode>
@@ -26,6 +27,7 @@
   Reader.addDuration("drain-limit", "30s", std::chrono::seconds(1),
                      std::chrono::hours(1), "Limit.", Values.m_Drain);
   Reader.addSwitch("verbose", "Log more.", Values.m_Verbose);
+  Reader.addSwitch("colors", "Use colors.", Values.m_Colors, true);
   return Reader.read(
       Arguments,
       [&Variables](const std::string &Name) -> std::optional<std::string> {
@@ -56,6 +58,23 @@
   BOOST_TEST(Values.m_Verbose);
 }
 
+// Guards against a switch that is on by default and can't be switched off, or
+// that takes a wrong word for "off".
+BOOST_AUTO_TEST_CASE(ReadsASwitchThatIsOnByDefault) {
+  SampleSettings Values;
+  BOOST_TEST(readSample(Values, {"--name=a"}, {}).ok());
+  BOOST_TEST(Values.m_Colors);
+  BOOST_TEST(readSample(Values, {"--name=a", "--colors=false"}, {}).ok());
+  BOOST_TEST(!Values.m_Colors);
+  BOOST_TEST(readSample(Values, {"--name=a", "--colors"}, {}).ok());
+  BOOST_TEST(Values.m_Colors);
+  const auto Mode = readSample(Values, {"--name=a", "--colors=off"}, {});
+  BOOST_REQUIRE(!Mode.ok());
+  BOOST_TEST(
+      Mode.status().message().find("--colors (flag): must be true or false") !=
+      std::string::npos);
+}
+
 // Guards against a report of the first invalid setting only, which makes the
 // operator start the process once per mistake.
 BOOST_AUTO_TEST_CASE(ReportsEveryInvalidSettingInOneMessage) {
