workload: Make the record of a job without storing it

The leader is to assess a job before it proposes it, and needs the record that the state would store. makeRecord() is the part of applySubmit() that builds it, so both use one definition. No change of behaviour.

--- a/include/anvil/workload/WorkloadState.h
+++ b/include/anvil/workload/WorkloadState.h
@@ -127,6 +127,11 @@
   /// empty.
   void setEventHook(WorkloadEventHook Hook) { m_Hook = std::move(Hook); }
 
+  /// Returns the record of a job as apply() would store it if \p Queue is the
+  /// queue of its address, without its position in the log.
+  static wire::JobRecord makeRecord(const wire::SubmitWorkload &Submit,
+                                    const wire::QueuePolicy &Queue);
+
   int64_t appliedIndex() const { return m_AppliedIndex; }
 
   /// Returns the policy in force; its version is 0 until one is put.
@@ -212,7 +217,7 @@
                          const wire::StartRuns &Command) const;
   wire::JobRecord *findJob(std::string_view Id);
   wire::TaskRecord *findTask(const wire::TaskRef &Ref);
-  void openOccurrence(wire::JobRecord &Job, int32_t Number);
+  static void openOccurrence(wire::JobRecord &Job, int32_t Number);
   void placeRun(wire::JobRecord &Job, const wire::TaskRef &Ref, int64_t Run,
                 const wire::WorkerIncarnation &Incarnation,
                 const std::string &Reason);
--- a/src/workload/WorkloadJobs.cpp
+++ b/src/workload/WorkloadJobs.cpp
@@ -54,28 +54,34 @@
     return resultOf(wire::WorkloadStatus::OVERLOADED,
                     "the limit of stored jobs is reached");
 
-  wire::JobRecord Job;
-  Job.id = Command.jobId;
-  Job.queue = Queue->name;
-  Job.address = Command.__isset.address
-                    ? Command.address
-                    : jobAddressOf(Queue->host, Queue->pathPrefix);
-  Job.workspace = Command.workspace;
-  Job.spec = Command.spec;
+  wire::JobRecord Job = makeRecord(Command, *Queue);
   Job.submittedIndex = m_AppliedIndex;
-  Job.serviceName = Queue->serviceName;
-  Job.priority = Queue->priority;
-  Job.maxAttempts = Queue->maxAttempts;
-  Job.slackFactor = Queue->slackFactor;
-  Job.latencyTargetMs = Queue->latencyTargetMs;
-  if (Job.spec.repeats == 0)
-    openOccurrence(Job, 0);
   wire::JobRecord &Stored = m_Jobs[Command.jobId] = std::move(Job);
   indexJob(Stored);
   emit(JobChanged{Stored.id, Stored.phase, "submitted"});
   return resultOf(wire::WorkloadStatus::OK);
 }
 
+wire::JobRecord WorkloadState::makeRecord(const wire::SubmitWorkload &Submit,
+                                          const wire::QueuePolicy &Queue) {
+  wire::JobRecord Job;
+  Job.id = Submit.jobId;
+  Job.queue = Queue.name;
+  Job.address = Submit.__isset.address
+                    ? Submit.address
+                    : jobAddressOf(Queue.host, Queue.pathPrefix);
+  Job.workspace = Submit.workspace;
+  Job.spec = Submit.spec;
+  Job.serviceName = Queue.serviceName;
+  Job.priority = Queue.priority;
+  Job.maxAttempts = Queue.maxAttempts;
+  Job.slackFactor = Queue.slackFactor;
+  Job.latencyTargetMs = Queue.latencyTargetMs;
+  if (Job.spec.repeats == 0)
+    openOccurrence(Job, 0);
+  return Job;
+}
+
 // The policy may have changed since the leader admitted the job, so the address
 // selects the queue anew.
 const wire::QueuePolicy *
