dispatch: Assess from the backlog whether a new job can end in time

Callers saw every job accepted, however full the service was: jobs that could not end within three times their objective waited, and used room when it was too late.

Each plan now keeps a Backlog: the waiting steps in the order of the plan, each with its expected start from a simulation of list scheduling on the service as a whole. JobAdmission compares the end of a new job behind the work that goes before it with three times its objective, and refuses it if it is too late by two standard deviations of the forecast. Dispatcher::assess accepts guaranteed jobs and all jobs before the workers are known.

Considered: the sum of the work divided by the capacity. It forecasts a start of minutes when a few long tasks leave places that become free in seconds. Equal jobs that lose their value before their turn are not counted for jobs of their priority, since their rank is the lowest by then.

--- a/include/anvil/dispatch/Dispatcher.h
+++ b/include/anvil/dispatch/Dispatcher.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "anvil/base/Time.h"
@@ -34,11 +35,35 @@
   /// Time that a run restored from a checkpoint loses: work that it repeats and
   /// the restore itself.
   Duration m_RestoreTime = std::chrono::milliseconds(600);
+  /// Whether assess() refuses jobs that can't end while they have a value.
+  bool m_RefuseLateJobs = true;
   /// Receives the work that observe() finds lost; may be empty.
   std::function<void(const LostWork &)> m_OnLostWork;
 };
 
-/// Decides which runs start and which are stopped.
+/// Whether a job should be accepted, and the forecast behind the decision.
+struct JobVerdict {
+  bool m_Accepted = true;
+  /// Why it is accepted or refused: one of a fixed set of short texts.
+  std::string_view m_Reason;
+  TimePoint m_ExpectedStart;
+  TimePoint m_ExpectedEnd;
+  /// The job has no value if it ends later: three times its objective after
+  /// its submission.
+  TimePoint m_LastUsefulEnd;
+  /// Time after which a refused job should be submitted again; 0 if accepted.
+  Duration m_RetryAfter{0};
+  /// Time since the plan from which the forecast was made.
+  Duration m_BacklogAge{0};
+
+  void accept(std::string_view Reason) {
+    m_Accepted = true;
+    m_Reason = Reason;
+    m_RetryAfter = Duration(0);
+  }
+};
+
+/// Decides which runs start and which are stopped, and which jobs are accepted.
 ///
 /// Usage: call reset() when leadership begins, observe() for each change of the
 /// state, and plan() whenever the state or the sessions changed and no command
@@ -64,6 +89,14 @@
                                           const WorkerSessions &Sessions,
                                           TimePoint Now);
 
+  /// Forecasts from the last plan when \p Candidate, which is not in the state,
+  /// would end if it were submitted at \p Now, and refuses it if that is
+  /// clearly too late. Accepts every job before the first plan and while not
+  /// all workers are known. Changes nothing.
+  JobVerdict assess(const wire::JobRecord &Candidate,
+                    const workload::WorkloadState &State,
+                    const WorkerSessions &Sessions, TimePoint Now) const;
+
 private:
   struct Impl;
   std::unique_ptr<Impl> m_Impl;
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -3,7 +3,10 @@
 #include <algorithm>
 #include <set>
 
+#include "Backlog.h"
 #include "Fleet.h"
+#include "Guarantees.h"
+#include "JobAdmission.h"
 #include "JobRank.h"
 #include "Placer.h"
 #include "Planner.h"
@@ -14,10 +17,14 @@
 
 namespace anvil::dispatch {
 
+using internal::Backlog;
 using internal::Fleet;
+using internal::Guarantees;
+using internal::JobAdmission;
 using internal::JobRank;
 using internal::Planner;
 using internal::RunMover;
+using internal::RunTime;
 using internal::RunTimes;
 using internal::RunTracker;
 using internal::WaitingStep;
@@ -58,6 +65,8 @@
   /// When the leadership began, until all workers are known or the time to get
   /// to know them is over.
   std::optional<TimePoint> m_UnsettledSince;
+  /// What the last plan found; nothing before the first plan.
+  Backlog m_Backlog;
 };
 
 WaitingStep Dispatcher::Impl::makeStep(const wire::JobRecord &Job,
@@ -69,8 +78,9 @@
   Result.m_Step = Step;
   Result.m_Spec = &Job.spec.steps[static_cast<size_t>(Step)];
   Result.m_Record = &Record;
-  Result.m_Expected =
-      m_Times.predict(Job.queue, Result.m_Spec->estimateMs).m_Expected;
+  const RunTime Time = m_Times.predict(Job.queue, Result.m_Spec->estimateMs);
+  Result.m_Expected = Time.m_Expected;
+  Result.m_LogVariance = Time.m_LogVariance;
   int32_t MostFailures = Record.gangFailures;
   for (size_t I = 0; I < Record.tasks.size(); ++I) {
     const wire::TaskRecord &Task = Record.tasks[I];
@@ -151,6 +161,7 @@
   m_Impl->m_Tracker.clear();
   m_Impl->m_Rank.clear();
   m_Impl->m_WaitingSince.clear();
+  m_Impl->m_Backlog = Backlog();
 }
 
 void Dispatcher::observe(const workload::WorkloadEvent &Event,
@@ -166,11 +177,33 @@
   Fleet PlanFleet(State, Sessions, m_Impl->m_Tracker, m_Impl->m_Health, Now);
   Planner Plan(State, PlanFleet, m_Impl->m_Options, m_Impl->m_Tracker,
                m_Impl->m_Rank, m_Impl->hasSettled(State, Sessions, Now), Now);
+  Backlog Found(PlanFleet, Now);
   Plan.stopUnstartedInWithdrawnZones();
   Plan.moveOffDrainingWorkers(m_Impl->m_Mover);
-  Plan.placeAll(m_Impl->waitingSteps(State, Now));
+  Plan.placeAll(m_Impl->waitingSteps(State, Now), Found);
   Plan.moveStalledOrSlow(m_Impl->m_Mover);
+  Found.complete(PlanFleet);
+  m_Impl->m_Backlog = std::move(Found);
   return Plan.takeCommands();
 }
 
+JobVerdict Dispatcher::assess(const wire::JobRecord &Candidate,
+                              const WorkloadState &State,
+                              const WorkerSessions & /*Sessions*/,
+                              TimePoint Now) const {
+  const JobAdmission Admission(m_Impl->m_Backlog, m_Impl->m_Times);
+  JobVerdict Verdict = Admission.assess(
+      Candidate, m_Impl->m_Rank.urgencyOf(Candidate, m_Impl->m_Tracker, Now),
+      Now);
+  if (Verdict.m_Accepted)
+    return Verdict;
+  if (!m_Impl->m_Options.m_RefuseLateJobs)
+    Verdict.accept("refusals are switched off");
+  else if (m_Impl->m_UnsettledSince)
+    Verdict.accept("not all workers are known");
+  else if (Guarantees(State).wouldCover(Candidate))
+    Verdict.accept("its workspace guarantees the room");
+  return Verdict;
+}
+
 } // namespace anvil::dispatch
--- a/src/dispatch/Guarantees.cpp
+++ b/src/dispatch/Guarantees.cpp
@@ -31,12 +31,23 @@
 }
 
 bool Guarantees::covers(const wire::JobRecord &Job) const {
-  if (Job.priority != GuaranteedPriority)
-    return false;
-  const auto Guaranteed = m_Guaranteed.find(Job.workspace);
   const auto Needed = m_Needed.find(Job.workspace);
-  return Guaranteed != m_Guaranteed.end() && Needed != m_Needed.end() &&
-         Guaranteed->second > 0 && Needed->second <= Guaranteed->second;
+  return Job.priority == GuaranteedPriority && Needed != m_Needed.end() &&
+         coversNeed(Job.workspace, Needed->second);
+}
+
+bool Guarantees::wouldCover(const wire::JobRecord &Job) const {
+  const auto Needed = m_Needed.find(Job.workspace);
+  const int64_t Present = Needed == m_Needed.end() ? 0 : Needed->second;
+  return Job.priority == GuaranteedPriority &&
+         coversNeed(Job.workspace, Present + acceleratorsOf(Job));
+}
+
+bool Guarantees::coversNeed(const std::string &Workspace,
+                            int64_t Needed) const {
+  const auto Guaranteed = m_Guaranteed.find(Workspace);
+  return Guaranteed != m_Guaranteed.end() && Guaranteed->second > 0 &&
+         Needed <= Guaranteed->second;
 }
 
 } // namespace anvil::dispatch::internal
--- a/src/dispatch/Guarantees.h
+++ b/src/dispatch/Guarantees.h
@@ -16,8 +16,13 @@
   explicit Guarantees(const workload::WorkloadState &State);
 
   bool covers(const wire::JobRecord &Job) const;
+  /// Returns whether the guarantee would cover \p Job, which is not in the
+  /// state, if it were added.
+  bool wouldCover(const wire::JobRecord &Job) const;
 
 private:
+  bool coversNeed(const std::string &Workspace, int64_t Needed) const;
+
   std::map<std::string, int64_t> m_Needed; ///< By workspace.
   std::map<std::string, int64_t> m_Guaranteed;
 };
--- a/src/dispatch/Placer.h
+++ b/src/dispatch/Placer.h
@@ -22,6 +22,8 @@
   std::vector<int32_t> m_Indexes;
   /// Expected run time of a task on a healthy worker.
   Duration m_Expected{0};
+  /// Variance of the logarithm of the run time; see RunTime.
+  double m_LogVariance = 0;
   /// Number of running tasks of the step, by worker id.
   std::map<std::string, int32_t> m_Running;
   /// All tasks must go to one rack: the gang asks for it, and some rack is
--- a/src/dispatch/Planner.cpp
+++ b/src/dispatch/Planner.cpp
@@ -60,7 +60,7 @@
   stop(Runs, "its zone is out of service");
 }
 
-void Planner::placeAll(std::vector<WaitingStep> Steps) {
+void Planner::placeAll(std::vector<WaitingStep> Steps, Backlog &Waiting) {
   std::map<const wire::JobRecord *, JobUrgency> Urgency;
   for (const WaitingStep &Step : Steps)
     if (!Urgency.contains(Step.m_Job))
@@ -72,6 +72,8 @@
                      return Urgency[Left.m_Job].m_Rank >
                             Urgency[Right.m_Job].m_Rank;
                    });
+  for (const WaitingStep &Step : Steps)
+    Waiting.add(Step, Urgency[Step.m_Job]);
   for (WaitingStep &Step : Steps) {
     if (m_WaitingPriority && Step.m_Job->priority > *m_WaitingPriority)
       return;
--- a/src/dispatch/Planner.h
+++ b/src/dispatch/Planner.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "Backlog.h"
 #include "Fleet.h"
 #include "Guarantees.h"
 #include "JobRank.h"
@@ -42,8 +43,9 @@
     move(Mover.findOnDrainingWorkers(m_Fleet));
   }
   /// Starts the steps for which there is room, the most urgent ones first, and
-  /// makes room for others or reserves it.
-  void placeAll(std::vector<WaitingStep> Steps);
+  /// makes room for others or reserves it. Adds all of them to \p Waiting in
+  /// this order.
+  void placeAll(std::vector<WaitingStep> Steps, Backlog &Waiting);
   /// Stops runs that make no progress, or would end sooner on other workers.
   void moveStalledOrSlow(const RunMover &Mover) {
     move(Mover.findStalledOrSlow(m_Fleet));
