node: Refuse jobs at their submission that can't end in time

The leader accepted jobs without regard to its backlog, so callers learned only by a late end, or none, that the service was full.

Replica::submit asks the dispatcher and, after a linearizable read, asks it again. It answers OVERLOADED with retryAfterMs only if the job is not in the state and no other submission of its id is being handled on this leader. Considered: to check only proposals in flight. Of two submissions that wait for the read, one could then be refused and the other accepted.

The line submit-refused has the forecast and anvil_jobs_refused_total counts by reason and workspace.

--- a/include/anvil/node/EntryProcess.h
+++ b/include/anvil/node/EntryProcess.h
@@ -50,6 +50,9 @@
   Duration m_StopTime = std::chrono::milliseconds(400);
   /// Time that a run loses when it continues from a checkpoint.
   Duration m_RestoreTime = std::chrono::milliseconds(600);
+  /// Whether the leader refuses jobs that clearly can't end while they have a
+  /// value.
+  bool m_RefuseLateJobs = true;
   /// A policy that no leader confirmed for this long is not used; calls that
   /// depend on it are refused.
   Duration m_MaxPolicyAge = std::chrono::seconds(2);
@@ -76,6 +79,8 @@
 struct CallResult {
   wire::WorkloadStatus::type m_Status = wire::WorkloadStatus::NOT_READY;
   std::string m_Message; ///< Reason for a status other than OK.
+  /// Time after which a refused submission may succeed; 0 if not known.
+  Duration m_RetryAfter{0};
   /// Phase of the job; only for a call that asks for a job's status.
   wire::JobPhase::type m_Phase = wire::JobPhase::QUEUED;
   /// Text of the policy as it was uploaded; only for a call that reads it.
--- a/src/node/EntryProcess.cpp
+++ b/src/node/EntryProcess.cpp
@@ -165,6 +165,7 @@
   Options.m_Leader.m_Dispatch.m_RemotePenalty = m_Options.m_RemotePenalty;
   Options.m_Leader.m_Dispatch.m_StopTime = m_Options.m_StopTime;
   Options.m_Leader.m_Dispatch.m_RestoreTime = m_Options.m_RestoreTime;
+  Options.m_Leader.m_Dispatch.m_RefuseLateJobs = m_Options.m_RefuseLateJobs;
   Options.m_Leader.m_Membership.m_ReplaceAfter = m_Options.m_ReplaceVoterAfter;
   Options.m_Leader.m_Membership.m_ToleratedLosses = m_Options.m_ToleratedLosses;
   Options.m_Leader.m_Membership.m_SettleTime = m_Options.m_SettleTime;
@@ -434,6 +435,8 @@
             net::decodeAs<wire::WorkloadReply>(Answer.m_Body);
         Result.m_Status = Reply->result.status;
         Result.m_Message = Reply->result.message;
+        Result.m_RetryAfter =
+            std::chrono::milliseconds(Reply->result.retryAfterMs);
         Result.m_Phase = Reply->phase;
         Result.m_PolicySource = Reply->source;
         Result.m_WaveCompleted = Reply->waveCompleted;
--- a/src/node/LeaderDuties.cpp
+++ b/src/node/LeaderDuties.cpp
@@ -92,6 +92,14 @@
   m_Pacer.noteChange();
 }
 
+dispatch::JobVerdict
+LeaderDuties::assess(const wire::JobRecord &Candidate) const {
+  if (!m_Active)
+    return dispatch::JobVerdict();
+  return m_Dispatcher.assess(Candidate, m_Ports.m_State(), m_Sessions,
+                             m_Ports.m_Now());
+}
+
 void LeaderDuties::onReplicaAnnounced(raft::ReplicaId Replica) {
   m_Membership.recordAnnouncement(Replica, m_Ports.m_Now());
   wake();
--- a/src/node/LeaderDuties.h
+++ b/src/node/LeaderDuties.h
@@ -80,6 +80,8 @@
   void onReplicaAnnounced(raft::ReplicaId Replica);
   /// Records that the process of a replica ends soon.
   void onReplicaLeaving(raft::ReplicaId Replica);
+  /// Assesses a job that is not in the state; accepts it while not active.
+  dispatch::JobVerdict assess(const wire::JobRecord &Candidate) const;
   /// Handles a change of the state; does nothing while not active.
   void observe(const workload::WorkloadEvent &Event);
   /// Schedules tick() on the io_context, once for several calls.
--- a/src/node/Replica.h
+++ b/src/node/Replica.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -101,6 +102,12 @@
   // Handlers of calls; each invokes Done once.
   using CallDone = std::function<void(wire::WorkloadReply)>;
   void submit(const wire::WorkloadCall &Call, const CallDone &Done);
+  void admitOrPropose(const wire::WorkloadCall &Call, const CallDone &Done);
+  std::optional<dispatch::JobVerdict>
+  findRefusal(const wire::WorkloadCall &Call, const Admission &Admitted) const;
+  wire::WorkloadReply refuseJob(const wire::WorkloadCall &Call,
+                                const Admission &Admitted,
+                                const dispatch::JobVerdict &Verdict);
   void proposeJob(const wire::WorkloadCall &Call, const Admission &Admitted,
                   const CallDone &Done);
   void cancel(const wire::WorkloadCall &Call, const CallDone &Done);
@@ -133,6 +140,8 @@
   /// Results of applied commands by log index, until their proposals are
   /// answered.
   std::unordered_map<uint64_t, wire::WorkloadResult> m_Results;
+  /// Number of submissions that are not answered yet, by job id; above 0.
+  std::map<std::string, int, std::less<>> m_Submissions;
   /// Addresses by replica id, from the log or the sender's messages, while the
   /// state does not hold them yet.
   std::map<int64_t, net::Endpoint> m_Peers;
--- a/src/node/ReplicaCalls.cpp
+++ b/src/node/ReplicaCalls.cpp
@@ -4,6 +4,25 @@
 
 namespace anvil::node::internal {
 
+namespace {
+
+int64_t millisOf(Duration Value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+}
+
+wire::SubmitWorkload submitOf(const wire::WorkloadCall &Call,
+                              const Admission &Admitted) {
+  wire::SubmitWorkload Submit;
+  Submit.jobId = Call.jobId;
+  Submit.queue = Admitted.m_Queue;
+  Submit.workspace = Admitted.m_Workspace;
+  Submit.spec = Call.submit;
+  Submit.__set_address(Admitted.m_Address);
+  return Submit;
+}
+
+} // namespace
+
 wire::WorkloadReply Replica::notLeaderReply() const {
   wire::WorkloadReply Reply;
   Reply.group = groupView();
@@ -102,13 +121,25 @@
   });
 }
 
-// A job is refused only by a linearizable read, since a policy that admits it
-// may have been acknowledged and not applied here yet. If that read admits it,
-// it is proposed: an answer without a proposal would be an acknowledgement of
-// nothing.
 void Replica::submit(const wire::WorkloadCall &Call, const CallDone &Done) {
+  ++m_Submissions[Call.jobId];
+  admitOrPropose(
+      Call, [this, Job = Call.jobId, Done](wire::WorkloadReply Reply) {
+        if (const auto It = m_Submissions.find(Job); --It->second == 0)
+          m_Submissions.erase(It);
+        Done(std::move(Reply));
+      });
+}
+
+// A job is refused only by a linearizable read, since a policy that admits it,
+// or the job itself, may have been acknowledged and not applied here yet. If
+// that read admits it, it is proposed: an answer without a proposal would be an
+// acknowledgement of nothing.
+void Replica::admitOrPropose(const wire::WorkloadCall &Call,
+                             const CallDone &Done) {
   const Admission Admitted = admit(m_State.policy(), Call.address);
-  if (Admitted.m_Status == wire::WorkloadStatus::OK) {
+  if (Admitted.m_Status == wire::WorkloadStatus::OK &&
+      !findRefusal(Call, Admitted)) {
     proposeJob(Call, Admitted, Done);
     return;
   }
@@ -118,28 +149,65 @@
       return;
     }
     const Admission Confirmed = admit(m_State.policy(), Call.address);
-    if (Confirmed.m_Status == wire::WorkloadStatus::OK) {
-      proposeJob(Call, Confirmed, Done);
+    if (Confirmed.m_Status != wire::WorkloadStatus::OK) {
+      m_Log.write("submit-refused", {{"request", Call.requestId},
+                                     {"job", Call.jobId},
+                                     {"reason", Confirmed.m_Reason},
+                                     {"policy", m_State.policy().version}});
+      Done(leaderReply(Confirmed.m_Status, Confirmed.m_Reason));
       return;
     }
-    m_Log.write("submit-refused", {{"request", Call.requestId},
-                                   {"job", Call.jobId},
-                                   {"reason", Confirmed.m_Reason},
-                                   {"policy", m_State.policy().version}});
-    Done(leaderReply(Confirmed.m_Status, Confirmed.m_Reason));
+    if (const std::optional<dispatch::JobVerdict> Refusal =
+            findRefusal(Call, Confirmed))
+      Done(refuseJob(Call, Confirmed, *Refusal));
+    else
+      proposeJob(Call, Confirmed, Done);
   });
 }
 
+// Returns the verdict if the job is to be refused because of the load. A job
+// that is known or may become known by another submission is not: it may run,
+// so a refusal would not be true.
+std::optional<dispatch::JobVerdict>
+Replica::findRefusal(const wire::WorkloadCall &Call,
+                     const Admission &Admitted) const {
+  const auto Submissions = m_Submissions.find(Call.jobId);
+  const wire::QueuePolicy *Queue = workload::findQueue(
+      m_State.policy(), Call.address.host, Call.address.path);
+  if (m_State.job(Call.jobId) || !Queue ||
+      (Submissions != m_Submissions.end() && Submissions->second > 1) ||
+      !workload::checkSpec(Call.submit).ok())
+    return std::nullopt;
+  dispatch::JobVerdict Verdict = m_Duties->assess(
+      workload::WorkloadState::makeRecord(submitOf(Call, Admitted), *Queue));
+  if (Verdict.m_Accepted)
+    return std::nullopt;
+  return Verdict;
+}
+
+wire::WorkloadReply Replica::refuseJob(const wire::WorkloadCall &Call,
+                                       const Admission &Admitted,
+                                       const dispatch::JobVerdict &Verdict) {
+  const TimePoint Now = m_Options.m_Now();
+  m_Log.write("submit-refused",
+              {{"request", Call.requestId},
+               {"job", Call.jobId},
+               {"reason", Verdict.m_Reason},
+               {"expected_end_ms", millisOf(Verdict.m_ExpectedEnd - Now)},
+               {"last_useful_end_ms", millisOf(Verdict.m_LastUsefulEnd - Now)},
+               {"retry_after_ms", millisOf(Verdict.m_RetryAfter)},
+               {"backlog_age_ms", millisOf(Verdict.m_BacklogAge)}});
+  m_StateMetrics.countRefusal(Verdict.m_Reason, Admitted.m_Workspace);
+  wire::WorkloadReply Reply =
+      leaderReply(wire::WorkloadStatus::OVERLOADED, Verdict.m_Reason);
+  Reply.result.retryAfterMs = millisOf(Verdict.m_RetryAfter);
+  return Reply;
+}
+
 void Replica::proposeJob(const wire::WorkloadCall &Call,
                          const Admission &Admitted, const CallDone &Done) {
-  wire::SubmitWorkload Submit;
-  Submit.jobId = Call.jobId;
-  Submit.queue = Admitted.m_Queue;
-  Submit.workspace = Admitted.m_Workspace;
-  Submit.spec = Call.submit;
-  Submit.__set_address(Admitted.m_Address);
   wire::WorkloadCommand Command;
-  Command.__set_submit(Submit);
+  Command.__set_submit(submitOf(Call, Admitted));
   commit(std::move(Command), [this, Call, Done](wire::WorkloadReply Reply) {
     m_Log.write("submit-answered",
                 {{"request", Call.requestId},
--- a/src/node/StateMetrics.cpp
+++ b/src/node/StateMetrics.cpp
@@ -8,6 +8,9 @@
 
 constexpr Metric JobsEnded{"anvil_jobs_ended_total",
                            "Jobs that ended, by phase."};
+constexpr Metric JobsRefused{"anvil_jobs_refused_total",
+                             "Jobs that were refused at their submission "
+                             "because of the load, by reason and workspace."};
 constexpr Metric JobWait{"anvil_job_wait_seconds",
                          "Time from the acceptance of a job until its first "
                          "task was placed."};
@@ -39,6 +42,11 @@
     m_Metrics.count(WorkersLost, {{"reason", Worker->m_Reason}});
 }
 
+void StateMetrics::countRefusal(std::string_view Reason,
+                                std::string_view Workspace) {
+  m_Metrics.count(JobsRefused, {{"reason", Reason}, {"workspace", Workspace}});
+}
+
 void StateMetrics::onJob(const workload::JobChanged &Event, TimePoint Now) {
   if (Event.m_Phase == wire::JobPhase::QUEUED) {
     m_Jobs[Event.m_Job].m_AcceptedAt = Now;
--- a/src/node/StateMetrics.h
+++ b/src/node/StateMetrics.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <string_view>
 
 #include "anvil/base/Time.h"
 #include "anvil/metrics/Registry.h"
@@ -22,6 +23,8 @@
 
   void reset() { m_Jobs.clear(); }
   void observe(const workload::WorkloadEvent &Event, TimePoint Now);
+  /// Counts a job that was refused at its submission because of the load.
+  void countRefusal(std::string_view Reason, std::string_view Workspace);
 
 private:
   struct JobTimes {
--- a/tests/support/TestEntry.h
+++ b/tests/support/TestEntry.h
@@ -42,7 +42,8 @@
 /// Usage: create one for each process of a test and run \p Loop.
 class TestEntry {
 public:
-  TestEntry(Loopback &Loop, const TestEntryOptions &Options) {
+  TestEntry(Loopback &Loop, const TestEntryOptions &Options)
+      : m_Address(Options.m_Listen) {
     node::EntryProcessOptions Process;
     Process.m_Name = "entry-" + std::to_string(Options.m_Listen.m_Port);
     Process.m_Listen = Options.m_Listen;
@@ -74,7 +75,11 @@
   TestEntry &operator=(const TestEntry &) = delete;
 
   node::EntryProcess &process() { return *m_Process; }
+  const node::EntryProcess &process() const { return *m_Process; }
   log::EventLog &log() { return m_Log; }
+  /// Returns the address at which RPCs arrive.
+  const net::Endpoint &address() const { return m_Address; }
+  std::string metricsText() const { return m_Metrics.text(); }
   /// Returns the number of lines in the log that contain \p Event.
   int64_t logged(std::string_view Event) const {
     return std::count_if(m_Lines.begin(), m_Lines.end(),
@@ -96,6 +101,7 @@
     return Options;
   }
 
+  const net::Endpoint m_Address;
   std::filesystem::path m_Folder; ///< Empty without a disk.
   metrics::Registry m_Metrics;
   std::vector<std::string> m_Lines;
