dispatch: Simulate the urgent backlog once if nothing can be preempted

For steps of the highest priority the backlog simulated two rooms, with and without less urgent runs, also if there were none.

dispatch_tests pass; the change has no effect on a forecast.

--- a/src/dispatch/Backlog.cpp
+++ b/src/dispatch/Backlog.cpp
@@ -95,6 +95,8 @@
       Its.m_Room.addRun(Run.m_Amounts, EndsAt);
       if (Run.m_Job->priority == HighestPriority)
         Its.m_UrgentRoom.addRun(Run.m_Amounts, EndsAt);
+      else
+        Its.m_HasLessUrgentRuns = true;
     }
   }
 }
@@ -159,13 +161,15 @@
     Each.m_Room.start(Step.m_Need, Step.m_Tasks, Step.m_Together,
                       Step.m_Expected);
     Step.m_Start = Each.m_Room.time();
-    if (Step.m_Priority != HighestPriority)
+    Step.m_UrgentStart = Step.m_Start;
+    if (Step.m_Priority != HighestPriority || !Each.m_HasLessUrgentRuns)
       return;
     Each.m_UrgentRoom.start(Step.m_Need, Step.m_Tasks, Step.m_Together,
                             Step.m_Expected);
     Step.m_UrgentStart = Each.m_UrgentRoom.time();
   };
-  const bool Urgent = Begin->m_Priority == HighestPriority;
+  const bool Urgent =
+      Begin->m_Priority == HighestPriority && Each.m_HasLessUrgentRuns;
   for (auto It = Begin; It != End; ++It) {
     const RoomOverTime &Room = Urgent ? Each.m_UrgentRoom : Each.m_Room;
     It->m_Hopeless = Room.time() > It->m_LastStart;
--- a/src/dispatch/Backlog.h
+++ b/src/dispatch/Backlog.h
@@ -126,6 +126,7 @@
     /// Without less urgent runs than those of the highest priority, which can
     /// preempt them.
     RoomOverTime m_UrgentRoom;
+    bool m_HasLessUrgentRuns = false; ///< Without them, both rooms are equal.
     std::vector<Entry> m_Entries;
     std::vector<FreeWorker> m_Workers;
   };
