--- a/src/dispatch/JobRank.h
+++ b/src/dispatch/JobRank.h
@@ -20,7 +20,8 @@
   /// How long its start can be delayed without missing its objective; negative
   /// if it misses the objective in any case.
   Duration m_Slack{0};
-  /// The same for the last time at which its result is of any use.
+  /// How long its start can be delayed until it ends too late to have any
+  /// value; negative if it has none in any case.
   Duration m_LateSlack{0};
   /// Work of the whole job, in core seconds.
   double m_WholeWork = 0;
