tests/dispatch: Replay a workspace that bursts beside the others

The load patterns draw the workspace of each job at random, so no replay showed what the other workspaces get while a single one sends far more than its part.

A burst can now be limited to one workspace. The new pattern competing-workspaces lets w3 send as much again as all workspaces together for 25 s. dispatch_replay prints the value by workspace for profiles of up to four.

--- a/tests/dispatch/explorer/ReplayMain.cpp
+++ b/tests/dispatch/explorer/ReplayMain.cpp
@@ -9,11 +9,17 @@
 
 void printMetrics(std::string_view Name,
                   const anvil::sim::ReplayMetrics &Metrics) {
-  std::printf("%-18s %.3f ", std::string(Name).c_str(), Metrics.m_ValueShare);
+  std::printf("%-20s %.3f ", std::string(Name).c_str(), Metrics.m_ValueShare);
   for (const double Each : Metrics.m_ValueShareByKind)
     std::printf(" %.3f", Each);
-  std::printf("  %.3f  %6.0f  %5.0f\n", Metrics.m_WorstValueShare,
+  std::printf("  %.3f  %6.0f  %5.0f ", Metrics.m_WorstValueShare,
               Metrics.m_LostCoreSeconds, Metrics.m_Starts);
+  // The large profile has too many workspaces for a line.
+  constexpr size_t MaxWorkspaces = 4;
+  if (Metrics.m_ValueShareByWorkspace.size() <= MaxWorkspaces)
+    for (const double Each : Metrics.m_ValueShareByWorkspace)
+      std::printf(" %.3f", Each);
+  std::printf("\n");
 }
 
 double secondsOf(anvil::Duration Value) {
@@ -42,9 +48,9 @@
   const std::string WantedProfile = Parsed["sheet"].as<std::string>();
   if (!WantedProfile.empty() && WantedProfile != Name)
     return;
-  std::printf(
-      "%s\n%-18s value  by kind            worst  lost core s  starts\n",
-      std::string(Name).c_str(), "pattern");
+  std::printf("%s\n%-21svalue  by kind            worst  lost core s  starts  "
+              "by workspace\n",
+              std::string(Name).c_str(), "pattern");
   const std::string WantedPattern = Parsed["pattern"].as<std::string>();
   anvil::sim::ReplayHooks Hooks;
   if (Parsed["late"].as<bool>())
--- a/tests/dispatch/sim/DeploymentProfile.cpp
+++ b/tests/dispatch/sim/DeploymentProfile.cpp
@@ -30,6 +30,15 @@
   return Duration(std::llround(Seconds * 1e6));
 }
 
+double secondsOf(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+bool isWithin(const Burst &Value, Duration SubmitAfter) {
+  return SubmitAfter >= Value.m_StartAfter &&
+         SubmitAfter < Value.m_StartAfter + Value.m_Duration;
+}
+
 JobPlan makeJob(Random &Rng, const JobKind &Kind,
                 const DeploymentProfile &Profile, Duration SubmitAfter,
                 int Number) {
@@ -259,15 +268,28 @@
     for (size_t Kind = 0; Kind < Profile.m_Kinds.size(); ++Kind) {
       double Rate = Profile.m_Kinds[Kind].m_PerSecond * Load;
       for (const Burst &Each : Bursts)
-        if (Each.m_Kind == Kind && SubmitAfter >= Each.m_StartAfter &&
-            SubmitAfter < Each.m_StartAfter + Each.m_Duration)
+        if (Each.m_Workspace.empty() && Each.m_Kind == Kind &&
+            isWithin(Each, SubmitAfter))
           Rate *= Each.m_Factor;
-      const double Expected =
-          Rate * std::chrono::duration<double>(Slice).count();
+      const double Expected = Rate * secondsOf(Slice);
       if (Cluster.random().chance(Expected))
         Cluster.add(makeJob(Cluster.random(), Profile.m_Kinds[Kind], Profile,
                             SubmitAfter, ++Number));
     }
+  // Drawn after all other arrivals, which are thus the same as without them.
+  for (const Burst &Each : Bursts)
+    for (Duration SubmitAfter{0}; SubmitAfter < Span; SubmitAfter += Slice) {
+      if (Each.m_Workspace.empty() || !isWithin(Each, SubmitAfter))
+        continue;
+      const JobKind &Kind = Profile.m_Kinds[Each.m_Kind];
+      if (!Cluster.random().chance((Each.m_Factor - 1) * Kind.m_PerSecond *
+                                   Load * secondsOf(Slice)))
+        continue;
+      JobPlan Plan =
+          makeJob(Cluster.random(), Kind, Profile, SubmitAfter, ++Number);
+      Plan.m_Workspace = Each.m_Workspace;
+      Cluster.add(std::move(Plan));
+    }
 }
 
 JobPlan plainJob(const std::string &Id, const std::string &Queue,
--- a/tests/dispatch/sim/DeploymentProfile.h
+++ b/tests/dispatch/sim/DeploymentProfile.h
@@ -64,6 +64,9 @@
   double m_Factor = 2.6;
   Duration m_StartAfter{0};
   Duration m_Duration{0};
+  /// The only workspace that sends the additional requests; all of them if
+  /// empty.
+  std::string m_Workspace = {};
 };
 
 /// Adds the arrivals of the profile within \p Span, at \p Load times its rates.
--- a/tests/dispatch/sim/LoadReplay.cpp
+++ b/tests/dispatch/sim/LoadReplay.cpp
@@ -114,6 +114,10 @@
   };
   const std::vector<Burst> All = {BurstOf(0, 2.6), BurstOf(1, 2.6),
                                   BurstOf(2, 2.6)};
+  // One workspace sends as much again as all of them together.
+  const auto BurstOfOne = [](size_t Kind) {
+    return Burst{Kind, 2, seconds(8), seconds(25), "w3"};
+  };
   return {
       {"calm", 1, {}, {}},
       {"busy", 1.3, {}, {}},
@@ -121,6 +125,10 @@
       {"burst-batch", 1, {BurstOf(0, 5)}, {}},
       {"burst-urgent", 1, {BurstOf(1, 5)}, {}},
       {"burst-all", 1, All, {}},
+      {"competing-workspaces",
+       1,
+       {BurstOfOne(0), BurstOfOne(1), BurstOfOne(2)},
+       {}},
       {"crashes", 1, {}, scheduleCrashes},
       {"slow-workers", 1, {}, scheduleSlowness},
       {"failing-workers", 1, {}, scheduleFailures},
@@ -162,7 +170,8 @@
 class Collector {
 public:
   explicit Collector(const DeploymentProfile &Profile)
-      : m_Profile(Profile), m_Kinds(Profile.m_Kinds.size()) {}
+      : m_Profile(Profile), m_Kinds(Profile.m_Kinds.size()),
+        m_Workspaces(Profile.m_Workspaces.size()) {}
 
   void add(const SimCluster &Cluster) {
     std::map<int64_t, WeightTotals> Spans;
@@ -172,6 +181,7 @@
       const Duration Objective = Cluster.objectiveOf(Result);
       m_All.add(Result, Objective);
       m_Kinds[kindOf(Result)].add(Result, Objective);
+      m_Workspaces[workspaceOf(Result)].add(Result, Objective);
       Spans[Result.m_Plan->m_SubmitAfter / ValueSpan].add(Result, Objective);
     }
     std::vector<WeightTotals> Values;
@@ -189,6 +199,8 @@
     Result.m_ValueShare = m_All.value();
     for (const WeightTotals &Each : m_Kinds)
       Result.m_ValueShareByKind.push_back(Each.value());
+    for (const WeightTotals &Each : m_Workspaces)
+      Result.m_ValueShareByWorkspace.push_back(Each.value());
     Result.m_WorstValueShare = m_Worst / m_Count;
     Result.m_LostCoreSeconds = m_Lost / m_Count;
     Result.m_Starts = m_Starts / m_Count;
@@ -204,10 +216,17 @@
                      });
     return static_cast<size_t>(It - m_Profile.m_Kinds.begin());
   }
+  size_t workspaceOf(const JobResult &Result) const {
+    const auto It =
+        std::find(m_Profile.m_Workspaces.begin(), m_Profile.m_Workspaces.end(),
+                  Result.m_Plan->m_Workspace);
+    return static_cast<size_t>(It - m_Profile.m_Workspaces.begin());
+  }
 
   const DeploymentProfile &m_Profile;
   WeightTotals m_All;
   std::vector<WeightTotals> m_Kinds;
+  std::vector<WeightTotals> m_Workspaces;
   double m_Worst = 0;
   double m_Lost = 0;
   double m_Starts = 0;
--- a/tests/dispatch/sim/LoadReplay.h
+++ b/tests/dispatch/sim/LoadReplay.h
@@ -33,6 +33,8 @@
   /// kind.
   double m_ValueShare = 0;
   std::vector<double> m_ValueShareByKind;
+  /// The same share by workspace, in the order of the profile.
+  std::vector<double> m_ValueShareByWorkspace;
   /// The same share over the worst quarter of all spans of four seconds.
   double m_WorstValueShare = 0;
   /// Core seconds of work that was lost, per replay.
