dispatch: Reclaim guarantees from long-running and urgent runs

Preemption left out every long-running run and every run that was not less urgent, so there was nothing to stop.

If other less urgent runs do not make enough room for a guaranteed job, the search now goes on with less urgent long-running ones, and only then with runs of priority 0 of workspaces that exceed their guarantee. Both take the cheapest runs. A long-running task has no result to lose, so it costs only the stop. ReclaimLimits keeps the bounds over all workers: a step with maxUnavailable has at most that many tasks without a started run, and a workspace keeps what it is guaranteed, so that guaranteed jobs do not stop each other. The stop has the reason "room for guaranteed work".

Jobs that would exceed the guarantee of their workspace therefore come last in priority 0 while a guaranteed job waits since an earlier plan. Considered: to keep the promised room in the dispatcher's memory, which needs a rule for each way in which the promise ends; and to put guaranteed jobs first always, which changes the order also when there is room for all.

--- a/src/dispatch/Guarantees.cpp
+++ b/src/dispatch/Guarantees.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-// Only jobs of this priority, the highest, are covered by guarantees.
-constexpr int32_t GuaranteedPriority = 0;
-
 // Returns the largest number of accelerators that the job holds at a time,
 // assuming that its steps run one after another.
 int64_t acceleratorsOf(const wire::JobRecord &Job) {
@@ -39,4 +36,17 @@
          Guaranteed->second > 0 && Needed->second <= Guaranteed->second;
 }
 
+int64_t Guarantees::guaranteed(const std::string &Workspace) const {
+  const auto It = m_Guaranteed.find(Workspace);
+  return It == m_Guaranteed.end() ? 0 : std::max<int64_t>(0, It->second);
+}
+
+int64_t Guarantees::smallest() const {
+  int64_t Result = 0;
+  for (const auto &[Workspace, Each] : m_Guaranteed)
+    if (Each > 0 && (Result == 0 || Each < Result))
+      Result = Each;
+  return Result;
+}
+
 } // namespace anvil::dispatch::internal
--- a/src/dispatch/Planner.cpp
+++ b/src/dispatch/Planner.cpp
@@ -60,15 +60,44 @@
   stop(Runs, "its zone is out of service");
 }
 
+// The room that is made for a guaranteed job becomes free only after the plan
+// that makes it. Until the job starts, jobs that would exceed the guarantee of
+// their workspace must not take the room, or they are stopped again.
+std::set<const wire::JobRecord *>
+Planner::findYieldingToGuarantees(const std::vector<WaitingStep> &Steps) const {
+  std::set<const wire::JobRecord *> Result;
+  std::set<std::string> Services;
+  for (const WaitingStep &Step : Steps)
+    if (Step.m_Waited > Duration(0) && m_Guarantees.covers(*Step.m_Job))
+      Services.insert(Step.m_Job->serviceName);
+  if (Services.empty())
+    return Result;
+  const ReclaimLimits Limits(m_Fleet, m_Guarantees);
+  for (const WaitingStep &Step : Steps) {
+    const int64_t More = static_cast<int64_t>(Step.m_Indexes.size()) *
+                         Step.m_Spec->perTask.accelerators;
+    if (Step.m_Job->priority == GuaranteedPriority &&
+        Services.contains(Step.m_Job->serviceName) &&
+        Limits.wouldExceed(*Step.m_Job, More))
+      Result.insert(Step.m_Job);
+  }
+  return Result;
+}
+
 void Planner::placeAll(std::vector<WaitingStep> Steps) {
   std::map<const wire::JobRecord *, JobUrgency> Urgency;
   for (const WaitingStep &Step : Steps)
     if (!Urgency.contains(Step.m_Job))
       Urgency[Step.m_Job] = m_Rank.urgencyOf(*Step.m_Job, m_Tracker, m_Now);
+  const std::set<const wire::JobRecord *> Yielding =
+      findYieldingToGuarantees(Steps);
   std::stable_sort(Steps.begin(), Steps.end(),
                    [&](const WaitingStep &Left, const WaitingStep &Right) {
                      if (Left.m_Job->priority != Right.m_Job->priority)
                        return Left.m_Job->priority < Right.m_Job->priority;
+                     const bool Yields = Yielding.contains(Left.m_Job);
+                     if (Yields != Yielding.contains(Right.m_Job))
+                       return !Yields;
                      return Urgency[Left.m_Job].m_Rank >
                             Urgency[Right.m_Job].m_Rank;
                    });
@@ -211,6 +240,16 @@
              });
 }
 
+// Runs of the highest priority are stopped only if all others together would
+// not make enough room.
+std::optional<Eviction> Planner::findReclaim(const WaitingStep &Step,
+                                             int32_t Count) const {
+  if (std::optional<Eviction> Found =
+          m_Preemption.find(Step, Count, EvictionScope::LongRunning))
+    return Found;
+  return m_Preemption.find(Step, Count, EvictionScope::BeyondGuarantee);
+}
+
 // Makes room by waiting for runs that are being stopped, by stopping less
 // urgent ones, or by a reservation for when running ones end.
 void Planner::makeRoom(const WaitingStep &Step, int32_t Count) {
@@ -222,8 +261,13 @@
       Step.m_Job->priority == 0 || m_Guarantees.covers(*Step.m_Job)
           ? EvictionScope::LessUrgentRuns
           : EvictionScope::LentRoom;
-  if (const std::optional<Eviction> Found =
-          m_Preemption.find(Step, Count, Scope)) {
+  std::optional<Eviction> Found = m_Preemption.find(Step, Count, Scope);
+  std::string_view Reason = "room for more urgent work";
+  if (!Found && m_Guarantees.covers(*Step.m_Job)) {
+    Found = findReclaim(Step, Count);
+    Reason = "room for guaranteed work";
+  }
+  if (Found) {
     if (Found->m_Victims.empty() && isFreeNow(Step, *Found)) {
       startChosen(Step, Found->m_Placement, "no rack has room");
       return;
@@ -231,7 +275,7 @@
     if (Found->m_Victims.empty() || Scope == EvictionScope::LentRoom ||
         mayEvict(Step, *Found)) {
       m_Preemption.reserve(Step, *Found);
-      stop(Found->m_Victims, "room for more urgent work");
+      stop(Found->m_Victims, Reason);
       return;
     }
   }
--- a/src/dispatch/Planner.h
+++ b/src/dispatch/Planner.h
@@ -2,6 +2,7 @@
 #define ANVIL_SRC_DISPATCH_PLANNER_H
 
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -32,7 +33,7 @@
       : m_Fleet(PlanFleet), m_Options(Options), m_Tracker(Tracker),
         m_Rank(Rank), m_Settled(Settled), m_Now(Now), m_Guarantees(State),
         m_Placer(PlanFleet, Options.m_RemotePenalty),
-        m_Preemption(PlanFleet, m_Placer) {}
+        m_Preemption(PlanFleet, m_Placer, m_Guarantees) {}
 
   /// Stops runs that have not started on workers of withdrawn zones. Their
   /// start orders would otherwise be repeated until the worker answers.
@@ -55,6 +56,8 @@
 
 private:
   void move(const std::vector<Move> &Moves);
+  std::set<const wire::JobRecord *>
+  findYieldingToGuarantees(const std::vector<WaitingStep> &Steps) const;
   void place(WaitingStep Step);
   void placeGang(const WaitingStep &Step);
   void placeTasks(const WaitingStep &Step);
@@ -63,6 +66,8 @@
   void startChosen(const WaitingStep &Step, const StepPlacement &Chosen,
                    std::string_view Reason);
   void makeRoom(const WaitingStep &Step, int32_t Count);
+  std::optional<Eviction> findReclaim(const WaitingStep &Step,
+                                      int32_t Count) const;
   bool isFreeNow(const WaitingStep &Step, const Eviction &Found) const;
   bool mayEvict(const WaitingStep &Step, const Eviction &Found) const;
   void reserve(const WaitingStep &Step);
--- a/src/dispatch/Preemption.cpp
+++ b/src/dispatch/Preemption.cpp
@@ -35,6 +35,11 @@
          Part(Frees.milliCores, Missing.milliCores);
 }
 
+bool isReclaim(EvictionScope Scope) {
+  return Scope == EvictionScope::LongRunning ||
+         Scope == EvictionScope::BeyondGuarantee;
+}
+
 wire::ResourceAmounts missingOf(const wire::ResourceAmounts &Wants,
                                 const wire::ResourceAmounts &Has) {
   wire::ResourceAmounts Result = Wants;
@@ -47,23 +52,33 @@
 double Preemption::costOf(const RunView &Run) const {
   const bool Gang = runsTogether(*Run.m_Spec);
   const double Members = Gang ? Run.m_Spec->tasks : 1;
-  return Members *
-         (StopCost + coresOf(Run.m_Amounts) * Run.m_Forecast.m_UnsavedSeconds);
+  // A long-running task has no result that a stop could lose.
+  const double Lost =
+      Run.m_Spec->longRunning
+          ? 0
+          : coresOf(Run.m_Amounts) * Run.m_Forecast.m_UnsavedSeconds;
+  return Members * (StopCost + Lost);
 }
 
 bool Preemption::mayStop(const RunView &Run, const WaitingStep &Step,
-                         EvictionScope Scope) {
-  return !Run.m_Stopping && !Run.m_Spec->longRunning &&
-         Run.m_Job->priority > Step.m_Job->priority &&
-         (Scope == EvictionScope::LessUrgentRuns ||
-          Run.m_Forecast.m_OnLentRoom);
+                         EvictionScope Scope,
+                         const std::optional<ReclaimLimits> &Limits) {
+  if (Run.m_Stopping || (Limits && !Limits->allowsStop(Run)))
+    return false;
+  if (Run.m_Job->priority <= Step.m_Job->priority)
+    return Scope == EvictionScope::BeyondGuarantee &&
+           Run.m_Job->priority == GuaranteedPriority;
+  if (Run.m_Spec->longRunning)
+    return isReclaim(Scope);
+  return Scope != EvictionScope::LentRoom || Run.m_Forecast.m_OnLentRoom;
 }
 
 // Adds the run that frees the most missing resources for its cost until there
 // is enough, then drops the runs that turn out not to be needed.
 std::optional<Preemption::Victims>
 Preemption::victimsOn(const WorkerView &Worker, const WaitingStep &Step,
-                      int32_t Tasks, EvictionScope Scope) const {
+                      int32_t Tasks, EvictionScope Scope,
+                      std::optional<ReclaimLimits> Limits) const {
   wire::ResourceAmounts Wants;
   add(Wants, workload::countedAmounts(*Step.m_Spec), Tasks);
   wire::ResourceAmounts Has = Worker.m_Free;
@@ -78,7 +93,7 @@
     double BestValue = 0;
     for (size_t I = 0; I < Worker.m_Runs.size(); ++I) {
       const RunView &Run = Worker.m_Runs[I];
-      if (Taken.contains(I) || !mayStop(Run, Step, Scope))
+      if (Taken.contains(I) || !mayStop(Run, Step, Scope, Limits))
         continue;
       const double Value =
           usefulness(Run.m_Amounts, missingOf(Wants, Has)) / costOf(Run);
@@ -90,6 +105,8 @@
     if (!Best)
       return std::nullopt;
     Taken.insert(*Best);
+    if (Limits)
+      Limits->recordStop(Worker.m_Runs[*Best]);
     add(Has, Worker.m_Runs[*Best].m_Amounts);
   }
   for (auto It = Taken.begin(); It != Taken.end();) {
@@ -110,7 +127,8 @@
 }
 
 // The victims on a worker change only when it gets a task, so each task needs
-// one new search and not one for each worker.
+// one new search and not one for each worker. A reclaim has limits that span
+// workers, so it searches all of them again.
 std::optional<Eviction> Preemption::findIn(const WaitingStep &Step,
                                            const std::string &Rack,
                                            int32_t Count,
@@ -123,16 +141,29 @@
     double m_NextCost = 0;
   };
   const std::vector<WorkerView> &Workers = m_Fleet.workers();
+  std::vector<Candidate> Candidates;
+  std::optional<ReclaimLimits> Limits;
+  if (isReclaim(Scope))
+    Limits.emplace(m_Fleet, m_Guarantees);
+  // Returns the limits after the stops that are chosen on the other workers.
+  const auto LimitsFor = [&](const Candidate &For) {
+    std::optional<ReclaimLimits> Result = Limits;
+    for (const Candidate &Other : Candidates)
+      if (Result && &Other != &For)
+        for (const size_t I : Other.m_Chosen.m_Runs)
+          Result->recordStop(Workers[Other.m_Worker].m_Runs[I]);
+    return Result;
+  };
   const auto SearchNext = [&](Candidate &Each) {
     const WorkerView &Worker = Workers[Each.m_Worker];
     Each.m_Next.reset();
     if (Placer::roomNow(Worker, Step, Each.m_Planned) > 0)
-      Each.m_Next = victimsOn(Worker, Step, Each.m_Planned + 1, Scope);
+      Each.m_Next =
+          victimsOn(Worker, Step, Each.m_Planned + 1, Scope, LimitsFor(Each));
     if (Each.m_Next)
       Each.m_NextCost = Each.m_Next->m_Cost - Each.m_Chosen.m_Cost +
                         Worker.m_Suspicion + m_Placer.slowdownOn(Worker, Step);
   };
-  std::vector<Candidate> Candidates;
   for (const size_t I : m_Fleet.inRack(Rack))
     if (m_Placer.allowed(Workers[I], Step))
       SearchNext(Candidates.emplace_back(Candidate{I, 0, {}, {}, 0}));
@@ -145,7 +176,10 @@
       return std::nullopt;
     ++Best->m_Planned;
     Best->m_Chosen = *std::move(Best->m_Next);
-    SearchNext(*Best);
+    if (!Limits)
+      SearchNext(*Best);
+    else
+      std::for_each(Candidates.begin(), Candidates.end(), SearchNext);
   }
   Eviction Result;
   for (const Candidate &Each : Candidates) {
@@ -174,7 +208,7 @@
   }
   // A gang that spans racks is slow, but that is better than not starting. One
   // that stops nothing may wait for a rack instead.
-  if (!Best && Step.m_OneRack && Scope == EvictionScope::LessUrgentRuns)
+  if (!Best && Step.m_OneRack && Scope != EvictionScope::LentRoom)
     Best = findIn(Step, "", Count, Scope);
   return Best;
 }
--- a/src/dispatch/Preemption.h
+++ b/src/dispatch/Preemption.h
@@ -5,7 +5,9 @@
 #include <set>
 #include <vector>
 
+#include "Guarantees.h"
 #include "Placer.h"
+#include "ReclaimLimits.h"
 
 namespace anvil::dispatch::internal {
 
@@ -24,17 +26,24 @@
 enum class EvictionScope {
   LentRoom,       ///< Only from runs that are being stopped already, and from
                   ///< less urgent ones on lent room.
-  LessUrgentRuns, ///< Also from all other less urgent runs.
+  LessUrgentRuns, ///< Also from all other less urgent runs whose tasks end.
+  LongRunning,    ///< Also from less urgent runs of long-running tasks.
+  BeyondGuarantee ///< Also from runs of the highest priority of workspaces
+                  ///< that exceed their guarantee.
 };
 
-/// Finds a cheap set of less urgent runs whose resources make room for a step.
+/// Finds a cheap set of runs whose resources make room for a step: less urgent
+/// ones, or also others from which a guarantee is reclaimed.
 ///
-/// Runs that have just started, or that save their progress, cost little.
-/// Stopping one member of a gang costs the work of all members.
+/// Runs that have just started, that save their progress, or whose tasks have
+/// no result, cost little. Stopping one member of a gang costs the work of all
+/// members.
 class Preemption {
 public:
-  Preemption(Fleet &PlanFleet, const Placer &PlanPlacer)
-      : m_Fleet(PlanFleet), m_Placer(PlanPlacer) {}
+  Preemption(Fleet &PlanFleet, const Placer &PlanPlacer,
+             const Guarantees &PlanGuarantees)
+      : m_Fleet(PlanFleet), m_Placer(PlanPlacer), m_Guarantees(PlanGuarantees) {
+  }
 
   /// Returns how \p Count tasks of the step can get room, in one rack if
   /// WaitingStep::m_OneRack is set and that is possible. Returns nothing if
@@ -52,16 +61,19 @@
   };
   std::optional<Victims> victimsOn(const WorkerView &Worker,
                                    const WaitingStep &Step, int32_t Tasks,
-                                   EvictionScope Scope) const;
+                                   EvictionScope Scope,
+                                   std::optional<ReclaimLimits> Limits) const;
   std::optional<Eviction> findIn(const WaitingStep &Step,
                                  const std::string &Rack, int32_t Count,
                                  EvictionScope Scope) const;
   static bool mayStop(const RunView &Run, const WaitingStep &Step,
-                      EvictionScope Scope);
+                      EvictionScope Scope,
+                      const std::optional<ReclaimLimits> &Limits);
   double costOf(const RunView &Run) const;
 
   Fleet &m_Fleet;
   const Placer &m_Placer;
+  const Guarantees &m_Guarantees;
 };
 
 } // namespace anvil::dispatch::internal
