dispatch: Search for a reclaim only if it can find more runs

Each guaranteed step that found no room searched all workers twice more in every plan, also in a service without long-running runs and without a workspace beyond its guarantee, and computed the limits once for each rack.

The limits are now computed once for each search, which ends at once if no run is reclaimable that a narrower scope does not have.

Tests: GuaranteeReclaimTest.

--- a/src/dispatch/Preemption.cpp
+++ b/src/dispatch/Preemption.cpp
@@ -129,10 +129,10 @@
 // The victims on a worker change only when it gets a task, so each task needs
 // one new search and not one for each worker. A reclaim has limits that span
 // workers, so it searches all of them again.
-std::optional<Eviction> Preemption::findIn(const WaitingStep &Step,
-                                           const std::string &Rack,
-                                           int32_t Count,
-                                           EvictionScope Scope) const {
+std::optional<Eviction>
+Preemption::findIn(const WaitingStep &Step, const std::string &Rack,
+                   int32_t Count, EvictionScope Scope,
+                   const std::optional<ReclaimLimits> &Limits) const {
   struct Candidate {
     size_t m_Worker = 0;
     int32_t m_Planned = 0;
@@ -142,9 +142,6 @@
   };
   const std::vector<WorkerView> &Workers = m_Fleet.workers();
   std::vector<Candidate> Candidates;
-  std::optional<ReclaimLimits> Limits;
-  if (isReclaim(Scope))
-    Limits.emplace(m_Fleet, m_Guarantees);
   // Returns the limits after the stops that are chosen on the other workers.
   const auto LimitsFor = [&](const Candidate &For) {
     std::optional<ReclaimLimits> Result = Limits;
@@ -198,18 +195,43 @@
   return Result;
 }
 
+// Most reclaims end here: usually there is nothing that a narrower scope does
+// not have too.
+bool Preemption::hasReclaimable(
+    const WaitingStep &Step, EvictionScope Scope,
+    const std::optional<ReclaimLimits> &Limits) const {
+  const auto IsReclaimable = [&](const RunView &Run) {
+    const bool Urgent = Run.m_Job->priority <= Step.m_Job->priority;
+    return (Scope == EvictionScope::BeyondGuarantee
+                ? Urgent
+                : Run.m_Spec->longRunning) &&
+           mayStop(Run, Step, Scope, Limits);
+  };
+  return std::any_of(m_Fleet.workers().begin(), m_Fleet.workers().end(),
+                     [&](const WorkerView &Worker) {
+                       return std::any_of(Worker.m_Runs.begin(),
+                                          Worker.m_Runs.end(), IsReclaimable);
+                     });
+}
+
 std::optional<Eviction> Preemption::find(const WaitingStep &Step, int32_t Count,
                                          EvictionScope Scope) const {
   std::optional<Eviction> Best;
+  std::optional<ReclaimLimits> Limits;
+  if (isReclaim(Scope)) {
+    Limits.emplace(m_Fleet, m_Guarantees);
+    if (!hasReclaimable(Step, Scope, Limits))
+      return Best;
+  }
   for (const std::string &Rack : m_Placer.racksFor(Step)) {
-    std::optional<Eviction> Found = findIn(Step, Rack, Count, Scope);
+    std::optional<Eviction> Found = findIn(Step, Rack, Count, Scope, Limits);
     if (Found && (!Best || Found->m_LostCoreSeconds < Best->m_LostCoreSeconds))
       Best = std::move(Found);
   }
   // A gang that spans racks is slow, but that is better than not starting. One
   // that stops nothing may wait for a rack instead.
   if (!Best && Step.m_OneRack && Scope != EvictionScope::LentRoom)
-    Best = findIn(Step, "", Count, Scope);
+    Best = findIn(Step, "", Count, Scope, Limits);
   return Best;
 }
 
--- a/src/dispatch/Preemption.h
+++ b/src/dispatch/Preemption.h
@@ -63,9 +63,12 @@
                                    const WaitingStep &Step, int32_t Tasks,
                                    EvictionScope Scope,
                                    std::optional<ReclaimLimits> Limits) const;
-  std::optional<Eviction> findIn(const WaitingStep &Step,
-                                 const std::string &Rack, int32_t Count,
-                                 EvictionScope Scope) const;
+  std::optional<Eviction>
+  findIn(const WaitingStep &Step, const std::string &Rack, int32_t Count,
+         EvictionScope Scope, const std::optional<ReclaimLimits> &Limits) const;
+  /// Returns whether the scope has runs that no narrower scope has.
+  bool hasReclaimable(const WaitingStep &Step, EvictionScope Scope,
+                      const std::optional<ReclaimLimits> &Limits) const;
   static bool mayStop(const RunView &Run, const WaitingStep &Step,
                       EvictionScope Scope,
                       const std::optional<ReclaimLimits> &Limits);
