dispatch: Order waiting steps also by the shares of their workspaces

When one workspace sent more than the service could do, the others of the same priority waited behind its jobs: the order knew only the rank of each job and not what its workspace already used.

FairShare now gives the order inside a priority: the rank of the job times a discount of its workspace. The discount is 1 up to the part of the service that the workspace may use, then part/share, and at least 0.25. The share is the dominant share of the runs beyond the guarantee and of what the plan starts. The workspaces with steps waiting at the priority divide what guaranteed runs and the other workspaces leave, by their guaranteed accelerators. A job without slack that can still earn a part of its value is ordered by its rank alone, so JobUrgency has its late slack too. A workspace that waits alone has no discount.

Considered: strict dominant resource fairness, which ignores value and slack; and parts of the whole service, with which nobody yields while guaranteed runs hold most of it.

DispatchOptions::m_FairShare switches it off. m_OnShareYielded receives a job the first time that it waits because of its workspace's share.

--- a/include/anvil/dispatch/Dispatcher.h
+++ b/include/anvil/dispatch/Dispatcher.h
@@ -24,6 +24,18 @@
   double m_CoreSeconds = 0;
 };
 
+/// A job that waits because its workspace uses more than its fair part of the
+/// service while others wait too.
+struct ShareYield {
+  std::string m_Job;
+  std::string m_Workspace;
+  /// Dominant share of the service that the workspace uses beyond its
+  /// guarantee, from 0 to 1.
+  double m_Share = 0;
+  /// Share that it may use before it yields, from 0 to 1.
+  double m_Part = 0;
+};
+
 /// Settings of a Dispatcher.
 struct DispatchOptions {
   /// Factor by which a task takes longer if it runs away from the rack of its
@@ -36,6 +48,12 @@
   Duration m_RestoreTime = std::chrono::milliseconds(600);
   /// Receives the work that observe() finds lost; may be empty.
   std::function<void(const LostWork &)> m_OnLostWork;
+  /// Orders steps of equal priority also by what their workspaces use; without
+  /// it, only by rank.
+  bool m_FairShare = true;
+  /// Receives a job the first time that plan() makes it wait because of its
+  /// workspace's share; may be empty.
+  std::function<void(const ShareYield &)> m_OnShareYielded;
 };
 
 /// Decides which runs start and which are stopped.
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -46,6 +46,8 @@
                        int32_t Step, const wire::StepRecord &Record) const;
   bool hasSettled(const WorkloadState &State, const WorkerSessions &Sessions,
                   TimePoint Now);
+  void reportYields(const WorkloadState &State,
+                    const std::vector<ShareYield> &Yields);
 
   const DispatchOptions m_Options;
   RunTimes m_Times;
@@ -58,6 +60,8 @@
   /// When the leadership began, until all workers are known or the time to get
   /// to know them is over.
   std::optional<TimePoint> m_UnsettledSince;
+  /// Jobs that DispatchOptions::m_OnShareYielded has received.
+  std::set<std::string> m_ReportedYields;
 };
 
 WaitingStep Dispatcher::Impl::makeStep(const wire::JobRecord &Job,
@@ -151,6 +155,20 @@
   m_Impl->m_Tracker.clear();
   m_Impl->m_Rank.clear();
   m_Impl->m_WaitingSince.clear();
+  m_Impl->m_ReportedYields.clear();
+}
+
+void Dispatcher::Impl::reportYields(const WorkloadState &State,
+                                    const std::vector<ShareYield> &Yields) {
+  std::erase_if(m_ReportedYields, [&](const std::string &Id) {
+    const wire::JobRecord *Job = State.job(Id);
+    return !Job || workload::hasEnded(Job->phase);
+  });
+  if (!m_Options.m_OnShareYielded)
+    return;
+  for (const ShareYield &Each : Yields)
+    if (m_ReportedYields.insert(Each.m_Job).second)
+      m_Options.m_OnShareYielded(Each);
 }
 
 void Dispatcher::observe(const workload::WorkloadEvent &Event,
@@ -169,6 +187,7 @@
   Plan.stopUnstartedInWithdrawnZones();
   Plan.moveOffDrainingWorkers(m_Impl->m_Mover);
   Plan.placeAll(m_Impl->waitingSteps(State, Now));
+  m_Impl->reportYields(State, Plan.yields());
   Plan.moveStalledOrSlow(m_Impl->m_Mover);
   return Plan.takeCommands();
 }
--- a/src/dispatch/JobRank.cpp
+++ b/src/dispatch/JobRank.cpp
@@ -140,12 +140,12 @@
   JobUrgency Result;
   Result.m_CriticalPathLeft = JobWork.m_CriticalPathLeft;
   Result.m_Slack = Since + Objective - Now - JobWork.m_CriticalPathLeft;
-  const Duration LateSlack = Since + scaled(Objective, LateObjectives) - Now -
-                             JobWork.m_CriticalPathLeft;
+  Result.m_LateSlack = Since + scaled(Objective, LateObjectives) - Now -
+                       JobWork.m_CriticalPathLeft;
   const double Length = secondsOf(JobWork.m_CriticalPath);
   const double Value =
       (1 - LateValueShare) * urgencyFactor(secondsOf(Result.m_Slack), Length) +
-      LateValueShare * urgencyFactor(secondsOf(LateSlack), Length);
+      LateValueShare * urgencyFactor(secondsOf(Result.m_LateSlack), Length);
   // Small jobs are worth more in relation to their work than large ones.
   const double Work = std::max(1.0, JobWork.m_CoreSecondsLeft);
   const auto Mean = m_MeanWork.find(Job.queue);
--- a/src/dispatch/JobRank.h
+++ b/src/dispatch/JobRank.h
@@ -18,6 +18,8 @@
   /// How long its start can be delayed without missing its objective; negative
   /// if it misses the objective in any case.
   Duration m_Slack{0};
+  /// The same for the time after which it earns nothing.
+  Duration m_LateSlack{0};
   /// Order among jobs of equal priority; the highest rank goes first.
   double m_Rank = 0;
 };
--- a/src/dispatch/Planner.cpp
+++ b/src/dispatch/Planner.cpp
@@ -84,27 +84,54 @@
   return Result;
 }
 
-void Planner::placeAll(std::vector<WaitingStep> Steps) {
+// Returns the steps in the order that FairShare expects.
+std::vector<RankedStep>
+Planner::rankSteps(std::vector<WaitingStep> Steps) const {
   std::map<const wire::JobRecord *, JobUrgency> Urgency;
   for (const WaitingStep &Step : Steps)
     if (!Urgency.contains(Step.m_Job))
       Urgency[Step.m_Job] = m_Rank.urgencyOf(*Step.m_Job, m_Tracker, m_Now);
   const std::set<const wire::JobRecord *> Yielding =
       findYieldingToGuarantees(Steps);
-  std::stable_sort(Steps.begin(), Steps.end(),
-                   [&](const WaitingStep &Left, const WaitingStep &Right) {
-                     if (Left.m_Job->priority != Right.m_Job->priority)
-                       return Left.m_Job->priority < Right.m_Job->priority;
-                     const bool Yields = Yielding.contains(Left.m_Job);
-                     if (Yields != Yielding.contains(Right.m_Job))
-                       return !Yields;
-                     return Urgency[Left.m_Job].m_Rank >
-                            Urgency[Right.m_Job].m_Rank;
-                   });
+  std::vector<RankedStep> Result;
+  Result.reserve(Steps.size());
   for (WaitingStep &Step : Steps) {
+    const JobUrgency &Own = Urgency[Step.m_Job];
+    RankedStep &Ranked = Result.emplace_back();
+    Ranked.m_Rank = Own.m_Rank;
+    Ranked.m_HasNoSlack =
+        Own.m_Slack <= Duration(0) && Own.m_LateSlack > Duration(0);
+    Ranked.m_YieldsToGuarantee = Yielding.contains(Step.m_Job);
+    Ranked.m_Step = std::move(Step);
+  }
+  std::stable_sort(Result.begin(), Result.end(),
+                   [](const RankedStep &Left, const RankedStep &Right) {
+                     const int32_t LeftPriority = Left.m_Step.m_Job->priority;
+                     const int32_t RightPriority = Right.m_Step.m_Job->priority;
+                     if (LeftPriority != RightPriority)
+                       return LeftPriority < RightPriority;
+                     if (Left.m_YieldsToGuarantee != Right.m_YieldsToGuarantee)
+                       return Right.m_YieldsToGuarantee;
+                     return Left.m_Rank > Right.m_Rank;
+                   });
+  return Result;
+}
+
+void Planner::placeAll(std::vector<WaitingStep> Steps) {
+  const std::vector<RankedStep> Ranked = rankSteps(std::move(Steps));
+  FairShare Shares(m_Fleet, m_Guarantees, Ranked, {m_Options.m_FairShare});
+  while (const std::optional<size_t> Next = Shares.next()) {
+    const WaitingStep &Step = Ranked[*Next].m_Step;
     if (m_WaitingPriority && Step.m_Job->priority > *m_WaitingPriority)
       return;
-    place(std::move(Step));
+    const int32_t StartedBefore = m_StartedTasks;
+    place(Step);
+    const int32_t Started = m_StartedTasks - StartedBefore;
+    Shares.addStarted(*Next, Started);
+    if (static_cast<size_t>(Started) < Step.m_Indexes.size() &&
+        Shares.hasYielded(*Next))
+      m_Yields.push_back({Step.m_Job->id, Step.m_Job->workspace,
+                          Shares.shareOf(*Next), Shares.partOf(*Next)});
   }
 }
 
@@ -211,6 +238,7 @@
       Placement.worker = m_Fleet.workers()[Each.m_Worker].info().incarnation;
       Start.placements.push_back(std::move(Placement));
     }
+  m_StartedTasks += static_cast<int32_t>(Start.placements.size());
   wire::WorkloadCommand Command;
   Command.__set_startRuns(Start);
   m_Commands.push_back(std::move(Command));
--- a/src/dispatch/Planner.h
+++ b/src/dispatch/Planner.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "FairShare.h"
 #include "Fleet.h"
 #include "Guarantees.h"
 #include "JobRank.h"
@@ -49,6 +50,9 @@
   void moveStalledOrSlow(const RunMover &Mover) {
     move(Mover.findStalledOrSlow(m_Fleet));
   }
+  /// Returns the steps that wait because of their workspace's share, after
+  /// placeAll(); a job may occur several times.
+  const std::vector<ShareYield> &yields() const { return m_Yields; }
   /// Returns the decisions in the order in which they apply.
   std::vector<wire::WorkloadCommand> takeCommands() {
     return std::move(m_Commands);
@@ -56,6 +60,7 @@
 
 private:
   void move(const std::vector<Move> &Moves);
+  std::vector<RankedStep> rankSteps(std::vector<WaitingStep> Steps) const;
   std::set<const wire::JobRecord *>
   findYieldingToGuarantees(const std::vector<WaitingStep> &Steps) const;
   void place(WaitingStep Step);
@@ -95,6 +100,8 @@
   /// urgent steps must not take what more workers will offer.
   std::optional<int32_t> m_WaitingPriority;
   std::vector<wire::WorkloadCommand> m_Commands;
+  int32_t m_StartedTasks = 0;
+  std::vector<ShareYield> m_Yields;
 };
 
 } // namespace anvil::dispatch::internal
--- a/tests/dispatch/sim/SimCluster.cpp
+++ b/tests/dispatch/sim/SimCluster.cpp
@@ -67,6 +67,8 @@
     dispatch::DispatchOptions Result;
     Result.m_RemotePenalty = Options.m_WorkerOptions.m_RemotePenalty;
     Result.m_OnLostWork = Options.m_OnLostWork;
+    Result.m_FairShare = Options.m_FairShare;
+    Result.m_OnShareYielded = Options.m_OnShareYielded;
     return Result;
   }
 
--- a/tests/dispatch/sim/SimCluster.h
+++ b/tests/dispatch/sim/SimCluster.h
@@ -39,6 +39,10 @@
   bool m_ChecksState = true;
   /// Receives the work that a leader finds lost; may be empty.
   std::function<void(const dispatch::LostWork &)> m_OnLostWork;
+  bool m_FairShare = true;
+  /// Receives the jobs that a leader makes wait because of their workspace's
+  /// share; may be empty.
+  std::function<void(const dispatch::ShareYield &)> m_OnShareYielded;
   /// Receives a line for each event, for people; may be empty.
   std::function<void(TimePoint, const std::string &)> m_Trace;
 };
