node: Log jobs that wait because of their workspace's share

Operators who are asked why a job waits while others run could not see that its workspace uses more than its part.

--- a/src/node/Replica.cpp
+++ b/src/node/Replica.cpp
@@ -154,6 +154,8 @@
   Leader.m_Dispatch.m_OnLostWork = [this](const dispatch::LostWork &Lost) {
     onLostWork(Lost);
   };
+  Leader.m_Dispatch.m_OnShareYielded =
+      [this](const dispatch::ShareYield &Yield) { onShareYielded(Yield); };
   m_Duties = std::make_shared<LeaderDuties>(m_Io, std::move(Leader),
                                             leaderPorts(), m_Log);
   m_State.setEventHook(
@@ -378,6 +380,16 @@
                             {"cause", Lost.m_Cause}});
 }
 
+void Replica::onShareYielded(const dispatch::ShareYield &Yield) {
+  const auto Percent = [](double Share) {
+    return static_cast<int64_t>(std::llround(100 * Share));
+  };
+  m_Log.write("share-yielded", {{"job", Yield.m_Job},
+                                {"workspace", Yield.m_Workspace},
+                                {"share_percent", Percent(Yield.m_Share)},
+                                {"part_percent", Percent(Yield.m_Part)}});
+}
+
 wire::GroupView Replica::groupView() const {
   wire::GroupView View;
   for (const auto &[Id, Replica] : m_State.replicas())
--- a/src/node/Replica.h
+++ b/src/node/Replica.h
@@ -96,6 +96,7 @@
   void propose(wire::WorkloadCommand Command, CommandDone Done);
   LeaderPorts leaderPorts();
   void onLostWork(const dispatch::LostWork &Lost);
+  void onShareYielded(const dispatch::ShareYield &Yield);
   void onStateEvent(const workload::WorkloadEvent &Event);
 
   // Handlers of calls; each invokes Done once.
