dispatch: Order guaranteed jobs by their rank alone

A guaranteed job could go after others of priority 0, because less urgent runs of its workspace hold more than the workspace's part. That would weaken the guarantee, which fairness must not do.

Jobs that a guarantee covers now have no discount, as jobs without slack have none.

Tests: AGuaranteedJobIsOrderedByItsRank.

--- a/src/dispatch/FairShare.cpp
+++ b/src/dispatch/FairShare.cpp
@@ -96,11 +96,11 @@
     if (Job.priority != First.m_Step.m_Job->priority ||
         Each.m_YieldsToGuarantee != First.m_YieldsToGuarantee)
       break;
-    Line &Own = Lines[{Job.serviceName, Job.workspace, Each.m_HasNoSlack}];
+    Line &Own = Lines[{Job.serviceName, Job.workspace, Each.m_KeepsRank}];
     Own.m_Usage = &usageOf(Job);
     Own.m_Usage->m_Competes = true;
     Own.m_Service = &m_Services[Job.serviceName];
-    Own.m_HasNoSlack = Each.m_HasNoSlack;
+    Own.m_KeepsRank = Each.m_KeepsRank;
     Own.m_Indexes.push_back(m_GroupEnd++);
   }
   for (auto &[Key, Each] : Lines)
@@ -155,7 +155,7 @@
         continue;
       const size_t Index = Each.m_Indexes[Each.m_Next];
       const double Score = m_Steps[Index].m_Rank *
-                           (Each.m_HasNoSlack ? 1 : Each.m_Usage->m_Discount);
+                           (Each.m_KeepsRank ? 1 : Each.m_Usage->m_Discount);
       if (Best &&
           (Score < BestScore ||
            (Score == BestScore && Index > Best->m_Indexes[Best->m_Next])))
--- a/src/dispatch/FairShare.h
+++ b/src/dispatch/FairShare.h
@@ -17,9 +17,10 @@
 struct RankedStep {
   WaitingStep m_Step;
   double m_Rank = 0; ///< JobUrgency::m_Rank of its job.
-  /// Its job has no slack left but can still earn a part of its value, so it
-  /// is ordered by its rank alone.
-  bool m_HasNoSlack = false;
+  /// It is ordered by its rank alone, whatever its workspace uses: a guarantee
+  /// covers its job, or the job has no slack left but can still earn a part of
+  /// its value.
+  bool m_KeepsRank = false;
   /// It comes after all other steps of its priority; see Planner.
   bool m_YieldsToGuarantee = false;
 };
@@ -97,7 +98,7 @@
   struct Line {
     Service *m_Service = nullptr;
     Usage *m_Usage = nullptr;
-    bool m_HasNoSlack = false;
+    bool m_KeepsRank = false;
     std::vector<size_t> m_Indexes;
     size_t m_Next = 0;
   };
--- a/src/dispatch/Planner.cpp
+++ b/src/dispatch/Planner.cpp
@@ -99,8 +99,9 @@
     const JobUrgency &Own = Urgency[Step.m_Job];
     RankedStep &Ranked = Result.emplace_back();
     Ranked.m_Rank = Own.m_Rank;
-    Ranked.m_HasNoSlack =
-        Own.m_Slack <= Duration(0) && Own.m_LateSlack > Duration(0);
+    Ranked.m_KeepsRank =
+        m_Guarantees.covers(*Step.m_Job) ||
+        (Own.m_Slack <= Duration(0) && Own.m_LateSlack > Duration(0));
     Ranked.m_YieldsToGuarantee = Yielding.contains(Step.m_Job);
     Ranked.m_Step = std::move(Step);
   }
--- a/tests/dispatch/FairShareTest.cpp
+++ b/tests/dispatch/FairShareTest.cpp
@@ -4,6 +4,7 @@
 #include <map>
 
 #include "dispatch/FairShare.h"
+#include "dispatch/Planner.h"
 #include "dispatch/sim/DeploymentProfile.h"
 #include "dispatch/sim/SimCluster.h"
 #include "workload/WorkloadFixture.h"
@@ -84,6 +85,8 @@
 protected:
   std::vector<RankedStep> m_Steps;
   std::vector<size_t> m_Yielded; ///< By the last order().
+  std::vector<wire::WorkerRecord> m_Records{2};
+  std::vector<WorkerView> m_Views{2};
 
 private:
   const wire::JobRecord &job(const std::string &Workspace, int32_t Priority,
@@ -100,8 +103,6 @@
   }
 
   std::deque<wire::JobRecord> m_Jobs;
-  std::vector<wire::WorkerRecord> m_Records{2};
-  std::vector<WorkerView> m_Views{2};
 };
 
 using Order = std::vector<size_t>;
@@ -146,7 +147,7 @@
   run("b", Usual, accelerators(2));
   wait("b", Urgent, 1);
   wait("a", Usual, 1);
-  wait("a", Usual, 0.9).m_HasNoSlack = true;
+  wait("a", Usual, 0.9).m_KeepsRank = true;
   wait("a", Usual, 0.8);
   wait("b", Least, 1);
   BOOST_TEST((order(true) == Order{0, 1, 2, 3, 4}));
@@ -165,7 +166,7 @@
 // Guards against fairness that delays a job past its latest start.
 BOOST_AUTO_TEST_CASE(AJobWithoutSlackIsOrderedByItsRank) {
   run("a", Usual, accelerators(12));
-  wait("a", Usual, 1).m_HasNoSlack = true;
+  wait("a", Usual, 1).m_KeepsRank = true;
   wait("a", Usual, 0.95);
   wait("b", Usual, 0.9);
   BOOST_TEST((order() == Order{0, 2, 1}));
@@ -255,6 +256,47 @@
   BOOST_TEST(m_Yielded.empty());
 }
 
+// Guards against a guaranteed job that goes after others because less urgent
+// runs of its workspace fill the service.
+BOOST_AUTO_TEST_CASE(AGuaranteedJobIsOrderedByItsRank) {
+  run("a", Usual, accelerators(8));
+  run("a", Usual, accelerators(6));
+  m_Views[1].m_Usable = true;
+  m_Views[1].m_Free = workload::amounts(64000, 64000, 2);
+  // Equal jobs have the same rank, and the first one goes first.
+  for (const std::string Workspace : {"a", "guest"}) {
+    wire::SubmitWorkload Submit;
+    Submit.jobId = "of-" + Workspace;
+    Submit.queue = "quotes";
+    Submit.workspace = Workspace;
+    Submit.spec = workload::makeSpec({workload::makeStep(1, 2)});
+    wire::WorkloadCommand Command;
+    Command.__set_submit(Submit);
+    BOOST_REQUIRE((apply(Command).status == wire::WorkloadStatus::OK));
+  }
+  RunTimes Times;
+  WorkerHealth Health;
+  const RunTracker Tracker(Times, Health);
+  JobRank Rank(Times);
+  Rank.update(m_State, Now);
+  std::vector<WaitingStep> Steps;
+  for (const std::string Id : {"of-a", "of-guest"}) {
+    WaitingStep &Step = Steps.emplace_back();
+    Step.m_Job = m_State.job(Id);
+    Step.m_Spec = &Step.m_Job->spec.steps[0];
+    Step.m_Record = &Step.m_Job->occurrences.begin()->second.steps[0];
+    Step.m_Indexes = {0};
+    Step.m_Expected = std::chrono::seconds(1);
+  }
+  Fleet PlanFleet(m_Views, Now);
+  const DispatchOptions Options;
+  Planner Plan(m_State, PlanFleet, Options, Tracker, Rank, true, Now);
+  Plan.placeAll(std::move(Steps));
+  const std::vector<wire::WorkloadCommand> Commands = Plan.takeCommands();
+  BOOST_REQUIRE(!Commands.empty());
+  BOOST_TEST(Commands.front().startRuns.jobId == "of-a");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace anvil::dispatch::internal
