dispatch: Avoid copies of waiting steps and their keys in the order

Each plan copied every waiting step to place it, and two names for each step to group it by workspace. Steps are moved again, as before the order by shares, and grouped by the address of the workspace's usage. Which of two groups comes first does not depend on that address.

--- a/src/dispatch/FairShare.cpp
+++ b/src/dispatch/FairShare.cpp
@@ -1,7 +1,7 @@
 #include "FairShare.h"
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 namespace anvil::dispatch::internal {
 
@@ -89,17 +89,17 @@
   for (auto &[Name, Each] : m_Services)
     for (auto &[Workspace, Used] : Each.m_Workspaces)
       Used.m_Competes = false;
-  std::map<std::tuple<std::string, std::string, bool>, Line> Lines;
+  std::map<std::pair<const Usage *, bool>, Line> Lines;
   while (m_GroupEnd < m_Steps.size()) {
     const RankedStep &Each = m_Steps[m_GroupEnd];
     const wire::JobRecord &Job = *Each.m_Step.m_Job;
     if (Job.priority != First.m_Step.m_Job->priority ||
         Each.m_YieldsToGuarantee != First.m_YieldsToGuarantee)
       break;
-    Line &Own = Lines[{Job.serviceName, Job.workspace, Each.m_KeepsRank}];
-    Own.m_Usage = &usageOf(Job);
-    Own.m_Usage->m_Competes = true;
-    Own.m_Service = &m_Services[Job.serviceName];
+    Usage &Used = usageOf(Job);
+    Used.m_Competes = true;
+    Line &Own = Lines[{&Used, Each.m_KeepsRank}];
+    Own.m_Usage = &Used;
     Own.m_KeepsRank = Each.m_KeepsRank;
     Own.m_Indexes.push_back(m_GroupEnd++);
   }
--- a/src/dispatch/FairShare.h
+++ b/src/dispatch/FairShare.h
@@ -96,7 +96,6 @@
   /// Steps of one workspace, service and group that are in the right order
   /// among each other.
   struct Line {
-    Service *m_Service = nullptr;
     Usage *m_Usage = nullptr;
     bool m_KeepsRank = false;
     std::vector<size_t> m_Indexes;
--- a/src/dispatch/Planner.cpp
+++ b/src/dispatch/Planner.cpp
@@ -119,20 +119,22 @@
 }
 
 void Planner::placeAll(std::vector<WaitingStep> Steps) {
-  const std::vector<RankedStep> Ranked = rankSteps(std::move(Steps));
+  std::vector<RankedStep> Ranked = rankSteps(std::move(Steps));
   FairShare Shares(m_Fleet, m_Guarantees, Ranked, {m_Options.m_FairShare});
   while (const std::optional<size_t> Next = Shares.next()) {
-    const WaitingStep &Step = Ranked[*Next].m_Step;
-    if (m_WaitingPriority && Step.m_Job->priority > *m_WaitingPriority)
+    const wire::JobRecord &Job = *Ranked[*Next].m_Step.m_Job;
+    if (m_WaitingPriority && Job.priority > *m_WaitingPriority)
       return;
+    const size_t Waiting = Ranked[*Next].m_Step.m_Indexes.size();
     const int32_t StartedBefore = m_StartedTasks;
-    place(Step);
+    // FairShare needs only the job and the specification of the step, which
+    // are still there after the move.
+    place(std::move(Ranked[*Next].m_Step));
     const int32_t Started = m_StartedTasks - StartedBefore;
     Shares.addStarted(*Next, Started);
-    if (static_cast<size_t>(Started) < Step.m_Indexes.size() &&
-        Shares.hasYielded(*Next))
-      m_Yields.push_back({Step.m_Job->id, Step.m_Job->workspace,
-                          Shares.shareOf(*Next), Shares.partOf(*Next)});
+    if (static_cast<size_t>(Started) < Waiting && Shares.hasYielded(*Next))
+      m_Yields.push_back(
+          {Job.id, Job.workspace, Shares.shareOf(*Next), Shares.partOf(*Next)});
   }
 }
 
