--- a/include/anvil/dispatch/Dispatcher.h
+++ b/include/anvil/dispatch/Dispatcher.h
@@ -34,6 +34,18 @@
   int64_t m_Observations = 0; ///< Runs from which the speed was learned.
 };
 
+/// A job that waits because its workspace uses more than its fair part of the
+/// service while others wait too.
+struct ShareYield {
+  std::string m_Job;
+  std::string m_Workspace;
+  /// Dominant share of the service that the workspace uses beyond its
+  /// guarantee, from 0 to 1.
+  double m_Share = 0;
+  /// Share that it may use before it yields, from 0 to 1.
+  double m_Part = 0;
+};
+
 /// Settings of a Dispatcher.
 struct DispatchOptions {
   /// Factor by which a task takes longer if it runs away from the rack of its
@@ -54,6 +66,12 @@
   /// Receives each speed that changed by more than a fifth since it was last
   /// reported, at first since 1; may be empty.
   std::function<void(const WorkerSpeedChange &)> m_OnWorkerSpeed;
+  /// Orders steps of equal priority also by what their workspaces use; without
+  /// it, only by rank.
+  bool m_FairShare = true;
+  /// Receives a job the first time that plan() makes it wait because of its
+  /// workspace's share; may be empty.
+  std::function<void(const ShareYield &)> m_OnShareYielded;
 };
 
 /// Whether a job should be accepted, and the forecast behind the decision.
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -59,6 +59,8 @@
                        int32_t Step, const wire::StepRecord &Record) const;
   bool hasSettled(const WorkloadState &State, const WorkerSessions &Sessions,
                   TimePoint Now);
+  void reportYields(const WorkloadState &State,
+                    const std::vector<ShareYield> &Yields);
 
   const DispatchOptions m_Options;
   RunTimes m_Times;
@@ -73,6 +75,8 @@
   std::optional<TimePoint> m_UnsettledSince;
   /// What the last plan found; nothing before the first plan.
   Backlog m_Backlog;
+  /// Jobs that DispatchOptions::m_OnShareYielded has received.
+  std::set<std::string> m_ReportedYields;
 };
 
 WaitingStep Dispatcher::Impl::makeStep(const wire::JobRecord &Job,
@@ -168,6 +172,20 @@
   m_Impl->m_Rank.clear();
   m_Impl->m_WaitingSince.clear();
   m_Impl->m_Backlog = Backlog();
+  m_Impl->m_ReportedYields.clear();
+}
+
+void Dispatcher::Impl::reportYields(const WorkloadState &State,
+                                    const std::vector<ShareYield> &Yields) {
+  std::erase_if(m_ReportedYields, [&](const std::string &Id) {
+    const wire::JobRecord *Job = State.job(Id);
+    return !Job || workload::hasEnded(Job->phase);
+  });
+  if (!m_Options.m_OnShareYielded)
+    return;
+  for (const ShareYield &Each : Yields)
+    if (m_ReportedYields.insert(Each.m_Job).second)
+      m_Options.m_OnShareYielded(Each);
 }
 
 void Dispatcher::observe(const workload::WorkloadEvent &Event,
@@ -187,6 +205,7 @@
   Plan.stopUnstartedInWithdrawnZones();
   Plan.moveOffDrainingWorkers(m_Impl->m_Mover);
   Plan.placeAll(m_Impl->waitingSteps(State, Now), Found);
+  m_Impl->reportYields(State, Plan.yields());
   Plan.moveStalledOrSlow(m_Impl->m_Mover);
   Found.complete(PlanFleet);
   m_Impl->m_Backlog = std::move(Found);
--- a/src/dispatch/Planner.cpp
+++ b/src/dispatch/Planner.cpp
@@ -61,25 +61,84 @@
   stop(Runs, "its zone is out of service");
 }
 
-void Planner::placeAll(std::vector<WaitingStep> Steps, Backlog &Waiting) {
+// The room that is made for a guaranteed job becomes free only after the plan
+// that makes it. Until the job starts, jobs that would exceed the guarantee of
+// their workspace must not take the room, or they are stopped again.
+std::set<const wire::JobRecord *>
+Planner::findYieldingToGuarantees(const std::vector<WaitingStep> &Steps) const {
+  std::set<const wire::JobRecord *> Result;
+  std::set<std::string> Services;
+  for (const WaitingStep &Step : Steps)
+    if (Step.m_Waited > Duration(0) && m_Guarantees.covers(*Step.m_Job))
+      Services.insert(Step.m_Job->serviceName);
+  if (Services.empty())
+    return Result;
+  const ReclaimLimits Limits(m_Fleet, m_Guarantees);
+  for (const WaitingStep &Step : Steps) {
+    const int64_t More = static_cast<int64_t>(Step.m_Indexes.size()) *
+                         Step.m_Spec->perTask.accelerators;
+    if (Step.m_Job->priority == GuaranteedPriority &&
+        Services.contains(Step.m_Job->serviceName) &&
+        Limits.wouldExceed(*Step.m_Job, More))
+      Result.insert(Step.m_Job);
+  }
+  return Result;
+}
+
+// Returns the steps in the order that FairShare expects.
+std::vector<RankedStep> Planner::rankSteps(std::vector<WaitingStep> Steps,
+                                           Backlog &Waiting) const {
   std::map<const wire::JobRecord *, JobUrgency> Urgency;
   for (const WaitingStep &Step : Steps)
     if (!Urgency.contains(Step.m_Job))
       Urgency[Step.m_Job] = m_Rank.urgencyOf(*Step.m_Job, m_Tracker, m_Now);
-  std::stable_sort(Steps.begin(), Steps.end(),
-                   [&](const WaitingStep &Left, const WaitingStep &Right) {
-                     if (Left.m_Job->priority != Right.m_Job->priority)
-                       return Left.m_Job->priority < Right.m_Job->priority;
-                     return Urgency[Left.m_Job].m_Rank >
-                            Urgency[Right.m_Job].m_Rank;
-                   });
-  for (const WaitingStep &Step : Steps)
-    Waiting.add(Step, Urgency[Step.m_Job]);
+  const std::set<const wire::JobRecord *> Yielding =
+      findYieldingToGuarantees(Steps);
+  std::vector<RankedStep> Result;
+  Result.reserve(Steps.size());
   for (WaitingStep &Step : Steps) {
-    if (m_WaitingPriority && Step.m_Job->priority > *m_WaitingPriority)
+    const JobUrgency &Own = Urgency[Step.m_Job];
+    RankedStep &Ranked = Result.emplace_back();
+    Ranked.m_Rank = Own.m_Rank;
+    Ranked.m_KeepsRank =
+        m_Guarantees.covers(*Step.m_Job) ||
+        (Own.m_Slack <= Duration(0) && Own.m_LateSlack > Duration(0));
+    Ranked.m_YieldsToGuarantee = Yielding.contains(Step.m_Job);
+    Step.m_Slack = Own.m_Slack;
+    Ranked.m_Step = std::move(Step);
+  }
+  std::stable_sort(Result.begin(), Result.end(),
+                   [](const RankedStep &Left, const RankedStep &Right) {
+                     const int32_t LeftPriority = Left.m_Step.m_Job->priority;
+                     const int32_t RightPriority = Right.m_Step.m_Job->priority;
+                     if (LeftPriority != RightPriority)
+                       return LeftPriority < RightPriority;
+                     if (Left.m_YieldsToGuarantee != Right.m_YieldsToGuarantee)
+                       return Right.m_YieldsToGuarantee;
+                     return Left.m_Rank > Right.m_Rank;
+                   });
+  for (const RankedStep &Each : Result)
+    Waiting.add(Each.m_Step, Urgency[Each.m_Step.m_Job]);
+  return Result;
+}
+
+void Planner::placeAll(std::vector<WaitingStep> Steps, Backlog &Waiting) {
+  std::vector<RankedStep> Ranked = rankSteps(std::move(Steps), Waiting);
+  FairShare Shares(m_Fleet, m_Guarantees, Ranked, {m_Options.m_FairShare});
+  while (const std::optional<size_t> Next = Shares.next()) {
+    const wire::JobRecord &Job = *Ranked[*Next].m_Step.m_Job;
+    if (m_WaitingPriority && Job.priority > *m_WaitingPriority)
       return;
-    Step.m_Slack = Urgency[Step.m_Job].m_Slack;
-    place(std::move(Step));
+    const size_t Tasks = Ranked[*Next].m_Step.m_Indexes.size();
+    const int32_t StartedBefore = m_StartedTasks;
+    // FairShare needs only the job and the specification of the step, which
+    // are still there after the move.
+    place(std::move(Ranked[*Next].m_Step));
+    const int32_t Started = m_StartedTasks - StartedBefore;
+    Shares.addStarted(*Next, Started);
+    if (static_cast<size_t>(Started) < Tasks && Shares.hasYielded(*Next))
+      m_Yields.push_back(
+          {Job.id, Job.workspace, Shares.shareOf(*Next), Shares.partOf(*Next)});
   }
 }
 
@@ -186,6 +245,7 @@
       Placement.worker = m_Fleet.workers()[Each.m_Worker].info().incarnation;
       Start.placements.push_back(std::move(Placement));
     }
+  m_StartedTasks += static_cast<int32_t>(Start.placements.size());
   wire::WorkloadCommand Command;
   Command.__set_startRuns(Start);
   m_Commands.push_back(std::move(Command));
@@ -227,6 +287,16 @@
              });
 }
 
+// Runs of the highest priority are stopped only if all others together would
+// not make enough room.
+std::optional<Eviction> Planner::findReclaim(const WaitingStep &Step,
+                                             int32_t Count) const {
+  if (std::optional<Eviction> Found =
+          m_Preemption.find(Step, Count, EvictionScope::LongRunning))
+    return Found;
+  return m_Preemption.find(Step, Count, EvictionScope::BeyondGuarantee);
+}
+
 // Makes room by waiting for runs that are being stopped, by stopping less
 // urgent ones, or by a reservation for when running ones end.
 void Planner::makeRoom(const WaitingStep &Step, int32_t Count) {
@@ -238,8 +308,13 @@
       Step.m_Job->priority == 0 || m_Guarantees.covers(*Step.m_Job)
           ? EvictionScope::LessUrgentRuns
           : EvictionScope::LentRoom;
-  if (const std::optional<Eviction> Found =
-          m_Preemption.find(Step, Count, Scope)) {
+  std::optional<Eviction> Found = m_Preemption.find(Step, Count, Scope);
+  std::string_view Reason = "room for more urgent work";
+  if (!Found && m_Guarantees.covers(*Step.m_Job)) {
+    Found = findReclaim(Step, Count);
+    Reason = "room for guaranteed work";
+  }
+  if (Found) {
     if (Found->m_Victims.empty() && isFreeNow(Step, *Found)) {
       startChosen(Step, Found->m_Placement, "no rack has room");
       return;
@@ -247,7 +322,7 @@
     if (Found->m_Victims.empty() || Scope == EvictionScope::LentRoom ||
         mayEvict(Step, *Found)) {
       m_Preemption.reserve(Step, *Found);
-      stop(Found->m_Victims, "room for more urgent work");
+      stop(Found->m_Victims, Reason);
       return;
     }
   }
--- a/src/dispatch/Planner.h
+++ b/src/dispatch/Planner.h
@@ -2,6 +2,7 @@
 #define ANVIL_SRC_DISPATCH_PLANNER_H
 
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -9,6 +10,7 @@
 
 #include "Backlog.h"
 #include "DelayCost.h"
+#include "FairShare.h"
 #include "Fleet.h"
 #include "Guarantees.h"
 #include "JobRank.h"
@@ -34,7 +36,8 @@
       : m_Fleet(PlanFleet), m_Options(Options), m_Tracker(Tracker),
         m_Rank(Rank), m_Settled(Settled), m_Now(Now), m_Guarantees(State),
         m_Placer(PlanFleet, Options.m_RemotePenalty),
-        m_Preemption(PlanFleet, m_Placer), m_DelayCost(Rank, Tracker, Now) {}
+        m_Preemption(PlanFleet, m_Placer, m_Guarantees),
+        m_DelayCost(Rank, Tracker, Now) {}
 
   /// Stops runs that have not started on workers of withdrawn zones. Their
   /// start orders would otherwise be repeated until the worker answers.
@@ -53,6 +56,9 @@
   void moveStalledOrSlow(const RunMover &Mover) {
     move(Mover.findStalledOrSlow(m_Fleet));
   }
+  /// Returns the steps that wait because of their workspace's share, after
+  /// placeAll(); a job may occur several times.
+  const std::vector<ShareYield> &yields() const { return m_Yields; }
   /// Returns the decisions in the order in which they apply.
   std::vector<wire::WorkloadCommand> takeCommands() {
     return std::move(m_Commands);
@@ -60,6 +66,10 @@
 
 private:
   void move(const std::vector<Move> &Moves);
+  std::vector<RankedStep> rankSteps(std::vector<WaitingStep> Steps,
+                                    Backlog &Waiting) const;
+  std::set<const wire::JobRecord *>
+  findYieldingToGuarantees(const std::vector<WaitingStep> &Steps) const;
   void place(WaitingStep Step);
   void placeGang(const WaitingStep &Step);
   void placeTasks(const WaitingStep &Step);
@@ -68,6 +78,8 @@
   void startChosen(const WaitingStep &Step, const StepPlacement &Chosen,
                    std::string_view Reason);
   void makeRoom(const WaitingStep &Step, int32_t Count);
+  std::optional<Eviction> findReclaim(const WaitingStep &Step,
+                                      int32_t Count) const;
   bool isFreeNow(const WaitingStep &Step, const Eviction &Found) const;
   bool mayEvict(const WaitingStep &Step, const Eviction &Found);
   void reserve(const WaitingStep &Step);
@@ -104,6 +116,8 @@
   /// urgent steps must not take what more workers will offer.
   std::optional<int32_t> m_WaitingPriority;
   std::vector<wire::WorkloadCommand> m_Commands;
+  int32_t m_StartedTasks = 0;
+  std::vector<ShareYield> m_Yields;
 };
 
 } // namespace anvil::dispatch::internal
--- a/tests/dispatch/sim/SimCluster.cpp
+++ b/tests/dispatch/sim/SimCluster.cpp
@@ -69,6 +69,8 @@
     Result.m_OnLostWork = Options.m_OnLostWork;
     Result.m_LearnSpeeds = Options.m_LearnSpeeds;
     Result.m_OnWorkerSpeed = Options.m_OnWorkerSpeed;
+    Result.m_FairShare = Options.m_FairShare;
+    Result.m_OnShareYielded = Options.m_OnShareYielded;
     return Result;
   }
 
--- a/tests/dispatch/sim/SimCluster.h
+++ b/tests/dispatch/sim/SimCluster.h
@@ -42,6 +42,10 @@
   bool m_LearnSpeeds = true;
   /// Receives the speeds that a leader reports; may be empty.
   std::function<void(const dispatch::WorkerSpeedChange &)> m_OnWorkerSpeed;
+  bool m_FairShare = true;
+  /// Receives the jobs that a leader makes wait because of their workspace's
+  /// share; may be empty.
+  std::function<void(const dispatch::ShareYield &)> m_OnShareYielded;
   /// Receives a line for each event, for people; may be empty.
   std::function<void(TimePoint, const std::string &)> m_Trace;
 };
