dispatch: Count equally urgent runs in shares; move each stalled run

A task that stood still on two workers in turn stayed on the second, since no task moved twice for the same reason; that now holds for slow workers only.

--- a/src/dispatch/FairShare.cpp
+++ b/src/dispatch/FairShare.cpp
@@ -41,11 +41,18 @@
 void FairShare::Usage::add(const wire::JobRecord &Job,
                            const wire::ResourceAmounts &Amounts,
                            int32_t Count) {
-  workload::add(m_All, Amounts, Count);
+  workload::add(m_LessUrgent[Job.priority], Amounts, Count);
   if (Job.priority == GuaranteedPriority)
     workload::add(m_Urgent, Amounts, Count);
 }
 
+void FairShare::Usage::countUpTo(int32_t Priority) {
+  const auto End = m_LessUrgent.upper_bound(Priority);
+  for (auto It = m_LessUrgent.begin(); It != End; ++It)
+    workload::add(m_All, It->second);
+  m_LessUrgent.erase(m_LessUrgent.begin(), End);
+}
+
 double FairShare::Usage::coveredPart() const {
   if (m_Guaranteed == 0)
     return 0;
@@ -87,8 +94,10 @@
   const RankedStep &First = m_Steps[Begin];
   m_Lines.clear();
   for (auto &[Name, Each] : m_Services)
-    for (auto &[Workspace, Used] : Each.m_Workspaces)
+    for (auto &[Workspace, Used] : Each.m_Workspaces) {
       Used.m_Competes = false;
+      Used.countUpTo(First.m_Step.m_Job->priority);
+    }
   std::map<std::pair<const Usage *, bool>, Line> Lines;
   while (m_GroupEnd < m_Steps.size()) {
     const RankedStep &Each = m_Steps[m_GroupEnd];
@@ -177,8 +186,9 @@
     return;
   const WaitingStep &Step = m_Steps[Index].m_Step;
   Service &Own = m_Services[Step.m_Job->serviceName];
-  usageOf(*Step.m_Job)
-      .add(*Step.m_Job, workload::countedAmounts(*Step.m_Spec), Tasks);
+  Usage &Used = usageOf(*Step.m_Job);
+  Used.add(*Step.m_Job, workload::countedAmounts(*Step.m_Spec), Tasks);
+  Used.countUpTo(Step.m_Job->priority);
   Own.m_LastStarted = std::max(Own.m_LastStarted.value_or(0), Index);
   update(Own);
 }
--- a/src/dispatch/FairShare.h
+++ b/src/dispatch/FairShare.h
@@ -33,10 +33,12 @@
 ///
 /// As in dominant resource fairness, the share of a workspace is the largest of
 /// its shares of cores, memory and accelerators, here of the runs beyond its
-/// guarantee. Workspaces that have steps waiting in a service at a priority
-/// divide by their weights what guaranteed runs and the other workspaces leave
-/// of the service. The rank of a step of a workspace beyond its part is
-/// multiplied by the ratio of the part to its share, within a bound.
+/// guarantee. Runs that are less urgent than the waiting steps do not count, so
+/// that the batch work of a workspace does not delay its urgent jobs.
+/// Workspaces that have steps waiting in a service at a priority divide by
+/// their weights what guaranteed runs and the other workspaces leave of the
+/// service. The rank of a step of a workspace beyond its part is multiplied by
+/// the ratio of the part to its share, within a bound.
 ///
 /// Usage: call next() until it returns nothing, and addStarted() after each
 /// step of which tasks were started.
@@ -71,7 +73,9 @@
 private:
   /// What a workspace uses of a service.
   struct Usage {
+    /// By runs that are not less urgent than the present group.
     wire::ResourceAmounts m_All;
+    std::map<int32_t, wire::ResourceAmounts> m_LessUrgent; ///< By priority.
     wire::ResourceAmounts m_Urgent; ///< By runs of the highest priority.
     int64_t m_Guaranteed = 0;
     double m_Weight = 1;
@@ -84,6 +88,8 @@
 
     void add(const wire::JobRecord &Job, const wire::ResourceAmounts &Amounts,
              int32_t Count);
+    /// Counts the runs of \p Priority and of more urgent ones in m_All.
+    void countUpTo(int32_t Priority);
     /// Returns the part of what its urgent runs use that its guarantee covers.
     double coveredPart() const;
   };
--- a/src/dispatch/RunForecasts.cpp
+++ b/src/dispatch/RunForecasts.cpp
@@ -90,11 +90,7 @@
                                PlacedAt, Now);
     Result.m_WorkLeftSeconds = secondsOf(Whole.m_Expected);
   }
-  if (const auto Moved = m_Moved.find(moveKeyOf(Spec, Ref));
-      Moved != m_Moved.end()) {
-    Result.m_MovedAsStalled = Moved->second.contains(StalledReason);
-    Result.m_MovedAsSlow = Moved->second.contains(SlowWorkerReason);
-  }
+  Result.m_MovedAsSlow = m_MovedAsSlow.contains(moveKeyOf(Spec, Ref));
   Result.m_OnLentRoom = Known && It->second.m_OnLentRoom;
   // The percent of a task that lasts is 100 while it is at work.
   if (Spec.longRunning)
--- a/src/dispatch/RunMover.cpp
+++ b/src/dispatch/RunMover.cpp
@@ -236,8 +236,7 @@
       HighestSpeed = std::max(HighestSpeed, Worker.m_Speed);
   for (const WorkerView &Worker : PlanFleet.workers())
     for (const RunView &Run : Worker.m_Runs) {
-      const bool Stalled =
-          Run.m_Forecast.m_Stalled && !Run.m_Forecast.m_MovedAsStalled;
+      const bool Stalled = Run.m_Forecast.m_Stalled;
       if (Moves.size() >= MaxMoves || !mayMove(Run) ||
           (!Stalled &&
            !isFasterElsewhere(PlanFleet, Worker, Run, HighestSpeed)) ||
--- a/src/dispatch/RunMover.h
+++ b/src/dispatch/RunMover.h
@@ -24,7 +24,7 @@
 /// Decides which runs are stopped in order to continue elsewhere: runs that
 /// will not end before their draining worker leaves, runs that have stalled,
 /// and runs on a worker that is so slow that moving them is faster. No task
-/// moves twice because it has stalled, or twice because its worker is slow.
+/// moves twice because its worker is slow.
 ///
 /// When a worker gives notice, a run without checkpoints either goes on, since
 /// it is likely to end in time, or stops at once, since all further work would
--- a/src/dispatch/RunTracker.cpp
+++ b/src/dispatch/RunTracker.cpp
@@ -79,9 +79,10 @@
   auto It = m_Steps.lower_bound({Job, INT32_MIN, INT32_MIN});
   while (It != m_Steps.end() && std::get<0>(It->first) == Job)
     It = m_Steps.erase(It);
-  auto Moved = m_Moved.lower_bound({Job, INT32_MIN, INT32_MIN, INT32_MIN});
-  while (Moved != m_Moved.end() && std::get<0>(Moved->first) == Job)
-    Moved = m_Moved.erase(Moved);
+  auto Moved =
+      m_MovedAsSlow.lower_bound({Job, INT32_MIN, INT32_MIN, INT32_MIN});
+  while (Moved != m_MovedAsSlow.end() && std::get<0>(*Moved) == Job)
+    Moved = m_MovedAsSlow.erase(Moved);
 }
 
 void RunTracker::observe(const workload::WorkloadEvent &Event,
@@ -124,9 +125,8 @@
   const auto Step = static_cast<size_t>(Event.m_Task.step);
   const wire::StepSpec *Spec =
       Job && Step < Job->spec.steps.size() ? &Job->spec.steps[Step] : nullptr;
-  if (Spec &&
-      (Event.m_Reason == StalledReason || Event.m_Reason == SlowWorkerReason))
-    m_Moved[moveKeyOf(*Spec, Event.m_Task)].insert(Event.m_Reason);
+  if (Spec && Event.m_Reason == SlowWorkerReason)
+    m_MovedAsSlow.insert(moveKeyOf(*Spec, Event.m_Task));
   const auto It = m_Runs.find(taskOf(Event.m_Task));
   if (It == m_Runs.end() || It->second.m_Run != Event.m_Run)
     return;
--- a/src/dispatch/RunTracker.h
+++ b/src/dispatch/RunTracker.h
@@ -38,9 +38,8 @@
   /// It was placed on room that is reserved for a more urgent step, which may
   /// have it back; see LentRoomReason.
   bool m_OnLentRoom = false;
-  /// Its task was stopped before with StalledReason or SlowWorkerReason. No
-  /// task moves twice for the same reason.
-  bool m_MovedAsStalled = false;
+  /// Its task was stopped before with SlowWorkerReason and does not move for
+  /// that reason again.
   bool m_MovedAsSlow = false;
 };
 
@@ -73,7 +72,7 @@
   void clear() {
     m_Runs.clear();
     m_Steps.clear();
-    m_Moved.clear();
+    m_MovedAsSlow.clear();
     m_Speeds.clear();
     m_GangLosses.clear();
   }
@@ -205,9 +204,9 @@
   GangLosses m_GangLosses;
   std::map<TaskKey, TrackedRun> m_Runs;
   std::map<StepKey, StepHistory> m_Steps; ///< Of jobs that have not ended.
-  /// Reasons for which tasks of jobs that have not ended were moved. The
-  /// members of a gang move together and have one entry.
-  std::map<TaskKey, std::set<std::string, std::less<>>> m_Moved;
+  /// Tasks of jobs that have not ended that were moved because their worker was
+  /// slow. The members of a gang move together and have one entry.
+  std::set<TaskKey> m_MovedAsSlow;
 };
 
 } // namespace anvil::dispatch::internal
