--- a/cmake/modules/dispatch.cmake
+++ b/cmake/modules/dispatch.cmake
@@ -1,4 +1,4 @@
-anvil_module(dispatch LINK anvil_base anvil_workload absl::status absl::statusor absl::strings)
+anvil_module(dispatch LINK anvil_base anvil_workload absl::status absl::statusor absl::strings xxhash)
 
 # The simulated deployment is shared by the tests and by the replay program.
 file(GLOB DispatchSimSources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/dispatch/sim/*.cpp)
--- a/src/dispatch/JobAdmission.cpp
+++ b/src/dispatch/JobAdmission.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include <xxhash.h>
+
 #include "Durations.h"
 
 namespace anvil::dispatch::internal {
@@ -23,15 +25,10 @@
 constexpr Duration MaxRetryAfter = std::chrono::seconds(30);
 
 // Returns a number in [0, 1) that depends on the text only, the same on all
-// machines: the hash FNV-1a with the last mixing step of MurmurHash3.
+// machines.
 double fractionOf(std::string_view Text) {
-  uint64_t Hash = 0xcbf29ce484222325;
-  for (const char Each : Text)
-    Hash = (Hash ^ static_cast<unsigned char>(Each)) * 0x100000001b3;
-  Hash = (Hash ^ (Hash >> 33)) * 0xff51afd7ed558ccd;
-  Hash = (Hash ^ (Hash >> 33)) * 0xc4ceb9fe1a85ec53;
-  Hash ^= Hash >> 33;
-  return std::ldexp(static_cast<double>(Hash >> 11), -53);
+  return std::ldexp(
+      static_cast<double>(XXH64(Text.data(), Text.size(), 0) >> 11), -53);
 }
 
 bool runsForLong(const wire::JobRecord &Job) {
