dispatch: Forget the runs of a gang's other members when it ends

Plans of a large service took longer the longer a leader led. Cause: the end of a gang is one event, so the runs of its other members stayed in the tracker, and each plan walked them. Ruled out: the new decisions; a sample of 28 stacks showed most of the time in RunTracker::update.

Runs that the state does not hold any more are removed with each update.

--- a/src/dispatch/RunTracker.cpp
+++ b/src/dispatch/RunTracker.cpp
@@ -274,6 +274,21 @@
   Tracked.m_StallReported = false;
 }
 
+// The end of a gang is one event, which does not name its other members.
+void RunTracker::forgetEndedRuns(const workload::WorkloadState &State) {
+  std::erase_if(m_Runs, [&](const auto &Each) {
+    const auto &[Job, Occurrence, Step, Index] = Each.first;
+    wire::TaskRef Ref;
+    Ref.jobId = Job;
+    Ref.occurrence = Occurrence;
+    Ref.step = Step;
+    Ref.index = Index;
+    const wire::TaskRecord *Task = State.task(Ref);
+    return !Task || Task->run != Each.second.m_Run ||
+           !workload::isActive(*Task);
+  });
+}
+
 void RunTracker::update(const workload::WorkloadState &State,
                         const WorkerSessions &Sessions, TimePoint Now) {
   for (const auto &[Id, Worker] : State.workers()) {
@@ -287,6 +302,7 @@
       recordStatus(Status, Live->m_LastSyncAt, Live->m_LastReplyAt);
     }
   }
+  forgetEndedRuns(State);
   m_Speeds.updateWorkers(State, Now);
   updateWorkerSpeeds(State);
   std::map<StepKey, StepSpeeds> Steps;
--- a/src/dispatch/RunTracker.h
+++ b/src/dispatch/RunTracker.h
@@ -142,6 +142,7 @@
                const workload::WorkloadState &State, TimePoint Now);
   void adopt(const wire::RunStatus &Status,
              const workload::WorkloadState &State, TimePoint ReceivedAt);
+  void forgetEndedRuns(const workload::WorkloadState &State);
   void recordStatus(const wire::RunStatus &Status, TimePoint ReceivedAt,
                     TimePoint ListedAt);
   static void updateSpeed(TrackedRun &Tracked);
